--- /dev/null
+++ b/coordination/src/fence/fence_keeper.rs
@@ -0,0 +1,110 @@
+use {
+    super::EngineStatus,
+    chalkcart_state::ids::{Fence, Incarnation},
+};
+
+/// whether this process drives its engine
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FenceState {
+    /// the engine must be read before any order
+    Unknown,
+    /// orders carry this pair
+    Held {
+        incarnation: Incarnation,
+        fence: Fence,
+    },
+    /// a newer process drives the engine; this one never will again
+    Superseded,
+}
+
+/// what to do after reading an engine
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FenceStep {
+    /// ask the engine to take this pair
+    Take {
+        incarnation: Incarnation,
+        fence: Fence,
+    },
+    /// nothing changed
+    Keep,
+    /// stop for good
+    GiveUp,
+}
+
+/// holds this process's fence.
+///
+/// The fence is chosen once for the life of the process: at the first read,
+/// one above the engine's. So when two processes meet at an engine that
+/// restarted, the later one wins in whatever order they come.
+#[derive(Debug)]
+pub struct FenceKeeper {
+    state: FenceState,
+    /// lower bound of the own fence: the start time, so that a later process
+    /// is higher even if the engine forgot
+    epoch: Fence,
+    own: Option<Fence>,
+}
+
+impl FenceKeeper {
+    pub fn new(epoch: Fence) -> Self {
+        Self {
+            state: FenceState::Unknown,
+            epoch,
+            own: None,
+        }
+    }
+    pub fn state(&self) -> FenceState {
+        self.state
+    }
+    pub fn is_superseded(&self) -> bool {
+        self.state == FenceState::Superseded
+    }
+
+    /// decide on what the engine said
+    pub fn on_read(&mut self, status: &EngineStatus) -> FenceStep {
+        if self.is_superseded() {
+            return FenceStep::GiveUp;
+        }
+        let own = *self
+            .own
+            .get_or_insert_with(|| self.epoch.max(status.fence + 1));
+        if status.fence > own {
+            self.state = FenceState::Superseded;
+            return FenceStep::GiveUp;
+        }
+        let held = FenceState::Held {
+            incarnation: status.incarnation,
+            fence: own,
+        };
+        if self.state == held && status.fence == own {
+            return FenceStep::Keep;
+        }
+        FenceStep::Take {
+            incarnation: status.incarnation,
+            fence: own,
+        }
+    }
+
+    /// the engine took the pair
+    pub fn on_taken(&mut self, incarnation: Incarnation, fence: Fence) {
+        if !self.is_superseded() {
+            self.state = FenceState::Held { incarnation, fence };
+        }
+    }
+
+    /// an order without an answer may still arrive: leave it behind a higher
+    /// fence. A later process stays above, since it starts with the clock and
+    /// an earlier one raises by one for each lost order
+    pub fn raise(&mut self) {
+        if let Some(own) = &mut self.own {
+            *own += 1;
+        }
+    }
+
+    /// an order was refused, or this process was paused: read again
+    pub fn on_doubt(&mut self) {
+        if !self.is_superseded() {
+            self.state = FenceState::Unknown;
+        }
+    }
+}
--- /dev/null
+++ b/coordination/src/lib.rs
@@ -0,0 +1,16 @@
+//! every decision of chalkcart.
+//!
+//! Nothing here does I/O or reads a clock: an event and the time go in,
+//! actions come out. So each decision is tested without a socket.
+
+pub mod config;
+pub mod fence;
+pub mod membership;
+pub mod once;
+pub mod permits;
+pub mod queue;
+pub mod retry;
+pub mod routing;
+pub mod sidecar;
+pub mod slots;
+pub mod stream;
--- /dev/null
+++ b/coordination/src/membership/mod.rs
@@ -0,0 +1,9 @@
+//! which process plays which part, from the live list alone
+
+mod parts;
+mod rendezvous;
+
+pub use {
+    parts::{permit_giver, watchers, WATCHERS_PER_ZONE},
+    rendezvous::{rank_by_rendezvous, rendezvous_weight, stable_hash},
+};
--- /dev/null
+++ b/coordination/src/membership/parts.rs
@@ -0,0 +1,24 @@
+use {
+    super::rank_by_rendezvous,
+    chalkcart_state::fleet::{FleetBox, FleetList},
+};
+
+/// entry boxes of a zone that read the platform for the others
+pub const WATCHERS_PER_ZONE: usize = 2;
+
+const PERMIT_GIVER_KEY: &str = "permit-giver";
+
+/// the entry boxes that read the platform for their zone
+pub fn watchers<'l>(list: &'l FleetList, zone: &str) -> Vec<&'l FleetBox> {
+    let key = format!("watcher/{zone}");
+    let entries: Vec<&FleetBox> = list.live_entries().filter(|b| b.zone == zone).collect();
+    let ranked = rank_by_rendezvous(&key, entries.iter().copied(), |b| &b.name);
+    ranked.into_iter().take(WATCHERS_PER_ZONE).collect()
+}
+
+/// the entry box that gives load permits
+pub fn permit_giver(list: &FleetList) -> Option<&FleetBox> {
+    let entries: Vec<&FleetBox> = list.live_entries().collect();
+    let ranked = rank_by_rendezvous(PERMIT_GIVER_KEY, entries.iter().copied(), |b| &b.name);
+    ranked.first().copied()
+}
--- /dev/null
+++ b/coordination/src/membership/rendezvous.rs
@@ -0,0 +1,33 @@
+use sha2::{Digest, Sha256};
+
+/// hash of a name that every process computes alike
+pub fn stable_hash(name: &str) -> u64 {
+    let digest = Sha256::digest(name.as_bytes());
+    let mut head = [0u8; 8];
+    head.copy_from_slice(&digest[..8]);
+    u64::from_be_bytes(head)
+}
+
+/// weight of a member for a key, from their hashes; the highest wins.
+/// The mixing steps are those of SplitMix64.
+pub fn rendezvous_weight(key: u64, member: u64) -> u64 {
+    let mut z = key ^ member.rotate_left(32);
+    z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    z ^ (z >> 31)
+}
+
+/// members in falling order of their weight for a key
+pub fn rank_by_rendezvous<'m, T>(
+    key: &str,
+    members: impl IntoIterator<Item = &'m T>,
+    name: impl Fn(&T) -> &str,
+) -> Vec<&'m T> {
+    let key = stable_hash(key);
+    let mut ranked: Vec<(u64, &T)> = members
+        .into_iter()
+        .map(|m| (rendezvous_weight(key, stable_hash(name(m))), m))
+        .collect();
+    ranked.sort_by(|a, b| b.0.cmp(&a.0).then_with(|| name(a.1).cmp(name(b.1))));
+    ranked.into_iter().map(|(_, m)| m).collect()
+}
--- /dev/null
+++ b/coordination/src/once/errors.rs
@@ -0,0 +1,49 @@
+use {
+    chalkcart_protocol::peer::{Outcome, Reason},
+    std::time::Duration,
+    thiserror::Error,
+};
+
+/// why an id was not given or not admitted
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum OnceError {
+    #[error("no room for {wanted} more ids")]
+    Full { wanted: u32, retry_after: Duration },
+    #[error("the id was given by an earlier process at this target")]
+    EarlierIncarnation,
+    #[error("the id was never given")]
+    Unknown,
+    #[error("the id is older than what is remembered")]
+    Forgotten,
+    #[error("the id was not used in time")]
+    Expired,
+    #[error("the request was stopped before it ran")]
+    Sealed,
+}
+
+impl OnceError {
+    /// what may be said of the request
+    pub fn outcome(&self) -> Outcome {
+        match self {
+            // a process of an earlier incarnation may have run it
+            Self::EarlierIncarnation | Self::Forgotten => Outcome::MayHaveRun,
+            Self::Full { .. } | Self::Unknown | Self::Expired | Self::Sealed => Outcome::NotRun,
+        }
+    }
+    pub fn reason(&self) -> Reason {
+        match self {
+            Self::Full { .. } => Reason::Overloaded,
+            Self::EarlierIncarnation => Reason::EarlierIncarnation,
+            Self::Unknown => Reason::UnknownId,
+            Self::Forgotten => Reason::ForgottenId,
+            Self::Expired => Reason::ExpiredId,
+            Self::Sealed => Reason::Cancelled,
+        }
+    }
+    pub fn retry_after(&self) -> Option<Duration> {
+        match self {
+            Self::Full { retry_after, .. } => Some(*retry_after),
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/coordination/src/queue/fair_queue.rs
@@ -0,0 +1,144 @@
+use {
+    super::Waiting,
+    chalkcart_state::ids::{GroupName, RequestId},
+    std::{
+        collections::{HashMap, HashSet},
+        time::Instant,
+    },
+};
+
+/// share of a group that the configuration does not name
+const DEFAULT_SHARE: u32 = 1;
+
+/// the waiting requests of one target.
+///
+/// The order: aged priority; then the group that got least service against
+/// its share (start-time fair queueing over tokens); then arrival.
+#[derive(Debug, Default)]
+pub struct FairQueue {
+    waiting: Vec<Waiting>,
+    shares: HashMap<GroupName, u32>,
+    /// service that each group got, in tokens over its share
+    service: HashMap<GroupName, f64>,
+    /// service of the group that was served last
+    floor: f64,
+}
+
+impl FairQueue {
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    pub fn set_shares(&mut self, shares: HashMap<GroupName, u32>) {
+        self.service.retain(|group, _| shares.contains_key(group));
+        self.shares = shares;
+    }
+
+    pub fn len(&self) -> usize {
+        self.waiting.len()
+    }
+    pub fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+    pub fn iter(&self) -> impl Iterator<Item = &Waiting> {
+        self.waiting.iter()
+    }
+    pub fn contains(&self, request: &str) -> bool {
+        self.waiting.iter().any(|w| w.request == request)
+    }
+    pub fn tokens(&self) -> u64 {
+        self.waiting.iter().map(|w| w.tokens).sum()
+    }
+    /// tokens of one group's waiting requests
+    pub fn group_tokens(&self, group: &str) -> u64 {
+        let of_group = self.waiting.iter().filter(|w| w.group == group);
+        of_group.map(|w| w.tokens).sum()
+    }
+    /// the part of the whole that a group may claim among the waiting ones
+    pub fn fair_part(&self, group: &str) -> f64 {
+        let mut groups: HashSet<&str> = self.waiting.iter().map(|w| w.group.as_str()).collect();
+        groups.insert(group);
+        let sum: u32 = groups.iter().map(|g| self.share(g)).sum();
+        f64::from(self.share(group)) / f64::from(sum.max(1))
+    }
+
+    pub fn push(&mut self, waiting: Waiting) {
+        // a group that was idle does not get its idle time back
+        let floor = self.floor;
+        let service = self.service.entry(waiting.group.clone()).or_insert(floor);
+        let is_idle = !self.waiting.iter().any(|w| w.group == waiting.group);
+        if is_idle {
+            *service = service.max(floor);
+        }
+        self.waiting.push(waiting);
+    }
+
+    /// the requests in the order in which they should start
+    pub fn order(&self, now: Instant) -> Vec<RequestId> {
+        let mut rows: Vec<&Waiting> = self.waiting.iter().collect();
+        rows.sort_by(|a, b| {
+            let by_priority = a.priority_at(now).cmp(&b.priority_at(now));
+            by_priority
+                .then(
+                    self.service_of(&a.group)
+                        .total_cmp(&self.service_of(&b.group)),
+                )
+                .then(a.arrived.cmp(&b.arrived))
+        });
+        rows.into_iter().map(|w| w.request.clone()).collect()
+    }
+
+    pub fn get(&self, request: &str) -> Option<&Waiting> {
+        self.waiting.iter().find(|w| w.request == request)
+    }
+
+    /// take a request out without service
+    pub fn remove(&mut self, request: &str) -> Option<Waiting> {
+        let index = self.waiting.iter().position(|w| w.request == request)?;
+        Some(self.waiting.remove(index))
+    }
+
+    /// take a request out to start it, and charge its group
+    pub fn start(&mut self, request: &str) -> Option<Waiting> {
+        let started = self.remove(request)?;
+        self.floor = self.floor.max(self.service_of(&started.group));
+        self.charge(&started.group, started.tokens as f64);
+        Some(started)
+    }
+
+    /// correct a group's service when the real cost is known
+    pub fn charge(&mut self, group: &str, tokens: f64) {
+        let share = f64::from(self.share(group));
+        if let Some(service) = self.service.get_mut(group) {
+            *service += tokens / share;
+        }
+    }
+
+    /// note that a started request overtook those that wait for a load
+    pub fn note_overtaken(&mut self, tokens: u64, is_overtaken: impl Fn(&Waiting) -> bool) {
+        for waiting in self.waiting.iter_mut().filter(|w| is_overtaken(w)) {
+            waiting.overtaken += tokens;
+        }
+    }
+
+    /// take out all whose deadline has passed
+    pub fn remove_late(&mut self, now: Instant) -> Vec<Waiting> {
+        let (late, rest) = std::mem::take(&mut self.waiting)
+            .into_iter()
+            .partition(|w| now >= w.deadline);
+        self.waiting = rest;
+        late
+    }
+
+    /// take out everything
+    pub fn drain(&mut self) -> Vec<Waiting> {
+        std::mem::take(&mut self.waiting)
+    }
+
+    fn share(&self, group: &str) -> u32 {
+        self.shares.get(group).copied().unwrap_or(DEFAULT_SHARE)
+    }
+    fn service_of(&self, group: &str) -> f64 {
+        self.service.get(group).copied().unwrap_or(self.floor)
+    }
+}
--- /dev/null
+++ b/coordination/src/queue/mod.rs
@@ -0,0 +1,6 @@
+//! which waiting request runs next
+
+mod fair_queue;
+mod waiting;
+
+pub use {fair_queue::FairQueue, waiting::Waiting};
--- /dev/null
+++ b/coordination/src/routing/baselines.rs
@@ -0,0 +1,60 @@
+//! simple policies that the chosen one is measured against
+
+use {
+    super::{Candidate, Need, RouteAsk, RoutingPolicy},
+    crate::membership::{rendezvous_weight, stable_hash},
+    rand::{rngs::SmallRng, RngExt, SeedableRng},
+    std::time::Instant,
+};
+
+/// any target
+#[derive(Debug)]
+pub struct RandomChoice {
+    rng: SmallRng,
+}
+
+impl RandomChoice {
+    pub fn new(seed: u64) -> Self {
+        Self {
+            rng: SmallRng::seed_from_u64(seed),
+        }
+    }
+}
+
+impl RoutingPolicy for RandomChoice {
+    fn choose(&mut self, _: &RouteAsk, candidates: &[Candidate], _: Instant) -> Option<usize> {
+        match candidates.len() {
+            0 => None,
+            count => Some(self.rng.random_range(0..count)),
+        }
+    }
+}
+
+/// the target with the least queued and running work
+#[derive(Debug, Default)]
+pub struct LeastLoaded;
+
+impl RoutingPolicy for LeastLoaded {
+    fn choose(&mut self, _: &RouteAsk, candidates: &[Candidate], now: Instant) -> Option<usize> {
+        let load = |c: &Candidate| c.target.queued_tokens(now) + f64::from(c.target.running());
+        let numbered = candidates.iter().enumerate();
+        let least = numbered.min_by(|a, b| load(a.1).total_cmp(&load(b.1)));
+        least.map(|(index, _)| index)
+    }
+}
+
+/// the target to which the adapter's name hashes
+#[derive(Debug, Default)]
+pub struct PlainHash;
+
+impl RoutingPolicy for PlainHash {
+    fn choose(&mut self, ask: &RouteAsk, candidates: &[Candidate], _: Instant) -> Option<usize> {
+        let key = match &ask.need {
+            Need::Adapter { adapter, .. } => stable_hash(adapter),
+            Need::Service(service) => stable_hash(service),
+        };
+        let numbered = candidates.iter().enumerate();
+        let highest = numbered.max_by_key(|(_, c)| rendezvous_weight(key, c.target.hash));
+        highest.map(|(index, _)| index)
+    }
+}
--- /dev/null
+++ b/coordination/src/routing/policy.rs
@@ -0,0 +1,41 @@
+use {
+    super::Target,
+    chalkcart_state::ids::{AdapterName, BaseModelName, BoxName, ServiceName, VersionNumber},
+    std::time::{Duration, Instant},
+};
+
+/// what a target must offer
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Need {
+    Adapter {
+        adapter: AdapterName,
+        version: VersionNumber,
+        base_model: BaseModelName,
+    },
+    Service(ServiceName),
+}
+
+/// a request that looks for a target
+#[derive(Debug, Clone)]
+pub struct RouteAsk {
+    pub need: Need,
+    pub tokens: u64,
+    /// targets that failed this request before
+    pub excluded: Vec<BoxName>,
+}
+
+/// a target that could serve the request
+#[derive(Debug)]
+pub struct Candidate<'t> {
+    pub target: &'t Target,
+    /// the target said that it holds the adapter's version
+    pub loaded: bool,
+    /// one-way time to the target's zone
+    pub distance: Duration,
+}
+
+/// chooses among the targets that could serve a request
+pub trait RoutingPolicy: Send {
+    /// index of the chosen candidate; none only if there are no candidates
+    fn choose(&mut self, ask: &RouteAsk, candidates: &[Candidate], now: Instant) -> Option<usize>;
+}
--- /dev/null
+++ b/coordination/src/routing/target_table.rs
@@ -0,0 +1,185 @@
+use {
+    super::{
+        least_expected_wait::expected_wait, Candidate, LeastExpectedWait, LeastLoaded, Need,
+        PlainHash, RandomChoice, RouteAsk, RoutingPolicy, Target, WaitSettings,
+    },
+    chalkcart_protocol::peer::TargetReport,
+    chalkcart_state::{
+        fleet::{FleetList, Role},
+        ids::{BoxName, ZoneName},
+    },
+    std::{
+        collections::BTreeMap,
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
+};
+
+/// one-way time to another zone
+const OTHER_ZONE: Duration = Duration::from_micros(1_500);
+
+/// the routing policies that can be set
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum PolicyName {
+    #[default]
+    LeastExpectedWait,
+    LeastLoaded,
+    PlainHash,
+    Random,
+}
+
+/// where a request goes
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Route {
+    pub target: BoxName,
+    pub addr: SocketAddr,
+    pub expected_wait: Duration,
+    pub loaded: bool,
+}
+
+/// the targets as one entry box knows them
+pub struct TargetTable {
+    zone: ZoneName,
+    targets: BTreeMap<BoxName, Target>,
+    policy: Box<dyn RoutingPolicy>,
+}
+
+impl TargetTable {
+    pub fn new(zone: ZoneName, policy: PolicyName, seed: u64) -> Self {
+        Self {
+            zone,
+            targets: BTreeMap::new(),
+            policy: new_policy(policy, seed),
+        }
+    }
+
+    pub fn targets(&self) -> impl Iterator<Item = &Target> {
+        self.targets.values()
+    }
+    pub fn get(&self, name: &str) -> Option<&Target> {
+        self.targets.get(name)
+    }
+
+    /// follow the platform's list; what was heard from a target is kept
+    /// while it stays at its address
+    pub fn on_list(&mut self, list: &FleetList) {
+        let mut previous = std::mem::take(&mut self.targets);
+        for listed in list.targets() {
+            let kept = previous.remove(&listed.name);
+            let mut target = match kept {
+                Some(target) if target.listed.addr == listed.addr => target,
+                _ => Target::new(listed.clone()),
+            };
+            target.listed = listed.clone();
+            self.targets.insert(listed.name.clone(), target);
+        }
+    }
+    pub fn on_report(&mut self, report: TargetReport, now: Instant) {
+        if let Some(target) = self.targets.get_mut(&report.name) {
+            target.on_report(report, now);
+        }
+    }
+    pub fn on_silence(&mut self, name: &str, now: Instant) {
+        if let Some(target) = self.targets.get_mut(name) {
+            target.on_silence(now);
+        }
+    }
+    pub fn on_ended(&mut self, name: &str) {
+        if let Some(target) = self.targets.get_mut(name) {
+            target.on_ended();
+        }
+    }
+
+    /// choose a target and count the request there
+    pub fn route(&mut self, ask: &RouteAsk, now: Instant) -> Option<Route> {
+        let candidates = candidates(&self.targets, &self.zone, ask, now);
+        let index = self.policy.choose(ask, &candidates, now)?;
+        let route = new_route(ask, &candidates[index], now);
+        if let Some(target) = self.targets.get_mut(&route.target) {
+            target.on_sent(ask.tokens);
+        }
+        Some(route)
+    }
+
+    /// where requests would go, the best first
+    pub fn plan(&self, ask: &RouteAsk, now: Instant) -> Vec<Route> {
+        let candidates = candidates(&self.targets, &self.zone, ask, now);
+        let mut routes: Vec<Route> = candidates
+            .iter()
+            .map(|candidate| new_route(ask, candidate, now))
+            .collect();
+        routes.sort_by_key(|route| route.expected_wait);
+        routes
+    }
+}
+
+fn new_policy(name: PolicyName, seed: u64) -> Box<dyn RoutingPolicy> {
+    match name {
+        PolicyName::LeastExpectedWait => Box::new(LeastExpectedWait::new(WaitSettings::default())),
+        PolicyName::LeastLoaded => Box::new(LeastLoaded),
+        PolicyName::PlainHash => Box::new(PlainHash),
+        PolicyName::Random => Box::new(RandomChoice::new(seed)),
+    }
+}
+
+fn new_route(ask: &RouteAsk, candidate: &Candidate, now: Instant) -> Route {
+    Route {
+        target: candidate.target.listed.name.clone(),
+        addr: candidate.target.listed.addr,
+        expected_wait: expected_wait(ask, candidate, now),
+        loaded: candidate.loaded,
+    }
+}
+
+/// targets that could serve the request; suspect ones only if there is
+/// no other
+fn candidates<'t>(
+    targets: &'t BTreeMap<BoxName, Target>,
+    zone: &str,
+    ask: &RouteAsk,
+    now: Instant,
+) -> Vec<Candidate<'t>> {
+    let able: Vec<&Target> = targets
+        .values()
+        .filter(|t| serves(t, &ask.need) && !t.is_leaving())
+        .collect();
+    let untried = |t: &&Target| !ask.excluded.contains(&t.listed.name);
+    let well: Vec<&Target> = able
+        .iter()
+        .copied()
+        .filter(|t| untried(t) && !t.is_suspect(now))
+        .collect();
+    let chosen = if well.is_empty() { able } else { well };
+    chosen
+        .into_iter()
+        .map(|target| new_candidate(target, zone, &ask.need))
+        .collect()
+}
+
+fn new_candidate<'t>(target: &'t Target, zone: &str, need: &Need) -> Candidate<'t> {
+    let loaded = match need {
+        Need::Adapter {
+            adapter, version, ..
+        } => target.has_loaded(adapter, *version),
+        Need::Service(_) => true,
+    };
+    let is_near = target.listed.zone == zone;
+    Candidate {
+        target,
+        loaded,
+        distance: if is_near { Duration::ZERO } else { OTHER_ZONE },
+    }
+}
+
+fn serves(target: &Target, need: &Need) -> bool {
+    match (&target.listed.role, need) {
+        (
+            Role::Engine { base_model },
+            Need::Adapter {
+                base_model: wanted, ..
+            },
+        ) => base_model == wanted,
+        (Role::Service { service }, Need::Service(wanted)) => service == wanted,
+        _ => false,
+    }
+}
--- /dev/null
+++ b/coordination/src/sidecar/mod.rs
@@ -0,0 +1,16 @@
+//! the decisions of the process beside one target
+
+mod actions;
+mod events;
+mod loading;
+mod queueing;
+mod running;
+mod settings;
+mod sidecar_control;
+
+pub use {
+    actions::{OrderFence, SidecarAction},
+    events::{OrderResult, RunEnd, SidecarEvent, Ticket},
+    settings::{SidecarSettings, TargetKind},
+    sidecar_control::SidecarControl,
+};
--- /dev/null
+++ b/coordination/src/sidecar/running.rs
@@ -0,0 +1,229 @@
+//! requests that run
+
+use {
+    super::{RunEnd, SidecarAction, SidecarControl},
+    crate::{queue::Waiting, slots::AdapterKey},
+    chalkcart_protocol::peer::{Outcome, Reason, Refusal, Step},
+    chalkcart_state::ids::{GroupName, Incarnation, RequestId, ReservedId},
+    std::{
+        collections::HashMap,
+        time::{Duration, Instant},
+    },
+};
+
+/// assumed until a run was measured
+const DEFAULT_TOKEN_TIME: Duration = Duration::from_millis(20);
+/// weight of the newest measurement
+const SMOOTHING: f64 = 0.1;
+
+/// one request that runs
+#[derive(Debug)]
+struct Run {
+    group: GroupName,
+    reserved: bool,
+    /// tokens charged at its start
+    charged: u64,
+    adapter: Option<AdapterKey>,
+    /// the engine's incarnation
+    incarnation: Option<Incarnation>,
+}
+
+/// the requests that run, and those that may still run unheard
+#[derive(Debug)]
+pub(super) struct RunBook {
+    runs: HashMap<RequestId, Run>,
+    /// ended for us, but the engine did not confirm it: their pins stay
+    orphans: HashMap<RequestId, Run>,
+    token_time: Option<f64>,
+}
+
+impl RunBook {
+    pub(super) fn new() -> Self {
+        Self {
+            runs: HashMap::new(),
+            orphans: HashMap::new(),
+            token_time: None,
+        }
+    }
+    pub(super) fn len(&self) -> usize {
+        self.runs.len()
+    }
+    pub(super) fn contains(&self, request: &str) -> bool {
+        self.runs.contains_key(request)
+    }
+    /// adapters that an engine incarnation uses or may use
+    pub(super) fn pinned(&self, incarnation: Incarnation) -> Vec<AdapterKey> {
+        let all = self.runs.values().chain(self.orphans.values());
+        all.filter(|run| run.incarnation == Some(incarnation))
+            .filter_map(|run| run.adapter.clone())
+            .collect()
+    }
+    /// time of one token of one request, smoothed
+    pub(super) fn token_time(&self) -> Duration {
+        let default = DEFAULT_TOKEN_TIME.as_secs_f64();
+        Duration::from_secs_f64(self.token_time.unwrap_or(default))
+    }
+    fn measure(&mut self, tokens: u64, took: Duration) {
+        let newest = took.as_secs_f64() / tokens.max(1) as f64;
+        let before = self.token_time.unwrap_or(newest);
+        self.token_time = Some(before + SMOOTHING * (newest - before));
+    }
+}
+
+impl SidecarControl {
+    /// start what may start, and load what is waited for
+    pub(super) fn schedule(&mut self, now: Instant) {
+        if self.is_leaving() || !self.is_ready() {
+            return;
+        }
+        for request in self.queue.order(now) {
+            if self.runs.len() >= self.max_running as usize {
+                break;
+            }
+            self.try_start(&request, now);
+        }
+        self.load_what_waits(now);
+    }
+
+    pub(super) fn is_stalled(&self, waiting: &Waiting) -> bool {
+        let adapter = waiting.adapter.as_ref();
+        adapter.is_some_and(|key| !self.slots.is_ready(key))
+    }
+
+    pub(super) fn on_run_ended(&mut self, request: &RequestId, end: RunEnd) {
+        let Some(run) = self.runs.runs.remove(request) else {
+            return;
+        };
+        if end.failure.is_none() {
+            self.runs.measure(end.tokens, end.took);
+        }
+        let correction = end.tokens.max(1) as f64 - run.charged as f64;
+        if run.adapter.is_some() {
+            self.queue.charge(&run.group, correction);
+        }
+        self.end_reserved(request, &run, end.outcome);
+        self.refuse_failed(request, &end);
+        if end.may_run_on {
+            self.runs.orphans.insert(request.clone(), run);
+            self.doubt_orders();
+        } else {
+            self.release(&run);
+        }
+        if end.failure == Some(Reason::Superseded) {
+            self.doubt();
+        }
+    }
+
+    /// let go the adapters of orphans that the engine no longer runs
+    pub(super) fn release_orphans(&mut self, running: &[RequestId], incarnation: Incarnation) {
+        let orphans = std::mem::take(&mut self.runs.orphans);
+        for (request, run) in orphans {
+            let is_current = run.incarnation == Some(incarnation);
+            if is_current && running.contains(&request) {
+                self.runs.orphans.insert(request, run);
+            } else {
+                self.release(&run);
+            }
+        }
+    }
+
+    pub(super) fn finish_drain(&mut self) {
+        if self.draining && self.runs.len() == 0 && self.queue.is_empty() {
+            self.actions.push(SidecarAction::Drained);
+        }
+    }
+
+    fn try_start(&mut self, request: &RequestId, now: Instant) {
+        let Some(waiting) = self.queue.get(request) else {
+            return;
+        };
+        if self.is_stalled(waiting) {
+            return;
+        }
+        let order = self.order_fence();
+        if let Some(key) = waiting.adapter.clone() {
+            if order.is_none() || !self.slots.pin(&key) {
+                return;
+            }
+        }
+        self.start(request, now);
+    }
+
+    fn start(&mut self, request: &RequestId, now: Instant) {
+        let (Some(waiting), Some(work)) = (self.queue.start(request), self.orders.remove(request))
+        else {
+            return;
+        };
+        let order = self.order_fence();
+        let run = Run {
+            group: waiting.group.clone(),
+            reserved: work.reserved,
+            charged: waiting.tokens,
+            adapter: waiting.adapter.clone(),
+            incarnation: order.map(|o| o.incarnation),
+        };
+        if work.reserved && !self.start_reserved(request) {
+            self.release(&run);
+            let refusal = self.refusal(Step::Queue, Reason::Cancelled);
+            self.push_refusal(request, refusal);
+            return;
+        }
+        self.note_overtaken(&waiting, now);
+        let stalled = self.loads.take_stalled(request);
+        self.runs.runs.insert(request.clone(), run);
+        self.actions.push(SidecarAction::Run {
+            priority: waiting.priority_at(now),
+            deadline: waiting.deadline,
+            arrived: waiting.arrived,
+            stalled,
+            order: waiting.adapter.and(order),
+            work,
+        });
+    }
+
+    fn start_reserved(&mut self, request: &RequestId) -> bool {
+        match request.parse::<ReservedId>() {
+            Ok(id) => self.once.start(&id),
+            Err(_) => false,
+        }
+    }
+
+    fn end_reserved(&mut self, request: &RequestId, run: &Run, outcome: Outcome) {
+        if !run.reserved {
+            return;
+        }
+        if let Ok(id) = request.parse::<ReservedId>() {
+            self.once.end(&id, outcome);
+        }
+    }
+
+    fn refuse_failed(&mut self, request: &RequestId, end: &RunEnd) {
+        let Some(reason) = end.failure else {
+            return;
+        };
+        let peer = &self.settings.name;
+        let refusal = Refusal::new(end.outcome, Step::Run, peer, reason);
+        self.push_refusal(request, refusal.with_detail(&end.detail));
+    }
+
+    fn release(&mut self, run: &Run) {
+        let current = self.order_fence().map(|o| o.incarnation);
+        // after a restart or a doubt the slots are read again with their pins
+        if run.incarnation.is_none() || run.incarnation != current {
+            return;
+        }
+        if let Some(key) = &run.adapter {
+            self.slots.unpin(key);
+        }
+    }
+
+    /// those that wait for a load and came first were overtaken
+    fn note_overtaken(&mut self, started: &Waiting, now: Instant) {
+        let slots = &self.slots;
+        let priority = started.priority_at(now);
+        self.queue.note_overtaken(started.tokens, |w| {
+            let stalled = w.adapter.as_ref().is_some_and(|key| !slots.is_ready(key));
+            stalled && (w.priority_at(now), w.arrived) < (priority, started.arrived)
+        });
+    }
+}
--- /dev/null
+++ b/coordination/src/sidecar/settings.rs
@@ -0,0 +1,55 @@
+use {
+    chalkcart_state::ids::{BoxName, Fence, Incarnation},
+    std::time::Duration,
+};
+
+/// what stands behind the sidecar
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TargetKind {
+    /// checks fences, loads adapters
+    Engine,
+    /// takes calls from anybody
+    Service { max_running: u32 },
+}
+
+/// settings of a sidecar's decisions
+#[derive(Debug, Clone)]
+pub struct SidecarSettings {
+    pub name: BoxName,
+    pub incarnation: Incarnation,
+    /// lower bound of this process's fence, in ms since the Unix epoch
+    pub epoch: Fence,
+    pub kind: TargetKind,
+    /// a pause longer than this makes all beliefs doubtful
+    pub lease: Duration,
+    /// reserved ids remembered at most
+    pub id_capacity: usize,
+    /// how long a reserved id may wait for its use
+    pub id_valid_for: Duration,
+    /// loads in flight at most
+    pub max_loads: usize,
+    /// how often the engine is read when nothing happens
+    pub read_every: Duration,
+    /// whether to ask an entry for permits before loads
+    pub ask_permits: bool,
+    /// seed of the random parts of reserved ids
+    pub seed: u64,
+}
+
+impl Default for SidecarSettings {
+    fn default() -> Self {
+        Self {
+            name: BoxName::new(),
+            incarnation: 0,
+            epoch: 0,
+            kind: TargetKind::Engine,
+            lease: Duration::from_secs(1),
+            id_capacity: 100_000,
+            id_valid_for: Duration::from_secs(600),
+            max_loads: 2,
+            read_every: Duration::from_millis(500),
+            ask_permits: true,
+            seed: 0,
+        }
+    }
+}
--- /dev/null
+++ b/coordination/src/stream/mod.rs
@@ -0,0 +1,9 @@
+//! streams that stay whole
+
+mod assembler;
+mod stream_buffer;
+
+pub use {
+    assembler::{Assembler, AssemblerError},
+    stream_buffer::StreamBuffer,
+};
--- /dev/null
+++ b/entry/src/app/serve.rs
@@ -0,0 +1,44 @@
+use {
+    super::Shared,
+    crate::{
+        conf::Settings,
+        config::Follower,
+        control::{self, EntryControl},
+        server::new_router,
+    },
+    anyhow::{Context, Result},
+    chalkcart_node::{logging, signals::stop_signal},
+    chalkcart_transport::server,
+    std::{sync::Arc, time::Instant},
+    tokio::{runtime::Builder, sync::watch},
+};
+
+/// run the entry until it is asked to stop
+pub fn serve(settings: Settings) -> Result<()> {
+    let _log = logging::start(&settings.name, &settings.log)?;
+    let runtime = Builder::new_multi_thread()
+        .worker_threads(settings.threads)
+        .enable_all()
+        .build()
+        .context("start the runtime")?;
+    runtime.block_on(run(settings))
+}
+
+async fn run(settings: Settings) -> Result<()> {
+    let listener = server::bind(settings.listen).await?;
+    let control = control::start(EntryControl::new(&settings, Instant::now()))?;
+    let shared = Arc::new(Shared::new(settings, control));
+    tokio::spawn(Follower::new(shared.clone()).run());
+    let (stop, stopped) = watch::channel(false);
+    let router = new_router(shared.clone());
+    let grace = shared.settings.drain();
+    let served = tokio::spawn(server::serve(listener, router, stopped, grace));
+    log::info!("entry: serves on {}", shared.settings.listen);
+    let signal = stop_signal().await?;
+    log::info!("entry: drains after {signal}");
+    shared.set_stopping();
+    stop.send_replace(true);
+    served.await.context("join the server")??;
+    log::info!("entry: stopped");
+    Ok(())
+}
--- /dev/null
+++ b/entry/src/cli/mod.rs
@@ -0,0 +1,7 @@
+//! the command line: `serve`, `check`, and commands that call the RPCs
+
+mod check;
+mod remote;
+mod run;
+
+pub use run::run;
--- /dev/null
+++ b/entry/src/cli/run.rs
@@ -0,0 +1,176 @@
+use {
+    super::{check, remote},
+    crate::{app, conf::Settings},
+    anyhow::Result,
+    chalkcart_node::{
+        cli::{usage_error, ExitCode, Program},
+        settings,
+    },
+    getopts::{Matches, Options},
+};
+
+const MAIN: Program = Program {
+    name: "chalkcart",
+    arguments: "COMMAND [OPTIONS]",
+    purpose: "Serve very many LoRA adapters on few engines.",
+};
+
+/// one command of the program
+struct Command {
+    word: &'static str,
+    program: Program,
+    /// adds the command's own options
+    options: fn(&mut Options),
+    run: fn(&Program, &Matches) -> Result<ExitCode>,
+}
+
+const COMMANDS: &[Command] = &[
+    Command {
+        word: "serve",
+        program: Program {
+            name: "chalkcart serve",
+            arguments: "FILE",
+            purpose: "Serve an entry box, with the settings in FILE (JSON).",
+        },
+        options: |_| {},
+        run: serve,
+    },
+    Command {
+        word: "check",
+        program: Program {
+            name: "chalkcart check",
+            arguments: "FILE",
+            purpose: "Check FILE: settings of `serve`, or a root document of the configuration.",
+        },
+        options: |_| {},
+        run: check::run,
+    },
+    Command {
+        word: "status",
+        program: Program {
+            name: "chalkcart status",
+            arguments: "ADDR",
+            purpose: "Print what the entry at ADDR knows of the fleet.",
+        },
+        options: |_| {},
+        run: remote::status,
+    },
+    Command {
+        word: "plan",
+        program: Program {
+            name: "chalkcart plan",
+            arguments: "ADDR ADAPTER VERSION",
+            purpose: "Print where a request for an adapter would go.",
+        },
+        options: |_| {},
+        run: remote::plan,
+    },
+    Command {
+        word: "wait",
+        program: Program {
+            name: "chalkcart wait",
+            arguments: "ADDR GENERATION",
+            purpose: "Wait until a generation is in force on every box.",
+        },
+        options: remote::wait_options,
+        run: remote::wait,
+    },
+    Command {
+        word: "call",
+        program: Program {
+            name: "chalkcart call",
+            arguments: "ADDR GROUP CLASS SERVICE BODY",
+            purpose: "Call a plain service once and print its answer.",
+        },
+        options: remote::call_options,
+        run: remote::call,
+    },
+    Command {
+        word: "generate",
+        program: Program {
+            name: "chalkcart generate",
+            arguments: "ADDR GROUP CLASS ADAPTER VERSION PROMPT",
+            purpose: "Run a prompt on an adapter and print its tokens.",
+        },
+        options: remote::generate_options,
+        run: remote::generate,
+    },
+];
+
+/// run the program with its arguments
+pub fn run(args: &[String]) -> ExitCode {
+    let Some(word) = args.first() else {
+        return usage_error(&MAIN, "expected a command");
+    };
+    match word.as_str() {
+        "-h" | "--help" => {
+            print!("{}", main_help());
+            return ExitCode::Done;
+        }
+        "-V" | "--version" => {
+            print_version();
+            return ExitCode::Done;
+        }
+        _ => {}
+    }
+    match COMMANDS.iter().find(|c| c.word == word) {
+        Some(command) => run_command(command, &args[1..]),
+        None => usage_error(&MAIN, format!("{word:?} is not a command")),
+    }
+}
+
+fn run_command(command: &Command, args: &[String]) -> ExitCode {
+    let mut options = Program::options();
+    (command.options)(&mut options);
+    let matches = match options.parse(args) {
+        Ok(matches) => matches,
+        Err(e) => return usage_error(&command.program, e),
+    };
+    if matches.opt_present("help") {
+        print!("{}", command.program.help(&options));
+        return ExitCode::Done;
+    }
+    if matches.opt_present("version") {
+        print_version();
+        return ExitCode::Done;
+    }
+    match (command.run)(&command.program, &matches) {
+        Ok(code) => code,
+        Err(e) => {
+            eprintln!("{}: {e:#}", command.program.name);
+            ExitCode::Failed
+        }
+    }
+}
+
+fn serve(program: &Program, matches: &Matches) -> Result<ExitCode> {
+    let file = match program.file_argument(&matches.free) {
+        Ok(file) => file,
+        Err(e) => return Ok(usage_error(program, e)),
+    };
+    let settings: Settings = match settings::load(&file) {
+        Ok(settings) => settings,
+        Err(e) => {
+            eprintln!("{}: settings: {e}", program.name);
+            return Ok(ExitCode::Usage);
+        }
+    };
+    app::serve(settings)?;
+    Ok(ExitCode::Done)
+}
+
+fn main_help() -> String {
+    let mut text = MAIN.help(&Program::options());
+    text.push_str("\nCommands:\n");
+    for command in COMMANDS {
+        text.push_str(&format!(
+            "    {:<10}{}\n",
+            command.word, command.program.purpose
+        ));
+    }
+    text
+}
+
+fn print_version() {
+    println!("{} {}", MAIN.name, env!("CARGO_PKG_VERSION"));
+}
--- /dev/null
+++ b/entry/src/conf/settings.rs
@@ -0,0 +1,113 @@
+use {
+    chalkcart_coordination::routing::PolicyName,
+    chalkcart_node::{
+        logging,
+        settings::{Checked, SettingsError},
+    },
+    chalkcart_state::ids::{BoxName, ZoneName},
+    serde::Deserialize,
+    std::{net::SocketAddr, time::Duration},
+};
+
+/// how targets are chosen
+#[derive(Debug, Clone, Copy, Default, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Routing {
+    #[default]
+    LeastExpectedWait,
+    LeastLoaded,
+    PlainHash,
+    Random,
+}
+
+impl From<Routing> for PolicyName {
+    fn from(routing: Routing) -> Self {
+        match routing {
+            Routing::LeastExpectedWait => Self::LeastExpectedWait,
+            Routing::LeastLoaded => Self::LeastLoaded,
+            Routing::PlainHash => Self::PlainHash,
+            Routing::Random => Self::Random,
+        }
+    }
+}
+
+/// the settings file of `chalkcart serve`
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// the box's name, as the platform lists it
+    pub name: BoxName,
+    pub zone: ZoneName,
+    /// for callers, operators, peers and metrics
+    pub listen: SocketAddr,
+    /// the platform's configuration service and list of boxes
+    pub platform: SocketAddr,
+    /// entry boxes to ask before the platform's list is known
+    #[serde(default)]
+    pub peers: Vec<SocketAddr>,
+    #[serde(default)]
+    pub routing: Routing,
+    #[serde(default = "default_log")]
+    pub log: String,
+    /// longest time that a planned stop waits for requests in flight, in ms
+    #[serde(default = "default_drain_ms")]
+    pub drain_ms: u64,
+    /// a target that gives no sign for this long is taken for lost, in ms
+    #[serde(default = "default_silence_ms")]
+    pub silence_ms: u64,
+    /// threads for traffic
+    #[serde(default = "default_threads")]
+    pub threads: usize,
+}
+
+impl Settings {
+    pub fn drain(&self) -> Duration {
+        Duration::from_millis(self.drain_ms)
+    }
+    pub fn silence(&self) -> Duration {
+        Duration::from_millis(self.silence_ms)
+    }
+}
+
+impl Checked for Settings {
+    fn check(&self) -> Result<(), SettingsError> {
+        if self.name.is_empty() {
+            return Err(SettingsError::value("name", "\"\"", "the box's name"));
+        }
+        if self.zone.is_empty() {
+            return Err(SettingsError::value(
+                "zone",
+                "\"\"",
+                "the availability zone",
+            ));
+        }
+        if self.silence_ms < MIN_SILENCE_MS {
+            let expected = "500 or more: targets send a sign each 250 ms";
+            return Err(SettingsError::value(
+                "silence_ms",
+                self.silence_ms,
+                expected,
+            ));
+        }
+        if self.threads == 0 {
+            return Err(SettingsError::value("threads", 0, "1 or more"));
+        }
+        logging::check_level(&self.log)
+            .map_err(|_| SettingsError::value("log", &self.log, "a log level"))
+    }
+}
+
+const MIN_SILENCE_MS: u64 = 500;
+
+fn default_log() -> String {
+    "info".to_string()
+}
+fn default_drain_ms() -> u64 {
+    60_000
+}
+fn default_silence_ms() -> u64 {
+    1_000
+}
+fn default_threads() -> usize {
+    2
+}
--- /dev/null
+++ b/entry/src/config/config_keeper.rs
@@ -0,0 +1,87 @@
+use {
+    super::{KeepError, ShardSource},
+    arc_swap::{ArcSwap, ArcSwapOption},
+    chalkcart_coordination::config::{judge_root, Verdict},
+    chalkcart_state::{
+        config::{Configuration, Root, Shard},
+        fleet::FleetList,
+        ids::Generation,
+    },
+    std::sync::Arc,
+    tokio::sync::Mutex,
+};
+
+/// the configuration in force and the newest list of boxes.
+///
+/// Readers never wait; offers are judged one at a time.
+#[derive(Default)]
+pub struct ConfigKeeper {
+    in_force: ArcSwapOption<Configuration>,
+    list: ArcSwap<FleetList>,
+    offers: Mutex<()>,
+}
+
+impl ConfigKeeper {
+    pub fn configuration(&self) -> Option<Arc<Configuration>> {
+        self.in_force.load_full()
+    }
+    pub fn generation(&self) -> Generation {
+        self.in_force.load().as_ref().map_or(0, |c| c.generation())
+    }
+    pub fn list(&self) -> Arc<FleetList> {
+        self.list.load_full()
+    }
+
+    /// take a newer list; false if it is not newer
+    pub fn offer_list(&self, list: FleetList) -> bool {
+        let current = self.list.load();
+        if list.version <= current.version {
+            return false;
+        }
+        self.list.store(Arc::new(list));
+        true
+    }
+
+    /// put a higher generation in force, with the shards that differ
+    pub async fn offer(&self, root: Root, source: &dyn ShardSource) -> Result<Verdict, KeepError> {
+        let _one_at_a_time = self.offers.lock().await;
+        let current = self.in_force.load_full();
+        let verdict = judge_root(current.as_ref().map(|c| c.root().as_ref()), &root);
+        match verdict {
+            Verdict::Take => {}
+            Verdict::Conflict => return Err(KeepError::Conflict(root.generation)),
+            Verdict::Same | Verdict::Older { .. } => return Ok(verdict),
+        }
+        root.check()?;
+        let missing = match &current {
+            Some(current) => current.missing_shards(&root),
+            None => (0..root.shards.len()).collect(),
+        };
+        let mut shards = Vec::with_capacity(missing.len());
+        for index in missing {
+            let shard = source.shard(index, &root.shards[index]).await?;
+            shards.push((index, Arc::new(shard)));
+        }
+        self.put_in_force(current, root, shards)?;
+        Ok(Verdict::Take)
+    }
+
+    fn put_in_force(
+        &self,
+        current: Option<Arc<Configuration>>,
+        root: Root,
+        shards: Vec<(usize, Arc<Shard>)>,
+    ) -> Result<(), KeepError> {
+        let root = Arc::new(root);
+        let next = match current {
+            Some(current) => current.advance(root, shards)?,
+            None => {
+                let shards = shards.into_iter().map(|(_, shard)| shard);
+                Configuration::new(root, shards.collect())?
+            }
+        };
+        log::info!("config: generation {} in force", next.generation());
+        self.in_force.store(Some(Arc::new(next)));
+        Ok(())
+    }
+}
--- /dev/null
+++ b/entry/src/control/entry_control.rs
@@ -0,0 +1,88 @@
+use {
+    super::{EntryEvent, TargetRow},
+    crate::conf::Settings,
+    chalkcart_coordination::{
+        permits::{PermitGiver, PermitSettings},
+        retry::RetryBudget,
+        routing::{Target, TargetTable},
+    },
+    chalkcart_protocol::peer::{PermitAnswer, PermitAsk, PermitPurpose},
+    std::time::{Duration, Instant},
+};
+
+/// the control state of an entry
+pub struct EntryControl {
+    targets: TargetTable,
+    budget: RetryBudget,
+    permits: PermitGiver,
+}
+
+impl EntryControl {
+    pub fn new(settings: &Settings, now: Instant) -> Self {
+        let policy = settings.routing.into();
+        Self {
+            targets: TargetTable::new(settings.zone.clone(), policy, rand::random()),
+            budget: RetryBudget::default(),
+            permits: PermitGiver::new(PermitSettings::default(), now),
+        }
+    }
+
+    /// decide on one event; an asker that is gone is no concern
+    pub fn handle(&mut self, event: EntryEvent, now: Instant) {
+        match event {
+            EntryEvent::Requested => self.budget.on_request(),
+            EntryEvent::Route { ask, answer } => {
+                let _ = answer.send(self.targets.route(&ask, now));
+            }
+            EntryEvent::Find { target, answer } => {
+                let found = self.targets.get(&target).map(|t| t.listed.clone());
+                let _ = answer.send(found);
+            }
+            EntryEvent::TakeRetry { answer } => {
+                let _ = answer.send(self.budget.take());
+            }
+            EntryEvent::Reported(report) => self.targets.on_report(report, now),
+            EntryEvent::Silent(target) => self.targets.on_silence(&target, now),
+            EntryEvent::Ended(target) => self.targets.on_ended(&target),
+            EntryEvent::Listed(list) => self.targets.on_list(&list),
+            EntryEvent::StoreLimits {
+                loads_per_second,
+                loads_at_once,
+            } => self.permits.set_limits(loads_per_second, loads_at_once),
+            EntryEvent::Permit { ask, answer } => {
+                let _ = answer.send(self.permit(&ask, now));
+            }
+            EntryEvent::Plan { ask, answer } => {
+                let _ = answer.send(self.targets.plan(&ask, now));
+            }
+            EntryEvent::Status { answer } => {
+                let rows = self.targets.targets().map(|t| target_row(t, now));
+                let _ = answer.send(rows.collect());
+            }
+        }
+    }
+
+    fn permit(&mut self, ask: &PermitAsk, now: Instant) -> PermitAnswer {
+        match ask.purpose {
+            PermitPurpose::Ask => self.permits.ask(ask, now),
+            PermitPurpose::Return => {
+                self.permits.give_back(ask);
+                PermitAnswer::Wait {
+                    retry_after: Duration::ZERO,
+                }
+            }
+        }
+    }
+}
+
+fn target_row(target: &Target, now: Instant) -> TargetRow {
+    TargetRow {
+        listed: target.listed.clone(),
+        leaving: target.is_leaving(),
+        suspect: target.is_suspect(now),
+        report: target.report().cloned(),
+        heard_ago: target
+            .heard_at()
+            .map(|at| now.saturating_duration_since(at)),
+    }
+}
--- /dev/null
+++ b/entry/src/lib.rs
@@ -0,0 +1,11 @@
+//! the entry box's process: callers' and operators' RPCs, admission,
+//! routing, retries, streams; and the operators' command line
+
+pub mod app;
+pub mod cli;
+pub mod conf;
+mod config;
+mod control;
+mod rpc;
+mod server;
+mod traffic;
--- /dev/null
+++ b/entry/src/rpc/admin.rs
@@ -0,0 +1,213 @@
+use {
+    super::{admission::Admission, force::wait_in_force},
+    crate::{app::Shared, control::TargetRow},
+    chalkcart_coordination::routing::{Need, RouteAsk},
+    chalkcart_protocol::v1::{
+        admin_server::Admin, AddVersionRequest, CreateGroupRequest, Document, GetStatusRequest,
+        GetStatusResponse, NextConfiguration, PlanRequest, PlanResponse, PlannedTarget,
+        RegisterAdapterRequest, RetireVersionRequest, SetShareRequest, TargetStatus,
+        WaitInForceRequest, WaitInForceResponse,
+    },
+    chalkcart_state::{
+        config::{Change, ConfigError},
+        fleet::Role,
+        ids::Generation,
+    },
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    tonic::{Request, Response, Status},
+};
+
+/// longest wait for a generation
+const MAX_WAIT: Duration = Duration::from_secs(60);
+
+/// what operators call
+pub struct AdminService {
+    shared: Arc<Shared>,
+}
+
+impl AdminService {
+    pub fn new(shared: Arc<Shared>) -> Self {
+        Self { shared }
+    }
+
+    fn next(
+        &self,
+        base: Generation,
+        change: &Change,
+    ) -> Result<Response<NextConfiguration>, Status> {
+        let admission = Admission::new(&self.shared, "");
+        let configuration = admission.configuration()?;
+        let changed = configuration.plan_change(base, change);
+        let changed = changed.map_err(|e| match e {
+            ConfigError::BadValue {
+                key,
+                value,
+                expected,
+            } => admission.bad(&key, &format!("{value}, expected {expected}")),
+            e @ ConfigError::StaleBase { .. } => Status::failed_precondition(e.to_string()),
+            e @ ConfigError::WrongShard { .. } => Status::internal(e.to_string()),
+        })?;
+        let documents = changed.documents.into_iter().map(|d| Document {
+            key: d.key,
+            content: d.content,
+        });
+        Ok(Response::new(NextConfiguration {
+            generation: changed.generation,
+            documents: documents.collect(),
+        }))
+    }
+
+    fn check_filled(&self, fields: &[(&str, &str)]) -> Result<(), Status> {
+        let admission = Admission::new(&self.shared, "");
+        match fields.iter().find(|(_, value)| value.is_empty()) {
+            Some((field, _)) => Err(admission.bad(field, "must not be empty")),
+            None => Ok(()),
+        }
+    }
+}
+
+#[tonic::async_trait]
+impl Admin for AdminService {
+    async fn create_group(
+        &self,
+        req: Request<CreateGroupRequest>,
+    ) -> Result<Response<NextConfiguration>, Status> {
+        let req = req.into_inner();
+        self.check_filled(&[("group", &req.group)])?;
+        let change = Change::CreateGroup {
+            group: req.group,
+            share: req.share,
+        };
+        self.next(req.base_generation, &change)
+    }
+
+    async fn set_share(
+        &self,
+        req: Request<SetShareRequest>,
+    ) -> Result<Response<NextConfiguration>, Status> {
+        let req = req.into_inner();
+        self.check_filled(&[("group", &req.group)])?;
+        let change = Change::SetShare {
+            group: req.group,
+            share: req.share,
+        };
+        self.next(req.base_generation, &change)
+    }
+
+    async fn register_adapter(
+        &self,
+        req: Request<RegisterAdapterRequest>,
+    ) -> Result<Response<NextConfiguration>, Status> {
+        let req = req.into_inner();
+        self.check_filled(&[("adapter", &req.adapter), ("digest", &req.digest)])?;
+        let change = Change::RegisterAdapter {
+            adapter: req.adapter,
+            group: req.group,
+            base_model: req.base_model,
+            digest: req.digest,
+        };
+        self.next(req.base_generation, &change)
+    }
+
+    async fn add_version(
+        &self,
+        req: Request<AddVersionRequest>,
+    ) -> Result<Response<NextConfiguration>, Status> {
+        let req = req.into_inner();
+        self.check_filled(&[("adapter", &req.adapter), ("digest", &req.digest)])?;
+        let change = Change::AddVersion {
+            adapter: req.adapter,
+            digest: req.digest,
+        };
+        self.next(req.base_generation, &change)
+    }
+
+    async fn retire_version(
+        &self,
+        req: Request<RetireVersionRequest>,
+    ) -> Result<Response<NextConfiguration>, Status> {
+        let req = req.into_inner();
+        self.check_filled(&[("adapter", &req.adapter)])?;
+        let change = Change::RetireVersion {
+            adapter: req.adapter,
+            version: req.version,
+        };
+        self.next(req.base_generation, &change)
+    }
+
+    async fn get_status(
+        &self,
+        _: Request<GetStatusRequest>,
+    ) -> Result<Response<GetStatusResponse>, Status> {
+        let rows = self.shared.control.status().await;
+        Ok(Response::new(GetStatusResponse {
+            r#box: self.shared.settings.name.clone(),
+            generation: self.shared.keeper.generation(),
+            targets: rows.iter().map(target_status).collect(),
+        }))
+    }
+
+    async fn plan(&self, req: Request<PlanRequest>) -> Result<Response<PlanResponse>, Status> {
+        let req = req.into_inner();
+        let admission = Admission::new(&self.shared, "");
+        let configuration = admission.configuration()?;
+        let Some(adapter) = configuration.adapter(&req.adapter) else {
+            return Err(admission.bad("adapter", "not a known adapter"));
+        };
+        let ask = RouteAsk {
+            need: Need::Adapter {
+                adapter: adapter.name.clone(),
+                version: req.version,
+                base_model: adapter.base_model.clone(),
+            },
+            tokens: 0,
+            excluded: Vec::new(),
+        };
+        let routes = self.shared.control.plan(ask).await;
+        let targets = routes.into_iter().map(|route| PlannedTarget {
+            r#box: route.target,
+            expected_wait_ms: route.expected_wait.as_millis() as u64,
+            loaded: route.loaded,
+        });
+        Ok(Response::new(PlanResponse {
+            targets: targets.collect(),
+        }))
+    }
+
+    async fn wait_in_force(
+        &self,
+        req: Request<WaitInForceRequest>,
+    ) -> Result<Response<WaitInForceResponse>, Status> {
+        let req = req.into_inner();
+        let wait = Duration::from_millis(u64::from(req.timeout_ms)).min(MAX_WAIT);
+        let deadline = Instant::now() + wait;
+        let missing = wait_in_force(&self.shared, req.generation, deadline).await;
+        Ok(Response::new(WaitInForceResponse {
+            in_force: missing.is_empty(),
+            missing,
+        }))
+    }
+}
+
+fn target_status(row: &TargetRow) -> TargetStatus {
+    let role = match &row.listed.role {
+        Role::Entry => "entry".to_string(),
+        Role::Engine { base_model } => format!("engine {base_model}"),
+        Role::Service { service } => format!("service {service}"),
+    };
+    let report = row.report.as_ref();
+    TargetStatus {
+        r#box: row.listed.name.clone(),
+        zone: row.listed.zone.clone(),
+        role,
+        leaving: row.leaving,
+        suspect: row.suspect,
+        queued_tokens: report.map_or(0, |r| r.queued_tokens),
+        running: report.map_or(0, |r| r.running),
+        generation: report.map_or(0, |r| r.generation),
+        heard_ms_ago: row.heard_ago.map(|ago| ago.as_millis() as u64),
+    }
+}
--- /dev/null
+++ b/entry/src/server/handlers.rs
@@ -0,0 +1,100 @@
+use {
+    super::router::GrpcServices,
+    crate::app::Shared,
+    chalkcart_protocol::peer::{PermitAsk, ShardAnswer, ShardAsk, SyncAnswer, SyncAsk},
+    chalkcart_state::fleet::{FleetList, Role},
+    chalkcart_transport::server::{
+        message_reply, read_message, text_reply, BodyError, Reply, SharedData,
+    },
+    gotham::{handler::HandlerResult, state::State},
+    http::StatusCode,
+    std::sync::Arc,
+};
+
+pub async fn grpc(state: State) -> HandlerResult {
+    let services = SharedData::<GrpcServices>::of(&state);
+    services.get().serve(state).await
+}
+
+pub async fn sync(mut state: State) -> HandlerResult {
+    let shared = shared(&state);
+    let reply = match read_message::<SyncAsk>(&mut state).await {
+        Ok(ask) => message_reply(&answer_sync(&shared, &ask)),
+        Err(e) => bad_message(&e),
+    };
+    Ok((state, reply))
+}
+
+pub async fn shard(mut state: State) -> HandlerResult {
+    let shared = shared(&state);
+    let reply = match read_message::<ShardAsk>(&mut state).await {
+        Ok(ask) => message_reply(&answer_shard(&shared, &ask)),
+        Err(e) => bad_message(&e),
+    };
+    Ok((state, reply))
+}
+
+pub async fn permit(mut state: State) -> HandlerResult {
+    let shared = shared(&state);
+    let reply = match read_message::<PermitAsk>(&mut state).await {
+        Ok(ask) => message_reply(&shared.control.permit(ask).await),
+        Err(e) => bad_message(&e),
+    };
+    Ok((state, reply))
+}
+
+pub async fn metrics(state: State) -> HandlerResult {
+    let text = shared(&state).metrics.text();
+    Ok((state, text_reply(StatusCode::OK, text)))
+}
+
+pub async fn healthz(state: State) -> HandlerResult {
+    Ok((state, text_reply(StatusCode::OK, "ok\n")))
+}
+
+pub async fn readyz(state: State) -> HandlerResult {
+    let reply = match shared(&state).is_ready() {
+        true => text_reply(StatusCode::OK, "ready\n"),
+        false => text_reply(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+    };
+    Ok((state, reply))
+}
+
+fn shared(state: &State) -> Arc<Shared> {
+    SharedData::of(state)
+}
+
+fn bad_message(e: &BodyError) -> Reply {
+    text_reply(StatusCode::BAD_REQUEST, e.to_string())
+}
+
+fn answer_sync(shared: &Shared, ask: &SyncAsk) -> SyncAnswer {
+    let configuration = shared.keeper.configuration();
+    let newer = configuration.filter(|c| c.generation() > ask.generation);
+    let list = shared.keeper.list();
+    let newer_list = (list.version > ask.list_version).then(|| match ask.entries_only {
+        true => entries_of(&list),
+        false => FleetList::clone(&list),
+    });
+    SyncAnswer {
+        generation: shared.keeper.generation(),
+        root: newer.map(|c| c.root().as_ref().clone()),
+        list: newer_list,
+    }
+}
+
+fn entries_of(list: &FleetList) -> FleetList {
+    let entries = list.boxes.iter().filter(|b| b.role == Role::Entry);
+    FleetList {
+        version: list.version,
+        boxes: entries.cloned().collect(),
+    }
+}
+
+fn answer_shard(shared: &Shared, ask: &ShardAsk) -> ShardAnswer {
+    let configuration = shared.keeper.configuration();
+    let found = configuration.filter(|c| c.root().shards.get(ask.index) == Some(&ask.digest));
+    ShardAnswer {
+        shard: found.map(|c| c.shards()[ask.index].as_ref().clone()),
+    }
+}
--- /dev/null
+++ b/entry/src/server/router.rs
@@ -0,0 +1,51 @@
+use {
+    super::{grpc::Grpc, handlers},
+    crate::app::Shared,
+    chalkcart_protocol::peer::path,
+    chalkcart_transport::server::SharedData,
+    gotham::{
+        middleware::state::StateMiddleware,
+        pipeline::{new_pipeline, single_pipeline},
+        prelude::*,
+        router::{build_router, Router},
+    },
+    std::sync::{Arc, Mutex},
+};
+
+/// gRPC services by their path's first part
+const INFERENCE_PATH: &str = "/chalkcart.v1.Inference/:method";
+const ADMIN_PATH: &str = "/chalkcart.v1.Admin/:method";
+
+/// the gRPC services, shared between connections
+pub struct GrpcServices {
+    services: Mutex<Grpc>,
+}
+
+impl GrpcServices {
+    pub fn get(&self) -> Grpc {
+        let services = self.services.lock();
+        services.unwrap_or_else(|e| e.into_inner()).clone()
+    }
+}
+
+/// the routes of the entry
+pub fn new_router(shared: Arc<Shared>) -> Router {
+    let grpc = Arc::new(GrpcServices {
+        services: Mutex::new(Grpc::new(shared.clone())),
+    });
+    let pipeline = new_pipeline()
+        .add(StateMiddleware::new(SharedData::new(shared)))
+        .add(StateMiddleware::new(SharedData::new(grpc)))
+        .build();
+    let (chain, pipelines) = single_pipeline(pipeline);
+    build_router(chain, pipelines, |route| {
+        route.post(INFERENCE_PATH).to_async(handlers::grpc);
+        route.post(ADMIN_PATH).to_async(handlers::grpc);
+        route.post(path::SYNC).to_async(handlers::sync);
+        route.post(path::SHARD).to_async(handlers::shard);
+        route.post(path::PERMIT).to_async(handlers::permit);
+        route.get("/metrics").to_async(handlers::metrics);
+        route.get("/healthz").to_async(handlers::healthz);
+        route.get("/readyz").to_async(handlers::readyz);
+    })
+}
--- /dev/null
+++ b/entry/src/traffic/attempt.rs
@@ -0,0 +1,205 @@
+use {
+    super::{Delivered, Job},
+    crate::{app::Shared, control::EntryEvent},
+    chalkcart_coordination::stream::Assembler,
+    chalkcart_protocol::peer::{
+        path, Frame, FrameBody, Outcome, Reason, Refusal, ResumeOrder, Step, Work,
+    },
+    chalkcart_state::ids::BoxName,
+    chalkcart_transport::client::{ClientError, FrameStream},
+    futures::StreamExt,
+    std::{
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
+    tokio::{
+        sync::mpsc,
+        time::{sleep, timeout, timeout_at},
+    },
+};
+
+/// the target answers itself at the deadline; its word is awaited this much
+/// longer
+const DEADLINE_GRACE: Duration = Duration::from_millis(150);
+/// frames held while an earlier one is missing
+const MAX_EARLY: usize = 256;
+
+/// why reading one stream of frames stopped
+#[derive(Debug)]
+pub enum Stopped {
+    /// the whole answer was delivered
+    Whole,
+    /// the target's final word
+    Refused(Refusal),
+    /// the stream broke; it may be resumed
+    Broken(String),
+    /// no sign of life
+    Silent,
+    DeadlinePassed,
+    CallerGone,
+}
+
+/// one target's answer to one request, over one or more streams
+pub struct Attempt<'a> {
+    pub shared: &'a Shared,
+    pub job: &'a Job,
+    pub target: BoxName,
+    pub addr: SocketAddr,
+    frames: Assembler<FrameBody>,
+    caller: &'a mpsc::Sender<Delivered>,
+    /// tokens that the caller has, over all attempts
+    had: &'a mut Vec<String>,
+}
+
+impl<'a> Attempt<'a> {
+    pub fn new(
+        shared: &'a Shared,
+        job: &'a Job,
+        target: BoxName,
+        addr: SocketAddr,
+        caller: &'a mpsc::Sender<Delivered>,
+        had: &'a mut Vec<String>,
+    ) -> Self {
+        Self {
+            shared,
+            job,
+            target,
+            addr,
+            frames: Assembler::new(0, MAX_EARLY),
+            caller,
+            had,
+        }
+    }
+
+    /// send the request; a reserved one may be sent again to the same target
+    pub async fn send(&self) -> Result<FrameStream, ClientError> {
+        let order = self.job.order(self.had, self.shared.permit_giver());
+        let peers = &self.shared.peers;
+        self.bounded(peers.stream(self.addr, path::RUN, &order))
+            .await
+    }
+
+    /// ask for the rest of a broken stream
+    pub async fn resume(&self) -> Result<FrameStream, ClientError> {
+        let order = ResumeOrder {
+            request: self.job.request.clone(),
+            from: self.frames.next(),
+        };
+        let peers = &self.shared.peers;
+        self.bounded(peers.stream(self.addr, path::RESUME, &order))
+            .await
+    }
+
+    /// read frames and deliver them until something stops it
+    pub async fn read(&mut self, stream: &mut FrameStream) -> Stopped {
+        loop {
+            let frame = match self.next_frame(stream).await {
+                Ok(frame) => frame,
+                Err(stopped) => return stopped,
+            };
+            let stopped = match frame {
+                Frame::Report(report) => {
+                    self.shared.control.tell(EntryEvent::Reported(report));
+                    None
+                }
+                Frame::Numbered { sequence, body } => self.accept(sequence, body).await,
+            };
+            if let Some(stopped) = stopped {
+                return stopped;
+            }
+        }
+    }
+
+    pub fn refusal(&self, outcome: Outcome, step: Step, reason: Reason) -> Refusal {
+        Refusal::new(outcome, step, &self.target, reason)
+    }
+
+    /// tell the routing that the target gives no sign
+    pub fn report_silence(&self) {
+        let silent = EntryEvent::Silent(self.target.clone());
+        self.shared.control.tell(silent);
+    }
+
+    /// wait before another try, but not past the deadline
+    pub async fn pause(&self, pause: Duration) {
+        sleep(pause.min(self.job.remaining())).await;
+    }
+
+    /// an answer's head comes at once from a target that lives
+    async fn bounded<F>(&self, call: F) -> Result<FrameStream, ClientError>
+    where
+        F: std::future::Future<Output = Result<FrameStream, ClientError>>,
+    {
+        let limit = self.shared.settings.silence();
+        match timeout(limit, call).await {
+            Ok(result) => result,
+            Err(_) => Err(ClientError::new(
+                chalkcart_transport::client::ClientStep::Send,
+                self.addr,
+                "no sign of life",
+            )),
+        }
+    }
+
+    async fn next_frame(&self, stream: &mut FrameStream) -> Result<Frame, Stopped> {
+        let silence = Instant::now() + self.shared.settings.silence();
+        let end = self.job.deadline + DEADLINE_GRACE;
+        let until = silence.min(end);
+        tokio::select! {
+            next = timeout_at(until.into(), stream.next()) => match next {
+                Ok(Some(Ok(frame))) => Ok(frame),
+                Ok(Some(Err(e))) => Err(Stopped::Broken(e.to_string())),
+                Ok(None) => Err(Stopped::Broken("stream ended early".to_string())),
+                Err(_) if until == end => Err(Stopped::DeadlinePassed),
+                Err(_) => Err(Stopped::Silent),
+            },
+            () = self.caller.closed() => Err(Stopped::CallerGone),
+        }
+    }
+
+    async fn accept(&mut self, sequence: u64, body: FrameBody) -> Option<Stopped> {
+        let ready = match self.frames.accept(sequence, body) {
+            Ok(ready) => ready,
+            Err(e) => return Some(Stopped::Broken(e.to_string())),
+        };
+        for body in ready {
+            if let Some(stopped) = self.deliver(body).await {
+                return Some(stopped);
+            }
+        }
+        None
+    }
+
+    async fn deliver(&mut self, body: FrameBody) -> Option<Stopped> {
+        let (part, last) = match body {
+            FrameBody::Refused(refusal) => return Some(Stopped::Refused(refusal)),
+            FrameBody::Token(text) => {
+                self.had.push(text.clone());
+                (Delivered::Token(text), false)
+            }
+            FrameBody::Body(body) => (Delivered::Body(body), true),
+            FrameBody::Finished { adapter, version } => {
+                if let Some(refusal) = self.check_ran(&adapter, version) {
+                    return Some(Stopped::Refused(refusal));
+                }
+                (Delivered::Finished { adapter, version }, true)
+            }
+        };
+        match self.caller.send(part).await {
+            Err(_) => Some(Stopped::CallerGone),
+            Ok(()) if last => Some(Stopped::Whole),
+            Ok(()) => None,
+        }
+    }
+
+    /// an answer of another version is an error and never an answer
+    fn check_ran(&self, adapter: &str, version: u32) -> Option<Refusal> {
+        match &self.job.work {
+            Work::Generate(work) if work.adapter == adapter && work.version == version => None,
+            _ => {
+                let refusal = self.refusal(Outcome::MayHaveRun, Step::Run, Reason::WrongVersion);
+                Some(refusal.with_detail(format!("ran {adapter}@{version}")))
+            }
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/traffic/dispatcher.rs
@@ -0,0 +1,224 @@
+use {
+    super::{
+        attempt::{Attempt, Stopped},
+        reserved_attempt::run_reserved,
+        Delivered, Job,
+    },
+    crate::{app::Shared, control::EntryEvent},
+    chalkcart_coordination::{
+        retry::{may_retry, Attempt as FailedAttempt, Backoff},
+        routing::{Route, RouteAsk},
+    },
+    chalkcart_protocol::peer::{path, CancelAnswer, CancelOrder, Outcome, Reason, Refusal, Step},
+    chalkcart_state::ids::{BoxName, RequestId, ReservedId},
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+    tokio::{sync::mpsc, time::sleep},
+};
+
+/// resumes of one stream without a new frame
+const MAX_RESUMES: u32 = 3;
+const RESUME_PAUSE: Duration = Duration::from_millis(30);
+const CANCEL_TIMEOUT: Duration = Duration::from_millis(500);
+/// when to come back if no target serves what is asked
+const NO_TARGET_RETRY: Duration = Duration::from_millis(500);
+
+/// brings a request to a target, and to another one if that is safe
+pub struct Dispatcher {
+    shared: Arc<Shared>,
+    job: Job,
+    /// id of the request over all tries
+    request: RequestId,
+    caller: mpsc::Sender<Delivered>,
+    /// tokens that the caller has
+    had: Vec<String>,
+    /// an attempt may have run
+    may_have_run: bool,
+    /// targets that failed
+    failed: Vec<BoxName>,
+}
+
+impl Dispatcher {
+    pub fn new(shared: Arc<Shared>, job: Job, caller: mpsc::Sender<Delivered>) -> Self {
+        Self {
+            shared,
+            request: job.request.clone(),
+            job,
+            caller,
+            had: Vec::new(),
+            may_have_run: false,
+            failed: Vec::new(),
+        }
+    }
+
+    /// deliver the whole answer, or give the final word on the request
+    pub async fn run(mut self) -> Result<(), Refusal> {
+        self.shared.control.tell(EntryEvent::Requested);
+        match self.job.reserved.clone() {
+            Some(id) => self.run_reserved(&id).await,
+            None => self.run_repeatable().await,
+        }
+    }
+
+    async fn run_reserved(&mut self, id: &ReservedId) -> Result<(), Refusal> {
+        let Some(listed) = self.shared.control.find(id.target.clone()).await else {
+            // another entry may know the target, and have sent it there
+            return Err(Refusal::may_have_run(
+                Step::Routing,
+                &self.shared.settings.name,
+                Reason::NoTarget,
+            ));
+        };
+        let attempt = Attempt::new(
+            &self.shared,
+            &self.job,
+            listed.name,
+            listed.addr,
+            &self.caller,
+            &mut self.had,
+        );
+        run_reserved(attempt).await
+    }
+
+    async fn run_repeatable(&mut self) -> Result<(), Refusal> {
+        let backoff = Backoff::default();
+        let mut tries = 0;
+        loop {
+            tries += 1;
+            let Err(refusal) = self.try_once().await else {
+                return Ok(());
+            };
+            self.may_have_run |= refusal.outcome != Outcome::NotRun;
+            if !self.should_retry(&refusal).await {
+                return Err(self.final_word(refusal));
+            }
+            log::debug!("traffic: {} again after: {refusal}", self.job.request);
+            let pause = backoff.pause(tries, rand::random());
+            sleep(pause.min(self.job.remaining())).await;
+        }
+    }
+
+    /// `NOT_RUN` must be true of all attempts together
+    fn final_word(&self, mut refusal: Refusal) -> Refusal {
+        if self.may_have_run {
+            refusal.outcome = Outcome::MayHaveRun;
+        }
+        refusal
+    }
+
+    async fn should_retry(&self, refusal: &Refusal) -> bool {
+        let attempt = FailedAttempt {
+            refusal,
+            reserved: self.job.reserved.is_some(),
+            remaining: self.job.remaining(),
+        };
+        may_retry(&attempt) && self.shared.control.take_retry().await
+    }
+
+    async fn try_once(&mut self) -> Result<(), Refusal> {
+        // each try has its own id, so that a target never takes a new try
+        // for a copy of an earlier one
+        self.job.request = format!("{}-{}", self.request, self.failed.len());
+        let ask = RouteAsk {
+            need: self.job.need.clone(),
+            tokens: self.job.work.tokens(),
+            excluded: self.failed.clone(),
+        };
+        let Some(route) = self.shared.control.route(ask).await else {
+            let name = &self.shared.settings.name;
+            let refusal = Refusal::not_run(Step::Routing, name, Reason::NoTarget);
+            return Err(refusal.with_retry_after(NO_TARGET_RETRY));
+        };
+        let target = route.target.clone();
+        let result = self.try_target(route).await;
+        self.shared.control.tell(EntryEvent::Ended(target.clone()));
+        self.failed.push(target);
+        result
+    }
+
+    async fn try_target(&mut self, route: Route) -> Result<(), Refusal> {
+        let mut attempt = Attempt::new(
+            &self.shared,
+            &self.job,
+            route.target,
+            route.addr,
+            &self.caller,
+            &mut self.had,
+        );
+        let mut stream = match attempt.send().await {
+            Ok(stream) => stream,
+            Err(e) if e.proves_not_sent() => {
+                attempt.report_silence();
+                let refusal = attempt.refusal(Outcome::NotRun, Step::Connect, Reason::Unreachable);
+                return Err(refusal.with_detail(e.to_string()));
+            }
+            Err(e) => {
+                attempt.report_silence();
+                cancel(&self.shared, &self.job, route.addr);
+                let refusal = attempt.refusal(Outcome::MayHaveRun, Step::Send, Reason::Lost);
+                return Err(refusal.with_detail(e.to_string()));
+            }
+        };
+        let mut resumes = 0;
+        loop {
+            let stopped = attempt.read(&mut stream).await;
+            let detail = match stopped {
+                Stopped::Whole => return Ok(()),
+                Stopped::Refused(refusal) => return Err(refusal),
+                Stopped::CallerGone => {
+                    cancel(&self.shared, &self.job, route.addr);
+                    return Err(attempt.refusal(
+                        Outcome::MayHaveRun,
+                        Step::Stream,
+                        Reason::Cancelled,
+                    ));
+                }
+                Stopped::DeadlinePassed => {
+                    cancel(&self.shared, &self.job, route.addr);
+                    return Err(attempt.refusal(
+                        Outcome::MayHaveRun,
+                        Step::Run,
+                        Reason::DeadlinePassed,
+                    ));
+                }
+                Stopped::Silent => "no sign of life".to_string(),
+                Stopped::Broken(detail) => detail,
+            };
+            match resume(&attempt, &mut resumes).await {
+                Some(resumed) => stream = resumed,
+                None => {
+                    attempt.report_silence();
+                    cancel(&self.shared, &self.job, route.addr);
+                    let refusal = attempt.refusal(Outcome::MayHaveRun, Step::Stream, Reason::Lost);
+                    return Err(refusal.with_detail(detail));
+                }
+            }
+        }
+    }
+}
+
+async fn resume(
+    attempt: &Attempt<'_>,
+    resumes: &mut u32,
+) -> Option<chalkcart_transport::client::FrameStream> {
+    while *resumes < MAX_RESUMES {
+        *resumes += 1;
+        match attempt.resume().await {
+            Ok(stream) => return Some(stream),
+            Err(e) => log::debug!("traffic: no resume: {e}"),
+        }
+        attempt.pause(RESUME_PAUSE * *resumes).await;
+    }
+    None
+}
+
+/// stop work that nobody waits for; nothing depends on it
+fn cancel(shared: &Arc<Shared>, job: &Job, addr: SocketAddr) {
+    let peers = shared.peers.clone();
+    let order = CancelOrder {
+        request: job.request.clone(),
+    };
+    tokio::spawn(async move {
+        let _: Result<CancelAnswer, _> =
+            peers.call(addr, path::CANCEL, &order, CANCEL_TIMEOUT).await;
+    });
+}
--- /dev/null
+++ b/entry/src/traffic/job.rs
@@ -0,0 +1,58 @@
+use {
+    chalkcart_coordination::routing::Need,
+    chalkcart_protocol::peer::{Work, WorkOrder},
+    chalkcart_state::ids::{
+        AdapterName, ClassName, GroupName, RequestId, ReservedId, VersionNumber,
+    },
+    std::{
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
+};
+
+/// one request of a caller
+#[derive(Debug, Clone)]
+pub struct Job {
+    pub request: RequestId,
+    /// set for a request that must not be repeated
+    pub reserved: Option<ReservedId>,
+    pub group: GroupName,
+    pub class: ClassName,
+    pub deadline: Instant,
+    pub need: Need,
+    pub work: Work,
+}
+
+/// a part of an answer, on its way to the caller
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Delivered {
+    Token(String),
+    Body(Vec<u8>),
+    Finished {
+        adapter: AdapterName,
+        version: VersionNumber,
+    },
+}
+
+impl Job {
+    pub fn remaining(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+
+    /// the message for a sidecar, with the tokens that the caller has
+    pub fn order(&self, had: &[String], permit_giver: Option<SocketAddr>) -> WorkOrder {
+        let mut work = self.work.clone();
+        if let Work::Generate(work) = &mut work {
+            work.generated = had.to_vec();
+        }
+        WorkOrder {
+            request: self.request.clone(),
+            reserved: self.reserved.is_some(),
+            group: self.group.clone(),
+            class: self.class.clone(),
+            remaining: self.remaining(),
+            work,
+            permit_giver,
+        }
+    }
+}
--- /dev/null
+++ b/node/src/cli/mod.rs
@@ -0,0 +1,5 @@
+//! the command line's common part
+
+mod program;
+
+pub use program::{usage_error, ExitCode, Program};
--- /dev/null
+++ b/node/src/lib.rs
@@ -0,0 +1,7 @@
+//! what both processes share around their work: settings files, logs,
+//! signals and the start of the runtime
+
+pub mod cli;
+pub mod logging;
+pub mod settings;
+pub mod signals;
--- /dev/null
+++ b/node/src/logging/mod.rs
@@ -0,0 +1,5 @@
+//! logs
+
+mod start;
+
+pub use start::{check_level, start};
--- /dev/null
+++ b/protocol/src/peer/mod.rs
@@ -0,0 +1,33 @@
+//! messages between chalkcart's own processes
+
+mod cancel;
+mod frame;
+mod permit;
+mod refusal;
+mod report;
+mod reserve;
+mod sync;
+mod work;
+
+/// paths at which the messages are posted
+pub mod path {
+    pub const RUN: &str = "/peer/run";
+    pub const RESUME: &str = "/peer/resume";
+    pub const RESERVE: &str = "/peer/reserve";
+    pub const CANCEL: &str = "/peer/cancel";
+    pub const REPORT: &str = "/peer/report";
+    pub const SYNC: &str = "/peer/sync";
+    pub const SHARD: &str = "/peer/shard";
+    pub const PERMIT: &str = "/peer/permit";
+}
+
+pub use {
+    cancel::{CancelAnswer, CancelOrder},
+    frame::{Frame, FrameBody},
+    permit::{PermitAnswer, PermitAsk, PermitPurpose},
+    refusal::{Outcome, Reason, Refusal, Step},
+    report::{LoadedAdapter, TargetReport},
+    reserve::{ReserveAnswer, ReserveOrder},
+    sync::{ShardAnswer, ShardAsk, SyncAnswer, SyncAsk},
+    work::{CallWork, GenerateWork, ResumeOrder, Work, WorkOrder},
+};
--- /dev/null
+++ b/protocol/src/peer/sync.rs
@@ -0,0 +1,39 @@
+use {
+    chalkcart_state::{
+        config::{Root, Shard},
+        fleet::FleetList,
+        ids::{BoxName, Generation},
+    },
+    serde::{Deserialize, Serialize},
+};
+
+/// asks a peer for what it knows and the asker does not
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SyncAsk {
+    pub from: BoxName,
+    pub generation: Generation,
+    pub list_version: u64,
+    /// the asker needs only the entry boxes of the list
+    pub entries_only: bool,
+}
+
+/// newer knowledge of a peer
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SyncAnswer {
+    pub generation: Generation,
+    pub root: Option<Root>,
+    pub list: Option<FleetList>,
+}
+
+/// asks a peer for a shard of one generation
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ShardAsk {
+    pub index: usize,
+    pub digest: String,
+}
+
+/// the shard, if the peer has that content
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ShardAnswer {
+    pub shard: Option<Shard>,
+}
--- /dev/null
+++ b/sidecar/src/app/config_sync.rs
@@ -0,0 +1,91 @@
+use {
+    super::shared::Shared,
+    chalkcart_coordination::{
+        config::{judge_root, Verdict},
+        sidecar::SidecarEvent,
+    },
+    chalkcart_protocol::peer::{path, SyncAnswer, SyncAsk},
+    chalkcart_state::config::Root,
+    chalkcart_transport::client::PeerClient,
+    rand::seq::IndexedRandom,
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+    tokio::time::sleep,
+};
+
+/// how often an entry is asked for a newer configuration
+const PERIOD: Duration = Duration::from_secs(1);
+const TIMEOUT: Duration = Duration::from_millis(500);
+
+/// follows the configuration's root through the entries
+pub struct ConfigSync {
+    shared: Arc<Shared>,
+    peers: PeerClient,
+    entries: Vec<SocketAddr>,
+    list_version: u64,
+    root: Option<Arc<Root>>,
+}
+
+impl ConfigSync {
+    pub fn new(shared: Arc<Shared>) -> Self {
+        Self {
+            peers: PeerClient::new(),
+            entries: shared.settings.entries.clone(),
+            list_version: 0,
+            root: None,
+            shared,
+        }
+    }
+
+    pub async fn run(mut self) {
+        loop {
+            self.ask_one().await;
+            sleep(PERIOD).await;
+        }
+    }
+
+    async fn ask_one(&mut self) {
+        // the settings' addresses serve when the list's are all gone
+        let seeds = &self.shared.settings.entries;
+        let all: Vec<SocketAddr> = self.entries.iter().chain(seeds).copied().collect();
+        let Some(entry) = all.choose(&mut rand::rng()).copied() else {
+            return;
+        };
+        let ask = SyncAsk {
+            from: self.shared.settings.name.clone(),
+            generation: self.root.as_ref().map_or(0, |r| r.generation),
+            list_version: self.list_version,
+            entries_only: true,
+        };
+        let answer: Result<SyncAnswer, _> = self.peers.call(entry, path::SYNC, &ask, TIMEOUT).await;
+        match answer {
+            Ok(answer) => self.take(answer),
+            Err(e) => log::debug!("config: no answer: {e}"),
+        }
+    }
+
+    fn take(&mut self, answer: SyncAnswer) {
+        if let Some(list) = answer.list {
+            self.list_version = list.version;
+            self.entries = list.live_entries().map(|b| b.addr).collect();
+        }
+        let Some(root) = answer.root else {
+            return;
+        };
+        match judge_root(self.root.as_deref(), &root) {
+            Verdict::Take => {
+                log::info!("config: generation {} in force", root.generation);
+                self.shared.metrics.on_generation(root.generation);
+                let root = Arc::new(root);
+                self.root = Some(root.clone());
+                self.shared.tell(SidecarEvent::Configured(root));
+            }
+            Verdict::Conflict => {
+                log::error!(
+                    "config: another content under generation {}",
+                    root.generation
+                )
+            }
+            Verdict::Same | Verdict::Older { .. } => {}
+        }
+    }
+}
--- /dev/null
+++ b/sidecar/src/app/control_thread.rs
@@ -0,0 +1,41 @@
+use {
+    super::{executor::Executor, shared::Shared},
+    anyhow::{Context, Result},
+    chalkcart_coordination::sidecar::{SidecarControl, SidecarEvent},
+    std::{
+        sync::{
+            mpsc::{Receiver, RecvTimeoutError},
+            Arc,
+        },
+        thread,
+        time::{Duration, Instant},
+    },
+};
+
+/// longest time without a look at the clock
+const TICK: Duration = Duration::from_millis(50);
+
+/// start the one thread that owns the control state
+pub fn start(
+    mut control: SidecarControl,
+    events: Receiver<SidecarEvent>,
+    shared: Arc<Shared>,
+    executor: Executor,
+) -> Result<()> {
+    let run = move || loop {
+        let event = match events.recv_timeout(TICK) {
+            Ok(event) => event,
+            Err(RecvTimeoutError::Timeout) => SidecarEvent::Tick,
+            Err(RecvTimeoutError::Disconnected) => return,
+        };
+        let actions = control.handle(event, Instant::now());
+        shared.report.store(Arc::new(control.report()));
+        shared.set_ready(control.is_ready() && !control.is_leaving());
+        for action in actions {
+            executor.perform(action);
+        }
+    };
+    let builder = thread::Builder::new().name("control".to_string());
+    builder.spawn(run).context("start the control thread")?;
+    Ok(())
+}
--- /dev/null
+++ b/sidecar/src/app/service_run.rs
@@ -0,0 +1,59 @@
+use {
+    super::engine_run::RunContext,
+    crate::streams::SharedStream,
+    chalkcart_coordination::sidecar::RunEnd,
+    chalkcart_protocol::peer::{CallWork, FrameBody, Outcome, Reason},
+    chalkcart_state::ids::RequestId,
+    chalkcart_transport::service::{PlainService, ServiceError},
+    std::{sync::Arc, time::Instant},
+    tokio_util::sync::CancellationToken,
+};
+
+/// make one call at a plain service; it is sent at most once
+pub async fn run_service(
+    service: Arc<dyn PlainService>,
+    stream: Arc<SharedStream>,
+    request: &RequestId,
+    work: CallWork,
+    cx: RunContext,
+    stop: CancellationToken,
+) -> RunEnd {
+    let started = Instant::now();
+    let end = |outcome, failure, detail: String| RunEnd {
+        outcome,
+        failure,
+        detail,
+        tokens: 1,
+        took: started.elapsed(),
+        // a plain service holds nothing that must stay loaded
+        may_run_on: false,
+    };
+    let remaining = cx.deadline.saturating_duration_since(started);
+    if remaining.is_zero() {
+        return end(Outcome::NotRun, Some(Reason::DeadlinePassed), String::new());
+    }
+    let call = service.call(request, work.body.into(), remaining);
+    let answer = tokio::select! {
+        answer = call => answer,
+        _ = stop.cancelled() => {
+            return end(Outcome::MayHaveRun, Some(Reason::Cancelled), String::new());
+        }
+    };
+    match answer {
+        Ok(body) => {
+            stream.push(FrameBody::Body(body.to_vec()));
+            end(Outcome::Ran, None, String::new())
+        }
+        Err(ServiceError::Client(e)) if e.proves_not_sent() => {
+            end(Outcome::NotRun, Some(Reason::Unreachable), e.to_string())
+        }
+        Err(e @ ServiceError::Client(_)) => {
+            end(Outcome::MayHaveRun, Some(Reason::Lost), e.to_string())
+        }
+        Err(e @ ServiceError::Status(_)) => end(
+            Outcome::MayHaveRun,
+            Some(Reason::EngineFailed),
+            e.to_string(),
+        ),
+    }
+}
--- /dev/null
+++ b/sidecar/src/app/tickets.rs
@@ -0,0 +1,44 @@
+use {
+    chalkcart_coordination::sidecar::Ticket,
+    std::{
+        collections::HashMap,
+        sync::{
+            atomic::{AtomicU64, Ordering},
+            Mutex, PoisonError,
+        },
+    },
+    tokio::sync::oneshot,
+};
+
+/// askers that wait for the control thread's answer
+#[derive(Debug)]
+pub struct Tickets<T> {
+    next: AtomicU64,
+    waiting: Mutex<HashMap<Ticket, oneshot::Sender<T>>>,
+}
+
+impl<T> Default for Tickets<T> {
+    fn default() -> Self {
+        Self {
+            next: AtomicU64::new(0),
+            waiting: Mutex::new(HashMap::new()),
+        }
+    }
+}
+
+impl<T> Tickets<T> {
+    pub fn issue(&self) -> (Ticket, oneshot::Receiver<T>) {
+        let ticket = self.next.fetch_add(1, Ordering::Relaxed);
+        let (tx, rx) = oneshot::channel();
+        let mut waiting = self.waiting.lock().unwrap_or_else(PoisonError::into_inner);
+        waiting.insert(ticket, tx);
+        (ticket, rx)
+    }
+    pub fn answer(&self, ticket: Ticket, answer: T) {
+        let mut waiting = self.waiting.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(tx) = waiting.remove(&ticket) {
+            // the asker may be gone
+            let _ = tx.send(answer);
+        }
+    }
+}
--- /dev/null
+++ b/sidecar/src/cli/mod.rs
@@ -0,0 +1,5 @@
+//! the command line
+
+mod run;
+
+pub use run::run;
--- /dev/null
+++ b/sidecar/src/conf/mod.rs
@@ -0,0 +1,5 @@
+//! settings
+
+mod settings;
+
+pub use settings::{Settings, TargetSettings};
--- /dev/null
+++ b/sidecar/src/conf/settings.rs
@@ -0,0 +1,130 @@
+use {
+    chalkcart_node::{
+        logging,
+        settings::{Checked, SettingsError},
+    },
+    chalkcart_state::ids::{BoxName, ServiceName, ZoneName},
+    serde::Deserialize,
+    std::{net::SocketAddr, time::Duration},
+};
+
+/// what stands behind this sidecar
+#[derive(Debug, Clone, Deserialize)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+pub enum TargetSettings {
+    Engine {
+        addr: SocketAddr,
+    },
+    Service {
+        addr: SocketAddr,
+        service: ServiceName,
+        /// calls that it takes at once
+        max_running: u32,
+    },
+}
+
+/// the settings file of `chalkcart-sidecar`
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// the box's name, as the platform lists it
+    pub name: BoxName,
+    pub zone: ZoneName,
+    pub listen: SocketAddr,
+    pub target: TargetSettings,
+    /// entry boxes to ask first for the configuration
+    pub entries: Vec<SocketAddr>,
+    #[serde(default = "default_log")]
+    pub log: String,
+    /// longest time that a planned stop waits for running requests, in ms
+    #[serde(default = "default_drain_ms")]
+    pub drain_ms: u64,
+    /// a pause longer than this makes all beliefs doubtful, in ms
+    #[serde(default = "default_lease_ms")]
+    pub lease_ms: u64,
+    /// reserved ids remembered at most
+    #[serde(default = "default_id_capacity")]
+    pub id_capacity: usize,
+    /// how long a reserved id may wait for its use, in ms
+    #[serde(default = "default_id_valid_ms")]
+    pub id_valid_ms: u64,
+    /// memory for answers kept for repeats, in bytes
+    #[serde(default = "default_buffer_bytes")]
+    pub buffer_bytes: usize,
+    /// whether to ask an entry for permits before loads
+    #[serde(default = "default_permits")]
+    pub permits: bool,
+    /// threads for traffic
+    #[serde(default = "default_threads")]
+    pub threads: usize,
+}
+
+impl Settings {
+    pub fn drain(&self) -> Duration {
+        Duration::from_millis(self.drain_ms)
+    }
+    pub fn lease(&self) -> Duration {
+        Duration::from_millis(self.lease_ms)
+    }
+    pub fn id_valid(&self) -> Duration {
+        Duration::from_millis(self.id_valid_ms)
+    }
+}
+
+impl Checked for Settings {
+    fn check(&self) -> Result<(), SettingsError> {
+        let positive = "1 or more";
+        if self.name.is_empty() {
+            return Err(SettingsError::value("name", "\"\"", "the box's name"));
+        }
+        if self.entries.is_empty() {
+            return Err(SettingsError::value("entries", "[]", "one address or more"));
+        }
+        if self.lease_ms == 0 {
+            return Err(SettingsError::value("lease_ms", 0, positive));
+        }
+        if self.id_capacity == 0 {
+            return Err(SettingsError::value("id_capacity", 0, positive));
+        }
+        if self.id_valid_ms == 0 {
+            return Err(SettingsError::value("id_valid_ms", 0, positive));
+        }
+        if self.threads == 0 {
+            return Err(SettingsError::value("threads", 0, positive));
+        }
+        if let TargetSettings::Service { max_running: 0, .. } = self.target {
+            return Err(SettingsError::value(
+                "target.service.max_running",
+                0,
+                positive,
+            ));
+        }
+        logging::check_level(&self.log)
+            .map_err(|_| SettingsError::value("log", &self.log, "a log level"))
+    }
+}
+
+fn default_log() -> String {
+    "info".to_string()
+}
+fn default_drain_ms() -> u64 {
+    60_000
+}
+fn default_lease_ms() -> u64 {
+    1_000
+}
+fn default_id_capacity() -> usize {
+    100_000
+}
+fn default_id_valid_ms() -> u64 {
+    600_000
+}
+fn default_buffer_bytes() -> usize {
+    32 * 1024 * 1024
+}
+fn default_permits() -> bool {
+    true
+}
+fn default_threads() -> usize {
+    2
+}
--- /dev/null
+++ b/sidecar/src/main.rs
@@ -0,0 +1,8 @@
+//! the process beside each engine or plain service
+
+use std::process;
+
+fn main() {
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    process::exit(chalkcart_sidecar::cli::run(&args) as i32);
+}
--- /dev/null
+++ b/sidecar/src/server/handlers.rs
@@ -0,0 +1,135 @@
+use {
+    crate::{app::Shared, streams::follow},
+    chalkcart_coordination::sidecar::SidecarEvent,
+    chalkcart_protocol::peer::{
+        CancelAnswer, CancelOrder, Frame, FrameBody, Outcome, Reason, Refusal, ReserveAnswer,
+        ReserveOrder, ResumeOrder, Step, TargetReport, WorkOrder,
+    },
+    chalkcart_transport::{
+        metrics::GroupClass,
+        server::{
+            frames_reply, message_reply, read_message, text_reply, BodyError, Reply, SharedData,
+        },
+    },
+    futures::stream,
+    gotham::{handler::HandlerResult, state::State},
+    http::StatusCode,
+    std::sync::Arc,
+};
+
+/// what a handler gives to gotham
+type Handled = HandlerResult;
+
+pub async fn run(mut state: State) -> Handled {
+    let shared = shared(&state);
+    let reply = match read_message::<WorkOrder>(&mut state).await {
+        Ok(work) => run_work(&shared, work),
+        Err(e) => bad_message(&e),
+    };
+    Ok((state, reply))
+}
+
+pub async fn resume(mut state: State) -> Handled {
+    let shared = shared(&state);
+    let reply = match read_message::<ResumeOrder>(&mut state).await {
+        Ok(order) => resume_stream(&shared, &order),
+        Err(e) => bad_message(&e),
+    };
+    Ok((state, reply))
+}
+
+pub async fn reserve(mut state: State) -> Handled {
+    let shared = shared(&state);
+    let reply = match read_message::<ReserveOrder>(&mut state).await {
+        Ok(order) => message_reply(&reserve_ids(&shared, order.count).await),
+        Err(e) => bad_message(&e),
+    };
+    Ok((state, reply))
+}
+
+pub async fn cancel(mut state: State) -> Handled {
+    let shared = shared(&state);
+    let reply = match read_message::<CancelOrder>(&mut state).await {
+        Ok(order) => message_reply(&cancel_request(&shared, order).await),
+        Err(e) => bad_message(&e),
+    };
+    Ok((state, reply))
+}
+
+pub async fn report(state: State) -> Handled {
+    let report = TargetReport::clone(&shared(&state).report.load());
+    Ok((state, message_reply(&report)))
+}
+
+pub async fn metrics(state: State) -> Handled {
+    let text = shared(&state).metrics.text();
+    Ok((state, text_reply(StatusCode::OK, text)))
+}
+
+pub async fn healthz(state: State) -> Handled {
+    Ok((state, text_reply(StatusCode::OK, "ok\n")))
+}
+
+pub async fn readyz(state: State) -> Handled {
+    let reply = match shared(&state).is_ready() {
+        true => text_reply(StatusCode::OK, "ready\n"),
+        false => text_reply(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+    };
+    Ok((state, reply))
+}
+
+fn shared(state: &State) -> Arc<Shared> {
+    SharedData::of(state)
+}
+
+fn bad_message(e: &BodyError) -> Reply {
+    text_reply(StatusCode::BAD_REQUEST, e.to_string())
+}
+
+fn run_work(shared: &Arc<Shared>, work: WorkOrder) -> Reply {
+    let (stream, is_new) = shared.hub.open(&work.request, work.reserved);
+    if is_new {
+        let of = GroupClass {
+            group: work.group.clone(),
+            class: work.class.clone(),
+        };
+        shared.metrics.on_request(&of);
+        shared.tell(SidecarEvent::Arrived(Box::new(work)));
+    }
+    frames_reply(follow(stream, shared.report.clone(), 0))
+}
+
+fn resume_stream(shared: &Arc<Shared>, order: &ResumeOrder) -> Reply {
+    match shared.hub.get(&order.request) {
+        Some(stream) => frames_reply(follow(stream, shared.report.clone(), order.from)),
+        None => {
+            let name = &shared.settings.name;
+            let refusal = Refusal::may_have_run(Step::Stream, name, Reason::AnswerGone);
+            let frame = Frame::Numbered {
+                sequence: order.from,
+                body: FrameBody::Refused(refusal),
+            };
+            frames_reply(stream::iter([frame]))
+        }
+    }
+}
+
+async fn reserve_ids(shared: &Shared, count: u32) -> ReserveAnswer {
+    let (ticket, answer) = shared.reserves.issue();
+    shared.tell(SidecarEvent::ReserveAsked { ticket, count });
+    answer.await.unwrap_or_else(|_| {
+        let name = &shared.settings.name;
+        ReserveAnswer::Refused(Refusal::not_run(Step::Reserve, name, Reason::Lost))
+    })
+}
+
+async fn cancel_request(shared: &Shared, order: CancelOrder) -> CancelAnswer {
+    let (ticket, answer) = shared.cancels.issue();
+    shared.tell(SidecarEvent::CancelAsked {
+        ticket,
+        request: order.request,
+    });
+    CancelAnswer {
+        outcome: answer.await.unwrap_or(Outcome::MayHaveRun),
+    }
+}
--- /dev/null
+++ b/state/src/config/configuration.rs
@@ -0,0 +1,122 @@
+use {
+    super::{digest_of, shard_index, Adapter, Class, ConfigError, Group, Root, Service, Shard},
+    crate::ids::{AdapterName, BaseModelName, Digest, Generation, GroupName, VersionNumber},
+    std::sync::Arc,
+};
+
+/// an adapter's version, found in the configuration
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ResolvedAdapter {
+    pub name: AdapterName,
+    pub group: GroupName,
+    pub base_model: BaseModelName,
+    pub version: VersionNumber,
+    pub digest: Digest,
+}
+
+/// a whole, checked configuration; shards are shared between generations
+#[derive(Debug, Clone)]
+pub struct Configuration {
+    root: Arc<Root>,
+    shards: Vec<Arc<Shard>>,
+}
+
+impl Configuration {
+    /// check the documents against each other
+    pub fn new(root: Arc<Root>, shards: Vec<Arc<Shard>>) -> Result<Self, ConfigError> {
+        root.check()?;
+        if shards.len() != root.shards.len() {
+            return Err(ConfigError::bad(
+                "shards",
+                shards.len().to_string(),
+                root.shards.len().to_string(),
+            ));
+        }
+        for (index, shard) in shards.iter().enumerate() {
+            check_shard(index, shard, &root)?;
+        }
+        Ok(Self { root, shards })
+    }
+
+    /// the next configuration, given only the shards that differ; the kept
+    /// ones were checked when they came in, unless the root's names changed
+    pub fn advance(
+        &self,
+        root: Arc<Root>,
+        changed: Vec<(usize, Arc<Shard>)>,
+    ) -> Result<Self, ConfigError> {
+        root.check()?;
+        let mut shards = self.shards.clone();
+        shards.resize_with(root.shards.len(), Default::default);
+        for (index, shard) in changed {
+            check_shard(index, &shard, &root)?;
+            shards[index] = shard;
+        }
+        if root.groups != self.root.groups || root.base_models != self.root.base_models {
+            for (index, shard) in shards.iter().enumerate() {
+                shard.check(index, &root)?;
+            }
+        }
+        Ok(Self { root, shards })
+    }
+
+    /// indexes of the shards that `next` has and this configuration lacks
+    pub fn missing_shards(&self, next: &Root) -> Vec<usize> {
+        next.shards
+            .iter()
+            .enumerate()
+            .filter(|(index, digest)| self.root.shards.get(*index) != Some(digest))
+            .map(|(index, _)| index)
+            .collect()
+    }
+
+    pub fn generation(&self) -> Generation {
+        self.root.generation
+    }
+    pub fn root(&self) -> &Arc<Root> {
+        &self.root
+    }
+    pub fn shards(&self) -> &[Arc<Shard>] {
+        &self.shards
+    }
+    pub fn group(&self, name: &str) -> Option<&Group> {
+        self.root.groups.iter().find(|g| g.name == name)
+    }
+    pub fn class(&self, name: &str) -> Option<&Class> {
+        self.root.classes.iter().find(|c| c.name == name)
+    }
+    pub fn service(&self, name: &str) -> Option<&Service> {
+        self.root.services.iter().find(|s| s.name == name)
+    }
+    pub fn adapter(&self, name: &str) -> Option<&Adapter> {
+        let shard = &self.shards[shard_index(name, self.shards.len())];
+        let found = shard
+            .adapters
+            .binary_search_by(|a| a.name.as_str().cmp(name));
+        found.ok().map(|index| &shard.adapters[index])
+    }
+    /// the named version of an adapter
+    pub fn resolve(&self, name: &str, version: VersionNumber) -> Option<ResolvedAdapter> {
+        let adapter = self.adapter(name)?;
+        let found = adapter.versions.iter().find(|v| v.version == version)?;
+        Some(ResolvedAdapter {
+            name: adapter.name.clone(),
+            group: adapter.group.clone(),
+            base_model: adapter.base_model.clone(),
+            version: found.version,
+            digest: found.digest.clone(),
+        })
+    }
+}
+
+fn check_shard(index: usize, shard: &Shard, root: &Root) -> Result<(), ConfigError> {
+    let found = digest_of(shard);
+    if found != root.shards[index] {
+        return Err(ConfigError::WrongShard {
+            index,
+            found,
+            expected: root.shards[index].clone(),
+        });
+    }
+    shard.check(index, root)
+}
--- /dev/null
+++ b/state/src/config/mod.rs
@@ -0,0 +1,28 @@
+//! the configuration that operators publish: documents, checks, the index
+//! built from them, and the next documents that a change leads to
+
+mod adapter;
+mod change;
+mod class;
+mod configuration;
+mod digest;
+mod errors;
+mod group;
+mod policy;
+mod root;
+mod service;
+mod shard;
+
+pub use {
+    adapter::{Adapter, AdapterVersion},
+    change::{Change, ChangedDocuments, Document},
+    class::Class,
+    configuration::{Configuration, ResolvedAdapter},
+    digest::{digest_of, shard_index},
+    errors::ConfigError,
+    group::Group,
+    policy::Policy,
+    root::Root,
+    service::Service,
+    shard::{shard_key, Shard, ROOT_KEY},
+};
--- /dev/null
+++ b/state/src/lib.rs
@@ -0,0 +1,7 @@
+//! plain data shared by every layer: ids, the configuration, the fleet.
+//!
+//! Nothing here does I/O, reads a clock or takes a decision.
+
+pub mod config;
+pub mod fleet;
+pub mod ids;
--- /dev/null
+++ b/testkit/src/cluster/binaries.rs
@@ -0,0 +1,56 @@
+use {
+    anyhow::{bail, Context, Result},
+    std::{
+        env,
+        path::PathBuf,
+        process::Command,
+        sync::{Mutex, OnceLock},
+    },
+};
+
+static BUILT: OnceLock<Binaries> = OnceLock::new();
+static BUILDING: Mutex<()> = Mutex::new(());
+
+/// the two programs, built like the running test or example
+#[derive(Debug, Clone)]
+pub struct Binaries {
+    pub entry: PathBuf,
+    pub sidecar: PathBuf,
+}
+
+impl Binaries {
+    /// build the programs once, and say where they are
+    pub fn get() -> Result<Self> {
+        let _one_at_a_time = BUILDING.lock().unwrap_or_else(|e| e.into_inner());
+        if let Some(built) = BUILT.get() {
+            return Ok(built.clone());
+        }
+        let built = build()?;
+        Ok(BUILT.get_or_init(|| built).clone())
+    }
+}
+
+fn build() -> Result<Binaries> {
+    // tests run from target/PROFILE/deps, examples from target/PROFILE/examples
+    let own = env::current_exe().context("find the running program")?;
+    let profile = own.parent().and_then(|deps| deps.parent());
+    let folder = profile
+        .context("find the folder of the build")?
+        .to_path_buf();
+    let cargo = env::var("CARGO").unwrap_or_else(|_| "cargo".to_string());
+    let mut command = Command::new(cargo);
+    // the whole workspace, so that libraries are built with the same features
+    command.args(["build", "--quiet", "--workspace", "--bins"]);
+    command.current_dir(concat!(env!("CARGO_MANIFEST_DIR"), "/.."));
+    if !cfg!(debug_assertions) {
+        command.arg("--release");
+    }
+    let status = command.status().context("run cargo")?;
+    if !status.success() {
+        bail!("cargo build of the programs: {status}");
+    }
+    Ok(Binaries {
+        entry: folder.join("chalkcart"),
+        sidecar: folder.join("chalkcart-sidecar"),
+    })
+}
--- /dev/null
+++ b/testkit/src/cluster/mod.rs
@@ -0,0 +1,17 @@
+//! a fleet of real processes on loopback, with stand-ins around it
+
+mod addresses;
+mod binaries;
+mod fleet;
+mod node;
+mod process;
+mod settings;
+
+pub use {
+    addresses::next_addr,
+    binaries::Binaries,
+    fleet::{Cluster, EngineNode, ServiceNode},
+    node::Node,
+    process::Process,
+    settings::{ClusterSettings, ServiceSettings},
+};
--- /dev/null
+++ b/testkit/src/cluster/node.rs
@@ -0,0 +1,152 @@
+use {
+    super::{process::Process, Binaries},
+    crate::forwarder::TcpForwarder,
+    anyhow::{ensure, Result},
+    chalkcart_state::fleet::{BoxState, FleetBox, Role},
+    chalkcart_transport::client::HttpClient,
+    http::{Method, StatusCode},
+    serde_json::{Map, Value},
+    std::{
+        fs,
+        net::SocketAddr,
+        path::{Path, PathBuf},
+        time::{Duration, Instant},
+    },
+    tokio::time::sleep,
+};
+
+const READY_LIMIT: Duration = Duration::from_secs(30);
+const READY_LOOK: Duration = Duration::from_millis(20);
+const HTTP_LIMIT: Duration = Duration::from_secs(1);
+
+/// one box of the fleet with its process
+#[derive(Debug)]
+pub struct Node {
+    pub name: String,
+    pub zone: String,
+    pub role: Role,
+    /// where the process listens
+    pub listen: SocketAddr,
+    /// where the platform's list says that it listens
+    pub listed: SocketAddr,
+    pub forwarder: Option<TcpForwarder>,
+    pub process: Process,
+    program: PathBuf,
+    settings_file: PathBuf,
+    log_file: PathBuf,
+}
+
+/// what a node is started with
+#[derive(Debug)]
+pub struct NodeStart<'a> {
+    pub name: &'a str,
+    pub zone: &'a str,
+    pub role: Role,
+    pub listen: SocketAddr,
+    /// set if others reach it through a forwarder
+    pub forwarder: Option<TcpForwarder>,
+    pub settings: Map<String, Value>,
+    pub folder: &'a Path,
+}
+
+impl Node {
+    pub fn start(start: NodeStart) -> Result<Self> {
+        let binaries = Binaries::get()?;
+        let program = match start.role {
+            Role::Entry => binaries.entry,
+            Role::Engine { .. } | Role::Service { .. } => binaries.sidecar,
+        };
+        let file = |ending: &str| {
+            let name = format!("{}-{}.{ending}", start.name, start.listen.port());
+            start.folder.join(name)
+        };
+        let (settings_file, log_file) = (file("json"), file("log"));
+        fs::write(&settings_file, serde_json::to_vec_pretty(&start.settings)?)?;
+        let process = spawn(&program, &start.role, &settings_file, &log_file)?;
+        Ok(Self {
+            name: start.name.to_string(),
+            zone: start.zone.to_string(),
+            role: start.role,
+            listen: start.listen,
+            listed: start.forwarder.as_ref().map_or(start.listen, |f| f.addr),
+            forwarder: start.forwarder,
+            process,
+            program,
+            settings_file,
+            log_file,
+        })
+    }
+
+    /// its row of the platform's list
+    pub fn row(&self) -> FleetBox {
+        FleetBox {
+            name: self.name.clone(),
+            zone: self.zone.clone(),
+            addr: self.listed,
+            role: self.role.clone(),
+            state: BoxState::Live,
+        }
+    }
+
+    /// start the process again, with the same settings
+    pub fn respawn(&mut self) -> Result<()> {
+        self.process = spawn(
+            &self.program,
+            &self.role,
+            &self.settings_file,
+            &self.log_file,
+        )?;
+        Ok(())
+    }
+
+    /// wait until `/readyz` says so
+    pub async fn wait_ready(&self) -> Result<()> {
+        let until = Instant::now() + READY_LIMIT;
+        while !self.is_ready().await {
+            ensure!(
+                Instant::now() < until,
+                "{} is not ready; its log:\n{}",
+                self.name,
+                self.log()
+            );
+            sleep(READY_LOOK).await;
+        }
+        Ok(())
+    }
+
+    pub async fn is_ready(&self) -> bool {
+        let (status, _) = match self.get("/readyz").await {
+            Ok(answer) => answer,
+            Err(_) => return false,
+        };
+        status == StatusCode::OK
+    }
+
+    /// get a page of the process
+    pub async fn get(&self, path: &str) -> Result<(StatusCode, String)> {
+        let (status, body) = HttpClient::new()
+            .exchange(
+                self.listen,
+                Method::GET,
+                path,
+                "text/plain",
+                bytes::Bytes::new(),
+                HTTP_LIMIT,
+            )
+            .await?;
+        Ok((status, String::from_utf8_lossy(&body).into_owned()))
+    }
+
+    pub fn log(&self) -> String {
+        fs::read_to_string(&self.log_file).unwrap_or_default()
+    }
+}
+
+fn spawn(program: &Path, role: &Role, settings: &Path, log: &Path) -> Result<Process> {
+    let settings = settings.to_string_lossy().into_owned();
+    let args: Vec<&str> = match role {
+        Role::Entry => vec!["serve", &settings],
+        Role::Engine { .. } | Role::Service { .. } => vec![&settings],
+    };
+    Process::spawn(program, &args, log)
+}
--- /dev/null
+++ b/testkit/src/cluster/process.rs
@@ -0,0 +1,80 @@
+use {
+    anyhow::{Context, Result},
+    nix::{
+        sys::signal::{kill, Signal},
+        unistd::Pid,
+    },
+    std::{
+        fs::{File, OpenOptions},
+        path::Path,
+        process::{Child, Command, ExitStatus, Stdio},
+        time::{Duration, Instant},
+    },
+    tokio::time::sleep,
+};
+
+const EXIT_LOOK: Duration = Duration::from_millis(10);
+
+/// a process of the system under test; it is killed when this is dropped
+#[derive(Debug)]
+pub struct Process {
+    child: Child,
+}
+
+impl Process {
+    /// start a program; its log is added to a file
+    pub fn spawn(program: &Path, args: &[&str], log: &Path) -> Result<Self> {
+        let log: File = OpenOptions::new().create(true).append(true).open(log)?;
+        let child = Command::new(program)
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()
+            .with_context(|| format!("start {}", program.display()))?;
+        Ok(Self { child })
+    }
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+    /// SIGKILL
+    pub fn kill(&mut self) -> Result<()> {
+        self.child.kill().context("kill")?;
+        self.child.wait().context("wait after a kill")?;
+        Ok(())
+    }
+    /// SIGSTOP
+    pub fn freeze(&self) -> Result<()> {
+        self.signal(Signal::SIGSTOP)
+    }
+    /// SIGCONT
+    pub fn thaw(&self) -> Result<()> {
+        self.signal(Signal::SIGCONT)
+    }
+    /// SIGTERM: a planned stop
+    pub fn terminate(&self) -> Result<()> {
+        self.signal(Signal::SIGTERM)
+    }
+    /// wait for the end, up to a limit
+    pub async fn wait(&mut self, limit: Duration) -> Result<ExitStatus> {
+        let until = Instant::now() + limit;
+        loop {
+            if let Some(status) = self.child.try_wait()? {
+                return Ok(status);
+            }
+            anyhow::ensure!(Instant::now() < until, "still runs after {limit:?}");
+            sleep(EXIT_LOOK).await;
+        }
+    }
+    fn signal(&self, signal: Signal) -> Result<()> {
+        kill(Pid::from_raw(self.child.id() as i32), signal).context("send a signal")
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // it may have ended
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
--- /dev/null
+++ b/testkit/src/configs/mod.rs
@@ -0,0 +1,9 @@
+//! configurations to test with
+
+mod documents;
+mod users;
+
+pub use {
+    documents::Documents,
+    users::{head_office, trentside, UserSize},
+};
--- /dev/null
+++ b/testkit/src/engine/engine_state.rs
@@ -0,0 +1,245 @@
+use {
+    super::{errors::Disobedience, prefix_cache::PrefixCache, EngineFaults, EngineSettings},
+    chalkcart_state::ids::{Fence, Incarnation, RequestId},
+    chalkcart_transport::engine::{
+        AdapterBody, CancelState, EngineEvent, EventBody, FenceBody, GenerateBody, StatusReply,
+    },
+    std::{collections::HashMap, sync::Arc, time::Instant},
+    tokio::sync::watch,
+};
+
+/// a request at the engine
+#[derive(Debug)]
+pub struct EngineRequest {
+    pub body: GenerateBody,
+    /// steps of reading the prompt that are left
+    pub prefill_left: usize,
+    pub events: Vec<EngineEvent>,
+    pub is_ended: bool,
+    /// events so far, for those that stream them
+    pub count: watch::Sender<usize>,
+}
+
+impl EngineRequest {
+    pub fn push(&mut self, body: EventBody) {
+        let sequence = self.events.len() as u64;
+        self.is_ended = !matches!(body, EventBody::Token(_));
+        self.events.push(EngineEvent { sequence, body });
+        self.count.send_replace(self.events.len());
+    }
+}
+
+/// what an engine holds in one incarnation, and what it counted over all
+#[derive(Debug)]
+pub struct EngineState {
+    pub settings: EngineSettings,
+    pub incarnation: Incarnation,
+    pub fence: Fence,
+    pub loaded: Vec<AdapterBody>,
+    pub loading: usize,
+    pub requests: HashMap<RequestId, EngineRequest>,
+    /// running requests, then waiting ones, in the order of their priority
+    pub queue: Vec<RequestId>,
+    pub cache: PrefixCache,
+    pub faults: EngineFaults,
+    /// load figures as they were at times past
+    pub load_history: Vec<(Instant, usize)>,
+    /// started runs by the prompt, which tests make unique
+    pub runs: HashMap<String, u32>,
+    /// unloads of an adapter in use
+    pub unloaded_in_use: u32,
+    /// runs of an adapter that was not loaded, had they been let in
+    pub refused_orders: u32,
+    /// steps, and requests in them
+    pub steps: u64,
+    pub step_requests: u64,
+}
+
+impl EngineState {
+    pub fn new(settings: EngineSettings) -> Self {
+        Self {
+            cache: PrefixCache::new(settings.cached_prefixes, settings.lag),
+            settings,
+            incarnation: rand::random::<u32>().into(),
+            fence: 0,
+            loaded: Vec::new(),
+            loading: 0,
+            requests: HashMap::new(),
+            queue: Vec::new(),
+            faults: EngineFaults::default(),
+            load_history: Vec::new(),
+            runs: HashMap::new(),
+            unloaded_in_use: 0,
+            refused_orders: 0,
+            steps: 0,
+            step_requests: 0,
+        }
+    }
+
+    /// come back empty
+    pub fn restart(&mut self) {
+        self.incarnation += 1;
+        self.fence = 0;
+        self.loaded.clear();
+        self.loading = 0;
+        self.queue.clear();
+        // dropping the senders ends the streams
+        self.requests.clear();
+        self.cache = PrefixCache::new(self.settings.cached_prefixes, self.settings.lag);
+    }
+
+    pub fn status(&self) -> StatusReply {
+        StatusReply {
+            incarnation: self.incarnation,
+            fence: self.fence,
+            base_model: self.settings.base_model.clone(),
+            slots: self.settings.slots,
+            max_batch: self.settings.max_batch,
+            loaded: self.loaded.clone(),
+            running: self.queue.clone(),
+        }
+    }
+
+    pub fn check(&mut self, order: FenceBody) -> Result<(), Disobedience> {
+        let result = if order.incarnation != self.incarnation {
+            Err(Disobedience::OtherIncarnation)
+        } else if order.fence != self.fence {
+            Err(Disobedience::OtherFence)
+        } else {
+            Ok(())
+        };
+        self.refused_orders += u32::from(result.is_err());
+        result
+    }
+
+    pub fn take_fence(&mut self, order: FenceBody) -> Result<(), Disobedience> {
+        if order.incarnation != self.incarnation {
+            return Err(Disobedience::OtherIncarnation);
+        }
+        if order.fence < self.fence {
+            return Err(Disobedience::OtherFence);
+        }
+        self.fence = order.fence;
+        Ok(())
+    }
+
+    pub fn begin_load(&mut self, order: FenceBody) -> Result<(), Disobedience> {
+        self.check(order)?;
+        if self.loaded.len() + self.loading >= self.settings.slots {
+            return Err(Disobedience::NoFreeSlot);
+        }
+        self.loading += 1;
+        Ok(())
+    }
+
+    /// a load counts only if the fence is still the one that ordered it
+    pub fn end_load(
+        &mut self,
+        order: FenceBody,
+        adapter: AdapterBody,
+        fetched: bool,
+    ) -> Result<(), Disobedience> {
+        if order.incarnation != self.incarnation {
+            return Err(Disobedience::OtherIncarnation);
+        }
+        self.loading = self.loading.saturating_sub(1);
+        self.check(order)?;
+        if !fetched {
+            return Err(Disobedience::LoadFailed);
+        }
+        self.loaded.push(adapter);
+        Ok(())
+    }
+
+    pub fn unload(&mut self, order: FenceBody, adapter: &AdapterBody) -> Result<(), Disobedience> {
+        self.check(order)?;
+        let Some(index) = self.loaded.iter().position(|a| a == adapter) else {
+            return Err(Disobedience::NotLoaded);
+        };
+        self.loaded.remove(index);
+        let users: Vec<RequestId> = self
+            .queue
+            .iter()
+            .filter(|r| self.requests[*r].body.adapter == *adapter)
+            .cloned()
+            .collect();
+        self.unloaded_in_use += users.len() as u32;
+        for request in users {
+            self.end(&request, EventBody::Failed("adapter unloaded".to_string()));
+        }
+        Ok(())
+    }
+
+    pub fn generate(&mut self, body: GenerateBody) -> Result<(), Disobedience> {
+        self.check(body.order)?;
+        if !self.loaded.contains(&body.adapter) {
+            return Err(Disobedience::NotLoaded);
+        }
+        if self.requests.contains_key(&body.request) {
+            return Ok(());
+        }
+        *self.runs.entry(body.prompt.clone()).or_insert(0) += 1;
+        let words = body.prompt.split_whitespace().count() + body.generated.len();
+        let prefill_left = match self.cache.use_prefix(&body.prompt) {
+            true => 0,
+            false => words / self.settings.prefill_words.max(1),
+        };
+        let place = self.place_of(body.priority);
+        self.queue.insert(place, body.request.clone());
+        let request = EngineRequest {
+            prefill_left,
+            events: Vec::new(),
+            is_ended: false,
+            count: watch::Sender::new(0),
+            body,
+        };
+        self.requests.insert(request.body.request.clone(), request);
+        Ok(())
+    }
+
+    pub fn cancel(&mut self, request: &str) -> CancelState {
+        match self.requests.get(request) {
+            None => CancelState::Unknown,
+            Some(found) if found.is_ended => CancelState::Ended,
+            Some(_) => {
+                self.end(request, EventBody::Failed("cancelled".to_string()));
+                CancelState::Cancelled
+            }
+        }
+    }
+
+    /// end a request; its events stay for those that resume
+    pub fn end(&mut self, request: &str, body: EventBody) {
+        self.queue.retain(|r| r != request);
+        if let Some(found) = self.requests.get_mut(request) {
+            found.push(body);
+        }
+    }
+
+    /// requests in the batch, as they were a while ago
+    pub fn lagging_load(&mut self, now: Instant) -> usize {
+        let lag = self.settings.lag;
+        let seen = |at: &Instant| now.saturating_duration_since(*at) >= lag;
+        let last = self.load_history.iter().rposition(|(at, _)| seen(at));
+        match last {
+            Some(index) => {
+                self.load_history.drain(..index);
+                self.load_history[0].1
+            }
+            None => 0,
+        }
+    }
+
+    /// behind the running ones, and behind those as urgent
+    fn place_of(&self, priority: u8) -> usize {
+        let running = self.queue.len().min(self.settings.max_batch as usize);
+        let waiting = &self.queue[running..];
+        let before = waiting
+            .iter()
+            .filter(|r| self.requests[*r].body.priority <= priority);
+        running + before.count()
+    }
+}
+
+/// what a stream of events follows
+pub type SharedEngine = Arc<std::sync::Mutex<EngineState>>;
--- /dev/null
+++ b/testkit/src/engine/errors.rs
@@ -0,0 +1,30 @@
+use {
+    chalkcart_transport::{
+        engine::OrderReply,
+        server::{json_reply, Reply},
+    },
+    http::StatusCode,
+};
+
+/// why an engine does not obey
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Disobedience {
+    OtherIncarnation,
+    OtherFence,
+    NoFreeSlot,
+    NotLoaded,
+    LoadFailed,
+    UnknownRequest,
+}
+
+impl Disobedience {
+    pub fn reply(self) -> Reply {
+        let status = match self {
+            Self::OtherIncarnation | Self::OtherFence => StatusCode::CONFLICT,
+            Self::NoFreeSlot | Self::NotLoaded | Self::UnknownRequest => StatusCode::BAD_REQUEST,
+            Self::LoadFailed => StatusCode::BAD_GATEWAY,
+        };
+        let refused = format!("{self:?}");
+        json_reply(status, &OrderReply { refused })
+    }
+}
--- /dev/null
+++ b/testkit/src/engine/mod.rs
@@ -0,0 +1,17 @@
+//! a stand-in for a model engine
+
+mod batch;
+mod engine_stand_in;
+mod engine_state;
+mod errors;
+mod prefix_cache;
+mod routes;
+mod settings;
+mod text;
+
+pub use {
+    engine_stand_in::EngineStandIn,
+    engine_state::EngineState,
+    settings::{EngineFaults, EngineSettings},
+    text::{expected_token, prompt_mark},
+};
--- /dev/null
+++ b/testkit/src/forwarder/mod.rs
@@ -0,0 +1,5 @@
+//! connections that can be cut
+
+mod tcp_forwarder;
+
+pub use tcp_forwarder::{Cut, TcpForwarder};
--- /dev/null
+++ b/testkit/src/lib.rs
@@ -0,0 +1,13 @@
+//! what the project tests and measures itself with: stand-ins for engines,
+//! plain services and the platform, a fleet of real processes on loopback,
+//! faults, and an open-loop load tool
+
+pub mod cluster;
+pub mod configs;
+pub mod engine;
+pub mod forwarder;
+pub mod load;
+pub mod platform;
+pub mod service;
+pub mod serving;
+pub mod store;
--- /dev/null
+++ b/testkit/src/load/popularity.rs
@@ -0,0 +1,40 @@
+use rand::{rngs::SmallRng, RngExt, SeedableRng};
+
+/// how fast popularity falls with the rank
+const ZIPF_EXPONENT: f64 = 1.0;
+
+/// skewed popularity of numbered adapters, which can shift
+#[derive(Debug)]
+pub struct Popularity {
+    /// summed weights by rank
+    sums: Vec<f64>,
+    /// adapter of rank 0; a shift moves it
+    offset: usize,
+    rng: SmallRng,
+}
+
+impl Popularity {
+    pub fn new(adapters: usize, seed: u64) -> Self {
+        let mut sum = 0.0;
+        let sums = (1..=adapters).map(|rank| {
+            sum += 1.0 / (rank as f64).powf(ZIPF_EXPONENT);
+            sum
+        });
+        Self {
+            sums: sums.collect(),
+            offset: 0,
+            rng: SmallRng::seed_from_u64(seed),
+        }
+    }
+    /// draw an adapter's number
+    pub fn draw(&mut self) -> usize {
+        let total = self.sums.last().copied().unwrap_or(0.0);
+        let point = self.rng.random::<f64>() * total;
+        let rank = self.sums.partition_point(|sum| *sum < point);
+        (rank + self.offset) % self.sums.len()
+    }
+    /// other adapters become hot: cold ones within the same order
+    pub fn shift(&mut self) {
+        self.offset += self.sums.len() / 2;
+    }
+}
--- /dev/null
+++ b/testkit/src/load/report.rs
@@ -0,0 +1,111 @@
+use {hdrhistogram::Histogram, std::collections::BTreeMap, std::time::Duration};
+
+/// precision of the histograms
+const DIGITS: u8 = 3;
+
+/// what the requests of one group and class saw
+#[derive(Debug)]
+pub struct ClassReport {
+    pub sent: u64,
+    pub completed: u64,
+    /// completed within the stream's own limit
+    pub in_time: u64,
+    pub not_run: u64,
+    pub may_have_run: u64,
+    pub tokens: u64,
+    /// in µs
+    pub first_token: Histogram<u64>,
+    /// of whole requests, in µs
+    pub total: Histogram<u64>,
+    /// of refusals, in µs
+    pub refused_after: Histogram<u64>,
+    pub refused_with_retry_after: u64,
+    pub reasons: BTreeMap<String, u64>,
+}
+
+impl Default for ClassReport {
+    fn default() -> Self {
+        let histogram = || Histogram::new(DIGITS).expect("the precision is allowed");
+        Self {
+            sent: 0,
+            completed: 0,
+            in_time: 0,
+            not_run: 0,
+            may_have_run: 0,
+            tokens: 0,
+            first_token: histogram(),
+            total: histogram(),
+            refused_after: histogram(),
+            refused_with_retry_after: 0,
+            reasons: BTreeMap::new(),
+        }
+    }
+}
+
+impl ClassReport {
+    pub fn first_token_ms(&self, quantile: f64) -> f64 {
+        self.first_token.value_at_quantile(quantile) as f64 / 1e3
+    }
+    pub fn total_ms(&self, quantile: f64) -> f64 {
+        self.total.value_at_quantile(quantile) as f64 / 1e3
+    }
+    pub fn refused_ms(&self, quantile: f64) -> f64 {
+        self.refused_after.value_at_quantile(quantile) as f64 / 1e3
+    }
+}
+
+/// what a whole load saw
+#[derive(Debug, Default)]
+pub struct LoadReport {
+    /// by stream
+    pub classes: BTreeMap<String, ClassReport>,
+    /// answers of another adapter, version or prompt
+    pub wrong: u64,
+    /// answers that were not whole
+    pub cut_off: u64,
+    /// streams that ended without any word
+    pub lost: u64,
+    pub span: Duration,
+}
+
+impl LoadReport {
+    pub fn completed(&self) -> u64 {
+        self.classes.values().map(|c| c.completed).sum()
+    }
+    pub fn in_time(&self) -> u64 {
+        self.classes.values().map(|c| c.in_time).sum()
+    }
+    pub fn sent(&self) -> u64 {
+        self.classes.values().map(|c| c.sent).sum()
+    }
+    /// a table for people
+    pub fn table(&self) -> String {
+        let mut text = format!(
+            "{:<22} {:>6} {:>6} {:>7} {:>8} {:>8} {:>9} {:>9} {:>9}\n",
+            "group/class",
+            "sent",
+            "whole",
+            "in time",
+            "not run",
+            "unclear",
+            "ttft p50",
+            "ttft p99",
+            "total p99"
+        );
+        for (name, class) in &self.classes {
+            text.push_str(&format!(
+                "{:<22} {:>6} {:>6} {:>7} {:>8} {:>8} {:>6.0} ms {:>6.0} ms {:>6.0} ms\n",
+                name,
+                class.sent,
+                class.completed,
+                class.in_time,
+                class.not_run,
+                class.may_have_run,
+                class.first_token_ms(0.5),
+                class.first_token_ms(0.99),
+                class.total_ms(0.99),
+            ));
+        }
+        text
+    }
+}
--- /dev/null
+++ b/testkit/src/service/service_stand_in.rs
@@ -0,0 +1,103 @@
+use {
+    crate::serving::{lock, serve_router, Serving},
+    anyhow::Result,
+    chalkcart_transport::server::{bytes_reply, read_body, text_reply, SharedData},
+    gotham::{
+        handler::HandlerResult,
+        middleware::state::StateMiddleware,
+        pipeline::{single_middleware, single_pipeline},
+        prelude::*,
+        router::{build_router, Router},
+        state::State,
+    },
+    http::{StatusCode, Uri},
+    std::{
+        collections::HashMap,
+        net::SocketAddr,
+        sync::{Arc, Mutex},
+        time::Duration,
+    },
+    tokio::{sync::watch, time::sleep},
+};
+
+/// a service that answers a body with the same body, and counts its runs
+#[derive(Debug)]
+pub struct ServiceStandIn {
+    pub state: Arc<ServiceState>,
+    serving: Serving,
+}
+
+/// what the stand-in counts
+#[derive(Debug)]
+pub struct ServiceState {
+    /// runs by the body of the call, which tests make unique
+    runs: Mutex<HashMap<Vec<u8>, u32>>,
+    delay: Mutex<Duration>,
+    /// calls wait while it is true
+    held: watch::Sender<bool>,
+    /// grows with each run
+    total: watch::Sender<u64>,
+}
+
+impl ServiceStandIn {
+    pub async fn start(delay: Duration) -> Result<Self> {
+        let state = Arc::new(ServiceState {
+            runs: Mutex::new(HashMap::new()),
+            delay: Mutex::new(delay),
+            held: watch::Sender::new(false),
+            total: watch::Sender::new(0),
+        });
+        let serving = serve_router(new_router(state.clone())).await?;
+        Ok(Self { state, serving })
+    }
+    pub fn addr(&self) -> SocketAddr {
+        self.serving.addr
+    }
+    /// how often a call with this body ran
+    pub fn runs(&self, body: &[u8]) -> u32 {
+        lock(&self.state.runs).get(body).copied().unwrap_or(0)
+    }
+    /// bodies that ran more than once
+    pub fn doubled(&self) -> usize {
+        lock(&self.state.runs).values().filter(|n| **n > 1).count()
+    }
+    pub fn total(&self) -> u64 {
+        *self.state.total.borrow()
+    }
+    /// hold each call after it was counted
+    pub fn set_held(&self, held: bool) {
+        self.state.held.send_replace(held);
+    }
+    /// wait until so many calls ran
+    pub async fn wait_total(&self, total: u64) {
+        let mut seen = self.state.total.subscribe();
+        // the sender lives as long as this
+        let _ = seen.wait_for(|t| *t >= total).await;
+    }
+}
+
+fn new_router(state: Arc<ServiceState>) -> Router {
+    let middleware = StateMiddleware::new(SharedData::new(state));
+    let (chain, pipelines) = single_pipeline(single_middleware(middleware));
+    build_router(chain, pipelines, |route| {
+        route.post("/service/call/*").to_async(call);
+    })
+}
+
+async fn call(mut state: State) -> HandlerResult {
+    let service = SharedData::<ServiceState>::of(&state);
+    let _request = Uri::borrow_from(&state).path();
+    let body = match read_body(&mut state).await {
+        Ok(body) => body,
+        Err(e) => return Ok((state, text_reply(StatusCode::BAD_REQUEST, e.to_string()))),
+    };
+    *lock(&service.runs).entry(body.to_vec()).or_insert(0) += 1;
+    service.total.send_modify(|total| *total += 1);
+    let mut held = service.held.subscribe();
+    // the sender lives as long as the state
+    let _ = held.wait_for(|held| !held).await;
+    let delay = *lock(&service.delay);
+    sleep(delay).await;
+    let reply = bytes_reply(StatusCode::OK, "application/octet-stream", body);
+    Ok((state, reply))
+}
--- /dev/null
+++ b/testkit/src/store/weight_store.rs
@@ -0,0 +1,102 @@
+use {
+    crate::serving::lock,
+    std::{
+        sync::{
+            atomic::{AtomicU32, AtomicU64, Ordering},
+            Mutex,
+        },
+        time::{Duration, Instant},
+    },
+    tokio::time::{sleep, sleep_until},
+};
+
+/// how often a load looks at its share of the speed
+const STEP: Duration = Duration::from_millis(10);
+
+/// limits of the store
+#[derive(Debug, Clone)]
+pub struct StoreSettings {
+    /// loads that it starts in a second
+    pub loads_per_second: f64,
+    /// loads at full speed at once; more share that speed
+    pub at_once: u32,
+    /// time of one load at full speed
+    pub load_time: Duration,
+}
+
+impl Default for StoreSettings {
+    fn default() -> Self {
+        Self {
+            loads_per_second: 3.0,
+            at_once: 2,
+            load_time: Duration::from_millis(400),
+        }
+    }
+}
+
+/// serves adapter weights to all engines
+#[derive(Debug)]
+pub struct WeightStore {
+    settings: StoreSettings,
+    /// when the next load may start
+    next_start: Mutex<Instant>,
+    running: AtomicU32,
+    started: AtomicU64,
+    /// so many of the next loads fail
+    failing: AtomicU32,
+}
+
+impl WeightStore {
+    pub fn new(settings: StoreSettings) -> Self {
+        Self {
+            settings,
+            next_start: Mutex::new(Instant::now()),
+            running: AtomicU32::new(0),
+            started: AtomicU64::new(0),
+            failing: AtomicU32::new(0),
+        }
+    }
+    /// make the next loads fail
+    pub fn fail_next(&self, count: u32) {
+        self.failing.store(count, Ordering::Relaxed);
+    }
+    pub fn started(&self) -> u64 {
+        self.started.load(Ordering::Relaxed)
+    }
+
+    /// fetch one adapter's weights; false if the load failed
+    pub async fn load(&self) -> bool {
+        sleep_until(self.take_start().into()).await;
+        self.started.fetch_add(1, Ordering::Relaxed);
+        self.running.fetch_add(1, Ordering::Relaxed);
+        let guard = Running(&self.running);
+        let mut left = self.settings.load_time.as_secs_f64();
+        while left > 0.0 {
+            sleep(STEP).await;
+            let running = self.running.load(Ordering::Relaxed).max(1);
+            let speed = f64::from(self.settings.at_once) / f64::from(running);
+            left -= STEP.as_secs_f64() * speed.min(1.0);
+        }
+        drop(guard);
+        let failed = self
+            .failing
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, |n| n.checked_sub(1));
+        failed.is_err()
+    }
+
+    fn take_start(&self) -> Instant {
+        let mut next = lock(&self.next_start);
+        let start = (*next).max(Instant::now());
+        *next = start + Duration::from_secs_f64(1.0 / self.settings.loads_per_second);
+        start
+    }
+}
+
+/// counts a running load until it is dropped
+struct Running<'a>(&'a AtomicU32);
+
+impl Drop for Running<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/transport/src/client/http_client.rs
@@ -0,0 +1,172 @@
+use {
+    super::{ClientError, ClientStep},
+    bytes::Bytes,
+    http::{header::CONTENT_TYPE, Method, Request, Response, StatusCode, Uri},
+    http_body_util::{BodyExt, Full},
+    hyper::body::Incoming,
+    hyper_util::{
+        client::legacy::{connect::HttpConnector, Client},
+        rt::{TokioExecutor, TokioTimer},
+    },
+    serde::{de::DeserializeOwned, Serialize},
+    std::{net::SocketAddr, time::Duration},
+    tokio::time::timeout,
+};
+
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// shorter than any server of ours keeps an idle connection
+const POOL_IDLE: Duration = Duration::from_secs(5);
+
+/// a status and a decoded JSON body
+#[derive(Debug)]
+pub struct JsonReply<T> {
+    pub status: StatusCode,
+    pub body: T,
+}
+
+/// a pooled HTTP/1 client that tells whether a call can have been seen
+#[derive(Debug, Clone)]
+pub struct HttpClient {
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+impl Default for HttpClient {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl HttpClient {
+    pub fn new() -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        connector.set_nodelay(true);
+        let client = Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(POOL_IDLE)
+            // a repeat is for the caller to decide
+            .retry_canceled_requests(false)
+            .build(connector);
+        Self { client }
+    }
+
+    /// send a request and return once the head of the answer is there
+    pub async fn send(
+        &self,
+        peer: SocketAddr,
+        method: Method,
+        path: &str,
+        content_type: &str,
+        body: Bytes,
+    ) -> Result<Response<Incoming>, ClientError> {
+        let uri: Uri = format!("http://{peer}{path}")
+            .parse()
+            .map_err(|e| ClientError::new(ClientStep::Connect, peer, e))?;
+        let req = Request::builder()
+            .method(method)
+            .uri(uri)
+            .header(CONTENT_TYPE, content_type)
+            .body(Full::new(body))
+            .map_err(|e| ClientError::new(ClientStep::Connect, peer, e))?;
+        self.client.request(req).await.map_err(|e| {
+            let step = match e.is_connect() {
+                true => ClientStep::Connect,
+                false => ClientStep::Send,
+            };
+            ClientError::new(step, peer, detail(&e))
+        })
+    }
+
+    /// exchange whole bodies within a time limit
+    pub async fn exchange(
+        &self,
+        peer: SocketAddr,
+        method: Method,
+        path: &str,
+        content_type: &str,
+        body: Bytes,
+        limit: Duration,
+    ) -> Result<(StatusCode, Bytes), ClientError> {
+        let call = async {
+            let response = self.send(peer, method, path, content_type, body).await?;
+            let status = response.status();
+            let body = collect(peer, response.into_body()).await?;
+            Ok((status, body))
+        };
+        match timeout(limit, call).await {
+            Ok(result) => result,
+            Err(_) => Err(ClientError::new(
+                ClientStep::Send,
+                peer,
+                format!("no answer within {} ms", limit.as_millis()),
+            )),
+        }
+    }
+
+    /// post JSON and read JSON
+    pub async fn post_json<Q: Serialize, A: DeserializeOwned>(
+        &self,
+        peer: SocketAddr,
+        path: &str,
+        message: &Q,
+        limit: Duration,
+    ) -> Result<JsonReply<A>, ClientError> {
+        let body = serde_json::to_vec(message)
+            .map_err(|e| ClientError::new(ClientStep::Connect, peer, e))?;
+        let (status, body) = self
+            .exchange(
+                peer,
+                Method::POST,
+                path,
+                "application/json",
+                body.into(),
+                limit,
+            )
+            .await?;
+        decode_json(peer, status, &body)
+    }
+
+    /// get JSON
+    pub async fn get_json<A: DeserializeOwned>(
+        &self,
+        peer: SocketAddr,
+        path: &str,
+        limit: Duration,
+    ) -> Result<JsonReply<A>, ClientError> {
+        let (status, body) = self
+            .exchange(
+                peer,
+                Method::GET,
+                path,
+                "application/json",
+                Bytes::new(),
+                limit,
+            )
+            .await?;
+        decode_json(peer, status, &body)
+    }
+}
+
+async fn collect(peer: SocketAddr, body: Incoming) -> Result<Bytes, ClientError> {
+    let collected = body.collect().await;
+    let collected = collected.map_err(|e| ClientError::new(ClientStep::Receive, peer, e))?;
+    Ok(collected.to_bytes())
+}
+
+fn decode_json<A: DeserializeOwned>(
+    peer: SocketAddr,
+    status: StatusCode,
+    body: &[u8],
+) -> Result<JsonReply<A>, ClientError> {
+    let body = serde_json::from_slice(body)
+        .map_err(|e| ClientError::new(ClientStep::Decode, peer, format!("{status}: {e}")))?;
+    Ok(JsonReply { status, body })
+}
+
+/// an error with its causes
+fn detail(e: &dyn std::error::Error) -> String {
+    match e.source() {
+        Some(source) => format!("{e}: {}", detail(source)),
+        None => e.to_string(),
+    }
+}
--- /dev/null
+++ b/transport/src/engine/mod.rs
@@ -0,0 +1,16 @@
+//! model engines
+
+mod engine_client;
+mod errors;
+mod http_engine;
+mod messages;
+
+pub use {
+    engine_client::{Engine, EngineEvents, EngineReading, EngineRun},
+    errors::EngineError,
+    http_engine::{AdapterOrder, HttpEngine},
+    messages::{
+        AdapterBody, CancelBody, CancelReply, CancelState, EngineEvent, EventBody, FenceBody,
+        GenerateBody, OrderReply, ResumeBody, StatusReply,
+    },
+};
--- /dev/null
+++ b/transport/src/server/mod.rs
@@ -0,0 +1,13 @@
+//! HTTP servers built on gotham, with a graceful stop
+
+mod http_server;
+mod replies;
+mod requests;
+mod shared_data;
+
+pub use {
+    http_server::{bind, serve, ServeError, Stop},
+    replies::{bytes_reply, frames_reply, json_reply, message_reply, text_reply, Reply},
+    requests::{read_body, read_json, read_message, BodyError},
+    shared_data::SharedData,
+};
