--- a/testkit/src/lib.rs
+++ b/testkit/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod configs;
 pub mod engine;
 pub mod forwarder;
+pub mod ledger;
 pub mod load;
 pub mod platform;
 pub mod service;
