Hold adapters that the engine runs for an earlier sidecar

Cause: a sidecar that replaced another took over the slots but not the predecessor's running requests, so it could unload an adapter in use. Found by testkit/tests/adapter_slots.rs (random interleavings of two sidecars against the fenced stand-in): a run ordered by the first sidecar, fence taken by the second, unload ordered by the second.

Ruled out: a late order of the first sidecar (refused by the fence in the trace).

Change: the engine's status names the adapter of each running request; the successor holds those adapters until the engine no longer lists the requests.

The test fails when the fence is not raised after a lost order, when orphans are not held, and when pins are not restored after a read; dropping either one of the two pin guards (choice and order of the unload) alone is covered by the other.

--- a/coordination/src/fence/engine_status.rs
+++ b/coordination/src/fence/engine_status.rs
@@ -1,6 +1,6 @@
 use {
     crate::slots::AdapterKey,
-    chalkcart_state::ids::{BaseModelName, Fence, Incarnation},
+    chalkcart_state::ids::{BaseModelName, Fence, Incarnation, RequestId},
 };
 
 /// what an engine says of itself
@@ -14,4 +14,12 @@
     /// requests that one batch takes
     pub max_batch: u32,
     pub loaded: Vec<AdapterKey>,
+    pub running: Vec<RunningRequest>,
+}
+
+/// a request that an engine runs, whoever ordered it
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RunningRequest {
+    pub request: RequestId,
+    pub adapter: AdapterKey,
 }
--- a/coordination/src/fence/mod.rs
+++ b/coordination/src/fence/mod.rs
@@ -5,7 +5,7 @@
 mod pause_detector;
 
 pub use {
-    engine_status::EngineStatus,
+    engine_status::{EngineStatus, RunningRequest},
     fence_keeper::{FenceKeeper, FenceState, FenceStep},
     pause_detector::PauseDetector,
 };
--- a/coordination/src/sidecar/events.rs
+++ b/coordination/src/sidecar/events.rs
@@ -50,10 +50,7 @@
         request: RequestId,
     },
     /// the engine's answer; none if it can't be reached
-    EngineRead {
-        status: Option<EngineStatus>,
-        running: Vec<RequestId>,
-    },
+    EngineRead(Option<EngineStatus>),
     FenceAnswered {
         incarnation: Incarnation,
         fence: Fence,
--- a/coordination/src/sidecar/running.rs
+++ b/coordination/src/sidecar/running.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{RunEnd, SidecarAction, SidecarControl},
-    crate::{queue::Waiting, slots::AdapterKey},
+    crate::{fence::EngineStatus, queue::Waiting, slots::AdapterKey},
     chalkcart_protocol::peer::{Outcome, Reason, Refusal, Step},
     chalkcart_state::ids::{GroupName, Incarnation, RequestId, ReservedId},
     std::{
@@ -58,6 +58,22 @@
             .filter_map(|run| run.adapter.clone())
             .collect()
     }
+    /// hold the adapters of what the engine runs for an earlier sidecar
+    pub(super) fn adopt(&mut self, status: &EngineStatus) {
+        for running in &status.running {
+            if self.runs.contains_key(&running.request) {
+                continue;
+            }
+            let run = Run {
+                group: GroupName::new(),
+                reserved: false,
+                charged: 0,
+                adapter: Some(running.adapter.clone()),
+                incarnation: Some(status.incarnation),
+            };
+            self.orphans.insert(running.request.clone(), run);
+        }
+    }
     /// time of one token of one request, smoothed
     pub(super) fn token_time(&self) -> Duration {
         let default = DEFAULT_TOKEN_TIME.as_secs_f64();
@@ -115,11 +131,11 @@
     }
 
     /// let go the adapters of orphans that the engine no longer runs
-    pub(super) fn release_orphans(&mut self, running: &[RequestId], incarnation: Incarnation) {
+    pub(super) fn release_orphans(&mut self, status: &EngineStatus) {
         let orphans = std::mem::take(&mut self.runs.orphans);
         for (request, run) in orphans {
-            let is_current = run.incarnation == Some(incarnation);
-            if is_current && running.contains(&request) {
+            let is_current = run.incarnation == Some(status.incarnation);
+            if is_current && status.running.iter().any(|r| r.request == request) {
                 self.runs.orphans.insert(request, run);
             } else {
                 self.release(&run);
--- a/coordination/src/sidecar/sidecar_control.rs
+++ b/coordination/src/sidecar/sidecar_control.rs
@@ -111,6 +111,11 @@
         }
     }
 
+    /// the request was handed to the target, and its end is not known
+    pub fn is_running(&self, request: &str) -> bool {
+        self.runs.contains(request)
+    }
+
     /// takes nothing new
     pub fn is_leaving(&self) -> bool {
         self.draining || self.fence.is_superseded()
@@ -128,9 +133,7 @@
             SidecarEvent::Arrived(work) => self.on_arrived(work, now),
             SidecarEvent::ReserveAsked { ticket, count } => self.on_reserve(ticket, count, now),
             SidecarEvent::CancelAsked { ticket, request } => self.on_cancel(ticket, &request),
-            SidecarEvent::EngineRead { status, running } => {
-                self.on_engine_read(status, &running, now)
-            }
+            SidecarEvent::EngineRead(status) => self.on_engine_read(status, now),
             SidecarEvent::FenceAnswered {
                 incarnation,
                 fence,
@@ -165,12 +168,7 @@
         self.root = Some(root);
     }
 
-    fn on_engine_read(
-        &mut self,
-        status: Option<EngineStatus>,
-        running: &[RequestId],
-        now: Instant,
-    ) {
+    fn on_engine_read(&mut self, status: Option<EngineStatus>, now: Instant) {
         self.reading = false;
         let Some(status) = status else {
             self.doubt();
@@ -187,7 +185,7 @@
                 if self.doubtful {
                     self.take_over(&status, now);
                 }
-                self.release_orphans(running, status.incarnation);
+                self.release_orphans(&status);
             }
         }
     }
@@ -221,6 +219,7 @@
         self.doubtful = false;
         self.max_running = status.max_batch;
         self.slots.reset(status.slots, status.loaded.clone(), now);
+        self.runs.adopt(status);
         for adapter in self.runs.pinned(status.incarnation) {
             self.slots.restore_pin(&adapter, now);
         }
--- a/sidecar/src/app/executor.rs
+++ b/sidecar/src/app/executor.rs
@@ -118,19 +118,11 @@
 
     fn read_engine(&self) {
         self.with_engine(|engine| async move {
-            match engine.read().await {
-                Ok(reading) => SidecarEvent::EngineRead {
-                    status: Some(reading.status),
-                    running: reading.running,
-                },
-                Err(e) => {
-                    log::debug!("engine: not read: {e}");
-                    SidecarEvent::EngineRead {
-                        status: None,
-                        running: Vec::new(),
-                    }
-                }
+            let status = engine.read().await;
+            if let Err(e) = &status {
+                log::debug!("engine: not read: {e}");
             }
+            SidecarEvent::EngineRead(status.ok())
         });
     }
 
--- a/testkit/src/engine/engine_state.rs
+++ b/testkit/src/engine/engine_state.rs
@@ -2,7 +2,8 @@
     super::{errors::Disobedience, prefix_cache::PrefixCache, EngineFaults, EngineSettings},
     chalkcart_state::ids::{Fence, Incarnation, RequestId},
     chalkcart_transport::engine::{
-        AdapterBody, CancelState, EngineEvent, EventBody, FenceBody, GenerateBody, StatusReply,
+        AdapterBody, CancelState, EngineEvent, EventBody, FenceBody, GenerateBody, RunningBody,
+        StatusReply,
     },
     std::{collections::HashMap, sync::Arc, time::Instant},
     tokio::sync::watch,
@@ -96,7 +97,14 @@
             slots: self.settings.slots,
             max_batch: self.settings.max_batch,
             loaded: self.loaded.clone(),
-            running: self.queue.clone(),
+            running: self.queue.iter().map(|r| self.running_body(r)).collect(),
+        }
+    }
+
+    fn running_body(&self, request: &RequestId) -> RunningBody {
+        RunningBody {
+            request: request.clone(),
+            adapter: self.requests[request].body.adapter.clone(),
         }
     }
 
--- a/transport/src/engine/engine_client.rs
+++ b/transport/src/engine/engine_client.rs
@@ -11,13 +11,6 @@
 /// events as the engine sends them: perhaps late, repeated, out of order
 pub type EngineEvents = Pin<Box<dyn Stream<Item = Result<EngineEvent, EngineError>> + Send>>;
 
-/// an engine's state and what it runs
-#[derive(Debug, Clone)]
-pub struct EngineReading {
-    pub status: EngineStatus,
-    pub running: Vec<RequestId>,
-}
-
 /// a request for an engine
 #[derive(Debug, Clone)]
 pub struct EngineRun {
@@ -30,7 +23,7 @@
 /// a model engine
 #[async_trait]
 pub trait Engine: Send + Sync {
-    async fn read(&self) -> Result<EngineReading, EngineError>;
+    async fn read(&self) -> Result<EngineStatus, EngineError>;
     async fn take_fence(&self, order: OrderFence) -> Result<(), EngineError>;
     /// returns when the adapter is loaded
     async fn load(&self, order: OrderFence, adapter: &AdapterKey) -> Result<(), EngineError>;
--- a/transport/src/engine/http_engine.rs
+++ b/transport/src/engine/http_engine.rs
@@ -1,11 +1,15 @@
 use {
     super::{
-        AdapterBody, CancelBody, CancelReply, Engine, EngineError, EngineEvents, EngineReading,
-        EngineRun, FenceBody, GenerateBody, OrderReply, ResumeBody, StatusReply,
+        AdapterBody, CancelBody, CancelReply, Engine, EngineError, EngineEvents, EngineRun,
+        FenceBody, GenerateBody, OrderReply, ResumeBody, RunningBody, StatusReply,
     },
     crate::client::{ClientError, ClientStep, HttpClient},
     async_trait::async_trait,
-    chalkcart_coordination::{fence::EngineStatus, sidecar::OrderFence, slots::AdapterKey},
+    chalkcart_coordination::{
+        fence::{EngineStatus, RunningRequest},
+        sidecar::OrderFence,
+        slots::AdapterKey,
+    },
     chalkcart_state::ids::{RequestId, Sequence},
     futures::{StreamExt, TryStreamExt},
     http::{Method, StatusCode},
@@ -98,12 +102,12 @@
 
 #[async_trait]
 impl Engine for HttpEngine {
-    async fn read(&self) -> Result<EngineReading, EngineError> {
+    async fn read(&self) -> Result<EngineStatus, EngineError> {
         let reply = self
             .http
             .get_json::<StatusReply>(self.addr, "/engine/status", ORDER_TIMEOUT)
             .await?;
-        Ok(EngineReading::from(reply.body))
+        Ok(EngineStatus::from(reply.body))
     }
 
     async fn take_fence(&self, order: OrderFence) -> Result<(), EngineError> {
@@ -199,18 +203,25 @@
     }
 }
 
-impl From<StatusReply> for EngineReading {
+impl From<StatusReply> for EngineStatus {
     fn from(reply: StatusReply) -> Self {
         Self {
-            status: EngineStatus {
-                incarnation: reply.incarnation,
-                fence: reply.fence,
-                base_model: reply.base_model,
-                slots: reply.slots,
-                max_batch: reply.max_batch,
-                loaded: reply.loaded.into_iter().map(Into::into).collect(),
-            },
-            running: reply.running,
+            incarnation: reply.incarnation,
+            fence: reply.fence,
+            base_model: reply.base_model,
+            slots: reply.slots,
+            max_batch: reply.max_batch,
+            loaded: reply.loaded.into_iter().map(Into::into).collect(),
+            running: reply.running.into_iter().map(Into::into).collect(),
+        }
+    }
+}
+
+impl From<RunningBody> for RunningRequest {
+    fn from(body: RunningBody) -> Self {
+        Self {
+            request: body.request,
+            adapter: body.adapter.into(),
         }
     }
 }
--- a/transport/src/engine/messages.rs
+++ b/transport/src/engine/messages.rs
@@ -24,7 +24,14 @@
     pub slots: usize,
     pub max_batch: u32,
     pub loaded: Vec<AdapterBody>,
-    pub running: Vec<RequestId>,
+    pub running: Vec<RunningBody>,
+}
+
+/// a request that the engine has, whoever ordered it
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunningBody {
+    pub request: RequestId,
+    pub adapter: AdapterBody,
 }
 
 /// `POST /engine/fence`, and the head of each order
--- a/transport/src/engine/mod.rs
+++ b/transport/src/engine/mod.rs
@@ -6,11 +6,11 @@
 mod messages;
 
 pub use {
-    engine_client::{Engine, EngineEvents, EngineReading, EngineRun},
+    engine_client::{Engine, EngineEvents, EngineRun},
     errors::EngineError,
     http_engine::{AdapterOrder, HttpEngine},
     messages::{
         AdapterBody, CancelBody, CancelReply, CancelState, EngineEvent, EventBody, FenceBody,
-        GenerateBody, OrderReply, ResumeBody, StatusReply,
+        GenerateBody, OrderReply, ResumeBody, RunningBody, StatusReply,
     },
 };
