--- /dev/null
+++ b/coordination/tests/run_once.rs
@@ -0,0 +1,151 @@
+//! the run-once table against every order of copies, cancels, starts, ends
+//! and reservations, with fixed seeds
+
+use {
+    chalkcart_coordination::once::{Admission, OnceSettings, RunOnceTable},
+    chalkcart_protocol::peer::Outcome,
+    chalkcart_state::ids::ReservedId,
+    quickcheck::{Gen, QuickCheck},
+    std::{
+        collections::{HashMap, HashSet},
+        time::{Duration, Instant},
+    },
+};
+
+const SEED: u64 = 41;
+const CAPACITY: usize = 8;
+const VALID_FOR: Duration = Duration::from_secs(10);
+
+fn new_table() -> RunOnceTable {
+    RunOnceTable::new(OnceSettings {
+        target: "till-1".to_string(),
+        incarnation: 7,
+        capacity: CAPACITY,
+        valid_for: VALID_FOR,
+    })
+}
+
+/// apply random operations; true if no id started twice and no id started
+/// after it was said not to have run
+fn keeps_its_word(codes: Vec<u16>) -> bool {
+    let mut table = new_table();
+    let mut now = Instant::now();
+    let mut ids: Vec<ReservedId> = Vec::new();
+    let mut starts: HashMap<ReservedId, u32> = HashMap::new();
+    let mut not_run: HashSet<ReservedId> = HashSet::new();
+    for code in codes {
+        let (choice, detail) = ((code >> 8) as u8 % 8, usize::from(code as u8));
+        if choice == 0 {
+            let drawn = table.reserve(1 + detail as u32 % 3, now, || code.into());
+            ids.extend(drawn.unwrap_or_default());
+            continue;
+        }
+        if choice == 1 {
+            now += Duration::from_millis(40 * detail as u64);
+            continue;
+        }
+        let Some(id) = ids.get(detail % ids.len().max(1)).cloned() else {
+            continue;
+        };
+        match choice {
+            2 | 3 => match table.admit(&id, now) {
+                Ok(Admission::First | Admission::Repeat) => {}
+                Err(e) if e.outcome() == Outcome::NotRun => {
+                    not_run.insert(id);
+                }
+                Err(_) => {}
+            },
+            4 | 5 => {
+                if table.start(&id) {
+                    *starts.entry(id).or_insert(0) += 1;
+                }
+            }
+            6 => {
+                if table.seal(&id) == Outcome::NotRun {
+                    not_run.insert(id);
+                }
+            }
+            _ => table.end(&id, Outcome::Ran),
+        }
+    }
+    let once = starts.values().all(|n| *n == 1);
+    let word = not_run.iter().all(|id| !starts.contains_key(id));
+    once && word && table.len() <= CAPACITY
+}
+
+#[test]
+fn no_order_of_events_starts_an_id_twice_or_breaks_a_not_run() {
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(400, SEED))
+        .tests(2_000)
+        .quickcheck(keeps_its_word as fn(Vec<u16>) -> bool);
+}
+
+#[test]
+fn a_copy_after_the_first_is_never_the_first_again() {
+    let now = Instant::now();
+    let mut table = new_table();
+    let id = table.reserve(1, now, || 5).expect("room").remove(0);
+    assert_eq!(table.admit(&id, now), Ok(Admission::First));
+    assert_eq!(table.admit(&id, now), Ok(Admission::Repeat));
+    assert!(table.start(&id));
+    assert_eq!(table.admit(&id, now), Ok(Admission::Repeat));
+    table.end(&id, Outcome::Ran);
+    assert_eq!(table.admit(&id, now), Ok(Admission::Repeat));
+    assert!(!table.start(&id));
+}
+
+#[test]
+fn ids_of_others_are_refused() {
+    let now = Instant::now();
+    let mut table = new_table();
+    let id = table.reserve(1, now, || 5).expect("room").remove(0);
+    let cases = [
+        (
+            "guessed",
+            ReservedId {
+                secret: 6,
+                ..id.clone()
+            },
+            Outcome::NotRun,
+        ),
+        (
+            "never given",
+            ReservedId {
+                number: 9,
+                ..id.clone()
+            },
+            Outcome::NotRun,
+        ),
+        (
+            "of an earlier process",
+            ReservedId {
+                incarnation: 6,
+                ..id.clone()
+            },
+            Outcome::MayHaveRun,
+        ),
+    ];
+    for (case, id, outcome) in cases {
+        let refused = table.admit(&id, now).expect_err(case);
+        assert_eq!(refused.outcome(), outcome, "{case}");
+    }
+}
+
+#[test]
+fn an_unused_id_expires_and_a_forgotten_one_may_have_run() {
+    let now = Instant::now();
+    let mut table = new_table();
+    let ids = table.reserve(CAPACITY as u32, now, || 5).expect("room");
+    assert!(table.reserve(1, now, || 5).is_err());
+    let later = now + VALID_FOR;
+    assert_eq!(
+        table.admit(&ids[1], later).expect_err("expired").outcome(),
+        Outcome::NotRun
+    );
+    table
+        .reserve(1, later, || 5)
+        .expect("the oldest is dropped");
+    let forgotten = table.admit(&ids[0], later).expect_err("forgotten");
+    assert_eq!(forgotten.outcome(), Outcome::MayHaveRun);
+}
--- a/entry/src/config/follower.rs
+++ b/entry/src/config/follower.rs
@@ -29,6 +29,9 @@
 const WATCHER_PATIENCE: Duration = Duration::from_secs(3);
 /// peers that a starting process asks
 const PEERS_AT_START: usize = 8;
+/// rounds in which no listed peer answers before the platform is trusted
+/// alone
+const START_ROUNDS_ALONE: u32 = 10;
 /// pause between two rounds of the start
 const START_PAUSE: Duration = Duration::from_millis(300);
 
@@ -61,19 +64,18 @@
     /// ask peers beside the platform, so that a platform that lags can't
     /// bring back what the fleet has left behind
     async fn start(&self) {
+        let mut rounds_alone = 0;
         loop {
-            let list = self.platform.boxes().await;
-            if let Ok(list) = list {
-                self.take_list(list);
-            }
+            self.read_list().await;
             let from_platform = self.platform.watch_root(0, Duration::ZERO).await;
-            let mut offers = self.offers_of_peers().await;
+            let (mut offers, answered) = self.offers_of_peers().await;
+            let is_alone = answered == 0 && !self.some_peers(1).is_empty();
+            rounds_alone += u32::from(is_alone);
             if let Ok(Some(root)) = from_platform {
                 offers.push((root, self.platform_shards()));
             }
-            offers.sort_by_key(|(root, _)| std::cmp::Reverse(root.generation));
-            for (root, source) in offers {
-                self.offer(root, source.as_ref()).await;
+            if !is_alone || rounds_alone >= START_ROUNDS_ALONE {
+                self.offer_highest(offers).await;
             }
             if self.keeper().generation() > 0 {
                 return;
@@ -82,9 +84,19 @@
         }
     }
 
-    async fn offers_of_peers(&self) -> Vec<(Root, Box<dyn ShardSource>)> {
+    async fn offer_highest(&self, mut offers: Vec<(Root, Box<dyn ShardSource>)>) {
+        // the sort keeps peers before the platform under one generation
+        offers.sort_by_key(|(root, _)| std::cmp::Reverse(root.generation));
+        for (root, source) in offers {
+            self.offer(root, source.as_ref()).await;
+        }
+    }
+
+    /// roots that peers have in force, and how many peers answered
+    async fn offers_of_peers(&self) -> (Vec<(Root, Box<dyn ShardSource>)>, usize) {
         let peers = self.some_peers(PEERS_AT_START);
         let answers = join_all(peers.iter().map(|peer| self.ask(*peer))).await;
+        let answered = answers.iter().flatten().count();
         let mut offers = Vec::new();
         for (peer, answer) in peers.into_iter().zip(answers) {
             let Some(answer) = answer else { continue };
@@ -95,7 +107,7 @@
                 offers.push((root, self.peer_shards(peer)));
             }
         }
-        offers
+        (offers, answered)
     }
 
     /// each second: one peer is asked; watchers read the list as well
--- a/entry/src/traffic/dispatcher.rs
+++ b/entry/src/traffic/dispatcher.rs
@@ -16,8 +16,10 @@
 };
 
 /// resumes of one stream without a new frame
-const MAX_RESUMES: u32 = 3;
+const MAX_RESUMES: u32 = 6;
 const RESUME_PAUSE: Duration = Duration::from_millis(30);
+/// refused connections after which the target's process counts as gone
+const MAX_REFUSED: u32 = 2;
 const CANCEL_TIMEOUT: Duration = Duration::from_millis(500);
 /// when to come back if no target serves what is asked
 const NO_TARGET_RETRY: Duration = Duration::from_millis(500);
@@ -200,11 +202,15 @@
     attempt: &Attempt<'_>,
     resumes: &mut u32,
 ) -> Option<chalkcart_transport::client::FrameStream> {
-    while *resumes < MAX_RESUMES {
+    let mut refused = 0;
+    while *resumes < MAX_RESUMES && refused < MAX_REFUSED {
         *resumes += 1;
         match attempt.resume().await {
             Ok(stream) => return Some(stream),
-            Err(e) => log::debug!("traffic: no resume: {e}"),
+            Err(e) => {
+                log::debug!("traffic: no resume: {e}");
+                refused += u32::from(e.proves_not_sent());
+            }
         }
         attempt.pause(RESUME_PAUSE * *resumes).await;
     }
--- /dev/null
+++ b/entry/tests/command_line.rs
@@ -0,0 +1,122 @@
+//! the command line and the settings of `chalkcart`
+
+use {
+    anyhow::Result,
+    chalkcart_testkit::commands::{run_program, settings_file, Ran},
+    std::{fs, path::Path},
+};
+
+const COMMANDS: [&str; 7] = [
+    "serve", "check", "status", "plan", "wait", "call", "generate",
+];
+
+fn chalkcart(args: &[&str]) -> Result<Ran> {
+    run_program(Path::new(env!("CARGO_BIN_EXE_chalkcart")), args)
+}
+
+fn check(text: &str) -> Result<Ran> {
+    let file = settings_file(text)?;
+    let ran = chalkcart(&["check", &file.to_string_lossy()])?;
+    fs::remove_file(file)?;
+    Ok(ran)
+}
+
+#[test]
+fn help_and_version_of_the_program_and_of_each_command() -> Result<()> {
+    let help = chalkcart(&["--help"])?;
+    assert_eq!(help.code, Some(0));
+    for command in COMMANDS {
+        assert!(help.stdout.contains(command), "{command}");
+        let own = chalkcart(&[command, "--help"])?;
+        assert_eq!(own.code, Some(0), "{command}");
+        assert!(
+            own.stdout.contains(&format!("Usage: chalkcart {command}")),
+            "{command}"
+        );
+        let version = chalkcart(&[command, "--version"])?;
+        assert!(version.stdout.starts_with("chalkcart "), "{command}");
+    }
+    assert!(chalkcart(&["--version"])?.stdout.starts_with("chalkcart "));
+    Ok(())
+}
+
+#[test]
+fn wrong_usage_ends_with_2_and_says_what_was_expected() -> Result<()> {
+    let cases: [&[&str]; 5] = [
+        &[],
+        &["fly"],
+        &["serve"],
+        &["serve", "--fast"],
+        &["wait", "a"],
+    ];
+    for args in cases {
+        let ran = chalkcart(args)?;
+        assert_eq!(ran.code, Some(2), "{args:?}");
+        assert!(ran.stderr.contains("Try '"), "{args:?}: {}", ran.stderr);
+    }
+    Ok(())
+}
+
+#[test]
+fn settings_are_refused_with_the_key_the_value_and_what_was_expected() -> Result<()> {
+    const GOOD: &str =
+        r#"{"name":"e","zone":"posta","listen":"127.0.0.1:0","platform":"127.0.0.1:1"}"#;
+    assert_eq!(check(GOOD)?.code, Some(0));
+    let cases = [
+        (
+            GOOD.replace("}", r#","speed":3}"#),
+            vec!["speed", "unknown field", "expected"],
+        ),
+        (GOOD.replace(r#""posta""#, "7"), vec!["zone", "7", "string"]),
+        (
+            GOOD.replace("127.0.0.1:0", "here"),
+            vec!["listen", "socket address"],
+        ),
+        (
+            GOOD.replace("}", r#","silence_ms":100}"#),
+            vec!["silence_ms", "100", "500 or more"],
+        ),
+        (
+            GOOD.replace("}", r#","threads":0}"#),
+            vec!["threads", "0", "1 or more"],
+        ),
+        (
+            GOOD.replace("}", r#","routing":"luck"}"#),
+            vec!["routing", "luck", "least_loaded"],
+        ),
+        (
+            GOOD.replace("}", r#","log":"loud"}"#),
+            vec!["log", "loud", "a log level"],
+        ),
+        (
+            GOOD.replace(r#""name":"e","#, ""),
+            vec!["missing field", "name"],
+        ),
+    ];
+    for (text, expected) in cases {
+        let ran = check(&text)?;
+        assert_eq!(ran.code, Some(1), "{text}");
+        for part in expected {
+            assert!(
+                ran.stdout.contains(part),
+                "{text}: {part} not in {}",
+                ran.stdout
+            );
+        }
+    }
+    Ok(())
+}
+
+#[test]
+fn a_root_document_is_checked_offline() -> Result<()> {
+    let root = r#"{"generation":1,"groups":[{"name":"g","share":1}],"base_models":["b"],
+        "classes":[{"name":"c","priority":0,"timeout_ms":1,"age_after_ms":1,"stall_cost":1}],
+        "shards":["d"]}"#;
+    assert_eq!(check(root)?.code, Some(0));
+    let zero = check(&root.replace(r#""share":1"#, r#""share":0"#))?;
+    assert_eq!(zero.code, Some(1));
+    assert!(zero.stdout.contains("groups.g.share"), "{}", zero.stdout);
+    let twice = check(&root.replace(r#"["b"]"#, r#"["b","b"]"#))?;
+    assert!(twice.stdout.contains("each name once"), "{}", twice.stdout);
+    Ok(())
+}
--- a/node/src/logging/start.rs
+++ b/node/src/logging/start.rs
@@ -1,7 +1,7 @@
 use {
     anyhow::{Context, Result},
-    flexi_logger::{DeferredNow, FlexiLoggerError, LogSpecification, Logger, LoggerHandle},
-    log::Record,
+    flexi_logger::{DeferredNow, Logger, LoggerHandle},
+    log::{LevelFilter, ParseLevelError, Record},
     std::{
         io::{self, Write},
         sync::OnceLock,
@@ -20,9 +20,10 @@
     logger.format(format).start().context("start the log")
 }
 
-/// whether a text names levels of the log
-pub fn check_level(level: &str) -> Result<(), FlexiLoggerError> {
-    LogSpecification::parse(level).map(|_| ())
+/// whether a text names a level of the log; flexi_logger itself takes any
+/// word for the name of a module
+pub fn check_level(level: &str) -> Result<(), ParseLevelError> {
+    level.parse::<LevelFilter>().map(|_| ())
 }
 
 fn format(w: &mut dyn Write, now: &mut DeferredNow, record: &Record) -> io::Result<()> {
--- a/protocol/examples/generate.rs
+++ b/protocol/examples/generate.rs
@@ -1,13 +1,24 @@
-//! writes the code generated from the schema: `cargo run -p chalkcart-protocol --example generate -- [DIR]`
+//! writes the code generated from the schema:
+//! `cargo run -p chalkcart-protocol --example generate`
 
-use {anyhow::Result, std::path::PathBuf};
+use {
+    anyhow::Result,
+    std::path::{Path, PathBuf},
+};
 
+#[allow(dead_code)]
 fn main() -> Result<()> {
-    let package = PathBuf::from(env!("CARGO_MANIFEST_DIR"));
-    let out = std::env::args()
-        .nth(1)
-        .map_or_else(|| package.join("src/gen"), PathBuf::from);
-    let proto = package.join("proto");
+    generate(&generated_folder())
+}
+
+/// where the generated code is committed
+pub fn generated_folder() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("src/gen")
+}
+
+/// write the generated code into a folder
+pub fn generate(out: &Path) -> Result<()> {
+    let proto = Path::new(env!("CARGO_MANIFEST_DIR")).join("proto");
     let schema = proto.join("chalkcart/v1/chalkcart.proto");
     let files = protox::compile([schema], [proto])?;
     tonic_prost_build::configure()
--- a/testkit/src/forwarder/tcp_forwarder.rs
+++ b/testkit/src/forwarder/tcp_forwarder.rs
@@ -76,7 +76,8 @@
     let there = pass(near_read, far_write, delay, cut.clone(), Way::There);
     let back = pass(far_read, near_write, delay, cut.clone(), Way::Back);
     tokio::select! {
-        _ = async { tokio::join!(there, back) } => {}
+        () = there => {}
+        () = back => {}
         _ = cut.wait_for(|cut| *cut == Cut::Closed) => {}
     }
 }
@@ -95,6 +96,7 @@
     way: Way,
 ) {
     let mut buf = vec![0; BUFFER_BYTES];
+    let mut has_hole = false;
     while let Ok(count) = read.read(&mut buf).await {
         if count == 0 {
             break;
@@ -107,7 +109,12 @@
             Cut::Silent => true,
             Cut::AnswersLost => way == Way::Back,
         };
-        if !swallowed && write.write_all(&buf[..count]).await.is_err() {
+        has_hole |= swallowed;
+        if swallowed {
+            continue;
+        }
+        // a stream with a hole can't go on
+        if has_hole || write.write_all(&buf[..count]).await.is_err() {
             break;
         }
     }
--- a/testkit/src/lib.rs
+++ b/testkit/src/lib.rs
@@ -3,6 +3,7 @@
 //! faults, and an open-loop load tool
 
 pub mod cluster;
+pub mod commands;
 pub mod configs;
 pub mod engine;
 pub mod forwarder;
