--- a/coordination/src/sidecar/loading.rs
+++ b/coordination/src/sidecar/loading.rs
@@ -1,7 +1,7 @@
 //! loads and unloads of adapters, and the permits for them
 
 use {
-    super::{OrderFence, OrderResult, SidecarAction, SidecarControl},
+    super::{OrderFence, OrderResult, PermitMode, SidecarAction, SidecarControl},
     crate::slots::{AdapterKey, Room},
     chalkcart_protocol::peer::{PermitAnswer, PermitAsk, PermitPurpose, Reason, Step},
     chalkcart_state::ids::{Incarnation, RequestId},
@@ -20,6 +20,8 @@
 const MAX_UNANSWERED: u32 = 2;
 /// pause after an ask without an answer
 const UNANSWERED_PAUSE: Duration = Duration::from_millis(200);
+/// how long a permit of a fixed rate may be used
+const STATIC_LEASE: Duration = Duration::from_secs(5);
 /// failed loads after which the waiting requests are refused
 const MAX_FAILED_LOADS: u32 = 3;
 /// pause after the first failed load; doubles each time
@@ -54,6 +56,8 @@
     /// engine orders whose end was not heard, by adapter
     unloading: HashSet<AdapterKey>,
     load_time: Option<f64>,
+    /// when a fixed rate allows the next load
+    static_next: Option<Instant>,
 }
 
 impl LoadBook {
@@ -65,6 +69,7 @@
             stalled: HashSet::new(),
             unloading: HashSet::new(),
             load_time: None,
+            static_next: None,
         }
     }
     /// an entry said who gives permits
@@ -85,6 +90,16 @@
     pub(super) fn forget_orders(&mut self) {
         self.unloading.clear();
     }
+    /// the next load of a fixed rate
+    fn next_static(&mut self, rate: f64, now: Instant) -> PermitState {
+        match self.static_next {
+            Some(next) if now < next => PermitState::AskAt(next),
+            _ => {
+                self.static_next = Some(now + Duration::from_secs_f64(1.0 / rate));
+                PermitState::Held(now + STATIC_LEASE)
+            }
+        }
+    }
     fn measure(&mut self, took: Duration) {
         let newest = took.as_secs_f64();
         let before = self.load_time.unwrap_or(newest);
@@ -254,6 +269,13 @@
         let Some(wish) = self.loads.wishes.get_mut(key) else {
             return;
         };
+        if let PermitMode::StaticShare(rate) = self.settings.permits {
+            let permit = self.loads.next_static(rate, now);
+            if let Some(wish) = self.loads.wishes.get_mut(key) {
+                wish.permit = permit;
+            }
+            return;
+        }
         let giver = match self.loads.giver {
             Some(giver) if wish.unanswered < MAX_UNANSWERED => giver,
             // the store keeps its own limit
--- a/coordination/src/sidecar/mod.rs
+++ b/coordination/src/sidecar/mod.rs
@@ -11,6 +11,6 @@
 pub use {
     actions::{OrderFence, SidecarAction},
     events::{OrderResult, RunEnd, SidecarEvent, Ticket},
-    settings::{SidecarSettings, TargetKind},
+    settings::{PermitMode, SidecarSettings, TargetKind},
     sidecar_control::SidecarControl,
 };
--- a/coordination/src/sidecar/queueing.rs
+++ b/coordination/src/sidecar/queueing.rs
@@ -1,7 +1,7 @@
 //! requests on their way in, and out without a run
 
 use {
-    super::{SidecarAction, SidecarControl, Ticket},
+    super::{PermitMode, SidecarAction, SidecarControl, Ticket},
     crate::{
         once::{Admission, Phase},
         queue::Waiting,
@@ -227,7 +227,7 @@
             adapter,
             overtaken: 0,
         });
-        if self.settings.ask_permits {
+        if self.settings.permits == PermitMode::Given {
             self.loads.on_giver(work.permit_giver);
         }
         self.orders.insert(work.request.clone(), work);
--- a/coordination/src/sidecar/settings.rs
+++ b/coordination/src/sidecar/settings.rs
@@ -12,6 +12,17 @@
     Service { max_running: u32 },
 }
 
+/// how loads keep to the weight store's limit
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum PermitMode {
+    /// an entry gives permits
+    Given,
+    /// each sidecar for itself, with back-off; the store limits
+    None,
+    /// a fixed part of the store's rate, in loads a second
+    StaticShare(f64),
+}
+
 /// settings of a sidecar's decisions
 #[derive(Debug, Clone)]
 pub struct SidecarSettings {
@@ -30,8 +41,8 @@
     pub max_loads: usize,
     /// how often the engine is read when nothing happens
     pub read_every: Duration,
-    /// whether to ask an entry for permits before loads
-    pub ask_permits: bool,
+    /// how loads keep to the weight store's limit
+    pub permits: PermitMode,
     /// seed of the random parts of reserved ids
     pub seed: u64,
 }
@@ -48,7 +59,7 @@
             id_valid_for: Duration::from_secs(600),
             max_loads: 2,
             read_every: Duration::from_millis(500),
-            ask_permits: true,
+            permits: PermitMode::Given,
             seed: 0,
         }
     }
--- a/sidecar/src/app/serve.rs
+++ b/sidecar/src/app/serve.rs
@@ -85,7 +85,7 @@
         lease: settings.lease(),
         id_capacity: settings.id_capacity,
         id_valid_for: settings.id_valid(),
-        ask_permits: settings.permits,
+        permits: settings.permits.into(),
         seed: rand::random(),
         ..SidecarSettings::default()
     })
--- a/sidecar/src/conf/mod.rs
+++ b/sidecar/src/conf/mod.rs
@@ -2,4 +2,4 @@
 
 mod settings;
 
-pub use settings::{Settings, TargetSettings};
+pub use settings::{Permits, Settings, TargetSettings};
--- a/sidecar/src/conf/settings.rs
+++ b/sidecar/src/conf/settings.rs
@@ -1,4 +1,5 @@
 use {
+    chalkcart_coordination::sidecar::PermitMode,
     chalkcart_node::{
         logging,
         settings::{Checked, SettingsError},
@@ -23,6 +24,29 @@
     },
 }
 
+/// how loads keep to the weight store's limit
+#[derive(Debug, Clone, Copy, Default, PartialEq, Deserialize)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+pub enum Permits {
+    /// an entry gives permits
+    #[default]
+    Given,
+    /// each sidecar for itself
+    None,
+    /// a fixed part of the store's rate
+    StaticShare { loads_per_second: f64 },
+}
+
+impl From<Permits> for PermitMode {
+    fn from(permits: Permits) -> Self {
+        match permits {
+            Permits::Given => Self::Given,
+            Permits::None => Self::None,
+            Permits::StaticShare { loads_per_second } => Self::StaticShare(loads_per_second),
+        }
+    }
+}
+
 /// the settings file of `chalkcart-sidecar`
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -51,9 +75,9 @@
     /// memory for answers kept for repeats, in bytes
     #[serde(default = "default_buffer_bytes")]
     pub buffer_bytes: usize,
-    /// whether to ask an entry for permits before loads
-    #[serde(default = "default_permits")]
-    pub permits: bool,
+    /// how loads keep to the weight store's limit
+    #[serde(default)]
+    pub permits: Permits,
     /// threads for traffic
     #[serde(default = "default_threads")]
     pub threads: usize,
@@ -99,6 +123,12 @@
                 positive,
             ));
         }
+        if let Permits::StaticShare { loads_per_second } = self.permits {
+            if loads_per_second.is_nan() || loads_per_second <= 0.0 {
+                let key = "permits.static_share.loads_per_second";
+                return Err(SettingsError::value(key, loads_per_second, "more than 0"));
+            }
+        }
         logging::check_level(&self.log)
             .map_err(|_| SettingsError::value("log", &self.log, "a log level"))
     }
@@ -122,9 +152,6 @@
 fn default_buffer_bytes() -> usize {
     32 * 1024 * 1024
 }
-fn default_permits() -> bool {
-    true
-}
 fn default_threads() -> usize {
     2
 }
--- a/testkit/src/load/mod.rs
+++ b/testkit/src/load/mod.rs
@@ -5,6 +5,7 @@
 mod open_loop;
 mod popularity;
 mod report;
+mod scrape;
 
 pub use {
     answer::{check_answer, Answer, Verdict},
@@ -12,4 +13,5 @@
     open_loop::{run_load, LoadSettings, Stream},
     popularity::Popularity,
     report::{ClassReport, LoadReport},
+    scrape::{scrape_engines, Scraped},
 };
--- a/testkit/src/load/report.rs
+++ b/testkit/src/load/report.rs
@@ -13,6 +13,8 @@
     pub not_run: u64,
     pub may_have_run: u64,
     pub tokens: u64,
+    /// tokens of answers that ended within the load's window
+    pub window_tokens: u64,
     /// in µs
     pub first_token: Histogram<u64>,
     /// of whole requests, in µs
@@ -33,6 +35,7 @@
             not_run: 0,
             may_have_run: 0,
             tokens: 0,
+            window_tokens: 0,
             first_token: histogram(),
             total: histogram(),
             refused_after: histogram(),
--- /dev/null
+++ b/testkit/src/load/scrape.rs
@@ -0,0 +1,54 @@
+use {crate::cluster::Cluster, anyhow::Result, std::collections::BTreeMap};
+
+/// a histogram summed over processes and labels
+#[derive(Debug, Default, Clone)]
+pub struct Scraped {
+    pub count: f64,
+    pub sum: f64,
+    /// observations up to each bound, by the bound's text
+    buckets: BTreeMap<u64, f64>,
+}
+
+impl Scraped {
+    /// upper bound of the bucket in which a quantile lies, in seconds
+    pub fn quantile(&self, quantile: f64) -> f64 {
+        let wanted = self.count * quantile;
+        let found = self.buckets.iter().find(|(_, n)| **n >= wanted);
+        found.map_or(0.0, |(bits, _)| f64::from_bits(*bits))
+    }
+    fn add_line(&mut self, rest: &str, value: f64) {
+        if rest.starts_with("_count") {
+            self.count += value;
+        } else if rest.starts_with("_sum") {
+            self.sum += value;
+        } else if let Some(bound) = bound_of(rest) {
+            // positive floats sort like their bits
+            *self.buckets.entry(bound.to_bits()).or_insert(0.0) += value;
+        }
+    }
+}
+
+/// sum one histogram over all sidecars of engines
+pub async fn scrape_engines(cluster: &Cluster, name: &str) -> Result<Scraped> {
+    let mut scraped = Scraped::default();
+    for node in &cluster.engines {
+        let (_, page) = node.sidecar.get("/metrics").await?;
+        for line in page.lines() {
+            let Some(rest) = line.strip_prefix(name) else {
+                continue;
+            };
+            let value = line.rsplit(' ').next().and_then(|v| v.parse().ok());
+            scraped.add_line(rest, value.unwrap_or(0.0));
+        }
+    }
+    Ok(scraped)
+}
+
+fn bound_of(rest: &str) -> Option<f64> {
+    let (_, from_bound) = rest.split_once("le=\"")?;
+    let (bound, _) = from_bound.split_once('"')?;
+    match bound {
+        "+Inf" => Some(f64::INFINITY),
+        bound => bound.parse().ok(),
+    }
+}
