Fair shares under a flood, and refusals that are immediate

Every request aged with its wait, so the flood's long queue became more urgent than the fresh requests of the others.

Change: only the first request of a group and class ages; the order is taken anew for each start; the time of the run counts at admission and in the queue, so that what can't end in time is refused as not run; an overload is followed by one try elsewhere, at once.

--- a/coordination/src/queue/fair_queue.rs
+++ b/coordination/src/queue/fair_queue.rs
@@ -3,7 +3,7 @@
     chalkcart_state::ids::{GroupName, RequestId},
     std::{
         collections::{HashMap, HashSet},
-        time::Instant,
+        time::{Duration, Instant},
     },
 };
 
@@ -12,8 +12,9 @@
 
 /// the waiting requests of one target.
 ///
-/// The order: aged priority; then the group that got least service against
-/// its share (start-time fair queueing over tokens); then arrival.
+/// The order: priority, aged for the first of each group and class; then the
+/// group that got least service against its share (start-time fair queueing
+/// over tokens); then arrival.
 #[derive(Debug, Default)]
 pub struct FairQueue {
     waiting: Vec<Waiting>,
@@ -74,7 +75,8 @@
     }
 
     /// the requests in the order in which they should start
-    pub fn order(&self, now: Instant) -> Vec<RequestId> {
+    pub fn order(&mut self, now: Instant) -> Vec<RequestId> {
+        self.mark_heads(now);
         let mut rows: Vec<&Waiting> = self.waiting.iter().collect();
         rows.sort_by(|a, b| {
             let by_priority = a.priority_at(now).cmp(&b.priority_at(now));
@@ -121,11 +123,12 @@
         }
     }
 
-    /// take out all whose deadline has passed
-    pub fn remove_late(&mut self, now: Instant) -> Vec<Waiting> {
+    /// take out all that would not end by their deadline, at a time per token
+    pub fn remove_late(&mut self, token_time: Duration, now: Instant) -> Vec<Waiting> {
+        let run_time = |w: &Waiting| token_time.saturating_mul(w.output_tokens);
         let (late, rest) = std::mem::take(&mut self.waiting)
             .into_iter()
-            .partition(|w| now >= w.deadline);
+            .partition(|w| now + run_time(w) >= w.deadline);
         self.waiting = rest;
         late
     }
@@ -135,6 +138,16 @@
         std::mem::take(&mut self.waiting)
     }
 
+    /// the first of each group and class begins to age; the rows stand in
+    /// the order of their arrival
+    fn mark_heads(&mut self, now: Instant) {
+        let mut seen: HashSet<(GroupName, u8)> = HashSet::new();
+        for waiting in &mut self.waiting {
+            if seen.insert((waiting.group.clone(), waiting.priority)) {
+                waiting.head_since.get_or_insert(now);
+            }
+        }
+    }
     fn share(&self, group: &str) -> u32 {
         self.shares.get(group).copied().unwrap_or(DEFAULT_SHARE)
     }
--- a/coordination/src/sidecar/queueing.rs
+++ b/coordination/src/sidecar/queueing.rs
@@ -61,7 +61,7 @@
     }
 
     pub(super) fn refuse_late(&mut self, now: Instant) {
-        for waiting in self.queue.remove_late(now) {
+        for waiting in self.queue.remove_late(self.run_time_per_token(), now) {
             let refusal = self.refusal(Step::Queue, Reason::DeadlinePassed);
             self.refuse_waiting(&waiting.request, refusal);
         }
@@ -143,11 +143,12 @@
             let refusal = self.refusal(Step::Admission, Reason::Overloaded);
             return Err(refusal.with_retry_after(after));
         }
-        let wait = self.expected_wait(work, now);
-        if wait > work.remaining {
-            let after = (wait - work.remaining).max(MIN_RETRY_AFTER);
+        let run = self.run_time_per_token() * work.work.output_tokens();
+        let needed = self.expected_wait(work, now) + run;
+        if needed > work.remaining {
+            let after = (needed - work.remaining).max(MIN_RETRY_AFTER);
             let refusal = self.refusal(Step::Admission, Reason::Overloaded);
-            let refusal = refusal.with_detail(format!("would wait {} ms", wait.as_millis()));
+            let refusal = refusal.with_detail(format!("would take {} ms", needed.as_millis()));
             return Err(refusal.with_retry_after(after));
         }
         Ok(())
@@ -184,6 +185,11 @@
         self.time_for(own_pace.min(all as f64))
     }
 
+    /// zero until a run was measured, so that no guess refuses anything
+    fn run_time_per_token(&self) -> Duration {
+        self.runs.measured_token_time().unwrap_or(Duration::ZERO)
+    }
+
     fn time_to_drain(&self) -> Duration {
         let time = self.time_for(self.queue.tokens() as f64 / 2.0);
         time.max(MIN_RETRY_AFTER)
@@ -224,8 +230,10 @@
             arrived: now,
             deadline: now + work.remaining,
             tokens: work.work.tokens(),
+            output_tokens: work.work.output_tokens(),
             adapter,
             overtaken: 0,
+            head_since: None,
         });
         if self.settings.permits == PermitMode::Given {
             self.loads.on_giver(work.permit_giver);
--- a/coordination/src/sidecar/running.rs
+++ b/coordination/src/sidecar/running.rs
@@ -76,8 +76,10 @@
     }
     /// time of one token of one request, smoothed
     pub(super) fn token_time(&self) -> Duration {
-        let default = DEFAULT_TOKEN_TIME.as_secs_f64();
-        Duration::from_secs_f64(self.token_time.unwrap_or(default))
+        self.measured_token_time().unwrap_or(DEFAULT_TOKEN_TIME)
+    }
+    pub(super) fn measured_token_time(&self) -> Option<Duration> {
+        self.token_time.map(Duration::from_secs_f64)
     }
     fn measure(&mut self, tokens: u64, took: Duration) {
         let newest = took.as_secs_f64() / tokens.max(1) as f64;
@@ -92,11 +94,12 @@
         if self.is_leaving() || !self.is_ready() {
             return;
         }
-        for request in self.queue.order(now) {
-            if self.runs.len() >= self.max_running as usize {
+        // the order changes with each start, since starts are charged
+        while self.runs.len() < self.max_running as usize {
+            let order = self.queue.order(now);
+            if !order.iter().any(|request| self.try_start(request, now)) {
                 break;
             }
-            self.try_start(&request, now);
         }
         self.load_what_waits(now);
     }
@@ -149,20 +152,22 @@
         }
     }
 
-    fn try_start(&mut self, request: &RequestId, now: Instant) {
+    /// start a request if its adapter is loaded; false if it still waits
+    fn try_start(&mut self, request: &RequestId, now: Instant) -> bool {
         let Some(waiting) = self.queue.get(request) else {
-            return;
+            return false;
         };
         if self.is_stalled(waiting) {
-            return;
+            return false;
         }
         let order = self.order_fence();
         if let Some(key) = waiting.adapter.clone() {
             if order.is_none() || !self.slots.pin(&key) {
-                return;
+                return false;
             }
         }
         self.start(request, now);
+        true
     }
 
     fn start(&mut self, request: &RequestId, now: Instant) {
--- a/entry/src/traffic/dispatcher.rs
+++ b/entry/src/traffic/dispatcher.rs
@@ -20,6 +20,8 @@
 const RESUME_PAUSE: Duration = Duration::from_millis(30);
 /// refused connections after which the target's process counts as gone
 const MAX_REFUSED: u32 = 2;
+/// refusals because of overload that are followed by another try
+const MAX_OVERLOADS: u32 = 1;
 const CANCEL_TIMEOUT: Duration = Duration::from_millis(500);
 /// when to come back if no target serves what is asked
 const NO_TARGET_RETRY: Duration = Duration::from_millis(500);
@@ -37,6 +39,8 @@
     may_have_run: bool,
     /// targets that failed
     failed: Vec<BoxName>,
+    /// refusals because of overload
+    overloads: u32,
 }
 
 impl Dispatcher {
@@ -49,6 +53,7 @@
             had: Vec::new(),
             may_have_run: false,
             failed: Vec::new(),
+            overloads: 0,
         }
     }
 
@@ -94,8 +99,10 @@
                 return Err(self.final_word(refusal));
             }
             log::debug!("traffic: {} again after: {refusal}", self.job.request);
-            let pause = backoff.pause(tries, rand::random());
-            sleep(pause.min(self.job.remaining())).await;
+            if refusal.reason != Reason::Overloaded {
+                let pause = backoff.pause(tries, rand::random());
+                sleep(pause.min(self.job.remaining())).await;
+            }
         }
     }
 
@@ -107,7 +114,13 @@
         refusal
     }
 
-    async fn should_retry(&self, refusal: &Refusal) -> bool {
+    async fn should_retry(&mut self, refusal: &Refusal) -> bool {
+        // one other target is asked at once; more would feed the overload
+        // and keep the caller from its answer
+        self.overloads += u32::from(refusal.reason == Reason::Overloaded);
+        if self.overloads > MAX_OVERLOADS {
+            return false;
+        }
         let attempt = FailedAttempt {
             refusal,
             reserved: self.job.reserved.is_some(),
--- a/protocol/src/peer/work.rs
+++ b/protocol/src/peer/work.rs
@@ -37,11 +37,19 @@
 impl Work {
     /// its cost in the queue, in tokens
     pub fn tokens(&self) -> u64 {
+        let prompt = match self {
+            Self::Generate(work) => work.prompt.split_whitespace().count(),
+            Self::Call(_) => 0,
+        };
+        (prompt as u64 + u64::from(self.output_tokens())).max(1)
+    }
+
+    /// tokens that it may still generate; a call counts as one
+    pub fn output_tokens(&self) -> u32 {
         match self {
             Self::Generate(work) => {
-                let prompt = work.prompt.split_whitespace().count();
-                let rest = (work.max_tokens as usize).saturating_sub(work.generated.len());
-                (prompt + rest).max(1) as u64
+                let had = u32::try_from(work.generated.len()).unwrap_or(u32::MAX);
+                work.max_tokens.saturating_sub(had)
             }
             Self::Call(_) => 1,
         }
