--- a/coordination/src/queue/fair_queue.rs
+++ b/coordination/src/queue/fair_queue.rs
@@ -9,6 +9,8 @@
 
 /// share of a group that the configuration does not name
 const DEFAULT_SHARE: u32 = 1;
+/// a group is active for this long after its last request
+const ACTIVE_FOR: Duration = Duration::from_secs(10);
 
 /// the waiting requests of one target.
 ///
@@ -23,6 +25,8 @@
     service: HashMap<GroupName, f64>,
     /// service of the group that was served last
     floor: f64,
+    /// when each group's last request came
+    last_seen: HashMap<GroupName, Instant>,
 }
 
 impl FairQueue {
@@ -32,6 +36,7 @@
 
     pub fn set_shares(&mut self, shares: HashMap<GroupName, u32>) {
         self.service.retain(|group, _| shares.contains_key(group));
+        self.last_seen.retain(|group, _| shares.contains_key(group));
         self.shares = shares;
     }
 
@@ -63,7 +68,19 @@
         f64::from(self.share(group)) / f64::from(sum.max(1))
     }
 
+    /// the part of the whole that a group may claim among the active ones
+    pub fn active_part(&self, group: &str, now: Instant) -> f64 {
+        let is_active = |at: &Instant| now.saturating_duration_since(*at) < ACTIVE_FOR;
+        let active = self.last_seen.iter().filter(|(_, at)| is_active(at));
+        let others = active.filter(|(name, _)| *name != group);
+        let sum: u32 = others.map(|(name, _)| self.share(name)).sum();
+        let own = self.share(group);
+        f64::from(own) / f64::from(own + sum)
+    }
+
     pub fn push(&mut self, waiting: Waiting) {
+        self.last_seen
+            .insert(waiting.group.clone(), waiting.arrived);
         // a group that was idle does not get its idle time back
         let floor = self.floor;
         let service = self.service.entry(waiting.group.clone()).or_insert(floor);
--- a/coordination/src/routing/policy.rs
+++ b/coordination/src/routing/policy.rs
@@ -1,6 +1,9 @@
 use {
     super::Target,
-    chalkcart_state::ids::{AdapterName, BaseModelName, BoxName, ServiceName, VersionNumber},
+    chalkcart_state::{
+        fleet::Role,
+        ids::{AdapterName, BaseModelName, BoxName, ServiceName, VersionNumber},
+    },
     std::time::{Duration, Instant},
 };
 
@@ -15,6 +18,20 @@
     Service(ServiceName),
 }
 
+/// whether a box in this role can do what is needed
+pub fn serves(role: &Role, need: &Need) -> bool {
+    match (role, need) {
+        (
+            Role::Engine { base_model },
+            Need::Adapter {
+                base_model: wanted, ..
+            },
+        ) => base_model == wanted,
+        (Role::Service { service }, Need::Service(wanted)) => service == wanted,
+        _ => false,
+    }
+}
+
 /// a request that looks for a target
 #[derive(Debug, Clone)]
 pub struct RouteAsk {
--- a/coordination/src/routing/target_table.rs
+++ b/coordination/src/routing/target_table.rs
@@ -1,11 +1,11 @@
 use {
     super::{
-        least_expected_wait::expected_wait, Candidate, LeastExpectedWait, LeastLoaded, Need,
-        PlainHash, RandomChoice, RouteAsk, RoutingPolicy, Target, WaitSettings,
+        least_expected_wait::expected_wait, policy::serves, Candidate, LeastExpectedWait,
+        LeastLoaded, Need, PlainHash, RandomChoice, RouteAsk, RoutingPolicy, Target, WaitSettings,
     },
     chalkcart_protocol::peer::TargetReport,
     chalkcart_state::{
-        fleet::{FleetList, Role},
+        fleet::FleetList,
         ids::{BoxName, ZoneName},
     },
     std::{
@@ -141,7 +141,7 @@
 ) -> Vec<Candidate<'t>> {
     let able: Vec<&Target> = targets
         .values()
-        .filter(|t| serves(t, &ask.need) && !t.is_leaving())
+        .filter(|t| serves(&t.listed.role, &ask.need) && !t.is_leaving())
         .collect();
     let untried = |t: &&Target| !ask.excluded.contains(&t.listed.name);
     let well: Vec<&Target> = able
@@ -170,16 +170,3 @@
         distance: if is_near { Duration::ZERO } else { OTHER_ZONE },
     }
 }
-
-fn serves(target: &Target, need: &Need) -> bool {
-    match (&target.listed.role, need) {
-        (
-            Role::Engine { base_model },
-            Need::Adapter {
-                base_model: wanted, ..
-            },
-        ) => base_model == wanted,
-        (Role::Service { service }, Need::Service(wanted)) => service == wanted,
-        _ => false,
-    }
-}
--- a/coordination/src/sidecar/running.rs
+++ b/coordination/src/sidecar/running.rs
@@ -48,6 +48,9 @@
     pub(super) fn len(&self) -> usize {
         self.runs.len()
     }
+    fn of_group(&self, group: &str) -> usize {
+        self.runs.values().filter(|run| run.group == group).count()
+    }
     pub(super) fn contains(&self, request: &str) -> bool {
         self.runs.contains_key(request)
     }
@@ -157,7 +160,7 @@
         let Some(waiting) = self.queue.get(request) else {
             return false;
         };
-        if self.is_stalled(waiting) {
+        if self.is_stalled(waiting) || self.must_leave_headroom(&waiting.group, now) {
             return false;
         }
         let order = self.order_fence();
@@ -170,6 +173,16 @@
         true
     }
 
+    /// the last places of the batch are for groups below their fair part
+    fn must_leave_headroom(&self, group: &str, now: Instant) -> bool {
+        let open_places = self.max_running.saturating_sub(self.policy.headroom_places);
+        if self.runs.len() < open_places as usize {
+            return false;
+        }
+        let fair = self.queue.active_part(group, now) * f64::from(self.max_running);
+        self.runs.of_group(group) as f64 >= fair
+    }
+
     fn start(&mut self, request: &RequestId, now: Instant) {
         let (Some(waiting), Some(work)) = (self.queue.start(request), self.orders.remove(request))
         else {
--- a/entry/src/app/serve.rs
+++ b/entry/src/app/serve.rs
@@ -7,21 +7,16 @@
         server::new_router,
     },
     anyhow::{Context, Result},
-    chalkcart_node::{logging, signals::stop_signal},
+    chalkcart_node::{runtime::run_process, signals::stop_signal},
     chalkcart_transport::server,
     std::{sync::Arc, time::Instant},
-    tokio::{runtime::Builder, sync::watch},
+    tokio::sync::watch,
 };
 
 /// run the entry until it is asked to stop
 pub fn serve(settings: Settings) -> Result<()> {
-    let _log = logging::start(&settings.name, &settings.log)?;
-    let runtime = Builder::new_multi_thread()
-        .worker_threads(settings.threads)
-        .enable_all()
-        .build()
-        .context("start the runtime")?;
-    runtime.block_on(run(settings))
+    let (name, log) = (settings.name.clone(), settings.log.clone());
+    run_process(&name, &log, settings.threads, run(settings))
 }
 
 async fn run(settings: Settings) -> Result<()> {
--- a/entry/src/app/shared.rs
+++ b/entry/src/app/shared.rs
@@ -5,7 +5,7 @@
         control::{ControlHandle, EntryEvent},
     },
     chalkcart_coordination::membership::permit_giver,
-    chalkcart_transport::{client::PeerClient, metrics::RequestMetrics},
+    chalkcart_transport::{client::PeerClient, metrics::RequestMetrics, server::pages::Observed},
     std::{
         net::SocketAddr,
         sync::atomic::{AtomicBool, Ordering},
@@ -36,10 +36,6 @@
         }
     }
 
-    /// has a configuration that was compared with peers, and is not stopping
-    pub fn is_ready(&self) -> bool {
-        self.synced.load(Ordering::Relaxed) && !self.stopping.load(Ordering::Relaxed)
-    }
     pub fn set_synced(&self) {
         self.synced.store(true, Ordering::Relaxed);
     }
@@ -65,3 +61,13 @@
         permit_giver(&self.keeper.list()).map(|b| b.addr)
     }
 }
+
+impl Observed for Shared {
+    fn metrics_text(&self) -> String {
+        self.metrics.text()
+    }
+    /// has a configuration that was compared with peers, and is not stopping
+    fn is_ready(&self) -> bool {
+        self.synced.load(Ordering::Relaxed) && !self.stopping.load(Ordering::Relaxed)
+    }
+}
--- a/entry/src/conf/settings.rs
+++ b/entry/src/conf/settings.rs
@@ -2,7 +2,7 @@
     chalkcart_coordination::routing::PolicyName,
     chalkcart_node::{
         logging,
-        settings::{Checked, SettingsError},
+        settings::{defaults, Checked, SettingsError},
     },
     chalkcart_state::ids::{BoxName, ZoneName},
     serde::Deserialize,
@@ -47,16 +47,16 @@
     pub peers: Vec<SocketAddr>,
     #[serde(default)]
     pub routing: Routing,
-    #[serde(default = "default_log")]
+    #[serde(default = "defaults::log")]
     pub log: String,
     /// longest time that a planned stop waits for requests in flight, in ms
-    #[serde(default = "default_drain_ms")]
+    #[serde(default = "defaults::drain_ms")]
     pub drain_ms: u64,
     /// a target that gives no sign for this long is taken for lost, in ms
     #[serde(default = "default_silence_ms")]
     pub silence_ms: u64,
     /// threads for traffic
-    #[serde(default = "default_threads")]
+    #[serde(default = "defaults::threads")]
     pub threads: usize,
 }
 
@@ -99,15 +99,6 @@
 
 const MIN_SILENCE_MS: u64 = 500;
 
-fn default_log() -> String {
-    "info".to_string()
-}
-fn default_drain_ms() -> u64 {
-    60_000
-}
 fn default_silence_ms() -> u64 {
     1_000
 }
-fn default_threads() -> usize {
-    2
-}
--- a/entry/src/rpc/admission.rs
+++ b/entry/src/rpc/admission.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{app::Shared, traffic::Job},
-    chalkcart_coordination::routing::Need,
+    chalkcart_coordination::routing::{serves, Need},
     chalkcart_protocol::{
         peer::{CallWork, GenerateWork, Outcome, Reason, Refusal, Step, Work},
         status::{bad_field, to_status},
@@ -10,9 +10,9 @@
     },
     chalkcart_state::{
         config::{Configuration, ResolvedAdapter},
-        fleet::Role,
         ids::ReservedId,
     },
+    chalkcart_transport::server::pages::Observed,
     std::{
         sync::Arc,
         time::{Duration, Instant},
@@ -196,17 +196,7 @@
         let Some(listed) = self.shared.control.find(id.target.clone()).await else {
             return Ok(());
         };
-        let fits = match (&listed.role, need) {
-            (
-                Role::Engine { base_model },
-                Need::Adapter {
-                    base_model: wanted, ..
-                },
-            ) => base_model == wanted,
-            (Role::Service { service }, Need::Service(wanted)) => service == wanted,
-            _ => false,
-        };
-        match fits {
+        match serves(&listed.role, need) {
             true => Ok(()),
             false => Err(self.bad("reserved_id", "reserved for other work")),
         }
--- a/entry/src/server/handlers.rs
+++ b/entry/src/server/handlers.rs
@@ -3,11 +3,8 @@
     crate::app::Shared,
     chalkcart_protocol::peer::{PermitAsk, ShardAnswer, ShardAsk, SyncAnswer, SyncAsk},
     chalkcart_state::fleet::{FleetList, Role},
-    chalkcart_transport::server::{
-        message_reply, read_message, text_reply, BodyError, Reply, SharedData,
-    },
+    chalkcart_transport::server::{message_reply, pages::bad_message, read_message, SharedData},
     gotham::{handler::HandlerResult, state::State},
-    http::StatusCode,
     std::sync::Arc,
 };
 
@@ -43,31 +40,10 @@
     Ok((state, reply))
 }
 
-pub async fn metrics(state: State) -> HandlerResult {
-    let text = shared(&state).metrics.text();
-    Ok((state, text_reply(StatusCode::OK, text)))
-}
-
-pub async fn healthz(state: State) -> HandlerResult {
-    Ok((state, text_reply(StatusCode::OK, "ok\n")))
-}
-
-pub async fn readyz(state: State) -> HandlerResult {
-    let reply = match shared(&state).is_ready() {
-        true => text_reply(StatusCode::OK, "ready\n"),
-        false => text_reply(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
-    };
-    Ok((state, reply))
-}
-
 fn shared(state: &State) -> Arc<Shared> {
     SharedData::of(state)
 }
 
-fn bad_message(e: &BodyError) -> Reply {
-    text_reply(StatusCode::BAD_REQUEST, e.to_string())
-}
-
 fn answer_sync(shared: &Shared, ask: &SyncAsk) -> SyncAnswer {
     let configuration = shared.keeper.configuration();
     let newer = configuration.filter(|c| c.generation() > ask.generation);
--- a/entry/src/server/router.rs
+++ b/entry/src/server/router.rs
@@ -2,7 +2,7 @@
     super::{grpc::Grpc, handlers},
     crate::app::Shared,
     chalkcart_protocol::peer::path,
-    chalkcart_transport::server::SharedData,
+    chalkcart_transport::server::{pages, SharedData},
     gotham::{
         middleware::state::StateMiddleware,
         pipeline::{new_pipeline, single_pipeline},
@@ -44,8 +44,8 @@
         route.post(path::SYNC).to_async(handlers::sync);
         route.post(path::SHARD).to_async(handlers::shard);
         route.post(path::PERMIT).to_async(handlers::permit);
-        route.get("/metrics").to_async(handlers::metrics);
-        route.get("/healthz").to_async(handlers::healthz);
-        route.get("/readyz").to_async(handlers::readyz);
+        route.get("/metrics").to_async(pages::metrics::<Shared>);
+        route.get("/healthz").to_async(pages::healthz);
+        route.get("/readyz").to_async(pages::readyz::<Shared>);
     })
 }
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -3,5 +3,6 @@
 
 pub mod cli;
 pub mod logging;
+pub mod runtime;
 pub mod settings;
 pub mod signals;
--- /dev/null
+++ b/node/src/runtime/mod.rs
@@ -0,0 +1,5 @@
+//! the runtime of a process
+
+mod run_process;
+
+pub use run_process::run_process;
--- a/node/src/settings/mod.rs
+++ b/node/src/settings/mod.rs
@@ -1,5 +1,6 @@
 //! settings files, checked before anything starts
 
+pub mod defaults;
 mod errors;
 mod load;
 
--- a/sidecar/src/app/serve.rs
+++ b/sidecar/src/app/serve.rs
@@ -11,14 +11,14 @@
     },
     anyhow::{Context, Result},
     chalkcart_coordination::sidecar::{SidecarControl, SidecarEvent, SidecarSettings, TargetKind},
-    chalkcart_node::{logging, signals::stop_signal},
+    chalkcart_node::{runtime::run_process, signals::stop_signal},
     chalkcart_transport::{engine::HttpEngine, server, service::HttpService},
     std::{
         sync::{mpsc, Arc},
         time::{Duration, Instant, SystemTime, UNIX_EPOCH},
     },
     tokio::{
-        runtime::{Builder, Handle},
+        runtime::Handle,
         sync::watch,
         time::{sleep, timeout},
     },
@@ -31,13 +31,8 @@
 
 /// run the sidecar until it is asked to stop
 pub fn serve(settings: Settings) -> Result<()> {
-    let _log = logging::start(&settings.name, &settings.log)?;
-    let runtime = Builder::new_multi_thread()
-        .worker_threads(settings.threads)
-        .enable_all()
-        .build()
-        .context("start the runtime")?;
-    runtime.block_on(run(settings))
+    let (name, log) = (settings.name.clone(), settings.log.clone());
+    run_process(&name, &log, settings.threads, run(settings))
 }
 
 async fn run(settings: Settings) -> Result<()> {
--- a/sidecar/src/app/shared.rs
+++ b/sidecar/src/app/shared.rs
@@ -4,7 +4,7 @@
     arc_swap::ArcSwap,
     chalkcart_coordination::sidecar::SidecarEvent,
     chalkcart_protocol::peer::{Outcome, ReserveAnswer, TargetReport},
-    chalkcart_transport::metrics::RequestMetrics,
+    chalkcart_transport::{metrics::RequestMetrics, server::pages::Observed},
     std::sync::{
         atomic::{AtomicBool, Ordering},
         mpsc, Arc,
@@ -49,10 +49,17 @@
         // the control thread ends only with the process
         let _ = self.events.send(event);
     }
-    pub fn is_ready(&self) -> bool {
-        self.ready.load(Ordering::Relaxed)
-    }
     pub fn set_ready(&self, ready: bool) {
         self.ready.store(ready, Ordering::Relaxed);
     }
 }
+
+impl Observed for Shared {
+    fn metrics_text(&self) -> String {
+        self.metrics.text()
+    }
+    /// obeyed by its target, and not leaving
+    fn is_ready(&self) -> bool {
+        self.ready.load(Ordering::Relaxed)
+    }
+}
--- a/sidecar/src/conf/settings.rs
+++ b/sidecar/src/conf/settings.rs
@@ -2,7 +2,7 @@
     chalkcart_coordination::sidecar::PermitMode,
     chalkcart_node::{
         logging,
-        settings::{Checked, SettingsError},
+        settings::{defaults, Checked, SettingsError},
     },
     chalkcart_state::ids::{BoxName, ServiceName, ZoneName},
     serde::Deserialize,
@@ -58,10 +58,10 @@
     pub target: TargetSettings,
     /// entry boxes to ask first for the configuration
     pub entries: Vec<SocketAddr>,
-    #[serde(default = "default_log")]
+    #[serde(default = "defaults::log")]
     pub log: String,
     /// longest time that a planned stop waits for running requests, in ms
-    #[serde(default = "default_drain_ms")]
+    #[serde(default = "defaults::drain_ms")]
     pub drain_ms: u64,
     /// a pause longer than this makes all beliefs doubtful, in ms
     #[serde(default = "default_lease_ms")]
@@ -79,7 +79,7 @@
     #[serde(default)]
     pub permits: Permits,
     /// threads for traffic
-    #[serde(default = "default_threads")]
+    #[serde(default = "defaults::threads")]
     pub threads: usize,
 }
 
@@ -134,12 +134,6 @@
     }
 }
 
-fn default_log() -> String {
-    "info".to_string()
-}
-fn default_drain_ms() -> u64 {
-    60_000
-}
 fn default_lease_ms() -> u64 {
     1_000
 }
@@ -152,6 +146,3 @@
 fn default_buffer_bytes() -> usize {
     32 * 1024 * 1024
 }
-fn default_threads() -> usize {
-    2
-}
--- a/sidecar/src/server/handlers.rs
+++ b/sidecar/src/server/handlers.rs
@@ -8,12 +8,11 @@
     chalkcart_transport::{
         metrics::GroupClass,
         server::{
-            frames_reply, message_reply, read_message, text_reply, BodyError, Reply, SharedData,
+            frames_reply, message_reply, pages::bad_message, read_message, Reply, SharedData,
         },
     },
     futures::stream,
     gotham::{handler::HandlerResult, state::State},
-    http::StatusCode,
     std::sync::Arc,
 };
 
@@ -61,31 +60,10 @@
     Ok((state, message_reply(&report)))
 }
 
-pub async fn metrics(state: State) -> Handled {
-    let text = shared(&state).metrics.text();
-    Ok((state, text_reply(StatusCode::OK, text)))
-}
-
-pub async fn healthz(state: State) -> Handled {
-    Ok((state, text_reply(StatusCode::OK, "ok\n")))
-}
-
-pub async fn readyz(state: State) -> Handled {
-    let reply = match shared(&state).is_ready() {
-        true => text_reply(StatusCode::OK, "ready\n"),
-        false => text_reply(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
-    };
-    Ok((state, reply))
-}
-
 fn shared(state: &State) -> Arc<Shared> {
     SharedData::of(state)
 }
 
-fn bad_message(e: &BodyError) -> Reply {
-    text_reply(StatusCode::BAD_REQUEST, e.to_string())
-}
-
 fn run_work(shared: &Arc<Shared>, work: WorkOrder) -> Reply {
     let (stream, is_new) = shared.hub.open(&work.request, work.reserved);
     if is_new {
--- a/sidecar/src/server/router.rs
+++ b/sidecar/src/server/router.rs
@@ -2,7 +2,7 @@
     super::handlers,
     crate::app::Shared,
     chalkcart_protocol::peer::path,
-    chalkcart_transport::server::SharedData,
+    chalkcart_transport::server::{pages, SharedData},
     gotham::{
         middleware::state::StateMiddleware,
         pipeline::{single_middleware, single_pipeline},
@@ -22,8 +22,8 @@
         route.post(path::RESERVE).to_async(handlers::reserve);
         route.post(path::CANCEL).to_async(handlers::cancel);
         route.post(path::REPORT).to_async(handlers::report);
-        route.get("/metrics").to_async(handlers::metrics);
-        route.get("/healthz").to_async(handlers::healthz);
-        route.get("/readyz").to_async(handlers::readyz);
+        route.get("/metrics").to_async(pages::metrics::<Shared>);
+        route.get("/healthz").to_async(pages::healthz);
+        route.get("/readyz").to_async(pages::readyz::<Shared>);
     })
 }
--- a/state/src/config/policy.rs
+++ b/state/src/config/policy.rs
@@ -10,6 +10,9 @@
     /// how many tokens of requests whose adapter is loaded may overtake one
     /// that waits for a load; 0 keeps the order, more fills batches better
     pub batch_ahead_tokens: u64,
+    /// places of an engine's batch that a group may not fill beyond its fair
+    /// part while other groups are active, so that those start at once
+    pub headroom_places: u32,
     /// shortest time that a loaded adapter keeps its slot, in ms
     pub min_residence_ms: u64,
     /// queued tokens at which a target refuses more
@@ -24,6 +27,7 @@
     fn default() -> Self {
         Self {
             batch_ahead_tokens: 2_000,
+            headroom_places: 1,
             min_residence_ms: 2_000,
             max_queued_tokens: 20_000,
             store_loads_per_second: 3,
--- /dev/null
+++ b/testkit/examples/capacity/decisions.rs
@@ -0,0 +1,136 @@
+//! time of decisions
+
+use {
+    crate::{
+        fit::Slope,
+        memory::{documents, list, table, ADAPTERS, TARGETS},
+    },
+    anyhow::Result,
+    chalkcart_coordination::{
+        membership::{permit_giver, watchers},
+        permits::{PermitGiver, PermitSettings},
+        routing::{Need, PolicyName, RouteAsk},
+    },
+    chalkcart_protocol::peer::{PermitAsk, PermitPurpose},
+    chalkcart_state::config::{Change, Configuration, Root},
+    std::{
+        hint::black_box,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+};
+
+const ROUTES: u32 = 500;
+const CHANGES: u32 = 20;
+const ASKERS: [usize; 3] = [12, 120, 1_200];
+
+pub fn measure() -> Result<Vec<Slope>> {
+    let routes = TARGETS.iter().map(|n| (*n as f64, route_micros(*n)));
+    let lists = TARGETS.iter().map(|n| (*n as f64, list_micros(*n)));
+    let parts = TARGETS.iter().map(|n| (*n as f64, parts_micros(*n)));
+    let permits = ASKERS.iter().map(|n| (*n as f64, permit_micros(*n)));
+    let mut changes = Vec::new();
+    for adapters in ADAPTERS {
+        changes.push((adapters as f64, change_micros(adapters)?));
+    }
+    Ok(vec![
+        Slope::new(
+            "one routing decision",
+            "µs a listed engine",
+            routes.collect(),
+        ),
+        Slope::new(
+            "one new list taken over",
+            "µs a listed engine",
+            lists.collect(),
+        ),
+        Slope::new(
+            "watchers and permit giver found",
+            "µs a listed box",
+            parts.collect(),
+        ),
+        Slope::new("one ask for a permit", "µs an asker", permits.collect()),
+        Slope::new("one change of an adapter applied", "µs an adapter", changes),
+    ])
+}
+
+fn micros(span: Duration, count: u32) -> f64 {
+    span.as_secs_f64() * 1e6 / f64::from(count)
+}
+
+fn route_micros(targets: usize) -> f64 {
+    let mut table = table(&list(targets), PolicyName::LeastExpectedWait);
+    let now = Instant::now();
+    let started = Instant::now();
+    for number in 0..ROUTES {
+        let ask = RouteAsk {
+            need: Need::Adapter {
+                adapter: format!("adapter-{number}"),
+                version: 1,
+                base_model: format!("model-{}", number % 5),
+            },
+            tokens: 50,
+            excluded: Vec::new(),
+        };
+        black_box(table.route(&ask, now));
+    }
+    micros(started.elapsed(), ROUTES)
+}
+
+fn list_micros(targets: usize) -> f64 {
+    let list = list(targets);
+    let mut table = table(&list, PolicyName::LeastExpectedWait);
+    let started = Instant::now();
+    for _ in 0..CHANGES {
+        table.on_list(black_box(&list));
+    }
+    micros(started.elapsed(), CHANGES)
+}
+
+fn parts_micros(targets: usize) -> f64 {
+    let list = list(targets);
+    let started = Instant::now();
+    for _ in 0..CHANGES {
+        black_box(watchers(&list, "region-0-zone-0").len());
+        black_box(permit_giver(&list).is_some());
+    }
+    micros(started.elapsed(), CHANGES)
+}
+
+fn permit_micros(askers: usize) -> f64 {
+    let now = Instant::now();
+    let mut giver = PermitGiver::new(PermitSettings::default(), now);
+    let started = Instant::now();
+    for number in 0..askers {
+        let ask = PermitAsk {
+            purpose: PermitPurpose::Ask,
+            target: format!("engine-{number}"),
+            adapter: "a".to_string(),
+            priority: 1,
+            waited: Duration::from_millis(number as u64),
+        };
+        black_box(giver.ask(&ask, now));
+    }
+    micros(started.elapsed(), askers as u32)
+}
+
+fn change_micros(adapters: usize) -> Result<f64> {
+    let documents = documents(adapters);
+    let mut cfg = Configuration::new(Arc::new(documents.root), documents.shards)?;
+    let mut spent = Duration::ZERO;
+    for number in 0..CHANGES {
+        let change = Change::AddVersion {
+            adapter: format!("adapter-1-{number}"),
+            digest: "0".repeat(64),
+        };
+        let next = cfg.plan_change(cfg.generation(), &change)?;
+        let (last, shards) = next.documents.split_last().expect("a root");
+        let started = Instant::now();
+        let root: Root = serde_json::from_str(&last.content)?;
+        let missing = cfg.missing_shards(&root);
+        let shard = serde_json::from_str(&shards[0].content)?;
+        cfg = cfg.advance(Arc::new(root), vec![(missing[0], Arc::new(shard))])?;
+        spent += started.elapsed();
+    }
+    Ok(micros(spent, CHANGES))
+}
--- /dev/null
+++ b/testkit/examples/capacity/wire.rs
@@ -0,0 +1,131 @@
+//! bytes on the wire, with the heads of HTTP
+
+use {
+    crate::{
+        fit::Slope,
+        memory::{documents, list, report, ADAPTERS, TARGETS},
+    },
+    anyhow::Result,
+    chalkcart_protocol::{
+        encode, encode_frame,
+        peer::{path, Frame, FrameBody, ShardAnswer, SyncAnswer, SyncAsk},
+    },
+    chalkcart_state::fleet::FleetList,
+    chalkcart_transport::client::PeerClient,
+    std::time::Duration,
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::TcpListener,
+        runtime::Builder,
+    },
+};
+
+/// head of an answer by gotham, as seen on the wire
+const ANSWER_HEAD: f64 = 110.0;
+const TOKENS: [usize; 3] = [16, 256, 2_048];
+
+pub fn measure() -> Result<Vec<Slope>> {
+    let ask_bytes = ask_bytes()?;
+    let quiet = SyncAnswer {
+        generation: 1,
+        root: None,
+        list: None,
+    };
+    let quiet = ask_bytes + ANSWER_HEAD + encode(&quiet)?.len() as f64;
+    let syncs = [1.0, 2.0, 3.0].map(|n| (n, n * quiet));
+    let mut changes = Vec::new();
+    for adapters in ADAPTERS {
+        changes.push((adapters as f64, change_bytes(adapters)?));
+    }
+    let mut lists = Vec::new();
+    for targets in TARGETS {
+        let answer = SyncAnswer {
+            generation: 1,
+            root: None,
+            list: Some(list(targets)),
+        };
+        lists.push((targets as f64, encode(&answer)?.len() as f64));
+    }
+    let mut streams = Vec::new();
+    for tokens in TOKENS {
+        streams.push((tokens as f64, stream_bytes(tokens)?));
+    }
+    let report = encode_frame(&Frame::Report(report("engine-00001")))?.len() as f64;
+    Ok(vec![
+        Slope::new(
+            "an idle exchange of `sync`",
+            "bytes a second for each asker",
+            syncs.to_vec(),
+        ),
+        Slope::new(
+            "one change passed on: root and shard",
+            "bytes an adapter",
+            changes,
+        ),
+        Slope::new("one new list passed on", "bytes a listed box", lists),
+        Slope::new("a stream of tokens, one report", "bytes a token", streams),
+        Slope::new(
+            "a report",
+            "bytes",
+            vec![(0.0, report), (1.0, 2.0 * report), (2.0, 3.0 * report)],
+        ),
+    ])
+}
+
+/// what a process sends to ask a peer, as a listener receives it
+fn ask_bytes() -> Result<f64> {
+    let runtime = Builder::new_current_thread().enable_all().build()?;
+    runtime.block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let addr = listener.local_addr()?;
+        let ask = SyncAsk {
+            from: "engine-00001".to_string(),
+            generation: 1_000_000,
+            list_version: 1_000_000,
+            entries_only: true,
+        };
+        let asked = tokio::spawn(async move {
+            let limit = Duration::from_secs(2);
+            let _: Result<SyncAnswer, _> =
+                PeerClient::new().call(addr, path::SYNC, &ask, limit).await;
+        });
+        let (mut socket, _) = listener.accept().await?;
+        let mut buf = vec![0; 4_096];
+        let mut count = 0;
+        // the head and the small body may come in two pieces
+        for _ in 0..2 {
+            let next = tokio::time::timeout(Duration::from_millis(200), socket.read(&mut buf));
+            count += next.await.unwrap_or(Ok(0))?;
+        }
+        socket
+            .write_all(b"HTTP/1.1 500 no\r\ncontent-length: 0\r\n\r\n")
+            .await?;
+        asked.await?;
+        Ok(count as f64)
+    })
+}
+
+fn change_bytes(adapters: usize) -> Result<f64> {
+    let documents = documents(adapters);
+    let shard = ShardAnswer {
+        shard: Some(documents.shards[0].as_ref().clone()),
+    };
+    let root = SyncAnswer {
+        generation: 1,
+        root: Some(documents.root),
+        list: None::<FleetList>,
+    };
+    Ok((encode(&root)?.len() + encode(&shard)?.len()) as f64)
+}
+
+fn stream_bytes(tokens: usize) -> Result<f64> {
+    let mut bytes = encode_frame(&Frame::Report(report("engine-00001")))?.len();
+    for number in 0..tokens {
+        let frame = Frame::Numbered {
+            sequence: number as u64,
+            body: FrameBody::Token("token".to_string()),
+        };
+        bytes += encode_frame(&frame)?.len();
+    }
+    Ok(bytes as f64)
+}
--- a/testkit/src/lib.rs
+++ b/testkit/src/lib.rs
@@ -13,3 +13,4 @@
 pub mod service;
 pub mod serving;
 pub mod store;
+pub mod waiting;
--- /dev/null
+++ b/testkit/src/waiting.rs
@@ -0,0 +1,27 @@
+//! waiting for what a test expects to come about
+
+use {
+    std::{
+        future::Future,
+        time::{Duration, Instant},
+    },
+    tokio::time::sleep,
+};
+
+const LOOK: Duration = Duration::from_millis(20);
+/// far beyond what any machine needs; it only keeps a failure from hanging
+const LIMIT: Duration = Duration::from_secs(60);
+
+/// wait until a condition holds
+pub async fn until(what: &str, condition: impl Fn() -> bool) {
+    until_async(what, || async { condition() }).await;
+}
+
+/// the same for a condition that has to be asked for
+pub async fn until_async<F: Future<Output = bool>>(what: &str, condition: impl Fn() -> F) {
+    let end = Instant::now() + LIMIT;
+    while !condition().await {
+        assert!(Instant::now() < end, "waited {LIMIT:?} for: {what}");
+        sleep(LOOK).await;
+    }
+}
--- a/testkit/tests/at_most_once.rs
+++ b/testkit/tests/at_most_once.rs
@@ -16,6 +16,7 @@
         forwarder::Cut,
         ledger::{OnceLedger, Violation},
         load::{call_once, generate, reserve_for_adapter, reserve_for_service, Failure},
+        waiting::{until, until_async},
     },
     serde_json::{json, Map, Value},
     std::{collections::HashMap, time::Duration},
@@ -64,9 +65,7 @@
 async fn wait_listed(cluster: &Cluster, entry: usize) -> Result<()> {
     let version = cluster.platform.list().version;
     let mark = format!("fleet: list {version} ");
-    while !cluster.entries[entry].log().contains(&mark) {
-        sleep(Duration::from_millis(50)).await;
-    }
+    until(&mark, || cluster.entries[entry].log().contains(&mark)).await;
     Ok(())
 }
 
@@ -271,9 +270,12 @@
         assert!(answer.is_ok());
     }
     // the answer goes out before the control thread counts the end
-    while reserve_for_service(&mut client, SERVICE, 5).await.is_err() {
-        sleep(Duration::from_millis(20)).await;
-    }
+    until_async("five ids are free", || async {
+        let mut client = client.clone();
+        let reserved = reserve_for_service(&mut client, SERVICE, 5).await;
+        reserved.is_ok()
+    })
+    .await;
     let mut other = cluster.client(1).await?;
     for id in &ids[..5] {
         let body = format!("bound {id}");
@@ -333,9 +335,7 @@
             .map(|e| e.engine.runs(&req.prompt))
             .sum()
     };
-    while runs() == 0 {
-        sleep(Duration::from_millis(5)).await;
-    }
+    until("the prompt runs", || runs() > 0).await;
     cluster.engines.iter().for_each(|e| e.engine.restart());
     let failure = running.await?.expect_err("the engine lost it");
     assert_eq!(failure.outcome, Outcome::MayHaveRun);
--- a/testkit/tests/configuration.rs
+++ b/testkit/tests/configuration.rs
@@ -12,9 +12,8 @@
     chalkcart_testkit::{
         cluster::{Cluster, ClusterSettings},
         load::{check_answer, generate, Verdict},
+        waiting::{until, until_async},
     },
-    std::time::Duration,
-    tokio::time::sleep,
     tonic::Code,
 };
 
@@ -49,16 +48,16 @@
 }
 
 async fn wait_generation(cluster: &Cluster, entry: usize, wanted: u64) -> Result<()> {
-    while generation(cluster, entry).await? < wanted {
-        sleep(Duration::from_millis(50)).await;
-    }
+    let reached = || async {
+        let found = generation(cluster, entry).await;
+        found.is_ok_and(|g| g >= wanted)
+    };
+    until_async("the generation", reached).await;
     Ok(())
 }
 
 async fn wait_log(cluster: &Cluster, entry: usize, text: &str) {
-    while !cluster.entries[entry].log().contains(text) {
-        sleep(Duration::from_millis(50)).await;
-    }
+    until(text, || cluster.entries[entry].log().contains(text)).await;
 }
 
 #[tokio::test]
--- a/testkit/tests/planned_stops.rs
+++ b/testkit/tests/planned_stops.rs
@@ -8,9 +8,10 @@
         cluster::{Cluster, ClusterSettings},
         engine::EngineSettings,
         load::{call_once, check_answer, generate, reserve_for_service, Answer, Failure, Verdict},
+        waiting::{until, until_async},
     },
     std::time::Duration,
-    tokio::{task::JoinHandle, time::sleep},
+    tokio::task::JoinHandle,
 };
 
 const TOKENS: u32 = 80;
@@ -79,9 +80,8 @@
 }
 
 async fn wait_running(cluster: &Cluster, engine: usize, count: usize) {
-    while cluster.engines[engine].engine.running() < count {
-        sleep(Duration::from_millis(5)).await;
-    }
+    let running = || cluster.engines[engine].engine.running();
+    until("requests run", || running() >= count).await;
 }
 
 #[tokio::test]
@@ -133,9 +133,8 @@
     }
     cluster.services[0].service.wait_total(3).await;
     cluster.services[0].sidecar.process.terminate()?;
-    while cluster.services[0].sidecar.is_ready().await {
-        sleep(Duration::from_millis(20)).await;
-    }
+    let sidecar = &cluster.services[0].sidecar;
+    until_async("it leaves", || async { !sidecar.is_ready().await }).await;
     let late = call_once(&mut client, "fee-table", b"late", &ids[3], 0).await;
     assert_eq!(late.expect_err("leaving").reason, "LEAVING");
     cluster.services[0].service.set_held(false);
@@ -155,9 +154,8 @@
     let first = spawn_at(&cluster, 0, 0..10).await?;
     wait_running(&cluster, 0, 1).await;
     cluster.engines[0].sidecar.process.terminate()?;
-    while cluster.engines[0].sidecar.is_ready().await {
-        sleep(Duration::from_millis(20)).await;
-    }
+    let sidecar = &cluster.engines[0].sidecar;
+    until_async("it leaves", || async { !sidecar.is_ready().await }).await;
     let later = spawn_at(&cluster, 1, 50..70).await?;
     expect_whole_and_single(&cluster, later).await?;
     for number in 50..70 {
@@ -173,9 +171,7 @@
     cluster.platform.set_leaving("engine-0");
     let mark = format!("fleet: list {} ", cluster.platform.list().version);
     for entry in &cluster.entries {
-        while !entry.log().contains(&mark) {
-            sleep(Duration::from_millis(50)).await;
-        }
+        until(&mark, || entry.log().contains(&mark)).await;
     }
     let later = spawn_at(&cluster, 0, 0..10).await?;
     expect_whole_and_single(&cluster, later).await?;
--- a/testkit/tests/whole_answers.rs
+++ b/testkit/tests/whole_answers.rs
@@ -12,6 +12,7 @@
         engine::{EngineFaults, EngineSettings},
         forwarder::Cut,
         load::{check_answer, generate, Answer, Failure, Verdict},
+        waiting::until,
     },
     std::time::Duration,
     tokio::{task::JoinHandle, time::sleep},
@@ -77,9 +78,7 @@
 /// wait until so many requests run on the engines
 async fn wait_running(cluster: &Cluster, count: usize) {
     let running = || -> usize { cluster.engines.iter().map(|e| e.engine.running()).sum() };
-    while running() < count {
-        sleep(Duration::from_millis(5)).await;
-    }
+    until("requests run", || running() >= count).await;
 }
 
 #[tokio::test]
--- a/transport/src/server/mod.rs
+++ b/transport/src/server/mod.rs
@@ -1,6 +1,7 @@
 //! HTTP servers built on gotham, with a graceful stop
 
 mod http_server;
+pub mod pages;
 mod replies;
 mod requests;
 mod shared_data;
