A compact table of adapters; repeatable tries in a file of their own

The number of resumes was counted over a whole stream, so that a long answer that was cut often was given up.

Change: ShardTable keeps a shard as few large blocks; digests of weights are a type of 32 bytes, and a text that is none is refused with its field. Resumes are counted from the last new frame. traffic/repeatable_attempt.rs beside reserved_attempt.rs.

--- a/coordination/src/slots/adapter_key.rs
+++ b/coordination/src/slots/adapter_key.rs
@@ -1,6 +1,6 @@
 use {
     chalkcart_protocol::peer::{GenerateWork, LoadedAdapter},
-    chalkcart_state::ids::{AdapterName, Digest, VersionNumber},
+    chalkcart_state::ids::{AdapterName, VersionNumber, WeightsDigest},
     std::fmt,
 };
 
@@ -9,7 +9,7 @@
 pub struct AdapterKey {
     pub adapter: AdapterName,
     pub version: VersionNumber,
-    pub digest: Digest,
+    pub digest: WeightsDigest,
 }
 
 impl From<&GenerateWork> for AdapterKey {
@@ -17,7 +17,7 @@
         Self {
             adapter: work.adapter.clone(),
             version: work.version,
-            digest: work.digest.clone(),
+            digest: work.digest,
         }
     }
 }
--- a/entry/src/config/config_keeper.rs
+++ b/entry/src/config/config_keeper.rs
@@ -60,7 +60,7 @@
         let mut shards = Vec::with_capacity(missing.len());
         for index in missing {
             let shard = source.shard(index, &root.shards[index]).await?;
-            shards.push((index, Arc::new(shard)));
+            shards.push((index, shard));
         }
         self.put_in_force(current, root, shards)?;
         Ok(Verdict::Take)
@@ -70,7 +70,7 @@
         &self,
         current: Option<Arc<Configuration>>,
         root: Root,
-        shards: Vec<(usize, Arc<Shard>)>,
+        shards: Vec<(usize, Shard)>,
     ) -> Result<(), KeepError> {
         let root = Arc::new(root);
         let next = match current {
--- a/entry/src/rpc/admin.rs
+++ b/entry/src/rpc/admin.rs
@@ -11,7 +11,7 @@
     chalkcart_state::{
         config::{Change, ConfigError},
         fleet::Role,
-        ids::Generation,
+        ids::{Generation, WeightsDigest, WeightsDigestError},
     },
     std::{
         sync::Arc,
@@ -60,6 +60,12 @@
         }))
     }
 
+    fn digest(&self, text: &str) -> Result<WeightsDigest, Status> {
+        text.parse().map_err(|e: WeightsDigestError| {
+            Admission::new(&self.shared, "").bad("digest", &e.to_string())
+        })
+    }
+
     fn check_filled(&self, fields: &[(&str, &str)]) -> Result<(), Status> {
         let admission = Admission::new(&self.shared, "");
         match fields.iter().find(|(_, value)| value.is_empty()) {
@@ -102,12 +108,12 @@
         req: Request<RegisterAdapterRequest>,
     ) -> Result<Response<NextConfiguration>, Status> {
         let req = req.into_inner();
-        self.check_filled(&[("adapter", &req.adapter), ("digest", &req.digest)])?;
+        self.check_filled(&[("adapter", &req.adapter)])?;
         let change = Change::RegisterAdapter {
             adapter: req.adapter,
             group: req.group,
             base_model: req.base_model,
-            digest: req.digest,
+            digest: self.digest(&req.digest)?,
         };
         self.next(req.base_generation, &change)
     }
@@ -117,10 +123,10 @@
         req: Request<AddVersionRequest>,
     ) -> Result<Response<NextConfiguration>, Status> {
         let req = req.into_inner();
-        self.check_filled(&[("adapter", &req.adapter), ("digest", &req.digest)])?;
+        self.check_filled(&[("adapter", &req.adapter)])?;
         let change = Change::AddVersion {
             adapter: req.adapter,
-            digest: req.digest,
+            digest: self.digest(&req.digest)?,
         };
         self.next(req.base_generation, &change)
     }
@@ -159,9 +165,9 @@
         };
         let ask = RouteAsk {
             need: Need::Adapter {
-                adapter: adapter.name.clone(),
+                adapter: adapter.name.to_string(),
                 version: req.version,
-                base_model: adapter.base_model.clone(),
+                base_model: adapter.base_model.to_string(),
             },
             tokens: 0,
             excluded: Vec::new(),
--- a/entry/src/rpc/inference.rs
+++ b/entry/src/rpc/inference.rs
@@ -109,9 +109,9 @@
                     return Err(admission.bad("adapter", "not an adapter of the group"));
                 };
                 Ok(Need::Adapter {
-                    adapter: adapter.name.clone(),
+                    adapter: adapter.name.to_string(),
                     version: adapter.versions.last().map_or(1, |v| v.version),
-                    base_model: adapter.base_model.clone(),
+                    base_model: adapter.base_model.to_string(),
                 })
             }
             Some(Work::Service(name)) => match configuration.service(name) {
--- a/entry/src/server/handlers.rs
+++ b/entry/src/server/handlers.rs
@@ -71,6 +71,6 @@
     let configuration = shared.keeper.configuration();
     let found = configuration.filter(|c| c.root().shards.get(ask.index) == Some(&ask.digest));
     ShardAnswer {
-        shard: found.map(|c| c.shards()[ask.index].as_ref().clone()),
+        shard: found.map(|c| c.shards()[ask.index].to_shard()),
     }
 }
--- a/entry/src/traffic/attempt.rs
+++ b/entry/src/traffic/attempt.rs
@@ -3,10 +3,11 @@
     crate::{app::Shared, control::EntryEvent},
     chalkcart_coordination::stream::Assembler,
     chalkcart_protocol::peer::{
-        path, Frame, FrameBody, Outcome, Reason, Refusal, ResumeOrder, Step, Work,
+        path, CancelAnswer, CancelOrder, Frame, FrameBody, Outcome, Reason, Refusal, ResumeOrder,
+        Step, Work,
     },
-    chalkcart_state::ids::BoxName,
-    chalkcart_transport::client::{ClientError, FrameStream},
+    chalkcart_state::ids::{BoxName, Sequence},
+    chalkcart_transport::client::{ClientError, ClientStep, FrameStream},
     futures::StreamExt,
     std::{
         net::SocketAddr,
@@ -23,6 +24,7 @@
 const DEADLINE_GRACE: Duration = Duration::from_millis(150);
 /// frames held while an earlier one is missing
 const MAX_EARLY: usize = 256;
+const CANCEL_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// why reading one stream of frames stopped
 #[derive(Debug)]
@@ -110,6 +112,23 @@
         }
     }
 
+    /// number of the first frame that was not delivered
+    pub fn next_frame_number(&self) -> Sequence {
+        self.frames.next()
+    }
+
+    /// stop work that nobody waits for; nothing depends on it
+    pub fn cancel(&self) {
+        let (peers, addr) = (self.shared.peers.clone(), self.addr);
+        let order = CancelOrder {
+            request: self.job.request.clone(),
+        };
+        tokio::spawn(async move {
+            let _: Result<CancelAnswer, _> =
+                peers.call(addr, path::CANCEL, &order, CANCEL_TIMEOUT).await;
+        });
+    }
+
     pub fn refusal(&self, outcome: Outcome, step: Step, reason: Reason) -> Refusal {
         Refusal::new(outcome, step, &self.target, reason)
     }
@@ -134,7 +153,7 @@
         match timeout(limit, call).await {
             Ok(result) => result,
             Err(_) => Err(ClientError::new(
-                chalkcart_transport::client::ClientStep::Send,
+                ClientStep::Send,
                 self.addr,
                 "no sign of life",
             )),
--- a/entry/src/traffic/dispatcher.rs
+++ b/entry/src/traffic/dispatcher.rs
@@ -1,7 +1,6 @@
 use {
     super::{
-        attempt::{Attempt, Stopped},
-        reserved_attempt::run_reserved,
+        attempt::Attempt, repeatable_attempt::run_repeatable, reserved_attempt::run_reserved,
         Delivered, Job,
     },
     crate::{app::Shared, control::EntryEvent},
@@ -9,20 +8,14 @@
         retry::{may_retry, Attempt as FailedAttempt, Backoff},
         routing::{Route, RouteAsk},
     },
-    chalkcart_protocol::peer::{path, CancelAnswer, CancelOrder, Outcome, Reason, Refusal, Step},
+    chalkcart_protocol::peer::{Outcome, Reason, Refusal, Step},
     chalkcart_state::ids::{BoxName, RequestId, ReservedId},
-    std::{net::SocketAddr, sync::Arc, time::Duration},
+    std::{sync::Arc, time::Duration},
     tokio::{sync::mpsc, time::sleep},
 };
 
-/// resumes of one stream without a new frame
-const MAX_RESUMES: u32 = 6;
-const RESUME_PAUSE: Duration = Duration::from_millis(30);
-/// refused connections after which the target's process counts as gone
-const MAX_REFUSED: u32 = 2;
 /// refusals because of overload that are followed by another try
 const MAX_OVERLOADS: u32 = 1;
-const CANCEL_TIMEOUT: Duration = Duration::from_millis(500);
 /// when to come back if no target serves what is asked
 const NO_TARGET_RETRY: Duration = Duration::from_millis(500);
 
@@ -151,7 +144,7 @@
     }
 
     async fn try_target(&mut self, route: Route) -> Result<(), Refusal> {
-        let mut attempt = Attempt::new(
+        let attempt = Attempt::new(
             &self.shared,
             &self.job,
             route.target,
@@ -159,85 +152,6 @@
             &self.caller,
             &mut self.had,
         );
-        let mut stream = match attempt.send().await {
-            Ok(stream) => stream,
-            Err(e) if e.proves_not_sent() => {
-                attempt.report_silence();
-                let refusal = attempt.refusal(Outcome::NotRun, Step::Connect, Reason::Unreachable);
-                return Err(refusal.with_detail(e.to_string()));
-            }
-            Err(e) => {
-                attempt.report_silence();
-                cancel(&self.shared, &self.job, route.addr);
-                let refusal = attempt.refusal(Outcome::MayHaveRun, Step::Send, Reason::Lost);
-                return Err(refusal.with_detail(e.to_string()));
-            }
-        };
-        let mut resumes = 0;
-        loop {
-            let stopped = attempt.read(&mut stream).await;
-            let detail = match stopped {
-                Stopped::Whole => return Ok(()),
-                Stopped::Refused(refusal) => return Err(refusal),
-                Stopped::CallerGone => {
-                    cancel(&self.shared, &self.job, route.addr);
-                    return Err(attempt.refusal(
-                        Outcome::MayHaveRun,
-                        Step::Stream,
-                        Reason::Cancelled,
-                    ));
-                }
-                Stopped::DeadlinePassed => {
-                    cancel(&self.shared, &self.job, route.addr);
-                    return Err(attempt.refusal(
-                        Outcome::MayHaveRun,
-                        Step::Run,
-                        Reason::DeadlinePassed,
-                    ));
-                }
-                Stopped::Silent => "no sign of life".to_string(),
-                Stopped::Broken(detail) => detail,
-            };
-            match resume(&attempt, &mut resumes).await {
-                Some(resumed) => stream = resumed,
-                None => {
-                    attempt.report_silence();
-                    cancel(&self.shared, &self.job, route.addr);
-                    let refusal = attempt.refusal(Outcome::MayHaveRun, Step::Stream, Reason::Lost);
-                    return Err(refusal.with_detail(detail));
-                }
-            }
-        }
+        run_repeatable(attempt).await
     }
 }
-
-async fn resume(
-    attempt: &Attempt<'_>,
-    resumes: &mut u32,
-) -> Option<chalkcart_transport::client::FrameStream> {
-    let mut refused = 0;
-    while *resumes < MAX_RESUMES && refused < MAX_REFUSED {
-        *resumes += 1;
-        match attempt.resume().await {
-            Ok(stream) => return Some(stream),
-            Err(e) => {
-                log::debug!("traffic: no resume: {e}");
-                refused += u32::from(e.proves_not_sent());
-            }
-        }
-        attempt.pause(RESUME_PAUSE * *resumes).await;
-    }
-    None
-}
-
-/// stop work that nobody waits for; nothing depends on it
-fn cancel(shared: &Arc<Shared>, job: &Job, addr: SocketAddr) {
-    let peers = shared.peers.clone();
-    let order = CancelOrder {
-        request: job.request.clone(),
-    };
-    tokio::spawn(async move {
-        let _: Result<CancelAnswer, _> =
-            peers.call(addr, path::CANCEL, &order, CANCEL_TIMEOUT).await;
-    });
-}
--- a/entry/src/traffic/mod.rs
+++ b/entry/src/traffic/mod.rs
@@ -3,6 +3,7 @@
 mod attempt;
 mod dispatcher;
 mod job;
+mod repeatable_attempt;
 mod reserved_attempt;
 
 pub use {
--- a/protocol/src/peer/work.rs
+++ b/protocol/src/peer/work.rs
@@ -1,7 +1,7 @@
 use {
     chalkcart_state::ids::{
-        AdapterName, BaseModelName, ClassName, Digest, GroupName, RequestId, Sequence, ServiceName,
-        VersionNumber,
+        AdapterName, BaseModelName, ClassName, GroupName, RequestId, Sequence, ServiceName,
+        VersionNumber, WeightsDigest,
     },
     serde::{Deserialize, Serialize},
     std::{net::SocketAddr, time::Duration},
@@ -12,7 +12,7 @@
 pub struct GenerateWork {
     pub adapter: AdapterName,
     pub version: VersionNumber,
-    pub digest: Digest,
+    pub digest: WeightsDigest,
     pub base_model: BaseModelName,
     pub prompt: String,
     pub max_tokens: u32,
--- a/state/src/config/adapter.rs
+++ b/state/src/config/adapter.rs
@@ -1,15 +1,15 @@
 use {
-    crate::ids::{AdapterName, BaseModelName, Digest, GroupName, VersionNumber},
+    crate::ids::{AdapterName, BaseModelName, GroupName, VersionNumber, WeightsDigest},
     serde::{Deserialize, Serialize},
 };
 
 /// one version of an adapter's weights
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct AdapterVersion {
     pub version: VersionNumber,
     /// digest of the weights in the weight store
-    pub digest: Digest,
+    pub digest: WeightsDigest,
 }
 
 /// a LoRA adapter that a group registered
--- a/state/src/config/change.rs
+++ b/state/src/config/change.rs
@@ -3,7 +3,7 @@
         digest_of, shard_index, shard_key, Adapter, AdapterVersion, ConfigError, Configuration,
         Group, Root, Shard, ROOT_KEY,
     },
-    crate::ids::{AdapterName, BaseModelName, Digest, Generation, GroupName, VersionNumber},
+    crate::ids::{AdapterName, BaseModelName, Generation, GroupName, VersionNumber, WeightsDigest},
     std::sync::Arc,
 };
 
@@ -22,11 +22,11 @@
         adapter: AdapterName,
         group: GroupName,
         base_model: BaseModelName,
-        digest: Digest,
+        digest: WeightsDigest,
     },
     AddVersion {
         adapter: AdapterName,
-        digest: Digest,
+        digest: WeightsDigest,
     },
     RetireVersion {
         adapter: AdapterName,
@@ -64,7 +64,7 @@
         let mut root = Root::clone(self.root());
         root.generation += 1;
         let changed = apply(self, &mut root, change)?;
-        let next = changed.clone().into_iter().map(|(i, s)| (i, Arc::new(s)));
+        let next = changed.clone().into_iter();
         self.advance(Arc::new(root.clone()), next.collect())?;
         let mut documents: Vec<Document> = changed
             .iter()
@@ -110,7 +110,7 @@
         } => {
             let first = AdapterVersion {
                 version: 1,
-                digest: digest.clone(),
+                digest: *digest,
             };
             let registered = Adapter {
                 name: adapter.clone(),
@@ -127,7 +127,7 @@
             let version = found.versions.last().map_or(1, |v| v.version + 1);
             found.versions.push(AdapterVersion {
                 version,
-                digest: digest.clone(),
+                digest: *digest,
             });
             Ok(())
         }),
@@ -172,7 +172,7 @@
     edit: impl FnOnce(&mut Shard) -> Result<(), ConfigError>,
 ) -> Result<Option<(usize, Shard)>, ConfigError> {
     let index = shard_index(adapter, root.shards.len());
-    let mut shard = Shard::clone(&cfg.shards()[index]);
+    let mut shard = cfg.shards()[index].to_shard();
     edit(&mut shard)?;
     root.shards[index] = digest_of(&shard);
     Ok(Some((index, shard)))
--- a/state/src/config/configuration.rs
+++ b/state/src/config/configuration.rs
@@ -1,6 +1,9 @@
 use {
-    super::{digest_of, shard_index, Adapter, Class, ConfigError, Group, Root, Service, Shard},
-    crate::ids::{AdapterName, BaseModelName, Digest, Generation, GroupName, VersionNumber},
+    super::{
+        digest_of, shard_index, AdapterRow, Class, ConfigError, Group, Root, Service, Shard,
+        ShardTable,
+    },
+    crate::ids::{AdapterName, BaseModelName, Generation, GroupName, VersionNumber, WeightsDigest},
     std::sync::Arc,
 };
 
@@ -11,19 +14,19 @@
     pub group: GroupName,
     pub base_model: BaseModelName,
     pub version: VersionNumber,
-    pub digest: Digest,
+    pub digest: WeightsDigest,
 }
 
 /// a whole, checked configuration; shards are shared between generations
 #[derive(Debug, Clone)]
 pub struct Configuration {
     root: Arc<Root>,
-    shards: Vec<Arc<Shard>>,
+    shards: Vec<Arc<ShardTable>>,
 }
 
 impl Configuration {
     /// check the documents against each other
-    pub fn new(root: Arc<Root>, shards: Vec<Arc<Shard>>) -> Result<Self, ConfigError> {
+    pub fn new(root: Arc<Root>, shards: Vec<Shard>) -> Result<Self, ConfigError> {
         root.check()?;
         if shards.len() != root.shards.len() {
             return Err(ConfigError::bad(
@@ -32,10 +35,15 @@
                 root.shards.len().to_string(),
             ));
         }
+        let mut tables = Vec::with_capacity(shards.len());
         for (index, shard) in shards.iter().enumerate() {
             check_shard(index, shard, &root)?;
+            tables.push(Arc::new(ShardTable::from(shard)));
         }
-        Ok(Self { root, shards })
+        Ok(Self {
+            root,
+            shards: tables,
+        })
     }
 
     /// the next configuration, given only the shards that differ; the kept
@@ -43,18 +51,18 @@
     pub fn advance(
         &self,
         root: Arc<Root>,
-        changed: Vec<(usize, Arc<Shard>)>,
+        changed: Vec<(usize, Shard)>,
     ) -> Result<Self, ConfigError> {
         root.check()?;
         let mut shards = self.shards.clone();
         shards.resize_with(root.shards.len(), Default::default);
         for (index, shard) in changed {
             check_shard(index, &shard, &root)?;
-            shards[index] = shard;
+            shards[index] = Arc::new(ShardTable::from(&shard));
         }
         if root.groups != self.root.groups || root.base_models != self.root.base_models {
             for (index, shard) in shards.iter().enumerate() {
-                shard.check(index, &root)?;
+                shard.to_shard().check(index, &root)?;
             }
         }
         Ok(Self { root, shards })
@@ -76,7 +84,7 @@
     pub fn root(&self) -> &Arc<Root> {
         &self.root
     }
-    pub fn shards(&self) -> &[Arc<Shard>] {
+    pub fn shards(&self) -> &[Arc<ShardTable>] {
         &self.shards
     }
     pub fn group(&self, name: &str) -> Option<&Group> {
@@ -88,23 +96,19 @@
     pub fn service(&self, name: &str) -> Option<&Service> {
         self.root.services.iter().find(|s| s.name == name)
     }
-    pub fn adapter(&self, name: &str) -> Option<&Adapter> {
-        let shard = &self.shards[shard_index(name, self.shards.len())];
-        let found = shard
-            .adapters
-            .binary_search_by(|a| a.name.as_str().cmp(name));
-        found.ok().map(|index| &shard.adapters[index])
+    pub fn adapter(&self, name: &str) -> Option<AdapterRow<'_>> {
+        self.shards[shard_index(name, self.shards.len())].find(name)
     }
     /// the named version of an adapter
     pub fn resolve(&self, name: &str, version: VersionNumber) -> Option<ResolvedAdapter> {
         let adapter = self.adapter(name)?;
         let found = adapter.versions.iter().find(|v| v.version == version)?;
         Some(ResolvedAdapter {
-            name: adapter.name.clone(),
-            group: adapter.group.clone(),
-            base_model: adapter.base_model.clone(),
+            name: adapter.name.to_string(),
+            group: adapter.group.to_string(),
+            base_model: adapter.base_model.to_string(),
             version: found.version,
-            digest: found.digest.clone(),
+            digest: found.digest,
         })
     }
 }
--- a/state/src/config/mod.rs
+++ b/state/src/config/mod.rs
@@ -12,6 +12,7 @@
 mod root;
 mod service;
 mod shard;
+mod shard_table;
 
 pub use {
     adapter::{Adapter, AdapterVersion},
@@ -25,4 +26,5 @@
     root::Root,
     service::Service,
     shard::{shard_key, Shard, ROOT_KEY},
+    shard_table::{AdapterRow, ShardTable},
 };
--- a/testkit/examples/capacity/decisions.rs
+++ b/testkit/examples/capacity/decisions.rs
@@ -12,7 +12,10 @@
         routing::{Need, PolicyName, RouteAsk},
     },
     chalkcart_protocol::peer::{PermitAsk, PermitPurpose},
-    chalkcart_state::config::{Change, Configuration, Root},
+    chalkcart_state::{
+        config::{Change, Configuration, Root},
+        ids::WeightsDigest,
+    },
     std::{
         hint::black_box,
         sync::Arc,
@@ -116,12 +119,13 @@
 
 fn change_micros(adapters: usize) -> Result<f64> {
     let documents = documents(adapters);
-    let mut cfg = Configuration::new(Arc::new(documents.root), documents.shards)?;
+    let shards = documents.plain_shards();
+    let mut cfg = Configuration::new(Arc::new(documents.root), shards)?;
     let mut spent = Duration::ZERO;
     for number in 0..CHANGES {
         let change = Change::AddVersion {
             adapter: format!("adapter-1-{number}"),
-            digest: "0".repeat(64),
+            digest: WeightsDigest::of(&[number as u8]),
         };
         let next = cfg.plan_change(cfg.generation(), &change)?;
         let (last, shards) = next.documents.split_last().expect("a root");
@@ -129,7 +133,7 @@
         let root: Root = serde_json::from_str(&last.content)?;
         let missing = cfg.missing_shards(&root);
         let shard = serde_json::from_str(&shards[0].content)?;
-        cfg = cfg.advance(Arc::new(root), vec![(missing[0], Arc::new(shard))])?;
+        cfg = cfg.advance(Arc::new(root), vec![(missing[0], shard)])?;
         spent += started.elapsed();
     }
     Ok(micros(spent, CHANGES))
--- a/testkit/examples/capacity/memory.rs
+++ b/testkit/examples/capacity/memory.rs
@@ -80,7 +80,7 @@
     held(|| {
         let shards = shards
             .iter()
-            .map(|s| Arc::new(serde_json::from_slice(s).expect("decodes")))
+            .map(|s| serde_json::from_slice(s).expect("decodes"))
             .collect();
         let root = serde_json::from_slice(&root).expect("decodes");
         Configuration::new(Arc::new(root), shards).expect("is good")
--- a/testkit/examples/experiment/fleet.rs
+++ b/testkit/examples/experiment/fleet.rs
@@ -10,6 +10,7 @@
         load::{LoadReport, Stream},
         store::StoreSettings,
     },
+    serde_json::Value,
     std::time::Duration,
     tonic::transport::Channel,
 };
@@ -105,3 +106,9 @@
     ensure!(bad == 0, "bad outcomes: {report:?}");
     Ok(bad)
 }
+
+/// show a row as soon as it is measured
+pub fn noted(row: Value) -> Value {
+    eprintln!("{row}");
+    row
+}
--- a/testkit/examples/experiment/overhead.rs
+++ b/testkit/examples/experiment/overhead.rs
@@ -99,7 +99,7 @@
         engine.take_fence(order).await?;
         let adapters = documents.shards.iter().flat_map(|s| s.adapters.iter());
         let version = adapters.flat_map(|a| a.versions.last()).next();
-        let version = version.expect("one adapter").clone();
+        let version = *version.expect("one adapter");
         let adapter = AdapterKey {
             adapter: "loan-0".to_string(),
             version: version.version,
@@ -120,7 +120,7 @@
             work: GenerateWork {
                 adapter: self.adapter.adapter.clone(),
                 version: self.adapter.version,
-                digest: self.adapter.digest.clone(),
+                digest: self.adapter.digest,
                 base_model: "base".to_string(),
                 prompt: req.prompt.clone(),
                 max_tokens: req.max_tokens,
--- a/testkit/examples/experiment/overload.rs
+++ b/testkit/examples/experiment/overload.rs
@@ -1,7 +1,7 @@
 //! goodput at and above capacity, and what refusals look like
 
 use {
-    crate::fleet::{check, clients, engine, Plan, TOKENS},
+    crate::fleet::{check, clients, engine, noted, Plan, TOKENS},
     anyhow::Result,
     chalkcart_testkit::{
         cluster::{Cluster, ClusterSettings},
@@ -61,7 +61,7 @@
     let bad = check(&cluster, &report)?;
     let class = &report.classes["clients/sameday"];
     let window = (plan.span() * 3 / 4).as_secs_f64();
-    Ok(json!({
+    Ok(noted(json!({
         "load": format!("{factor}x"),
         "seed": seed,
         "sent": class.sent,
@@ -75,5 +75,5 @@
         "ttft p99 ms": class.first_token_ms(0.99),
         "reasons": format!("{:?}", class.reasons),
         "bad": bad,
-    }))
+    })))
 }
--- a/testkit/examples/experiment/permits.rs
+++ b/testkit/examples/experiment/permits.rs
@@ -1,7 +1,7 @@
 //! load permits against each for itself and a static share
 
 use {
-    crate::fleet::{check, clients, user_fleet, user_stream, Plan},
+    crate::fleet::{check, clients, noted, user_fleet, user_stream, Plan},
     anyhow::Result,
     chalkcart_coordination::membership::permit_giver,
     chalkcart_testkit::{
@@ -109,7 +109,7 @@
     let bad = check(&cluster, &report)?;
     let class = |name: &str| &report.classes[&format!("{}/{name}", user.group)];
     let (urgent, patient) = (class("counter"), class("overnight"));
-    Ok(json!({
+    Ok(noted(json!({
         "user": user.name,
         "variant": variant,
         "seed": seed,
@@ -122,5 +122,5 @@
         "not run": urgent.not_run + patient.not_run,
         "loads": cluster.store.started(),
         "bad": bad,
-    }))
+    })))
 }
--- a/testkit/examples/experiment/routing.rs
+++ b/testkit/examples/experiment/routing.rs
@@ -2,7 +2,7 @@
 //! bound of batching ahead, at both ends
 
 use {
-    crate::fleet::{check, clients, user_fleet, user_stream, Plan},
+    crate::fleet::{check, clients, noted, user_fleet, user_stream, Plan},
     anyhow::Result,
     chalkcart_testkit::{
         cluster::{Cluster, ClusterSettings},
@@ -80,7 +80,7 @@
         .iter()
         .map(|e| e.engine.steps())
         .fold((0, 0), |sum, one| (sum.0 + one.0, sum.1 + one.1));
-    Ok(json!({
+    Ok(noted(json!({
         "user": user.name,
         "variant": variant,
         "seed": seed,
@@ -95,7 +95,7 @@
         "requests a step": in_steps as f64 / steps.max(1) as f64,
         "loads": cluster.store.started(),
         "bad": bad,
-    }))
+    })))
 }
 
 fn object(value: Value) -> Map<String, Value> {
--- a/testkit/examples/experiment/shares.rs
+++ b/testkit/examples/experiment/shares.rs
@@ -143,6 +143,7 @@
         "fair %": fair,
         "got %": got,
         "ttft p50 ms": class.first_token_ms(0.5),
+        "ttft p90 ms": class.first_token_ms(0.9),
         "ttft p99 ms": class.first_token_ms(0.99),
         "overnight whole %": "",
         "bad": bad,
--- a/testkit/src/configs/documents.rs
+++ b/testkit/src/configs/documents.rs
@@ -4,7 +4,7 @@
             digest_of, shard_index, Adapter, AdapterVersion, Change, Class, Configuration, Group,
             Policy, Root, Service, Shard, ROOT_KEY,
         },
-        ids::{BaseModelName, GroupName},
+        ids::{BaseModelName, GroupName, WeightsDigest},
     },
     std::sync::Arc,
 };
@@ -69,7 +69,7 @@
         group: &str,
         base_model: &str,
     ) -> Self {
-        let mut shards: Vec<Shard> = self.shards.iter().map(|s| s.as_ref().clone()).collect();
+        let mut shards = self.plain_shards();
         for number in 0..count {
             let adapter = new_adapter(
                 format!("{prefix}-{number}"),
@@ -87,10 +87,15 @@
         self
     }
 
+    /// the shards as a process reads them
+    pub fn plain_shards(&self) -> Vec<Shard> {
+        self.shards.iter().map(|s| s.as_ref().clone()).collect()
+    }
+
     /// the documents after a change, as an operator would publish them
     pub fn changed(&self, change: &Change) -> anyhow::Result<Self> {
         let root = Arc::new(self.root.clone());
-        let configuration = Configuration::new(root, self.shards.clone())?;
+        let configuration = Configuration::new(root, self.plain_shards())?;
         let planned = configuration.plan_change(self.root.generation, change)?;
         let mut next = self.clone();
         for document in planned.documents {
@@ -118,7 +123,7 @@
 fn new_adapter(name: String, group: GroupName, base_model: BaseModelName) -> Adapter {
     let versions = (1..=2).map(|version| AdapterVersion {
         version,
-        digest: digest_of(&(&name, version)),
+        digest: WeightsDigest::of(format!("{name}@{version}").as_bytes()),
     });
     Adapter {
         versions: versions.collect(),
--- a/testkit/tests/adapter_slots.rs
+++ b/testkit/tests/adapter_slots.rs
@@ -12,6 +12,7 @@
         slots::AdapterKey,
     },
     chalkcart_protocol::peer::{GenerateWork, Outcome, PermitAnswer, Reason, Work, WorkOrder},
+    chalkcart_state::ids::WeightsDigest,
     chalkcart_testkit::engine::{EngineSettings, EngineState},
     chalkcart_transport::engine::{AdapterBody, EventBody, FenceBody, GenerateBody},
     quickcheck::{Gen, QuickCheck},
@@ -131,7 +132,7 @@
             work: Work::Generate(GenerateWork {
                 adapter: format!("adapter-{}", number / 2),
                 version: 1 + u32::from(number % 2),
-                digest: format!("digest-{number}"),
+                digest: WeightsDigest::of(&[number]),
                 base_model: "base".to_string(),
                 prompt: request.clone(),
                 max_tokens: 10,
--- a/testkit/tests/configuration.rs
+++ b/testkit/tests/configuration.rs
@@ -8,7 +8,10 @@
         admin_client::AdminClient, AddVersionRequest, GenerateRequest, GetStatusRequest,
         RegisterAdapterRequest, SetShareRequest,
     },
-    chalkcart_state::config::{Change, Root},
+    chalkcart_state::{
+        config::{Change, Root},
+        ids::WeightsDigest,
+    },
     chalkcart_testkit::{
         cluster::{Cluster, ClusterSettings},
         load::{check_answer, generate, Verdict},
@@ -34,7 +37,7 @@
 fn new_version() -> Change {
     Change::AddVersion {
         adapter: "loan-0".to_string(),
-        digest: "digest-of-3".to_string(),
+        digest: WeightsDigest::of(b"3"),
     }
 }
 
@@ -157,7 +160,7 @@
         adapter: "probe".to_string(),
         group: "branches".to_string(),
         base_model: "base".to_string(),
-        digest: "probe".to_string(),
+        digest: WeightsDigest::of(b"probe").to_string(),
     };
     let next = admin.register_adapter(req).await?.into_inner();
     let root = next.documents.last().expect("the root comes last");
@@ -177,7 +180,7 @@
     let version = AddVersionRequest {
         base_generation: 1,
         adapter: "loan-0".to_string(),
-        digest: "digest-of-3".to_string(),
+        digest: WeightsDigest::of(b"3").to_string(),
     };
     let planned = one.set_share(share.clone()).await?.into_inner();
     let also = other.add_version(version.clone()).await?.into_inner();
--- a/testkit/tests/interface_contracts.rs
+++ b/testkit/tests/interface_contracts.rs
@@ -9,7 +9,7 @@
         slots::AdapterKey,
     },
     chalkcart_protocol::peer::GenerateWork,
-    chalkcart_state::config::Change,
+    chalkcart_state::{config::Change, ids::WeightsDigest},
     chalkcart_testkit::{
         configs::Documents,
         engine::{EngineSettings, EngineStandIn},
@@ -33,7 +33,7 @@
     AdapterKey {
         adapter: format!("loan-{number}"),
         version: 1,
-        digest: format!("digest-{number}"),
+        digest: WeightsDigest::of(&number.to_be_bytes()),
     }
 }
 
--- a/testkit/tests/rpc_contract.rs
+++ b/testkit/tests/rpc_contract.rs
@@ -13,6 +13,7 @@
             RetireVersionRequest, SetShareRequest, WaitInForceRequest,
         },
     },
+    chalkcart_state::ids::WeightsDigest,
     chalkcart_testkit::{
         cluster::{Cluster, ClusterSettings},
         load::{check_answer, generate, Verdict},
@@ -168,6 +169,7 @@
         share: 1,
     };
     expect_field(admin.set_share(share).await.map(|_| ()), "group");
+    let digest = WeightsDigest::of(b"d").to_string();
     let register = |adapter: &str, digest: &str| RegisterAdapterRequest {
         base_generation: 1,
         adapter: adapter.to_string(),
@@ -176,16 +178,17 @@
         digest: digest.to_string(),
     };
     for (req, field) in [
-        (register("", "d"), "adapter"),
-        (register("loan-1", "d"), "adapter"),
+        (register("", &digest), "adapter"),
+        (register("loan-1", &digest), "adapter"),
         (register("new", ""), "digest"),
+        (register("new", "short"), "digest"),
     ] {
         expect_field(admin.register_adapter(req).await.map(|_| ()), field);
     }
     let version = AddVersionRequest {
         base_generation: 1,
         adapter: "none".to_string(),
-        digest: "d".to_string(),
+        digest: WeightsDigest::of(b"d").to_string(),
     };
     expect_field(admin.add_version(version).await.map(|_| ()), "adapter");
     let retire = RetireVersionRequest {
--- a/transport/src/engine/http_engine.rs
+++ b/transport/src/engine/http_engine.rs
@@ -188,7 +188,7 @@
         Self {
             adapter: key.adapter.clone(),
             version: key.version,
-            digest: key.digest.clone(),
+            digest: key.digest,
         }
     }
 }
--- a/transport/src/engine/messages.rs
+++ b/transport/src/engine/messages.rs
@@ -2,7 +2,8 @@
 
 use {
     chalkcart_state::ids::{
-        AdapterName, BaseModelName, Digest, Fence, Incarnation, RequestId, Sequence, VersionNumber,
+        AdapterName, BaseModelName, Fence, Incarnation, RequestId, Sequence, VersionNumber,
+        WeightsDigest,
     },
     serde::{Deserialize, Serialize},
 };
@@ -12,7 +13,7 @@
 pub struct AdapterBody {
     pub adapter: AdapterName,
     pub version: VersionNumber,
-    pub digest: Digest,
+    pub digest: WeightsDigest,
 }
 
 /// `GET /engine/status`
