--- a/testkit/src/cluster/fleet.rs
+++ b/testkit/src/cluster/fleet.rs
@@ -87,7 +87,7 @@
 
     async fn start_nodes(&mut self) -> Result<()> {
         for _ in 0..self.settings.entries {
-            self.add_entry()?;
+            self.add_entry().await?;
         }
         for engine in self.settings.engines.clone() {
             self.add_engine(engine).await?;
@@ -147,7 +147,7 @@
     }
 
     /// start one more entry; give its index
-    pub fn add_entry(&mut self) -> Result<usize> {
+    pub async fn add_entry(&mut self) -> Result<usize> {
         let index = self.entries.len();
         let name = format!("entry-{index}");
         let zone = self.zone(index);
@@ -166,7 +166,7 @@
             zone: &zone,
             role: Role::Entry,
             listen,
-            forwarder: None,
+            forwarder: forwarder(self.settings.forward_entries, listen).await?,
             settings,
             folder: &self.folder,
         })?;
@@ -260,16 +260,12 @@
             "target": target,
         }));
         settings.extend(self.settings.sidecar_settings.clone());
-        let forwarder = match self.settings.forward_targets {
-            true => Some(TcpForwarder::start(listen, Duration::ZERO).await?),
-            false => None,
-        };
         let node = Node::start(NodeStart {
             name,
             zone: &zone,
             role,
             listen,
-            forwarder,
+            forwarder: forwarder(self.settings.forward_targets, listen).await?,
             settings,
             folder: &self.folder,
         })?;
@@ -291,6 +287,13 @@
     }
 }
 
+async fn forwarder(wanted: bool, listen: SocketAddr) -> Result<Option<TcpForwarder>> {
+    match wanted {
+        true => Ok(Some(TcpForwarder::start(listen, Duration::ZERO).await?)),
+        false => Ok(None),
+    }
+}
+
 fn service_target(service: &ServiceStandIn, settings: &ServiceSettings) -> Value {
     json!({ "service": {
         "addr": service.addr(),
--- a/testkit/src/cluster/settings.rs
+++ b/testkit/src/cluster/settings.rs
@@ -25,6 +25,8 @@
     pub store: StoreSettings,
     /// reach sidecars through forwarders, so that tests can cut them off
     pub forward_targets: bool,
+    /// the same for what peers ask of entries; callers reach them directly
+    pub forward_entries: bool,
     /// keys added to the entries' settings
     pub entry_settings: Map<String, Value>,
     /// keys added to the sidecars' settings
@@ -54,6 +56,7 @@
                 load_time: Duration::from_millis(50),
             },
             forward_targets: false,
+            forward_entries: false,
             entry_settings: Map::new(),
             sidecar_settings: Map::new(),
         }
--- a/testkit/tests/at_most_once.rs
+++ b/testkit/tests/at_most_once.rs
@@ -217,6 +217,24 @@
     Ok(())
 }
 
+/// the call reaches the target only after its caller has cancelled it
+/// through another entry
+#[tokio::test]
+async fn an_entry_that_wakes_with_a_call_in_hand_comes_too_late() -> Result<()> {
+    let cluster = Cluster::start(one_service()).await?;
+    let first = cluster.client(0).await?;
+    let mut second = cluster.client(1).await?;
+    let id = reserve(&mut second).await?;
+    cluster.entries[0].process.freeze()?;
+    let in_hand = spawn_call(first, &id, LONG);
+    assert_eq!(cancel(&mut second, &id).await?, OutcomeCode::NotRun);
+    cluster.entries[0].process.thaw()?;
+    let failure = in_hand.await?.expect_err("cancelled");
+    assert_eq!(failure.outcome, Outcome::NotRun);
+    assert_eq!(cluster.services[0].service.runs(BODY), 0);
+    Ok(())
+}
+
 #[tokio::test]
 async fn a_race_of_calls_and_cancels_keeps_every_word() -> Result<()> {
     const RACES: u32 = 60;
--- a/testkit/tests/configuration.rs
+++ b/testkit/tests/configuration.rs
@@ -14,6 +14,7 @@
     },
     chalkcart_testkit::{
         cluster::{Cluster, ClusterSettings},
+        forwarder::Cut,
         load::{check_answer, generate, Verdict},
         waiting::{until, until_async},
     },
@@ -112,7 +113,7 @@
     cluster.platform.publish(third);
     cluster.wait_in_force(0, 3).await?;
     cluster.platform.set_stale(Some(first));
-    let added = cluster.add_entry()?;
+    let added = cluster.add_entry().await?;
     cluster.entries[added].wait_ready().await?;
     assert_eq!(generation(&cluster, added).await?, 3);
     cluster.entries[0].process.kill()?;
@@ -144,7 +145,7 @@
     cluster.platform.publish(one);
     cluster.wait_in_force(0, 2).await?;
     cluster.platform.publish(other);
-    let added = cluster.add_entry()?;
+    let added = cluster.add_entry().await?;
     cluster.entries[added].wait_ready().await?;
     wait_log(&cluster, added, "another content under generation 2").await;
     let root = root_of(&cluster, added).await?;
@@ -214,3 +215,40 @@
     cluster.platform.publish(next);
     cluster.wait_in_force(0, 2).await
 }
+
+/// entries that no peer can reach read the platform themselves; sidecars,
+/// which read entries only, follow once the cut is healed
+#[tokio::test]
+async fn entries_cut_from_each_other_read_the_platform_and_serve_on() -> Result<()> {
+    let settings = ClusterSettings {
+        entries: 5,
+        forward_entries: true,
+        ..ClusterSettings::default()
+    };
+    let cluster = Cluster::start(settings).await?;
+    let set = |cut| {
+        for entry in &cluster.entries {
+            entry.forwarder.as_ref().expect("a forwarder").set(cut);
+        }
+    };
+    set(Cut::Closed);
+    let next = cluster.platform.documents().changed(&new_version())?;
+    cluster.platform.publish(next);
+    for entry in 0..5 {
+        wait_generation(&cluster, entry, 2).await?;
+        let mut client = cluster.client(entry).await?;
+        let req = GenerateRequest {
+            group: "branches".to_string(),
+            class: "counter".to_string(),
+            adapter: "loan-0".to_string(),
+            version: 3,
+            prompt: format!("cut off {entry}"),
+            max_tokens: 3,
+            ..GenerateRequest::default()
+        };
+        let answer = generate(&mut client, req.clone()).await;
+        assert_eq!(check_answer(&req, &answer.expect("served")), Verdict::Good);
+    }
+    set(Cut::None);
+    cluster.wait_in_force(0, 2).await
+}
