Experiments: a warm-up that is checked but not counted; stalls measured from the wish

A sidecar told entries the time of a load without the wait for its permit, so that they took loads for cheaper than they are.

Change: LoadSettings.warm_up; variants of the routing run side by side; a sidecar's load time counts from the wish for the adapter.

--- a/coordination/src/sidecar/loading.rs
+++ b/coordination/src/sidecar/loading.rs
@@ -39,6 +39,7 @@
 
 #[derive(Debug)]
 struct Wish {
+    since: Instant,
     permit: PermitState,
     unanswered: u32,
     failed: u32,
@@ -78,7 +79,7 @@
             self.giver = giver;
         }
     }
-    /// time of one load, smoothed
+    /// time from the wish for an adapter until it is loaded, smoothed
     pub(super) fn load_time(&self) -> Duration {
         let default = DEFAULT_LOAD_TIME.as_secs_f64();
         Duration::from_secs_f64(self.load_time.unwrap_or(default))
@@ -154,8 +155,10 @@
         self.return_permit(key);
         match result {
             OrderResult::Done => {
-                self.loads.measure(took);
-                self.loads.wishes.remove(key);
+                let wish = self.loads.wishes.remove(key);
+                // the way to the permit is a part of what requests wait for
+                let waited = wish.map(|w| now.saturating_duration_since(w.since));
+                self.loads.measure(waited.unwrap_or(took));
             }
             OrderResult::Failed => self.on_load_failed(key, now),
             OrderResult::Fenced => self.doubt(),
@@ -235,6 +238,7 @@
             return;
         }
         let wish = self.loads.wishes.entry(key.clone()).or_insert(Wish {
+            since: now,
             permit: PermitState::AskAt(now),
             unanswered: 0,
             failed: 0,
--- a/protocol/src/peer/report.rs
+++ b/protocol/src/peer/report.rs
@@ -26,7 +26,8 @@
     pub stalled: u32,
     /// time of one token of one request, in µs, as measured
     pub token_micros: u64,
-    /// time of one load, in ms, as measured
+    /// time from the wish for an adapter until it is loaded, in ms, as
+    /// measured
     pub load_millis: u64,
     pub loaded: Vec<LoadedAdapter>,
 }
--- a/testkit/examples/demo.rs
+++ b/testkit/examples/demo.rs
@@ -90,8 +90,8 @@
             stream("committee", "overnight", "file", 8.0, 48),
         ],
         span: SPAN,
-        shift: true,
-        window_from: Duration::ZERO,
+        shift: Some(SPAN / 2),
+        warm_up: Duration::ZERO,
         seed: 1,
     };
     let report = run_load(&clients, &settings).await;
--- a/testkit/examples/experiment/fleet.rs
+++ b/testkit/examples/experiment/fleet.rs
@@ -98,13 +98,7 @@
         .iter()
         .map(|e| e.engine.unloaded_in_use())
         .sum();
-    let answered: u64 = report
-        .classes
-        .values()
-        .map(|c| c.completed + c.not_run + c.may_have_run)
-        .sum();
-    let lost = report.sent() - answered - report.wrong - report.cut_off;
-    let bad = report.wrong + report.cut_off + lost + u64::from(unloaded);
+    let bad = report.wrong + report.cut_off + report.open + u64::from(unloaded);
     ensure!(bad == 0, "bad outcomes: {report:?}");
     Ok(bad)
 }
--- a/testkit/examples/experiment/overload.rs
+++ b/testkit/examples/experiment/overload.rs
@@ -53,8 +53,8 @@
             in_time: Duration::from_millis(u64::from(TIMEOUT_MS)),
         }],
         span: plan.span(),
-        shift: false,
-        window_from: plan.span() / 4,
+        shift: None,
+        warm_up: plan.span() / 4,
         seed,
     };
     let report = run_load(&clients(&cluster).await?, &load).await;
--- a/testkit/examples/experiment/permits.rs
+++ b/testkit/examples/experiment/permits.rs
@@ -95,8 +95,8 @@
     let load = LoadSettings {
         streams: streams(user),
         span: plan.span(),
-        shift: true,
-        window_from: Duration::ZERO,
+        shift: Some(plan.span() / 2),
+        warm_up: Duration::ZERO,
         seed,
     };
     let running = tokio::spawn(async move { run_load(&clients, &load).await });
--- a/testkit/examples/experiment/routing.rs
+++ b/testkit/examples/experiment/routing.rs
@@ -7,10 +7,12 @@
     chalkcart_testkit::{
         cluster::{Cluster, ClusterSettings},
         configs::{head_office, trentside, UserSize},
-        load::{run_load, scrape_engines, LoadSettings},
+        load::{run_load, scrape_engines, LoadSettings, Scraped},
     },
+    futures::future::join_all,
     serde_json::{json, Map, Value},
     std::time::Duration,
+    tokio::time::sleep,
 };
 
 const POLICIES: [&str; 4] = [
@@ -20,20 +22,34 @@
     "random",
 ];
 /// requests a second, near to what the store's three loads a second carry
-const RATE: f64 = 14.0;
+const RATE: f64 = 9.0;
 const BATCH_AHEAD: [u64; 3] = [0, 500, 8_000];
-/// requests a second, near to what the engines carry
-const BUSY_RATE: f64 = 55.0;
+/// requests a second of few hot adapters, near to what the engines carry
+const BUSY_RATE: f64 = 45.0;
+/// the fleet starts empty, and the store fills 96 slots in 32 s
+const WARM_UP: Duration = Duration::from_secs(30);
+
+/// one variant of a measurement
+struct Variant {
+    name: String,
+    settings: ClusterSettings,
+    rate: f64,
+}
 
 pub async fn run(plan: &Plan) -> Result<Vec<Value>> {
     let mut rows = Vec::new();
     for user in [head_office(), trentside()] {
-        for policy in POLICIES {
-            for seed in 1..=plan.seeds {
+        for seed in 1..=plan.seeds {
+            let variants = POLICIES.map(|policy| {
                 let mut settings = user_fleet(&user);
                 settings.entry_settings = object(json!({ "routing": policy }));
-                rows.push(measure(&user, policy, settings, RATE, plan, seed).await?);
-            }
+                Variant {
+                    name: policy.to_string(),
+                    settings,
+                    rate: RATE,
+                }
+            });
+            rows.extend(measure_together(&user, variants.into(), plan, seed).await?);
         }
     }
     Ok(rows)
@@ -42,62 +58,101 @@
 pub async fn run_batch_ahead(plan: &Plan) -> Result<Vec<Value>> {
     let mut rows = Vec::new();
     for user in [head_office(), trentside()] {
-        for tokens in BATCH_AHEAD {
-            for seed in 1..=plan.seeds {
+        for seed in 1..=plan.seeds {
+            let variants = BATCH_AHEAD.map(|tokens| {
                 let mut settings = user_fleet(&user);
                 settings.documents.root.policy.batch_ahead_tokens = tokens;
-                let name = format!("batch ahead {tokens}");
-                rows.push(measure(&user, &name, settings, BUSY_RATE, plan, seed).await?);
-            }
+                Variant {
+                    name: format!("batch ahead {tokens}"),
+                    settings,
+                    rate: BUSY_RATE,
+                }
+            });
+            rows.extend(measure_together(&user, variants.into(), plan, seed).await?);
         }
     }
     Ok(rows)
 }
 
-async fn measure(
+/// all variants at the same time, so that the machine treats them alike
+async fn measure_together(
     user: &UserSize,
-    variant: &str,
-    settings: ClusterSettings,
-    rate: f64,
+    variants: Vec<Variant>,
     plan: &Plan,
     seed: u64,
-) -> Result<Value> {
-    let cluster = Cluster::start(settings).await?;
+) -> Result<Vec<Value>> {
+    let measured = variants.into_iter().map(|v| measure(user, v, plan, seed));
+    join_all(measured).await.into_iter().collect()
+}
+
+async fn measure(user: &UserSize, variant: Variant, plan: &Plan, seed: u64) -> Result<Value> {
+    let cluster = Cluster::start(variant.settings).await?;
     let load = LoadSettings {
-        streams: vec![user_stream(user, rate)],
-        span: plan.span(),
-        shift: true,
-        window_from: Duration::ZERO,
+        streams: vec![user_stream(user, variant.rate)],
+        span: WARM_UP + plan.span(),
+        shift: Some(WARM_UP + plan.span() / 2),
+        warm_up: WARM_UP,
         seed,
     };
-    let report = run_load(&clients(&cluster).await?, &load).await;
+    let clients = clients(&cluster).await?;
+    let running = tokio::spawn(async move { run_load(&clients, &load).await });
+    sleep(WARM_UP).await;
+    let before = Engines::read(&cluster).await?;
+    let report = running.await?;
     let bad = check(&cluster, &report)?;
-    let stalls = scrape_engines(&cluster, "chalkcart_load_stall_seconds").await?;
-    let waits = scrape_engines(&cluster, "chalkcart_wait_seconds").await?;
+    let engines = Engines::read(&cluster).await?.since(&before);
     let class = report.classes.values().next().expect("one stream");
-    let (steps, in_steps) = cluster
-        .engines
-        .iter()
-        .map(|e| e.engine.steps())
-        .fold((0, 0), |sum, one| (sum.0 + one.0, sum.1 + one.1));
     Ok(noted(json!({
         "user": user.name,
-        "variant": variant,
+        "variant": variant.name,
         "seed": seed,
         "sent": class.sent,
         "in time %": 100.0 * class.in_time as f64 / class.sent as f64,
         "not run": class.not_run,
-        "stalled %": 100.0 * stalls.count / waits.count.max(1.0),
-        "stall p50 s": stalls.quantile(0.5),
-        "stall p99 s": stalls.quantile(0.99),
+        "stalled %": 100.0 * engines.stalls.count / engines.waits.count.max(1.0),
+        "stall p50 s": engines.stalls.quantile(0.5),
+        "stall p99 s": engines.stalls.quantile(0.99),
         "ttft p50 ms": class.first_token_ms(0.5),
         "ttft p99 ms": class.first_token_ms(0.99),
-        "requests a step": in_steps as f64 / steps.max(1) as f64,
-        "loads": cluster.store.started(),
+        "requests a step": engines.requests as f64 / engines.steps.max(1) as f64,
+        "loads": engines.loads,
         "bad": bad,
     })))
 }
 
+/// what the engines and their sidecars have counted
+struct Engines {
+    stalls: Scraped,
+    waits: Scraped,
+    steps: u64,
+    /// requests in the steps
+    requests: u64,
+    loads: u64,
+}
+
+impl Engines {
+    async fn read(cluster: &Cluster) -> Result<Self> {
+        let steps = cluster.engines.iter().map(|e| e.engine.steps());
+        let (steps, requests) = steps.fold((0, 0), |sum, one| (sum.0 + one.0, sum.1 + one.1));
+        Ok(Self {
+            stalls: scrape_engines(cluster, "chalkcart_load_stall_seconds").await?,
+            waits: scrape_engines(cluster, "chalkcart_wait_seconds").await?,
+            steps,
+            requests,
+            loads: cluster.store.started(),
+        })
+    }
+    fn since(self, earlier: &Self) -> Self {
+        Self {
+            stalls: self.stalls.since(&earlier.stalls),
+            waits: self.waits.since(&earlier.waits),
+            steps: self.steps - earlier.steps,
+            requests: self.requests - earlier.requests,
+            loads: self.loads - earlier.loads,
+        }
+    }
+}
+
 fn object(value: Value) -> Map<String, Value> {
     value.as_object().cloned().unwrap_or_default()
 }
--- a/testkit/examples/experiment/shares.rs
+++ b/testkit/examples/experiment/shares.rs
@@ -65,8 +65,8 @@
     let load = LoadSettings {
         streams,
         span: plan.span(),
-        shift: false,
-        window_from: plan.span() / 3,
+        shift: None,
+        warm_up: plan.span() / 3,
         seed,
     };
     let report = run_load(&clients(&cluster).await?, &load).await;
--- a/testkit/src/load/open_loop.rs
+++ b/testkit/src/load/open_loop.rs
@@ -36,17 +36,25 @@
 pub struct LoadSettings {
     pub streams: Vec<Stream>,
     pub span: Duration,
-    /// popularity shifts half way
-    pub shift: bool,
-    /// tokens are counted for shares from this time to the end of the span
-    pub window_from: Duration,
+    /// when popularity shifts
+    pub shift: Option<Duration>,
+    /// requests sent before are checked but not counted
+    pub warm_up: Duration,
     pub seed: u64,
 }
 
 enum Event {
-    Sent(usize),
-    Answered(usize, Box<GenerateRequest>, Answer),
-    Failed(usize, Box<Failure>),
+    Sent,
+    Answered(Box<GenerateRequest>, Answer),
+    Failed(Box<Failure>),
+}
+
+/// what happened to a request of a stream
+struct Noted {
+    stream: usize,
+    /// it was sent after the warm-up
+    counted: bool,
+    event: Event,
 }
 
 /// run a load over the entries in turn, and check every answer
@@ -73,7 +81,7 @@
     stream: Stream,
     settings: LoadSettings,
     clients: Vec<InferenceClient<Channel>>,
-    events: mpsc::UnboundedSender<Event>,
+    events: mpsc::UnboundedSender<Noted>,
 ) {
     let seed = settings.seed.wrapping_mul(1_000).wrapping_add(index as u64);
     let mut rng = SmallRng::seed_from_u64(seed);
@@ -88,7 +96,7 @@
         if at >= settings.span {
             return;
         }
-        if settings.shift && !shifted && at >= settings.span / 2 {
+        if !shifted && settings.shift.is_some_and(|shift| at >= shift) {
             popularity.shift();
             shifted = true;
         }
@@ -104,62 +112,84 @@
             ..GenerateRequest::default()
         };
         let client = clients[number as usize % clients.len()].clone();
+        let noted = move |event| Noted {
+            stream: index,
+            counted: at >= settings.warm_up,
+            event,
+        };
         // the collector lives until all senders are gone
-        let _ = events.send(Event::Sent(index));
-        tokio::spawn(send_one(index, client, req, events.clone()));
+        let _ = events.send(noted(Event::Sent));
+        tokio::spawn(send_one(client, req, events.clone(), noted));
     }
 }
 
 async fn send_one(
-    index: usize,
     mut client: InferenceClient<Channel>,
     req: GenerateRequest,
-    events: mpsc::UnboundedSender<Event>,
+    events: mpsc::UnboundedSender<Noted>,
+    noted: impl Fn(Event) -> Noted,
 ) {
     let event = match generate(&mut client, req.clone()).await {
-        Ok(answer) => Event::Answered(index, Box::new(req), answer),
-        Err(failure) => Event::Failed(index, failure),
+        Ok(answer) => Event::Answered(Box::new(req), answer),
+        Err(failure) => Event::Failed(failure),
     };
-    let _ = events.send(event);
+    let _ = events.send(noted(event));
 }
 
 async fn collect(
     settings: &LoadSettings,
-    mut events: mpsc::UnboundedReceiver<Event>,
+    mut events: mpsc::UnboundedReceiver<Noted>,
 ) -> LoadReport {
     let started = Instant::now();
     let mut report = LoadReport::default();
-    while let Some(event) = events.recv().await {
-        let index = match &event {
-            Event::Sent(index) | Event::Answered(index, ..) | Event::Failed(index, _) => *index,
-        };
-        let stream = &settings.streams[index];
+    while let Some(noted) = events.recv().await {
+        check(&mut report, &noted.event);
+        if !noted.counted {
+            continue;
+        }
+        let stream = &settings.streams[noted.stream];
         let name = format!("{}/{}", stream.group, stream.class);
-        let verdict = match &event {
-            Event::Answered(_, req, answer) => check_answer(req, answer),
-            Event::Sent(_) | Event::Failed(..) => Verdict::Good,
-        };
-        report.wrong += u64::from(verdict == Verdict::Wrong);
-        report.cut_off += u64::from(verdict == Verdict::CutOff);
-        let now = started.elapsed();
-        let in_window = now >= settings.window_from && now <= settings.span;
         let class = report.classes.entry(name).or_default();
-        match event {
-            Event::Sent(_) => class.sent += 1,
-            Event::Answered(_, _, answer) => {
-                count_answer(class, stream, &answer, verdict);
-                class.window_tokens += answer.tokens.len() as u64 * u64::from(in_window);
+        match noted.event {
+            Event::Sent => class.sent += 1,
+            Event::Failed(failure) => count_failure(class, &failure),
+            Event::Answered(req, answer) => {
+                let is_good = check_answer(&req, &answer) == Verdict::Good;
+                let in_span = started.elapsed() <= settings.span;
+                count_answer(class, stream, &answer, is_good, in_span);
             }
-            Event::Failed(_, failure) => count_failure(class, &failure),
         }
     }
     report
 }
 
-fn count_answer(class: &mut ClassReport, stream: &Stream, answer: &Answer, verdict: Verdict) {
-    if verdict != Verdict::Good {
+/// bad outcomes are counted over the whole run, the warm-up included
+fn check(report: &mut LoadReport, event: &Event) {
+    match event {
+        Event::Sent => report.open += 1,
+        Event::Failed(_) => report.open -= 1,
+        Event::Answered(req, answer) => {
+            report.open -= 1;
+            match check_answer(req, answer) {
+                Verdict::Good => {}
+                Verdict::Wrong => report.wrong += 1,
+                Verdict::CutOff => report.cut_off += 1,
+            }
+        }
+    }
+}
+
+fn count_answer(
+    class: &mut ClassReport,
+    stream: &Stream,
+    answer: &Answer,
+    is_good: bool,
+    in_span: bool,
+) {
+    if !is_good {
         return;
     }
+    class.window_tokens += answer.tokens.len() as u64 * u64::from(in_span);
     class.completed += 1;
     class.tokens += answer.tokens.len() as u64;
     class.in_time += u64::from(answer.first_token <= stream.in_time);
--- a/testkit/src/load/report.rs
+++ b/testkit/src/load/report.rs
@@ -13,7 +13,7 @@
     pub not_run: u64,
     pub may_have_run: u64,
     pub tokens: u64,
-    /// tokens of answers that ended within the load's window
+    /// tokens of answers that ended within the load's span
     pub window_tokens: u64,
     /// in µs
     pub first_token: Histogram<u64>,
@@ -66,8 +66,8 @@
     pub wrong: u64,
     /// answers that were not whole
     pub cut_off: u64,
-    /// streams that ended without any word
-    pub lost: u64,
+    /// requests without any word at the end
+    pub open: u64,
     pub span: Duration,
 }
 
--- a/testkit/src/load/scrape.rs
+++ b/testkit/src/load/scrape.rs
@@ -16,6 +16,15 @@
         let found = self.buckets.iter().find(|(_, n)| **n >= wanted);
         found.map_or(0.0, |(bits, _)| f64::from_bits(*bits))
     }
+    /// what came after an earlier reading
+    pub fn since(mut self, earlier: &Self) -> Self {
+        self.count -= earlier.count;
+        self.sum -= earlier.sum;
+        for (bound, count) in &mut self.buckets {
+            *count -= earlier.buckets.get(bound).copied().unwrap_or(0.0);
+        }
+        self
+    }
     fn add_line(&mut self, rest: &str, value: f64) {
         if rest.starts_with("_count") {
             self.count += value;
