Carry more than 200 streams on one connection; ageing by a class's own time

Cause: the capacity program hung with 240 streams: hyper's default lets one HTTP/2 connection carry 200, so a caller with one connection to an entry waits behind its own streams. Ruled out: the sidecar's queue (nothing waited there, no refusal in its log) and the batch of 512.

Change: 4,096 streams a connection; the test configurations age a class by a third of its timeout. Test: one_connection_carries_more_streams_than_a_few_hundred passes; before, the same load never reached 240 running.

--- a/testkit/src/configs/documents.rs
+++ b/testkit/src/configs/documents.rs
@@ -115,7 +115,8 @@
         name: name.to_string(),
         priority,
         timeout_ms,
-        age_after_ms: 5_000,
+        // patient work becomes urgent within two thirds of its time
+        age_after_ms: timeout_ms / 3,
         stall_cost,
     }
 }
--- a/testkit/tests/whole_answers.rs
+++ b/testkit/tests/whole_answers.rs
@@ -269,6 +269,34 @@
     Ok(())
 }
 
+/// the library's own bound of 200 streams once held the others back
+#[tokio::test]
+async fn one_connection_carries_more_streams_than_a_few_hundred() -> Result<()> {
+    const STREAMS: usize = 260;
+    let engine = EngineSettings {
+        max_batch: 512,
+        step: Duration::from_millis(100),
+        step_per_request: Duration::ZERO,
+        ..EngineSettings::default()
+    };
+    let cluster = Cluster::start(ClusterSettings {
+        engines: vec![engine],
+        ..engines_only()
+    })
+    .await?;
+    let client = cluster.client(0).await?;
+    let mut running = Vec::new();
+    for number in 0..STREAMS {
+        let mut client = client.clone();
+        let req = prompt(number);
+        running.push(tokio::spawn(
+            async move { generate(&mut client, req).await },
+        ));
+    }
+    wait_running(&cluster, STREAMS).await;
+    expect_all_whole(running, "one connection").await
+}
+
 #[test]
 fn the_check_catches_one_planted_fault_of_each_kind() {
     use chalkcart_protocol::v1::Finished;
--- a/transport/src/server/http_server.rs
+++ b/transport/src/server/http_server.rs
@@ -18,6 +18,10 @@
 /// pause after a failed accept, so that a lack of descriptors is no busy loop
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// streams on one HTTP/2 connection; a caller may send all its requests
+/// through one
+const MAX_STREAMS: u32 = 4_096;
+
 /// becomes true when the server is to stop
 pub type Stop = watch::Receiver<bool>;
 
@@ -80,7 +84,8 @@
             call_handler(handler, AssertUnwindSafe(state)).await
         }
     });
-    let builder = auto::Builder::new(TokioExecutor::new());
+    let mut builder = auto::Builder::new(TokioExecutor::new());
+    builder.http2().max_concurrent_streams(MAX_STREAMS);
     let connection = builder.serve_connection(TokioIo::new(socket), service);
     let watched = graceful.watch(connection.into_owned());
     tokio::spawn(async move {
