Loads: ask only for what may be loaded next, take back dead claims, one home for the cold

With many wishes the store was not even used (13 loads in 20 s of 60 possible): every sidecar asked for all it wished, and the longest waiting claims, which rank first, were those whose requests had just run out of time; each blocked a permit for 600 ms. 3. A request whose load could not come in time waited 8 s for its refusal. 4. Found by reading: one very slow run made a target refuse everything for good, since a refused request can't be measured.

Change: one home for a cold adapter; a sidecar asks for as many loads as it may run, returns the claim of a wish that is gone, and counts the loads before a request at its admission; measured times count only while something runs or is wished for.

--- a/coordination/src/routing/least_expected_wait.rs
+++ b/coordination/src/routing/least_expected_wait.rs
@@ -25,7 +25,7 @@
 impl Default for WaitSettings {
     fn default() -> Self {
         Self {
-            min_homes: 2,
+            min_homes: 1,
             requests_per_home: 40.0,
         }
     }
--- a/coordination/src/sidecar/loading.rs
+++ b/coordination/src/sidecar/loading.rs
@@ -109,15 +109,35 @@
 }
 
 impl SidecarControl {
-    /// move each wished load one step on, the most urgent first
+    /// move the most urgent wishes one step on; the others wait here, so that
+    /// the giver hears only of what may be loaded next
     pub(super) fn load_what_waits(&mut self, now: Instant) {
         let wished = self.wished_adapters(now);
         self.drop_old_wishes(&wished);
+        let under_way = self.slots.loading_count() + self.loads.unloading.len();
+        let places = self.settings.max_loads.saturating_sub(under_way);
+        let mut advanced = 0;
         for key in &wished {
-            if self.slots.loading_count() + self.loads.unloading.len() >= self.settings.max_loads {
+            if advanced >= places {
                 return;
             }
-            self.advance_wish(key, now);
+            // loading, unloading, or running empty for another
+            if self.slots.phase(key).is_none() {
+                self.advance_wish(key, now);
+                advanced += 1;
+            }
+        }
+    }
+
+    /// how long a request for an adapter that is not loaded would wait for
+    /// it; zero while no other load is waited for, so that a bad measurement
+    /// can't keep the next one from being made
+    pub(super) fn expected_stall(&self, key: &AdapterKey) -> Duration {
+        let is_wished = self.slots.phase(key).is_some() || self.loads.wishes.contains_key(key);
+        let before = self.loads.wishes.len() / self.settings.max_loads.max(1);
+        match is_wished {
+            true => Duration::ZERO,
+            false => self.loads.load_time() * before as u32,
         }
     }
 
@@ -221,10 +241,9 @@
             .cloned()
             .collect();
         for key in dropped {
-            let wish = self.loads.wishes.remove(&key);
-            if wish.is_some_and(|w| matches!(w.permit, PermitState::Held(_))) {
-                self.return_permit(&key);
-            }
+            self.loads.wishes.remove(&key);
+            // a claim that nobody comes back for would hold up the others
+            self.return_permit(&key);
         }
         let needs_slot = |key| self.slots.phase(key).is_none();
         if !wished.iter().any(needs_slot) {
@@ -233,10 +252,6 @@
     }
 
     fn advance_wish(&mut self, key: &AdapterKey, now: Instant) {
-        // loading, unloading, or running empty for another
-        if self.slots.phase(key).is_some() {
-            return;
-        }
         let wish = self.loads.wishes.entry(key.clone()).or_insert(Wish {
             since: now,
             permit: PermitState::AskAt(now),
--- a/coordination/src/sidecar/queueing.rs
+++ b/coordination/src/sidecar/queueing.rs
@@ -144,7 +144,7 @@
             return Err(refusal.with_retry_after(after));
         }
         let run = self.run_time_per_token() * work.work.output_tokens();
-        let needed = self.expected_wait(work, now) + run;
+        let needed = self.expected_wait(work, now) + self.stall_of(work) + run;
         if needed > work.remaining {
             let after = (needed - work.remaining).max(MIN_RETRY_AFTER);
             let refusal = self.refusal(Step::Admission, Reason::Overloaded);
@@ -185,9 +185,19 @@
         self.time_for(own_pace.min(all as f64))
     }
 
-    /// zero until a run was measured, so that no guess refuses anything
+    fn stall_of(&self, work: &WorkOrder) -> Duration {
+        match &work.work {
+            Work::Generate(work) => self.expected_stall(&AdapterKey::from(work)),
+            Work::Call(_) => Duration::ZERO,
+        }
+    }
+
+    /// zero until a run was measured, and while nothing runs: a bad
+    /// measurement must not keep the next one from being made
     fn run_time_per_token(&self) -> Duration {
-        self.runs.measured_token_time().unwrap_or(Duration::ZERO)
+        let measured = self.runs.measured_token_time();
+        let measured = measured.filter(|_| self.runs.len() > 0);
+        measured.unwrap_or(Duration::ZERO)
     }
 
     fn time_to_drain(&self) -> Duration {
