Loads: only the most urgent wishes claim permits; the load book in its own file

Cause: a wish that was outranked kept its claim at the giver until it was forgotten; loading.rs held state and decisions in 400 lines.

Change: outranked wishes are dropped with their claim; load_book.rs; the admission counts all adapters that are waited for. The experiment routing-hot: few hot adapters, so that the engines and not the store are the bottleneck.

--- a/coordination/src/sidecar/loading.rs
+++ b/coordination/src/sidecar/loading.rs
@@ -1,131 +1,45 @@
 //! loads and unloads of adapters, and the permits for them
 
 use {
-    super::{OrderFence, OrderResult, PermitMode, SidecarAction, SidecarControl},
+    super::{
+        load_book::{PermitState, Wish},
+        OrderFence, OrderResult, PermitMode, SidecarAction, SidecarControl,
+    },
     crate::slots::{AdapterKey, Room},
     chalkcart_protocol::peer::{PermitAnswer, PermitAsk, PermitPurpose, Reason, Step},
     chalkcart_state::ids::{Incarnation, RequestId},
-    std::{
-        collections::{HashMap, HashSet},
-        net::SocketAddr,
-        time::{Duration, Instant},
-    },
+    std::time::{Duration, Instant},
 };
 
-/// assumed until a load was measured
-const DEFAULT_LOAD_TIME: Duration = Duration::from_millis(500);
-/// weight of the newest measurement
-const SMOOTHING: f64 = 0.2;
 /// asks without an answer after which a load goes ahead without a permit
 const MAX_UNANSWERED: u32 = 2;
 /// pause after an ask without an answer
 const UNANSWERED_PAUSE: Duration = Duration::from_millis(200);
-/// how long a permit of a fixed rate may be used
-const STATIC_LEASE: Duration = Duration::from_secs(5);
+/// how long a load may go ahead without a permit
+const UNGIVEN_LEASE: Duration = Duration::from_millis(500);
 /// failed loads after which the waiting requests are refused
 const MAX_FAILED_LOADS: u32 = 3;
 /// pause after the first failed load; doubles each time
 const FAILED_LOAD_PAUSE: Duration = Duration::from_millis(100);
 
-/// how far the way to a load has come
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum PermitState {
-    /// not asked, or told to ask again at this time
-    AskAt(Instant),
-    Asked,
-    /// may load until this time
-    Held(Instant),
-}
-
-#[derive(Debug)]
-struct Wish {
-    since: Instant,
-    permit: PermitState,
-    unanswered: u32,
-    failed: u32,
-}
-
-/// the loads that are wished for
-#[derive(Debug)]
-pub(super) struct LoadBook {
-    giver: Option<SocketAddr>,
-    wishes: HashMap<AdapterKey, Wish>,
-    /// permits whose load is under way
-    loading: HashMap<AdapterKey, SocketAddr>,
-    /// requests that waited for a load
-    stalled: HashSet<RequestId>,
-    /// engine orders whose end was not heard, by adapter
-    unloading: HashSet<AdapterKey>,
-    load_time: Option<f64>,
-    /// when a fixed rate allows the next load
-    static_next: Option<Instant>,
-}
-
-impl LoadBook {
-    pub(super) fn new() -> Self {
-        Self {
-            giver: None,
-            wishes: HashMap::new(),
-            loading: HashMap::new(),
-            stalled: HashSet::new(),
-            unloading: HashSet::new(),
-            load_time: None,
-            static_next: None,
-        }
-    }
-    /// an entry said who gives permits
-    pub(super) fn on_giver(&mut self, giver: Option<SocketAddr>) {
-        if giver.is_some() {
-            self.giver = giver;
-        }
-    }
-    /// time from the wish for an adapter until it is loaded, smoothed
-    pub(super) fn load_time(&self) -> Duration {
-        let default = DEFAULT_LOAD_TIME.as_secs_f64();
-        Duration::from_secs_f64(self.load_time.unwrap_or(default))
-    }
-    pub(super) fn take_stalled(&mut self, request: &str) -> bool {
-        self.stalled.remove(request)
-    }
-    /// the slots were read anew, after every earlier order
-    pub(super) fn forget_orders(&mut self) {
-        self.unloading.clear();
-    }
-    /// the next load of a fixed rate
-    fn next_static(&mut self, rate: f64, now: Instant) -> PermitState {
-        match self.static_next {
-            Some(next) if now < next => PermitState::AskAt(next),
-            _ => {
-                self.static_next = Some(now + Duration::from_secs_f64(1.0 / rate));
-                PermitState::Held(now + STATIC_LEASE)
-            }
-        }
-    }
-    fn measure(&mut self, took: Duration) {
-        let newest = took.as_secs_f64();
-        let before = self.load_time.unwrap_or(newest);
-        self.load_time = Some(before + SMOOTHING * (newest - before));
-    }
-}
-
 impl SidecarControl {
     /// move the most urgent wishes one step on; the others wait here, so that
     /// the giver hears only of what may be loaded next
     pub(super) fn load_what_waits(&mut self, now: Instant) {
         let wished = self.wished_adapters(now);
-        self.drop_old_wishes(&wished);
+        self.loads.wished_count = wished.len();
         let under_way = self.slots.loading_count() + self.loads.unloading.len();
         let places = self.settings.max_loads.saturating_sub(under_way);
-        let mut advanced = 0;
-        for key in &wished {
-            if advanced >= places {
-                return;
-            }
-            // loading, unloading, or running empty for another
-            if self.slots.phase(key).is_none() {
-                self.advance_wish(key, now);
-                advanced += 1;
-            }
+        let mut next = wished;
+        // loading, unloading, or running empty for another
+        next.retain(|key| self.slots.phase(key).is_none());
+        if next.is_empty() {
+            self.slots.stop_draining();
+        }
+        next.truncate(places);
+        self.drop_other_wishes(&next);
+        for key in &next {
+            self.advance_wish(key, now);
         }
     }
 
@@ -134,7 +48,10 @@
     /// can't keep the next one from being made
     pub(super) fn expected_stall(&self, key: &AdapterKey) -> Duration {
         let is_wished = self.slots.phase(key).is_some() || self.loads.wishes.contains_key(key);
-        let before = self.loads.wishes.len() / self.settings.max_loads.max(1);
+        let before = self
+            .loads
+            .wished_count
+            .div_ceil(self.settings.max_loads.max(1));
         match is_wished {
             true => Duration::ZERO,
             false => self.loads.load_time() * before as u32,
@@ -171,7 +88,6 @@
         took: Duration,
         now: Instant,
     ) {
-        self.loads.loading.remove(key);
         self.return_permit(key);
         match result {
             OrderResult::Done => {
@@ -232,32 +148,32 @@
         wished
     }
 
-    fn drop_old_wishes(&mut self, wished: &[AdapterKey]) {
-        let dropped: Vec<AdapterKey> = self
-            .loads
-            .wishes
-            .keys()
-            .filter(|key| !wished.contains(key) && !self.loads.loading.contains_key(*key))
-            .cloned()
+    /// forget wishes that are gone or outranked; one whose load failed keeps
+    /// its count of failures
+    fn drop_other_wishes(&mut self, next: &[AdapterKey]) {
+        let is_kept = |key: &AdapterKey, wish: &Wish| {
+            let is_waited_for = || self.queue.iter().any(|w| w.adapter.as_ref() == Some(key));
+            let is_under_way = next.contains(key) || self.slots.phase(key).is_some();
+            is_under_way || (wish.failed > 0 && is_waited_for())
+        };
+        let wishes = self.loads.wishes.iter();
+        let dropped: Vec<AdapterKey> = wishes
+            .filter(|(key, wish)| !is_kept(key, wish))
+            .map(|(key, _)| key.clone())
             .collect();
         for key in dropped {
             self.loads.wishes.remove(&key);
             // a claim that nobody comes back for would hold up the others
             self.return_permit(&key);
         }
-        let needs_slot = |key| self.slots.phase(key).is_none();
-        if !wished.iter().any(needs_slot) {
-            self.slots.stop_draining();
-        }
     }
 
     fn advance_wish(&mut self, key: &AdapterKey, now: Instant) {
-        let wish = self.loads.wishes.entry(key.clone()).or_insert(Wish {
-            since: now,
-            permit: PermitState::AskAt(now),
-            unanswered: 0,
-            failed: 0,
-        });
+        let wish = self
+            .loads
+            .wishes
+            .entry(key.clone())
+            .or_insert_with(|| Wish::new(now));
         let room = self.slots.room(now);
         if room == Room::Full {
             self.make_room(key, now);
@@ -299,7 +215,7 @@
             Some(giver) if wish.unanswered < MAX_UNANSWERED => giver,
             // the store keeps its own limit
             _ => {
-                wish.permit = PermitState::Held(now + DEFAULT_LOAD_TIME);
+                wish.permit = PermitState::Held(now + UNGIVEN_LEASE);
                 return;
             }
         };
@@ -356,9 +272,6 @@
     }
 
     fn order_load(&mut self, key: &AdapterKey, order: OrderFence) {
-        if let Some(giver) = self.loads.giver {
-            self.loads.loading.insert(key.clone(), giver);
-        }
         self.slots.begin_load(key.clone());
         self.actions.push(SidecarAction::Load {
             adapter: key.clone(),
--- a/coordination/src/sidecar/mod.rs
+++ b/coordination/src/sidecar/mod.rs
@@ -2,6 +2,7 @@
 
 mod actions;
 mod events;
+mod load_book;
 mod loading;
 mod queueing;
 mod running;
--- a/coordination/src/sidecar/sidecar_control.rs
+++ b/coordination/src/sidecar/sidecar_control.rs
@@ -1,7 +1,7 @@
 use {
     super::{
-        loading::LoadBook, running::RunBook, OrderFence, OrderResult, SidecarAction, SidecarEvent,
-        SidecarSettings, TargetKind,
+        load_book::LoadBook, running::RunBook, OrderFence, OrderResult, SidecarAction,
+        SidecarEvent, SidecarSettings, TargetKind,
     },
     crate::{
         fence::{EngineStatus, FenceKeeper, FenceState, FenceStep, PauseDetector},
--- a/testkit/examples/experiment/main.rs
+++ b/testkit/examples/experiment/main.rs
@@ -15,7 +15,8 @@
     serde_json::{json, Value},
 };
 
-const NAMES: &str = "routing, batch-ahead, permits, shares, overload, overhead, spread";
+const NAMES: &str =
+    "routing, routing-hot, batch-ahead, permits, shares, overload, overhead, spread";
 
 #[tokio::main]
 async fn main() -> Result<()> {
@@ -42,6 +43,7 @@
     let name = matches.free.first().map(String::as_str);
     let rows = match name {
         Some("routing") => routing::run(&plan).await?,
+        Some("routing-hot") => routing::run_hot(&plan).await?,
         Some("batch-ahead") => routing::run_batch_ahead(&plan).await?,
         Some("permits") => permits::run(&plan).await?,
         Some("shares") => shares::run(&plan).await?,
--- a/testkit/examples/experiment/routing.rs
+++ b/testkit/examples/experiment/routing.rs
@@ -7,7 +7,7 @@
     chalkcart_testkit::{
         cluster::{Cluster, ClusterSettings},
         configs::{head_office, trentside, UserSize},
-        load::{run_load, scrape_engines, LoadSettings, Scraped},
+        load::{run_load, scrape_engines, LoadSettings, Scraped, Stream},
     },
     futures::future::join_all,
     serde_json::{json, Map, Value},
@@ -29,14 +29,32 @@
 /// the fleet starts empty, and the store fills 96 slots in 32 s
 const WARM_UP: Duration = Duration::from_secs(30);
 
+/// few adapters, of which the hottest asks for more than one engine
+const HOT_ADAPTERS: usize = 60;
+const HOT_RATE: f64 = 45.0;
+
 /// one variant of a measurement
 struct Variant {
     name: String,
     settings: ClusterSettings,
-    rate: f64,
+    stream: Stream,
 }
 
+/// many adapters: the weight store is the bottleneck
 pub async fn run(plan: &Plan) -> Result<Vec<Value>> {
+    run_policies(plan, |user| user_stream(user, RATE)).await
+}
+
+/// few hot adapters: the engines are the bottleneck
+pub async fn run_hot(plan: &Plan) -> Result<Vec<Value>> {
+    let stream = |user: &UserSize| Stream {
+        adapters: HOT_ADAPTERS,
+        ..user_stream(user, HOT_RATE)
+    };
+    run_policies(plan, stream).await
+}
+
+async fn run_policies(plan: &Plan, stream: impl Fn(&UserSize) -> Stream) -> Result<Vec<Value>> {
     let mut rows = Vec::new();
     for user in [head_office(), trentside()] {
         for seed in 1..=plan.seeds {
@@ -46,7 +64,7 @@
                 Variant {
                     name: policy.to_string(),
                     settings,
-                    rate: RATE,
+                    stream: stream(&user),
                 }
             });
             rows.extend(measure_together(&user, variants.into(), plan, seed).await?);
@@ -65,7 +83,7 @@
                 Variant {
                     name: format!("batch ahead {tokens}"),
                     settings,
-                    rate: BUSY_RATE,
+                    stream: user_stream(&user, BUSY_RATE),
                 }
             });
             rows.extend(measure_together(&user, variants.into(), plan, seed).await?);
@@ -88,7 +106,7 @@
 async fn measure(user: &UserSize, variant: Variant, plan: &Plan, seed: u64) -> Result<Value> {
     let cluster = Cluster::start(variant.settings).await?;
     let load = LoadSettings {
-        streams: vec![user_stream(user, variant.rate)],
+        streams: vec![variant.stream],
         span: WARM_UP + plan.span(),
         shift: Some(WARM_UP + plan.span() / 2),
         warm_up: WARM_UP,
