Capacity: rows over the budget that were at hand are mended

Cause: the sums of docs/CAPACITY.md: roots passed on to sidecars 23.7 KB/s an entry (512 digests that sidecars never read), the table of targets 1,334 B a target (names of loaded adapters), a giver that every waiting sidecar asks each 150 ms.

Change: sidecars get a root without digests; targets keep hashes of what they hold; the giver's answer grows with the rank, 150 ms to 1 s.

--- a/coordination/src/permits/permit_giver.rs
+++ b/coordination/src/permits/permit_giver.rs
@@ -16,8 +16,10 @@
     pub lease: Duration,
     /// an asker that did not ask again for this long is forgotten
     pub patience: Duration,
-    /// when an asker without permit asks again
+    /// when the next in turn ask again
     pub retry_after: Duration,
+    /// when the last in turn ask again; less than `patience`
+    pub longest_retry: Duration,
 }
 
 impl Default for PermitSettings {
@@ -26,8 +28,9 @@
             loads_per_second: 3,
             loads_at_once: 2,
             lease: Duration::from_secs(5),
-            patience: Duration::from_millis(600),
+            patience: Duration::from_millis(1_500),
             retry_after: Duration::from_millis(150),
+            longest_retry: Duration::from_secs(1),
         }
     }
 }
@@ -97,9 +100,10 @@
                 asked: now,
             },
         );
-        if self.rank(&asker) >= self.free_permits() {
+        let rank = self.rank(&asker);
+        if rank >= self.free_permits() {
             return PermitAnswer::Wait {
-                retry_after: self.settings.retry_after,
+                retry_after: self.retry_after(rank),
             };
         }
         self.claims.remove(&asker);
@@ -117,6 +121,14 @@
         self.claims.remove(&asker);
     }
 
+    /// those far behind come back later, so that a fleet that waits does not
+    /// keep the giver busy
+    fn retry_after(&self, rank: usize) -> Duration {
+        let starts = f64::from(self.settings.loads_per_second.max(1));
+        let turn = Duration::from_secs_f64(rank as f64 / starts / 2.0);
+        turn.clamp(self.settings.retry_after, self.settings.longest_retry)
+    }
+
     fn refill(&mut self, now: Instant) {
         let gone = now.saturating_duration_since(self.refilled).as_secs_f64();
         let rate = f64::from(self.settings.loads_per_second);
--- a/coordination/src/routing/target.rs
+++ b/coordination/src/routing/target.rs
@@ -1,7 +1,10 @@
 use {
-    crate::membership::stable_hash,
-    chalkcart_protocol::peer::{LoadedAdapter, TargetReport},
-    chalkcart_state::fleet::{BoxState, FleetBox},
+    crate::membership::{rendezvous_weight, stable_hash},
+    chalkcart_protocol::peer::TargetReport,
+    chalkcart_state::{
+        fleet::{BoxState, FleetBox},
+        ids::VersionNumber,
+    },
     std::time::{Duration, Instant},
 };
 
@@ -18,7 +21,10 @@
 
 #[derive(Debug)]
 struct Heard {
+    /// without the names of the loaded adapters
     report: TargetReport,
+    /// hashes of the loaded adapters: names would take most of the memory
+    loaded: Box<[u64]>,
     at: Instant,
 }
 
@@ -67,11 +73,17 @@
         self.in_flight
     }
 
-    pub fn on_report(&mut self, report: TargetReport, now: Instant) {
+    pub fn on_report(&mut self, mut report: TargetReport, now: Instant) {
+        let loaded = std::mem::take(&mut report.loaded);
+        let hashes = loaded.iter().map(|l| loaded_hash(&l.adapter, l.version));
         self.unreported_tokens = 0;
         self.failures = 0;
         self.suspect_until = None;
-        self.heard = Some(Heard { report, at: now });
+        self.heard = Some(Heard {
+            report,
+            loaded: hashes.collect(),
+            at: now,
+        });
     }
     pub fn on_sent(&mut self, tokens: u64) {
         self.unreported_tokens += tokens;
@@ -123,8 +135,16 @@
         };
         one * (1 + stalled)
     }
-    pub fn has_loaded(&self, adapter: &str, version: u32) -> bool {
-        let is_it = |l: &LoadedAdapter| l.adapter == adapter && l.version == version;
-        self.report().is_some_and(|r| r.loaded.iter().any(is_it))
+    /// by its last report, the target holds what has this hash
+    pub fn has_loaded(&self, hash: u64) -> bool {
+        self.heard
+            .as_ref()
+            .is_some_and(|h| h.loaded.contains(&hash))
     }
 }
+
+/// hash of an adapter's version. Two that meet on one value would only make a
+/// target look as if it held the adapter, and the request wait for its load
+pub fn loaded_hash(adapter: &str, version: VersionNumber) -> u64 {
+    rendezvous_weight(stable_hash(adapter), u64::from(version))
+}
--- a/coordination/src/routing/target_table.rs
+++ b/coordination/src/routing/target_table.rs
@@ -1,7 +1,8 @@
 use {
     super::{
-        least_expected_wait::expected_wait, policy::serves, Candidate, LeastExpectedWait,
-        LeastLoaded, Need, PlainHash, RandomChoice, RouteAsk, RoutingPolicy, Target, WaitSettings,
+        least_expected_wait::expected_wait, policy::serves, target::loaded_hash, Candidate,
+        LeastExpectedWait, LeastLoaded, Need, PlainHash, RandomChoice, RouteAsk, RoutingPolicy,
+        Target, WaitSettings,
     },
     chalkcart_protocol::peer::TargetReport,
     chalkcart_state::{
@@ -150,19 +151,21 @@
         .filter(|t| untried(t) && !t.is_suspect(now))
         .collect();
     let chosen = if well.is_empty() { able } else { well };
+    let wanted = match &ask.need {
+        Need::Adapter {
+            adapter, version, ..
+        } => Some(loaded_hash(adapter, *version)),
+        Need::Service(_) => None,
+    };
     chosen
         .into_iter()
-        .map(|target| new_candidate(target, zone, &ask.need))
+        .map(|target| new_candidate(target, zone, wanted))
         .collect()
 }
 
-fn new_candidate<'t>(target: &'t Target, zone: &str, need: &Need) -> Candidate<'t> {
-    let loaded = match need {
-        Need::Adapter {
-            adapter, version, ..
-        } => target.has_loaded(adapter, *version),
-        Need::Service(_) => true,
-    };
+/// `wanted` is the hash of the adapter's version, none for a plain service
+fn new_candidate<'t>(target: &'t Target, zone: &str, wanted: Option<u64>) -> Candidate<'t> {
+    let loaded = wanted.is_none_or(|hash| target.has_loaded(hash));
     let is_near = target.listed.zone == zone;
     Candidate {
         target,
--- a/coordination/tests/permits.rs
+++ b/coordination/tests/permits.rs
@@ -86,3 +86,22 @@
     let after = start + settings.lease;
     assert!(is_granted(giver.ask(&ask("next", 0, 0), after)));
 }
+
+#[test]
+fn those_far_behind_come_back_later_but_before_they_are_forgotten() {
+    let start = Instant::now();
+    let settings = PermitSettings::default();
+    let mut giver = PermitGiver::new(settings.clone(), start);
+    let retry = |answer| match answer {
+        PermitAnswer::Wait { retry_after } => retry_after,
+        PermitAnswer::Granted { .. } => Duration::ZERO,
+    };
+    let pauses: Vec<Duration> = (0..50)
+        .map(|number| giver.ask(&ask(&format!("t{number}"), number, 0), start))
+        .map(retry)
+        .collect();
+    assert!(pauses.is_sorted(), "{pauses:?}");
+    assert_eq!(pauses[1], settings.retry_after);
+    assert_eq!(pauses[49], settings.longest_retry);
+    assert!(settings.longest_retry < settings.patience);
+}
--- a/entry/src/config/follower.rs
+++ b/entry/src/config/follower.rs
@@ -183,7 +183,7 @@
             from: self.shared.settings.name.clone(),
             generation: self.keeper().generation(),
             list_version: self.keeper().list().version,
-            entries_only: false,
+            from_sidecar: false,
         };
         let answer = self.peers.call(peer, path::SYNC, &ask, SYNC_TIMEOUT).await;
         if let Err(e) = &answer {
--- a/entry/src/rpc/force.rs
+++ b/entry/src/rpc/force.rs
@@ -60,7 +60,7 @@
         from: shared.settings.name.clone(),
         generation: Generation::MAX,
         list_version: u64::MAX,
-        entries_only: true,
+        from_sidecar: true,
     };
     let call = peers.call(listed.addr, path::SYNC, &ask, ASK_TIMEOUT);
     let answer: Option<SyncAnswer> = call.await.ok();
--- a/entry/src/server/handlers.rs
+++ b/entry/src/server/handlers.rs
@@ -2,7 +2,10 @@
     super::router::GrpcServices,
     crate::app::Shared,
     chalkcart_protocol::peer::{PermitAsk, ShardAnswer, ShardAsk, SyncAnswer, SyncAsk},
-    chalkcart_state::fleet::{FleetList, Role},
+    chalkcart_state::{
+        config::Root,
+        fleet::{FleetList, Role},
+    },
     chalkcart_transport::server::{message_reply, pages::bad_message, read_message, SharedData},
     gotham::{handler::HandlerResult, state::State},
     std::sync::Arc,
@@ -48,17 +51,34 @@
     let configuration = shared.keeper.configuration();
     let newer = configuration.filter(|c| c.generation() > ask.generation);
     let list = shared.keeper.list();
-    let newer_list = (list.version > ask.list_version).then(|| match ask.entries_only {
+    let newer_list = (list.version > ask.list_version).then(|| match ask.from_sidecar {
         true => entries_of(&list),
         false => FleetList::clone(&list),
     });
     SyncAnswer {
         generation: shared.keeper.generation(),
-        root: newer.map(|c| c.root().as_ref().clone()),
+        root: newer.map(|c| root_for(ask, c.root())),
         list: newer_list,
     }
 }
 
+/// sidecars don't look adapters up, and most of a root is digests of shards
+fn root_for(ask: &SyncAsk, root: &Root) -> Root {
+    let shards = match ask.from_sidecar {
+        true => Vec::new(),
+        false => root.shards.clone(),
+    };
+    Root {
+        shards,
+        generation: root.generation,
+        groups: root.groups.clone(),
+        classes: root.classes.clone(),
+        base_models: root.base_models.clone(),
+        services: root.services.clone(),
+        policy: root.policy.clone(),
+    }
+}
+
 fn entries_of(list: &FleetList) -> FleetList {
     let entries = list.boxes.iter().filter(|b| b.role == Role::Entry);
     FleetList {
--- a/protocol/src/peer/sync.rs
+++ b/protocol/src/peer/sync.rs
@@ -13,8 +13,9 @@
     pub from: BoxName,
     pub generation: Generation,
     pub list_version: u64,
-    /// the asker needs only the entry boxes of the list
-    pub entries_only: bool,
+    /// the asker is a sidecar: of the list it needs only the entry boxes, of
+    /// the root everything but the shards' digests
+    pub from_sidecar: bool,
 }
 
 /// newer knowledge of a peer
--- a/sidecar/src/app/config_sync.rs
+++ b/sidecar/src/app/config_sync.rs
@@ -54,7 +54,7 @@
             from: self.shared.settings.name.clone(),
             generation: self.root.as_ref().map_or(0, |r| r.generation),
             list_version: self.list_version,
-            entries_only: true,
+            from_sidecar: true,
         };
         let answer: Result<SyncAnswer, _> = self.peers.call(entry, path::SYNC, &ask, TIMEOUT).await;
         match answer {
--- a/testkit/examples/capacity/wire.rs
+++ b/testkit/examples/capacity/wire.rs
@@ -10,7 +10,8 @@
         encode, encode_frame,
         peer::{path, Frame, FrameBody, ShardAnswer, SyncAnswer, SyncAsk},
     },
-    chalkcart_state::fleet::FleetList,
+    chalkcart_state::{config::Root, fleet::FleetList},
+    chalkcart_testkit::configs::Documents,
     chalkcart_transport::client::PeerClient,
     std::time::Duration,
     tokio::{
@@ -22,6 +23,7 @@
 
 /// head of an answer by gotham, as seen on the wire
 const ANSWER_HEAD: f64 = 110.0;
+const GROUPS: [usize; 3] = [5, 50, 200];
 const TOKENS: [usize; 3] = [16, 256, 2_048];
 
 pub fn measure() -> Result<Vec<Slope>> {
@@ -50,6 +52,10 @@
     for tokens in TOKENS {
         streams.push((tokens as f64, stream_bytes(tokens)?));
     }
+    let mut sidecar_roots = Vec::new();
+    for groups in GROUPS {
+        sidecar_roots.push((groups as f64, sidecar_root_bytes(groups)?));
+    }
     let report = encode_frame(&Frame::Report(report("engine-00001")))?.len() as f64;
     Ok(vec![
         Slope::new(
@@ -62,6 +68,11 @@
             "bytes an adapter",
             changes,
         ),
+        Slope::new(
+            "one root passed on to a sidecar",
+            "bytes a group",
+            sidecar_roots,
+        ),
         Slope::new("one new list passed on", "bytes a listed box", lists),
         Slope::new("a stream of tokens, one report", "bytes a token", streams),
         Slope::new(
@@ -82,7 +93,7 @@
             from: "engine-00001".to_string(),
             generation: 1_000_000,
             list_version: 1_000_000,
-            entries_only: true,
+            from_sidecar: true,
         };
         let asked = tokio::spawn(async move {
             let limit = Duration::from_secs(2);
@@ -118,6 +129,23 @@
     Ok((encode(&root)?.len() + encode(&shard)?.len()) as f64)
 }
 
+/// a sidecar gets no digests of shards
+fn sidecar_root_bytes(groups: usize) -> Result<f64> {
+    let mut documents = Documents::new(1).with_base_model("model-0");
+    for group in 0..groups {
+        documents = documents.with_group(&format!("group-{group}"), 1);
+    }
+    let answer = SyncAnswer {
+        generation: 1,
+        root: Some(Root {
+            shards: Vec::new(),
+            ..documents.root
+        }),
+        list: None,
+    };
+    Ok(encode(&answer)?.len() as f64)
+}
+
 fn stream_bytes(tokens: usize) -> Result<f64> {
     let mut bytes = encode_frame(&Frame::Report(report("engine-00001")))?.len();
     for number in 0..tokens {
