Tell what a load would take now, and count shares in a fixed window

The share experiment counted only tokens of requests sent after the warm-up, which counts least those of the group that waits longest.

Change: while nothing is wished for, a sidecar tells the time of a load alone; reports count wished adapters; the window counts all tokens that end in it.

--- a/coordination/src/routing/target.rs
+++ b/coordination/src/routing/target.rs
@@ -128,12 +128,12 @@
     }
     /// time until an adapter that is not loaded would be
     pub fn load_wait(&self) -> Duration {
-        let stalled = self.report().map_or(0, |r| r.stalled);
+        let wished = self.report().map_or(0, |r| r.wished);
         let one = match self.report().map(|r| r.load_millis) {
             Some(millis) if millis > 0 => Duration::from_millis(millis),
             _ => DEFAULT_LOAD_TIME,
         };
-        one * (1 + stalled)
+        one * (1 + wished)
     }
     /// by its last report, the target holds what has this hash
     pub fn has_loaded(&self, hash: u64) -> bool {
--- a/coordination/src/sidecar/load_book.rs
+++ b/coordination/src/sidecar/load_book.rs
@@ -59,7 +59,10 @@
     pub(super) stalled: HashSet<RequestId>,
     /// adapters whose unload is under way
     pub(super) unloading: HashSet<AdapterKey>,
+    /// of one load, in seconds
     load_time: Option<f64>,
+    /// from the wish for an adapter until it is loaded, in seconds
+    wish_time: Option<f64>,
     /// when a fixed rate allows the next load
     static_next: Option<Instant>,
 }
@@ -73,6 +76,7 @@
             stalled: HashSet::new(),
             unloading: HashSet::new(),
             load_time: None,
+            wish_time: None,
             static_next: None,
         }
     }
@@ -82,10 +86,15 @@
             self.giver = giver;
         }
     }
-    /// time from the wish for an adapter until it is loaded, smoothed
-    pub(super) fn load_time(&self) -> Duration {
-        let default = DEFAULT_LOAD_TIME.as_secs_f64();
-        Duration::from_secs_f64(self.load_time.unwrap_or(default))
+    /// time until an adapter that is wished for now would be loaded. While
+    /// nothing waits it is a load's own time: what earlier waits were says
+    /// nothing of the next one
+    pub(super) fn expected_time(&self) -> Duration {
+        let seconds = match self.wished_count {
+            0 => self.load_time,
+            _ => self.wish_time,
+        };
+        Duration::from_secs_f64(seconds.unwrap_or(DEFAULT_LOAD_TIME.as_secs_f64()))
     }
     pub(super) fn take_stalled(&mut self, request: &str) -> bool {
         self.stalled.remove(request)
@@ -104,9 +113,15 @@
             }
         }
     }
-    pub(super) fn measure(&mut self, took: Duration) {
-        let newest = took.as_secs_f64();
-        let before = self.load_time.unwrap_or(newest);
-        self.load_time = Some(before + SMOOTHING * (newest - before));
+    /// a load took this long, the wait for its permit with it `since_wish`
+    pub(super) fn measure(&mut self, took: Duration, since_wish: Duration) {
+        smooth(&mut self.load_time, took);
+        smooth(&mut self.wish_time, since_wish);
     }
 }
+
+fn smooth(value: &mut Option<f64>, newest: Duration) {
+    let newest = newest.as_secs_f64();
+    let before = value.unwrap_or(newest);
+    *value = Some(before + SMOOTHING * (newest - before));
+}
--- a/coordination/src/sidecar/loading.rs
+++ b/coordination/src/sidecar/loading.rs
@@ -54,7 +54,7 @@
             .div_ceil(self.settings.max_loads.max(1));
         match is_wished {
             true => Duration::ZERO,
-            false => self.loads.load_time() * before as u32,
+            false => self.loads.expected_time() * before as u32,
         }
     }
 
@@ -94,7 +94,7 @@
                 let wish = self.loads.wishes.remove(key);
                 // the way to the permit is a part of what requests wait for
                 let waited = wish.map(|w| now.saturating_duration_since(w.since));
-                self.loads.measure(waited.unwrap_or(took));
+                self.loads.measure(took, waited.unwrap_or(took));
             }
             OrderResult::Failed => self.on_load_failed(key, now),
             OrderResult::Fenced => self.doubt(),
--- a/coordination/src/sidecar/sidecar_control.rs
+++ b/coordination/src/sidecar/sidecar_control.rs
@@ -95,7 +95,6 @@
 
     /// what the target says of itself
     pub fn report(&self) -> TargetReport {
-        let stalled = self.queue.iter().filter(|w| self.is_stalled(w)).count();
         TargetReport {
             name: self.settings.name.clone(),
             incarnation: self.settings.incarnation,
@@ -104,9 +103,9 @@
             queued_tokens: self.queue.tokens(),
             running: self.runs.len() as u32,
             max_running: self.max_running,
-            stalled: stalled as u32,
+            wished: self.loads.wished_count as u32,
             token_micros: self.runs.token_time().as_micros() as u64,
-            load_millis: self.loads.load_time().as_millis() as u64,
+            load_millis: self.loads.expected_time().as_millis() as u64,
             loaded: self.slots.loaded().iter().map(Into::into).collect(),
         }
     }
--- a/protocol/src/peer/report.rs
+++ b/protocol/src/peer/report.rs
@@ -22,12 +22,11 @@
     pub queued_tokens: u64,
     pub running: u32,
     pub max_running: u32,
-    /// requests that wait for a load
-    pub stalled: u32,
+    /// adapters that waiting requests lack
+    pub wished: u32,
     /// time of one token of one request, in µs, as measured
     pub token_micros: u64,
-    /// time from the wish for an adapter until it is loaded, in ms, as
-    /// measured
+    /// time until an adapter that is wished for now would be loaded, in ms
     pub load_millis: u64,
     pub loaded: Vec<LoadedAdapter>,
 }
--- a/testkit/examples/capacity/memory.rs
+++ b/testkit/examples/capacity/memory.rs
@@ -116,7 +116,7 @@
         queued_tokens: 100,
         running: 4,
         max_running: 8,
-        stalled: 0,
+        wished: 0,
         token_micros: 25_000,
         load_millis: 500,
         loaded: loaded.collect(),
--- a/testkit/src/load/open_loop.rs
+++ b/testkit/src/load/open_loop.rs
@@ -144,25 +144,35 @@
     let mut report = LoadReport::default();
     while let Some(noted) = events.recv().await {
         check(&mut report, &noted.event);
-        if !noted.counted {
-            continue;
-        }
         let stream = &settings.streams[noted.stream];
         let name = format!("{}/{}", stream.group, stream.class);
         let class = report.classes.entry(name).or_default();
+        let now = started.elapsed();
+        if now >= settings.warm_up && now <= settings.span {
+            class.window_tokens += tokens_of(&noted.event);
+        }
+        if !noted.counted {
+            continue;
+        }
         match noted.event {
             Event::Sent => class.sent += 1,
             Event::Failed(failure) => count_failure(class, &failure),
             Event::Answered(req, answer) => {
                 let is_good = check_answer(&req, &answer) == Verdict::Good;
-                let in_span = started.elapsed() <= settings.span;
-                count_answer(class, stream, &answer, is_good, in_span);
+                count_answer(class, stream, &answer, is_good);
             }
         }
     }
     report
 }
 
+fn tokens_of(event: &Event) -> u64 {
+    match event {
+        Event::Answered(_, answer) => answer.tokens.len() as u64,
+        Event::Sent | Event::Failed(_) => 0,
+    }
+}
+
 /// bad outcomes are counted over the whole run, the warm-up included
 fn check(report: &mut LoadReport, event: &Event) {
     match event {
@@ -179,17 +189,10 @@
     }
 }
 
-fn count_answer(
-    class: &mut ClassReport,
-    stream: &Stream,
-    answer: &Answer,
-    is_good: bool,
-    in_span: bool,
-) {
+fn count_answer(class: &mut ClassReport, stream: &Stream, answer: &Answer, is_good: bool) {
     if !is_good {
         return;
     }
-    class.window_tokens += answer.tokens.len() as u64 * u64::from(in_span);
     class.completed += 1;
     class.tokens += answer.tokens.len() as u64;
     class.in_time += u64::from(answer.first_token <= stream.in_time);
--- a/testkit/src/load/report.rs
+++ b/testkit/src/load/report.rs
@@ -13,7 +13,8 @@
     pub not_run: u64,
     pub may_have_run: u64,
     pub tokens: u64,
-    /// tokens of answers that ended within the load's span
+    /// tokens of answers that ended between the warm-up and the load's end,
+    /// whenever they were asked for
     pub window_tokens: u64,
     /// in µs
     pub first_token: Histogram<u64>,
