--- a/coordination/src/fence/fence_keeper.rs
+++ b/coordination/src/fence/fence_keeper.rs
@@ -31,6 +31,10 @@
     GiveUp,
 }
 
+/// distance between two fences of one process; the rest of the division by it
+/// is the process's own, so that two processes never choose the same fence
+const STEP: Fence = 1 << 20;
+
 /// holds this process's fence.
 ///
 /// The fence is chosen once for the life of the process: at the first read,
@@ -42,14 +46,18 @@
     /// lower bound of the own fence: the start time, so that a later process
     /// is higher even if the engine forgot
     epoch: Fence,
+    /// the low bits of each fence of this process
+    tag: Fence,
     own: Option<Fence>,
 }
 
 impl FenceKeeper {
-    pub fn new(epoch: Fence) -> Self {
+    /// `epoch` is the start time in ms, `tag` a random number
+    pub fn new(epoch: Fence, tag: Fence) -> Self {
         Self {
             state: FenceState::Unknown,
             epoch,
+            tag: tag % STEP,
             own: None,
         }
     }
@@ -67,7 +75,7 @@
         }
         let own = *self
             .own
-            .get_or_insert_with(|| self.epoch.max(status.fence + 1));
+            .get_or_insert_with(|| self.epoch.max(status.fence / STEP + 1) * STEP + self.tag);
         if status.fence > own {
             self.state = FenceState::Superseded;
             return FenceStep::GiveUp;
@@ -92,19 +100,17 @@
         }
     }
 
-    /// an order without an answer may still arrive: leave it behind a higher
-    /// fence. A later process stays above, since it starts with the clock and
-    /// an earlier one raises by one for each lost order
-    pub fn raise(&mut self) {
-        if let Some(own) = &mut self.own {
-            *own += 1;
-        }
-    }
-
-    /// an order was refused, or this process was paused: read again
+    /// something is not known any more: read again, and leave whatever order
+    /// is still on its way behind a higher fence. A later process stays above,
+    /// since it starts with the clock and an earlier one raises by one step
+    /// for each doubt
     pub fn on_doubt(&mut self) {
-        if !self.is_superseded() {
-            self.state = FenceState::Unknown;
+        if self.is_superseded() || self.state == FenceState::Unknown {
+            return;
+        }
+        self.state = FenceState::Unknown;
+        if let Some(own) = &mut self.own {
+            *own += STEP;
         }
     }
 }
--- a/coordination/src/sidecar/loading.rs
+++ b/coordination/src/sidecar/loading.rs
@@ -97,8 +97,7 @@
                 self.loads.measure(took, waited.unwrap_or(took));
             }
             OrderResult::Failed => self.on_load_failed(key, now),
-            OrderResult::Fenced => self.doubt(),
-            OrderResult::Unknown => self.doubt_orders(),
+            OrderResult::Fenced | OrderResult::Unknown => self.doubt(),
         }
         let is_current = self.order_fence().map(|o| o.incarnation) == Some(incarnation);
         if is_current {
@@ -120,8 +119,7 @@
                     self.slots.end_unload(key);
                 }
             }
-            OrderResult::Failed | OrderResult::Fenced => self.doubt(),
-            OrderResult::Unknown => self.doubt_orders(),
+            OrderResult::Failed | OrderResult::Fenced | OrderResult::Unknown => self.doubt(),
         }
     }
 
--- a/coordination/src/sidecar/running.rs
+++ b/coordination/src/sidecar/running.rs
@@ -127,7 +127,7 @@
         self.refuse_failed(request, &end);
         if end.may_run_on {
             self.runs.orphans.insert(request.clone(), run);
-            self.doubt_orders();
+            self.doubt();
         } else {
             self.release(&run);
         }
--- a/coordination/src/sidecar/sidecar_control.rs
+++ b/coordination/src/sidecar/sidecar_control.rs
@@ -9,7 +9,7 @@
         queue::FairQueue,
         slots::SlotTable,
     },
-    chalkcart_protocol::peer::{TargetReport, WorkOrder},
+    chalkcart_protocol::peer::{Reason, TargetReport, WorkOrder},
     chalkcart_state::{
         config::{Policy, Root},
         ids::{Fence, Incarnation, RequestId},
@@ -68,7 +68,7 @@
             policy,
             loads: LoadBook::new(),
             runs: RunBook::new(),
-            fence: FenceKeeper::new(settings.epoch),
+            fence: FenceKeeper::new(settings.epoch, settings.incarnation),
             max_running,
             draining: false,
             pause: PauseDetector::new(settings.lease, now),
@@ -199,7 +199,8 @@
         self.read_engine();
     }
 
-    /// nothing believed of the engine counts until it is read again
+    /// nothing believed of the engine counts until it is read again, behind a
+    /// higher fence: an order that was sent before may still arrive
     pub(super) fn doubt(&mut self) {
         if self.settings.kind != TargetKind::Engine {
             return;
@@ -208,12 +209,6 @@
         self.fence.on_doubt();
     }
 
-    /// an order may still be on its way: put a higher fence before it
-    pub(super) fn doubt_orders(&mut self) {
-        self.fence.raise();
-        self.doubt();
-    }
-
     fn take_over(&mut self, status: &EngineStatus, now: Instant) {
         self.doubtful = false;
         self.max_running = status.max_batch;
@@ -226,7 +221,7 @@
     }
 
     fn give_up(&mut self) {
-        self.refuse_all_waiting(chalkcart_protocol::peer::Reason::Superseded);
+        self.refuse_all_waiting(Reason::Superseded);
     }
 
     fn read_engine_if_due(&mut self, now: Instant) {
--- /dev/null
+++ b/coordination/tests/fences.rs
@@ -0,0 +1,162 @@
+//! who drives an engine, when processes meet, pause, or lose orders
+
+use {
+    chalkcart_coordination::{
+        fence::{EngineStatus, FenceKeeper, FenceStep},
+        sidecar::{
+            OrderFence, OrderResult, PermitMode, SidecarAction, SidecarControl, SidecarEvent,
+            SidecarSettings,
+        },
+        slots::AdapterKey,
+    },
+    chalkcart_protocol::peer::{GenerateWork, Work, WorkOrder},
+    chalkcart_state::ids::{Fence, WeightsDigest},
+    std::time::{Duration, Instant},
+};
+
+const INCARNATION: u64 = 5;
+const LEASE: Duration = Duration::from_secs(1);
+
+fn status(fence: Fence, loaded: Vec<AdapterKey>) -> EngineStatus {
+    EngineStatus {
+        incarnation: INCARNATION,
+        fence,
+        base_model: "base".to_string(),
+        slots: 1,
+        max_batch: 8,
+        loaded,
+        running: Vec::new(),
+    }
+}
+
+fn taken(step: FenceStep) -> Fence {
+    match step {
+        FenceStep::Take { fence, .. } => fence,
+        other => panic!("expected a fence to take, got {other:?}"),
+    }
+}
+
+#[test]
+fn two_processes_never_choose_the_same_fence() {
+    // the same clock, another process
+    let mut one = FenceKeeper::new(1_000, 1);
+    let mut other = FenceKeeper::new(1_000, 2);
+    let first = taken(one.on_read(&status(0, Vec::new())));
+    one.on_taken(INCARNATION, first);
+    let second = taken(other.on_read(&status(first, Vec::new())));
+    other.on_taken(INCARNATION, second);
+    assert!(second > first);
+    // the first raises its fence as often as it likes: never the other's
+    for _ in 0..50 {
+        one.on_doubt();
+        match one.on_read(&status(second, Vec::new())) {
+            FenceStep::Take { fence, .. } => assert_ne!(fence, second),
+            FenceStep::Keep => panic!("both hold {second}"),
+            FenceStep::GiveUp => return,
+        }
+    }
+}
+
+#[test]
+fn a_later_process_wins_at_a_restarted_engine_in_any_order() {
+    let mut old = FenceKeeper::new(1_000, 7);
+    let mut new = FenceKeeper::new(2_000, 3);
+    let lower = taken(old.on_read(&status(0, Vec::new())));
+    old.on_taken(INCARNATION, lower);
+    let higher = taken(new.on_read(&status(lower, Vec::new())));
+    let mut restarted = status(0, Vec::new());
+    restarted.incarnation += 1;
+    assert!(taken(old.on_read(&restarted)) < higher);
+    assert!(matches!(
+        old.on_read(&status(higher, Vec::new())),
+        FenceStep::GiveUp
+    ));
+    assert!(
+        matches!(old.on_read(&restarted), FenceStep::GiveUp),
+        "for good"
+    );
+}
+
+/// a sidecar whose engine holds one adapter, and the fence it took
+fn driving(now: Instant, held: AdapterKey) -> (SidecarControl, OrderFence) {
+    let settings = SidecarSettings {
+        epoch: 10,
+        lease: LEASE,
+        permits: PermitMode::None,
+        ..SidecarSettings::default()
+    };
+    let mut control = SidecarControl::new(settings, now);
+    let loaded = vec![held];
+    let read = |fence| SidecarEvent::EngineRead(Some(status(fence, loaded.clone())));
+    let order = fence_to_take(&control.handle(read(0), now)).expect("a fence");
+    let answer = SidecarEvent::FenceAnswered {
+        incarnation: order.incarnation,
+        fence: order.fence,
+        result: OrderResult::Done,
+    };
+    control.handle(answer, now);
+    control.handle(read(order.fence), now);
+    assert!(control.is_ready());
+    (control, order)
+}
+
+fn fence_to_take(actions: &[SidecarAction]) -> Option<OrderFence> {
+    actions.iter().find_map(|action| match action {
+        SidecarAction::TakeFence(order) => Some(*order),
+        _ => None,
+    })
+}
+
+fn key(number: u8) -> AdapterKey {
+    AdapterKey {
+        adapter: format!("loan-{number}"),
+        version: 1,
+        digest: WeightsDigest::of(&[number]),
+    }
+}
+
+fn arrived(number: u8) -> SidecarEvent {
+    let key = key(number);
+    SidecarEvent::Arrived(Box::new(WorkOrder {
+        request: format!("r{number}"),
+        reserved: false,
+        group: "branches".to_string(),
+        class: "counter".to_string(),
+        remaining: Duration::from_secs(60),
+        work: Work::Generate(GenerateWork {
+            adapter: key.adapter,
+            version: key.version,
+            digest: key.digest,
+            base_model: "base".to_string(),
+            prompt: "explain".to_string(),
+            max_tokens: 4,
+            generated: Vec::new(),
+        }),
+        permit_giver: None,
+    }))
+}
+
+/// an unload that was sent before the pause may arrive after the slots were
+/// read again, when the adapter is in use
+#[test]
+fn an_order_sent_before_a_pause_is_behind_the_next_fence() {
+    let mut now = Instant::now();
+    let (mut control, order) = driving(now, key(1));
+    // the held adapter may go once it is old enough
+    let mut actions = control.handle(arrived(2), now);
+    let mut ticks = 0;
+    while !actions
+        .iter()
+        .any(|a| matches!(a, SidecarAction::Unload { .. }))
+    {
+        now += LEASE / 10;
+        ticks += 1;
+        assert!(ticks < 100, "no unload is ordered");
+        actions = control.handle(SidecarEvent::Tick, now);
+    }
+    now += LEASE * 3;
+    control.handle(SidecarEvent::Tick, now);
+    let read = SidecarEvent::EngineRead(Some(status(order.fence, vec![key(1)])));
+    let next = fence_to_take(&control.handle(read, now)).expect("a fence");
+    assert!(next.fence > order.fence);
+}
--- a/coordination/tests/sidecar_admission.rs
+++ b/coordination/tests/sidecar_admission.rs
@@ -85,14 +85,19 @@
         loaded: Vec::new(),
         running: Vec::new(),
     };
-    control.handle(SidecarEvent::EngineRead(Some(status(0))), now);
-    let taken = SidecarEvent::FenceAnswered {
+    let actions = control.handle(SidecarEvent::EngineRead(Some(status(0))), now);
+    let taken = actions.iter().find_map(|a| match a {
+        SidecarAction::TakeFence(order) => Some(order.fence),
+        _ => None,
+    });
+    let fence = taken.expect("a fence to take");
+    let answer = SidecarEvent::FenceAnswered {
         incarnation: INCARNATION,
-        fence: 10,
+        fence,
         result: OrderResult::Done,
     };
-    control.handle(taken, now);
-    control.handle(SidecarEvent::EngineRead(Some(status(10))), now);
+    control.handle(answer, now);
+    control.handle(SidecarEvent::EngineRead(Some(status(fence))), now);
     assert!(control.is_ready());
     control
 }
--- a/entry/src/conf/settings.rs
+++ b/entry/src/conf/settings.rs
@@ -1,14 +1,16 @@
 use {
     chalkcart_coordination::routing::PolicyName,
-    chalkcart_node::{
-        logging,
-        settings::{defaults, Checked, SettingsError},
+    chalkcart_node::settings::{
+        check_filled, check_log, check_positive, defaults, Checked, SettingsError,
     },
     chalkcart_state::ids::{BoxName, ZoneName},
     serde::Deserialize,
     std::{net::SocketAddr, time::Duration},
 };
 
+/// twice the time between two signs of a target
+const MIN_SILENCE_MS: u64 = 500;
+
 /// how targets are chosen
 #[derive(Debug, Clone, Copy, Default, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -71,16 +73,9 @@
 
 impl Checked for Settings {
     fn check(&self) -> Result<(), SettingsError> {
-        if self.name.is_empty() {
-            return Err(SettingsError::value("name", "\"\"", "the box's name"));
-        }
-        if self.zone.is_empty() {
-            return Err(SettingsError::value(
-                "zone",
-                "\"\"",
-                "the availability zone",
-            ));
-        }
+        check_filled("name", &self.name, "the box's name")?;
+        check_filled("zone", &self.zone, "the availability zone")?;
+        check_positive("threads", self.threads as u64)?;
         if self.silence_ms < MIN_SILENCE_MS {
             let expected = "500 or more: targets send a sign each 250 ms";
             return Err(SettingsError::value(
@@ -89,16 +84,10 @@
                 expected,
             ));
         }
-        if self.threads == 0 {
-            return Err(SettingsError::value("threads", 0, "1 or more"));
-        }
-        logging::check_level(&self.log)
-            .map_err(|_| SettingsError::value("log", &self.log, "a log level"))
+        check_log(&self.log)
     }
 }
 
-const MIN_SILENCE_MS: u64 = 500;
-
 fn default_silence_ms() -> u64 {
     1_000
 }
--- a/entry/src/rpc/admission.rs
+++ b/entry/src/rpc/admission.rs
@@ -10,7 +10,7 @@
     },
     chalkcart_state::{
         config::{Configuration, ResolvedAdapter},
-        ids::ReservedId,
+        ids::{ClassName, GroupName, ReservedId},
     },
     chalkcart_transport::server::pages::Observed,
     std::{
@@ -37,6 +37,16 @@
     outcome: Outcome,
 }
 
+/// what each request of a caller says beside its work
+struct Terms {
+    group: GroupName,
+    class: ClassName,
+    /// 0 takes the class's own
+    timeout_ms: u32,
+    not_repeatable: bool,
+    reserved_id: String,
+}
+
 impl<'a> Admission<'a> {
     pub fn new(shared: &'a Shared, reserved_id: &str) -> Self {
         let outcome = match reserved_id.is_empty() {
@@ -95,32 +105,28 @@
         if req.max_tokens == 0 || req.max_tokens > MAX_TOKENS {
             return Err(self.bad("max_tokens", "expected 1 to 8192"));
         }
-        let timeout = self.timeout(&configuration, &req.class, req.timeout_ms)?;
+        let terms = Terms {
+            group: req.group,
+            class: req.class,
+            timeout_ms: req.timeout_ms,
+            not_repeatable: req.not_repeatable,
+            reserved_id: req.reserved_id,
+        };
         let need = Need::Adapter {
             adapter: resolved.name.clone(),
             version: resolved.version,
             base_model: resolved.base_model.clone(),
         };
-        let reserved = self
-            .reserved(req.not_repeatable, &req.reserved_id, &need)
-            .await?;
-        Ok(Job {
-            request: request_id(&reserved),
-            reserved,
-            group: req.group,
-            class: req.class,
-            deadline: Instant::now() + timeout,
-            need,
-            work: Work::Generate(GenerateWork {
-                adapter: resolved.name,
-                version: resolved.version,
-                digest: resolved.digest,
-                base_model: resolved.base_model,
-                prompt: req.prompt,
-                max_tokens: req.max_tokens,
-                generated: Vec::new(),
-            }),
-        })
+        let work = Work::Generate(GenerateWork {
+            adapter: resolved.name,
+            version: resolved.version,
+            digest: resolved.digest,
+            base_model: resolved.base_model,
+            prompt: req.prompt,
+            max_tokens: req.max_tokens,
+            generated: Vec::new(),
+        });
+        self.job(&configuration, terms, need, work).await
     }
 
     pub async fn call(&self, req: CallRequest) -> Result<Job, Status> {
@@ -136,22 +142,38 @@
             let expected = "calls of this service must not be repeated: set it";
             return Err(self.bad("not_repeatable", expected));
         }
-        let timeout = self.timeout(&configuration, &req.class, req.timeout_ms)?;
+        let terms = Terms {
+            group: req.group,
+            class: req.class,
+            timeout_ms: req.timeout_ms,
+            not_repeatable: req.not_repeatable,
+            reserved_id: req.reserved_id,
+        };
         let need = Need::Service(req.service.clone());
-        let reserved = self
-            .reserved(req.not_repeatable, &req.reserved_id, &need)
-            .await?;
+        let work = Work::Call(CallWork {
+            service: req.service,
+            body: req.body,
+        });
+        self.job(&configuration, terms, need, work).await
+    }
+
+    async fn job(
+        &self,
+        configuration: &Configuration,
+        terms: Terms,
+        need: Need,
+        work: Work,
+    ) -> Result<Job, Status> {
+        let timeout = self.timeout(configuration, &terms.class, terms.timeout_ms)?;
+        let reserved = self.reserved(&terms, &need).await?;
         Ok(Job {
             request: request_id(&reserved),
             reserved,
-            group: req.group,
-            class: req.class,
+            group: terms.group,
+            class: terms.class,
             deadline: Instant::now() + timeout,
             need,
-            work: Work::Call(CallWork {
-                service: req.service,
-                body: req.body,
-            }),
+            work,
         })
     }
 
@@ -172,13 +194,9 @@
 
     /// a request that must not be repeated needs an id that binds it to one
     /// target; without one nothing could stop a copy through another entry
-    async fn reserved(
-        &self,
-        not_repeatable: bool,
-        reserved_id: &str,
-        need: &Need,
-    ) -> Result<Option<ReservedId>, Status> {
-        match (not_repeatable, reserved_id.is_empty()) {
+    async fn reserved(&self, terms: &Terms, need: &Need) -> Result<Option<ReservedId>, Status> {
+        let reserved_id = terms.reserved_id.as_str();
+        match (terms.not_repeatable, reserved_id.is_empty()) {
             (false, true) => Ok(None),
             (true, true) => Err(self.bad("reserved_id", "required: call Reserve first")),
             (false, false) => Err(self.bad("not_repeatable", "must be set with a reserved id")),
--- a/node/src/settings/mod.rs
+++ b/node/src/settings/mod.rs
@@ -1,10 +1,12 @@
 //! settings files, checked before anything starts
 
+mod checks;
 pub mod defaults;
 mod errors;
 mod load;
 
 pub use {
+    checks::{check_filled, check_log, check_positive},
     errors::SettingsError,
     load::{load, parse, Checked},
 };
--- a/sidecar/src/conf/settings.rs
+++ b/sidecar/src/conf/settings.rs
@@ -1,8 +1,7 @@
 use {
     chalkcart_coordination::sidecar::PermitMode,
-    chalkcart_node::{
-        logging,
-        settings::{defaults, Checked, SettingsError},
+    chalkcart_node::settings::{
+        check_filled, check_log, check_positive, defaults, Checked, SettingsError,
     },
     chalkcart_state::ids::{BoxName, ServiceName, ZoneName},
     serde::Deserialize,
@@ -97,31 +96,17 @@
 
 impl Checked for Settings {
     fn check(&self) -> Result<(), SettingsError> {
-        let positive = "1 or more";
-        if self.name.is_empty() {
-            return Err(SettingsError::value("name", "\"\"", "the box's name"));
-        }
+        check_filled("name", &self.name, "the box's name")?;
+        check_filled("zone", &self.zone, "the availability zone")?;
+        check_positive("threads", self.threads as u64)?;
+        check_positive("lease_ms", self.lease_ms)?;
+        check_positive("id_capacity", self.id_capacity as u64)?;
+        check_positive("id_valid_ms", self.id_valid_ms)?;
         if self.entries.is_empty() {
             return Err(SettingsError::value("entries", "[]", "one address or more"));
         }
-        if self.lease_ms == 0 {
-            return Err(SettingsError::value("lease_ms", 0, positive));
-        }
-        if self.id_capacity == 0 {
-            return Err(SettingsError::value("id_capacity", 0, positive));
-        }
-        if self.id_valid_ms == 0 {
-            return Err(SettingsError::value("id_valid_ms", 0, positive));
-        }
-        if self.threads == 0 {
-            return Err(SettingsError::value("threads", 0, positive));
-        }
-        if let TargetSettings::Service { max_running: 0, .. } = self.target {
-            return Err(SettingsError::value(
-                "target.service.max_running",
-                0,
-                positive,
-            ));
+        if let TargetSettings::Service { max_running, .. } = self.target {
+            check_positive("target.service.max_running", u64::from(max_running))?;
         }
         if let Permits::StaticShare { loads_per_second } = self.permits {
             if loads_per_second.is_nan() || loads_per_second <= 0.0 {
@@ -129,8 +114,7 @@
                 return Err(SettingsError::value(key, loads_per_second, "more than 0"));
             }
         }
-        logging::check_level(&self.log)
-            .map_err(|_| SettingsError::value("log", &self.log, "a log level"))
+        check_log(&self.log)
     }
 }
 
--- a/testkit/tests/adapter_slots.rs
+++ b/testkit/tests/adapter_slots.rs
@@ -108,7 +108,7 @@
             12 => self.tick(Duration::from_millis(u64::from(detail) * 4)),
             13 if self.faults => self.straggle(detail),
             14 if self.faults && detail < 6 => self.engine.restart(),
-            14 if self.faults && detail < 16 => self.pause(),
+            14 if self.faults && detail < 90 => self.pause(),
             15 if self.faults && detail < 2 && self.boxes.len() < 2 => self.replace(),
             _ => self.execute(detail),
         }
--- a/testkit/tests/configuration.rs
+++ b/testkit/tests/configuration.rs
@@ -42,6 +42,19 @@
     }
 }
 
+/// a prompt on the version that `new_version` adds
+fn prompt_on_new_version(prompt: String) -> GenerateRequest {
+    GenerateRequest {
+        group: "branches".to_string(),
+        class: "counter".to_string(),
+        adapter: "loan-0".to_string(),
+        version: 3,
+        prompt,
+        max_tokens: 3,
+        ..GenerateRequest::default()
+    }
+}
+
 async fn generation(cluster: &Cluster, entry: usize) -> Result<u64> {
     let mut admin = AdminClient::new(cluster.channel(entry).await?);
     Ok(admin
@@ -72,15 +85,7 @@
     cluster.wait_in_force(2, 2).await?;
     for entry in 0..3 {
         let mut client = cluster.client(entry).await?;
-        let req = GenerateRequest {
-            group: "branches".to_string(),
-            class: "counter".to_string(),
-            adapter: "loan-0".to_string(),
-            version: 3,
-            prompt: format!("the new version by {entry}"),
-            max_tokens: 3,
-            ..GenerateRequest::default()
-        };
+        let req = prompt_on_new_version(format!("the new version by {entry}"));
         let answer = generate(&mut client, req.clone()).await;
         assert_eq!(check_answer(&req, &answer.expect("served")), Verdict::Good);
     }
@@ -237,15 +242,7 @@
     for entry in 0..5 {
         wait_generation(&cluster, entry, 2).await?;
         let mut client = cluster.client(entry).await?;
-        let req = GenerateRequest {
-            group: "branches".to_string(),
-            class: "counter".to_string(),
-            adapter: "loan-0".to_string(),
-            version: 3,
-            prompt: format!("cut off {entry}"),
-            max_tokens: 3,
-            ..GenerateRequest::default()
-        };
+        let req = prompt_on_new_version(format!("cut off {entry}"));
         let answer = generate(&mut client, req.clone()).await;
         assert_eq!(check_answer(&req, &answer.expect("served")), Verdict::Good);
     }
