Take back: the time of a load alone while nothing is wished for

Cause for the try: with few hot adapters entries queue at the engines that hold one rather than load it on one more.

Reports still count wished adapters, not requests.

--- a/coordination/src/sidecar/load_book.rs
+++ b/coordination/src/sidecar/load_book.rs
@@ -59,8 +59,6 @@
     pub(super) stalled: HashSet<RequestId>,
     /// adapters whose unload is under way
     pub(super) unloading: HashSet<AdapterKey>,
-    /// of one load, in seconds
-    load_time: Option<f64>,
     /// from the wish for an adapter until it is loaded, in seconds
     wish_time: Option<f64>,
     /// when a fixed rate allows the next load
@@ -75,7 +73,6 @@
             wished_count: 0,
             stalled: HashSet::new(),
             unloading: HashSet::new(),
-            load_time: None,
             wish_time: None,
             static_next: None,
         }
@@ -86,15 +83,10 @@
             self.giver = giver;
         }
     }
-    /// time until an adapter that is wished for now would be loaded. While
-    /// nothing waits it is a load's own time: what earlier waits were says
-    /// nothing of the next one
+    /// time from the wish for an adapter until it is loaded, smoothed
     pub(super) fn expected_time(&self) -> Duration {
-        let seconds = match self.wished_count {
-            0 => self.load_time,
-            _ => self.wish_time,
-        };
-        Duration::from_secs_f64(seconds.unwrap_or(DEFAULT_LOAD_TIME.as_secs_f64()))
+        let seconds = self.wish_time.unwrap_or(DEFAULT_LOAD_TIME.as_secs_f64());
+        Duration::from_secs_f64(seconds)
     }
     pub(super) fn take_stalled(&mut self, request: &str) -> bool {
         self.stalled.remove(request)
@@ -113,15 +105,10 @@
             }
         }
     }
-    /// a load took this long, the wait for its permit with it `since_wish`
-    pub(super) fn measure(&mut self, took: Duration, since_wish: Duration) {
-        smooth(&mut self.load_time, took);
-        smooth(&mut self.wish_time, since_wish);
+    /// an adapter was loaded this long after the wish for it
+    pub(super) fn measure(&mut self, since_wish: Duration) {
+        let newest = since_wish.as_secs_f64();
+        let before = self.wish_time.unwrap_or(newest);
+        self.wish_time = Some(before + SMOOTHING * (newest - before));
     }
 }
-
-fn smooth(value: &mut Option<f64>, newest: Duration) {
-    let newest = newest.as_secs_f64();
-    let before = value.unwrap_or(newest);
-    *value = Some(before + SMOOTHING * (newest - before));
-}
--- a/coordination/src/sidecar/loading.rs
+++ b/coordination/src/sidecar/loading.rs
@@ -94,7 +94,7 @@
                 let wish = self.loads.wishes.remove(key);
                 // the way to the permit is a part of what requests wait for
                 let waited = wish.map(|w| now.saturating_duration_since(w.since));
-                self.loads.measure(took, waited.unwrap_or(took));
+                self.loads.measure(waited.unwrap_or(took));
             }
             OrderResult::Failed => self.on_load_failed(key, now),
             OrderResult::Fenced | OrderResult::Unknown => self.doubt(),
--- a/protocol/src/peer/report.rs
+++ b/protocol/src/peer/report.rs
@@ -26,7 +26,8 @@
     pub wished: u32,
     /// time of one token of one request, in µs, as measured
     pub token_micros: u64,
-    /// time until an adapter that is wished for now would be loaded, in ms
+    /// time from the wish for an adapter until it is loaded, in ms, as
+    /// measured
     pub load_millis: u64,
     pub loaded: Vec<LoadedAdapter>,
 }
