--- /dev/null
+++ b/coordination/src/dispatch/ask.rs
@@ -0,0 +1,28 @@
+use {
+    chalkcart_state::{
+        backends::{AdapterRef, BackendId},
+        ids::ServiceName,
+    },
+    std::time::{Duration, Instant},
+};
+
+/// number of a request within one life of an entry
+pub type Ticket = u64;
+
+/// a request that needs a back end
+#[derive(Debug, Clone)]
+pub struct Ask {
+    pub service: ServiceName,
+    pub adapter: Option<AdapterRef>,
+    pub prompt_tokens: u32,
+    /// 0 is the most urgent
+    pub priority: u8,
+    pub target_latency: Duration,
+    pub arrived: Instant,
+    /// when the client or the route ends the request
+    pub deadline: Instant,
+    /// back ends that are not to be tried again
+    pub tried: Vec<BackendId>,
+    /// times that it was sent
+    pub sends: u32,
+}
--- /dev/null
+++ b/coordination/src/dispatch/backend_state.rs
@@ -0,0 +1,149 @@
+use {
+    super::Health,
+    chalkcart_protocol::peer::EngineView,
+    chalkcart_state::backends::{AdapterRef, Backend},
+    std::{
+        collections::{HashMap, HashSet},
+        time::{Duration, Instant},
+    },
+};
+
+/// prompt tokens of a request that only the engine's count of its queue shows
+const TOKENS_UNSEEN: f64 = 1_000.0;
+/// a view older than this says nothing of queues
+const VIEW_FRESH: Duration = Duration::from_secs(1);
+/// a back end that was full is left alone for this long
+const FULL_PAUSE: Duration = Duration::from_millis(60);
+
+/// a request on its way at a back end
+#[derive(Debug, Clone)]
+pub struct Sent {
+    pub adapter: Option<AdapterRef>,
+    pub prompt_tokens: u32,
+    pub at: Instant,
+    /// its first token came
+    pub started: bool,
+}
+
+/// what an entry knows of one back end
+#[derive(Debug, Clone)]
+pub struct BackendState {
+    pub listed: Backend,
+    /// no longer in the list; used only where nothing else is
+    pub is_gone: bool,
+    pub health: Health,
+    pub in_flight: u32,
+    /// of these, waiting for their first token
+    unstarted: u32,
+    unstarted_tokens: u64,
+    pub view: Option<EngineView>,
+    viewed_at: Instant,
+    pub running_on: HashMap<AdapterRef, u32>,
+    pub used: HashSet<AdapterRef>,
+    /// adapters that the engine has refused since the last view
+    refused: HashSet<AdapterRef>,
+    full_until: Instant,
+}
+
+impl BackendState {
+    pub fn new(listed: Backend, now: Instant) -> Self {
+        Self {
+            listed,
+            is_gone: false,
+            health: Health::new(now),
+            in_flight: 0,
+            unstarted: 0,
+            unstarted_tokens: 0,
+            view: None,
+            viewed_at: now,
+            running_on: HashMap::new(),
+            used: HashSet::new(),
+            refused: HashSet::new(),
+            full_until: now,
+        }
+    }
+
+    pub fn on_view(&mut self, view: EngineView, now: Instant) {
+        self.view = Some(view);
+        self.viewed_at = now;
+        self.refused.clear();
+    }
+    pub fn on_sent(&mut self, sent: &Sent) {
+        self.in_flight += 1;
+        self.unstarted += 1;
+        self.unstarted_tokens += u64::from(sent.prompt_tokens);
+        if let Some(adapter) = &sent.adapter {
+            *self.running_on.entry(adapter.clone()).or_default() += 1;
+            self.used.insert(adapter.clone());
+        }
+    }
+    pub fn on_started(&mut self, sent: &Sent) {
+        self.unstarted = self.unstarted.saturating_sub(1);
+        let tokens = u64::from(sent.prompt_tokens);
+        self.unstarted_tokens = self.unstarted_tokens.saturating_sub(tokens);
+    }
+    pub fn on_ended(&mut self, sent: &Sent) {
+        if !sent.started {
+            self.on_started(sent);
+        }
+        self.in_flight = self.in_flight.saturating_sub(1);
+        let Some(adapter) = &sent.adapter else {
+            return;
+        };
+        if let Some(count) = self.running_on.get_mut(adapter) {
+            *count -= 1;
+            if *count == 0 {
+                self.running_on.remove(adapter);
+            }
+        }
+    }
+    pub fn on_full(&mut self, now: Instant) {
+        self.full_until = now + FULL_PAUSE;
+    }
+    pub fn on_refused(&mut self, adapter: &AdapterRef) {
+        self.refused.insert(adapter.clone());
+    }
+
+    /// the version of an adapter that requests may be sent to
+    pub fn held_version(&self, adapter: &AdapterRef) -> Option<u64> {
+        if self.refused.contains(adapter) {
+            return None;
+        }
+        let held = match &self.view {
+            Some(view) => &view.held,
+            None => &self.listed.held,
+        };
+        let found = held.iter().find(|h| h.adapter == *adapter);
+        found.map(|h| h.version)
+    }
+    pub fn is_loading(&self, adapter: &AdapterRef) -> bool {
+        let view = self.view.as_ref();
+        view.is_some_and(|v| v.loading.contains(adapter))
+    }
+    pub fn spare_slots(&self) -> u32 {
+        self.view.as_ref().map_or(0, |v| v.spare_slots)
+    }
+    pub fn takes_work(&self, now: Instant) -> bool {
+        !self.listed.leaving && !self.is_gone && !self.health.is_resting(now)
+    }
+
+    /// requests that run or wait there, all entries together
+    pub fn occupied(&self, now: Instant) -> u32 {
+        let seen = self.fresh_view(now).map_or(0, |v| v.running + v.queued);
+        seen.max(self.in_flight)
+    }
+    pub fn has_place(&self, now: Instant) -> bool {
+        now >= self.full_until && self.occupied(now) < self.listed.slots
+    }
+    /// prompt tokens that wait to be read
+    pub fn queued_tokens(&self, now: Instant) -> f64 {
+        let queued = self.fresh_view(now).map_or(0, |v| v.queued);
+        let unseen = queued.saturating_sub(self.unstarted);
+        self.unstarted_tokens as f64 + f64::from(unseen) * TOKENS_UNSEEN
+    }
+
+    fn fresh_view(&self, now: Instant) -> Option<&EngineView> {
+        let age = now.saturating_duration_since(self.viewed_at);
+        self.view.as_ref().filter(|_| age < VIEW_FRESH)
+    }
+}
--- /dev/null
+++ b/coordination/src/dispatch/dispatcher.rs
@@ -0,0 +1,587 @@
+use {
+    super::{
+        demands::build_demand, waiting::WaitingList, Ask, Assignment, BackendState, Decision,
+        DispatchEvent, DispatchSettings, RefusalCause, SendOutcome, Sent, SharedBudget, Ticket,
+    },
+    crate::membership::{rendezvous_weight, stable_hash},
+    chalkcart_protocol::peer::{AdapterDemand, EngineView, WantedAdapter},
+    chalkcart_state::{
+        backends::{AdapterRef, Backend, BackendId, BackendList},
+        ids::ServiceName,
+        ingress::{RouteTable, Service},
+    },
+    std::{
+        collections::{BTreeMap, HashMap, HashSet},
+        net::SocketAddr,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+};
+
+/// cost of a back end in another zone, in ms
+const FAR_MS: f64 = 2.0;
+/// cost of a back end that fails each request, in ms
+const FAILING_MS: f64 = 800.0;
+/// cost of one more request that runs there, in ms
+const RUNNING_MS: f64 = 0.4;
+/// after this time without its adapter a request asks at the next engine too
+const NEXT_HOME_AFTER: Duration = Duration::from_millis(1_500);
+/// an adapter is spread only while this many of its requests are in flight
+const SPREAD_IN_FLIGHT: u32 = 3;
+/// a wish for another copy is given up after this time
+const SPREAD_FOR: Duration = Duration::from_millis(1_500);
+/// entries assumed before a sidecar has counted them
+const ENTRIES_UNKNOWN: u32 = 8;
+/// what a request that was refused waits at least
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
+
+/// one back end, for logs and operators
+#[derive(Debug, Clone)]
+pub struct BackendRow {
+    pub id: BackendId,
+    pub in_flight: u32,
+    pub occupied: u32,
+    pub held: usize,
+    pub failure_rate: f64,
+}
+
+/// which adapter another engine is asked to load
+#[derive(Debug, Clone)]
+struct Spread {
+    backend: BackendId,
+    until: Instant,
+}
+
+/// chooses back ends for one entry's requests
+pub struct Dispatcher {
+    settings: DispatchSettings,
+    backends: BTreeMap<BackendId, BackendState>,
+    list_version: u64,
+    table: Arc<RouteTable>,
+    waiting: WaitingList,
+    sent: HashMap<Ticket, (BackendId, ServiceName, Sent)>,
+    budgets: HashMap<ServiceName, SharedBudget>,
+    /// newest versions, and since when this entry knows them
+    versions: HashMap<AdapterRef, u64>,
+    versioned_at: HashMap<AdapterRef, Instant>,
+    spreads: HashMap<AdapterRef, Spread>,
+    /// engines whose sidecars must hear of a new wish
+    urgent: HashSet<BackendId>,
+    decided: Vec<(Ticket, Decision)>,
+}
+
+impl Dispatcher {
+    pub fn new(settings: DispatchSettings) -> Self {
+        Self {
+            settings,
+            backends: BTreeMap::new(),
+            list_version: 0,
+            table: Arc::default(),
+            waiting: WaitingList::default(),
+            sent: HashMap::new(),
+            budgets: HashMap::new(),
+            versions: HashMap::new(),
+            versioned_at: HashMap::new(),
+            spreads: HashMap::new(),
+            urgent: HashSet::new(),
+            decided: Vec::new(),
+        }
+    }
+
+    /// take in what happened; gives what was decided by it
+    pub fn handle(&mut self, event: DispatchEvent, now: Instant) -> Vec<(Ticket, Decision)> {
+        match event {
+            DispatchEvent::Asked { ticket, ask } => self.on_asked(ticket, ask, now),
+            DispatchEvent::Withdrawn(ticket) => {
+                self.waiting.take(ticket);
+            }
+            DispatchEvent::Started(ticket) => self.on_started(ticket),
+            DispatchEvent::Ended { ticket, outcome } => self.on_ended(ticket, outcome, now),
+            DispatchEvent::Listed { version, list } => self.on_list(version, list, now),
+            DispatchEvent::Configured(table) => self.table = table,
+            DispatchEvent::Viewed(view) => self.on_view(view, now),
+            DispatchEvent::ViewLost(backend) => {
+                if let Some(state) = self.backends.get_mut(&backend) {
+                    state.view = None;
+                }
+            }
+            DispatchEvent::Versioned { adapter, version } => self.on_version(adapter, version, now),
+            DispatchEvent::Tick => {}
+        }
+        self.serve_waiting(now);
+        std::mem::take(&mut self.decided)
+    }
+
+    /// what sidecars must hear now; all of them if `all`
+    pub fn demands(&mut self, all: bool, now: Instant) -> Vec<(SocketAddr, AdapterDemand)> {
+        self.spreads.retain(|_, spread| spread.until > now);
+        let urgent = std::mem::take(&mut self.urgent);
+        let mut wanted = self.wanted(now);
+        let mut demands = Vec::new();
+        let table = self.table.clone();
+        for (id, state) in &mut self.backends {
+            if state.is_gone || !(all || urgent.contains(id)) {
+                continue;
+            }
+            let service = table.services.get(&state.listed.service);
+            let Some(spec) = service.and_then(|s| s.engine.as_ref()) else {
+                continue;
+            };
+            let wanted = wanted.remove(id).unwrap_or_default();
+            let versions = &self.versions;
+            let settings = &self.settings;
+            let demand = build_demand(settings, self.list_version, spec, state, wanted, versions);
+            demands.push((state.listed.addr, demand));
+        }
+        demands
+    }
+
+    pub fn has_urgent_demands(&self) -> bool {
+        !self.urgent.is_empty()
+    }
+    pub fn waiting_count(&self) -> usize {
+        self.waiting.len()
+    }
+    pub fn rows(&self, now: Instant) -> Vec<BackendRow> {
+        let rows = self.backends.values().map(|b| BackendRow {
+            id: b.listed.id.clone(),
+            in_flight: b.in_flight,
+            occupied: b.occupied(now),
+            held: b.view.as_ref().map_or(0, |v| v.held.len()),
+            failure_rate: b.health.failure_rate(now),
+        });
+        rows.collect()
+    }
+
+    fn on_asked(&mut self, ticket: Ticket, ask: Ask, now: Instant) {
+        let entries = self.entry_count();
+        let settings = &self.settings;
+        let budget = self.budgets.entry(ask.service.clone());
+        let budget = budget.or_insert_with(|| {
+            SharedBudget::new(
+                settings.retry_ratio,
+                settings.retry_extra,
+                settings.retry_window,
+            )
+        });
+        match ask.sends {
+            0 => budget.on_request(now),
+            _ if !budget.allows(entries, now) => {
+                let cause = RefusalCause::NoBudget;
+                self.refuse(ticket, cause, MIN_RETRY_AFTER);
+                return;
+            }
+            _ => {}
+        }
+        self.waiting.put(ticket, ask);
+    }
+
+    fn on_started(&mut self, ticket: Ticket) {
+        let Some((backend, _, sent)) = self.sent.get_mut(&ticket) else {
+            return;
+        };
+        if sent.started {
+            return;
+        }
+        if let Some(state) = self.backends.get_mut(backend) {
+            state.on_started(sent);
+        }
+        sent.started = true;
+    }
+
+    fn on_ended(&mut self, ticket: Ticket, outcome: SendOutcome, now: Instant) {
+        let Some((backend, _, sent)) = self.sent.remove(&ticket) else {
+            return;
+        };
+        let Some(state) = self.backends.get_mut(&backend) else {
+            return;
+        };
+        state.on_ended(&sent);
+        match outcome {
+            SendOutcome::Answered => state.health.on_success(now),
+            SendOutcome::Shed => state.on_full(now),
+            SendOutcome::Misdirected => match &sent.adapter {
+                Some(adapter) => state.on_refused(adapter),
+                None => state.is_gone = true,
+            },
+            SendOutcome::Unreachable => state.health.on_unreachable(now),
+            SendOutcome::Failed => state.health.on_failure(now),
+            SendOutcome::Abandoned => {}
+        }
+        let is_idle_and_gone = state.is_gone && state.in_flight == 0;
+        let service = state.listed.service.clone();
+        if is_idle_and_gone && self.has_listed(&service) {
+            self.backends.remove(&backend);
+        }
+    }
+
+    fn on_list(&mut self, version: u64, list: BackendList, now: Instant) {
+        if version < self.list_version {
+            return;
+        }
+        self.list_version = version;
+        let listed: HashSet<&BackendId> = list.iter().map(|b| &b.id).collect();
+        for (id, state) in &mut self.backends {
+            state.is_gone = !listed.contains(id);
+        }
+        for backend in list {
+            match self.backends.get_mut(&backend.id) {
+                Some(state) => state.listed = backend,
+                None => {
+                    let id = backend.id.clone();
+                    self.urgent.insert(id.clone());
+                    self.backends.insert(id, BackendState::new(backend, now));
+                }
+            }
+        }
+        self.forget_gone();
+    }
+
+    /// forget back ends that left the list, unless nothing else is left
+    fn forget_gone(&mut self) {
+        let services: HashSet<ServiceName> = self
+            .backends
+            .values()
+            .filter(|b| !b.is_gone)
+            .map(|b| b.listed.service.clone())
+            .collect();
+        self.backends
+            .retain(|_, b| !b.is_gone || b.in_flight > 0 || !services.contains(&b.listed.service));
+    }
+
+    fn has_listed(&self, service: &ServiceName) -> bool {
+        let mut of_service = self.backends.values();
+        of_service.any(|b| !b.is_gone && b.listed.service == *service)
+    }
+
+    fn on_view(&mut self, view: EngineView, now: Instant) {
+        if let Some(state) = self.backends.get_mut(&view.backend) {
+            state.on_view(view, now);
+        }
+    }
+
+    fn on_version(&mut self, adapter: AdapterRef, version: u64, now: Instant) {
+        let known = self.versions.get(&adapter).copied().unwrap_or(0);
+        if version <= known {
+            return;
+        }
+        self.versions.insert(adapter.clone(), version);
+        for (id, state) in &self.backends {
+            if state.held_version(&adapter).is_some() {
+                self.urgent.insert(id.clone());
+            }
+        }
+        self.versioned_at.insert(adapter, now);
+    }
+
+    /// give back ends to requests that wait, in order, and refuse those whose
+    /// wait is over
+    fn serve_waiting(&mut self, now: Instant) {
+        if self.waiting.is_empty() {
+            return;
+        }
+        for ticket in self.waiting.tickets() {
+            let Some(ask) = self.waiting.get(ticket).cloned() else {
+                continue;
+            };
+            match self.choose(&ask, now) {
+                Choice::Send(assignment) => {
+                    self.waiting.take(ticket);
+                    self.send(ticket, ask, assignment, now);
+                }
+                Choice::Wait(cause) => self.wait_or_refuse(ticket, &ask, cause, now),
+            }
+        }
+    }
+
+    fn send(&mut self, ticket: Ticket, ask: Ask, assignment: Assignment, now: Instant) {
+        if ask.sends > 0 {
+            if let Some(budget) = self.budgets.get_mut(&ask.service) {
+                budget.on_repeat(now);
+            }
+        }
+        let sent = Sent {
+            adapter: ask.adapter,
+            prompt_tokens: ask.prompt_tokens,
+            at: now,
+            started: false,
+        };
+        if let Some(state) = self.backends.get_mut(&assignment.backend) {
+            state.on_sent(&sent);
+        }
+        let backend = assignment.backend.clone();
+        self.sent.insert(ticket, (backend, ask.service, sent));
+        self.decided.push((ticket, Decision::Send(assignment)));
+    }
+
+    fn wait_or_refuse(&mut self, ticket: Ticket, ask: &Ask, cause: RefusalCause, now: Instant) {
+        let part = match cause {
+            RefusalCause::NotLoaded => self.settings.wait_for_adapter,
+            RefusalCause::Full | RefusalCause::NoBackend | RefusalCause::NoBudget => {
+                self.settings.wait_for_place
+            }
+        };
+        let longest = ask.target_latency.mul_f64(part);
+        let waited = now.saturating_duration_since(ask.arrived);
+        if waited >= longest || now >= ask.deadline {
+            self.waiting.take(ticket);
+            let retry_after = ask.target_latency / 2;
+            self.refuse(ticket, cause, retry_after.max(MIN_RETRY_AFTER));
+        }
+    }
+
+    fn refuse(&mut self, ticket: Ticket, cause: RefusalCause, retry_after: Duration) {
+        let decision = Decision::Refuse { cause, retry_after };
+        self.decided.push((ticket, decision));
+    }
+
+    fn choose(&mut self, ask: &Ask, now: Instant) -> Choice {
+        let candidates = self.candidates(ask, now);
+        if candidates.is_empty() {
+            return Choice::Wait(RefusalCause::NoBackend);
+        }
+        match &ask.adapter {
+            Some(adapter) => self.choose_holder(ask, adapter, candidates, now),
+            None => self.choose_cheapest(candidates, None, now),
+        }
+    }
+
+    /// back ends that may take the request, sound ones if there are any
+    fn candidates(&self, ask: &Ask, now: Instant) -> Vec<BackendId> {
+        let of_service: Vec<&BackendState> = self
+            .backends
+            .values()
+            .filter(|b| b.listed.service == ask.service && !ask.tried.contains(&b.listed.id))
+            .collect();
+        let sound = of_service.iter().filter(|b| b.takes_work(now));
+        let sound: Vec<BackendId> = sound.map(|b| b.listed.id.clone()).collect();
+        if !sound.is_empty() {
+            return sound;
+        }
+        let resting = of_service
+            .iter()
+            .filter(|b| !b.listed.leaving && !b.is_gone);
+        let resting: Vec<BackendId> = resting.map(|b| b.listed.id.clone()).collect();
+        if !resting.is_empty() || self.has_listed(&ask.service) {
+            return resting;
+        }
+        let gone = of_service.iter().filter(|b| !b.listed.leaving);
+        gone.map(|b| b.listed.id.clone()).collect()
+    }
+
+    fn choose_cheapest(
+        &self,
+        candidates: Vec<BackendId>,
+        adapter: Option<&AdapterRef>,
+        now: Instant,
+    ) -> Choice {
+        let states = candidates.iter().filter_map(|id| self.backends.get(id));
+        let with_place = states.filter(|b| b.has_place(now));
+        let cheapest = with_place.min_by(|a, b| self.cost(a, now).total_cmp(&self.cost(b, now)));
+        match cheapest {
+            Some(state) => Choice::Send(Assignment {
+                backend: state.listed.id.clone(),
+                addr: state.listed.addr,
+                version: adapter.and_then(|a| state.held_version(a)),
+            }),
+            None => Choice::Wait(RefusalCause::Full),
+        }
+    }
+
+    fn choose_holder(
+        &mut self,
+        ask: &Ask,
+        adapter: &AdapterRef,
+        candidates: Vec<BackendId>,
+        now: Instant,
+    ) -> Choice {
+        let is_holder = |id: &&BackendId| {
+            let state = self.backends.get(*id);
+            let version = state.and_then(|b| b.held_version(adapter));
+            version.is_some_and(|v| self.is_current(adapter, v, now))
+        };
+        let holders: Vec<BackendId> = candidates.iter().filter(is_holder).cloned().collect();
+        if holders.is_empty() {
+            self.wish(adapter, &candidates, ask, now);
+            return Choice::Wait(RefusalCause::NotLoaded);
+        }
+        let choice = self.choose_cheapest(holders.clone(), Some(adapter), now);
+        self.consider_spread(adapter, &holders, &candidates, &choice, now);
+        choice
+    }
+
+    /// whether an adapter's version may still be run
+    fn is_current(&self, adapter: &AdapterRef, version: u64, now: Instant) -> bool {
+        let newest = self.versions.get(adapter).copied().unwrap_or(0);
+        let since = self.versioned_at.get(adapter);
+        let age = since.map_or(Duration::ZERO, |at| now.saturating_duration_since(*at));
+        version >= newest || age < self.settings.version_grace
+    }
+
+    /// have a sidecar load the adapter, if none does yet
+    fn wish(&mut self, adapter: &AdapterRef, candidates: &[BackendId], ask: &Ask, now: Instant) {
+        if self
+            .spreads
+            .get(adapter)
+            .is_some_and(|s| s.until > now && candidates.contains(&s.backend))
+        {
+            return;
+        }
+        let waited = now.saturating_duration_since(ask.arrived);
+        let skip = (waited.as_millis() / NEXT_HOME_AFTER.as_millis()) as usize;
+        if let Some(home) = self.home(adapter, candidates, skip) {
+            self.urgent.insert(home.clone());
+            let until = now + NEXT_HOME_AFTER;
+            let backend = home;
+            self.spreads
+                .insert(adapter.clone(), Spread { backend, until });
+        }
+    }
+
+    /// the engine that is to load an adapter: the one that does so already,
+    /// else the first with a spare place in the adapter's own order
+    fn home(
+        &self,
+        adapter: &AdapterRef,
+        candidates: &[BackendId],
+        skip: usize,
+    ) -> Option<BackendId> {
+        let states: Vec<&BackendState> = candidates
+            .iter()
+            .filter_map(|id| self.backends.get(id))
+            .filter(|b| b.view.is_some())
+            .collect();
+        if let Some(loading) = states.iter().find(|b| b.is_loading(adapter)) {
+            return Some(loading.listed.id.clone());
+        }
+        let key = stable_hash(&adapter.to_string());
+        let mut ranked: Vec<(u64, &BackendState)> = states
+            .into_iter()
+            .filter(|b| b.spare_slots() > 0)
+            .map(|b| {
+                let member = stable_hash(&b.listed.addr.to_string());
+                (rendezvous_weight(key, member), b)
+            })
+            .collect();
+        ranked.sort_by(|a, b| b.0.cmp(&a.0));
+        let index = skip % ranked.len().max(1);
+        ranked.get(index).map(|(_, b)| b.listed.id.clone())
+    }
+
+    /// ask for another copy if those that hold the adapter are too busy
+    fn consider_spread(
+        &mut self,
+        adapter: &AdapterRef,
+        holders: &[BackendId],
+        candidates: &[BackendId],
+        choice: &Choice,
+        now: Instant,
+    ) {
+        let wait = match choice {
+            Choice::Send(assignment) => {
+                let state = self.backends.get(&assignment.backend);
+                state.map_or(0.0, |b| self.queue_ms(b, now))
+            }
+            Choice::Wait(_) => f64::INFINITY,
+        };
+        let in_flight: u32 = holders
+            .iter()
+            .filter_map(|id| self.backends.get(id)?.running_on.get(adapter))
+            .sum();
+        if wait < self.settings.spread_wait_ms
+            || in_flight < SPREAD_IN_FLIGHT
+            || self.spreads.contains_key(adapter)
+        {
+            return;
+        }
+        let others: Vec<BackendId> = candidates
+            .iter()
+            .filter(|id| !holders.contains(id))
+            .filter(|id| {
+                let state = self.backends.get(*id);
+                state.is_some_and(|b| self.queue_ms(b, now) < wait / 2.0)
+            })
+            .cloned()
+            .collect();
+        if let Some(backend) = self.home(adapter, &others, 0) {
+            self.urgent.insert(backend.clone());
+            let until = now + SPREAD_FOR;
+            self.spreads
+                .insert(adapter.clone(), Spread { backend, until });
+        }
+    }
+
+    /// expected time to the first token there, in ms
+    fn queue_ms(&self, state: &BackendState, now: Instant) -> f64 {
+        state.queued_tokens(now) / self.settings.tokens_per_ms
+    }
+
+    fn cost(&self, state: &BackendState, now: Instant) -> f64 {
+        let is_far = state.listed.zone != self.settings.zone;
+        let far = if is_far { FAR_MS } else { 0.0 };
+        // requests of a plain service have no tokens, and share its slots
+        let load = f64::from(state.occupied(now)) / f64::from(state.listed.slots.max(1));
+        self.queue_ms(state, now)
+            + f64::from(state.occupied(now)) * RUNNING_MS
+            + load * 30.0
+            + far
+            + state.health.failure_rate(now) * FAILING_MS
+    }
+
+    /// what requests wait for, by the engine that is to load it
+    fn wanted(&self, now: Instant) -> HashMap<BackendId, Vec<WantedAdapter>> {
+        let mut rows: BTreeMap<&AdapterRef, WantedAdapter> = BTreeMap::new();
+        for adapter in self.spreads.keys() {
+            rows.insert(adapter, wanted_adapter(adapter));
+        }
+        for ask in self.waiting.asks() {
+            let Some(row) = ask.adapter.as_ref().and_then(|a| rows.get_mut(a)) else {
+                continue;
+            };
+            let waited = now.saturating_duration_since(ask.arrived).as_millis();
+            row.waiting += 1;
+            row.priority = row.priority.min(ask.priority);
+            row.waited_ms = row.waited_ms.max(waited as u32);
+        }
+        let mut wanted: HashMap<BackendId, Vec<WantedAdapter>> = HashMap::new();
+        for (adapter, row) in rows {
+            if let Some(spread) = self.spreads.get(adapter) {
+                wanted.entry(spread.backend.clone()).or_default().push(row);
+            }
+        }
+        wanted
+    }
+
+    fn entry_count(&self) -> u32 {
+        let views = self.backends.values().filter_map(|b| b.view.as_ref());
+        let counted = views.map(|v| v.entries).max();
+        counted.filter(|n| *n > 0).unwrap_or(ENTRIES_UNKNOWN)
+    }
+
+    /// the configuration of a service
+    pub fn service(&self, name: &str) -> Option<&Service> {
+        self.table.services.get(name)
+    }
+    /// a back end as it was last listed
+    pub fn listed(&self) -> impl Iterator<Item = &Backend> {
+        self.backends
+            .values()
+            .filter(|b| !b.is_gone)
+            .map(|b| &b.listed)
+    }
+}
+
+/// what can be done for a request now
+enum Choice {
+    Send(Assignment),
+    Wait(RefusalCause),
+}
+
+fn wanted_adapter(adapter: &AdapterRef) -> WantedAdapter {
+    WantedAdapter {
+        adapter: adapter.clone(),
+        waiting: 0,
+        priority: u8::MAX,
+        waited_ms: 0,
+    }
+}
--- /dev/null
+++ b/coordination/src/dispatch/event.rs
@@ -0,0 +1,57 @@
+use {
+    super::{Ask, Ticket},
+    chalkcart_protocol::peer::EngineView,
+    chalkcart_state::{
+        backends::{AdapterRef, BackendId, BackendList},
+        ingress::RouteTable,
+    },
+    std::sync::Arc,
+};
+
+/// how a send ended
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SendOutcome {
+    /// answered whole
+    Answered,
+    /// the back end said that it did not run it, being full
+    Shed,
+    /// it is another incarnation, or lacks the adapter
+    Misdirected,
+    /// never reached it
+    Unreachable,
+    /// it failed, or its answer was lost or spoilt
+    Failed,
+    /// the client left, or its time ran out
+    Abandoned,
+}
+
+/// what happens to the dispatcher
+#[derive(Debug)]
+pub enum DispatchEvent {
+    /// a request needs a back end
+    Asked {
+        ticket: Ticket,
+        ask: Ask,
+    },
+    /// a request that waited is gone
+    Withdrawn(Ticket),
+    /// the first part of an answer came
+    Started(Ticket),
+    Ended {
+        ticket: Ticket,
+        outcome: SendOutcome,
+    },
+    Listed {
+        version: u64,
+        list: BackendList,
+    },
+    Configured(Arc<RouteTable>),
+    Viewed(EngineView),
+    ViewLost(BackendId),
+    /// an adapter has a new version
+    Versioned {
+        adapter: AdapterRef,
+        version: u64,
+    },
+    Tick,
+}
--- /dev/null
+++ b/coordination/src/dispatch/mod.rs
@@ -0,0 +1,24 @@
+//! which back end a request goes to, how long it waits, and when it is
+//! refused: decided by the entry
+
+mod ask;
+mod backend_state;
+mod decision;
+mod demands;
+mod dispatcher;
+mod event;
+mod health;
+mod settings;
+mod shared_budget;
+mod waiting;
+
+pub use {
+    ask::{Ask, Ticket},
+    backend_state::{BackendState, Sent},
+    decision::{Assignment, Decision, RefusalCause},
+    dispatcher::{BackendRow, Dispatcher},
+    event::{DispatchEvent, SendOutcome},
+    health::Health,
+    settings::DispatchSettings,
+    shared_budget::SharedBudget,
+};
--- /dev/null
+++ b/coordination/src/dispatch/settings.rs
@@ -0,0 +1,42 @@
+use {
+    chalkcart_state::ids::{BoxName, ZoneName},
+    std::time::Duration,
+};
+
+/// bounds of an entry's decisions
+#[derive(Debug, Clone)]
+pub struct DispatchSettings {
+    pub entry: BoxName,
+    pub zone: ZoneName,
+    /// repeats for each request of a service, over all entries
+    pub retry_ratio: f64,
+    /// repeats beyond that in a window, over all entries
+    pub retry_extra: f64,
+    pub retry_window: Duration,
+    /// longest wait for an adapter or a place, as a part of the objective
+    pub wait_for_adapter: f64,
+    pub wait_for_place: f64,
+    /// prompt tokens that an engine reads in a ms, with other work between
+    pub tokens_per_ms: f64,
+    /// a queue this long makes an adapter worth another copy, in ms
+    pub spread_wait_ms: f64,
+    /// the former version of an adapter is used no longer than this
+    pub version_grace: Duration,
+}
+
+impl Default for DispatchSettings {
+    fn default() -> Self {
+        Self {
+            entry: BoxName::new(),
+            zone: ZoneName::new(),
+            retry_ratio: 0.2,
+            retry_extra: 50.0,
+            retry_window: Duration::from_secs(10),
+            wait_for_adapter: 4.0,
+            wait_for_place: 2.0,
+            tokens_per_ms: 16.0,
+            spread_wait_ms: 200.0,
+            version_grace: Duration::from_millis(2_500),
+        }
+    }
+}
--- /dev/null
+++ b/coordination/src/dispatch/shared_budget.rs
@@ -0,0 +1,59 @@
+use std::{
+    collections::VecDeque,
+    time::{Duration, Instant},
+};
+
+/// part of the budget that is used; the rest covers entries that count late
+const USED_PART: f64 = 0.7;
+
+/// one entry's share of the repeats that a service bears.
+///
+/// All entries together may repeat `ratio` of the requests and `extra` more in
+/// each window. Each counts its own requests; `extra` is divided by the
+/// number of entries.
+#[derive(Debug)]
+pub struct SharedBudget {
+    ratio: f64,
+    extra: f64,
+    window: Duration,
+    requests: VecDeque<Instant>,
+    repeats: VecDeque<Instant>,
+}
+
+impl SharedBudget {
+    pub fn new(ratio: f64, extra: f64, window: Duration) -> Self {
+        Self {
+            ratio,
+            extra,
+            window,
+            requests: VecDeque::new(),
+            repeats: VecDeque::new(),
+        }
+    }
+
+    pub fn on_request(&mut self, now: Instant) {
+        self.forget(now);
+        self.requests.push_back(now);
+    }
+    /// whether one more repeat may be sent, with this many entries alive
+    pub fn allows(&mut self, entries: u32, now: Instant) -> bool {
+        self.forget(now);
+        let own_extra = self.extra / f64::from(entries.max(1));
+        let allowed = self.ratio * self.requests.len() as f64 + own_extra;
+        ((self.repeats.len() + 1) as f64) <= allowed * USED_PART
+    }
+    pub fn on_repeat(&mut self, now: Instant) {
+        self.repeats.push_back(now);
+    }
+
+    fn forget(&mut self, now: Instant) {
+        for times in [&mut self.requests, &mut self.repeats] {
+            while times
+                .front()
+                .is_some_and(|at| now.saturating_duration_since(*at) > self.window)
+            {
+                times.pop_front();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/coordination/src/dispatch/waiting.rs
@@ -0,0 +1,39 @@
+use {
+    super::{Ask, Ticket},
+    std::{collections::BTreeMap, time::Instant},
+};
+
+/// requests that wait, the most urgent first and then the oldest
+#[derive(Debug, Default)]
+pub struct WaitingList {
+    rows: BTreeMap<(u8, Instant, Ticket), Ask>,
+    keys: BTreeMap<Ticket, (u8, Instant, Ticket)>,
+}
+
+impl WaitingList {
+    pub fn put(&mut self, ticket: Ticket, ask: Ask) {
+        let key = (ask.priority, ask.arrived, ticket);
+        self.keys.insert(ticket, key);
+        self.rows.insert(key, ask);
+    }
+    pub fn take(&mut self, ticket: Ticket) -> Option<Ask> {
+        let key = self.keys.remove(&ticket)?;
+        self.rows.remove(&key)
+    }
+    /// tickets in the order in which they are served
+    pub fn tickets(&self) -> Vec<Ticket> {
+        self.rows.keys().map(|(_, _, ticket)| *ticket).collect()
+    }
+    pub fn get(&self, ticket: Ticket) -> Option<&Ask> {
+        self.rows.get(self.keys.get(&ticket)?)
+    }
+    pub fn asks(&self) -> impl Iterator<Item = &Ask> {
+        self.rows.values()
+    }
+    pub fn is_empty(&self) -> bool {
+        self.rows.is_empty()
+    }
+    pub fn len(&self) -> usize {
+        self.rows.len()
+    }
+}
--- a/coordination/src/lib.rs
+++ b/coordination/src/lib.rs
@@ -4,10 +4,12 @@
 //! actions come out. So each decision is tested without a socket.
 
 pub mod config;
+pub mod dispatch;
 pub mod fence;
 pub mod membership;
 pub mod once;
 pub mod permits;
+pub mod placement;
 pub mod queue;
 pub mod retry;
 pub mod routing;
--- /dev/null
+++ b/coordination/src/placement/demand_book.rs
@@ -0,0 +1,78 @@
+use {
+    chalkcart_protocol::peer::{AdapterDemand, WantedAdapter},
+    chalkcart_state::{backends::AdapterRef, ids::BoxName},
+    std::{
+        collections::HashMap,
+        time::{Duration, Instant},
+    },
+};
+
+/// what all entries need of one engine
+#[derive(Debug, Default)]
+pub struct DemandBook {
+    demands: HashMap<BoxName, (Instant, AdapterDemand)>,
+}
+
+impl DemandBook {
+    /// an entry says what it needs
+    pub fn put(&mut self, demand: AdapterDemand, now: Instant) {
+        self.demands.insert(demand.entry.clone(), (now, demand));
+    }
+    /// forget entries that were silent for too long
+    pub fn expire(&mut self, silence: Duration, now: Instant) {
+        self.demands
+            .retain(|_, (at, _)| now.saturating_duration_since(*at) < silence);
+    }
+    pub fn entries(&self) -> usize {
+        self.demands.len()
+    }
+    /// requests of all entries that run on an adapter
+    pub fn in_flight(&self, adapter: &AdapterRef) -> u32 {
+        let used = self.each().flat_map(|d| &d.used);
+        let of = used.filter(|u| u.adapter == *adapter);
+        of.map(|u| u.in_flight).sum()
+    }
+    pub fn is_wanted(&self, adapter: &AdapterRef) -> bool {
+        let mut wanted = self.each().flat_map(|d| &d.wanted);
+        wanted.any(|w| w.adapter == *adapter)
+    }
+    /// what requests wait for, the most urgent first
+    pub fn wanted(&self) -> Vec<WantedAdapter> {
+        let mut merged: HashMap<&AdapterRef, WantedAdapter> = HashMap::new();
+        for wanted in self.each().flat_map(|d| &d.wanted) {
+            match merged.get_mut(&wanted.adapter) {
+                Some(row) => {
+                    row.waiting += wanted.waiting;
+                    row.priority = row.priority.min(wanted.priority);
+                    row.waited_ms = row.waited_ms.max(wanted.waited_ms);
+                }
+                None => {
+                    merged.insert(&wanted.adapter, wanted.clone());
+                }
+            }
+        }
+        let mut wanted: Vec<WantedAdapter> = merged.into_values().collect();
+        wanted.sort_by(|a, b| {
+            a.priority
+                .cmp(&b.priority)
+                .then(b.waiting.cmp(&a.waiting))
+                .then(b.waited_ms.cmp(&a.waited_ms))
+                .then(a.adapter.cmp(&b.adapter))
+        });
+        wanted
+    }
+    /// the lowest version of an adapter that entries still accept
+    pub fn newest_version(&self, adapter: &AdapterRef) -> Option<u64> {
+        let outdated = self.each().flat_map(|d| &d.outdated);
+        let of = outdated.filter(|o| o.adapter == *adapter);
+        of.map(|o| o.version).max()
+    }
+    /// the message that stands in the newest list
+    pub fn newest(&self) -> Option<&AdapterDemand> {
+        self.each().max_by_key(|d| d.list_version)
+    }
+
+    fn each(&self) -> impl Iterator<Item = &AdapterDemand> {
+        self.demands.values().map(|(_, demand)| demand)
+    }
+}
--- /dev/null
+++ b/coordination/src/placement/mod.rs
@@ -0,0 +1,18 @@
+//! which adapters an engine holds: decided by the sidecar beside it, from what
+//! the entries need
+
+mod demand_book;
+mod engine_order;
+mod engine_report;
+mod fence_token;
+mod placement_control;
+mod settings;
+
+pub use {
+    demand_book::DemandBook,
+    engine_order::{EngineOrder, OrderAnswer, OrderKind},
+    engine_report::EngineReport,
+    fence_token::FenceToken,
+    placement_control::{PlacementControl, PlacementEvent, PlacementStep},
+    settings::PlacementSettings,
+};
--- /dev/null
+++ b/coordination/src/placement/placement_control.rs
@@ -0,0 +1,348 @@
+use {
+    super::{
+        DemandBook, EngineOrder, EngineReport, FenceToken, OrderAnswer, OrderKind,
+        PlacementSettings,
+    },
+    chalkcart_protocol::peer::{AdapterDemand, EngineRoom, EngineView},
+    chalkcart_state::backends::{AdapterRef, BackendId},
+    std::{
+        collections::HashMap,
+        time::{Duration, Instant},
+    },
+};
+
+/// how often the engine is read while adapters are on their way
+const READ_LOADING: Duration = Duration::from_millis(20);
+/// and otherwise
+const READ_CALM: Duration = Duration::from_millis(100);
+
+/// what happens to the control state of a sidecar's placement
+#[derive(Debug)]
+pub enum PlacementEvent {
+    Demand(AdapterDemand),
+    /// the engine was read
+    Report(EngineReport),
+    /// the engine could not be read
+    ReportFailed,
+    Answered {
+        order: EngineOrder,
+        answer: OrderAnswer,
+    },
+}
+
+/// what the process does next
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum PlacementStep {
+    /// give this order
+    Order(EngineOrder),
+    /// read the engine after this time at the latest
+    Read { after: Duration },
+}
+
+/// an adapter that the engine holds
+#[derive(Debug, Clone)]
+struct Place {
+    version: u64,
+    last_used: Instant,
+    /// a newer version is known since then
+    outdated_since: Option<Instant>,
+    /// its newer version was ordered
+    replacing: bool,
+}
+
+/// which adapters one engine holds.
+///
+/// Orders are given one at a time, and the engine is read after each, by the
+/// same task, so that a report never describes the time before an order that
+/// was answered.
+pub struct PlacementControl {
+    settings: PlacementSettings,
+    fence: FenceToken,
+    backend: BackendId,
+    demands: DemandBook,
+    places: HashMap<AdapterRef, Place>,
+    report: EngineReport,
+    /// the engine was read since its last change of incarnation or doubt
+    is_read: bool,
+    /// orders that failed, and until when they rest
+    resting: HashMap<OrderKind, Instant>,
+    model_ordered: Option<Instant>,
+}
+
+impl PlacementControl {
+    /// `clock_ms` is the time of day, in ms since the epoch
+    pub fn new(settings: PlacementSettings, clock_ms: u64) -> Self {
+        Self {
+            settings,
+            fence: FenceToken::new(clock_ms),
+            backend: BackendId::new(),
+            demands: DemandBook::default(),
+            places: HashMap::new(),
+            report: EngineReport::default(),
+            is_read: false,
+            resting: HashMap::new(),
+            model_ordered: None,
+        }
+    }
+
+    /// take in what happened
+    pub fn handle(&mut self, event: PlacementEvent, now: Instant) {
+        match event {
+            PlacementEvent::Demand(demand) => self.on_demand(demand, now),
+            PlacementEvent::Report(report) => self.on_report(report, now),
+            PlacementEvent::ReportFailed => self.is_read = false,
+            PlacementEvent::Answered { order, answer } => self.on_answer(order, answer, now),
+        }
+    }
+
+    /// what to do now
+    pub fn next_step(&mut self, now: Instant) -> PlacementStep {
+        self.demands.expire(self.settings.entry_silence, now);
+        self.resting.retain(|_, until| *until > now);
+        if self.is_read && !self.backend.is_empty() {
+            if let Some(kind) = self.next_order(now) {
+                return PlacementStep::Order(EngineOrder {
+                    kind,
+                    backend: self.backend.clone(),
+                    fence: self.fence.value(),
+                });
+            }
+        }
+        let is_loading = !self.report.loading.is_empty() || self.is_replacing();
+        let after = match is_loading || !self.is_read {
+            true => READ_LOADING,
+            false => READ_CALM,
+        };
+        PlacementStep::Read { after }
+    }
+
+    /// what entries may know
+    pub fn view(&self, now: Instant) -> EngineView {
+        let mut view = EngineView {
+            backend: self.backend.clone(),
+            loading: self.report.loading.clone(),
+            spare_slots: self.spare_slots(now),
+            running: self.report.running,
+            queued: self.report.queued,
+            kv_used: self.report.kv_used,
+            kv_total: self.report.kv_total,
+            entries: self.demands.entries() as u32,
+            ..EngineView::default()
+        };
+        let held = self.report.held.iter();
+        let ready = held.filter(|h| !self.places.get(&h.adapter).is_some_and(|p| p.replacing));
+        view.held = ready.cloned().collect();
+        view.held.sort_by(|a, b| a.adapter.cmp(&b.adapter));
+        view
+    }
+
+    pub fn backend(&self) -> &BackendId {
+        &self.backend
+    }
+
+    fn on_demand(&mut self, demand: AdapterDemand, now: Instant) {
+        for used in &demand.used {
+            if let Some(place) = self.places.get_mut(&used.adapter) {
+                place.last_used = now;
+            }
+        }
+        for newer in &demand.outdated {
+            if let Some(place) = self.places.get_mut(&newer.adapter) {
+                if place.version < newer.version {
+                    place.outdated_since.get_or_insert(now);
+                }
+            }
+        }
+        self.demands.put(demand, now);
+        let newest = self.demands.newest().map(|d| d.backend.clone());
+        if let Some(backend) = newest {
+            self.follow_backend(backend);
+        }
+    }
+
+    fn follow_backend(&mut self, backend: BackendId) {
+        if self.backend != backend {
+            self.backend = backend;
+            self.is_read = false;
+            self.resting.clear();
+        }
+    }
+
+    fn on_report(&mut self, report: EngineReport, now: Instant) {
+        let mut places = HashMap::with_capacity(report.held.len());
+        for held in &report.held {
+            let known = self.places.get(&held.adapter);
+            let same = known.filter(|p| p.version == held.version).cloned();
+            let mut place = same.unwrap_or(Place {
+                version: held.version,
+                last_used: now,
+                outdated_since: None,
+                replacing: false,
+            });
+            // a replacement that the engine no longer lists was not taken
+            place.replacing &= report.loading.contains(&held.adapter);
+            let newest = self.demands.newest_version(&held.adapter);
+            if newest.is_some_and(|v| v > place.version) {
+                place.outdated_since.get_or_insert(now);
+            }
+            places.insert(held.adapter.clone(), place);
+        }
+        self.places = places;
+        self.report = report;
+        self.is_read = true;
+    }
+
+    fn on_answer(&mut self, order: EngineOrder, answer: OrderAnswer, now: Instant) {
+        // whatever it was, the engine is read before the next order
+        self.is_read = false;
+        match answer {
+            OrderAnswer::Taken | OrderAnswer::Done => self.on_taken(&order.kind),
+            OrderAnswer::Fenced => self.fence.on_refused(order.fence),
+            OrderAnswer::OtherBackend(Some(backend)) => self.follow_backend(backend),
+            OrderAnswer::OtherBackend(None)
+            | OrderAnswer::Busy
+            | OrderAnswer::Refused
+            | OrderAnswer::Unknown => {
+                let until = now + self.settings.order_pause;
+                self.resting.insert(order.kind, until);
+            }
+        }
+    }
+
+    fn on_taken(&mut self, kind: &OrderKind) {
+        match kind {
+            OrderKind::LoadAdapter(adapter) => {
+                if let Some(place) = self.places.get_mut(adapter) {
+                    place.replacing = true;
+                }
+            }
+            OrderKind::UnloadAdapter(adapter) => {
+                self.places.remove(adapter);
+                self.report.held.retain(|h| h.adapter != *adapter);
+            }
+            OrderKind::LoadModel(_) => {}
+        }
+    }
+
+    fn next_order(&mut self, now: Instant) -> Option<OrderKind> {
+        let room = self.demands.newest()?.room.clone();
+        if let Some(order) = self.missing_model(&room, now) {
+            return Some(order);
+        }
+        let loading = self.report.loading.len();
+        if loading >= self.settings.max_loading {
+            return None;
+        }
+        if let Some(order) = self.replacement(now) {
+            return Some(order);
+        }
+        let next = self.next_wanted(now)?;
+        let has_room = self.places.len() + self.new_loading() < self.capacity(&room);
+        match has_room {
+            true => Some(OrderKind::LoadAdapter(next)),
+            false => self.coldest(now).map(OrderKind::UnloadAdapter),
+        }
+    }
+
+    /// the base model that wanted adapters belong to and that is not there
+    fn missing_model(&mut self, room: &EngineRoom, now: Instant) -> Option<OrderKind> {
+        if self.report.busy || !self.report.models.is_empty() {
+            return None;
+        }
+        let ordered = self.model_ordered;
+        let pause = self.settings.model_pause;
+        if ordered.is_some_and(|at| now.saturating_duration_since(at) < pause) {
+            return None;
+        }
+        let wanted = self.demands.wanted();
+        let model = match wanted.first() {
+            Some(wanted) => wanted.adapter.model.clone(),
+            None => room.models.first()?.model.clone(),
+        };
+        self.model_ordered = Some(now);
+        Some(OrderKind::LoadModel(model))
+    }
+
+    fn replacement(&self, now: Instant) -> Option<OrderKind> {
+        let due = self.places.iter().find(|(adapter, place)| {
+            let Some(since) = place.outdated_since else {
+                return false;
+            };
+            let waited = now.saturating_duration_since(since);
+            let is_idle = self.demands.in_flight(adapter) == 0;
+            !place.replacing && (is_idle || waited >= self.settings.replace_after)
+        });
+        let order = due.map(|(adapter, _)| OrderKind::LoadAdapter(adapter.clone()))?;
+        (!self.resting.contains_key(&order)).then_some(order)
+    }
+
+    fn next_wanted(&self, now: Instant) -> Option<AdapterRef> {
+        let wanted = self.demands.wanted().into_iter();
+        let mut missing = wanted.map(|w| w.adapter).filter(|adapter| {
+            let order = OrderKind::LoadAdapter(adapter.clone());
+            self.report.models.contains(&adapter.model)
+                && !self.places.contains_key(adapter)
+                && !self.report.loading.contains(adapter)
+                && self.resting.get(&order).is_none_or(|until| *until <= now)
+        });
+        missing.next()
+    }
+
+    /// adapters on their way that take a place of their own
+    fn new_loading(&self) -> usize {
+        let loading = self.report.loading.iter();
+        loading.filter(|a| !self.places.contains_key(a)).count()
+    }
+
+    fn is_replacing(&self) -> bool {
+        self.places.values().any(|p| p.replacing)
+    }
+
+    /// adapters that fit the engine, by places and by weight
+    fn capacity(&self, room: &EngineRoom) -> usize {
+        let held = room.models.iter();
+        let held = held.filter(|m| self.report.models.contains(&m.model));
+        let (mut left, mut largest) = (room.weights_mb, 0.0f64);
+        for model in held {
+            left -= model.weights_mb;
+            largest = largest.max(model.adapter_mb);
+        }
+        let by_weight = match largest > 0.0 {
+            true => (left / largest).max(0.0) as usize,
+            false => usize::MAX,
+        };
+        by_weight.min(room.adapter_slots as usize)
+    }
+
+    /// the adapter that was not used for longest and that nobody needs
+    fn coldest(&self, now: Instant) -> Option<AdapterRef> {
+        let evictable = self
+            .places
+            .iter()
+            .filter(|(a, p)| self.is_evictable(a, p, now));
+        let coldest = evictable.min_by_key(|(adapter, place)| (place.last_used, *adapter));
+        coldest.map(|(adapter, _)| adapter.clone())
+    }
+
+    fn is_evictable(&self, adapter: &AdapterRef, place: &Place, now: Instant) -> bool {
+        let order = OrderKind::UnloadAdapter(adapter.clone());
+        now.saturating_duration_since(place.last_used) >= self.settings.min_idle
+            && !place.replacing
+            && self.demands.in_flight(adapter) == 0
+            && !self.demands.is_wanted(adapter)
+            && !self.resting.contains_key(&order)
+    }
+
+    fn spare_slots(&self, now: Instant) -> u32 {
+        let Some(demand) = self.demands.newest() else {
+            return 0;
+        };
+        let capacity = self.capacity(&demand.room);
+        let taken = self.places.len() + self.new_loading();
+        let evictable = self
+            .places
+            .iter()
+            .filter(|(a, p)| self.is_evictable(a, p, now));
+        (capacity.saturating_sub(taken) + evictable.count()) as u32
+    }
+}
--- /dev/null
+++ b/entry/src/cli/ingress.rs
@@ -0,0 +1,33 @@
+use {
+    crate::{conf::IngressSettings, ingress},
+    anyhow::Result,
+    chalkcart_node::{
+        cli::{ExitCode, Program},
+        settings,
+    },
+    chalkcart_platform::{PlatformDialect, PlatformStore},
+    getopts::Matches,
+    std::sync::Arc,
+};
+
+/// serve clients on the platform
+pub fn run(program: &Program, matches: &Matches) -> Result<ExitCode> {
+    let file = match settings::file_or_environment(&matches.free) {
+        Ok(file) => file,
+        Err(e) => return Ok(chalkcart_node::cli::usage_error(program, e)),
+    };
+    let settings: IngressSettings = match settings::load(&file) {
+        Ok(settings) => settings,
+        Err(e) => {
+            eprintln!("{}: settings: {e}", program.name);
+            return Ok(ExitCode::Usage);
+        }
+    };
+    if matches.opt_present("check") {
+        println!("{}: settings are good", file.display());
+        return Ok(ExitCode::Done);
+    }
+    let store = Arc::new(PlatformStore::new(settings.store));
+    ingress::serve(settings, store, Arc::new(PlatformDialect))?;
+    Ok(ExitCode::Done)
+}
--- a/entry/src/cli/run.rs
+++ b/entry/src/cli/run.rs
@@ -1,5 +1,5 @@
 use {
-    super::{check, remote},
+    super::{check, ingress, remote},
     crate::{app, conf::Settings},
     anyhow::Result,
     chalkcart_node::{
@@ -35,6 +35,18 @@
         options: |_| {},
         run: serve,
     },
+    Command {
+        word: "ingress",
+        program: Program {
+            name: "chalkcart ingress",
+            arguments: "[FILE]",
+            purpose: "Serve clients on the platform, with the settings in FILE (JSON).",
+        },
+        options: |options| {
+            options.optflag("", "check", "check FILE and exit");
+        },
+        run: ingress::run,
+    },
     Command {
         word: "check",
         program: Program {
--- /dev/null
+++ b/entry/src/conf/ingress_settings.rs
@@ -0,0 +1,66 @@
+use {
+    chalkcart_node::settings::{
+        check_filled, check_log, check_positive, defaults, Checked, SettingsError,
+    },
+    chalkcart_state::ids::{BoxName, ZoneName},
+    serde::Deserialize,
+    std::{net::SocketAddr, time::Duration},
+};
+
+/// the settings file of `chalkcart ingress`
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct IngressSettings {
+    /// the box's name
+    pub name: BoxName,
+    pub zone: ZoneName,
+    /// for clients
+    pub clients: SocketAddr,
+    /// for the platform's question whether this process takes connections
+    pub readiness: SocketAddr,
+    /// for operators' tools
+    pub metrics: SocketAddr,
+    /// the platform's store
+    pub store: SocketAddr,
+    /// port at which sidecars listen, on the addresses of their engines
+    pub sidecar_port: u16,
+    /// time between SIGTERM and SIGKILL, in s
+    pub grace_s: f64,
+    /// repeats for each request of a service, over all entries
+    pub retry_ratio: f64,
+    /// repeats beyond that in a window, over all entries
+    pub retry_extra: f64,
+    pub retry_window_s: f64,
+    /// a request may begin on the former version of its adapter for this
+    /// long, in ms
+    pub version_ms: u64,
+    #[serde(default = "defaults::log")]
+    pub log: String,
+}
+
+impl IngressSettings {
+    pub fn grace(&self) -> Duration {
+        Duration::from_secs_f64(self.grace_s)
+    }
+}
+
+impl Checked for IngressSettings {
+    fn check(&self) -> Result<(), SettingsError> {
+        check_filled("name", &self.name, "the box's name")?;
+        check_filled("zone", &self.zone, "the availability zone")?;
+        check_positive("sidecar_port", u64::from(self.sidecar_port))?;
+        check_positive("version_ms", self.version_ms)?;
+        check_number("grace_s", self.grace_s)?;
+        check_number("retry_ratio", self.retry_ratio)?;
+        check_number("retry_extra", self.retry_extra)?;
+        check_number("retry_window_s", self.retry_window_s)?;
+        check_log(&self.log)
+    }
+}
+
+fn check_number(key: &'static str, value: f64) -> Result<(), SettingsError> {
+    match value.is_finite() && value >= 0.0 {
+        true => Ok(()),
+        false => Err(SettingsError::value(key, value, "0 or more")),
+    }
+}
--- a/entry/src/conf/mod.rs
+++ b/entry/src/conf/mod.rs
@@ -1,5 +1,9 @@
-//! settings
+//! the settings of the entry
 
+mod ingress_settings;
 mod settings;
 
-pub use settings::{Routing, Settings};
+pub use {
+    ingress_settings::IngressSettings,
+    settings::{Routing, Settings},
+};
--- /dev/null
+++ b/entry/src/ingress/control.rs
@@ -0,0 +1,157 @@
+use {
+    super::sidecar_links::SidecarLinks,
+    anyhow::{Context, Result},
+    chalkcart_coordination::dispatch::{Ask, Decision, DispatchEvent, Dispatcher, Ticket},
+    std::{
+        collections::HashMap,
+        sync::mpsc::{self, RecvTimeoutError},
+        thread,
+        time::{Duration, Instant},
+    },
+    tokio::sync::oneshot,
+};
+
+/// longest time between two looks at the requests that wait
+const TICK: Duration = Duration::from_millis(25);
+/// longest time between two looks while none wait
+const CALM_TICK: Duration = Duration::from_millis(250);
+/// shortest time between two messages to one sidecar
+const URGENT_EVERY: Duration = Duration::from_millis(10);
+/// longest time between two messages to one sidecar
+const DEMANDS_EVERY: Duration = Duration::from_millis(250);
+
+enum Command {
+    Event(DispatchEvent),
+    Ask {
+        ticket: Ticket,
+        ask: Ask,
+        answer: oneshot::Sender<Decision>,
+    },
+}
+
+/// the traffic threads' way to the control thread
+#[derive(Clone)]
+pub struct ControlHandle {
+    commands: mpsc::Sender<Command>,
+}
+
+impl ControlHandle {
+    pub fn tell(&self, event: DispatchEvent) {
+        // the control thread ends only with the process
+        let _ = self.commands.send(Command::Event(event));
+    }
+    /// ask for a back end; none if the control thread is gone
+    pub async fn decide(&self, ticket: Ticket, ask: Ask) -> Option<Decision> {
+        let (answer, answered) = oneshot::channel();
+        let command = Command::Ask {
+            ticket,
+            ask,
+            answer,
+        };
+        self.commands.send(command).ok()?;
+        answered.await.ok()
+    }
+}
+
+/// the control thread's own state
+struct ControlLoop {
+    dispatcher: Dispatcher,
+    links: SidecarLinks,
+    askers: HashMap<Ticket, oneshot::Sender<Decision>>,
+    last_urgent: Instant,
+    last_all: Instant,
+}
+
+/// start the control thread; it ends when the last handle is gone
+pub fn start(
+    dispatcher: Dispatcher,
+    make_links: impl FnOnce(ControlHandle) -> SidecarLinks,
+) -> Result<ControlHandle> {
+    let (commands, received) = mpsc::channel();
+    let handle = ControlHandle { commands };
+    let now = Instant::now();
+    let mut control = ControlLoop {
+        dispatcher,
+        links: make_links(handle.clone()),
+        askers: HashMap::new(),
+        last_urgent: now,
+        last_all: now,
+    };
+    let builder = thread::Builder::new().name("control".to_string());
+    let run = move || control.run(&received);
+    builder.spawn(run).context("start the control thread")?;
+    Ok(handle)
+}
+
+impl ControlLoop {
+    fn run(&mut self, received: &mpsc::Receiver<Command>) {
+        loop {
+            match received.recv_timeout(self.next_tick()) {
+                Ok(command) => self.handle(command),
+                Err(RecvTimeoutError::Timeout) => self.on_event(DispatchEvent::Tick),
+                Err(RecvTimeoutError::Disconnected) => return,
+            }
+            self.send_demands();
+        }
+    }
+
+    fn next_tick(&self) -> Duration {
+        match self.dispatcher.waiting_count() {
+            0 if !self.dispatcher.has_urgent_demands() => CALM_TICK,
+            0 => URGENT_EVERY,
+            _ => TICK,
+        }
+    }
+
+    fn handle(&mut self, command: Command) {
+        match command {
+            Command::Event(event) => self.on_event(event),
+            Command::Ask {
+                ticket,
+                ask,
+                answer,
+            } => {
+                self.askers.insert(ticket, answer);
+                self.on_event(DispatchEvent::Asked { ticket, ask });
+            }
+        }
+    }
+
+    fn on_event(&mut self, event: DispatchEvent) {
+        let is_list = matches!(event, DispatchEvent::Listed { .. });
+        if let DispatchEvent::Withdrawn(ticket) = &event {
+            self.askers.remove(ticket);
+        }
+        for (ticket, decision) in self.dispatcher.handle(event, Instant::now()) {
+            if let Some(answer) = self.askers.remove(&ticket) {
+                // an asker that is gone says so by itself
+                let _ = answer.send(decision);
+            }
+        }
+        if is_list {
+            let dispatcher = &self.dispatcher;
+            let engines = dispatcher.listed().filter(|b| {
+                let service = dispatcher.service(&b.service);
+                service.is_some_and(|s| s.engine.is_some())
+            });
+            self.links.follow(engines);
+        }
+    }
+
+    fn send_demands(&mut self) {
+        let now = Instant::now();
+        let all = now.saturating_duration_since(self.last_all) >= DEMANDS_EVERY;
+        let is_urgent = self.dispatcher.has_urgent_demands()
+            && now.saturating_duration_since(self.last_urgent) >= URGENT_EVERY;
+        if !(all || is_urgent) {
+            return;
+        }
+        self.last_urgent = now;
+        if all {
+            self.last_all = now;
+        }
+        for (engine, demand) in self.dispatcher.demands(all, now) {
+            self.links.send(engine, demand);
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/ingress/exchange.rs
@@ -0,0 +1,254 @@
+use {
+    super::{
+        answers::OwnAnswer,
+        observers::{SendGuard, WaitGuard},
+        service::Accepted,
+        shared::Shared,
+    },
+    bytes::Bytes,
+    chalkcart_coordination::dispatch::{Ask, Assignment, Decision, SendOutcome, Ticket},
+    chalkcart_transport::{
+        backend::{send, BackendAnswer, SendError},
+        ingress::{remove_connection_headers, ClientResponse, PassBody, SendHead},
+    },
+    http::{request::Parts, Request, Response, StatusCode},
+    http_body_util::{BodyExt, Either, Full},
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    tokio::time::{timeout, timeout_at},
+};
+
+/// longest time that a connection may take to come up
+const CONNECT_LIMIT: Duration = Duration::from_millis(300);
+/// sends of one request, however short each was
+const MAX_SENDS: u32 = 4;
+const MAX_URGENCY: u8 = 9;
+/// when a request comes back whose time here was too short
+const LATE_RETRY: Duration = Duration::from_millis(100);
+
+/// one request on its way: waits, sends and repeats
+pub struct Exchange {
+    shared: Arc<Shared>,
+    ticket: Ticket,
+    accepted: Accepted,
+    deadline: Instant,
+    ask: Ask,
+    /// back ends on which it may have run
+    runs: u32,
+    /// what the last back end that failed it said, if it was an answer
+    failure: Option<ClientResponse>,
+}
+
+/// how one send ended
+enum Attempt {
+    Answered(ClientResponse),
+    NotRun(SendOutcome),
+    /// it may have run; perhaps the back end's own failure can be passed on
+    Failed(Option<ClientResponse>),
+    TimedOut,
+}
+
+impl Exchange {
+    pub fn new(shared: Arc<Shared>, accepted: Accepted) -> Self {
+        let route = &accepted.route;
+        let patience = accepted.head.deadline.unwrap_or(route.timeout);
+        let deadline = accepted.arrived + patience.min(route.timeout);
+        let service = route.pick_service(rand::random());
+        let ask = Ask {
+            service: service.cloned().unwrap_or_default(),
+            adapter: accepted.head.adapter.clone(),
+            prompt_tokens: accepted.head.prompt_tokens,
+            priority: route.priority,
+            target_latency: route.target_latency,
+            arrived: accepted.arrived,
+            deadline,
+            tried: Vec::new(),
+            sends: 0,
+        };
+        Self {
+            ticket: shared.new_ticket(),
+            shared,
+            accepted,
+            deadline,
+            ask,
+            runs: 0,
+            failure: None,
+        }
+    }
+
+    /// bring the request to its end
+    pub async fn run(mut self) -> ClientResponse {
+        loop {
+            let assignment = match self.wait_for_decision().await {
+                Some(Decision::Send(assignment)) => assignment,
+                Some(Decision::Refuse { cause, retry_after }) => {
+                    return self.give_up(cause.code(), retry_after);
+                }
+                None => return self.give_up("late", LATE_RETRY),
+            };
+            self.ask.sends += 1;
+            match self.attempt(&assignment).await {
+                Attempt::Answered(response) => return response,
+                Attempt::TimedOut => return self.own().plain(StatusCode::GATEWAY_TIMEOUT, "late"),
+                Attempt::NotRun(outcome) => {
+                    // a back end that was full, or lacked the adapter, may do later
+                    if outcome == SendOutcome::Unreachable {
+                        self.ask.tried.push(assignment.backend);
+                    }
+                }
+                Attempt::Failed(failure) => {
+                    self.runs += 1;
+                    self.ask.tried.push(assignment.backend);
+                    self.failure = failure;
+                    let may_repeat = self.accepted.route.kind.is_repeatable()
+                        && self.runs < self.accepted.route.max_attempts;
+                    if !may_repeat {
+                        return self.give_up("failed", LATE_RETRY);
+                    }
+                }
+            }
+            if self.ask.sends >= MAX_SENDS {
+                return self.give_up("sends", LATE_RETRY);
+            }
+        }
+    }
+
+    async fn wait_for_decision(&self) -> Option<Decision> {
+        let control = &self.shared.control;
+        let mut guard = WaitGuard::new(control.clone(), self.ticket);
+        let asked = control.decide(self.ticket, self.ask.clone());
+        let decision = timeout_at(self.deadline.into(), asked).await.ok()??;
+        guard.set_decided();
+        Some(decision)
+    }
+
+    /// the final answer to a request that no back end answered
+    fn give_up(&mut self, reason: &str, retry_after: Duration) -> ClientResponse {
+        if let Some(failure) = self.failure.take() {
+            return failure;
+        }
+        match self.runs {
+            0 => self.own().not_run(reason, retry_after),
+            _ => self.own().plain(StatusCode::BAD_GATEWAY, reason),
+        }
+    }
+
+    fn own(&self) -> OwnAnswer<'_> {
+        OwnAnswer {
+            dialect: self.shared.dialect.as_ref(),
+            request_id: Some(&self.accepted.head.id),
+        }
+    }
+
+    async fn attempt(&self, assignment: &Assignment) -> Attempt {
+        let mut guard = SendGuard::new(self.shared.control.clone(), self.ticket);
+        let Some(req) = self.request(assignment) else {
+            return Attempt::Failed(None);
+        };
+        let sent = timeout_at(
+            self.deadline.into(),
+            send(assignment.addr, req, CONNECT_LIMIT),
+        );
+        match sent.await {
+            Err(_) => Attempt::TimedOut,
+            Ok(Err(SendError::NotSent { addr, problem })) => {
+                log::info!("send: {} to {addr}: {problem}", self.accepted.head.id);
+                guard.end(SendOutcome::Unreachable);
+                Attempt::NotRun(SendOutcome::Unreachable)
+            }
+            Ok(Err(SendError::Lost { addr, problem })) => {
+                log::info!("send: {} to {addr}: {problem}", self.accepted.head.id);
+                guard.end(SendOutcome::Failed);
+                Attempt::Failed(None)
+            }
+            Ok(Ok(answer)) => self.take_answer(answer, guard).await,
+        }
+    }
+
+    fn request(&self, assignment: &Assignment) -> Option<Request<Full<Bytes>>> {
+        let Parts {
+            method,
+            uri,
+            headers,
+            ..
+        } = &self.accepted.parts;
+        let target = uri.path_and_query()?.as_str();
+        let mut req = Request::builder().method(method).uri(target);
+        let sent_headers = req.headers_mut()?;
+        sent_headers.clone_from(headers);
+        let send = SendHead {
+            deadline: self.deadline.saturating_duration_since(Instant::now()),
+            backend: &assignment.backend,
+            version: assignment.version,
+            urgency: self.accepted.route.priority.min(MAX_URGENCY),
+        };
+        self.shared.dialect.write_send(sent_headers, &send);
+        req.body(Full::new(self.accepted.body.clone())).ok()
+    }
+
+    async fn take_answer(&self, answer: BackendAnswer, mut guard: SendGuard) -> Attempt {
+        let status = answer.response.status();
+        let head = self.shared.dialect.read_answer(answer.response.headers());
+        let is_ours = head.request_id.as_deref() == Some(self.accepted.head.id.as_str());
+        if head.not_run {
+            let outcome = match status {
+                StatusCode::MISDIRECTED_REQUEST => SendOutcome::Misdirected,
+                _ => SendOutcome::Shed,
+            };
+            guard.end(outcome);
+            return Attempt::NotRun(outcome);
+        }
+        if status == StatusCode::MISDIRECTED_REQUEST {
+            guard.end(SendOutcome::Misdirected);
+            return Attempt::NotRun(SendOutcome::Misdirected);
+        }
+        let is_sound = is_ours && !head.encoded && (head.signed || !status.is_success());
+        // these would promise that the request did not run
+        let is_promise = matches!(
+            status,
+            StatusCode::TOO_MANY_REQUESTS
+                | StatusCode::SERVICE_UNAVAILABLE
+                | StatusCode::REQUEST_TIMEOUT
+        );
+        if !is_sound || is_promise {
+            log::info!("send: {} unsound answer {status}", self.accepted.head.id);
+            guard.end(SendOutcome::Failed);
+            return Attempt::Failed(None);
+        }
+        match self.accepted.route.kind.is_stream() && status.is_success() {
+            true => self.pass_stream(answer, guard),
+            false => self.collect(answer, guard).await,
+        }
+    }
+
+    fn pass_stream(&self, answer: BackendAnswer, guard: SendGuard) -> Attempt {
+        let (mut parts, body) = answer.response.into_parts();
+        remove_connection_headers(&mut parts.headers);
+        let body = PassBody::new(body, answer.connection, self.deadline, Box::new(guard));
+        Attempt::Answered(Response::from_parts(parts, Either::Right(body)))
+    }
+
+    async fn collect(&self, answer: BackendAnswer, mut guard: SendGuard) -> Attempt {
+        let (mut parts, body) = answer.response.into_parts();
+        remove_connection_headers(&mut parts.headers);
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        let body = match timeout(left, body.collect()).await {
+            Err(_) => return Attempt::TimedOut,
+            Ok(Err(_)) => {
+                guard.end(SendOutcome::Failed);
+                return Attempt::Failed(None);
+            }
+            Ok(Ok(collected)) => collected.to_bytes(),
+        };
+        let is_failure = parts.status.is_server_error();
+        let response = Response::from_parts(parts, Either::Left(Full::new(body)));
+        if is_failure {
+            guard.end(SendOutcome::Failed);
+            return Attempt::Failed(Some(response));
+        }
+        guard.end(SendOutcome::Answered);
+        Attempt::Answered(response)
+    }
+}
--- /dev/null
+++ b/entry/src/ingress/mod.rs
@@ -0,0 +1,15 @@
+//! the ingress: clients' HTTP requests on routes of the configuration, sent on
+//! to the back ends that the control thread chooses
+
+mod answers;
+mod control;
+mod exchange;
+mod follower;
+mod observers;
+mod readiness;
+mod serve;
+mod service;
+mod shared;
+mod sidecar_links;
+
+pub use {serve::serve, shared::Shared};
--- /dev/null
+++ b/entry/src/ingress/serve.rs
@@ -0,0 +1,88 @@
+use {
+    super::{
+        control, follower::Follower, readiness, service::RoutedIngress, shared::Shared,
+        sidecar_links::SidecarLinks,
+    },
+    crate::conf::IngressSettings,
+    anyhow::{Context, Result},
+    chalkcart_coordination::dispatch::{DispatchSettings, Dispatcher},
+    chalkcart_node::{runtime::run_on_one_thread, signals::stop_signal},
+    chalkcart_transport::{
+        ingress::{self, Dialect, Phase},
+        metadata::{MetadataSource, Topic},
+        server,
+    },
+    std::{sync::Arc, time::Duration},
+    tokio::{runtime::Handle, sync::watch, time::timeout},
+};
+
+/// time in which the platform's balancer notices that this process drains
+const DRAIN_NOTICE: Duration = Duration::from_millis(3_000);
+/// part of the grace that is left to end the process
+const END_SLACK: Duration = Duration::from_millis(150);
+
+/// run the ingress until it is asked to stop
+pub fn serve(
+    settings: IngressSettings,
+    store: Arc<dyn MetadataSource>,
+    dialect: Arc<dyn Dialect>,
+) -> Result<()> {
+    let (name, log) = (settings.name.clone(), settings.log.clone());
+    run_on_one_thread(&name, &log, run(settings, store, dialect))
+}
+
+async fn run(
+    settings: IngressSettings,
+    store: Arc<dyn MetadataSource>,
+    dialect: Arc<dyn Dialect>,
+) -> Result<()> {
+    let clients = server::bind(settings.clients).await?;
+    let readiness = server::bind(settings.readiness).await?;
+    let dispatcher = Dispatcher::new(dispatch_settings(&settings));
+    let (runtime, port) = (Handle::current(), settings.sidecar_port);
+    let control = control::start(dispatcher, |control| {
+        SidecarLinks::new(runtime, control, port)
+    })?;
+    let shared = Arc::new(Shared::new(settings, control, dialect));
+    for topic in [Topic::Configuration, Topic::Backends] {
+        tokio::spawn(Follower::new(shared.clone(), store.clone(), topic).run());
+    }
+    let (_stop, stopped) = watch::channel(false);
+    let router = readiness::new_router(shared.clone());
+    tokio::spawn(server::serve(readiness, router, stopped, Duration::ZERO));
+    let service = Arc::new(RoutedIngress::new(shared.clone()));
+    let served = tokio::spawn(ingress::serve(clients, service, shared.phase.subscribe()));
+    log::info!("ingress: serves on {}", shared.settings.clients);
+    let signal = stop_signal().await?;
+    log::info!("ingress: drains after {signal}");
+    drain(&shared, served).await
+}
+
+/// stop being ready, let the balancer notice, and let requests end
+async fn drain(shared: &Shared, served: tokio::task::JoinHandle<()>) -> Result<()> {
+    shared.phase.send_replace(Phase::Draining);
+    tokio::time::sleep(DRAIN_NOTICE).await;
+    shared.phase.send_replace(Phase::Closing);
+    let left = shared
+        .settings
+        .grace()
+        .saturating_sub(DRAIN_NOTICE + END_SLACK);
+    match timeout(left, served).await {
+        Ok(joined) => joined.context("join the server")?,
+        Err(_) => log::warn!("ingress: requests still run after {left:?}"),
+    }
+    log::info!("ingress: stopped");
+    Ok(())
+}
+
+fn dispatch_settings(settings: &IngressSettings) -> DispatchSettings {
+    DispatchSettings {
+        entry: settings.name.clone(),
+        zone: settings.zone.clone(),
+        retry_ratio: settings.retry_ratio,
+        retry_extra: settings.retry_extra,
+        retry_window: Duration::from_secs_f64(settings.retry_window_s),
+        version_grace: Duration::from_millis(settings.version_ms / 2),
+        ..DispatchSettings::default()
+    }
+}
--- /dev/null
+++ b/entry/src/ingress/shared.rs
@@ -0,0 +1,55 @@
+use {
+    super::control::ControlHandle,
+    crate::conf::IngressSettings,
+    arc_swap::ArcSwapOption,
+    chalkcart_coordination::dispatch::Ticket,
+    chalkcart_state::ingress::RouteTable,
+    chalkcart_transport::ingress::{Dialect, Phase},
+    std::sync::{
+        atomic::{AtomicBool, AtomicU64, Ordering},
+        Arc,
+    },
+    tokio::sync::watch,
+};
+
+/// what the tasks of the ingress share
+pub struct Shared {
+    pub settings: IngressSettings,
+    pub control: ControlHandle,
+    pub dialect: Arc<dyn Dialect>,
+    /// the configuration in force, none before the first was read
+    pub table: ArcSwapOption<RouteTable>,
+    pub phase: watch::Sender<Phase>,
+    next_ticket: AtomicU64,
+    knows_backends: AtomicBool,
+}
+
+impl Shared {
+    pub fn new(
+        settings: IngressSettings,
+        control: ControlHandle,
+        dialect: Arc<dyn Dialect>,
+    ) -> Self {
+        Self {
+            settings,
+            control,
+            dialect,
+            table: ArcSwapOption::empty(),
+            phase: watch::Sender::new(Phase::Serving),
+            next_ticket: AtomicU64::new(1),
+            knows_backends: AtomicBool::new(false),
+        }
+    }
+
+    pub fn new_ticket(&self) -> Ticket {
+        self.next_ticket.fetch_add(1, Ordering::Relaxed)
+    }
+    pub fn set_knows_backends(&self) {
+        self.knows_backends.store(true, Ordering::Relaxed);
+    }
+    /// whether the platform may send clients here
+    pub fn is_ready(&self) -> bool {
+        let knows = self.table.load().is_some() && self.knows_backends.load(Ordering::Relaxed);
+        knows && *self.phase.borrow() == Phase::Serving
+    }
+}
--- /dev/null
+++ b/entry/src/ingress/sidecar_links.rs
@@ -0,0 +1,141 @@
+use {
+    super::control::ControlHandle,
+    chalkcart_coordination::dispatch::DispatchEvent,
+    chalkcart_protocol::peer::{path, AdapterDemand, EngineView},
+    chalkcart_state::backends::{Backend, BackendId},
+    chalkcart_transport::client::{ClientError, ClientStep, MessageStream, PeerClient},
+    futures::StreamExt,
+    std::{
+        collections::{HashMap, HashSet},
+        net::SocketAddr,
+        time::Duration,
+    },
+    tokio::{
+        runtime::Handle,
+        sync::watch,
+        task::JoinHandle,
+        time::{sleep, timeout},
+    },
+};
+
+/// a sidecar sends a view at least each 250 ms
+const SILENCE: Duration = Duration::from_millis(1_000);
+const RETRY: Duration = Duration::from_millis(150);
+const POST_LIMIT: Duration = Duration::from_millis(400);
+
+/// the connections to the sidecars of the engines that are listed
+pub struct SidecarLinks {
+    runtime: Handle,
+    control: ControlHandle,
+    peers: PeerClient,
+    sidecar_port: u16,
+    links: HashMap<SocketAddr, Link>,
+}
+
+/// one sidecar's; its tasks end when it is dropped
+struct Link {
+    demand: watch::Sender<Option<AdapterDemand>>,
+    tasks: [JoinHandle<()>; 2],
+}
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        self.tasks.iter().for_each(JoinHandle::abort);
+    }
+}
+
+impl SidecarLinks {
+    pub fn new(runtime: Handle, control: ControlHandle, sidecar_port: u16) -> Self {
+        Self {
+            runtime,
+            control,
+            peers: PeerClient::new(),
+            sidecar_port,
+            links: HashMap::new(),
+        }
+    }
+
+    /// hold a link to the sidecar of each of these engines, and no other
+    pub fn follow<'b>(&mut self, engines: impl Iterator<Item = &'b Backend>) {
+        let addrs: HashSet<SocketAddr> = engines.map(|b| b.addr).collect();
+        self.links.retain(|addr, _| addrs.contains(addr));
+        for addr in addrs {
+            if !self.links.contains_key(&addr) {
+                let link = self.open(addr);
+                self.links.insert(addr, link);
+            }
+        }
+    }
+
+    /// tell the sidecar of an engine what is needed of it
+    pub fn send(&self, engine: SocketAddr, demand: AdapterDemand) {
+        if let Some(link) = self.links.get(&engine) {
+            link.demand.send_replace(Some(demand));
+        }
+    }
+
+    fn open(&self, engine: SocketAddr) -> Link {
+        let sidecar = SocketAddr::new(engine.ip(), self.sidecar_port);
+        let (demand, demands) = watch::channel(None);
+        let views = read_views(self.peers.clone(), sidecar, self.control.clone());
+        let posts = post_demands(self.peers.clone(), sidecar, demands);
+        let tasks = [self.runtime.spawn(views), self.runtime.spawn(posts)];
+        Link { demand, tasks }
+    }
+}
+
+async fn read_views(peers: PeerClient, sidecar: SocketAddr, control: ControlHandle) {
+    loop {
+        let mut backend = BackendId::new();
+        let e = match read_until_error(&peers, sidecar, &control, &mut backend).await {
+            Ok(()) => "the stream ended".to_string(),
+            Err(e) => e.to_string(),
+        };
+        if !backend.is_empty() {
+            log::warn!("links: sidecar {sidecar} lost: {e}");
+            control.tell(DispatchEvent::ViewLost(backend));
+        }
+        sleep(RETRY).await;
+    }
+}
+
+async fn read_until_error(
+    peers: &PeerClient,
+    sidecar: SocketAddr,
+    control: &ControlHandle,
+    backend: &mut BackendId,
+) -> Result<(), ClientError> {
+    let opened = timeout(SILENCE, peers.stream(sidecar, path::VIEWS, &()));
+    let silent = |_| ClientError::new(ClientStep::Receive, sidecar, "silent");
+    let mut views: MessageStream<EngineView> = opened.await.map_err(silent)??;
+    loop {
+        let Some(view) = timeout(SILENCE, views.next()).await.map_err(silent)? else {
+            return Ok(());
+        };
+        let view = view?;
+        if backend.is_empty() && !view.backend.is_empty() {
+            log::info!("links: sidecar {sidecar} speaks of {}", view.backend);
+        }
+        backend.clone_from(&view.backend);
+        control.tell(DispatchEvent::Viewed(view));
+    }
+}
+
+async fn post_demands(
+    peers: PeerClient,
+    sidecar: SocketAddr,
+    mut demands: watch::Receiver<Option<AdapterDemand>>,
+) {
+    // an error says that the link was closed
+    while demands.changed().await.is_ok() {
+        let Some(demand) = demands.borrow_and_update().clone() else {
+            continue;
+        };
+        let posted: Result<bool, _> = peers.call(sidecar, path::DEMAND, &demand, POST_LIMIT).await;
+        if let Err(e) = posted {
+            log::debug!("links: demand to {sidecar}: {e}");
+            sleep(RETRY).await;
+            demands.mark_changed();
+        }
+    }
+}
--- a/entry/src/lib.rs
+++ b/entry/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod conf;
 mod config;
 mod control;
+pub mod ingress;
 mod rpc;
 mod server;
 mod traffic;
--- a/node/src/runtime/mod.rs
+++ b/node/src/runtime/mod.rs
@@ -2,4 +2,4 @@
 
 mod run_process;
 
-pub use run_process::run_process;
+pub use run_process::{run_on_one_thread, run_process};
--- a/node/src/runtime/run_process.rs
+++ b/node/src/runtime/run_process.rs
@@ -11,12 +11,28 @@
     log_level: &str,
     threads: usize,
     process: impl Future<Output = Result<()>>,
+) -> Result<()> {
+    let mut builder = Builder::new_multi_thread();
+    builder.worker_threads(threads);
+    run(name, log_level, builder, process)
+}
+
+/// the same with one thread for all traffic, for boxes with a part of a core
+pub fn run_on_one_thread(
+    name: &str,
+    log_level: &str,
+    process: impl Future<Output = Result<()>>,
+) -> Result<()> {
+    run(name, log_level, Builder::new_current_thread(), process)
+}
+
+fn run(
+    name: &str,
+    log_level: &str,
+    mut builder: Builder,
+    process: impl Future<Output = Result<()>>,
 ) -> Result<()> {
     let _log = logging::start(name, log_level)?;
-    let runtime = Builder::new_multi_thread()
-        .worker_threads(threads)
-        .enable_all()
-        .build()
-        .context("start the runtime")?;
+    let runtime = builder.enable_all().build().context("start the runtime")?;
     runtime.block_on(process)
 }
--- a/node/src/settings/load.rs
+++ b/node/src/settings/load.rs
@@ -1,4 +1,8 @@
-use {super::SettingsError, serde::de::DeserializeOwned, std::path::Path};
+use {
+    super::SettingsError,
+    serde::de::DeserializeOwned,
+    std::path::{Path, PathBuf},
+};
 
 /// settings that know their bounds
 pub trait Checked {
@@ -30,3 +34,19 @@
     settings.check()?;
     Ok(settings)
 }
+
+/// the variable that names the settings file where none is given
+pub const FILE_VARIABLE: &str = "CHALKCART_CONFIG";
+
+/// the settings file of a command that takes one, or none and the variable
+pub fn file_or_environment(free: &[String]) -> Result<PathBuf, String> {
+    match free {
+        [file] => Ok(PathBuf::from(file)),
+        [] => {
+            let file = std::env::var_os(FILE_VARIABLE);
+            let file = file.ok_or_else(|| format!("expected FILE, or {FILE_VARIABLE} to be set"));
+            file.map(PathBuf::from)
+        }
+        _ => Err(format!("expected one FILE, got {} arguments", free.len())),
+    }
+}
--- a/node/src/settings/mod.rs
+++ b/node/src/settings/mod.rs
@@ -8,5 +8,5 @@
 pub use {
     checks::{check_filled, check_log, check_positive},
     errors::SettingsError,
-    load::{load, parse, Checked},
+    load::{file_or_environment, load, parse, Checked, FILE_VARIABLE},
 };
--- a/protocol/src/peer/mod.rs
+++ b/protocol/src/peer/mod.rs
@@ -3,6 +3,7 @@
 mod cancel;
 mod frame;
 mod permit;
+mod placement;
 mod refusal;
 mod report;
 mod reserve;
@@ -19,12 +20,15 @@
     pub const SYNC: &str = "/peer/sync";
     pub const SHARD: &str = "/peer/shard";
     pub const PERMIT: &str = "/peer/permit";
+    pub const DEMAND: &str = "/peer/demand";
+    pub const VIEWS: &str = "/peer/views";
 }
 
 pub use {
     cancel::{CancelAnswer, CancelOrder},
     frame::{Frame, FrameBody},
     permit::{PermitAnswer, PermitAsk, PermitPurpose},
+    placement::{AdapterDemand, AdapterUse, EngineRoom, EngineView, ModelSize, WantedAdapter},
     refusal::{Outcome, Reason, Refusal, Step},
     report::{LoadedAdapter, TargetReport},
     reserve::{ReserveAnswer, ReserveOrder},
--- /dev/null
+++ b/protocol/src/peer/placement.rs
@@ -0,0 +1,79 @@
+use {
+    chalkcart_state::{
+        backends::{AdapterRef, BackendId, HeldAdapter},
+        ids::{BaseModelName, BoxName},
+    },
+    serde::{Deserialize, Serialize},
+};
+
+/// an adapter that requests wait for at an entry
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WantedAdapter {
+    pub adapter: AdapterRef,
+    /// requests that wait
+    pub waiting: u32,
+    /// of the most urgent of them; 0 is the most urgent
+    pub priority: u8,
+    /// how long the first has waited
+    pub waited_ms: u32,
+}
+
+/// requests of an entry that run on an adapter
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AdapterUse {
+    pub adapter: AdapterRef,
+    /// requests sent and not ended
+    pub in_flight: u32,
+}
+
+/// what an engine may hold, by the configuration
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct EngineRoom {
+    pub adapter_slots: u32,
+    /// room for base models and adapters together
+    pub weights_mb: f64,
+    pub models: Vec<ModelSize>,
+}
+
+/// sizes of a base model and of one of its adapters
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ModelSize {
+    pub model: BaseModelName,
+    pub weights_mb: f64,
+    pub adapter_mb: f64,
+}
+
+/// what an entry needs of one engine; replaces what it said before
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct AdapterDemand {
+    pub entry: BoxName,
+    /// the incarnation of the engine that the entry knows
+    pub backend: BackendId,
+    /// version of the list in which it stands
+    pub list_version: u64,
+    pub room: EngineRoom,
+    pub wanted: Vec<WantedAdapter>,
+    /// adapters in use, and those used since the last message (with 0)
+    pub used: Vec<AdapterUse>,
+    /// adapters of the engine that have a newer version
+    pub outdated: Vec<HeldAdapter>,
+}
+
+/// what a sidecar says of its engine
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct EngineView {
+    /// the incarnation it speaks of, empty while not known
+    pub backend: BackendId,
+    /// adapters that requests may be sent to
+    pub held: Vec<HeldAdapter>,
+    /// adapters on their way
+    pub loading: Vec<AdapterRef>,
+    /// places that are empty or whose adapter nobody uses
+    pub spare_slots: u32,
+    pub running: u32,
+    pub queued: u32,
+    pub kv_used: u64,
+    pub kv_total: u64,
+    /// entries that this sidecar hears
+    pub entries: u32,
+}
--- a/sidecar/src/cli/run.rs
+++ b/sidecar/src/cli/run.rs
@@ -1,14 +1,18 @@
 use {
-    crate::{app, conf::Settings},
+    crate::{app, conf::PlacementSettings, placement},
+    anyhow::Result,
     chalkcart_node::{
         cli::{usage_error, ExitCode, Program},
-        settings,
+        settings::{self, Checked},
     },
+    chalkcart_platform::PlatformEngine,
+    serde::de::DeserializeOwned,
+    std::{path::Path, sync::Arc},
 };
 
 const PROGRAM: Program = Program {
     name: "chalkcart-sidecar",
-    arguments: "[--check] FILE",
+    arguments: "[--check] [--place] [FILE]",
     purpose: "Serve one engine or plain service, with the settings in FILE (JSON).",
 };
 
@@ -16,6 +20,11 @@
 pub fn run(args: &[String]) -> ExitCode {
     let mut options = Program::options();
     options.optflag("", "check", "check FILE and exit");
+    options.optflag(
+        "",
+        "place",
+        "only place the adapters of an engine; no request passes through",
+    );
     let matches = match options.parse(args) {
         Ok(matches) => matches,
         Err(e) => return usage_error(&PROGRAM, e),
@@ -28,22 +37,40 @@
         println!("{} {}", PROGRAM.name, env!("CARGO_PKG_VERSION"));
         return ExitCode::Done;
     }
-    let file = match PROGRAM.file_argument(&matches.free) {
+    let file = match settings::file_or_environment(&matches.free) {
         Ok(file) => file,
         Err(e) => return usage_error(&PROGRAM, e),
     };
-    let settings: Settings = match settings::load(&file) {
+    let only_check = matches.opt_present("check");
+    match matches.opt_present("place") {
+        true => run_with(&file, only_check, place),
+        false => run_with(&file, only_check, app::serve),
+    }
+}
+
+/// place the adapters of the engine on this box
+fn place(settings: PlacementSettings) -> Result<()> {
+    let engine = PlatformEngine::new(settings.engine, &settings.name);
+    placement::serve(settings, Arc::new(engine))
+}
+
+fn run_with<T: DeserializeOwned + Checked>(
+    file: &Path,
+    only_check: bool,
+    serve: fn(T) -> Result<()>,
+) -> ExitCode {
+    let settings: T = match settings::load(file) {
         Ok(settings) => settings,
         Err(e) => {
             eprintln!("{}: settings: {e}", PROGRAM.name);
             return ExitCode::Usage;
         }
     };
-    if matches.opt_present("check") {
+    if only_check {
         println!("{}: settings are good", file.display());
         return ExitCode::Done;
     }
-    match app::serve(settings) {
+    match serve(settings) {
         Ok(()) => ExitCode::Done,
         Err(e) => {
             eprintln!("{}: {e:#}", PROGRAM.name);
--- a/sidecar/src/conf/mod.rs
+++ b/sidecar/src/conf/mod.rs
@@ -1,5 +1,9 @@
-//! settings
+//! the settings of the sidecar
 
+mod placement_settings;
 mod settings;
 
-pub use settings::{Permits, Settings, TargetSettings};
+pub use {
+    placement_settings::PlacementSettings,
+    settings::{Settings, TargetSettings},
+};
--- a/sidecar/src/lib.rs
+++ b/sidecar/src/lib.rs
@@ -5,5 +5,6 @@
 pub mod app;
 pub mod cli;
 pub mod conf;
+pub mod placement;
 mod server;
 mod streams;
--- /dev/null
+++ b/sidecar/src/placement/keeper.rs
@@ -0,0 +1,107 @@
+use {
+    super::shared::Shared,
+    chalkcart_coordination::placement::{EngineOrder, OrderAnswer, PlacementEvent, PlacementStep},
+    chalkcart_protocol::peer::EngineView,
+    chalkcart_transport::orders::OrderedEngine,
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    tokio::time::timeout,
+};
+
+/// figures that are not worth a message of their own are sent this often
+const FIGURES_EVERY: Duration = Duration::from_millis(100);
+
+/// the one task that reads the engine and gives it orders
+pub struct Keeper {
+    shared: Arc<Shared>,
+    engine: Arc<dyn OrderedEngine>,
+    published: Option<Instant>,
+    is_reachable: bool,
+}
+
+impl Keeper {
+    pub fn new(shared: Arc<Shared>, engine: Arc<dyn OrderedEngine>) -> Self {
+        Self {
+            shared,
+            engine,
+            published: None,
+            is_reachable: true,
+        }
+    }
+
+    /// keep the engine until the process ends
+    pub async fn run(mut self) {
+        loop {
+            self.read().await;
+            loop {
+                let step = self.shared.control().next_step(Instant::now());
+                match step {
+                    PlacementStep::Order(order) => {
+                        self.order(order).await;
+                        self.read().await;
+                    }
+                    PlacementStep::Read { after } => {
+                        let woken = timeout(after, self.shared.changed.notified()).await;
+                        if woken.is_err() {
+                            break;
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    async fn read(&mut self) {
+        let event = match self.engine.read().await {
+            Ok(report) => {
+                if !self.is_reachable {
+                    log::info!("engine: read again");
+                }
+                self.is_reachable = true;
+                PlacementEvent::Report(report)
+            }
+            Err(e) => {
+                if self.is_reachable {
+                    log::warn!("engine: not read: {e}");
+                }
+                self.is_reachable = false;
+                PlacementEvent::ReportFailed
+            }
+        };
+        self.shared.handle(event);
+        self.publish();
+    }
+
+    async fn order(&mut self, order: EngineOrder) {
+        let answer = self.engine.order(&order).await;
+        let is_well = matches!(answer, OrderAnswer::Taken | OrderAnswer::Done);
+        match is_well {
+            true => log::debug!("engine: {:?} at {}: {answer:?}", order.kind, order.backend),
+            false => log::info!("engine: {:?} at {}: {answer:?}", order.kind, order.backend),
+        }
+        self.shared
+            .handle(PlacementEvent::Answered { order, answer });
+    }
+
+    fn publish(&mut self) {
+        let now = Instant::now();
+        let view = self.shared.control().view(now);
+        let is_due = self
+            .published
+            .is_none_or(|at| now.saturating_duration_since(at) >= FIGURES_EVERY);
+        let is_news = differs_in_adapters(&self.shared.view.borrow(), &view);
+        if is_news || (is_due && *self.shared.view.borrow() != view) {
+            self.published = Some(now);
+            self.shared.view.send_replace(view);
+        }
+    }
+}
+
+fn differs_in_adapters(before: &EngineView, after: &EngineView) -> bool {
+    before.backend != after.backend
+        || before.held != after.held
+        || before.loading != after.loading
+        || (before.spare_slots == 0) != (after.spare_slots == 0)
+}
--- /dev/null
+++ b/sidecar/src/placement/mod.rs
@@ -0,0 +1,10 @@
+//! decides which adapters the engine holds, from what the entries need; no
+//! request passes through
+
+mod handlers;
+mod keeper;
+mod serve;
+mod shared;
+mod views;
+
+pub use serve::serve;
--- /dev/null
+++ b/sidecar/src/placement/serve.rs
@@ -0,0 +1,42 @@
+use {
+    super::{handlers::new_router, keeper::Keeper, shared::Shared},
+    crate::conf::PlacementSettings,
+    anyhow::{Context, Result},
+    chalkcart_coordination::placement::{self, PlacementControl},
+    chalkcart_node::{runtime::run_on_one_thread, signals::stop_signal},
+    chalkcart_transport::{orders::OrderedEngine, server},
+    std::{
+        sync::Arc,
+        time::{Duration, SystemTime, UNIX_EPOCH},
+    },
+    tokio::sync::watch,
+};
+
+/// run the sidecar until it is asked to stop
+pub fn serve(settings: PlacementSettings, engine: Arc<dyn OrderedEngine>) -> Result<()> {
+    let (name, log) = (settings.name.clone(), settings.log.clone());
+    run_on_one_thread(&name, &log, run(settings, engine))
+}
+
+async fn run(settings: PlacementSettings, engine: Arc<dyn OrderedEngine>) -> Result<()> {
+    let listener = server::bind(settings.listen).await?;
+    let since_epoch = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .context("read the clock")?;
+    let limits = placement::PlacementSettings::default();
+    let control = PlacementControl::new(limits, since_epoch.as_millis() as u64);
+    let shared = Arc::new(Shared::new(control));
+    tokio::spawn(Keeper::new(shared.clone(), engine).run());
+    let (_stop, stopped) = watch::channel(false);
+    tokio::spawn(server::serve(
+        listener,
+        new_router(shared),
+        stopped,
+        Duration::ZERO,
+    ));
+    log::info!("sidecar: serves on {}", settings.listen);
+    let signal = stop_signal().await?;
+    // no request passes through this process: there is nothing to drain
+    log::info!("sidecar: stopped after {signal}");
+    Ok(())
+}
--- /dev/null
+++ b/state/src/backends/adapter_ref.rs
@@ -0,0 +1,25 @@
+use {
+    crate::ids::{AdapterName, BaseModelName},
+    serde::{Deserialize, Serialize},
+    std::fmt::{self, Display, Formatter},
+};
+
+/// an adapter of a base model
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct AdapterRef {
+    pub model: BaseModelName,
+    pub adapter: AdapterName,
+}
+
+impl Display for AdapterRef {
+    fn fmt(&self, f: &mut Formatter) -> fmt::Result {
+        write!(f, "{}/{}", self.model, self.adapter)
+    }
+}
+
+/// an adapter in one version, as an engine holds it
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HeldAdapter {
+    pub adapter: AdapterRef,
+    pub version: u64,
+}
--- /dev/null
+++ b/state/src/backends/backend.rs
@@ -0,0 +1,26 @@
+use {
+    super::HeldAdapter,
+    crate::ids::{ServiceName, ZoneName},
+    std::net::SocketAddr,
+};
+
+/// identity of one incarnation of a back end; never used again
+pub type BackendId = String;
+
+/// one back end, an engine or a copy of a plain service
+#[derive(Debug, Clone, PartialEq)]
+pub struct Backend {
+    pub id: BackendId,
+    pub service: ServiceName,
+    pub addr: SocketAddr,
+    pub zone: ZoneName,
+    /// requests that it runs at once
+    pub slots: u32,
+    /// takes no new work
+    pub leaving: bool,
+    /// adapters that it held when the list was written
+    pub held: Vec<HeldAdapter>,
+}
+
+/// the platform's list of back ends
+pub type BackendList = Vec<Backend>;
--- /dev/null
+++ b/state/src/ingress/service.rs
@@ -0,0 +1,34 @@
+use {
+    crate::ids::{BaseModelName, ServiceName},
+    std::time::Duration,
+};
+
+/// a base model as the operators describe it
+#[derive(Debug, Clone, PartialEq)]
+pub struct BaseModel {
+    pub name: BaseModelName,
+    pub weights_mb: f64,
+    pub adapter_mb: f64,
+    /// time to load it from the weight store
+    pub load_time: Duration,
+}
+
+/// what the engines of a service can hold
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct EngineSpec {
+    /// requests that run at once
+    pub slots: u32,
+    pub adapter_slots: u32,
+    /// room for base models and adapters together
+    pub weights_mb: f64,
+    pub kv_capacity: u64,
+    pub models: Vec<BaseModel>,
+}
+
+/// a group of back ends that serve the same requests
+#[derive(Debug, Clone, PartialEq)]
+pub struct Service {
+    pub name: ServiceName,
+    /// what its engines can hold; none for a plain service
+    pub engine: Option<EngineSpec>,
+}
--- a/state/src/lib.rs
+++ b/state/src/lib.rs
@@ -2,6 +2,8 @@
 //!
 //! Nothing here does I/O, reads a clock or takes a decision.
 
+pub mod backends;
 pub mod config;
 pub mod fleet;
 pub mod ids;
+pub mod ingress;
--- /dev/null
+++ b/transport/src/backend/mod.rs
@@ -0,0 +1,5 @@
+//! requests to back ends, one connection each
+
+mod sender;
+
+pub use sender::{send, BackendAnswer, Connection, SendError};
--- a/transport/src/client/mod.rs
+++ b/transport/src/client/mod.rs
@@ -7,5 +7,5 @@
 pub use {
     errors::{ClientError, ClientStep},
     http_client::{HttpClient, JsonReply},
-    peer_client::{FrameStream, PeerClient},
+    peer_client::{FrameStream, MessageStream, PeerClient},
 };
--- a/transport/src/client/peer_client.rs
+++ b/transport/src/client/peer_client.rs
@@ -12,8 +12,10 @@
 
 const CONTENT_TYPE: &str = "application/msgpack";
 
-/// frames as they come in
-pub type FrameStream = Pin<Box<dyn Stream<Item = Result<Frame, ClientError>> + Send>>;
+/// messages as they come in
+pub type MessageStream<A> = Pin<Box<dyn Stream<Item = Result<A, ClientError>> + Send>>;
+/// frames of an answer as they come in
+pub type FrameStream = MessageStream<Frame>;
 
 /// calls between chalkcart's own processes
 #[derive(Debug, Clone, Default)]
@@ -46,12 +48,12 @@
     }
 
     /// send a message and read frames until the peer ends the stream
-    pub async fn stream<Q: Serialize>(
+    pub async fn stream<Q: Serialize, A: DeserializeOwned + 'static>(
         &self,
         peer: SocketAddr,
         path: &str,
         message: &Q,
-    ) -> Result<FrameStream, ClientError> {
+    ) -> Result<MessageStream<A>, ClientError> {
         let body = encoded(peer, message)?;
         let response = self
             .http
--- /dev/null
+++ b/transport/src/ingress/dialect.rs
@@ -0,0 +1,64 @@
+use {
+    chalkcart_state::backends::{AdapterRef, BackendId},
+    http::HeaderMap,
+    std::time::Duration,
+    thiserror::Error,
+};
+
+/// what a client's head says beyond HTTP
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RequestHead {
+    pub id: String,
+    /// how long the client waits
+    pub deadline: Option<Duration>,
+    pub adapter: Option<AdapterRef>,
+    /// 0 for requests without a prompt
+    pub prompt_tokens: u32,
+    pub output_tokens: u32,
+}
+
+/// what an entry adds when it sends a request on
+#[derive(Debug, Clone)]
+pub struct SendHead<'s> {
+    /// time left
+    pub deadline: Duration,
+    /// the one back end that may run it
+    pub backend: &'s BackendId,
+    /// the version of the adapter that must run
+    pub version: Option<u64>,
+    /// 0 is the most urgent, 9 the least
+    pub urgency: u8,
+}
+
+/// what a back end's head says beyond HTTP
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AnswerHead {
+    /// of the request that it answers
+    pub request_id: Option<String>,
+    /// it states that the request did not run
+    pub not_run: bool,
+    /// it bears a back end's signature
+    pub signed: bool,
+    /// the body was encoded on the way
+    pub encoded: bool,
+}
+
+/// a client's head that can't be used
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum HeadError {
+    #[error("no request id")]
+    NoId,
+    #[error("{0}: {1:?} can't be read")]
+    Value(&'static str, String),
+}
+
+/// the names of headers and paths that clients and back ends speak
+pub trait Dialect: Send + Sync {
+    fn read_request(&self, headers: &HeaderMap) -> Result<RequestHead, HeadError>;
+    fn write_send(&self, headers: &mut HeaderMap, send: &SendHead);
+    fn read_answer(&self, headers: &HeaderMap) -> AnswerHead;
+    /// mark an answer of our own as one to a request
+    fn write_own_answer(&self, headers: &mut HeaderMap, request_id: &str);
+    /// at which the platform asks whether this process takes connections
+    fn readiness_path(&self) -> &'static str;
+}
--- /dev/null
+++ b/transport/src/ingress/headers.rs
@@ -0,0 +1,34 @@
+use http::{header, HeaderMap, HeaderName};
+
+/// headers that apply to one connection only
+const CONNECTION_HEADERS: &[HeaderName] = &[
+    header::CONNECTION,
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+    header::EXPECT,
+];
+const KEEP_ALIVE: &str = "keep-alive";
+const PROXY_CONNECTION: &str = "proxy-connection";
+
+/// remove what applies to one connection only, also what the head names so
+pub fn remove_connection_headers(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in named {
+        headers.remove(name);
+    }
+    for name in CONNECTION_HEADERS {
+        headers.remove(name);
+    }
+    headers.remove(KEEP_ALIVE);
+    headers.remove(PROXY_CONNECTION);
+}
--- /dev/null
+++ b/transport/src/ingress/mod.rs
@@ -0,0 +1,13 @@
+//! HTTP/1.1 from clients: heads, connections, and answers that are passed on
+
+mod dialect;
+mod headers;
+mod pass_body;
+mod server;
+
+pub use {
+    dialect::{AnswerHead, Dialect, HeadError, RequestHead, SendHead},
+    headers::remove_connection_headers,
+    pass_body::{PassBody, PassEnd, PassObserver},
+    server::{serve, ClientBody, ClientRequest, ClientResponse, IngressService, Phase},
+};
--- /dev/null
+++ b/transport/src/ingress/pass_body.rs
@@ -0,0 +1,125 @@
+use {
+    crate::backend::Connection,
+    bytes::Bytes,
+    http_body::{Body, Frame, SizeHint},
+    hyper::body::Incoming,
+    std::{
+        future::Future,
+        io,
+        pin::Pin,
+        task::{ready, Context, Poll},
+        time::Duration,
+    },
+    tokio::time::{sleep_until, Instant, Sleep},
+};
+
+/// how a body that was passed on ended
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PassEnd {
+    Whole,
+    /// the back end broke it off
+    Broken,
+    /// its time ran out
+    TimedOut,
+    /// the client left
+    Left,
+}
+
+/// is told how a body goes
+pub trait PassObserver: Send + Sync {
+    /// the first part came
+    fn on_first(&mut self);
+    /// called once, with the longest pause between two parts
+    fn on_end(&mut self, end: PassEnd, longest_pause: Duration);
+}
+
+/// a back end's body on its way to the client, part by part.
+///
+/// When it is dropped, the connection to the back end is closed.
+pub struct PassBody {
+    body: Incoming,
+    _connection: Connection,
+    deadline: Pin<Box<Sleep>>,
+    last: Option<Instant>,
+    longest_pause: Duration,
+    observer: Box<dyn PassObserver>,
+    has_ended: bool,
+}
+
+impl PassBody {
+    pub fn new(
+        body: Incoming,
+        connection: Connection,
+        deadline: std::time::Instant,
+        observer: Box<dyn PassObserver>,
+    ) -> Self {
+        Self {
+            body,
+            _connection: connection,
+            deadline: Box::pin(sleep_until(deadline.into())),
+            last: None,
+            longest_pause: Duration::ZERO,
+            observer,
+            has_ended: false,
+        }
+    }
+
+    fn end(&mut self, end: PassEnd) {
+        if !self.has_ended {
+            self.has_ended = true;
+            self.observer.on_end(end, self.longest_pause);
+        }
+    }
+    fn on_part(&mut self) {
+        let now = Instant::now();
+        match self.last {
+            Some(last) => self.longest_pause = self.longest_pause.max(now - last),
+            None => self.observer.on_first(),
+        }
+        self.last = Some(now);
+    }
+}
+
+impl Body for PassBody {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context,
+    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        if self.deadline.as_mut().poll(cx).is_ready() {
+            self.end(PassEnd::TimedOut);
+            return Poll::Ready(Some(Err(io::ErrorKind::TimedOut.into())));
+        }
+        match ready!(Pin::new(&mut self.body).poll_frame(cx)) {
+            Some(Ok(frame)) => {
+                self.on_part();
+                if self.body.is_end_stream() {
+                    self.end(PassEnd::Whole);
+                }
+                Poll::Ready(Some(Ok(frame)))
+            }
+            Some(Err(e)) => {
+                self.end(PassEnd::Broken);
+                Poll::Ready(Some(Err(io::Error::other(e))))
+            }
+            None => {
+                self.end(PassEnd::Whole);
+                Poll::Ready(None)
+            }
+        }
+    }
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+impl Drop for PassBody {
+    fn drop(&mut self) {
+        self.end(PassEnd::Left);
+    }
+}
--- a/transport/src/lib.rs
+++ b/transport/src/lib.rs
@@ -3,9 +3,14 @@
 //!
 //! Servers are built on `gotham`, clients on `hyper-util`.
 
+pub mod backend;
 pub mod client;
 pub mod engine;
+pub mod ingress;
+pub mod metadata;
 pub mod metrics;
+pub mod orders;
 pub mod platform;
 pub mod server;
 pub mod service;
+mod sockets;
--- /dev/null
+++ b/transport/src/metadata/source.rs
@@ -0,0 +1,70 @@
+use {
+    crate::client::ClientError,
+    async_trait::async_trait,
+    chalkcart_state::{
+        backends::{AdapterRef, Backend, BackendId},
+        ingress::RouteTable,
+    },
+    std::time::Duration,
+    thiserror::Error,
+};
+
+/// a part of what is published
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Topic {
+    /// the configuration of the ingress and the versions of adapters
+    Configuration,
+    Backends,
+}
+
+/// one thing that was published
+#[derive(Debug)]
+pub enum Record {
+    Table(Box<RouteTable>),
+    AdapterVersion {
+        adapter: AdapterRef,
+        version: u64,
+    },
+    Backend(Backend),
+    BackendGone(BackendId),
+    /// a record that can't be read, by its key
+    Unreadable {
+        key: String,
+        problem: String,
+    },
+}
+
+/// all records of a topic, at a revision of the store
+#[derive(Debug, Default)]
+pub struct Snapshot {
+    pub records: Vec<Record>,
+    pub at: u64,
+}
+
+/// what a watch heard
+#[derive(Debug)]
+pub enum Watched {
+    Records(Snapshot),
+    /// changes were dropped: a snapshot is needed
+    HistoryLost,
+}
+
+/// a call to the store that gave nothing
+#[derive(Debug, Error)]
+pub enum SourceError {
+    #[error(transparent)]
+    Call(#[from] ClientError),
+    #[error("store answered {0}")]
+    Status(u16),
+    #[error("store's answer: {0}")]
+    Body(String),
+}
+
+/// the platform's store, which can only be read
+#[async_trait]
+pub trait MetadataSource: Send + Sync {
+    async fn snapshot(&self, topic: Topic) -> Result<Snapshot, SourceError>;
+    /// wait for changes after a revision
+    async fn watch(&self, topic: Topic, after: u64, wait: Duration)
+        -> Result<Watched, SourceError>;
+}
--- /dev/null
+++ b/transport/src/orders/mod.rs
@@ -0,0 +1,5 @@
+//! orders to an engine, and what it says of itself
+
+mod ordered_engine;
+
+pub use ordered_engine::OrderedEngine;
--- a/transport/src/server/replies.rs
+++ b/transport/src/server/replies.rs
@@ -1,6 +1,6 @@
 use {
     bytes::Bytes,
-    chalkcart_protocol::{encode, encode_frame, peer::Frame},
+    chalkcart_protocol::{encode, encode_frame},
     futures::{Stream, StreamExt},
     gotham::helpers::http::Body,
     http::{header::CONTENT_TYPE, Response, StatusCode},
@@ -47,8 +47,10 @@
     }
 }
 
-/// a stream of frames
-pub fn frames_reply(frames: impl Stream<Item = Frame> + Send + 'static) -> Reply {
+/// a stream of messages
+pub fn frames_reply<T: Serialize + Send + 'static>(
+    frames: impl Stream<Item = T> + Send + 'static,
+) -> Reply {
     let chunks = frames.filter_map(|frame| async move {
         let chunk = encode_frame(&frame).ok()?;
         Some(Ok::<_, io::Error>(BodyFrame::data(chunk)))
