--- a/coordination/src/dispatch/dispatcher.rs
+++ b/coordination/src/dispatch/dispatcher.rs
@@ -99,6 +99,7 @@
             DispatchEvent::Ended { ticket, outcome } => self.on_ended(ticket, outcome, now),
             DispatchEvent::Listed { version, list } => self.on_list(version, list, now),
             DispatchEvent::Configured(table) => self.table = table,
+            DispatchEvent::Tuned(settings) => self.on_settings(settings),
             DispatchEvent::Viewed(view) => self.on_view(view, now),
             DispatchEvent::ViewLost(backend) => {
                 if let Some(state) = self.backends.get_mut(&backend) {
@@ -153,6 +154,17 @@
         rows.collect()
     }
 
+    fn on_settings(&mut self, settings: DispatchSettings) {
+        for budget in self.budgets.values_mut() {
+            budget.set_bounds(
+                settings.retry_ratio,
+                settings.retry_extra,
+                settings.retry_window,
+            );
+        }
+        self.settings = settings;
+    }
+
     fn on_asked(&mut self, ticket: Ticket, ask: Ask, now: Instant) {
         let entries = self.entry_count();
         let settings = &self.settings;
--- a/coordination/src/dispatch/event.rs
+++ b/coordination/src/dispatch/event.rs
@@ -1,5 +1,5 @@
 use {
-    super::{Ask, Ticket},
+    super::{Ask, DispatchSettings, Ticket},
     chalkcart_protocol::peer::EngineView,
     chalkcart_state::{
         backends::{AdapterRef, BackendId, BackendList},
@@ -46,6 +46,8 @@
         list: BackendList,
     },
     Configured(Arc<RouteTable>),
+    /// the settings were read again
+    Tuned(DispatchSettings),
     Viewed(EngineView),
     ViewLost(BackendId),
     /// an adapter has a new version
--- a/coordination/src/dispatch/shared_budget.rs
+++ b/coordination/src/dispatch/shared_budget.rs
@@ -31,6 +31,13 @@
         }
     }
 
+    /// the bounds have changed; what was counted stays
+    pub fn set_bounds(&mut self, ratio: f64, extra: f64, window: Duration) {
+        self.ratio = ratio;
+        self.extra = extra;
+        self.window = window;
+    }
+
     pub fn on_request(&mut self, now: Instant) {
         self.forget(now);
         self.requests.push_back(now);
--- a/entry/src/cli/ingress.rs
+++ b/entry/src/cli/ingress.rs
@@ -3,7 +3,7 @@
     anyhow::Result,
     chalkcart_node::{
         cli::{ExitCode, Program},
-        settings,
+        settings::{self, SettingsFollower},
     },
     chalkcart_platform::{PlatformDialect, PlatformStore},
     getopts::Matches,
@@ -28,6 +28,7 @@
         return Ok(ExitCode::Done);
     }
     let store = Arc::new(PlatformStore::new(settings.store));
-    ingress::serve(settings, store, Arc::new(PlatformDialect))?;
+    let follower = SettingsFollower::new(&file);
+    ingress::serve(settings, follower, store, Arc::new(PlatformDialect))?;
     Ok(ExitCode::Done)
 }
--- a/entry/src/ingress/serve.rs
+++ b/entry/src/ingress/serve.rs
@@ -5,8 +5,10 @@
     },
     crate::conf::IngressSettings,
     anyhow::{Context, Result},
-    chalkcart_coordination::dispatch::{DispatchSettings, Dispatcher},
-    chalkcart_node::{runtime::run_on_one_thread, signals::stop_signal},
+    chalkcart_coordination::dispatch::{DispatchEvent, DispatchSettings, Dispatcher},
+    chalkcart_node::{
+        runtime::run_on_one_thread, settings::SettingsFollower, signals::stop_signal,
+    },
     chalkcart_transport::{
         ingress::{self, Dialect, Phase},
         metadata::{MetadataSource, Topic},
@@ -24,15 +26,17 @@
 /// run the ingress until it is asked to stop
 pub fn serve(
     settings: IngressSettings,
+    follower: SettingsFollower,
     store: Arc<dyn MetadataSource>,
     dialect: Arc<dyn Dialect>,
 ) -> Result<()> {
     let (name, log) = (settings.name.clone(), settings.log.clone());
-    run_on_one_thread(&name, &log, run(settings, store, dialect))
+    run_on_one_thread(&name, &log, run(settings, follower, store, dialect))
 }
 
 async fn run(
     settings: IngressSettings,
+    follower: SettingsFollower,
     store: Arc<dyn MetadataSource>,
     dialect: Arc<dyn Dialect>,
 ) -> Result<()> {
@@ -50,6 +54,7 @@
     let (_stop, stopped) = watch::channel(false);
     let router = readiness::new_router(shared.clone());
     tokio::spawn(server::serve(readiness, router, stopped, Duration::ZERO));
+    tokio::spawn(follow_settings(follower, shared.clone(), store));
     let service = Arc::new(RoutedIngress::new(shared.clone()));
     let served = tokio::spawn(ingress::serve(clients, service, shared.phase.subscribe()));
     log::info!("ingress: serves on {}", shared.settings.clients);
@@ -58,6 +63,22 @@
     drain(&shared, served).await
 }
 
+/// put new settings in force; addresses of its own change at the next start
+async fn follow_settings(
+    follower: SettingsFollower,
+    shared: Arc<Shared>,
+    store: Arc<dyn MetadataSource>,
+) {
+    let apply = |settings: IngressSettings| {
+        store.set_addr(settings.store);
+        let tuned = DispatchEvent::Tuned(dispatch_settings(&settings));
+        shared.control.tell(tuned);
+    };
+    if let Err(e) = follower.run(apply).await {
+        log::error!("settings: not followed: {e:#}");
+    }
+}
+
 /// stop being ready, let the balancer notice, and let requests end
 async fn drain(shared: &Shared, served: tokio::task::JoinHandle<()>) -> Result<()> {
     shared.phase.send_replace(Phase::Draining);
--- a/node/src/settings/mod.rs
+++ b/node/src/settings/mod.rs
@@ -3,10 +3,12 @@
 mod checks;
 pub mod defaults;
 mod errors;
+mod follow;
 mod load;
 
 pub use {
     checks::{check_filled, check_log, check_positive},
     errors::SettingsError,
+    follow::SettingsFollower,
     load::{file_or_environment, load, parse, Checked, FILE_VARIABLE},
 };
--- a/sidecar/src/cli/run.rs
+++ b/sidecar/src/cli/run.rs
@@ -3,7 +3,7 @@
     anyhow::Result,
     chalkcart_node::{
         cli::{usage_error, ExitCode, Program},
-        settings::{self, Checked},
+        settings::{self, Checked, SettingsFollower},
     },
     chalkcart_platform::PlatformEngine,
     serde::de::DeserializeOwned,
@@ -44,20 +44,21 @@
     let only_check = matches.opt_present("check");
     match matches.opt_present("place") {
         true => run_with(&file, only_check, place),
-        false => run_with(&file, only_check, app::serve),
+        false => run_with(&file, only_check, |settings, _| app::serve(settings)),
     }
 }
 
 /// place the adapters of the engine on this box
-fn place(settings: PlacementSettings) -> Result<()> {
+fn place(settings: PlacementSettings, file: &Path) -> Result<()> {
+    let follower = SettingsFollower::new(file);
     let engine = PlatformEngine::new(settings.engine, &settings.name);
-    placement::serve(settings, Arc::new(engine))
+    placement::serve(settings, follower, Arc::new(engine))
 }
 
 fn run_with<T: DeserializeOwned + Checked>(
     file: &Path,
     only_check: bool,
-    serve: fn(T) -> Result<()>,
+    serve: fn(T, &Path) -> Result<()>,
 ) -> ExitCode {
     let settings: T = match settings::load(file) {
         Ok(settings) => settings,
@@ -70,7 +71,7 @@
         println!("{}: settings are good", file.display());
         return ExitCode::Done;
     }
-    match serve(settings) {
+    match serve(settings, file) {
         Ok(()) => ExitCode::Done,
         Err(e) => {
             eprintln!("{}: {e:#}", PROGRAM.name);
--- a/sidecar/src/placement/serve.rs
+++ b/sidecar/src/placement/serve.rs
@@ -3,7 +3,9 @@
     crate::conf::PlacementSettings,
     anyhow::{Context, Result},
     chalkcart_coordination::placement::{self, PlacementControl},
-    chalkcart_node::{runtime::run_on_one_thread, signals::stop_signal},
+    chalkcart_node::{
+        runtime::run_on_one_thread, settings::SettingsFollower, signals::stop_signal,
+    },
     chalkcart_transport::{orders::OrderedEngine, server},
     std::{
         sync::Arc,
@@ -13,12 +15,20 @@
 };
 
 /// run the sidecar until it is asked to stop
-pub fn serve(settings: PlacementSettings, engine: Arc<dyn OrderedEngine>) -> Result<()> {
+pub fn serve(
+    settings: PlacementSettings,
+    follower: SettingsFollower,
+    engine: Arc<dyn OrderedEngine>,
+) -> Result<()> {
     let (name, log) = (settings.name.clone(), settings.log.clone());
-    run_on_one_thread(&name, &log, run(settings, engine))
+    run_on_one_thread(&name, &log, run(settings, follower, engine))
 }
 
-async fn run(settings: PlacementSettings, engine: Arc<dyn OrderedEngine>) -> Result<()> {
+async fn run(
+    settings: PlacementSettings,
+    follower: SettingsFollower,
+    engine: Arc<dyn OrderedEngine>,
+) -> Result<()> {
     let listener = server::bind(settings.listen).await?;
     let since_epoch = SystemTime::now()
         .duration_since(UNIX_EPOCH)
@@ -34,9 +44,23 @@
         stopped,
         Duration::ZERO,
     ));
+    tokio::spawn(follow_settings(follower));
     log::info!("sidecar: serves on {}", settings.listen);
     let signal = stop_signal().await?;
     // no request passes through this process: there is nothing to drain
     log::info!("sidecar: stopped after {signal}");
     Ok(())
 }
+
+/// check new settings; all of them take effect at the next start
+async fn follow_settings(follower: SettingsFollower) {
+    let apply = |settings: PlacementSettings| {
+        log::info!(
+            "settings: those of {} hold from the next start",
+            settings.name
+        );
+    };
+    if let Err(e) = follower.run(apply).await {
+        log::error!("settings: not followed: {e:#}");
+    }
+}
--- a/transport/src/metadata/source.rs
+++ b/transport/src/metadata/source.rs
@@ -5,7 +5,7 @@
         backends::{AdapterRef, Backend, BackendId},
         ingress::RouteTable,
     },
-    std::time::Duration,
+    std::{net::SocketAddr, time::Duration},
     thiserror::Error,
 };
 
@@ -63,6 +63,8 @@
 /// the platform's store, which can only be read
 #[async_trait]
 pub trait MetadataSource: Send + Sync {
+    /// the store is to be reached at another address
+    fn set_addr(&self, addr: SocketAddr);
     async fn snapshot(&self, topic: Topic) -> Result<Snapshot, SourceError>;
     /// wait for changes after a revision
     async fn watch(&self, topic: Topic, after: u64, wait: Duration)
