Use engines that came back before the list has them

Cause: after a loss of power the list lags by seconds: entries sent to former incarnations (421), sidecars ordered by an id that was gone, and links to sidecars opened only with the next change of the list (a list that came before the configuration opened none). Ruled out: the store, which answered by 36.7 s.

--- a/coordination/src/dispatch/backend_state.rs
+++ b/coordination/src/dispatch/backend_state.rs
@@ -12,6 +12,8 @@
 const TOKENS_UNSEEN: f64 = 1_000.0;
 /// a view older than this says nothing of queues
 const VIEW_FRESH: Duration = Duration::from_secs(1);
+/// time for a sidecar to speak before the list is believed
+const LIST_TRUSTED_AFTER: Duration = Duration::from_millis(1_500);
 /// a back end that was full is left alone for this long
 const FULL_PAUSE: Duration = Duration::from_millis(60);
 
@@ -31,6 +33,11 @@
     pub listed: Backend,
     /// no longer in the list; used only where nothing else is
     pub is_gone: bool,
+    /// its sidecar spoke of it before the list did
+    pub is_ahead: bool,
+    /// another incarnation has answered at its address
+    pub is_superseded: bool,
+    known_since: Instant,
     pub health: Health,
     pub in_flight: u32,
     /// of these, waiting for their first token
@@ -50,6 +57,9 @@
         Self {
             listed,
             is_gone: false,
+            is_ahead: false,
+            is_superseded: false,
+            known_since: now,
             health: Health::new(now),
             in_flight: 0,
             unstarted: 0,
@@ -105,13 +115,17 @@
     }
 
     /// the version of an adapter that requests may be sent to
-    pub fn held_version(&self, adapter: &AdapterRef) -> Option<u64> {
+    pub fn held_version(&self, adapter: &AdapterRef, now: Instant) -> Option<u64> {
         if self.refused.contains(adapter) {
             return None;
         }
         let held = match &self.view {
             Some(view) => &view.held,
-            None => &self.listed.held,
+            // the list lags: it is used only where no sidecar speaks
+            None if now.saturating_duration_since(self.known_since) > LIST_TRUSTED_AFTER => {
+                &self.listed.held
+            }
+            None => return None,
         };
         let found = held.iter().find(|h| h.adapter == *adapter);
         found.map(|h| h.version)
@@ -124,7 +138,7 @@
         self.view.as_ref().map_or(0, |v| v.spare_slots)
     }
     pub fn takes_work(&self, now: Instant) -> bool {
-        !self.listed.leaving && !self.is_gone && !self.health.is_resting(now)
+        !self.listed.leaving && !self.is_gone && !self.is_superseded && !self.health.is_resting(now)
     }
 
     /// requests that run or wait there, all entries together
--- a/coordination/src/dispatch/demands.rs
+++ b/coordination/src/dispatch/demands.rs
@@ -3,7 +3,7 @@
     chalkcart_protocol::peer::{AdapterDemand, AdapterUse, EngineRoom, ModelSize, WantedAdapter},
     chalkcart_state::{
         backends::{AdapterRef, HeldAdapter},
-        ingress::EngineSpec,
+        ingress::{EngineSpec, Service},
     },
     std::collections::HashMap,
 };
@@ -13,6 +13,7 @@
 pub fn build_demand(
     settings: &DispatchSettings,
     list_version: u64,
+    service: &Service,
     spec: &EngineSpec,
     state: &mut BackendState,
     wanted: Vec<WantedAdapter>,
@@ -32,6 +33,7 @@
         entry: settings.entry.clone(),
         backend: state.listed.id.clone(),
         list_version,
+        health_path: service.health_path.clone(),
         room: room(spec),
         wanted,
         used,
--- a/coordination/src/dispatch/dispatcher.rs
+++ b/coordination/src/dispatch/dispatcher.rs
@@ -100,12 +100,8 @@
             DispatchEvent::Listed { version, list } => self.on_list(version, list, now),
             DispatchEvent::Configured(table) => self.table = table,
             DispatchEvent::Tuned(settings) => self.on_settings(settings),
-            DispatchEvent::Viewed(view) => self.on_view(view, now),
-            DispatchEvent::ViewLost(backend) => {
-                if let Some(state) = self.backends.get_mut(&backend) {
-                    state.view = None;
-                }
-            }
+            DispatchEvent::Viewed { addr, view } => self.on_view(addr, view, now),
+            DispatchEvent::ViewLost(backend) => self.on_view_lost(&backend),
             DispatchEvent::Versioned { adapter, version } => self.on_version(adapter, version, now),
             DispatchEvent::Tick => {}
         }
@@ -121,17 +117,27 @@
         let mut demands = Vec::new();
         let table = self.table.clone();
         for (id, state) in &mut self.backends {
-            if state.is_gone || !(all || urgent.contains(id)) {
+            if state.is_gone || state.is_superseded || !(all || urgent.contains(id)) {
                 continue;
             }
-            let service = table.services.get(&state.listed.service);
-            let Some(spec) = service.and_then(|s| s.engine.as_ref()) else {
+            let Some(service) = table.services.get(&state.listed.service) else {
+                continue;
+            };
+            let Some(spec) = &service.engine else {
                 continue;
             };
             let wanted = wanted.remove(id).unwrap_or_default();
             let versions = &self.versions;
             let settings = &self.settings;
-            let demand = build_demand(settings, self.list_version, spec, state, wanted, versions);
+            let demand = build_demand(
+                settings,
+                self.list_version,
+                service,
+                spec,
+                state,
+                wanted,
+                versions,
+            );
             demands.push((state.listed.addr, demand));
         }
         demands
@@ -214,8 +220,10 @@
             SendOutcome::Shed => state.on_full(now),
             SendOutcome::Misdirected => match &sent.adapter {
                 Some(adapter) => state.on_refused(adapter),
-                None => state.is_gone = true,
+                // it lacks the base model
+                None => state.on_full(now),
             },
+            SendOutcome::Superseded => state.is_superseded = true,
             SendOutcome::Unreachable => state.health.on_unreachable(now),
             SendOutcome::Failed => state.health.on_failure(now),
             SendOutcome::Abandoned => {}
@@ -234,7 +242,9 @@
         self.list_version = version;
         let listed: HashSet<&BackendId> = list.iter().map(|b| &b.id).collect();
         for (id, state) in &mut self.backends {
-            state.is_gone = !listed.contains(id);
+            let is_listed = listed.contains(id);
+            state.is_ahead &= !is_listed;
+            state.is_gone = !is_listed && !(state.is_ahead && state.view.is_some());
         }
         for backend in list {
             match self.backends.get_mut(&backend.id) {
@@ -266,12 +276,44 @@
         of_service.any(|b| !b.is_gone && b.listed.service == *service)
     }
 
-    fn on_view(&mut self, view: EngineView, now: Instant) {
+    fn on_view(&mut self, addr: SocketAddr, view: EngineView, now: Instant) {
+        if view.backend.is_empty() {
+            return;
+        }
+        if !self.backends.contains_key(&view.backend) {
+            self.add_ahead_of_list(addr, &view.backend, now);
+        }
         if let Some(state) = self.backends.get_mut(&view.backend) {
             state.on_view(view, now);
         }
     }
 
+    /// an engine that came back and is not in the list yet: its sidecar knows
+    fn add_ahead_of_list(&mut self, addr: SocketAddr, id: &BackendId, now: Instant) {
+        let mut states = self.backends.values_mut();
+        let Some(former) = states.find(|b| b.listed.addr == addr) else {
+            return;
+        };
+        former.is_superseded = true;
+        former.view = None;
+        let listed = Backend {
+            id: id.clone(),
+            leaving: false,
+            held: Vec::new(),
+            ..former.listed.clone()
+        };
+        let mut state = BackendState::new(listed, now);
+        state.is_ahead = true;
+        self.backends.insert(id.clone(), state);
+    }
+
+    fn on_view_lost(&mut self, backend: &BackendId) {
+        if let Some(state) = self.backends.get_mut(backend) {
+            state.view = None;
+            state.is_gone |= state.is_ahead;
+        }
+    }
+
     fn on_version(&mut self, adapter: AdapterRef, version: u64, now: Instant) {
         let known = self.versions.get(&adapter).copied().unwrap_or(0);
         if version <= known {
@@ -279,7 +321,7 @@
         }
         self.versions.insert(adapter.clone(), version);
         for (id, state) in &self.backends {
-            if state.held_version(&adapter).is_some() {
+            if state.held_version(&adapter, now).is_some() {
                 self.urgent.insert(id.clone());
             }
         }
@@ -372,12 +414,14 @@
         }
         let resting = of_service
             .iter()
-            .filter(|b| !b.listed.leaving && !b.is_gone);
+            .filter(|b| !b.listed.leaving && !b.is_gone && !b.is_superseded);
         let resting: Vec<BackendId> = resting.map(|b| b.listed.id.clone()).collect();
         if !resting.is_empty() || self.has_listed(&ask.service) {
             return resting;
         }
-        let gone = of_service.iter().filter(|b| !b.listed.leaving);
+        let gone = of_service
+            .iter()
+            .filter(|b| !b.listed.leaving && !b.is_superseded);
         gone.map(|b| b.listed.id.clone()).collect()
     }
 
@@ -394,7 +438,7 @@
             Some(state) => Choice::Send(Assignment {
                 backend: state.listed.id.clone(),
                 addr: state.listed.addr,
-                version: adapter.and_then(|a| state.held_version(a)),
+                version: adapter.and_then(|a| state.held_version(a, now)),
             }),
             None => Choice::Wait(RefusalCause::Full),
         }
@@ -409,7 +453,7 @@
     ) -> Choice {
         let is_holder = |id: &&BackendId| {
             let state = self.backends.get(*id);
-            let version = state.and_then(|b| b.held_version(adapter));
+            let version = state.and_then(|b| b.held_version(adapter, now));
             version.is_some_and(|v| self.is_current(adapter, v, now))
         };
         let holders: Vec<BackendId> = candidates.iter().filter(is_holder).cloned().collect();
--- a/coordination/src/dispatch/event.rs
+++ b/coordination/src/dispatch/event.rs
@@ -5,7 +5,7 @@
         backends::{AdapterRef, BackendId, BackendList},
         ingress::RouteTable,
     },
-    std::sync::Arc,
+    std::{net::SocketAddr, sync::Arc},
 };
 
 /// how a send ended
@@ -15,8 +15,10 @@
     Answered,
     /// the back end said that it did not run it, being full
     Shed,
-    /// it is another incarnation, or lacks the adapter
+    /// it lacks the adapter, or has another version of it
     Misdirected,
+    /// another incarnation answers at its address
+    Superseded,
     /// never reached it
     Unreachable,
     /// it failed, or its answer was lost or spoilt
@@ -48,7 +50,11 @@
     Configured(Arc<RouteTable>),
     /// the settings were read again
     Tuned(DispatchSettings),
-    Viewed(EngineView),
+    /// the sidecar of the engine at this address said this
+    Viewed {
+        addr: SocketAddr,
+        view: EngineView,
+    },
     ViewLost(BackendId),
     /// an adapter has a new version
     Versioned {
--- a/coordination/src/placement/placement_control.rs
+++ b/coordination/src/placement/placement_control.rs
@@ -24,6 +24,8 @@
     Report(EngineReport),
     /// the engine could not be read
     ReportFailed,
+    /// the engine said which incarnation it is, or nothing
+    Identified(Option<BackendId>),
     Answered {
         order: EngineOrder,
         answer: OrderAnswer,
@@ -33,6 +35,8 @@
 /// what the process does next
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum PlacementStep {
+    /// ask the engine at this path which incarnation it is
+    Identify { health_path: String },
     /// give this order
     Order(EngineOrder),
     /// read the engine after this time at the latest
@@ -59,6 +63,9 @@
     settings: PlacementSettings,
     fence: FenceToken,
     backend: BackendId,
+    /// the engine itself said so, in this life of it
+    is_identified: bool,
+    asked_identity: Option<Instant>,
     demands: DemandBook,
     places: HashMap<AdapterRef, Place>,
     report: EngineReport,
@@ -76,6 +83,8 @@
             settings,
             fence: FenceToken::new(clock_ms),
             backend: BackendId::new(),
+            is_identified: false,
+            asked_identity: None,
             demands: DemandBook::default(),
             places: HashMap::new(),
             report: EngineReport::default(),
@@ -90,7 +99,8 @@
         match event {
             PlacementEvent::Demand(demand) => self.on_demand(demand, now),
             PlacementEvent::Report(report) => self.on_report(report, now),
-            PlacementEvent::ReportFailed => self.is_read = false,
+            PlacementEvent::ReportFailed => self.on_report_failed(),
+            PlacementEvent::Identified(backend) => self.on_identified(backend, now),
             PlacementEvent::Answered { order, answer } => self.on_answer(order, answer, now),
         }
     }
@@ -99,6 +109,10 @@
     pub fn next_step(&mut self, now: Instant) -> PlacementStep {
         self.demands.expire(self.settings.entry_silence, now);
         self.resting.retain(|_, until| *until > now);
+        if let Some(health_path) = self.identity_due(now) {
+            self.asked_identity = Some(now);
+            return PlacementStep::Identify { health_path };
+        }
         if self.is_read && !self.backend.is_empty() {
             if let Some(kind) = self.next_order(now) {
                 return PlacementStep::Order(EngineOrder {
@@ -155,11 +169,40 @@
         }
         self.demands.put(demand, now);
         let newest = self.demands.newest().map(|d| d.backend.clone());
-        if let Some(backend) = newest {
+        if let Some(backend) = newest.filter(|_| !self.is_identified) {
             self.follow_backend(backend);
         }
     }
 
+    /// the path at which to ask, if the engine's identity is in doubt
+    fn identity_due(&self, now: Instant) -> Option<String> {
+        let asked = self.asked_identity;
+        let pause = self.settings.identity_pause;
+        let is_too_soon = asked.is_some_and(|at| now.saturating_duration_since(at) < pause);
+        if self.is_identified || !self.is_read || is_too_soon {
+            return None;
+        }
+        let path = &self.demands.newest()?.health_path;
+        (!path.is_empty()).then(|| path.clone())
+    }
+
+    fn on_identified(&mut self, backend: Option<BackendId>, now: Instant) {
+        self.asked_identity = Some(now);
+        if let Some(backend) = backend {
+            self.is_identified = true;
+            let was_read = self.is_read;
+            self.follow_backend(backend);
+            // the report came from the same engine a moment before
+            self.is_read = was_read;
+        }
+    }
+
+    /// it may come back as another incarnation
+    fn on_report_failed(&mut self) {
+        self.is_read = false;
+        self.is_identified = false;
+    }
+
     fn follow_backend(&mut self, backend: BackendId) {
         if self.backend != backend {
             self.backend = backend;
@@ -198,11 +241,11 @@
         match answer {
             OrderAnswer::Taken | OrderAnswer::Done => self.on_taken(&order.kind),
             OrderAnswer::Fenced => self.fence.on_refused(order.fence),
-            OrderAnswer::OtherBackend(Some(backend)) => self.follow_backend(backend),
-            OrderAnswer::OtherBackend(None)
-            | OrderAnswer::Busy
-            | OrderAnswer::Refused
-            | OrderAnswer::Unknown => {
+            OrderAnswer::OtherBackend(_) => {
+                self.is_identified = false;
+                self.asked_identity = None;
+            }
+            OrderAnswer::Busy | OrderAnswer::Refused | OrderAnswer::Unknown => {
                 let until = now + self.settings.order_pause;
                 self.resting.insert(order.kind, until);
             }
--- a/coordination/src/placement/settings.rs
+++ b/coordination/src/placement/settings.rs
@@ -13,6 +13,8 @@
     pub replace_after: Duration,
     /// pause before an order that failed is given again
     pub order_pause: Duration,
+    /// pause between two questions for the engine's identity
+    pub identity_pause: Duration,
     /// pause between two loads of a base model
     pub model_pause: Duration,
 }
@@ -25,6 +27,7 @@
             entry_silence: Duration::from_secs(3),
             replace_after: Duration::from_millis(1_000),
             order_pause: Duration::from_millis(300),
+            identity_pause: Duration::from_millis(200),
             model_pause: Duration::from_secs(5),
         }
     }
--- a/entry/src/ingress/control.rs
+++ b/entry/src/ingress/control.rs
@@ -118,7 +118,12 @@
     }
 
     fn on_event(&mut self, event: DispatchEvent) {
-        let is_list = matches!(event, DispatchEvent::Listed { .. });
+        // which back ends are engines stands in the configuration, which may
+        // come after the list
+        let may_change_engines = matches!(
+            event,
+            DispatchEvent::Listed { .. } | DispatchEvent::Configured(_)
+        );
         if let DispatchEvent::Withdrawn(ticket) = &event {
             self.askers.remove(ticket);
         }
@@ -128,7 +133,7 @@
                 let _ = answer.send(decision);
             }
         }
-        if is_list {
+        if may_change_engines {
             let dispatcher = &self.dispatcher;
             let engines = dispatcher.listed().filter(|b| {
                 let service = dispatcher.service(&b.service);
--- a/entry/src/ingress/exchange.rs
+++ b/entry/src/ingress/exchange.rs
@@ -7,6 +7,7 @@
     },
     bytes::Bytes,
     chalkcart_coordination::dispatch::{Ask, Assignment, Decision, SendOutcome, Ticket},
+    chalkcart_state::backends::BackendId,
     chalkcart_transport::{
         backend::{send, BackendAnswer, SendError},
         ingress::{remove_connection_headers, ClientResponse, PassBody, SendHead},
@@ -163,7 +164,7 @@
                 guard.end(SendOutcome::Failed);
                 Attempt::Failed(None)
             }
-            Ok(Ok(answer)) => self.take_answer(answer, guard).await,
+            Ok(Ok(answer)) => self.take_answer(&assignment.backend, answer, guard).await,
         }
     }
 
@@ -188,21 +189,27 @@
         req.body(Full::new(self.accepted.body.clone())).ok()
     }
 
-    async fn take_answer(&self, answer: BackendAnswer, mut guard: SendGuard) -> Attempt {
+    async fn take_answer(
+        &self,
+        backend: &BackendId,
+        answer: BackendAnswer,
+        mut guard: SendGuard,
+    ) -> Attempt {
         let status = answer.response.status();
         let head = self.shared.dialect.read_answer(answer.response.headers());
         let is_ours = head.request_id.as_deref() == Some(self.accepted.head.id.as_str());
-        if head.not_run {
-            let outcome = match status {
-                StatusCode::MISDIRECTED_REQUEST => SendOutcome::Misdirected,
-                _ => SendOutcome::Shed,
+        if status == StatusCode::MISDIRECTED_REQUEST {
+            let is_other = head.backend.is_some_and(|id| id != *backend);
+            let outcome = match is_other {
+                true => SendOutcome::Superseded,
+                false => SendOutcome::Misdirected,
             };
             guard.end(outcome);
             return Attempt::NotRun(outcome);
         }
-        if status == StatusCode::MISDIRECTED_REQUEST {
-            guard.end(SendOutcome::Misdirected);
-            return Attempt::NotRun(SendOutcome::Misdirected);
+        if head.not_run {
+            guard.end(SendOutcome::Shed);
+            return Attempt::NotRun(SendOutcome::Shed);
         }
         let is_sound = is_ours && !head.encoded && (head.signed || !status.is_success());
         // these would promise that the request did not run
--- a/entry/src/ingress/sidecar_links.rs
+++ b/entry/src/ingress/sidecar_links.rs
@@ -77,17 +77,22 @@
     fn open(&self, engine: SocketAddr) -> Link {
         let sidecar = SocketAddr::new(engine.ip(), self.sidecar_port);
         let (demand, demands) = watch::channel(None);
-        let views = read_views(self.peers.clone(), sidecar, self.control.clone());
+        let views = read_views(self.peers.clone(), engine, sidecar, self.control.clone());
         let posts = post_demands(self.peers.clone(), sidecar, demands);
         let tasks = [self.runtime.spawn(views), self.runtime.spawn(posts)];
         Link { demand, tasks }
     }
 }
 
-async fn read_views(peers: PeerClient, sidecar: SocketAddr, control: ControlHandle) {
+async fn read_views(
+    peers: PeerClient,
+    engine: SocketAddr,
+    sidecar: SocketAddr,
+    control: ControlHandle,
+) {
     loop {
         let mut backend = BackendId::new();
-        let e = match read_until_error(&peers, sidecar, &control, &mut backend).await {
+        let e = match read_until_error(&peers, engine, sidecar, &control, &mut backend).await {
             Ok(()) => "the stream ended".to_string(),
             Err(e) => e.to_string(),
         };
@@ -101,6 +106,7 @@
 
 async fn read_until_error(
     peers: &PeerClient,
+    engine: SocketAddr,
     sidecar: SocketAddr,
     control: &ControlHandle,
     backend: &mut BackendId,
@@ -117,7 +123,7 @@
             log::info!("links: sidecar {sidecar} speaks of {}", view.backend);
         }
         backend.clone_from(&view.backend);
-        control.tell(DispatchEvent::Viewed(view));
+        control.tell(DispatchEvent::Viewed { addr: engine, view });
     }
 }
 
--- a/protocol/src/peer/placement.rs
+++ b/protocol/src/peer/placement.rs
@@ -51,6 +51,8 @@
     pub backend: BackendId,
     /// version of the list in which it stands
     pub list_version: u64,
+    /// at which the engine tells its identity
+    pub health_path: String,
     pub room: EngineRoom,
     pub wanted: Vec<WantedAdapter>,
     /// adapters in use, and those used since the last message (with 0)
--- a/sidecar/src/placement/keeper.rs
+++ b/sidecar/src/placement/keeper.rs
@@ -38,6 +38,12 @@
             loop {
                 let step = self.shared.control().next_step(Instant::now());
                 match step {
+                    PlacementStep::Identify { health_path } => {
+                        let backend = self.engine.identity(&health_path).await;
+                        log::info!("engine: it is {backend:?}");
+                        self.shared.handle(PlacementEvent::Identified(backend));
+                        self.publish();
+                    }
                     PlacementStep::Order(order) => {
                         self.order(order).await;
                         self.read().await;
--- a/state/src/ingress/service.rs
+++ b/state/src/ingress/service.rs
@@ -29,6 +29,8 @@
 #[derive(Debug, Clone, PartialEq)]
 pub struct Service {
     pub name: ServiceName,
+    /// at which a back end tells its identity
+    pub health_path: String,
     /// what its engines can hold; none for a plain service
     pub engine: Option<EngineSpec>,
 }
--- a/transport/src/ingress/dialect.rs
+++ b/transport/src/ingress/dialect.rs
@@ -35,6 +35,8 @@
 pub struct AnswerHead {
     /// of the request that it answers
     pub request_id: Option<String>,
+    /// the incarnation that answered, if it says so
+    pub backend: Option<BackendId>,
     /// it states that the request did not run
     pub not_run: bool,
     /// it bears a back end's signature
