Not ready while cut off from all back ends; the list's watch is paced

Cause: an entry that is partitioned from every back end went on being ready and held its clients until their deadlines; each load of an adapter woke each entry's watch of the list. Ruled out for the second: retries of failed calls.

--- a/coordination/src/dispatch/dispatcher.rs
+++ b/coordination/src/dispatch/dispatcher.rs
@@ -68,6 +68,8 @@
     /// engines whose sidecars must hear of a new wish
     urgent: HashSet<BackendId>,
     decided: Vec<(Ticket, Decision)>,
+    /// when a sidecar spoke or a back end answered
+    last_heard: Option<Instant>,
 }
 
 impl Dispatcher {
@@ -85,6 +87,7 @@
             spreads: HashMap::new(),
             urgent: HashSet::new(),
             decided: Vec::new(),
+            last_heard: None,
         }
     }
 
@@ -146,6 +149,15 @@
     pub fn has_urgent_demands(&self) -> bool {
         !self.urgent.is_empty()
     }
+    /// whether any back end was heard of lately; a process that is cut off
+    /// should not be sent clients
+    pub fn reaches_backends(&self, now: Instant) -> bool {
+        let Some(heard) = self.last_heard else {
+            // nothing was ever heard: the list alone must do
+            return true;
+        };
+        now.saturating_duration_since(heard) < self.settings.unheard_after
+    }
     pub fn waiting_count(&self) -> usize {
         self.waiting.len()
     }
@@ -216,7 +228,10 @@
         };
         state.on_ended(&sent);
         match outcome {
-            SendOutcome::Answered => state.health.on_success(now),
+            SendOutcome::Answered => {
+                state.health.on_success(now);
+                self.last_heard = Some(now);
+            }
             SendOutcome::Shed => state.on_full(now),
             SendOutcome::Misdirected => match &sent.adapter {
                 Some(adapter) => state.on_refused(adapter),
@@ -277,6 +292,7 @@
     }
 
     fn on_view(&mut self, addr: SocketAddr, view: EngineView, now: Instant) {
+        self.last_heard = Some(now);
         if view.backend.is_empty() {
             return;
         }
--- a/coordination/src/dispatch/settings.rs
+++ b/coordination/src/dispatch/settings.rs
@@ -20,6 +20,8 @@
     pub tokens_per_ms: f64,
     /// a queue this long makes an adapter worth another copy, in ms
     pub spread_wait_ms: f64,
+    /// nothing was heard of any back end for this long: cut off
+    pub unheard_after: Duration,
     /// the former version of an adapter is used no longer than this
     pub version_grace: Duration,
 }
@@ -36,6 +38,7 @@
             wait_for_place: 2.0,
             tokens_per_ms: 16.0,
             spread_wait_ms: 200.0,
+            unheard_after: Duration::from_millis(1_200),
             version_grace: Duration::from_millis(2_500),
         }
     }
--- a/entry/src/ingress/control.rs
+++ b/entry/src/ingress/control.rs
@@ -4,7 +4,11 @@
     chalkcart_coordination::dispatch::{Ask, Decision, DispatchEvent, Dispatcher, Ticket},
     std::{
         collections::HashMap,
-        sync::mpsc::{self, RecvTimeoutError},
+        sync::{
+            atomic::{AtomicBool, Ordering},
+            mpsc::{self, RecvTimeoutError},
+            Arc,
+        },
         thread,
         time::{Duration, Instant},
     },
@@ -33,6 +37,7 @@
 #[derive(Clone)]
 pub struct ControlHandle {
     commands: mpsc::Sender<Command>,
+    reach: Arc<AtomicBool>,
 }
 
 impl ControlHandle {
@@ -40,6 +45,10 @@
         // the control thread ends only with the process
         let _ = self.commands.send(Command::Event(event));
     }
+    /// whether any back end was heard of lately
+    pub fn reaches_backends(&self) -> bool {
+        self.reach.load(Ordering::Relaxed)
+    }
     /// ask for a back end; none if the control thread is gone
     pub async fn decide(&self, ticket: Ticket, ask: Ask) -> Option<Decision> {
         let (answer, answered) = oneshot::channel();
@@ -60,6 +69,7 @@
     askers: HashMap<Ticket, oneshot::Sender<Decision>>,
     last_urgent: Instant,
     last_all: Instant,
+    reach: Arc<AtomicBool>,
 }
 
 /// start the control thread; it ends when the last handle is gone
@@ -68,7 +78,11 @@
     make_links: impl FnOnce(ControlHandle) -> SidecarLinks,
 ) -> Result<ControlHandle> {
     let (commands, received) = mpsc::channel();
-    let handle = ControlHandle { commands };
+    let reach = Arc::new(AtomicBool::new(true));
+    let handle = ControlHandle {
+        commands,
+        reach: reach.clone(),
+    };
     let now = Instant::now();
     let mut control = ControlLoop {
         dispatcher,
@@ -76,6 +90,7 @@
         askers: HashMap::new(),
         last_urgent: now,
         last_all: now,
+        reach: reach.clone(),
     };
     let builder = thread::Builder::new().name("control".to_string());
     let run = move || control.run(&received);
@@ -91,6 +106,8 @@
                 Err(RecvTimeoutError::Timeout) => self.on_event(DispatchEvent::Tick),
                 Err(RecvTimeoutError::Disconnected) => return,
             }
+            let reaches = self.dispatcher.reaches_backends(Instant::now());
+            self.reach.store(reaches, Ordering::Relaxed);
             self.send_demands();
         }
     }
--- a/entry/src/ingress/follower.rs
+++ b/entry/src/ingress/follower.rs
@@ -15,6 +15,10 @@
 /// how long one watch waits; a watch that was cut silently costs this time
 const WATCH_WAIT: Duration = Duration::from_millis(2_500);
 
+/// pause after changes of the list, which come in series while adapters are
+/// loaded; each call to the store has its price
+const LIST_PAUSE: Duration = Duration::from_millis(300);
+
 /// follows one topic of the platform's store
 pub struct Follower {
     shared: Arc<Shared>,
@@ -70,7 +74,13 @@
                 // an answer of an earlier state says nothing new
                 self.known = None;
             }
-            Watched::Records(heard) => self.take_in(heard),
+            Watched::Records(heard) => {
+                let has_news = !heard.records.is_empty();
+                self.take_in(heard);
+                if has_news && self.topic == Topic::Backends {
+                    sleep(LIST_PAUSE).await;
+                }
+            }
             Watched::HistoryLost => {
                 log::warn!("store: history of {:?} lost after {after}", self.topic);
                 self.known = None;
--- a/entry/src/ingress/shared.rs
+++ b/entry/src/ingress/shared.rs
@@ -50,6 +50,6 @@
     /// whether the platform may send clients here
     pub fn is_ready(&self) -> bool {
         let knows = self.table.load().is_some() && self.knows_backends.load(Ordering::Relaxed);
-        knows && *self.phase.borrow() == Phase::Serving
+        knows && self.control.reaches_backends() && *self.phase.borrow() == Phase::Serving
     }
 }
