--- a/coordination/src/dispatch/dispatcher.rs
+++ b/coordination/src/dispatch/dispatcher.rs
@@ -12,6 +12,7 @@
         ingress::{RouteTable, Service},
     },
     std::{
+        cmp::Reverse,
         collections::{BTreeMap, HashMap, HashSet},
         net::SocketAddr,
         sync::Arc,
@@ -261,7 +262,7 @@
         for (id, state) in &mut self.backends {
             let is_listed = listed.contains(id);
             state.is_ahead &= !is_listed;
-            state.is_gone = !is_listed && !(state.is_ahead && state.view.is_some());
+            state.is_gone = !(is_listed || state.is_ahead && state.view.is_some());
         }
         for backend in list {
             match self.backends.get_mut(&backend.id) {
@@ -564,7 +565,7 @@
                 (rendezvous_weight(key, member), b)
             })
             .collect();
-        ranked.sort_by(|a, b| b.0.cmp(&a.0));
+        ranked.sort_by_key(|(weight, _)| Reverse(*weight));
         let index = skip % ranked.len().max(1);
         ranked.get(index).map(|(_, b)| b.listed.id.clone())
     }
--- /dev/null
+++ b/coordination/tests/dispatch.rs
@@ -0,0 +1,494 @@
+//! the dispatcher's decisions, from events and times alone
+
+use {
+    chalkcart_coordination::dispatch::{
+        Ask, Decision, DispatchEvent, DispatchSettings, Dispatcher, RefusalCause, SendOutcome,
+        SharedBudget, Ticket,
+    },
+    chalkcart_protocol::peer::EngineView,
+    chalkcart_state::{
+        backends::{AdapterRef, Backend, HeldAdapter},
+        ingress::{BaseModel, EngineSpec, IngressLimits, RouteTable, Service},
+    },
+    std::{
+        net::SocketAddr,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+};
+
+const ENGINES: &str = "engines";
+const PLAIN: &str = "plain";
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn addr(number: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, number], 80))
+}
+
+fn adapter(name: &str) -> AdapterRef {
+    AdapterRef {
+        model: "m".to_string(),
+        adapter: name.to_string(),
+    }
+}
+
+fn backend(service: &str, number: u8) -> Backend {
+    Backend {
+        id: format!("{service}-{number}"),
+        service: service.to_string(),
+        addr: addr(number),
+        zone: "z".to_string(),
+        slots: 4,
+        leaving: false,
+        held: Vec::new(),
+    }
+}
+
+fn table() -> RouteTable {
+    let spec = EngineSpec {
+        slots: 4,
+        adapter_slots: 2,
+        weights_mb: 1_000.0,
+        kv_capacity: 1_000,
+        models: vec![BaseModel {
+            name: "m".to_string(),
+            weights_mb: 500.0,
+            adapter_mb: 10.0,
+            load_time: ms(500),
+        }],
+    };
+    let service = |name: &str, engine| Service {
+        name: name.to_string(),
+        health_path: "/health".to_string(),
+        engine,
+    };
+    let services = vec![service(ENGINES, Some(spec)), service(PLAIN, None)];
+    RouteTable::new(1, IngressLimits::default(), services)
+}
+
+fn view(backend: &str, held: &[(&str, u64)]) -> EngineView {
+    let held = held.iter().map(|(name, version)| HeldAdapter {
+        adapter: adapter(name),
+        version: *version,
+    });
+    EngineView {
+        backend: backend.to_string(),
+        held: held.collect(),
+        spare_slots: 2,
+        entries: 2,
+        ..EngineView::default()
+    }
+}
+
+/// a dispatcher with its clock
+struct Fixture {
+    dispatcher: Dispatcher,
+    now: Instant,
+    list_version: u64,
+}
+
+impl Fixture {
+    fn new(list: Vec<Backend>) -> Self {
+        let settings = DispatchSettings {
+            entry: "e".to_string(),
+            zone: "z".to_string(),
+            ..DispatchSettings::default()
+        };
+        let mut fixture = Self {
+            dispatcher: Dispatcher::new(settings),
+            now: Instant::now(),
+            list_version: 0,
+        };
+        fixture.tell(DispatchEvent::Configured(Arc::new(table())));
+        fixture.list(list);
+        fixture
+    }
+    fn tell(&mut self, event: DispatchEvent) -> Vec<(Ticket, Decision)> {
+        self.dispatcher.handle(event, self.now)
+    }
+    fn list(&mut self, list: Vec<Backend>) {
+        self.list_version += 1;
+        let version = self.list_version;
+        self.tell(DispatchEvent::Listed { version, list });
+    }
+    fn view(&mut self, number: u8, view: EngineView) -> Vec<(Ticket, Decision)> {
+        let addr = addr(number);
+        self.tell(DispatchEvent::Viewed { addr, view })
+    }
+    fn pass(&mut self, time: Duration) -> Vec<(Ticket, Decision)> {
+        self.now += time;
+        self.tell(DispatchEvent::Tick)
+    }
+    fn ask(&mut self, ticket: Ticket, ask: Ask) -> Vec<(Ticket, Decision)> {
+        self.tell(DispatchEvent::Asked { ticket, ask })
+    }
+    fn end(&mut self, ticket: Ticket, outcome: SendOutcome) {
+        self.tell(DispatchEvent::Ended { ticket, outcome });
+    }
+    fn new_ask(&self, service: &str, wanted: Option<&str>) -> Ask {
+        Ask {
+            service: service.to_string(),
+            adapter: wanted.map(adapter),
+            prompt_tokens: 100,
+            priority: 1,
+            target_latency: ms(400),
+            arrived: self.now,
+            deadline: self.now + ms(10_000),
+            tried: Vec::new(),
+            sends: 0,
+        }
+    }
+    /// the engines that are asked to load an adapter
+    fn homes(&mut self, wanted: &str) -> Vec<String> {
+        let demands = self.dispatcher.demands(true, self.now);
+        let asked = demands.into_iter().filter(|(_, d)| {
+            let mut adapters = d.wanted.iter();
+            adapters.any(|w| w.adapter == adapter(wanted))
+        });
+        asked.map(|(_, d)| d.backend).collect()
+    }
+}
+
+fn sent_to(decisions: &[(Ticket, Decision)]) -> Vec<String> {
+    let sent = decisions.iter().filter_map(|(_, d)| match d {
+        Decision::Send(assignment) => Some(assignment.backend.clone()),
+        Decision::Refuse { .. } => None,
+    });
+    sent.collect()
+}
+
+fn engines() -> Vec<Backend> {
+    (1..=3).map(|n| backend(ENGINES, n)).collect()
+}
+
+fn fixture_with_views() -> Fixture {
+    let mut fixture = Fixture::new(engines());
+    for number in 1..=3 {
+        fixture.view(number, view(&format!("{ENGINES}-{number}"), &[]));
+    }
+    fixture
+}
+
+#[test]
+fn a_request_goes_to_the_engine_that_holds_its_adapter_in_its_version() {
+    let mut fixture = fixture_with_views();
+    fixture.view(2, view("engines-2", &[("a", 7)]));
+    let ask = fixture.new_ask(ENGINES, Some("a"));
+    let decided = fixture.ask(1, ask);
+    let Some((1, Decision::Send(assignment))) = decided.first() else {
+        panic!("not sent: {decided:?}");
+    };
+    assert_eq!(assignment.backend, "engines-2");
+    assert_eq!(assignment.version, Some(7));
+}
+
+#[test]
+fn a_request_waits_for_its_adapter_at_one_home_and_is_sent_when_it_is_there() {
+    let mut fixture = fixture_with_views();
+    for ticket in 1..=3 {
+        let ask = fixture.new_ask(ENGINES, Some("a"));
+        assert!(fixture.ask(ticket, ask).is_empty());
+    }
+    let homes = fixture.homes("a");
+    assert_eq!(homes.len(), 1, "{homes:?}");
+    let number: u8 = homes[0].trim_start_matches("engines-").parse().unwrap();
+    let decided = fixture.view(number, view(&homes[0], &[("a", 1)]));
+    assert_eq!(sent_to(&decided), vec![homes[0].clone(); 3]);
+}
+
+#[test]
+fn the_home_of_an_adapter_is_the_same_at_each_entry() {
+    let home = || {
+        let mut fixture = fixture_with_views();
+        let ask = fixture.new_ask(ENGINES, Some("a"));
+        fixture.ask(1, ask);
+        fixture.homes("a")
+    };
+    assert_eq!(home(), home());
+}
+
+#[test]
+fn an_engine_without_a_spare_place_is_no_home() {
+    let mut fixture = fixture_with_views();
+    let ask = fixture.new_ask(ENGINES, Some("a"));
+    fixture.ask(1, ask.clone());
+    let first = fixture.homes("a");
+    let number: u8 = first[0].trim_start_matches("engines-").parse().unwrap();
+    let full = EngineView {
+        spare_slots: 0,
+        ..view(&first[0], &[])
+    };
+    fixture.view(number, full);
+    fixture.pass(ms(1_600));
+    assert_ne!(fixture.homes("a"), first);
+}
+
+#[test]
+fn a_wait_ends_in_a_refusal_that_says_when_to_come_back() {
+    let mut fixture = fixture_with_views();
+    let ask = fixture.new_ask(ENGINES, Some("a"));
+    fixture.ask(1, ask);
+    let decided = fixture.pass(ms(1_600));
+    let Some((
+        1,
+        Decision::Refuse {
+            cause, retry_after, ..
+        },
+    )) = decided.first()
+    else {
+        panic!("not refused: {decided:?}");
+    };
+    assert_eq!(*cause, RefusalCause::NotLoaded);
+    assert!(*retry_after >= ms(100));
+    assert!(fixture.pass(ms(10)).is_empty(), "one answer only");
+}
+
+#[test]
+fn a_client_that_left_while_waiting_gets_no_back_end() {
+    let mut fixture = fixture_with_views();
+    let ask = fixture.new_ask(ENGINES, Some("a"));
+    fixture.ask(1, ask);
+    fixture.tell(DispatchEvent::Withdrawn(1));
+    let decided = fixture.view(1, view("engines-1", &[("a", 1)]));
+    assert!(decided.is_empty());
+}
+
+#[test]
+fn full_engines_get_no_more_and_the_next_goes_when_a_place_is_free() {
+    let mut fixture = Fixture::new(vec![backend(PLAIN, 1)]);
+    for ticket in 1..=4 {
+        let ask = fixture.new_ask(PLAIN, None);
+        assert_eq!(sent_to(&fixture.ask(ticket, ask)).len(), 1);
+    }
+    let ask = fixture.new_ask(PLAIN, None);
+    assert!(fixture.ask(5, ask).is_empty(), "four places");
+    let ended = DispatchEvent::Ended {
+        ticket: 2,
+        outcome: SendOutcome::Answered,
+    };
+    assert_eq!(fixture.tell(ended).first().map(|(t, _)| *t), Some(5));
+}
+
+#[test]
+fn the_more_urgent_of_two_that_wait_goes_first() {
+    let mut fixture = fixture_with_views();
+    let later = Ask {
+        priority: 2,
+        ..fixture.new_ask(ENGINES, Some("a"))
+    };
+    fixture.ask(1, later);
+    let urgent = Ask {
+        priority: 0,
+        ..fixture.new_ask(ENGINES, Some("a"))
+    };
+    fixture.ask(2, urgent);
+    let decided = fixture.view(1, view("engines-1", &[("a", 1)]));
+    let order: Vec<Ticket> = decided.iter().map(|(ticket, _)| *ticket).collect();
+    assert_eq!(order, [2, 1]);
+}
+
+/// each of these leaves one of two back ends out
+#[test]
+fn back_ends_that_must_not_get_work_get_none() {
+    type Change = fn(&mut Fixture);
+    let cases: &[(&str, Change)] = &[
+        ("leaving", |f| {
+            let mut list = vec![backend(PLAIN, 1), backend(PLAIN, 2)];
+            list[0].leaving = true;
+            f.list(list);
+        }),
+        ("gone from the list", |f| f.list(vec![backend(PLAIN, 2)])),
+        ("unreachable", |f| one_fails(f, SendOutcome::Unreachable)),
+        ("another incarnation answers", |f| {
+            one_fails(f, SendOutcome::Superseded)
+        }),
+    ];
+    for (name, change) in cases {
+        let mut fixture = Fixture::new(vec![backend(PLAIN, 1), backend(PLAIN, 2)]);
+        change(&mut fixture);
+        for ticket in 100..104 {
+            let ask = fixture.new_ask(PLAIN, None);
+            let decided = fixture.ask(ticket, ask);
+            assert_eq!(sent_to(&decided), ["plain-2"], "{name}");
+        }
+    }
+}
+
+/// end one send to the first back end in this way
+fn one_fails(fixture: &mut Fixture, outcome: SendOutcome) {
+    let ask = Ask {
+        tried: vec!["plain-2".to_string()],
+        ..fixture.new_ask(PLAIN, None)
+    };
+    fixture.ask(50, ask);
+    fixture.end(50, outcome);
+}
+
+#[test]
+fn a_list_that_lost_all_of_a_service_leaves_the_former_ones_in_use() {
+    let mut fixture = Fixture::new(vec![backend(PLAIN, 1)]);
+    fixture.list(Vec::new());
+    let ask = fixture.new_ask(PLAIN, None);
+    assert_eq!(sent_to(&fixture.ask(1, ask)), ["plain-1"]);
+    fixture.list(vec![backend(PLAIN, 2)]);
+    let ask = fixture.new_ask(PLAIN, None);
+    assert_eq!(sent_to(&fixture.ask(2, ask)), ["plain-2"]);
+}
+
+#[test]
+fn an_older_list_changes_nothing() {
+    let mut fixture = Fixture::new(vec![backend(PLAIN, 1)]);
+    fixture.list(vec![backend(PLAIN, 2)]);
+    let list = vec![backend(PLAIN, 1)];
+    fixture.tell(DispatchEvent::Listed { version: 1, list });
+    let ask = fixture.new_ask(PLAIN, None);
+    assert_eq!(sent_to(&fixture.ask(1, ask)), ["plain-2"]);
+}
+
+#[test]
+fn an_engine_that_came_back_is_used_before_the_list_has_it() {
+    let mut fixture = fixture_with_views();
+    fixture.view(1, view("engines-1-new", &[("a", 1)]));
+    let ask = fixture.new_ask(ENGINES, Some("a"));
+    assert_eq!(sent_to(&fixture.ask(1, ask)), ["engines-1-new"]);
+    fixture.list(engines());
+    let ask = fixture.new_ask(ENGINES, Some("a"));
+    assert_eq!(sent_to(&fixture.ask(2, ask)), ["engines-1-new"]);
+}
+
+#[test]
+fn the_former_version_is_run_for_a_short_time_only() {
+    let mut fixture = fixture_with_views();
+    fixture.view(1, view("engines-1", &[("a", 1)]));
+    fixture.tell(DispatchEvent::Versioned {
+        adapter: adapter("a"),
+        version: 2,
+    });
+    let ask = fixture.new_ask(ENGINES, Some("a"));
+    assert_eq!(sent_to(&fixture.ask(1, ask)), ["engines-1"]);
+    fixture.pass(ms(2_600));
+    let ask = fixture.new_ask(ENGINES, Some("a"));
+    assert!(fixture.ask(2, ask).is_empty(), "only the former is held");
+    let decided = fixture.view(1, view("engines-1", &[("a", 2)]));
+    assert_eq!(sent_to(&decided), ["engines-1"]);
+}
+
+#[test]
+fn sidecars_hear_of_adapters_with_a_newer_version() {
+    let mut fixture = fixture_with_views();
+    fixture.view(1, view("engines-1", &[("a", 1)]));
+    fixture.tell(DispatchEvent::Versioned {
+        adapter: adapter("a"),
+        version: 2,
+    });
+    let demands = fixture.dispatcher.demands(false, fixture.now);
+    let (_, told) = demands
+        .iter()
+        .find(|(_, d)| d.backend == "engines-1")
+        .unwrap();
+    assert_eq!(told.outdated[0].version, 2);
+}
+
+#[test]
+fn a_busy_holder_makes_its_adapter_spread() {
+    let mut fixture = fixture_with_views();
+    fixture.view(1, view("engines-1", &[("a", 1)]));
+    for ticket in 1..=4 {
+        let ask = Ask {
+            prompt_tokens: 3_000,
+            ..fixture.new_ask(ENGINES, Some("a"))
+        };
+        fixture.ask(ticket, ask);
+    }
+    let homes = fixture.homes("a");
+    assert_eq!(homes.len(), 1, "{homes:?}");
+    assert_ne!(homes[0], "engines-1");
+}
+
+#[test]
+fn repeats_of_all_entries_stay_within_the_budget() {
+    let now = Instant::now();
+    for entries in [1, 4, 32] {
+        let mut sum = 0;
+        for _ in 0..entries {
+            let mut budget = SharedBudget::new(0.2, 50.0, ms(10_000));
+            for _ in 0..100 {
+                budget.on_request(now);
+            }
+            while budget.allows(entries, now) {
+                budget.on_repeat(now);
+                sum += 1;
+            }
+        }
+        let allowed = 0.2 * 100.0 * f64::from(entries) + 50.0;
+        assert!(
+            f64::from(sum) <= allowed,
+            "{sum} of {allowed}, {entries} entries"
+        );
+        assert!(
+            f64::from(sum) > allowed / 2.0,
+            "{sum} of {allowed}, {entries} entries"
+        );
+    }
+}
+
+#[test]
+fn a_repeat_beyond_the_budget_is_refused_at_once() {
+    let mut fixture = Fixture::new(vec![backend(PLAIN, 1)]);
+    let mut refused = 0;
+    for ticket in 0..60 {
+        let ask = Ask {
+            sends: 1,
+            ..fixture.new_ask(PLAIN, None)
+        };
+        for (_, decision) in fixture.ask(ticket, ask) {
+            match decision {
+                Decision::Send(_) => fixture.end(ticket, SendOutcome::Answered),
+                Decision::Refuse { cause, .. } => {
+                    assert_eq!(cause, RefusalCause::NoBudget);
+                    refused += 1;
+                }
+            }
+        }
+    }
+    assert!(refused > 0);
+}
+
+#[test]
+fn a_back_end_that_fails_its_requests_gets_few_until_it_recovers() {
+    let mut fixture = Fixture::new(vec![backend(PLAIN, 1), backend(PLAIN, 2)]);
+    let mut to_failing = 0;
+    for ticket in 0..40 {
+        let ask = fixture.new_ask(PLAIN, None);
+        let chosen = sent_to(&fixture.ask(ticket, ask));
+        let fails = chosen == ["plain-1"];
+        to_failing += u32::from(fails);
+        let outcome = match fails {
+            true => SendOutcome::Failed,
+            false => SendOutcome::Answered,
+        };
+        fixture.end(ticket, outcome);
+    }
+    assert!(to_failing <= 4, "{to_failing} of 40");
+    fixture.pass(ms(30_000));
+    let chosen: Vec<_> = (100..104)
+        .flat_map(|ticket| {
+            let ask = fixture.new_ask(PLAIN, None);
+            sent_to(&fixture.ask(ticket, ask))
+        })
+        .collect();
+    assert!(chosen.contains(&"plain-1".to_string()), "{chosen:?}");
+}
+
+#[test]
+fn an_entry_that_hears_nothing_says_so() {
+    let mut fixture = fixture_with_views();
+    assert!(fixture.dispatcher.reaches_backends(fixture.now));
+    fixture.pass(ms(1_500));
+    assert!(!fixture.dispatcher.reaches_backends(fixture.now));
+    fixture.view(1, view("engines-1", &[]));
+    assert!(fixture.dispatcher.reaches_backends(fixture.now));
+}
--- /dev/null
+++ b/coordination/tests/placement.rs
@@ -0,0 +1,356 @@
+//! the placement of adapters on one engine, from events and times alone
+
+use {
+    chalkcart_coordination::placement::{
+        EngineOrder, EngineReport, OrderAnswer, OrderKind, PlacementControl, PlacementEvent,
+        PlacementSettings, PlacementStep,
+    },
+    chalkcart_protocol::peer::{AdapterDemand, AdapterUse, EngineRoom, ModelSize, WantedAdapter},
+    chalkcart_state::backends::{AdapterRef, HeldAdapter},
+    std::{
+        collections::HashSet,
+        time::{Duration, Instant},
+    },
+};
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn adapter(name: &str) -> AdapterRef {
+    AdapterRef {
+        model: "m".to_string(),
+        adapter: name.to_string(),
+    }
+}
+
+fn wanted(name: &str, priority: u8) -> WantedAdapter {
+    WantedAdapter {
+        adapter: adapter(name),
+        waiting: 1,
+        priority,
+        waited_ms: 10,
+    }
+}
+
+fn demand(wants: &[(&str, u8)]) -> AdapterDemand {
+    AdapterDemand {
+        entry: "e".to_string(),
+        backend: "b".to_string(),
+        list_version: 1,
+        health_path: "/health".to_string(),
+        room: EngineRoom {
+            adapter_slots: 2,
+            weights_mb: 1_000.0,
+            models: vec![ModelSize {
+                model: "m".to_string(),
+                weights_mb: 500.0,
+                adapter_mb: 10.0,
+            }],
+        },
+        wanted: wants.iter().map(|(name, p)| wanted(name, *p)).collect(),
+        used: Vec::new(),
+        outdated: Vec::new(),
+    }
+}
+
+/// an engine that does as it is told, with a clock
+struct Fixture {
+    control: PlacementControl,
+    now: Instant,
+    report: EngineReport,
+    orders: Vec<EngineOrder>,
+}
+
+impl Fixture {
+    fn new() -> Self {
+        let mut fixture = Self {
+            control: PlacementControl::new(PlacementSettings::default(), 1_000),
+            now: Instant::now(),
+            report: EngineReport {
+                models: vec!["m".to_string()],
+                ..EngineReport::default()
+            },
+            orders: Vec::new(),
+        };
+        fixture.read();
+        fixture
+    }
+    fn tell(&mut self, event: PlacementEvent) {
+        self.control.handle(event, self.now);
+    }
+    fn read(&mut self) {
+        self.tell(PlacementEvent::Report(self.report.clone()));
+    }
+    fn demand(&mut self, demand: AdapterDemand) {
+        self.tell(PlacementEvent::Demand(demand));
+        // the first one names the incarnation, which is read anew
+        self.read();
+    }
+    /// the next order, after its identity was told
+    fn next_order(&mut self) -> Option<EngineOrder> {
+        loop {
+            match self.control.next_step(self.now) {
+                PlacementStep::Identify { .. } => {
+                    self.tell(PlacementEvent::Identified(Some("b".to_string())))
+                }
+                PlacementStep::Order(order) => return Some(order),
+                PlacementStep::Read { .. } => return None,
+            }
+        }
+    }
+    /// carry out one order as an engine does
+    fn obey(&mut self, order: EngineOrder) {
+        match &order.kind {
+            OrderKind::LoadAdapter(a) => self.report.loading.push(a.clone()),
+            OrderKind::UnloadAdapter(a) => self.report.held.retain(|h| h.adapter != *a),
+            OrderKind::LoadModel(m) => self.report.models.push(m.clone()),
+        }
+        self.orders.push(order.clone());
+        let answer = OrderAnswer::Taken;
+        self.tell(PlacementEvent::Answered { order, answer });
+        self.read();
+    }
+    fn finish_loads(&mut self, version: u64) {
+        for adapter in std::mem::take(&mut self.report.loading) {
+            self.report.held.retain(|h| h.adapter != adapter);
+            self.report.held.push(HeldAdapter { adapter, version });
+        }
+        self.read();
+    }
+    fn hold(&mut self, names: &[&str]) {
+        self.report.held = names
+            .iter()
+            .map(|name| HeldAdapter {
+                adapter: adapter(name),
+                version: 1,
+            })
+            .collect();
+        self.read();
+    }
+    fn kinds(&self) -> Vec<OrderKind> {
+        self.orders.iter().map(|o| o.kind.clone()).collect()
+    }
+}
+
+#[test]
+fn no_order_before_the_engine_was_read_and_identified() {
+    let mut control = PlacementControl::new(PlacementSettings::default(), 1);
+    let now = Instant::now();
+    control.handle(PlacementEvent::Demand(demand(&[("a", 0)])), now);
+    assert!(matches!(control.next_step(now), PlacementStep::Read { .. }));
+    let report = EngineReport::default();
+    control.handle(PlacementEvent::Report(report), now);
+    assert!(matches!(
+        control.next_step(now),
+        PlacementStep::Identify { .. }
+    ));
+}
+
+#[test]
+fn the_most_urgent_adapter_is_loaded_first_and_few_at_once() {
+    let mut fixture = Fixture::new();
+    fixture.demand(demand(&[("a", 3), ("b", 0), ("c", 1)]));
+    while let Some(order) = fixture.next_order() {
+        fixture.obey(order);
+    }
+    let loads = [adapter("b"), adapter("c")].map(OrderKind::LoadAdapter);
+    assert_eq!(fixture.kinds(), loads);
+}
+
+#[test]
+fn the_adapter_unused_for_longest_makes_room() {
+    let mut fixture = Fixture::new();
+    fixture.hold(&["old", "new"]);
+    fixture.now += ms(1_000);
+    let mut message = demand(&[("a", 0)]);
+    message.used = vec![AdapterUse {
+        adapter: adapter("new"),
+        in_flight: 0,
+    }];
+    fixture.demand(message.clone());
+    fixture.now += ms(500);
+    fixture.demand(message);
+    while let Some(order) = fixture.next_order() {
+        fixture.obey(order);
+    }
+    assert_eq!(
+        fixture.kinds(),
+        [
+            OrderKind::UnloadAdapter(adapter("old")),
+            OrderKind::LoadAdapter(adapter("a"))
+        ]
+    );
+}
+
+/// none of these may be evicted
+#[test]
+fn an_adapter_that_is_needed_stays() {
+    type Need = fn(&mut AdapterDemand);
+    let cases: &[(&str, Need)] = &[
+        ("in use", |d| {
+            d.used = vec![AdapterUse {
+                adapter: adapter("kept"),
+                in_flight: 1,
+            }]
+        }),
+        ("wanted", |d| d.wanted.push(wanted("kept", 5))),
+    ];
+    for (name, need) in cases {
+        let mut fixture = Fixture::new();
+        fixture.hold(&["kept", "kept-2"]);
+        fixture.now += ms(2_000);
+        let mut message = demand(&[("a", 0), ("kept-2", 0)]);
+        need(&mut message);
+        fixture.demand(message);
+        assert_eq!(fixture.next_order(), None, "{name}");
+        assert_eq!(fixture.control.view(fixture.now).spare_slots, 0, "{name}");
+    }
+}
+
+#[test]
+fn orders_never_exceed_the_places() {
+    let mut fixture = Fixture::new();
+    for round in 0..20u64 {
+        let names: Vec<String> = (0..5).map(|n| format!("a{}", (round + n) % 9)).collect();
+        let wants: Vec<(&str, u8)> = names.iter().map(|n| (n.as_str(), 0)).collect();
+        fixture.demand(demand(&wants));
+        while let Some(order) = fixture.next_order() {
+            fixture.obey(order);
+            let taken: HashSet<&AdapterRef> = fixture
+                .report
+                .held
+                .iter()
+                .map(|h| &h.adapter)
+                .chain(&fixture.report.loading)
+                .collect();
+            assert!(taken.len() <= 2, "{taken:?}");
+        }
+        fixture.finish_loads(1);
+        fixture.now += ms(700);
+    }
+    assert!(fixture.orders.len() > 20);
+}
+
+#[test]
+fn weight_bounds_the_places_too() {
+    let mut fixture = Fixture::new();
+    let mut message = demand(&[("a", 0), ("b", 0)]);
+    message.room.weights_mb = 515.0;
+    fixture.demand(message);
+    while let Some(order) = fixture.next_order() {
+        fixture.obey(order);
+    }
+    assert_eq!(fixture.orders.len(), 1);
+}
+
+#[test]
+fn a_refused_fence_is_raised_and_never_repeated() {
+    let mut fixture = Fixture::new();
+    fixture.demand(demand(&[("a", 0)]));
+    let mut fences = HashSet::new();
+    for _ in 0..5 {
+        let order = fixture.next_order().expect("an order");
+        assert!(fences.insert(order.fence), "{} twice", order.fence);
+        let answer = OrderAnswer::Fenced;
+        fixture.tell(PlacementEvent::Answered { order, answer });
+        fixture.read();
+    }
+    assert_eq!(fences.iter().min(), Some(&1_000));
+}
+
+/// what follows each answer of the engine
+#[test]
+fn orders_follow_what_the_engine_answers() {
+    let cases = [
+        (OrderAnswer::Busy, false),
+        (OrderAnswer::Refused, false),
+        (OrderAnswer::Unknown, false),
+        (OrderAnswer::Fenced, true),
+    ];
+    for (answer, at_once) in cases {
+        let mut fixture = Fixture::new();
+        fixture.demand(demand(&[("a", 0)]));
+        let order = fixture.next_order().expect("an order");
+        let name = format!("{answer:?}");
+        fixture.tell(PlacementEvent::Answered { order, answer });
+        assert_eq!(fixture.next_order(), None, "{name}: read first");
+        fixture.read();
+        assert_eq!(fixture.next_order().is_some(), at_once, "{name}");
+        fixture.now += ms(400);
+        assert!(fixture.next_order().is_some(), "{name}: later");
+    }
+}
+
+#[test]
+fn an_engine_that_came_back_is_identified_before_the_next_order() {
+    let mut fixture = Fixture::new();
+    fixture.demand(demand(&[("a", 0)]));
+    let order = fixture.next_order().expect("an order");
+    let answer = OrderAnswer::OtherBackend(None);
+    fixture.tell(PlacementEvent::Answered { order, answer });
+    fixture.read();
+    let step = fixture.control.next_step(fixture.now);
+    assert!(matches!(step, PlacementStep::Identify { .. }), "{step:?}");
+    fixture.tell(PlacementEvent::Identified(Some("b2".to_string())));
+    fixture.demand(demand(&[("a", 0)]));
+    let order = fixture.next_order().expect("an order");
+    assert_eq!(order.backend, "b2", "the engine knows better than the list");
+}
+
+#[test]
+fn an_empty_engine_gets_its_base_model_once() {
+    let mut fixture = Fixture::new();
+    fixture.report.models.clear();
+    fixture.read();
+    fixture.demand(demand(&[("a", 0)]));
+    let order = fixture.next_order().expect("an order");
+    assert_eq!(order.kind, OrderKind::LoadModel("m".to_string()));
+    let answer = OrderAnswer::Taken;
+    fixture.tell(PlacementEvent::Answered { order, answer });
+    fixture.report.busy = true;
+    fixture.read();
+    assert_eq!(fixture.next_order(), None);
+    fixture.report.busy = false;
+    fixture.read();
+    assert_eq!(fixture.next_order(), None, "loads of models are rationed");
+}
+
+#[test]
+fn a_newer_version_replaces_an_idle_adapter_at_once_and_a_busy_one_in_time() {
+    for (in_flight, wait) in [(0, ms(0)), (1, ms(1_100))] {
+        let mut fixture = Fixture::new();
+        fixture.hold(&["a"]);
+        let mut message = demand(&[]);
+        message.used = vec![AdapterUse {
+            adapter: adapter("a"),
+            in_flight,
+        }];
+        message.outdated = vec![HeldAdapter {
+            adapter: adapter("a"),
+            version: 2,
+        }];
+        fixture.demand(message.clone());
+        assert_eq!(fixture.next_order().is_some(), in_flight == 0);
+        fixture.now += wait;
+        fixture.demand(message);
+        let order = fixture.next_order().expect("an order");
+        assert_eq!(order.kind, OrderKind::LoadAdapter(adapter("a")));
+        fixture.obey(order);
+        let held = fixture.control.view(fixture.now).held;
+        assert!(held.is_empty(), "not offered while it is replaced");
+        fixture.finish_loads(2);
+        let held = fixture.control.view(fixture.now).held;
+        assert_eq!(held.first().map(|h| h.version), Some(2));
+    }
+}
+
+#[test]
+fn an_entry_that_fell_silent_needs_nothing() {
+    let mut fixture = Fixture::new();
+    fixture.demand(demand(&[("a", 0)]));
+    fixture.now += ms(3_500);
+    fixture.read();
+    assert_eq!(fixture.next_order(), None);
+    assert_eq!(fixture.control.view(fixture.now).entries, 0);
+}
--- a/testkit/src/cluster/node.rs
+++ b/testkit/src/cluster/node.rs
@@ -137,6 +137,18 @@
         Ok((status, String::from_utf8_lossy(&body).into_owned()))
     }
 
+    /// whether a line of the log says this, written as `part: message`
+    pub fn has_logged(&self, text: &str) -> bool {
+        let log = self.log();
+        let mut lines = log
+            .lines()
+            .filter_map(|line| serde_json::from_str::<Value>(line).ok());
+        lines.any(|line| {
+            let part = line["part"].as_str().unwrap_or_default();
+            let message = line["message"].as_str().unwrap_or_default();
+            format!("{part}: {message}").contains(text)
+        })
+    }
     pub fn log(&self) -> String {
         fs::read_to_string(&self.log_file).unwrap_or_default()
     }
--- a/testkit/src/lib.rs
+++ b/testkit/src/lib.rs
@@ -13,4 +13,5 @@
 pub mod service;
 pub mod serving;
 pub mod store;
+pub mod users_platform;
 pub mod waiting;
--- /dev/null
+++ b/testkit/src/users_platform/backend_answers.rs
@@ -0,0 +1,192 @@
+use {
+    super::{
+        backend_stand_in::{BackendFault, BackendKind, BackendState, Run},
+        wire::{write_answer, Head},
+    },
+    crate::serving::lock,
+    anyhow::{bail, Result},
+    std::{
+        sync::{Arc, Mutex},
+        time::{Duration, Instant},
+    },
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::TcpStream,
+        time::timeout,
+    },
+};
+
+const BODY: &[u8] = b"the whole answer";
+const FOREVER: Duration = Duration::from_secs(30);
+
+/// run one request, or refuse it, as the fault of the moment says
+pub async fn answer_request(
+    socket: &mut TcpStream,
+    state: &Arc<Mutex<BackendState>>,
+    head: &Head,
+    body: Vec<u8>,
+) -> Result<()> {
+    let request = head.get("chalkcart-request-id").unwrap_or_default();
+    let fault = take_fault(state);
+    if let Some(status) = refusal(state, head, fault) {
+        let headers = [
+            ("Chalkcart-Not-Run", "1".to_string()),
+            ("Chalkcart-Request-Id", request.to_string()),
+            ("Chalkcart-Instance-Id", lock(state).id.clone()),
+        ];
+        return write_answer(socket, status, &headers, b"").await;
+    }
+    let number = begin_run(state, head, body);
+    let kind = lock(state).kind;
+    let headers = answer_headers(request, fault);
+    match (fault, kind) {
+        (BackendFault::CutBeforeAnswer, _) => bail!("cut"),
+        (BackendFault::Silent, _) => wait_until_left(socket, state, number, FOREVER).await,
+        (BackendFault::Status(status), _) => write_answer(socket, status, &headers, b"").await,
+        (_, BackendKind::Engine) => stream(socket, state, number, &headers, fault).await,
+        (_, BackendKind::Plain) => plain(socket, &headers, fault).await,
+    }
+}
+
+fn take_fault(state: &Mutex<BackendState>) -> BackendFault {
+    let mut state = lock(state);
+    if state.fault_left == 0 {
+        return BackendFault::None;
+    }
+    state.fault_left -= 1;
+    state.fault
+}
+
+/// the status of a refusal, if the request is not run
+fn refusal(state: &Mutex<BackendState>, head: &Head, fault: BackendFault) -> Option<u16> {
+    if fault == BackendFault::Shed {
+        return Some(503);
+    }
+    let mut state = lock(state);
+    state.orders.settle(Instant::now());
+    let (_, adapter) = head.get("chalkcart-model")?.split_once('/')?;
+    let held = state.orders.held.get(adapter).copied();
+    let expected = head.number("chalkcart-expect-version");
+    match held {
+        Some(version) if expected.is_none_or(|e| e == version) => None,
+        _ => Some(421),
+    }
+}
+
+fn begin_run(state: &Mutex<BackendState>, head: &Head, body: Vec<u8>) -> usize {
+    let part = |n: usize| head.line.get(n).cloned().unwrap_or_default();
+    let run = Run {
+        request: head
+            .get("chalkcart-request-id")
+            .unwrap_or_default()
+            .to_string(),
+        method: part(0),
+        target: part(1),
+        body,
+        headers: head.headers.clone(),
+        was_left: false,
+    };
+    let mut state = lock(state);
+    state.runs.push(run);
+    state.runs.len() - 1
+}
+
+fn answer_headers(request: &str, fault: BackendFault) -> Vec<(&'static str, String)> {
+    let id = match fault {
+        BackendFault::OtherId => "another".to_string(),
+        _ => request.to_string(),
+    };
+    let mut headers = vec![("Chalkcart-Request-Id", id)];
+    if fault != BackendFault::Unsigned {
+        headers.push(("Chalkcart-Response-Stamp", "stamp".to_string()));
+    }
+    if fault == BackendFault::Encoded {
+        headers.push(("Content-Encoding", "gzip".to_string()));
+    }
+    headers
+}
+
+async fn plain(
+    socket: &mut TcpStream,
+    headers: &[(&'static str, String)],
+    fault: BackendFault,
+) -> Result<()> {
+    match fault {
+        BackendFault::CutInBody => {
+            socket
+                .write_all(&head_text(headers, "Content-Length: 16"))
+                .await?;
+            socket.write_all(&BODY[..5]).await?;
+            bail!("cut")
+        }
+        BackendFault::Unframed => {
+            socket
+                .write_all(&head_text(headers, "Connection: close"))
+                .await?;
+            socket.write_all(BODY).await?;
+            bail!("ends by closing")
+        }
+        BackendFault::Surplus => {
+            write_answer(socket, 200, headers, BODY).await?;
+            let other = [("Chalkcart-Request-Id", "another".to_string())];
+            write_answer(socket, 200, &other, b"surplus").await
+        }
+        _ => write_answer(socket, 200, headers, BODY).await,
+    }
+}
+
+/// a stream of numbered events in chunks
+async fn stream(
+    socket: &mut TcpStream,
+    state: &Mutex<BackendState>,
+    number: usize,
+    headers: &[(&'static str, String)],
+    fault: BackendFault,
+) -> Result<()> {
+    let (parts, pause) = {
+        let state = lock(state);
+        (state.parts, state.pause)
+    };
+    let head = head_text(headers, "Transfer-Encoding: chunked");
+    socket.write_all(&head).await?;
+    for part in 0..parts {
+        if fault == BackendFault::CutInBody && part == parts / 2 {
+            bail!("cut");
+        }
+        let event = format!("id: {part}\ndata: x\n\n");
+        let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+        if socket.write_all(chunk.as_bytes()).await.is_err() {
+            lock(state).runs[number].was_left = true;
+            bail!("left");
+        }
+        wait_until_left(socket, state, number, pause).await?;
+    }
+    socket.write_all(b"0\r\n\r\n").await?;
+    Ok(())
+}
+
+/// wait, and note if the caller closes meanwhile
+async fn wait_until_left(
+    socket: &mut TcpStream,
+    state: &Mutex<BackendState>,
+    number: usize,
+    wait: Duration,
+) -> Result<()> {
+    let mut buf = [0u8; 1];
+    match timeout(wait, socket.read(&mut buf)).await {
+        Err(_) => Ok(()),
+        Ok(_) => {
+            lock(state).runs[number].was_left = true;
+            bail!("the caller left")
+        }
+    }
+}
+
+fn head_text(headers: &[(&'static str, String)], framing: &str) -> Vec<u8> {
+    let mut text = format!("HTTP/1.1 200 OK\r\n{framing}\r\n");
+    for (name, value) in headers {
+        text.push_str(&format!("{name}: {value}\r\n"));
+    }
+    text.push_str("\r\n");
+    text.into_bytes()
+}
--- /dev/null
+++ b/testkit/src/users_platform/backend_stand_in.rs
@@ -0,0 +1,185 @@
+use {
+    super::{
+        backend_answers::answer_request,
+        engine_orders::{EngineOrders, TakenOrder},
+        wire::{read_body, read_head, write_answer, Head},
+    },
+    crate::serving::lock,
+    anyhow::Result,
+    chalkcart_platform::names,
+    std::{
+        net::SocketAddr,
+        sync::{Arc, Mutex, MutexGuard},
+        time::{Duration, Instant},
+    },
+    tokio::{
+        net::{TcpListener, TcpStream},
+        task::JoinHandle,
+    },
+};
+
+pub const HEALTH_PATH: &str = "/health";
+
+/// what a back end is
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BackendKind {
+    Engine,
+    Plain,
+}
+
+/// how a back end misbehaves
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum BackendFault {
+    #[default]
+    None,
+    /// runs the request and closes with no answer
+    CutBeforeAnswer,
+    /// breaks off within the body
+    CutInBody,
+    /// no length: the end of the connection ends the body
+    Unframed,
+    /// a second answer behind the first
+    Surplus,
+    /// the answer to another request
+    OtherId,
+    /// a success without its signature
+    Unsigned,
+    /// a body that something on the way has encoded
+    Encoded,
+    /// runs it, and answers with this status
+    Status(u16),
+    /// says that it is full, and runs nothing
+    Shed,
+    /// runs it and says nothing
+    Silent,
+}
+
+/// one request that a back end ran
+#[derive(Debug, Clone)]
+pub struct Run {
+    pub request: String,
+    pub method: String,
+    pub target: String,
+    pub body: Vec<u8>,
+    pub headers: std::collections::HashMap<String, String>,
+    /// its caller closed the connection before the end
+    pub was_left: bool,
+}
+
+/// what a stand-in's tests look at and change
+#[derive(Debug)]
+pub struct BackendState {
+    pub id: String,
+    pub kind: BackendKind,
+    pub fault: BackendFault,
+    /// requests that the fault still strikes
+    pub fault_left: u32,
+    pub runs: Vec<Run>,
+    pub orders: EngineOrders,
+    /// parts of a stream, and the time between two
+    pub parts: u32,
+    pub pause: Duration,
+}
+
+/// an engine or a copy of a plain service
+pub struct BackendStandIn {
+    pub addr: SocketAddr,
+    state: Arc<Mutex<BackendState>>,
+    server: JoinHandle<()>,
+}
+
+impl Drop for BackendStandIn {
+    fn drop(&mut self) {
+        self.server.abort();
+    }
+}
+
+impl BackendStandIn {
+    pub async fn start(id: &str, kind: BackendKind, addr: SocketAddr) -> Result<Self> {
+        let listener = TcpListener::bind(addr).await?;
+        let state = Arc::new(Mutex::new(BackendState {
+            id: id.to_string(),
+            kind,
+            fault: BackendFault::None,
+            fault_left: 0,
+            runs: Vec::new(),
+            orders: EngineOrders::default(),
+            parts: 3,
+            pause: Duration::from_millis(5),
+        }));
+        let shared = state.clone();
+        let server = tokio::spawn(async move {
+            while let Ok((socket, _)) = listener.accept().await {
+                tokio::spawn(serve(socket, shared.clone()));
+            }
+        });
+        Ok(Self {
+            addr,
+            state,
+            server,
+        })
+    }
+
+    pub fn state(&self) -> MutexGuard<'_, BackendState> {
+        lock(&self.state)
+    }
+    pub fn id(&self) -> String {
+        self.state().id.clone()
+    }
+    pub fn runs(&self) -> Vec<Run> {
+        self.state().runs.clone()
+    }
+    pub fn orders(&self) -> Vec<TakenOrder> {
+        self.state().orders.taken.clone()
+    }
+    /// strike the next requests with a fault
+    pub fn set_fault(&self, fault: BackendFault, requests: u32) {
+        let mut state = self.state();
+        state.fault = fault;
+        state.fault_left = requests;
+    }
+    /// come back as another incarnation that holds nothing
+    pub fn restart_as(&self, id: &str) {
+        let mut state = self.state();
+        state.id = id.to_string();
+        state.orders = EngineOrders::default();
+    }
+}
+
+async fn serve(mut socket: TcpStream, state: Arc<Mutex<BackendState>>) {
+    while let Ok(Some(head)) = read_head(&mut socket).await {
+        let Ok(body) = read_body(&mut socket, &head).await else {
+            return;
+        };
+        if serve_one(&mut socket, &state, &head, body).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn serve_one(
+    socket: &mut TcpStream,
+    state: &Arc<Mutex<BackendState>>,
+    head: &Head,
+    body: Vec<u8>,
+) -> Result<()> {
+    let target = head.line.get(1).cloned().unwrap_or_default();
+    let id = lock(state).id.clone();
+    let own_id = [("Chalkcart-Instance-Id", id.clone())];
+    if target == HEALTH_PATH {
+        return write_answer(socket, 200, &own_id, b"").await;
+    }
+    if target == names::REPORT_PATH {
+        let report = lock(state).orders.report(Instant::now()).to_string();
+        return write_answer(socket, 200, &[], report.as_bytes()).await;
+    }
+    let expected = head.get("chalkcart-expect-instance");
+    if expected.is_some_and(|expected| expected != id) {
+        return write_answer(socket, 421, &own_id, b"").await;
+    }
+    if target == names::ORDER_PATH {
+        let status = lock(state).orders.order(&body, Instant::now());
+        return write_answer(socket, status, &[], b"").await;
+    }
+    answer_request(socket, state, head, body).await
+}
--- /dev/null
+++ b/testkit/src/users_platform/client.rs
@@ -0,0 +1,145 @@
+use {
+    super::wire::{read_head, Head},
+    anyhow::{bail, Context, Result},
+    std::{net::SocketAddr, time::Duration},
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::TcpStream,
+        time::timeout,
+    },
+};
+
+/// far beyond what any machine needs; it only keeps a failure from hanging
+const LIMIT: Duration = Duration::from_secs(60);
+
+/// a client's request
+#[derive(Debug, Clone)]
+pub struct ClientRequest {
+    pub method: &'static str,
+    pub target: String,
+    pub host: String,
+    pub id: String,
+    pub deadline_ms: u64,
+    /// `MODEL/ADAPTER`
+    pub adapter: Option<String>,
+    pub headers: Vec<(String, String)>,
+    pub body: Vec<u8>,
+}
+
+impl Default for ClientRequest {
+    fn default() -> Self {
+        Self {
+            method: "POST",
+            target: "/".to_string(),
+            host: super::HOST.to_string(),
+            id: "id".to_string(),
+            deadline_ms: 10_000,
+            adapter: None,
+            headers: Vec::new(),
+            body: Vec::new(),
+        }
+    }
+}
+
+/// an answer as a client saw it
+#[derive(Debug, Clone)]
+pub struct Answer {
+    pub status: u16,
+    pub head: Head,
+    pub body: Vec<u8>,
+    /// the body ended as its framing says
+    pub is_whole: bool,
+}
+
+/// a stream that its client still reads
+pub struct OpenStream {
+    pub head: Head,
+    socket: TcpStream,
+    seen: Vec<u8>,
+}
+
+impl ClientRequest {
+    fn text(&self) -> Vec<u8> {
+        let mut text = format!(
+            "{} {} HTTP/1.1\r\nHost: {}\r\nContent-Length: {}\r\n\
+             Chalkcart-Request-Id: {}\r\nChalkcart-Deadline-Ms: {}\r\n",
+            self.method,
+            self.target,
+            self.host,
+            self.body.len(),
+            self.id,
+            self.deadline_ms
+        );
+        if let Some(adapter) = &self.adapter {
+            text.push_str(&format!(
+                "Chalkcart-Model: {adapter}\r\nChalkcart-Token-Usage: 100,20\r\n"
+            ));
+        }
+        for (name, value) in &self.headers {
+            text.push_str(&format!("{name}: {value}\r\n"));
+        }
+        text.push_str("\r\n");
+        let mut bytes = text.into_bytes();
+        bytes.extend_from_slice(&self.body);
+        bytes
+    }
+}
+
+/// send a request on a new connection and read the whole answer
+pub async fn request(addr: SocketAddr, request: &ClientRequest) -> Result<Answer> {
+    let stream = open_stream(addr, request).await?;
+    stream.finish().await
+}
+
+/// send a request on a new connection and read the head of the answer
+pub async fn open_stream(addr: SocketAddr, request: &ClientRequest) -> Result<OpenStream> {
+    let mut socket = TcpStream::connect(addr).await.context("connect")?;
+    socket.write_all(&request.text()).await.context("send")?;
+    let head = timeout(LIMIT, read_head(&mut socket)).await??;
+    let head = head.context("closed with no answer")?;
+    let seen = head.rest.clone();
+    Ok(OpenStream { head, socket, seen })
+}
+
+impl OpenStream {
+    /// read on to the end
+    pub async fn finish(mut self) -> Result<Answer> {
+        let status = self.head.line.get(1).and_then(|s| s.parse().ok());
+        let status = status.context("a status")?;
+        let is_whole = timeout(LIMIT, self.read_to_end()).await?;
+        Ok(Answer {
+            status,
+            head: self.head,
+            body: self.seen,
+            is_whole,
+        })
+    }
+
+    async fn read_to_end(&mut self) -> bool {
+        loop {
+            if self.has_ended() {
+                return true;
+            }
+            match self.socket.read_buf(&mut self.seen).await {
+                Ok(0) | Err(_) => return false,
+                Ok(_) => {}
+            }
+        }
+    }
+    fn has_ended(&self) -> bool {
+        match self.head.number("content-length") {
+            Some(length) => self.seen.len() as u64 >= length,
+            None => self.seen.ends_with(b"0\r\n\r\n"),
+        }
+    }
+    /// bytes that came after the whole answer, for a short time
+    pub async fn surplus(&mut self) -> Result<usize> {
+        let before = self.seen.len();
+        let read = self.socket.read_buf(&mut self.seen);
+        match timeout(Duration::from_millis(200), read).await {
+            Err(_) => Ok(0),
+            Ok(Ok(_)) => Ok(self.seen.len() - before),
+            Ok(Err(e)) => bail!("{e}"),
+        }
+    }
+}
--- /dev/null
+++ b/testkit/src/users_platform/engine_orders.rs
@@ -0,0 +1,99 @@
+use {
+    serde_json::{json, Value},
+    std::{
+        collections::HashMap,
+        time::{Duration, Instant},
+    },
+};
+
+pub const MODEL: &str = "m";
+pub const ADAPTER_SLOTS: usize = 2;
+const LOAD_TIME: Duration = Duration::from_millis(60);
+
+/// one order as it was taken
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TakenOrder {
+    pub operation: String,
+    pub adapter: String,
+    pub holder: String,
+    pub fence: u64,
+}
+
+/// what an engine holds, and the orders that changed it
+#[derive(Debug, Default)]
+pub struct EngineOrders {
+    pub held: HashMap<String, u64>,
+    loading: HashMap<String, Instant>,
+    pub versions: HashMap<String, u64>,
+    pub taken: Vec<TakenOrder>,
+    pub highest_fence: u64,
+    /// most adapters held and on their way at any time
+    pub most: usize,
+}
+
+impl EngineOrders {
+    /// carry out an order; gives the status of the answer
+    pub fn order(&mut self, body: &[u8], now: Instant) -> u16 {
+        self.settle(now);
+        let Ok(order) = serde_json::from_slice::<Value>(body) else {
+            return 400;
+        };
+        let text = |name: &str| order[name].as_str().unwrap_or_default().to_string();
+        let Some(fence) = order["FencingToken"].as_u64() else {
+            return 400;
+        };
+        if fence < self.highest_fence {
+            return 412;
+        }
+        self.highest_fence = fence;
+        let adapter = text("Adapter");
+        self.taken.push(TakenOrder {
+            operation: text("Operation"),
+            adapter: adapter.clone(),
+            holder: text("Holder"),
+            fence,
+        });
+        match text("Operation").as_str() {
+            "load" => {
+                self.loading.insert(adapter, now + LOAD_TIME);
+                let all = self.held.keys().chain(self.loading.keys());
+                let all: std::collections::HashSet<_> = all.collect();
+                self.most = self.most.max(all.len());
+                202
+            }
+            "unload" => {
+                self.held.remove(&adapter);
+                200
+            }
+            _ => 400,
+        }
+    }
+
+    pub fn settle(&mut self, now: Instant) {
+        let versions = &self.versions;
+        let held = &mut self.held;
+        self.loading.retain(|adapter, ready| {
+            if *ready <= now {
+                let version = versions.get(adapter).copied().unwrap_or(1);
+                held.insert(adapter.clone(), version);
+            }
+            *ready > now
+        });
+    }
+
+    pub fn report(&mut self, now: Instant) -> Value {
+        self.settle(now);
+        let adapters: Vec<String> = self.held.iter().map(|(a, v)| format!("{a}@{v}")).collect();
+        let pending: Vec<String> = self
+            .loading
+            .keys()
+            .map(|a| format!("{MODEL}/{a}@1"))
+            .collect();
+        json!({
+            "Stage": "both",
+            "Models": [{"Name": MODEL, "Version": 1, "Adapters": adapters}],
+            "Pending": pending, "Busy": false, "Seq": self.taken.len(),
+            "Queued": 0, "Running": 0, "KvUsed": 0, "KvTotal": 1000, "Handles": 0,
+        })
+    }
+}
--- /dev/null
+++ b/testkit/src/users_platform/fleet.rs
@@ -0,0 +1,234 @@
+use {
+    super::{
+        backend_stand_in::HEALTH_PATH,
+        engine_orders::{ADAPTER_SLOTS, MODEL},
+        BackendKind, BackendStandIn, StoreStandIn,
+    },
+    crate::{
+        cluster::{next_addr, Binaries, Process},
+        waiting::until_async,
+    },
+    anyhow::Result,
+    chalkcart_transport::client::HttpClient,
+    http::{Method, StatusCode},
+    serde_json::{json, Value},
+    std::{
+        fs,
+        net::{IpAddr, SocketAddr},
+        path::PathBuf,
+        time::Duration,
+    },
+};
+
+pub const HOST: &str = "host.example";
+const ENGINE_SERVICE: &str = "engines";
+const PLAIN_SERVICE: &str = "plain";
+const READY_LIMIT: Duration = Duration::from_secs(1);
+/// last byte of the first engine's address
+const FIRST_HOST: u8 = 10;
+
+/// what a fleet is made of
+#[derive(Debug, Clone)]
+pub struct FleetSettings {
+    pub engines: u8,
+    pub plain: u8,
+    /// publish a configuration before the start
+    pub configured: bool,
+    pub timeout_ms: u64,
+    pub grace_s: f64,
+}
+
+impl Default for FleetSettings {
+    fn default() -> Self {
+        Self {
+            engines: 0,
+            plain: 1,
+            configured: true,
+            timeout_ms: 8_000,
+            grace_s: 6.0,
+        }
+    }
+}
+
+/// one ingress, and the sidecars of its engines, among stand-ins
+pub struct Fleet {
+    pub store: StoreStandIn,
+    pub engines: Vec<BackendStandIn>,
+    pub plain: Vec<BackendStandIn>,
+    pub ingress: Process,
+    pub sidecars: Vec<Process>,
+    pub clients: SocketAddr,
+    pub readiness: SocketAddr,
+    pub metrics: SocketAddr,
+    pub settings_file: PathBuf,
+    pub log_file: PathBuf,
+    settings: FleetSettings,
+    sidecar_port: u16,
+    version: u64,
+}
+
+impl Fleet {
+    /// start everything and wait until the ingress is ready
+    pub async fn start(settings: FleetSettings) -> Result<Self> {
+        let folder = std::env::temp_dir().join(format!(
+            "chalkcart-{}-{}",
+            std::process::id(),
+            next_addr().port()
+        ));
+        fs::create_dir_all(&folder)?;
+        let mut fleet = Self::start_processes(settings, folder).await?;
+        for number in 0..fleet.settings.engines {
+            fleet.start_engine(number).await?;
+        }
+        for number in 0..fleet.settings.plain {
+            let id = format!("p-{number}");
+            let backend = BackendStandIn::start(&id, BackendKind::Plain, next_addr()).await?;
+            fleet.plain.push(backend);
+            fleet.list(PLAIN_SERVICE, fleet.plain.len() - 1, "ready");
+        }
+        if fleet.settings.configured {
+            fleet.configure(|_| {});
+            fleet.wait_ready().await;
+        }
+        Ok(fleet)
+    }
+
+    async fn start_processes(settings: FleetSettings, folder: PathBuf) -> Result<Self> {
+        let store = StoreStandIn::start().await?;
+        let (clients, readiness, metrics) = (next_addr(), next_addr(), next_addr());
+        let sidecar_port = next_addr().port();
+        let settings_file = folder.join("ingress.json");
+        let document = json!({
+            "name": "front-1", "zone": "z", "clients": clients, "readiness": readiness,
+            "metrics": metrics, "store": store.addr, "sidecar_port": sidecar_port,
+            "grace_s": settings.grace_s, "retry_ratio": 0.2, "retry_extra": 50,
+            "retry_window_s": 10, "version_ms": 5000,
+        });
+        fs::write(&settings_file, document.to_string())?;
+        let log_file = folder.join("ingress.log");
+        let file = settings_file.display().to_string();
+        let ingress = Process::spawn(&Binaries::get()?.entry, &["ingress", &file], &log_file)?;
+        Ok(Self {
+            store,
+            engines: Vec::new(),
+            plain: Vec::new(),
+            ingress,
+            sidecars: Vec::new(),
+            clients,
+            readiness,
+            metrics,
+            settings_file,
+            log_file,
+            settings,
+            sidecar_port,
+            version: 0,
+        })
+    }
+
+    async fn start_engine(&mut self, number: u8) -> Result<()> {
+        let addr = with_host(next_addr(), FIRST_HOST + number);
+        let id = format!("e-{number}");
+        let engine = BackendStandIn::start(&id, BackendKind::Engine, addr).await?;
+        self.engines.push(engine);
+        self.list(ENGINE_SERVICE, usize::from(number), "ready");
+        let sidecar = self.start_sidecar(number)?;
+        self.sidecars.push(sidecar);
+        Ok(())
+    }
+
+    /// start the sidecar of an engine
+    pub fn start_sidecar(&self, number: u8) -> Result<Process> {
+        let engine = self.engines[usize::from(number)].addr;
+        let listen = SocketAddr::new(engine.ip(), self.sidecar_port);
+        let document = json!({
+            "name": format!("side-{number}"), "listen": listen, "engine": engine,
+        });
+        let file = self
+            .settings_file
+            .with_file_name(format!("side-{number}.json"));
+        fs::write(&file, document.to_string())?;
+        let log = file.with_extension("log");
+        let file = file.display().to_string();
+        Process::spawn(&Binaries::get()?.sidecar, &["--place", &file], &log)
+    }
+
+    /// write the row of an engine or a plain service into the list
+    pub fn list(&self, service: &str, number: usize, state: &str) {
+        let backend = match service {
+            ENGINE_SERVICE => &self.engines[number],
+            _ => &self.plain[number],
+        };
+        let row = json!({
+            "Service": service, "Address": backend.addr, "Zone": "z", "Version": "v1",
+            "Slots": 8, "State": state, "ColdLeftMs": 0, "Seq": 1,
+            "Models": [{"Name": MODEL, "Version": 1, "Adapters": []}],
+        });
+        self.store.put(&format!("servers/{}", backend.id()), row);
+    }
+    pub fn list_plain(&self, number: usize, state: &str) {
+        self.list(PLAIN_SERVICE, number, state);
+    }
+
+    /// publish the next configuration, changed in this way
+    pub fn configure(&mut self, change: impl FnOnce(&mut Value)) {
+        self.version += 1;
+        let route = |name: &str, prefix: &str, kind: &str, service: &str, attempts: u32| {
+            json!({
+                "Name": name, "Host": HOST, "PathPrefix": prefix, "Kind": kind,
+                "TimeoutMs": self.settings.timeout_ms, "TargetLatencyMs": 1500, "Priority": 1,
+                "Service": service, "MaxAttempts": attempts, "Resumable": false,
+            })
+        };
+        let mut document = json!({
+            "Version": self.version,
+            "Routes": [
+                route("safe", "/safe/", "safe", PLAIN_SERVICE, 2),
+                route("unsafe", "/unsafe/", "unsafe", PLAIN_SERVICE, 1),
+                route("stream", "/stream/", "stream", ENGINE_SERVICE, 1),
+            ],
+            "Services": [
+                {"Name": PLAIN_SERVICE, "HealthPath": HEALTH_PATH, "MaxConns": 100},
+                {"Name": ENGINE_SERVICE, "HealthPath": HEALTH_PATH, "MaxConns": 100, "Engine": {
+                    "Slots": 8, "KvCapacity": 1000, "WeightsMb": 1000, "LoadsPerS": 3.0,
+                    "AdapterSlots": ADAPTER_SLOTS,
+                    "Models": [{"Name": MODEL, "WeightsMb": 500, "AdapterMb": 10,
+                                "LoadTimeS": 0.5, "Adapters": 9}],
+                }},
+            ],
+            "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 4096,
+                       "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
+        });
+        change(&mut document);
+        self.store.put("op/config", document);
+    }
+
+    pub async fn is_ready(&self) -> bool {
+        let path = "/chalkcart/ready";
+        let asked = HttpClient::new()
+            .exchange(
+                self.readiness,
+                Method::GET,
+                path,
+                "text/plain",
+                Default::default(),
+                READY_LIMIT,
+            )
+            .await;
+        asked.is_ok_and(|(status, _)| status == StatusCode::OK)
+    }
+    pub async fn wait_ready(&self) {
+        until_async("the ingress is ready", || self.is_ready()).await;
+    }
+    /// the lines that the ingress has logged
+    pub fn log(&self) -> String {
+        fs::read_to_string(&self.log_file).unwrap_or_default()
+    }
+}
+
+fn with_host(addr: SocketAddr, last: u8) -> SocketAddr {
+    let IpAddr::V4(ip) = addr.ip() else {
+        return addr;
+    };
+    let [a, b, c, _] = ip.octets();
+    SocketAddr::from(([a, b, c, last], addr.port()))
+}
--- /dev/null
+++ b/testkit/src/users_platform/mod.rs
@@ -0,0 +1,19 @@
+//! stand-ins for the users' platform, met over the wire: its store, its
+//! engines and plain services with their faults, clients, and a fleet of our
+//! real processes between them
+
+mod backend_answers;
+mod backend_stand_in;
+mod client;
+mod engine_orders;
+mod fleet;
+mod store_stand_in;
+mod wire;
+
+pub use {
+    backend_stand_in::{BackendFault, BackendKind, BackendStandIn, Run},
+    client::{open_stream, request, Answer, ClientRequest, OpenStream},
+    fleet::{Fleet, FleetSettings, HOST},
+    store_stand_in::{StoreFault, StoreStandIn},
+    wire::{read_head, Head},
+};
--- /dev/null
+++ b/testkit/src/users_platform/store_stand_in.rs
@@ -0,0 +1,225 @@
+use {
+    super::wire::{read_head, write_answer, Head},
+    crate::{cluster::next_addr, serving::lock},
+    anyhow::Result,
+    base64::{engine::general_purpose::STANDARD, Engine},
+    chalkcart_platform::names,
+    serde_json::{json, Value},
+    std::{
+        collections::BTreeMap,
+        net::SocketAddr,
+        sync::{Arc, Mutex},
+        time::Duration,
+    },
+    tokio::{
+        net::{TcpListener, TcpStream},
+        sync::watch,
+        task::JoinHandle,
+        time::{sleep, timeout},
+    },
+};
+
+const PAGE: usize = 3;
+
+/// how the store misbehaves
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum StoreFault {
+    #[default]
+    None,
+    /// answers nothing
+    Silent,
+    /// answers each call with this status
+    Status(u16),
+    /// closes each connection
+    Reset,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    items: BTreeMap<String, (Value, u64)>,
+    /// changes: revision, key, value or none
+    history: Vec<(u64, String, Option<Value>)>,
+    /// changes up to this revision are forgotten
+    forgotten: u64,
+    revision: u64,
+    fault: StoreFault,
+    calls: u64,
+}
+
+/// the platform's store
+pub struct StoreStandIn {
+    pub addr: SocketAddr,
+    state: Arc<Mutex<State>>,
+    changed: Arc<watch::Sender<u64>>,
+    server: JoinHandle<()>,
+}
+
+impl Drop for StoreStandIn {
+    fn drop(&mut self) {
+        self.server.abort();
+    }
+}
+
+impl StoreStandIn {
+    pub async fn start() -> Result<Self> {
+        let addr = next_addr();
+        let listener = TcpListener::bind(addr).await?;
+        let state = Arc::new(Mutex::new(State::default()));
+        let changed = Arc::new(watch::Sender::new(0));
+        let (shared, watched) = (state.clone(), changed.clone());
+        let server = tokio::spawn(async move {
+            while let Ok((socket, _)) = listener.accept().await {
+                tokio::spawn(serve(socket, shared.clone(), watched.clone()));
+            }
+        });
+        Ok(Self {
+            addr,
+            state,
+            changed,
+            server,
+        })
+    }
+
+    pub fn put(&self, key: &str, value: Value) {
+        self.change(key, Some(value));
+    }
+    pub fn delete(&self, key: &str) {
+        self.change(key, None);
+    }
+    pub fn set_fault(&self, fault: StoreFault) {
+        lock(&self.state).fault = fault;
+    }
+    /// forget all changes; watches from before get 410
+    pub fn forget_history(&self) {
+        let mut state = lock(&self.state);
+        state.history.clear();
+        state.forgotten = state.revision;
+    }
+    pub fn calls(&self) -> u64 {
+        lock(&self.state).calls
+    }
+
+    fn change(&self, key: &str, value: Option<Value>) {
+        let mut state = lock(&self.state);
+        state.revision += 1;
+        let revision = state.revision;
+        match &value {
+            Some(value) => {
+                let item = (value.clone(), revision);
+                state.items.insert(key.to_string(), item);
+            }
+            None => {
+                state.items.remove(key);
+            }
+        }
+        state.history.push((revision, key.to_string(), value));
+        self.changed.send_replace(revision);
+    }
+}
+
+async fn serve(mut socket: TcpStream, state: Arc<Mutex<State>>, changed: Arc<watch::Sender<u64>>) {
+    while let Ok(Some(head)) = read_head(&mut socket).await {
+        let fault = {
+            let mut state = lock(&state);
+            state.calls += 1;
+            state.fault
+        };
+        let (status, body) = match fault {
+            StoreFault::Silent => return sleep(Duration::from_secs(60)).await,
+            StoreFault::Reset => return,
+            StoreFault::Status(status) => (status, Value::Null),
+            StoreFault::None => answer(&head, &state, &changed).await,
+        };
+        let body = body.to_string();
+        if write_answer(&mut socket, status, &[], body.as_bytes())
+            .await
+            .is_err()
+        {
+            return;
+        }
+    }
+}
+
+async fn answer(head: &Head, state: &Mutex<State>, changed: &watch::Sender<u64>) -> (u16, Value) {
+    let target = head.line.get(1).cloned().unwrap_or_default();
+    let (path, query) = target.split_once('?').unwrap_or((&target, ""));
+    let value = |name: &str| {
+        let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+        let mut found = pairs.filter(|(key, _)| *key == name);
+        found.next().map(|(_, value)| value.to_string())
+    };
+    let prefix = value("PathPrefix").unwrap_or_default();
+    let after = value("after").unwrap_or_default();
+    match path {
+        names::RANGE_PATH => range(&lock(state), &prefix, &after),
+        names::WATCH_PATH => {
+            let after = after.parse().unwrap_or(0);
+            let wait = value("WaitMs").and_then(|ms| ms.parse().ok()).unwrap_or(0);
+            watch_changes(state, changed, &prefix, after, Duration::from_millis(wait)).await
+        }
+        _ => (404, Value::Null),
+    }
+}
+
+fn range(state: &State, prefix: &str, after: &str) -> (u16, Value) {
+    let matching = state
+        .items
+        .iter()
+        .filter(|(key, _)| key.starts_with(prefix));
+    let mut rest = matching.filter(|(key, _)| key.as_str() > after);
+    let page: Vec<Value> = rest
+        .by_ref()
+        .take(PAGE)
+        .map(|(key, (value, revision))| item(key, Some(value), *revision))
+        .collect();
+    let more = rest.next().is_some();
+    let body = json!({"items": page, "more": more, "at": state.revision});
+    (200, body)
+}
+
+async fn watch_changes(
+    state: &Mutex<State>,
+    changed: &watch::Sender<u64>,
+    prefix: &str,
+    after: u64,
+    wait: Duration,
+) -> (u16, Value) {
+    let mut revisions = changed.subscribe();
+    let heard = async {
+        loop {
+            {
+                let state = lock(state);
+                if after < state.forgotten {
+                    return (410, Value::Null);
+                }
+                let events = events(&state, prefix, after);
+                if !events.is_empty() {
+                    return (200, json!({"events": events, "at": state.revision}));
+                }
+            }
+            // the sender lives as long as the store
+            let _ = revisions.changed().await;
+        }
+    };
+    let nothing = json!({"events": [], "at": after});
+    timeout(wait, heard).await.unwrap_or((200, nothing))
+}
+
+fn events(state: &State, prefix: &str, after: u64) -> Vec<Value> {
+    let later = state
+        .history
+        .iter()
+        .filter(|(revision, key, _)| *revision > after && key.starts_with(prefix));
+    let events = later.map(|(revision, key, value)| item(key, value.as_ref(), *revision));
+    events.collect()
+}
+
+fn item(key: &str, value: Option<&Value>, revision: u64) -> Value {
+    match value {
+        Some(value) => {
+            let text = STANDARD.encode(value.to_string());
+            json!({"Key": key, "Value": text, "Revision": revision, "made": 1, "lease": 0})
+        }
+        None => json!({"Key": key, "Revision": revision, "gone": true}),
+    }
+}
--- a/testkit/tests/at_most_once.rs
+++ b/testkit/tests/at_most_once.rs
@@ -65,7 +65,7 @@
 async fn wait_listed(cluster: &Cluster, entry: usize) -> Result<()> {
     let version = cluster.platform.list().version;
     let mark = format!("fleet: list {version} ");
-    until(&mark, || cluster.entries[entry].log().contains(&mark)).await;
+    until(&mark, || cluster.entries[entry].has_logged(&mark)).await;
     Ok(())
 }
 
--- a/testkit/tests/configuration.rs
+++ b/testkit/tests/configuration.rs
@@ -74,7 +74,7 @@
 }
 
 async fn wait_log(cluster: &Cluster, entry: usize, text: &str) {
-    until(text, || cluster.entries[entry].log().contains(text)).await;
+    until(text, || cluster.entries[entry].has_logged(text)).await;
 }
 
 #[tokio::test]
--- /dev/null
+++ b/testkit/tests/ingress_configuration.rs
@@ -0,0 +1,165 @@
+//! how the ingress follows the store and its settings, over real processes
+
+use {
+    anyhow::Result,
+    chalkcart_testkit::{
+        users_platform::{request, Answer, ClientRequest, Fleet, FleetSettings, StoreFault},
+        waiting::{until, until_async},
+    },
+    nix::{
+        sys::signal::{kill, Signal},
+        unistd::Pid,
+    },
+    serde_json::json,
+    std::fs,
+};
+
+fn to(target: &str) -> ClientRequest {
+    ClientRequest {
+        target: target.to_string(),
+        ..ClientRequest::default()
+    }
+}
+
+async fn ask(fleet: &Fleet, target: &str) -> Result<Answer> {
+    request(fleet.clients, &to(target)).await
+}
+
+async fn until_status(fleet: &Fleet, target: &str, status: u16) {
+    until_async(&format!("{target} gives {status}"), || async {
+        let answer = ask(fleet, target).await;
+        answer.is_ok_and(|answer| answer.status == status)
+    })
+    .await;
+}
+
+fn move_safe_route(document: &mut serde_json::Value) {
+    document["Routes"][0]["PathPrefix"] = json!("/moved/");
+}
+
+#[tokio::test]
+async fn a_change_is_in_force_soon_and_an_older_one_never_again() -> Result<()> {
+    let mut fleet = Fleet::start(FleetSettings::default()).await?;
+    fleet.configure(move_safe_route);
+    until_status(&fleet, "/moved/", 200).await;
+    assert_eq!(ask(&fleet, "/safe/").await?.status, 404);
+    fleet.configure(|document| document["Version"] = json!(1));
+    fleet.configure(|document| {
+        move_safe_route(document);
+        document["Routes"][1]["PathPrefix"] = json!("/later/");
+    });
+    until_status(&fleet, "/later/", 200).await;
+    let in_force = fleet.log().matches("configuration 1 in force").count();
+    assert_eq!(in_force, 1);
+    Ok(())
+}
+
+/// each fault of the store ends; meanwhile what is known stays in force, and
+/// afterwards changes are heard again
+#[tokio::test]
+async fn faults_of_the_store() -> Result<()> {
+    let faults = [
+        StoreFault::Silent,
+        StoreFault::Reset,
+        StoreFault::Status(503),
+        StoreFault::Status(429),
+        StoreFault::Status(500),
+    ];
+    for fault in faults {
+        let mut fleet = Fleet::start(FleetSettings::default()).await?;
+        fleet.store.set_fault(fault);
+        until(&format!("{fault:?} is noticed"), || {
+            fleet.log().contains("not read")
+        })
+        .await;
+        assert_eq!(ask(&fleet, "/safe/").await?.status, 200, "{fault:?}");
+        fleet.configure(move_safe_route);
+        fleet.store.set_fault(StoreFault::None);
+        until_status(&fleet, "/moved/", 200).await;
+    }
+    Ok(())
+}
+
+#[tokio::test]
+async fn a_forgotten_history_is_read_anew() -> Result<()> {
+    let mut fleet = Fleet::start(FleetSettings::default()).await?;
+    fleet.store.set_fault(StoreFault::Status(503));
+    until("the fault is noticed", || fleet.log().contains("not read")).await;
+    fleet.configure(move_safe_route);
+    fleet.store.forget_history();
+    fleet.store.set_fault(StoreFault::None);
+    until_status(&fleet, "/moved/", 200).await;
+    assert!(fleet.log().contains("history of"));
+    Ok(())
+}
+
+#[tokio::test]
+async fn a_list_longer_than_a_page_is_read_whole() -> Result<()> {
+    let fleet = Fleet::start(FleetSettings {
+        plain: 7,
+        ..FleetSettings::default()
+    })
+    .await?;
+    // each but the last leaves; the last stood on the third page
+    for number in 0..6 {
+        fleet.list_plain(number, "draining");
+    }
+    until_async("only the last is used", || async {
+        let before = fleet.plain[6].runs().len();
+        let answer = ask(&fleet, "/safe/").await;
+        answer.is_ok() && fleet.plain[6].runs().len() > before
+    })
+    .await;
+    Ok(())
+}
+
+#[tokio::test]
+async fn records_that_cannot_be_read_change_nothing_and_are_named() -> Result<()> {
+    let fleet = Fleet::start(FleetSettings::default()).await?;
+    fleet.store.put("op/config", json!({"Version": "x"}));
+    fleet.store.put("servers/bad", json!({"Service": 1}));
+    until("both are named", || {
+        let log = fleet.log();
+        log.contains("op/config can't be read") && log.contains("servers/bad can't be read")
+    })
+    .await;
+    assert_eq!(ask(&fleet, "/safe/").await?.status, 200);
+    Ok(())
+}
+
+#[tokio::test]
+async fn new_settings_take_effect_and_bad_ones_are_refused() -> Result<()> {
+    let fleet = Fleet::start(FleetSettings::default()).await?;
+    let good = fs::read_to_string(&fleet.settings_file)?;
+    let hang_up = || kill(Pid::from_raw(fleet.ingress.id() as i32), Signal::SIGHUP);
+    fs::write(
+        &fleet.settings_file,
+        good.replace("\"grace_s\":6.0", "\"grace_s\":-1.0"),
+    )?;
+    hang_up()?;
+    until("the bad ones are refused", || {
+        let log = fleet.log();
+        log.contains("new ones refused") && log.contains("grace_s: -1 is not allowed")
+    })
+    .await;
+    assert_eq!(ask(&fleet, "/safe/").await?.status, 200);
+    fs::write(
+        &fleet.settings_file,
+        good.replace("\"retry_extra\":50", "\"retry_extra\":60"),
+    )?;
+    until("a change is seen without a signal", || {
+        fleet.log().contains("ingress.json in force")
+    })
+    .await;
+    Ok(())
+}
+
+#[tokio::test]
+async fn calls_to_the_store_are_few_while_nothing_changes() -> Result<()> {
+    let fleet = Fleet::start(FleetSettings::default()).await?;
+    let before = fleet.store.calls();
+    tokio::time::sleep(std::time::Duration::from_secs(3)).await;
+    let calls = fleet.store.calls() - before;
+    assert!(calls <= 6, "{calls} calls in 3 s");
+    Ok(())
+}
--- /dev/null
+++ b/testkit/tests/ingress_engines.rs
@@ -0,0 +1,214 @@
+//! adapters, their sidecars and streams, over real processes
+
+use {
+    anyhow::Result,
+    chalkcart_testkit::{
+        users_platform::{
+            open_stream, request, Answer, BackendFault, ClientRequest, Fleet, FleetSettings,
+        },
+        waiting::{until, until_async},
+    },
+    futures::future::join_all,
+    serde_json::json,
+    std::{collections::HashSet, time::Duration},
+};
+
+fn prompt(adapter: &str, id: &str) -> ClientRequest {
+    ClientRequest {
+        target: "/stream/".to_string(),
+        id: id.to_string(),
+        adapter: Some(format!("m/{adapter}")),
+        ..ClientRequest::default()
+    }
+}
+
+async fn start(engines: u8) -> Result<Fleet> {
+    Fleet::start(FleetSettings {
+        engines,
+        ..FleetSettings::default()
+    })
+    .await
+}
+
+/// ask until it is served; refusals say that nothing ran
+async fn serve(fleet: &Fleet, adapter: &str, id: &str) -> Result<Answer> {
+    loop {
+        let answer = request(fleet.clients, &prompt(adapter, id)).await?;
+        if answer.status != 503 {
+            return Ok(answer);
+        }
+    }
+}
+
+fn runs_of(fleet: &Fleet, id: &str) -> usize {
+    let all = fleet.engines.iter().flat_map(|e| e.runs());
+    all.filter(|run| run.request == id).count()
+}
+
+#[tokio::test]
+async fn an_adapter_is_loaded_for_the_request_that_waits_for_it() -> Result<()> {
+    let fleet = start(2).await?;
+    let answer = serve(&fleet, "a", "r1").await?;
+    assert_eq!(answer.status, 200);
+    assert!(answer.is_whole);
+    let text = String::from_utf8_lossy(&answer.body).to_string();
+    for part in 0..3 {
+        assert!(text.contains(&format!("id: {part}\n")), "{text}");
+    }
+    assert_eq!(runs_of(&fleet, "r1"), 1);
+    let loads: Vec<_> = fleet.engines.iter().flat_map(|e| e.orders()).collect();
+    assert_eq!(loads.len(), 1, "one home: {loads:?}");
+    Ok(())
+}
+
+#[tokio::test]
+async fn places_are_never_exceeded_and_one_holder_orders_each_engine() -> Result<()> {
+    let fleet = start(2).await?;
+    let adapters: Vec<String> = (0..9).map(|n| format!("a{n}")).collect();
+    let asked = adapters.iter().map(|a| serve(&fleet, a, a));
+    for answer in join_all(asked).await {
+        assert_eq!(answer?.status, 200);
+    }
+    for engine in &fleet.engines {
+        assert!(engine.state().orders.most <= 2);
+        let orders = engine.orders();
+        let holders: HashSet<_> = orders.iter().map(|o| o.holder.clone()).collect();
+        assert!(holders.len() <= 1, "{holders:?}");
+    }
+    Ok(())
+}
+
+#[tokio::test]
+async fn a_sidecar_that_starts_again_orders_with_a_higher_fence() -> Result<()> {
+    let mut fleet = start(1).await?;
+    serve(&fleet, "a", "r1").await?;
+    fleet.sidecars[0].kill()?;
+    // a clock that went back: the engine has seen a higher fence since
+    let ahead = fleet.engines[0].state().orders.highest_fence + 3_600_000;
+    fleet.engines[0].state().orders.highest_fence = ahead;
+    fleet.sidecars[0] = fleet.start_sidecar(0)?;
+    until_async("it is served again", || async {
+        let answer = request(fleet.clients, &prompt("b", "r2")).await;
+        answer.is_ok_and(|answer| answer.status == 200)
+    })
+    .await;
+    let fences: Vec<u64> = fleet.engines[0].orders().iter().map(|o| o.fence).collect();
+    assert!(fences.is_sorted(), "{fences:?}");
+    assert!(fences.last() >= Some(&ahead));
+    Ok(())
+}
+
+#[tokio::test]
+async fn what_an_engine_holds_is_served_while_its_sidecar_is_away() -> Result<()> {
+    let mut fleet = start(1).await?;
+    serve(&fleet, "a", "r1").await?;
+    fleet.store.put(
+        "servers/e-0",
+        json!({"Service": "engines", "Address": fleet.engines[0].addr, "Zone": "z", "Slots": 8,
+               "State": "ready", "Models": [{"Name": "m", "Adapters": ["a@1"]}]}),
+    );
+    fleet.sidecars[0].kill()?;
+    let orders = fleet.engines[0].orders().len();
+    until("the sidecar is missed", || fleet.log().contains("lost")).await;
+    assert_eq!(serve(&fleet, "a", "r2").await?.status, 200);
+    assert_eq!(
+        fleet.engines[0].orders().len(),
+        orders,
+        "nobody else orders"
+    );
+    Ok(())
+}
+
+#[tokio::test]
+async fn an_engine_that_came_back_empty_is_used_before_the_list_has_it() -> Result<()> {
+    let fleet = start(1).await?;
+    serve(&fleet, "a", "r1").await?;
+    fleet.engines[0].restart_as("e-0-later");
+    let answer = serve(&fleet, "b", "r2").await?;
+    assert_eq!(answer.status, 200);
+    let runs = fleet.engines[0].runs();
+    let run = runs.iter().find(|run| run.request == "r2").expect("a run");
+    assert_eq!(run.headers["chalkcart-expect-instance"], "e-0-later");
+    Ok(())
+}
+
+#[tokio::test]
+async fn a_newer_version_replaces_the_adapter_and_requests_name_it() -> Result<()> {
+    let fleet = start(1).await?;
+    serve(&fleet, "a", "r1").await?;
+    fleet.engines[0]
+        .state()
+        .orders
+        .versions
+        .insert("a".to_string(), 2);
+    fleet.store.put(
+        "op/version/m.a",
+        json!({"Model": "m", "Adapter": "a", "Version": 2}),
+    );
+    until("it is replaced", || {
+        let mut state = fleet.engines[0].state();
+        state.orders.settle(std::time::Instant::now());
+        state.orders.held.get("a") == Some(&2)
+    })
+    .await;
+    assert_eq!(serve(&fleet, "a", "r2").await?.status, 200);
+    let runs = fleet.engines[0].runs();
+    let versions: Vec<&str> = runs
+        .iter()
+        .map(|run| run.headers["chalkcart-expect-version"].as_str())
+        .collect();
+    assert_eq!(versions, ["1", "2"]);
+    Ok(())
+}
+
+#[tokio::test]
+async fn a_stream_that_breaks_off_never_looks_complete_nor_runs_again() -> Result<()> {
+    let fleet = start(1).await?;
+    serve(&fleet, "a", "r1").await?;
+    fleet.engines[0].set_fault(BackendFault::CutInBody, 1);
+    let answer = request(fleet.clients, &prompt("a", "r2")).await?;
+    assert_eq!(answer.status, 200);
+    assert!(!answer.is_whole);
+    assert_eq!(runs_of(&fleet, "r2"), 1);
+    Ok(())
+}
+
+#[tokio::test]
+async fn a_client_that_leaves_its_stream_frees_the_engine() -> Result<()> {
+    let fleet = start(1).await?;
+    serve(&fleet, "a", "r1").await?;
+    fleet.engines[0].state().parts = 1_000;
+    let stream = open_stream(fleet.clients, &prompt("a", "r2")).await?;
+    drop(stream);
+    until("the engine is freed", || {
+        let runs = fleet.engines[0].runs();
+        runs.iter().any(|run| run.request == "r2" && run.was_left)
+    })
+    .await;
+    Ok(())
+}
+
+#[tokio::test]
+async fn a_planned_stop_cuts_no_stream() -> Result<()> {
+    let mut fleet = start(1).await?;
+    serve(&fleet, "a", "r1").await?;
+    fleet.engines[0].state().parts = 200;
+    let stream = open_stream(fleet.clients, &prompt("a", "r2")).await?;
+    fleet.ingress.terminate()?;
+    let answer = stream.finish().await?;
+    assert!(answer.is_whole, "{} bytes", answer.body.len());
+    let status = fleet.ingress.wait(Duration::from_secs(30)).await?;
+    assert_eq!(status.code(), Some(0));
+    Ok(())
+}
+
+#[tokio::test]
+async fn a_killed_sidecar_breaks_no_stream() -> Result<()> {
+    let mut fleet = start(1).await?;
+    serve(&fleet, "a", "r1").await?;
+    fleet.engines[0].state().parts = 100;
+    let stream = open_stream(fleet.clients, &prompt("a", "r2")).await?;
+    fleet.sidecars[0].kill()?;
+    assert!(stream.finish().await?.is_whole);
+    Ok(())
+}
--- a/testkit/tests/planned_stops.rs
+++ b/testkit/tests/planned_stops.rs
@@ -171,7 +171,7 @@
     cluster.platform.set_leaving("engine-0");
     let mark = format!("fleet: list {} ", cluster.platform.list().version);
     for entry in &cluster.entries {
-        until(&mark, || entry.log().contains(&mark)).await;
+        until(&mark, || entry.has_logged(&mark)).await;
     }
     let later = spawn_at(&cluster, 0, 0..10).await?;
     expect_whole_and_single(&cluster, later).await?;
