--- a/coordination/src/dispatch/ask.rs
+++ b/coordination/src/dispatch/ask.rs
@@ -23,6 +23,8 @@
     pub deadline: Instant,
     /// back ends that are not to be tried again
     pub tried: Vec<BackendId>,
+    /// it was refused before and came back
+    pub has_returned: bool,
     /// times that it was sent
     pub sends: u32,
 }
--- a/coordination/src/dispatch/decision.rs
+++ b/coordination/src/dispatch/decision.rs
@@ -41,6 +41,8 @@
     Full,
     /// its adapter was not loaded in time
     NotLoaded,
+    /// its adapter comes too late for its objective
+    LoadsLater,
     /// the budget for repeats is used up
     NoBudget,
 }
@@ -52,6 +54,7 @@
             Self::NoBackend => "no_backend",
             Self::Full => "full",
             Self::NotLoaded => "not_loaded",
+            Self::LoadsLater => "loads_later",
             Self::NoBudget => "no_budget",
         }
     }
--- a/coordination/src/dispatch/dispatcher.rs
+++ b/coordination/src/dispatch/dispatcher.rs
@@ -34,6 +34,10 @@
 const SPREAD_FOR: Duration = Duration::from_millis(1_500);
 /// entries assumed before a sidecar has counted them
 const ENTRIES_UNKNOWN: u32 = 8;
+/// added to the time of a load before its requests come back
+const PROMISE_MARGIN: Duration = Duration::from_millis(60);
+/// an adapter stays wanted for this long after its requests should be back
+const PROMISE_KEPT: Duration = Duration::from_millis(400);
 /// what a request that was refused waits at least
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
 
@@ -54,6 +58,16 @@
     until: Instant,
 }
 
+/// requests that come back for an adapter
+#[derive(Debug, Clone)]
+struct Promise {
+    backend: BackendId,
+    priority: u8,
+    requests: u32,
+    /// when the last of them should be back
+    until: Instant,
+}
+
 /// chooses back ends for one entry's requests
 pub struct Dispatcher {
     settings: DispatchSettings,
@@ -67,6 +81,8 @@
     versions: HashMap<AdapterRef, u64>,
     versioned_at: HashMap<AdapterRef, Instant>,
     spreads: HashMap<AdapterRef, Spread>,
+    /// requests that were told to come back for an adapter
+    promises: HashMap<AdapterRef, Promise>,
     /// engines whose sidecars must hear of a new wish
     urgent: HashSet<BackendId>,
     decided: Vec<(Ticket, Decision)>,
@@ -87,6 +103,7 @@
             versions: HashMap::new(),
             versioned_at: HashMap::new(),
             spreads: HashMap::new(),
+            promises: HashMap::new(),
             urgent: HashSet::new(),
             decided: Vec::new(),
             last_heard: None,
@@ -117,6 +134,7 @@
     /// what sidecars must hear now; all of them if `all`
     pub fn demands(&mut self, all: bool, now: Instant) -> Vec<(SocketAddr, AdapterDemand)> {
         self.spreads.retain(|_, spread| spread.until > now);
+        self.promises.retain(|_, promise| promise.until > now);
         let urgent = std::mem::take(&mut self.urgent);
         let mut wanted = self.wanted(now);
         let mut demands = Vec::new();
@@ -389,11 +407,20 @@
     }
 
     fn wait_or_refuse(&mut self, ticket: Ticket, ask: &Ask, cause: RefusalCause, now: Instant) {
+        if cause == RefusalCause::NotLoaded {
+            if let Some(retry_after) = self.promise(ask, now) {
+                self.waiting.take(ticket);
+                let basis = self.basis(ask, None, now);
+                self.refuse(ticket, RefusalCause::LoadsLater, retry_after, basis);
+                return;
+            }
+        }
         let part = match cause {
             RefusalCause::NotLoaded => self.settings.wait_for_adapter,
-            RefusalCause::Full | RefusalCause::NoBackend | RefusalCause::NoBudget => {
-                self.settings.wait_for_place
-            }
+            RefusalCause::Full
+            | RefusalCause::NoBackend
+            | RefusalCause::NoBudget
+            | RefusalCause::LoadsLater => self.settings.wait_for_place,
         };
         let longest = ask.target_latency.mul_f64(part);
         let waited = now.saturating_duration_since(ask.arrived);
@@ -405,6 +432,40 @@
         }
     }
 
+    /// when a request should come back whose adapter is too late for its
+    /// objective; it is refused early, and its adapter goes on being wanted
+    fn promise(&mut self, ask: &Ask, now: Instant) -> Option<Duration> {
+        let adapter = ask.adapter.as_ref()?;
+        let waited = now.saturating_duration_since(ask.arrived);
+        let (from, until) = (self.settings.refuse_from, self.settings.refuse_until);
+        let is_time = waited >= ask.target_latency.mul_f64(from)
+            && waited <= ask.target_latency.mul_f64(until);
+        if ask.has_returned || ask.sends > 0 || !is_time {
+            return None;
+        }
+        let backend = self.spreads.get(adapter)?.backend.clone();
+        let view = self.backends.get(&backend)?.view.as_ref()?;
+        let load = match view.loading.contains(adapter) {
+            true => Duration::from_millis(u64::from(view.next_load_ms)) / 2,
+            false => Duration::from_millis(u64::from(view.next_load_ms)),
+        };
+        if waited + load + self.settings.first_token <= ask.target_latency {
+            return None;
+        }
+        let retry_after = load + PROMISE_MARGIN;
+        let until = now + retry_after + PROMISE_KEPT;
+        let promise = self.promises.entry(adapter.clone()).or_insert(Promise {
+            backend,
+            priority: ask.priority,
+            requests: 0,
+            until,
+        });
+        promise.requests += 1;
+        promise.until = promise.until.max(until);
+        promise.priority = promise.priority.min(ask.priority);
+        Some(retry_after)
+    }
+
     /// what is known at a decision, for logs
     fn basis(&self, ask: &Ask, chosen: Option<&BackendId>, now: Instant) -> Basis {
         let candidates = self.candidates(ask, now);
@@ -636,6 +697,13 @@
         for adapter in self.spreads.keys() {
             rows.insert(adapter, wanted_adapter(adapter));
         }
+        for (adapter, promise) in &self.promises {
+            let row = rows
+                .entry(adapter)
+                .or_insert_with(|| wanted_adapter(adapter));
+            row.waiting += promise.requests;
+            row.priority = row.priority.min(promise.priority);
+        }
         for ask in self.waiting.asks() {
             let Some(row) = ask.adapter.as_ref().and_then(|a| rows.get_mut(a)) else {
                 continue;
@@ -647,8 +715,10 @@
         }
         let mut wanted: HashMap<BackendId, Vec<WantedAdapter>> = HashMap::new();
         for (adapter, row) in rows {
-            if let Some(spread) = self.spreads.get(adapter) {
-                wanted.entry(spread.backend.clone()).or_default().push(row);
+            let spread = self.spreads.get(adapter).map(|s| &s.backend);
+            let promised = self.promises.get(adapter).map(|p| &p.backend);
+            if let Some(backend) = spread.or(promised) {
+                wanted.entry(backend.clone()).or_default().push(row);
             }
         }
         wanted
--- a/coordination/src/dispatch/settings.rs
+++ b/coordination/src/dispatch/settings.rs
@@ -16,6 +16,12 @@
     /// longest wait for an adapter or a place, as a part of the objective
     pub wait_for_adapter: f64,
     pub wait_for_place: f64,
+    /// a request whose adapter comes too late is refused between these parts
+    /// of its objective, and comes back when the adapter is there
+    pub refuse_from: f64,
+    pub refuse_until: f64,
+    /// expected time to the first token once the adapter is there
+    pub first_token: Duration,
     /// prompt tokens that an engine reads in a ms, with other work between
     pub tokens_per_ms: f64,
     /// a queue this long makes an adapter worth another copy, in ms
@@ -36,6 +42,9 @@
             retry_window: Duration::from_secs(10),
             wait_for_adapter: 4.0,
             wait_for_place: 2.0,
+            refuse_from: 0.1,
+            refuse_until: 0.25,
+            first_token: Duration::from_millis(100),
             tokens_per_ms: 16.0,
             spread_wait_ms: 200.0,
             unheard_after: Duration::from_millis(1_200),
--- a/coordination/src/placement/placement_control.rs
+++ b/coordination/src/placement/placement_control.rs
@@ -16,6 +16,11 @@
 /// and otherwise
 const READ_CALM: Duration = Duration::from_millis(100);
 
+/// time of a load before any was seen
+const LOAD_TIME_AT_FIRST: Duration = Duration::from_millis(300);
+/// weight of the latest load in the mean
+const LATEST_LOAD: f64 = 0.3;
+
 /// what happens to the control state of a sidecar's placement
 #[derive(Debug)]
 pub enum PlacementEvent {
@@ -74,6 +79,10 @@
     /// orders that failed, and until when they rest
     resting: HashMap<OrderKind, Instant>,
     model_ordered: Option<Instant>,
+    /// adapters on their way, since when
+    ordered_at: HashMap<AdapterRef, Instant>,
+    /// time that loads took lately
+    load_time: Duration,
 }
 
 impl PlacementControl {
@@ -91,6 +100,8 @@
             is_read: false,
             resting: HashMap::new(),
             model_ordered: None,
+            ordered_at: HashMap::new(),
+            load_time: LOAD_TIME_AT_FIRST,
         }
     }
 
@@ -135,6 +146,7 @@
         let mut view = EngineView {
             backend: self.backend.clone(),
             loading: self.report.loading.clone(),
+            next_load_ms: self.next_load().as_millis() as u32,
             spare_slots: self.spare_slots(now),
             running: self.report.running,
             queued: self.report.queued,
@@ -230,16 +242,42 @@
             }
             places.insert(held.adapter.clone(), place);
         }
+        self.learn_load_times(&report, now);
         self.places = places;
         self.report = report;
         self.is_read = true;
     }
 
+    fn learn_load_times(&mut self, report: &EngineReport, now: Instant) {
+        let mut mean = self.load_time.as_secs_f64();
+        self.ordered_at.retain(|adapter, ordered| {
+            let is_held = report.held.iter().any(|h| h.adapter == *adapter);
+            let is_loading = report.loading.contains(adapter);
+            if is_held && !is_loading {
+                let took = now.saturating_duration_since(*ordered).as_secs_f64();
+                mean += (took - mean) * LATEST_LOAD;
+            }
+            is_loading
+        });
+        self.load_time = Duration::from_secs_f64(mean);
+    }
+
+    /// time until an adapter that is wanted now would be there
+    fn next_load(&self) -> Duration {
+        let wanted = self.demands.wanted();
+        let missing = wanted.iter().filter(|w| {
+            !self.places.contains_key(&w.adapter) && !self.report.loading.contains(&w.adapter)
+        });
+        let before = missing.count() + self.report.loading.len();
+        let rounds = 1 + before / self.settings.max_loading.max(1);
+        self.load_time * rounds as u32
+    }
+
     fn on_answer(&mut self, order: EngineOrder, answer: OrderAnswer, now: Instant) {
         // whatever it was, the engine is read before the next order
         self.is_read = false;
         match answer {
-            OrderAnswer::Taken | OrderAnswer::Done => self.on_taken(&order.kind),
+            OrderAnswer::Taken | OrderAnswer::Done => self.on_taken(&order.kind, now),
             OrderAnswer::Fenced => self.fence.on_refused(order.fence),
             OrderAnswer::OtherBackend(_) => {
                 self.is_identified = false;
@@ -252,12 +290,13 @@
         }
     }
 
-    fn on_taken(&mut self, kind: &OrderKind) {
+    fn on_taken(&mut self, kind: &OrderKind, now: Instant) {
         match kind {
             OrderKind::LoadAdapter(adapter) => {
                 if let Some(place) = self.places.get_mut(adapter) {
                     place.replacing = true;
                 }
+                self.ordered_at.insert(adapter.clone(), now);
             }
             OrderKind::UnloadAdapter(adapter) => {
                 self.places.remove(adapter);
--- a/coordination/tests/dispatch.rs
+++ b/coordination/tests/dispatch.rs
@@ -138,6 +138,7 @@
             arrived: self.now,
             deadline: self.now + ms(10_000),
             tried: Vec::new(),
+            has_returned: false,
             sends: 0,
         }
     }
@@ -492,3 +493,59 @@
     fixture.view(1, view("engines-1", &[]));
     assert!(fixture.dispatcher.reaches_backends(fixture.now));
 }
+
+/// engines whose loads take this long
+fn fixture_with_slow_loads(next_load_ms: u32) -> Fixture {
+    let mut fixture = Fixture::new(engines());
+    for number in 1..=3 {
+        let slow = EngineView {
+            next_load_ms,
+            ..view(&format!("{ENGINES}-{number}"), &[])
+        };
+        fixture.view(number, slow);
+    }
+    fixture
+}
+
+#[test]
+fn a_request_whose_adapter_comes_too_late_is_refused_early_and_its_adapter_stays_wanted() {
+    let mut fixture = fixture_with_slow_loads(900);
+    let ask = fixture.new_ask(ENGINES, Some("a"));
+    fixture.ask(1, ask);
+    let decided = fixture.pass(ms(60));
+    let Some((
+        1,
+        Decision::Refuse {
+            cause, retry_after, ..
+        },
+    )) = decided.first()
+    else {
+        panic!("not refused: {decided:?}");
+    };
+    assert_eq!(*cause, RefusalCause::LoadsLater);
+    assert!(*retry_after >= ms(900));
+    fixture.pass(*retry_after);
+    assert_eq!(fixture.homes("a").len(), 1, "wanted until it comes back");
+    fixture.pass(ms(3_000));
+    assert!(fixture.homes("a").is_empty(), "not for ever");
+}
+
+/// these wait for their adapter instead
+#[test]
+fn a_request_is_not_refused_early_when_waiting_is_better() {
+    type Change = fn(&mut Ask);
+    let cases: &[(&str, u32, Change)] = &[
+        ("the load is quick", 100, |_| {}),
+        ("it was refused before", 900, |ask| ask.has_returned = true),
+        ("it was sent before", 900, |ask| ask.sends = 1),
+    ];
+    for (name, next_load_ms, change) in cases {
+        let mut fixture = fixture_with_slow_loads(*next_load_ms);
+        let mut ask = fixture.new_ask(ENGINES, Some("a"));
+        change(&mut ask);
+        fixture.ask(1, ask);
+        for _ in 0..5 {
+            assert!(fixture.pass(ms(25)).is_empty(), "{name}");
+        }
+    }
+}
--- a/entry/src/ingress/exchange.rs
+++ b/entry/src/ingress/exchange.rs
@@ -69,6 +69,7 @@
             arrived: accepted.arrived,
             deadline,
             tried: Vec::new(),
+            has_returned: shared.has_returned(route, accepted.head.deadline),
             sends: 0,
         };
         Self {
--- a/entry/src/ingress/shared.rs
+++ b/entry/src/ingress/shared.rs
@@ -3,19 +3,26 @@
     crate::conf::IngressSettings,
     arc_swap::ArcSwapOption,
     chalkcart_coordination::dispatch::Ticket,
-    chalkcart_state::ingress::RouteTable,
+    chalkcart_state::ingress::{Route, RouteTable},
     chalkcart_transport::{
         ingress::{Dialect, Phase},
         metrics::IngressMetrics,
         server::pages::Observed,
     },
-    std::sync::{
-        atomic::{AtomicBool, AtomicU64, Ordering},
-        Arc,
+    std::{
+        collections::HashMap,
+        sync::{
+            atomic::{AtomicBool, AtomicU64, Ordering},
+            Arc, Mutex,
+        },
+        time::Duration,
     },
     tokio::sync::watch,
 };
 
+/// a first try's time may be shorter by this much
+const RETURN_MARGIN: Duration = Duration::from_millis(40);
+
 /// what the tasks of the ingress share
 pub struct Shared {
     pub settings: IngressSettings,
@@ -26,6 +33,8 @@
     pub metrics: IngressMetrics,
     pub phase: watch::Sender<Phase>,
     next_ticket: AtomicU64,
+    /// the longest time that clients of a route wait
+    patience: Mutex<HashMap<String, Duration>>,
     knows_backends: AtomicBool,
 }
 
@@ -42,6 +51,7 @@
             table: ArcSwapOption::empty(),
             metrics: IngressMetrics::new(),
             phase: watch::Sender::new(Phase::Serving),
+            patience: Mutex::default(),
             next_ticket: AtomicU64::new(1),
             knows_backends: AtomicBool::new(false),
         }
@@ -50,6 +60,18 @@
     pub fn new_ticket(&self) -> Ticket {
         self.next_ticket.fetch_add(1, Ordering::Relaxed)
     }
+    /// whether a request came before, and this is a later try of its client:
+    /// then its client waits less than others of the route
+    pub fn has_returned(&self, route: &Route, deadline: Option<Duration>) -> bool {
+        let Some(deadline) = deadline else {
+            return false;
+        };
+        // no holder panics halfway through a change
+        let mut patience = self.patience.lock().unwrap_or_else(|e| e.into_inner());
+        let longest = patience.entry(route.name.clone()).or_default();
+        *longest = (*longest).max(deadline);
+        deadline + RETURN_MARGIN < *longest
+    }
     pub fn set_knows_backends(&self) {
         self.knows_backends.store(true, Ordering::Relaxed);
     }
--- a/protocol/src/peer/placement.rs
+++ b/protocol/src/peer/placement.rs
@@ -70,6 +70,8 @@
     pub held: Vec<HeldAdapter>,
     /// adapters on their way
     pub loading: Vec<AdapterRef>,
+    /// time until an adapter that is wanted now would be there, in ms
+    pub next_load_ms: u32,
     /// places that are empty or whose adapter nobody uses
     pub spare_slots: u32,
     pub running: u32,
