--- a/coordination/src/dispatch/demands.rs
+++ b/coordination/src/dispatch/demands.rs
@@ -50,6 +50,7 @@
         model: m.name.clone(),
         weights_mb: m.weights_mb,
         adapter_mb: m.adapter_mb,
+        reload_ms: m.reload_time.as_millis() as u32,
     });
     EngineRoom {
         adapter_slots: spec.adapter_slots,
--- a/coordination/src/placement/placement_control.rs
+++ b/coordination/src/placement/placement_control.rs
@@ -146,7 +146,7 @@
         let mut view = EngineView {
             backend: self.backend.clone(),
             loading: self.report.loading.clone(),
-            next_load_ms: self.next_load().as_millis() as u32,
+            next_load_ms: self.next_load(now).as_millis() as u32,
             spare_slots: self.spare_slots(now),
             running: self.report.running,
             queued: self.report.queued,
@@ -263,14 +263,27 @@
     }
 
     /// time until an adapter that is wanted now would be there
-    fn next_load(&self) -> Duration {
+    fn next_load(&self, now: Instant) -> Duration {
         let wanted = self.demands.wanted();
         let missing = wanted.iter().filter(|w| {
             !self.places.contains_key(&w.adapter) && !self.report.loading.contains(&w.adapter)
         });
         let before = missing.count() + self.report.loading.len();
         let rounds = 1 + before / self.settings.max_loading.max(1);
-        self.load_time * rounds as u32
+        self.model_wait(now) + self.load_time * rounds as u32
+    }
+
+    /// time until the base model is there, if it is not
+    fn model_wait(&self, now: Instant) -> Duration {
+        if !self.report.models.is_empty() {
+            return Duration::ZERO;
+        }
+        let demand = self.demands.newest();
+        let model = demand.and_then(|d| d.room.models.first());
+        let reload = model.map_or(0, |m| u64::from(m.reload_ms));
+        let ordered = self.model_ordered;
+        let passed = ordered.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        Duration::from_millis(reload).saturating_sub(passed)
     }
 
     fn on_answer(&mut self, order: EngineOrder, answer: OrderAnswer, now: Instant) {
--- a/coordination/tests/dispatch.rs
+++ b/coordination/tests/dispatch.rs
@@ -58,6 +58,7 @@
             weights_mb: 500.0,
             adapter_mb: 10.0,
             load_time: ms(500),
+            reload_time: ms(500),
         }],
     };
     let service = |name: &str, engine| Service {
--- a/coordination/tests/placement.rs
+++ b/coordination/tests/placement.rs
@@ -46,6 +46,7 @@
                 model: "m".to_string(),
                 weights_mb: 500.0,
                 adapter_mb: 10.0,
+                reload_ms: 2_000,
             }],
         },
         wanted: wants.iter().map(|(name, p)| wanted(name, *p)).collect(),
@@ -311,6 +312,8 @@
     fixture.report.busy = true;
     fixture.read();
     assert_eq!(fixture.next_order(), None);
+    let wait = fixture.control.view(fixture.now).next_load_ms;
+    assert!(wait >= 2_000, "{wait}: entries hear how long it takes");
     fixture.report.busy = false;
     fixture.read();
     assert_eq!(fixture.next_order(), None, "loads of models are rationed");
--- a/protocol/src/peer/placement.rs
+++ b/protocol/src/peer/placement.rs
@@ -41,6 +41,8 @@
     pub model: BaseModelName,
     pub weights_mb: f64,
     pub adapter_mb: f64,
+    /// time to bring the model back to an engine that held it, in ms
+    pub reload_ms: u32,
 }
 
 /// what an entry needs of one engine; replaces what it said before
--- a/state/src/ingress/service.rs
+++ b/state/src/ingress/service.rs
@@ -11,6 +11,8 @@
     pub adapter_mb: f64,
     /// time to load it from the weight store
     pub load_time: Duration,
+    /// time to load it on an engine that has a copy on its own disk
+    pub reload_time: Duration,
 }
 
 /// what the engines of a service can hold
