A sidecar reads its engine in time, however often it is woken

Cause: each message of an entry began the wait for the next reading anew, so when four entries sent more than one message in 20 ms, as all do when engines come back empty, the sidecar never read its engine again, saw no base model and gave no order. Ruled out: the order (taken), fences, the list. Test: a_flood_of_messages_does_not_keep_a_sidecar_from_its_engine, which did not end before.

--- a/sidecar/src/placement/keeper.rs
+++ b/sidecar/src/placement/keeper.rs
@@ -20,6 +20,7 @@
     engine: Arc<dyn OrderedEngine>,
     published: Option<Instant>,
     is_reachable: bool,
+    read_at: Option<Instant>,
 }
 
 impl Keeper {
@@ -29,37 +30,45 @@
             engine,
             published: None,
             is_reachable: true,
+            read_at: None,
         }
     }
 
     /// keep the engine until the process ends
     pub async fn run(mut self) {
         loop {
-            self.read().await;
-            loop {
-                let step = self.shared.control().next_step(Instant::now());
-                match step {
-                    PlacementStep::Identify { health_path } => {
-                        let backend = self.engine.identity(&health_path).await;
-                        log::info!("engine: it is {backend:?}");
-                        self.shared.handle(PlacementEvent::Identified(backend));
-                        self.publish();
-                    }
-                    PlacementStep::Order(order) => {
-                        self.order(order).await;
-                        self.read().await;
-                    }
-                    PlacementStep::Read { after } => {
-                        let woken = timeout(after, self.shared.changed.notified()).await;
-                        if woken.is_err() {
-                            break;
-                        }
-                    }
+            let now = Instant::now();
+            let step = self.shared.control().next_step(now);
+            match step {
+                PlacementStep::Identify { health_path } => self.identify(&health_path).await,
+                PlacementStep::Order(order) => {
+                    self.order(order).await;
+                    self.read().await;
                 }
+                PlacementStep::Read { after } => self.wait_or_read(after, now).await,
             }
         }
     }
 
+    /// read the engine once its time has come. What wakes this task before
+    /// does not put the time off, however often it does
+    async fn wait_or_read(&mut self, after: Duration, now: Instant) {
+        let left = match self.read_at {
+            Some(at) => after.saturating_sub(now.saturating_duration_since(at)),
+            None => Duration::ZERO,
+        };
+        if left.is_zero() || timeout(left, self.shared.changed.notified()).await.is_err() {
+            self.read().await;
+        }
+    }
+
+    async fn identify(&mut self, health_path: &str) {
+        let backend = self.engine.identity(health_path).await;
+        log::info!("engine: it is {backend:?}");
+        self.shared.handle(PlacementEvent::Identified(backend));
+        self.publish();
+    }
+
     async fn read(&mut self) {
         let event = match self.engine.read().await {
             Ok(report) => {
@@ -77,6 +86,7 @@
                 PlacementEvent::ReportFailed
             }
         };
+        self.read_at = Some(Instant::now());
         self.shared.handle(event);
         self.publish();
     }
--- a/testkit/src/users_platform/fleet.rs
+++ b/testkit/src/users_platform/fleet.rs
@@ -136,10 +136,14 @@
         Ok(())
     }
 
+    /// where the sidecar of an engine listens
+    pub fn sidecar_addr(&self, number: usize) -> SocketAddr {
+        SocketAddr::new(self.engines[number].addr.ip(), self.sidecar_port)
+    }
     /// start the sidecar of an engine
     pub fn start_sidecar(&self, number: u8) -> Result<Process> {
         let engine = self.engines[usize::from(number)].addr;
-        let listen = SocketAddr::new(engine.ip(), self.sidecar_port);
+        let listen = self.sidecar_addr(usize::from(number));
         let document = json!({
             "name": format!("side-{number}"), "listen": listen, "engine": engine,
         });
--- a/testkit/tests/ingress_engines.rs
+++ b/testkit/tests/ingress_engines.rs
@@ -2,12 +2,14 @@
 
 use {
     anyhow::Result,
+    chalkcart_protocol::peer::{path, AdapterDemand, EngineRoom},
     chalkcart_testkit::{
         users_platform::{
             open_stream, request, Answer, BackendFault, ClientRequest, Fleet, FleetSettings,
         },
         waiting::{until, until_async},
     },
+    chalkcart_transport::client::PeerClient,
     futures::future::join_all,
     serde_json::json,
     std::{collections::HashSet, time::Duration},
@@ -212,3 +214,48 @@
     assert!(stream.finish().await?.is_whole);
     Ok(())
 }
+
+#[tokio::test]
+async fn a_flood_of_messages_does_not_keep_a_sidecar_from_its_engine() -> Result<()> {
+    let fleet = start(1).await?;
+    // one adapter after the other: each needs a report that the former is there
+    let adapters: Vec<String> = (0..6).map(|n| format!("a{n}")).collect();
+    let waits = adapters.iter().map(|a| serve(&fleet, a, a));
+    let flood = flood(&fleet);
+    tokio::select! {
+        () = flood => unreachable!("the flood does not end"),
+        answers = join_all(waits) => {
+            for answer in answers {
+                assert_eq!(answer?.status, 200);
+            }
+        }
+    }
+    Ok(())
+}
+
+/// demands of another entry, one right after the other
+async fn flood(fleet: &Fleet) {
+    let peers = PeerClient::new();
+    let demand = AdapterDemand {
+        entry: "another".to_string(),
+        backend: "e-0".to_string(),
+        list_version: 0,
+        health_path: "/health".to_string(),
+        room: EngineRoom::default(),
+        wanted: Vec::new(),
+        used: Vec::new(),
+        outdated: Vec::new(),
+    };
+    loop {
+        let sent: Result<bool, _> = peers
+            .call(
+                fleet.sidecar_addr(0),
+                path::DEMAND,
+                &demand,
+                Duration::from_secs(5),
+            )
+            .await;
+        // a sidecar that does not keep up is what the test looks for
+        let _ = sent;
+    }
+}
