Entries remember a sidecar's fence over its death

Cause: the steady clock starts anew with each process on the users' machines and the time of day jumps, so a sidecar that starts again under a clock that went back would order with a lower fence; engines that compare refuse it, others would break ONE. Ruled out: the steady clock (55,844 to 47,498 s over a restart on one machine). Change: views carry the fence, needs carry back the highest one heard. Tests fail without it.

--- a/coordination/src/dispatch/demands.rs
+++ b/coordination/src/dispatch/demands.rs
@@ -33,6 +33,7 @@
         entry: settings.entry.clone(),
         backend: state.listed.id.clone(),
         list_version,
+        fence_seen: 0,
         health_path: service.health_path.clone(),
         room: room(spec),
         wanted,
--- a/coordination/src/dispatch/dispatcher.rs
+++ b/coordination/src/dispatch/dispatcher.rs
@@ -81,6 +81,8 @@
     versions: HashMap<AdapterRef, u64>,
     versioned_at: HashMap<AdapterRef, Instant>,
     spreads: HashMap<AdapterRef, Spread>,
+    /// highest fences of the sidecars, by the address of their engine
+    fences: HashMap<SocketAddr, u64>,
     /// requests that were told to come back for an adapter
     promises: HashMap<AdapterRef, Promise>,
     /// engines whose sidecars must hear of a new wish
@@ -103,6 +105,7 @@
             versions: HashMap::new(),
             versioned_at: HashMap::new(),
             spreads: HashMap::new(),
+            fences: HashMap::new(),
             promises: HashMap::new(),
             urgent: HashSet::new(),
             decided: Vec::new(),
@@ -161,6 +164,11 @@
                 wanted,
                 versions,
             );
+            let fence_seen = self.fences.get(&state.listed.addr).copied().unwrap_or(0);
+            let demand = AdapterDemand {
+                fence_seen,
+                ..demand
+            };
             demands.push((state.listed.addr, demand));
         }
         demands
@@ -314,6 +322,8 @@
 
     fn on_view(&mut self, addr: SocketAddr, view: EngineView, now: Instant) {
         self.last_heard = Some(now);
+        let fence = self.fences.entry(addr).or_default();
+        *fence = view.fence.max(*fence);
         if view.backend.is_empty() {
             return;
         }
--- a/coordination/src/placement/fence_token.rs
+++ b/coordination/src/placement/fence_token.rs
@@ -4,8 +4,9 @@
 /// the fencing token of one life of a sidecar.
 ///
 /// It starts from the clock, so that a later life is higher. The clock may
-/// have stood ahead during an earlier life; then the engine refuses the token
-/// and it is raised, never repeated.
+/// have stood ahead during an earlier life: entries remember the token of that
+/// life and tell it with their needs, before the first order; and an engine
+/// that compares tokens refuses a lower one, which is raised, never repeated.
 #[derive(Debug, Clone)]
 pub struct FenceToken {
     value: u64,
@@ -19,6 +20,12 @@
     pub fn value(&self) -> u64 {
         self.value
     }
+    /// an earlier life of this sidecar has used `seen`
+    pub fn on_seen(&mut self, seen: u64) {
+        if seen > self.value {
+            self.value = seen + 1;
+        }
+    }
     /// the engine has seen a higher one than `refused`
     pub fn on_refused(&mut self, refused: u64) {
         self.value = self.value.max(refused + RAISE);
--- a/coordination/src/placement/placement_control.rs
+++ b/coordination/src/placement/placement_control.rs
@@ -145,6 +145,7 @@
     pub fn view(&self, now: Instant) -> EngineView {
         let mut view = EngineView {
             backend: self.backend.clone(),
+            fence: self.fence.value(),
             loading: self.report.loading.clone(),
             next_load_ms: self.next_load(now).as_millis() as u32,
             spare_slots: self.spare_slots(now),
@@ -167,6 +168,7 @@
     }
 
     fn on_demand(&mut self, demand: AdapterDemand, now: Instant) {
+        self.fence.on_seen(demand.fence_seen);
         for used in &demand.used {
             if let Some(place) = self.places.get_mut(&used.adapter) {
                 place.last_used = now;
--- a/coordination/tests/dispatch.rs
+++ b/coordination/tests/dispatch.rs
@@ -394,6 +394,24 @@
     assert_eq!(told.outdated[0].version, 2);
 }
 
+#[test]
+fn sidecars_hear_the_fence_of_their_earlier_life() {
+    let mut fixture = fixture_with_views();
+    for fence in [9, 7] {
+        let spoken = EngineView {
+            fence,
+            ..view("engines-1", &[])
+        };
+        fixture.view(1, spoken);
+    }
+    let demands = fixture.dispatcher.demands(true, fixture.now);
+    let (_, told) = demands
+        .iter()
+        .find(|(_, d)| d.backend == "engines-1")
+        .unwrap();
+    assert_eq!(told.fence_seen, 9);
+}
+
 #[test]
 fn a_busy_holder_makes_its_adapter_spread() {
     let mut fixture = fixture_with_views();
--- a/coordination/tests/placement.rs
+++ b/coordination/tests/placement.rs
@@ -38,6 +38,7 @@
         entry: "e".to_string(),
         backend: "b".to_string(),
         list_version: 1,
+        fence_seen: 0,
         health_path: "/health".to_string(),
         room: EngineRoom {
             adapter_slots: 2,
@@ -260,6 +261,25 @@
     assert_eq!(fences.iter().min(), Some(&1_000));
 }
 
+#[test]
+fn a_fence_is_higher_than_that_of_an_earlier_life_under_a_clock_that_went_back() {
+    let mut fixture = Fixture::new();
+    fixture.demand(AdapterDemand {
+        fence_seen: 5_000,
+        ..demand(&[("a", 0)])
+    });
+    let order = fixture.next_order().expect("an order");
+    assert!(order.fence > 5_000, "{}", order.fence);
+    let fence = order.fence;
+    fixture.obey(order);
+    fixture.demand(AdapterDemand {
+        fence_seen: fence,
+        ..demand(&[("b", 0)])
+    });
+    let order = fixture.next_order().expect("an order");
+    assert_eq!(order.fence, fence, "its own is no reason to raise it");
+}
+
 /// what follows each answer of the engine
 #[test]
 fn orders_follow_what_the_engine_answers() {
--- a/protocol/src/peer/placement.rs
+++ b/protocol/src/peer/placement.rs
@@ -53,6 +53,9 @@
     pub backend: BackendId,
     /// version of the list in which it stands
     pub list_version: u64,
+    /// the highest fence that this entry has heard of at the engine's address;
+    /// it outlives the sidecar's process
+    pub fence_seen: u64,
     /// at which the engine tells its identity
     pub health_path: String,
     pub room: EngineRoom,
@@ -68,6 +71,8 @@
 pub struct EngineView {
     /// the incarnation it speaks of, empty while not known
     pub backend: BackendId,
+    /// of the orders that it gives
+    pub fence: u64,
     /// adapters that requests may be sent to
     pub held: Vec<HeldAdapter>,
     /// adapters on their way
--- a/testkit/tests/ingress_engines.rs
+++ b/testkit/tests/ingress_engines.rs
@@ -240,6 +240,7 @@
         entry: "another".to_string(),
         backend: "e-0".to_string(),
         list_version: 0,
+        fence_seen: 0,
         health_path: "/health".to_string(),
         room: EngineRoom::default(),
         wanted: Vec::new(),
