--- a/coordination/src/dispatch/ask.rs
+++ b/coordination/src/dispatch/ask.rs
@@ -1,7 +1,7 @@
 use {
     chalkcart_state::{
         backends::{AdapterRef, BackendId},
-        ids::ServiceName,
+        ids::{BaseModelName, ServiceName},
     },
     std::time::{Duration, Instant},
 };
@@ -13,6 +13,8 @@
 #[derive(Debug, Clone)]
 pub struct Ask {
     pub service: ServiceName,
+    /// the base model, also of requests without an adapter
+    pub model: Option<BaseModelName>,
     pub adapter: Option<AdapterRef>,
     pub prompt_tokens: u32,
     /// 0 is the most urgent
--- a/coordination/src/dispatch/backend_state.rs
+++ b/coordination/src/dispatch/backend_state.rs
@@ -130,6 +130,14 @@
         let found = held.iter().find(|h| h.adapter == *adapter);
         found.map(|h| h.version)
     }
+    /// whether it holds a base model, as far as is known
+    pub fn has_model(&self, model: &str) -> bool {
+        let models = match &self.view {
+            Some(view) => &view.models,
+            None => &self.listed.models,
+        };
+        models.iter().any(|m| m == model)
+    }
     pub fn is_loading(&self, adapter: &AdapterRef) -> bool {
         let view = self.view.as_ref();
         view.is_some_and(|v| v.loading.contains(adapter))
--- a/coordination/src/dispatch/dispatcher.rs
+++ b/coordination/src/dispatch/dispatcher.rs
@@ -346,6 +346,7 @@
         let listed = Backend {
             id: id.clone(),
             leaving: false,
+            models: Vec::new(),
             held: Vec::new(),
             ..former.listed.clone()
         };
@@ -512,10 +513,28 @@
         }
         match &ask.adapter {
             Some(adapter) => self.choose_holder(ask, adapter, candidates, now),
-            None => self.choose_cheapest(candidates, None, now),
+            None => self.choose_with_model(ask, candidates, now),
         }
     }
 
+    /// a back end for a request without an adapter
+    fn choose_with_model(&self, ask: &Ask, candidates: Vec<BackendId>, now: Instant) -> Choice {
+        let Some(model) = &ask.model else {
+            return self.choose_cheapest(candidates, None, now);
+        };
+        let with_model = self.with_model(&candidates, model);
+        match with_model.is_empty() {
+            true => Choice::Wait(RefusalCause::NotLoaded),
+            false => self.choose_cheapest(with_model, None, now),
+        }
+    }
+
+    /// those of the back ends that hold a base model
+    fn with_model(&self, candidates: &[BackendId], model: &str) -> Vec<BackendId> {
+        let holds = |id: &&BackendId| self.backends.get(*id).is_some_and(|b| b.has_model(model));
+        candidates.iter().filter(holds).cloned().collect()
+    }
+
     /// back ends that may take the request, sound ones if there are any
     fn candidates(&self, ask: &Ask, now: Instant) -> Vec<BackendId> {
         let of_service: Vec<&BackendState> = self
@@ -619,6 +638,12 @@
         candidates: &[BackendId],
         skip: usize,
     ) -> Option<BackendId> {
+        let with_model = self.with_model(candidates, &adapter.model);
+        // an engine that holds no model gets the one that is wanted there
+        let candidates = match with_model.is_empty() {
+            true => candidates,
+            false => &with_model,
+        };
         let states: Vec<&BackendState> = candidates
             .iter()
             .filter_map(|id| self.backends.get(id))
--- a/coordination/src/placement/placement_control.rs
+++ b/coordination/src/placement/placement_control.rs
@@ -146,6 +146,7 @@
         let mut view = EngineView {
             backend: self.backend.clone(),
             fence: self.fence.value(),
+            models: self.report.models.clone(),
             loading: self.report.loading.clone(),
             next_load_ms: self.next_load(now).as_millis() as u32,
             spare_slots: self.spare_slots(now),
--- a/coordination/tests/dispatch.rs
+++ b/coordination/tests/dispatch.rs
@@ -43,6 +43,7 @@
         zone: "z".to_string(),
         slots: 4,
         leaving: false,
+        models: Vec::new(),
         held: Vec::new(),
     }
 }
@@ -78,6 +79,7 @@
     EngineView {
         backend: backend.to_string(),
         held: held.collect(),
+        models: vec!["m".to_string()],
         spare_slots: 2,
         entries: 2,
         ..EngineView::default()
@@ -132,6 +134,7 @@
     fn new_ask(&self, service: &str, wanted: Option<&str>) -> Ask {
         Ask {
             service: service.to_string(),
+            model: wanted.map(|_| "m".to_string()),
             adapter: wanted.map(adapter),
             prompt_tokens: 100,
             priority: 1,
@@ -568,3 +571,26 @@
         }
     }
 }
+
+#[test]
+fn a_prompt_without_an_adapter_goes_to_an_engine_that_holds_its_model() {
+    let mut fixture = Fixture::new(engines());
+    for (number, model) in [(1, "other"), (2, "m"), (3, "other")] {
+        let holds = EngineView {
+            models: vec![model.to_string()],
+            ..view(&format!("{ENGINES}-{number}"), &[])
+        };
+        fixture.view(number, holds);
+    }
+    let base = |fixture: &Fixture, model: &str| Ask {
+        model: Some(model.to_string()),
+        ..fixture.new_ask(ENGINES, None)
+    };
+    let ask = base(&fixture, "m");
+    assert_eq!(sent_to(&fixture.ask(1, ask)), ["engines-2"]);
+    let ask = base(&fixture, "nowhere");
+    assert!(fixture.ask(2, ask).is_empty());
+    let ask = fixture.new_ask(ENGINES, Some("a"));
+    fixture.ask(3, ask);
+    assert_eq!(fixture.homes("a"), ["engines-2"], "where its base model is");
+}
--- a/entry/src/ingress/exchange.rs
+++ b/entry/src/ingress/exchange.rs
@@ -62,6 +62,7 @@
         let service = route.pick_service(rand::random());
         let ask = Ask {
             service: service.cloned().unwrap_or_default(),
+            model: accepted.head.model.clone(),
             adapter: accepted.head.adapter.clone(),
             prompt_tokens: accepted.head.prompt_tokens,
             priority: route.priority,
--- a/protocol/src/peer/placement.rs
+++ b/protocol/src/peer/placement.rs
@@ -73,6 +73,8 @@
     pub backend: BackendId,
     /// of the orders that it gives
     pub fence: u64,
+    /// base models that are there
+    pub models: Vec<BaseModelName>,
     /// adapters that requests may be sent to
     pub held: Vec<HeldAdapter>,
     /// adapters on their way
--- a/state/src/backends/backend.rs
+++ b/state/src/backends/backend.rs
@@ -1,6 +1,6 @@
 use {
     super::HeldAdapter,
-    crate::ids::{ServiceName, ZoneName},
+    crate::ids::{BaseModelName, ServiceName, ZoneName},
     std::net::SocketAddr,
 };
 
@@ -18,6 +18,8 @@
     pub slots: u32,
     /// takes no new work
     pub leaving: bool,
+    /// base models that it held when the list was written
+    pub models: Vec<BaseModelName>,
     /// adapters that it held when the list was written
     pub held: Vec<HeldAdapter>,
 }
--- a/transport/src/ingress/dialect.rs
+++ b/transport/src/ingress/dialect.rs
@@ -1,5 +1,8 @@
 use {
-    chalkcart_state::backends::{AdapterRef, BackendId},
+    chalkcart_state::{
+        backends::{AdapterRef, BackendId},
+        ids::BaseModelName,
+    },
     http::HeaderMap,
     std::time::Duration,
     thiserror::Error,
@@ -11,6 +14,8 @@
     pub id: String,
     /// how long the client waits
     pub deadline: Option<Duration>,
+    /// the base model, also of requests without an adapter
+    pub model: Option<BaseModelName>,
     pub adapter: Option<AdapterRef>,
     /// 0 for requests without a prompt
     pub prompt_tokens: u32,
