The list's pause grows with the number of entries

Cause: each change of the list wakes each entry's watch; at 32 entries calls to the platform were the greatest price. Ruled out: polling (there is none).

--- a/coordination/src/dispatch/dispatcher.rs
+++ b/coordination/src/dispatch/dispatcher.rs
@@ -759,7 +759,8 @@
         wanted
     }
 
-    fn entry_count(&self) -> u32 {
+    /// entries of the fleet, as the sidecars count them
+    pub fn entry_count(&self) -> u32 {
         let views = self.backends.values().filter_map(|b| b.view.as_ref());
         let counted = views.map(|v| v.entries).max();
         counted.filter(|n| *n > 0).unwrap_or(ENTRIES_UNKNOWN)
--- a/entry/src/ingress/control.rs
+++ b/entry/src/ingress/control.rs
@@ -5,7 +5,7 @@
     std::{
         collections::HashMap,
         sync::{
-            atomic::{AtomicBool, AtomicUsize, Ordering},
+            atomic::{AtomicBool, AtomicU32, AtomicUsize, Ordering},
             mpsc::{self, RecvTimeoutError},
             Arc,
         },
@@ -39,6 +39,7 @@
     commands: mpsc::Sender<Command>,
     reach: Arc<AtomicBool>,
     waiting: Arc<AtomicUsize>,
+    entries: Arc<AtomicU32>,
 }
 
 impl ControlHandle {
@@ -54,6 +55,10 @@
     pub fn waiting(&self) -> usize {
         self.waiting.load(Ordering::Relaxed)
     }
+    /// entries of the fleet, as the sidecars count them
+    pub fn entries(&self) -> u32 {
+        self.entries.load(Ordering::Relaxed)
+    }
     /// ask for a back end; none if the control thread is gone
     pub async fn decide(&self, ticket: Ticket, ask: Ask) -> Option<Decision> {
         let (answer, answered) = oneshot::channel();
@@ -76,6 +81,7 @@
     last_all: Instant,
     reach: Arc<AtomicBool>,
     waiting: Arc<AtomicUsize>,
+    entries: Arc<AtomicU32>,
 }
 
 /// start the control thread; it ends when the last handle is gone
@@ -86,10 +92,12 @@
     let (commands, received) = mpsc::channel();
     let reach = Arc::new(AtomicBool::new(true));
     let waiting = Arc::new(AtomicUsize::new(0));
+    let entries = Arc::new(AtomicU32::new(1));
     let handle = ControlHandle {
         commands,
         reach: reach.clone(),
         waiting: waiting.clone(),
+        entries: entries.clone(),
     };
     let now = Instant::now();
     let mut control = ControlLoop {
@@ -100,6 +108,7 @@
         last_all: now,
         reach,
         waiting,
+        entries,
     };
     let builder = thread::Builder::new().name("control".to_string());
     let run = move || control.run(&received);
@@ -119,6 +128,8 @@
             self.reach.store(reaches, Ordering::Relaxed);
             let waiting = self.dispatcher.waiting_count();
             self.waiting.store(waiting, Ordering::Relaxed);
+            let entries = self.dispatcher.entry_count();
+            self.entries.store(entries, Ordering::Relaxed);
             self.send_demands();
         }
     }
