--- a/coordination/src/dispatch/backend_state.rs
+++ b/coordination/src/dispatch/backend_state.rs
@@ -143,7 +143,7 @@
         view.is_some_and(|v| v.loading.contains(adapter))
     }
     pub fn spare_slots(&self) -> u32 {
-        self.view.as_ref().map_or(0, |v| v.spare_slots)
+        self.view.as_ref().map_or(0, |v| v.figures.spare_slots)
     }
     pub fn takes_work(&self, now: Instant) -> bool {
         !self.listed.leaving && !self.is_gone && !self.is_superseded && !self.health.is_resting(now)
@@ -151,7 +151,10 @@
 
     /// requests that run or wait there, all entries together
     pub fn occupied(&self, now: Instant) -> u32 {
-        let seen = self.fresh_view(now).map_or(0, |v| v.running + v.queued);
+        let seen = self.fresh_view(now).map_or(0, |v| {
+            let figures = &v.figures;
+            figures.running + figures.queued
+        });
         seen.max(self.in_flight)
     }
     pub fn has_place(&self, now: Instant) -> bool {
@@ -159,7 +162,7 @@
     }
     /// prompt tokens that wait to be read
     pub fn queued_tokens(&self, now: Instant) -> f64 {
-        let queued = self.fresh_view(now).map_or(0, |v| v.queued);
+        let queued = self.fresh_view(now).map_or(0, |v| v.figures.queued);
         let unseen = queued.saturating_sub(self.unstarted);
         self.unstarted_tokens as f64 + f64::from(unseen) * TOKENS_UNSEEN
     }
--- a/coordination/src/dispatch/dispatcher.rs
+++ b/coordination/src/dispatch/dispatcher.rs
@@ -323,7 +323,7 @@
     fn on_view(&mut self, addr: SocketAddr, view: EngineView, now: Instant) {
         self.last_heard = Some(now);
         let fence = self.fences.entry(addr).or_default();
-        *fence = view.fence.max(*fence);
+        *fence = view.figures.fence.max(*fence);
         if view.backend.is_empty() {
             return;
         }
@@ -457,8 +457,8 @@
         let backend = self.spreads.get(adapter)?.backend.clone();
         let view = self.backends.get(&backend)?.view.as_ref()?;
         let load = match view.loading.contains(adapter) {
-            true => Duration::from_millis(u64::from(view.next_load_ms)) / 2,
-            false => Duration::from_millis(u64::from(view.next_load_ms)),
+            true => Duration::from_millis(u64::from(view.figures.next_load_ms)) / 2,
+            false => Duration::from_millis(u64::from(view.figures.next_load_ms)),
         };
         if waited + load + self.settings.first_token <= ask.target_latency {
             return None;
@@ -762,7 +762,7 @@
     /// entries of the fleet, as the sidecars count them
     pub fn entry_count(&self) -> u32 {
         let views = self.backends.values().filter_map(|b| b.view.as_ref());
-        let counted = views.map(|v| v.entries).max();
+        let counted = views.map(|v| v.figures.entries).max();
         counted.filter(|n| *n > 0).unwrap_or(ENTRIES_UNKNOWN)
     }
 
--- a/coordination/src/placement/placement_control.rs
+++ b/coordination/src/placement/placement_control.rs
@@ -3,7 +3,7 @@
         DemandBook, EngineOrder, EngineReport, FenceToken, OrderAnswer, OrderKind,
         PlacementSettings,
     },
-    chalkcart_protocol::peer::{AdapterDemand, EngineRoom, EngineView},
+    chalkcart_protocol::peer::{AdapterDemand, EngineFigures, EngineRoom, EngineView},
     chalkcart_state::backends::{AdapterRef, BackendId},
     std::{
         collections::HashMap,
@@ -143,11 +143,8 @@
 
     /// what entries may know
     pub fn view(&self, now: Instant) -> EngineView {
-        let mut view = EngineView {
-            backend: self.backend.clone(),
+        let figures = EngineFigures {
             fence: self.fence.value(),
-            models: self.report.models.clone(),
-            loading: self.report.loading.clone(),
             next_load_ms: self.next_load(now).as_millis() as u32,
             spare_slots: self.spare_slots(now),
             running: self.report.running,
@@ -155,7 +152,13 @@
             kv_used: self.report.kv_used,
             kv_total: self.report.kv_total,
             entries: self.demands.entries() as u32,
-            ..EngineView::default()
+        };
+        let mut view = EngineView {
+            backend: self.backend.clone(),
+            models: self.report.models.clone(),
+            loading: self.report.loading.clone(),
+            held: Vec::new(),
+            figures,
         };
         let held = self.report.held.iter();
         let ready = held.filter(|h| !self.places.get(&h.adapter).is_some_and(|p| p.replacing));
--- a/coordination/tests/dispatch.rs
+++ b/coordination/tests/dispatch.rs
@@ -5,7 +5,7 @@
         Ask, Decision, DispatchEvent, DispatchSettings, Dispatcher, RefusalCause, SendOutcome,
         SharedBudget, Ticket,
     },
-    chalkcart_protocol::peer::EngineView,
+    chalkcart_protocol::peer::{EngineFigures, EngineView},
     chalkcart_state::{
         backends::{AdapterRef, Backend, HeldAdapter},
         ingress::{BaseModel, EngineSpec, IngressLimits, RouteTable, Service},
@@ -80,8 +80,11 @@
         backend: backend.to_string(),
         held: held.collect(),
         models: vec!["m".to_string()],
-        spare_slots: 2,
-        entries: 2,
+        figures: EngineFigures {
+            spare_slots: 2,
+            entries: 2,
+            ..EngineFigures::default()
+        },
         ..EngineView::default()
     }
 }
@@ -222,10 +225,8 @@
     fixture.ask(1, ask.clone());
     let first = fixture.homes("a");
     let number: u8 = first[0].trim_start_matches("engines-").parse().unwrap();
-    let full = EngineView {
-        spare_slots: 0,
-        ..view(&first[0], &[])
-    };
+    let mut full = view(&first[0], &[]);
+    full.figures.spare_slots = 0;
     fixture.view(number, full);
     fixture.pass(ms(1_600));
     assert_ne!(fixture.homes("a"), first);
@@ -401,10 +402,8 @@
 fn sidecars_hear_the_fence_of_their_earlier_life() {
     let mut fixture = fixture_with_views();
     for fence in [9, 7] {
-        let spoken = EngineView {
-            fence,
-            ..view("engines-1", &[])
-        };
+        let mut spoken = view("engines-1", &[]);
+        spoken.figures.fence = fence;
         fixture.view(1, spoken);
     }
     let demands = fixture.dispatcher.demands(true, fixture.now);
@@ -520,10 +519,8 @@
 fn fixture_with_slow_loads(next_load_ms: u32) -> Fixture {
     let mut fixture = Fixture::new(engines());
     for number in 1..=3 {
-        let slow = EngineView {
-            next_load_ms,
-            ..view(&format!("{ENGINES}-{number}"), &[])
-        };
+        let mut slow = view(&format!("{ENGINES}-{number}"), &[]);
+        slow.figures.next_load_ms = next_load_ms;
         fixture.view(number, slow);
     }
     fixture
--- a/coordination/tests/placement.rs
+++ b/coordination/tests/placement.rs
@@ -206,7 +206,11 @@
         need(&mut message);
         fixture.demand(message);
         assert_eq!(fixture.next_order(), None, "{name}");
-        assert_eq!(fixture.control.view(fixture.now).spare_slots, 0, "{name}");
+        assert_eq!(
+            fixture.control.view(fixture.now).figures.spare_slots,
+            0,
+            "{name}"
+        );
     }
 }
 
@@ -332,7 +336,7 @@
     fixture.report.busy = true;
     fixture.read();
     assert_eq!(fixture.next_order(), None);
-    let wait = fixture.control.view(fixture.now).next_load_ms;
+    let wait = fixture.control.view(fixture.now).figures.next_load_ms;
     assert!(wait >= 2_000, "{wait}: entries hear how long it takes");
     fixture.report.busy = false;
     fixture.read();
@@ -375,5 +379,5 @@
     fixture.now += ms(3_500);
     fixture.read();
     assert_eq!(fixture.next_order(), None);
-    assert_eq!(fixture.control.view(fixture.now).entries, 0);
+    assert_eq!(fixture.control.view(fixture.now).figures.entries, 0);
 }
--- a/entry/src/ingress/control.rs
+++ b/entry/src/ingress/control.rs
@@ -195,7 +195,7 @@
             self.last_all = now;
         }
         for (engine, demand) in self.dispatcher.demands(all, now) {
-            self.links.send(engine, demand);
+            self.links.send(engine, demand, now);
         }
     }
 }
--- a/entry/src/ingress/sidecar_links.rs
+++ b/entry/src/ingress/sidecar_links.rs
@@ -1,14 +1,14 @@
 use {
     super::control::ControlHandle,
     chalkcart_coordination::dispatch::DispatchEvent,
-    chalkcart_protocol::peer::{path, AdapterDemand, EngineView},
+    chalkcart_protocol::peer::{path, AdapterDemand, EngineView, ViewUpdate},
     chalkcart_state::backends::{Backend, BackendId},
     chalkcart_transport::client::{ClientError, ClientStep, MessageStream, PeerClient},
     futures::StreamExt,
     std::{
         collections::{HashMap, HashSet},
         net::SocketAddr,
-        time::Duration,
+        time::{Duration, Instant},
     },
     tokio::{
         runtime::Handle,
@@ -21,6 +21,8 @@
 /// a sidecar sends a view at least each 250 ms
 const SILENCE: Duration = Duration::from_millis(1_000);
 const RETRY: Duration = Duration::from_millis(150);
+/// a sidecar forgets an entry that is silent for 3 s
+const SIGN_OF_LIFE: Duration = Duration::from_millis(900);
 const POST_LIMIT: Duration = Duration::from_millis(400);
 
 /// the connections to the sidecars of the engines that are listed
@@ -35,6 +37,7 @@
 /// one sidecar's; its tasks end when it is dropped
 struct Link {
     demand: watch::Sender<Option<AdapterDemand>>,
+    sent_at: Option<Instant>,
     tasks: [JoinHandle<()>; 2],
 }
 
@@ -67,9 +70,17 @@
         }
     }
 
-    /// tell the sidecar of an engine what is needed of it
-    pub fn send(&self, engine: SocketAddr, demand: AdapterDemand) {
-        if let Some(link) = self.links.get(&engine) {
+    /// tell the sidecar of an engine what is needed of it; what it knows is
+    /// repeated only as a sign of life
+    pub fn send(&mut self, engine: SocketAddr, demand: AdapterDemand, now: Instant) {
+        let Some(link) = self.links.get_mut(&engine) else {
+            return;
+        };
+        let is_due = link
+            .sent_at
+            .is_none_or(|at| now.saturating_duration_since(at) >= SIGN_OF_LIFE);
+        if is_due || link.demand.borrow().as_ref() != Some(&demand) {
+            link.sent_at = Some(now);
             link.demand.send_replace(Some(demand));
         }
     }
@@ -80,7 +91,11 @@
         let views = read_views(self.peers.clone(), engine, sidecar, self.control.clone());
         let posts = post_demands(self.peers.clone(), sidecar, demands);
         let tasks = [self.runtime.spawn(views), self.runtime.spawn(posts)];
-        Link { demand, tasks }
+        Link {
+            demand,
+            sent_at: None,
+            tasks,
+        }
     }
 }
 
@@ -113,16 +128,21 @@
 ) -> Result<(), ClientError> {
     let opened = timeout(SILENCE, peers.stream(sidecar, path::VIEWS, &()));
     let silent = |_| ClientError::new(ClientStep::Receive, sidecar, "silent");
-    let mut views: MessageStream<EngineView> = opened.await.map_err(silent)??;
+    let mut updates: MessageStream<ViewUpdate> = opened.await.map_err(silent)??;
+    let mut view = EngineView::default();
     loop {
-        let Some(view) = timeout(SILENCE, views.next()).await.map_err(silent)? else {
+        let Some(update) = timeout(SILENCE, updates.next()).await.map_err(silent)? else {
             return Ok(());
         };
-        let view = view?;
+        match update? {
+            ViewUpdate::Whole(whole) => view = whole,
+            ViewUpdate::Figures(figures) => view.figures = figures,
+        }
         if backend.is_empty() && !view.backend.is_empty() {
             log::info!("links: sidecar {sidecar} speaks of {}", view.backend);
         }
         backend.clone_from(&view.backend);
+        let view = view.clone();
         control.tell(DispatchEvent::Viewed { addr: engine, view });
     }
 }
--- a/protocol/src/peer/mod.rs
+++ b/protocol/src/peer/mod.rs
@@ -28,7 +28,10 @@
     cancel::{CancelAnswer, CancelOrder},
     frame::{Frame, FrameBody},
     permit::{PermitAnswer, PermitAsk, PermitPurpose},
-    placement::{AdapterDemand, AdapterUse, EngineRoom, EngineView, ModelSize, WantedAdapter},
+    placement::{
+        AdapterDemand, AdapterUse, EngineFigures, EngineRoom, EngineView, ModelSize, ViewUpdate,
+        WantedAdapter,
+    },
     refusal::{Outcome, Reason, Refusal, Step},
     report::{LoadedAdapter, TargetReport},
     reserve::{ReserveAnswer, ReserveOrder},
--- a/protocol/src/peer/placement.rs
+++ b/protocol/src/peer/placement.rs
@@ -71,14 +71,30 @@
 pub struct EngineView {
     /// the incarnation it speaks of, empty while not known
     pub backend: BackendId,
-    /// of the orders that it gives
-    pub fence: u64,
     /// base models that are there
     pub models: Vec<BaseModelName>,
     /// adapters that requests may be sent to
     pub held: Vec<HeldAdapter>,
     /// adapters on their way
     pub loading: Vec<AdapterRef>,
+    pub figures: EngineFigures,
+}
+
+impl EngineView {
+    /// whether another view differs in more than figures
+    pub fn differs_in_holdings(&self, other: &Self) -> bool {
+        self.backend != other.backend
+            || self.models != other.models
+            || self.held != other.held
+            || self.loading != other.loading
+    }
+}
+
+/// the figures of a view, which change more often than the rest
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineFigures {
+    /// of the orders that the sidecar gives
+    pub fence: u64,
     /// time until an adapter that is wanted now would be there, in ms
     pub next_load_ms: u32,
     /// places that are empty or whose adapter nobody uses
@@ -90,3 +106,11 @@
     /// entries that this sidecar hears
     pub entries: u32,
 }
+
+/// one message of a stream of views
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum ViewUpdate {
+    Whole(EngineView),
+    /// nothing but the figures of the last whole view has changed
+    Figures(EngineFigures),
+}
--- a/sidecar/src/placement/keeper.rs
+++ b/sidecar/src/placement/keeper.rs
@@ -115,17 +115,17 @@
         let is_due = self
             .published
             .is_none_or(|at| now.saturating_duration_since(at) >= FIGURES_EVERY);
-        let is_news = differs_in_adapters(&self.shared.view.borrow(), &view);
-        if is_news || (is_due && *self.shared.view.borrow() != view) {
+        let is_urgent = is_news(&self.shared.view.borrow(), &view);
+        if is_urgent || (is_due && *self.shared.view.borrow() != view) {
             self.published = Some(now);
             self.shared.view.send_replace(view);
         }
     }
 }
 
-fn differs_in_adapters(before: &EngineView, after: &EngineView) -> bool {
-    before.backend != after.backend
-        || before.held != after.held
-        || before.loading != after.loading
-        || (before.spare_slots == 0) != (after.spare_slots == 0)
+/// whether entries should hear of it at once
+fn is_news(before: &EngineView, after: &EngineView) -> bool {
+    let had_spare = before.figures.spare_slots > 0;
+    let has_spare = after.figures.spare_slots > 0;
+    before.differs_in_holdings(after) || had_spare != has_spare
 }
--- a/sidecar/src/placement/views.rs
+++ b/sidecar/src/placement/views.rs
@@ -1,6 +1,6 @@
 use {
     super::shared::Shared,
-    chalkcart_protocol::peer::EngineView,
+    chalkcart_protocol::peer::{EngineView, ViewUpdate},
     futures::{stream::unfold, Stream},
     std::{sync::Arc, time::Duration},
     tokio::time::timeout,
@@ -9,15 +9,27 @@
 /// a view goes out when nothing else did for this long
 const HEARTBEAT: Duration = Duration::from_millis(250);
 
-/// the views of the engine from now on
-pub fn follow(shared: &Arc<Shared>) -> impl Stream<Item = EngineView> + Send {
+/// the views of the engine from now on, whole where more than figures changed
+pub fn follow(shared: &Arc<Shared>) -> impl Stream<Item = ViewUpdate> + Send {
     let mut views = shared.view.subscribe();
     views.mark_changed();
-    unfold((shared.clone(), views), |(shared, mut views)| async move {
+    let reader = (shared.clone(), views, None);
+    unfold(reader, |(shared, mut views, mut sent)| async move {
         // a time without a change is a heartbeat; the sender lives as long
         // as `shared`
         let _ = timeout(HEARTBEAT, views.changed()).await;
         let view = views.borrow_and_update().clone();
-        Some((view, (shared, views)))
+        let update = next_update(&mut sent, view);
+        Some((update, (shared, views, sent)))
     })
 }
+
+fn next_update(sent: &mut Option<EngineView>, view: EngineView) -> ViewUpdate {
+    match sent {
+        Some(last) if !last.differs_in_holdings(&view) => ViewUpdate::Figures(view.figures),
+        _ => {
+            *sent = Some(view.clone());
+            ViewUpdate::Whole(view)
+        }
+    }
+}
