--- a/coordination/src/dispatch/mod.rs
+++ b/coordination/src/dispatch/mod.rs
@@ -3,11 +3,14 @@
 
 mod ask;
 mod backend_state;
+mod choosing;
 mod decision;
 mod demands;
 mod dispatcher;
 mod event;
 mod health;
+mod listing;
+mod loading;
 mod settings;
 mod shared_budget;
 mod waiting;
--- a/entry/src/cli/mod.rs
+++ b/entry/src/cli/mod.rs
@@ -1,6 +1,7 @@
 //! the command line: `serve`, `check`, and commands that call the RPCs
 
 mod check;
+mod explain;
 mod ingress;
 mod remote;
 mod run;
--- a/entry/src/cli/run.rs
+++ b/entry/src/cli/run.rs
@@ -1,5 +1,5 @@
 use {
-    super::{check, ingress, remote},
+    super::{check, explain, ingress, remote},
     crate::{app, conf::Settings},
     anyhow::Result,
     chalkcart_node::{
@@ -47,6 +47,16 @@
         },
         run: ingress::run,
     },
+    Command {
+        word: "explain",
+        program: Program {
+            name: "chalkcart explain",
+            arguments: "ID [FILE...]",
+            purpose: "Tell the story of a request from the logs in FILEs, or standard input.",
+        },
+        options: |_| {},
+        run: explain::run,
+    },
     Command {
         word: "check",
         program: Program {
--- a/entry/tests/command_line.rs
+++ b/entry/tests/command_line.rs
@@ -6,8 +6,8 @@
     std::{fs, path::Path},
 };
 
-const COMMANDS: [&str; 7] = [
-    "serve", "check", "status", "plan", "wait", "call", "generate",
+const COMMANDS: [&str; 9] = [
+    "serve", "ingress", "explain", "check", "status", "plan", "wait", "call", "generate",
 ];
 
 fn chalkcart(args: &[&str]) -> Result<Ran> {
@@ -42,8 +42,9 @@
 
 #[test]
 fn wrong_usage_ends_with_2_and_says_what_was_expected() -> Result<()> {
-    let cases: [&[&str]; 5] = [
+    let cases: [&[&str]; 6] = [
         &[],
+        &["explain"],
         &["fly"],
         &["serve"],
         &["serve", "--fast"],
@@ -120,3 +121,81 @@
     assert!(twice.stdout.contains("each name once"), "{}", twice.stdout);
     Ok(())
 }
+
+const INGRESS: &str = r#"{"name":"e","zone":"z","clients":"127.0.0.1:1","readiness":"127.0.0.1:2",
+  "metrics":"127.0.0.1:3","store":"127.0.0.1:4","sidecar_port":5,"grace_s":8,"retry_ratio":0.2,
+  "retry_extra":50,"retry_window_s":10,"version_ms":5000}"#;
+
+/// each wrong value ends with the key, the value and what was expected
+#[test]
+fn settings_of_the_ingress_are_checked() -> Result<()> {
+    let cases = [
+        ("\"name\":\"e\"", "\"name\":\"\"", ["name", "box's name"]),
+        (
+            "\"sidecar_port\":5",
+            "\"sidecar_port\":0",
+            ["sidecar_port", "1 or more"],
+        ),
+        ("\"grace_s\":8", "\"grace_s\":-1", ["grace_s", "0 or more"]),
+        (
+            "\"store\":\"127.0.0.1:4\"",
+            "\"store\":\"there\"",
+            ["store", "socket address"],
+        ),
+        (
+            "\"zone\":\"z\"",
+            "\"zone\":\"z\",\"zoom\":1",
+            ["zoom", "unknown field"],
+        ),
+    ];
+    let check = |text: &str| -> Result<Ran> {
+        let file = settings_file(text)?;
+        let ran = chalkcart(&["ingress", "--check", &file.to_string_lossy()])?;
+        fs::remove_file(file)?;
+        Ok(ran)
+    };
+    assert_eq!(check(INGRESS)?.code, Some(0));
+    for (good, bad, said) in cases {
+        let ran = check(&INGRESS.replace(good, bad))?;
+        assert_eq!(ran.code, Some(2), "{bad}");
+        for part in said {
+            assert!(ran.stderr.contains(part), "{bad}: {}", ran.stderr);
+        }
+    }
+    Ok(())
+}
+
+const LOG: &str = r#"
+{"clock_ms":1000,"node":"f","part":"store","message":"read again"}
+  12.5 f {"clock_ms":2400,"node":"f","part":"dispatch","message":"sent","request":"r1","adapter":"m/a","waited_ms":400}
+{"clock_ms":2100,"node":"s","part":"engine","message":"ordered","order":"load m/a","answer":"Taken"}
+{"clock_ms":2150,"node":"s","part":"engine","message":"ordered","order":"load m/b","answer":"Taken"}
+{"clock_ms":1500,"node":"s","part":"engine","message":"ordered","order":"load m/a","answer":"Busy"}
+not a line of a log
+{"clock_ms":2900,"node":"f","part":"ingress","message":"answered","request":"r1","status":200}
+{"clock_ms":2950,"node":"f","part":"ingress","message":"answered","request":"r2","status":200}
+"#;
+
+#[test]
+fn a_request_is_explained_from_its_lines_and_the_orders_it_waited_for() -> Result<()> {
+    let file = settings_file(LOG)?;
+    let name = file.to_string_lossy().into_owned();
+    let ran = chalkcart(&["explain", "r1", &name])?;
+    let unknown = chalkcart(&["explain", "r9", &name])?;
+    fs::remove_file(file)?;
+    let told: Vec<&str> = ran.stdout.lines().skip(1).collect();
+    assert_eq!(told.len(), 3, "{}", ran.stdout);
+    assert!(
+        told[0].contains("load m/a") && told[0].contains("Taken"),
+        "{}",
+        told[0]
+    );
+    assert!(told[1].contains("300 ms"), "{}", told[1]);
+    assert!(
+        told[2].contains("answered") && told[2].contains("status=200"),
+        "{}",
+        told[2]
+    );
+    assert_eq!(unknown.code, Some(1));
+    Ok(())
+}
