Stand-ins: places, late second answers, resumed streams, stale reads, clients that press

A pressed back end of two places with patient and impatient clients: each refusal is true, nothing runs twice (test under_pressure_...). Only test code changes.

--- a/testkit/src/users_platform/backend_answers.rs
+++ b/testkit/src/users_platform/backend_answers.rs
@@ -12,11 +12,13 @@
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::TcpStream,
-        time::timeout,
+        time::{sleep, timeout},
     },
 };
 
 const BODY: &[u8] = b"the whole answer";
+/// when a late second answer comes
+const LATE: Duration = Duration::from_millis(150);
 const FOREVER: Duration = Duration::from_secs(30);
 
 /// run one request, or refuse it, as the fault of the moment says
@@ -37,14 +39,31 @@
         return write_answer(socket, status, &headers, b"").await;
     }
     let number = begin_run(state, head, body);
+    let _place = Place(state.clone());
     let kind = lock(state).kind;
     let headers = answer_headers(request, fault);
     match (fault, kind) {
         (BackendFault::CutBeforeAnswer, _) => bail!("cut"),
         (BackendFault::Silent, _) => wait_until_left(socket, state, number, FOREVER).await,
         (BackendFault::Status(status), _) => write_answer(socket, status, &headers, b"").await,
-        (_, BackendKind::Engine) => stream(socket, state, number, &headers, fault).await,
-        (_, BackendKind::Plain) => plain(socket, &headers, fault).await,
+        (_, BackendKind::Engine) => {
+            let from = head.number("last-event-id").map_or(0, |id| id as u32 + 1);
+            stream(socket, state, number, &headers, (fault, from)).await
+        }
+        (_, BackendKind::Plain) => {
+            let delay = lock(state).delay;
+            sleep(delay).await;
+            plain(socket, &headers, fault).await
+        }
+    }
+}
+
+/// frees a place when the run is over
+struct Place(Arc<Mutex<BackendState>>);
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        lock(&self.0).running -= 1;
     }
 }
 
@@ -59,10 +78,10 @@
 
 /// the status of a refusal, if the request is not run
 fn refusal(state: &Mutex<BackendState>, head: &Head, fault: BackendFault) -> Option<u16> {
-    if fault == BackendFault::Shed {
+    let mut state = lock(state);
+    if fault == BackendFault::Shed || state.running >= state.slots {
         return Some(503);
     }
-    let mut state = lock(state);
     state.orders.settle(Instant::now());
     let (_, adapter) = head.get("chalkcart-model")?.split_once('/')?;
     let held = state.orders.held.get(adapter).copied();
@@ -87,6 +106,7 @@
         was_left: false,
     };
     let mut state = lock(state);
+    state.running += 1;
     state.runs.push(run);
     state.runs.len() - 1
 }
@@ -131,17 +151,23 @@
             let other = [("Chalkcart-Request-Id", "another".to_string())];
             write_answer(socket, 200, &other, b"surplus").await
         }
+        BackendFault::LateSurplus => {
+            write_answer(socket, 200, headers, BODY).await?;
+            sleep(LATE).await;
+            let other = [("Chalkcart-Request-Id", "another".to_string())];
+            write_answer(socket, 200, &other, b"surplus").await
+        }
         _ => write_answer(socket, 200, headers, BODY).await,
     }
 }
 
-/// a stream of numbered events in chunks
+/// a stream of numbered events in chunks, from one event on
 async fn stream(
     socket: &mut TcpStream,
     state: &Mutex<BackendState>,
     number: usize,
     headers: &[(&'static str, String)],
-    fault: BackendFault,
+    (fault, from): (BackendFault, u32),
 ) -> Result<()> {
     let (parts, pause) = {
         let state = lock(state);
@@ -149,7 +175,7 @@
     };
     let head = head_text(headers, "Transfer-Encoding: chunked");
     socket.write_all(&head).await?;
-    for part in 0..parts {
+    for part in from..parts {
         if fault == BackendFault::CutInBody && part == parts / 2 {
             bail!("cut");
         }
--- a/testkit/src/users_platform/backend_stand_in.rs
+++ b/testkit/src/users_platform/backend_stand_in.rs
@@ -50,6 +50,8 @@
     Status(u16),
     /// says that it is full, and runs nothing
     Shed,
+    /// answers, and answers once more a while later
+    LateSurplus,
     /// runs it and says nothing
     Silent,
 }
@@ -76,6 +78,11 @@
     pub fault_left: u32,
     pub runs: Vec<Run>,
     pub orders: EngineOrders,
+    /// requests that run at once; more are refused as not run
+    pub slots: u32,
+    pub running: u32,
+    /// time that a plain request runs
+    pub delay: Duration,
     /// parts of a stream, and the time between two
     pub parts: u32,
     pub pause: Duration,
@@ -104,6 +111,9 @@
             fault_left: 0,
             runs: Vec::new(),
             orders: EngineOrders::default(),
+            slots: u32::MAX,
+            running: 0,
+            delay: Duration::ZERO,
             parts: 3,
             pause: Duration::from_millis(5),
         }));
--- a/testkit/src/users_platform/mod.rs
+++ b/testkit/src/users_platform/mod.rs
@@ -7,6 +7,7 @@
 mod client;
 mod engine_orders;
 mod fleet;
+mod pressing_clients;
 mod store_stand_in;
 mod wire;
 
@@ -14,6 +15,7 @@
     backend_stand_in::{BackendFault, BackendKind, BackendStandIn, Run},
     client::{open_stream, request, Answer, ClientRequest, OpenStream},
     fleet::{Fleet, FleetSettings, HOST},
+    pressing_clients::{press, Pressing, Story},
     store_stand_in::{StoreFault, StoreStandIn},
     wire::{read_head, Head},
 };
--- a/testkit/src/users_platform/store_stand_in.rs
+++ b/testkit/src/users_platform/store_stand_in.rs
@@ -34,9 +34,12 @@
     Reset,
 }
 
+/// values by key, with the revision of their last change
+type Items = BTreeMap<String, (Value, u64)>;
+
 #[derive(Debug, Default)]
 struct State {
-    items: BTreeMap<String, (Value, u64)>,
+    items: Items,
     /// changes: revision, key, value or none
     history: Vec<(u64, String, Option<Value>)>,
     /// changes up to this revision are forgotten
@@ -44,6 +47,8 @@
     revision: u64,
     fault: StoreFault,
     calls: u64,
+    /// what stale reads see, if not the present
+    stale: Option<(Items, u64)>,
 }
 
 /// the platform's store
@@ -95,6 +100,11 @@
         state.history.clear();
         state.forgotten = state.revision;
     }
+    /// from now on stale reads see the present state, whatever changes
+    pub fn hold_stale_reads(&self) {
+        let mut state = lock(&self.state);
+        state.stale = Some((state.items.clone(), state.revision));
+    }
     pub fn calls(&self) -> u64 {
         lock(&self.state).calls
     }
@@ -151,7 +161,15 @@
     let prefix = value("PathPrefix").unwrap_or_default();
     let after = value("after").unwrap_or_default();
     match path {
-        names::RANGE_PATH => range(&lock(state), &prefix, &after),
+        names::RANGE_PATH => {
+            let state = lock(state);
+            let present = (&state.items, state.revision);
+            let (items, revision) = match &state.stale {
+                Some((items, revision)) if value("stale").is_some() => (items, *revision),
+                _ => present,
+            };
+            range(items, revision, &prefix, &after)
+        }
         names::WATCH_PATH => {
             let after = after.parse().unwrap_or(0);
             let wait = value("WaitMs").and_then(|ms| ms.parse().ok()).unwrap_or(0);
@@ -161,11 +179,8 @@
     }
 }
 
-fn range(state: &State, prefix: &str, after: &str) -> (u16, Value) {
-    let matching = state
-        .items
-        .iter()
-        .filter(|(key, _)| key.starts_with(prefix));
+fn range(items: &Items, revision: u64, prefix: &str, after: &str) -> (u16, Value) {
+    let matching = items.iter().filter(|(key, _)| key.starts_with(prefix));
     let mut rest = matching.filter(|(key, _)| key.as_str() > after);
     let page: Vec<Value> = rest
         .by_ref()
@@ -173,7 +188,7 @@
         .map(|(key, (value, revision))| item(key, Some(value), *revision))
         .collect();
     let more = rest.next().is_some();
-    let body = json!({"items": page, "more": more, "at": state.revision});
+    let body = json!({"items": page, "more": more, "at": revision});
     (200, body)
 }
 
--- a/testkit/tests/ingress_answers.rs
+++ b/testkit/tests/ingress_answers.rs
@@ -4,7 +4,9 @@
 use {
     anyhow::Result,
     chalkcart_testkit::{
-        users_platform::{request, BackendFault, ClientRequest, Fleet, FleetSettings},
+        users_platform::{
+            press, request, BackendFault, ClientRequest, Fleet, FleetSettings, Pressing,
+        },
         waiting::until,
     },
     std::time::Duration,
@@ -75,6 +77,7 @@
         ("/safe/", BackendFault::Status(503), 200, 2),
         ("/safe/", BackendFault::Unframed, 200, 1),
         ("/safe/", BackendFault::Surplus, 200, 1),
+        ("/safe/", BackendFault::LateSurplus, 200, 1),
         ("/safe/", BackendFault::Shed, 200, 1),
         // it runs at most once, and nothing says that it did not run
         ("/unsafe/", BackendFault::CutBeforeAnswer, 502, 1),
@@ -89,6 +92,7 @@
         ("/unsafe/", BackendFault::Status(504), 504, 1),
         ("/unsafe/", BackendFault::Unframed, 200, 1),
         ("/unsafe/", BackendFault::Surplus, 200, 1),
+        ("/unsafe/", BackendFault::LateSurplus, 200, 1),
         // proof that it did not run
         ("/unsafe/", BackendFault::Shed, 200, 1),
     ];
@@ -265,3 +269,43 @@
     }
     Ok(())
 }
+
+/// clients that press on one small back end, patient ones and those that come
+/// back at once: each try gets one final answer, and nothing runs twice or
+/// after a refusal
+#[tokio::test]
+async fn under_pressure_each_refusal_is_true_and_nothing_runs_twice() -> Result<()> {
+    for heeds_retry_after in [true, false] {
+        let fleet = Fleet::start(FleetSettings::default()).await?;
+        {
+            let mut state = fleet.plain[0].state();
+            state.slots = 2;
+            state.delay = Duration::from_millis(40);
+        }
+        let how = Pressing {
+            requests: 60,
+            gap: Duration::from_millis(5),
+            retries: 2,
+            heeds_retry_after,
+        };
+        let stories = press(fleet.clients, &to("/unsafe/", "p"), &how).await?;
+        let runs = fleet.plain[0].runs();
+        let ran = |id: &str| runs.iter().filter(|run| run.request == id).count();
+        for story in &stories {
+            for (id, answer) in story.ids.iter().zip(&story.answers) {
+                let expected = match answer.status {
+                    200 => 1,
+                    503 => 0,
+                    other => panic!("{id}: {other}"),
+                };
+                assert_eq!(ran(id), expected, "{id}");
+                assert!(answer.status == 200 || answer.head.get("retry-after").is_some());
+            }
+        }
+        let served = stories
+            .iter()
+            .filter(|s| s.answers.last().is_some_and(|a| a.status == 200));
+        assert!(served.count() > 0);
+    }
+    Ok(())
+}
--- a/testkit/tests/ingress_engines.rs
+++ b/testkit/tests/ingress_engines.rs
@@ -260,3 +260,21 @@
         let _ = sent;
     }
 }
+
+#[tokio::test]
+async fn a_client_takes_up_its_stream_where_it_broke_off() -> Result<()> {
+    let fleet = start(1).await?;
+    serve(&fleet, "a", "r1").await?;
+    let resumed = ClientRequest {
+        headers: vec![("Last-Event-Id".to_string(), "0".to_string())],
+        ..prompt("a", "r2")
+    };
+    let answer = request(fleet.clients, &resumed).await?;
+    let text = String::from_utf8_lossy(&answer.body).to_string();
+    assert!(answer.is_whole && !text.contains("id: 0\n"), "{text}");
+    assert!(
+        text.contains("id: 1\n") && text.contains("id: 2\n"),
+        "{text}"
+    );
+    Ok(())
+}
