Test addresses are not held up by processes that are being started

Cause: next_addr probed an address with a listening socket; a process that another thread was starting held a copy of that socket for a moment, and the test that got the address could not listen (bad_input_is_answered_and_nothing_is_sent_on failed once in the whole script: Address already in use). Ruled out: another process on the address (hosts differ by process id), the wrap of the port range. Change: the probe binds without listening.

--- a/testkit/src/cluster/addresses.rs
+++ b/testkit/src/cluster/addresses.rs
@@ -1,6 +1,10 @@
-use std::{
-    net::{SocketAddr, TcpListener},
-    sync::atomic::{AtomicU32, Ordering},
+use {
+    socket2::{Domain, Socket, Type},
+    std::{
+        io,
+        net::SocketAddr,
+        sync::atomic::{AtomicU32, Ordering},
+    },
 };
 
 /// below the range from which the system takes ports for connections
@@ -17,8 +21,16 @@
     loop {
         let offset = NEXT.fetch_add(1, Ordering::Relaxed) % PORTS;
         let addr = SocketAddr::from((host, FIRST_PORT + offset as u16));
-        if TcpListener::bind(addr).is_ok() {
+        if try_bind(addr).is_ok() {
             return addr;
         }
     }
 }
+
+/// bind without listening: a copy of this socket, which a process that is being
+/// started holds for a moment, keeps nobody from the address
+fn try_bind(addr: SocketAddr) -> io::Result<()> {
+    let socket = Socket::new(Domain::for_address(addr), Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&addr.into())
+}
