--- a/testkit/src/users_platform/backend_answers.rs
+++ b/testkit/src/users_platform/backend_answers.rs
@@ -17,6 +17,7 @@
 };
 
 const BODY: &[u8] = b"the whole answer";
+const GARBLED: &[u8] = b"\x16\x03\x01 no answer in the protocol\r\n\r\n";
 /// when a late second answer comes
 const LATE: Duration = Duration::from_millis(150);
 const FOREVER: Duration = Duration::from_secs(30);
@@ -44,6 +45,10 @@
     let headers = answer_headers(request, fault);
     match (fault, kind) {
         (BackendFault::CutBeforeAnswer, _) => bail!("cut"),
+        (BackendFault::Garbled, _) => {
+            socket.write_all(GARBLED).await?;
+            bail!("no answer")
+        }
         (BackendFault::Silent, _) => wait_until_left(socket, state, number, FOREVER).await,
         (BackendFault::Status(status), _) => write_answer(socket, status, &headers, b"").await,
         (_, BackendKind::Engine) => {
@@ -171,7 +176,10 @@
 ) -> Result<()> {
     let (parts, pause) = {
         let state = lock(state);
-        (state.parts, state.pause)
+        (
+            state.parts,
+            state.pause + state.pause_per_run * state.running,
+        )
     };
     let head = head_text(headers, "Transfer-Encoding: chunked");
     socket.write_all(&head).await?;
--- a/testkit/src/users_platform/backend_stand_in.rs
+++ b/testkit/src/users_platform/backend_stand_in.rs
@@ -54,6 +54,8 @@
     LateSurplus,
     /// runs it and says nothing
     Silent,
+    /// runs it and sends bytes that are no answer
+    Garbled,
 }
 
 /// one request that a back end ran
@@ -86,6 +88,8 @@
     /// parts of a stream, and the time between two
     pub parts: u32,
     pub pause: Duration,
+    /// added to that time for each request that runs in the batch
+    pub pause_per_run: Duration,
 }
 
 /// an engine or a copy of a plain service
@@ -116,6 +120,7 @@
             delay: Duration::ZERO,
             parts: 3,
             pause: Duration::from_millis(5),
+            pause_per_run: Duration::ZERO,
         }));
         let shared = state.clone();
         let server = tokio::spawn(async move {
--- a/testkit/src/users_platform/store_stand_in.rs
+++ b/testkit/src/users_platform/store_stand_in.rs
@@ -20,6 +20,8 @@
 };
 
 const PAGE: usize = 3;
+/// one item by its key; our processes read ranges only
+const KEY_PATH: &str = "/chalkcart/kv-key";
 
 /// how the store misbehaves
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -170,6 +172,7 @@
             };
             range(items, revision, &prefix, &after)
         }
+        KEY_PATH => key(&lock(state), &value("Key").unwrap_or_default()),
         names::WATCH_PATH => {
             let after = after.parse().unwrap_or(0);
             let wait = value("WaitMs").and_then(|ms| ms.parse().ok()).unwrap_or(0);
@@ -192,6 +195,13 @@
     (200, body)
 }
 
+fn key(state: &State, key: &str) -> (u16, Value) {
+    match state.items.get(key) {
+        Some((value, revision)) => (200, item(key, Some(value), *revision)),
+        None => (404, Value::Null),
+    }
+}
+
 async fn watch_changes(
     state: &Mutex<State>,
     changed: &watch::Sender<u64>,
--- a/testkit/tests/ingress_answers.rs
+++ b/testkit/tests/ingress_answers.rs
@@ -70,6 +70,7 @@
         // it may be repeated once, at the other back end
         ("/safe/", BackendFault::CutBeforeAnswer, 200, 2),
         ("/safe/", BackendFault::CutInBody, 200, 2),
+        ("/safe/", BackendFault::Garbled, 200, 2),
         ("/safe/", BackendFault::OtherId, 200, 2),
         ("/safe/", BackendFault::Unsigned, 200, 2),
         ("/safe/", BackendFault::Encoded, 200, 2),
@@ -82,6 +83,7 @@
         // it runs at most once, and nothing says that it did not run
         ("/unsafe/", BackendFault::CutBeforeAnswer, 502, 1),
         ("/unsafe/", BackendFault::CutInBody, 502, 1),
+        ("/unsafe/", BackendFault::Garbled, 502, 1),
         ("/unsafe/", BackendFault::OtherId, 502, 1),
         ("/unsafe/", BackendFault::Unsigned, 502, 1),
         ("/unsafe/", BackendFault::Encoded, 502, 1),
--- a/testkit/tests/ingress_engines.rs
+++ b/testkit/tests/ingress_engines.rs
@@ -278,3 +278,19 @@
     );
     Ok(())
 }
+
+#[tokio::test]
+async fn streams_of_a_full_batch_are_slower_and_all_whole() -> Result<()> {
+    let fleet = start(1).await?;
+    serve(&fleet, "a", "r1").await?;
+    fleet.engines[0].state().pause_per_run = Duration::from_millis(2);
+    let ids: Vec<String> = (0..8).map(|n| format!("batch-{n}")).collect();
+    for answer in join_all(ids.iter().map(|id| serve(&fleet, "a", id))).await {
+        let answer = answer?;
+        assert!(answer.status == 200 && answer.is_whole);
+    }
+    for id in &ids {
+        assert_eq!(runs_of(&fleet, id), 1);
+    }
+    Ok(())
+}
