Dispatcher without copies; figures of engines wake nobody

Cause: on the grown Head Office site 26 of 32 entries have 0.09 of a core, and the control thread used most of it. Each view of one of 58 engines, some 580 a second an entry, looked at every request that waited; each look copied the ids of all candidates several times and searched the adapters of each engine one by one. Plain requests to the tills were late behind it (p99 757 ms of an aim of 100).

Change: candidates and holders are borrowed; held adapters are looked up by hash; the hash of a home is computed once; requests that wait are looked at when something changed for them, else each 25 ms; figures that come alone are left on a board that the control thread reads when it wakes; sidecars send figures less often with more than ten entries (100 ms to 300 ms).

--- a/coordination/src/dispatch/backend_state.rs
+++ b/coordination/src/dispatch/backend_state.rs
@@ -1,6 +1,7 @@
 use {
     super::Health,
-    chalkcart_protocol::peer::EngineView,
+    crate::membership::stable_hash,
+    chalkcart_protocol::peer::{EngineFigures, EngineView},
     chalkcart_state::backends::{AdapterRef, Backend},
     std::{
         collections::{HashMap, HashSet},
@@ -45,6 +46,10 @@
     unstarted_tokens: u64,
     pub view: Option<EngineView>,
     viewed_at: Instant,
+    /// versions of the adapters in the view
+    held: HashMap<AdapterRef, u64>,
+    /// hash of its address, for the order of homes
+    home_hash: u64,
     pub running_on: HashMap<AdapterRef, u32>,
     pub used: HashSet<AdapterRef>,
     /// adapters that the engine has refused since the last view
@@ -55,6 +60,8 @@
 impl BackendState {
     pub fn new(listed: Backend, now: Instant) -> Self {
         Self {
+            home_hash: stable_hash(&listed.addr.to_string()),
+            held: HashMap::new(),
             listed,
             is_gone: false,
             is_ahead: false,
@@ -73,10 +80,35 @@
         }
     }
 
-    pub fn on_view(&mut self, view: EngineView, now: Instant) {
+    /// its sidecar has spoken; says whether requests that wait may now be sent
+    pub fn on_view(&mut self, view: EngineView, now: Instant) -> bool {
+        let known = self.view.as_ref();
+        let has_news = !self.refused.is_empty()
+            || known.is_none_or(|known| {
+                known.differs_in_holdings(&view)
+                    || known.figures.spare_slots == 0 && view.figures.spare_slots > 0
+            });
+        if known.is_none_or(|known| known.held != view.held) {
+            let held = view.held.iter().map(|h| (h.adapter.clone(), h.version));
+            self.held = held.collect();
+        }
         self.view = Some(view);
         self.viewed_at = now;
         self.refused.clear();
+        has_news
+    }
+    /// its sidecar says that nothing but these figures has changed
+    pub fn on_figures(&mut self, figures: EngineFigures, now: Instant) {
+        if let Some(view) = &mut self.view {
+            view.figures = figures;
+            self.viewed_at = now;
+            self.refused.clear();
+        }
+    }
+    /// the link to its sidecar is gone
+    pub fn on_view_lost(&mut self) {
+        self.view = None;
+        self.held.clear();
     }
     pub fn on_sent(&mut self, sent: &Sent) {
         self.in_flight += 1;
@@ -119,15 +151,14 @@
         if self.refused.contains(adapter) {
             return None;
         }
-        let held = match &self.view {
-            Some(view) => &view.held,
-            // the list lags: it is used only where no sidecar speaks
-            None if now.saturating_duration_since(self.known_since) > LIST_TRUSTED_AFTER => {
-                &self.listed.held
-            }
-            None => return None,
-        };
-        let found = held.iter().find(|h| h.adapter == *adapter);
+        if self.view.is_some() {
+            return self.held.get(adapter).copied();
+        }
+        // the list lags: it is used only where no sidecar speaks
+        if now.saturating_duration_since(self.known_since) <= LIST_TRUSTED_AFTER {
+            return None;
+        }
+        let found = self.listed.held.iter().find(|h| h.adapter == *adapter);
         found.map(|h| h.version)
     }
     /// whether it holds a base model, as far as is known
@@ -142,6 +173,9 @@
         let view = self.view.as_ref();
         view.is_some_and(|v| v.loading.contains(adapter))
     }
+    pub fn home_hash(&self) -> u64 {
+        self.home_hash
+    }
     pub fn spare_slots(&self) -> u32 {
         self.view.as_ref().map_or(0, |v| v.figures.spare_slots)
     }
--- a/coordination/src/dispatch/choosing.rs
+++ b/coordination/src/dispatch/choosing.rs
@@ -20,18 +20,26 @@
 }
 
 impl Dispatcher {
-    /// what is known at a decision, for logs
-    pub(super) fn basis(&self, ask: &Ask, chosen: Option<&BackendId>, now: Instant) -> Basis {
+    /// what is known when a request is refused, for logs
+    pub(super) fn basis(&self, ask: &Ask, now: Instant) -> Basis {
         let candidates = self.candidates(ask, now);
-        let adapter = ask.adapter.as_ref();
-        let holders = candidates.iter().filter(|id| {
-            let state = self.backends.get(*id);
-            adapter.is_some_and(|a| state.is_some_and(|b| b.held_version(a, now).is_some()))
-        });
-        let chosen = chosen.and_then(|id| self.backends.get(id));
+        let holders = match &ask.adapter {
+            Some(adapter) => self.holders(&candidates, adapter, now).len(),
+            None => 0,
+        };
+        self.basis_of(candidates.len(), holders, None, now)
+    }
+
+    fn basis_of(
+        &self,
+        candidates: usize,
+        holders: usize,
+        chosen: Option<&BackendState>,
+        now: Instant,
+    ) -> Basis {
         Basis {
-            candidates: candidates.len() as u32,
-            holders: holders.count() as u32,
+            candidates: candidates as u32,
+            holders: holders as u32,
             queue_ms: chosen.map_or(0.0, |b| self.queue_ms(b, now)),
             occupied: chosen.map_or(0, |b| b.occupied(now)),
             view_age: chosen.and_then(|b| b.view_age(now)),
@@ -40,105 +48,101 @@
         }
     }
 
+    /// what is done for a request now; an adapter that it lacks is wished for
     pub(super) fn choose(&mut self, ask: &Ask, now: Instant) -> Choice {
+        let (choice, home) = self.plan(ask, now);
+        if let (Some(backend), Some(adapter)) = (home, &ask.adapter) {
+            self.wish(adapter, backend, now);
+        }
+        choice
+    }
+
+    /// what to do for a request, and the engine that is to load its adapter
+    fn plan(&self, ask: &Ask, now: Instant) -> (Choice, Option<BackendId>) {
         let candidates = self.candidates(ask, now);
         if candidates.is_empty() {
-            return Choice::Wait(RefusalCause::NoBackend);
+            return (Choice::Wait(RefusalCause::NoBackend), None);
         }
-        match &ask.adapter {
-            Some(adapter) => self.choose_holder(ask, adapter, candidates, now),
-            None => self.choose_with_model(ask, candidates, now),
+        let Some(adapter) = &ask.adapter else {
+            return (self.choose_with_model(ask, &candidates, now), None);
+        };
+        let holders = self.holders(&candidates, adapter, now);
+        if holders.is_empty() {
+            let home = self.home_for(adapter, &candidates, ask, now);
+            return (Choice::Wait(RefusalCause::NotLoaded), home);
         }
+        let choice = self.choose_cheapest(&holders, candidates.len(), Some(adapter), now);
+        let copy = self.home_for_copy(adapter, &holders, &candidates, &choice, now);
+        (choice, copy)
     }
 
     /// a back end for a request without an adapter
-    pub(super) fn choose_with_model(
-        &self,
-        ask: &Ask,
-        candidates: Vec<BackendId>,
-        now: Instant,
-    ) -> Choice {
+    fn choose_with_model(&self, ask: &Ask, candidates: &[&BackendState], now: Instant) -> Choice {
         let Some(model) = &ask.model else {
-            return self.choose_cheapest(candidates, None, now);
+            return self.choose_cheapest(candidates, candidates.len(), None, now);
         };
-        let with_model = self.with_model(&candidates, model);
+        let with_model = with_model(candidates, model);
         match with_model.is_empty() {
             true => Choice::Wait(RefusalCause::NotLoaded),
-            false => self.choose_cheapest(with_model, None, now),
+            false => self.choose_cheapest(&with_model, candidates.len(), None, now),
         }
     }
 
-    /// those of the back ends that hold a base model
-    pub(super) fn with_model(&self, candidates: &[BackendId], model: &str) -> Vec<BackendId> {
-        let holds = |id: &&BackendId| self.backends.get(*id).is_some_and(|b| b.has_model(model));
-        candidates.iter().filter(holds).cloned().collect()
-    }
-
     /// back ends that may take the request, sound ones if there are any
-    pub(super) fn candidates(&self, ask: &Ask, now: Instant) -> Vec<BackendId> {
+    fn candidates(&self, ask: &Ask, now: Instant) -> Vec<&BackendState> {
         let of_service: Vec<&BackendState> = self
             .backends
             .values()
             .filter(|b| b.listed.service == ask.service && !ask.tried.contains(&b.listed.id))
             .collect();
-        let sound = of_service.iter().filter(|b| b.takes_work(now));
-        let sound: Vec<BackendId> = sound.map(|b| b.listed.id.clone()).collect();
+        let keep = |is_kept: &dyn Fn(&BackendState) -> bool| -> Vec<&BackendState> {
+            let kept = of_service.iter().copied().filter(|b| is_kept(b));
+            kept.collect()
+        };
+        let sound = keep(&|b| b.takes_work(now));
         if !sound.is_empty() {
             return sound;
         }
-        let resting = of_service
-            .iter()
-            .filter(|b| !b.listed.leaving && !b.is_gone && !b.is_superseded);
-        let resting: Vec<BackendId> = resting.map(|b| b.listed.id.clone()).collect();
+        let resting = keep(&|b| !b.listed.leaving && !b.is_gone && !b.is_superseded);
         if !resting.is_empty() || self.has_listed(&ask.service) {
             return resting;
         }
-        let gone = of_service
-            .iter()
-            .filter(|b| !b.listed.leaving && !b.is_superseded);
-        gone.map(|b| b.listed.id.clone()).collect()
+        keep(&|b| !b.listed.leaving && !b.is_superseded)
     }
 
-    pub(super) fn choose_cheapest(
+    /// those that hold an adapter in a version that may be run
+    fn holders<'b>(
         &self,
-        candidates: Vec<BackendId>,
-        adapter: Option<&AdapterRef>,
+        candidates: &[&'b BackendState],
+        adapter: &AdapterRef,
         now: Instant,
-    ) -> Choice {
-        let states = candidates.iter().filter_map(|id| self.backends.get(id));
-        let with_place = states.filter(|b| b.has_place(now));
-        let cheapest = with_place.min_by(|a, b| self.cost(a, now).total_cmp(&self.cost(b, now)));
-        match cheapest {
-            Some(state) => Choice::Send(Assignment {
-                backend: state.listed.id.clone(),
-                addr: state.listed.addr,
-                version: adapter.and_then(|a| state.held_version(a, now)),
-                basis: Basis::default(),
-            }),
-            None => Choice::Wait(RefusalCause::Full),
-        }
+    ) -> Vec<&'b BackendState> {
+        let is_holder = |b: &&BackendState| {
+            let version = b.held_version(adapter, now);
+            version.is_some_and(|v| self.is_current(adapter, v, now))
+        };
+        candidates.iter().copied().filter(is_holder).collect()
     }
 
-    pub(super) fn choose_holder(
-        &mut self,
-        ask: &Ask,
-        adapter: &AdapterRef,
-        candidates: Vec<BackendId>,
+    fn choose_cheapest(
+        &self,
+        states: &[&BackendState],
+        candidates: usize,
+        adapter: Option<&AdapterRef>,
         now: Instant,
     ) -> Choice {
-        let is_holder = |id: &&BackendId| {
-            let state = self.backends.get(*id);
-            let version = state.and_then(|b| b.held_version(adapter, now));
-            version.is_some_and(|v| self.is_current(adapter, v, now))
+        let with_place = states.iter().filter(|b| b.has_place(now));
+        let costs = with_place.map(|b| (self.cost(b, now), *b));
+        let Some((_, cheapest)) = costs.min_by(|(a, _), (b, _)| a.total_cmp(b)) else {
+            return Choice::Wait(RefusalCause::Full);
         };
-        let holders: Vec<BackendId> = candidates.iter().filter(is_holder).cloned().collect();
-        if holders.is_empty() {
-            self.wish(adapter, &candidates, ask, now);
-            return Choice::Wait(RefusalCause::NotLoaded);
-        }
-        let choice = self.choose_cheapest(holders.clone(), Some(adapter), now);
-        self.consider_spread(adapter, &holders, &candidates, &choice, now);
-        choice
+        let holders = adapter.map_or(0, |_| states.len());
+        Choice::Send(Assignment {
+            backend: cheapest.listed.id.clone(),
+            addr: cheapest.listed.addr,
+            version: adapter.and_then(|a| cheapest.held_version(a, now)),
+            basis: self.basis_of(candidates, holders, Some(cheapest), now),
+        })
     }
 
     /// whether an adapter's version may still be run
@@ -166,3 +170,12 @@
             + state.health.failure_rate(now) * FAILING_MS
     }
 }
+
+/// those of the back ends that hold a base model
+pub(super) fn with_model<'b>(
+    candidates: &[&'b BackendState],
+    model: &str,
+) -> Vec<&'b BackendState> {
+    let holds = candidates.iter().filter(|b| b.has_model(model));
+    holds.copied().collect()
+}
--- a/coordination/src/dispatch/dispatcher.rs
+++ b/coordination/src/dispatch/dispatcher.rs
@@ -87,16 +87,30 @@
                 self.waiting.take(ticket);
             }
             DispatchEvent::Started(ticket) => self.on_started(ticket),
-            DispatchEvent::Ended { ticket, outcome } => self.on_ended(ticket, outcome, now),
-            DispatchEvent::Listed { version, list } => self.on_list(version, list, now),
-            DispatchEvent::Configured(table) => self.table = table,
+            DispatchEvent::Ended { ticket, outcome } => {
+                if let Some(service) = self.on_ended(ticket, outcome, now) {
+                    self.serve_waiting(|ask| ask.service == service, now);
+                }
+            }
+            DispatchEvent::Viewed { addr, view } => {
+                if self.on_view(addr, view, now) {
+                    self.serve_waiting(|_| true, now);
+                }
+            }
+            DispatchEvent::Figures { backend, figures } => self.on_figures(&backend, figures, now),
+            DispatchEvent::Listed { version, list } => {
+                self.on_list(version, list, now);
+                self.serve_waiting(|_| true, now);
+            }
+            DispatchEvent::Configured(table) => {
+                self.table = table;
+                self.serve_waiting(|_| true, now);
+            }
             DispatchEvent::Tuned(settings) => self.on_settings(settings),
-            DispatchEvent::Viewed { addr, view } => self.on_view(addr, view, now),
             DispatchEvent::ViewLost(backend) => self.on_view_lost(&backend),
             DispatchEvent::Versioned { adapter, version } => self.on_version(adapter, version, now),
-            DispatchEvent::Tick => {}
+            DispatchEvent::Tick => self.serve_waiting(|_| true, now),
         }
-        self.serve_waiting(now);
         std::mem::take(&mut self.decided)
     }
 
@@ -152,13 +166,16 @@
             0 => budget.on_request(now),
             _ if !budget.allows(entries, now) => {
                 let cause = RefusalCause::NoBudget;
-                let basis = self.basis(&ask, None, now);
+                let basis = self.basis(&ask, now);
                 self.refuse(ticket, cause, MIN_RETRY_AFTER, basis);
                 return;
             }
             _ => {}
         }
+        let (service, adapter) = (ask.service.clone(), ask.adapter.clone());
         self.waiting.put(ticket, ask);
+        // those that wait for the same go first
+        self.serve_waiting(|a| a.service == service && a.adapter == adapter, now);
     }
 
     fn on_started(&mut self, ticket: Ticket) {
@@ -174,12 +191,16 @@
         sent.started = true;
     }
 
-    fn on_ended(&mut self, ticket: Ticket, outcome: SendOutcome, now: Instant) {
-        let Some((backend, _, sent)) = self.sent.remove(&ticket) else {
-            return;
-        };
+    /// gives the service whose back end has a free place now
+    fn on_ended(
+        &mut self,
+        ticket: Ticket,
+        outcome: SendOutcome,
+        now: Instant,
+    ) -> Option<ServiceName> {
+        let (backend, service, sent) = self.sent.remove(&ticket)?;
         let Some(state) = self.backends.get_mut(&backend) else {
-            return;
+            return Some(service);
         };
         state.on_ended(&sent);
         match outcome {
@@ -199,34 +220,27 @@
             SendOutcome::Abandoned => {}
         }
         let is_idle_and_gone = state.is_gone && state.in_flight == 0;
-        let service = state.listed.service.clone();
         if is_idle_and_gone && self.has_listed(&service) {
             self.backends.remove(&backend);
         }
+        Some(service)
     }
 
-    /// give back ends to requests that wait, in order, and refuse those whose
-    /// wait is over
-    fn serve_waiting(&mut self, now: Instant) {
-        if self.waiting.is_empty() {
-            return;
-        }
-        for ticket in self.waiting.tickets() {
-            let Some(ask) = self.waiting.get(ticket).cloned() else {
+    /// give back ends to those of the requests that wait, in order, and refuse
+    /// those whose wait is over
+    fn serve_waiting(&mut self, is_concerned: impl Fn(&Ask) -> bool, now: Instant) {
+        for ticket in self.waiting.tickets(is_concerned) {
+            let Some(ask) = self.waiting.take(ticket) else {
                 continue;
             };
             match self.choose(&ask, now) {
-                Choice::Send(assignment) => {
-                    self.waiting.take(ticket);
-                    self.send(ticket, ask, assignment, now);
-                }
-                Choice::Wait(cause) => self.wait_or_refuse(ticket, &ask, cause, now),
+                Choice::Send(assignment) => self.send(ticket, ask, assignment, now),
+                Choice::Wait(cause) => self.wait_or_refuse(ticket, ask, cause, now),
             }
         }
     }
 
-    fn send(&mut self, ticket: Ticket, ask: Ask, mut assignment: Assignment, now: Instant) {
-        assignment.basis = self.basis(&ask, Some(&assignment.backend), now);
+    fn send(&mut self, ticket: Ticket, ask: Ask, assignment: Assignment, now: Instant) {
         if ask.sends > 0 {
             if let Some(budget) = self.budgets.get_mut(&ask.service) {
                 budget.on_repeat(now);
@@ -246,11 +260,10 @@
         self.decided.push((ticket, Decision::Send(assignment)));
     }
 
-    fn wait_or_refuse(&mut self, ticket: Ticket, ask: &Ask, cause: RefusalCause, now: Instant) {
+    fn wait_or_refuse(&mut self, ticket: Ticket, ask: Ask, cause: RefusalCause, now: Instant) {
         if cause == RefusalCause::NotLoaded {
-            if let Some(retry_after) = self.promise(ask, now) {
-                self.waiting.take(ticket);
-                let basis = self.basis(ask, None, now);
+            if let Some(retry_after) = self.promise(&ask, now) {
+                let basis = self.basis(&ask, now);
                 self.refuse(ticket, RefusalCause::LoadsLater, retry_after, basis);
                 return;
             }
@@ -265,10 +278,11 @@
         let longest = ask.target_latency.mul_f64(part);
         let waited = now.saturating_duration_since(ask.arrived);
         if waited >= longest || now >= ask.deadline {
-            self.waiting.take(ticket);
             let retry_after = ask.target_latency / 2;
-            let basis = self.basis(ask, None, now);
+            let basis = self.basis(&ask, now);
             self.refuse(ticket, cause, retry_after.max(MIN_RETRY_AFTER), basis);
+        } else {
+            self.waiting.put(ticket, ask);
         }
     }
 
--- a/coordination/src/dispatch/event.rs
+++ b/coordination/src/dispatch/event.rs
@@ -1,6 +1,6 @@
 use {
     super::{Ask, DispatchSettings, Ticket},
-    chalkcart_protocol::peer::EngineView,
+    chalkcart_protocol::peer::{EngineFigures, EngineView},
     chalkcart_state::{
         backends::{AdapterRef, BackendId, BackendList},
         ingress::RouteTable,
@@ -70,6 +70,11 @@
         addr: SocketAddr,
         view: EngineView,
     },
+    /// nothing but these figures of a view has changed
+    Figures {
+        backend: BackendId,
+        figures: EngineFigures,
+    },
     ViewLost(BackendId),
     /// an adapter has a new version
     Versioned {
--- a/coordination/src/dispatch/listing.rs
+++ b/coordination/src/dispatch/listing.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{dispatcher::Dispatcher, BackendState},
-    chalkcart_protocol::peer::EngineView,
+    chalkcart_protocol::peer::{EngineFigures, EngineView},
     chalkcart_state::{
         backends::{AdapterRef, Backend, BackendId, BackendList},
         ids::ServiceName,
@@ -52,21 +52,34 @@
         of_service.any(|b| !b.is_gone && b.listed.service == *service)
     }
 
-    pub(super) fn on_view(&mut self, addr: SocketAddr, view: EngineView, now: Instant) {
+    /// says whether requests that wait may now be sent
+    pub(super) fn on_view(&mut self, addr: SocketAddr, view: EngineView, now: Instant) -> bool {
         self.last_heard = Some(now);
-        let fence = self.fences.entry(addr).or_default();
-        *fence = view.figures.fence.max(*fence);
+        self.on_fence(addr, view.figures.fence);
         if view.backend.is_empty() {
-            return;
+            return false;
         }
         if !self.backends.contains_key(&view.backend) {
             self.add_ahead_of_list(addr, &view.backend, now);
         }
-        if let Some(state) = self.backends.get_mut(&view.backend) {
-            state.on_view(view, now);
+        let state = self.backends.get_mut(&view.backend);
+        state.is_some_and(|state| state.on_view(view, now))
+    }
+
+    pub(super) fn on_figures(&mut self, backend: &BackendId, figures: EngineFigures, now: Instant) {
+        self.last_heard = Some(now);
+        if let Some(state) = self.backends.get_mut(backend) {
+            state.on_figures(figures, now);
+            let addr = state.listed.addr;
+            self.on_fence(addr, figures.fence);
         }
     }
 
+    fn on_fence(&mut self, addr: SocketAddr, spoken: u64) {
+        let fence = self.fences.entry(addr).or_default();
+        *fence = spoken.max(*fence);
+    }
+
     /// an engine that came back and is not in the list yet: its sidecar knows
     pub(super) fn add_ahead_of_list(&mut self, addr: SocketAddr, id: &BackendId, now: Instant) {
         let mut states = self.backends.values_mut();
@@ -74,7 +87,7 @@
             return;
         };
         former.is_superseded = true;
-        former.view = None;
+        former.on_view_lost();
         let listed = Backend {
             id: id.clone(),
             leaving: false,
@@ -89,7 +102,7 @@
 
     pub(super) fn on_view_lost(&mut self, backend: &BackendId) {
         if let Some(state) = self.backends.get_mut(backend) {
-            state.view = None;
+            state.on_view_lost();
             state.is_gone |= state.is_ahead;
         }
     }
--- a/coordination/src/dispatch/loading.rs
+++ b/coordination/src/dispatch/loading.rs
@@ -1,7 +1,12 @@
 //! which adapters the engines should load, and when requests come back for them
 
 use {
-    super::{choosing::Choice, demands::build_demand, dispatcher::Dispatcher, Ask, BackendState},
+    super::{
+        choosing::{with_model, Choice},
+        demands::build_demand,
+        dispatcher::Dispatcher,
+        Ask, BackendState,
+    },
     crate::membership::{rendezvous_weight, stable_hash},
     chalkcart_protocol::peer::{AdapterDemand, WantedAdapter},
     chalkcart_state::backends::{AdapterRef, BackendId},
@@ -13,12 +18,11 @@
     },
 };
 
-/// after this time without its adapter a request asks at the next engine too
-const NEXT_HOME_AFTER: Duration = Duration::from_millis(1_500);
+/// an adapter is wished for at one engine for this long; a request that still
+/// waits then asks at the next
+const WISHED_FOR: Duration = Duration::from_millis(1_500);
 /// an adapter is spread only while this many of its requests are in flight
 const SPREAD_IN_FLIGHT: u32 = 3;
-/// a wish for another copy is given up after this time
-const SPREAD_FOR: Duration = Duration::from_millis(1_500);
 /// added to the time of a load before its requests come back
 const PROMISE_MARGIN: Duration = Duration::from_millis(60);
 /// an adapter stays wanted for this long after its requests should be back
@@ -116,109 +120,85 @@
         Some(retry_after)
     }
 
-    /// have a sidecar load the adapter, if none does yet
-    pub(super) fn wish(
-        &mut self,
+    /// have the sidecar of an engine load the adapter
+    pub(super) fn wish(&mut self, adapter: &AdapterRef, backend: BackendId, now: Instant) {
+        self.urgent.insert(backend.clone());
+        let until = now + WISHED_FOR;
+        self.spreads
+            .insert(adapter.clone(), Spread { backend, until });
+    }
+
+    /// the engine that is to load the adapter, if none is asked to yet
+    pub(super) fn home_for(
+        &self,
         adapter: &AdapterRef,
-        candidates: &[BackendId],
+        candidates: &[&BackendState],
         ask: &Ask,
         now: Instant,
-    ) {
-        if self
-            .spreads
-            .get(adapter)
-            .is_some_and(|s| s.until > now && candidates.contains(&s.backend))
-        {
-            return;
+    ) -> Option<BackendId> {
+        let wished = self.spreads.get(adapter).filter(|s| s.until > now);
+        if wished.is_some_and(|s| candidates.iter().any(|b| b.listed.id == s.backend)) {
+            return None;
         }
         let waited = now.saturating_duration_since(ask.arrived);
-        let skip = (waited.as_millis() / NEXT_HOME_AFTER.as_millis()) as usize;
-        if let Some(home) = self.home(adapter, candidates, skip) {
-            self.urgent.insert(home.clone());
-            let until = now + NEXT_HOME_AFTER;
-            let backend = home;
-            self.spreads
-                .insert(adapter.clone(), Spread { backend, until });
-        }
+        let skip = (waited.as_millis() / WISHED_FOR.as_millis()) as usize;
+        self.home(adapter, candidates, skip)
     }
 
     /// the engine that is to load an adapter: the one that does so already,
     /// else the first with a spare place in the adapter's own order
-    pub(super) fn home(
+    fn home(
         &self,
         adapter: &AdapterRef,
-        candidates: &[BackendId],
+        candidates: &[&BackendState],
         skip: usize,
     ) -> Option<BackendId> {
-        let with_model = self.with_model(candidates, &adapter.model);
+        let with_model = with_model(candidates, &adapter.model);
         // an engine that holds no model gets the one that is wanted there
         let candidates = match with_model.is_empty() {
             true => candidates,
             false => &with_model,
         };
-        let states: Vec<&BackendState> = candidates
-            .iter()
-            .filter_map(|id| self.backends.get(id))
-            .filter(|b| b.view.is_some())
-            .collect();
-        if let Some(loading) = states.iter().find(|b| b.is_loading(adapter)) {
+        if let Some(loading) = candidates.iter().find(|b| b.is_loading(adapter)) {
             return Some(loading.listed.id.clone());
         }
+        let spare = candidates.iter().filter(|b| b.spare_slots() > 0);
         let key = stable_hash(&adapter.to_string());
-        let mut ranked: Vec<(u64, &BackendState)> = states
-            .into_iter()
-            .filter(|b| b.spare_slots() > 0)
-            .map(|b| {
-                let member = stable_hash(&b.listed.addr.to_string());
-                (rendezvous_weight(key, member), b)
-            })
+        let mut ranked: Vec<(u64, &BackendState)> = spare
+            .map(|b| (rendezvous_weight(key, b.home_hash()), *b))
             .collect();
         ranked.sort_by_key(|(weight, _)| Reverse(*weight));
         let index = skip % ranked.len().max(1);
         ranked.get(index).map(|(_, b)| b.listed.id.clone())
     }
 
-    /// ask for another copy if those that hold the adapter are too busy
-    pub(super) fn consider_spread(
-        &mut self,
+    /// the engine for another copy, if those that hold the adapter are too busy
+    pub(super) fn home_for_copy(
+        &self,
         adapter: &AdapterRef,
-        holders: &[BackendId],
-        candidates: &[BackendId],
+        holders: &[&BackendState],
+        candidates: &[&BackendState],
         choice: &Choice,
         now: Instant,
-    ) {
+    ) -> Option<BackendId> {
         let wait = match choice {
-            Choice::Send(assignment) => {
-                let state = self.backends.get(&assignment.backend);
-                state.map_or(0.0, |b| self.queue_ms(b, now))
-            }
+            Choice::Send(assignment) => assignment.basis.queue_ms,
             Choice::Wait(_) => f64::INFINITY,
         };
-        let in_flight: u32 = holders
-            .iter()
-            .filter_map(|id| self.backends.get(id)?.running_on.get(adapter))
-            .sum();
-        if wait < self.settings.spread_wait_ms
-            || in_flight < SPREAD_IN_FLIGHT
-            || self.spreads.contains_key(adapter)
-        {
-            return;
+        if wait < self.settings.spread_wait_ms || self.spreads.contains_key(adapter) {
+            return None;
+        }
+        let running = holders.iter().filter_map(|b| b.running_on.get(adapter));
+        if running.sum::<u32>() < SPREAD_IN_FLIGHT {
+            return None;
         }
-        let others: Vec<BackendId> = candidates
+        let is_holder = |b: &BackendState| holders.iter().any(|h| h.listed.id == b.listed.id);
+        let others: Vec<&BackendState> = candidates
             .iter()
-            .filter(|id| !holders.contains(id))
-            .filter(|id| {
-                let state = self.backends.get(*id);
-                state.is_some_and(|b| self.queue_ms(b, now) < wait / 2.0)
-            })
-            .cloned()
+            .copied()
+            .filter(|b| !is_holder(b) && self.queue_ms(b, now) < wait / 2.0)
             .collect();
-        if let Some(backend) = self.home(adapter, &others, 0) {
-            self.urgent.insert(backend.clone());
-            let until = now + SPREAD_FOR;
-            self.spreads
-                .insert(adapter.clone(), Spread { backend, until });
-        }
+        self.home(adapter, &others, 0)
     }
 
     /// what requests wait for, by the engine that is to load it
--- a/coordination/src/dispatch/waiting.rs
+++ b/coordination/src/dispatch/waiting.rs
@@ -20,19 +20,14 @@
         let key = self.keys.remove(&ticket)?;
         self.rows.remove(&key)
     }
-    /// tickets in the order in which they are served
-    pub fn tickets(&self) -> Vec<Ticket> {
-        self.rows.keys().map(|(_, _, ticket)| *ticket).collect()
-    }
-    pub fn get(&self, ticket: Ticket) -> Option<&Ask> {
-        self.rows.get(self.keys.get(&ticket)?)
+    /// tickets of those that are concerned, in the order in which they are served
+    pub fn tickets(&self, is_concerned: impl Fn(&Ask) -> bool) -> Vec<Ticket> {
+        let rows = self.rows.iter().filter(|(_, ask)| is_concerned(ask));
+        rows.map(|((_, _, ticket), _)| *ticket).collect()
     }
     pub fn asks(&self) -> impl Iterator<Item = &Ask> {
         self.rows.values()
     }
-    pub fn is_empty(&self) -> bool {
-        self.rows.is_empty()
-    }
     pub fn len(&self) -> usize {
         self.rows.len()
     }
--- a/coordination/tests/dispatch.rs
+++ b/coordination/tests/dispatch.rs
@@ -591,3 +591,65 @@
     fixture.ask(3, ask);
     assert_eq!(fixture.homes("a"), ["engines-2"], "where its base model is");
 }
+
+#[test]
+fn figures_alone_count_in_the_next_decision_and_decide_nothing_themselves() {
+    let mut fixture = fixture_with_views();
+    fixture.view(1, view("engines-1", &[("a", 1)]));
+    let figures = |running| DispatchEvent::Figures {
+        backend: "engines-1".to_string(),
+        figures: EngineFigures {
+            running,
+            ..view("engines-1", &[]).figures
+        },
+    };
+    assert!(fixture.tell(figures(4)).is_empty());
+    let ask = fixture.new_ask(ENGINES, Some("a"));
+    assert!(fixture.ask(1, ask).is_empty(), "four places, all taken");
+    assert!(
+        fixture.tell(figures(0)).is_empty(),
+        "not before the next tick"
+    );
+    assert_eq!(sent_to(&fixture.pass(ms(25))), ["engines-1"]);
+}
+
+#[test]
+fn figures_of_a_sidecar_that_was_lost_bring_nothing_back() {
+    let mut fixture = fixture_with_views();
+    fixture.view(1, view("engines-1", &[("a", 1)]));
+    fixture.tell(DispatchEvent::ViewLost("engines-1".to_string()));
+    let figures = DispatchEvent::Figures {
+        backend: "engines-1".to_string(),
+        figures: EngineFigures::default(),
+    };
+    fixture.tell(figures);
+    let ask = fixture.new_ask(ENGINES, Some("a"));
+    assert!(fixture.ask(1, ask).is_empty());
+}
+
+#[test]
+fn a_later_request_for_the_same_adapter_does_not_pass_an_earlier_one() {
+    let mut fixture = fixture_with_views();
+    fixture.view(1, view("engines-1", &[("a", 1)]));
+    for ticket in 1..=4 {
+        let ask = fixture.new_ask(ENGINES, Some("a"));
+        assert_eq!(sent_to(&fixture.ask(ticket, ask)).len(), 1);
+    }
+    let ask = fixture.new_ask(ENGINES, Some("a"));
+    assert!(fixture.ask(5, ask).is_empty(), "four places");
+    // room that no end of a request has announced
+    let mut list = engines();
+    list[0].slots = 5;
+    let figures = DispatchEvent::Figures {
+        backend: "engines-1".to_string(),
+        figures: EngineFigures::default(),
+    };
+    fixture.tell(figures);
+    let ask = fixture.new_ask(ENGINES, Some("a"));
+    assert!(fixture.ask(6, ask).is_empty());
+    fixture.list(list);
+    let waiting = fixture.dispatcher.waiting_count();
+    assert_eq!(waiting, 1, "one of the two was sent, the earlier one");
+    fixture.tell(DispatchEvent::Withdrawn(6));
+    assert_eq!(fixture.dispatcher.waiting_count(), 0);
+}
--- a/entry/src/ingress/control.rs
+++ b/entry/src/ingress/control.rs
@@ -1,7 +1,9 @@
 use {
-    super::sidecar_links::SidecarLinks,
+    super::{figures_board::FiguresBoard, sidecar_links::SidecarLinks},
     anyhow::{Context, Result},
     chalkcart_coordination::dispatch::{Ask, Decision, DispatchEvent, Dispatcher, Ticket},
+    chalkcart_protocol::peer::EngineFigures,
+    chalkcart_state::backends::BackendId,
     std::{
         collections::HashMap,
         sync::{
@@ -37,6 +39,7 @@
 #[derive(Clone)]
 pub struct ControlHandle {
     commands: mpsc::Sender<Command>,
+    figures: Arc<FiguresBoard>,
     reach: Arc<AtomicBool>,
     waiting: Arc<AtomicUsize>,
     entries: Arc<AtomicU32>,
@@ -47,6 +50,10 @@
         // the control thread ends only with the process
         let _ = self.commands.send(Command::Event(event));
     }
+    /// leave the newest figures of an engine, without waking the control thread
+    pub fn note_figures(&self, backend: &BackendId, figures: EngineFigures) {
+        self.figures.put(backend, figures);
+    }
     /// whether any back end was heard of lately
     pub fn reaches_backends(&self) -> bool {
         self.reach.load(Ordering::Relaxed)
@@ -76,6 +83,7 @@
 struct ControlLoop {
     dispatcher: Dispatcher,
     links: SidecarLinks,
+    figures: Arc<FiguresBoard>,
     askers: HashMap<Ticket, oneshot::Sender<Decision>>,
     last_urgent: Instant,
     last_all: Instant,
@@ -90,11 +98,13 @@
     make_links: impl FnOnce(ControlHandle) -> SidecarLinks,
 ) -> Result<ControlHandle> {
     let (commands, received) = mpsc::channel();
+    let figures = Arc::new(FiguresBoard::default());
     let reach = Arc::new(AtomicBool::new(true));
     let waiting = Arc::new(AtomicUsize::new(0));
     let entries = Arc::new(AtomicU32::new(1));
     let handle = ControlHandle {
         commands,
+        figures: figures.clone(),
         reach: reach.clone(),
         waiting: waiting.clone(),
         entries: entries.clone(),
@@ -103,6 +113,7 @@
     let mut control = ControlLoop {
         dispatcher,
         links: make_links(handle.clone()),
+        figures,
         askers: HashMap::new(),
         last_urgent: now,
         last_all: now,
@@ -119,7 +130,9 @@
 impl ControlLoop {
     fn run(&mut self, received: &mpsc::Receiver<Command>) {
         loop {
-            match received.recv_timeout(self.next_tick()) {
+            let command = received.recv_timeout(self.next_tick());
+            self.take_figures();
+            match command {
                 Ok(command) => self.handle(command),
                 Err(RecvTimeoutError::Timeout) => self.on_event(DispatchEvent::Tick),
                 Err(RecvTimeoutError::Disconnected) => return,
@@ -128,12 +141,16 @@
             self.reach.store(reaches, Ordering::Relaxed);
             let waiting = self.dispatcher.waiting_count();
             self.waiting.store(waiting, Ordering::Relaxed);
-            let entries = self.dispatcher.entry_count();
-            self.entries.store(entries, Ordering::Relaxed);
             self.send_demands();
         }
     }
 
+    fn take_figures(&mut self) {
+        for (backend, figures) in self.figures.take() {
+            self.on_event(DispatchEvent::Figures { backend, figures });
+        }
+    }
+
     fn next_tick(&self) -> Duration {
         match self.dispatcher.waiting_count() {
             0 if !self.dispatcher.has_urgent_demands() => CALM_TICK,
@@ -193,6 +210,8 @@
         self.last_urgent = now;
         if all {
             self.last_all = now;
+            let entries = self.dispatcher.entry_count();
+            self.entries.store(entries, Ordering::Relaxed);
         }
         for (engine, demand) in self.dispatcher.demands(all, now) {
             self.links.send(engine, demand, now);
--- a/entry/src/ingress/mod.rs
+++ b/entry/src/ingress/mod.rs
@@ -4,6 +4,7 @@
 mod answers;
 mod control;
 mod exchange;
+mod figures_board;
 mod follower;
 mod observers;
 mod operator_pages;
--- a/entry/src/ingress/sidecar_links.rs
+++ b/entry/src/ingress/sidecar_links.rs
@@ -1,7 +1,7 @@
 use {
     super::control::ControlHandle,
     chalkcart_coordination::dispatch::DispatchEvent,
-    chalkcart_protocol::peer::{path, AdapterDemand, EngineView, ViewUpdate},
+    chalkcart_protocol::peer::{path, AdapterDemand, ViewUpdate},
     chalkcart_state::backends::{Backend, BackendId},
     chalkcart_transport::client::{ClientError, ClientStep, MessageStream, PeerClient},
     futures::StreamExt,
@@ -18,7 +18,7 @@
     },
 };
 
-/// a sidecar sends a view at least each 250 ms
+/// a sidecar sends a view at least each 400 ms
 const SILENCE: Duration = Duration::from_millis(1_000);
 const RETRY: Duration = Duration::from_millis(150);
 /// a sidecar forgets an entry that is silent for 3 s
@@ -129,21 +129,20 @@
     let opened = timeout(SILENCE, peers.stream(sidecar, path::VIEWS, &()));
     let silent = |_| ClientError::new(ClientStep::Receive, sidecar, "silent");
     let mut updates: MessageStream<ViewUpdate> = opened.await.map_err(silent)??;
-    let mut view = EngineView::default();
     loop {
         let Some(update) = timeout(SILENCE, updates.next()).await.map_err(silent)? else {
             return Ok(());
         };
         match update? {
-            ViewUpdate::Whole(whole) => view = whole,
-            ViewUpdate::Figures(figures) => view.figures = figures,
-        }
-        if backend.is_empty() && !view.backend.is_empty() {
-            log::info!("links: sidecar {sidecar} speaks of {}", view.backend);
+            ViewUpdate::Figures(figures) => control.note_figures(backend, figures),
+            ViewUpdate::Whole(view) => {
+                if backend.is_empty() && !view.backend.is_empty() {
+                    log::info!("links: sidecar {sidecar} speaks of {}", view.backend);
+                }
+                backend.clone_from(&view.backend);
+                control.tell(DispatchEvent::Viewed { addr: engine, view });
+            }
         }
-        backend.clone_from(&view.backend);
-        let view = view.clone();
-        control.tell(DispatchEvent::Viewed { addr: engine, view });
     }
 }
 
--- a/sidecar/src/placement/keeper.rs
+++ b/sidecar/src/placement/keeper.rs
@@ -13,6 +13,10 @@
 
 /// figures that are not worth a message of their own are sent this often
 const FIGURES_EVERY: Duration = Duration::from_millis(100);
+/// and with more entries than ten less often, so that the messages of a fleet
+/// grow more slowly than entries times engines
+const FIGURES_EVERY_ENTRY: Duration = Duration::from_millis(10);
+const FIGURES_AT_LEAST_EVERY: Duration = Duration::from_millis(300);
 
 /// the one task that reads the engine and gives it orders
 pub struct Keeper {
@@ -114,7 +118,7 @@
         let view = self.shared.control().view(now);
         let is_due = self
             .published
-            .is_none_or(|at| now.saturating_duration_since(at) >= FIGURES_EVERY);
+            .is_none_or(|at| now.saturating_duration_since(at) >= figures_pause(&view));
         let is_urgent = is_news(&self.shared.view.borrow(), &view);
         if is_urgent || (is_due && *self.shared.view.borrow() != view) {
             self.published = Some(now);
@@ -129,3 +133,9 @@
     let has_spare = after.figures.spare_slots > 0;
     before.differs_in_holdings(after) || had_spare != has_spare
 }
+
+/// pause between two messages of figures, by the entries that read them
+fn figures_pause(view: &EngineView) -> Duration {
+    let pause = FIGURES_EVERY_ENTRY * view.figures.entries;
+    pause.clamp(FIGURES_EVERY, FIGURES_AT_LEAST_EVERY)
+}
--- a/sidecar/src/placement/views.rs
+++ b/sidecar/src/placement/views.rs
@@ -7,7 +7,7 @@
 };
 
 /// a view goes out when nothing else did for this long
-const HEARTBEAT: Duration = Duration::from_millis(250);
+const HEARTBEAT: Duration = Duration::from_millis(400);
 
 /// the views of the engine from now on, whole where more than figures changed
 pub fn follow(shared: &Arc<Shared>) -> impl Stream<Item = ViewUpdate> + Send {
--- /dev/null
+++ b/testkit/examples/capacity/dispatch.rs
@@ -0,0 +1,157 @@
+//! time of the ingress's decisions
+
+use {
+    crate::fit::Slope,
+    chalkcart_coordination::dispatch::{Ask, DispatchEvent, DispatchSettings, Dispatcher},
+    chalkcart_protocol::peer::{EngineFigures, EngineView},
+    chalkcart_state::{
+        backends::{AdapterRef, Backend, HeldAdapter},
+        ingress::{BaseModel, EngineSpec, IngressLimits, RouteTable, Service},
+    },
+    std::{
+        net::SocketAddr,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+};
+
+const ENGINES: [usize; 3] = [12, 58, 400];
+const HELD: usize = 19;
+const ROUNDS: u32 = 200;
+const SERVICE: &str = "engines";
+/// requests that wait for an adapter while views come in
+const WAITING: u64 = 4;
+
+pub fn measure() -> Vec<Slope> {
+    let views = ENGINES.map(|n| (n as f64, view_micros(n)));
+    let asks = ENGINES.map(|n| (n as f64, ask_micros(n)));
+    vec![
+        Slope::new(
+            "one view while 4 requests wait",
+            "µs an engine",
+            views.to_vec(),
+        ),
+        Slope::new("one request sent", "µs an engine", asks.to_vec()),
+    ]
+}
+
+fn addr(number: usize) -> SocketAddr {
+    SocketAddr::from(([10, 1, (number / 200) as u8, (number % 200) as u8], 80))
+}
+
+fn adapter(number: usize) -> AdapterRef {
+    AdapterRef {
+        model: "model-0".to_string(),
+        adapter: format!("a{number}"),
+    }
+}
+
+fn view(number: usize, running: u32) -> EngineView {
+    let held = (0..HELD).map(|n| HeldAdapter {
+        adapter: adapter(number * HELD + n),
+        version: 1,
+    });
+    EngineView {
+        backend: format!("i-{number:010x}"),
+        models: vec!["model-0".to_string()],
+        held: held.collect(),
+        loading: Vec::new(),
+        figures: EngineFigures {
+            entries: 32,
+            spare_slots: 3,
+            running,
+            ..EngineFigures::default()
+        },
+    }
+}
+
+fn dispatcher(engines: usize, now: Instant) -> Dispatcher {
+    let settings = DispatchSettings {
+        zone: "z0".to_string(),
+        ..DispatchSettings::default()
+    };
+    let mut dispatcher = Dispatcher::new(settings);
+    let spec = EngineSpec {
+        slots: 48,
+        adapter_slots: HELD as u32,
+        weights_mb: 45_000.0,
+        kv_capacity: 119_405,
+        models: vec![BaseModel {
+            name: "model-0".to_string(),
+            weights_mb: 42_700.0,
+            adapter_mb: 66.0,
+            load_time: Duration::from_millis(600),
+            reload_time: Duration::from_millis(600),
+        }],
+    };
+    let service = Service {
+        name: SERVICE.to_string(),
+        health_path: "/health".to_string(),
+        engine: Some(spec),
+    };
+    let table = RouteTable::new(1, IngressLimits::default(), vec![service]);
+    dispatcher.handle(DispatchEvent::Configured(Arc::new(table)), now);
+    let list = (0..engines).map(|number| Backend {
+        id: format!("i-{number:010x}"),
+        service: SERVICE.to_string(),
+        addr: addr(number),
+        zone: format!("z{}", number % 3),
+        slots: 48,
+        leaving: false,
+        models: Vec::new(),
+        held: Vec::new(),
+    });
+    let list = list.collect();
+    dispatcher.handle(DispatchEvent::Listed { version: 1, list }, now);
+    for number in 0..engines {
+        on_view(&mut dispatcher, number, 1, now);
+    }
+    dispatcher
+}
+
+fn on_view(dispatcher: &mut Dispatcher, number: usize, running: u32, now: Instant) {
+    let view = view(number, running);
+    let addr = addr(number);
+    dispatcher.handle(DispatchEvent::Viewed { addr, view }, now);
+}
+
+fn ask(number: usize, now: Instant) -> Ask {
+    Ask {
+        service: SERVICE.to_string(),
+        model: Some("model-0".to_string()),
+        adapter: Some(adapter(number)),
+        prompt_tokens: 1_460,
+        priority: 1,
+        target_latency: Duration::from_millis(800),
+        arrived: now,
+        deadline: now + Duration::from_secs(15),
+        tried: Vec::new(),
+        has_returned: false,
+        sends: 0,
+    }
+}
+
+fn view_micros(engines: usize) -> f64 {
+    let now = Instant::now();
+    let mut dispatcher = dispatcher(engines, now);
+    for ticket in 0..WAITING {
+        let ask = ask(1_000_000 + ticket as usize, now);
+        dispatcher.handle(DispatchEvent::Asked { ticket, ask }, now);
+    }
+    let started = Instant::now();
+    for round in 0..ROUNDS {
+        on_view(&mut dispatcher, round as usize % engines, round, now);
+    }
+    started.elapsed().as_secs_f64() * 1e6 / f64::from(ROUNDS)
+}
+
+fn ask_micros(engines: usize) -> f64 {
+    let now = Instant::now();
+    let mut dispatcher = dispatcher(engines, now);
+    let started = Instant::now();
+    for ticket in 0..u64::from(ROUNDS) {
+        let ask = ask(ticket as usize * 7 % (engines * HELD), now);
+        dispatcher.handle(DispatchEvent::Asked { ticket, ask }, now);
+    }
+    started.elapsed().as_secs_f64() * 1e6 / f64::from(ROUNDS)
+}
--- a/testkit/examples/capacity/main.rs
+++ b/testkit/examples/capacity/main.rs
@@ -2,6 +2,7 @@
 //! `cargo run --release --example capacity`
 
 mod decisions;
+mod dispatch;
 mod fit;
 mod memory;
 mod processes;
@@ -36,6 +37,7 @@
     }
     let mut slopes = memory::measure()?;
     slopes.extend(decisions::measure()?);
+    slopes.extend(dispatch::measure());
     slopes.extend(wire::measure()?);
     if !matches.opt_present("no-processes") {
         slopes.extend(processes::measure()?);
