Copies of adapters by pressure, several at once; homes that are calm

The hottest adapter has a fifth of all prompts; its copies grew by one in 1.5 s, and only once 200 ms of prompt tokens were queued. Ruled out: waits for loads (p75 270 ms), processor time (mended before).

Change: an engine is pressed at 80 ms of queue or half of its places; then its adapter is copied to engines that are clearly less pressed, half as many copies again each round, and the next round begins when the last has come. What counts is the adapter's own requests, running or waiting, as a part of an engine's places. Cold adapters go to calm engines first; crowded engines cost more.

--- a/coordination/src/dispatch/backend_state.rs
+++ b/coordination/src/dispatch/backend_state.rs
@@ -191,6 +191,10 @@
         });
         seen.max(self.in_flight)
     }
+    /// part of its places that is taken
+    pub fn load(&self, now: Instant) -> f64 {
+        f64::from(self.occupied(now)) / f64::from(self.listed.slots.max(1))
+    }
     pub fn has_place(&self, now: Instant) -> bool {
         now >= self.full_until && self.occupied(now) < self.listed.slots
     }
--- a/coordination/src/dispatch/choosing.rs
+++ b/coordination/src/dispatch/choosing.rs
@@ -10,6 +10,10 @@
 const FAR_MS: f64 = 2.0;
 /// cost of a back end that fails each request, in ms
 const FAILING_MS: f64 = 800.0;
+/// cost of a back end with all places taken, in ms: in proportion to its load,
+/// and what grows faster, since each token comes later in a crowded batch
+const LOAD_MS: f64 = 30.0;
+const CROWDED_MS: f64 = 150.0;
 /// cost of one more request that runs there, in ms
 const RUNNING_MS: f64 = 0.4;
 
@@ -50,21 +54,21 @@
 
     /// what is done for a request now; an adapter that it lacks is wished for
     pub(super) fn choose(&mut self, ask: &Ask, now: Instant) -> Choice {
-        let (choice, home) = self.plan(ask, now);
-        if let (Some(backend), Some(adapter)) = (home, &ask.adapter) {
-            self.wish(adapter, backend, now);
+        let (choice, homes) = self.plan(ask, now);
+        if let (Some(adapter), false) = (&ask.adapter, homes.is_empty()) {
+            self.wish(adapter, homes, now);
         }
         choice
     }
 
-    /// what to do for a request, and the engine that is to load its adapter
-    fn plan(&self, ask: &Ask, now: Instant) -> (Choice, Option<BackendId>) {
+    /// what to do for a request, and the engines that are to load its adapter
+    fn plan(&self, ask: &Ask, now: Instant) -> (Choice, Vec<BackendId>) {
         let candidates = self.candidates(ask, now);
         if candidates.is_empty() {
-            return (Choice::Wait(RefusalCause::NoBackend), None);
+            return (Choice::Wait(RefusalCause::NoBackend), Vec::new());
         }
         let Some(adapter) = &ask.adapter else {
-            return (self.choose_with_model(ask, &candidates, now), None);
+            return (self.choose_with_model(ask, &candidates, now), Vec::new());
         };
         let holders = self.holders(&candidates, adapter, now);
         if holders.is_empty() {
@@ -72,8 +76,8 @@
             return (Choice::Wait(RefusalCause::NotLoaded), home);
         }
         let choice = self.choose_cheapest(&holders, candidates.len(), Some(adapter), now);
-        let copy = self.home_for_copy(adapter, &holders, &candidates, &choice, now);
-        (choice, copy)
+        let copies = self.homes_for_copies(adapter, &holders, &candidates, &choice, now);
+        (choice, copies)
     }
 
     /// a back end for a request without an adapter
@@ -141,6 +145,7 @@
             backend: cheapest.listed.id.clone(),
             addr: cheapest.listed.addr,
             version: adapter.and_then(|a| cheapest.held_version(a, now)),
+            pressure: self.pressure(cheapest, now),
             basis: self.basis_of(candidates, holders, Some(cheapest), now),
         })
     }
@@ -158,14 +163,22 @@
         state.queued_tokens(now) / self.settings.tokens_per_ms
     }
 
-    pub(super) fn cost(&self, state: &BackendState, now: Instant) -> f64 {
+    /// how busy an engine is, by its queue and its places; at 1 an adapter that
+    /// only it holds is worth another copy
+    pub(super) fn pressure(&self, state: &BackendState, now: Instant) -> f64 {
+        let queue = self.queue_ms(state, now) / self.settings.copy_from_queue_ms;
+        queue.max(state.load(now) / self.settings.copy_from_load)
+    }
+
+    fn cost(&self, state: &BackendState, now: Instant) -> f64 {
         let is_far = state.listed.zone != self.settings.zone;
         let far = if is_far { FAR_MS } else { 0.0 };
         // requests of a plain service have no tokens, and share its slots
-        let load = f64::from(state.occupied(now)) / f64::from(state.listed.slots.max(1));
+        let load = state.load(now);
         self.queue_ms(state, now)
             + f64::from(state.occupied(now)) * RUNNING_MS
-            + load * 30.0
+            + load * LOAD_MS
+            + load * load * CROWDED_MS
             + far
             + state.health.failure_rate(now) * FAILING_MS
     }
--- a/coordination/src/dispatch/decision.rs
+++ b/coordination/src/dispatch/decision.rs
@@ -29,6 +29,8 @@
     pub addr: SocketAddr,
     /// the version of the adapter that must run
     pub version: Option<u64>,
+    /// how busy it is; at 1 its adapter is worth another copy
+    pub pressure: f64,
     pub basis: Basis,
 }
 
--- a/coordination/src/dispatch/dispatcher.rs
+++ b/coordination/src/dispatch/dispatcher.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         choosing::Choice,
-        loading::{Promise, Spread},
+        loading::{Promise, Wish},
         waiting::WaitingList,
         Ask, Assignment, BackendState, Basis, Decision, DispatchEvent, DispatchSettings,
         RefusalCause, SendOutcome, Sent, SharedBudget, Ticket,
@@ -46,7 +46,8 @@
     /// newest versions, and since when this entry knows them
     pub(super) versions: HashMap<AdapterRef, u64>,
     pub(super) versioned_at: HashMap<AdapterRef, Instant>,
-    pub(super) spreads: HashMap<AdapterRef, Spread>,
+    /// adapters that engines were asked to load
+    pub(super) wishes: HashMap<AdapterRef, Wish>,
     /// highest fences of the sidecars, by the address of their engine
     pub(super) fences: HashMap<SocketAddr, u64>,
     /// requests that were told to come back for an adapter
@@ -70,7 +71,7 @@
             budgets: HashMap::new(),
             versions: HashMap::new(),
             versioned_at: HashMap::new(),
-            spreads: HashMap::new(),
+            wishes: HashMap::new(),
             fences: HashMap::new(),
             promises: HashMap::new(),
             urgent: HashSet::new(),
--- a/coordination/src/dispatch/loading.rs
+++ b/coordination/src/dispatch/loading.rs
@@ -21,17 +21,20 @@
 /// an adapter is wished for at one engine for this long; a request that still
 /// waits then asks at the next
 const WISHED_FOR: Duration = Duration::from_millis(1_500);
-/// an adapter is spread only while this many of its requests are in flight
-const SPREAD_IN_FLIGHT: u32 = 3;
+/// an adapter is copied only while its requests, as estimated over all entries,
+/// take this part of the places of an engine
+const COPIED_FROM_PART: f64 = 0.25;
+/// a copy goes only to an engine that is pressed less than this part
+const PRESSED_LESS: f64 = 0.6;
 /// added to the time of a load before its requests come back
 const PROMISE_MARGIN: Duration = Duration::from_millis(60);
 /// an adapter stays wanted for this long after its requests should be back
 const PROMISE_KEPT: Duration = Duration::from_millis(400);
 
-/// which adapter another engine is asked to load
+/// engines that are asked to load an adapter
 #[derive(Debug, Clone)]
-pub(super) struct Spread {
-    backend: BackendId,
+pub(super) struct Wish {
+    backends: Vec<BackendId>,
     until: Instant,
 }
 
@@ -48,7 +51,7 @@
 impl Dispatcher {
     /// what sidecars must hear now; all of them if `all`
     pub fn demands(&mut self, all: bool, now: Instant) -> Vec<(SocketAddr, AdapterDemand)> {
-        self.spreads.retain(|_, spread| spread.until > now);
+        self.wishes.retain(|_, wish| wish.until > now);
         self.promises.retain(|_, promise| promise.until > now);
         let urgent = std::mem::take(&mut self.urgent);
         let mut wanted = self.wanted(now);
@@ -97,7 +100,7 @@
         if ask.has_returned || ask.sends > 0 || !is_time {
             return None;
         }
-        let backend = self.spreads.get(adapter)?.backend.clone();
+        let backend = self.wishes.get(adapter)?.backends.first()?.clone();
         let view = self.backends.get(&backend)?.view.as_ref()?;
         let load = match view.loading.contains(adapter) {
             true => Duration::from_millis(u64::from(view.figures.next_load_ms)) / 2,
@@ -120,12 +123,12 @@
         Some(retry_after)
     }
 
-    /// have the sidecar of an engine load the adapter
-    pub(super) fn wish(&mut self, adapter: &AdapterRef, backend: BackendId, now: Instant) {
-        self.urgent.insert(backend.clone());
+    /// have the sidecars of engines load the adapter
+    pub(super) fn wish(&mut self, adapter: &AdapterRef, backends: Vec<BackendId>, now: Instant) {
+        self.urgent.extend(backends.iter().cloned());
         let until = now + WISHED_FOR;
-        self.spreads
-            .insert(adapter.clone(), Spread { backend, until });
+        self.wishes
+            .insert(adapter.clone(), Wish { backends, until });
     }
 
     /// the engine that is to load the adapter, if none is asked to yet
@@ -135,76 +138,97 @@
         candidates: &[&BackendState],
         ask: &Ask,
         now: Instant,
-    ) -> Option<BackendId> {
-        let wished = self.spreads.get(adapter).filter(|s| s.until > now);
-        if wished.is_some_and(|s| candidates.iter().any(|b| b.listed.id == s.backend)) {
-            return None;
+    ) -> Vec<BackendId> {
+        let wished = self.wishes.get(adapter).filter(|w| w.until > now);
+        if wished.is_some_and(|w| candidates.iter().any(|b| w.backends.contains(&b.listed.id))) {
+            return Vec::new();
         }
+        let candidates = loadable(candidates, adapter);
+        if let Some(loading) = candidates.iter().find(|b| b.is_loading(adapter)) {
+            return vec![loading.listed.id.clone()];
+        }
+        let ranked = self.rank_homes(adapter, &candidates, now);
         let waited = now.saturating_duration_since(ask.arrived);
         let skip = (waited.as_millis() / WISHED_FOR.as_millis()) as usize;
-        self.home(adapter, candidates, skip)
+        let index = skip % ranked.len().max(1);
+        let home = ranked.get(index).map(|b| b.listed.id.clone());
+        home.into_iter().collect()
     }
 
-    /// the engine that is to load an adapter: the one that does so already,
-    /// else the first with a spare place in the adapter's own order
-    fn home(
+    /// engines with a spare place in the adapter's own order, which is the same
+    /// at each entry; those that are pressed come last
+    fn rank_homes<'b>(
         &self,
         adapter: &AdapterRef,
-        candidates: &[&BackendState],
-        skip: usize,
-    ) -> Option<BackendId> {
-        let with_model = with_model(candidates, &adapter.model);
-        // an engine that holds no model gets the one that is wanted there
-        let candidates = match with_model.is_empty() {
-            true => candidates,
-            false => &with_model,
-        };
-        if let Some(loading) = candidates.iter().find(|b| b.is_loading(adapter)) {
-            return Some(loading.listed.id.clone());
-        }
+        candidates: &[&'b BackendState],
+        now: Instant,
+    ) -> Vec<&'b BackendState> {
         let spare = candidates.iter().filter(|b| b.spare_slots() > 0);
         let key = stable_hash(&adapter.to_string());
-        let mut ranked: Vec<(u64, &BackendState)> = spare
-            .map(|b| (rendezvous_weight(key, b.home_hash()), *b))
+        let mut ranked: Vec<(bool, Reverse<u64>, &BackendState)> = spare
+            .map(|b| {
+                let weight = rendezvous_weight(key, b.home_hash());
+                (self.pressure(b, now) >= 1.0, Reverse(weight), *b)
+            })
             .collect();
-        ranked.sort_by_key(|(weight, _)| Reverse(*weight));
-        let index = skip % ranked.len().max(1);
-        ranked.get(index).map(|(_, b)| b.listed.id.clone())
+        ranked.sort_by_key(|(is_pressed, weight, _)| (*is_pressed, *weight));
+        ranked.into_iter().map(|(_, _, b)| b).collect()
     }
 
-    /// the engine for another copy, if those that hold the adapter are too busy
-    pub(super) fn home_for_copy(
+    /// engines for more copies, if those that hold the adapter are too busy;
+    /// the copies grow by half each time, so that a new favourite has enough of
+    /// them after a few loads
+    pub(super) fn homes_for_copies(
         &self,
         adapter: &AdapterRef,
         holders: &[&BackendState],
         candidates: &[&BackendState],
         choice: &Choice,
         now: Instant,
-    ) -> Option<BackendId> {
-        let wait = match choice {
-            Choice::Send(assignment) => assignment.basis.queue_ms,
+    ) -> Vec<BackendId> {
+        let is_holder = |id: &BackendId| holders.iter().any(|h| h.listed.id == *id);
+        let pressure = match choice {
+            Choice::Send(assignment) => assignment.pressure,
             Choice::Wait(_) => f64::INFINITY,
         };
-        if wait < self.settings.spread_wait_ms || self.spreads.contains_key(adapter) {
-            return None;
+        let wished = self.wishes.get(adapter).filter(|w| w.until > now);
+        let is_coming = wished.is_some_and(|w| !w.backends.iter().all(is_holder));
+        if pressure < 1.0 || is_coming {
+            return Vec::new();
         }
-        let running = holders.iter().filter_map(|b| b.running_on.get(adapter));
-        if running.sum::<u32>() < SPREAD_IN_FLIGHT {
-            return None;
+        if self.needed_part(adapter, holders) < COPIED_FROM_PART {
+            return Vec::new();
         }
-        let is_holder = |b: &BackendState| holders.iter().any(|h| h.listed.id == b.listed.id);
+        let candidates = loadable(candidates, adapter);
+        let coming = candidates.iter().filter(|b| b.is_loading(adapter)).count();
         let others: Vec<&BackendState> = candidates
-            .iter()
-            .copied()
-            .filter(|b| !is_holder(b) && self.queue_ms(b, now) < wait / 2.0)
+            .into_iter()
+            .filter(|b| !is_holder(&b.listed.id) && !b.is_loading(adapter))
+            .filter(|b| self.pressure(b, now) < (pressure * PRESSED_LESS).min(1.0))
             .collect();
-        self.home(adapter, &others, 0)
+        let more = holders.len().div_ceil(2).saturating_sub(coming);
+        let ranked = self.rank_homes(adapter, &others, now);
+        let chosen = ranked.iter().take(more).map(|b| b.listed.id.clone());
+        chosen.collect()
+    }
+
+    /// requests of an adapter that run or wait, with the one in hand, as a part
+    /// of the places of one engine; an estimate for all entries from those of
+    /// this one
+    fn needed_part(&self, adapter: &AdapterRef, holders: &[&BackendState]) -> f64 {
+        let running = holders.iter().filter_map(|b| b.running_on.get(adapter));
+        let waiting = self.waiting.asks();
+        let waiting = waiting.filter(|ask| ask.adapter.as_ref() == Some(adapter));
+        let own = running.sum::<u32>() + waiting.count() as u32 + 1;
+        let of_all = own * self.entry_count();
+        let slots = holders.iter().map(|b| b.listed.slots).max();
+        f64::from(of_all) / f64::from(slots.unwrap_or(1).max(1))
     }
 
     /// what requests wait for, by the engine that is to load it
     pub(super) fn wanted(&self, now: Instant) -> HashMap<BackendId, Vec<WantedAdapter>> {
         let mut rows: BTreeMap<&AdapterRef, WantedAdapter> = BTreeMap::new();
-        for adapter in self.spreads.keys() {
+        for adapter in self.wishes.keys() {
             rows.insert(adapter, wanted_adapter(adapter));
         }
         for (adapter, promise) in &self.promises {
@@ -225,10 +249,10 @@
         }
         let mut wanted: HashMap<BackendId, Vec<WantedAdapter>> = HashMap::new();
         for (adapter, row) in rows {
-            let spread = self.spreads.get(adapter).map(|s| &s.backend);
-            let promised = self.promises.get(adapter).map(|p| &p.backend);
-            if let Some(backend) = spread.or(promised) {
-                wanted.entry(backend.clone()).or_default().push(row);
+            let promised = self.promises.get(adapter).map(|p| vec![p.backend.clone()]);
+            let wished = self.wishes.get(adapter).map(|w| w.backends.clone());
+            for backend in wished.or(promised).unwrap_or_default() {
+                wanted.entry(backend).or_default().push(row.clone());
             }
         }
         wanted
@@ -243,3 +267,12 @@
         waited_ms: 0,
     }
 }
+
+/// engines that hold the adapter's base model; if none does, any will get it
+fn loadable<'b>(candidates: &[&'b BackendState], adapter: &AdapterRef) -> Vec<&'b BackendState> {
+    let with_model = with_model(candidates, &adapter.model);
+    match with_model.is_empty() {
+        true => candidates.to_vec(),
+        false => with_model,
+    }
+}
--- a/coordination/src/dispatch/settings.rs
+++ b/coordination/src/dispatch/settings.rs
@@ -25,7 +25,9 @@
     /// prompt tokens that an engine reads in a ms, with other work between
     pub tokens_per_ms: f64,
     /// a queue this long makes an adapter worth another copy, in ms
-    pub spread_wait_ms: f64,
+    pub copy_from_queue_ms: f64,
+    /// so does this part of the places taken
+    pub copy_from_load: f64,
     /// nothing was heard of any back end for this long: cut off
     pub unheard_after: Duration,
     /// the former version of an adapter is used no longer than this
@@ -46,7 +48,8 @@
             refuse_until: 0.25,
             first_token: Duration::from_millis(100),
             tokens_per_ms: 16.0,
-            spread_wait_ms: 200.0,
+            copy_from_queue_ms: 80.0,
+            copy_from_load: 0.5,
             unheard_after: Duration::from_millis(1_200),
             version_grace: Duration::from_millis(2_500),
         }
--- a/coordination/tests/dispatch.rs
+++ b/coordination/tests/dispatch.rs
@@ -430,6 +430,102 @@
     assert_ne!(homes[0], "engines-1");
 }
 
+/// engines with 16 places, `running` of them taken at the first
+fn fixture_with_one_holder(running: u32) -> Fixture {
+    let list = (1..=8).map(|number| Backend {
+        slots: 16,
+        ..backend(ENGINES, number)
+    });
+    let mut fixture = Fixture::new(list.collect());
+    for number in 1..=8 {
+        fixture.view(number, view(&format!("{ENGINES}-{number}"), &[]));
+    }
+    let mut holder = view("engines-1", &[("a", 1)]);
+    holder.figures.running = running;
+    fixture.view(1, holder);
+    fixture
+}
+
+/// send requests for the adapter, and say which engines are to load it then
+fn homes_after(fixture: &mut Fixture, requests: u64) -> Vec<String> {
+    for ticket in 1..=requests {
+        let ask = Ask {
+            prompt_tokens: 10,
+            ..fixture.new_ask(ENGINES, Some("a"))
+        };
+        fixture.ask(ticket, ask);
+    }
+    fixture.homes("a")
+}
+
+#[test]
+fn an_adapter_is_copied_while_its_holder_has_places_left() {
+    // requests, others at the holder, whether a copy is wanted
+    let cases = [
+        (4, 0, false, "few of the places are taken"),
+        (1, 8, false, "others press the holder"),
+        (9, 0, true, "half of the places are taken"),
+        (
+            4,
+            12,
+            true,
+            "a part of the places that counts, and a busy holder",
+        ),
+    ];
+    for (requests, others, is_copied, name) in cases {
+        let mut fixture = fixture_with_one_holder(others);
+        let homes = homes_after(&mut fixture, requests);
+        assert_eq!(!homes.is_empty(), is_copied, "{name}: {homes:?}");
+    }
+}
+
+#[test]
+fn copies_of_a_favourite_grow_by_half_and_one_round_at_a_time() {
+    let mut fixture = fixture_with_one_holder(16);
+    for number in 2..=3 {
+        let mut holder = view(&format!("{ENGINES}-{number}"), &[("a", 1)]);
+        holder.figures.running = 10;
+        fixture.view(number, holder);
+    }
+    let homes = homes_after(&mut fixture, 6);
+    assert_eq!(homes.len(), 2, "three hold it: {homes:?}");
+    let number: u8 = homes[0].trim_start_matches("engines-").parse().unwrap();
+    let mut loaded = view(&homes[0], &[("a", 1)]);
+    loaded.figures.running = 16;
+    fixture.view(number, loaded);
+    let ask = fixture.new_ask(ENGINES, Some("a"));
+    fixture.ask(100, ask);
+    assert_eq!(fixture.homes("a"), homes, "the second is still on its way");
+}
+
+#[test]
+fn a_copy_goes_to_no_engine_that_is_busy_itself() {
+    let mut fixture = fixture_with_one_holder(16);
+    for number in 2..=7 {
+        let mut busy = view(&format!("{ENGINES}-{number}"), &[]);
+        busy.figures.running = 10;
+        fixture.view(number, busy);
+    }
+    assert_eq!(homes_after(&mut fixture, 4), ["engines-8"]);
+}
+
+#[test]
+fn a_cold_adapter_is_loaded_where_it_is_calm() {
+    let mut fixture = fixture_with_one_holder(0);
+    let cold = |fixture: &mut Fixture, ticket| {
+        let ask = fixture.new_ask(ENGINES, Some("cold"));
+        fixture.ask(ticket, ask);
+        fixture.homes("cold")
+    };
+    let calm = cold(&mut fixture, 1);
+    let number: u8 = calm[0].trim_start_matches("engines-").parse().unwrap();
+    let mut fixture = fixture_with_one_holder(0);
+    let mut busy = view(&calm[0], &[]);
+    busy.figures.running = 12;
+    fixture.view(number, busy);
+    assert_ne!(cold(&mut fixture, 1), calm);
+}
+
 #[test]
 fn repeats_of_all_entries_stay_within_the_budget() {
     let now = Instant::now();
