A former incarnation that is still listed gets nothing

Cause: after a loss of power at all machines the list has the former incarnation of each engine beside the new one for some seconds. Only an incarnation that the list did not know yet put the former one aside. The others have no view, so after 1.5 s their listed adapters were believed: entries of one zone sent 292 requests there in 3 s (421, other incarnation). Each takes from the budget of repeats, and 189 requests were refused for want of it, though nothing had run.

Change: what the sidecar at an address speaks of is the one that lives there; any other incarnation at that address gets no work and no demand, until the sidecar says otherwise. Test: a_former_incarnation_that_is_still_listed_gets_nothing, seen to fail without the change.

--- a/coordination/src/dispatch/backend_state.rs
+++ b/coordination/src/dispatch/backend_state.rs
@@ -38,6 +38,8 @@
     pub is_ahead: bool,
     /// another incarnation has answered at its address
     pub is_superseded: bool,
+    /// the sidecar at its address speaks of another incarnation
+    pub is_replaced: bool,
     known_since: Instant,
     pub health: Health,
     pub in_flight: u32,
@@ -66,6 +68,7 @@
             is_gone: false,
             is_ahead: false,
             is_superseded: false,
+            is_replaced: false,
             known_since: now,
             health: Health::new(now),
             in_flight: 0,
@@ -180,7 +183,11 @@
         self.view.as_ref().map_or(0, |v| v.figures.spare_slots)
     }
     pub fn takes_work(&self, now: Instant) -> bool {
-        !self.listed.leaving && !self.is_gone && !self.is_superseded && !self.health.is_resting(now)
+        self.may_live() && !self.listed.leaving && !self.is_gone && !self.health.is_resting(now)
+    }
+    /// nothing says that another incarnation is at its address
+    pub fn may_live(&self) -> bool {
+        !self.is_superseded && !self.is_replaced
     }
 
     /// requests that run or wait there, all entries together
--- a/coordination/src/dispatch/choosing.rs
+++ b/coordination/src/dispatch/choosing.rs
@@ -107,11 +107,11 @@
         if !sound.is_empty() {
             return sound;
         }
-        let resting = keep(&|b| !b.listed.leaving && !b.is_gone && !b.is_superseded);
+        let resting = keep(&|b| !b.listed.leaving && !b.is_gone && b.may_live());
         if !resting.is_empty() || self.has_listed(&ask.service) {
             return resting;
         }
-        keep(&|b| !b.listed.leaving && !b.is_superseded)
+        keep(&|b| !b.listed.leaving && b.may_live())
     }
 
     /// those that hold an adapter in a version that may be run
--- a/coordination/src/dispatch/listing.rs
+++ b/coordination/src/dispatch/listing.rs
@@ -62,10 +62,20 @@
         if !self.backends.contains_key(&view.backend) {
             self.add_ahead_of_list(addr, &view.backend, now);
         }
+        self.on_incarnation(addr, &view.backend);
         let state = self.backends.get_mut(&view.backend);
         state.is_some_and(|state| state.on_view(view, now))
     }
 
+    /// after a restart the list may have the former incarnation of an engine
+    /// beside the new one for a while; its sidecar knows which one lives
+    fn on_incarnation(&mut self, addr: SocketAddr, living: &BackendId) {
+        let at_address = self.backends.values_mut().filter(|b| b.listed.addr == addr);
+        for state in at_address {
+            state.is_replaced = state.listed.id != *living;
+        }
+    }
+
     pub(super) fn on_figures(&mut self, backend: &BackendId, figures: EngineFigures, now: Instant) {
         self.last_heard = Some(now);
         if let Some(state) = self.backends.get_mut(backend) {
--- a/coordination/src/dispatch/loading.rs
+++ b/coordination/src/dispatch/loading.rs
@@ -58,7 +58,7 @@
         let mut demands = Vec::new();
         let table = self.table.clone();
         for (id, state) in &mut self.backends {
-            if state.is_gone || state.is_superseded || !(all || urgent.contains(id)) {
+            if state.is_gone || !state.may_live() || !(all || urgent.contains(id)) {
                 continue;
             }
             let Some(service) = table.services.get(&state.listed.service) else {
--- a/coordination/tests/dispatch.rs
+++ b/coordination/tests/dispatch.rs
@@ -365,6 +365,32 @@
     assert_eq!(sent_to(&fixture.ask(2, ask)), ["engines-1-new"]);
 }
 
+#[test]
+fn a_former_incarnation_that_is_still_listed_gets_nothing() {
+    let held = HeldAdapter {
+        adapter: adapter("a"),
+        version: 1,
+    };
+    let former = Backend {
+        id: "former".to_string(),
+        held: vec![held],
+        ..backend(ENGINES, 1)
+    };
+    let mut fixture = Fixture::new(vec![former, backend(ENGINES, 1), backend(ENGINES, 2)]);
+    fixture.view(1, view("engines-1", &[]));
+    fixture.view(2, view("engines-2", &[]));
+    // by now the list is believed of engines whose sidecars are silent
+    fixture.pass(ms(2_000));
+    let ask = fixture.new_ask(ENGINES, Some("a"));
+    assert!(fixture.ask(1, ask).is_empty(), "the living ones lack it");
+    assert!(!fixture.homes("a").contains(&"former".to_string()));
+    // the sidecar was wrong, or late
+    fixture.view(1, view("former", &[("a", 1)]));
+    let decided = fixture.pass(ms(25));
+    assert!(decided.is_empty(), "sent with the view");
+    assert_eq!(fixture.dispatcher.waiting_count(), 0);
+}
+
 #[test]
 fn the_former_version_is_run_for_a_short_time_only() {
     let mut fixture = fixture_with_views();
