Several homes at once for what many wait for; the most wanted adapter first

Cause: after a loss of power 58 engines are empty, and the hottest adapter, a fifth of all prompts, was loaded at one home first; all that waited for it were sent there together (first token after 2 to 5 s), and copies began only then. Sidecars loaded by urgency before the number that waits, so adapters that one quick quote waited for went before those that ten explanations waited for.

Change: an adapter that none holds gets as many homes as its prompts need at 600 ms of reading each, as estimated from those that wait at this entry (others are taken to have half as many each); a sidecar loads first what most requests wait for, the most urgent class counting half as much again.

--- a/coordination/src/dispatch/choosing.rs
+++ b/coordination/src/dispatch/choosing.rs
@@ -72,8 +72,8 @@
         };
         let holders = self.holders(&candidates, adapter, now);
         if holders.is_empty() {
-            let home = self.home_for(adapter, &candidates, ask, now);
-            return (Choice::Wait(RefusalCause::NotLoaded), home);
+            let homes = self.homes_for(adapter, &candidates, ask, now);
+            return (Choice::Wait(RefusalCause::NotLoaded), homes);
         }
         let choice = self.choose_cheapest(&holders, candidates.len(), Some(adapter), now);
         let copies = self.homes_for_copies(adapter, &holders, &candidates, &choice, now);
--- a/coordination/src/dispatch/loading.rs
+++ b/coordination/src/dispatch/loading.rs
@@ -24,6 +24,10 @@
 /// an adapter is copied only while its requests, as estimated over all entries,
 /// take this part of the places of an engine
 const COPIED_FROM_PART: f64 = 0.25;
+/// prompts that take longer to read than this are too many for one engine, in ms
+const READING_MS_A_HOME: f64 = 600.0;
+/// of the requests that wait at one entry, what other entries have as well
+const SHARED_BY_ENTRIES: f64 = 0.5;
 /// a copy goes only to an engine that is pressed less than this part
 const PRESSED_LESS: f64 = 0.6;
 /// added to the time of a load before its requests come back
@@ -38,6 +42,16 @@
     until: Instant,
 }
 
+impl Wish {
+    /// how many of its engines are among these
+    fn known_among(&self, candidates: &[&BackendState]) -> usize {
+        let known = candidates
+            .iter()
+            .filter(|b| self.backends.contains(&b.listed.id));
+        known.count()
+    }
+}
+
 /// requests that come back for an adapter
 #[derive(Debug, Clone)]
 pub(super) struct Promise {
@@ -131,28 +145,50 @@
             .insert(adapter.clone(), Wish { backends, until });
     }
 
-    /// the engine that is to load the adapter, if none is asked to yet
-    pub(super) fn home_for(
+    /// engines that are to load an adapter that none holds, if they are not asked
+    /// to yet: one, and more while many requests wait
+    pub(super) fn homes_for(
         &self,
         adapter: &AdapterRef,
         candidates: &[&BackendState],
         ask: &Ask,
         now: Instant,
     ) -> Vec<BackendId> {
+        let needed = self.homes_needed(adapter, ask);
         let wished = self.wishes.get(adapter).filter(|w| w.until > now);
-        if wished.is_some_and(|w| candidates.iter().any(|b| w.backends.contains(&b.listed.id))) {
+        let asked = wished.map_or(0, |w| w.known_among(candidates));
+        if asked >= needed {
             return Vec::new();
         }
         let candidates = loadable(candidates, adapter);
-        if let Some(loading) = candidates.iter().find(|b| b.is_loading(adapter)) {
-            return vec![loading.listed.id.clone()];
-        }
+        let loading = candidates.iter().filter(|b| b.is_loading(adapter));
+        let mut homes: Vec<BackendId> = loading.map(|b| b.listed.id.clone()).collect();
         let ranked = self.rank_homes(adapter, &candidates, now);
         let waited = now.saturating_duration_since(ask.arrived);
         let skip = (waited.as_millis() / WISHED_FOR.as_millis()) as usize;
-        let index = skip % ranked.len().max(1);
-        let home = ranked.get(index).map(|b| b.listed.id.clone());
-        home.into_iter().collect()
+        let start = skip % ranked.len().max(1);
+        let (before, from) = ranked.split_at(start);
+        for home in from.iter().chain(before) {
+            if homes.len() >= needed {
+                break;
+            }
+            if !homes.contains(&home.listed.id) {
+                homes.push(home.listed.id.clone());
+            }
+        }
+        homes
+    }
+
+    /// engines that the requests for an adapter need while all of them wait.
+    /// That several wait here is evidence that they do at other entries; a
+    /// single one may be the only one
+    fn homes_needed(&self, adapter: &AdapterRef, ask: &Ask) -> usize {
+        let waiting = self.waiting.asks();
+        let others = waiting.filter(|ask| ask.adapter.as_ref() == Some(adapter));
+        let tokens: u32 = others.map(|ask| ask.prompt_tokens).sum();
+        let of_all = f64::from(tokens) * f64::from(self.entry_count()) * SHARED_BY_ENTRIES;
+        let reading_ms = (f64::from(ask.prompt_tokens) + of_all) / self.settings.tokens_per_ms;
+        ((reading_ms / READING_MS_A_HOME).ceil() as usize).max(1)
     }
 
     /// engines with a spare place in the adapter's own order, which is the same
--- a/coordination/src/placement/demand_book.rs
+++ b/coordination/src/placement/demand_book.rs
@@ -7,6 +7,11 @@
     },
 };
 
+/// weights of a request that waits, of the most urgent class and of others
+const URGENT_WEIGHT: u32 = 3;
+const WEIGHT: u32 = 2;
+const MOST_URGENT: u8 = 0;
+
 /// what all entries need of one engine
 #[derive(Debug, Default)]
 pub struct DemandBook {
@@ -36,7 +41,8 @@
         let mut wanted = self.each().flat_map(|d| &d.wanted);
         wanted.any(|w| w.adapter == *adapter)
     }
-    /// what requests wait for, the most urgent first
+    /// what requests wait for: first what most of them do, the more urgent
+    /// counting a little more
     pub fn wanted(&self) -> Vec<WantedAdapter> {
         let mut merged: HashMap<&AdapterRef, WantedAdapter> = HashMap::new();
         for wanted in self.each().flat_map(|d| &d.wanted) {
@@ -53,9 +59,9 @@
         }
         let mut wanted: Vec<WantedAdapter> = merged.into_values().collect();
         wanted.sort_by(|a, b| {
-            a.priority
-                .cmp(&b.priority)
-                .then(b.waiting.cmp(&a.waiting))
+            weight(b)
+                .cmp(&weight(a))
+                .then(a.priority.cmp(&b.priority))
                 .then(b.waited_ms.cmp(&a.waited_ms))
                 .then(a.adapter.cmp(&b.adapter))
         });
@@ -76,3 +82,12 @@
         self.demands.values().map(|(_, demand)| demand)
     }
 }
+
+/// weight of an adapter among those that wait to be loaded
+fn weight(wanted: &WantedAdapter) -> u32 {
+    let each = match wanted.priority {
+        MOST_URGENT => URGENT_WEIGHT,
+        _ => WEIGHT,
+    };
+    wanted.waiting * each
+}
--- a/coordination/tests/dispatch.rs
+++ b/coordination/tests/dispatch.rs
@@ -207,6 +207,19 @@
     assert_eq!(sent_to(&decided), vec![homes[0].clone(); 3]);
 }
 
+#[test]
+fn an_adapter_that_many_wait_for_is_loaded_at_several_homes() {
+    let mut fixture = fixture_with_views();
+    for (ticket, homes) in [(1, 1), (2, 1), (3, 2), (4, 2), (5, 3)] {
+        let ask = Ask {
+            prompt_tokens: 4_000,
+            ..fixture.new_ask(ENGINES, Some("a"))
+        };
+        fixture.ask(ticket, ask);
+        assert_eq!(fixture.homes("a").len(), homes, "{ticket} wait");
+    }
+}
+
 #[test]
 fn the_home_of_an_adapter_is_the_same_at_each_entry() {
     let home = || {
--- a/coordination/tests/placement.rs
+++ b/coordination/tests/placement.rs
@@ -160,6 +160,21 @@
     assert_eq!(fixture.kinds(), loads);
 }
 
+#[test]
+fn an_adapter_that_many_wait_for_is_loaded_before_one_more_urgent() {
+    // those that wait for the less urgent one, and what is loaded first
+    let cases = [(1, "urgent"), (2, "many"), (8, "many")];
+    for (waiting, first) in cases {
+        let mut fixture = Fixture::new();
+        let mut demand = demand(&[("urgent", 0), ("many", 1)]);
+        demand.wanted[1].waiting = waiting;
+        fixture.demand(demand);
+        let order = fixture.next_order().unwrap();
+        let expected = OrderKind::LoadAdapter(adapter(first));
+        assert_eq!(order.kind, expected, "{waiting} wait");
+    }
+}
+
 #[test]
 fn the_adapter_unused_for_longest_makes_room() {
     let mut fixture = Fixture::new();
