Views of engines as changes

Change: a stream of views begins whole and goes on with what has changed; the property test follows 300 random series over the wire (fixed seed).

--- a/entry/src/ingress/sidecar_links.rs
+++ b/entry/src/ingress/sidecar_links.rs
@@ -1,7 +1,7 @@
 use {
     super::control::ControlHandle,
     chalkcart_coordination::dispatch::DispatchEvent,
-    chalkcart_protocol::peer::{path, AdapterDemand, ViewUpdate},
+    chalkcart_protocol::peer::{path, AdapterDemand, EngineView, ViewUpdate},
     chalkcart_state::backends::{Backend, BackendId},
     chalkcart_transport::client::{ClientError, ClientStep, MessageStream, PeerClient},
     futures::StreamExt,
@@ -129,20 +129,23 @@
     let opened = timeout(SILENCE, peers.stream(sidecar, path::VIEWS, &()));
     let silent = |_| ClientError::new(ClientStep::Receive, sidecar, "silent");
     let mut updates: MessageStream<ViewUpdate> = opened.await.map_err(silent)??;
+    let mut view = EngineView::default();
     loop {
         let Some(update) = timeout(SILENCE, updates.next()).await.map_err(silent)? else {
             return Ok(());
         };
-        match update? {
-            ViewUpdate::Figures(figures) => control.note_figures(backend, figures),
-            ViewUpdate::Whole(view) => {
-                if backend.is_empty() && !view.backend.is_empty() {
-                    log::info!("links: sidecar {sidecar} speaks of {}", view.backend);
-                }
-                backend.clone_from(&view.backend);
-                control.tell(DispatchEvent::Viewed { addr: engine, view });
-            }
+        let update = update?;
+        if let ViewUpdate::Figures(figures) = update {
+            control.note_figures(backend, figures);
+            continue;
+        }
+        view.apply(update);
+        if backend.is_empty() && !view.backend.is_empty() {
+            log::info!("links: sidecar {sidecar} speaks of {}", view.backend);
         }
+        backend.clone_from(&view.backend);
+        let view = view.clone();
+        control.tell(DispatchEvent::Viewed { addr: engine, view });
     }
 }
 
--- a/protocol/src/peer/mod.rs
+++ b/protocol/src/peer/mod.rs
@@ -29,8 +29,8 @@
     frame::{Frame, FrameBody},
     permit::{PermitAnswer, PermitAsk, PermitPurpose},
     placement::{
-        AdapterDemand, AdapterUse, EngineFigures, EngineRoom, EngineView, ModelSize, ViewUpdate,
-        WantedAdapter,
+        AdapterDemand, AdapterUse, EngineFigures, EngineRoom, EngineView, ModelSize, ViewChange,
+        ViewUpdate, WantedAdapter,
     },
     refusal::{Outcome, Reason, Refusal, Step},
     report::{LoadedAdapter, TargetReport},
--- a/protocol/src/peer/placement.rs
+++ b/protocol/src/peer/placement.rs
@@ -107,10 +107,64 @@
     pub entries: u32,
 }
 
+/// what has changed in a view since the message before
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct ViewChange {
+    /// adapters that came, or that are there in another version
+    pub came: Vec<HeldAdapter>,
+    pub left: Vec<AdapterRef>,
+    pub loading: Vec<AdapterRef>,
+    pub figures: EngineFigures,
+}
+
 /// one message of a stream of views
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum ViewUpdate {
     Whole(EngineView),
-    /// nothing but the figures of the last whole view has changed
+    /// the same incarnation with the same base models holds other adapters
+    Changed(ViewChange),
+    /// nothing but the figures has changed
     Figures(EngineFigures),
 }
+
+impl ViewUpdate {
+    /// the smallest message that makes `after` of `before`
+    pub fn between(before: &EngineView, after: &EngineView) -> Self {
+        if before.backend != after.backend || before.models != after.models {
+            return Self::Whole(after.clone());
+        }
+        if !before.differs_in_holdings(after) {
+            return Self::Figures(after.figures);
+        }
+        let came = after.held.iter().filter(|h| !before.held.contains(h));
+        let is_held = |a: &AdapterRef| after.held.iter().any(|h| h.adapter == *a);
+        let left = before.held.iter().map(|h| &h.adapter);
+        Self::Changed(ViewChange {
+            came: came.cloned().collect(),
+            left: left.filter(|a| !is_held(a)).cloned().collect(),
+            loading: after.loading.clone(),
+            figures: after.figures,
+        })
+    }
+}
+
+impl EngineView {
+    /// take in the next message of the stream
+    pub fn apply(&mut self, update: ViewUpdate) {
+        match update {
+            ViewUpdate::Whole(view) => *self = view,
+            ViewUpdate::Figures(figures) => self.figures = figures,
+            ViewUpdate::Changed(change) => {
+                let is_known = |h: &HeldAdapter| {
+                    !change.left.contains(&h.adapter)
+                        && !change.came.iter().any(|c| c.adapter == h.adapter)
+                };
+                self.held.retain(is_known);
+                self.held.extend(change.came);
+                self.held.sort_by(|a, b| a.adapter.cmp(&b.adapter));
+                self.loading = change.loading;
+                self.figures = change.figures;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/protocol/tests/views.rs
@@ -0,0 +1,91 @@
+//! the messages of a stream of views make the same view on the other side
+
+use {
+    chalkcart_protocol::{
+        decode, encode,
+        peer::{EngineFigures, EngineView, ViewUpdate},
+    },
+    chalkcart_state::backends::{AdapterRef, HeldAdapter},
+    quickcheck::{Gen, QuickCheck},
+};
+
+const CASES: u64 = 300;
+const SIZE: usize = 24;
+const SEED: u64 = 7;
+
+fn adapter(number: u8) -> AdapterRef {
+    AdapterRef {
+        model: "m".to_string(),
+        adapter: format!("a{}", number % 8),
+    }
+}
+
+/// a view from a few numbers: incarnation, adapters with versions, loads, queue
+fn view((incarnation, held, loading, queued): (u8, Vec<u8>, Vec<u8>, u8)) -> EngineView {
+    let held = held.iter().map(|n| HeldAdapter {
+        adapter: adapter(*n),
+        version: u64::from(n / 8 % 3),
+    });
+    let mut held: Vec<HeldAdapter> = held.collect();
+    held.sort_by(|a, b| a.adapter.cmp(&b.adapter));
+    held.dedup_by(|a, b| a.adapter == b.adapter);
+    EngineView {
+        backend: format!("b{}", incarnation % 2),
+        models: Vec::new(),
+        held,
+        loading: loading.iter().take(2).map(|n| adapter(*n)).collect(),
+        figures: EngineFigures {
+            queued: u32::from(queued),
+            ..EngineFigures::default()
+        },
+    }
+}
+
+fn follows(views: Vec<(u8, Vec<u8>, Vec<u8>, u8)>) -> bool {
+    let mut before = EngineView::default();
+    let mut followed = EngineView::default();
+    views.into_iter().map(view).all(|after| {
+        let update = ViewUpdate::between(&before, &after);
+        let sent: ViewUpdate = decode(&encode(&update).unwrap()).unwrap();
+        followed.apply(sent);
+        before = after;
+        followed == before
+    })
+}
+
+#[test]
+fn a_follower_of_changes_has_the_view_that_was_sent() {
+    let check: fn(Vec<(u8, Vec<u8>, Vec<u8>, u8)>) -> bool = follows;
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(SIZE, SEED))
+        .tests(CASES)
+        .quickcheck(check);
+}
+
+#[test]
+fn the_smallest_message_is_sent() {
+    type Change = fn(&mut EngineView);
+    let cases: &[(&str, Change, &str)] = &[
+        ("figures", |v| v.figures.queued = 9, "figures"),
+        ("an adapter less", |v| drop(v.held.pop()), "changed"),
+        ("a newer version", |v| v.held[0].version = 9, "changed"),
+        ("a load", |v| v.loading = vec![adapter(7)], "changed"),
+        (
+            "a base model",
+            |v| v.models = vec!["m".to_string()],
+            "whole",
+        ),
+        ("an incarnation", |v| v.backend = "new".to_string(), "whole"),
+    ];
+    for (name, change, expected) in cases {
+        let before = view((0, vec![1, 2, 3], Vec::new(), 0));
+        let mut after = before.clone();
+        change(&mut after);
+        let kind = match ViewUpdate::between(&before, &after) {
+            ViewUpdate::Whole(_) => "whole",
+            ViewUpdate::Changed(_) => "changed",
+            ViewUpdate::Figures(_) => "figures",
+        };
+        assert_eq!(kind, *expected, "{name}");
+    }
+}
--- a/sidecar/src/placement/views.rs
+++ b/sidecar/src/placement/views.rs
@@ -9,7 +9,7 @@
 /// a view goes out when nothing else did for this long
 const HEARTBEAT: Duration = Duration::from_millis(400);
 
-/// the views of the engine from now on, whole where more than figures changed
+/// the views of the engine from now on: the first whole, then what changes
 pub fn follow(shared: &Arc<Shared>) -> impl Stream<Item = ViewUpdate> + Send {
     let mut views = shared.view.subscribe();
     views.mark_changed();
@@ -24,12 +24,12 @@
     })
 }
 
+/// the first message is whole, each later one says what has changed
 fn next_update(sent: &mut Option<EngineView>, view: EngineView) -> ViewUpdate {
-    match sent {
-        Some(last) if !last.differs_in_holdings(&view) => ViewUpdate::Figures(view.figures),
-        _ => {
-            *sent = Some(view.clone());
-            ViewUpdate::Whole(view)
-        }
-    }
+    let update = match sent {
+        Some(before) => ViewUpdate::between(before, &view),
+        None => ViewUpdate::Whole(view.clone()),
+    };
+    *sent = Some(view);
+    update
 }
