Copies only on evidence of other requests

Cause: the need for a copy was taken as (requests of this entry, with the one in hand) times the entries.

Change: the request in hand counts once, others here count for all entries.

--- a/coordination/src/dispatch/loading.rs
+++ b/coordination/src/dispatch/loading.rs
@@ -248,15 +248,15 @@
         chosen.collect()
     }
 
-    /// requests of an adapter that run or wait, with the one in hand, as a part
-    /// of the places of one engine; an estimate for all entries from those of
-    /// this one
+    /// requests of an adapter that run or wait, as a part of the places of one
+    /// engine; an estimate for all entries from those of this one. The request
+    /// in hand is no evidence that other entries have some too
     fn needed_part(&self, adapter: &AdapterRef, holders: &[&BackendState]) -> f64 {
         let running = holders.iter().filter_map(|b| b.running_on.get(adapter));
         let waiting = self.waiting.asks();
         let waiting = waiting.filter(|ask| ask.adapter.as_ref() == Some(adapter));
-        let own = running.sum::<u32>() + waiting.count() as u32 + 1;
-        let of_all = own * self.entry_count();
+        let others = running.sum::<u32>() + waiting.count() as u32;
+        let of_all = 1 + others * self.entry_count();
         let slots = holders.iter().map(|b| b.listed.slots).max();
         f64::from(of_all) / f64::from(slots.unwrap_or(1).max(1))
     }
