The list's pause follows the time to drain and the store's rate

Change: a decision of its own (ListPacing): 400 ms, growing with the root of the entries, at most 0.4 of the time to drain; never more than a quarter of the store's reading calls for all entries together. Two settings, filled by the template.

--- a/entry/src/conf/ingress_settings.rs
+++ b/entry/src/conf/ingress_settings.rs
@@ -34,6 +34,10 @@
     /// a request may begin on the former version of its adapter for this
     /// long, in ms
     pub version_ms: u64,
+    /// a back end that leaves gets no more requests after this time, in ms
+    pub drain_ms: u64,
+    /// reading calls that the store answers in a second, to all processes
+    pub store_reads_per_s: f64,
     #[serde(default = "defaults::log")]
     pub log: String,
 }
@@ -50,6 +54,8 @@
         check_filled("zone", &self.zone, "the availability zone")?;
         check_positive("sidecar_port", u64::from(self.sidecar_port))?;
         check_positive("version_ms", self.version_ms)?;
+        check_positive("drain_ms", self.drain_ms)?;
+        check_number("store_reads_per_s", self.store_reads_per_s)?;
         check_number("grace_s", self.grace_s)?;
         check_number("retry_ratio", self.retry_ratio)?;
         check_number("retry_extra", self.retry_extra)?;
--- a/entry/src/ingress/follower.rs
+++ b/entry/src/ingress/follower.rs
@@ -15,15 +15,6 @@
 /// how long one watch waits; a watch that was cut silently costs this time
 const WATCH_WAIT: Duration = Duration::from_millis(2_500);
 
-/// pause after changes of the list, which come in series while adapters are
-/// loaded; each call to the store has its price
-const LIST_PAUSE: Duration = Duration::from_millis(300);
-/// entries with that pause; more of them pause longer, so that their calls
-/// grow more slowly than they do
-const FEW_ENTRIES: f64 = 4.0;
-/// the pause is lengthened no further than this
-const LONGEST_FACTOR: f64 = 3.0;
-
 /// follows one topic of the platform's store
 pub struct Follower {
     shared: Arc<Shared>,
@@ -83,7 +74,8 @@
                 let has_news = !heard.records.is_empty();
                 self.take_in(heard);
                 if has_news && self.topic == Topic::Backends {
-                    sleep(list_pause(self.shared.control.entries())).await;
+                    let entries = self.shared.control.entries();
+                    sleep(self.shared.list_pacing().pause(entries)).await;
                 }
             }
             Watched::HistoryLost => {
@@ -147,9 +139,3 @@
         self.shared.control.tell(DispatchEvent::Configured(table));
     }
 }
-
-/// pause after a change of the list, by the entries of the fleet
-fn list_pause(entries: u32) -> Duration {
-    let factor = (f64::from(entries) / FEW_ENTRIES).sqrt();
-    LIST_PAUSE.mul_f64(factor.clamp(1.0, LONGEST_FACTOR))
-}
--- a/entry/src/ingress/shared.rs
+++ b/entry/src/ingress/shared.rs
@@ -2,7 +2,7 @@
     super::control::ControlHandle,
     crate::conf::IngressSettings,
     arc_swap::ArcSwapOption,
-    chalkcart_coordination::dispatch::Ticket,
+    chalkcart_coordination::{dispatch::Ticket, retry::ListPacing},
     chalkcart_state::ingress::{Route, RouteTable},
     chalkcart_transport::{
         ingress::{Dialect, Phase},
@@ -72,6 +72,12 @@
         *longest = (*longest).max(deadline);
         deadline + RETURN_MARGIN < *longest
     }
+    pub fn list_pacing(&self) -> ListPacing {
+        ListPacing {
+            drain: Duration::from_millis(self.settings.drain_ms),
+            store_reads_per_s: self.settings.store_reads_per_s,
+        }
+    }
     pub fn set_knows_backends(&self) {
         self.knows_backends.store(true, Ordering::Relaxed);
     }
--- a/entry/tests/command_line.rs
+++ b/entry/tests/command_line.rs
@@ -124,7 +124,8 @@
 
 const INGRESS: &str = r#"{"name":"e","zone":"z","clients":"127.0.0.1:1","readiness":"127.0.0.1:2",
   "metrics":"127.0.0.1:3","store":"127.0.0.1:4","sidecar_port":5,"grace_s":8,"retry_ratio":0.2,
-  "retry_extra":50,"retry_window_s":10,"version_ms":5000}"#;
+  "retry_extra":50,"retry_window_s":10,"version_ms":5000,
+  "drain_ms":2000,"store_reads_per_s":2000}"#;
 
 /// each wrong value ends with the key, the value and what was expected
 #[test]
--- a/protocol/tests/views.rs
+++ b/protocol/tests/views.rs
@@ -13,6 +13,9 @@
 const SIZE: usize = 24;
 const SEED: u64 = 7;
 
+/// incarnation, adapters with versions, loads, queue
+type ViewNumbers = (u8, Vec<u8>, Vec<u8>, u8);
+
 fn adapter(number: u8) -> AdapterRef {
     AdapterRef {
         model: "m".to_string(),
@@ -20,8 +23,8 @@
     }
 }
 
-/// a view from a few numbers: incarnation, adapters with versions, loads, queue
-fn view((incarnation, held, loading, queued): (u8, Vec<u8>, Vec<u8>, u8)) -> EngineView {
+/// a view from a few numbers
+fn view((incarnation, held, loading, queued): ViewNumbers) -> EngineView {
     let held = held.iter().map(|n| HeldAdapter {
         adapter: adapter(*n),
         version: u64::from(n / 8 % 3),
@@ -41,7 +44,7 @@
     }
 }
 
-fn follows(views: Vec<(u8, Vec<u8>, Vec<u8>, u8)>) -> bool {
+fn follows(views: Vec<ViewNumbers>) -> bool {
     let mut before = EngineView::default();
     let mut followed = EngineView::default();
     views.into_iter().map(view).all(|after| {
@@ -55,7 +58,7 @@
 
 #[test]
 fn a_follower_of_changes_has_the_view_that_was_sent() {
-    let check: fn(Vec<(u8, Vec<u8>, Vec<u8>, u8)>) -> bool = follows;
+    let check: fn(Vec<ViewNumbers>) -> bool = follows;
     QuickCheck::new()
         .rng(Gen::from_size_and_seed(SIZE, SEED))
         .tests(CASES)
--- a/testkit/src/users_platform/fleet.rs
+++ b/testkit/src/users_platform/fleet.rs
@@ -103,6 +103,7 @@
             "metrics": metrics, "store": store.addr, "sidecar_port": sidecar_port,
             "grace_s": settings.grace_s, "retry_ratio": 0.2, "retry_extra": 50,
             "retry_window_s": 10, "version_ms": 5000,
+            "drain_ms": 2000, "store_reads_per_s": 2000,
         });
         fs::write(&settings_file, document.to_string())?;
         let log_file = folder.join("ingress.log");
