--- a/coordination/tests/dispatch.rs
+++ b/coordination/tests/dispatch.rs
@@ -546,6 +546,14 @@
         fixture.view(number, busy);
     }
     assert_eq!(homes_after(&mut fixture, 4), ["engines-8"]);
+    let mut fixture = fixture_with_one_holder(16);
+    for number in 2..=8 {
+        let mut busy = view(&format!("{ENGINES}-{number}"), &[]);
+        busy.figures.running = 10;
+        fixture.view(number, busy);
+    }
+    let homes = homes_after(&mut fixture, 4);
+    assert!(homes.is_empty(), "a copy would relieve nobody: {homes:?}");
 }
 
 #[test]
