Kept connections are closed before the last request that may be taken

Change: the times of a planned stop are a decision of their own (IngressDrain). Connections are closed 2.6 s after the signal: the balancer has noticed at 2 s, and 0.4 s are left for what is on its way.

--- /dev/null
+++ b/coordination/src/drain/mod.rs
@@ -0,0 +1,5 @@
+//! the steps of a planned stop
+
+mod ingress_drain;
+
+pub use ingress_drain::IngressDrain;
--- a/coordination/src/lib.rs
+++ b/coordination/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod config;
 pub mod dispatch;
+pub mod drain;
 pub mod fence;
 pub mod membership;
 pub mod once;
--- a/entry/src/ingress/serve.rs
+++ b/entry/src/ingress/serve.rs
@@ -5,7 +5,10 @@
     },
     crate::conf::IngressSettings,
     anyhow::{Context, Result},
-    chalkcart_coordination::dispatch::{DispatchEvent, DispatchSettings, Dispatcher},
+    chalkcart_coordination::{
+        dispatch::{DispatchEvent, DispatchSettings, Dispatcher},
+        drain::IngressDrain,
+    },
     chalkcart_node::{
         runtime::run_on_one_thread, settings::SettingsFollower, signals::stop_signal,
     },
@@ -18,11 +21,6 @@
     tokio::{runtime::Handle, sync::watch, time::timeout},
 };
 
-/// time in which the platform's balancer notices that this process drains
-const DRAIN_NOTICE: Duration = Duration::from_millis(3_000);
-/// part of the grace that is left to end the process
-const END_SLACK: Duration = Duration::from_millis(150);
-
 /// run the ingress until it is asked to stop
 pub fn serve(
     settings: IngressSettings,
@@ -89,13 +87,13 @@
 
 /// stop being ready, let the balancer notice, and let requests end
 async fn drain(shared: &Shared, served: tokio::task::JoinHandle<()>) -> Result<()> {
+    let times = IngressDrain {
+        grace: shared.settings.grace(),
+    };
     shared.phase.send_replace(Phase::Draining);
-    tokio::time::sleep(DRAIN_NOTICE).await;
+    tokio::time::sleep(times.close_after()).await;
     shared.phase.send_replace(Phase::Closing);
-    let left = shared
-        .settings
-        .grace()
-        .saturating_sub(DRAIN_NOTICE + END_SLACK);
+    let left = times.end_after().saturating_sub(times.close_after());
     match timeout(left, served).await {
         Ok(joined) => joined.context("join the server")?,
         Err(_) => log::warn!("ingress: requests still run after {left:?}"),
