The platform's settings are decoded once; a client's head is cut at the edge

Change: the template hands the platform's fields on whole and platform/settings.rs decodes them, whatever the case and the dashes of the keys; a value that is absent has a default with unit, named in a log line, or stops the start with its key. A send carries of the platform's names only those that clients own, ours beside them; names that nobody knows are withheld, because an engine would take them for ours. A Connection header takes no protected header out.

--- a/entry/src/cli/ingress.rs
+++ b/entry/src/cli/ingress.rs
@@ -3,10 +3,14 @@
     anyhow::Result,
     chalkcart_node::{
         cli::{ExitCode, Program},
-        settings::{self, SettingsFollower},
+        settings::{self, SettingsError, SettingsFollower},
+    },
+    chalkcart_platform::{
+        settings::{self as platform_settings, Program as PlatformProgram},
+        PlatformDialect, PlatformStore,
     },
-    chalkcart_platform::{PlatformDialect, PlatformStore},
     getopts::Matches,
+    serde_json::Value,
     std::sync::Arc,
 };
 
@@ -16,7 +20,7 @@
         Ok(file) => file,
         Err(e) => return Ok(chalkcart_node::cli::usage_error(program, e)),
     };
-    let settings: IngressSettings = match settings::load(&file) {
+    let settings: IngressSettings = match settings::load_translated(&file, translate) {
         Ok(settings) => settings,
         Err(e) => {
             eprintln!("{}: settings: {e}", program.name);
@@ -28,7 +32,11 @@
         return Ok(ExitCode::Done);
     }
     let store = Arc::new(PlatformStore::new(settings.store));
-    let follower = SettingsFollower::new(&file);
+    let follower = SettingsFollower::translated(&file, translate);
     ingress::serve(settings, follower, store, Arc::new(PlatformDialect))?;
     Ok(ExitCode::Done)
 }
+
+fn translate(document: Value) -> Result<Value, SettingsError> {
+    platform_settings::translate(PlatformProgram::Ingress, document)
+}
--- a/entry/src/conf/ingress_settings.rs
+++ b/entry/src/conf/ingress_settings.rs
@@ -38,6 +38,9 @@
     pub drain_ms: u64,
     /// reading calls that the store answers in a second, to all processes
     pub store_reads_per_s: f64,
+    /// values that the platform left out, for the log
+    #[serde(default)]
+    pub defaulted: Vec<String>,
     #[serde(default = "defaults::log")]
     pub log: String,
 }
--- a/entry/src/ingress/exchange.rs
+++ b/entry/src/ingress/exchange.rs
@@ -328,14 +328,14 @@
             first_part: None,
         };
         let (mut parts, body) = answer.response.into_parts();
-        remove_connection_headers(&mut parts.headers);
+        remove_connection_headers(&mut parts.headers, self.shared.dialect.end_to_end());
         let body = PassBody::new(body, answer.connection, self.deadline, Box::new(observer));
         Attempt::Answered(Response::from_parts(parts, Either::Right(body)))
     }
 
     async fn collect(&self, answer: BackendAnswer, mut guard: SendGuard) -> Attempt {
         let (mut parts, body) = answer.response.into_parts();
-        remove_connection_headers(&mut parts.headers);
+        remove_connection_headers(&mut parts.headers, self.shared.dialect.end_to_end());
         let left = self.deadline.saturating_duration_since(Instant::now());
         let body = match timeout(left, body.collect()).await {
             Err(_) => return Attempt::TimedOut,
--- a/entry/src/ingress/serve.rs
+++ b/entry/src/ingress/serve.rs
@@ -38,6 +38,10 @@
     store: Arc<dyn MetadataSource>,
     dialect: Arc<dyn Dialect>,
 ) -> Result<()> {
+    if !settings.defaulted.is_empty() {
+        let defaulted = settings.defaulted.join(", ");
+        log::warn!("settings: defaults in force: {defaulted}");
+    }
     let clients = server::bind(settings.clients).await?;
     let readiness = server::bind(settings.readiness).await?;
     let metrics = server::bind(settings.metrics).await?;
--- a/entry/src/ingress/service.rs
+++ b/entry/src/ingress/service.rs
@@ -10,7 +10,7 @@
     http::{
         header::{CONNECTION, HOST},
         request::Parts,
-        HeaderValue, StatusCode,
+        HeaderName, HeaderValue, StatusCode,
     },
     http_body_util::{BodyExt, LengthLimitError, Limited},
     hyper::body::{Body, Incoming},
@@ -26,6 +26,9 @@
 /// the limit changes while it rests
 const HEAD_LIMIT: Duration = Duration::from_secs(120);
 
+/// names of withheld headers that a line of the log holds at most
+const MAX_NAMES_LOGGED: usize = 8;
+
 /// answers requests on the routes of the configuration
 pub struct RoutedIngress {
     shared: Arc<Shared>,
@@ -84,6 +87,18 @@
         }
     }
 
+    /// a client has set what is not its own to set; its request goes on without
+    fn note_withheld(&self, request: &str, names: &[HeaderName]) {
+        self.shared.metrics.on_withheld(names.len());
+        let names = names.iter().take(MAX_NAMES_LOGGED);
+        let names: Vec<&str> = names.map(HeaderName::as_str).collect();
+        log::info!(
+            request = request,
+            headers = names.join(",").as_str();
+            "ingress: headers withheld"
+        );
+    }
+
     async fn accept(&self, req: ClientRequest) -> Result<Accepted, ClientResponse> {
         let arrived = Instant::now();
         let (mut parts, body) = req.into_parts();
@@ -109,7 +124,11 @@
             self.turn_away(&own, status, &e.to_string(), &parts)
         };
         let head = head.map_err(turned)?;
-        remove_connection_headers(&mut parts.headers);
+        remove_connection_headers(&mut parts.headers, self.shared.dialect.end_to_end());
+        let withheld = self.shared.dialect.withhold(&mut parts.headers);
+        if !withheld.is_empty() {
+            self.note_withheld(&head.id, &withheld);
+        }
         Ok(Accepted {
             parts,
             body,
--- a/node/src/settings/follow.rs
+++ b/node/src/settings/follow.rs
@@ -1,5 +1,5 @@
 use {
-    super::{parse, Checked, SettingsError},
+    super::{parse_translated, Checked, SettingsError, Translate},
     anyhow::{Context, Result},
     serde::de::DeserializeOwned,
     std::{
@@ -19,12 +19,18 @@
 pub struct SettingsFollower {
     file: PathBuf,
     text: String,
+    translate: Translate,
 }
 
 impl SettingsFollower {
     /// `file` was read at the start
     pub fn new(file: &Path) -> Self {
+        Self::translated(file, Ok)
+    }
+    /// the same for a file of another form
+    pub fn translated(file: &Path, translate: Translate) -> Self {
         Self {
+            translate,
             file: file.to_path_buf(),
             text: std::fs::read_to_string(file).unwrap_or_default(),
         }
@@ -63,6 +69,6 @@
             return Ok(None);
         }
         self.text = text;
-        parse(&self.text).map(Some)
+        parse_translated(&self.text, self.translate).map(Some)
     }
 }
--- a/node/src/settings/load.rs
+++ b/node/src/settings/load.rs
@@ -1,6 +1,7 @@
 use {
     super::SettingsError,
-    serde::de::DeserializeOwned,
+    serde::{de::DeserializeOwned, Deserializer},
+    serde_json::Value,
     std::path::{Path, PathBuf},
 };
 
@@ -10,31 +11,67 @@
     fn check(&self) -> Result<(), SettingsError>;
 }
 
+/// turns another form of a settings file into ours
+pub type Translate = fn(Value) -> Result<Value, SettingsError>;
+
 /// read and check a settings file
 pub fn load<T: DeserializeOwned + Checked>(file: &Path) -> Result<T, SettingsError> {
-    let text = std::fs::read_to_string(file).map_err(|source| SettingsError::Read {
+    parse(&read(file)?)
+}
+
+/// the same for a file of another form
+pub fn load_translated<T: DeserializeOwned + Checked>(
+    file: &Path,
+    translate: Translate,
+) -> Result<T, SettingsError> {
+    parse_translated(&read(file)?, translate)
+}
+
+fn read(file: &Path) -> Result<String, SettingsError> {
+    std::fs::read_to_string(file).map_err(|source| SettingsError::Read {
         file: file.to_path_buf(),
         source,
-    })?;
-    parse(&text)
+    })
 }
 
 /// parse and check the text of a settings file
 pub fn parse<T: DeserializeOwned + Checked>(text: &str) -> Result<T, SettingsError> {
     let mut json = serde_json::Deserializer::from_str(text);
-    let parsed: Result<T, _> = serde_path_to_error::deserialize(&mut json);
+    let settings = deserialize(&mut json)?;
+    json.end().map_err(unreadable)?;
+    Ok(settings)
+}
+
+/// the same for a text of another form
+pub fn parse_translated<T: DeserializeOwned + Checked>(
+    text: &str,
+    translate: Translate,
+) -> Result<T, SettingsError> {
+    let document: Value = serde_json::from_str(text).map_err(unreadable)?;
+    deserialize(translate(document)?)
+}
+
+fn deserialize<'d, T, D>(deserializer: D) -> Result<T, SettingsError>
+where
+    T: DeserializeOwned + Checked,
+    D: Deserializer<'d>,
+{
+    let parsed: Result<T, _> = serde_path_to_error::deserialize(deserializer);
     let settings = parsed.map_err(|e| SettingsError::Parse {
         key: e.path().to_string(),
         problem: e.inner().to_string(),
     })?;
-    json.end().map_err(|e| SettingsError::Parse {
-        key: ".".to_string(),
-        problem: e.to_string(),
-    })?;
     settings.check()?;
     Ok(settings)
 }
 
+fn unreadable(e: serde_json::Error) -> SettingsError {
+    SettingsError::Parse {
+        key: ".".to_string(),
+        problem: e.to_string(),
+    }
+}
+
 /// the variable that names the settings file where none is given
 pub const FILE_VARIABLE: &str = "CHALKCART_CONFIG";
 
--- a/node/src/settings/mod.rs
+++ b/node/src/settings/mod.rs
@@ -10,5 +10,8 @@
     checks::{check_filled, check_log, check_positive},
     errors::SettingsError,
     follow::SettingsFollower,
-    load::{file_or_environment, load, parse, Checked, FILE_VARIABLE},
+    load::{
+        file_or_environment, load, load_translated, parse, parse_translated, Checked, Translate,
+        FILE_VARIABLE,
+    },
 };
--- a/sidecar/src/cli/run.rs
+++ b/sidecar/src/cli/run.rs
@@ -3,10 +3,14 @@
     anyhow::Result,
     chalkcart_node::{
         cli::{usage_error, ExitCode, Program},
-        settings::{self, Checked, SettingsFollower},
+        settings::{self, Checked, SettingsError, SettingsFollower, Translate},
+    },
+    chalkcart_platform::{
+        settings::{self as platform_settings, Program as PlatformProgram},
+        PlatformEngine,
     },
-    chalkcart_platform::PlatformEngine,
     serde::de::DeserializeOwned,
+    serde_json::Value,
     std::{path::Path, sync::Arc},
 };
 
@@ -43,24 +47,29 @@
     };
     let only_check = matches.opt_present("check");
     match matches.opt_present("place") {
-        true => run_with(&file, only_check, place),
-        false => run_with(&file, only_check, |settings, _| app::serve(settings)),
+        true => run_with(&file, only_check, translate, place),
+        false => run_with(&file, only_check, Ok, |settings, _| app::serve(settings)),
     }
 }
 
 /// place the adapters of the engine on this box
 fn place(settings: PlacementSettings, file: &Path) -> Result<()> {
-    let follower = SettingsFollower::new(file);
+    let follower = SettingsFollower::translated(file, translate);
     let engine = PlatformEngine::new(settings.engine, &settings.name);
     placement::serve(settings, follower, Arc::new(engine))
 }
 
+fn translate(document: Value) -> Result<Value, SettingsError> {
+    platform_settings::translate(PlatformProgram::Sidecar, document)
+}
+
 fn run_with<T: DeserializeOwned + Checked>(
     file: &Path,
     only_check: bool,
+    translate: Translate,
     serve: fn(T, &Path) -> Result<()>,
 ) -> ExitCode {
-    let settings: T = match settings::load(file) {
+    let settings: T = match settings::load_translated(file, translate) {
         Ok(settings) => settings,
         Err(e) => {
             eprintln!("{}: settings: {e}", PROGRAM.name);
--- a/sidecar/src/conf/placement_settings.rs
+++ b/sidecar/src/conf/placement_settings.rs
@@ -15,6 +15,9 @@
     pub listen: SocketAddr,
     /// the engine on this box
     pub engine: SocketAddr,
+    /// values that the platform left out, for the log
+    #[serde(default)]
+    pub defaulted: Vec<String>,
     #[serde(default = "defaults::log")]
     pub log: String,
 }
--- a/transport/src/ingress/dialect.rs
+++ b/transport/src/ingress/dialect.rs
@@ -3,7 +3,7 @@
         backends::{AdapterRef, BackendId},
         ids::BaseModelName,
     },
-    http::HeaderMap,
+    http::{HeaderMap, HeaderName},
     std::time::Duration,
     thiserror::Error,
 };
@@ -62,7 +62,12 @@
 /// the names of headers and paths that clients and back ends speak
 pub trait Dialect: Send + Sync {
     fn read_request(&self, headers: &HeaderMap) -> Result<RequestHead, HeadError>;
+    /// take out of a client's head what only this system and back ends may set;
+    /// gives the names
+    fn withhold(&self, headers: &mut HeaderMap) -> Vec<HeaderName>;
     fn write_send(&self, headers: &mut HeaderMap, send: &SendHead);
+    /// headers that always reach the other end of a request or an answer
+    fn end_to_end(&self) -> &'static [HeaderName];
     fn read_answer(&self, headers: &HeaderMap) -> AnswerHead;
     /// mark an answer of our own as one to a request
     fn write_own_answer(&self, headers: &mut HeaderMap, request_id: &str);
--- a/transport/src/ingress/headers.rs
+++ b/transport/src/ingress/headers.rs
@@ -14,14 +14,16 @@
 const KEEP_ALIVE: &str = "keep-alive";
 const PROXY_CONNECTION: &str = "proxy-connection";
 
-/// remove what applies to one connection only, also what the head names so
-pub fn remove_connection_headers(headers: &mut HeaderMap) {
+/// remove what applies to one connection only, also what the head names so,
+/// except headers that are always meant for the other end
+pub fn remove_connection_headers(headers: &mut HeaderMap, end_to_end: &[HeaderName]) {
     let named: Vec<HeaderName> = headers
         .get_all(header::CONNECTION)
         .iter()
         .filter_map(|value| value.to_str().ok())
         .flat_map(|value| value.split(','))
         .filter_map(|name| name.trim().parse().ok())
+        .filter(|name| !end_to_end.contains(name))
         .collect();
     for name in named {
         headers.remove(name);
--- a/transport/src/metrics/ingress_metrics.rs
+++ b/transport/src/metrics/ingress_metrics.rs
@@ -36,6 +36,7 @@
     refusals: Family<CodeLabel, Counter>,
     sends: Family<CodeLabel, Counter>,
     repeats: Counter,
+    withheld: Counter,
     wait: Histograms,
     first_part: Histograms,
     pause: Histograms,
@@ -58,6 +59,7 @@
             refusals: Family::default(),
             sends: Family::default(),
             repeats: Counter::default(),
+            withheld: Counter::default(),
             wait: new_histograms_by(),
             first_part: new_histograms_by(),
             pause: new_histograms_by(),
@@ -85,6 +87,10 @@
             self.repeats.inc();
         }
     }
+    /// headers of clients that were not passed on
+    pub fn on_withheld(&self, headers: usize) {
+        self.withheld.inc_by(headers as u64);
+    }
     pub fn on_send_ended(&self, code: &'static str) {
         self.sends.get_or_create(&CodeLabel { code }).inc();
     }
@@ -124,6 +130,12 @@
         registry.register("sends", "Sends to back ends, by outcome", sends);
         let repeats = self.repeats.clone();
         registry.register("repeats", "Sends beyond the first of a request", repeats);
+        let withheld = self.withheld.clone();
+        registry.register(
+            "withheld_headers",
+            "Headers of clients not passed on",
+            withheld,
+        );
         let wait = self.wait.clone();
         registry.register("wait_seconds", "Time from arrival to a send", wait);
         let first_part = self.first_part.clone();
