--- a/coordination/src/dispatch/backend_state.rs
+++ b/coordination/src/dispatch/backend_state.rs
@@ -1,6 +1,9 @@
 use {
     super::Health,
-    crate::membership::stable_hash,
+    crate::{
+        membership::stable_hash,
+        placement::{adapter_mark, AdapterMark, LatelyHeld},
+    },
     chalkcart_protocol::peer::{EngineFigures, EngineView},
     chalkcart_state::backends::{AdapterRef, Backend},
     std::{
@@ -9,8 +12,6 @@
     },
 };
 
-/// prompt tokens of a request that only the engine's count of its queue shows
-const TOKENS_UNSEEN: f64 = 1_000.0;
 /// a view older than this says nothing of queues
 const VIEW_FRESH: Duration = Duration::from_secs(1);
 /// time for a sidecar to speak before the list is believed
@@ -26,6 +27,8 @@
     pub at: Instant,
     /// its first token came
     pub started: bool,
+    /// nothing else was being read there when it was sent
+    pub read_alone: bool,
 }
 
 /// what an entry knows of one back end
@@ -50,6 +53,8 @@
     viewed_at: Instant,
     /// versions of the adapters in the view
     held: HashMap<AdapterRef, u64>,
+    /// what it has held before, by the views of it
+    lately: LatelyHeld,
     /// hash of its address, for the order of homes
     home_hash: u64,
     pub running_on: HashMap<AdapterRef, u32>,
@@ -64,6 +69,7 @@
         Self {
             home_hash: stable_hash(&listed.addr.to_string()),
             held: HashMap::new(),
+            lately: LatelyHeld::default(),
             listed,
             is_gone: false,
             is_ahead: false,
@@ -93,8 +99,11 @@
             });
         if known.is_none_or(|known| known.held != view.held) {
             let held = view.held.iter().map(|h| (h.adapter.clone(), h.version));
-            self.held = held.collect();
+            let before = std::mem::replace(&mut self.held, held.collect());
+            let left = before.keys().filter(|a| !self.held.contains_key(a));
+            left.for_each(|a| self.lately.put(adapter_mark(a)));
         }
+        view.lately.iter().for_each(|mark| self.lately.put(*mark));
         self.view = Some(view);
         self.viewed_at = now;
         self.refused.clear();
@@ -176,6 +185,10 @@
         let view = self.view.as_ref();
         view.is_some_and(|v| v.loading.contains(adapter))
     }
+    /// it can bring the adapter back from its own memory
+    pub fn held_lately(&self, mark: AdapterMark) -> bool {
+        self.lately.has(mark)
+    }
     pub fn home_hash(&self) -> u64 {
         self.home_hash
     }
@@ -205,11 +218,16 @@
     pub fn has_place(&self, now: Instant) -> bool {
         now >= self.full_until && self.occupied(now) < self.listed.slots
     }
-    /// prompt tokens that wait to be read
-    pub fn queued_tokens(&self, now: Instant) -> f64 {
-        let queued = self.fresh_view(now).map_or(0, |v| v.figures.queued);
-        let unseen = queued.saturating_sub(self.unstarted);
-        self.unstarted_tokens as f64 + f64::from(unseen) * TOKENS_UNSEEN
+    /// prompts that are read or wait there, as far as is known
+    pub fn unread(&self, now: Instant) -> u32 {
+        let seen = self.fresh_view(now).map_or(0, |v| v.figures.reading);
+        seen.max(self.unstarted)
+    }
+    /// Prompt tokens that wait to be read. Of prompts that other entries have
+    /// sent only the number is known, so each counts as a typical one.
+    pub fn queued_tokens(&self, typical_prompt: f64, now: Instant) -> f64 {
+        let unseen = self.unread(now) - self.unstarted;
+        self.unstarted_tokens as f64 + f64::from(unseen) * typical_prompt
     }
 
     /// age of the sidecar's last word
--- a/coordination/src/dispatch/choosing.rs
+++ b/coordination/src/dispatch/choosing.rs
@@ -1,8 +1,16 @@
 //! which back end a request goes to
 
 use {
-    super::{dispatcher::Dispatcher, Ask, Assignment, BackendState, Basis, RefusalCause},
-    chalkcart_state::backends::{AdapterRef, BackendId},
+    super::{
+        dispatcher::Dispatcher,
+        urgency::{urgency, LEAST as LEAST_URGENT},
+        Ask, Assignment, BackendState, Basis, RefusalCause,
+    },
+    crate::placement::adapter_mark,
+    chalkcart_state::{
+        backends::{AdapterRef, BackendId},
+        ids::ServiceName,
+    },
     std::time::{Duration, Instant},
 };
 
@@ -17,6 +25,14 @@
 /// cost of one more request that runs there, in ms
 const RUNNING_MS: f64 = 0.4;
 
+/// size of a prompt before one was seen, in tokens
+const PROMPT_AT_FIRST: f64 = 1_000.0;
+
+/// a request that has waited for this long goes to an engine that has its adapter
+const RETURN_PATIENCE: Duration = Duration::from_millis(120);
+/// what an adapter must save to be brought back to another engine, in ms
+const RETURN_MARGIN_MS: f64 = 60.0;
+
 /// what can be done for a request now
 pub(super) enum Choice {
     Send(Assignment),
@@ -56,7 +72,10 @@
     pub(super) fn choose(&mut self, ask: &Ask, now: Instant) -> Choice {
         let (choice, homes) = self.plan(ask, now);
         if let (Some(adapter), false) = (&ask.adapter, homes.is_empty()) {
-            self.wish(adapter, homes, now);
+            match choice {
+                Choice::Wait(RefusalCause::Returns) => self.wish_also(adapter, homes, now),
+                _ => self.wish(adapter, homes, now),
+            }
         }
         choice
     }
@@ -75,20 +94,52 @@
             let homes = self.homes_for(adapter, &candidates, ask, now);
             return (Choice::Wait(RefusalCause::NotLoaded), homes);
         }
-        let choice = self.choose_cheapest(&holders, candidates.len(), Some(adapter), now);
+        let choice = self.choose_cheapest(ask, &holders, candidates.len(), now);
+        if let Some(home) = self.better_return(ask, adapter, &holders, &candidates, now) {
+            return (Choice::Wait(RefusalCause::Returns), vec![home]);
+        }
         let copies = self.homes_for_copies(adapter, &holders, &candidates, &choice, now);
         (choice, copies)
     }
 
+    /// An engine that held the adapter lately, has a place for it, and would read
+    /// the prompt sooner than each of those that hold it now. Bringing it back
+    /// takes a few steps of the engine and costs nothing.
+    fn better_return(
+        &self,
+        ask: &Ask,
+        adapter: &AdapterRef,
+        holders: &[&BackendState],
+        candidates: &[&BackendState],
+        now: Instant,
+    ) -> Option<BackendId> {
+        let waited = now.saturating_duration_since(ask.arrived);
+        if !self.settings.mechanisms.return_home || waited > RETURN_PATIENCE {
+            return None;
+        }
+        let mark = adapter_mark(adapter);
+        let with_place = holders.iter().filter(|b| b.has_place(now));
+        let held = with_place.map(|b| self.cost(b, now));
+        let least = held.min_by(f64::total_cmp).unwrap_or(f64::INFINITY);
+        let is_holder = |b: &BackendState| holders.iter().any(|h| h.listed.id == b.listed.id);
+        let others = candidates.iter().filter(|b| {
+            let may_load = b.spare_slots() > 0 || b.is_loading(adapter);
+            b.held_lately(mark) && may_load && b.has_place(now) && !is_holder(b)
+        });
+        let costs = others.map(|b| (self.cost(b, now) + return_ms(b), b));
+        let (cost, best) = costs.min_by(|(a, _), (b, _)| a.total_cmp(b))?;
+        (cost + RETURN_MARGIN_MS < least).then(|| best.listed.id.clone())
+    }
+
     /// a back end for a request without an adapter
     fn choose_with_model(&self, ask: &Ask, candidates: &[&BackendState], now: Instant) -> Choice {
         let Some(model) = &ask.model else {
-            return self.choose_cheapest(candidates, candidates.len(), None, now);
+            return self.choose_cheapest(ask, candidates, candidates.len(), now);
         };
         let with_model = with_model(candidates, model);
         match with_model.is_empty() {
             true => Choice::Wait(RefusalCause::NotLoaded),
-            false => self.choose_cheapest(&with_model, candidates.len(), None, now),
+            false => self.choose_cheapest(ask, &with_model, candidates.len(), now),
         }
     }
 
@@ -130,9 +181,9 @@
 
     fn choose_cheapest(
         &self,
+        ask: &Ask,
         states: &[&BackendState],
         candidates: usize,
-        adapter: Option<&AdapterRef>,
         now: Instant,
     ) -> Choice {
         let with_place = states.iter().filter(|b| b.has_place(now));
@@ -140,11 +191,13 @@
         let Some((_, cheapest)) = costs.min_by(|(a, _), (b, _)| a.total_cmp(b)) else {
             return Choice::Wait(RefusalCause::Full);
         };
+        let adapter = ask.adapter.as_ref();
         let holders = adapter.map_or(0, |_| states.len());
         Choice::Send(Assignment {
             backend: cheapest.listed.id.clone(),
             addr: cheapest.listed.addr,
             version: adapter.and_then(|a| cheapest.held_version(a, now)),
+            urgency: self.urgency(ask, now),
             pressure: self.pressure(cheapest, now),
             basis: self.basis_of(candidates, holders, Some(cheapest), now),
         })
@@ -158,9 +211,33 @@
         version >= newest || age < self.settings.version_grace
     }
 
-    /// expected time to the first token there, in ms
+    /// time until the prompts that wait there are read, in ms
     pub(super) fn queue_ms(&self, state: &BackendState, now: Instant) -> f64 {
-        state.queued_tokens(now) / self.settings.tokens_per_ms
+        let service = &state.listed.service;
+        let typical = match self.settings.mechanisms.prompts_of_all {
+            true => self.typical_prompt(service),
+            false => 0.0,
+        };
+        state.queued_tokens(typical, now) / self.tokens_per_ms(service)
+    }
+
+    fn urgency(&self, ask: &Ask, now: Instant) -> u8 {
+        match self.settings.mechanisms.urgency_by_size {
+            true => urgency(ask, self.tokens_per_ms(&ask.service), now),
+            false => ask.priority.min(LEAST_URGENT),
+        }
+    }
+
+    /// prompt tokens that an engine of a service reads in a ms
+    pub(super) fn tokens_per_ms(&self, service: &ServiceName) -> f64 {
+        let observed = self.rates.get(service).and_then(|r| r.tokens_per_ms());
+        let observed = observed.filter(|_| self.settings.mechanisms.observed_rate);
+        observed.unwrap_or(self.settings.tokens_per_ms)
+    }
+
+    fn typical_prompt(&self, service: &ServiceName) -> f64 {
+        let observed = self.rates.get(service).and_then(|r| r.typical_prompt());
+        observed.unwrap_or(PROMPT_AT_FIRST)
     }
 
     /// how busy an engine is, by its queue and its places; at 1 an adapter that
@@ -184,6 +261,12 @@
     }
 }
 
+/// time to bring back an adapter that an engine held lately, in ms
+fn return_ms(state: &BackendState) -> f64 {
+    let view = state.view.as_ref();
+    view.map_or(0.0, |v| f64::from(v.figures.next_return_ms))
+}
+
 /// those of the back ends that hold a base model
 pub(super) fn with_model<'b>(
     candidates: &[&'b BackendState],
--- a/coordination/src/dispatch/decision.rs
+++ b/coordination/src/dispatch/decision.rs
@@ -29,6 +29,8 @@
     pub addr: SocketAddr,
     /// the version of the adapter that must run
     pub version: Option<u64>,
+    /// 0 is the most urgent, 9 the least
+    pub urgency: u8,
     /// how busy it is; at 1 its adapter is worth another copy
     pub pressure: f64,
     pub basis: Basis,
@@ -43,6 +45,8 @@
     Full,
     /// its adapter was not loaded in time
     NotLoaded,
+    /// its adapter is on its way back to an engine that is less busy
+    Returns,
     /// its adapter comes too late for its objective
     LoadsLater,
     /// the budget for repeats is used up
@@ -56,6 +60,7 @@
             Self::NoBackend => "no_backend",
             Self::Full => "full",
             Self::NotLoaded => "not_loaded",
+            Self::Returns => "returns",
             Self::LoadsLater => "loads_later",
             Self::NoBudget => "no_budget",
         }
--- a/coordination/src/dispatch/dispatcher.rs
+++ b/coordination/src/dispatch/dispatcher.rs
@@ -4,7 +4,7 @@
         loading::{Promise, Wish},
         waiting::WaitingList,
         Ask, Assignment, BackendState, Basis, Decision, DispatchEvent, DispatchSettings,
-        RefusalCause, SendOutcome, Sent, SharedBudget, Ticket,
+        ReadingRate, RefusalCause, SendOutcome, Sent, SharedBudget, Ticket,
     },
     chalkcart_state::{
         backends::{AdapterRef, Backend, BackendId},
@@ -42,6 +42,8 @@
     pub(super) table: Arc<RouteTable>,
     pub(super) waiting: WaitingList,
     pub(super) sent: HashMap<Ticket, (BackendId, ServiceName, Sent)>,
+    /// how fast prompts are read, by service
+    pub(super) rates: HashMap<ServiceName, ReadingRate>,
     pub(super) budgets: HashMap<ServiceName, SharedBudget>,
     /// newest versions, and since when this entry knows them
     pub(super) versions: HashMap<AdapterRef, u64>,
@@ -68,6 +70,7 @@
             table: Arc::default(),
             waiting: WaitingList::default(),
             sent: HashMap::new(),
+            rates: HashMap::new(),
             budgets: HashMap::new(),
             versions: HashMap::new(),
             versioned_at: HashMap::new(),
@@ -87,7 +90,7 @@
             DispatchEvent::Withdrawn(ticket) => {
                 self.waiting.take(ticket);
             }
-            DispatchEvent::Started(ticket) => self.on_started(ticket),
+            DispatchEvent::Started(ticket) => self.on_started(ticket, now),
             DispatchEvent::Ended { ticket, outcome } => {
                 if let Some(service) = self.on_ended(ticket, outcome, now) {
                     self.serve_waiting(|ask| ask.service == service, now);
@@ -179,8 +182,8 @@
         self.serve_waiting(|a| a.service == service && a.adapter == adapter, now);
     }
 
-    fn on_started(&mut self, ticket: Ticket) {
-        let Some((backend, _, sent)) = self.sent.get_mut(&ticket) else {
+    fn on_started(&mut self, ticket: Ticket, now: Instant) {
+        let Some((backend, service, sent)) = self.sent.get_mut(&ticket) else {
             return;
         };
         if sent.started {
@@ -189,6 +192,11 @@
         if let Some(state) = self.backends.get_mut(backend) {
             state.on_started(sent);
         }
+        if sent.read_alone {
+            let took = now.saturating_duration_since(sent.at);
+            let rate = self.rates.entry(service.clone()).or_default();
+            rate.on_read_alone(sent.prompt_tokens, took.as_secs_f64() * 1_000.0);
+        }
         sent.started = true;
     }
 
@@ -247,11 +255,18 @@
                 budget.on_repeat(now);
             }
         }
+        let unread = self.backends.get(&assignment.backend);
+        let unread = unread.map_or(0, |b| b.unread(now));
+        if ask.prompt_tokens > 0 {
+            let rate = self.rates.entry(ask.service.clone()).or_default();
+            rate.on_sent(ask.prompt_tokens);
+        }
         let sent = Sent {
             adapter: ask.adapter,
             prompt_tokens: ask.prompt_tokens,
             at: now,
             started: false,
+            read_alone: unread == 0,
         };
         if let Some(state) = self.backends.get_mut(&assignment.backend) {
             state.on_sent(&sent);
@@ -270,7 +285,7 @@
             }
         }
         let part = match cause {
-            RefusalCause::NotLoaded => self.settings.wait_for_adapter,
+            RefusalCause::NotLoaded | RefusalCause::Returns => self.settings.wait_for_adapter,
             RefusalCause::Full
             | RefusalCause::NoBackend
             | RefusalCause::NoBudget
--- a/coordination/src/dispatch/loading.rs
+++ b/coordination/src/dispatch/loading.rs
@@ -7,7 +7,7 @@
         dispatcher::Dispatcher,
         Ask, BackendState,
     },
-    crate::membership::{rendezvous_weight, stable_hash},
+    crate::{membership::rendezvous_weight, placement::adapter_mark},
     chalkcart_protocol::peer::{AdapterDemand, WantedAdapter},
     chalkcart_state::backends::{AdapterRef, BackendId},
     std::{
@@ -28,6 +28,8 @@
 const READING_MS_A_HOME: f64 = 600.0;
 /// of the requests that wait at one entry, what other entries have as well
 const SHARED_BY_ENTRIES: f64 = 0.5;
+/// engines are told apart as homes by waits of this length, in ms
+const HOME_STEP_MS: f64 = 200.0;
 /// a copy goes only to an engine that is pressed less than this part
 const PRESSED_LESS: f64 = 0.6;
 /// added to the time of a load before its requests come back
@@ -62,6 +64,19 @@
     until: Instant,
 }
 
+/// the order in which engines become homes of an adapter, the least first
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct HomeRank {
+    /// half of its places or more are taken
+    is_crowded: bool,
+    /// how long a request would wait there, in coarse steps, so that entries that
+    /// see a little more or less agree
+    wait_steps: u32,
+    /// it has to bring the adapter from the weight store
+    is_new: bool,
+    weight: Reverse<u64>,
+}
+
 impl Dispatcher {
     /// what sidecars must hear now; all of them if `all`
     pub fn demands(&mut self, all: bool, now: Instant) -> Vec<(SocketAddr, AdapterDemand)> {
@@ -115,10 +130,16 @@
             return None;
         }
         let backend = self.wishes.get(adapter)?.backends.first()?.clone();
-        let view = self.backends.get(&backend)?.view.as_ref()?;
+        let state = self.backends.get(&backend)?;
+        let view = state.view.as_ref()?;
+        let returns = state.held_lately(adapter_mark(adapter));
+        let load_ms = match returns && self.settings.mechanisms.return_home {
+            true => view.figures.next_return_ms,
+            false => view.figures.next_load_ms,
+        };
         let load = match view.loading.contains(adapter) {
-            true => Duration::from_millis(u64::from(view.figures.next_load_ms)) / 2,
-            false => Duration::from_millis(u64::from(view.figures.next_load_ms)),
+            true => Duration::from_millis(u64::from(load_ms)) / 2,
+            false => Duration::from_millis(u64::from(load_ms)),
         };
         if waited + load + self.settings.first_token <= ask.target_latency {
             return None;
@@ -145,6 +166,21 @@
             .insert(adapter.clone(), Wish { backends, until });
     }
 
+    /// the same, beside the engines that are asked already
+    pub(super) fn wish_also(&mut self, adapter: &AdapterRef, homes: Vec<BackendId>, now: Instant) {
+        let wished = self.wishes.get(adapter).filter(|w| w.until > now);
+        let mut backends = wished.map_or(Vec::new(), |w| w.backends.clone());
+        let news: Vec<BackendId> = homes
+            .into_iter()
+            .filter(|h| !backends.contains(h))
+            .collect();
+        if news.is_empty() {
+            return;
+        }
+        backends.extend(news);
+        self.wish(adapter, backends, now);
+    }
+
     /// engines that are to load an adapter that none holds, if they are not asked
     /// to yet: one, and more while many requests wait
     pub(super) fn homes_for(
@@ -187,12 +223,13 @@
         let others = waiting.filter(|ask| ask.adapter.as_ref() == Some(adapter));
         let tokens: u32 = others.map(|ask| ask.prompt_tokens).sum();
         let of_all = f64::from(tokens) * f64::from(self.entry_count()) * SHARED_BY_ENTRIES;
-        let reading_ms = (f64::from(ask.prompt_tokens) + of_all) / self.settings.tokens_per_ms;
+        let reading_ms = (f64::from(ask.prompt_tokens) + of_all) / self.tokens_per_ms(&ask.service);
         ((reading_ms / READING_MS_A_HOME).ceil() as usize).max(1)
     }
 
     /// engines with a spare place in the adapter's own order, which is the same
-    /// at each entry; those that are pressed come last
+    /// at each entry; those that held it lately come first, waits that
+    /// differ count before
     fn rank_homes<'b>(
         &self,
         adapter: &AdapterRef,
@@ -200,15 +237,32 @@
         now: Instant,
     ) -> Vec<&'b BackendState> {
         let spare = candidates.iter().filter(|b| b.spare_slots() > 0);
-        let key = stable_hash(&adapter.to_string());
-        let mut ranked: Vec<(bool, Reverse<u64>, &BackendState)> = spare
+        let mark = adapter_mark(adapter);
+        let returns = self.settings.mechanisms.return_home;
+        let mut ranked: Vec<(HomeRank, &BackendState)> = spare
             .map(|b| {
-                let weight = rendezvous_weight(key, b.home_hash());
-                (self.pressure(b, now) >= 1.0, Reverse(weight), *b)
+                let rank = HomeRank {
+                    is_crowded: b.load(now) >= self.settings.copy_from_load,
+                    wait_steps: self.wait_steps(b, returns && b.held_lately(mark), now),
+                    is_new: !(returns && b.held_lately(mark)),
+                    weight: Reverse(rendezvous_weight(mark, b.home_hash())),
+                };
+                (rank, *b)
             })
             .collect();
-        ranked.sort_by_key(|(is_pressed, weight, _)| (*is_pressed, *weight));
-        ranked.into_iter().map(|(_, _, b)| b).collect()
+        ranked.sort_by_key(|(rank, _)| *rank);
+        ranked.into_iter().map(|(_, b)| b).collect()
+    }
+
+    /// time until a request could be read at an engine that is to load its
+    /// adapter, in steps
+    fn wait_steps(&self, state: &BackendState, returns: bool, now: Instant) -> u32 {
+        let view = state.view.as_ref();
+        let load_ms = match returns {
+            true => 0.0,
+            false => view.map_or(0.0, |v| f64::from(v.figures.next_load_ms)),
+        };
+        ((self.queue_ms(state, now) + load_ms) / HOME_STEP_MS) as u32
     }
 
     /// engines for more copies, if those that hold the adapter are too busy;
--- a/coordination/src/dispatch/mod.rs
+++ b/coordination/src/dispatch/mod.rs
@@ -11,8 +11,10 @@
 mod health;
 mod listing;
 mod loading;
+mod reading_rate;
 mod settings;
 mod shared_budget;
+mod urgency;
 mod waiting;
 
 pub use {
@@ -22,6 +24,8 @@
     dispatcher::{BackendRow, Dispatcher},
     event::{DispatchEvent, SendOutcome},
     health::Health,
+    reading_rate::ReadingRate,
     settings::DispatchSettings,
     shared_budget::SharedBudget,
+    urgency::urgency,
 };
--- a/coordination/src/dispatch/settings.rs
+++ b/coordination/src/dispatch/settings.rs
@@ -1,4 +1,5 @@
 use {
+    crate::mechanisms::Mechanisms,
     chalkcart_state::ids::{BoxName, ZoneName},
     std::time::Duration,
 };
@@ -22,7 +23,7 @@
     pub refuse_until: f64,
     /// expected time to the first token once the adapter is there
     pub first_token: Duration,
-    /// prompt tokens that an engine reads in a ms, with other work between
+    /// prompt tokens that an engine reads in a ms, before the rate was observed
     pub tokens_per_ms: f64,
     /// a queue this long makes an adapter worth another copy, in ms
     pub copy_from_queue_ms: f64,
@@ -32,6 +33,7 @@
     pub unheard_after: Duration,
     /// the former version of an adapter is used no longer than this
     pub version_grace: Duration,
+    pub mechanisms: Mechanisms,
 }
 
 impl Default for DispatchSettings {
@@ -52,6 +54,7 @@
             copy_from_load: 0.5,
             unheard_after: Duration::from_millis(1_200),
             version_grace: Duration::from_millis(2_500),
+            mechanisms: Mechanisms::default(),
         }
     }
 }
--- /dev/null
+++ b/coordination/src/mechanisms/mod.rs
@@ -0,0 +1,5 @@
+//! which mechanisms of decision are at work
+
+mod switches;
+
+pub use switches::Mechanisms;
--- /dev/null
+++ b/coordination/src/mechanisms/switches.rs
@@ -0,0 +1,55 @@
+use {
+    serde::Deserialize,
+    std::fmt::{self, Display, Formatter},
+};
+
+/// A switch for each mechanism of decision, all on unless the settings say
+/// otherwise. One that is off leaves a plain rule in its place, so that its worth
+/// can be measured.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Mechanisms {
+    /// the rate at which engines read prompts is observed; else a constant
+    pub observed_rate: bool,
+    /// prompts that other entries have sent to an engine count in its queue
+    pub prompts_of_all: bool,
+    /// an adapter goes back to an engine that held it lately, before any other
+    pub return_home: bool,
+    /// engines read short prompts first, and late ones last; else by the route's
+    /// priority alone
+    pub urgency_by_size: bool,
+}
+
+impl Default for Mechanisms {
+    fn default() -> Self {
+        Self {
+            observed_rate: true,
+            prompts_of_all: true,
+            return_home: true,
+            urgency_by_size: true,
+        }
+    }
+}
+
+impl Mechanisms {
+    fn rows(&self) -> [(&'static str, bool); 4] {
+        [
+            ("observed_rate", self.observed_rate),
+            ("prompts_of_all", self.prompts_of_all),
+            ("return_home", self.return_home),
+            ("urgency_by_size", self.urgency_by_size),
+        ]
+    }
+}
+
+/// the names of those that are off
+impl Display for Mechanisms {
+    fn fmt(&self, f: &mut Formatter) -> fmt::Result {
+        let off = self.rows().into_iter().filter(|(_, is_on)| !is_on);
+        let off: Vec<&str> = off.map(|(name, _)| name).collect();
+        match off.is_empty() {
+            true => write!(f, "all on"),
+            false => write!(f, "off: {}", off.join(", ")),
+        }
+    }
+}
--- a/coordination/src/placement/engine_report.rs
+++ b/coordination/src/placement/engine_report.rs
@@ -13,6 +13,8 @@
     pub busy: bool,
     pub running: u32,
     pub queued: u32,
+    /// of both, those whose prompts were not read to the end
+    pub reading: u32,
     pub kv_used: u64,
     pub kv_total: u64,
 }
--- a/coordination/src/placement/mod.rs
+++ b/coordination/src/placement/mod.rs
@@ -5,6 +5,7 @@
 mod engine_order;
 mod engine_report;
 mod fence_token;
+mod lately_held;
 mod placement_control;
 mod settings;
 
@@ -13,6 +14,7 @@
     engine_order::{EngineOrder, OrderAnswer, OrderKind},
     engine_report::EngineReport,
     fence_token::FenceToken,
+    lately_held::{adapter_mark, AdapterMark, LatelyHeld},
     placement_control::{PlacementControl, PlacementEvent, PlacementStep},
     settings::PlacementSettings,
 };
--- a/coordination/src/placement/placement_control.rs
+++ b/coordination/src/placement/placement_control.rs
@@ -1,7 +1,7 @@
 use {
     super::{
-        DemandBook, EngineOrder, EngineReport, FenceToken, OrderAnswer, OrderKind,
-        PlacementSettings,
+        adapter_mark, DemandBook, EngineOrder, EngineReport, FenceToken, LatelyHeld, OrderAnswer,
+        OrderKind, PlacementSettings,
     },
     chalkcart_protocol::peer::{AdapterDemand, EngineFigures, EngineRoom, EngineView},
     chalkcart_state::backends::{AdapterRef, BackendId},
@@ -18,6 +18,8 @@
 
 /// time of a load before any was seen
 const LOAD_TIME_AT_FIRST: Duration = Duration::from_millis(300);
+/// time to bring back what the engine held lately, before any was seen
+const RETURN_TIME_AT_FIRST: Duration = Duration::from_millis(40);
 /// weight of the latest load in the mean
 const LATEST_LOAD: f64 = 0.3;
 
@@ -79,10 +81,21 @@
     /// orders that failed, and until when they rest
     resting: HashMap<OrderKind, Instant>,
     model_ordered: Option<Instant>,
-    /// adapters on their way, since when
-    ordered_at: HashMap<AdapterRef, Instant>,
-    /// time that loads took lately
+    /// adapters on their way
+    ordered: HashMap<AdapterRef, OrderedLoad>,
+    /// time that loads from the weight store took
     load_time: Duration,
+    /// time that loads of what was held lately took
+    return_time: Duration,
+    lately: LatelyHeld,
+}
+
+/// an adapter on its way
+#[derive(Debug, Clone, Copy)]
+struct OrderedLoad {
+    at: Instant,
+    /// the engine has held it lately
+    returns: bool,
 }
 
 impl PlacementControl {
@@ -100,8 +113,10 @@
             is_read: false,
             resting: HashMap::new(),
             model_ordered: None,
-            ordered_at: HashMap::new(),
+            ordered: HashMap::new(),
             load_time: LOAD_TIME_AT_FIRST,
+            return_time: RETURN_TIME_AT_FIRST,
+            lately: LatelyHeld::default(),
         }
     }
 
@@ -145,10 +160,12 @@
     pub fn view(&self, now: Instant) -> EngineView {
         let figures = EngineFigures {
             fence: self.fence.value(),
-            next_load_ms: self.next_load(now).as_millis() as u32,
+            next_load_ms: self.next_load(self.load_time, now).as_millis() as u32,
+            next_return_ms: self.next_load(self.return_time, now).as_millis() as u32,
             spare_slots: self.spare_slots(now),
             running: self.report.running,
             queued: self.report.queued,
+            reading: self.report.reading,
             kv_used: self.report.kv_used,
             kv_total: self.report.kv_total,
             entries: self.demands.entries() as u32,
@@ -158,6 +175,7 @@
             models: self.report.models.clone(),
             loading: self.report.loading.clone(),
             held: Vec::new(),
+            lately: self.lately.marks().collect(),
             figures,
         };
         let held = self.report.held.iter();
@@ -226,6 +244,8 @@
             self.backend = backend;
             self.is_read = false;
             self.resting.clear();
+            self.lately.clear();
+            self.ordered.clear();
         }
     }
 
@@ -248,35 +268,49 @@
             }
             places.insert(held.adapter.clone(), place);
         }
+        self.remember_left(&report);
         self.learn_load_times(&report, now);
         self.places = places;
         self.report = report;
         self.is_read = true;
     }
 
+    /// what is no longer held may come back fast
+    fn remember_left(&mut self, report: &EngineReport) {
+        let is_held = |adapter: &AdapterRef| report.held.iter().any(|h| h.adapter == *adapter);
+        let left = self.places.keys().filter(|adapter| !is_held(adapter));
+        for adapter in left {
+            self.lately.put(adapter_mark(adapter));
+        }
+    }
+
     fn learn_load_times(&mut self, report: &EngineReport, now: Instant) {
-        let mut mean = self.load_time.as_secs_f64();
-        self.ordered_at.retain(|adapter, ordered| {
+        let (mut load, mut back) = (self.load_time, self.return_time);
+        self.ordered.retain(|adapter, ordered| {
             let is_held = report.held.iter().any(|h| h.adapter == *adapter);
             let is_loading = report.loading.contains(adapter);
             if is_held && !is_loading {
-                let took = now.saturating_duration_since(*ordered).as_secs_f64();
-                mean += (took - mean) * LATEST_LOAD;
+                let took = now.saturating_duration_since(ordered.at);
+                match ordered.returns {
+                    true => back = mean_with(back, took),
+                    false => load = mean_with(load, took),
+                }
             }
             is_loading
         });
-        self.load_time = Duration::from_secs_f64(mean);
+        (self.load_time, self.return_time) = (load, back);
     }
 
-    /// time until an adapter that is wanted now would be there
-    fn next_load(&self, now: Instant) -> Duration {
+    /// time until an adapter that is wanted now would be there, if its load
+    /// alone takes `own`
+    fn next_load(&self, own: Duration, now: Instant) -> Duration {
         let wanted = self.demands.wanted();
         let missing = wanted.iter().filter(|w| {
             !self.places.contains_key(&w.adapter) && !self.report.loading.contains(&w.adapter)
         });
         let before = missing.count() + self.report.loading.len();
-        let rounds = 1 + before / self.settings.max_loading.max(1);
-        self.model_wait(now) + self.load_time * rounds as u32
+        let rounds = before / self.settings.max_loading.max(1);
+        self.model_wait(now) + self.load_time * rounds as u32 + own
     }
 
     /// time until the base model is there, if it is not
@@ -315,10 +349,13 @@
                 if let Some(place) = self.places.get_mut(adapter) {
                     place.replacing = true;
                 }
-                self.ordered_at.insert(adapter.clone(), now);
+                let returns = self.lately.has(adapter_mark(adapter));
+                let load = OrderedLoad { at: now, returns };
+                self.ordered.insert(adapter.clone(), load);
             }
             OrderKind::UnloadAdapter(adapter) => {
                 self.places.remove(adapter);
+                self.lately.put(adapter_mark(adapter));
                 self.report.held.retain(|h| h.adapter != *adapter);
             }
             OrderKind::LoadModel(_) => {}
@@ -447,3 +484,9 @@
         (capacity.saturating_sub(taken) + evictable.count()) as u32
     }
 }
+
+/// a mean of load times with one more of them
+fn mean_with(mean: Duration, took: Duration) -> Duration {
+    let mean = mean.as_secs_f64();
+    Duration::from_secs_f64(mean + (took.as_secs_f64() - mean) * LATEST_LOAD)
+}
--- /dev/null
+++ b/coordination/tests/dispatch_fixture/mod.rs
@@ -0,0 +1,201 @@
+//! a dispatcher with its clock, and what it is told
+
+// each test file uses a part of it
+#![allow(dead_code)]
+
+use {
+    chalkcart_coordination::{
+        dispatch::{
+            Ask, Decision, DispatchEvent, DispatchSettings, Dispatcher, SendOutcome, Ticket,
+        },
+        placement::{adapter_mark, AdapterMark},
+    },
+    chalkcart_protocol::peer::{EngineFigures, EngineView},
+    chalkcart_state::{
+        backends::{AdapterRef, Backend, HeldAdapter},
+        ingress::{BaseModel, EngineSpec, IngressLimits, RouteTable, Service},
+    },
+    std::{
+        net::SocketAddr,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+};
+
+pub const ENGINES: &str = "engines";
+pub const PLAIN: &str = "plain";
+
+pub fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+pub fn addr(number: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, number], 80))
+}
+
+pub fn adapter(name: &str) -> AdapterRef {
+    AdapterRef {
+        model: "m".to_string(),
+        adapter: name.to_string(),
+    }
+}
+
+pub fn backend(service: &str, number: u8) -> Backend {
+    Backend {
+        id: format!("{service}-{number}"),
+        service: service.to_string(),
+        addr: addr(number),
+        zone: "z".to_string(),
+        slots: 4,
+        leaving: false,
+        models: Vec::new(),
+        held: Vec::new(),
+    }
+}
+
+pub fn table() -> RouteTable {
+    let spec = EngineSpec {
+        slots: 4,
+        adapter_slots: 2,
+        weights_mb: 1_000.0,
+        kv_capacity: 1_000,
+        models: vec![BaseModel {
+            name: "m".to_string(),
+            weights_mb: 500.0,
+            adapter_mb: 10.0,
+            load_time: ms(500),
+            reload_time: ms(500),
+        }],
+    };
+    let service = |name: &str, engine| Service {
+        name: name.to_string(),
+        health_path: "/health".to_string(),
+        engine,
+    };
+    let services = vec![service(ENGINES, Some(spec)), service(PLAIN, None)];
+    RouteTable::new(1, IngressLimits::default(), services)
+}
+
+pub fn view(backend: &str, held: &[(&str, u64)]) -> EngineView {
+    let held = held.iter().map(|(name, version)| HeldAdapter {
+        adapter: adapter(name),
+        version: *version,
+    });
+    EngineView {
+        backend: backend.to_string(),
+        held: held.collect(),
+        models: vec!["m".to_string()],
+        figures: EngineFigures {
+            spare_slots: 2,
+            entries: 2,
+            ..EngineFigures::default()
+        },
+        ..EngineView::default()
+    }
+}
+
+fn settings() -> DispatchSettings {
+    DispatchSettings {
+        entry: "e".to_string(),
+        zone: "z".to_string(),
+        ..DispatchSettings::default()
+    }
+}
+
+/// a dispatcher with its clock
+pub struct Fixture {
+    pub dispatcher: Dispatcher,
+    pub now: Instant,
+    pub list_version: u64,
+}
+
+impl Fixture {
+    pub fn new(list: Vec<Backend>) -> Self {
+        let settings = settings();
+        let mut fixture = Self {
+            dispatcher: Dispatcher::new(settings),
+            now: Instant::now(),
+            list_version: 0,
+        };
+        fixture.tell(DispatchEvent::Configured(Arc::new(table())));
+        fixture.list(list);
+        fixture
+    }
+    pub fn tell(&mut self, event: DispatchEvent) -> Vec<(Ticket, Decision)> {
+        self.dispatcher.handle(event, self.now)
+    }
+    pub fn list(&mut self, list: Vec<Backend>) {
+        self.list_version += 1;
+        let version = self.list_version;
+        self.tell(DispatchEvent::Listed { version, list });
+    }
+    /// change the settings while it runs
+    pub fn tune(&mut self, change: impl FnOnce(&mut DispatchSettings)) {
+        let mut settings = settings();
+        change(&mut settings);
+        self.tell(DispatchEvent::Tuned(settings));
+    }
+    pub fn view(&mut self, number: u8, view: EngineView) -> Vec<(Ticket, Decision)> {
+        let addr = addr(number);
+        self.tell(DispatchEvent::Viewed { addr, view })
+    }
+    pub fn pass(&mut self, time: Duration) -> Vec<(Ticket, Decision)> {
+        self.now += time;
+        self.tell(DispatchEvent::Tick)
+    }
+    pub fn ask(&mut self, ticket: Ticket, ask: Ask) -> Vec<(Ticket, Decision)> {
+        self.tell(DispatchEvent::Asked { ticket, ask })
+    }
+    pub fn end(&mut self, ticket: Ticket, outcome: SendOutcome) {
+        self.tell(DispatchEvent::Ended { ticket, outcome });
+    }
+    pub fn new_ask(&self, service: &str, wanted: Option<&str>) -> Ask {
+        Ask {
+            service: service.to_string(),
+            model: wanted.map(|_| "m".to_string()),
+            adapter: wanted.map(adapter),
+            prompt_tokens: 100,
+            priority: 1,
+            target_latency: ms(400),
+            arrived: self.now,
+            deadline: self.now + ms(10_000),
+            tried: Vec::new(),
+            has_returned: false,
+            sends: 0,
+        }
+    }
+    /// the engines that are asked to load an adapter
+    pub fn homes(&mut self, wanted: &str) -> Vec<String> {
+        let demands = self.dispatcher.demands(true, self.now);
+        let asked = demands.into_iter().filter(|(_, d)| {
+            let mut adapters = d.wanted.iter();
+            adapters.any(|w| w.adapter == adapter(wanted))
+        });
+        asked.map(|(_, d)| d.backend).collect()
+    }
+}
+
+pub fn sent_to(decisions: &[(Ticket, Decision)]) -> Vec<String> {
+    let sent = decisions.iter().filter_map(|(_, d)| match d {
+        Decision::Send(assignment) => Some(assignment.backend.clone()),
+        Decision::Refuse { .. } => None,
+    });
+    sent.collect()
+}
+
+pub fn engines() -> Vec<Backend> {
+    (1..=3).map(|n| backend(ENGINES, n)).collect()
+}
+
+pub fn fixture_with_views() -> Fixture {
+    let mut fixture = Fixture::new(engines());
+    for number in 1..=3 {
+        fixture.view(number, view(&format!("{ENGINES}-{number}"), &[]));
+    }
+    fixture
+}
+
+/// the mark of an adapter in the views of sidecars
+pub fn mark(name: &str) -> AdapterMark {
+    adapter_mark(&adapter(name))
+}
--- a/coordination/tests/placement.rs
+++ b/coordination/tests/placement.rs
@@ -2,8 +2,8 @@
 
 use {
     chalkcart_coordination::placement::{
-        EngineOrder, EngineReport, OrderAnswer, OrderKind, PlacementControl, PlacementEvent,
-        PlacementSettings, PlacementStep,
+        adapter_mark, EngineOrder, EngineReport, OrderAnswer, OrderKind, PlacementControl,
+        PlacementEvent, PlacementSettings, PlacementStep,
     },
     chalkcart_protocol::peer::{AdapterDemand, AdapterUse, EngineRoom, ModelSize, WantedAdapter},
     chalkcart_state::backends::{AdapterRef, HeldAdapter},
@@ -396,3 +396,34 @@
     assert_eq!(fixture.next_order(), None);
     assert_eq!(fixture.control.view(fixture.now).figures.entries, 0);
 }
+
+#[test]
+fn what_the_engine_held_comes_back_in_a_time_of_its_own() {
+    let mut fixture = Fixture::new();
+    fixture.demand(demand(&[]));
+    assert!(fixture.next_order().is_none());
+    fixture.hold(&["a"]);
+    assert!(fixture.control.view(fixture.now).lately.is_empty());
+    fixture.hold(&[]);
+    assert_eq!(
+        fixture.control.view(fixture.now).lately,
+        [adapter_mark(&adapter("a"))]
+    );
+    // a load from the store takes 500 ms, a return 50 ms
+    for (name, takes) in [("b", 500), ("a", 50)] {
+        let before = fixture.control.view(fixture.now).figures;
+        fixture.demand(demand(&[(name, 0)]));
+        let order = fixture.next_order().unwrap();
+        fixture.obey(order);
+        fixture.now += ms(takes);
+        fixture.finish_loads(1);
+        fixture.demand(demand(&[]));
+        let after = fixture.control.view(fixture.now).figures;
+        let is_return = name == "a";
+        assert_eq!(before.next_load_ms != after.next_load_ms, !is_return);
+        assert_eq!(before.next_return_ms != after.next_return_ms, is_return);
+    }
+    // another incarnation has nothing
+    fixture.tell(PlacementEvent::Identified(Some("later".to_string())));
+    assert!(fixture.control.view(fixture.now).lately.is_empty());
+}
--- a/entry/src/ingress/exchange.rs
+++ b/entry/src/ingress/exchange.rs
@@ -25,7 +25,6 @@
 const CONNECT_LIMIT: Duration = Duration::from_millis(300);
 /// sends of one request, however short each was
 const MAX_SENDS: u32 = 4;
-const MAX_URGENCY: u8 = 9;
 /// when a request comes back whose time here was too short
 const LATE_RETRY: Duration = Duration::from_millis(100);
 
@@ -156,6 +155,7 @@
             holders = basis.holders,
             queue_ms = basis.queue_ms,
             occupied = basis.occupied,
+            urgency = to.urgency,
             view_age_ms = basis.view_age.map_or(-1, |age| age.as_millis() as i64),
             list_version = basis.list_version;
             "dispatch: sent"
@@ -269,7 +269,7 @@
             deadline: self.deadline.saturating_duration_since(Instant::now()),
             backend: &assignment.backend,
             version: assignment.version,
-            urgency: self.accepted.route.priority.min(MAX_URGENCY),
+            urgency: assignment.urgency,
         };
         self.shared.dialect.write_send(sent_headers, &send);
         req.body(Full::new(self.accepted.body.clone())).ok()
--- a/entry/src/ingress/serve.rs
+++ b/entry/src/ingress/serve.rs
@@ -67,6 +67,7 @@
     tokio::spawn(follow_settings(follower, shared.clone(), store));
     let service = Arc::new(RoutedIngress::new(shared.clone()));
     let served = tokio::spawn(ingress::serve(clients, service, shared.phase.subscribe()));
+    log::info!("settings: mechanisms {}", shared.settings.mechanisms);
     log::info!("ingress: serves on {}", shared.settings.clients);
     let signal = stop_signal().await?;
     log::info!("ingress: drains after {signal}");
@@ -114,6 +115,7 @@
         retry_extra: settings.retry_extra,
         retry_window: Duration::from_secs_f64(settings.retry_window_s),
         version_grace: Duration::from_millis(settings.version_ms / 2),
+        mechanisms: settings.mechanisms,
         ..DispatchSettings::default()
     }
 }
--- a/entry/src/ingress/sidecar_links.rs
+++ b/entry/src/ingress/sidecar_links.rs
@@ -144,8 +144,14 @@
             log::info!("links: sidecar {sidecar} speaks of {}", view.backend);
         }
         backend.clone_from(&view.backend);
-        let view = view.clone();
-        control.tell(DispatchEvent::Viewed { addr: engine, view });
+        let told = view.clone();
+        // told once; the dispatcher remembers
+        view.lately.clear();
+        let event = DispatchEvent::Viewed {
+            addr: engine,
+            view: told,
+        };
+        control.tell(event);
     }
 }
 
--- a/protocol/src/peer/placement.rs
+++ b/protocol/src/peer/placement.rs
@@ -77,6 +77,9 @@
     pub held: Vec<HeldAdapter>,
     /// adapters on their way
     pub loading: Vec<AdapterRef>,
+    /// hashes of adapters that it has held and can bring back at once; only a
+    /// whole message brings them, later ones are those that leave
+    pub lately: Vec<u64>,
     pub figures: EngineFigures,
 }
 
@@ -97,10 +100,14 @@
     pub fence: u64,
     /// time until an adapter that is wanted now would be there, in ms
     pub next_load_ms: u32,
+    /// the same for one that the engine has held lately, in ms
+    pub next_return_ms: u32,
     /// places that are empty or whose adapter nobody uses
     pub spare_slots: u32,
     pub running: u32,
     pub queued: u32,
+    /// of both, those whose prompts were not read to the end
+    pub reading: u32,
     pub kv_used: u64,
     pub kv_total: u64,
     /// entries that this sidecar hears
--- a/protocol/tests/views.rs
+++ b/protocol/tests/views.rs
@@ -37,6 +37,7 @@
         models: Vec::new(),
         held,
         loading: loading.iter().take(2).map(|n| adapter(*n)).collect(),
+        lately: Vec::new(),
         figures: EngineFigures {
             queued: u32::from(queued),
             ..EngineFigures::default()
--- a/testkit/examples/capacity/dispatch.rs
+++ b/testkit/examples/capacity/dispatch.rs
@@ -56,6 +56,7 @@
         models: vec!["model-0".to_string()],
         held: held.collect(),
         loading: Vec::new(),
+        lately: Vec::new(),
         figures: EngineFigures {
             entries: 32,
             spare_slots: 3,
