--- a/coordination/src/dispatch/loading.rs
+++ b/coordination/src/dispatch/loading.rs
@@ -341,7 +341,15 @@
         for (adapter, row) in rows {
             let promised = self.promises.get(adapter).map(|p| vec![p.backend.clone()]);
             let wished = self.wishes.get(adapter).map(|w| w.backends.clone());
+            // what is there and waited for by nobody needs no place kept
+            let is_done = |id: &BackendId| {
+                let state = self.backends.get(id);
+                row.waiting == 0 && state.is_some_and(|b| b.held_version(adapter, now).is_some())
+            };
             for backend in wished.or(promised).unwrap_or_default() {
+                if is_done(&backend) {
+                    continue;
+                }
                 wanted.entry(backend).or_default().push(row.clone());
             }
         }
--- a/coordination/src/placement/settings.rs
+++ b/coordination/src/placement/settings.rs
@@ -22,8 +22,8 @@
 impl Default for PlacementSettings {
     fn default() -> Self {
         Self {
-            max_loading: 2,
-            min_idle: Duration::from_millis(400),
+            max_loading: 3,
+            min_idle: Duration::from_millis(100),
             entry_silence: Duration::from_secs(3),
             replace_after: Duration::from_millis(1_000),
             order_pause: Duration::from_millis(300),
--- a/coordination/tests/dispatch_reading.rs
+++ b/coordination/tests/dispatch_reading.rs
@@ -183,3 +183,16 @@
     };
     assert_eq!(assignment.basis.queue_ms, 0.0);
 }
+
+#[test]
+fn an_adapter_that_is_there_and_that_nobody_waits_for_is_wanted_no_more() {
+    let mut fixture = fixture_with_views();
+    let ask = fixture.new_ask(ENGINES, Some("a"));
+    fixture.ask(1, ask);
+    let homes = fixture.homes("a");
+    let number: u8 = homes[0].trim_start_matches("engines-").parse().unwrap();
+    assert_eq!(homes.len(), 1);
+    fixture.view(number, view(&homes[0], &[("a", 1)]));
+    // its request is served there; the place may go to another adapter
+    assert!(fixture.homes("a").is_empty());
+}
--- a/transport/src/client/http_client.rs
+++ b/transport/src/client/http_client.rs
@@ -68,6 +68,16 @@
             .header(CONTENT_TYPE, content_type)
             .body(Full::new(body))
             .map_err(|e| ClientError::new(ClientStep::Connect, peer, e))?;
+        self.request(peer, req).await
+    }
+
+    /// send a request whose URI names the peer, and return once the head of the
+    /// answer is there
+    pub async fn request(
+        &self,
+        peer: SocketAddr,
+        req: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, ClientError> {
         self.client.request(req).await.map_err(|e| {
             let step = match e.is_connect() {
                 true => ClientStep::Connect,
