--- a/coordination/src/dispatch/loading.rs
+++ b/coordination/src/dispatch/loading.rs
@@ -30,6 +30,8 @@
 const SHARED_BY_ENTRIES: f64 = 0.5;
 /// engines are told apart as homes by waits of this length, in ms
 const HOME_STEP_MS: f64 = 200.0;
+/// a queue that takes this part of the time of a load is worth a copy
+const COPY_SAVES: f64 = 0.4;
 /// a copy goes only to an engine that is pressed less than this part
 const PRESSED_LESS: f64 = 0.6;
 /// added to the time of a load before its requests come back
@@ -295,6 +297,7 @@
             .into_iter()
             .filter(|b| !is_holder(&b.listed.id) && !b.is_loading(adapter))
             .filter(|b| self.pressure(b, now) < (pressure * PRESSED_LESS).min(1.0))
+            .filter(|b| self.is_worth_a_load(b, adapter, holders, now))
             .collect();
         let more = holders.len().div_ceil(2).saturating_sub(coming);
         let ranked = self.rank_homes(adapter, &others, now);
@@ -302,6 +305,28 @@
         chosen.collect()
     }
 
+    /// whether a copy comes soon enough to shorten the wait at those that hold it
+    fn is_worth_a_load(
+        &self,
+        target: &BackendState,
+        adapter: &AdapterRef,
+        holders: &[&BackendState],
+        now: Instant,
+    ) -> bool {
+        let is_weighed = self.settings.mechanisms.copies_weighed;
+        if !is_weighed || target.held_lately(adapter_mark(adapter)) {
+            return true;
+        }
+        let queues = holders.iter().map(|b| self.queue_ms(b, now));
+        let shortest = queues.min_by(f64::total_cmp).unwrap_or(0.0);
+        let figures = target.view.as_ref().map(|v| v.figures);
+        let load_ms = figures.map_or(0.0, |f| f64::from(f.next_load_ms));
+        let is_full = holders
+            .iter()
+            .all(|b| b.load(now) >= self.settings.copy_from_load);
+        is_full || shortest >= load_ms * COPY_SAVES
+    }
+
     /// requests of an adapter that run or wait, as a part of the places of one
     /// engine; an estimate for all entries from those of this one. The request
     /// in hand is no evidence that other entries have some too
--- a/coordination/src/mechanisms/switches.rs
+++ b/coordination/src/mechanisms/switches.rs
@@ -18,6 +18,10 @@
     /// engines read short prompts first, and late ones last; else by the route's
     /// priority alone
     pub urgency_by_size: bool,
+    /// an engine loads fewer adapters at once while loads are slow
+    pub loads_by_speed: bool,
+    /// a copy is made only where it comes before the queue is over
+    pub copies_weighed: bool,
 }
 
 impl Default for Mechanisms {
@@ -27,17 +31,21 @@
             prompts_of_all: true,
             return_home: true,
             urgency_by_size: true,
+            loads_by_speed: true,
+            copies_weighed: true,
         }
     }
 }
 
 impl Mechanisms {
-    fn rows(&self) -> [(&'static str, bool); 4] {
+    fn rows(&self) -> [(&'static str, bool); 6] {
         [
             ("observed_rate", self.observed_rate),
             ("prompts_of_all", self.prompts_of_all),
             ("return_home", self.return_home),
             ("urgency_by_size", self.urgency_by_size),
+            ("loads_by_speed", self.loads_by_speed),
+            ("copies_weighed", self.copies_weighed),
         ]
     }
 }
--- a/coordination/src/placement/placement_control.rs
+++ b/coordination/src/placement/placement_control.rs
@@ -18,6 +18,13 @@
 
 /// time of a load before any was seen
 const LOAD_TIME_AT_FIRST: Duration = Duration::from_millis(300);
+/// a load that takes this many times as long as the fastest is one too many
+const SLOW_LOADS: f64 = 1.25;
+/// with each load the fastest counts for this much slower, so that a store that
+/// is slow for good is not held to it
+const FORGET_FASTEST: f64 = 1.02;
+/// no load is taken for faster than this: it was no load from the store
+const FASTEST_LOAD: Duration = Duration::from_millis(100);
 /// time to bring back what the engine held lately, before any was seen
 const RETURN_TIME_AT_FIRST: Duration = Duration::from_millis(40);
 /// weight of the latest load in the mean
@@ -85,6 +92,8 @@
     ordered: HashMap<AdapterRef, OrderedLoad>,
     /// time that loads from the weight store took
     load_time: Duration,
+    /// the shortest of them
+    fastest_load: Duration,
     /// time that loads of what was held lately took
     return_time: Duration,
     lately: LatelyHeld,
@@ -115,6 +124,7 @@
             model_ordered: None,
             ordered: HashMap::new(),
             load_time: LOAD_TIME_AT_FIRST,
+            fastest_load: LOAD_TIME_AT_FIRST,
             return_time: RETURN_TIME_AT_FIRST,
             lately: LatelyHeld::default(),
         }
@@ -275,6 +285,18 @@
         self.is_read = true;
     }
 
+    /// Loads that this sidecar has under way at once. The weight store serves a
+    /// number of loads at full speed, and more of them more slowly; so loads that
+    /// take longer than the fastest lately say that the fleet has too many.
+    fn loads_at_once(&self) -> usize {
+        if !self.settings.mechanisms.loads_by_speed {
+            return self.settings.max_loading;
+        }
+        let slowness = self.load_time.as_secs_f64() / self.fastest_load.as_secs_f64();
+        let fewer = (slowness / SLOW_LOADS) as usize;
+        self.settings.max_loading.saturating_sub(fewer).max(1)
+    }
+
     /// what is no longer held may come back fast
     fn remember_left(&mut self, report: &EngineReport) {
         let is_held = |adapter: &AdapterRef| report.held.iter().any(|h| h.adapter == *adapter);
@@ -286,6 +308,7 @@
 
     fn learn_load_times(&mut self, report: &EngineReport, now: Instant) {
         let (mut load, mut back) = (self.load_time, self.return_time);
+        let mut fastest = self.fastest_load;
         self.ordered.retain(|adapter, ordered| {
             let is_held = report.held.iter().any(|h| h.adapter == *adapter);
             let is_loading = report.loading.contains(adapter);
@@ -293,12 +316,16 @@
                 let took = now.saturating_duration_since(ordered.at);
                 match ordered.returns {
                     true => back = mean_with(back, took),
-                    false => load = mean_with(load, took),
+                    false => {
+                        load = mean_with(load, took);
+                        fastest = fastest.mul_f64(FORGET_FASTEST).min(took).max(FASTEST_LOAD);
+                    }
                 }
             }
             is_loading
         });
         (self.load_time, self.return_time) = (load, back);
+        self.fastest_load = fastest;
     }
 
     /// time until an adapter that is wanted now would be there, if its load
@@ -368,7 +395,7 @@
             return Some(order);
         }
         let loading = self.report.loading.len();
-        if loading >= self.settings.max_loading {
+        if loading >= self.loads_at_once() {
             return None;
         }
         if let Some(order) = self.replacement(now) {
--- a/coordination/src/placement/settings.rs
+++ b/coordination/src/placement/settings.rs
@@ -1,9 +1,9 @@
-use std::time::Duration;
+use {crate::mechanisms::Mechanisms, std::time::Duration};
 
 /// bounds of what a sidecar orders
 #[derive(Debug, Clone)]
 pub struct PlacementSettings {
-    /// adapters on their way to the engine at once
+    /// adapters on their way to the engine at once, while loads are fast
     pub max_loading: usize,
     /// an adapter that was used more lately than this is not evicted
     pub min_idle: Duration,
@@ -17,6 +17,7 @@
     pub identity_pause: Duration,
     /// pause between two loads of a base model
     pub model_pause: Duration,
+    pub mechanisms: Mechanisms,
 }
 
 impl Default for PlacementSettings {
@@ -29,6 +30,7 @@
             order_pause: Duration::from_millis(300),
             identity_pause: Duration::from_millis(200),
             model_pause: Duration::from_secs(5),
+            mechanisms: Mechanisms::default(),
         }
     }
 }
--- a/coordination/tests/dispatch_reading.rs
+++ b/coordination/tests/dispatch_reading.rs
@@ -196,3 +196,30 @@
     // its request is served there; the place may go to another adapter
     assert!(fixture.homes("a").is_empty());
 }
+
+#[test]
+fn a_copy_is_made_only_where_it_comes_before_the_queue_is_over() {
+    // prompts read at the holder, ms of a load, and whether a copy is made; a
+    // typical prompt takes 62 ms to read
+    let cases = [(16, 300, true), (16, 5_000, false), (2, 400, false)];
+    for (reading, load_ms, is_copied) in cases {
+        let mut fixture = fixture_with_views();
+        let mut busy = view("engines-1", &[("a", 1)]);
+        busy.figures.reading = reading;
+        for number in 2..=3 {
+            let mut calm = view(&format!("engines-{number}"), &[]);
+            calm.figures.next_load_ms = load_ms;
+            fixture.view(number, calm);
+        }
+        fixture.view(1, busy);
+        for ticket in 1..=2 {
+            let mut ask = fixture.new_ask(ENGINES, Some("a"));
+            ask.prompt_tokens = 1_000;
+            fixture.ask(ticket, ask);
+        }
+        let homes = fixture.homes("a");
+        let copies = homes.iter().filter(|home| *home != "engines-1").count();
+        let case = format!("{reading} read, {load_ms} ms a load: {homes:?}");
+        assert_eq!(copies > 0, is_copied, "{case}");
+    }
+}
--- a/coordination/tests/placement.rs
+++ b/coordination/tests/placement.rs
@@ -427,3 +427,35 @@
     fixture.tell(PlacementEvent::Identified(Some("later".to_string())));
     assert!(fixture.control.view(fixture.now).lately.is_empty());
 }
+
+/// have `count` adapters loaded one after the other, each in this time
+fn load_each(fixture: &mut Fixture, names: &[&str], takes: Duration) {
+    for name in names {
+        fixture.demand(demand(&[(name, 0)]));
+        while let Some(order) = fixture.next_order() {
+            fixture.obey(order);
+        }
+        fixture.now += takes;
+        fixture.finish_loads(1);
+        fixture.hold(&[]);
+    }
+}
+
+#[test]
+fn fewer_adapters_are_loaded_at_once_while_loads_are_slow() {
+    // time of a load in ms, and how many are under way at once then
+    for (takes, at_once) in [(250, 3), (500, 2), (1_500, 1)] {
+        let mut fixture = Fixture::new();
+        fixture.demand(demand(&[]));
+        load_each(&mut fixture, &["p", "q", "r", "s", "t", "u"], ms(takes));
+        let mut many = demand(&[("a", 0), ("b", 0), ("c", 0), ("d", 0), ("e", 0)]);
+        many.room.adapter_slots = 9;
+        fixture.demand(many);
+        let mut loads = 0;
+        while let Some(order) = fixture.next_order() {
+            fixture.obey(order);
+            loads += 1;
+        }
+        assert_eq!(loads, at_once, "{takes} ms a load");
+    }
+}
--- a/sidecar/src/conf/placement_settings.rs
+++ b/sidecar/src/conf/placement_settings.rs
@@ -1,4 +1,5 @@
 use {
+    chalkcart_coordination::mechanisms::Mechanisms,
     chalkcart_node::settings::{check_filled, check_log, defaults, Checked, SettingsError},
     chalkcart_state::ids::BoxName,
     serde::Deserialize,
@@ -18,6 +19,9 @@
     /// values that the platform left out, for the log
     #[serde(default)]
     pub defaulted: Vec<String>,
+    /// which mechanisms of decision are at work
+    #[serde(default)]
+    pub mechanisms: Mechanisms,
     #[serde(default = "defaults::log")]
     pub log: String,
 }
--- a/sidecar/src/placement/serve.rs
+++ b/sidecar/src/placement/serve.rs
@@ -33,7 +33,15 @@
     let since_epoch = SystemTime::now()
         .duration_since(UNIX_EPOCH)
         .context("read the clock")?;
-    let limits = placement::PlacementSettings::default();
+    let limits = placement::PlacementSettings {
+        mechanisms: settings.mechanisms,
+        ..placement::PlacementSettings::default()
+    };
+    if !settings.defaulted.is_empty() {
+        let defaulted = settings.defaulted.join(", ");
+        log::warn!("settings: defaults in force: {defaulted}");
+    }
+    log::info!("settings: mechanisms {}", settings.mechanisms);
     let control = PlacementControl::new(limits, since_epoch.as_millis() as u64);
     let shared = Arc::new(Shared::new(control));
     tokio::spawn(Keeper::new(shared.clone(), engine).run());
