Wishes leave a line: which engines are to load an adapter, and why

Homes, copies and returns that an entry wishes for were not in its log; only the sidecars' orders were. Each new wish now has one line with adapter, engines, cause and the number of requests that wait; a wish that stands is not repeated. The decision keeps the notes, the control thread writes them.

--- a/coordination/src/dispatch/choosing.rs
+++ b/coordination/src/dispatch/choosing.rs
@@ -4,7 +4,7 @@
     super::{
         dispatcher::Dispatcher,
         urgency::{urgency, LEAST as LEAST_URGENT},
-        Ask, Assignment, BackendState, Basis, RefusalCause,
+        Ask, Assignment, BackendState, Basis, RefusalCause, WishCause, Wished,
     },
     crate::placement::adapter_mark,
     chalkcart_state::{
@@ -72,6 +72,7 @@
     pub(super) fn choose(&mut self, ask: &Ask, now: Instant) -> Choice {
         let (choice, homes) = self.plan(ask, now);
         if let (Some(adapter), false) = (&ask.adapter, homes.is_empty()) {
+            self.note_wish(adapter, &homes, &choice, now);
             match choice {
                 Choice::Wait(RefusalCause::Returns) => self.wish_also(adapter, homes, now),
                 _ => self.wish(adapter, homes, now),
@@ -80,6 +81,29 @@
         choice
     }
 
+    fn note_wish(
+        &mut self,
+        adapter: &AdapterRef,
+        backends: &[BackendId],
+        choice: &Choice,
+        now: Instant,
+    ) {
+        let cause = match choice {
+            Choice::Wait(RefusalCause::Returns) => WishCause::Return,
+            Choice::Wait(RefusalCause::NotLoaded) => WishCause::Home,
+            _ => WishCause::Copy,
+        };
+        if cause == WishCause::Return && self.is_wished(adapter, backends, now) {
+            return;
+        }
+        self.wished.push(Wished {
+            adapter: adapter.clone(),
+            backends: backends.to_vec(),
+            cause,
+            waiting: self.waiting.len(),
+        });
+    }
+
     /// what to do for a request, and the engines that are to load its adapter
     fn plan(&self, ask: &Ask, now: Instant) -> (Choice, Vec<BackendId>) {
         let candidates = self.candidates(ask, now);
--- a/coordination/src/dispatch/dispatcher.rs
+++ b/coordination/src/dispatch/dispatcher.rs
@@ -4,7 +4,7 @@
         loading::{Promise, Wish},
         waiting::WaitingList,
         Ask, Assignment, BackendState, Basis, Decision, DispatchEvent, DispatchSettings,
-        ReadingRate, RefusalCause, SendOutcome, Sent, SharedBudget, Ticket,
+        ReadingRate, RefusalCause, SendOutcome, Sent, SharedBudget, Ticket, Wished,
     },
     chalkcart_state::{
         backends::{AdapterRef, Backend, BackendId},
@@ -52,6 +52,8 @@
     pub(super) wishes: HashMap<AdapterRef, Wish>,
     /// highest fences of the sidecars, by the address of their engine
     pub(super) fences: HashMap<SocketAddr, u64>,
+    /// wishes since the last call of `take_wished`
+    pub(super) wished: Vec<Wished>,
     /// requests that were told to come back for an adapter
     pub(super) promises: HashMap<AdapterRef, Promise>,
     /// engines whose sidecars must hear of a new wish
@@ -76,6 +78,7 @@
             versioned_at: HashMap::new(),
             wishes: HashMap::new(),
             fences: HashMap::new(),
+            wished: Vec::new(),
             promises: HashMap::new(),
             urgent: HashSet::new(),
             decided: Vec::new(),
@@ -118,6 +121,10 @@
         std::mem::take(&mut self.decided)
     }
 
+    /// what engines were asked to load since the last call, for logs
+    pub fn take_wished(&mut self) -> Vec<Wished> {
+        std::mem::take(&mut self.wished)
+    }
     pub fn has_urgent_demands(&self) -> bool {
         !self.urgent.is_empty()
     }
--- a/coordination/src/dispatch/loading.rs
+++ b/coordination/src/dispatch/loading.rs
@@ -170,19 +170,26 @@
 
     /// the same, beside the engines that are asked already
     pub(super) fn wish_also(&mut self, adapter: &AdapterRef, homes: Vec<BackendId>, now: Instant) {
-        let wished = self.wishes.get(adapter).filter(|w| w.until > now);
-        let mut backends = wished.map_or(Vec::new(), |w| w.backends.clone());
-        let news: Vec<BackendId> = homes
-            .into_iter()
-            .filter(|h| !backends.contains(h))
-            .collect();
-        if news.is_empty() {
+        if self.is_wished(adapter, &homes, now) {
             return;
         }
-        backends.extend(news);
+        let wished = self.wishes.get(adapter).filter(|w| w.until > now);
+        let mut backends = wished.map_or(Vec::new(), |w| w.backends.clone());
+        backends.extend(homes);
         self.wish(adapter, backends, now);
     }
 
+    /// whether each of these engines was asked to load the adapter
+    pub(super) fn is_wished(
+        &self,
+        adapter: &AdapterRef,
+        homes: &[BackendId],
+        now: Instant,
+    ) -> bool {
+        let wish = self.wishes.get(adapter).filter(|w| w.until > now);
+        wish.is_some_and(|w| homes.iter().all(|home| w.backends.contains(home)))
+    }
+
     /// engines that are to load an adapter that none holds, if they are not asked
     /// to yet: one, and more while many requests wait
     pub(super) fn homes_for(
--- a/coordination/src/dispatch/mod.rs
+++ b/coordination/src/dispatch/mod.rs
@@ -16,6 +16,7 @@
 mod shared_budget;
 mod urgency;
 mod waiting;
+mod wished;
 
 pub use {
     ask::{Ask, Ticket},
@@ -28,4 +29,5 @@
     settings::DispatchSettings,
     shared_budget::SharedBudget,
     urgency::urgency,
+    wished::{WishCause, Wished},
 };
--- a/coordination/tests/dispatch_reading.rs
+++ b/coordination/tests/dispatch_reading.rs
@@ -4,7 +4,7 @@
 
 use {
     chalkcart_coordination::{
-        dispatch::{urgency, Decision, DispatchEvent, ReadingRate},
+        dispatch::{urgency, Decision, DispatchEvent, ReadingRate, WishCause},
         mechanisms::Mechanisms,
     },
     dispatch_fixture::*,
@@ -98,6 +98,9 @@
             true => {
                 assert!(decided.is_empty(), "{case}: {decided:?}");
                 assert_eq!(fixture.homes("a"), ["engines-2"], "{case}");
+                let wished = fixture.dispatcher.take_wished();
+                assert_eq!(wished.len(), 1, "{wished:?}");
+                assert_eq!(wished[0].cause, WishCause::Return);
             }
         }
     }
--- a/entry/src/ingress/control.rs
+++ b/entry/src/ingress/control.rs
@@ -1,7 +1,7 @@
 use {
     super::{figures_board::FiguresBoard, sidecar_links::SidecarLinks},
     anyhow::{Context, Result},
-    chalkcart_coordination::dispatch::{Ask, Decision, DispatchEvent, Dispatcher, Ticket},
+    chalkcart_coordination::dispatch::{Ask, Decision, DispatchEvent, Dispatcher, Ticket, Wished},
     chalkcart_protocol::peer::EngineFigures,
     chalkcart_state::backends::BackendId,
     std::{
@@ -189,6 +189,7 @@
                 let _ = answer.send(decision);
             }
         }
+        self.dispatcher.take_wished().iter().for_each(log_wished);
         if may_change_engines {
             let dispatcher = &self.dispatcher;
             let engines = dispatcher.listed().filter(|b| {
@@ -218,3 +219,13 @@
         }
     }
 }
+
+fn log_wished(wished: &Wished) {
+    log::info!(
+        adapter = wished.adapter.to_string().as_str(),
+        backends = wished.backends.join(",").as_str(),
+        cause = wished.cause.code(),
+        waiting = wished.waiting;
+        "dispatch: wished"
+    );
+}
