--- a/coordination/src/dispatch/loading.rs
+++ b/coordination/src/dispatch/loading.rs
@@ -128,7 +128,8 @@
         let (from, until) = (self.settings.refuse_from, self.settings.refuse_until);
         let is_time = waited >= ask.target_latency.mul_f64(from)
             && waited <= ask.target_latency.mul_f64(until);
-        if ask.has_returned || ask.sends > 0 || !is_time {
+        let may_refuse = self.settings.mechanisms.early_refusals;
+        if !may_refuse || ask.has_returned || ask.sends > 0 || !is_time {
             return None;
         }
         let backend = self.wishes.get(adapter)?.backends.first()?.clone();
@@ -228,6 +229,9 @@
     /// That several wait here is evidence that they do at other entries; a
     /// single one may be the only one
     fn homes_needed(&self, adapter: &AdapterRef, ask: &Ask) -> usize {
+        if !self.settings.mechanisms.several_homes {
+            return 1;
+        }
         let waiting = self.waiting.asks();
         let others = waiting.filter(|ask| ask.adapter.as_ref() == Some(adapter));
         let tokens: u32 = others.map(|ask| ask.prompt_tokens).sum();
@@ -292,7 +296,7 @@
         };
         let wished = self.wishes.get(adapter).filter(|w| w.until > now);
         let is_coming = wished.is_some_and(|w| !w.backends.iter().all(is_holder));
-        if pressure < 1.0 || is_coming {
+        if !self.settings.mechanisms.copies || pressure < 1.0 || is_coming {
             return Vec::new();
         }
         if self.needed_part(adapter, holders) < COPIED_FROM_PART {
--- a/coordination/src/mechanisms/switches.rs
+++ b/coordination/src/mechanisms/switches.rs
@@ -22,6 +22,12 @@
     pub loads_by_speed: bool,
     /// a copy is made only where it comes before the queue is over
     pub copies_weighed: bool,
+    /// an adapter in demand gets copies
+    pub copies: bool,
+    /// an adapter that many wait for is loaded at several engines
+    pub several_homes: bool,
+    /// a request whose adapter comes too late is told early when to come back
+    pub early_refusals: bool,
 }
 
 impl Default for Mechanisms {
@@ -33,12 +39,15 @@
             urgency_by_size: true,
             loads_by_speed: true,
             copies_weighed: true,
+            copies: true,
+            several_homes: true,
+            early_refusals: true,
         }
     }
 }
 
 impl Mechanisms {
-    fn rows(&self) -> [(&'static str, bool); 6] {
+    fn rows(&self) -> [(&'static str, bool); 9] {
         [
             ("observed_rate", self.observed_rate),
             ("prompts_of_all", self.prompts_of_all),
@@ -46,6 +55,9 @@
             ("urgency_by_size", self.urgency_by_size),
             ("loads_by_speed", self.loads_by_speed),
             ("copies_weighed", self.copies_weighed),
+            ("copies", self.copies),
+            ("several_homes", self.several_homes),
+            ("early_refusals", self.early_refusals),
         ]
     }
 }
--- /dev/null
+++ b/coordination/tests/mechanisms.rs
@@ -0,0 +1,186 @@
+//! with any mechanism switched off the dispatcher keeps the rules
+
+mod dispatch_fixture;
+
+use {
+    chalkcart_coordination::{
+        dispatch::{Decision, DispatchEvent, SendOutcome, Ticket},
+        mechanisms::Mechanisms,
+    },
+    dispatch_fixture::*,
+    quickcheck::{Gen, QuickCheck},
+    std::collections::{BTreeMap, BTreeSet},
+};
+
+const SEED: u64 = 19;
+const STEPS: usize = 120;
+const CASES: u64 = 25;
+/// places for adapters of an engine, and for requests (as the fixture lists it)
+const ADAPTER_SLOTS: usize = 2;
+const SLOTS: usize = 4;
+
+/// each switch off, and all on
+fn variants() -> Vec<Mechanisms> {
+    let on = Mechanisms::default();
+    let off: [fn(&mut Mechanisms); 10] = [
+        |_| {},
+        |m| m.observed_rate = false,
+        |m| m.prompts_of_all = false,
+        |m| m.return_home = false,
+        |m| m.urgency_by_size = false,
+        |m| m.loads_by_speed = false,
+        |m| m.copies_weighed = false,
+        |m| m.copies = false,
+        |m| m.several_homes = false,
+        |m| m.early_refusals = false,
+    ];
+    off.iter()
+        .map(|switch| {
+            let mut mechanisms = on;
+            switch(&mut mechanisms);
+            mechanisms
+        })
+        .collect()
+}
+
+/// engines that load what is wished for, and requests that run there
+struct World {
+    fixture: Fixture,
+    /// adapters of each engine, the oldest first
+    held: BTreeMap<u8, Vec<String>>,
+    running: BTreeMap<Ticket, (String, String)>,
+    waiting: BTreeMap<Ticket, String>,
+    next: Ticket,
+}
+
+impl World {
+    fn new(mechanisms: Mechanisms) -> Self {
+        let mut fixture = fixture_with_views();
+        fixture.tune(|settings| settings.mechanisms = mechanisms);
+        Self {
+            fixture,
+            held: (1..=3).map(|number| (number, Vec::new())).collect(),
+            running: BTreeMap::new(),
+            waiting: BTreeMap::new(),
+            next: 1,
+        }
+    }
+
+    fn step(&mut self, (kind, value): (u8, u8)) {
+        let decided = match kind % 4 {
+            0 | 1 => {
+                let name = format!("a{}", value % 6);
+                let mut ask = self.fixture.new_ask(ENGINES, Some(&name));
+                ask.prompt_tokens = 100 * u32::from(value);
+                self.next += 1;
+                self.waiting.insert(self.next, name);
+                self.fixture.ask(self.next, ask)
+            }
+            2 => self.end_one(value),
+            _ => {
+                let decided = self.fixture.pass(ms(u64::from(value)));
+                self.check(decided);
+                self.load_wished();
+                Vec::new()
+            }
+        };
+        self.check(decided);
+    }
+
+    fn end_one(&mut self, value: u8) -> Vec<(Ticket, Decision)> {
+        let nth = usize::from(value) % self.running.len().max(1);
+        let Some(ticket) = self.running.keys().nth(nth).copied() else {
+            return Vec::new();
+        };
+        self.running.remove(&ticket);
+        self.fixture.tell(DispatchEvent::Started(ticket));
+        let outcome = SendOutcome::Answered;
+        self.fixture.tell(DispatchEvent::Ended { ticket, outcome })
+    }
+
+    /// each engine takes up what is wished for there, where a place is free
+    fn load_wished(&mut self) {
+        for (addr, demand) in self.fixture.dispatcher.demands(true, self.fixture.now) {
+            let number = addr
+                .ip()
+                .to_string()
+                .split('.')
+                .next_back()
+                .unwrap()
+                .parse();
+            let number: u8 = number.unwrap();
+            let id = demand.backend.clone();
+            for wanted in demand.wanted {
+                let in_use: BTreeSet<&String> = self.running.values().map(|(_, a)| a).collect();
+                let held = self.held.get_mut(&number).expect("an engine");
+                if held.len() >= ADAPTER_SLOTS {
+                    let Some(idle) = held.iter().position(|a| !in_use.contains(a)) else {
+                        continue;
+                    };
+                    held.remove(idle);
+                }
+                if !held.contains(&wanted.adapter.adapter) {
+                    held.push(wanted.adapter.adapter.clone());
+                }
+            }
+            let rows: Vec<(&str, u64)> = self.held[&number].iter().map(|a| (&**a, 1)).collect();
+            let decided = self.fixture.view(number, view(&id, &rows));
+            self.check(decided);
+        }
+    }
+
+    fn check(&mut self, decided: Vec<(Ticket, Decision)>) {
+        for (ticket, decision) in decided {
+            let name = self.waiting.remove(&ticket).expect("one decision each");
+            let Decision::Send(assignment) = decision else {
+                continue;
+            };
+            let number: u8 = assignment
+                .backend
+                .trim_start_matches("engines-")
+                .parse()
+                .unwrap();
+            assert!(self.held[&number].contains(&name), "it holds {name}");
+            self.running
+                .insert(ticket, (assignment.backend.clone(), name));
+            let there = self
+                .running
+                .values()
+                .filter(|(b, _)| *b == assignment.backend);
+            assert!(there.count() <= SLOTS, "no more than its places");
+        }
+    }
+}
+
+#[test]
+fn requests_go_only_where_they_can_run_and_each_gets_one_decision() {
+    fn check(steps: Vec<(u8, u8)>) -> bool {
+        for mechanisms in variants() {
+            let mut world = World::new(mechanisms);
+            steps.iter().for_each(|step| world.step(*step));
+            // those that wait get an answer in the end
+            for _ in 0..20 {
+                let decided = world.fixture.pass(ms(200));
+                world.check(decided);
+            }
+            assert!(
+                world.waiting.is_empty(),
+                "{mechanisms}: {:?}",
+                world.waiting
+            );
+        }
+        true
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(STEPS, SEED))
+        .tests(CASES)
+        .quickcheck(check as fn(Vec<(u8, u8)>) -> bool);
+}
+
+#[test]
+fn those_that_are_off_are_named() {
+    let mut mechanisms = Mechanisms::default();
+    assert_eq!(mechanisms.to_string(), "all on");
+    mechanisms.copies = false;
+    assert_eq!(mechanisms.to_string(), "off: copies");
+}
--- a/entry/src/cli/explain.rs
+++ b/entry/src/cli/explain.rs
@@ -1,13 +1,12 @@
 use {
-    anyhow::{Context, Result},
+    super::{
+        day_causes::DayCauses,
+        log_lines::{read_lines, LogLine},
+    },
+    anyhow::Result,
     chalkcart_node::cli::{usage_error, ExitCode, Program},
     getopts::Matches,
-    serde_json::{Map, Value},
-    std::{
-        collections::HashSet,
-        fs,
-        io::{self, Read},
-    },
+    std::collections::HashSet,
 };
 
 /// fields that stand in front of each printed line
@@ -21,49 +20,32 @@
     "request",
 ];
 
-/// one line of a log
-#[derive(Debug, Clone)]
-struct Line {
-    clock_ms: i64,
-    fields: Map<String, Value>,
+/// an order about one of these adapters
+fn orders_one_of(line: &LogLine, adapters: &HashSet<String>) -> bool {
+    let order = line.text("order").rsplit(' ').next();
+    order.is_some_and(|adapter| adapters.contains(adapter))
 }
 
-impl Line {
-    /// read a line; what stands before its JSON is passed over
-    fn read(text: &str) -> Option<Self> {
-        let json = &text[text.find('{')?..];
-        let fields: Map<String, Value> = serde_json::from_str(json).ok()?;
-        let clock_ms = fields.get("clock_ms")?.as_i64()?;
-        Some(Self { clock_ms, fields })
-    }
-    fn text(&self, key: &str) -> &str {
-        let value = self.fields.get(key).and_then(Value::as_str);
-        value.unwrap_or_default()
-    }
-    /// an order about one of these adapters
-    fn orders_one_of(&self, adapters: &HashSet<String>) -> bool {
-        let order = self.text("order").rsplit(' ').next();
-        order.is_some_and(|adapter| adapters.contains(adapter))
-    }
-    fn print(&self, first_ms: i64) -> String {
-        let rest = self
-            .fields
-            .iter()
-            .filter(|(key, _)| !HEAD_FIELDS.contains(&key.as_str()));
-        let rest: Vec<String> = rest.map(|(key, value)| format!("{key}={value}")).collect();
-        format!(
-            "{:>8} ms  {:<20} {}: {}  {}",
-            self.clock_ms - first_ms,
-            self.text("node"),
-            self.text("part"),
-            self.text("message"),
-            rest.join(" ")
-        )
-    }
+fn print(line: &LogLine, first_ms: i64) -> String {
+    let fields = line.fields.iter();
+    let rest = fields.filter(|(key, _)| !HEAD_FIELDS.contains(&key.as_str()));
+    let rest: Vec<String> = rest.map(|(key, value)| format!("{key}={value}")).collect();
+    format!(
+        "{:>8} ms  {:<20} {}: {}  {}",
+        line.clock_ms - first_ms,
+        line.text("node"),
+        line.text("part"),
+        line.text("message"),
+        rest.join(" ")
+    )
 }
 
-/// tell the story of one request from the logs of many processes
+/// tell the story of one request, or the causes of a whole day, from the logs of many processes
 pub fn run(program: &Program, matches: &Matches) -> Result<ExitCode> {
+    if matches.opt_present("day") {
+        print!("{}", DayCauses::of(&read_lines(&matches.free)?));
+        return Ok(ExitCode::Done);
+    }
     let Some((request, files)) = matches.free.split_first() else {
         return Ok(usage_error(program, "expected the request's ID"));
     };
@@ -75,31 +57,17 @@
     };
     println!("request {request}; times are since its first line, by each machine's own clock");
     for line in &story {
-        println!("{}", line.print(first.clock_ms));
+        println!("{}", print(line, first.clock_ms));
     }
     Ok(ExitCode::Done)
 }
 
-fn read_lines(files: &[String]) -> Result<Vec<Line>> {
-    let mut text = String::new();
-    if files.is_empty() {
-        io::stdin()
-            .read_to_string(&mut text)
-            .context("read standard input")?;
-    }
-    for file in files {
-        text.push_str(&fs::read_to_string(file).with_context(|| format!("read {file}"))?);
-        text.push('\n');
-    }
-    Ok(text.lines().filter_map(Line::read).collect())
-}
-
 /// the request's own lines, and the orders about its adapter meanwhile.
 ///
 /// Clocks of machines differ, so lines are kept in the order of each process;
 /// processes are merged by their clocks.
-fn story(request: &str, lines: &[Line]) -> Vec<Line> {
-    let own: Vec<&Line> = lines
+fn story(request: &str, lines: &[LogLine]) -> Vec<LogLine> {
+    let own: Vec<&LogLine> = lines
         .iter()
         .filter(|l| l.text("request") == request)
         .collect();
@@ -119,8 +87,8 @@
     let from = first - waited.max().unwrap_or(0);
     let orders = lines
         .iter()
-        .filter(|line| line.orders_one_of(&adapters) && (from..=last).contains(&line.clock_ms));
-    let mut story: Vec<Line> = own.into_iter().chain(orders).cloned().collect();
+        .filter(|line| orders_one_of(line, &adapters) && (from..=last).contains(&line.clock_ms));
+    let mut story: Vec<LogLine> = own.into_iter().chain(orders).cloned().collect();
     story.sort_by_key(|line| line.clock_ms);
     story
 }
--- a/entry/src/cli/run.rs
+++ b/entry/src/cli/run.rs
@@ -51,10 +51,13 @@
         word: "explain",
         program: Program {
             name: "chalkcart explain",
-            arguments: "ID [FILE...]",
-            purpose: "Tell the story of a request from the logs in FILEs, or standard input.",
+            arguments: "ID | --day [FILE...]",
+            purpose: "Tell the story of a request, or what became of a day's streams and why, \
+                      from the logs in FILEs, or standard input.",
+        },
+        options: |options| {
+            options.optflag("", "day", "count streams by route and cause");
         },
-        options: |_| {},
         run: explain::run,
     },
     Command {
--- a/entry/src/ingress/observers.rs
+++ b/entry/src/ingress/observers.rs
@@ -90,6 +90,7 @@
             route = self.route.name.as_str(),
             backend = self.backend.as_str(),
             outcome = word,
+            objective_ms = self.route.target_latency.as_millis() as u64,
             first_part_ms = self.first_part.map_or(-1, |t| t.as_millis() as i64),
             longest_pause_ms = longest_pause.as_millis() as u64,
             total_ms = self.arrived.elapsed().as_millis() as u64;
--- a/entry/tests/command_line.rs
+++ b/entry/tests/command_line.rs
@@ -200,3 +200,37 @@
     assert_eq!(unknown.code, Some(1));
     Ok(())
 }
+
+/// how one stream went, as two lines of its entry's log
+fn stream(id: &str, outcome: &str, waited: u32, queue: u32, first: u32, pause: u32) -> String {
+    format!(
+        r#"{{"clock_ms":1,"part":"dispatch","message":"sent","request":"{id}","waited_ms":{waited},"queue_ms":{queue}}}
+{{"clock_ms":2,"part":"ingress","message":"stream ended","request":"{id}","route":"r","outcome":"{outcome}","objective_ms":600,"first_part_ms":{first},"longest_pause_ms":{pause}}}
+"#
+    )
+}
+
+#[test]
+fn a_day_is_explained_by_one_cause_a_stream() -> Result<()> {
+    let lines = [
+        stream("a", "whole", 0, 0, 600, 250),
+        stream("b", "whole", 500, 900, 700, 0),
+        stream("c", "whole", 100, 300, 700, 0),
+        stream("d", "whole", 100, 0, 700, 0),
+        stream("e", "whole", 0, 0, 100, 900),
+        stream("f", "broken", 0, 0, 100, 0),
+        stream("g", "client_left", 0, 0, 100, 0),
+        r#"{"clock_ms":3,"part":"dispatch","message":"refused","request":"h","route":"r"}"#.into(),
+    ];
+    let file = settings_file(&lines.concat())?;
+    let name = file.to_string_lossy().into_owned();
+    let ran = chalkcart(&["explain", "--day", &name])?;
+    fs::remove_file(file)?;
+    let row = ran.stdout.lines().last().unwrap_or_default();
+    assert_eq!(
+        row, "| r | 1 | 1 | 1 | 1 | 1 | 1 | 1 | 1 |",
+        "{}",
+        ran.stdout
+    );
+    Ok(())
+}
