--- a/coordination/src/dispatch/dispatcher.rs
+++ b/coordination/src/dispatch/dispatcher.rs
@@ -1,10 +1,8 @@
 use {
     super::{
-        choosing::Choice,
-        loading::{Promise, Wish},
-        waiting::WaitingList,
-        Ask, Assignment, BackendState, Basis, Decision, DispatchEvent, DispatchSettings,
-        ReadingRate, RefusalCause, SendOutcome, Sent, SharedBudget, Ticket, Wished,
+        choosing::Choice, promises::Promise, waiting::WaitingList, wishes::Wish, Ask, Assignment,
+        BackendState, Basis, Decision, DispatchEvent, DispatchSettings, ReadingRate, RefusalCause,
+        SendOutcome, Sent, SharedBudget, Ticket, Wished,
     },
     chalkcart_state::{
         backends::{AdapterRef, Backend, BackendId},
--- a/coordination/src/dispatch/mod.rs
+++ b/coordination/src/dispatch/mod.rs
@@ -4,19 +4,22 @@
 mod ask;
 mod backend_state;
 mod choosing;
+mod copies;
 mod decision;
 mod demands;
 mod dispatcher;
 mod event;
 mod health;
+mod homes;
 mod listing;
-mod loading;
+mod promises;
 mod reading_rate;
 mod settings;
 mod shared_budget;
 mod urgency;
 mod waiting;
 mod wished;
+mod wishes;
 
 pub use {
     ask::{Ask, Ticket},
--- /dev/null
+++ b/coordination/src/dispatch/wishes.rs
@@ -0,0 +1,155 @@
+//! which engines are asked to load what
+
+use {
+    super::{demands::build_demand, dispatcher::Dispatcher, BackendState},
+    chalkcart_protocol::peer::{AdapterDemand, WantedAdapter},
+    chalkcart_state::backends::{AdapterRef, BackendId},
+    std::{
+        collections::{BTreeMap, HashMap},
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
+};
+
+/// an adapter is wished for at one engine for this long; a request that still
+/// waits then asks at the next
+pub(super) const WISHED_FOR: Duration = Duration::from_millis(1_500);
+
+/// engines that are asked to load an adapter
+#[derive(Debug, Clone)]
+pub(super) struct Wish {
+    pub(super) backends: Vec<BackendId>,
+    pub(super) until: Instant,
+}
+
+impl Wish {
+    /// how many of its engines are among these
+    pub(super) fn known_among(&self, candidates: &[&BackendState]) -> usize {
+        let known = candidates
+            .iter()
+            .filter(|b| self.backends.contains(&b.listed.id));
+        known.count()
+    }
+}
+
+impl Dispatcher {
+    /// what sidecars must hear now; all of them if `all`
+    pub fn demands(&mut self, all: bool, now: Instant) -> Vec<(SocketAddr, AdapterDemand)> {
+        self.wishes.retain(|_, wish| wish.until > now);
+        self.promises.retain(|_, promise| promise.until > now);
+        let urgent = std::mem::take(&mut self.urgent);
+        let mut wanted = self.wanted(now);
+        let mut demands = Vec::new();
+        let table = self.table.clone();
+        for (id, state) in &mut self.backends {
+            if state.is_gone || !state.may_live() || !(all || urgent.contains(id)) {
+                continue;
+            }
+            let Some(service) = table.services.get(&state.listed.service) else {
+                continue;
+            };
+            let Some(spec) = &service.engine else {
+                continue;
+            };
+            let wanted = wanted.remove(id).unwrap_or_default();
+            let versions = &self.versions;
+            let settings = &self.settings;
+            let demand = build_demand(
+                settings,
+                self.list_version,
+                service,
+                spec,
+                state,
+                wanted,
+                versions,
+            );
+            let fence_seen = self.fences.get(&state.listed.addr).copied().unwrap_or(0);
+            let demand = AdapterDemand {
+                fence_seen,
+                ..demand
+            };
+            demands.push((state.listed.addr, demand));
+        }
+        demands
+    }
+
+    /// have the sidecars of engines load the adapter
+    pub(super) fn wish(&mut self, adapter: &AdapterRef, backends: Vec<BackendId>, now: Instant) {
+        self.urgent.extend(backends.iter().cloned());
+        let until = now + WISHED_FOR;
+        self.wishes
+            .insert(adapter.clone(), Wish { backends, until });
+    }
+
+    /// the same, beside the engines that are asked already
+    pub(super) fn wish_also(&mut self, adapter: &AdapterRef, homes: Vec<BackendId>, now: Instant) {
+        if self.is_wished(adapter, &homes, now) {
+            return;
+        }
+        let wished = self.wishes.get(adapter).filter(|w| w.until > now);
+        let mut backends = wished.map_or(Vec::new(), |w| w.backends.clone());
+        backends.extend(homes);
+        self.wish(adapter, backends, now);
+    }
+
+    /// whether each of these engines was asked to load the adapter
+    pub(super) fn is_wished(
+        &self,
+        adapter: &AdapterRef,
+        homes: &[BackendId],
+        now: Instant,
+    ) -> bool {
+        let wish = self.wishes.get(adapter).filter(|w| w.until > now);
+        wish.is_some_and(|w| homes.iter().all(|home| w.backends.contains(home)))
+    }
+
+    /// what requests wait for, by the engine that is to load it
+    pub(super) fn wanted(&self, now: Instant) -> HashMap<BackendId, Vec<WantedAdapter>> {
+        let mut rows: BTreeMap<&AdapterRef, WantedAdapter> = BTreeMap::new();
+        for adapter in self.wishes.keys() {
+            rows.insert(adapter, wanted_adapter(adapter));
+        }
+        for (adapter, promise) in &self.promises {
+            let row = rows
+                .entry(adapter)
+                .or_insert_with(|| wanted_adapter(adapter));
+            row.waiting += promise.requests;
+            row.priority = row.priority.min(promise.priority);
+        }
+        for ask in self.waiting.asks() {
+            let Some(row) = ask.adapter.as_ref().and_then(|a| rows.get_mut(a)) else {
+                continue;
+            };
+            let waited = now.saturating_duration_since(ask.arrived).as_millis();
+            row.waiting += 1;
+            row.priority = row.priority.min(ask.priority);
+            row.waited_ms = row.waited_ms.max(waited as u32);
+        }
+        let mut wanted: HashMap<BackendId, Vec<WantedAdapter>> = HashMap::new();
+        for (adapter, row) in rows {
+            let promised = self.promises.get(adapter).map(|p| vec![p.backend.clone()]);
+            let wished = self.wishes.get(adapter).map(|w| w.backends.clone());
+            // what is there and waited for by nobody needs no place kept
+            let is_done = |id: &BackendId| {
+                let state = self.backends.get(id);
+                row.waiting == 0 && state.is_some_and(|b| b.held_version(adapter, now).is_some())
+            };
+            for backend in wished.or(promised).unwrap_or_default() {
+                if is_done(&backend) {
+                    continue;
+                }
+                wanted.entry(backend).or_default().push(row.clone());
+            }
+        }
+        wanted
+    }
+}
+
+fn wanted_adapter(adapter: &AdapterRef) -> WantedAdapter {
+    WantedAdapter {
+        adapter: adapter.clone(),
+        waiting: 0,
+        priority: u8::MAX,
+        waited_ms: 0,
+    }
+}
--- a/coordination/src/placement/mod.rs
+++ b/coordination/src/placement/mod.rs
@@ -6,6 +6,7 @@
 mod engine_report;
 mod fence_token;
 mod lately_held;
+mod load_speed;
 mod placement_control;
 mod settings;
 
@@ -15,6 +16,7 @@
     engine_report::EngineReport,
     fence_token::FenceToken,
     lately_held::{adapter_mark, AdapterMark, LatelyHeld},
+    load_speed::LoadSpeed,
     placement_control::{PlacementControl, PlacementEvent, PlacementStep},
     settings::PlacementSettings,
 };
--- a/coordination/src/placement/placement_control.rs
+++ b/coordination/src/placement/placement_control.rs
@@ -1,7 +1,7 @@
 use {
     super::{
-        adapter_mark, DemandBook, EngineOrder, EngineReport, FenceToken, LatelyHeld, OrderAnswer,
-        OrderKind, PlacementSettings,
+        adapter_mark, DemandBook, EngineOrder, EngineReport, FenceToken, LatelyHeld, LoadSpeed,
+        OrderAnswer, OrderKind, PlacementSettings,
     },
     chalkcart_protocol::peer::{AdapterDemand, EngineFigures, EngineRoom, EngineView},
     chalkcart_state::backends::{AdapterRef, BackendId},
@@ -16,20 +16,6 @@
 /// and otherwise
 const READ_CALM: Duration = Duration::from_millis(100);
 
-/// time of a load before any was seen
-const LOAD_TIME_AT_FIRST: Duration = Duration::from_millis(300);
-/// a load that takes this many times as long as the fastest is one too many
-const SLOW_LOADS: f64 = 1.25;
-/// with each load the fastest counts for this much slower, so that a store that
-/// is slow for good is not held to it
-const FORGET_FASTEST: f64 = 1.02;
-/// no load is taken for faster than this: it was no load from the store
-const FASTEST_LOAD: Duration = Duration::from_millis(100);
-/// time to bring back what the engine held lately, before any was seen
-const RETURN_TIME_AT_FIRST: Duration = Duration::from_millis(40);
-/// weight of the latest load in the mean
-const LATEST_LOAD: f64 = 0.3;
-
 /// what happens to the control state of a sidecar's placement
 #[derive(Debug)]
 pub enum PlacementEvent {
@@ -88,25 +74,10 @@
     /// orders that failed, and until when they rest
     resting: HashMap<OrderKind, Instant>,
     model_ordered: Option<Instant>,
-    /// adapters on their way
-    ordered: HashMap<AdapterRef, OrderedLoad>,
-    /// time that loads from the weight store took
-    load_time: Duration,
-    /// the shortest of them
-    fastest_load: Duration,
-    /// time that loads of what was held lately took
-    return_time: Duration,
+    speed: LoadSpeed,
     lately: LatelyHeld,
 }
 
-/// an adapter on its way
-#[derive(Debug, Clone, Copy)]
-struct OrderedLoad {
-    at: Instant,
-    /// the engine has held it lately
-    returns: bool,
-}
-
 impl PlacementControl {
     /// `clock_ms` is the time of day, in ms since the epoch
     pub fn new(settings: PlacementSettings, clock_ms: u64) -> Self {
@@ -122,10 +93,7 @@
             is_read: false,
             resting: HashMap::new(),
             model_ordered: None,
-            ordered: HashMap::new(),
-            load_time: LOAD_TIME_AT_FIRST,
-            fastest_load: LOAD_TIME_AT_FIRST,
-            return_time: RETURN_TIME_AT_FIRST,
+            speed: LoadSpeed::default(),
             lately: LatelyHeld::default(),
         }
     }
@@ -170,8 +138,8 @@
     pub fn view(&self, now: Instant) -> EngineView {
         let figures = EngineFigures {
             fence: self.fence.value(),
-            next_load_ms: self.next_load(self.load_time, now).as_millis() as u32,
-            next_return_ms: self.next_load(self.return_time, now).as_millis() as u32,
+            next_load_ms: self.next_load(self.speed.load_time(), now).as_millis() as u32,
+            next_return_ms: self.next_load(self.speed.return_time(), now).as_millis() as u32,
             spare_slots: self.spare_slots(now),
             running: self.report.running,
             queued: self.report.queued,
@@ -255,7 +223,7 @@
             self.is_read = false;
             self.resting.clear();
             self.lately.clear();
-            self.ordered.clear();
+            self.speed.forget_ordered();
         }
     }
 
@@ -279,22 +247,19 @@
             places.insert(held.adapter.clone(), place);
         }
         self.remember_left(&report);
-        self.learn_load_times(&report, now);
+        self.speed.on_report(&report, now);
         self.places = places;
         self.report = report;
         self.is_read = true;
     }
 
-    /// Loads that this sidecar has under way at once. The weight store serves a
-    /// number of loads at full speed, and more of them more slowly; so loads that
-    /// take longer than the fastest lately say that the fleet has too many.
+    /// loads that are under way at once
     fn loads_at_once(&self) -> usize {
-        if !self.settings.mechanisms.loads_by_speed {
-            return self.settings.max_loading;
+        let most = self.settings.max_loading;
+        match self.settings.mechanisms.loads_by_speed {
+            true => self.speed.loads_at_once(most),
+            false => most,
         }
-        let slowness = self.load_time.as_secs_f64() / self.fastest_load.as_secs_f64();
-        let fewer = (slowness / SLOW_LOADS) as usize;
-        self.settings.max_loading.saturating_sub(fewer).max(1)
     }
 
     /// what is no longer held may come back fast
@@ -306,28 +271,6 @@
         }
     }
 
-    fn learn_load_times(&mut self, report: &EngineReport, now: Instant) {
-        let (mut load, mut back) = (self.load_time, self.return_time);
-        let mut fastest = self.fastest_load;
-        self.ordered.retain(|adapter, ordered| {
-            let is_held = report.held.iter().any(|h| h.adapter == *adapter);
-            let is_loading = report.loading.contains(adapter);
-            if is_held && !is_loading {
-                let took = now.saturating_duration_since(ordered.at);
-                match ordered.returns {
-                    true => back = mean_with(back, took),
-                    false => {
-                        load = mean_with(load, took);
-                        fastest = fastest.mul_f64(FORGET_FASTEST).min(took).max(FASTEST_LOAD);
-                    }
-                }
-            }
-            is_loading
-        });
-        (self.load_time, self.return_time) = (load, back);
-        self.fastest_load = fastest;
-    }
-
     /// time until an adapter that is wanted now would be there, if its load
     /// alone takes `own`
     fn next_load(&self, own: Duration, now: Instant) -> Duration {
@@ -337,7 +280,7 @@
         });
         let before = missing.count() + self.report.loading.len();
         let rounds = before / self.settings.max_loading.max(1);
-        self.model_wait(now) + self.load_time * rounds as u32 + own
+        self.model_wait(now) + self.speed.load_time() * rounds as u32 + own
     }
 
     /// time until the base model is there, if it is not
@@ -377,8 +320,7 @@
                     place.replacing = true;
                 }
                 let returns = self.lately.has(adapter_mark(adapter));
-                let load = OrderedLoad { at: now, returns };
-                self.ordered.insert(adapter.clone(), load);
+                self.speed.on_ordered(adapter, returns, now);
             }
             OrderKind::UnloadAdapter(adapter) => {
                 self.places.remove(adapter);
@@ -511,9 +453,3 @@
         (capacity.saturating_sub(taken) + evictable.count()) as u32
     }
 }
-
-/// a mean of load times with one more of them
-fn mean_with(mean: Duration, took: Duration) -> Duration {
-    let mean = mean.as_secs_f64();
-    Duration::from_secs_f64(mean + (took.as_secs_f64() - mean) * LATEST_LOAD)
-}
--- a/coordination/tests/dispatch_reading.rs
+++ b/coordination/tests/dispatch_reading.rs
@@ -226,3 +226,14 @@
         assert_eq!(copies > 0, is_copied, "{case}");
     }
 }
+
+#[test]
+fn absurd_sizes_of_prompts_overflow_nothing() {
+    let mut fixture = fixture_with_views();
+    for ticket in 1..=3 {
+        let mut ask = fixture.new_ask(ENGINES, Some("a"));
+        ask.prompt_tokens = u32::MAX;
+        fixture.ask(ticket, ask);
+    }
+    assert_eq!(fixture.homes("a").len(), 3, "as many homes as there are");
+}
