--- a/coordination/src/dispatch/backend_state.rs
+++ b/coordination/src/dispatch/backend_state.rs
@@ -104,8 +104,8 @@
             left.for_each(|a| self.lately.put(adapter_mark(a)));
         }
         view.lately.iter().for_each(|mark| self.lately.put(*mark));
+        self.viewed_at = said_at(&view.figures, now);
         self.view = Some(view);
-        self.viewed_at = now;
         self.refused.clear();
         has_news
     }
@@ -113,7 +113,7 @@
     pub fn on_figures(&mut self, figures: EngineFigures, now: Instant) {
         if let Some(view) = &mut self.view {
             view.figures = figures;
-            self.viewed_at = now;
+            self.viewed_at = said_at(&figures, now);
             self.refused.clear();
         }
     }
@@ -241,3 +241,9 @@
         self.view.as_ref().filter(|_| age < VIEW_FRESH)
     }
 }
+
+/// when the sidecar said this; relays count how long ago that was
+fn said_at(figures: &EngineFigures, now: Instant) -> Instant {
+    let age = Duration::from_millis(u64::from(figures.age_ms));
+    now.checked_sub(age).unwrap_or(now)
+}
--- a/coordination/src/dispatch/demands.rs
+++ b/coordination/src/dispatch/demands.rs
@@ -31,6 +31,7 @@
     used.sort_by(|a, b| a.adapter.cmp(&b.adapter));
     AdapterDemand {
         entry: settings.entry.clone(),
+        entries: 1,
         backend: state.listed.id.clone(),
         list_version,
         fence_seen: 0,
--- a/coordination/src/lib.rs
+++ b/coordination/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod permits;
 pub mod placement;
 pub mod queue;
+pub mod relay;
 pub mod retry;
 pub mod routing;
 pub mod sidecar;
--- a/coordination/src/mechanisms/switches.rs
+++ b/coordination/src/mechanisms/switches.rs
@@ -28,6 +28,8 @@
     pub several_homes: bool,
     /// a request whose adapter comes too late is told early when to come back
     pub early_refusals: bool,
+    /// entries of a large fleet hear engines by a relay of their zone
+    pub relays: bool,
 }
 
 impl Default for Mechanisms {
@@ -42,12 +44,13 @@
             copies: true,
             several_homes: true,
             early_refusals: true,
+            relays: true,
         }
     }
 }
 
 impl Mechanisms {
-    fn rows(&self) -> [(&'static str, bool); 9] {
+    fn rows(&self) -> [(&'static str, bool); 10] {
         [
             ("observed_rate", self.observed_rate),
             ("prompts_of_all", self.prompts_of_all),
@@ -58,6 +61,7 @@
             ("copies", self.copies),
             ("several_homes", self.several_homes),
             ("early_refusals", self.early_refusals),
+            ("relays", self.relays),
         ]
     }
 }
--- a/coordination/src/placement/demand_book.rs
+++ b/coordination/src/placement/demand_book.rs
@@ -1,8 +1,11 @@
 use {
-    chalkcart_protocol::peer::{AdapterDemand, WantedAdapter},
-    chalkcart_state::{backends::AdapterRef, ids::BoxName},
+    chalkcart_protocol::peer::{AdapterDemand, AdapterUse, WantedAdapter},
+    chalkcart_state::{
+        backends::{AdapterRef, HeldAdapter},
+        ids::BoxName,
+    },
     std::{
-        collections::HashMap,
+        collections::{BTreeMap, HashMap},
         time::{Duration, Instant},
     },
 };
@@ -28,8 +31,30 @@
         self.demands
             .retain(|_, (at, _)| now.saturating_duration_since(*at) < silence);
     }
-    pub fn entries(&self) -> usize {
-        self.demands.len()
+    /// forget what an entry needs
+    pub fn forget(&mut self, entry: &BoxName) {
+        self.demands.remove(entry);
+    }
+    pub fn is_empty(&self) -> bool {
+        self.demands.is_empty()
+    }
+    /// entries that need something, also those for which a relay speaks
+    pub fn entries(&self) -> u32 {
+        self.each().map(|d| d.entries).sum()
+    }
+    /// all that is needed as one message, said by a relay; none if nobody needs
+    /// anything
+    pub fn merged(&self, relay: &BoxName) -> Option<AdapterDemand> {
+        let newest = self.newest()?;
+        Some(AdapterDemand {
+            entry: relay.clone(),
+            entries: self.entries(),
+            fence_seen: self.each().map(|d| d.fence_seen).max().unwrap_or(0),
+            wanted: self.wanted(),
+            used: self.used(),
+            outdated: self.outdated(),
+            ..newest.clone()
+        })
     }
     /// requests of all entries that run on an adapter
     pub fn in_flight(&self, adapter: &AdapterRef) -> u32 {
@@ -78,6 +103,32 @@
         self.each().max_by_key(|d| d.list_version)
     }
 
+    fn used(&self) -> Vec<AdapterUse> {
+        let mut in_flight: BTreeMap<&AdapterRef, u32> = BTreeMap::new();
+        for used in self.each().flat_map(|d| &d.used) {
+            *in_flight.entry(&used.adapter).or_default() += used.in_flight;
+        }
+        let uses = in_flight.into_iter().map(|(adapter, n)| AdapterUse {
+            adapter: adapter.clone(),
+            in_flight: n,
+        });
+        uses.collect()
+    }
+
+    /// of each adapter the newest version that an entry knows
+    fn outdated(&self) -> Vec<HeldAdapter> {
+        let mut newest: BTreeMap<&AdapterRef, u64> = BTreeMap::new();
+        for outdated in self.each().flat_map(|d| &d.outdated) {
+            let version = newest.entry(&outdated.adapter).or_default();
+            *version = outdated.version.max(*version);
+        }
+        let outdated = newest.into_iter().map(|(adapter, version)| HeldAdapter {
+            adapter: adapter.clone(),
+            version,
+        });
+        outdated.collect()
+    }
+
     fn each(&self) -> impl Iterator<Item = &AdapterDemand> {
         self.demands.values().map(|(_, demand)| demand)
     }
--- a/coordination/src/placement/placement_control.rs
+++ b/coordination/src/placement/placement_control.rs
@@ -146,7 +146,8 @@
             reading: self.report.reading,
             kv_used: self.report.kv_used,
             kv_total: self.report.kv_total,
-            entries: self.demands.entries() as u32,
+            entries: self.demands.entries(),
+            ..EngineFigures::default()
         };
         let mut view = EngineView {
             backend: self.backend.clone(),
--- a/coordination/tests/placement.rs
+++ b/coordination/tests/placement.rs
@@ -36,6 +36,7 @@
 fn demand(wants: &[(&str, u8)]) -> AdapterDemand {
     AdapterDemand {
         entry: "e".to_string(),
+        entries: 1,
         backend: "b".to_string(),
         list_version: 1,
         fence_seen: 0,
--- /dev/null
+++ b/coordination/tests/relays.rs
@@ -0,0 +1,256 @@
+//! who hears whom in a large fleet
+
+use {
+    chalkcart_coordination::relay::{RelayBook, RelayCandidate, RelayChoice, RELAYS_PER_ZONE},
+    chalkcart_protocol::peer::{
+        AdapterDemand, AdapterUse, EngineDemand, EngineFigures, EngineRoom, EngineView, EngineWord,
+        RelayDemands, RelayUpdate, WantedAdapter,
+    },
+    chalkcart_state::backends::{AdapterRef, HeldAdapter},
+    quickcheck::{quickcheck, Arbitrary, Gen},
+    std::{
+        collections::{BTreeMap, HashSet},
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
+};
+
+fn addr(number: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, number], 80))
+}
+
+fn adapter(name: &str) -> AdapterRef {
+    AdapterRef {
+        model: "m".to_string(),
+        adapter: name.to_string(),
+    }
+}
+
+/// ten engines in each of three zones
+fn candidates() -> Vec<RelayCandidate> {
+    let of = |number: u8| RelayCandidate {
+        engine: addr(number),
+        zone: format!("z{}", number % 3),
+    };
+    (0..30).map(of).collect()
+}
+
+fn choices(zone: &str) -> Vec<RelayChoice> {
+    let of = |n| RelayChoice::new(&format!("entry-{n}"), &zone.to_string());
+    (0..20).map(of).collect()
+}
+
+#[test]
+fn the_entries_of_a_zone_use_few_relays_all_of_their_own_zone() {
+    let now = Instant::now();
+    for zone in ["z0", "z1", "z2"] {
+        let chosen = choices(zone)
+            .iter_mut()
+            .map(|choice| choice.choose(&candidates(), None, now).expect("a relay"))
+            .collect::<HashSet<SocketAddr>>();
+        assert_eq!(chosen.len(), RELAYS_PER_ZONE);
+        let own = candidates().into_iter().filter(|c| c.zone == zone);
+        let own: HashSet<SocketAddr> = own.map(|c| c.engine).collect();
+        assert!(chosen.is_subset(&own), "{chosen:?}");
+    }
+}
+
+#[test]
+fn an_entry_leaves_a_relay_that_failed_and_comes_back_after_its_rest() {
+    let mut now = Instant::now();
+    let mut choice = RelayChoice::new(&"entry-1".to_string(), &"z1".to_string());
+    let first = choice.choose(&candidates(), None, now).expect("a relay");
+    choice.on_failed(first, now);
+    let second = choice.choose(&candidates(), None, now).expect("a relay");
+    assert_ne!(first, second);
+    let present = Some(second);
+    assert_eq!(choice.choose(&candidates(), present, now), present, "kept");
+    now += Duration::from_secs(6);
+    assert_eq!(choice.choose(&candidates(), None, now), Some(first));
+}
+
+#[test]
+fn an_entry_always_finds_a_relay_while_any_engine_is_listed() {
+    let now = Instant::now();
+    let mut choice = RelayChoice::new(&"entry-1".to_string(), &"z1".to_string());
+    let mut tried = HashSet::new();
+    for step in 0..30 {
+        let at = now + Duration::from_millis(step);
+        let chosen = choice.choose(&candidates(), None, at).expect("a relay");
+        assert!(tried.insert(chosen), "each is tried before any is again");
+        choice.on_failed(chosen, at);
+    }
+    let later = now + Duration::from_millis(40);
+    assert!(choice.choose(&candidates(), None, later).is_some());
+    assert_eq!(choice.choose(&[], None, later), None);
+}
+
+fn demand(entry: &str, adapter_name: &str) -> AdapterDemand {
+    AdapterDemand {
+        entry: entry.to_string(),
+        entries: 1,
+        backend: "b".to_string(),
+        list_version: 1,
+        fence_seen: 7,
+        health_path: "/health".to_string(),
+        room: EngineRoom::default(),
+        wanted: vec![WantedAdapter {
+            adapter: adapter(adapter_name),
+            waiting: 2,
+            priority: 1,
+            waited_ms: 10,
+        }],
+        used: vec![AdapterUse {
+            adapter: adapter("hot"),
+            in_flight: 3,
+        }],
+        outdated: Vec::new(),
+    }
+}
+
+fn whole(entry: &str, adapter_name: &str) -> RelayDemands {
+    RelayDemands {
+        entry: entry.to_string(),
+        is_whole: true,
+        engines: vec![EngineDemand {
+            engine: addr(1),
+            demand: Some(demand(entry, adapter_name)),
+        }],
+    }
+}
+
+#[test]
+fn a_relay_says_what_all_its_entries_need_as_one() {
+    let now = Instant::now();
+    let mut book = RelayBook::new("relay".to_string());
+    assert!(book.on_demands(whole("e1", "a"), now), "one more engine");
+    assert!(!book.on_demands(whole("e2", "a"), now));
+    let told = book.take_demands();
+    let (engine, merged) = &told[0];
+    assert_eq!((*engine, told.len()), (addr(1), 1));
+    assert_eq!((merged.entry.as_str(), merged.entries), ("relay", 2));
+    assert_eq!(merged.wanted[0].waiting, 4);
+    assert_eq!(merged.used[0].in_flight, 6);
+    assert_eq!(merged.fence_seen, 7);
+    assert!(book.take_demands().is_empty(), "told once");
+}
+
+#[test]
+fn what_a_silent_entry_needed_is_forgotten() {
+    let now = Instant::now();
+    let mut book = RelayBook::new("relay".to_string());
+    book.on_demands(whole("e1", "a"), now);
+    book.on_demands(whole("e2", "a"), now + Duration::from_secs(2));
+    assert!(
+        !book.expire(now + Duration::from_secs(3)),
+        "e2 needs it still"
+    );
+    assert_eq!(book.take_demands()[0].1.entries, 1);
+    assert!(book.expire(now + Duration::from_secs(5)));
+    assert_eq!(book.engines().count(), 0);
+}
+
+/// what happens to a relay
+#[derive(Debug, Clone)]
+enum Heard {
+    View(u8, Vec<u8>),
+    Figures(u8, u32),
+    Silent(u8),
+    Told,
+}
+
+impl Arbitrary for Heard {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let engine = u8::arbitrary(g) % 3;
+        match u8::arbitrary(g) % 5 {
+            0 | 1 => Self::View(engine, Vec::arbitrary(g)),
+            2 => Self::Figures(engine, u32::arbitrary(g) % 9),
+            3 => Self::Silent(engine),
+            _ => Self::Told,
+        }
+    }
+}
+
+fn view(held: &[u8]) -> EngineView {
+    let names: HashSet<u8> = held.iter().map(|n| n % 7).collect();
+    let held = names.into_iter().map(|n| HeldAdapter {
+        adapter: adapter(&n.to_string()),
+        version: 1,
+    });
+    let mut held: Vec<HeldAdapter> = held.collect();
+    held.sort_by(|a, b| a.adapter.cmp(&b.adapter));
+    EngineView {
+        backend: "b".to_string(),
+        held,
+        ..EngineView::default()
+    }
+}
+
+/// what an entry knows that reads a relay's messages
+#[derive(Debug, Default, PartialEq)]
+struct Reader(BTreeMap<SocketAddr, EngineView>);
+
+impl Reader {
+    fn take_in(&mut self, update: RelayUpdate) {
+        for news in update.news {
+            match news.word {
+                EngineWord::Silent => {
+                    self.0.remove(&news.engine);
+                }
+                EngineWord::View(update) => {
+                    let view = self.0.entry(news.engine).or_default();
+                    view.apply(update);
+                    view.lately.clear();
+                }
+            }
+        }
+    }
+}
+
+quickcheck! {
+    /// a reader that came late, one that heard all, and the sidecars agree
+    fn readers_know_what_the_sidecars_said_last(story: Vec<Heard>, late_at: usize) -> bool {
+        let now = Instant::now();
+        let mut book = RelayBook::new("relay".to_string());
+        for engine in 0..3 {
+            let mut message = whole("e", "a");
+            message.is_whole = false;
+            message.engines[0].engine = addr(engine);
+            book.on_demands(message, now);
+        }
+        let mut truth = Reader::default();
+        let (mut early, mut late) = (Reader::default(), None);
+        for (step, heard) in story.into_iter().enumerate() {
+            if step == late_at % 20 {
+                late = Some(Reader::default());
+                late.as_mut().expect("it is there").take_in(book.whole(now));
+            }
+            match heard {
+                Heard::View(engine, held) => {
+                    truth.0.insert(addr(engine), view(&held));
+                    book.on_view(addr(engine), view(&held), now);
+                }
+                Heard::Figures(engine, running) => {
+                    let figures = EngineFigures { running, ..EngineFigures::default() };
+                    if let Some(view) = truth.0.get_mut(&addr(engine)) {
+                        view.figures = figures;
+                    }
+                    book.on_figures(addr(engine), &"b".to_string(), figures, now);
+                }
+                Heard::Silent(engine) => {
+                    truth.0.remove(&addr(engine));
+                    book.on_silent(addr(engine), now);
+                }
+                Heard::Told => {
+                    let update = book.take_news(now);
+                    early.take_in(update.clone());
+                    late.iter_mut().for_each(|l| l.take_in(update.clone()));
+                }
+            }
+        }
+        let update = book.take_news(now);
+        early.take_in(update.clone());
+        late.iter_mut().for_each(|l| l.take_in(update.clone()));
+        early == truth && late.is_none_or(|late| late == truth)
+    }
+}
--- a/entry/src/conf/ingress_settings.rs
+++ b/entry/src/conf/ingress_settings.rs
@@ -1,5 +1,5 @@
 use {
-    chalkcart_coordination::mechanisms::Mechanisms,
+    chalkcart_coordination::{mechanisms::Mechanisms, relay::RELAYS_FROM_ENGINES},
     chalkcart_node::settings::{
         check_filled, check_log, check_positive, defaults, Checked, SettingsError,
     },
@@ -39,6 +39,9 @@
     pub drain_ms: u64,
     /// reading calls that the store answers in a second, to all processes
     pub store_reads_per_s: f64,
+    /// engines from which on this entry hears them by a relay
+    #[serde(default = "default_relays_from")]
+    pub relays_from_engines: usize,
     /// values that the platform left out, for the log
     #[serde(default)]
     pub defaulted: Vec<String>,
@@ -71,6 +74,10 @@
     }
 }
 
+fn default_relays_from() -> usize {
+    RELAYS_FROM_ENGINES
+}
+
 fn check_number(key: &'static str, value: f64) -> Result<(), SettingsError> {
     match value.is_finite() && value >= 0.0 {
         true => Ok(()),
--- a/entry/src/ingress/control.rs
+++ b/entry/src/ingress/control.rs
@@ -1,11 +1,16 @@
 use {
-    super::{figures_board::FiguresBoard, sidecar_links::SidecarLinks},
+    super::{figures_board::FiguresBoard, fleet_links::FleetLinks},
     anyhow::{Context, Result},
-    chalkcart_coordination::dispatch::{Ask, Decision, DispatchEvent, Dispatcher, Ticket, Wished},
-    chalkcart_protocol::peer::EngineFigures,
+    chalkcart_coordination::{
+        dispatch::{Ask, Decision, DispatchEvent, Dispatcher, Ticket, Wished},
+        relay::RelayCandidate,
+    },
+    chalkcart_protocol::peer::{EngineFigures, EngineView},
     chalkcart_state::backends::BackendId,
+    chalkcart_transport::links::ViewSink,
     std::{
         collections::HashMap,
+        net::SocketAddr,
         sync::{
             atomic::{AtomicBool, AtomicU32, AtomicUsize, Ordering},
             mpsc::{self, RecvTimeoutError},
@@ -50,10 +55,6 @@
         // the control thread ends only with the process
         let _ = self.commands.send(Command::Event(event));
     }
-    /// leave the newest figures of an engine, without waking the control thread
-    pub fn note_figures(&self, backend: &BackendId, figures: EngineFigures) {
-        self.figures.put(backend, figures);
-    }
     /// whether any back end was heard of lately
     pub fn reaches_backends(&self) -> bool {
         self.reach.load(Ordering::Relaxed)
@@ -79,10 +80,23 @@
     }
 }
 
+impl ViewSink for ControlHandle {
+    fn on_view(&self, engine: SocketAddr, view: EngineView) {
+        self.tell(DispatchEvent::Viewed { addr: engine, view });
+    }
+    /// figures wait here, without waking the control thread
+    fn on_figures(&self, _engine: SocketAddr, backend: &BackendId, figures: EngineFigures) {
+        self.figures.put(backend, figures);
+    }
+    fn on_silent(&self, _engine: SocketAddr, backend: &BackendId) {
+        self.tell(DispatchEvent::ViewLost(backend.clone()));
+    }
+}
+
 /// the control thread's own state
 struct ControlLoop {
     dispatcher: Dispatcher,
-    links: SidecarLinks,
+    links: FleetLinks,
     figures: Arc<FiguresBoard>,
     askers: HashMap<Ticket, oneshot::Sender<Decision>>,
     last_urgent: Instant,
@@ -95,7 +109,7 @@
 /// start the control thread; it ends when the last handle is gone
 pub fn start(
     dispatcher: Dispatcher,
-    make_links: impl FnOnce(ControlHandle) -> SidecarLinks,
+    make_links: impl FnOnce(ControlHandle) -> FleetLinks,
 ) -> Result<ControlHandle> {
     let (commands, received) = mpsc::channel();
     let figures = Arc::new(FiguresBoard::default());
@@ -196,7 +210,11 @@
                 let service = dispatcher.service(&b.service);
                 service.is_some_and(|s| s.engine.is_some())
             });
-            self.links.follow(engines);
+            let candidates = engines.map(|b| RelayCandidate {
+                engine: b.addr,
+                zone: b.zone.clone(),
+            });
+            self.links.follow(candidates.collect());
         }
     }
 
--- a/entry/src/ingress/mod.rs
+++ b/entry/src/ingress/mod.rs
@@ -5,12 +5,14 @@
 mod control;
 mod exchange;
 mod figures_board;
+mod fleet_links;
 mod follower;
 mod observers;
 mod operator_pages;
+mod relay_link;
+mod relay_outbox;
 mod serve;
 mod service;
 mod shared;
-mod sidecar_links;
 
 pub use {serve::serve, shared::Shared};
--- /dev/null
+++ b/entry/src/ingress/relay_link.rs
@@ -0,0 +1,205 @@
+use {
+    super::{control::ControlHandle, fleet_links::LinkSettings, relay_outbox::RelayOutbox},
+    chalkcart_coordination::relay::{RelayCandidate, RelayChoice},
+    chalkcart_protocol::peer::{
+        path, AdapterDemand, EngineNews, EngineView, EngineWord, RelayAsk, RelayUpdate, ViewUpdate,
+    },
+    chalkcart_transport::{
+        client::{ClientError, ClientStep, MessageStream, PeerClient},
+        links::ViewSink,
+    },
+    futures::StreamExt,
+    std::{
+        collections::{HashMap, HashSet},
+        net::SocketAddr,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    tokio::{
+        runtime::Handle,
+        task::JoinHandle,
+        time::{sleep, timeout},
+    },
+};
+
+/// a relay speaks each 200 ms at least
+const SILENCE: Duration = Duration::from_millis(700);
+/// pause before the next relay is tried
+const RETRY: Duration = Duration::from_millis(20);
+/// time between two looks whether another relay is to be used
+const REVIEW: Duration = Duration::from_secs(2);
+/// a relay that has not heard a sidecar for this long will not
+const ALL_HEARD_AFTER: Duration = Duration::from_millis(1_500);
+
+/// an entry's link to the relay that it uses; its task ends when it is dropped
+pub struct RelayLink {
+    outbox: Arc<RelayOutbox>,
+    task: JoinHandle<()>,
+}
+
+impl Drop for RelayLink {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl RelayLink {
+    pub fn open(runtime: &Handle, settings: &LinkSettings, control: ControlHandle) -> Self {
+        let outbox = Arc::new(RelayOutbox::new(settings.entry.clone()));
+        let reader = RelayReader {
+            settings: settings.clone(),
+            control,
+            peers: PeerClient::new(),
+            outbox: outbox.clone(),
+            choice: RelayChoice::new(&settings.entry, &settings.zone),
+            views: HashMap::new(),
+        };
+        let task = runtime.spawn(reader.run());
+        Self { outbox, task }
+    }
+
+    /// hear the sidecars of these engines, and of no other
+    pub fn follow(&self, engines: Vec<RelayCandidate>) {
+        self.outbox.set_candidates(engines);
+    }
+    pub fn send(&self, engine: SocketAddr, demand: AdapterDemand) {
+        self.outbox.put(engine, demand);
+    }
+}
+
+/// why a relay is no longer used
+enum End {
+    Failed(ClientError),
+    /// another one is to be used
+    Outranked,
+}
+
+/// reads the news of one relay after the other
+struct RelayReader {
+    settings: LinkSettings,
+    control: ControlHandle,
+    peers: PeerClient,
+    outbox: Arc<RelayOutbox>,
+    choice: RelayChoice,
+    /// what is known of each engine
+    views: HashMap<SocketAddr, EngineView>,
+}
+
+impl RelayReader {
+    async fn run(mut self) {
+        let mut present = None;
+        loop {
+            let now = Instant::now();
+            let candidates = self.outbox.candidates();
+            let chosen = self.choice.choose(&candidates, present, now);
+            let Some(engine) = chosen else {
+                sleep(REVIEW).await;
+                continue;
+            };
+            present = Some(engine);
+            let relay = SocketAddr::new(engine.ip(), self.settings.sidecar_port);
+            log::info!(relay = relay.to_string().as_str(), engines = candidates.len();
+                "links: relay taken");
+            let end = self.use_relay(engine, relay).await;
+            if let End::Failed(e) = end {
+                log::warn!(relay = relay.to_string().as_str(), cause = e.to_string().as_str();
+                    "links: relay lost");
+                self.choice.on_failed(engine, Instant::now());
+                present = None;
+                sleep(RETRY).await;
+            }
+        }
+    }
+
+    async fn use_relay(&mut self, engine: SocketAddr, relay: SocketAddr) -> End {
+        let (peers, outbox) = (self.peers.clone(), self.outbox.clone());
+        tokio::select! {
+            e = outbox.post_to(&peers, relay) => End::Failed(e),
+            end = self.read_from(engine, relay) => end,
+        }
+    }
+
+    async fn read_from(&mut self, engine: SocketAddr, relay: SocketAddr) -> End {
+        let ask = RelayAsk {
+            entry: self.settings.entry.clone(),
+        };
+        let opened = timeout(SILENCE, self.peers.stream(relay, path::RELAY_VIEWS, &ask));
+        let mut updates: MessageStream<RelayUpdate> = match opened.await {
+            Ok(Ok(updates)) => updates,
+            Ok(Err(e)) => return End::Failed(e),
+            Err(_) => return End::Failed(silent(relay)),
+        };
+        let (since, mut reviewed) = (Instant::now(), Instant::now());
+        let mut heard = Some(HashSet::new());
+        loop {
+            let update = match timeout(SILENCE, updates.next()).await {
+                Ok(Some(Ok(update))) => update,
+                Ok(Some(Err(e))) => return End::Failed(e),
+                Ok(None) | Err(_) => return End::Failed(silent(relay)),
+            };
+            if let Some(heard) = &mut heard {
+                heard.extend(update.news.iter().map(|news| news.engine));
+            }
+            update.news.into_iter().for_each(|news| self.take_in(news));
+            if since.elapsed() >= ALL_HEARD_AFTER {
+                heard
+                    .take()
+                    .into_iter()
+                    .for_each(|heard| self.forget_but(&heard));
+            }
+            if reviewed.elapsed() >= REVIEW {
+                reviewed = Instant::now();
+                if self.is_outranked(engine) {
+                    return End::Outranked;
+                }
+            }
+        }
+    }
+
+    fn is_outranked(&mut self, engine: SocketAddr) -> bool {
+        let candidates = self.outbox.candidates();
+        let chosen = self
+            .choice
+            .choose(&candidates, Some(engine), Instant::now());
+        chosen != Some(engine)
+    }
+
+    fn take_in(&mut self, news: EngineNews) {
+        let (engine, age_ms) = (news.engine, news.age_ms);
+        match news.word {
+            EngineWord::Silent => self.forget(engine),
+            EngineWord::View(ViewUpdate::Figures(mut figures)) => {
+                figures.age_ms = age_ms;
+                if let Some(view) = self.views.get(&engine) {
+                    self.control.on_figures(engine, &view.backend, figures);
+                }
+            }
+            EngineWord::View(update) => {
+                let view = self.views.entry(engine).or_default();
+                view.apply(update);
+                view.figures.age_ms = age_ms;
+                let told = view.clone();
+                // told once; the dispatcher remembers
+                view.lately.clear();
+                self.control.on_view(engine, told);
+            }
+        }
+    }
+
+    /// forget engines of which this relay has heard nothing
+    fn forget_but(&mut self, heard: &HashSet<SocketAddr>) {
+        let unheard = self.views.keys().filter(|engine| !heard.contains(engine));
+        let unheard: Vec<SocketAddr> = unheard.copied().collect();
+        unheard.into_iter().for_each(|engine| self.forget(engine));
+    }
+
+    fn forget(&mut self, engine: SocketAddr) {
+        if let Some(view) = self.views.remove(&engine) {
+            self.control.on_silent(engine, &view.backend);
+        }
+    }
+}
+
+fn silent(relay: SocketAddr) -> ClientError {
+    ClientError::new(ClientStep::Receive, relay, "silent")
+}
--- a/entry/src/ingress/serve.rs
+++ b/entry/src/ingress/serve.rs
@@ -1,7 +1,11 @@
 use {
     super::{
-        control, follower::Follower, operator_pages, service::RoutedIngress, shared::Shared,
-        sidecar_links::SidecarLinks,
+        control,
+        fleet_links::{FleetLinks, LinkSettings},
+        follower::Follower,
+        operator_pages,
+        service::RoutedIngress,
+        shared::Shared,
     },
     crate::conf::IngressSettings,
     anyhow::{Context, Result},
@@ -46,9 +50,9 @@
     let readiness = server::bind(settings.readiness).await?;
     let metrics = server::bind(settings.metrics).await?;
     let dispatcher = Dispatcher::new(dispatch_settings(&settings));
-    let (runtime, port) = (Handle::current(), settings.sidecar_port);
+    let (runtime, link_settings) = (Handle::current(), link_settings(&settings));
     let control = control::start(dispatcher, |control| {
-        SidecarLinks::new(runtime, control, port)
+        FleetLinks::new(link_settings, runtime, control)
     })?;
     let shared = Arc::new(Shared::new(settings, control, dialect));
     for topic in [Topic::Configuration, Topic::Backends] {
@@ -107,6 +111,18 @@
     Ok(())
 }
 
+fn link_settings(settings: &IngressSettings) -> LinkSettings {
+    LinkSettings {
+        entry: settings.name.clone(),
+        zone: settings.zone.clone(),
+        sidecar_port: settings.sidecar_port,
+        relays_from_engines: match settings.mechanisms.relays {
+            true => Some(settings.relays_from_engines),
+            false => None,
+        },
+    }
+}
+
 fn dispatch_settings(settings: &IngressSettings) -> DispatchSettings {
     DispatchSettings {
         entry: settings.name.clone(),
--- a/protocol/src/codec.rs
+++ b/protocol/src/codec.rs
@@ -29,9 +29,10 @@
     Ok(rmp_serde::from_slice(buf)?)
 }
 
-/// write a frame of a stream, its length first
+/// write a frame of a stream, its length first. Frames go out many times a
+/// second, so their fields have no names
 pub fn encode_frame<T: Serialize>(frame: &T) -> Result<Bytes, CodecError> {
-    let body = rmp_serde::to_vec_named(frame)?;
+    let body = rmp_serde::to_vec(frame)?;
     let mut buf = BytesMut::with_capacity(body.len() + size_of::<u32>());
     buf.put_u32(body.len() as u32);
     buf.put_slice(&body);
--- a/protocol/src/peer/mod.rs
+++ b/protocol/src/peer/mod.rs
@@ -5,6 +5,7 @@
 mod permit;
 mod placement;
 mod refusal;
+mod relay;
 mod report;
 mod reserve;
 mod sync;
@@ -22,6 +23,8 @@
     pub const PERMIT: &str = "/peer/permit";
     pub const DEMAND: &str = "/peer/demand";
     pub const VIEWS: &str = "/peer/views";
+    pub const RELAY_VIEWS: &str = "/peer/relay/views";
+    pub const RELAY_DEMANDS: &str = "/peer/relay/demands";
 }
 
 pub use {
@@ -33,6 +36,7 @@
         ViewUpdate, WantedAdapter,
     },
     refusal::{Outcome, Reason, Refusal, Step},
+    relay::{EngineDemand, EngineNews, EngineWord, RelayAsk, RelayDemands, RelayUpdate},
     report::{LoadedAdapter, TargetReport},
     reserve::{ReserveAnswer, ReserveOrder},
     sync::{ShardAnswer, ShardAsk, SyncAnswer, SyncAsk},
--- a/protocol/src/peer/placement.rs
+++ b/protocol/src/peer/placement.rs
@@ -48,7 +48,10 @@
 /// what an entry needs of one engine; replaces what it said before
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct AdapterDemand {
+    /// who says it: an entry, or a relay for several
     pub entry: BoxName,
+    /// entries for which it speaks
+    pub entries: u32,
     /// the incarnation of the engine that the entry knows
     pub backend: BackendId,
     /// version of the list in which it stands
@@ -66,6 +69,21 @@
     pub outdated: Vec<HeldAdapter>,
 }
 
+impl AdapterDemand {
+    /// whether another message asks for the same of the same incarnation; a
+    /// newer version of the list alone is no news
+    pub fn asks_as(&self, other: &Self) -> bool {
+        self.backend == other.backend
+            && self.entries == other.entries
+            && self.fence_seen == other.fence_seen
+            && self.wanted == other.wanted
+            && self.used == other.used
+            && self.outdated == other.outdated
+            && self.health_path == other.health_path
+            && self.room == other.room
+    }
+}
+
 /// what a sidecar says of its engine
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct EngineView {
@@ -91,6 +109,12 @@
             || self.held != other.held
             || self.loading != other.loading
     }
+
+    /// whether entries should hear of a view at once, after this one
+    pub fn is_outdone_by(&self, after: &Self) -> bool {
+        let (before, after_spare) = (self.figures.spare_slots, after.figures.spare_slots);
+        self.differs_in_holdings(after) || (before > 0) != (after_spare > 0)
+    }
 }
 
 /// the figures of a view, which change more often than the rest
@@ -110,8 +134,12 @@
     pub reading: u32,
     pub kv_used: u64,
     pub kv_total: u64,
-    /// entries that this sidecar hears
+    /// entries that this sidecar hears, of itself or by relays
     pub entries: u32,
+    /// who reads views of this sidecar: relays, and entries without one
+    pub readers: u32,
+    /// time since the sidecar said so, in ms, as counted by relays
+    pub age_ms: u32,
 }
 
 /// what has changed in a view since the message before
--- a/sidecar/src/lib.rs
+++ b/sidecar/src/lib.rs
@@ -6,5 +6,6 @@
 pub mod cli;
 pub mod conf;
 pub mod placement;
+mod relay;
 mod server;
 mod streams;
--- a/sidecar/src/placement/handlers.rs
+++ b/sidecar/src/placement/handlers.rs
@@ -1,12 +1,13 @@
 use {
     super::{shared::Shared, views::follow},
+    crate::relay::{relay_demands, relay_views, RelayHub},
     chalkcart_coordination::placement::PlacementEvent,
     chalkcart_protocol::peer::{path, AdapterDemand},
     chalkcart_transport::server::{frames_reply, message_reply, pages, read_message, SharedData},
     gotham::{
         handler::HandlerResult,
         middleware::state::StateMiddleware,
-        pipeline::{single_middleware, single_pipeline},
+        pipeline::{new_pipeline, single_pipeline},
         prelude::*,
         router::{build_router, Router},
         state::State,
@@ -14,13 +15,17 @@
     std::sync::Arc,
 };
 
-/// the routes of a sidecar that places adapters
-pub fn new_router(shared: Arc<Shared>) -> Router {
-    let middleware = StateMiddleware::new(SharedData::new(shared));
-    let (chain, pipelines) = single_pipeline(single_middleware(middleware));
+/// the routes of a sidecar that places adapters, and may be a relay
+pub fn new_router(shared: Arc<Shared>, relay: Arc<RelayHub>) -> Router {
+    let pipeline = new_pipeline()
+        .add(StateMiddleware::new(SharedData::new(shared)))
+        .add(StateMiddleware::new(SharedData::new(relay)));
+    let (chain, pipelines) = single_pipeline(pipeline.build());
     build_router(chain, pipelines, |route| {
         route.post(path::DEMAND).to_async(demand);
         route.post(path::VIEWS).to_async(views);
+        route.post(path::RELAY_DEMANDS).to_async(relay_demands);
+        route.post(path::RELAY_VIEWS).to_async(relay_views);
         route.get("/healthz").to_async(pages::healthz);
     })
 }
--- a/sidecar/src/placement/keeper.rs
+++ b/sidecar/src/placement/keeper.rs
@@ -13,9 +13,9 @@
 
 /// figures that are not worth a message of their own are sent this often
 const FIGURES_EVERY: Duration = Duration::from_millis(100);
-/// and with more entries than ten less often, so that the messages of a fleet
-/// grow more slowly than entries times engines
-const FIGURES_EVERY_ENTRY: Duration = Duration::from_millis(10);
+/// and with more readers than ten less often, so that the messages of a fleet
+/// grow more slowly than readers times engines
+const FIGURES_EVERY_READER: Duration = Duration::from_millis(10);
 const FIGURES_AT_LEAST_EVERY: Duration = Duration::from_millis(300);
 
 /// the one task that reads the engine and gives it orders
@@ -115,11 +115,12 @@
 
     fn publish(&mut self) {
         let now = Instant::now();
-        let view = self.shared.control().view(now);
+        let mut view = self.shared.control().view(now);
+        view.figures.readers = self.shared.view.receiver_count() as u32;
         let is_due = self
             .published
             .is_none_or(|at| now.saturating_duration_since(at) >= figures_pause(&view));
-        let is_urgent = is_news(&self.shared.view.borrow(), &view);
+        let is_urgent = self.shared.view.borrow().is_outdone_by(&view);
         if is_urgent || (is_due && *self.shared.view.borrow() != view) {
             self.published = Some(now);
             self.shared.view.send_replace(view);
@@ -127,15 +128,8 @@
     }
 }
 
-/// whether entries should hear of it at once
-fn is_news(before: &EngineView, after: &EngineView) -> bool {
-    let had_spare = before.figures.spare_slots > 0;
-    let has_spare = after.figures.spare_slots > 0;
-    before.differs_in_holdings(after) || had_spare != has_spare
-}
-
-/// pause between two messages of figures, by the entries that read them
+/// pause between two messages of figures, by those who read them
 fn figures_pause(view: &EngineView) -> Duration {
-    let pause = FIGURES_EVERY_ENTRY * view.figures.entries;
+    let pause = FIGURES_EVERY_READER * view.figures.readers;
     pause.clamp(FIGURES_EVERY, FIGURES_AT_LEAST_EVERY)
 }
--- a/sidecar/src/placement/serve.rs
+++ b/sidecar/src/placement/serve.rs
@@ -1,6 +1,9 @@
 use {
     super::{handlers::new_router, keeper::Keeper, shared::Shared},
-    crate::conf::PlacementSettings,
+    crate::{
+        conf::PlacementSettings,
+        relay::{run_pump, RelayHub},
+    },
     anyhow::{Context, Result},
     chalkcart_coordination::placement::{self, PlacementControl},
     chalkcart_node::{
@@ -45,10 +48,12 @@
     let control = PlacementControl::new(limits, since_epoch.as_millis() as u64);
     let shared = Arc::new(Shared::new(control));
     tokio::spawn(Keeper::new(shared.clone(), engine).run());
+    let relay = Arc::new(RelayHub::new(settings.name.clone()));
+    tokio::spawn(run_pump(relay.clone(), settings.listen.port()));
     let (_stop, stopped) = watch::channel(false);
     tokio::spawn(server::serve(
         listener,
-        new_router(shared),
+        new_router(shared, relay),
         stopped,
         Duration::ZERO,
     ));
--- /dev/null
+++ b/sidecar/src/relay/handlers.rs
@@ -0,0 +1,35 @@
+use {
+    super::RelayHub,
+    chalkcart_protocol::peer::{RelayAsk, RelayDemands},
+    chalkcart_transport::server::{
+        encoded_frames_reply, message_reply, pages, read_message, SharedData,
+    },
+    gotham::{handler::HandlerResult, state::State},
+    std::time::Instant,
+};
+
+/// an entry says what it needs of engines
+pub async fn relay_demands(mut state: State) -> HandlerResult {
+    let hub = SharedData::<RelayHub>::of(&state);
+    let reply = match read_message::<RelayDemands>(&mut state).await {
+        Ok(demands) => {
+            hub.on_demands(demands);
+            message_reply(&true)
+        }
+        Err(e) => pages::bad_message(&e),
+    };
+    Ok((state, reply))
+}
+
+/// an entry asks for the views of the engines that it follows
+pub async fn relay_views(mut state: State) -> HandlerResult {
+    let hub = SharedData::<RelayHub>::of(&state);
+    let reply = match read_message::<RelayAsk>(&mut state).await {
+        Ok(ask) => {
+            log::info!(entry = ask.entry.as_str(); "relay: entry follows");
+            encoded_frames_reply(hub.follow(Instant::now()))
+        }
+        Err(e) => pages::bad_message(&e),
+    };
+    Ok((state, reply))
+}
--- /dev/null
+++ b/sidecar/src/relay/hub.rs
@@ -0,0 +1,131 @@
+use {
+    bytes::Bytes,
+    chalkcart_coordination::relay::RelayBook,
+    chalkcart_protocol::{
+        encode_frame,
+        peer::{EngineFigures, EngineView, RelayDemands, RelayUpdate},
+    },
+    chalkcart_state::{backends::BackendId, ids::BoxName},
+    chalkcart_transport::links::ViewSink,
+    futures::{stream, Stream, StreamExt},
+    std::{
+        net::SocketAddr,
+        sync::{
+            atomic::{AtomicBool, Ordering},
+            Mutex, MutexGuard,
+        },
+        time::Instant,
+    },
+    tokio::sync::{broadcast, Notify},
+    tokio_stream::wrappers::BroadcastStream,
+};
+
+/// messages that an entry may be behind before its stream is ended; it then
+/// comes back and hears the whole
+const MOST_BEHIND: usize = 64;
+
+/// what the handlers, the links and the pump of a relay share
+pub struct RelayHub {
+    book: Mutex<RelayBook>,
+    news: broadcast::Sender<Bytes>,
+    /// there is work for the pump
+    pub changed: Notify,
+    /// entries should hear the news at once
+    is_urgent: AtomicBool,
+    /// other engines than before are to be followed
+    has_other_engines: AtomicBool,
+}
+
+impl RelayHub {
+    /// `name` is that of the box
+    pub fn new(name: BoxName) -> Self {
+        Self {
+            book: Mutex::new(RelayBook::new(name)),
+            news: broadcast::Sender::new(MOST_BEHIND),
+            changed: Notify::new(),
+            is_urgent: AtomicBool::new(false),
+            has_other_engines: AtomicBool::new(false),
+        }
+    }
+
+    pub fn book(&self) -> MutexGuard<'_, RelayBook> {
+        // no holder panics halfway through a change
+        self.book.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    /// an entry says what it needs
+    pub fn on_demands(&self, message: RelayDemands) {
+        if self.book().on_demands(message, Instant::now()) {
+            self.has_other_engines.store(true, Ordering::Relaxed);
+        }
+        self.changed.notify_one();
+    }
+
+    /// forget silent entries; says whether other engines are to be followed
+    pub fn review(&self, now: Instant) -> bool {
+        let expired = self.book().expire(now);
+        self.has_other_engines.swap(false, Ordering::Relaxed) || expired
+    }
+
+    /// whether entries should hear the news at once, since the last call
+    pub fn take_urgency(&self) -> bool {
+        self.is_urgent.swap(false, Ordering::Relaxed)
+    }
+
+    /// tell all entries what they have not heard
+    pub fn tell_news(&self, now: Instant) {
+        // readers come in under the same lock, so that they miss nothing
+        let mut book = self.book();
+        let update = book.take_news(now);
+        if let Some(frame) = encoded(&update) {
+            // an error says that nobody reads
+            let _ = self.news.send(frame);
+        }
+    }
+
+    /// all that is known, then the news; ends for a reader that is too slow
+    pub fn follow(&self, now: Instant) -> impl Stream<Item = Bytes> + Send {
+        let book = self.book();
+        let whole = encoded(&book.whole(now));
+        let news = BroadcastStream::new(self.news.subscribe());
+        drop(book);
+        let news = news.take_while(|frame| {
+            let is_read = frame.is_ok();
+            async move { is_read }
+        });
+        stream::iter(whole).chain(news.filter_map(|frame| async move { frame.ok() }))
+    }
+
+    fn wake(&self, is_urgent: bool) {
+        if is_urgent {
+            self.is_urgent.store(true, Ordering::Relaxed);
+            self.changed.notify_one();
+        }
+    }
+}
+
+impl ViewSink for RelayHub {
+    fn on_view(&self, engine: SocketAddr, view: EngineView) {
+        let is_urgent = self.book().on_view(engine, view, Instant::now());
+        self.wake(is_urgent);
+    }
+    fn on_figures(&self, engine: SocketAddr, backend: &BackendId, figures: EngineFigures) {
+        let now = Instant::now();
+        let is_urgent = self.book().on_figures(engine, backend, figures, now);
+        self.wake(is_urgent);
+    }
+    fn on_silent(&self, engine: SocketAddr, _backend: &BackendId) {
+        self.book().on_silent(engine, Instant::now());
+        self.wake(true);
+    }
+}
+
+fn encoded(update: &RelayUpdate) -> Option<Bytes> {
+    match encode_frame(update) {
+        Ok(frame) => Some(frame),
+        Err(e) => {
+            log::error!("relay: news not encoded: {e}");
+            None
+        }
+    }
+}
--- /dev/null
+++ b/sidecar/src/relay/mod.rs
@@ -0,0 +1,12 @@
+//! the part of a sidecar that passes on what all sidecars say to the entries of
+//! its zone, and tells all sidecars what these entries need
+
+mod handlers;
+mod hub;
+mod pump;
+
+pub use {
+    handlers::{relay_demands, relay_views},
+    hub::RelayHub,
+    pump::run_pump,
+};
--- a/testkit/src/users_platform/fleet.rs
+++ b/testkit/src/users_platform/fleet.rs
@@ -36,6 +36,8 @@
     pub configured: bool,
     pub timeout_ms: u64,
     pub grace_s: f64,
+    /// engines from which on the ingress uses a relay
+    pub relays_from_engines: usize,
 }
 
 impl Default for FleetSettings {
@@ -46,6 +48,7 @@
             configured: true,
             timeout_ms: 8_000,
             grace_s: 6.0,
+            relays_from_engines: usize::MAX,
         }
     }
 }
@@ -104,6 +107,7 @@
             "grace_s": settings.grace_s, "retry_ratio": 0.2, "retry_extra": 50,
             "retry_window_s": 10, "version_ms": 5000,
             "drain_ms": 2000, "store_reads_per_s": 2000,
+            "relays_from_engines": settings.relays_from_engines,
         });
         fs::write(&settings_file, document.to_string())?;
         let log_file = folder.join("ingress.log");
--- a/testkit/tests/ingress_engines.rs
+++ b/testkit/tests/ingress_engines.rs
@@ -238,6 +238,7 @@
     let peers = PeerClient::new();
     let demand = AdapterDemand {
         entry: "another".to_string(),
+        entries: 1,
         backend: "e-0".to_string(),
         list_version: 0,
         fence_seen: 0,
--- /dev/null
+++ b/testkit/tests/relays.rs
@@ -0,0 +1,78 @@
+//! entries that hear the sidecars by a relay, over real processes
+
+use {
+    anyhow::Result,
+    chalkcart_testkit::{
+        users_platform::{request, Answer, ClientRequest, Fleet, FleetSettings},
+        waiting::{until, until_async},
+    },
+    serde_json::Value,
+    std::net::SocketAddr,
+};
+
+async fn start(engines: u8) -> Result<Fleet> {
+    let fleet = Fleet::start(FleetSettings {
+        engines,
+        relays_from_engines: 1,
+        ..FleetSettings::default()
+    })
+    .await?;
+    until("a relay is taken", || fleet.log().contains("relay taken")).await;
+    Ok(fleet)
+}
+
+async fn ask(fleet: &Fleet, adapter: &str, id: &str) -> Result<Answer> {
+    let prompt = ClientRequest {
+        target: "/stream/".to_string(),
+        id: id.to_string(),
+        adapter: Some(format!("m/{adapter}")),
+        ..ClientRequest::default()
+    };
+    request(fleet.clients, &prompt).await
+}
+
+async fn until_served(fleet: &Fleet, adapter: &str, id: &str) {
+    until_async("it is served", || async {
+        let answer = ask(fleet, adapter, id).await;
+        answer.is_ok_and(|answer| answer.status == 200)
+    })
+    .await;
+}
+
+/// the relay that the ingress took last, by its log
+fn relay_of(fleet: &Fleet) -> Option<SocketAddr> {
+    let log = fleet.log();
+    let line = log.lines().rfind(|line| line.contains("relay taken"))?;
+    let line: Value = serde_json::from_str(line).ok()?;
+    line["relay"].as_str()?.parse().ok()
+}
+
+#[tokio::test]
+async fn adapters_are_loaded_by_what_a_relay_passes_on() -> Result<()> {
+    let fleet = start(3).await?;
+    for adapter in ["a", "b", "c", "d"] {
+        until_served(&fleet, adapter, adapter).await;
+    }
+    for engine in &fleet.engines {
+        assert!(engine.state().orders.most <= 2, "places");
+    }
+    Ok(())
+}
+
+#[tokio::test]
+async fn another_relay_is_taken_when_one_dies() -> Result<()> {
+    let mut fleet = start(3).await?;
+    until_served(&fleet, "a", "r1").await;
+    let relay = relay_of(&fleet).expect("a relay in the log");
+    let number = (0..3).find(|n| fleet.sidecar_addr(*n) == relay);
+    let number = number.expect("a sidecar of the fleet");
+    fleet.sidecars[number].kill()?;
+    until("another is taken", || {
+        relay_of(&fleet).is_some_and(|taken| taken != relay)
+    })
+    .await;
+    for adapter in ["b", "c"] {
+        until_served(&fleet, adapter, adapter).await;
+    }
+    Ok(())
+}
--- a/transport/src/lib.rs
+++ b/transport/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod client;
 pub mod engine;
 pub mod ingress;
+pub mod links;
 pub mod metadata;
 pub mod metrics;
 pub mod orders;
--- a/entry/src/ingress/sidecar_links.rs
+++ b/transport/src/links/sidecar_links.rs
@@ -1,13 +1,13 @@
 use {
-    super::control::ControlHandle,
-    chalkcart_coordination::dispatch::DispatchEvent,
+    super::ViewSink,
+    crate::client::{ClientError, ClientStep, MessageStream, PeerClient},
     chalkcart_protocol::peer::{path, AdapterDemand, EngineView, ViewUpdate},
-    chalkcart_state::backends::{Backend, BackendId},
-    chalkcart_transport::client::{ClientError, ClientStep, MessageStream, PeerClient},
+    chalkcart_state::backends::BackendId,
     futures::StreamExt,
     std::{
         collections::{HashMap, HashSet},
         net::SocketAddr,
+        sync::Arc,
         time::{Duration, Instant},
     },
     tokio::{
@@ -21,14 +21,14 @@
 /// a sidecar sends a view at least each 400 ms
 const SILENCE: Duration = Duration::from_millis(1_000);
 const RETRY: Duration = Duration::from_millis(150);
-/// a sidecar forgets an entry that is silent for 3 s
+/// a sidecar forgets an entry or a relay that is silent for 3 s
 const SIGN_OF_LIFE: Duration = Duration::from_millis(900);
 const POST_LIMIT: Duration = Duration::from_millis(400);
 
-/// the connections to the sidecars of the engines that are listed
+/// the connections to the sidecars of engines
 pub struct SidecarLinks {
     runtime: Handle,
-    control: ControlHandle,
+    sink: Arc<dyn ViewSink>,
     peers: PeerClient,
     sidecar_port: u16,
     links: HashMap<SocketAddr, Link>,
@@ -41,6 +41,14 @@
     tasks: [JoinHandle<()>; 2],
 }
 
+impl Link {
+    /// whether a sign of life is due
+    fn is_due(&self, now: Instant) -> bool {
+        let sent = self.sent_at;
+        sent.is_none_or(|at| now.saturating_duration_since(at) >= SIGN_OF_LIFE)
+    }
+}
+
 impl Drop for Link {
     fn drop(&mut self) {
         self.tasks.iter().for_each(JoinHandle::abort);
@@ -48,10 +56,10 @@
 }
 
 impl SidecarLinks {
-    pub fn new(runtime: Handle, control: ControlHandle, sidecar_port: u16) -> Self {
+    pub fn new(runtime: Handle, sink: Arc<dyn ViewSink>, sidecar_port: u16) -> Self {
         Self {
             runtime,
-            control,
+            sink,
             peers: PeerClient::new(),
             sidecar_port,
             links: HashMap::new(),
@@ -59,8 +67,8 @@
     }
 
     /// hold a link to the sidecar of each of these engines, and no other
-    pub fn follow<'b>(&mut self, engines: impl Iterator<Item = &'b Backend>) {
-        let addrs: HashSet<SocketAddr> = engines.map(|b| b.addr).collect();
+    pub fn follow(&mut self, engines: impl Iterator<Item = SocketAddr>) {
+        let addrs: HashSet<SocketAddr> = engines.collect();
         self.links.retain(|addr, _| addrs.contains(addr));
         for addr in addrs {
             if !self.links.contains_key(&addr) {
@@ -70,25 +78,33 @@
         }
     }
 
-    /// tell the sidecar of an engine what is needed of it; what it knows is
-    /// repeated only as a sign of life
+    /// tell the sidecar of an engine what is needed of it, unless it knows
     pub fn send(&mut self, engine: SocketAddr, demand: AdapterDemand, now: Instant) {
         let Some(link) = self.links.get_mut(&engine) else {
             return;
         };
-        let is_due = link
-            .sent_at
-            .is_none_or(|at| now.saturating_duration_since(at) >= SIGN_OF_LIFE);
-        if is_due || link.demand.borrow().as_ref() != Some(&demand) {
+        let told = link.demand.borrow();
+        let is_known = told.as_ref().is_some_and(|told| told.asks_as(&demand));
+        drop(told);
+        if !is_known || link.is_due(now) {
             link.sent_at = Some(now);
             link.demand.send_replace(Some(demand));
         }
     }
 
+    /// repeat what sidecars know already, as a sign of life
+    pub fn keep_alive(&mut self, now: Instant) {
+        let due = self.links.values_mut().filter(|link| link.is_due(now));
+        for link in due.filter(|link| link.demand.borrow().is_some()) {
+            link.sent_at = Some(now);
+            link.demand.send_modify(|_| {});
+        }
+    }
+
     fn open(&self, engine: SocketAddr) -> Link {
         let sidecar = SocketAddr::new(engine.ip(), self.sidecar_port);
         let (demand, demands) = watch::channel(None);
-        let views = read_views(self.peers.clone(), engine, sidecar, self.control.clone());
+        let views = read_views(self.peers.clone(), engine, sidecar, self.sink.clone());
         let posts = post_demands(self.peers.clone(), sidecar, demands);
         let tasks = [self.runtime.spawn(views), self.runtime.spawn(posts)];
         Link {
@@ -103,17 +119,17 @@
     peers: PeerClient,
     engine: SocketAddr,
     sidecar: SocketAddr,
-    control: ControlHandle,
+    sink: Arc<dyn ViewSink>,
 ) {
     loop {
         let mut backend = BackendId::new();
-        let e = match read_until_error(&peers, engine, sidecar, &control, &mut backend).await {
+        let e = match read_until_error(&peers, engine, sidecar, sink.as_ref(), &mut backend).await {
             Ok(()) => "the stream ended".to_string(),
             Err(e) => e.to_string(),
         };
         if !backend.is_empty() {
             log::warn!("links: sidecar {sidecar} lost: {e}");
-            control.tell(DispatchEvent::ViewLost(backend));
+            sink.on_silent(engine, &backend);
         }
         sleep(RETRY).await;
     }
@@ -123,7 +139,7 @@
     peers: &PeerClient,
     engine: SocketAddr,
     sidecar: SocketAddr,
-    control: &ControlHandle,
+    sink: &dyn ViewSink,
     backend: &mut BackendId,
 ) -> Result<(), ClientError> {
     let opened = timeout(SILENCE, peers.stream(sidecar, path::VIEWS, &()));
@@ -136,7 +152,7 @@
         };
         let update = update?;
         if let ViewUpdate::Figures(figures) = update {
-            control.note_figures(backend, figures);
+            sink.on_figures(engine, backend, figures);
             continue;
         }
         view.apply(update);
@@ -145,13 +161,9 @@
         }
         backend.clone_from(&view.backend);
         let told = view.clone();
-        // told once; the dispatcher remembers
+        // told once; the sink remembers
         view.lately.clear();
-        let event = DispatchEvent::Viewed {
-            addr: engine,
-            view: told,
-        };
-        control.tell(event);
+        sink.on_view(engine, told);
     }
 }
 
--- /dev/null
+++ b/transport/src/links/view_sink.rs
@@ -0,0 +1,14 @@
+use {
+    chalkcart_protocol::peer::{EngineFigures, EngineView},
+    chalkcart_state::backends::BackendId,
+    std::net::SocketAddr,
+};
+
+/// takes in what the sidecars of engines say, by the engine's address
+pub trait ViewSink: Send + Sync {
+    fn on_view(&self, engine: SocketAddr, view: EngineView);
+    /// nothing but these figures has changed
+    fn on_figures(&self, engine: SocketAddr, backend: &BackendId, figures: EngineFigures);
+    /// the sidecar is silent; `backend` is what it spoke of
+    fn on_silent(&self, engine: SocketAddr, backend: &BackendId);
+}
--- a/transport/src/server/mod.rs
+++ b/transport/src/server/mod.rs
@@ -8,7 +8,10 @@
 
 pub use {
     http_server::{bind, serve, ServeError, Stop},
-    replies::{bytes_reply, frames_reply, json_reply, message_reply, text_reply, Reply},
+    replies::{
+        bytes_reply, encoded_frames_reply, frames_reply, json_reply, message_reply, text_reply,
+        Reply,
+    },
     requests::{read_body, read_json, read_message, BodyError},
     shared_data::SharedData,
 };
--- a/transport/src/server/replies.rs
+++ b/transport/src/server/replies.rs
@@ -51,10 +51,12 @@
 pub fn frames_reply<T: Serialize + Send + 'static>(
     frames: impl Stream<Item = T> + Send + 'static,
 ) -> Reply {
-    let chunks = frames.filter_map(|frame| async move {
-        let chunk = encode_frame(&frame).ok()?;
-        Some(Ok::<_, io::Error>(BodyFrame::data(chunk)))
-    });
+    encoded_frames_reply(frames.filter_map(|frame| async move { encode_frame(&frame).ok() }))
+}
+
+/// a stream of messages that were encoded before
+pub fn encoded_frames_reply(frames: impl Stream<Item = Bytes> + Send + 'static) -> Reply {
+    let chunks = frames.map(|chunk| Ok::<_, io::Error>(BodyFrame::data(chunk)));
     let mut reply = Response::new(Body::new(StreamBody::new(chunks)));
     let value = http::HeaderValue::from_static("application/msgpack");
     reply.headers_mut().insert(CONTENT_TYPE, value);
