Entries of a large fleet hear the store by their relay

Ruled out: longer watches (one cut silently is noticed only at its end), a fixed watcher (a role of its own, which may die). A relay speaks for the store only while it has heard it within 1.9 s; else, or when it is silent, an entry asks the store itself. Revisions are the store's, so an entry goes from relay to relay without going back.

Change: one follower of the store (transport::metadata), used by entries and relays; a relay's book of what is published; the entry's source that asks the relay first; records move to state::published. Switch store_by_relay. Sidecars get the store's address.

--- a/coordination/src/mechanisms/switches.rs
+++ b/coordination/src/mechanisms/switches.rs
@@ -30,6 +30,8 @@
     pub early_refusals: bool,
     /// entries of a large fleet hear engines by a relay of their zone
     pub relays: bool,
+    /// they also hear the platform's store by it
+    pub store_by_relay: bool,
 }
 
 impl Default for Mechanisms {
@@ -45,12 +47,13 @@
             several_homes: true,
             early_refusals: true,
             relays: true,
+            store_by_relay: true,
         }
     }
 }
 
 impl Mechanisms {
-    fn rows(&self) -> [(&'static str, bool); 10] {
+    fn rows(&self) -> [(&'static str, bool); 11] {
         [
             ("observed_rate", self.observed_rate),
             ("prompts_of_all", self.prompts_of_all),
@@ -62,6 +65,7 @@
             ("several_homes", self.several_homes),
             ("early_refusals", self.early_refusals),
             ("relays", self.relays),
+            ("store_by_relay", self.store_by_relay),
         ]
     }
 }
--- a/coordination/src/relay/mod.rs
+++ b/coordination/src/relay/mod.rs
@@ -1,10 +1,12 @@
 //! who hears whom in a large fleet: some sidecars of each availability zone
 //! pass on what all engines say, and gather what the entries of the zone need
 
+mod published_book;
 mod relay_book;
 mod relay_choice;
 
 pub use {
+    published_book::PublishedBook,
     relay_book::RelayBook,
     relay_choice::{RelayCandidate, RelayChoice, RELAYS_FROM_ENGINES, RELAYS_PER_ZONE},
 };
--- /dev/null
+++ b/coordination/src/relay/published_book.rs
@@ -0,0 +1,132 @@
+use {
+    chalkcart_protocol::peer::PublishedAnswer,
+    chalkcart_state::{
+        backends::{AdapterRef, BackendId},
+        published::{Record, Snapshot},
+    },
+    std::{
+        collections::BTreeMap,
+        time::{Duration, Instant},
+    },
+};
+
+/// a relay that has not heard the store for longer does not speak for it: the
+/// pause between two watches, the wait of one and what its answer takes
+const STALE_AFTER: Duration = Duration::from_millis(1_900);
+/// back ends that are gone and remembered, so that entries hear of them
+const MOST_GONE: usize = 2_000;
+
+/// what a record speaks of; a later one replaces it
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+enum Subject {
+    Table,
+    Version(AdapterRef),
+    Backend(BackendId),
+    Other(String),
+}
+
+/// One topic of the platform's store, as a relay has heard it. Revisions are the
+/// store's, so that an entry may go from one relay to another, or to the store.
+#[derive(Debug, Default)]
+pub struct PublishedBook {
+    records: BTreeMap<Subject, (u64, Record)>,
+    /// revision up to which all is known
+    at: u64,
+    heard: Option<Instant>,
+    /// changes up to this revision may be forgotten
+    forgotten_to: u64,
+}
+
+impl PublishedBook {
+    /// take in all records of the topic, or those that have changed
+    pub fn take_in(&mut self, heard: Snapshot, is_whole: bool, now: Instant) {
+        self.heard = Some(now);
+        if heard.at < self.at {
+            // an answer of an earlier state says nothing new
+            return;
+        }
+        if is_whole {
+            self.note_missing(&heard);
+        }
+        self.at = heard.at;
+        for record in heard.records {
+            let subject = subject(&record);
+            let known = self.records.get(&subject);
+            if known.is_none_or(|(_, known)| *known != record) {
+                self.records.insert(subject, (heard.at, record));
+            }
+        }
+        self.forget_gone();
+    }
+
+    /// the answer to an entry that knows the topic up to `after`; none if there
+    /// is nothing newer
+    pub fn answer(&self, after: Option<u64>, now: Instant) -> Option<PublishedAnswer> {
+        let age = self.heard.map(|at| now.saturating_duration_since(at));
+        if age.is_none_or(|age| age > STALE_AFTER) {
+            return Some(PublishedAnswer::Stale);
+        }
+        let Some(after) = after else {
+            let is_there = |record: &&Record| !matches!(record, Record::BackendGone(_));
+            let records = self.records.values().map(|(_, record)| record);
+            return Some(self.records(records.filter(is_there).cloned().collect()));
+        };
+        if after < self.forgotten_to {
+            return Some(PublishedAnswer::HistoryLost);
+        }
+        let newer = self.records.values().filter(|(at, _)| *at > after);
+        let newer: Vec<Record> = newer.map(|(_, record)| record.clone()).collect();
+        (!newer.is_empty()).then(|| self.records(newer))
+    }
+
+    /// the answer to an entry that has waited long enough for something newer
+    pub fn nothing_newer(&self, after: Option<u64>) -> PublishedAnswer {
+        PublishedAnswer::Records(Snapshot {
+            records: Vec::new(),
+            at: self.at.max(after.unwrap_or(0)),
+        })
+    }
+
+    fn records(&self, records: Vec<Record>) -> PublishedAnswer {
+        let at = self.at;
+        PublishedAnswer::Records(Snapshot { records, at })
+    }
+
+    /// back ends that are not in the whole are gone
+    fn note_missing(&mut self, whole: &Snapshot) {
+        let listed: Vec<Subject> = whole.records.iter().map(subject).collect();
+        for (subject, (at, record)) in &mut self.records {
+            if let Record::Backend(backend) = record {
+                if !listed.contains(subject) {
+                    *record = Record::BackendGone(backend.id.clone());
+                    *at = whole.at;
+                }
+            }
+        }
+    }
+
+    fn forget_gone(&mut self) {
+        let gone = self.records.values();
+        let gone = gone.filter(|(_, record)| matches!(record, Record::BackendGone(_)));
+        let mut gone_at: Vec<u64> = gone.map(|(at, _)| *at).collect();
+        if gone_at.len() <= MOST_GONE {
+            return;
+        }
+        gone_at.sort_unstable();
+        let bound = gone_at[gone_at.len() / 2];
+        self.forgotten_to = bound;
+        let is_kept =
+            |(at, record): &(u64, Record)| !matches!(record, Record::BackendGone(_)) || *at > bound;
+        self.records.retain(|_, row| is_kept(row));
+    }
+}
+
+fn subject(record: &Record) -> Subject {
+    match record {
+        Record::Table(_) => Subject::Table,
+        Record::AdapterVersion { adapter, .. } => Subject::Version(adapter.clone()),
+        Record::Backend(backend) => Subject::Backend(backend.id.clone()),
+        Record::BackendGone(id) => Subject::Backend(id.clone()),
+        Record::Unreadable { key, .. } => Subject::Other(key.clone()),
+    }
+}
--- a/coordination/tests/relays.rs
+++ b/coordination/tests/relays.rs
@@ -1,12 +1,17 @@
 //! who hears whom in a large fleet
 
 use {
-    chalkcart_coordination::relay::{RelayBook, RelayCandidate, RelayChoice, RELAYS_PER_ZONE},
+    chalkcart_coordination::relay::{
+        PublishedBook, RelayBook, RelayCandidate, RelayChoice, RELAYS_PER_ZONE,
+    },
     chalkcart_protocol::peer::{
         AdapterDemand, AdapterUse, EngineDemand, EngineFigures, EngineRoom, EngineView, EngineWord,
-        RelayDemands, RelayUpdate, WantedAdapter,
+        PublishedAnswer, RelayDemands, RelayUpdate, WantedAdapter,
+    },
+    chalkcart_state::{
+        backends::{AdapterRef, Backend, HeldAdapter},
+        published::{Record, Snapshot},
     },
-    chalkcart_state::backends::{AdapterRef, HeldAdapter},
     quickcheck::{quickcheck, Arbitrary, Gen},
     std::{
         collections::{BTreeMap, HashSet},
@@ -254,3 +259,57 @@
         early == truth && late.is_none_or(|late| late == truth)
     }
 }
+
+fn listed(id: &str) -> Record {
+    Record::Backend(Backend {
+        id: id.to_string(),
+        service: "s".to_string(),
+        addr: addr(1),
+        zone: "z".to_string(),
+        slots: 4,
+        leaving: false,
+        models: Vec::new(),
+        held: Vec::new(),
+    })
+}
+
+fn snapshot(at: u64, records: Vec<Record>) -> Snapshot {
+    Snapshot { records, at }
+}
+
+#[test]
+fn a_relay_tells_the_store_as_it_heard_it_and_only_while_it_hears_it() {
+    let now = Instant::now();
+    let mut book = PublishedBook::default();
+    assert_eq!(book.answer(None, now), Some(PublishedAnswer::Stale));
+    book.take_in(snapshot(5, vec![listed("a"), listed("b")]), true, now);
+    let all = PublishedAnswer::Records(snapshot(5, vec![listed("a"), listed("b")]));
+    assert_eq!(book.answer(None, now), Some(all));
+    assert_eq!(book.answer(Some(5), now), None, "nothing newer");
+    // a later whole lacks one that is known, and an older answer says nothing
+    book.take_in(snapshot(9, vec![listed("a")]), true, now);
+    book.take_in(snapshot(7, vec![listed("c")]), false, now);
+    let gone = PublishedAnswer::Records(snapshot(9, vec![Record::BackendGone("b".to_string())]));
+    assert_eq!(book.answer(Some(5), now), Some(gone));
+    let nothing = PublishedAnswer::Records(snapshot(12, Vec::new()));
+    assert_eq!(book.nothing_newer(Some(12)), nothing, "never back");
+    let later = now + Duration::from_secs(2);
+    assert_eq!(book.answer(Some(5), later), Some(PublishedAnswer::Stale));
+}
+
+#[test]
+fn what_a_relay_has_forgotten_must_be_asked_for_whole() {
+    let now = Instant::now();
+    let mut book = PublishedBook::default();
+    for at in 1..=2_001 {
+        let gone = Record::BackendGone(format!("b{at}"));
+        book.take_in(snapshot(at, vec![gone]), false, now);
+    }
+    assert_eq!(
+        book.answer(Some(1), now),
+        Some(PublishedAnswer::HistoryLost)
+    );
+    assert!(book
+        .answer(Some(2_000), now)
+        .is_some_and(|a| a != PublishedAnswer::HistoryLost));
+}
--- a/entry/src/ingress/mod.rs
+++ b/entry/src/ingress/mod.rs
@@ -6,13 +6,14 @@
 mod exchange;
 mod figures_board;
 mod fleet_links;
-mod follower;
 mod observers;
 mod operator_pages;
+mod records;
 mod relay_link;
 mod relay_outbox;
 mod serve;
 mod service;
 mod shared;
+mod zone_source;
 
 pub use {serve::serve, shared::Shared};
--- /dev/null
+++ b/entry/src/ingress/records.rs
@@ -0,0 +1,125 @@
+use {
+    super::{shared::Shared, zone_source::ZoneSource},
+    chalkcart_coordination::dispatch::DispatchEvent,
+    chalkcart_state::{
+        backends::{Backend, BackendId},
+        ingress::RouteTable,
+        published::{Record, Snapshot, Topic},
+    },
+    chalkcart_transport::metadata::RecordSink,
+    std::{
+        collections::BTreeMap,
+        sync::{Arc, Mutex, PoisonError},
+        time::Duration,
+    },
+};
+
+/// pause after a change of the list that a relay told: news cost no call of the
+/// store, only the time to take them in
+const PAUSE_BY_RELAY: Duration = Duration::from_millis(150);
+
+/// takes in what is published, for an entry
+pub struct EntryRecords {
+    shared: Arc<Shared>,
+    source: Arc<ZoneSource>,
+    backends: Mutex<BTreeMap<BackendId, Backend>>,
+}
+
+impl EntryRecords {
+    pub fn new(shared: Arc<Shared>, source: Arc<ZoneSource>) -> Self {
+        Self {
+            shared,
+            source,
+            backends: Mutex::default(),
+        }
+    }
+
+    fn take_backends(&self, heard: Snapshot, is_whole: bool) {
+        if heard.records.is_empty() && !is_whole {
+            return;
+        }
+        // no holder panics halfway through a change
+        let mut backends = self.backends.lock().unwrap_or_else(PoisonError::into_inner);
+        if is_whole {
+            backends.clear();
+        }
+        for record in heard.records {
+            match record {
+                Record::Backend(backend) => {
+                    backends.insert(backend.id.clone(), backend);
+                }
+                Record::BackendGone(id) => {
+                    backends.remove(&id);
+                }
+                other => log_stranger(&other),
+            }
+        }
+        let list = backends.values().cloned().collect();
+        self.shared.set_knows_backends();
+        self.shared.metrics.on_list(heard.at);
+        let version = heard.at;
+        self.shared
+            .control
+            .tell(DispatchEvent::Listed { version, list });
+    }
+
+    fn take_configuration(&self, record: Record) {
+        match record {
+            Record::Table(table) => self.take_table(*table),
+            Record::AdapterVersion { adapter, version } => {
+                let event = DispatchEvent::Versioned { adapter, version };
+                self.shared.control.tell(event);
+            }
+            other => log_stranger(&other),
+        }
+    }
+
+    /// a configuration never goes back to an earlier version
+    fn take_table(&self, table: RouteTable) {
+        let known = self.shared.table.load_full();
+        if known.is_some_and(|known| known.generation >= table.generation) {
+            return;
+        }
+        log::info!(
+            "store: configuration {} in force, {} routes",
+            table.generation,
+            table.route_count()
+        );
+        self.shared.metrics.on_configuration(table.generation);
+        let table = Arc::new(table);
+        self.shared.table.store(Some(table.clone()));
+        self.shared.control.tell(DispatchEvent::Configured(table));
+    }
+}
+
+impl RecordSink for EntryRecords {
+    fn take_in(&self, topic: Topic, heard: Snapshot, is_whole: bool) {
+        match topic {
+            Topic::Backends => self.take_backends(heard, is_whole),
+            Topic::Configuration => {
+                let records = heard.records.into_iter();
+                records.for_each(|record| self.take_configuration(record));
+            }
+        }
+    }
+    fn pause(&self, topic: Topic) -> Duration {
+        match topic {
+            Topic::Configuration => Duration::ZERO,
+            Topic::Backends if self.source.hears_relay() => PAUSE_BY_RELAY,
+            Topic::Backends => {
+                let entries = self.shared.control.entries();
+                self.shared.list_pacing().pause(entries)
+            }
+        }
+    }
+}
+
+/// a record that can't be read, or does not belong to its topic
+fn log_stranger(record: &Record) {
+    match record {
+        Record::Unreadable { key, problem } => {
+            log::error!("store: {key} can't be read: {problem}");
+        }
+        other => log::error!("store: not of this topic: {other:?}"),
+    }
+}
--- a/entry/src/ingress/relay_link.rs
+++ b/entry/src/ingress/relay_link.rs
@@ -1,5 +1,8 @@
 use {
-    super::{control::ControlHandle, fleet_links::LinkSettings, relay_outbox::RelayOutbox},
+    super::{
+        control::ControlHandle, fleet_links::LinkSettings, relay_outbox::RelayOutbox,
+        zone_source::RelayInUse,
+    },
     chalkcart_coordination::relay::{RelayCandidate, RelayChoice},
     chalkcart_protocol::peer::{
         path, AdapterDemand, EngineNews, EngineView, EngineWord, RelayAsk, RelayUpdate, ViewUpdate,
@@ -34,12 +37,14 @@
 /// an entry's link to the relay that it uses; its task ends when it is dropped
 pub struct RelayLink {
     outbox: Arc<RelayOutbox>,
+    in_use: RelayInUse,
     task: JoinHandle<()>,
 }
 
 impl Drop for RelayLink {
     fn drop(&mut self) {
         self.task.abort();
+        self.in_use.store(None);
     }
 }
 
@@ -55,7 +60,11 @@
             views: HashMap::new(),
         };
         let task = runtime.spawn(reader.run());
-        Self { outbox, task }
+        Self {
+            outbox,
+            in_use: settings.relay_in_use.clone(),
+            task,
+        }
     }
 
     /// hear the sidecars of these engines, and of no other
@@ -101,6 +110,7 @@
             log::info!(relay = relay.to_string().as_str(), engines = candidates.len();
                 "links: relay taken");
             let end = self.use_relay(engine, relay).await;
+            self.settings.relay_in_use.store(None);
             if let End::Failed(e) = end {
                 log::warn!(relay = relay.to_string().as_str(), cause = e.to_string().as_str();
                     "links: relay lost");
@@ -141,6 +151,9 @@
                 heard.extend(update.news.iter().map(|news| news.engine));
             }
             update.news.into_iter().for_each(|news| self.take_in(news));
+            if self.settings.relay_in_use.load().is_none() {
+                self.settings.relay_in_use.store(Some(Arc::new(relay)));
+            }
             if since.elapsed() >= ALL_HEARD_AFTER {
                 heard
                     .take()
--- a/entry/src/ingress/serve.rs
+++ b/entry/src/ingress/serve.rs
@@ -2,10 +2,11 @@
     super::{
         control,
         fleet_links::{FleetLinks, LinkSettings},
-        follower::Follower,
         operator_pages,
+        records::EntryRecords,
         service::RoutedIngress,
         shared::Shared,
+        zone_source::{RelayInUse, ZoneSource},
     },
     crate::conf::IngressSettings,
     anyhow::{Context, Result},
@@ -16,15 +17,20 @@
     chalkcart_node::{
         runtime::run_on_one_thread, settings::SettingsFollower, signals::stop_signal,
     },
+    chalkcart_state::published::Topic,
     chalkcart_transport::{
         ingress::{self, Dialect, Phase},
-        metadata::{MetadataSource, Topic},
+        metadata::{Follower, MetadataSource},
         server,
     },
     std::{sync::Arc, time::Duration},
     tokio::{runtime::Handle, sync::watch, time::timeout},
 };
 
+/// how long one watch of the store waits; a watch that was cut silently costs
+/// this time
+const WATCH_WAIT: Duration = Duration::from_millis(2_500);
+
 /// run the ingress until it is asked to stop
 pub fn serve(
     settings: IngressSettings,
@@ -50,14 +56,13 @@
     let readiness = server::bind(settings.readiness).await?;
     let metrics = server::bind(settings.metrics).await?;
     let dispatcher = Dispatcher::new(dispatch_settings(&settings));
-    let (runtime, link_settings) = (Handle::current(), link_settings(&settings));
+    let relay = RelayInUse::default();
+    let (runtime, link_settings) = (Handle::current(), link_settings(&settings, &relay));
     let control = control::start(dispatcher, |control| {
         FleetLinks::new(link_settings, runtime, control)
     })?;
     let shared = Arc::new(Shared::new(settings, control, dialect));
-    for topic in [Topic::Configuration, Topic::Backends] {
-        tokio::spawn(Follower::new(shared.clone(), store.clone(), topic).run());
-    }
+    follow_store(&shared, store.clone(), relay);
     let (_stop, stopped) = watch::channel(false);
     let router = operator_pages::new_readiness_router(shared.clone());
     tokio::spawn(server::serve(
@@ -111,7 +116,21 @@
     Ok(())
 }
 
-fn link_settings(settings: &IngressSettings) -> LinkSettings {
+/// follow both topics, by the relay of the zone where there is one
+fn follow_store(shared: &Arc<Shared>, store: Arc<dyn MetadataSource>, relay: RelayInUse) {
+    let relay = match shared.settings.mechanisms.store_by_relay {
+        true => relay,
+        false => RelayInUse::default(),
+    };
+    let source = Arc::new(ZoneSource::new(store, relay));
+    let records = Arc::new(EntryRecords::new(shared.clone(), source.clone()));
+    for topic in [Topic::Configuration, Topic::Backends] {
+        let follower = Follower::new(source.clone(), records.clone(), topic, WATCH_WAIT);
+        tokio::spawn(follower.run());
+    }
+}
+
+fn link_settings(settings: &IngressSettings, relay: &RelayInUse) -> LinkSettings {
     LinkSettings {
         entry: settings.name.clone(),
         zone: settings.zone.clone(),
@@ -120,6 +139,7 @@
             true => Some(settings.relays_from_engines),
             false => None,
         },
+        relay_in_use: relay.clone(),
     }
 }
 
--- /dev/null
+++ b/entry/src/ingress/zone_source.rs
@@ -0,0 +1,109 @@
+use {
+    arc_swap::ArcSwapOption,
+    async_trait::async_trait,
+    chalkcart_protocol::peer::{path, PublishedAnswer, PublishedAsk},
+    chalkcart_state::published::{Snapshot, Topic},
+    chalkcart_transport::{
+        client::PeerClient,
+        metadata::{MetadataSource, SourceError, Watched},
+    },
+    std::{
+        net::SocketAddr,
+        sync::{
+            atomic::{AtomicBool, Ordering},
+            Arc,
+        },
+        time::Duration,
+    },
+};
+
+/// the relay that an entry hears now, none if it hears none
+pub type RelayInUse = Arc<ArcSwapOption<SocketAddr>>;
+
+/// longest time that a relay may wait for something newer; one that is cut off
+/// silently is noticed after it
+const RELAYED_WAIT: Duration = Duration::from_millis(1_000);
+/// time for the answer of a relay beyond its wait
+const RELAY_SLACK: Duration = Duration::from_millis(300);
+
+/// What the platform's store publishes, by the relay of the zone as long as that
+/// one hears the store, else by calls of our own.
+pub struct ZoneSource {
+    store: Arc<dyn MetadataSource>,
+    relay: RelayInUse,
+    peers: PeerClient,
+    /// the last answer came from a relay
+    hears_relay: AtomicBool,
+}
+
+impl ZoneSource {
+    pub fn new(store: Arc<dyn MetadataSource>, relay: RelayInUse) -> Self {
+        Self {
+            store,
+            relay,
+            peers: PeerClient::new(),
+            hears_relay: AtomicBool::new(false),
+        }
+    }
+
+    pub fn hears_relay(&self) -> bool {
+        self.hears_relay.load(Ordering::Relaxed)
+    }
+
+    /// what the relay says; none if the store must be asked
+    async fn ask_relay(&self, topic: Topic, after: Option<u64>, wait: Duration) -> Option<Watched> {
+        let relay = *self.relay.load_full()?;
+        let ask = PublishedAsk {
+            topic,
+            after,
+            wait_ms: wait.as_millis() as u64,
+        };
+        let limit = wait + RELAY_SLACK;
+        let answer = self.peers.call(relay, path::RELAY_PUBLISHED, &ask, limit);
+        let (cause, heard) = match answer.await {
+            Ok(PublishedAnswer::Records(heard)) => {
+                ("heard".to_string(), Some(Watched::Records(heard)))
+            }
+            Ok(PublishedAnswer::HistoryLost) => {
+                ("history lost".to_string(), Some(Watched::HistoryLost))
+            }
+            Ok(PublishedAnswer::Stale) => ("stale".to_string(), None),
+            Err(e) => (e.to_string(), None),
+        };
+        let hears = heard.is_some();
+        if self.hears_relay.swap(hears, Ordering::Relaxed) != hears {
+            log::info!(relay = relay.to_string().as_str(), topic = format!("{topic:?}").as_str(),
+                by_relay = hears, cause = cause.as_str(); "store: read otherwise");
+        }
+        heard
+    }
+}
+
+#[async_trait]
+impl MetadataSource for ZoneSource {
+    fn set_addr(&self, addr: SocketAddr) {
+        self.store.set_addr(addr);
+    }
+
+    async fn snapshot(&self, topic: Topic) -> Result<Snapshot, SourceError> {
+        match self.ask_relay(topic, None, Duration::ZERO).await {
+            Some(Watched::Records(heard)) => Ok(heard),
+            Some(Watched::HistoryLost) | None => self.store.snapshot(topic).await,
+        }
+    }
+
+    async fn watch(
+        &self,
+        topic: Topic,
+        after: u64,
+        wait: Duration,
+    ) -> Result<Watched, SourceError> {
+        match self
+            .ask_relay(topic, Some(after), wait.min(RELAYED_WAIT))
+            .await
+        {
+            Some(heard) => Ok(heard),
+            None => self.store.watch(topic, after, wait).await,
+        }
+    }
+}
--- a/protocol/src/peer/mod.rs
+++ b/protocol/src/peer/mod.rs
@@ -4,6 +4,7 @@
 mod frame;
 mod permit;
 mod placement;
+mod published;
 mod refusal;
 mod relay;
 mod report;
@@ -25,6 +26,7 @@
     pub const VIEWS: &str = "/peer/views";
     pub const RELAY_VIEWS: &str = "/peer/relay/views";
     pub const RELAY_DEMANDS: &str = "/peer/relay/demands";
+    pub const RELAY_PUBLISHED: &str = "/peer/relay/published";
 }
 
 pub use {
@@ -35,6 +37,7 @@
         AdapterDemand, AdapterUse, EngineFigures, EngineRoom, EngineView, ModelSize, ViewChange,
         ViewUpdate, WantedAdapter,
     },
+    published::{PublishedAnswer, PublishedAsk},
     refusal::{Outcome, Reason, Refusal, Step},
     relay::{EngineDemand, EngineNews, EngineWord, RelayAsk, RelayDemands, RelayUpdate},
     report::{LoadedAdapter, TargetReport},
--- a/sidecar/src/cli/run.rs
+++ b/sidecar/src/cli/run.rs
@@ -7,8 +7,9 @@
     },
     chalkcart_platform::{
         settings::{self as platform_settings, Program as PlatformProgram},
-        PlatformEngine,
+        PlatformEngine, PlatformStore,
     },
+    chalkcart_transport::metadata::MetadataSource,
     serde::de::DeserializeOwned,
     serde_json::Value,
     std::{path::Path, sync::Arc},
@@ -56,7 +57,9 @@
 fn place(settings: PlacementSettings, file: &Path) -> Result<()> {
     let follower = SettingsFollower::translated(file, translate);
     let engine = PlatformEngine::new(settings.engine, &settings.name);
-    placement::serve(settings, follower, Arc::new(engine))
+    let store = settings.store.map(PlatformStore::new);
+    let store = store.map(|store| Arc::new(store) as Arc<dyn MetadataSource>);
+    placement::serve(settings, follower, Arc::new(engine), store)
 }
 
 fn translate(document: Value) -> Result<Value, SettingsError> {
--- a/sidecar/src/conf/placement_settings.rs
+++ b/sidecar/src/conf/placement_settings.rs
@@ -1,9 +1,9 @@
 use {
-    chalkcart_coordination::mechanisms::Mechanisms,
+    chalkcart_coordination::{mechanisms::Mechanisms, retry::ListPacing},
     chalkcart_node::settings::{check_filled, check_log, defaults, Checked, SettingsError},
     chalkcart_state::ids::BoxName,
     serde::Deserialize,
-    std::net::SocketAddr,
+    std::{net::SocketAddr, time::Duration},
 };
 
 /// the settings file of `chalkcart-sidecar --place`
@@ -16,6 +16,16 @@
     pub listen: SocketAddr,
     /// the engine on this box
     pub engine: SocketAddr,
+    /// the platform's store, read while this process is a relay; without it a
+    /// relay passes on views and demands alone
+    #[serde(default)]
+    pub store: Option<SocketAddr>,
+    /// a back end that leaves gets no more requests after this time, in ms
+    #[serde(default = "defaults_drain_ms")]
+    pub drain_ms: u64,
+    /// reading calls that the store answers in a second, to all processes
+    #[serde(default = "defaults_store_reads")]
+    pub store_reads_per_s: f64,
     /// values that the platform left out, for the log
     #[serde(default)]
     pub defaulted: Vec<String>,
@@ -26,6 +36,26 @@
     pub log: String,
 }
 
+impl PlacementSettings {
+    /// how often the store is asked for changes of the list
+    pub fn list_pacing(&self) -> ListPacing {
+        ListPacing {
+            drain: Duration::from_millis(self.drain_ms),
+            store_reads_per_s: self.store_reads_per_s,
+        }
+    }
+}
+
+/// the shortest time on the pages of the platform's sites
+fn defaults_drain_ms() -> u64 {
+    2_000
+}
+
+/// the smallest rate on the pages of the platform's sites
+fn defaults_store_reads() -> f64 {
+    2_000.0
+}
+
 impl Checked for PlacementSettings {
     fn check(&self) -> Result<(), SettingsError> {
         check_filled("name", &self.name, "the box's name")?;
--- a/sidecar/src/placement/handlers.rs
+++ b/sidecar/src/placement/handlers.rs
@@ -1,6 +1,6 @@
 use {
     super::{shared::Shared, views::follow},
-    crate::relay::{relay_demands, relay_views, RelayHub},
+    crate::relay::{relay_demands, relay_published, relay_views, RelayHub},
     chalkcart_coordination::placement::PlacementEvent,
     chalkcart_protocol::peer::{path, AdapterDemand},
     chalkcart_transport::server::{frames_reply, message_reply, pages, read_message, SharedData},
@@ -26,6 +26,7 @@
         route.post(path::VIEWS).to_async(views);
         route.post(path::RELAY_DEMANDS).to_async(relay_demands);
         route.post(path::RELAY_VIEWS).to_async(relay_views);
+        route.post(path::RELAY_PUBLISHED).to_async(relay_published);
         route.get("/healthz").to_async(pages::healthz);
     })
 }
--- a/sidecar/src/placement/serve.rs
+++ b/sidecar/src/placement/serve.rs
@@ -2,14 +2,14 @@
     super::{handlers::new_router, keeper::Keeper, shared::Shared},
     crate::{
         conf::PlacementSettings,
-        relay::{run_pump, RelayHub},
+        relay::{run_pump, Published, RelayHub},
     },
     anyhow::{Context, Result},
     chalkcart_coordination::placement::{self, PlacementControl},
     chalkcart_node::{
         runtime::run_on_one_thread, settings::SettingsFollower, signals::stop_signal,
     },
-    chalkcart_transport::{orders::OrderedEngine, server},
+    chalkcart_transport::{metadata::MetadataSource, orders::OrderedEngine, server},
     std::{
         sync::Arc,
         time::{Duration, SystemTime, UNIX_EPOCH},
@@ -22,15 +22,17 @@
     settings: PlacementSettings,
     follower: SettingsFollower,
     engine: Arc<dyn OrderedEngine>,
+    store: Option<Arc<dyn MetadataSource>>,
 ) -> Result<()> {
     let (name, log) = (settings.name.clone(), settings.log.clone());
-    run_on_one_thread(&name, &log, run(settings, follower, engine))
+    run_on_one_thread(&name, &log, run(settings, follower, engine, store))
 }
 
 async fn run(
     settings: PlacementSettings,
     follower: SettingsFollower,
     engine: Arc<dyn OrderedEngine>,
+    store: Option<Arc<dyn MetadataSource>>,
 ) -> Result<()> {
     let listener = server::bind(settings.listen).await?;
     let since_epoch = SystemTime::now()
@@ -48,7 +50,8 @@
     let control = PlacementControl::new(limits, since_epoch.as_millis() as u64);
     let shared = Arc::new(Shared::new(control));
     tokio::spawn(Keeper::new(shared.clone(), engine).run());
-    let relay = Arc::new(RelayHub::new(settings.name.clone()));
+    let published = Arc::new(Published::new(store, settings.list_pacing()));
+    let relay = Arc::new(RelayHub::new(settings.name.clone(), published));
     tokio::spawn(run_pump(relay.clone(), settings.listen.port()));
     let (_stop, stopped) = watch::channel(false);
     tokio::spawn(server::serve(
--- a/sidecar/src/relay/handlers.rs
+++ b/sidecar/src/relay/handlers.rs
@@ -1,6 +1,6 @@
 use {
     super::RelayHub,
-    chalkcart_protocol::peer::{RelayAsk, RelayDemands},
+    chalkcart_protocol::peer::{PublishedAsk, RelayAsk, RelayDemands},
     chalkcart_transport::server::{
         encoded_frames_reply, message_reply, pages, read_message, SharedData,
     },
@@ -33,3 +33,13 @@
     };
     Ok((state, reply))
 }
+
+/// an entry asks what the platform's store publishes
+pub async fn relay_published(mut state: State) -> HandlerResult {
+    let hub = SharedData::<RelayHub>::of(&state);
+    let reply = match read_message::<PublishedAsk>(&mut state).await {
+        Ok(ask) => message_reply(&hub.published.answer(&ask).await),
+        Err(e) => pages::bad_message(&e),
+    };
+    Ok((state, reply))
+}
--- a/sidecar/src/relay/hub.rs
+++ b/sidecar/src/relay/hub.rs
@@ -1,4 +1,5 @@
 use {
+    super::Published,
     bytes::Bytes,
     chalkcart_coordination::relay::RelayBook,
     chalkcart_protocol::{
@@ -12,7 +13,7 @@
         net::SocketAddr,
         sync::{
             atomic::{AtomicBool, Ordering},
-            Mutex, MutexGuard,
+            Arc, Mutex, MutexGuard,
         },
         time::Instant,
     },
@@ -27,6 +28,7 @@
 /// what the handlers, the links and the pump of a relay share
 pub struct RelayHub {
     book: Mutex<RelayBook>,
+    pub published: Arc<Published>,
     news: broadcast::Sender<Bytes>,
     /// there is work for the pump
     pub changed: Notify,
@@ -38,9 +40,10 @@
 
 impl RelayHub {
     /// `name` is that of the box
-    pub fn new(name: BoxName) -> Self {
+    pub fn new(name: BoxName, published: Arc<Published>) -> Self {
         Self {
             book: Mutex::new(RelayBook::new(name)),
+            published,
             news: broadcast::Sender::new(MOST_BEHIND),
             changed: Notify::new(),
             is_urgent: AtomicBool::new(false),
--- a/sidecar/src/relay/mod.rs
+++ b/sidecar/src/relay/mod.rs
@@ -3,10 +3,12 @@
 
 mod handlers;
 mod hub;
+mod published;
 mod pump;
 
 pub use {
-    handlers::{relay_demands, relay_views},
+    handlers::{relay_demands, relay_published, relay_views},
     hub::RelayHub,
+    published::Published,
     pump::run_pump,
 };
--- /dev/null
+++ b/sidecar/src/relay/published.rs
@@ -0,0 +1,123 @@
+use {
+    chalkcart_coordination::{relay::PublishedBook, retry::ListPacing},
+    chalkcart_protocol::peer::{PublishedAnswer, PublishedAsk},
+    chalkcart_state::published::{Snapshot, Topic},
+    chalkcart_transport::metadata::{Follower, MetadataSource, RecordSink},
+    std::{
+        sync::{Arc, Mutex, MutexGuard},
+        time::{Duration, Instant},
+    },
+    tokio::{
+        sync::watch,
+        task::JoinHandle,
+        time::{timeout, Instant as Deadline},
+    },
+};
+
+/// how long one watch of the store waits; the time after which a relay that is
+/// cut off from the store stops speaking for it counts from here
+const WATCH_WAIT: Duration = Duration::from_millis(1_000);
+/// relays that share the store's calls, for the pause after a change
+const RELAYS_ASSUMED: u32 = 4;
+/// longest wait before an answer is looked at again, since it may become stale
+const LOOK_EVERY: Duration = Duration::from_millis(200);
+
+/// what the platform's store publishes, for the entries that use a relay
+pub struct Published {
+    store: Option<Arc<dyn MetadataSource>>,
+    pacing: ListPacing,
+    configuration: Heard,
+    backends: Heard,
+    followers: Mutex<Vec<JoinHandle<()>>>,
+}
+
+/// one topic
+struct Heard {
+    book: Mutex<PublishedBook>,
+    /// counts what was heard
+    changed: watch::Sender<u64>,
+}
+
+impl Heard {
+    fn new() -> Self {
+        Self {
+            book: Mutex::default(),
+            changed: watch::Sender::new(0),
+        }
+    }
+    fn book(&self) -> MutexGuard<'_, PublishedBook> {
+        // no holder panics halfway through a change
+        self.book.lock().unwrap_or_else(|e| e.into_inner())
+    }
+}
+
+impl Published {
+    /// without a store it never speaks for one
+    pub fn new(store: Option<Arc<dyn MetadataSource>>, pacing: ListPacing) -> Self {
+        Self {
+            store,
+            pacing,
+            configuration: Heard::new(),
+            backends: Heard::new(),
+            followers: Mutex::default(),
+        }
+    }
+
+    /// follow the store while entries use this relay, and only then
+    pub fn follow_while(self: &Arc<Self>, is_used: bool) {
+        let mut followers = self.followers.lock().unwrap_or_else(|e| e.into_inner());
+        match (&self.store, is_used) {
+            (Some(store), true) if followers.is_empty() => {
+                followers.extend([Topic::Configuration, Topic::Backends].map(|topic| {
+                    let follower = Follower::new(store.clone(), self.clone(), topic, WATCH_WAIT);
+                    tokio::spawn(follower.run())
+                }));
+            }
+            (_, true) => {}
+            (_, false) => followers.drain(..).for_each(|task| task.abort()),
+        }
+    }
+
+    /// answer an entry as soon as there is something newer than it knows
+    pub async fn answer(&self, ask: &PublishedAsk) -> PublishedAnswer {
+        let heard = self.heard(ask.topic);
+        let mut changes = heard.changed.subscribe();
+        let until = Deadline::now() + Duration::from_millis(ask.wait_ms);
+        loop {
+            changes.mark_unchanged();
+            if let Some(answer) = heard.book().answer(ask.after, Instant::now()) {
+                return answer;
+            }
+            let left = until.saturating_duration_since(Deadline::now());
+            if left.is_zero() {
+                return heard.book().nothing_newer(ask.after);
+            }
+            // a time without a change is looked at above
+            let _ = timeout(left.min(LOOK_EVERY), changes.changed()).await;
+        }
+    }
+
+    fn heard(&self, topic: Topic) -> &Heard {
+        match topic {
+            Topic::Configuration => &self.configuration,
+            Topic::Backends => &self.backends,
+        }
+    }
+}
+
+impl RecordSink for Published {
+    fn take_in(&self, topic: Topic, heard: Snapshot, is_whole: bool) {
+        let has_news = is_whole || !heard.records.is_empty();
+        let to = self.heard(topic);
+        to.book().take_in(heard, is_whole, Instant::now());
+        if has_news {
+            to.changed.send_modify(|count| *count += 1);
+        }
+    }
+    fn pause(&self, topic: Topic) -> Duration {
+        match topic {
+            Topic::Configuration => Duration::ZERO,
+            Topic::Backends => self.pacing.pause(RELAYS_ASSUMED),
+        }
+    }
+}
--- a/sidecar/src/relay/pump.rs
+++ b/sidecar/src/relay/pump.rs
@@ -25,7 +25,10 @@
     loop {
         wait(&hub).await;
         let now = Instant::now();
-        if hub.review(now) {
+        let has_other_engines = hub.review(now);
+        let is_used = hub.book().entry_count() > 0;
+        hub.published.follow_while(is_used);
+        if has_other_engines {
             let book = hub.book();
             log::info!(entries = book.entry_count(), engines = book.engines().count();
                 "relay: engines to follow changed");
--- a/state/src/backends/backend.rs
+++ b/state/src/backends/backend.rs
@@ -1,6 +1,7 @@
 use {
     super::HeldAdapter,
     crate::ids::{BaseModelName, ServiceName, ZoneName},
+    serde::{Deserialize, Serialize},
     std::net::SocketAddr,
 };
 
@@ -8,7 +9,7 @@
 pub type BackendId = String;
 
 /// one back end, an engine or a copy of a plain service
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Backend {
     pub id: BackendId,
     pub service: ServiceName,
--- a/state/src/ingress/limits.rs
+++ b/state/src/ingress/limits.rs
@@ -1,7 +1,10 @@
-use std::time::Duration;
+use {
+    serde::{Deserialize, Serialize},
+    std::time::Duration,
+};
 
 /// bounds of what a client may send and how long it may take
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct IngressLimits {
     pub max_header_bytes: usize,
     pub max_body_bytes: usize,
--- a/state/src/ingress/route.rs
+++ b/state/src/ingress/route.rs
@@ -1,7 +1,11 @@
-use {crate::ids::ServiceName, std::time::Duration};
+use {
+    crate::ids::ServiceName,
+    serde::{Deserialize, Serialize},
+    std::time::Duration,
+};
 
 /// what a route allows to be done with a request again
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RouteKind {
     /// may run more than once
     Safe,
@@ -27,14 +31,14 @@
 }
 
 /// a service that takes a part of a route's requests
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct WeightedService {
     pub service: ServiceName,
     pub weight: f64,
 }
 
 /// one route of the configuration
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Route {
     pub name: String,
     /// begins and ends with a slash
--- a/state/src/ingress/route_table.rs
+++ b/state/src/ingress/route_table.rs
@@ -1,11 +1,12 @@
 use {
     super::{IngressLimits, Route, Service},
     crate::ids::{Generation, ServiceName},
+    serde::{Deserialize, Serialize},
     std::{collections::HashMap, sync::Arc},
 };
 
 /// the configuration of the ingress in one version
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct RouteTable {
     pub generation: Generation,
     pub limits: IngressLimits,
--- a/state/src/ingress/service.rs
+++ b/state/src/ingress/service.rs
@@ -1,10 +1,11 @@
 use {
     crate::ids::{BaseModelName, ServiceName},
+    serde::{Deserialize, Serialize},
     std::time::Duration,
 };
 
 /// a base model as the operators describe it
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct BaseModel {
     pub name: BaseModelName,
     pub weights_mb: f64,
@@ -16,7 +17,7 @@
 }
 
 /// what the engines of a service can hold
-#[derive(Debug, Clone, PartialEq, Default)]
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
 pub struct EngineSpec {
     /// requests that run at once
     pub slots: u32,
@@ -28,7 +29,7 @@
 }
 
 /// a group of back ends that serve the same requests
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Service {
     pub name: ServiceName,
     /// at which a back end tells its identity
--- a/state/src/lib.rs
+++ b/state/src/lib.rs
@@ -7,3 +7,4 @@
 pub mod fleet;
 pub mod ids;
 pub mod ingress;
+pub mod published;
--- /dev/null
+++ b/state/src/published/mod.rs
@@ -0,0 +1,9 @@
+//! what the platform's store publishes, in the product's own types
+
+mod record;
+mod snapshot;
+
+pub use {
+    record::Record,
+    snapshot::{Snapshot, Topic},
+};
--- /dev/null
+++ b/state/src/published/record.rs
@@ -0,0 +1,24 @@
+use {
+    crate::{
+        backends::{AdapterRef, Backend, BackendId},
+        ingress::RouteTable,
+    },
+    serde::{Deserialize, Serialize},
+};
+
+/// one thing that was published
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Record {
+    Table(Box<RouteTable>),
+    AdapterVersion {
+        adapter: AdapterRef,
+        version: u64,
+    },
+    Backend(Backend),
+    BackendGone(BackendId),
+    /// a record that can't be read, by its key
+    Unreadable {
+        key: String,
+        problem: String,
+    },
+}
--- /dev/null
+++ b/state/src/published/snapshot.rs
@@ -0,0 +1,19 @@
+use {
+    super::Record,
+    serde::{Deserialize, Serialize},
+};
+
+/// a part of what is published
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Topic {
+    /// the configuration of the ingress and the versions of adapters
+    Configuration,
+    Backends,
+}
+
+/// records of a topic, at a revision of the store
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Snapshot {
+    pub records: Vec<Record>,
+    pub at: u64,
+}
--- a/testkit/src/users_platform/fleet.rs
+++ b/testkit/src/users_platform/fleet.rs
@@ -38,6 +38,8 @@
     pub grace_s: f64,
     /// engines from which on the ingress uses a relay
     pub relays_from_engines: usize,
+    /// sidecars know an address of the store that answers; else a dead one
+    pub sidecars_reach_store: bool,
 }
 
 impl Default for FleetSettings {
@@ -49,6 +51,7 @@
             timeout_ms: 8_000,
             grace_s: 6.0,
             relays_from_engines: usize::MAX,
+            sidecars_reach_store: true,
         }
     }
 }
@@ -149,8 +152,13 @@
     pub fn start_sidecar(&self, number: u8) -> Result<Process> {
         let engine = self.engines[usize::from(number)].addr;
         let listen = self.sidecar_addr(usize::from(number));
+        let store = match self.settings.sidecars_reach_store {
+            true => self.store.addr,
+            false => next_addr(),
+        };
         let document = json!({
             "name": format!("side-{number}"), "listen": listen, "engine": engine,
+            "store": store,
         });
         let file = self
             .settings_file
--- a/testkit/tests/relays.rs
+++ b/testkit/tests/relays.rs
@@ -6,14 +6,19 @@
         users_platform::{request, Answer, ClientRequest, Fleet, FleetSettings},
         waiting::{until, until_async},
     },
-    serde_json::Value,
+    serde_json::{json, Value},
     std::net::SocketAddr,
 };
 
 async fn start(engines: u8) -> Result<Fleet> {
+    start_with(engines, true).await
+}
+
+async fn start_with(engines: u8, sidecars_reach_store: bool) -> Result<Fleet> {
     let fleet = Fleet::start(FleetSettings {
         engines,
         relays_from_engines: 1,
+        sidecars_reach_store,
         ..FleetSettings::default()
     })
     .await?;
@@ -76,3 +81,55 @@
     }
     Ok(())
 }
+
+/// publish a configuration that has the plain route at another prefix, and wait
+/// until it is in force
+async fn move_route(fleet: &mut Fleet, prefix: &str) {
+    fleet.configure(|document| document["Routes"][0]["PathPrefix"] = json!(prefix));
+    until_async("the route is moved", || async {
+        let to = ClientRequest {
+            target: prefix.to_string(),
+            ..ClientRequest::default()
+        };
+        let answer = request(fleet.clients, &to).await;
+        answer.is_ok_and(|answer| answer.status == 200)
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn a_configuration_comes_by_the_relay() -> Result<()> {
+    let mut fleet = start(2).await?;
+    until("the relay tells the store", || {
+        fleet.log().contains("\"by_relay\":true")
+    })
+    .await;
+    move_route(&mut fleet, "/moved/").await;
+    Ok(())
+}
+
+#[tokio::test]
+async fn an_entry_reads_the_store_itself_while_its_relay_does_not() -> Result<()> {
+    let mut fleet = start_with(2, false).await?;
+    move_route(&mut fleet, "/moved/").await;
+    assert!(!fleet.log().contains("\"by_relay\":true"));
+    until_served(&fleet, "a", "r1").await;
+    Ok(())
+}
+
+/// what the relay knew before it died is no older than what the entry knows after
+#[tokio::test]
+async fn no_configuration_is_lost_when_the_relay_dies() -> Result<()> {
+    let mut fleet = start(3).await?;
+    move_route(&mut fleet, "/first/").await;
+    for sidecar in &mut fleet.sidecars {
+        sidecar.kill()?;
+    }
+    move_route(&mut fleet, "/second/").await;
+    let to = ClientRequest {
+        target: "/first/".to_string(),
+        ..ClientRequest::default()
+    };
+    assert_eq!(request(fleet.clients, &to).await?.status, 404);
+    Ok(())
+}
--- a/transport/src/metadata/mod.rs
+++ b/transport/src/metadata/mod.rs
@@ -1,5 +1,9 @@
-//! what the platform's store publishes, in the product's own types
+//! the platform's store, read by whoever needs what it publishes
 
+mod follower;
 mod source;
 
-pub use source::{MetadataSource, Record, Snapshot, SourceError, Topic, Watched};
+pub use {
+    follower::{Follower, RecordSink},
+    source::{MetadataSource, SourceError, Watched},
+};
--- a/transport/src/metadata/source.rs
+++ b/transport/src/metadata/source.rs
@@ -1,46 +1,11 @@
 use {
     crate::client::ClientError,
     async_trait::async_trait,
-    chalkcart_state::{
-        backends::{AdapterRef, Backend, BackendId},
-        ingress::RouteTable,
-    },
+    chalkcart_state::published::{Snapshot, Topic},
     std::{net::SocketAddr, time::Duration},
     thiserror::Error,
 };
 
-/// a part of what is published
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Topic {
-    /// the configuration of the ingress and the versions of adapters
-    Configuration,
-    Backends,
-}
-
-/// one thing that was published
-#[derive(Debug)]
-pub enum Record {
-    Table(Box<RouteTable>),
-    AdapterVersion {
-        adapter: AdapterRef,
-        version: u64,
-    },
-    Backend(Backend),
-    BackendGone(BackendId),
-    /// a record that can't be read, by its key
-    Unreadable {
-        key: String,
-        problem: String,
-    },
-}
-
-/// all records of a topic, at a revision of the store
-#[derive(Debug, Default)]
-pub struct Snapshot {
-    pub records: Vec<Record>,
-    pub at: u64,
-}
-
 /// what a watch heard
 #[derive(Debug)]
 pub enum Watched {
