--- a/coordination/src/relay/mod.rs
+++ b/coordination/src/relay/mod.rs
@@ -4,9 +4,11 @@
 mod published_book;
 mod relay_book;
 mod relay_choice;
+mod relay_pacing;
 
 pub use {
     published_book::PublishedBook,
     relay_book::RelayBook,
     relay_choice::{RelayCandidate, RelayChoice, RELAYS_FROM_ENGINES, RELAYS_PER_ZONE},
+    relay_pacing::RelayPacing,
 };
--- a/coordination/src/relay/published_book.rs
+++ b/coordination/src/relay/published_book.rs
@@ -10,9 +10,6 @@
     },
 };
 
-/// a relay that has not heard the store for longer does not speak for it: the
-/// pause between two watches, the wait of one and what its answer takes
-const STALE_AFTER: Duration = Duration::from_millis(1_900);
 /// back ends that are gone and remembered, so that entries hear of them
 const MOST_GONE: usize = 2_000;
 
@@ -27,8 +24,10 @@
 
 /// One topic of the platform's store, as a relay has heard it. Revisions are the
 /// store's, so that an entry may go from one relay to another, or to the store.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct PublishedBook {
+    /// a relay that has not heard the store for longer does not speak for it
+    stale_after: Duration,
     records: BTreeMap<Subject, (u64, Record)>,
     /// revision up to which all is known
     at: u64,
@@ -38,6 +37,16 @@
 }
 
 impl PublishedBook {
+    pub fn new(stale_after: Duration) -> Self {
+        Self {
+            stale_after,
+            records: BTreeMap::new(),
+            at: 0,
+            heard: None,
+            forgotten_to: 0,
+        }
+    }
+
     /// take in all records of the topic, or those that have changed
     pub fn take_in(&mut self, heard: Snapshot, is_whole: bool, now: Instant) {
         self.heard = Some(now);
@@ -63,7 +72,7 @@
     /// is nothing newer
     pub fn answer(&self, after: Option<u64>, now: Instant) -> Option<PublishedAnswer> {
         let age = self.heard.map(|at| now.saturating_duration_since(at));
-        if age.is_none_or(|age| age > STALE_AFTER) {
+        if age.is_none_or(|age| age > self.stale_after) {
             return Some(PublishedAnswer::Stale);
         }
         let Some(after) = after else {
--- a/coordination/tests/relays.rs
+++ b/coordination/tests/relays.rs
@@ -2,7 +2,7 @@
 
 use {
     chalkcart_coordination::relay::{
-        PublishedBook, RelayBook, RelayCandidate, RelayChoice, RELAYS_PER_ZONE,
+        PublishedBook, RelayBook, RelayCandidate, RelayChoice, RelayPacing, RELAYS_PER_ZONE,
     },
     chalkcart_protocol::peer::{
         AdapterDemand, AdapterUse, EngineDemand, EngineFigures, EngineRoom, EngineView, EngineWord,
@@ -21,6 +21,7 @@
 };
 
 const SEED: u64 = 25;
+const STALE_AFTER: Duration = Duration::from_millis(1_200);
 
 fn addr(number: u8) -> SocketAddr {
     SocketAddr::from(([10, 0, 0, number], 80))
@@ -291,7 +292,7 @@
 #[test]
 fn a_relay_tells_the_store_as_it_heard_it_and_only_while_it_hears_it() {
     let now = Instant::now();
-    let mut book = PublishedBook::default();
+    let mut book = PublishedBook::new(STALE_AFTER);
     assert_eq!(book.answer(None, now), Some(PublishedAnswer::Stale));
     book.take_in(snapshot(5, vec![listed("a"), listed("b")]), true, now);
     let all = PublishedAnswer::Records(snapshot(5, vec![listed("a"), listed("b")]));
@@ -311,7 +312,7 @@
 #[test]
 fn what_a_relay_has_forgotten_must_be_asked_for_whole() {
     let now = Instant::now();
-    let mut book = PublishedBook::default();
+    let mut book = PublishedBook::new(STALE_AFTER);
     for at in 1..=2_001 {
         let gone = Record::BackendGone(format!("b{at}"));
         book.take_in(snapshot(at, vec![gone]), false, now);
@@ -324,3 +325,13 @@
         .answer(Some(2_000), now)
         .is_some_and(|a| a != PublishedAnswer::HistoryLost));
 }
+
+#[test]
+fn a_relay_that_lost_the_store_is_found_out_before_a_change_must_be_known() {
+    for known_within in [500, 2_000, 3_000, 4_000].map(Duration::from_millis) {
+        let pacing = RelayPacing { known_within };
+        let calm = pacing.watch_wait() + pacing.pause_after_change();
+        assert!(calm < pacing.stale_after(), "a sound relay is never stale");
+        assert!(pacing.stale_after() < known_within.mul_f64(0.7));
+    }
+}
--- a/sidecar/src/conf/placement_settings.rs
+++ b/sidecar/src/conf/placement_settings.rs
@@ -1,6 +1,8 @@
 use {
-    chalkcart_coordination::{mechanisms::Mechanisms, retry::ListPacing},
-    chalkcart_node::settings::{check_filled, check_log, defaults, Checked, SettingsError},
+    chalkcart_coordination::{mechanisms::Mechanisms, relay::RelayPacing},
+    chalkcart_node::settings::{
+        check_filled, check_log, check_positive, defaults, Checked, SettingsError,
+    },
     chalkcart_state::ids::BoxName,
     serde::Deserialize,
     std::{net::SocketAddr, time::Duration},
@@ -23,9 +25,9 @@
     /// a back end that leaves gets no more requests after this time, in ms
     #[serde(default = "defaults_drain_ms")]
     pub drain_ms: u64,
-    /// reading calls that the store answers in a second, to all processes
-    #[serde(default = "defaults_store_reads")]
-    pub store_reads_per_s: f64,
+    /// a change of the configuration is in force everywhere after this time, in ms
+    #[serde(default = "defaults_drain_ms")]
+    pub config_apply_ms: u64,
     /// values that the platform left out, for the log
     #[serde(default)]
     pub defaulted: Vec<String>,
@@ -37,11 +39,10 @@
 }
 
 impl PlacementSettings {
-    /// how often the store is asked for changes of the list
-    pub fn list_pacing(&self) -> ListPacing {
-        ListPacing {
-            drain: Duration::from_millis(self.drain_ms),
-            store_reads_per_s: self.store_reads_per_s,
+    /// how often the store is asked while this process is a relay
+    pub fn relay_pacing(&self) -> RelayPacing {
+        RelayPacing {
+            known_within: Duration::from_millis(self.drain_ms.min(self.config_apply_ms)),
         }
     }
 }
@@ -51,14 +52,11 @@
     2_000
 }
 
-/// the smallest rate on the pages of the platform's sites
-fn defaults_store_reads() -> f64 {
-    2_000.0
-}
-
 impl Checked for PlacementSettings {
     fn check(&self) -> Result<(), SettingsError> {
         check_filled("name", &self.name, "the box's name")?;
+        check_positive("drain_ms", self.drain_ms)?;
+        check_positive("config_apply_ms", self.config_apply_ms)?;
         check_log(&self.log)
     }
 }
--- a/sidecar/src/placement/serve.rs
+++ b/sidecar/src/placement/serve.rs
@@ -50,7 +50,7 @@
     let control = PlacementControl::new(limits, since_epoch.as_millis() as u64);
     let shared = Arc::new(Shared::new(control));
     tokio::spawn(Keeper::new(shared.clone(), engine).run());
-    let published = Arc::new(Published::new(store, settings.list_pacing()));
+    let published = Arc::new(Published::new(store, settings.relay_pacing()));
     let relay = Arc::new(RelayHub::new(settings.name.clone(), published));
     tokio::spawn(run_pump(relay.clone(), settings.listen.port()));
     let (_stop, stopped) = watch::channel(false);
--- a/sidecar/src/relay/published.rs
+++ b/sidecar/src/relay/published.rs
@@ -1,5 +1,5 @@
 use {
-    chalkcart_coordination::{relay::PublishedBook, retry::ListPacing},
+    chalkcart_coordination::relay::{PublishedBook, RelayPacing},
     chalkcart_protocol::peer::{PublishedAnswer, PublishedAsk},
     chalkcart_state::published::{Snapshot, Topic},
     chalkcart_transport::metadata::{Follower, MetadataSource, RecordSink},
@@ -14,18 +14,13 @@
     },
 };
 
-/// how long one watch of the store waits; the time after which a relay that is
-/// cut off from the store stops speaking for it counts from here
-const WATCH_WAIT: Duration = Duration::from_millis(1_000);
-/// relays that share the store's calls, for the pause after a change
-const RELAYS_ASSUMED: u32 = 4;
 /// longest wait before an answer is looked at again, since it may become stale
 const LOOK_EVERY: Duration = Duration::from_millis(200);
 
 /// what the platform's store publishes, for the entries that use a relay
 pub struct Published {
     store: Option<Arc<dyn MetadataSource>>,
-    pacing: ListPacing,
+    pacing: RelayPacing,
     configuration: Heard,
     backends: Heard,
     followers: Mutex<Vec<JoinHandle<()>>>,
@@ -39,9 +34,9 @@
 }
 
 impl Heard {
-    fn new() -> Self {
+    fn new(stale_after: Duration) -> Self {
         Self {
-            book: Mutex::default(),
+            book: Mutex::new(PublishedBook::new(stale_after)),
             changed: watch::Sender::new(0),
         }
     }
@@ -53,12 +48,12 @@
 
 impl Published {
     /// without a store it never speaks for one
-    pub fn new(store: Option<Arc<dyn MetadataSource>>, pacing: ListPacing) -> Self {
+    pub fn new(store: Option<Arc<dyn MetadataSource>>, pacing: RelayPacing) -> Self {
         Self {
             store,
             pacing,
-            configuration: Heard::new(),
-            backends: Heard::new(),
+            configuration: Heard::new(pacing.stale_after()),
+            backends: Heard::new(pacing.stale_after()),
             followers: Mutex::default(),
         }
     }
@@ -69,7 +64,8 @@
         match (&self.store, is_used) {
             (Some(store), true) if followers.is_empty() => {
                 followers.extend([Topic::Configuration, Topic::Backends].map(|topic| {
-                    let follower = Follower::new(store.clone(), self.clone(), topic, WATCH_WAIT);
+                    let wait = self.pacing.watch_wait();
+                    let follower = Follower::new(store.clone(), self.clone(), topic, wait);
                     tokio::spawn(follower.run())
                 }));
             }
@@ -117,7 +113,7 @@
     fn pause(&self, topic: Topic) -> Duration {
         match topic {
             Topic::Configuration => Duration::ZERO,
-            Topic::Backends => self.pacing.pause(RELAYS_ASSUMED),
+            Topic::Backends => self.pacing.pause_after_change(),
         }
     }
 }
