Links of entries: names, shorter steps, one block of the control loop

Cause: is_outdone_by and log_stranger needed explaining, read_from did three things, the control loop stood in two blocks. Change: names, two functions taken out. Figures: none; tests of relays, dispatch and engines passed.

--- a/coordination/src/relay/relay_book.rs
+++ b/coordination/src/relay/relay_book.rs
@@ -96,10 +96,8 @@
         let Some(known) = self.engines.get_mut(&engine) else {
             return false;
         };
-        let is_urgent = known
-            .view
-            .as_ref()
-            .is_none_or(|v| v.is_soon_outdone_by(&view));
+        let before = known.view.as_ref();
+        let is_urgent = before.is_none_or(|before| view.is_urgent_by_relay_after(before));
         known.on_view(view, now);
         self.with_news.insert(engine);
         is_urgent
--- a/entry/src/ingress/control.rs
+++ b/entry/src/ingress/control.rs
@@ -222,6 +222,18 @@
         }
     }
 
+    fn demands_due(&self, now: Instant) -> Option<DemandsDue> {
+        let passed = |since: Instant| now.saturating_duration_since(since);
+        if passed(self.last_all) >= ALL_DEMANDS_EVERY {
+            return Some(DemandsDue::All);
+        }
+        if passed(self.last_changed) >= DEMANDS_EVERY {
+            return Some(DemandsDue::Changed);
+        }
+        let is_urgent = self.dispatcher.has_urgent_demands();
+        (is_urgent && passed(self.last_urgent) >= URGENT_EVERY).then_some(DemandsDue::Urgent)
+    }
+
     fn send_demands(&mut self) {
         let now = Instant::now();
         let Some(due) = self.demands_due(now) else {
@@ -242,20 +254,6 @@
     }
 }
 
-impl ControlLoop {
-    fn demands_due(&self, now: Instant) -> Option<DemandsDue> {
-        let passed = |since: Instant| now.saturating_duration_since(since);
-        if passed(self.last_all) >= ALL_DEMANDS_EVERY {
-            return Some(DemandsDue::All);
-        }
-        if passed(self.last_changed) >= DEMANDS_EVERY {
-            return Some(DemandsDue::Changed);
-        }
-        let is_urgent = self.dispatcher.has_urgent_demands();
-        (is_urgent && passed(self.last_urgent) >= URGENT_EVERY).then_some(DemandsDue::Urgent)
-    }
-}
-
 fn log_wished(wished: &Wished) {
     log::info!(
         adapter = wished.adapter.to_string().as_str(),
--- a/entry/src/ingress/records.rs
+++ b/entry/src/ingress/records.rs
@@ -49,7 +49,7 @@
             }
             Record::BackendGone(id) => self.backends.remove(&id).is_some(),
             other => {
-                log_stranger(&other);
+                log_unexpected(&other);
                 false
             }
         }
@@ -103,7 +103,7 @@
                 let event = DispatchEvent::Versioned { adapter, version };
                 self.shared.control.tell(event);
             }
-            other => log_stranger(&other),
+            other => log_unexpected(&other),
         }
     }
 
@@ -148,7 +148,7 @@
 }
 
 /// a record that can't be read, or does not belong to its topic
-fn log_stranger(record: &Record) {
+fn log_unexpected(record: &Record) {
     match record {
         Record::Unreadable { key, problem } => {
             log::error!("store: {key} can't be read: {problem}");
--- a/entry/src/ingress/relay_link.rs
+++ b/entry/src/ingress/relay_link.rs
@@ -130,30 +130,24 @@
     }
 
     async fn read_from(&mut self, engine: SocketAddr, relay: SocketAddr) -> End {
-        let ask = RelayAsk {
-            entry: self.settings.entry.clone(),
-        };
-        let opened = timeout(SILENCE, self.peers.stream(relay, path::RELAY_VIEWS, &ask));
-        let mut updates: MessageStream<RelayUpdate> = match opened.await {
-            Ok(Ok(updates)) => updates,
-            Ok(Err(e)) => return End::Failed(e),
-            Err(_) => return End::Failed(silent(relay)),
+        let mut updates = match self.open(relay).await {
+            Ok(updates) => updates,
+            Err(e) => return End::Failed(e),
         };
         let (since, mut reviewed) = (Instant::now(), Instant::now());
         let mut heard = Some(HashSet::new());
         loop {
-            let update = match timeout(SILENCE, updates.next()).await {
-                Ok(Some(Ok(update))) => update,
-                Ok(Some(Err(e))) => return End::Failed(e),
-                Ok(None) | Err(_) => return End::Failed(silent(relay)),
+            let update = match next_update(&mut updates, relay).await {
+                Ok(update) => update,
+                Err(e) => return End::Failed(e),
             };
+            if self.settings.relay_in_use.load().is_none() {
+                self.settings.relay_in_use.store(Some(Arc::new(relay)));
+            }
             if let Some(heard) = &mut heard {
                 heard.extend(update.news.iter().map(|news| news.engine));
             }
             update.news.into_iter().for_each(|news| self.take_in(news));
-            if self.settings.relay_in_use.load().is_none() {
-                self.settings.relay_in_use.store(Some(Arc::new(relay)));
-            }
             if since.elapsed() >= ALL_HEARD_AFTER {
                 heard
                     .take()
@@ -169,6 +163,14 @@
         }
     }
 
+    async fn open(&self, relay: SocketAddr) -> Result<MessageStream<RelayUpdate>, ClientError> {
+        let ask = RelayAsk {
+            entry: self.settings.entry.clone(),
+        };
+        let stream = self.peers.stream(relay, path::RELAY_VIEWS, &ask);
+        timeout(SILENCE, stream).await.map_err(|_| silent(relay))?
+    }
+
     fn is_outranked(&mut self, engine: SocketAddr) -> bool {
         let candidates = self.outbox.candidates();
         let chosen = self
@@ -213,6 +215,17 @@
     }
 }
 
+async fn next_update(
+    updates: &mut MessageStream<RelayUpdate>,
+    relay: SocketAddr,
+) -> Result<RelayUpdate, ClientError> {
+    let next = timeout(SILENCE, updates.next()).await;
+    match next.ok().flatten() {
+        Some(update) => update,
+        None => Err(silent(relay)),
+    }
+}
+
 fn silent(relay: SocketAddr) -> ClientError {
     ClientError::new(ClientStep::Receive, relay, "silent")
 }
--- a/entry/src/ingress/zone_source.rs
+++ b/entry/src/ingress/zone_source.rs
@@ -73,7 +73,7 @@
         let hears = heard.is_some();
         if self.hears_relay.swap(hears, Ordering::Relaxed) != hears {
             log::info!(relay = relay.to_string().as_str(), topic = format!("{topic:?}").as_str(),
-                by_relay = hears, cause = cause.as_str(); "store: read otherwise");
+                by_relay = hears, cause = cause.as_str(); "store: source changed");
         }
         heard
     }
--- a/protocol/src/peer/placement.rs
+++ b/protocol/src/peer/placement.rs
@@ -110,16 +110,17 @@
             || self.loading != other.loading
     }
 
-    /// whether entries should hear of a view at once, after this one
-    pub fn is_outdone_by(&self, after: &Self) -> bool {
-        let (before, after_spare) = (self.figures.spare_slots, after.figures.spare_slots);
-        self.differs_in_holdings(after) || (before > 0) != (after_spare > 0)
+    /// whether entries should hear this view at once, when `before` was the last
+    pub fn is_urgent_after(&self, before: &Self) -> bool {
+        let had_spare = before.figures.spare_slots > 0;
+        let has_spare = self.figures.spare_slots > 0;
+        self.differs_in_holdings(before) || had_spare != has_spare
     }
 
-    /// the same for entries that hear it by a relay: what is on its way can wait
-    /// for the next message
-    pub fn is_soon_outdone_by(&self, after: &Self) -> bool {
-        self.backend != after.backend || self.models != after.models || self.held != after.held
+    /// the same where a relay gathers views: adapters on their way and places can
+    /// wait for its next message
+    pub fn is_urgent_by_relay_after(&self, before: &Self) -> bool {
+        self.backend != before.backend || self.models != before.models || self.held != before.held
     }
 }
 
--- a/sidecar/src/placement/keeper.rs
+++ b/sidecar/src/placement/keeper.rs
@@ -120,7 +120,7 @@
         let is_due = self
             .published
             .is_none_or(|at| now.saturating_duration_since(at) >= figures_pause(&view));
-        let is_urgent = self.shared.view.borrow().is_outdone_by(&view);
+        let is_urgent = view.is_urgent_after(&self.shared.view.borrow());
         if is_urgent || (is_due && *self.shared.view.borrow() != view) {
             self.published = Some(now);
             self.shared.view.send_replace(view);
