--- a/coordination/src/dispatch/dispatcher.rs
+++ b/coordination/src/dispatch/dispatcher.rs
@@ -324,10 +324,14 @@
     }
 
     /// entries of the fleet, as the sidecars count them
-    pub fn entry_count(&self) -> u32 {
+    pub fn counted_entries(&self) -> Option<u32> {
         let views = self.backends.values().filter_map(|b| b.view.as_ref());
         let counted = views.map(|v| v.figures.entries).max();
-        counted.filter(|n| *n > 0).unwrap_or(ENTRIES_UNKNOWN)
+        counted.filter(|n| *n > 0)
+    }
+    /// the same, or an assumption
+    pub fn entry_count(&self) -> u32 {
+        self.counted_entries().unwrap_or(ENTRIES_UNKNOWN)
     }
 
     /// the configuration of a service
--- a/coordination/src/relay/published_book.rs
+++ b/coordination/src/relay/published_book.rs
@@ -68,6 +68,11 @@
         self.forget_gone();
     }
 
+    /// whether the store has answered at all
+    pub fn has_heard(&self) -> bool {
+        self.heard.is_some()
+    }
+
     /// the answer to an entry that knows the topic up to `after`; none if there
     /// is nothing newer
     pub fn answer(&self, after: Option<u64>, now: Instant) -> Option<PublishedAnswer> {
--- a/entry/src/ingress/control.rs
+++ b/entry/src/ingress/control.rs
@@ -33,6 +33,10 @@
 /// longest time between two messages to one sidecar
 const ALL_DEMANDS_EVERY: Duration = Duration::from_millis(900);
 
+/// entries assumed for the pace of calls before a sidecar has counted them: when a
+/// large fleet starts, all of it asks the store at once
+const ENTRIES_UNCOUNTED: u32 = 32;
+
 enum Command {
     Event(DispatchEvent),
     Ask {
@@ -118,7 +122,7 @@
     let figures = Arc::new(FiguresBoard::default());
     let reach = Arc::new(AtomicBool::new(true));
     let waiting = Arc::new(AtomicUsize::new(0));
-    let entries = Arc::new(AtomicU32::new(1));
+    let entries = Arc::new(AtomicU32::new(ENTRIES_UNCOUNTED));
     let handle = ControlHandle {
         commands,
         figures: figures.clone(),
@@ -245,8 +249,9 @@
         }
         if due == DemandsDue::All {
             self.last_all = now;
-            let entries = self.dispatcher.entry_count();
-            self.entries.store(entries, Ordering::Relaxed);
+            if let Some(entries) = self.dispatcher.counted_entries() {
+                self.entries.store(entries, Ordering::Relaxed);
+            }
         }
         for (engine, demand) in self.dispatcher.demands(due, now) {
             self.links.send(engine, demand, now);
--- a/sidecar/src/relay/published.rs
+++ b/sidecar/src/relay/published.rs
@@ -14,6 +14,8 @@
     },
 };
 
+/// time for the store's first answer to a relay that begins
+const FIRST_ANSWER: Duration = Duration::from_millis(300);
 /// longest wait before an answer is looked at again, since it may become stale
 const LOOK_EVERY: Duration = Duration::from_millis(200);
 
@@ -78,6 +80,10 @@
     pub async fn answer(&self, ask: &PublishedAsk) -> PublishedAnswer {
         let heard = self.heard(ask.topic);
         let mut changes = heard.changed.subscribe();
+        if !heard.book().has_heard() {
+            // the relay has just begun; without an answer it is stale
+            let _ = timeout(FIRST_ANSWER, changes.changed()).await;
+        }
         let until = Deadline::now() + Duration::from_millis(ask.wait_ms);
         loop {
             changes.mark_unchanged();
--- a/testkit/tests/ingress_engines.rs
+++ b/testkit/tests/ingress_engines.rs
@@ -13,6 +13,7 @@
     futures::future::join_all,
     serde_json::json,
     std::{collections::HashSet, time::Duration},
+    tokio::net::TcpStream,
 };
 
 fn prompt(adapter: &str, id: &str) -> ClientRequest {
@@ -295,3 +296,30 @@
     }
     Ok(())
 }
+
+/// clients that keep their connections hold up no planned stop
+#[tokio::test]
+async fn a_planned_stop_ends_with_its_last_request() -> Result<()> {
+    let mut fleet = start(1).await?;
+    serve(&fleet, "a", "r1").await?;
+    let unused = TcpStream::connect(fleet.clients).await?;
+    let after_answer = ClientRequest {
+        target: "/unsafe/".to_string(),
+        id: "r2".to_string(),
+        ..ClientRequest::default()
+    };
+    let after_answer = open_stream(fleet.clients, &after_answer).await?;
+    let after_stream = open_stream(fleet.clients, &prompt("a", "r3")).await?;
+    until("the stream has ended", || {
+        let log = fleet.log();
+        let mut lines = log.lines();
+        lines.any(|line| line.contains("stream ended") && line.contains("r3"))
+    })
+    .await;
+    fleet.ingress.terminate()?;
+    let status = fleet.ingress.wait(Duration::from_secs(30)).await?;
+    assert_eq!(status.code(), Some(0));
+    assert!(!fleet.log().contains("requests still run"));
+    drop((unused, after_answer, after_stream));
+    Ok(())
+}
