Relays say when an engine is followed no more

Ruled out: dropping views by the entry's own list (a relay may speak of an engine before the list does). Change: a forgotten engine is told as silent. Test: readers_hear_that_an_engine_is_followed_no_more, failed first.

--- a/coordination/src/relay/relay_book.rs
+++ b/coordination/src/relay/relay_book.rs
@@ -29,6 +29,8 @@
     engines: BTreeMap<SocketAddr, RelayedEngine>,
     /// engines whose word entries have not heard
     with_news: BTreeSet<SocketAddr>,
+    /// engines that nobody follows any more, of which entries have not heard it
+    forgotten: BTreeSet<SocketAddr>,
     /// engines whose sidecar has not heard what is needed
     with_demand: BTreeSet<SocketAddr>,
 }
@@ -53,6 +55,7 @@
             entries: HashMap::new(),
             engines: BTreeMap::new(),
             with_news: BTreeSet::new(),
+            forgotten: BTreeSet::new(),
             with_demand: BTreeSet::new(),
         }
     }
@@ -137,7 +140,8 @@
 
     /// what entries have not heard, for all of them
     pub fn take_news(&mut self, now: Instant) -> RelayUpdate {
-        let mut news = Vec::new();
+        let forgotten = std::mem::take(&mut self.forgotten);
+        let mut news: Vec<EngineNews> = forgotten.into_iter().map(silent).collect();
         for addr in std::mem::take(&mut self.with_news) {
             let Some(engine) = self.engines.get_mut(&addr) else {
                 continue;
@@ -194,11 +198,26 @@
     /// says whether any was forgotten
     fn forget_engines(&mut self) -> bool {
         let known = self.engines.len();
-        self.engines.retain(|_, engine| !engine.demands.is_empty());
+        let forgotten = &mut self.forgotten;
+        self.engines.retain(|addr, engine| {
+            let is_followed = !engine.demands.is_empty();
+            if !is_followed && engine.told.is_some() {
+                forgotten.insert(*addr);
+            }
+            is_followed
+        });
         self.engines.len() != known
     }
 }
 
+fn silent(engine: SocketAddr) -> EngineNews {
+    EngineNews {
+        engine,
+        age_ms: 0,
+        word: EngineWord::Silent,
+    }
+}
+
 impl RelayedEngine {
     fn new(now: Instant) -> Self {
         Self {
--- a/coordination/tests/relays.rs
+++ b/coordination/tests/relays.rs
@@ -158,6 +158,26 @@
     assert_eq!(book.engines().count(), 0);
 }
 
+#[test]
+fn readers_hear_that_an_engine_is_followed_no_more() {
+    let now = Instant::now();
+    let mut book = RelayBook::new("relay".to_string());
+    book.on_demands(whole("e1", "a"), now);
+    book.on_view(addr(1), view(&[1]), now);
+    let mut reader = Reader::default();
+    reader.take_in(book.take_news(now));
+    assert_eq!(reader.0.len(), 1);
+    let mut without = whole("e1", "a");
+    without.is_whole = false;
+    without.engines[0].demand = None;
+    assert!(book.on_demands(without, now), "one engine less");
+    reader.take_in(book.take_news(now));
+    assert!(
+        reader.0.is_empty(),
+        "nothing is kept for an engine that left"
+    );
+}
+
 /// what happens to a relay
 #[derive(Debug, Clone)]
 enum Heard {
