A relay that hears an earlier state of the store grows stale

Cause, found by reading: a whole answer older than what a relay knows was left out, but counted as a sign that the store is heard, so that the relay would have spoken for a store that it does not follow. Ruled out: taking the older state in, since entries never go back. Change: only what is not older counts. Test: failed first.

--- a/coordination/src/relay/published_book.rs
+++ b/coordination/src/relay/published_book.rs
@@ -49,11 +49,11 @@
 
     /// take in all records of the topic, or those that have changed
     pub fn take_in(&mut self, heard: Snapshot, is_whole: bool, now: Instant) {
-        self.heard = Some(now);
         if heard.at < self.at {
-            // an answer of an earlier state says nothing new
+            // an answer of an earlier state says nothing
             return;
         }
+        self.heard = Some(now);
         if is_whole {
             self.note_missing(&heard);
         }
--- a/coordination/tests/relays.rs
+++ b/coordination/tests/relays.rs
@@ -329,6 +329,16 @@
     assert_eq!(book.answer(Some(5), later), Some(PublishedAnswer::Stale));
 }
 
+#[test]
+fn an_earlier_state_of_the_store_is_no_sign_that_it_is_heard() {
+    let now = Instant::now();
+    let mut book = PublishedBook::new(STALE_AFTER);
+    book.take_in(snapshot(9, vec![listed("a")]), true, now);
+    let later = now + STALE_AFTER + Duration::from_millis(1);
+    book.take_in(snapshot(7, vec![listed("b")]), true, later);
+    assert_eq!(book.answer(Some(9), later), Some(PublishedAnswer::Stale));
+}
+
 #[test]
 fn what_a_relay_has_forgotten_must_be_asked_for_whole() {
     let now = Instant::now();
