Entries leave the asking to their relay after a call of their own that failed

Ruled out: no own calls at all (a relay alone may be cut off from the store), longer pauses everywhere (a first own call must come at once).

Change: OwnCalls: with a relay in use, a topic rests for a quarter of drain_ms after an own call that failed; the relay goes on asking and tells within its first answer. Test: its times against the time in which a change must be known. Fleets without relays do as before.

--- a/coordination/src/relay/mod.rs
+++ b/coordination/src/relay/mod.rs
@@ -1,12 +1,14 @@
 //! who hears whom in a large fleet: some sidecars of each availability zone
 //! pass on what all engines say, and gather what the entries of the zone need
 
+mod own_calls;
 mod published_book;
 mod relay_book;
 mod relay_choice;
 mod relay_pacing;
 
 pub use {
+    own_calls::OwnCalls,
     published_book::PublishedBook,
     relay_book::RelayBook,
     relay_choice::{RelayCandidate, RelayChoice, RELAYS_FROM_ENGINES, RELAYS_PER_ZONE},
--- a/coordination/src/relay/relay_pacing.rs
+++ b/coordination/src/relay/relay_pacing.rs
@@ -7,6 +7,8 @@
 const WAIT_PART: f64 = 0.3;
 const PAUSE_PART: f64 = 0.2;
 const STALE_PART: f64 = 0.6;
+/// part of it in which an entry whose own call failed leaves the asking to its relay
+const OWN_CALL_PART: f64 = 0.25;
 
 /// How often a relay asks the store. A relay that is cut off from it silently
 /// must be found out soon enough for its entries to ask the store themselves.
@@ -24,6 +26,9 @@
     pub fn pause_after_change(&self) -> Duration {
         self.known_within.mul_f64(PAUSE_PART)
     }
+    pub fn own_call_pause(&self) -> Duration {
+        self.known_within.mul_f64(OWN_CALL_PART)
+    }
     pub fn stale_after(&self) -> Duration {
         self.known_within.mul_f64(STALE_PART)
     }
--- a/coordination/tests/relays.rs
+++ b/coordination/tests/relays.rs
@@ -2,7 +2,8 @@
 
 use {
     chalkcart_coordination::relay::{
-        PublishedBook, RelayBook, RelayCandidate, RelayChoice, RelayPacing, RELAYS_PER_ZONE,
+        OwnCalls, PublishedBook, RelayBook, RelayCandidate, RelayChoice, RelayPacing,
+        RELAYS_PER_ZONE,
     },
     chalkcart_protocol::peer::{
         AdapterDemand, AdapterUse, EngineDemand, EngineFigures, EngineRoom, EngineView, EngineWord,
@@ -339,6 +340,22 @@
     assert_eq!(book.answer(Some(9), later), Some(PublishedAnswer::Stale));
 }
 
+#[test]
+fn an_entry_whose_call_failed_leaves_the_store_to_its_relay_for_a_while() {
+    let known_within = Duration::from_millis(2_000);
+    let pacing = RelayPacing { known_within };
+    let mut calls = OwnCalls::new(pacing.own_call_pause());
+    let now = Instant::now();
+    assert!(calls.may_call(now));
+    calls.on_failed(now);
+    assert!(!calls.may_call(now + Duration::from_millis(400)));
+    assert!(calls.may_call(now + Duration::from_millis(500)));
+    calls.on_heard();
+    assert!(calls.may_call(now));
+    let known_after = pacing.stale_after() + pacing.own_call_pause();
+    assert!(known_after < known_within, "a change is known in time");
+}
+
 #[test]
 fn what_a_relay_has_forgotten_must_be_asked_for_whole() {
     let now = Instant::now();
--- a/entry/src/ingress/serve.rs
+++ b/entry/src/ingress/serve.rs
@@ -13,6 +13,7 @@
     chalkcart_coordination::{
         dispatch::{DispatchEvent, DispatchSettings, Dispatcher},
         drain::IngressDrain,
+        relay::RelayPacing,
     },
     chalkcart_node::{
         runtime::run_on_one_thread, settings::SettingsFollower, signals::stop_signal,
@@ -122,7 +123,10 @@
         true => relay,
         false => RelayInUse::default(),
     };
-    let source = Arc::new(ZoneSource::new(store, relay));
+    let pacing = RelayPacing {
+        known_within: Duration::from_millis(shared.settings.drain_ms),
+    };
+    let source = Arc::new(ZoneSource::new(store, relay, pacing));
     let records = Arc::new(EntryRecords::new(shared.clone(), source.clone()));
     for topic in [Topic::Configuration, Topic::Backends] {
         let follower = Follower::new(source.clone(), records.clone(), topic, WATCH_WAIT);
--- a/entry/src/ingress/zone_source.rs
+++ b/entry/src/ingress/zone_source.rs
@@ -1,6 +1,7 @@
 use {
     arc_swap::ArcSwapOption,
     async_trait::async_trait,
+    chalkcart_coordination::relay::{OwnCalls, RelayPacing},
     chalkcart_protocol::peer::{path, PublishedAnswer, PublishedAsk},
     chalkcart_state::published::{Snapshot, Topic},
     chalkcart_transport::{
@@ -8,12 +9,13 @@
         metadata::{MetadataSource, SourceError, Watched},
     },
     std::{
+        future::Future,
         net::SocketAddr,
         sync::{
             atomic::{AtomicBool, Ordering},
-            Arc,
+            Arc, Mutex, MutexGuard,
         },
-        time::Duration,
+        time::{Duration, Instant},
     },
 };
 
@@ -34,11 +36,16 @@
     peers: PeerClient,
     /// the last answer came from a relay
     hears_relay: AtomicBool,
+    configuration_calls: Mutex<OwnCalls>,
+    backends_calls: Mutex<OwnCalls>,
 }
 
 impl ZoneSource {
-    pub fn new(store: Arc<dyn MetadataSource>, relay: RelayInUse) -> Self {
+    pub fn new(store: Arc<dyn MetadataSource>, relay: RelayInUse, pacing: RelayPacing) -> Self {
+        let own_calls = || Mutex::new(OwnCalls::new(pacing.own_call_pause()));
         Self {
+            configuration_calls: own_calls(),
+            backends_calls: own_calls(),
             store,
             relay,
             peers: PeerClient::new(),
@@ -50,6 +57,33 @@
         self.hears_relay.load(Ordering::Relaxed)
     }
 
+    fn own_calls(&self, topic: Topic) -> MutexGuard<'_, OwnCalls> {
+        let calls = match topic {
+            Topic::Configuration => &self.configuration_calls,
+            Topic::Backends => &self.backends_calls,
+        };
+        // no holder panics halfway through a change
+        calls.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    /// a call of our own, unless the last one failed and a relay asks on
+    async fn ask_store<A>(
+        &self,
+        topic: Topic,
+        call: impl Future<Output = Result<A, SourceError>>,
+    ) -> Result<A, SourceError> {
+        let has_relay = self.relay.load().is_some();
+        if has_relay && !self.own_calls(topic).may_call(Instant::now()) {
+            return Err(SourceError::LeftToRelay);
+        }
+        let answer = call.await;
+        match &answer {
+            Ok(_) => self.own_calls(topic).on_heard(),
+            Err(_) => self.own_calls(topic).on_failed(Instant::now()),
+        }
+        answer
+    }
+
     /// what the relay says; none if the store must be asked
     async fn ask_relay(&self, topic: Topic, after: Option<u64>, wait: Duration) -> Option<Watched> {
         let relay = *self.relay.load_full()?;
@@ -88,7 +122,9 @@
     async fn snapshot(&self, topic: Topic) -> Result<Snapshot, SourceError> {
         match self.ask_relay(topic, None, Duration::ZERO).await {
             Some(Watched::Records(heard)) => Ok(heard),
-            Some(Watched::HistoryLost) | None => self.store.snapshot(topic).await,
+            Some(Watched::HistoryLost) | None => {
+                self.ask_store(topic, self.store.snapshot(topic)).await
+            }
         }
     }
 
@@ -103,7 +139,10 @@
             .await
         {
             Some(heard) => Ok(heard),
-            None => self.store.watch(topic, after, wait).await,
+            None => {
+                let call = self.store.watch(topic, after, wait);
+                self.ask_store(topic, call).await
+            }
         }
     }
 }
--- a/transport/src/metadata/source.rs
+++ b/transport/src/metadata/source.rs
@@ -23,6 +23,9 @@
     Status(u16),
     #[error("store's answer: {0}")]
     Body(String),
+    /// the last call failed, and a relay goes on asking
+    #[error("not asked: the last call failed, a relay asks on")]
+    LeftToRelay,
 }
 
 /// the platform's store, which can only be read
