Calls to the store and the budget for repeats can be followed in the logs

Cause: of an outage of the store the log had its first failed call and its first good one; of a repeat nothing of the budget that let it go. Two hypotheses of the late configuration, and all three of the repeats, could not be told apart. Change: a line for each failed call with topic, revision, failures in a row, its duration and the time since the last answer; the budget's requests, repeats and entries with each send and refusal. The times of a call are one type (CallTimes), the pace of a follower another (FollowPacing), with the values that were there.

--- a/coordination/src/dispatch/choosing.rs
+++ b/coordination/src/dispatch/choosing.rs
@@ -47,11 +47,12 @@
             Some(adapter) => self.holders(&candidates, adapter, now).len(),
             None => 0,
         };
-        self.basis_of(candidates.len(), holders, None, now)
+        self.basis_of(ask, candidates.len(), holders, None, now)
     }
 
     fn basis_of(
         &self,
+        ask: &Ask,
         candidates: usize,
         holders: usize,
         chosen: Option<&BackendState>,
@@ -65,6 +66,7 @@
             view_age: chosen.and_then(|b| b.view_age(now)),
             waiting: self.waiting.len() as u32,
             list_version: self.list_version,
+            budget: self.budget_standing(&ask.service),
         }
     }
 
@@ -223,7 +225,7 @@
             version: adapter.and_then(|a| cheapest.held_version(a, now)),
             urgency: self.urgency(ask, now),
             pressure: self.pressure(cheapest, now),
-            basis: self.basis_of(candidates, holders, Some(cheapest), now),
+            basis: self.basis_of(ask, candidates, holders, Some(cheapest), now),
         })
     }
 
--- a/coordination/src/dispatch/decision.rs
+++ b/coordination/src/dispatch/decision.rs
@@ -1,4 +1,5 @@
 use {
+    super::BudgetStanding,
     chalkcart_state::backends::BackendId,
     std::{net::SocketAddr, time::Duration},
 };
@@ -20,6 +21,8 @@
     pub waiting: u32,
     /// version of the list
     pub list_version: u64,
+    /// the budget for repeats of the service, before this send
+    pub budget: BudgetStanding,
 }
 
 /// where a request goes
--- a/coordination/src/dispatch/dispatcher.rs
+++ b/coordination/src/dispatch/dispatcher.rs
@@ -1,8 +1,8 @@
 use {
     super::{
         choosing::Choice, promises::Promise, waiting::WaitingList, wishes::Wish, AccountTurns, Ask,
-        Assignment, BackendState, Basis, Decision, DispatchEvent, DispatchSettings, ReadingRate,
-        RefusalCause, SendOutcome, Sent, SharedBudget, Ticket, Wished,
+        Assignment, BackendState, Basis, BudgetStanding, Decision, DispatchEvent, DispatchSettings,
+        ReadingRate, RefusalCause, SendOutcome, Sent, SharedBudget, Ticket, Wished,
     },
     chalkcart_state::{
         backends::{AdapterRef, Backend, BackendId},
@@ -330,6 +330,11 @@
         self.decided.push((ticket, decision));
     }
 
+    pub(super) fn budget_standing(&self, service: &ServiceName) -> BudgetStanding {
+        let budget = self.budgets.get(service);
+        budget.map_or_else(BudgetStanding::default, |b| b.standing(self.entry_count()))
+    }
+
     /// entries of the fleet, as the sidecars count them
     pub fn counted_entries(&self) -> Option<u32> {
         let views = self.backends.values().filter_map(|b| b.view.as_ref());
--- a/coordination/src/dispatch/mod.rs
+++ b/coordination/src/dispatch/mod.rs
@@ -32,7 +32,7 @@
     health::Health,
     reading_rate::ReadingRate,
     settings::DispatchSettings,
-    shared_budget::SharedBudget,
+    shared_budget::{BudgetStanding, SharedBudget},
     urgency::urgency,
     wished::{WishCause, Wished},
     wishes::DemandsDue,
--- a/coordination/src/dispatch/shared_budget.rs
+++ b/coordination/src/dispatch/shared_budget.rs
@@ -6,6 +6,17 @@
 /// part of the budget that is used; the rest covers entries that count late
 const USED_PART: f64 = 0.7;
 
+/// What an entry's budget for the repeats of a service was when it decided.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct BudgetStanding {
+    /// requests of the last window
+    pub requests: u32,
+    /// repeats of the last window
+    pub repeats: u32,
+    /// entries that share it
+    pub entries: u32,
+}
+
 /// one entry's share of the repeats that a service bears.
 ///
 /// All entries together may repeat `ratio` of the requests and `extra` more in
@@ -52,6 +63,14 @@
     pub fn on_repeat(&mut self, now: Instant) {
         self.repeats.push_back(now);
     }
+    /// where it stands, for logs and metrics
+    pub fn standing(&self, entries: u32) -> BudgetStanding {
+        BudgetStanding {
+            requests: self.requests.len() as u32,
+            repeats: self.repeats.len() as u32,
+            entries,
+        }
+    }
 
     fn forget(&mut self, now: Instant) {
         for times in [&mut self.requests, &mut self.repeats] {
--- a/coordination/src/lib.rs
+++ b/coordination/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod dispatch;
 pub mod drain;
 pub mod fence;
+pub mod following;
 pub mod limits;
 pub mod mechanisms;
 pub mod membership;
--- a/entry/src/ingress/exchange.rs
+++ b/entry/src/ingress/exchange.rs
@@ -173,7 +173,10 @@
             occupied = basis.occupied,
             urgency = to.urgency,
             view_age_ms = basis.view_age.map_or(-1, |age| age.as_millis() as i64),
-            list_version = basis.list_version;
+            list_version = basis.list_version,
+            budget_requests = basis.budget.requests,
+            budget_repeats = basis.budget.repeats,
+            budget_entries = basis.budget.entries;
             "dispatch: sent"
         );
     }
@@ -194,7 +197,10 @@
             candidates = basis.candidates,
             holders = basis.holders,
             waiting = basis.waiting,
-            list_version = basis.list_version;
+            list_version = basis.list_version,
+            budget_requests = basis.budget.requests,
+            budget_repeats = basis.budget.repeats,
+            budget_entries = basis.budget.entries;
             "dispatch: refused"
         );
     }
--- a/entry/src/ingress/serve.rs
+++ b/entry/src/ingress/serve.rs
@@ -15,6 +15,7 @@
     chalkcart_coordination::{
         dispatch::{DispatchEvent, DispatchSettings, Dispatcher},
         drain::IngressDrain,
+        following::FollowPacing,
         relay::RelayPacing,
     },
     chalkcart_node::{
@@ -30,10 +31,6 @@
     tokio::{runtime::Handle, sync::watch, time::timeout},
 };
 
-/// how long one watch of the store waits; a watch that was cut silently costs
-/// this time
-const WATCH_WAIT: Duration = Duration::from_millis(2_500);
-
 /// run the ingress until it is asked to stop
 pub fn serve(
     settings: IngressSettings,
@@ -135,7 +132,8 @@
     let source = Arc::new(ZoneSource::new(store, relays, pacing));
     let records = Arc::new(EntryRecords::new(shared.clone(), source.clone()));
     for topic in [Topic::Configuration, Topic::Backends] {
-        let follower = Follower::new(source.clone(), records.clone(), topic, WATCH_WAIT);
+        let pacing = FollowPacing::default();
+        let follower = Follower::new(source.clone(), records.clone(), topic, pacing);
         tokio::spawn(follower.run());
     }
 }
--- a/entry/src/ingress/zone_source.rs
+++ b/entry/src/ingress/zone_source.rs
@@ -1,7 +1,10 @@
 use {
     super::store_relays::StoreRelays,
     async_trait::async_trait,
-    chalkcart_coordination::relay::{OwnCalls, RelayPacing},
+    chalkcart_coordination::{
+        following::CallTimes,
+        relay::{OwnCalls, RelayPacing},
+    },
     chalkcart_protocol::peer::{path, PublishedAnswer, PublishedAsk},
     chalkcart_state::published::Topic,
     chalkcart_transport::{
@@ -181,20 +184,18 @@
         &self,
         topic: Topic,
         after: u64,
-        wait: Duration,
+        times: CallTimes,
     ) -> Result<Watched, SourceError> {
-        match self
-            .ask_relays(topic, Some(after), wait.min(RELAYED_WAIT))
-            .await
-        {
+        let relayed = times.held_at_most(RELAYED_WAIT);
+        match self.ask_relays(topic, Some(after), relayed.hold).await {
             Some(heard) => Ok(heard),
             None => {
                 // where there are relays, one of them is most likely sound by then
-                let wait = match self.relays.is_empty() {
-                    true => wait,
-                    false => wait.min(RELAYED_WAIT),
+                let times = match self.relays.is_empty() {
+                    true => times,
+                    false => relayed,
                 };
-                let call = self.store.watch(topic, after, wait);
+                let call = self.store.watch(topic, after, times);
                 self.ask_store(topic, call).await
             }
         }
--- a/sidecar/src/relay/published.rs
+++ b/sidecar/src/relay/published.rs
@@ -73,8 +73,8 @@
             return;
         };
         followers.extend([Topic::Configuration, Topic::Backends].map(|topic| {
-            let wait = self.pacing.watch_wait();
-            let follower = Follower::new(store.clone(), self.clone(), topic, wait);
+            let pacing = self.pacing.follow();
+            let follower = Follower::new(store.clone(), self.clone(), topic, pacing);
             tokio::spawn(follower.run())
         }));
     }
--- a/state/src/published/snapshot.rs
+++ b/state/src/published/snapshot.rs
@@ -11,6 +11,16 @@
     Backends,
 }
 
+impl Topic {
+    /// the word in logs and metrics
+    pub fn code(self) -> &'static str {
+        match self {
+            Self::Configuration => "configuration",
+            Self::Backends => "backends",
+        }
+    }
+}
+
 /// records of a topic, at a revision of the store
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Snapshot {
--- a/transport/src/metadata/follower.rs
+++ b/transport/src/metadata/follower.rs
@@ -1,8 +1,11 @@
 use {
     super::{Heard, MetadataSource, SourceError, Watched},
-    chalkcart_coordination::retry::Backoff,
+    chalkcart_coordination::following::FollowPacing,
     chalkcart_state::published::Topic,
-    std::{sync::Arc, time::Duration},
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
     tokio::time::sleep,
 };
 
@@ -20,10 +23,13 @@
     source: Arc<dyn MetadataSource>,
     sink: Arc<dyn RecordSink>,
     topic: Topic,
-    /// how long one watch waits; a watch that was cut silently costs this time
-    wait: Duration,
+    pacing: FollowPacing,
     /// revision up to which changes are known, none if a snapshot is needed
     known: Option<u64>,
+    /// calls that failed in a row
+    failures: u32,
+    /// when the last good answer came; at first, when the follower began
+    heard: Instant,
 }
 
 impl Follower {
@@ -31,47 +37,79 @@
         source: Arc<dyn MetadataSource>,
         sink: Arc<dyn RecordSink>,
         topic: Topic,
-        wait: Duration,
+        pacing: FollowPacing,
     ) -> Self {
         Self {
             source,
             sink,
             topic,
-            wait,
+            pacing,
             known: None,
+            failures: 0,
+            heard: Instant::now(),
         }
     }
 
     /// follow the topic until the task is ended
     pub async fn run(mut self) {
-        let backoff = Backoff::default();
-        let mut failures = 0;
         loop {
+            let asked = Instant::now();
             match self.step().await {
-                Ok(()) if failures > 0 => {
-                    log::info!("store: {:?} read again", self.topic);
-                    failures = 0;
+                Ok(pause) => {
+                    self.on_heard(asked);
+                    if !pause.is_zero() {
+                        sleep(pause).await;
+                    }
                 }
-                Ok(()) => {}
                 Err(e) => {
-                    if failures == 0 {
-                        log::warn!("store: {:?} not read: {e}", self.topic);
-                    }
-                    failures += 1;
-                    sleep(backoff.pause(failures, 0.5 + rand::random::<f64>() / 2.0)).await;
+                    self.on_failed(&e, asked);
+                    let pause = self.pacing.pause(self.failures, rand::random());
+                    sleep(pause).await;
                 }
             }
         }
     }
 
-    async fn step(&mut self) -> Result<(), SourceError> {
+    fn on_heard(&mut self, asked: Instant) {
+        if self.failures > 0 {
+            log::info!(
+                topic = self.topic.code(),
+                revision = self.known.unwrap_or(0),
+                failures = self.failures,
+                unheard_ms = elapsed_ms(self.heard),
+                took_ms = elapsed_ms(asked);
+                "store: read again"
+            );
+        }
+        self.failures = 0;
+        self.heard = Instant::now();
+    }
+
+    /// A line for each call: they say when the calls of an outage began and how long
+    /// each lasted. The pauses bound them to a few a second.
+    fn on_failed(&mut self, e: &SourceError, asked: Instant) {
+        self.failures += 1;
+        log::warn!(
+            topic = self.topic.code(),
+            revision = self.known.unwrap_or(0),
+            failures = self.failures,
+            unheard_ms = elapsed_ms(self.heard),
+            took_ms = elapsed_ms(asked),
+            cause = e.to_string().as_str();
+            "store: not read"
+        );
+    }
+
+    /// one call; gives the pause until the next
+    async fn step(&mut self) -> Result<Duration, SourceError> {
         let Some(after) = self.known else {
             let heard = self.source.snapshot(self.topic).await?;
             self.known = Some(heard.snapshot.at);
             self.sink.take_in(self.topic, heard, true);
-            return Ok(());
+            return Ok(Duration::ZERO);
         };
-        match self.source.watch(self.topic, after, self.wait).await? {
+        let times = self.pacing.watch(self.failures);
+        match self.source.watch(self.topic, after, times).await? {
             Watched::Records(heard) if heard.snapshot.at < after => {
                 // an answer of an earlier state says nothing new
                 self.known = None;
@@ -81,14 +119,22 @@
                 self.known = Some(heard.snapshot.at);
                 self.sink.take_in(self.topic, heard, false);
                 if has_news {
-                    sleep(self.sink.pause(self.topic)).await;
+                    return Ok(self.sink.pause(self.topic));
                 }
             }
             Watched::HistoryLost => {
-                log::warn!("store: history of {:?} lost after {after}", self.topic);
+                log::warn!(
+                    topic = self.topic.code(),
+                    revision = after;
+                    "store: history of {:?} lost after {after}", self.topic
+                );
                 self.known = None;
             }
         }
-        Ok(())
+        Ok(Duration::ZERO)
     }
 }
+
+fn elapsed_ms(since: Instant) -> u64 {
+    since.elapsed().as_millis() as u64
+}
--- a/transport/src/metadata/source.rs
+++ b/transport/src/metadata/source.rs
@@ -1,11 +1,9 @@
 use {
     crate::client::ClientError,
     async_trait::async_trait,
+    chalkcart_coordination::following::CallTimes,
     chalkcart_state::published::{Snapshot, Topic},
-    std::{
-        net::SocketAddr,
-        time::{Duration, Instant},
-    },
+    std::{net::SocketAddr, time::Instant},
     thiserror::Error,
 };
 
@@ -47,6 +45,10 @@
     fn set_addr(&self, addr: SocketAddr);
     async fn snapshot(&self, topic: Topic) -> Result<Heard, SourceError>;
     /// wait for changes after a revision
-    async fn watch(&self, topic: Topic, after: u64, wait: Duration)
-        -> Result<Watched, SourceError>;
+    async fn watch(
+        &self,
+        topic: Topic,
+        after: u64,
+        times: CallTimes,
+    ) -> Result<Watched, SourceError>;
 }
