--- a/coordination/tests/dispatch.rs
+++ b/coordination/tests/dispatch.rs
@@ -129,6 +129,85 @@
     }
 }
 
+/// A service got more repeats than are allowed, on days on which engines shed what they
+/// got and processes were killed one after the other. Each entry asked its budget when a
+/// repeat was wished and counted it when it was sent: all that waited in between, for an
+/// adapter or a place, had passed the same test.
+#[test]
+fn repeats_that_wait_are_in_the_budget() {
+    const REPEATS: u64 = 200;
+    let mut engine = backend(ENGINES, 1);
+    engine.slots = 2 * REPEATS as u32;
+    let mut fixture = Fixture::new(vec![engine]);
+    fixture.view(1, view("engines-1", &[]));
+    for ticket in 0..REPEATS {
+        let ask = Ask {
+            sends: 1,
+            has_returned: true,
+            ..fixture.new_ask(ENGINES, Some("a"))
+        };
+        fixture.ask(ticket, ask);
+    }
+    let decided = fixture.view(1, view("engines-1", &[("a", 1)]));
+    let sent = sent_to(&decided).len();
+    // the view says that two entries share the budget
+    let share = 50.0 / 2.0;
+    assert!(
+        sent as f64 <= share,
+        "{sent} repeats, {share} are this entry's"
+    );
+}
+
+/// As above: what the traces showed besides. A process that was killed began with its
+/// whole budget again, and where all sidecars had just begun, each counted the few entries
+/// that it had heard, so that every entry held more than its part.
+#[test]
+fn lives_of_entries_and_sidecars_share_one_budget() {
+    const ENTRIES: u32 = 4;
+    const LIVES: u64 = 5;
+    let repeat_all = |fixture: &mut Fixture| {
+        let mut sent = 0;
+        for ticket in 0..100 {
+            let ask = Ask {
+                sends: 1,
+                ..fixture.new_ask(ENGINES, None)
+            };
+            let decided = fixture.ask(ticket, ask);
+            sent += sent_to(&decided).len();
+            fixture.end(ticket, SendOutcome::Answered);
+        }
+        sent
+    };
+    let say = |fixture: &mut Fixture, entries: u32| {
+        let mut said = view("engines-1", &[]);
+        said.figures.entries = entries;
+        fixture.view(1, said);
+    };
+    let mut of_entry = 0;
+    let begun = Instant::now();
+    for life in 0..LIVES {
+        let mut fixture = Fixture::started_again(engines(), begun + ms(2_000 * life));
+        say(&mut fixture, ENTRIES);
+        of_entry += repeat_all(&mut fixture);
+        fixture.pass(ms(1_000));
+        of_entry += repeat_all(&mut fixture);
+    }
+    let share = 50.0 / f64::from(ENTRIES);
+    assert!(
+        of_entry as f64 <= share,
+        "{of_entry} repeats in {LIVES} lives, {share} are the entry's"
+    );
+
+    let mut fixture = Fixture::new(engines());
+    say(&mut fixture, ENTRIES);
+    say(&mut fixture, 1);
+    let sent = repeat_all(&mut fixture);
+    assert!(
+        sent as f64 <= share,
+        "{sent} repeats once sidecars began anew, {share} are the entry's"
+    );
+}
+
 #[test]
 fn a_repeat_beyond_the_budget_is_refused_at_once() {
     let mut fixture = Fixture::new(vec![backend(PLAIN, 1)]);
--- a/coordination/tests/dispatch_fixture/mod.rs
+++ b/coordination/tests/dispatch_fixture/mod.rs
@@ -122,6 +122,12 @@
         fixture.list(list);
         fixture
     }
+    /// a process that begins while its fleet serves
+    pub fn started_again(list: Vec<Backend>, now: Instant) -> Self {
+        let mut fixture = Self::new(list);
+        fixture.now = now;
+        fixture
+    }
     pub fn tell(&mut self, event: DispatchEvent) -> Vec<(Ticket, Decision)> {
         self.dispatcher.handle(event, self.now)
     }
