A silent store costs no more than the time to know a change; lives of entries share the budget

Cause 1: one limit served two purposes. An entry's watch waits 2.5 s for news and 0.7 s for an answer; the same call was the only probe of a store that did not answer, so a call that began just before the store's return hid it for 3.2 s. Class: a limit on silence that does not come from the bound that it has to keep. Change: FollowPacing takes the time within which a change must be known; a call is held for 0.45 of it, and after a failure the next is a question that is not held.

Cause 2: the budget was asked when a repeat was wished and counted when it was sent; a process that begins anew had all of it again; the entries were those that a sidecar hears now. Class: a promise over time kept in a state that can be forgotten or entered twice. Change: a repeat is taken from the budget at once and given back if it is not sent; extra repeats are earned over the first window unless the whole system starts for the first time (Bootstrap); the highest count of entries of the last window holds.

Ruled out: the pause after failures (0.1 s of 2.9), kept connections in this incident (the next call began in time only because the former had ended).

Test changed: repeats_of_all_entries_stay_within_the_budget uses the new names (take for allows; bounds as one value); its figures are the same.

--- a/coordination/src/dispatch/dispatcher.rs
+++ b/coordination/src/dispatch/dispatcher.rs
@@ -2,7 +2,7 @@
     super::{
         choosing::Choice, promises::Promise, waiting::WaitingList, wishes::Wish, AccountTurns, Ask,
         Assignment, BackendState, Basis, BudgetStanding, Decision, DispatchEvent, DispatchSettings,
-        ReadingRate, RefusalCause, SendOutcome, Sent, SharedBudget, Ticket, Wished,
+        FleetSize, ReadingRate, RefusalCause, SendOutcome, Sent, SharedBudget, Ticket, Wished,
     },
     chalkcart_state::{
         backends::{AdapterRef, Backend, BackendId},
@@ -58,6 +58,9 @@
     /// engines whose sidecars must hear of a new wish
     pub(super) urgent: HashSet<BackendId>,
     pub(super) decided: Vec<(Ticket, Decision)>,
+    /// when this process began, if the fleet served before
+    began_anew: Option<Instant>,
+    pub(super) fleet_size: FleetSize,
     /// when a sidecar spoke or a back end answered
     pub(super) last_heard: Option<Instant>,
 }
@@ -65,6 +68,8 @@
 impl Dispatcher {
     pub fn new(settings: DispatchSettings) -> Self {
         Self {
+            began_anew: settings.began_anew,
+            fleet_size: FleetSize::default(),
             settings,
             backends: BTreeMap::new(),
             list_version: 0,
@@ -92,7 +97,7 @@
             DispatchEvent::Asked { ticket, ask } => self.on_asked(ticket, ask, now),
             DispatchEvent::Withdrawn(ticket) => {
                 if let Some(ask) = self.waiting.take(ticket) {
-                    self.turns.on_left(ask.account, ask.prompt_tokens);
+                    self.on_unsent(&ask);
                 }
             }
             DispatchEvent::Started(ticket) => self.on_started(ticket, now),
@@ -156,11 +161,7 @@
 
     fn on_settings(&mut self, settings: DispatchSettings) {
         for budget in self.budgets.values_mut() {
-            budget.set_bounds(
-                settings.retry_ratio,
-                settings.retry_extra,
-                settings.retry_window,
-            );
+            budget.set_bounds(settings.budget);
         }
         self.settings = settings;
     }
@@ -168,18 +169,12 @@
     fn on_asked(&mut self, ticket: Ticket, mut ask: Ask, now: Instant) {
         ask.turn = self.turns.next(ask.account, ask.prompt_tokens);
         let entries = self.entry_count();
-        let settings = &self.settings;
         let budget = self.budgets.entry(ask.service.clone());
-        let budget = budget.or_insert_with(|| {
-            SharedBudget::new(
-                settings.retry_ratio,
-                settings.retry_extra,
-                settings.retry_window,
-            )
-        });
+        let bounds = self.settings.budget;
+        let budget = budget.or_insert_with(|| SharedBudget::new(bounds, self.began_anew));
         match ask.sends {
             0 => budget.on_request(now),
-            _ if !budget.allows(entries, now) => {
+            _ if !budget.take(entries, now) => {
                 let cause = RefusalCause::NoBudget;
                 let basis = self.basis(&ask, now);
                 self.refuse(ticket, cause, MIN_RETRY_AFTER, basis);
@@ -308,13 +303,23 @@
         if waited >= longest || now >= ask.deadline {
             let retry_after = ask.target_latency / 2;
             let basis = self.basis(&ask, now);
-            self.turns.on_left(ask.account, ask.prompt_tokens);
+            self.on_unsent(&ask);
             self.refuse(ticket, cause, retry_after.max(MIN_RETRY_AFTER), basis);
         } else {
             self.waiting.put(ticket, ask);
         }
     }
 
+    /// a request has waited and is not sent
+    fn on_unsent(&mut self, ask: &Ask) {
+        self.turns.on_left(ask.account, ask.prompt_tokens);
+        if ask.sends > 0 {
+            if let Some(budget) = self.budgets.get_mut(&ask.service) {
+                budget.give_back();
+            }
+        }
+    }
+
     pub(super) fn refuse(
         &mut self,
         ticket: Ticket,
@@ -337,9 +342,7 @@
 
     /// entries of the fleet, as the sidecars count them
     pub fn counted_entries(&self) -> Option<u32> {
-        let views = self.backends.values().filter_map(|b| b.view.as_ref());
-        let counted = views.map(|v| v.figures.entries).max();
-        counted.filter(|n| *n > 0)
+        self.fleet_size.entries()
     }
     /// the same, or an assumption
     pub fn entry_count(&self) -> u32 {
--- a/coordination/src/dispatch/listing.rs
+++ b/coordination/src/dispatch/listing.rs
@@ -55,6 +55,7 @@
     /// says which requests may be sent now that waited
     pub(super) fn on_view(&mut self, addr: SocketAddr, view: EngineView, now: Instant) -> ViewNews {
         self.last_heard = Some(now);
+        self.on_counted(view.figures.entries, now);
         self.on_fence(addr, view.figures.fence);
         let nothing = ViewNews::Came(Vec::new());
         if view.backend.is_empty() {
@@ -79,6 +80,7 @@
 
     pub(super) fn on_figures(&mut self, backend: &BackendId, figures: EngineFigures, now: Instant) {
         self.last_heard = Some(now);
+        self.on_counted(figures.entries, now);
         if let Some(state) = self.backends.get_mut(backend) {
             state.on_figures(figures, now);
             let addr = state.listed.addr;
@@ -86,6 +88,11 @@
         }
     }
 
+    fn on_counted(&mut self, entries: u32, now: Instant) {
+        let window = self.settings.budget.window;
+        self.fleet_size.on_counted(entries, window, now);
+    }
+
     fn on_fence(&mut self, addr: SocketAddr, spoken: u64) {
         let fence = self.fences.entry(addr).or_default();
         *fence = spoken.max(*fence);
--- a/coordination/src/dispatch/mod.rs
+++ b/coordination/src/dispatch/mod.rs
@@ -10,6 +10,7 @@
 mod demands;
 mod dispatcher;
 mod event;
+mod fleet_size;
 mod health;
 mod homes;
 mod listing;
@@ -29,10 +30,11 @@
     decision::{Assignment, Basis, Decision, RefusalCause},
     dispatcher::{BackendRow, Dispatcher},
     event::{DispatchEvent, SendOutcome},
+    fleet_size::FleetSize,
     health::Health,
     reading_rate::ReadingRate,
     settings::DispatchSettings,
-    shared_budget::{BudgetStanding, SharedBudget},
+    shared_budget::{BudgetBounds, BudgetStanding, SharedBudget},
     urgency::urgency,
     wished::{WishCause, Wished},
     wishes::DemandsDue,
--- a/coordination/src/dispatch/settings.rs
+++ b/coordination/src/dispatch/settings.rs
@@ -1,7 +1,8 @@
 use {
+    super::BudgetBounds,
     crate::mechanisms::Mechanisms,
     chalkcart_state::ids::{BoxName, ZoneName},
-    std::time::Duration,
+    std::time::{Duration, Instant},
 };
 
 /// bounds of an entry's decisions
@@ -9,11 +10,11 @@
 pub struct DispatchSettings {
     pub entry: BoxName,
     pub zone: ZoneName,
-    /// repeats for each request of a service, over all entries
-    pub retry_ratio: f64,
-    /// repeats beyond that in a window, over all entries
-    pub retry_extra: f64,
-    pub retry_window: Duration,
+    /// repeats of a service, over all entries
+    pub budget: BudgetBounds,
+    /// when this process began, if the fleet served before: a former life of it may have
+    /// used a share of the budget
+    pub began_anew: Option<Instant>,
     /// longest wait for an adapter or a place, as a part of the objective
     pub wait_for_adapter: f64,
     pub wait_for_place: f64,
@@ -37,9 +38,12 @@
         Self {
             entry: BoxName::new(),
             zone: ZoneName::new(),
-            retry_ratio: 0.2,
-            retry_extra: 50.0,
-            retry_window: Duration::from_secs(10),
+            budget: BudgetBounds {
+                ratio: 0.2,
+                extra: 50.0,
+                window: Duration::from_secs(10),
+            },
+            began_anew: None,
             wait_for_adapter: 4.0,
             wait_for_place: 2.0,
             first_token: Duration::from_millis(100),
--- a/coordination/src/following/follow_pacing.rs
+++ b/coordination/src/following/follow_pacing.rs
@@ -1,37 +1,55 @@
 use {super::CallTimes, crate::retry::Backoff, std::time::Duration};
 
-/// how long one watch of the store waits; a watch that was cut silently costs
-/// this time
-const HOLD: Duration = Duration::from_millis(2_500);
-/// time for the answer of a watch beyond its wait
+/// time for the store's answer: three times the slowest that the platform's pages
+/// describe (60 times 4 ms), so that a slow store is still heard
 const ANSWER: Duration = Duration::from_millis(700);
+/// part of the time within which a change must be known for which the store may hold a
+/// call
+const HOLD_PART: f64 = 0.45;
+/// the shortest time on the platform's pages within which a change must be in force
+const KNOWN_WITHIN: Duration = Duration::from_millis(2_000);
 
-/// how one topic of the store is followed
+/// How one topic of the store is followed.
+///
+/// A call that the store never answers costs its whole limit, and what was changed
+/// meanwhile is not known. So the limit of a call, the pause after it and the time of the
+/// call that then hears the change are together no longer than the time within which a
+/// change must be known. While calls fail, the next is a question alone, which the store
+/// does not hold: it costs the time of an answer, not that of a wait.
 #[derive(Debug, Clone)]
 pub struct FollowPacing {
-    calls: CallTimes,
+    hold: Duration,
     backoff: Backoff,
 }
 
 impl Default for FollowPacing {
     fn default() -> Self {
-        Self::holding(HOLD)
+        Self::within(KNOWN_WITHIN)
     }
 }
 
 impl FollowPacing {
+    /// a change is known after this time, or so long after the store's return
+    pub fn within(known: Duration) -> Self {
+        Self::holding(known.mul_f64(HOLD_PART))
+    }
+    /// the store may hold a call for this long
     pub fn holding(hold: Duration) -> Self {
         Self {
-            calls: CallTimes {
-                hold,
-                answer: ANSWER,
-            },
+            hold,
             backoff: Backoff::default(),
         }
     }
     /// the next watch, after so many calls that failed in a row
-    pub fn watch(&self, _failures: u32) -> CallTimes {
-        self.calls
+    pub fn watch(&self, failures: u32) -> CallTimes {
+        let hold = match failures {
+            0 => self.hold,
+            _ => Duration::ZERO,
+        };
+        CallTimes {
+            hold,
+            answer: ANSWER,
+        }
     }
     /// the pause before a call, after so many that failed in a row; `jitter` lies
     /// between 0 and 1
--- a/coordination/tests/dispatch.rs
+++ b/coordination/tests/dispatch.rs
@@ -4,7 +4,8 @@
 
 use {
     chalkcart_coordination::dispatch::{
-        Ask, Decision, DispatchEvent, RefusalCause, SendOutcome, SharedBudget, Ticket,
+        Ask, Decision, DispatchEvent, DispatchSettings, RefusalCause, SendOutcome, SharedBudget,
+        Ticket,
     },
     chalkcart_protocol::peer::{EngineFigures, EngineView},
     dispatch_fixture::*,
@@ -108,11 +109,11 @@
     for entries in [1, 4, 32] {
         let mut sum = 0;
         for _ in 0..entries {
-            let mut budget = SharedBudget::new(0.2, 50.0, ms(10_000));
+            let mut budget = SharedBudget::new(DispatchSettings::default().budget, None);
             for _ in 0..100 {
                 budget.on_request(now);
             }
-            while budget.allows(entries, now) {
+            while budget.take(entries, now) {
                 budget.on_repeat(now);
                 sum += 1;
             }
--- a/coordination/tests/dispatch_fixture/mod.rs
+++ b/coordination/tests/dispatch_fixture/mod.rs
@@ -124,8 +124,17 @@
     }
     /// a process that begins while its fleet serves
     pub fn started_again(list: Vec<Backend>, now: Instant) -> Self {
-        let mut fixture = Self::new(list);
-        fixture.now = now;
+        let settings = DispatchSettings {
+            began_anew: Some(now),
+            ..settings()
+        };
+        let mut fixture = Self {
+            dispatcher: Dispatcher::new(settings),
+            now,
+            list_version: 0,
+        };
+        fixture.tell(DispatchEvent::Configured(Arc::new(table())));
+        fixture.list(list);
         fixture
     }
     pub fn tell(&mut self, event: DispatchEvent) -> Vec<(Ticket, Decision)> {
--- a/entry/src/conf/ingress_settings.rs
+++ b/entry/src/conf/ingress_settings.rs
@@ -34,6 +34,10 @@
     /// repeats beyond that in a window, over all entries
     pub retry_extra: f64,
     pub retry_window_s: f64,
+    /// the whole system starts for the first time: no former life of this process has
+    /// used a part of what it may repeat
+    #[serde(default)]
+    pub first_start: bool,
     /// a request may begin on the former version of its adapter for this
     /// long, in ms
     pub version_ms: u64,
@@ -54,6 +58,9 @@
     pub quota_slack: f64,
     /// a back end that leaves gets no more requests after this time, in ms
     pub drain_ms: u64,
+    /// a change of the configuration is in force everywhere after this time, in ms
+    #[serde(default = "default_config_apply")]
+    pub config_apply_ms: u64,
     /// reading calls that the store answers in a second, to all processes
     pub store_reads_per_s: f64,
     /// engines from which on this entry hears them by a relay
@@ -94,6 +101,7 @@
         check_positive("sidecar_port", u64::from(self.sidecar_port))?;
         check_positive("version_ms", self.version_ms)?;
         check_positive("drain_ms", self.drain_ms)?;
+        check_positive("config_apply_ms", self.config_apply_ms)?;
         check_number("store_reads_per_s", self.store_reads_per_s)?;
         check_number("grace_s", self.grace_s)?;
         check_number("retry_ratio", self.retry_ratio)?;
@@ -113,6 +121,11 @@
     RELAYS_FROM_ENGINES
 }
 
+/// ms, the shortest time on the pages of the platform's sites
+fn default_config_apply() -> u64 {
+    2_000
+}
+
 /// the careful choice
 fn default_revoke_strict() -> bool {
     true
--- a/entry/src/ingress/serve.rs
+++ b/entry/src/ingress/serve.rs
@@ -13,7 +13,7 @@
     crate::conf::IngressSettings,
     anyhow::{Context, Result},
     chalkcart_coordination::{
-        dispatch::{DispatchEvent, DispatchSettings, Dispatcher},
+        dispatch::{BudgetBounds, DispatchEvent, DispatchSettings, Dispatcher},
         drain::IngressDrain,
         following::FollowPacing,
         relay::RelayPacing,
@@ -27,7 +27,10 @@
         metadata::{Follower, MetadataSource},
         server,
     },
-    std::{sync::Arc, time::Duration},
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
     tokio::{runtime::Handle, sync::watch, time::timeout},
 };
 
@@ -81,7 +84,10 @@
     let service = Arc::new(RoutedIngress::new(shared.clone()));
     let served = tokio::spawn(ingress::serve(clients, service, shared.phase.subscribe()));
     log::info!("settings: mechanisms {}", shared.settings.mechanisms);
-    log::info!("ingress: serves on {}", shared.settings.clients);
+    log::info!(
+        first_start = shared.settings.first_start;
+        "ingress: serves on {}", shared.settings.clients
+    );
     let signal = stop_signal().await?;
     log::info!("ingress: drains after {signal}");
     drain(&shared, served).await
@@ -131,8 +137,13 @@
     };
     let source = Arc::new(ZoneSource::new(store, relays, pacing));
     let records = Arc::new(EntryRecords::new(shared.clone(), source.clone()));
-    for topic in [Topic::Configuration, Topic::Backends] {
-        let pacing = FollowPacing::default();
+    let settings = &shared.settings;
+    let known_within = [
+        (Topic::Configuration, settings.config_apply_ms),
+        (Topic::Backends, settings.drain_ms),
+    ];
+    for (topic, bound_ms) in known_within {
+        let pacing = FollowPacing::within(Duration::from_millis(bound_ms));
         let follower = Follower::new(source.clone(), records.clone(), topic, pacing);
         tokio::spawn(follower.run());
     }
@@ -155,9 +166,12 @@
     DispatchSettings {
         entry: settings.name.clone(),
         zone: settings.zone.clone(),
-        retry_ratio: settings.retry_ratio,
-        retry_extra: settings.retry_extra,
-        retry_window: Duration::from_secs_f64(settings.retry_window_s),
+        budget: BudgetBounds {
+            ratio: settings.retry_ratio,
+            extra: settings.retry_extra,
+            window: Duration::from_secs_f64(settings.retry_window_s),
+        },
+        began_anew: (!settings.first_start).then(Instant::now),
         version_grace: Duration::from_millis(settings.version_ms / 2),
         mechanisms: settings.mechanisms,
         ..DispatchSettings::default()
--- a/testkit/src/users_platform/fleet.rs
+++ b/testkit/src/users_platform/fleet.rs
@@ -122,7 +122,7 @@
             "metrics": metrics, "store": store_addr, "sidecar_port": sidecar_port,
             "grace_s": settings.grace_s, "retry_ratio": 0.2, "retry_extra": 50,
             "retry_window_s": 10, "version_ms": 5000,
-            "drain_ms": 2000, "store_reads_per_s": 2000,
+            "drain_ms": 2000, "first_start": true, "store_reads_per_s": 2000,
             "relays_from_engines": settings.relays_from_engines,
         });
         if let Some(revoke_ms) = settings.revoke_ms {
--- a/testkit/src/users_platform/store_stand_in.rs
+++ b/testkit/src/users_platform/store_stand_in.rs
@@ -49,6 +49,9 @@
     revision: u64,
     fault: StoreFault,
     calls: u64,
+    /// connections so far, and how many of them say nothing more
+    connections: u64,
+    silent_connections: u64,
     /// what stale reads see, if not the present
     stale: Option<(Items, u64)>,
 }
@@ -107,6 +110,11 @@
         let mut state = lock(&self.state);
         state.stale = Some((state.items.clone(), state.revision));
     }
+    /// the connections that are open say nothing more; new ones are served
+    pub fn silence_connections(&self) {
+        let mut state = lock(&self.state);
+        state.silent_connections = state.connections;
+    }
     pub fn calls(&self) -> u64 {
         lock(&self.state).calls
     }
@@ -130,11 +138,19 @@
 }
 
 async fn serve(mut socket: TcpStream, state: Arc<Mutex<State>>, changed: Arc<watch::Sender<u64>>) {
+    let number = {
+        let mut state = lock(&state);
+        state.connections += 1;
+        state.connections
+    };
     while let Ok(Some(head)) = read_head(&mut socket).await {
         let fault = {
             let mut state = lock(&state);
             state.calls += 1;
-            state.fault
+            match number <= state.silent_connections {
+                true => StoreFault::Silent,
+                false => state.fault,
+            }
         };
         let (status, body) = match fault {
             StoreFault::Silent => return sleep(Duration::from_secs(60)).await,
