A back end is its name and when it was born; nothing believed of it outlives that

Cause: an engine may start again under the name that it had. Everything believed of it hung on the name: what it holds and held lately, health, places, a drain, orders that rest.

A sidecar that reads another born forgets places, memory, rests and loads under way, asks for the name again and speaks of the new life at once; the time of its last load of a base model stays, so that five lives in a row take one load. An entry ends a former life at the first word of another from the sidecar, or from the list if it was surely born later; an older word by a relay changes nothing; a smaller born counts by the order of the sidecar's words. Where a sidecar falls silent the list has the last word.

Other tests changed in how an id is written, not in what they ask.

--- a/coordination/src/dispatch/backend_state.rs
+++ b/coordination/src/dispatch/backend_state.rs
@@ -63,6 +63,8 @@
     pub is_superseded: bool,
     /// the sidecar at its address speaks of another incarnation
     pub is_replaced: bool,
+    /// its sidecar has spoken of another life after it
+    pub has_ended: bool,
     known_since: Instant,
     pub health: Health,
     pub in_flight: u32,
@@ -97,6 +99,7 @@
             is_ahead: false,
             is_superseded: false,
             is_replaced: false,
+            has_ended: false,
             known_since: now,
             health: Health::new(now),
             in_flight: 0,
@@ -148,6 +151,12 @@
             self.refused.clear();
         }
     }
+    /// another life has begun at its address
+    pub fn end_life(&mut self) {
+        self.has_ended = true;
+        self.is_ahead = false;
+        self.on_view_lost();
+    }
     /// the link to its sidecar is gone
     pub fn on_view_lost(&mut self) {
         self.view = None;
@@ -235,7 +244,7 @@
     }
     /// nothing says that another incarnation is at its address
     pub fn may_live(&self) -> bool {
-        !self.is_superseded && !self.is_replaced
+        !self.is_superseded && !self.is_replaced && !self.has_ended
     }
 
     /// requests that run or wait there, all entries together
@@ -282,7 +291,7 @@
 }
 
 /// when the sidecar said this; relays count how long ago that was
-fn said_at(figures: &EngineFigures, now: Instant) -> Instant {
+pub(super) fn said_at(figures: &EngineFigures, now: Instant) -> Instant {
     let age = Duration::from_millis(u64::from(figures.age_ms));
     now.checked_sub(age).unwrap_or(now)
 }
--- a/coordination/src/dispatch/dispatcher.rs
+++ b/coordination/src/dispatch/dispatcher.rs
@@ -1,8 +1,9 @@
 use {
     super::{
-        choosing::Choice, promises::Promise, waiting::WaitingList, wishes::Wish, AccountTurns, Ask,
-        Assignment, BackendState, Basis, BudgetStanding, Decision, DispatchEvent, DispatchSettings,
-        FleetSize, ReadingRate, RefusalCause, SendOutcome, Sent, SharedBudget, Ticket, Wished,
+        choosing::Choice, listing::Life, promises::Promise, waiting::WaitingList, wishes::Wish,
+        AccountTurns, Ask, Assignment, BackendState, Basis, BudgetStanding, Decision,
+        DispatchEvent, DispatchSettings, FleetSize, ReadingRate, RefusalCause, SendOutcome, Sent,
+        SharedBudget, Ticket, Wished,
     },
     chalkcart_state::{
         backends::{AdapterRef, Backend, BackendId},
@@ -49,6 +50,8 @@
     pub(super) versioned_at: HashMap<AdapterRef, Instant>,
     /// adapters that engines were asked to load
     pub(super) wishes: HashMap<AdapterRef, Wish>,
+    /// what the sidecars say of the lives of engines, by the engine's address
+    pub(super) lives: HashMap<SocketAddr, Life>,
     /// highest fences of the sidecars, by the address of their engine
     pub(super) fences: HashMap<SocketAddr, u64>,
     /// wishes since the last call of `take_wished`
@@ -82,6 +85,7 @@
             versions: HashMap::new(),
             versioned_at: HashMap::new(),
             wishes: HashMap::new(),
+            lives: HashMap::new(),
             fences: HashMap::new(),
             wished: Vec::new(),
             promises: HashMap::new(),
--- a/coordination/src/dispatch/listing.rs
+++ b/coordination/src/dispatch/listing.rs
@@ -1,25 +1,54 @@
 //! what is known of the back ends: the list, the sidecars' views, versions
 
 use {
-    super::{backend_state::ViewNews, dispatcher::Dispatcher, BackendState},
+    super::{
+        backend_state::{said_at, ViewNews},
+        dispatcher::Dispatcher,
+        BackendState,
+    },
     chalkcart_protocol::peer::{EngineFigures, EngineView},
     chalkcart_state::{
-        backends::{AdapterRef, Backend, BackendId, BackendList},
+        backends::{AdapterRef, Backend, BackendId, BackendList, BackendName},
         ids::ServiceName,
     },
-    std::{collections::HashSet, net::SocketAddr, time::Instant},
+    std::{
+        collections::{HashMap, HashSet},
+        net::SocketAddr,
+        time::Instant,
+    },
 };
 
+/// the life of the engine at an address, by its sidecar's last word
+#[derive(Debug, Clone)]
+pub(super) struct Life {
+    id: BackendId,
+    /// when the sidecar said so
+    said: Instant,
+}
+
+/// After a restart the list may have the former life of an engine beside the new one, or
+/// have a life that the sidecar has not seen yet. The sidecar knows which one lives,
+/// unless the list has one that was surely born later.
+fn is_replaced(lives: &HashMap<SocketAddr, Life>, state: &BackendState) -> bool {
+    let listed = &state.listed;
+    let life = lives.get(&listed.addr);
+    life.is_some_and(|life| life.id != listed.id && !listed.id.follows(&life.id))
+}
+
 impl Dispatcher {
     pub(super) fn on_list(&mut self, version: u64, list: BackendList, now: Instant) {
         if version < self.list_version {
             return;
         }
         self.list_version = version;
-        let listed: HashSet<&BackendId> = list.iter().map(|b| &b.id).collect();
+        let listed: HashMap<&BackendName, &BackendId> =
+            list.iter().map(|b| (&b.id.name, &b.id)).collect();
+        let ended: HashSet<BackendId> = self.ended().cloned().collect();
         for (id, state) in &mut self.backends {
-            let is_listed = listed.contains(id);
-            state.is_ahead &= !is_listed;
+            let by_name = listed.get(&id.name);
+            let is_listed = by_name.is_some_and(|listed| *listed == id);
+            let is_followed = by_name.is_some_and(|b| b.follows(id) && !ended.contains(*b));
+            state.is_ahead &= !is_listed && !is_followed;
             state.is_gone = !(is_listed || state.is_ahead && state.view.is_some());
         }
         for backend in list {
@@ -27,8 +56,10 @@
                 Some(state) => state.listed = backend,
                 None => {
                     let id = backend.id.clone();
+                    let mut state = BackendState::new(backend, now);
+                    state.is_replaced = self.is_replaced(&state);
                     self.urgent.insert(id.clone());
-                    self.backends.insert(id, BackendState::new(backend, now));
+                    self.backends.insert(id, state);
                 }
             }
         }
@@ -61,21 +92,51 @@
         if view.backend.is_empty() {
             return nothing;
         }
-        if !self.backends.contains_key(&view.backend) {
-            self.add_ahead_of_list(addr, &view.backend, now);
+        if !self.on_life(addr, &view, now) {
+            return nothing;
         }
-        self.on_incarnation(addr, &view.backend);
         let state = self.backends.get_mut(&view.backend);
         state.map_or(nothing, |state| state.on_view(view, now))
     }
 
-    /// after a restart the list may have the former incarnation of an engine
-    /// beside the new one for a while; its sidecar knows which one lives
-    fn on_incarnation(&mut self, addr: SocketAddr, living: &BackendId) {
+    /// The sidecar at an address says which life its engine lives; false if it said so
+    /// before the last word from there, as a relay may that has not heard it lately.
+    ///
+    /// It sees the engine itself, so a life that it spoke of before has ended, whatever
+    /// the clock of the engine says.
+    fn on_life(&mut self, addr: SocketAddr, view: &EngineView, now: Instant) -> bool {
+        let said = said_at(&view.figures, now);
+        let known = self.lives.get(&addr);
+        if known.is_some_and(|known| known.id != view.backend && said < known.said) {
+            return false;
+        }
+        let is_other = known.is_some_and(|known| known.id != view.backend);
+        let former = known.map(|known| known.id.clone()).filter(|_| is_other);
+        if !self.backends.contains_key(&view.backend) {
+            self.add_ahead_of_list(addr, &view.backend, now);
+        }
+        if let Some(former) = former.and_then(|id| self.backends.get_mut(&id)) {
+            former.end_life();
+        }
+        let id = view.backend.clone();
+        self.lives.insert(addr, Life { id, said });
+        let lives = &self.lives;
         let at_address = self.backends.values_mut().filter(|b| b.listed.addr == addr);
         for state in at_address {
-            state.is_replaced = state.listed.id != *living;
+            state.is_replaced = is_replaced(lives, state);
+            state.has_ended &= state.listed.id != view.backend;
         }
+        true
+    }
+
+    /// lives that have ended, by the word of their sidecars
+    fn ended(&self) -> impl Iterator<Item = &BackendId> {
+        let ended = self.backends.values().filter(|b| b.has_ended);
+        ended.map(|b| &b.listed.id)
+    }
+
+    fn is_replaced(&self, state: &BackendState) -> bool {
+        is_replaced(&self.lives, state)
     }
 
     pub(super) fn on_figures(&mut self, backend: &BackendId, figures: EngineFigures, now: Instant) {
@@ -104,8 +165,7 @@
         let Some(former) = states.find(|b| b.listed.addr == addr) else {
             return;
         };
-        former.is_superseded = true;
-        former.on_view_lost();
+        former.end_life();
         let listed = Backend {
             id: id.clone(),
             leaving: false,
@@ -119,10 +179,15 @@
     }
 
     pub(super) fn on_view_lost(&mut self, backend: &BackendId) {
-        if let Some(state) = self.backends.get_mut(backend) {
-            state.on_view_lost();
-            state.is_gone |= state.is_ahead;
-        }
+        let Some(state) = self.backends.get_mut(backend) else {
+            return;
+        };
+        state.on_view_lost();
+        state.is_gone |= state.is_ahead;
+        // the list has the last word where no sidecar speaks
+        let addr = state.listed.addr;
+        let at_address = self.backends.values_mut().filter(|b| b.listed.addr == addr);
+        at_address.for_each(|state| state.is_replaced = false);
     }
 
     pub(super) fn on_version(&mut self, adapter: AdapterRef, version: u64, now: Instant) {
--- a/coordination/src/placement/engine_order.rs
+++ b/coordination/src/placement/engine_order.rs
@@ -1,6 +1,6 @@
 use {
     chalkcart_state::{
-        backends::{AdapterRef, BackendId},
+        backends::{AdapterRef, BackendId, BackendName},
         ids::BaseModelName,
     },
     std::fmt::{self, Display, Formatter},
@@ -46,7 +46,7 @@
     /// a higher fence was seen
     Fenced,
     /// the engine is another incarnation, if it said which
-    OtherBackend(Option<BackendId>),
+    OtherBackend(Option<BackendName>),
     /// the engine will not do it
     Refused,
     /// no answer: it may have been taken
--- a/coordination/src/placement/engine_report.rs
+++ b/coordination/src/placement/engine_report.rs
@@ -17,4 +17,6 @@
     pub reading: u32,
     pub kv_used: u64,
     pub kv_total: u64,
+    /// Unix ms of its start; 0 where the platform does not tell it
+    pub born: u64,
 }
--- a/coordination/src/placement/placement_control.rs
+++ b/coordination/src/placement/placement_control.rs
@@ -4,7 +4,7 @@
         OrderAnswer, OrderKind, PlacementSettings,
     },
     chalkcart_protocol::peer::{AdapterDemand, EngineFigures, EngineRoom, EngineView},
-    chalkcart_state::backends::{AdapterRef, BackendId},
+    chalkcart_state::backends::{AdapterRef, BackendId, BackendName},
     std::{
         collections::HashMap,
         time::{Duration, Instant},
@@ -25,7 +25,7 @@
     /// the engine could not be read
     ReportFailed,
     /// the engine said which incarnation it is, or nothing
-    Identified(Option<BackendId>),
+    Identified(Option<BackendName>),
     Answered {
         order: EngineOrder,
         answer: OrderAnswer,
@@ -84,7 +84,7 @@
         Self {
             settings,
             fence: FenceToken::new(clock_ms),
-            backend: BackendId::new(),
+            backend: BackendId::default(),
             is_identified: false,
             asked_identity: None,
             demands: DemandBook::default(),
@@ -185,7 +185,7 @@
         self.demands.put(demand, now);
         let newest = self.demands.newest().map(|d| d.backend.clone());
         if let Some(backend) = newest.filter(|_| !self.is_identified) {
-            self.follow_backend(backend);
+            self.follow_name(backend.name);
         }
     }
 
@@ -201,12 +201,12 @@
         (!path.is_empty()).then(|| path.clone())
     }
 
-    fn on_identified(&mut self, backend: Option<BackendId>, now: Instant) {
+    fn on_identified(&mut self, name: Option<BackendName>, now: Instant) {
         self.asked_identity = Some(now);
-        if let Some(backend) = backend {
+        if let Some(name) = name {
             self.is_identified = true;
             let was_read = self.is_read;
-            self.follow_backend(backend);
+            self.follow_name(name);
             // the report came from the same engine a moment before
             self.is_read = was_read;
         }
@@ -218,17 +218,38 @@
         self.is_identified = false;
     }
 
-    fn follow_backend(&mut self, backend: BackendId) {
-        if self.backend != backend {
-            self.backend = backend;
+    fn follow_name(&mut self, name: BackendName) {
+        if self.backend.name != name {
+            self.backend.name = name;
             self.is_read = false;
-            self.resting.clear();
-            self.lately.clear();
-            self.speed.forget_ordered();
+            self.forget_life();
         }
     }
 
+    /// Nothing that was ordered or held outlives the engine's life. The time of the last
+    /// load of a base model does: an engine that starts again and again begins no more
+    /// loads than the weight store allows over all engines.
+    fn forget_life(&mut self) {
+        self.places.clear();
+        self.resting.clear();
+        self.lately.clear();
+        self.speed.forget_ordered();
+    }
+
+    /// The engine has started again, under the name that it had or another one. Reports
+    /// are read one after the other, so that any other `born` is a later life, also one
+    /// that is smaller because the engine's clock stepped back.
+    fn on_born(&mut self, born: u64) {
+        self.backend.born = born;
+        self.is_identified = false;
+        self.asked_identity = None;
+        self.forget_life();
+    }
+
     fn on_report(&mut self, report: EngineReport, now: Instant) {
+        if report.born != self.backend.born {
+            self.on_born(report.born);
+        }
         let mut places = HashMap::with_capacity(report.held.len());
         for held in &report.held {
             let known = self.places.get(&held.adapter);
--- a/coordination/src/relay/published_book.rs
+++ b/coordination/src/relay/published_book.rs
@@ -1,7 +1,7 @@
 use {
     chalkcart_protocol::peer::PublishedAnswer,
     chalkcart_state::{
-        backends::{AdapterRef, BackendId},
+        backends::{AdapterRef, BackendName},
         published::{Record, Snapshot},
     },
     std::{
@@ -18,7 +18,7 @@
 enum Subject {
     Table,
     Version(AdapterRef),
-    Backend(BackendId),
+    Backend(BackendName),
     Other(String),
 }
 
@@ -139,7 +139,7 @@
         for (subject, (at, record)) in &mut self.records {
             if let Record::Backend(backend) = record {
                 if !listed.contains(subject) {
-                    *record = Record::BackendGone(backend.id.clone());
+                    *record = Record::BackendGone(backend.id.name.clone());
                     *at = whole.at;
                 }
             }
@@ -166,7 +166,7 @@
     match record {
         Record::Table(_) => Subject::Table,
         Record::AdapterVersion { adapter, .. } => Subject::Version(adapter.clone()),
-        Record::Backend(backend) => Subject::Backend(backend.id.clone()),
+        Record::Backend(backend) => Subject::Backend(backend.id.name.clone()),
         Record::BackendGone(id) => Subject::Backend(id.clone()),
         // an entry must hear of it in the place of the table that it knows
         Record::Unreadable { is_table: true, .. } => Subject::Table,
--- a/coordination/tests/dispatch.rs
+++ b/coordination/tests/dispatch.rs
@@ -371,7 +371,7 @@
     let mut list = engines();
     list[0].slots = 5;
     let figures = DispatchEvent::Figures {
-        backend: "engines-1".to_string(),
+        backend: "engines-1".into(),
         figures: EngineFigures::default(),
     };
     fixture.tell(figures);
--- a/coordination/tests/dispatch_fixture/mod.rs
+++ b/coordination/tests/dispatch_fixture/mod.rs
@@ -43,7 +43,7 @@
 
 pub fn backend(service: &str, number: u8) -> Backend {
     Backend {
-        id: format!("{service}-{number}"),
+        id: format!("{service}-{number}").into(),
         service: service.to_string(),
         addr: addr(number),
         zone: "z".to_string(),
@@ -83,7 +83,7 @@
         version: *version,
     });
     EngineView {
-        backend: backend.to_string(),
+        backend: backend.into(),
         held: held.collect(),
         models: vec!["m".to_string()],
         figures: EngineFigures {
@@ -191,13 +191,13 @@
             let mut adapters = d.wanted.iter();
             adapters.any(|w| w.adapter == adapter(wanted))
         });
-        asked.map(|(_, d)| d.backend).collect()
+        asked.map(|(_, d)| d.backend.to_string()).collect()
     }
 }
 
 pub fn sent_to(decisions: &[(Ticket, Decision)]) -> Vec<String> {
     let sent = decisions.iter().filter_map(|(_, d)| match d {
-        Decision::Send(assignment) => Some(assignment.backend.clone()),
+        Decision::Send(assignment) => Some(assignment.backend.to_string()),
         Decision::Refuse { .. } => None,
     });
     sent.collect()
--- a/coordination/tests/dispatch_listing.rs
+++ b/coordination/tests/dispatch_listing.rs
@@ -40,7 +40,7 @@
 /// end one send to the first back end in this way
 fn one_fails(fixture: &mut Fixture, outcome: SendOutcome) {
     let ask = Ask {
-        tried: vec!["plain-2".to_string()],
+        tried: vec!["plain-2".into()],
         ..fixture.new_ask(PLAIN, None)
     };
     fixture.ask(50, ask);
@@ -86,7 +86,7 @@
         version: 1,
     };
     let former = Backend {
-        id: "former".to_string(),
+        id: "former".into(),
         held: vec![held],
         ..backend(ENGINES, 1)
     };
@@ -144,7 +144,9 @@
     let told = |fixture: &mut Fixture| {
         let now = fixture.now;
         let demands = fixture.dispatcher.demands(DemandsDue::Changed, now);
-        let told = demands.into_iter().map(|(_, d)| (d.backend, d.used.len()));
+        let told = demands
+            .into_iter()
+            .map(|(_, d)| (d.backend.to_string(), d.used.len()));
         told.collect::<Vec<(String, usize)>>()
     };
     told(&mut fixture);
@@ -189,7 +191,7 @@
     let mut fixture = fixture_with_views();
     fixture.view(1, view("engines-1", &[("a", 1)]));
     let figures = |running| DispatchEvent::Figures {
-        backend: "engines-1".to_string(),
+        backend: "engines-1".into(),
         figures: EngineFigures {
             running,
             ..view("engines-1", &[]).figures
@@ -209,9 +211,9 @@
 fn figures_of_a_sidecar_that_was_lost_bring_nothing_back() {
     let mut fixture = fixture_with_views();
     fixture.view(1, view("engines-1", &[("a", 1)]));
-    fixture.tell(DispatchEvent::ViewLost("engines-1".to_string()));
+    fixture.tell(DispatchEvent::ViewLost("engines-1".into()));
     let figures = DispatchEvent::Figures {
-        backend: "engines-1".to_string(),
+        backend: "engines-1".into(),
         figures: EngineFigures::default(),
     };
     fixture.tell(figures);
--- a/coordination/tests/mechanisms.rs
+++ b/coordination/tests/mechanisms.rs
@@ -128,7 +128,7 @@
                 }
             }
             let rows: Vec<(&str, u64)> = self.held[&number].iter().map(|a| (&**a, 1)).collect();
-            let decided = self.fixture.view(number, view(&id, &rows));
+            let decided = self.fixture.view(number, view(id.as_str(), &rows));
             self.check(decided);
         }
     }
@@ -141,16 +141,17 @@
             };
             let number: u8 = assignment
                 .backend
+                .as_str()
                 .trim_start_matches("engines-")
                 .parse()
                 .unwrap();
             assert!(self.held[&number].contains(&name), "it holds {name}");
             self.running
-                .insert(ticket, (assignment.backend.clone(), name));
+                .insert(ticket, (assignment.backend.to_string(), name));
             let there = self
                 .running
                 .values()
-                .filter(|(b, _)| *b == assignment.backend);
+                .filter(|(b, _)| assignment.backend == b.as_str());
             assert!(there.count() <= SLOTS, "no more than its places");
         }
     }
--- a/coordination/tests/placement.rs
+++ b/coordination/tests/placement.rs
@@ -37,7 +37,7 @@
     AdapterDemand {
         entry: "e".to_string(),
         entries: 1,
-        backend: "b".to_string(),
+        backend: "b".into(),
         list_version: 1,
         fence_seen: 0,
         health_path: "/health".to_string(),
--- /dev/null
+++ b/coordination/tests/reborn.rs
@@ -0,0 +1,322 @@
+//! engines that start again under the name that they had
+
+mod dispatch_fixture;
+
+use {
+    chalkcart_coordination::{
+        dispatch::{DispatchEvent, SendOutcome},
+        placement::{
+            adapter_mark, EngineOrder, EngineReport, OrderAnswer, OrderKind, PlacementControl,
+            PlacementEvent, PlacementSettings, PlacementStep,
+        },
+    },
+    chalkcart_protocol::peer::{AdapterDemand, EngineRoom, EngineView, ModelSize, WantedAdapter},
+    chalkcart_state::backends::{Backend, BackendId, HeldAdapter},
+    dispatch_fixture::*,
+    std::time::{Duration, Instant},
+};
+
+const FIRST: u64 = 1_700_000_000_000;
+const SECOND: u64 = FIRST + 5_000;
+const THIRD: u64 = FIRST + 9_000;
+/// of a life whose clock stepped back
+const EARLIER: u64 = FIRST - 60_000;
+
+fn id(born: u64) -> BackendId {
+    BackendId::new("engines-1", born)
+}
+
+fn listed(born: u64) -> Backend {
+    Backend {
+        id: id(born),
+        ..backend(ENGINES, 1)
+    }
+}
+
+fn said(born: u64, held: &[(&str, u64)]) -> EngineView {
+    EngineView {
+        backend: id(born),
+        ..view("engines-1", held)
+    }
+}
+
+fn aged(mut view: EngineView, age_ms: u32) -> EngineView {
+    view.figures.age_ms = age_ms;
+    view
+}
+
+/// where a request for an adapter goes, if it goes at once
+fn goes_to(fixture: &mut Fixture, ticket: u64, wanted: &str) -> Option<String> {
+    let ask = fixture.new_ask(ENGINES, Some(wanted));
+    let sent = sent_to(&fixture.ask(ticket, ask));
+    fixture.tell(DispatchEvent::Withdrawn(ticket));
+    fixture.end(ticket, SendOutcome::Abandoned);
+    sent.first().cloned()
+}
+
+fn text(born: u64) -> Option<String> {
+    Some(id(born).to_string())
+}
+
+#[test]
+fn the_sidecar_s_word_of_a_new_life_ends_the_former_at_once() {
+    for born in [SECOND, EARLIER] {
+        let mut fixture = Fixture::new(vec![listed(FIRST)]);
+        fixture.view(1, said(FIRST, &[("a", 1)]));
+        assert_eq!(goes_to(&mut fixture, 1, "a"), text(FIRST));
+        fixture.view(1, said(born, &[]));
+        assert_eq!(goes_to(&mut fixture, 2, "a"), None, "nothing is held");
+        fixture.view(1, said(born, &[("a", 1)]));
+        assert_eq!(goes_to(&mut fixture, 3, "a"), text(born));
+        // the list lags, then follows
+        fixture.list(vec![listed(FIRST)]);
+        assert_eq!(goes_to(&mut fixture, 4, "a"), text(born));
+        fixture.list(vec![listed(born)]);
+        assert_eq!(goes_to(&mut fixture, 5, "a"), text(born));
+    }
+}
+
+#[test]
+fn the_list_s_word_of_a_later_life_ends_the_former_at_once() {
+    let mut fixture = Fixture::new(vec![listed(FIRST)]);
+    fixture.view(1, said(FIRST, &[("a", 1)]));
+    fixture.list(vec![listed(SECOND)]);
+    // its sidecar is frozen: its last word is of the former life
+    assert_eq!(goes_to(&mut fixture, 1, "a"), None);
+    fixture.tell(DispatchEvent::ViewLost(id(FIRST)));
+    assert_eq!(goes_to(&mut fixture, 2, "a"), None);
+    let ask = fixture.new_ask(ENGINES, None);
+    assert_eq!(sent_to(&fixture.ask(3, ask)), [id(SECOND).to_string()]);
+}
+
+#[test]
+fn a_late_word_of_a_former_life_changes_nothing() {
+    for born in [SECOND, EARLIER] {
+        let mut fixture = Fixture::new(vec![listed(FIRST)]);
+        fixture.view(1, said(FIRST, &[("a", 1)]));
+        fixture.now += ms(500);
+        fixture.view(1, said(born, &[("b", 1)]));
+        // by a relay that has not heard the sidecar since
+        fixture.view(1, aged(said(FIRST, &[("a", 1)]), 300));
+        assert_eq!(goes_to(&mut fixture, 1, "a"), None);
+        assert_eq!(goes_to(&mut fixture, 2, "b"), text(born));
+        let ended = fixture.list_version;
+        fixture.tell(DispatchEvent::Listed {
+            version: ended - 1,
+            list: vec![listed(FIRST)],
+        });
+        assert_eq!(goes_to(&mut fixture, 3, "b"), text(born));
+    }
+}
+
+#[test]
+fn health_places_drain_and_memory_end_with_the_life() {
+    let mut fixture = Fixture::new(vec![listed(FIRST), backend(ENGINES, 2)]);
+    fixture.view(2, view("engines-2", &[]));
+    fixture.view(1, said(FIRST, &[("a", 1)]));
+    // four places taken, then it fails, and drains
+    for ticket in 0..4 {
+        let ask = fixture.new_ask(ENGINES, Some("a"));
+        assert_eq!(sent_to(&fixture.ask(ticket, ask)).len(), 1);
+    }
+    for ticket in 10..13 {
+        fixture.end(ticket, SendOutcome::Unreachable);
+    }
+    fixture.list(vec![
+        Backend {
+            leaving: true,
+            ..listed(FIRST)
+        },
+        backend(ENGINES, 2),
+    ]);
+    fixture.view(1, said(SECOND, &[("a", 1)]));
+    fixture.list(vec![listed(SECOND), backend(ENGINES, 2)]);
+    for ticket in 20..24 {
+        let ask = fixture.new_ask(ENGINES, Some("a"));
+        let sent = sent_to(&fixture.ask(ticket, ask));
+        assert_eq!(sent, [id(SECOND).to_string()], "{ticket}");
+    }
+    // what ran in the former life frees no place of this one
+    (0..4).for_each(|ticket| fixture.end(ticket, SendOutcome::Failed));
+    let ask = fixture.new_ask(ENGINES, Some("a"));
+    assert!(fixture.ask(30, ask).is_empty(), "four places");
+}
+
+#[test]
+fn a_life_that_restarts_five_times_is_the_last_one_that_was_heard_of() {
+    let mut fixture = Fixture::new(vec![listed(FIRST)]);
+    for life in 0..5 {
+        fixture.now += ms(200);
+        let name = format!("of-{life}");
+        fixture.view(1, said(FIRST + life, &[(&name, 1)]));
+    }
+    for life in 0..5 {
+        let held = goes_to(&mut fixture, life, &format!("of-{life}"));
+        let expected = (life == 4).then(|| id(FIRST + life).to_string());
+        assert_eq!(held, expected, "life {life}");
+    }
+}
+
+/// the keeper of one engine, with its clock
+struct Keeper {
+    control: PlacementControl,
+    now: Instant,
+}
+
+impl Keeper {
+    fn new() -> Self {
+        let mut keeper = Self {
+            control: PlacementControl::new(PlacementSettings::default(), 1),
+            now: Instant::now(),
+        };
+        keeper.demand();
+        keeper
+    }
+    /// an entry says what it needs, as it does each second
+    fn demand(&mut self) {
+        let demand = AdapterDemand {
+            entry: "e".to_string(),
+            entries: 1,
+            backend: id(0),
+            list_version: 1,
+            fence_seen: 0,
+            health_path: "/health".to_string(),
+            room: EngineRoom {
+                adapter_slots: 4,
+                weights_mb: 1_000.0,
+                models: vec![ModelSize {
+                    model: "m".to_string(),
+                    weights_mb: 500.0,
+                    adapter_mb: 10.0,
+                    reload_ms: 500,
+                }],
+            },
+            wanted: vec![WantedAdapter {
+                adapter: adapter("a"),
+                waiting: 1,
+                priority: 1,
+                waited_ms: 0,
+            }],
+            used: Vec::new(),
+            outdated: Vec::new(),
+        };
+        self.control
+            .handle(PlacementEvent::Demand(demand), self.now);
+    }
+    fn report(&mut self, born: u64, models: &[&str], held: &[&str]) {
+        let held = held.iter().map(|name| HeldAdapter {
+            adapter: adapter(name),
+            version: 1,
+        });
+        let report = EngineReport {
+            born,
+            models: models.iter().map(|m| m.to_string()).collect(),
+            held: held.collect(),
+            ..EngineReport::default()
+        };
+        self.control
+            .handle(PlacementEvent::Report(report), self.now);
+    }
+    fn identify(&mut self) {
+        assert!(matches!(
+            self.control.next_step(self.now),
+            PlacementStep::Identify { .. }
+        ));
+        let name = Some("engines-1".to_string());
+        self.control
+            .handle(PlacementEvent::Identified(name), self.now);
+    }
+    fn order(&mut self) -> Option<EngineOrder> {
+        match self.control.next_step(self.now) {
+            PlacementStep::Order(order) => Some(order),
+            _ => None,
+        }
+    }
+    fn answer(&mut self, order: EngineOrder, answer: OrderAnswer) {
+        self.control
+            .handle(PlacementEvent::Answered { order, answer }, self.now);
+    }
+    fn view(&self) -> EngineView {
+        self.control.view(self.now)
+    }
+}
+
+#[test]
+fn a_sidecar_speaks_of_the_new_life_and_of_nothing_that_it_held() {
+    for born in [SECOND, EARLIER] {
+        let mut keeper = Keeper::new();
+        keeper.report(FIRST, &["m"], &["a", "b"]);
+        keeper.identify();
+        // one adapter that left in this life may come back fast
+        keeper.report(FIRST, &["m"], &["a"]);
+        assert_eq!(keeper.view().lately, [adapter_mark(&adapter("b"))]);
+        keeper.report(born, &["m"], &[]);
+        let view = keeper.view();
+        assert_eq!(view.backend, id(born));
+        assert_eq!((view.held, view.lately), (Vec::new(), Vec::new()));
+        keeper.identify();
+        let order = keeper.order().expect("what is wanted is ordered anew");
+        assert_eq!(order.kind, OrderKind::LoadAdapter(adapter("a")));
+        assert_eq!(order.backend, id(born));
+    }
+}
+
+#[test]
+fn an_order_without_an_answer_is_given_to_the_new_life_at_once() {
+    let mut keeper = Keeper::new();
+    keeper.report(FIRST, &["m"], &[]);
+    keeper.identify();
+    let order = keeper.order().expect("an order");
+    keeper.answer(order, OrderAnswer::Unknown);
+    keeper.report(FIRST, &["m"], &[]);
+    assert_eq!(keeper.order(), None, "it rests in the same life");
+    keeper.report(SECOND, &["m"], &[]);
+    keeper.identify();
+    assert!(keeper.order().is_some());
+}
+
+/// the weight store allows some loads a second over all engines: an engine that starts
+/// again five times in a row takes no more of them than one that starts once
+#[test]
+fn the_base_model_is_ordered_at_once_and_once_in_a_while() {
+    let mut keeper = Keeper::new();
+    keeper.report(FIRST, &["m"], &[]);
+    keeper.identify();
+    keeper.now += Duration::from_secs(60);
+    keeper.demand();
+    let mut ordered = 0;
+    for life in 1..=5 {
+        keeper.now += ms(300);
+        keeper.report(FIRST + life, &[], &[]);
+        keeper.identify();
+        if let Some(order) = keeper.order() {
+            assert_eq!(order.kind, OrderKind::LoadModel("m".to_string()));
+            assert_eq!(life, 1, "at once");
+            keeper.answer(order, OrderAnswer::Taken);
+            ordered += 1;
+        }
+    }
+    assert_eq!(ordered, 1);
+    keeper.now += Duration::from_secs(5);
+    keeper.demand();
+    keeper.report(THIRD, &[], &[]);
+    keeper.identify();
+    assert!(keeper.order().is_some());
+}
+
+/// another name at the same address: the list has both for a while
+#[test]
+fn a_life_that_has_ended_is_not_used_again_when_the_sidecar_falls_silent() {
+    let other = Backend {
+        id: "other".into(),
+        ..backend(ENGINES, 1)
+    };
+    let mut fixture = Fixture::new(vec![listed(FIRST), other]);
+    fixture.view(1, said(FIRST, &[("a", 1)]));
+    fixture.view(1, view("other", &[("a", 1)]));
+    fixture.tell(DispatchEvent::ViewLost("other".into()));
+    for ticket in 0..4 {
+        let ask = fixture.new_ask(ENGINES, None);
+        assert_eq!(sent_to(&fixture.ask(ticket, ask)), ["other"]);
+    }
+}
--- a/coordination/tests/relays.rs
+++ b/coordination/tests/relays.rs
@@ -119,7 +119,7 @@
     AdapterDemand {
         entry: entry.to_string(),
         entries: 1,
-        backend: "b".to_string(),
+        backend: "b".into(),
         list_version: 1,
         fence_seen: 7,
         health_path: "/health".to_string(),
@@ -230,7 +230,7 @@
     let mut held: Vec<HeldAdapter> = held.collect();
     held.sort_by(|a, b| a.adapter.cmp(&b.adapter));
     EngineView {
-        backend: "b".to_string(),
+        backend: "b".into(),
         held,
         ..EngineView::default()
     }
@@ -287,7 +287,7 @@
                 if let Some(view) = truth.0.get_mut(&addr(engine)) {
                     view.figures = figures;
                 }
-                book.on_figures(addr(engine), &"b".to_string(), figures, now);
+                book.on_figures(addr(engine), &"b".into(), figures, now);
             }
             Heard::Silent(engine) => {
                 truth.0.remove(&addr(engine));
@@ -316,7 +316,7 @@
 
 fn listed(id: &str) -> Record {
     Record::Backend(Backend {
-        id: id.to_string(),
+        id: id.into(),
         service: "s".to_string(),
         addr: addr(1),
         zone: "z".to_string(),
--- a/entry/src/ingress/control.rs
+++ b/entry/src/ingress/control.rs
@@ -278,9 +278,10 @@
 }
 
 fn log_wished(wished: &Wished) {
+    let backends: Vec<String> = wished.backends.iter().map(ToString::to_string).collect();
     log::info!(
         adapter = wished.adapter.to_string().as_str(),
-        backends = wished.backends.join(",").as_str(),
+        backends = backends.join(",").as_str(),
         cause = wished.cause.code(),
         waiting = wished.waiting;
         "dispatch: wished"
--- a/entry/src/ingress/exchange.rs
+++ b/entry/src/ingress/exchange.rs
@@ -165,6 +165,7 @@
             adapter = self.adapter_text().as_str(),
             version = to.version.unwrap_or(0),
             backend = to.backend.as_str(),
+            born = to.backend.born,
             send = self.ask.sends,
             waited_ms = elapsed_ms(self.accepted.arrived),
             candidates = basis.candidates,
@@ -327,7 +328,7 @@
         sent_headers.clone_from(headers);
         let send = SendHead {
             deadline: self.deadline.saturating_duration_since(Instant::now()),
-            backend: &assignment.backend,
+            backend: &assignment.backend.name,
             version: assignment.version,
             urgency: assignment.urgency,
             account: self
@@ -350,7 +351,7 @@
         let head = self.shared.dialect.read_answer(answer.response.headers());
         let is_ours = head.request_id.as_deref() == Some(self.accepted.head.id.as_str());
         if status == StatusCode::MISDIRECTED_REQUEST {
-            let is_other = head.backend.is_some_and(|id| id != *backend);
+            let is_other = head.backend.is_some_and(|name| name != backend.name);
             let outcome = match is_other {
                 true => SendOutcome::Superseded,
                 false => SendOutcome::Misdirected,
--- a/entry/src/ingress/records.rs
+++ b/entry/src/ingress/records.rs
@@ -2,7 +2,7 @@
     super::{shared::Shared, zone_source::ZoneSource},
     chalkcart_coordination::dispatch::DispatchEvent,
     chalkcart_state::{
-        backends::{Backend, BackendId},
+        backends::{Backend, BackendName},
         ingress::RouteTable,
         published::{Record, Snapshot, Topic},
     },
@@ -32,7 +32,7 @@
 /// the list of back ends
 #[derive(Default)]
 struct List {
-    backends: BTreeMap<BackendId, Backend>,
+    backends: BTreeMap<BackendName, Backend>,
     /// when the dispatcher was told
     told: Option<Instant>,
     /// it was not told of the newest holdings
@@ -44,7 +44,9 @@
     fn take_in(&mut self, record: Record) -> bool {
         match record {
             Record::Backend(backend) => {
-                let known = self.backends.insert(backend.id.clone(), backend.clone());
+                let known = self
+                    .backends
+                    .insert(backend.id.name.clone(), backend.clone());
                 known.is_none_or(|known| known.differs_beyond_holdings(&backend))
             }
             Record::BackendGone(id) => self.backends.remove(&id).is_some(),
--- a/protocol/tests/views.rs
+++ b/protocol/tests/views.rs
@@ -33,7 +33,7 @@
     held.sort_by(|a, b| a.adapter.cmp(&b.adapter));
     held.dedup_by(|a, b| a.adapter == b.adapter);
     EngineView {
-        backend: format!("b{}", incarnation % 2),
+        backend: format!("b{}", incarnation % 2).into(),
         models: Vec::new(),
         held,
         loading: loading.iter().take(2).map(|n| adapter(*n)).collect(),
@@ -79,7 +79,7 @@
             |v| v.models = vec!["m".to_string()],
             "whole",
         ),
-        ("an incarnation", |v| v.backend = "new".to_string(), "whole"),
+        ("an incarnation", |v| v.backend = "new".into(), "whole"),
     ];
     for (name, change, expected) in cases {
         let before = view((0, vec![1, 2, 3], Vec::new(), 0));
--- a/sidecar/src/placement/keeper.rs
+++ b/sidecar/src/placement/keeper.rs
@@ -105,6 +105,7 @@
             level,
             order = order.kind.to_string().as_str(),
             backend = order.backend.as_str(),
+            born = order.backend.born,
             fence = order.fence,
             answer = format!("{answer:?}").as_str();
             "engine: ordered"
--- a/state/src/backends/backend.rs
+++ b/state/src/backends/backend.rs
@@ -1,13 +1,10 @@
 use {
-    super::HeldAdapter,
+    super::{BackendId, HeldAdapter},
     crate::ids::{BaseModelName, ServiceName, ZoneName},
     serde::{Deserialize, Serialize},
     std::net::SocketAddr,
 };
 
-/// identity of one incarnation of a back end; never used again
-pub type BackendId = String;
-
 /// one back end, an engine or a copy of a plain service
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Backend {
@@ -28,7 +25,8 @@
 impl Backend {
     /// whether a later record of it says more than that it holds something else
     pub fn differs_beyond_holdings(&self, later: &Self) -> bool {
-        self.service != later.service
+        self.id != later.id
+            || self.service != later.service
             || self.addr != later.addr
             || self.zone != later.zone
             || self.slots != later.slots
--- a/state/src/backends/mod.rs
+++ b/state/src/backends/mod.rs
@@ -3,8 +3,10 @@
 
 mod adapter_ref;
 mod backend;
+mod backend_id;
 
 pub use {
     adapter_ref::{AdapterRef, HeldAdapter},
-    backend::{Backend, BackendId, BackendList},
+    backend::{Backend, BackendList},
+    backend_id::{BackendId, BackendName},
 };
--- a/state/src/published/record.rs
+++ b/state/src/published/record.rs
@@ -1,6 +1,6 @@
 use {
     crate::{
-        backends::{AdapterRef, Backend, BackendId},
+        backends::{AdapterRef, Backend, BackendName},
         ingress::RouteTable,
     },
     serde::{Deserialize, Serialize},
@@ -15,7 +15,7 @@
         version: u64,
     },
     Backend(Backend),
-    BackendGone(BackendId),
+    BackendGone(BackendName),
     /// a record that can't be read, by its key
     Unreadable {
         /// it stands in the place of the table
--- a/testkit/examples/capacity/dispatch.rs
+++ b/testkit/examples/capacity/dispatch.rs
@@ -52,7 +52,7 @@
         version: 1,
     });
     EngineView {
-        backend: format!("i-{number:010x}"),
+        backend: format!("i-{number:010x}").into(),
         models: vec!["model-0".to_string()],
         held: held.collect(),
         loading: Vec::new(),
@@ -93,7 +93,7 @@
     let table = RouteTable::new(1, IngressLimits::default(), vec![service]);
     dispatcher.handle(DispatchEvent::Configured(Arc::new(table)), now);
     let list = (0..engines).map(|number| Backend {
-        id: format!("i-{number:010x}"),
+        id: format!("i-{number:010x}").into(),
         service: SERVICE.to_string(),
         addr: addr(number),
         zone: format!("z{}", number % 3),
--- a/testkit/tests/ingress_engines.rs
+++ b/testkit/tests/ingress_engines.rs
@@ -240,7 +240,7 @@
     let demand = AdapterDemand {
         entry: "another".to_string(),
         entries: 1,
-        backend: "e-0".to_string(),
+        backend: "e-0".into(),
         list_version: 0,
         fence_seen: 0,
         health_path: "/health".to_string(),
--- a/transport/src/ingress/dialect.rs
+++ b/transport/src/ingress/dialect.rs
@@ -1,7 +1,7 @@
 use {
     chalkcart_state::{
         accounts::{ApiKeyDigest, ApiKeyError},
-        backends::{AdapterRef, BackendId},
+        backends::{AdapterRef, BackendName},
         ids::BaseModelName,
     },
     http::{HeaderMap, HeaderName},
@@ -29,7 +29,7 @@
     /// time left
     pub deadline: Duration,
     /// the one back end that may run it
-    pub backend: &'s BackendId,
+    pub backend: &'s BackendName,
     /// the version of the adapter that must run
     pub version: Option<u64>,
     /// 0 is the most urgent, 9 the least
@@ -44,7 +44,7 @@
     /// of the request that it answers
     pub request_id: Option<String>,
     /// the incarnation that answered, if it says so
-    pub backend: Option<BackendId>,
+    pub backend: Option<BackendName>,
     /// it states that the request did not run
     pub not_run: bool,
     /// it bears a back end's signature
--- a/transport/src/links/sidecar_links.rs
+++ b/transport/src/links/sidecar_links.rs
@@ -122,7 +122,7 @@
     sink: Arc<dyn ViewSink>,
 ) {
     loop {
-        let mut backend = BackendId::new();
+        let mut backend = BackendId::default();
         let e = match read_until_error(&peers, engine, sidecar, sink.as_ref(), &mut backend).await {
             Ok(()) => "the stream ended".to_string(),
             Err(e) => e.to_string(),
