A record of another writer is one record that can't be read, and names no back end to use

Cause: one item of another form cost the whole page of the store; a record that was good and could be read no more left its back end in use; each copy of it gave a line in the log.

What can't be read says in whose place it stands and why (item, encoding, fields). In the place of a back end it ends new sends there, as a drain does, until it is good again; in the place of the configuration the last good one holds, whole, since the store takes valid ones alone.

--- a/coordination/src/relay/published_book.rs
+++ b/coordination/src/relay/published_book.rs
@@ -2,7 +2,7 @@
     chalkcart_protocol::peer::PublishedAnswer,
     chalkcart_state::{
         backends::{AdapterRef, BackendName},
-        published::{Record, Snapshot},
+        published::{Record, RecordSubject, Snapshot},
     },
     std::{
         collections::BTreeMap,
@@ -168,8 +168,11 @@
         Record::AdapterVersion { adapter, .. } => Subject::Version(adapter.clone()),
         Record::Backend(backend) => Subject::Backend(backend.id.name.clone()),
         Record::BackendGone(id) => Subject::Backend(id.clone()),
-        // an entry must hear of it in the place of the table that it knows
-        Record::Unreadable { is_table: true, .. } => Subject::Table,
-        Record::Unreadable { key, .. } => Subject::Other(key.clone()),
+        // an entry must hear of it in the place of what it knows
+        Record::Unreadable { subject, key, .. } => match subject {
+            RecordSubject::Table => Subject::Table,
+            RecordSubject::Backend(name) => Subject::Backend(name.clone()),
+            RecordSubject::Other => Subject::Other(key.clone()),
+        },
     }
 }
--- a/entry/src/ingress/mod.rs
+++ b/entry/src/ingress/mod.rs
@@ -16,6 +16,7 @@
 mod service;
 mod shared;
 mod store_relays;
+mod unreadable_records;
 mod usage_reports;
 mod zone_source;
 
--- a/entry/src/ingress/records.rs
+++ b/entry/src/ingress/records.rs
@@ -1,10 +1,10 @@
 use {
-    super::{shared::Shared, zone_source::ZoneSource},
+    super::{shared::Shared, unreadable_records::UnreadableRecords, zone_source::ZoneSource},
     chalkcart_coordination::dispatch::DispatchEvent,
     chalkcart_state::{
         backends::{Backend, BackendName},
         ingress::RouteTable,
-        published::{Record, Snapshot, Topic},
+        published::{Record, RecordSubject, Snapshot, Topic},
     },
     chalkcart_transport::metadata::{Heard, RecordSink},
     std::{
@@ -27,6 +27,7 @@
     shared: Arc<Shared>,
     source: Arc<ZoneSource>,
     list: Mutex<List>,
+    unreadable: UnreadableRecords,
 }
 
 /// the list of back ends
@@ -49,14 +50,25 @@
                     .insert(backend.id.name.clone(), backend.clone());
                 known.is_none_or(|known| known.differs_beyond_holdings(&backend))
             }
-            Record::BackendGone(id) => self.backends.remove(&id).is_some(),
-            other => {
-                log_unexpected(&other);
-                false
-            }
+            Record::BackendGone(name) => self.backends.remove(&name).is_some(),
+            _ => false,
         }
     }
 
+    /// A record that can't be read names no back end to use, also where it did before;
+    /// what runs there goes on.
+    fn set_unreadable(&mut self, name: &BackendName, before: Option<&Backend>) -> bool {
+        if let Some(before) = before {
+            self.backends.insert(name.clone(), before.clone());
+        }
+        let Some(backend) = self.backends.get_mut(name) else {
+            return false;
+        };
+        let was_used = !backend.leaving;
+        backend.leaving = true;
+        was_used
+    }
+
     fn is_due(&self) -> bool {
         let told = self.told;
         self.is_untold && told.is_none_or(|at| at.elapsed() >= HOLDINGS_EVERY)
@@ -66,6 +78,7 @@
 impl EntryRecords {
     pub fn new(shared: Arc<Shared>, source: Arc<ZoneSource>) -> Self {
         Self {
+            unreadable: UnreadableRecords::default(),
             shared,
             source,
             list: Mutex::default(),
@@ -75,12 +88,20 @@
     fn take_backends(&self, heard: Snapshot, is_whole: bool) {
         // no holder panics halfway through a change
         let mut list = self.list.lock().unwrap_or_else(PoisonError::into_inner);
-        if is_whole {
-            list.backends.clear();
-        }
+        let before = match is_whole {
+            true => std::mem::take(&mut list.backends),
+            false => BTreeMap::new(),
+        };
         let mut is_urgent = is_whole;
         for record in heard.records {
-            is_urgent |= list.take_in(record);
+            self.unreadable.note(&record, &self.shared.metrics);
+            is_urgent |= match &record {
+                Record::Unreadable {
+                    subject: RecordSubject::Backend(name),
+                    ..
+                } => list.set_unreadable(name, before.get(name)),
+                _ => list.take_in(record),
+            };
             list.is_untold = true;
         }
         if !is_urgent && !list.is_due() {
@@ -99,6 +120,7 @@
     }
 
     fn take_configuration(&self, record: Record) {
+        self.unreadable.note(&record, &self.shared.metrics);
         match record {
             Record::Table(table) => {
                 self.shared.admission.lease().on_configuration(true);
@@ -108,12 +130,11 @@
                 let event = DispatchEvent::Versioned { adapter, version };
                 self.shared.control.tell(event);
             }
-            other => {
-                if matches!(other, Record::Unreadable { is_table: true, .. }) {
-                    self.shared.admission.lease().on_configuration(false);
-                }
-                log_unexpected(&other);
-            }
+            Record::Unreadable {
+                subject: RecordSubject::Table,
+                ..
+            } => self.shared.admission.lease().on_configuration(false),
+            _ => {}
         }
     }
 
@@ -173,13 +194,3 @@
         }
     }
 }
-
-/// a record that can't be read, or does not belong to its topic
-fn log_unexpected(record: &Record) {
-    match record {
-        Record::Unreadable { key, problem, .. } => {
-            log::error!("store: {key} can't be read: {problem}");
-        }
-        other => log::error!("store: not of this topic: {other:?}"),
-    }
-}
--- a/state/src/published/mod.rs
+++ b/state/src/published/mod.rs
@@ -4,6 +4,6 @@
 mod snapshot;
 
 pub use {
-    record::Record,
+    record::{Record, RecordSubject, UnreadableCause},
     snapshot::{Snapshot, Topic},
 };
--- a/testkit/src/users_platform/backend_stand_in.rs
+++ b/testkit/src/users_platform/backend_stand_in.rs
@@ -14,10 +14,13 @@
     },
     tokio::{
         net::{TcpListener, TcpStream},
+        sync::watch,
         task::JoinHandle,
     },
 };
 
+/// Unix ms at which back ends were started first
+pub const FIRST_BORN: u64 = 1_700_000_000_000;
 pub const HEALTH_PATH: &str = "/health";
 
 /// what a back end is
@@ -74,6 +77,8 @@
 #[derive(Debug)]
 pub struct BackendState {
     pub id: String,
+    /// Unix ms of its start
+    pub born: u64,
     pub kind: BackendKind,
     pub fault: BackendFault,
     /// requests that the fault still strikes
@@ -96,6 +101,8 @@
 pub struct BackendStandIn {
     pub addr: SocketAddr,
     state: Arc<Mutex<BackendState>>,
+    /// changes with each life; connections end with theirs
+    lives: watch::Sender<u64>,
     server: JoinHandle<()>,
 }
 
@@ -110,6 +117,7 @@
         let listener = TcpListener::bind(addr).await?;
         let state = Arc::new(Mutex::new(BackendState {
             id: id.to_string(),
+            born: FIRST_BORN,
             kind,
             fault: BackendFault::None,
             fault_left: 0,
@@ -122,15 +130,25 @@
             pause: Duration::from_millis(5),
             pause_per_run: Duration::ZERO,
         }));
-        let shared = state.clone();
+        let lives = watch::Sender::new(FIRST_BORN);
+        let (shared, living) = (state.clone(), lives.subscribe());
         let server = tokio::spawn(async move {
             while let Ok((socket, _)) = listener.accept().await {
-                tokio::spawn(serve(socket, shared.clone()));
+                let mut life = living.clone();
+                life.mark_unchanged();
+                let served = serve(socket, shared.clone());
+                tokio::spawn(async move {
+                    tokio::select! {
+                        () = served => {}
+                        _ = life.changed() => {}
+                    }
+                });
             }
         });
         Ok(Self {
             addr,
             state,
+            lives,
             server,
         })
     }
@@ -153,6 +171,18 @@
         state.fault = fault;
         state.fault_left = requests;
     }
+    /// start again under the same name: it holds nothing, counts anew, and all its
+    /// connections are closed
+    pub fn start_again(&self, born: u64) {
+        let mut state = self.state();
+        state.born = born;
+        state.orders = EngineOrders {
+            has_no_model: true,
+            ..EngineOrders::default()
+        };
+        drop(state);
+        self.lives.send_replace(born);
+    }
     /// come back as another incarnation that holds nothing
     pub fn restart_as(&self, id: &str) {
         let mut state = self.state();
@@ -185,7 +215,12 @@
         return write_answer(socket, 200, &own_id, b"").await;
     }
     if target == names::REPORT_PATH {
-        let report = lock(state).orders.report(Instant::now()).to_string();
+        let report = {
+            let mut state = lock(state);
+            let mut report = state.orders.report(Instant::now());
+            report["born"] = state.born.into();
+            report.to_string()
+        };
         return write_answer(socket, 200, &[], report.as_bytes()).await;
     }
     let expected = head.get("chalkcart-expect-instance");
--- a/testkit/src/users_platform/engine_orders.rs
+++ b/testkit/src/users_platform/engine_orders.rs
@@ -23,10 +23,12 @@
 #[derive(Debug, Default)]
 pub struct EngineOrders {
     pub held: HashMap<String, u64>,
-    loading: HashMap<String, Instant>,
+    pub loading: HashMap<String, Instant>,
     pub versions: HashMap<String, u64>,
     pub taken: Vec<TakenOrder>,
     pub highest_fence: u64,
+    /// its base model was not loaded since its start
+    pub has_no_model: bool,
     /// most adapters held and on their way at any time
     pub most: usize,
 }
@@ -54,6 +56,10 @@
             fence,
         });
         match text("Operation").as_str() {
+            "load" if adapter.is_empty() => {
+                self.has_no_model = false;
+                202
+            }
             "load" => {
                 self.loading.insert(adapter, now + LOAD_TIME);
                 let all = self.held.keys().chain(self.loading.keys());
@@ -89,9 +95,13 @@
             .keys()
             .map(|a| format!("{MODEL}/{a}@1"))
             .collect();
+        let mut models = vec![json!({"Name": MODEL, "Version": 1, "Adapters": adapters})];
+        if self.has_no_model {
+            models.clear();
+        }
         json!({
             "Stage": "both",
-            "Models": [{"Name": MODEL, "Version": 1, "Adapters": adapters}],
+            "Models": models,
             "Pending": pending, "Busy": false, "Seq": self.taken.len(),
             "Queued": 0, "Running": 0, "KvUsed": 0, "KvTotal": 1000, "Handles": 0,
         })
--- a/testkit/src/users_platform/fleet.rs
+++ b/testkit/src/users_platform/fleet.rs
@@ -195,6 +195,7 @@
         let row = json!({
             "Service": service, "Address": backend.addr, "Zone": "z", "Version": "v1",
             "Slots": 8, "State": state, "ColdLeftMs": 0, "Seq": 1,
+            "born": backend.state().born,
             "Models": [{"Name": MODEL, "Version": 1, "Adapters": []}],
         });
         self.store.put(&format!("servers/{}", backend.id()), row);
--- a/testkit/src/users_platform/mod.rs
+++ b/testkit/src/users_platform/mod.rs
@@ -12,7 +12,7 @@
 mod wire;
 
 pub use {
-    backend_stand_in::{BackendFault, BackendKind, BackendStandIn, Run},
+    backend_stand_in::{BackendFault, BackendKind, BackendStandIn, Run, FIRST_BORN},
     client::{open_stream, request, Answer, ClientRequest, OpenStream},
     fleet::{Fleet, FleetSettings, HOST},
     pressing_clients::{press, Pressing, Story},
--- a/testkit/src/users_platform/store_stand_in.rs
+++ b/testkit/src/users_platform/store_stand_in.rs
@@ -36,14 +36,15 @@
     Reset,
 }
 
-/// values by key, with the revision of their last change
-type Items = BTreeMap<String, (Value, u64)>;
+/// values as they are written, in base64 or not, by key, with the revision of their
+/// last change
+type Items = BTreeMap<String, (String, u64)>;
 
 #[derive(Debug, Default)]
 struct State {
     items: Items,
     /// changes: revision, key, value or none
-    history: Vec<(u64, String, Option<Value>)>,
+    history: Vec<(u64, String, Option<String>)>,
     /// changes up to this revision are forgotten
     forgotten: u64,
     revision: u64,
@@ -91,7 +92,15 @@
     }
 
     pub fn put(&self, key: &str, value: Value) {
-        self.change(key, Some(value));
+        self.put_bytes(key, value.to_string().as_bytes());
+    }
+    /// another writer's value
+    pub fn put_bytes(&self, key: &str, value: &[u8]) {
+        self.put_text(key, &STANDARD.encode(value));
+    }
+    /// another writer's value, not as values are written
+    pub fn put_text(&self, key: &str, text: &str) {
+        self.change(key, Some(text.to_string()));
     }
     pub fn delete(&self, key: &str) {
         self.change(key, None);
@@ -119,7 +128,7 @@
         lock(&self.state).calls
     }
 
-    fn change(&self, key: &str, value: Option<Value>) {
+    fn change(&self, key: &str, value: Option<String>) {
         let mut state = lock(&self.state);
         state.revision += 1;
         let revision = state.revision;
@@ -255,10 +264,9 @@
     events.collect()
 }
 
-fn item(key: &str, value: Option<&Value>, revision: u64) -> Value {
+fn item(key: &str, value: Option<&String>, revision: u64) -> Value {
     match value {
-        Some(value) => {
-            let text = STANDARD.encode(value.to_string());
+        Some(text) => {
             json!({"Key": key, "Value": text, "Revision": revision, "made": 1, "lease": 0})
         }
         None => json!({"Key": key, "Revision": revision, "gone": true}),
--- /dev/null
+++ b/testkit/tests/reborn_engines.rs
@@ -0,0 +1,167 @@
+//! engines that start again under their name, and records of other writers, over real
+//! processes
+
+use {
+    anyhow::Result,
+    chalkcart_testkit::{
+        users_platform::{
+            open_stream, request, Answer, ClientRequest, Fleet, FleetSettings, FIRST_BORN,
+        },
+        waiting::{until, until_async},
+    },
+    chalkcart_transport::client::HttpClient,
+    http::Method,
+    serde_json::json,
+    std::time::Duration,
+};
+
+fn prompt(adapter: &str, id: &str) -> ClientRequest {
+    ClientRequest {
+        target: "/stream/".to_string(),
+        id: id.to_string(),
+        adapter: Some(format!("m/{adapter}")),
+        ..ClientRequest::default()
+    }
+}
+
+fn plain(target: &str) -> ClientRequest {
+    ClientRequest {
+        target: target.to_string(),
+        ..ClientRequest::default()
+    }
+}
+
+/// ask until it is served; refusals say that nothing ran
+async fn serve(fleet: &Fleet, adapter: &str, id: &str) -> Result<Answer> {
+    loop {
+        let answer = request(fleet.clients, &prompt(adapter, id)).await?;
+        if answer.status != 503 {
+            return Ok(answer);
+        }
+    }
+}
+
+fn runs_of(fleet: &Fleet, id: &str) -> usize {
+    let all = fleet.engines.iter().flat_map(|e| e.runs());
+    all.filter(|run| run.request == id).count()
+}
+
+/// records that could not be read, by the metrics page
+async fn unreadable(fleet: &Fleet) -> u64 {
+    let http = HttpClient::new();
+    let page = http.exchange(
+        fleet.metrics,
+        Method::GET,
+        "/metrics",
+        "text/plain",
+        Default::default(),
+        Duration::from_secs(5),
+    );
+    let (_, text) = page.await.expect("the metrics page");
+    let text = String::from_utf8_lossy(&text).to_string();
+    let rows = text
+        .lines()
+        .filter(|l| l.contains("unreadable_records_total{"));
+    let counts = rows.filter_map(|l| l.rsplit(' ').next()?.parse::<u64>().ok());
+    counts.sum()
+}
+
+async fn start(engines: u8) -> Result<Fleet> {
+    Fleet::start(FleetSettings {
+        engines,
+        ..FleetSettings::default()
+    })
+    .await
+}
+
+/// the list shows the former life all the while
+#[tokio::test]
+async fn an_engine_that_starts_again_is_given_all_anew_once() -> Result<()> {
+    let fleet = start(1).await?;
+    serve(&fleet, "a", "r1").await?;
+    let engine = &fleet.engines[0];
+    for life in 1..=3 {
+        // the weight store is asked for a base model once in a while only
+        engine.start_again(FIRST_BORN + life);
+        engine.state().orders.has_no_model = life == 1;
+        let id = format!("of-{life}");
+        assert_eq!(serve(&fleet, "a", &id).await?.status, 200);
+        assert_eq!(runs_of(&fleet, &id), 1);
+        let orders = engine.orders();
+        let loads = |adapter: &str| orders.iter().filter(|o| o.adapter == adapter).count();
+        assert_eq!(loads(""), usize::from(life == 1), "{orders:?}");
+        assert_eq!(loads("a"), 1, "{orders:?}");
+    }
+    Ok(())
+}
+
+/// a stream that broke with the former life may have run, and is not run again
+#[tokio::test]
+async fn what_ran_in_the_former_life_is_not_repeated() -> Result<()> {
+    let fleet = start(2).await?;
+    serve(&fleet, "a", "r1").await?;
+    for engine in &fleet.engines {
+        let mut state = engine.state();
+        (state.parts, state.pause) = (1_000, Duration::from_millis(20));
+    }
+    let stream = open_stream(fleet.clients, &prompt("a", "r2")).await?;
+    until("it runs", || runs_of(&fleet, "r2") == 1).await;
+    for engine in &fleet.engines {
+        engine.start_again(FIRST_BORN + 1);
+    }
+    until("the stream has ended", || {
+        fleet.log().contains("\"broken\"")
+    })
+    .await;
+    drop(stream);
+    for engine in &fleet.engines {
+        engine.state().parts = 3;
+    }
+    assert_eq!(serve(&fleet, "a", "r3").await?.status, 200);
+    assert_eq!(runs_of(&fleet, "r2"), 1);
+    Ok(())
+}
+
+#[tokio::test]
+async fn a_record_of_another_writer_names_no_back_end_to_use() -> Result<()> {
+    let fleet = Fleet::start(FleetSettings {
+        plain: 2,
+        ..FleetSettings::default()
+    })
+    .await?;
+    let runs = |number: usize| fleet.plain[number].runs().len();
+    let bad: [&dyn Fn(); 3] = [
+        &|| fleet.store.put_bytes("servers/p-0", b"\xff\xfe"),
+        &|| fleet.store.put_text("servers/p-0", "no base64!"),
+        &|| {
+            let row = json!({"Service": 4, "Address": fleet.plain[0].addr});
+            fleet.store.put("servers/p-0", row);
+        },
+    ];
+    for (number, spoil) in bad.into_iter().enumerate() {
+        spoil();
+        until_async("it is noticed", || async {
+            unreadable(&fleet).await > number as u64
+        })
+        .await;
+        until_async("nothing more goes there", || async {
+            let before = runs(0);
+            for _ in 0..4 {
+                let answer = request(fleet.clients, &plain("/safe/")).await;
+                if !answer.is_ok_and(|a| a.status == 200) {
+                    return false;
+                }
+            }
+            runs(0) == before
+        })
+        .await;
+        fleet.list_plain(0, "ready");
+        until_async("it is used again", || async {
+            let before = runs(0);
+            let answer = request(fleet.clients, &plain("/safe/")).await;
+            answer.is_ok() && runs(0) > before
+        })
+        .await;
+    }
+    Ok(())
+}
--- a/transport/src/metrics/ingress_metrics.rs
+++ b/transport/src/metrics/ingress_metrics.rs
@@ -48,6 +48,7 @@
     sends: Family<CodeLabel, Counter>,
     repeats: Counter,
     withheld: Counter,
+    unreadable: Family<CodeLabel, Counter>,
     over_limit: Family<AccountLabel, Counter>,
     named_accounts: Mutex<HashSet<String>>,
     keeper_entries: Gauge,
@@ -76,6 +77,7 @@
             sends: Family::default(),
             repeats: Counter::default(),
             withheld: Counter::default(),
+            unreadable: Family::default(),
             over_limit: Family::default(),
             named_accounts: Mutex::default(),
             keeper_entries: Gauge::default(),
@@ -112,6 +114,10 @@
     pub fn on_withheld(&self, headers: usize) {
         self.withheld.inc_by(headers as u64);
     }
+    /// a record of the platform's store could not be read
+    pub fn on_unreadable(&self, code: &'static str) {
+        self.unreadable.get_or_create(&CodeLabel { code }).inc();
+    }
     /// a request of an account was beyond its limit, by a keeper's word or without one
     pub fn on_over_limit(&self, account: &str, by_word: bool) {
         let account = self.counted_as(account);
@@ -193,6 +199,11 @@
             "Headers of clients not passed on",
             withheld,
         );
+        registry.register(
+            "unreadable_records",
+            "Records of the platform's store that can't be read, by cause",
+            self.unreadable.clone(),
+        );
         registry.register(
             "over_limit",
             "Requests refused beyond their account's limit",
