Each version of an adapter has its own time until nothing older may begin

Cause: an entry kept the newest version and when it heard of it; with each further version the older ones could begin for the whole time again. Change: AdapterVersions keeps those whose time is not over; a request may begin on a version if all newer ones were named within the time. One map in the place of two.

--- a/coordination/src/dispatch/choosing.rs
+++ b/coordination/src/dispatch/choosing.rs
@@ -231,10 +231,8 @@
 
     /// whether an adapter's version may still be run
     pub(super) fn is_current(&self, adapter: &AdapterRef, version: u64, now: Instant) -> bool {
-        let newest = self.versions.get(adapter).copied().unwrap_or(0);
-        let since = self.versioned_at.get(adapter);
-        let age = since.map_or(Duration::ZERO, |at| now.saturating_duration_since(*at));
-        version >= newest || age < self.settings.version_grace
+        let grace = self.settings.version_grace;
+        self.versions.may_begin(adapter, version, grace, now)
     }
 
     /// time until the prompts that wait there are read, in ms
--- a/coordination/src/dispatch/demands.rs
+++ b/coordination/src/dispatch/demands.rs
@@ -1,11 +1,10 @@
 use {
-    super::{BackendState, DispatchSettings},
+    super::{AdapterVersions, BackendState, DispatchSettings},
     chalkcart_protocol::peer::{AdapterDemand, AdapterUse, EngineRoom, ModelSize, WantedAdapter},
     chalkcart_state::{
         backends::{AdapterRef, HeldAdapter},
         ingress::{EngineSpec, Service},
     },
-    std::collections::HashMap,
 };
 
 /// write what this entry needs of one engine, and begin its next count of
@@ -17,7 +16,7 @@
     spec: &EngineSpec,
     state: &mut BackendState,
     wanted: Vec<WantedAdapter>,
-    versions: &HashMap<AdapterRef, u64>,
+    versions: &AdapterVersions,
 ) -> AdapterDemand {
     let mut used: Vec<AdapterUse> = state
         .used
@@ -62,10 +61,10 @@
 }
 
 /// held adapters with a newer version, in that version
-fn outdated(state: &BackendState, versions: &HashMap<AdapterRef, u64>) -> Vec<HeldAdapter> {
+fn outdated(state: &BackendState, versions: &AdapterVersions) -> Vec<HeldAdapter> {
     let held = state.view.iter().flat_map(|v| &v.held);
     let newer = held.filter_map(|h| {
-        let version = *versions.get(&h.adapter)?;
+        let version = versions.newest(&h.adapter);
         (version > h.version).then(|| HeldAdapter {
             adapter: h.adapter.clone(),
             version,
--- a/coordination/src/dispatch/dispatcher.rs
+++ b/coordination/src/dispatch/dispatcher.rs
@@ -1,9 +1,9 @@
 use {
     super::{
         choosing::Choice, listing::Life, promises::Promise, waiting::WaitingList, wishes::Wish,
-        AccountTurns, Ask, Assignment, BackendState, Basis, BudgetStanding, Decision,
-        DispatchEvent, DispatchSettings, FleetSize, ReadingRate, RefusalCause, SendOutcome, Sent,
-        SharedBudget, Ticket, Wished,
+        AccountTurns, AdapterVersions, Ask, Assignment, BackendState, Basis, BudgetStanding,
+        Decision, DispatchEvent, DispatchSettings, FleetSize, ReadingRate, RefusalCause,
+        SendOutcome, Sent, SharedBudget, Ticket, Wished,
     },
     chalkcart_state::{
         backends::{AdapterRef, Backend, BackendId},
@@ -45,9 +45,7 @@
     /// how fast prompts are read, by service
     pub(super) rates: HashMap<ServiceName, ReadingRate>,
     pub(super) budgets: HashMap<ServiceName, SharedBudget>,
-    /// newest versions, and since when this entry knows them
-    pub(super) versions: HashMap<AdapterRef, u64>,
-    pub(super) versioned_at: HashMap<AdapterRef, Instant>,
+    pub(super) versions: AdapterVersions,
     /// adapters that engines were asked to load
     pub(super) wishes: HashMap<AdapterRef, Wish>,
     /// what the sidecars say of the lives of engines, by the engine's address
@@ -82,8 +80,7 @@
             sent: HashMap::new(),
             rates: HashMap::new(),
             budgets: HashMap::new(),
-            versions: HashMap::new(),
-            versioned_at: HashMap::new(),
+            versions: AdapterVersions::default(),
             wishes: HashMap::new(),
             lives: HashMap::new(),
             fences: HashMap::new(),
--- a/coordination/src/dispatch/listing.rs
+++ b/coordination/src/dispatch/listing.rs
@@ -191,16 +191,14 @@
     }
 
     pub(super) fn on_version(&mut self, adapter: AdapterRef, version: u64, now: Instant) {
-        let known = self.versions.get(&adapter).copied().unwrap_or(0);
-        if version <= known {
+        let grace = self.settings.version_grace;
+        if !self.versions.put(&adapter, version, grace, now) {
             return;
         }
-        self.versions.insert(adapter.clone(), version);
         for (id, state) in &self.backends {
             if state.held_version(&adapter, now).is_some() {
                 self.urgent.insert(id.clone());
             }
         }
-        self.versioned_at.insert(adapter, now);
     }
 }
--- a/coordination/src/dispatch/mod.rs
+++ b/coordination/src/dispatch/mod.rs
@@ -2,6 +2,7 @@
 //! refused: decided by the entry
 
 mod account_turns;
+mod adapter_versions;
 mod ask;
 mod backend_state;
 mod choosing;
@@ -25,6 +26,7 @@
 
 pub use {
     account_turns::AccountTurns,
+    adapter_versions::AdapterVersions,
     ask::{Ask, Ticket},
     backend_state::{BackendState, Sent},
     decision::{Assignment, Basis, Decision, RefusalCause},
