An address that another service got is used by it, whatever a former sidecar's last word was

Change: only a sidecar that speaks now says so, for back ends of the same service; looked at anew with each list, first view and silence; the table ends with the back ends. Test first: an_address_that_another_service_got_is_used_by_it, seen to fail.

--- a/coordination/src/dispatch/listing.rs
+++ b/coordination/src/dispatch/listing.rs
@@ -26,15 +26,6 @@
     said: Instant,
 }
 
-/// After a restart the list may have the former life of an engine beside the new one, or
-/// have a life that the sidecar has not seen yet. The sidecar knows which one lives,
-/// unless the list has one that was surely born later.
-fn is_replaced(lives: &HashMap<SocketAddr, Life>, state: &BackendState) -> bool {
-    let listed = &state.listed;
-    let life = lives.get(&listed.addr);
-    life.is_some_and(|life| life.id != listed.id && !listed.id.follows(&life.id))
-}
-
 impl Dispatcher {
     pub(super) fn on_list(&mut self, version: u64, list: BackendList, now: Instant) {
         if version < self.list_version {
@@ -56,14 +47,15 @@
                 Some(state) => state.listed = backend,
                 None => {
                     let id = backend.id.clone();
-                    let mut state = BackendState::new(backend, now);
-                    state.is_replaced = self.is_replaced(&state);
                     self.urgent.insert(id.clone());
-                    self.backends.insert(id, state);
+                    self.backends.insert(id, BackendState::new(backend, now));
                 }
             }
         }
         self.forget_gone();
+        self.lives
+            .retain(|_, life| self.backends.contains_key(&life.id));
+        self.review_replaced();
     }
 
     /// forget back ends that left the list, unless nothing else is left
@@ -95,8 +87,15 @@
         if !self.on_life(addr, &view, now) {
             return nothing;
         }
-        let state = self.backends.get_mut(&view.backend);
-        state.map_or(nothing, |state| state.on_view(view, now))
+        let Some(state) = self.backends.get_mut(&view.backend) else {
+            return nothing;
+        };
+        let is_first = state.view.is_none();
+        let news = state.on_view(view, now);
+        if is_first {
+            self.review_replaced();
+        }
+        news
     }
 
     /// The sidecar at an address says which life its engine lives; false if it said so
@@ -120,11 +119,8 @@
         }
         let id = view.backend.clone();
         self.lives.insert(addr, Life { id, said });
-        let lives = &self.lives;
-        let at_address = self.backends.values_mut().filter(|b| b.listed.addr == addr);
-        for state in at_address {
-            state.is_replaced = is_replaced(lives, state);
-            state.has_ended &= state.listed.id != view.backend;
+        if let Some(state) = self.backends.get_mut(&view.backend) {
+            state.has_ended = false;
         }
         true
     }
@@ -135,8 +131,29 @@
         ended.map(|b| &b.listed.id)
     }
 
+    /// After a restart the list may have the former life of an engine beside the new one,
+    /// or have a life that the sidecar has not seen yet. The sidecar knows which one lives
+    /// while it speaks, unless the list has one that was surely born later, or a back end
+    /// of another service that got the address.
     fn is_replaced(&self, state: &BackendState) -> bool {
-        is_replaced(&self.lives, state)
+        let listed = &state.listed;
+        let life = self.lives.get(&listed.addr);
+        let living = life.and_then(|life| self.backends.get(&life.id));
+        living.is_some_and(|living| {
+            let id = &living.listed.id;
+            living.view.is_some()
+                && living.listed.service == listed.service
+                && *id != listed.id
+                && !listed.id.follows(id)
+        })
+    }
+
+    fn review_replaced(&mut self) {
+        let replaced = self.backends.values().filter(|b| self.is_replaced(b));
+        let replaced: HashSet<BackendId> = replaced.map(|b| b.listed.id.clone()).collect();
+        for (id, state) in &mut self.backends {
+            state.is_replaced = replaced.contains(id);
+        }
     }
 
     pub(super) fn on_figures(&mut self, backend: &BackendId, figures: EngineFigures, now: Instant) {
@@ -185,9 +202,7 @@
         state.on_view_lost();
         state.is_gone |= state.is_ahead;
         // the list has the last word where no sidecar speaks
-        let addr = state.listed.addr;
-        let at_address = self.backends.values_mut().filter(|b| b.listed.addr == addr);
-        at_address.for_each(|state| state.is_replaced = false);
+        self.review_replaced();
     }
 
     pub(super) fn on_version(&mut self, adapter: AdapterRef, version: u64, now: Instant) {
--- a/coordination/tests/reborn.rs
+++ b/coordination/tests/reborn.rs
@@ -157,6 +157,27 @@
     }
 }
 
+/// the address of an engine that is gone may go to a back end of another service, whose
+/// life no sidecar tells
+#[test]
+fn an_address_that_another_service_got_is_used_by_it() {
+    for falls_silent in [true, false] {
+        let mut fixture = Fixture::new(vec![listed(FIRST), backend(ENGINES, 2)]);
+        fixture.view(1, said(FIRST, &[("a", 1)]));
+        if falls_silent {
+            fixture.tell(DispatchEvent::ViewLost(id(FIRST)));
+        }
+        let reused = Backend {
+            id: BackendId::new("plain-1", SECOND),
+            ..backend(PLAIN, 1)
+        };
+        fixture.list(vec![reused.clone(), backend(ENGINES, 2)]);
+        let ask = fixture.new_ask(PLAIN, None);
+        let sent = sent_to(&fixture.ask(1, ask));
+        assert_eq!(sent, [reused.id.to_string()], "silent: {falls_silent}");
+    }
+}
+
 /// the keeper of one engine, with its clock
 struct Keeper {
     control: PlacementControl,
