--- a/coordination/src/dispatch/dispatcher.rs
+++ b/coordination/src/dispatch/dispatcher.rs
@@ -169,7 +169,7 @@
 
     fn on_asked(&mut self, ticket: Ticket, mut ask: Ask, now: Instant) {
         ask.turn = self.turns.next(ask.account, ask.prompt_tokens);
-        let entries = self.entry_count();
+        let entries = self.budget_entries();
         let budget = self.budgets.entry(ask.service.clone());
         let bounds = self.settings.budget;
         let budget = budget.or_insert_with(|| SharedBudget::new(bounds, self.began_anew));
@@ -338,18 +338,28 @@
 
     pub(super) fn budget_standing(&self, service: &ServiceName) -> BudgetStanding {
         let budget = self.budgets.get(service);
-        budget.map_or_else(BudgetStanding::default, |b| b.standing(self.entry_count()))
+        budget.map_or_else(BudgetStanding::default, |b| {
+            b.standing(self.budget_entries())
+        })
     }
 
     /// entries of the fleet, as the sidecars count them
     pub fn counted_entries(&self) -> Option<u32> {
-        self.fleet_size.entries()
+        let views = self.backends.values().filter_map(|b| b.view.as_ref());
+        let counted = views.map(|v| v.figures.entries).max();
+        counted.filter(|n| *n > 0)
     }
     /// the same, or an assumption
     pub fn entry_count(&self) -> u32 {
         self.counted_entries().unwrap_or(ENTRIES_UNKNOWN)
     }
 
+    /// Entries that share the budgets. Copies and homes go by the count of the moment: one
+    /// that is too high for a while would have adapters loaded that nobody waits for.
+    fn budget_entries(&self) -> u32 {
+        self.fleet_size.entries().unwrap_or(ENTRIES_UNKNOWN)
+    }
+
     /// the configuration of a service
     pub fn service(&self, name: &str) -> Option<&Service> {
         self.table.services.get(name)
