Soak: an ingress gets signals once its program has begun

Ruled out: the handler (the test with a pipe). Change: the soak waits until the system says that the signal is held or followed.

--- a/testkit/src/cluster/process.rs
+++ b/testkit/src/cluster/process.rs
@@ -15,6 +15,8 @@
 };
 
 const STOP_LOOK: Duration = Duration::from_micros(200);
+/// of the system's masks of signals
+const SIGHUP_BIT: u64 = 1 << (Signal::SIGHUP as u64 - 1);
 const EXIT_LOOK: Duration = Duration::from_millis(10);
 
 /// a process of the system under test; it is killed when this is dropped
@@ -78,6 +80,18 @@
     pub fn terminate(&self) -> Result<()> {
         self.signal(Signal::SIGTERM)
     }
+    /// Whether SIGHUP does not end it: it is held back or followed, by the system's own
+    /// word. Before its program begins nothing can do that.
+    pub fn outlives_hangups(&self) -> bool {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.id()));
+        let status = status.unwrap_or_default();
+        let mask = |name: &str| {
+            let line = status.lines().find(|line| line.starts_with(name))?;
+            u64::from_str_radix(line.split_whitespace().nth(1)?, 16).ok()
+        };
+        let masks = ["SigBlk:", "SigCgt:"].map(|name| mask(name).unwrap_or(0));
+        masks.iter().any(|mask| mask & SIGHUP_BIT != 0)
+    }
     /// whether it has ended
     pub fn has_ended(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(Some(_)))
--- a/testkit/src/soak/play.rs
+++ b/testkit/src/soak/play.rs
@@ -3,9 +3,12 @@
         draw, kept_client::KeptClient, violations, Asked, BackendRecord, ConfigurationSeen, Fault,
         Outcome, PlannedFault, SoakLedger, SoakSettings, Violation,
     },
-    crate::users_platform::{
-        request, BackendFault, BackendStandIn, ClientRequest, Fleet, FleetSettings, StoreFault,
-        FIRST_BORN, MODEL,
+    crate::{
+        users_platform::{
+            request, BackendFault, BackendStandIn, ClientRequest, Fleet, FleetSettings, StoreFault,
+            FIRST_BORN, MODEL,
+        },
+        waiting::until,
     },
     anyhow::{Context, Result},
     nix::{
@@ -228,6 +231,8 @@
             // one that was stopped ends within its grace
             self.fleet.ingress.wait(STOP_LIMIT).await?;
             self.fleet.restart_ingress()?;
+            let ingress = &self.fleet.ingress;
+            until("the ingress has begun", || ingress.outlives_hangups()).await;
             self.is_stopped = false;
         }
         Ok(())
