--- /dev/null
+++ b/coordination/tests/keeper_fixture/mod.rs
@@ -0,0 +1,100 @@
+//! the keeper of one engine, with its clock and the demand of one entry
+
+// each test file uses a part of it
+#![allow(dead_code)]
+
+use {
+    crate::dispatch_fixture::adapter,
+    chalkcart_coordination::placement::{
+        EngineOrder, EngineReport, OrderAnswer, PlacementControl, PlacementEvent,
+        PlacementSettings, PlacementStep,
+    },
+    chalkcart_protocol::peer::{AdapterDemand, EngineRoom, EngineView, ModelSize, WantedAdapter},
+    chalkcart_state::backends::HeldAdapter,
+    std::time::Instant,
+};
+
+pub const ENGINE: &str = "engines-1";
+
+pub struct Keeper {
+    pub control: PlacementControl,
+    pub now: Instant,
+}
+
+impl Keeper {
+    pub fn new() -> Self {
+        Self {
+            control: PlacementControl::new(PlacementSettings::default(), 1),
+            now: Instant::now(),
+        }
+    }
+    fn handle(&mut self, event: PlacementEvent) {
+        self.control.handle(event, self.now);
+    }
+    /// an entry says what it needs, as it does each second
+    pub fn demand(&mut self, wanted: &[&str], outdated: &[HeldAdapter]) {
+        let wanted = wanted.iter().map(|name| WantedAdapter {
+            adapter: adapter(name),
+            waiting: 1,
+            priority: 1,
+            waited_ms: 0,
+        });
+        self.handle(PlacementEvent::Demand(AdapterDemand {
+            entry: "e".to_string(),
+            entries: 1,
+            backend: ENGINE.into(),
+            list_version: 1,
+            fence_seen: 0,
+            health_path: "/health".to_string(),
+            room: EngineRoom {
+                adapter_slots: 4,
+                weights_mb: 1_000.0,
+                models: vec![ModelSize {
+                    model: "m".to_string(),
+                    weights_mb: 500.0,
+                    adapter_mb: 10.0,
+                    reload_ms: 500,
+                }],
+            },
+            wanted: wanted.collect(),
+            used: Vec::new(),
+            outdated: outdated.to_vec(),
+        }));
+    }
+    pub fn report(&mut self, report: EngineReport) {
+        self.handle(PlacementEvent::Report(report));
+    }
+    /// the engine tells its name
+    pub fn identify(&mut self) {
+        self.handle(PlacementEvent::Identified(Some(ENGINE.to_string())));
+    }
+    pub fn step(&mut self) -> PlacementStep {
+        self.control.next_step(self.now)
+    }
+    pub fn order(&mut self) -> Option<EngineOrder> {
+        match self.step() {
+            PlacementStep::Order(order) => Some(order),
+            _ => None,
+        }
+    }
+    pub fn answer(&mut self, order: EngineOrder, answer: OrderAnswer) {
+        self.handle(PlacementEvent::Answered { order, answer });
+    }
+    pub fn view(&self) -> EngineView {
+        self.control.view(self.now)
+    }
+}
+
+/// an engine that holds adapters in one version
+pub fn holding(born: u64, models: &[&str], held: &[(&str, u64)]) -> EngineReport {
+    let held = held.iter().map(|(name, version)| HeldAdapter {
+        adapter: adapter(name),
+        version: *version,
+    });
+    EngineReport {
+        born,
+        models: models.iter().map(|m| m.to_string()).collect(),
+        held: held.collect(),
+        ..EngineReport::default()
+    }
+}
--- a/coordination/tests/reborn.rs
+++ b/coordination/tests/reborn.rs
@@ -1,19 +1,18 @@
 //! engines that start again under the name that they had
 
 mod dispatch_fixture;
+mod keeper_fixture;
 
 use {
     chalkcart_coordination::{
         dispatch::{DispatchEvent, SendOutcome},
-        placement::{
-            adapter_mark, EngineOrder, EngineReport, OrderAnswer, OrderKind, PlacementControl,
-            PlacementEvent, PlacementSettings, PlacementStep,
-        },
+        placement::{adapter_mark, OrderAnswer, OrderKind, PlacementStep},
     },
-    chalkcart_protocol::peer::{AdapterDemand, EngineRoom, EngineView, ModelSize, WantedAdapter},
-    chalkcart_state::backends::{Backend, BackendId, HeldAdapter},
+    chalkcart_protocol::peer::EngineView,
+    chalkcart_state::backends::{Backend, BackendId},
     dispatch_fixture::*,
-    std::time::{Duration, Instant},
+    keeper_fixture::{holding, Keeper},
+    std::time::Duration,
 };
 
 const FIRST: u64 = 1_700_000_000_000;
@@ -178,104 +177,33 @@
     }
 }
 
-/// the keeper of one engine, with its clock
-struct Keeper {
-    control: PlacementControl,
-    now: Instant,
+/// one whose engine is wanted to hold an adapter
+fn keeper() -> Keeper {
+    let mut keeper = Keeper::new();
+    keeper.demand(&["a"], &[]);
+    keeper
 }
 
-impl Keeper {
-    fn new() -> Self {
-        let mut keeper = Self {
-            control: PlacementControl::new(PlacementSettings::default(), 1),
-            now: Instant::now(),
-        };
-        keeper.demand();
-        keeper
-    }
-    /// an entry says what it needs, as it does each second
-    fn demand(&mut self) {
-        let demand = AdapterDemand {
-            entry: "e".to_string(),
-            entries: 1,
-            backend: id(0),
-            list_version: 1,
-            fence_seen: 0,
-            health_path: "/health".to_string(),
-            room: EngineRoom {
-                adapter_slots: 4,
-                weights_mb: 1_000.0,
-                models: vec![ModelSize {
-                    model: "m".to_string(),
-                    weights_mb: 500.0,
-                    adapter_mb: 10.0,
-                    reload_ms: 500,
-                }],
-            },
-            wanted: vec![WantedAdapter {
-                adapter: adapter("a"),
-                waiting: 1,
-                priority: 1,
-                waited_ms: 0,
-            }],
-            used: Vec::new(),
-            outdated: Vec::new(),
-        };
-        self.control
-            .handle(PlacementEvent::Demand(demand), self.now);
-    }
-    fn report(&mut self, born: u64, models: &[&str], held: &[&str]) {
-        let held = held.iter().map(|name| HeldAdapter {
-            adapter: adapter(name),
-            version: 1,
-        });
-        let report = EngineReport {
-            born,
-            models: models.iter().map(|m| m.to_string()).collect(),
-            held: held.collect(),
-            ..EngineReport::default()
-        };
-        self.control
-            .handle(PlacementEvent::Report(report), self.now);
-    }
-    fn identify(&mut self) {
-        assert!(matches!(
-            self.control.next_step(self.now),
-            PlacementStep::Identify { .. }
-        ));
-        let name = Some("engines-1".to_string());
-        self.control
-            .handle(PlacementEvent::Identified(name), self.now);
-    }
-    fn order(&mut self) -> Option<EngineOrder> {
-        match self.control.next_step(self.now) {
-            PlacementStep::Order(order) => Some(order),
-            _ => None,
-        }
-    }
-    fn answer(&mut self, order: EngineOrder, answer: OrderAnswer) {
-        self.control
-            .handle(PlacementEvent::Answered { order, answer }, self.now);
-    }
-    fn view(&self) -> EngineView {
-        self.control.view(self.now)
-    }
+/// the engine is asked for its name, and tells it
+fn identify(keeper: &mut Keeper) {
+    assert!(matches!(keeper.step(), PlacementStep::Identify { .. }));
+    keeper.identify();
 }
 
 #[test]
 fn a_sidecar_speaks_of_the_new_life_and_of_nothing_that_it_held() {
     for born in [SECOND, EARLIER] {
-        let mut keeper = Keeper::new();
-        keeper.report(FIRST, &["m"], &["a", "b"]);
-        keeper.identify();
+        let mut keeper = keeper();
+        keeper.report(holding(FIRST, &["m"], &[("a", 1), ("b", 1)]));
+        identify(&mut keeper);
         // one adapter that left in this life may come back fast
-        keeper.report(FIRST, &["m"], &["a"]);
+        keeper.report(holding(FIRST, &["m"], &[("a", 1)]));
         assert_eq!(keeper.view().lately, [adapter_mark(&adapter("b"))]);
-        keeper.report(born, &["m"], &[]);
+        keeper.report(holding(born, &["m"], &[]));
         let view = keeper.view();
         assert_eq!(view.backend, id(born));
         assert_eq!((view.held, view.lately), (Vec::new(), Vec::new()));
-        keeper.identify();
+        identify(&mut keeper);
         let order = keeper.order().expect("what is wanted is ordered anew");
         assert_eq!(order.kind, OrderKind::LoadAdapter(adapter("a")));
         assert_eq!(order.backend, id(born));
@@ -284,15 +212,15 @@
 
 #[test]
 fn an_order_without_an_answer_is_given_to_the_new_life_at_once() {
-    let mut keeper = Keeper::new();
-    keeper.report(FIRST, &["m"], &[]);
-    keeper.identify();
+    let mut keeper = keeper();
+    keeper.report(holding(FIRST, &["m"], &[]));
+    identify(&mut keeper);
     let order = keeper.order().expect("an order");
     keeper.answer(order, OrderAnswer::Unknown);
-    keeper.report(FIRST, &["m"], &[]);
+    keeper.report(holding(FIRST, &["m"], &[]));
     assert_eq!(keeper.order(), None, "it rests in the same life");
-    keeper.report(SECOND, &["m"], &[]);
-    keeper.identify();
+    keeper.report(holding(SECOND, &["m"], &[]));
+    identify(&mut keeper);
     assert!(keeper.order().is_some());
 }
 
@@ -300,16 +228,16 @@
 /// again five times in a row takes no more of them than one that starts once
 #[test]
 fn the_base_model_is_ordered_at_once_and_once_in_a_while() {
-    let mut keeper = Keeper::new();
-    keeper.report(FIRST, &["m"], &[]);
-    keeper.identify();
+    let mut keeper = keeper();
+    keeper.report(holding(FIRST, &["m"], &[]));
+    identify(&mut keeper);
     keeper.now += Duration::from_secs(60);
-    keeper.demand();
+    keeper.demand(&["a"], &[]);
     let mut ordered = 0;
     for life in 1..=5 {
         keeper.now += ms(300);
-        keeper.report(FIRST + life, &[], &[]);
-        keeper.identify();
+        keeper.report(holding(FIRST + life, &[], &[]));
+        identify(&mut keeper);
         if let Some(order) = keeper.order() {
             assert_eq!(order.kind, OrderKind::LoadModel("m".to_string()));
             assert_eq!(life, 1, "at once");
@@ -319,9 +247,9 @@
     }
     assert_eq!(ordered, 1);
     keeper.now += Duration::from_secs(5);
-    keeper.demand();
-    keeper.report(THIRD, &[], &[]);
-    keeper.identify();
+    keeper.demand(&["a"], &[]);
+    keeper.report(holding(THIRD, &[], &[]));
+    identify(&mut keeper);
     assert!(keeper.order().is_some());
 }
 
--- a/coordination/tests/versions.rs
+++ b/coordination/tests/versions.rs
@@ -1,19 +1,17 @@
 //! new versions of an adapter, several of them on their way at once
 
 mod dispatch_fixture;
+mod keeper_fixture;
 
 use {
     chalkcart_coordination::{
         dispatch::{DispatchEvent, SendOutcome},
-        placement::{
-            EngineReport, OrderKind, PlacementControl, PlacementEvent, PlacementSettings,
-            PlacementStep,
-        },
+        placement::OrderKind,
     },
-    chalkcart_protocol::peer::{AdapterDemand, EngineRoom, ModelSize},
     chalkcart_state::backends::HeldAdapter,
     dispatch_fixture::*,
-    std::time::{Duration, Instant},
+    keeper_fixture::Keeper,
+    std::time::Duration,
 };
 
 /// half of the time after which no request may begin on an older version
@@ -82,93 +80,37 @@
     assert!(begins(&mut fixture, 3));
 }
 
-/// what a sidecar orders at its engine
-struct Keeper {
-    control: PlacementControl,
-    now: Instant,
+/// an entry that knows this version of the adapter
+fn knows(version: u64) -> [HeldAdapter; 1] {
+    [HeldAdapter {
+        adapter: adapter("a"),
+        version,
+    }]
 }
 
-impl Keeper {
-    fn new() -> Self {
-        let now = Instant::now();
-        let control = PlacementControl::new(PlacementSettings::default(), 1);
-        let mut keeper = Self { control, now };
-        keeper.demand(0);
-        keeper.control.handle(
-            PlacementEvent::Report(EngineReport {
-                models: vec!["m".to_string()],
-                ..EngineReport::default()
-            }),
-            now,
-        );
-        let named = PlacementEvent::Identified(Some("engines-1".to_string()));
-        keeper.control.handle(named, now);
-        keeper
-    }
-    /// an entry says which version it knows
-    fn demand(&mut self, version: u64) {
-        let outdated = HeldAdapter {
-            adapter: adapter("a"),
-            version,
-        };
-        let demand = AdapterDemand {
-            entry: "e".to_string(),
-            entries: 1,
-            backend: "engines-1".into(),
-            list_version: 1,
-            fence_seen: 0,
-            health_path: "/health".to_string(),
-            room: EngineRoom {
-                adapter_slots: 4,
-                weights_mb: 1_000.0,
-                models: vec![ModelSize {
-                    model: "m".to_string(),
-                    weights_mb: 500.0,
-                    adapter_mb: 10.0,
-                    reload_ms: 500,
-                }],
-            },
-            wanted: Vec::new(),
-            used: Vec::new(),
-            outdated: (version > 0).then_some(outdated).into_iter().collect(),
-        };
-        self.control
-            .handle(PlacementEvent::Demand(demand), self.now);
-    }
-    fn report(&mut self, held: u64, is_loading: bool) {
-        let report = EngineReport {
-            models: vec!["m".to_string()],
-            held: vec![HeldAdapter {
-                adapter: adapter("a"),
-                version: held,
-            }],
-            loading: is_loading.then(|| adapter("a")).into_iter().collect(),
-            ..EngineReport::default()
-        };
-        self.control
-            .handle(PlacementEvent::Report(report), self.now);
-    }
-    fn orders_replacement(&mut self) -> bool {
-        let replacement = OrderKind::LoadAdapter(adapter("a"));
-        match self.control.next_step(self.now) {
-            PlacementStep::Order(order) => order.kind == replacement,
-            _ => false,
-        }
-    }
+fn orders_replacement(keeper: &mut Keeper) -> bool {
+    let replacement = OrderKind::LoadAdapter(adapter("a"));
+    keeper
+        .order()
+        .is_some_and(|order| order.kind == replacement)
 }
 
 #[test]
 fn a_version_named_while_the_one_before_is_loaded_is_ordered_next() {
     let mut keeper = Keeper::new();
-    keeper.report(1, false);
-    keeper.demand(2);
-    assert!(keeper.orders_replacement());
+    keeper.demand(&[], &[]);
+    keeper.report(keeper_fixture::holding(0, &["m"], &[("a", 1)]));
+    keeper.identify();
+    keeper.demand(&[], &knows(2));
+    assert!(orders_replacement(&mut keeper));
     // version 2 is on its way; 3 is named meanwhile
-    keeper.report(1, true);
-    keeper.demand(3);
+    let mut loading = keeper_fixture::holding(0, &["m"], &[("a", 1)]);
+    loading.loading = vec![adapter("a")];
+    keeper.report(loading);
+    keeper.demand(&[], &knows(3));
     keeper.now += ms(250);
-    keeper.report(2, false);
-    assert!(keeper.orders_replacement());
-    keeper.report(3, false);
-    assert!(!keeper.orders_replacement());
+    keeper.report(keeper_fixture::holding(0, &["m"], &[("a", 2)]));
+    assert!(orders_replacement(&mut keeper));
+    keeper.report(keeper_fixture::holding(0, &["m"], &[("a", 3)]));
+    assert!(!orders_replacement(&mut keeper));
 }
--- a/testkit/src/users_platform/mod.rs
+++ b/testkit/src/users_platform/mod.rs
@@ -8,6 +8,7 @@
 mod engine_orders;
 mod fleet;
 mod pressing_clients;
+mod prompts;
 mod store_stand_in;
 mod wire;
 
@@ -17,6 +18,7 @@
     engine_orders::{TakenOrder, ADAPTER_SLOTS, MODEL},
     fleet::{Fleet, FleetSettings, HOST},
     pressing_clients::{press, Pressing, Story},
+    prompts::{engine_runs, prompt, serve_prompt},
     store_stand_in::{StoreFault, StoreStandIn},
     wire::{read_head, Head},
 };
--- a/testkit/tests/ingress_engines.rs
+++ b/testkit/tests/ingress_engines.rs
@@ -5,7 +5,8 @@
     chalkcart_protocol::peer::{path, AdapterDemand, EngineRoom},
     chalkcart_testkit::{
         users_platform::{
-            open_stream, request, Answer, BackendFault, ClientRequest, Fleet, FleetSettings,
+            engine_runs, open_stream, prompt, request, serve_prompt, BackendFault, ClientRequest,
+            Fleet, FleetSettings,
         },
         waiting::{until, until_async},
     },
@@ -16,15 +17,6 @@
     tokio::net::TcpStream,
 };
 
-fn prompt(adapter: &str, id: &str) -> ClientRequest {
-    ClientRequest {
-        target: "/stream/".to_string(),
-        id: id.to_string(),
-        adapter: Some(format!("m/{adapter}")),
-        ..ClientRequest::default()
-    }
-}
-
 async fn start(engines: u8) -> Result<Fleet> {
     Fleet::start(FleetSettings {
         engines,
@@ -33,32 +25,17 @@
     .await
 }
 
-/// ask until it is served; refusals say that nothing ran
-async fn serve(fleet: &Fleet, adapter: &str, id: &str) -> Result<Answer> {
-    loop {
-        let answer = request(fleet.clients, &prompt(adapter, id)).await?;
-        if answer.status != 503 {
-            return Ok(answer);
-        }
-    }
-}
-
-fn runs_of(fleet: &Fleet, id: &str) -> usize {
-    let all = fleet.engines.iter().flat_map(|e| e.runs());
-    all.filter(|run| run.request == id).count()
-}
-
 #[tokio::test]
 async fn an_adapter_is_loaded_for_the_request_that_waits_for_it() -> Result<()> {
     let fleet = start(2).await?;
-    let answer = serve(&fleet, "a", "r1").await?;
+    let answer = serve_prompt(&fleet, "a", "r1").await?;
     assert_eq!(answer.status, 200);
     assert!(answer.is_whole);
     let text = String::from_utf8_lossy(&answer.body).to_string();
     for part in 0..3 {
         assert!(text.contains(&format!("id: {part}\n")), "{text}");
     }
-    assert_eq!(runs_of(&fleet, "r1"), 1);
+    assert_eq!(engine_runs(&fleet, "r1"), 1);
     let loads: Vec<_> = fleet.engines.iter().flat_map(|e| e.orders()).collect();
     assert_eq!(loads.len(), 1, "one home: {loads:?}");
     Ok(())
@@ -68,7 +45,7 @@
 async fn places_are_never_exceeded_and_one_holder_orders_each_engine() -> Result<()> {
     let fleet = start(2).await?;
     let adapters: Vec<String> = (0..9).map(|n| format!("a{n}")).collect();
-    let asked = adapters.iter().map(|a| serve(&fleet, a, a));
+    let asked = adapters.iter().map(|a| serve_prompt(&fleet, a, a));
     for answer in join_all(asked).await {
         assert_eq!(answer?.status, 200);
     }
@@ -84,7 +61,7 @@
 #[tokio::test]
 async fn a_sidecar_that_starts_again_orders_with_a_higher_fence() -> Result<()> {
     let mut fleet = start(1).await?;
-    serve(&fleet, "a", "r1").await?;
+    serve_prompt(&fleet, "a", "r1").await?;
     fleet.sidecars[0].kill()?;
     // a clock that went back: the engine has seen a higher fence since
     let ahead = fleet.engines[0].state().orders.highest_fence + 3_600_000;
@@ -104,7 +81,7 @@
 #[tokio::test]
 async fn what_an_engine_holds_is_served_while_its_sidecar_is_away() -> Result<()> {
     let mut fleet = start(1).await?;
-    serve(&fleet, "a", "r1").await?;
+    serve_prompt(&fleet, "a", "r1").await?;
     fleet.store.put(
         "servers/e-0",
         json!({"Service": "engines", "Address": fleet.engines[0].addr, "Zone": "z", "Slots": 8,
@@ -113,7 +90,7 @@
     fleet.sidecars[0].kill()?;
     let orders = fleet.engines[0].orders().len();
     until("the sidecar is missed", || fleet.log().contains("lost")).await;
-    assert_eq!(serve(&fleet, "a", "r2").await?.status, 200);
+    assert_eq!(serve_prompt(&fleet, "a", "r2").await?.status, 200);
     assert_eq!(
         fleet.engines[0].orders().len(),
         orders,
@@ -125,9 +102,9 @@
 #[tokio::test]
 async fn an_engine_that_came_back_empty_is_used_before_the_list_has_it() -> Result<()> {
     let fleet = start(1).await?;
-    serve(&fleet, "a", "r1").await?;
+    serve_prompt(&fleet, "a", "r1").await?;
     fleet.engines[0].restart_as("e-0-later");
-    let answer = serve(&fleet, "b", "r2").await?;
+    let answer = serve_prompt(&fleet, "b", "r2").await?;
     assert_eq!(answer.status, 200);
     let runs = fleet.engines[0].runs();
     let run = runs.iter().find(|run| run.request == "r2").expect("a run");
@@ -138,7 +115,7 @@
 #[tokio::test]
 async fn a_newer_version_replaces_the_adapter_and_requests_name_it() -> Result<()> {
     let fleet = start(1).await?;
-    serve(&fleet, "a", "r1").await?;
+    serve_prompt(&fleet, "a", "r1").await?;
     fleet.engines[0]
         .state()
         .orders
@@ -154,7 +131,7 @@
         state.orders.held.get("a") == Some(&2)
     })
     .await;
-    assert_eq!(serve(&fleet, "a", "r2").await?.status, 200);
+    assert_eq!(serve_prompt(&fleet, "a", "r2").await?.status, 200);
     let runs = fleet.engines[0].runs();
     let versions: Vec<&str> = runs
         .iter()
@@ -167,19 +144,19 @@
 #[tokio::test]
 async fn a_stream_that_breaks_off_never_looks_complete_nor_runs_again() -> Result<()> {
     let fleet = start(1).await?;
-    serve(&fleet, "a", "r1").await?;
+    serve_prompt(&fleet, "a", "r1").await?;
     fleet.engines[0].set_fault(BackendFault::CutInBody, 1);
     let answer = request(fleet.clients, &prompt("a", "r2")).await?;
     assert_eq!(answer.status, 200);
     assert!(!answer.is_whole);
-    assert_eq!(runs_of(&fleet, "r2"), 1);
+    assert_eq!(engine_runs(&fleet, "r2"), 1);
     Ok(())
 }
 
 #[tokio::test]
 async fn a_client_that_leaves_its_stream_frees_the_engine() -> Result<()> {
     let fleet = start(1).await?;
-    serve(&fleet, "a", "r1").await?;
+    serve_prompt(&fleet, "a", "r1").await?;
     fleet.engines[0].state().parts = 1_000;
     let stream = open_stream(fleet.clients, &prompt("a", "r2")).await?;
     drop(stream);
@@ -194,7 +171,7 @@
 #[tokio::test]
 async fn a_planned_stop_cuts_no_stream() -> Result<()> {
     let mut fleet = start(1).await?;
-    serve(&fleet, "a", "r1").await?;
+    serve_prompt(&fleet, "a", "r1").await?;
     fleet.engines[0].state().parts = 200;
     let stream = open_stream(fleet.clients, &prompt("a", "r2")).await?;
     fleet.ingress.terminate()?;
@@ -208,7 +185,7 @@
 #[tokio::test]
 async fn a_killed_sidecar_breaks_no_stream() -> Result<()> {
     let mut fleet = start(1).await?;
-    serve(&fleet, "a", "r1").await?;
+    serve_prompt(&fleet, "a", "r1").await?;
     fleet.engines[0].state().parts = 100;
     let stream = open_stream(fleet.clients, &prompt("a", "r2")).await?;
     fleet.sidecars[0].kill()?;
@@ -221,7 +198,7 @@
     let fleet = start(1).await?;
     // one adapter after the other: each needs a report that the former is there
     let adapters: Vec<String> = (0..6).map(|n| format!("a{n}")).collect();
-    let waits = adapters.iter().map(|a| serve(&fleet, a, a));
+    let waits = adapters.iter().map(|a| serve_prompt(&fleet, a, a));
     let flood = flood(&fleet);
     tokio::select! {
         () = flood => unreachable!("the flood does not end"),
@@ -266,7 +243,7 @@
 #[tokio::test]
 async fn a_client_takes_up_its_stream_where_it_broke_off() -> Result<()> {
     let fleet = start(1).await?;
-    serve(&fleet, "a", "r1").await?;
+    serve_prompt(&fleet, "a", "r1").await?;
     let resumed = ClientRequest {
         headers: vec![("Last-Event-Id".to_string(), "0".to_string())],
         ..prompt("a", "r2")
@@ -284,15 +261,15 @@
 #[tokio::test]
 async fn streams_of_a_full_batch_are_slower_and_all_whole() -> Result<()> {
     let fleet = start(1).await?;
-    serve(&fleet, "a", "r1").await?;
+    serve_prompt(&fleet, "a", "r1").await?;
     fleet.engines[0].state().pause_per_run = Duration::from_millis(2);
     let ids: Vec<String> = (0..8).map(|n| format!("batch-{n}")).collect();
-    for answer in join_all(ids.iter().map(|id| serve(&fleet, "a", id))).await {
+    for answer in join_all(ids.iter().map(|id| serve_prompt(&fleet, "a", id))).await {
         let answer = answer?;
         assert!(answer.status == 200 && answer.is_whole);
     }
     for id in &ids {
-        assert_eq!(runs_of(&fleet, id), 1);
+        assert_eq!(engine_runs(&fleet, id), 1);
     }
     Ok(())
 }
@@ -301,7 +278,7 @@
 #[tokio::test]
 async fn a_planned_stop_ends_with_its_last_request() -> Result<()> {
     let mut fleet = start(1).await?;
-    serve(&fleet, "a", "r1").await?;
+    serve_prompt(&fleet, "a", "r1").await?;
     let unused = TcpStream::connect(fleet.clients).await?;
     let after_answer = ClientRequest {
         target: "/unsafe/".to_string(),
--- a/testkit/tests/reborn_engines.rs
+++ b/testkit/tests/reborn_engines.rs
@@ -5,7 +5,8 @@
     anyhow::Result,
     chalkcart_testkit::{
         users_platform::{
-            open_stream, request, Answer, ClientRequest, Fleet, FleetSettings, FIRST_BORN,
+            engine_runs, open_stream, prompt, request, serve_prompt, ClientRequest, Fleet,
+            FleetSettings, FIRST_BORN,
         },
         waiting::{until, until_async},
     },
@@ -13,15 +14,6 @@
     std::time::Duration,
 };
 
-fn prompt(adapter: &str, id: &str) -> ClientRequest {
-    ClientRequest {
-        target: "/stream/".to_string(),
-        id: id.to_string(),
-        adapter: Some(format!("m/{adapter}")),
-        ..ClientRequest::default()
-    }
-}
-
 fn plain(target: &str) -> ClientRequest {
     ClientRequest {
         target: target.to_string(),
@@ -29,21 +21,6 @@
     }
 }
 
-/// ask until it is served; refusals say that nothing ran
-async fn serve(fleet: &Fleet, adapter: &str, id: &str) -> Result<Answer> {
-    loop {
-        let answer = request(fleet.clients, &prompt(adapter, id)).await?;
-        if answer.status != 503 {
-            return Ok(answer);
-        }
-    }
-}
-
-fn runs_of(fleet: &Fleet, id: &str) -> usize {
-    let all = fleet.engines.iter().flat_map(|e| e.runs());
-    all.filter(|run| run.request == id).count()
-}
-
 /// records that could not be read, by the metrics page
 async fn unreadable(fleet: &Fleet) -> u64 {
     let text = fleet.metrics_text().await;
@@ -66,15 +43,15 @@
 #[tokio::test]
 async fn an_engine_that_starts_again_is_given_all_anew_once() -> Result<()> {
     let fleet = start(1).await?;
-    serve(&fleet, "a", "r1").await?;
+    serve_prompt(&fleet, "a", "r1").await?;
     let engine = &fleet.engines[0];
     for life in 1..=3 {
         // the weight store is asked for a base model once in a while only
         engine.start_again(FIRST_BORN + life);
         engine.state().orders.has_no_model = life == 1;
         let id = format!("of-{life}");
-        assert_eq!(serve(&fleet, "a", &id).await?.status, 200);
-        assert_eq!(runs_of(&fleet, &id), 1);
+        assert_eq!(serve_prompt(&fleet, "a", &id).await?.status, 200);
+        assert_eq!(engine_runs(&fleet, &id), 1);
         let orders = engine.orders();
         let loads = |adapter: &str| orders.iter().filter(|o| o.adapter == adapter).count();
         assert_eq!(loads(""), usize::from(life == 1), "{orders:?}");
@@ -87,13 +64,13 @@
 #[tokio::test]
 async fn what_ran_in_the_former_life_is_not_repeated() -> Result<()> {
     let fleet = start(2).await?;
-    serve(&fleet, "a", "r1").await?;
+    serve_prompt(&fleet, "a", "r1").await?;
     for engine in &fleet.engines {
         let mut state = engine.state();
         (state.parts, state.pause) = (1_000, Duration::from_millis(20));
     }
     let stream = open_stream(fleet.clients, &prompt("a", "r2")).await?;
-    until("it runs", || runs_of(&fleet, "r2") == 1).await;
+    until("it runs", || engine_runs(&fleet, "r2") == 1).await;
     for engine in &fleet.engines {
         engine.start_again(FIRST_BORN + 1);
     }
@@ -105,8 +82,8 @@
     for engine in &fleet.engines {
         engine.state().parts = 3;
     }
-    assert_eq!(serve(&fleet, "a", "r3").await?.status, 200);
-    assert_eq!(runs_of(&fleet, "r2"), 1);
+    assert_eq!(serve_prompt(&fleet, "a", "r3").await?.status, 200);
+    assert_eq!(engine_runs(&fleet, "r2"), 1);
     Ok(())
 }
 
