--- a/entry/src/ingress/records.rs
+++ b/entry/src/ingress/records.rs
@@ -51,7 +51,10 @@
                 known.is_none_or(|known| known.differs_beyond_holdings(&backend))
             }
             Record::BackendGone(name) => self.backends.remove(&name).is_some(),
-            _ => false,
+            other => {
+                log_unexpected(&other);
+                false
+            }
         }
     }
 
@@ -134,7 +137,9 @@
                 subject: RecordSubject::Table,
                 ..
             } => self.shared.admission.lease().on_configuration(false),
-            _ => {}
+            // counted above
+            Record::Unreadable { .. } => {}
+            other => log_unexpected(&other),
         }
     }
 
@@ -194,3 +199,8 @@
         }
     }
 }
+
+/// a record that does not belong to its topic, as a relay of another form might tell
+fn log_unexpected(record: &Record) {
+    log::error!("store: not of this topic: {record:?}");
+}
