Lines of sends and of ends name what a request is, whoever tries it under which id

Cause: from the record it can't be read whether two tries are the same request: their ids differ, and nothing else of them is in the log.

--- a/entry/src/ingress/exchange.rs
+++ b/entry/src/ingress/exchange.rs
@@ -158,6 +158,7 @@
             .on_sent(route, waited, self.ask.sends > 1);
         log::info!(
             request = self.accepted.head.id.as_str(),
+            digest = self.accepted.digest.to_string().as_str(),
             route = self.accepted.route.name.as_str(),
             account = self.account_name(),
             units = self.accepted.charge.as_ref().map_or(0, Charge::units),
@@ -210,7 +211,9 @@
         self.shared.metrics.on_send_ended(outcome);
         log::warn!(
             request = self.accepted.head.id.as_str(),
+            digest = self.accepted.digest.to_string().as_str(),
             backend = at.backend.as_str(),
+            born = at.backend.born,
             send = self.ask.sends,
             outcome = outcome,
             status = status.map_or(0, |s| s.as_u16()),
@@ -388,6 +391,7 @@
             shared: self.shared.clone(),
             guard,
             request: self.accepted.head.id.clone(),
+            digest: self.accepted.digest,
             route: self.accepted.route.clone(),
             backend: backend.clone(),
             arrived: self.accepted.arrived,
--- a/entry/src/ingress/observers.rs
+++ b/entry/src/ingress/observers.rs
@@ -1,7 +1,11 @@
 use {
     super::{control::ControlHandle, shared::Shared},
     chalkcart_coordination::dispatch::{DispatchEvent, SendOutcome, Ticket},
-    chalkcart_state::{backends::BackendId, ids::RequestId, ingress::Route},
+    chalkcart_state::{
+        backends::BackendId,
+        ids::RequestId,
+        ingress::{RequestDigest, Route},
+    },
     chalkcart_transport::ingress::{PassEnd, PassObserver},
     log::Level,
     std::{
@@ -53,6 +57,7 @@
     pub shared: Arc<Shared>,
     pub guard: SendGuard,
     pub request: RequestId,
+    pub digest: RequestDigest,
     pub route: Arc<Route>,
     pub backend: BackendId,
     pub arrived: Instant,
@@ -87,8 +92,10 @@
         log::log!(
             level,
             request = self.request.as_str(),
+            digest = self.digest.to_string().as_str(),
             route = self.route.name.as_str(),
             backend = self.backend.as_str(),
+            born = self.backend.born,
             outcome = word,
             objective_ms = self.route.target_latency.as_millis() as u64,
             first_part_ms = self.first_part.map_or(-1, |t| t.as_millis() as i64),
--- a/entry/src/ingress/service.rs
+++ b/entry/src/ingress/service.rs
@@ -10,7 +10,7 @@
     chalkcart_coordination::limits::OverLimit,
     chalkcart_state::{
         accounts::ApiKeyError,
-        ingress::{IngressLimits, Route, RouteTable},
+        ingress::{IngressLimits, RequestDigest, Route, RouteTable},
     },
     chalkcart_transport::ingress::{
         remove_connection_headers, ClientRequest, ClientResponse, HeadError, IngressService, Phase,
@@ -51,6 +51,8 @@
     pub parts: Parts,
     pub body: Bytes,
     pub head: RequestHead,
+    /// the same for each try of this request
+    pub digest: RequestDigest,
     pub route: Arc<Route>,
     /// none on a route that needs no key
     pub caller: Option<Caller>,
@@ -215,10 +217,13 @@
         if !withheld.is_empty() {
             self.note_withheld(&head.id, &withheld);
         }
+        let account = caller.as_ref().map_or("", |caller| &caller.account.name);
+        let digest = request_digest(&parts, account, &body);
         Ok(Accepted {
             parts,
             body,
             head,
+            digest,
             route,
             caller,
             charge,
@@ -256,6 +261,11 @@
     table.find(host, parts.uri.path())
 }
 
+fn request_digest(parts: &Parts, account: &str, body: &[u8]) -> RequestDigest {
+    let target = parts.uri.path_and_query().map_or("", |t| t.as_str());
+    RequestDigest::of(parts.method.as_str(), target, account, body)
+}
+
 async fn read_body(
     body: Incoming,
     limits: &IngressLimits,
