--- a/testkit/src/users_platform/backend_answers.rs
+++ b/testkit/src/users_platform/backend_answers.rs
@@ -20,6 +20,8 @@
 const GARBLED: &[u8] = b"\x16\x03\x01 no answer in the protocol\r\n\r\n";
 /// when a late second answer comes
 const LATE: Duration = Duration::from_millis(150);
+/// how long a request runs under which the back end ends
+const BEFORE_CRASH: Duration = Duration::from_millis(20);
 const FOREVER: Duration = Duration::from_secs(30);
 
 /// run one request, or refuse it, as the fault of the moment says
@@ -39,10 +41,18 @@
         ];
         return write_answer(socket, status, &headers, b"").await;
     }
+    let crashes = lock(state).is_crashed_by(&body);
     let number = begin_run(state, head, body);
     let _place = Place(state.clone());
     let kind = lock(state).kind;
     let headers = answer_headers(request, fault);
+    if crashes {
+        let head = head_text(&headers, "Transfer-Encoding: chunked");
+        socket.write_all(&head).await?;
+        sleep(BEFORE_CRASH).await;
+        lock(state).crash();
+        bail!("crashed")
+    }
     match (fault, kind) {
         (BackendFault::CutBeforeAnswer, _) => bail!("cut"),
         (BackendFault::Garbled, _) => {
--- a/testkit/src/users_platform/backend_stand_in.rs
+++ b/testkit/src/users_platform/backend_stand_in.rs
@@ -14,8 +14,9 @@
     },
     tokio::{
         net::{TcpListener, TcpStream},
-        sync::watch,
+        sync::{watch, Notify},
         task::JoinHandle,
+        time::sleep,
     },
 };
 
@@ -99,6 +100,28 @@
     pub pause: Duration,
     /// added to that time for each request that runs in the batch
     pub pause_per_run: Duration,
+    /// a run of a request with this body ends the back end
+    pub crashed_by: Option<Vec<u8>>,
+    /// time after its end until it is back, as another incarnation
+    pub down_for: Duration,
+    /// times that it has ended under a run
+    pub crashes: u32,
+    has_crashed: Arc<Notify>,
+}
+
+impl BackendState {
+    pub fn is_crashed_by(&self, body: &[u8]) -> bool {
+        self.crashed_by.as_deref() == Some(body)
+    }
+    /// it ends with all that it runs and holds, and comes back under another name
+    pub fn crash(&mut self) {
+        self.crashes += 1;
+        self.born += 1;
+        let name = self.id.split('.').next().unwrap_or_default();
+        self.id = format!("{name}.{}", self.crashes);
+        self.orders = EngineOrders::default();
+        self.has_crashed.notify_one();
+    }
 }
 
 /// an engine or a copy of a plain service
@@ -118,7 +141,8 @@
 
 impl BackendStandIn {
     pub async fn start(id: &str, kind: BackendKind, addr: SocketAddr) -> Result<Self> {
-        let listener = TcpListener::bind(addr).await?;
+        let mut listener = TcpListener::bind(addr).await?;
+        let has_crashed = Arc::new(Notify::new());
         let state = Arc::new(Mutex::new(BackendState {
             id: id.to_string(),
             born: FIRST_BORN,
@@ -135,20 +159,31 @@
             parts: 3,
             pause: Duration::from_millis(5),
             pause_per_run: Duration::ZERO,
+            crashed_by: None,
+            down_for: Duration::from_millis(300),
+            crashes: 0,
+            has_crashed: has_crashed.clone(),
         }));
         let lives = watch::Sender::new(FIRST_BORN);
-        let (shared, living) = (state.clone(), lives.subscribe());
+        let (shared, ended) = (state.clone(), lives.clone());
         let server = tokio::spawn(async move {
-            while let Ok((socket, _)) = listener.accept().await {
-                let mut life = living.clone();
-                life.mark_unchanged();
-                let served = serve(socket, shared.clone());
-                tokio::spawn(async move {
-                    tokio::select! {
-                        () = served => {}
-                        _ = life.changed() => {}
+            loop {
+                tokio::select! {
+                    accepted = listener.accept() => match accepted {
+                        Ok((socket, _)) => spawn_connection(socket, &shared, ended.subscribe()),
+                        Err(_) => return,
+                    },
+                    () = has_crashed.notified() => {
+                        drop(listener);
+                        ended.send_modify(|life| *life += 1);
+                        let down_for = lock(&shared).down_for;
+                        sleep(down_for).await;
+                        listener = match TcpListener::bind(addr).await {
+                            Ok(listener) => listener,
+                            Err(_) => return,
+                        };
                     }
-                });
+                }
             }
         });
         Ok(Self {
@@ -197,6 +232,21 @@
     }
 }
 
+/// serve a connection until it ends, or the life of the back end
+fn spawn_connection(
+    socket: TcpStream,
+    state: &Arc<Mutex<BackendState>>,
+    mut life: watch::Receiver<u64>,
+) {
+    let served = serve(socket, state.clone());
+    tokio::spawn(async move {
+        tokio::select! {
+            () = served => {}
+            _ = life.changed() => {}
+        }
+    });
+}
+
 async fn serve(mut socket: TcpStream, state: Arc<Mutex<BackendState>>) {
     while let Ok(Some(head)) = read_head(&mut socket).await {
         let Ok(body) = read_body(&mut socket, &head).await else {
--- a/testkit/src/users_platform/fleet.rs
+++ b/testkit/src/users_platform/fleet.rs
@@ -81,6 +81,13 @@
     version: u64,
 }
 
+/// one more ingress of a fleet
+pub struct OtherIngress {
+    pub process: Process,
+    pub clients: SocketAddr,
+    pub log_file: PathBuf,
+}
+
 impl Fleet {
     /// start everything and wait until the ingress is ready
     pub async fn start(settings: FleetSettings) -> Result<Self> {
@@ -161,6 +168,27 @@
         Ok(())
     }
 
+    /// start one more ingress among the same stand-ins
+    pub async fn start_other_ingress(&self, name: &str) -> Result<OtherIngress> {
+        let mut document: Value = serde_json::from_slice(&fs::read(&self.settings_file)?)?;
+        let (clients, readiness) = (next_addr(), next_addr());
+        document["name"] = json!(name);
+        document["clients"] = json!(clients);
+        document["readiness"] = json!(readiness);
+        document["metrics"] = json!(next_addr());
+        let file = self.settings_file.with_file_name(format!("{name}.json"));
+        fs::write(&file, document.to_string())?;
+        let log_file = file.with_extension("log");
+        let args = ["ingress", &file.display().to_string()];
+        let process = Process::spawn(&Binaries::get()?.entry, &args, &log_file)?;
+        until_async("the other ingress is ready", || is_ready(readiness)).await;
+        Ok(OtherIngress {
+            process,
+            clients,
+            log_file,
+        })
+    }
+
     /// start the ingress again, as the platform does after its end
     pub fn restart_ingress(&mut self) -> Result<()> {
         let mut document: Value = serde_json::from_slice(&fs::read(&self.settings_file)?)?;
@@ -256,18 +284,7 @@
         self.version
     }
     pub async fn is_ready(&self) -> bool {
-        let path = "/chalkcart/ready";
-        let asked = HttpClient::new()
-            .exchange(
-                self.readiness,
-                Method::GET,
-                path,
-                "text/plain",
-                Default::default(),
-                READY_LIMIT,
-            )
-            .await;
-        asked.is_ok_and(|(status, _)| status == StatusCode::OK)
+        is_ready(self.readiness).await
     }
     /// the page of metrics, empty if it is not served now
     pub async fn metrics_text(&self) -> String {
@@ -292,6 +309,22 @@
     }
 }
 
+/// whether the process with this readiness page takes clients
+async fn is_ready(readiness: SocketAddr) -> bool {
+    let path = "/chalkcart/ready";
+    let asked = HttpClient::new()
+        .exchange(
+            readiness,
+            Method::GET,
+            path,
+            "text/plain",
+            Default::default(),
+            READY_LIMIT,
+        )
+        .await;
+    asked.is_ok_and(|(status, _)| status == StatusCode::OK)
+}
+
 fn with_host(addr: SocketAddr, last: u8) -> SocketAddr {
     let IpAddr::V4(ip) = addr.ip() else {
         return addr;
