A request under which three engines ended is sent to none any more, at any entry

Cause: nothing outlived the id of a try, so each return of the request found a sound engine. Class: a limit on repeats that counts tries of one id, where the cause lies in the content. Ruled out: our own repeats (each send was the first of its try), failing health of engines (each engine was sound until it ran the request). Change: coordination/crashes. CrashEvidence: a connection that breaks counts only once the engine's life is known to be over, by its sidecar (refused on its own machine, or another life), by another incarnation at its address, or by the list where no sidecar speaks; planned stops, resets, answers that were spoilt and clients that left count for nothing. CrashBook: a life counts once, a run to its end excuses what was before, three ends in a row condemn; bounded, forgotten after 600 s without a try. Entries tell two sidecars by rank and hear all others by them; merged books agree in any order. A condemned request gets 400 and no time to come back, also after it has waited; a suspect is not repeated by us. Sidecars say at once that nobody listens at their engine's address. KeeperChoice moved to membership, as limits and crashes share it. Metrics engines_ended, crashing_refused, crashing_remembered; lines 'crashes: ...'.

--- a/coordination/src/dispatch/ask.rs
+++ b/coordination/src/dispatch/ask.rs
@@ -3,6 +3,7 @@
         accounts::AccountMark,
         backends::{AdapterRef, BackendId},
         ids::{BaseModelName, ServiceName},
+        ingress::RequestDigest,
     },
     std::time::{Duration, Instant},
 };
@@ -13,6 +14,7 @@
 /// a request that needs a back end
 #[derive(Debug, Clone)]
 pub struct Ask {
+    pub digest: RequestDigest,
     pub service: ServiceName,
     /// the base model, also of requests without an adapter
     pub model: Option<BaseModelName>,
--- a/coordination/src/dispatch/backend_state.rs
+++ b/coordination/src/dispatch/backend_state.rs
@@ -5,7 +5,10 @@
         placement::{adapter_mark, AdapterMark, LatelyHeld},
     },
     chalkcart_protocol::peer::{EngineFigures, EngineView},
-    chalkcart_state::backends::{AdapterRef, Backend},
+    chalkcart_state::{
+        backends::{AdapterRef, Backend},
+        ingress::RequestDigest,
+    },
     std::{
         collections::{HashMap, HashSet},
         time::{Duration, Instant},
@@ -22,6 +25,7 @@
 /// a request on its way at a back end
 #[derive(Debug, Clone)]
 pub struct Sent {
+    pub digest: RequestDigest,
     pub adapter: Option<AdapterRef>,
     pub prompt_tokens: u32,
     pub at: Instant,
@@ -291,7 +295,7 @@
 }
 
 /// when the sidecar said this; relays count how long ago that was
-pub(super) fn said_at(figures: &EngineFigures, now: Instant) -> Instant {
+pub(crate) fn said_at(figures: &EngineFigures, now: Instant) -> Instant {
     let age = Duration::from_millis(u64::from(figures.age_ms));
     now.checked_sub(age).unwrap_or(now)
 }
--- a/coordination/src/dispatch/dispatcher.rs
+++ b/coordination/src/dispatch/dispatcher.rs
@@ -5,10 +5,11 @@
         Decision, DispatchEvent, DispatchSettings, FleetSize, ReadingRate, RefusalCause,
         SendOutcome, Sent, SharedBudget, Ticket, Wished,
     },
+    crate::crashes::{Crash, CrashEvidence},
     chalkcart_state::{
         backends::{AdapterRef, Backend, BackendId},
         ids::ServiceName,
-        ingress::{RouteTable, Service},
+        ingress::{RequestDigest, RouteTable, Service},
     },
     std::{
         collections::{BTreeMap, HashMap, HashSet},
@@ -59,6 +60,10 @@
     /// engines whose sidecars must hear of a new wish
     pub(super) urgent: HashSet<BackendId>,
     pub(super) decided: Vec<(Ticket, Decision)>,
+    /// which runs the ends of engines belong to
+    pub(super) crashes: CrashEvidence,
+    /// requests that were served since the last call of `take_served`
+    served: Vec<RequestDigest>,
     /// when this process began, if the fleet served before
     began_anew: Option<Instant>,
     pub(super) fleet_size: FleetSize,
@@ -88,6 +93,8 @@
             promises: HashMap::new(),
             urgent: HashSet::new(),
             decided: Vec::new(),
+            crashes: CrashEvidence::default(),
+            served: Vec::new(),
             last_heard: None,
         }
     }
@@ -134,6 +141,14 @@
     pub fn take_wished(&mut self) -> Vec<Wished> {
         std::mem::take(&mut self.wished)
     }
+    /// engines that ended under runs since the last call
+    pub fn take_crashes(&mut self) -> Vec<Crash> {
+        self.crashes.take_crashes()
+    }
+    /// requests that were run to their end since the last call
+    pub fn take_served(&mut self) -> Vec<RequestDigest> {
+        std::mem::take(&mut self.served)
+    }
     pub fn has_urgent_demands(&self) -> bool {
         !self.urgent.is_empty()
     }
@@ -223,6 +238,7 @@
             SendOutcome::Answered => {
                 state.health.on_success(now);
                 self.last_heard = Some(now);
+                self.served.push(sent.digest);
             }
             SendOutcome::Shed => state.on_full(now),
             SendOutcome::Misdirected => match &sent.adapter {
@@ -230,9 +246,19 @@
                 // it lacks the base model
                 None => state.on_full(now),
             },
-            SendOutcome::Superseded => state.is_superseded = true,
+            SendOutcome::Superseded => {
+                state.is_superseded = true;
+                self.crashes.on_ended(&backend, now);
+            }
             SendOutcome::Unreachable => state.health.on_unreachable(now),
             SendOutcome::Failed => state.health.on_failure(now),
+            SendOutcome::Broken => {
+                state.health.on_failure(now);
+                // what breaks off while an engine leaves is its planned end
+                if !state.listed.leaving {
+                    self.crashes.on_broken(&backend, sent.digest, now);
+                }
+            }
             SendOutcome::Abandoned => {}
         }
         let is_idle_and_gone = state.is_gone && state.in_flight == 0;
@@ -270,6 +296,7 @@
             rate.on_sent(ask.prompt_tokens);
         }
         let sent = Sent {
+            digest: ask.digest,
             adapter: ask.adapter,
             prompt_tokens: ask.prompt_tokens,
             at: now,
--- a/coordination/src/dispatch/event.rs
+++ b/coordination/src/dispatch/event.rs
@@ -21,8 +21,10 @@
     Superseded,
     /// never reached it
     Unreachable,
-    /// it failed, or its answer was lost or spoilt
+    /// it failed, or its answer was spoilt
     Failed,
+    /// the connection ended before the answer did
+    Broken,
     /// the client left, or its time ran out
     Abandoned,
 }
@@ -37,6 +39,7 @@
             Self::Superseded => "superseded",
             Self::Unreachable => "unreachable",
             Self::Failed => "failed",
+            Self::Broken => "broken",
             Self::Abandoned => "abandoned",
         }
     }
--- a/coordination/src/dispatch/listing.rs
+++ b/coordination/src/dispatch/listing.rs
@@ -40,7 +40,12 @@
             let is_listed = by_name.is_some_and(|listed| *listed == id);
             let is_followed = by_name.is_some_and(|b| b.follows(id) && !ended.contains(*b));
             state.is_ahead &= !is_listed && !is_followed;
+            let was_gone = state.is_gone;
             state.is_gone = !(is_listed || state.is_ahead && state.view.is_some());
+            // where a sidecar speaks, it sees the end itself
+            if state.is_gone && !was_gone && state.view.is_none() {
+                self.crashes.on_ended(id, now);
+            }
         }
         for backend in list {
             match self.backends.get_mut(&backend.id) {
@@ -91,6 +96,7 @@
             return nothing;
         };
         let is_first = state.view.is_none();
+        self.crashes.on_word(&view.backend, &view.figures, now);
         let news = state.on_view(view, now);
         if is_first {
             self.review_replaced();
@@ -115,6 +121,7 @@
             self.add_ahead_of_list(addr, &view.backend, now);
         }
         if let Some(former) = former.and_then(|id| self.backends.get_mut(&id)) {
+            self.crashes.on_ended(&former.listed.id, now);
             former.end_life();
         }
         let id = view.backend.clone();
@@ -160,6 +167,7 @@
         self.last_heard = Some(now);
         self.on_counted(figures.entries, now);
         if let Some(state) = self.backends.get_mut(backend) {
+            self.crashes.on_word(backend, &figures, now);
             state.on_figures(figures, now);
             let addr = state.listed.addr;
             self.on_fence(addr, figures.fence);
@@ -182,6 +190,7 @@
         let Some(former) = states.find(|b| b.listed.addr == addr) else {
             return;
         };
+        self.crashes.on_ended(&former.listed.id, now);
         former.end_life();
         let listed = Backend {
             id: id.clone(),
--- a/coordination/src/dispatch/mod.rs
+++ b/coordination/src/dispatch/mod.rs
@@ -24,6 +24,8 @@
 mod wished;
 mod wishes;
 
+pub(crate) use backend_state::said_at;
+
 pub use {
     account_turns::AccountTurns,
     adapter_versions::AdapterVersions,
--- a/coordination/src/lib.rs
+++ b/coordination/src/lib.rs
@@ -4,6 +4,7 @@
 //! actions come out. So each decision is tested without a socket.
 
 pub mod config;
+pub mod crashes;
 pub mod dispatch;
 pub mod drain;
 pub mod fence;
--- a/coordination/src/limits/mod.rs
+++ b/coordination/src/limits/mod.rs
@@ -1,7 +1,6 @@
 //! limits of client accounts that all entries share: what an entry may let run by
 //! what it knows of the others
 
-mod keeper_choice;
 mod limit_book;
 mod settings;
 mod shared_bucket;
@@ -10,7 +9,6 @@
 mod window_sum;
 
 pub use {
-    keeper_choice::KeeperChoice,
     limit_book::{LimitBasis, LimitBook, LimitChange, OverLimit},
     settings::{LimitBounds, LimitSettings},
     token_bucket::TokenBucket,
--- a/coordination/src/limits/keeper_choice.rs
+++ b/coordination/src/membership/keeper_choice.rs
@@ -1,5 +1,5 @@
 use {
-    crate::membership::{rendezvous_weight, stable_hash},
+    super::{rendezvous_weight, stable_hash},
     std::{
         cmp::Reverse,
         collections::HashMap,
@@ -8,23 +8,47 @@
     },
 };
 
-/// under this name entries rank the sidecars
-const RANKED_FOR: &str = "limits";
 /// calls in a row that a keeper may fail before another is used
 const MOST_FAILED: u32 = 2;
 /// a keeper that failed is left alone for this long
 const REST: Duration = Duration::from_secs(3);
 
-/// Chooses the sidecar that sums up what entries let run. All entries rank the
-/// listed engines alike; while their lists differ there are two keepers, each of
-/// which gives out the part of the entries that report to it.
-#[derive(Debug, Default)]
+/// what sidecars keep for the entries of the whole fleet
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum KeptMatter {
+    /// what client accounts have used of their limits
+    Limits,
+    /// requests that engines ended under
+    Crashes,
+}
+
+impl KeptMatter {
+    /// under this name entries rank the sidecars
+    fn name(self) -> &'static str {
+        match self {
+            Self::Limits => "limits",
+            Self::Crashes => "crashes",
+        }
+    }
+}
+
+/// Chooses the sidecars that keep a matter of the whole fleet. All entries rank the listed
+/// engines alike; while their lists differ there are more keepers than one.
+#[derive(Debug)]
 pub struct KeeperChoice {
+    matter: KeptMatter,
     /// calls that failed in a row, and when the last did
     failed: HashMap<SocketAddr, (u32, Instant)>,
 }
 
 impl KeeperChoice {
+    pub fn new(matter: KeptMatter) -> Self {
+        Self {
+            matter,
+            failed: HashMap::new(),
+        }
+    }
+
     pub fn on_failed(&mut self, keeper: SocketAddr, now: Instant) {
         let (failed, at) = self.failed.entry(keeper).or_insert((0, now));
         *failed += 1;
@@ -36,9 +60,19 @@
 
     /// the engine whose sidecar is to be used, none if there is none
     pub fn choose(&mut self, engines: &[SocketAddr], now: Instant) -> Option<SocketAddr> {
+        self.choose_at(0, engines, now)
+    }
+
+    /// the same for the next ranks, where a matter has several keepers
+    pub fn choose_at(
+        &mut self,
+        rank: usize,
+        engines: &[SocketAddr],
+        now: Instant,
+    ) -> Option<SocketAddr> {
         self.failed
             .retain(|_, (_, at)| now.saturating_duration_since(*at) < REST);
-        let purpose = stable_hash(RANKED_FOR);
+        let purpose = stable_hash(self.matter.name());
         let weight = |engine: &SocketAddr| {
             let weight = rendezvous_weight(purpose, stable_hash(&engine.to_string()));
             Reverse((weight, *engine))
@@ -48,6 +82,8 @@
             failed.is_some_and(|(failed, _)| *failed >= MOST_FAILED)
         };
         let sound = engines.iter().filter(|engine| !rests(engine));
-        sound.min_by_key(|engine| weight(engine)).copied()
+        let mut ranked: Vec<SocketAddr> = sound.copied().collect();
+        ranked.sort_by_cached_key(weight);
+        ranked.get(rank).copied()
     }
 }
--- a/coordination/src/placement/placement_control.rs
+++ b/coordination/src/placement/placement_control.rs
@@ -23,7 +23,10 @@
     /// the engine was read
     Report(EngineReport),
     /// the engine could not be read
-    ReportFailed,
+    ReportFailed {
+        /// nobody listens at its address
+        is_down: bool,
+    },
     /// the engine said which incarnation it is, or nothing
     Identified(Option<BackendName>),
     Answered {
@@ -71,6 +74,8 @@
     report: EngineReport,
     /// the engine was read since its last change of incarnation or doubt
     is_read: bool,
+    /// a life of the engine after which nobody listened at its address
+    ended: Option<BackendId>,
     /// orders that failed, and until when they rest
     resting: HashMap<OrderKind, Instant>,
     model_ordered: Option<Instant>,
@@ -91,6 +96,7 @@
             places: HashMap::new(),
             report: EngineReport::default(),
             is_read: false,
+            ended: None,
             resting: HashMap::new(),
             model_ordered: None,
             speed: LoadSpeed::default(),
@@ -103,7 +109,7 @@
         match event {
             PlacementEvent::Demand(demand) => self.on_demand(demand, now),
             PlacementEvent::Report(report) => self.on_report(report, now),
-            PlacementEvent::ReportFailed => self.on_report_failed(),
+            PlacementEvent::ReportFailed { is_down } => self.on_report_failed(is_down),
             PlacementEvent::Identified(backend) => self.on_identified(backend, now),
             PlacementEvent::Answered { order, answer } => self.on_answer(order, answer, now),
         }
@@ -147,6 +153,7 @@
             kv_used: self.report.kv_used,
             kv_total: self.report.kv_total,
             entries: self.demands.entries(),
+            is_down: self.ended.as_ref() == Some(&self.backend),
             ..EngineFigures::default()
         };
         let mut view = EngineView {
@@ -205,6 +212,9 @@
         self.asked_identity = Some(now);
         if let Some(name) = name {
             self.is_identified = true;
+            if name == self.backend.name {
+                self.ended = None;
+            }
             let was_read = self.is_read;
             self.follow_name(name);
             // the report came from the same engine a moment before
@@ -213,7 +223,10 @@
     }
 
     /// it may come back as another incarnation
-    fn on_report_failed(&mut self) {
+    fn on_report_failed(&mut self, is_down: bool) {
+        if is_down && !self.backend.is_empty() {
+            self.ended = Some(self.backend.clone());
+        }
         self.is_read = false;
         self.is_identified = false;
     }
--- a/coordination/src/relay/relay_book.rs
+++ b/coordination/src/relay/relay_book.rs
@@ -123,10 +123,11 @@
             return false;
         };
         let had_spare = view.figures.spare_slots > 0;
+        let was_down = view.figures.is_down;
         view.figures = figures;
         known.heard = now;
         self.with_news.insert(engine);
-        had_spare != (figures.spare_slots > 0)
+        had_spare != (figures.spare_slots > 0) || was_down != figures.is_down
     }
 
     /// the sidecar of an engine is silent
--- a/coordination/tests/dispatch_fixture/mod.rs
+++ b/coordination/tests/dispatch_fixture/mod.rs
@@ -14,7 +14,7 @@
     chalkcart_protocol::peer::{EngineFigures, EngineView},
     chalkcart_state::{
         backends::{AdapterRef, Backend, HeldAdapter},
-        ingress::{BaseModel, EngineSpec, IngressLimits, RouteTable, Service},
+        ingress::{BaseModel, EngineSpec, IngressLimits, RequestDigest, RouteTable, Service},
     },
     std::{
         net::SocketAddr,
@@ -34,6 +34,11 @@
     SocketAddr::from(([10, 0, 0, number], 80))
 }
 
+/// of a request with this body
+pub fn digest(body: &str) -> RequestDigest {
+    RequestDigest::of("POST", "/", "", body.as_bytes())
+}
+
 pub fn adapter(name: &str) -> AdapterRef {
     AdapterRef {
         model: "m".to_string(),
@@ -167,6 +172,7 @@
     }
     pub fn new_ask(&self, service: &str, wanted: Option<&str>) -> Ask {
         Ask {
+            digest: digest("any"),
             service: service.to_string(),
             model: wanted.map(|_| "m".to_string()),
             adapter: wanted.map(adapter),
--- a/coordination/tests/limit_fleet.rs
+++ b/coordination/tests/limit_fleet.rs
@@ -5,8 +5,8 @@
 use {
     chalkcart_coordination::{
         config::ConfigLease,
-        limits::{KeeperChoice, LimitBook, LimitSettings, UsageKeeper},
-        membership::rendezvous_weight,
+        limits::{LimitBook, LimitSettings, UsageKeeper},
+        membership::{rendezvous_weight, KeeperChoice, KeptMatter},
     },
     chalkcart_protocol::peer::{UsageAnswer, UsageReport},
     chalkcart_state::accounts::{AccountMark, ClientAccount, LimitUnit, RateLimit},
@@ -123,7 +123,7 @@
             book,
             started,
             held: Vec::new(),
-            choice: KeeperChoice::default(),
+            choice: KeeperChoice::new(KeptMatter::Limits),
             lease: ConfigLease::new(Some(REVOKED_WITHIN)),
             report_at: 0,
             asked: None,
--- a/coordination/tests/limits.rs
+++ b/coordination/tests/limits.rs
@@ -1,8 +1,9 @@
 //! limits of client accounts: what one entry and a keeper decide
 
 use {
-    chalkcart_coordination::limits::{
-        KeeperChoice, LimitBook, LimitSettings, OverLimit, TokenBucket, UsageKeeper, WindowSum,
+    chalkcart_coordination::{
+        limits::{LimitBook, LimitSettings, OverLimit, TokenBucket, UsageKeeper, WindowSum},
+        membership::{KeeperChoice, KeptMatter},
     },
     chalkcart_state::accounts::{ClientAccount, LimitUnit, RateLimit},
     std::{
@@ -220,7 +221,8 @@
     let engine = |n: u8| SocketAddr::from(([10, 0, 0, n], 80));
     let engines: Vec<SocketAddr> = (1..40).map(engine).collect();
     let reversed: Vec<SocketAddr> = engines.iter().rev().copied().collect();
-    let (mut one, mut other) = (KeeperChoice::default(), KeeperChoice::default());
+    let mut one = KeeperChoice::new(KeptMatter::Limits);
+    let mut other = KeeperChoice::new(KeptMatter::Limits);
     let first = one.choose(&engines, now).expect("a keeper");
     assert_eq!(other.choose(&reversed, now), Some(first));
     one.on_failed(first, now);
--- a/entry/src/ingress/control.rs
+++ b/entry/src/ingress/control.rs
@@ -1,5 +1,5 @@
 use {
-    super::{figures_board::FiguresBoard, fleet_links::FleetLinks},
+    super::{crashes::Crashes, figures_board::FiguresBoard, fleet_links::FleetLinks},
     anyhow::{Context, Result},
     arc_swap::ArcSwap,
     chalkcart_coordination::{
@@ -115,6 +115,7 @@
     dispatcher: Dispatcher,
     links: FleetLinks,
     figures: Arc<FiguresBoard>,
+    crashes: Arc<Crashes>,
     askers: HashMap<Ticket, oneshot::Sender<Decision>>,
     last_urgent: Instant,
     last_changed: Instant,
@@ -128,6 +129,7 @@
 /// start the control thread; it ends when the last handle is gone
 pub fn start(
     dispatcher: Dispatcher,
+    crashes: Arc<Crashes>,
     make_links: impl FnOnce(ControlHandle) -> FleetLinks,
 ) -> Result<ControlHandle> {
     let (commands, received) = mpsc::channel();
@@ -149,6 +151,7 @@
         dispatcher,
         links: make_links(handle.clone()),
         figures,
+        crashes,
         askers: HashMap::new(),
         last_urgent: now,
         last_changed: now,
@@ -227,6 +230,8 @@
             }
         }
         self.dispatcher.take_wished().iter().for_each(log_wished);
+        self.crashes.on_served(self.dispatcher.take_served());
+        self.crashes.on_crashes(self.dispatcher.take_crashes());
         if may_change_engines {
             let dispatcher = &self.dispatcher;
             let engines = dispatcher.listed().filter(|b| {
--- /dev/null
+++ b/entry/src/ingress/crashes.rs
@@ -0,0 +1,111 @@
+use {
+    chalkcart_coordination::{
+        crashes::{Crash, CrashBook, Standing},
+        membership::stable_hash,
+    },
+    chalkcart_protocol::peer::CrashWord,
+    chalkcart_state::ingress::RequestDigest,
+    chalkcart_transport::metrics::CrashMetrics,
+    std::{
+        sync::{Mutex, MutexGuard},
+        time::Instant,
+    },
+    tokio::sync::watch,
+};
+
+/// digests that a line of the log holds at most
+const MOST_LOGGED: usize = 8;
+
+/// what this entry knows of requests under which engines ended
+pub struct Crashes {
+    book: Mutex<CrashBook>,
+    /// the book's revision
+    changed: watch::Sender<u64>,
+    pub metrics: CrashMetrics,
+}
+
+impl Default for Crashes {
+    fn default() -> Self {
+        Self {
+            book: Mutex::default(),
+            changed: watch::Sender::new(0),
+            metrics: CrashMetrics::default(),
+        }
+    }
+}
+
+impl Crashes {
+    pub fn judge(&self, digest: &RequestDigest) -> Standing {
+        self.book().judge(digest, Instant::now())
+    }
+
+    /// requests were run to their end
+    pub fn on_served(&self, digests: Vec<RequestDigest>) {
+        let now = Instant::now();
+        let mut book = self.book();
+        let news = digests.into_iter().filter(|d| book.on_served(*d, now));
+        if news.count() > 0 {
+            self.tell(&book);
+        }
+    }
+
+    /// engines have ended under runs
+    pub fn on_crashes(&self, crashes: Vec<Crash>) {
+        let now = Instant::now();
+        for crash in crashes {
+            let mut book = self.book();
+            let life = stable_hash(&crash.life.to_string());
+            for run in &crash.runs {
+                book.on_ended(run.digest, life, run.at, now);
+            }
+            self.tell(&book);
+            drop(book);
+            self.metrics.ended.inc();
+            log_crash(&crash, now);
+        }
+    }
+
+    /// Take in what a keeper has heard of others. Gives the revision up to which that keeper
+    /// knows this book, if it knew it up to `told`.
+    pub fn merge(&self, words: &[CrashWord], told: u64) -> u64 {
+        let mut book = self.book();
+        let before = book.revision();
+        if book.merge(words, Instant::now()) {
+            self.tell(&book);
+        }
+        match told == before {
+            true => book.revision(),
+            false => told,
+        }
+    }
+    /// what is known beyond a revision, and the revision that this leads to
+    pub fn words_after(&self, revision: u64) -> (Vec<CrashWord>, u64) {
+        self.book().words_after(revision, Instant::now())
+    }
+    pub fn subscribe(&self) -> watch::Receiver<u64> {
+        self.changed.subscribe()
+    }
+
+    fn tell(&self, book: &CrashBook) {
+        self.metrics.remembered.set(book.len() as i64);
+        self.changed.send_replace(book.revision());
+    }
+    fn book(&self) -> MutexGuard<'_, CrashBook> {
+        // no holder panics halfway through a change
+        self.book.lock().unwrap_or_else(|e| e.into_inner())
+    }
+}
+
+fn log_crash(crash: &Crash, now: Instant) {
+    let digests = crash.runs.iter().take(MOST_LOGGED);
+    let digests: Vec<String> = digests.map(|run| run.digest.to_string()).collect();
+    let first = crash.runs.iter().map(|run| run.at).min().unwrap_or(now);
+    log::warn!(
+        backend = crash.life.as_str(),
+        born = crash.life.born,
+        runs = crash.runs.len(),
+        digests = digests.join(",").as_str(),
+        age_ms = now.saturating_duration_since(first).as_millis() as u64;
+        "crashes: engine ended"
+    );
+}
--- a/entry/src/ingress/exchange.rs
+++ b/entry/src/ingress/exchange.rs
@@ -7,7 +7,10 @@
         shared::Shared,
     },
     bytes::Bytes,
-    chalkcart_coordination::dispatch::{Ask, Assignment, Basis, Decision, SendOutcome, Ticket},
+    chalkcart_coordination::{
+        crashes::Standing,
+        dispatch::{Ask, Assignment, Basis, Decision, SendOutcome, Ticket},
+    },
     chalkcart_state::backends::BackendId,
     chalkcart_transport::{
         backend::{send, BackendAnswer, SendError},
@@ -35,6 +38,9 @@
 /// the word for a request whose key was taken away while it waited
 const KEY_GONE: &str = "key taken away";
 
+/// the word for a request that ends the engines that run it
+const ENDS_ENGINES: &str = "engines ended under this request: it is not run any more";
+
 /// one request on its way: waits, sends and repeats
 pub struct Exchange {
     shared: Arc<Shared>,
@@ -64,6 +70,7 @@
         let deadline = accepted.arrived + patience.min(route.timeout);
         let service = route.pick_service(rand::random());
         let ask = Ask {
+            digest: accepted.digest,
             service: service.cloned().unwrap_or_default(),
             model: accepted.head.model.clone(),
             adapter: accepted.head.adapter.clone(),
@@ -93,6 +100,9 @@
 
     /// bring the request to its end
     pub async fn run(mut self) -> ClientResponse {
+        if let Some(refusal) = self.refusal_of_crashing() {
+            return refusal;
+        }
         loop {
             let assignment = match self.wait_for_decision().await {
                 Some(Decision::Send(assignment)) => assignment,
@@ -110,9 +120,14 @@
                 }
             };
             if !self.is_still_admitted() {
-                self.decline(&assignment);
+                self.decline(&assignment, KEY_GONE);
                 return self.own().plain(StatusCode::UNAUTHORIZED, KEY_GONE);
             }
+            // what others learnt while it waited
+            if let Some(refusal) = self.refusal_of_crashing() {
+                self.decline(&assignment, ENDS_ENGINES);
+                return refusal;
+            }
             self.ask.sends += 1;
             self.log_send(&assignment);
             self.set_may_have_run(true);
@@ -137,7 +152,8 @@
                     self.ask.tried.push(assignment.backend);
                     self.failure = failure;
                     let may_repeat = self.accepted.route.kind.is_repeatable()
-                        && self.runs < self.accepted.route.max_attempts;
+                        && self.runs < self.accepted.route.max_attempts
+                        && !(self.failure.is_none() && self.is_suspected());
                     if !may_repeat {
                         return self.give_up("failed", LATE_RETRY);
                     }
@@ -253,6 +269,39 @@
         }
     }
 
+    /// The final answer to a request that ends the engines that run it: whoever sends it
+    /// again loses time only, so it is not told to come back. This try has not run, unless
+    /// an earlier send of it broke off.
+    fn refusal_of_crashing(&mut self) -> Option<ClientResponse> {
+        let Standing::Condemned { ended, age } = self.standing() else {
+            return None;
+        };
+        log::warn!(
+            request = self.accepted.head.id.as_str(),
+            digest = self.accepted.digest.to_string().as_str(),
+            route = self.accepted.route.name.as_str(),
+            account = self.account_name(),
+            ended = ended,
+            age_ms = age.as_millis() as u64,
+            sends = self.ask.sends,
+            waited_ms = elapsed_ms(self.accepted.arrived);
+            "crashes: request refused"
+        );
+        self.shared.crashes.metrics.refused.inc();
+        Some(match self.runs {
+            0 => self.own().plain(StatusCode::BAD_REQUEST, ENDS_ENGINES),
+            _ => self.give_up(ENDS_ENGINES, LATE_RETRY),
+        })
+    }
+
+    fn standing(&self) -> Standing {
+        self.shared.crashes.judge(&self.accepted.digest)
+    }
+    /// a repeat of our own would end one engine more
+    fn is_suspected(&self) -> bool {
+        self.standing() != Standing::Clear
+    }
+
     /// whether the caller's key is still its own
     fn is_still_admitted(&self) -> bool {
         let Some(caller) = &self.accepted.caller else {
@@ -266,14 +315,14 @@
     }
 
     /// give a back end back that was chosen for a request which must not run
-    fn decline(&self, to: &Assignment) {
+    fn decline(&self, to: &Assignment, cause: &str) {
         let mut guard = SendGuard::new(self.shared.control.clone(), self.ticket);
         guard.end(SendOutcome::Abandoned);
         log::warn!(
             request = self.accepted.head.id.as_str(),
             backend = to.backend.as_str(),
             waited_ms = elapsed_ms(self.accepted.arrived),
-            cause = KEY_GONE;
+            cause = cause;
             "dispatch: not sent"
         );
     }
@@ -311,7 +360,7 @@
             Ok(Err(SendError::Lost { addr, problem })) => {
                 let request = self.accepted.head.id.as_str();
                 log::info!(request = request; "send: {addr}: {problem}");
-                guard.end(SendOutcome::Failed);
+                guard.end(SendOutcome::Broken);
                 Attempt::Failed(None)
             }
             Ok(Ok(answer)) => self.take_answer(&assignment.backend, answer, guard).await,
@@ -410,7 +459,7 @@
         let body = match timeout(left, body.collect()).await {
             Err(_) => return Attempt::TimedOut,
             Ok(Err(_)) => {
-                guard.end(SendOutcome::Failed);
+                guard.end(SendOutcome::Broken);
                 return Attempt::Failed(None);
             }
             Ok(Ok(collected)) => collected.to_bytes(),
--- a/entry/src/ingress/mod.rs
+++ b/entry/src/ingress/mod.rs
@@ -4,6 +4,8 @@
 mod admission;
 mod answers;
 mod control;
+mod crash_exchange;
+mod crashes;
 mod exchange;
 mod figures_board;
 mod fleet_links;
--- a/entry/src/ingress/observers.rs
+++ b/entry/src/ingress/observers.rs
@@ -76,7 +76,7 @@
     fn on_end(&mut self, end: PassEnd, longest_pause: Duration) {
         let (outcome, word) = match end {
             PassEnd::Whole => (SendOutcome::Answered, "whole"),
-            PassEnd::Broken => (SendOutcome::Failed, "broken"),
+            PassEnd::Broken => (SendOutcome::Broken, "broken"),
             PassEnd::TimedOut => (SendOutcome::Abandoned, "timed_out"),
             PassEnd::Left => (SendOutcome::Abandoned, "client_left"),
         };
--- a/entry/src/ingress/serve.rs
+++ b/entry/src/ingress/serve.rs
@@ -1,6 +1,8 @@
 use {
     super::{
         control,
+        crash_exchange::exchange_crashes,
+        crashes::Crashes,
         fleet_links::{FleetLinks, LinkSettings},
         operator_pages,
         records::EntryRecords,
@@ -61,11 +63,13 @@
     let dispatcher = Dispatcher::new(dispatch_settings(&settings));
     let relays = Arc::new(StoreRelays::default());
     let (runtime, link_settings) = (Handle::current(), link_settings(&settings, &relays));
-    let control = control::start(dispatcher, |control| {
+    let crashes = Arc::new(Crashes::default());
+    let control = control::start(dispatcher, crashes.clone(), |control| {
         FleetLinks::new(link_settings, runtime, control)
     })?;
-    let shared = Arc::new(Shared::new(settings, control, dialect));
+    let shared = Arc::new(Shared::new(settings, control, crashes, dialect));
     follow_store(&shared, store.clone(), relays);
+    exchange_crashes(&shared);
     if shared.settings.mechanisms.shared_limits {
         let sidecar_port = shared.settings.sidecar_port;
         tokio::spawn(report_usage(shared.clone(), sidecar_port));
--- a/entry/src/ingress/shared.rs
+++ b/entry/src/ingress/shared.rs
@@ -1,5 +1,5 @@
 use {
-    super::{admission::Admission, control::ControlHandle},
+    super::{admission::Admission, control::ControlHandle, crashes::Crashes},
     crate::conf::IngressSettings,
     arc_swap::ArcSwapOption,
     chalkcart_coordination::{dispatch::Ticket, retry::ListPacing},
@@ -34,6 +34,8 @@
 pub struct Shared {
     pub settings: IngressSettings,
     pub control: ControlHandle,
+    /// requests under which engines ended
+    pub crashes: Arc<Crashes>,
     pub dialect: Arc<dyn Dialect>,
     /// the configuration in force, none before the first was read
     pub table: ArcSwapOption<RouteTable>,
@@ -51,6 +53,7 @@
     pub fn new(
         settings: IngressSettings,
         control: ControlHandle,
+        crashes: Arc<Crashes>,
         dialect: Arc<dyn Dialect>,
     ) -> Self {
         let (within, limits) = (settings.revoked_within(), settings.limits());
@@ -60,7 +63,8 @@
             control,
             dialect,
             table: ArcSwapOption::empty(),
-            metrics: IngressMetrics::new(),
+            metrics: IngressMetrics::new(&crashes.metrics),
+            crashes,
             phase: watch::Sender::new(Phase::Serving),
             patience: Mutex::default(),
             started: Instant::now(),
--- a/entry/src/ingress/usage_reports.rs
+++ b/entry/src/ingress/usage_reports.rs
@@ -1,6 +1,6 @@
 use {
     super::shared::Shared,
-    chalkcart_coordination::limits::KeeperChoice,
+    chalkcart_coordination::membership::{KeeperChoice, KeptMatter},
     chalkcart_protocol::peer::{path, UsageAnswer},
     chalkcart_transport::client::PeerClient,
     std::{
@@ -22,7 +22,7 @@
 /// may use, until the process ends
 pub async fn report_usage(shared: Arc<Shared>, sidecar_port: u16) {
     let peers = PeerClient::new();
-    let mut choice = KeeperChoice::default();
+    let mut choice = KeeperChoice::new(KeptMatter::Limits);
     let mut present = None;
     loop {
         let pause =
--- a/protocol/src/peer/mod.rs
+++ b/protocol/src/peer/mod.rs
@@ -1,6 +1,7 @@
 //! messages between chalkcart's own processes
 
 mod cancel;
+mod crashes;
 mod frame;
 mod permit;
 mod placement;
@@ -29,10 +30,12 @@
     pub const RELAY_DEMANDS: &str = "/peer/relay/demands";
     pub const RELAY_PUBLISHED: &str = "/peer/relay/published";
     pub const USAGE: &str = "/peer/usage";
+    pub const CRASHES: &str = "/peer/crashes";
 }
 
 pub use {
     cancel::{CancelAnswer, CancelOrder},
+    crashes::{CrashAnswer, CrashAsk, CrashEvent, CrashMark, CrashWord},
     frame::{Frame, FrameBody},
     permit::{PermitAnswer, PermitAsk, PermitPurpose},
     placement::{
--- a/protocol/src/peer/placement.rs
+++ b/protocol/src/peer/placement.rs
@@ -114,13 +114,17 @@
     pub fn is_urgent_after(&self, before: &Self) -> bool {
         let had_spare = before.figures.spare_slots > 0;
         let has_spare = self.figures.spare_slots > 0;
-        self.differs_in_holdings(before) || had_spare != has_spare
+        let has_ended = self.figures.is_down != before.figures.is_down;
+        self.differs_in_holdings(before) || had_spare != has_spare || has_ended
     }
 
     /// the same where a relay gathers views: adapters on their way and places can
     /// wait for its next message
     pub fn is_urgent_by_relay_after(&self, before: &Self) -> bool {
-        self.backend != before.backend || self.models != before.models || self.held != before.held
+        self.backend != before.backend
+            || self.models != before.models
+            || self.held != before.held
+            || self.figures.is_down != before.figures.is_down
     }
 }
 
@@ -147,6 +151,9 @@
     pub readers: u32,
     /// time since the sidecar said so, in ms, as counted by relays
     pub age_ms: u32,
+    /// nobody listens at the engine's address on its own machine: the life that the view
+    /// speaks of is over
+    pub is_down: bool,
 }
 
 /// what has changed in a view since the message before
--- /dev/null
+++ b/sidecar/src/crashes/handlers.rs
@@ -0,0 +1,16 @@
+use {
+    super::CrashKeeper,
+    chalkcart_protocol::peer::CrashAsk,
+    chalkcart_transport::server::{message_reply, pages, read_message, SharedData},
+    gotham::{handler::HandlerResult, state::State},
+};
+
+/// an entry tells what it knows, and asks for what others have told
+pub async fn crash_words(mut state: State) -> HandlerResult {
+    let keeper = SharedData::<CrashKeeper>::of(&state);
+    let reply = match read_message::<CrashAsk>(&mut state).await {
+        Ok(ask) => message_reply(&keeper.answer(ask).await),
+        Err(e) => pages::bad_message(&e),
+    };
+    Ok((state, reply))
+}
--- /dev/null
+++ b/sidecar/src/crashes/keeper.rs
@@ -0,0 +1,71 @@
+use {
+    chalkcart_coordination::crashes::CrashBook,
+    chalkcart_protocol::peer::{CrashAnswer, CrashAsk, CrashMark},
+    chalkcart_state::ids::Incarnation,
+    std::{
+        sync::{Mutex, MutexGuard},
+        time::{Duration, Instant},
+    },
+    tokio::{sync::watch, time::timeout},
+};
+
+/// longest time for which a call is held, whatever it asks for
+const MOST_HELD: Duration = Duration::from_secs(5);
+
+/// What entries have told this sidecar. It outlives the engine beside it and each entry, and
+/// entries outlive it: none of them keeps anything beyond its process.
+pub struct CrashKeeper {
+    incarnation: Incarnation,
+    book: Mutex<CrashBook>,
+    /// the book's revision
+    changed: watch::Sender<u64>,
+}
+
+impl CrashKeeper {
+    pub fn new(incarnation: Incarnation) -> Self {
+        Self {
+            incarnation,
+            book: Mutex::default(),
+            changed: watch::Sender::new(0),
+        }
+    }
+
+    /// take in what an entry knows, and tell it what it does not know, as soon as there is
+    /// any of it
+    pub async fn answer(&self, ask: CrashAsk) -> CrashAnswer {
+        let heard = ask.heard.filter(|heard| heard.keeper == self.incarnation);
+        let after = self.take_in(&ask, heard.map_or(0, |heard| heard.revision));
+        if heard.is_some() {
+            let wait = Duration::from_millis(ask.wait_ms).min(MOST_HELD);
+            let mut changed = self.changed.subscribe();
+            // a time without news is an answer as well
+            let _ = timeout(wait, changed.wait_for(|revision| *revision > after)).await;
+        }
+        let (words, revision) = self.book().words_after(after, Instant::now());
+        CrashAnswer {
+            mark: CrashMark {
+                keeper: self.incarnation,
+                revision,
+            },
+            words,
+        }
+    }
+
+    /// gives the revision from which on the entry is to hear: its own words are no news to it
+    fn take_in(&self, ask: &CrashAsk, after: u64) -> u64 {
+        let mut book = self.book();
+        let known = book.revision();
+        if book.merge(&ask.words, Instant::now()) {
+            self.changed.send_replace(book.revision());
+        }
+        match after == known {
+            true => book.revision(),
+            false => after,
+        }
+    }
+
+    fn book(&self) -> MutexGuard<'_, CrashBook> {
+        // no holder panics halfway through a change
+        self.book.lock().unwrap_or_else(|e| e.into_inner())
+    }
+}
--- a/sidecar/src/lib.rs
+++ b/sidecar/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod app;
 pub mod cli;
 pub mod conf;
+mod crashes;
 pub mod placement;
 mod relay;
 mod server;
--- a/sidecar/src/placement/handlers.rs
+++ b/sidecar/src/placement/handlers.rs
@@ -1,6 +1,9 @@
 use {
     super::{shared::Shared, views::follow},
-    crate::relay::{relay_demands, relay_published, relay_views, RelayHub},
+    crate::{
+        crashes::{crash_words, CrashKeeper},
+        relay::{relay_demands, relay_published, relay_views, RelayHub},
+    },
     chalkcart_coordination::{limits::UsageKeeper, placement::PlacementEvent},
     chalkcart_protocol::peer::{path, AdapterDemand, UsageReport},
     chalkcart_transport::server::{frames_reply, message_reply, pages, read_message, SharedData},
@@ -22,11 +25,17 @@
 pub type UsageSums = Mutex<UsageKeeper>;
 
 /// the routes of a sidecar that places adapters, and may be a relay
-pub fn new_router(shared: Arc<Shared>, relay: Arc<RelayHub>, usage: Arc<UsageSums>) -> Router {
+pub fn new_router(
+    shared: Arc<Shared>,
+    relay: Arc<RelayHub>,
+    usage: Arc<UsageSums>,
+    crashes: Arc<CrashKeeper>,
+) -> Router {
     let pipeline = new_pipeline()
         .add(StateMiddleware::new(SharedData::new(shared)))
         .add(StateMiddleware::new(SharedData::new(relay)))
-        .add(StateMiddleware::new(SharedData::new(usage)));
+        .add(StateMiddleware::new(SharedData::new(usage)))
+        .add(StateMiddleware::new(SharedData::new(crashes)));
     let (chain, pipelines) = single_pipeline(pipeline.build());
     build_router(chain, pipelines, |route| {
         route.post(path::DEMAND).to_async(demand);
@@ -35,6 +44,7 @@
         route.post(path::RELAY_VIEWS).to_async(relay_views);
         route.post(path::RELAY_PUBLISHED).to_async(relay_published);
         route.post(path::USAGE).to_async(usage_report);
+        route.post(path::CRASHES).to_async(crash_words);
         route.get("/healthz").to_async(pages::healthz);
     })
 }
--- a/sidecar/src/placement/keeper.rs
+++ b/sidecar/src/placement/keeper.rs
@@ -87,7 +87,9 @@
                     log::warn!("engine: not read: {e}");
                 }
                 self.is_reachable = false;
-                PlacementEvent::ReportFailed
+                PlacementEvent::ReportFailed {
+                    is_down: e.proves_no_listener(),
+                }
             }
         };
         self.read_at = Some(Instant::now());
--- a/sidecar/src/placement/serve.rs
+++ b/sidecar/src/placement/serve.rs
@@ -6,6 +6,7 @@
     },
     crate::{
         conf::PlacementSettings,
+        crashes::CrashKeeper,
         relay::{run_pump, Published, RelayHub},
     },
     anyhow::{Context, Result},
@@ -61,10 +62,11 @@
     let relay = Arc::new(RelayHub::new(settings.name.clone(), published));
     tokio::spawn(run_pump(relay.clone(), settings.listen.port()));
     let usage = Arc::new(UsageSums::new(UsageKeeper::new(rand::random())));
+    let crashes = Arc::new(CrashKeeper::new(rand::random()));
     let (_stop, stopped) = watch::channel(false);
     tokio::spawn(server::serve(
         listener,
-        new_router(shared, relay, usage),
+        new_router(shared, relay, usage, crashes),
         stopped,
         Duration::ZERO,
     ));
--- a/testkit/examples/capacity/dispatch.rs
+++ b/testkit/examples/capacity/dispatch.rs
@@ -6,7 +6,7 @@
     chalkcart_protocol::peer::{EngineFigures, EngineView},
     chalkcart_state::{
         backends::{AdapterRef, Backend, HeldAdapter},
-        ingress::{BaseModel, EngineSpec, IngressLimits, RouteTable, Service},
+        ingress::{BaseModel, EngineSpec, IngressLimits, RequestDigest, RouteTable, Service},
     },
     std::{
         net::SocketAddr,
@@ -117,7 +117,9 @@
 }
 
 fn ask(number: usize, now: Instant) -> Ask {
+    let body = number.to_le_bytes();
     Ask {
+        digest: RequestDigest::of("POST", "/", "", &body),
         service: SERVICE.to_string(),
         model: Some("model-0".to_string()),
         adapter: Some(adapter(number)),
--- a/testkit/src/users_platform/fleet.rs
+++ b/testkit/src/users_platform/fleet.rs
@@ -85,6 +85,7 @@
 pub struct OtherIngress {
     pub process: Process,
     pub clients: SocketAddr,
+    pub metrics: SocketAddr,
     pub log_file: PathBuf,
 }
 
@@ -171,11 +172,11 @@
     /// start one more ingress among the same stand-ins
     pub async fn start_other_ingress(&self, name: &str) -> Result<OtherIngress> {
         let mut document: Value = serde_json::from_slice(&fs::read(&self.settings_file)?)?;
-        let (clients, readiness) = (next_addr(), next_addr());
+        let (clients, readiness, metrics) = (next_addr(), next_addr(), next_addr());
         document["name"] = json!(name);
         document["clients"] = json!(clients);
         document["readiness"] = json!(readiness);
-        document["metrics"] = json!(next_addr());
+        document["metrics"] = json!(metrics);
         let file = self.settings_file.with_file_name(format!("{name}.json"));
         fs::write(&file, document.to_string())?;
         let log_file = file.with_extension("log");
@@ -185,6 +186,7 @@
         Ok(OtherIngress {
             process,
             clients,
+            metrics,
             log_file,
         })
     }
@@ -288,17 +290,7 @@
     }
     /// the page of metrics, empty if it is not served now
     pub async fn metrics_text(&self) -> String {
-        let http = HttpClient::new();
-        let asked = http.exchange(
-            self.metrics,
-            Method::GET,
-            "/metrics",
-            "text/plain",
-            Default::default(),
-            READY_LIMIT,
-        );
-        let page = asked.await.map(|(_, text)| text).unwrap_or_default();
-        String::from_utf8_lossy(&page).to_string()
+        metrics_text(self.metrics).await
     }
     pub async fn wait_ready(&self) {
         until_async("the ingress is ready", || self.is_ready()).await;
@@ -325,6 +317,21 @@
     asked.is_ok_and(|(status, _)| status == StatusCode::OK)
 }
 
+/// an ingress's page of metrics, empty if it is not served now
+pub async fn metrics_text(metrics: SocketAddr) -> String {
+    let http = HttpClient::new();
+    let asked = http.exchange(
+        metrics,
+        Method::GET,
+        "/metrics",
+        "text/plain",
+        Default::default(),
+        READY_LIMIT,
+    );
+    let page = asked.await.map(|(_, text)| text).unwrap_or_default();
+    String::from_utf8_lossy(&page).to_string()
+}
+
 fn with_host(addr: SocketAddr, last: u8) -> SocketAddr {
     let IpAddr::V4(ip) = addr.ip() else {
         return addr;
--- a/testkit/src/users_platform/mod.rs
+++ b/testkit/src/users_platform/mod.rs
@@ -16,7 +16,7 @@
     backend_stand_in::{BackendFault, BackendKind, BackendStandIn, Run, FIRST_BORN},
     client::{open_stream, request, send_on, Answer, ClientRequest, OpenStream},
     engine_orders::{TakenOrder, ADAPTER_SLOTS, MODEL},
-    fleet::{Fleet, FleetSettings, OtherIngress, HOST},
+    fleet::{metrics_text, Fleet, FleetSettings, OtherIngress, HOST},
     pressing_clients::{press, Pressing, Story},
     prompts::{engine_runs, prompt, serve_prompt},
     store_stand_in::{StoreFault, StoreStandIn},
--- a/transport/src/client/errors.rs
+++ b/transport/src/client/errors.rs
@@ -8,6 +8,8 @@
 pub enum ClientStep {
     /// no connection: the peer has seen nothing
     Connect,
+    /// the same, as nobody listens there: its machine lives, and said so
+    Refused,
     /// the request may have reached the peer
     Send,
     /// the answer broke off
@@ -35,14 +37,18 @@
     }
     /// the peer can't have acted on the call
     pub fn proves_not_sent(&self) -> bool {
-        self.step == ClientStep::Connect
+        matches!(self.step, ClientStep::Connect | ClientStep::Refused)
+    }
+    /// nobody listens at the peer's address
+    pub fn proves_no_listener(&self) -> bool {
+        self.step == ClientStep::Refused
     }
 }
 
 impl fmt::Display for ClientStep {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
-            Self::Connect => "connect to",
+            Self::Connect | Self::Refused => "connect to",
             Self::Send => "send to",
             Self::Receive => "receive from",
             Self::Decode => "decode from",
--- a/transport/src/client/http_client.rs
+++ b/transport/src/client/http_client.rs
@@ -9,7 +9,7 @@
         rt::{TokioExecutor, TokioTimer},
     },
     serde::{de::DeserializeOwned, Serialize},
-    std::{net::SocketAddr, time::Duration},
+    std::{error::Error, io, net::SocketAddr, time::Duration},
     tokio::time::timeout,
 };
 
@@ -80,6 +80,7 @@
     ) -> Result<Response<Incoming>, ClientError> {
         self.client.request(req).await.map_err(|e| {
             let step = match e.is_connect() {
+                true if is_refused(&e) => ClientStep::Refused,
                 true => ClientStep::Connect,
                 false => ClientStep::Send,
             };
@@ -173,8 +174,15 @@
     Ok(JsonReply { status, body })
 }
 
+/// whether an error comes from a port at which nobody listens
+fn is_refused(e: &(dyn Error + 'static)) -> bool {
+    let io = e.downcast_ref::<io::Error>();
+    let is_own = io.is_some_and(|io| io.kind() == io::ErrorKind::ConnectionRefused);
+    is_own || e.source().is_some_and(is_refused)
+}
+
 /// an error with its causes
-fn detail(e: &dyn std::error::Error) -> String {
+fn detail(e: &dyn Error) -> String {
     match e.source() {
         Some(source) => format!("{e}: {}", detail(source)),
         None => e.to_string(),
--- a/transport/src/metrics/ingress_metrics.rs
+++ b/transport/src/metrics/ingress_metrics.rs
@@ -1,5 +1,5 @@
 use {
-    super::new_histograms_by,
+    super::{new_histograms_by, CrashMetrics},
     prometheus_client::{
         encoding::{text::encode, EncodeLabelSet},
         metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
@@ -62,14 +62,8 @@
     waiting: Gauge,
 }
 
-impl Default for IngressMetrics {
-    fn default() -> Self {
-        Self::new()
-    }
-}
-
 impl IngressMetrics {
-    pub fn new() -> Self {
+    pub fn new(crashes: &CrashMetrics) -> Self {
         let mut metrics = Self {
             registry: Registry::with_prefix("chalkcart_ingress"),
             answers: Family::default(),
@@ -91,6 +85,7 @@
             waiting: Gauge::default(),
         };
         metrics.register();
+        crashes.register(&mut metrics.registry);
         metrics
     }
 
--- a/transport/src/metrics/mod.rs
+++ b/transport/src/metrics/mod.rs
@@ -1,5 +1,6 @@
 //! figures for operators, with histograms for each group and class
 
+mod crash_metrics;
 mod ingress_metrics;
 mod labels;
 mod request_metrics;
@@ -7,6 +8,7 @@
 use request_metrics::new_histograms_by;
 
 pub use {
+    crash_metrics::CrashMetrics,
     ingress_metrics::IngressMetrics,
     labels::{GroupClass, RefusalLabel},
     request_metrics::RequestMetrics,
