After a restart an entry earns the repeats for its requests anew as well

Cause: the repeats of a former life stand in the window still, used up by the requests before the restart; only the extra repeats took that into account. Class: a promise over a span of time kept in a state that is forgotten with a process, half mended before.

--- a/coordination/src/dispatch/shared_budget.rs
+++ b/coordination/src/dispatch/shared_budget.rs
@@ -6,10 +6,14 @@
 /// part of the budget that is used; the rest covers entries that count late, and what a
 /// former life of this entry may have repeated
 const USED_PART: f64 = 0.7;
-/// Part of its extra repeats that an entry has earned by the end of its first window,
-/// where it may have lived before. Within one window all its lives together then use no
-/// more than 0.7 x (1 + 0.43) of its extra repeats, however often it begins anew.
-const FIRST_WINDOW_PART: f64 = (1.0 - USED_PART) / USED_PART;
+/// part that all lives of an entry within one window use together; the rest covers requests
+/// that become fewer while the repeats for them stand in the window
+const USED_BY_ALL_LIVES: f64 = 0.9;
+/// Part of its budget that an entry has in its first window, where it may have lived before:
+/// the repeats of its former life stand in the window still, and used up what the requests
+/// before the restart allowed. Within one window all its lives together then use no more
+/// than 0.7 x (1 + 0.29) of one budget, however often it begins anew.
+const FIRST_WINDOW_PART: f64 = (USED_BY_ALL_LIVES - USED_PART) / USED_PART;
 
 /// what all entries may repeat together
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -73,8 +77,9 @@
     pub fn take(&mut self, entries: u32, now: Instant) -> bool {
         self.forget(now);
         let own_extra = self.bounds.extra / f64::from(entries.max(1));
-        let earned = own_extra * self.earned_part(now);
-        let allowed = self.bounds.ratio * self.requests.len() as f64 + earned;
+        let (of_requests, of_extra) = self.earned_parts(now);
+        let by_requests = self.bounds.ratio * self.requests.len() as f64;
+        let allowed = by_requests * of_requests + own_extra * of_extra;
         let is_allowed = f64::from(self.counted() + 1) <= allowed * USED_PART;
         self.waiting += u32::from(is_allowed);
         is_allowed
@@ -101,16 +106,18 @@
         self.repeats.len() as u32 + self.waiting
     }
 
-    /// part of its extra repeats that this entry may use
-    fn earned_part(&self, now: Instant) -> f64 {
+    /// parts that this entry may use of the repeats for its requests, and of its extra ones
+    fn earned_parts(&self, now: Instant) -> (f64, f64) {
         let Some(began) = self.began_anew else {
-            return 1.0;
+            return (1.0, 1.0);
         };
         let lived = now.saturating_duration_since(began);
-        match lived >= self.bounds.window {
-            true => 1.0,
-            false => FIRST_WINDOW_PART * lived.as_secs_f64() / self.bounds.window.as_secs_f64(),
+        if lived >= self.bounds.window {
+            return (1.0, 1.0);
         }
+        // requests come with the time lived, extra repeats are earned by it
+        let part_lived = lived.as_secs_f64() / self.bounds.window.as_secs_f64();
+        (FIRST_WINDOW_PART, FIRST_WINDOW_PART * part_lived)
     }
 
     fn forget(&mut self, now: Instant) {
