--- a/coordination/src/membership/keeper_choice.rs
+++ b/coordination/src/membership/keeper_choice.rs
@@ -54,6 +54,10 @@
         *failed += 1;
         *at = now;
     }
+    /// a keeper that had long enough to answer is left at once
+    pub fn on_silent(&mut self, keeper: SocketAddr, now: Instant) {
+        self.failed.insert(keeper, (MOST_FAILED, now));
+    }
     pub fn on_heard(&mut self, keeper: SocketAddr) {
         self.failed.remove(&keeper);
     }
--- a/coordination/src/placement/placement_control.rs
+++ b/coordination/src/placement/placement_control.rs
@@ -16,6 +16,11 @@
 /// and otherwise
 const READ_CALM: Duration = Duration::from_millis(100);
 
+/// A report that is older than this says nothing of the engine: it is read each 100 ms and
+/// each call ends within 500 ms, so this process did not run meanwhile, or its machine was
+/// suspended.
+const REPORT_FRESH: Duration = Duration::from_secs(1);
+
 /// what happens to the control state of a sidecar's placement
 #[derive(Debug)]
 pub enum PlacementEvent {
@@ -74,6 +79,7 @@
     report: EngineReport,
     /// the engine was read since its last change of incarnation or doubt
     is_read: bool,
+    read_at: Option<Instant>,
     /// a life of the engine after which nobody listened at its address
     ended: Option<BackendId>,
     /// orders that failed, and until when they rest
@@ -96,6 +102,7 @@
             places: HashMap::new(),
             report: EngineReport::default(),
             is_read: false,
+            read_at: None,
             ended: None,
             resting: HashMap::new(),
             model_ordered: None,
@@ -117,6 +124,7 @@
 
     /// what to do now
     pub fn next_step(&mut self, now: Instant) -> PlacementStep {
+        self.doubt_after_pause(now);
         self.demands.expire(self.settings.entry_silence, now);
         self.resting.retain(|_, until| *until > now);
         if let Some(health_path) = self.identity_due(now) {
@@ -222,6 +230,16 @@
         }
     }
 
+    /// no order is given by what was read before a pause
+    fn doubt_after_pause(&mut self, now: Instant) {
+        let age = self.read_at.map(|at| now.saturating_duration_since(at));
+        if age.is_some_and(|age| age > REPORT_FRESH) {
+            self.is_read = false;
+            self.is_identified = false;
+            self.read_at = None;
+        }
+    }
+
     /// it may come back as another incarnation
     fn on_report_failed(&mut self, is_down: bool) {
         if is_down && !self.backend.is_empty() {
@@ -286,6 +304,7 @@
         self.places = places;
         self.report = report;
         self.is_read = true;
+        self.read_at = Some(now);
     }
 
     /// loads that are under way at once
--- a/coordination/tests/reborn.rs
+++ b/coordination/tests/reborn.rs
@@ -269,3 +269,23 @@
         assert_eq!(sent_to(&fixture.ask(ticket, ask)), ["other"]);
     }
 }
+
+/// A process that did not run, or whose machine was suspended, knew the engine as it was
+/// before: between two of its steps the engine may have been ordered, emptied or replaced.
+#[test]
+fn no_order_is_given_by_what_was_read_before_a_pause() {
+    let mut keeper = Keeper::new();
+    keeper.demand(&["a"], &[]);
+    keeper.report(holding(FIRST, &["m"], &[]));
+    keeper.identify();
+    keeper.report(holding(FIRST, &["m"], &[]));
+    assert!(keeper.order().is_some(), "before the pause");
+    keeper.now += Duration::from_secs(2);
+    keeper.demand(&["a"], &[]);
+    assert_eq!(keeper.order(), None, "after it");
+    keeper.report(holding(SECOND, &["m"], &[]));
+    keeper.identify();
+    keeper.report(holding(SECOND, &["m"], &[]));
+    let order = keeper.order();
+    assert_eq!(order.map(|o| o.backend.born), Some(SECOND));
+}
--- a/entry/src/app/serve.rs
+++ b/entry/src/app/serve.rs
@@ -8,8 +8,8 @@
     },
     anyhow::{Context, Result},
     chalkcart_node::{runtime::run_process, signals::stop_signal},
-    chalkcart_transport::server,
-    std::{sync::Arc, time::Instant},
+    chalkcart_transport::{clock, server},
+    std::sync::Arc,
     tokio::sync::watch,
 };
 
@@ -21,7 +21,7 @@
 
 async fn run(settings: Settings) -> Result<()> {
     let listener = server::bind(settings.listen).await?;
-    let control = control::start(EntryControl::new(&settings, Instant::now()))?;
+    let control = control::start(EntryControl::new(&settings, clock::now()))?;
     let shared = Arc::new(Shared::new(settings, control));
     tokio::spawn(Follower::new(shared.clone()).run());
     let (stop, stopped) = watch::channel(false);
--- a/entry/src/config/follower.rs
+++ b/entry/src/config/follower.rs
@@ -6,15 +6,12 @@
     chalkcart_state::{config::Root, fleet::FleetList},
     chalkcart_transport::{
         client::PeerClient,
+        clock,
         platform::{BoxList, ConfigSource, HttpPlatform},
     },
     futures::future::join_all,
     rand::seq::{IndexedRandom, IteratorRandom},
-    std::{
-        net::SocketAddr,
-        sync::Arc,
-        time::{Duration, Instant},
-    },
+    std::{net::SocketAddr, sync::Arc, time::Duration},
     tokio::time::sleep,
 };
 
@@ -112,7 +109,7 @@
 
     /// each second: one peer is asked; watchers read the list as well
     async fn ask_peers(&self) {
-        let mut watcher_heard = Instant::now();
+        let mut watcher_heard = clock::now();
         loop {
             sleep(PERIOD).await;
             let watchers = self.watchers();
@@ -125,11 +122,11 @@
                 continue;
             }
             if self.sync_with_watcher(&watchers).await {
-                watcher_heard = Instant::now();
+                watcher_heard = clock::now();
             } else {
                 self.sync_with_any().await;
             }
-            if watcher_heard.elapsed() > WATCHER_PATIENCE {
+            if clock::elapsed(watcher_heard) > WATCHER_PATIENCE {
                 log::warn!("config: no watcher answers, the platform is read");
                 self.read_list().await;
                 self.read_root(Duration::ZERO).await;
--- a/entry/src/control/control_thread.rs
+++ b/entry/src/control/control_thread.rs
@@ -1,7 +1,8 @@
 use {
     super::{ControlHandle, EntryControl},
     anyhow::{Context, Result},
-    std::{sync::mpsc, thread, time::Instant},
+    chalkcart_transport::clock,
+    std::{sync::mpsc, thread},
 };
 
 /// start the control thread; it ends when the last handle is gone
@@ -9,7 +10,7 @@
     let (tx, rx) = mpsc::channel();
     let run = move || {
         for event in rx {
-            control.handle(event, Instant::now());
+            control.handle(event, clock::now());
         }
     };
     let builder = thread::Builder::new().name("control".to_string());
--- a/entry/src/ingress/admission.rs
+++ b/entry/src/ingress/admission.rs
@@ -8,9 +8,10 @@
         ids::BoxName,
         ingress::{Route, RouteTable},
     },
+    chalkcart_transport::clock,
     std::{
         sync::{Arc, Mutex, MutexGuard},
-        time::{Duration, Instant},
+        time::Duration,
     },
     thiserror::Error,
 };
@@ -52,7 +53,7 @@
                 limits,
                 entry.clone(),
                 incarnation,
-                Instant::now(),
+                clock::now(),
             )),
         }
     }
@@ -68,18 +69,18 @@
 
     /// whether keys and routes that are not known can be told from new ones
     pub fn is_current(&self) -> bool {
-        self.lease().holds(Instant::now())
+        self.lease().holds(clock::now())
     }
     /// time since the configuration in hand was known to be the newest, in ms; -1
     /// if it never was
     pub fn age_ms(&self) -> i64 {
-        let age = self.lease().age(Instant::now());
+        let age = self.lease().age(clock::now());
         age.map_or(-1, |age| age.as_millis() as i64)
     }
 
     /// ages of the configuration and of the keeper's word on an account's limit
     pub fn ages(&self, account: AccountMark) -> (Option<Duration>, Option<Duration>) {
-        let now = Instant::now();
+        let now = clock::now();
         let configuration = self.lease().age(now);
         (configuration, self.limits().word_age(account, now))
     }
@@ -106,16 +107,27 @@
         Ok(Some(Caller { account, key }))
     }
 
-    /// whether a caller's key still belongs to its account
-    pub fn is_still_admitted(&self, table: &RouteTable, caller: &Caller) -> bool {
+    /// Whether a caller's key still belongs to its account, as far as is known: what was
+    /// known when the request came may have grown too old while it waited, or while the
+    /// machine was suspended.
+    ///
+    /// # Errors
+    /// the key is another's by now, or what is known is too old to say so
+    pub fn admit_again(&self, table: &RouteTable, caller: &Caller) -> Result<(), NotAdmitted> {
+        if !self.is_current() {
+            return Err(NotAdmitted::Outdated);
+        }
         let accounts = table.accounts.as_ref();
         let known = accounts.and_then(|accounts| accounts.find(&caller.key));
-        known.is_some_and(|account| account.name == caller.account.name)
+        match known.is_some_and(|account| account.name == caller.account.name) {
+            true => Ok(()),
+            false => Err(NotAdmitted::UnknownKey),
+        }
     }
 
     /// a request came that is to be charged to its account's limit
     pub fn ask(&self, account: &ClientAccount, limit: &RateLimit, units: u64) {
-        let now = Instant::now();
+        let now = clock::now();
         self.limits().ask(account.mark, limit, units, now);
     }
 
@@ -129,7 +141,7 @@
         limit: &RateLimit,
         units: u64,
     ) -> Result<Charge, OverLimit> {
-        let now = Instant::now();
+        let now = clock::now();
         self.limits().charge(account.mark, limit, units, now)?;
         Ok(Charge {
             admission: self.clone(),
@@ -162,7 +174,7 @@
     fn drop(&mut self) {
         if !self.may_have_run {
             let mut limits = self.admission.limits();
-            limits.give_back(self.account, self.units, Instant::now());
+            limits.give_back(self.account, self.units, clock::now());
         }
     }
 }
--- a/entry/src/ingress/control.rs
+++ b/entry/src/ingress/control.rs
@@ -8,7 +8,7 @@
     },
     chalkcart_protocol::peer::{EngineFigures, EngineView},
     chalkcart_state::backends::BackendId,
-    chalkcart_transport::links::ViewSink,
+    chalkcart_transport::{clock, links::ViewSink},
     std::{
         collections::HashMap,
         net::SocketAddr,
@@ -146,7 +146,7 @@
         entries: entries.clone(),
         engines: engines.clone(),
     };
-    let now = Instant::now();
+    let now = clock::now();
     let mut control = ControlLoop {
         dispatcher,
         links: make_links(handle.clone()),
@@ -177,7 +177,7 @@
                 Err(RecvTimeoutError::Timeout) => self.on_event(DispatchEvent::Tick),
                 Err(RecvTimeoutError::Disconnected) => return,
             }
-            let reaches = self.dispatcher.reaches_backends(Instant::now());
+            let reaches = self.dispatcher.reaches_backends(clock::now());
             self.reach.store(reaches, Ordering::Relaxed);
             let waiting = self.dispatcher.waiting_count();
             self.waiting.store(waiting, Ordering::Relaxed);
@@ -223,7 +223,7 @@
         if let DispatchEvent::Withdrawn(ticket) = &event {
             self.askers.remove(ticket);
         }
-        for (ticket, decision) in self.dispatcher.handle(event, Instant::now()) {
+        for (ticket, decision) in self.dispatcher.handle(event, clock::now()) {
             if let Some(answer) = self.askers.remove(&ticket) {
                 // an asker that is gone says so by itself
                 let _ = answer.send(decision);
@@ -262,7 +262,7 @@
     }
 
     fn send_demands(&mut self) {
-        let now = Instant::now();
+        let now = clock::now();
         let Some(due) = self.demands_due(now) else {
             return;
         };
--- a/entry/src/ingress/crash_exchange.rs
+++ b/entry/src/ingress/crash_exchange.rs
@@ -2,11 +2,14 @@
     super::shared::Shared,
     chalkcart_coordination::membership::{KeeperChoice, KeptMatter},
     chalkcart_protocol::peer::{path, CrashAnswer, CrashAsk, CrashMark},
-    chalkcart_transport::client::{ClientError, PeerClient},
+    chalkcart_transport::{
+        client::{ClientError, PeerClient},
+        clock,
+    },
     std::{
         net::SocketAddr,
         sync::{Arc, Mutex, MutexGuard},
-        time::{Duration, Instant},
+        time::Duration,
     },
     tokio::{sync::watch, time::sleep},
 };
@@ -70,10 +73,7 @@
                 continue;
             };
             if let Err(e) = self.exchange(present).await {
-                log::warn!(keeper = present.engine.to_string().as_str(),
-                    cause = e.to_string().as_str(); "crashes: no answer");
-                self.choice().on_failed(present.engine, Instant::now());
-                self.present = None;
+                self.on_no_answer(present, &e);
                 sleep(RETRY).await;
             }
         }
@@ -82,9 +82,7 @@
     /// the keeper to be used now
     fn choose(&mut self) -> Option<Present> {
         let engines = self.shared.control.engines();
-        let engine = self
-            .choice()
-            .choose_at(self.rank, &engines, Instant::now())?;
+        let engine = self.choice().choose_at(self.rank, &engines, clock::now())?;
         let kept = self.present.filter(|present| present.engine == engine);
         let present = kept.unwrap_or_else(|| {
             log::info!(keeper = engine.to_string().as_str(), rank = self.rank;
@@ -142,6 +140,18 @@
         });
     }
 
+    /// A call that was held has cost more time than a second one would be worth.
+    fn on_no_answer(&mut self, present: Present, e: &ClientError) {
+        log::warn!(keeper = present.engine.to_string().as_str(),
+            cause = e.to_string().as_str(); "crashes: no answer");
+        let now = clock::now();
+        match present.heard {
+            Some(_) => self.choice().on_silent(present.engine, now),
+            None => self.choice().on_failed(present.engine, now),
+        }
+        self.present = None;
+    }
+
     fn choice(&self) -> MutexGuard<'_, KeeperChoice> {
         // no holder panics halfway through a change
         self.choice.lock().unwrap_or_else(|e| e.into_inner())
--- a/entry/src/ingress/crashes.rs
+++ b/entry/src/ingress/crashes.rs
@@ -5,7 +5,7 @@
     },
     chalkcart_protocol::peer::CrashWord,
     chalkcart_state::ingress::RequestDigest,
-    chalkcart_transport::metrics::CrashMetrics,
+    chalkcart_transport::{clock, metrics::CrashMetrics},
     std::{
         sync::{Mutex, MutexGuard},
         time::Instant,
@@ -36,12 +36,12 @@
 
 impl Crashes {
     pub fn judge(&self, digest: &RequestDigest) -> Standing {
-        self.book().judge(digest, Instant::now())
+        self.book().judge(digest, clock::now())
     }
 
     /// requests were run to their end
     pub fn on_served(&self, digests: Vec<RequestDigest>) {
-        let now = Instant::now();
+        let now = clock::now();
         let mut book = self.book();
         let news = digests.into_iter().filter(|d| book.on_served(*d, now));
         if news.count() > 0 {
@@ -51,7 +51,7 @@
 
     /// engines have ended under runs
     pub fn on_crashes(&self, crashes: Vec<Crash>) {
-        let now = Instant::now();
+        let now = clock::now();
         for crash in crashes {
             let mut book = self.book();
             let life = stable_hash(&crash.life.to_string());
@@ -70,7 +70,7 @@
     pub fn merge(&self, words: &[CrashWord], told: u64) -> u64 {
         let mut book = self.book();
         let before = book.revision();
-        if book.merge(words, Instant::now()) {
+        if book.merge(words, clock::now()) {
             self.tell(&book);
         }
         match told == before {
@@ -80,7 +80,7 @@
     }
     /// what is known beyond a revision, and the revision that this leads to
     pub fn words_after(&self, revision: u64) -> (Vec<CrashWord>, u64) {
-        self.book().words_after(revision, Instant::now())
+        self.book().words_after(revision, clock::now())
     }
     pub fn subscribe(&self) -> watch::Receiver<u64> {
         self.changed.subscribe()
--- a/entry/src/ingress/exchange.rs
+++ b/entry/src/ingress/exchange.rs
@@ -1,6 +1,6 @@
 use {
     super::{
-        admission::Charge,
+        admission::{Charge, NotAdmitted},
         answers::OwnAnswer,
         observers::{SendGuard, StreamObserver, WaitGuard},
         service::Accepted,
@@ -14,6 +14,7 @@
     chalkcart_state::backends::BackendId,
     chalkcart_transport::{
         backend::{send, BackendAnswer, SendError},
+        clock::{self, before_deadline},
         ingress::{remove_connection_headers, ClientResponse, PassBody, SendHead},
     },
     http::{request::Parts, Request, Response, StatusCode},
@@ -22,7 +23,6 @@
         sync::Arc,
         time::{Duration, Instant},
     },
-    tokio::time::{timeout, timeout_at},
 };
 
 /// longest time that a connection may take to come up
@@ -119,9 +119,12 @@
                     return self.give_up(LATE, LATE_RETRY);
                 }
             };
-            if !self.is_still_admitted() {
-                self.decline(&assignment, KEY_GONE);
-                return self.own().plain(StatusCode::UNAUTHORIZED, KEY_GONE);
+            if let Err(cause) = self.admit_again() {
+                self.decline(&assignment, &cause.to_string());
+                return match cause {
+                    NotAdmitted::Outdated => self.give_up(&cause.to_string(), LATE_RETRY),
+                    _ => self.own().plain(StatusCode::UNAUTHORIZED, KEY_GONE),
+                };
             }
             // what others learnt while it waited
             if let Some(refusal) = self.refusal_of_crashing() {
@@ -168,7 +171,7 @@
     fn log_send(&self, to: &Assignment) {
         let basis = &to.basis;
         let route = &self.accepted.route.name;
-        let waited = self.accepted.arrived.elapsed();
+        let waited = clock::elapsed(self.accepted.arrived);
         self.shared
             .metrics
             .on_sent(route, waited, self.ask.sends > 1);
@@ -253,7 +256,11 @@
         let control = &self.shared.control;
         let mut guard = WaitGuard::new(control.clone(), self.ticket);
         let asked = control.decide(self.ticket, self.ask.clone());
-        let decision = timeout_at(self.deadline.into(), asked).await.ok()??;
+        let decision = before_deadline(self.deadline, asked).await.ok()??;
+        // one that was made before the machine was suspended comes too late
+        if clock::now() >= self.deadline {
+            return None;
+        }
         guard.set_decided();
         Some(decision)
     }
@@ -303,15 +310,13 @@
     }
 
     /// whether the caller's key is still its own
-    fn is_still_admitted(&self) -> bool {
+    fn admit_again(&self) -> Result<(), NotAdmitted> {
         let Some(caller) = &self.accepted.caller else {
-            return true;
+            return Ok(());
         };
         let table = self.shared.table.load();
-        let admission = &self.shared.admission;
-        table
-            .as_ref()
-            .is_some_and(|t| admission.is_still_admitted(t, caller))
+        let table = table.as_ref().ok_or(NotAdmitted::Outdated)?;
+        self.shared.admission.admit_again(table, caller)
     }
 
     /// give a back end back that was chosen for a request which must not run
@@ -345,10 +350,7 @@
         let Some(req) = self.request(assignment) else {
             return Attempt::Failed(None);
         };
-        let sent = timeout_at(
-            self.deadline.into(),
-            send(assignment.addr, req, CONNECT_LIMIT),
-        );
+        let sent = before_deadline(self.deadline, send(assignment.addr, req, CONNECT_LIMIT));
         match sent.await {
             Err(_) => Attempt::TimedOut,
             Ok(Err(SendError::NotSent { addr, problem })) => {
@@ -379,7 +381,7 @@
         let sent_headers = req.headers_mut()?;
         sent_headers.clone_from(headers);
         let send = SendHead {
-            deadline: self.deadline.saturating_duration_since(Instant::now()),
+            deadline: self.deadline.saturating_duration_since(clock::now()),
             backend: &assignment.backend.name,
             version: assignment.version,
             urgency: assignment.urgency,
@@ -455,8 +457,7 @@
     async fn collect(&self, answer: BackendAnswer, mut guard: SendGuard) -> Attempt {
         let (mut parts, body) = answer.response.into_parts();
         remove_connection_headers(&mut parts.headers, self.shared.dialect.end_to_end());
-        let left = self.deadline.saturating_duration_since(Instant::now());
-        let body = match timeout(left, body.collect()).await {
+        let body = match before_deadline(self.deadline, body.collect()).await {
             Err(_) => return Attempt::TimedOut,
             Ok(Err(_)) => {
                 guard.end(SendOutcome::Broken);
@@ -474,12 +475,12 @@
         let answered = SendOutcome::Answered.code();
         self.shared.metrics.on_send_ended(answered);
         let route = &self.accepted.route.name;
-        let after = self.accepted.arrived.elapsed();
+        let after = clock::elapsed(self.accepted.arrived);
         self.shared.metrics.on_first_part(route, after);
         Attempt::Answered(response)
     }
 }
 
 fn elapsed_ms(since: Instant) -> u64 {
-    since.elapsed().as_millis() as u64
+    clock::elapsed(since).as_millis() as u64
 }
--- a/entry/src/ingress/observers.rs
+++ b/entry/src/ingress/observers.rs
@@ -6,7 +6,10 @@
         ids::RequestId,
         ingress::{RequestDigest, Route},
     },
-    chalkcart_transport::ingress::{PassEnd, PassObserver},
+    chalkcart_transport::{
+        clock,
+        ingress::{PassEnd, PassObserver},
+    },
     log::Level,
     std::{
         sync::Arc,
@@ -67,7 +70,7 @@
 
 impl PassObserver for StreamObserver {
     fn on_first(&mut self) {
-        let after = self.arrived.elapsed();
+        let after = clock::elapsed(self.arrived);
         self.first_part = Some(after);
         self.shared.metrics.on_first_part(&self.route.name, after);
         self.guard.start();
@@ -100,7 +103,7 @@
             objective_ms = self.route.target_latency.as_millis() as u64,
             first_part_ms = self.first_part.map_or(-1, |t| t.as_millis() as i64),
             longest_pause_ms = longest_pause.as_millis() as u64,
-            total_ms = self.arrived.elapsed().as_millis() as u64;
+            total_ms = clock::elapsed(self.arrived).as_millis() as u64;
             "ingress: stream ended"
         );
     }
--- a/entry/src/ingress/records.rs
+++ b/entry/src/ingress/records.rs
@@ -6,7 +6,10 @@
         ingress::RouteTable,
         published::{Record, RecordSubject, Snapshot, Topic},
     },
-    chalkcart_transport::metadata::{Heard, RecordSink},
+    chalkcart_transport::{
+        clock,
+        metadata::{Heard, RecordSink},
+    },
     std::{
         collections::BTreeMap,
         sync::{Arc, Mutex, PoisonError},
@@ -74,7 +77,7 @@
 
     fn is_due(&self) -> bool {
         let told = self.told;
-        self.is_untold && told.is_none_or(|at| at.elapsed() >= HOLDINGS_EVERY)
+        self.is_untold && told.is_none_or(|at| clock::elapsed(at) >= HOLDINGS_EVERY)
     }
 }
 
@@ -111,7 +114,7 @@
             return;
         }
         list.is_untold = false;
-        list.told = Some(Instant::now());
+        list.told = Some(clock::now());
         let told = list.backends.values().cloned().collect();
         self.shared.set_knows_backends();
         self.shared.metrics.on_list(heard.at);
@@ -158,7 +161,7 @@
         if let Some(accounts) = &table.accounts {
             let accounts = accounts.accounts().map(Arc::as_ref);
             let mut limits = self.shared.admission.limits();
-            let changed = limits.set_accounts(accounts, Instant::now());
+            let changed = limits.set_accounts(accounts, clock::now());
             drop(limits);
             changed.iter().for_each(|change| {
                 log::info!(
--- a/entry/src/ingress/relay_link.rs
+++ b/entry/src/ingress/relay_link.rs
@@ -9,6 +9,7 @@
     },
     chalkcart_transport::{
         client::{ClientError, ClientStep, MessageStream, PeerClient},
+        clock,
         links::ViewSink,
     },
     futures::StreamExt,
@@ -16,7 +17,7 @@
         collections::{HashMap, HashSet},
         net::SocketAddr,
         sync::Arc,
-        time::{Duration, Instant},
+        time::Duration,
     },
     tokio::{
         runtime::Handle,
@@ -98,7 +99,7 @@
     async fn run(mut self) {
         let mut present = None;
         loop {
-            let now = Instant::now();
+            let now = clock::now();
             let candidates = self.outbox.candidates();
             let chosen = self.choice.choose(&candidates, present, now);
             let Some(engine) = chosen else {
@@ -113,7 +114,7 @@
             if let End::Failed(e) = end {
                 log::warn!(relay = relay.to_string().as_str(), cause = e.to_string().as_str();
                     "links: relay lost");
-                self.choice.on_failed(engine, Instant::now());
+                self.choice.on_failed(engine, clock::now());
                 present = None;
                 sleep(RETRY).await;
             }
@@ -133,7 +134,7 @@
             Ok(updates) => updates,
             Err(e) => return End::Failed(e),
         };
-        let (since, mut reviewed) = (Instant::now(), Instant::now());
+        let (since, mut reviewed) = (clock::now(), clock::now());
         let (mut heard, mut is_first) = (Some(HashSet::new()), true);
         loop {
             let update = match next_update(&mut updates, relay).await {
@@ -148,14 +149,14 @@
                 heard.extend(update.news.iter().map(|news| news.engine));
             }
             update.news.into_iter().for_each(|news| self.take_in(news));
-            if since.elapsed() >= ALL_HEARD_AFTER {
+            if clock::elapsed(since) >= ALL_HEARD_AFTER {
                 heard
                     .take()
                     .into_iter()
                     .for_each(|heard| self.forget_but(&heard));
             }
-            if reviewed.elapsed() >= REVIEW {
-                reviewed = Instant::now();
+            if clock::elapsed(reviewed) >= REVIEW {
+                reviewed = clock::now();
                 self.set_store_relays(relay);
                 if self.is_outranked(engine) {
                     return End::Outranked;
@@ -175,7 +176,7 @@
     /// the zone's reader of the store first, then the relay that is heard anyway
     fn set_store_relays(&mut self, relay: SocketAddr) {
         let candidates = self.outbox.candidates();
-        let reader = self.choice.store_reader(&candidates, Instant::now());
+        let reader = self.choice.store_reader(&candidates, clock::now());
         let port = self.settings.sidecar_port;
         let reader = reader.map(|engine| SocketAddr::new(engine.ip(), port));
         let mut ranked: Vec<SocketAddr> = reader.into_iter().collect();
@@ -187,9 +188,7 @@
 
     fn is_outranked(&mut self, engine: SocketAddr) -> bool {
         let candidates = self.outbox.candidates();
-        let chosen = self
-            .choice
-            .choose(&candidates, Some(engine), Instant::now());
+        let chosen = self.choice.choose(&candidates, Some(engine), clock::now());
         chosen != Some(engine)
     }
 
--- a/entry/src/ingress/service.rs
+++ b/entry/src/ingress/service.rs
@@ -12,9 +12,12 @@
         accounts::ApiKeyError,
         ingress::{IngressLimits, RequestDigest, Route, RouteTable},
     },
-    chalkcart_transport::ingress::{
-        remove_connection_headers, ClientRequest, ClientResponse, HeadError, IngressService, Phase,
-        RequestHead,
+    chalkcart_transport::{
+        clock,
+        ingress::{
+            remove_connection_headers, ClientRequest, ClientResponse, HeadError, IngressService,
+            Phase, RequestHead,
+        },
     },
     http::{
         header::{CONNECTION, HOST},
@@ -77,7 +80,7 @@
             request = request.as_str(),
             route = route.name.as_str(),
             status = status,
-            total_ms = arrived.elapsed().as_millis() as u64;
+            total_ms = clock::elapsed(arrived).as_millis() as u64;
             "ingress: answered"
         );
         response
@@ -167,7 +170,7 @@
     }
 
     async fn accept(&self, req: ClientRequest) -> Result<Accepted, ClientResponse> {
-        let arrived = Instant::now();
+        let arrived = clock::now();
         let (mut parts, body) = req.into_parts();
         let head = self.shared.dialect.read_request(&parts.headers);
         let id = head.as_ref().ok().map(|head| head.id.clone());
--- a/entry/src/ingress/shared.rs
+++ b/entry/src/ingress/shared.rs
@@ -8,6 +8,7 @@
         ingress::{Route, RouteTable},
     },
     chalkcart_transport::{
+        clock,
         ingress::{Dialect, Phase},
         metrics::IngressMetrics,
         server::pages::Observed,
@@ -67,7 +68,7 @@
             crashes,
             phase: watch::Sender::new(Phase::Serving),
             patience: Mutex::default(),
-            started: Instant::now(),
+            started: clock::now(),
             next_ticket: AtomicU64::new(1),
             knows_backends: AtomicBool::new(false),
         }
@@ -94,7 +95,7 @@
     /// without it.
     pub async fn wait_for_keeper(&self, account: AccountMark) {
         while self.settings.mechanisms.shared_limits
-            && self.started.elapsed() < FIRST_WORD
+            && clock::elapsed(self.started) < FIRST_WORD
             && !self.knows_asked(account)
         {
             sleep(LOOK_FOR_KEEPER).await;
@@ -102,7 +103,7 @@
     }
     fn knows_asked(&self, account: AccountMark) -> bool {
         let limits = self.admission.limits();
-        limits.knows_asked(account, Instant::now())
+        limits.knows_asked(account, clock::now())
     }
     pub fn list_pacing(&self) -> ListPacing {
         ListPacing {
--- a/entry/src/ingress/usage_reports.rs
+++ b/entry/src/ingress/usage_reports.rs
@@ -2,12 +2,8 @@
     super::shared::Shared,
     chalkcart_coordination::membership::{KeeperChoice, KeptMatter},
     chalkcart_protocol::peer::{path, UsageAnswer},
-    chalkcart_transport::client::PeerClient,
-    std::{
-        net::SocketAddr,
-        sync::Arc,
-        time::{Duration, Instant},
-    },
+    chalkcart_transport::{client::PeerClient, clock},
+    std::{net::SocketAddr, sync::Arc, time::Duration},
     tokio::time::sleep,
 };
 
@@ -27,7 +23,7 @@
     loop {
         let pause =
             match report_once(&shared, &peers, &mut choice, &mut present, sidecar_port).await {
-                Some(true) => shared.admission.limits().report_every(Instant::now()),
+                Some(true) => shared.admission.limits().report_every(clock::now()),
                 Some(false) => RETRY,
                 None => LOOK_EVERY,
             };
@@ -44,7 +40,7 @@
     present: &mut Option<SocketAddr>,
     sidecar_port: u16,
 ) -> Option<bool> {
-    let now = Instant::now();
+    let now = clock::now();
     let report = {
         let mut limits = shared.admission.limits();
         limits.set_entries(shared.control.counted_entries(), now);
@@ -62,7 +58,7 @@
     match answer.await {
         Ok(answer) => {
             choice.on_heard(engine);
-            let now = Instant::now();
+            let now = clock::now();
             let mut limits = shared.admission.limits();
             limits.on_answer(&report, &answer, now);
             shared
@@ -73,7 +69,7 @@
         Err(e) => {
             log::warn!(keeper = engine.to_string().as_str(), cause = e.to_string().as_str();
                 "limits: no answer");
-            choice.on_failed(engine, Instant::now());
+            choice.on_failed(engine, clock::now());
             Some(false)
         }
     }
--- a/entry/src/ingress/zone_source.rs
+++ b/entry/src/ingress/zone_source.rs
@@ -9,6 +9,7 @@
     chalkcart_state::published::Topic,
     chalkcart_transport::{
         client::PeerClient,
+        clock,
         metadata::{Heard, MetadataSource, SourceError, Watched},
     },
     std::{
@@ -85,13 +86,13 @@
         call: impl Future<Output = Result<A, SourceError>>,
     ) -> Result<A, SourceError> {
         let has_relay = !self.relays.is_empty();
-        if has_relay && !self.own_calls(topic).may_call(Instant::now()) {
+        if has_relay && !self.own_calls(topic).may_call(clock::now()) {
             return Err(SourceError::LeftToRelay);
         }
         let answer = call.await;
         match &answer {
             Ok(_) => self.own_calls(topic).on_heard(),
-            Err(_) => self.own_calls(topic).on_failed(Instant::now()),
+            Err(_) => self.own_calls(topic).on_failed(clock::now()),
         }
         answer
     }
@@ -107,7 +108,7 @@
         after: Option<u64>,
         wait: Duration,
     ) -> Option<Watched> {
-        for relay in self.relays.sound(Instant::now()) {
+        for relay in self.relays.sound(clock::now()) {
             match self.ask_relay(relay, topic, after, wait).await {
                 RelayWord::Heard(heard) => return Some(heard),
                 RelayWord::Stale => {}
@@ -130,7 +131,7 @@
             wait_ms: wait.as_millis() as u64,
         };
         let limit = wait + RELAY_SLACK;
-        let asked = Instant::now();
+        let asked = clock::now();
         let answer = self.peers.call(relay, path::RELAY_PUBLISHED, &ask, limit);
         let (cause, word) = match answer.await {
             Ok(PublishedAnswer::Records {
@@ -152,7 +153,7 @@
             }
             Ok(PublishedAnswer::Stale) => ("stale".to_string(), RelayWord::Stale),
             Err(e) => {
-                self.relays.on_failed(relay, Instant::now());
+                self.relays.on_failed(relay, clock::now());
                 (e.to_string(), RelayWord::NoAnswer)
             }
         };
--- a/entry/src/rpc/admin.rs
+++ b/entry/src/rpc/admin.rs
@@ -13,10 +13,8 @@
         fleet::Role,
         ids::{Generation, WeightsDigest, WeightsDigestError},
     },
-    std::{
-        sync::Arc,
-        time::{Duration, Instant},
-    },
+    chalkcart_transport::clock,
+    std::{sync::Arc, time::Duration},
     tonic::{Request, Response, Status},
 };
 
@@ -189,7 +187,7 @@
     ) -> Result<Response<WaitInForceResponse>, Status> {
         let req = req.into_inner();
         let wait = Duration::from_millis(u64::from(req.timeout_ms)).min(MAX_WAIT);
-        let deadline = Instant::now() + wait;
+        let deadline = clock::now() + wait;
         let missing = wait_in_force(&self.shared, req.generation, deadline).await;
         Ok(Response::new(WaitInForceResponse {
             in_force: missing.is_empty(),
--- a/entry/src/rpc/admission.rs
+++ b/entry/src/rpc/admission.rs
@@ -12,11 +12,8 @@
         config::{Configuration, ResolvedAdapter},
         ids::{ClassName, GroupName, ReservedId},
     },
-    chalkcart_transport::server::pages::Observed,
-    std::{
-        sync::Arc,
-        time::{Duration, Instant},
-    },
+    chalkcart_transport::{clock, server::pages::Observed},
+    std::{sync::Arc, time::Duration},
     tonic::Status,
 };
 
@@ -171,7 +168,7 @@
             reserved,
             group: terms.group,
             class: terms.class,
-            deadline: Instant::now() + timeout,
+            deadline: clock::now() + timeout,
             need,
             work,
         })
--- a/entry/src/rpc/force.rs
+++ b/entry/src/rpc/force.rs
@@ -5,6 +5,7 @@
         fleet::{FleetBox, Role},
         ids::{BoxName, Generation},
     },
+    chalkcart_transport::clock,
     futures::{stream, StreamExt},
     std::time::{Duration, Instant},
     tokio::time::sleep,
@@ -37,7 +38,7 @@
             .filter(|(_, found)| lacks(*found))
             .map(|(listed, _)| listed)
             .collect();
-        if missing.is_empty() || Instant::now() >= deadline {
+        if missing.is_empty() || clock::now() >= deadline {
             let mut names: Vec<BoxName> = missing.iter().map(|b| b.name.clone()).collect();
             names.sort();
             return names;
--- a/entry/src/rpc/inference.rs
+++ b/entry/src/rpc/inference.rs
@@ -19,11 +19,8 @@
         },
     },
     chalkcart_state::ids::ReservedId,
-    chalkcart_transport::metrics::GroupClass,
-    std::{
-        sync::Arc,
-        time::{Duration, Instant},
-    },
+    chalkcart_transport::{clock, metrics::GroupClass},
+    std::{sync::Arc, time::Duration},
     tokio::sync::mpsc,
     tokio_stream::wrappers::ReceiverStream,
     tonic::{Request, Response, Status},
@@ -146,7 +143,7 @@
         let reserved_id = req.reserved_id.clone();
         let job = Admission::new(&self.shared, &reserved_id).call(req).await?;
         let of = Self::labels(&job);
-        let started = Instant::now();
+        let started = clock::now();
         self.shared.metrics.on_request(&of);
         let (tx, mut rx) = mpsc::channel(1);
         let dispatcher = Dispatcher::new(self.shared.clone(), job, tx);
@@ -161,7 +158,9 @@
         let Some(Delivered::Body(body)) = body else {
             return Err(Status::internal("the target gave no body"));
         };
-        self.shared.metrics.on_first_token(&of, started.elapsed());
+        self.shared
+            .metrics
+            .on_first_token(&of, clock::elapsed(started));
         self.shared.metrics.on_completed(&of);
         Ok(Response::new(CallResponse { body }))
     }
@@ -247,7 +246,7 @@
     mut parts: mpsc::Receiver<Delivered>,
     caller: &mpsc::Sender<Result<GenerateEvent, Status>>,
 ) {
-    let mut last = Instant::now();
+    let mut last = clock::now();
     let mut count = 0;
     loop {
         let part = tokio::select! {
@@ -257,10 +256,10 @@
         let event = match part {
             Some(Delivered::Token(text)) => {
                 match count {
-                    0 => shared.metrics.on_first_token(of, last.elapsed()),
-                    _ => shared.metrics.on_next_token(of, last.elapsed()),
+                    0 => shared.metrics.on_first_token(of, clock::elapsed(last)),
+                    _ => shared.metrics.on_next_token(of, clock::elapsed(last)),
                 }
-                last = Instant::now();
+                last = clock::now();
                 count += 1;
                 Event::Token(Token {
                     index: count - 1,
--- a/entry/src/traffic/attempt.rs
+++ b/entry/src/traffic/attempt.rs
@@ -7,15 +7,15 @@
         Step, Work,
     },
     chalkcart_state::ids::{BoxName, Sequence},
-    chalkcart_transport::client::{ClientError, ClientStep, FrameStream},
-    futures::StreamExt,
-    std::{
-        net::SocketAddr,
-        time::{Duration, Instant},
+    chalkcart_transport::{
+        client::{ClientError, ClientStep, FrameStream},
+        clock::{self, before_deadline},
     },
+    futures::StreamExt,
+    std::{net::SocketAddr, time::Duration},
     tokio::{
         sync::mpsc,
-        time::{sleep, timeout, timeout_at},
+        time::{sleep, timeout},
     },
 };
 
@@ -161,11 +161,11 @@
     }
 
     async fn next_frame(&self, stream: &mut FrameStream) -> Result<Frame, Stopped> {
-        let silence = Instant::now() + self.shared.settings.silence();
+        let silence = clock::now() + self.shared.settings.silence();
         let end = self.job.deadline + DEADLINE_GRACE;
         let until = silence.min(end);
         tokio::select! {
-            next = timeout_at(until.into(), stream.next()) => match next {
+            next = before_deadline(until, stream.next()) => match next {
                 Ok(Some(Ok(frame))) => Ok(frame),
                 Ok(Some(Err(e))) => Err(Stopped::Broken(e.to_string())),
                 Ok(None) => Err(Stopped::Broken("stream ended early".to_string())),
--- a/entry/src/traffic/job.rs
+++ b/entry/src/traffic/job.rs
@@ -4,6 +4,7 @@
     chalkcart_state::ids::{
         AdapterName, ClassName, GroupName, RequestId, ReservedId, VersionNumber,
     },
+    chalkcart_transport::clock,
     std::{
         net::SocketAddr,
         time::{Duration, Instant},
@@ -36,7 +37,7 @@
 
 impl Job {
     pub fn remaining(&self) -> Duration {
-        self.deadline.saturating_duration_since(Instant::now())
+        self.deadline.saturating_duration_since(clock::now())
     }
 
     /// the message for a sidecar, with the tokens that the caller has
--- a/sidecar/src/app/control_thread.rs
+++ b/sidecar/src/app/control_thread.rs
@@ -2,13 +2,14 @@
     super::{executor::Executor, shared::Shared},
     anyhow::{Context, Result},
     chalkcart_coordination::sidecar::{SidecarControl, SidecarEvent},
+    chalkcart_transport::clock,
     std::{
         sync::{
             mpsc::{Receiver, RecvTimeoutError},
             Arc,
         },
         thread,
-        time::{Duration, Instant},
+        time::Duration,
     },
 };
 
@@ -28,7 +29,7 @@
             Err(RecvTimeoutError::Timeout) => SidecarEvent::Tick,
             Err(RecvTimeoutError::Disconnected) => return,
         };
-        let actions = control.handle(event, Instant::now());
+        let actions = control.handle(event, clock::now());
         shared.report.store(Arc::new(control.report()));
         shared.set_ready(control.is_ready() && !control.is_leaving());
         for action in actions {
--- a/sidecar/src/app/engine_run.rs
+++ b/sidecar/src/app/engine_run.rs
@@ -7,6 +7,7 @@
     },
     chalkcart_protocol::peer::{FrameBody, GenerateWork, Outcome, Reason},
     chalkcart_state::ids::RequestId,
+    chalkcart_transport::clock::{self, sleep_until_deadline},
     chalkcart_transport::engine::{
         AdapterBody, Engine, EngineError, EngineEvent, EngineEvents, EngineRun, EventBody,
     },
@@ -15,7 +16,7 @@
         sync::Arc,
         time::{Duration, Instant},
     },
-    tokio::time::{sleep_until, timeout},
+    tokio::time::timeout,
     tokio_util::sync::CancellationToken,
 };
 
@@ -70,7 +71,7 @@
             work,
             events: Assembler::new(0, MAX_EARLY),
             tokens: 0,
-            started: Instant::now(),
+            started: clock::now(),
         }
     }
 
@@ -79,7 +80,7 @@
         let Some(order) = cx.order else {
             return self.end(Outcome::NotRun, Reason::EngineFailed, "no fence");
         };
-        if Instant::now() >= cx.deadline {
+        if clock::now() >= cx.deadline {
             return self.end(Outcome::NotRun, Reason::DeadlinePassed, "");
         }
         let run = EngineRun {
@@ -92,14 +93,13 @@
             Err(e) if e.proves_not_done() => return self.end_unstarted(&e),
             Err(e) => return self.end_lost(&e.to_string()).await,
         };
-        let deadline = cx.deadline.into();
         tokio::select! {
             end = self.read(events) => match end {
                 Ok(()) => self.end_whole(),
                 Err((Reason::Lost, detail)) => self.end_lost(&detail).await,
                 Err((reason, detail)) => self.end(Outcome::MayHaveRun, reason, &detail),
             },
-            _ = sleep_until(deadline) => self.end_stopped(Reason::DeadlinePassed).await,
+            () = sleep_until_deadline(cx.deadline) => self.end_stopped(Reason::DeadlinePassed).await,
             _ = stop.cancelled() => self.end_stopped(Reason::Cancelled).await,
         }
     }
@@ -191,7 +191,7 @@
             failure: None,
             detail: String::new(),
             tokens: self.tokens,
-            took: self.started.elapsed(),
+            took: clock::elapsed(self.started),
             may_run_on: false,
         }
     }
@@ -202,7 +202,7 @@
             failure: Some(reason),
             detail: detail.to_string(),
             tokens: self.tokens,
-            took: self.started.elapsed(),
+            took: clock::elapsed(self.started),
             may_run_on: false,
         }
     }
--- a/sidecar/src/app/executor.rs
+++ b/sidecar/src/app/executor.rs
@@ -14,6 +14,7 @@
     chalkcart_state::ids::RequestId,
     chalkcart_transport::{
         client::PeerClient,
+        clock,
         engine::{Engine, EngineError},
         metrics::GroupClass,
         service::PlainService,
@@ -140,14 +141,14 @@
 
     fn load(&self, adapter: AdapterKey, order: OrderFence) {
         self.with_engine(|engine| async move {
-            let started = Instant::now();
+            let started = clock::now();
             let result = engine.load(order, &adapter).await;
             log::info!("slots: load of {adapter}: {}", said(&result));
             SidecarEvent::LoadEnded {
                 adapter,
                 incarnation: order.incarnation,
                 result: order_result(&result),
-                took: started.elapsed(),
+                took: clock::elapsed(started),
             }
         });
     }
@@ -231,7 +232,7 @@
             group: work.group.clone(),
             class: work.class.clone(),
         };
-        let wait = arrived.elapsed();
+        let wait = clock::elapsed(arrived);
         self.shared.metrics.on_wait(&of, wait);
         if stalled {
             self.shared.metrics.on_load_stall(&of, wait);
--- a/sidecar/src/app/serve.rs
+++ b/sidecar/src/app/serve.rs
@@ -12,10 +12,10 @@
     anyhow::{Context, Result},
     chalkcart_coordination::sidecar::{SidecarControl, SidecarEvent, SidecarSettings, TargetKind},
     chalkcart_node::{runtime::run_process, signals::stop_signal},
-    chalkcart_transport::{engine::HttpEngine, server, service::HttpService},
+    chalkcart_transport::{clock, engine::HttpEngine, server, service::HttpService},
     std::{
         sync::{mpsc, Arc},
-        time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+        time::{Duration, SystemTime, UNIX_EPOCH},
     },
     tokio::{
         runtime::Handle,
@@ -54,7 +54,7 @@
 }
 
 fn start_control(settings: Settings) -> Result<Arc<Shared>> {
-    let now = Instant::now();
+    let now = clock::now();
     let control = SidecarControl::new(control_settings(&settings)?, now);
     let (tx, rx) = mpsc::channel();
     let target = target_client(&settings);
@@ -117,7 +117,7 @@
 async fn sweep(shared: Arc<Shared>) {
     loop {
         sleep(SWEEP_EVERY).await;
-        for request in shared.hub.sweep(Instant::now()) {
+        for request in shared.hub.sweep(clock::now()) {
             log::info!("streams: {request} stopped, nobody reads it");
             let (ticket, _) = shared.cancels.issue();
             shared.tell(SidecarEvent::CancelAsked { ticket, request });
--- a/sidecar/src/app/service_run.rs
+++ b/sidecar/src/app/service_run.rs
@@ -4,8 +4,11 @@
     chalkcart_coordination::sidecar::RunEnd,
     chalkcart_protocol::peer::{CallWork, FrameBody, Outcome, Reason},
     chalkcart_state::ids::RequestId,
-    chalkcart_transport::service::{PlainService, ServiceError},
-    std::{sync::Arc, time::Instant},
+    chalkcart_transport::{
+        clock,
+        service::{PlainService, ServiceError},
+    },
+    std::sync::Arc,
     tokio_util::sync::CancellationToken,
 };
 
@@ -18,13 +21,13 @@
     cx: RunContext,
     stop: CancellationToken,
 ) -> RunEnd {
-    let started = Instant::now();
+    let started = clock::now();
     let end = |outcome, failure, detail: String| RunEnd {
         outcome,
         failure,
         detail,
         tokens: 1,
-        took: started.elapsed(),
+        took: clock::elapsed(started),
         // a plain service holds nothing that must stay loaded
         may_run_on: false,
     };
--- a/sidecar/src/crashes/keeper.rs
+++ b/sidecar/src/crashes/keeper.rs
@@ -2,9 +2,10 @@
     chalkcart_coordination::crashes::CrashBook,
     chalkcart_protocol::peer::{CrashAnswer, CrashAsk, CrashMark},
     chalkcart_state::ids::Incarnation,
+    chalkcart_transport::clock,
     std::{
         sync::{Mutex, MutexGuard},
-        time::{Duration, Instant},
+        time::Duration,
     },
     tokio::{sync::watch, time::timeout},
 };
@@ -41,7 +42,7 @@
             // a time without news is an answer as well
             let _ = timeout(wait, changed.wait_for(|revision| *revision > after)).await;
         }
-        let (words, revision) = self.book().words_after(after, Instant::now());
+        let (words, revision) = self.book().words_after(after, clock::now());
         CrashAnswer {
             mark: CrashMark {
                 keeper: self.incarnation,
@@ -55,7 +56,7 @@
     fn take_in(&self, ask: &CrashAsk, after: u64) -> u64 {
         let mut book = self.book();
         let known = book.revision();
-        if book.merge(&ask.words, Instant::now()) {
+        if book.merge(&ask.words, clock::now()) {
             self.changed.send_replace(book.revision());
         }
         match after == known {
--- a/sidecar/src/placement/handlers.rs
+++ b/sidecar/src/placement/handlers.rs
@@ -6,7 +6,10 @@
     },
     chalkcart_coordination::{limits::UsageKeeper, placement::PlacementEvent},
     chalkcart_protocol::peer::{path, AdapterDemand, UsageReport},
-    chalkcart_transport::server::{frames_reply, message_reply, pages, read_message, SharedData},
+    chalkcart_transport::{
+        clock,
+        server::{frames_reply, message_reply, pages, read_message, SharedData},
+    },
     gotham::{
         handler::HandlerResult,
         middleware::state::StateMiddleware,
@@ -15,10 +18,7 @@
         router::{build_router, Router},
         state::State,
     },
-    std::{
-        sync::{Arc, Mutex},
-        time::Instant,
-    },
+    std::sync::{Arc, Mutex},
 };
 
 /// what entries let client accounts run, while this sidecar keeps the sums
@@ -74,7 +74,7 @@
         Ok(report) => {
             // no holder panics halfway through a change
             let mut keeper = sums.lock().unwrap_or_else(|e| e.into_inner());
-            message_reply(&keeper.on_report(report, Instant::now()))
+            message_reply(&keeper.on_report(report, clock::now()))
         }
         Err(e) => pages::bad_message(&e),
     };
--- a/sidecar/src/placement/keeper.rs
+++ b/sidecar/src/placement/keeper.rs
@@ -2,7 +2,7 @@
     super::shared::Shared,
     chalkcart_coordination::placement::{EngineOrder, OrderAnswer, PlacementEvent, PlacementStep},
     chalkcart_protocol::peer::EngineView,
-    chalkcart_transport::orders::OrderedEngine,
+    chalkcart_transport::{clock, orders::OrderedEngine},
     log::Level,
     std::{
         sync::Arc,
@@ -41,7 +41,7 @@
     /// keep the engine until the process ends
     pub async fn run(mut self) {
         loop {
-            let now = Instant::now();
+            let now = clock::now();
             let step = self.shared.control().next_step(now);
             match step {
                 PlacementStep::Identify { health_path } => self.identify(&health_path).await,
@@ -92,7 +92,7 @@
                 }
             }
         };
-        self.read_at = Some(Instant::now());
+        self.read_at = Some(clock::now());
         self.shared.handle(event);
         self.publish();
     }
@@ -117,7 +117,7 @@
     }
 
     fn publish(&mut self) {
-        let now = Instant::now();
+        let now = clock::now();
         let mut view = self.shared.control().view(now);
         view.figures.readers = self.shared.view.receiver_count() as u32;
         let is_due = self
--- a/sidecar/src/placement/shared.rs
+++ b/sidecar/src/placement/shared.rs
@@ -1,10 +1,8 @@
 use {
     chalkcart_coordination::placement::{PlacementControl, PlacementEvent},
     chalkcart_protocol::peer::EngineView,
-    std::{
-        sync::{Mutex, MutexGuard},
-        time::Instant,
-    },
+    chalkcart_transport::clock,
+    std::sync::{Mutex, MutexGuard},
     tokio::sync::{watch, Notify},
 };
 
@@ -30,6 +28,6 @@
         self.control.lock().unwrap_or_else(|e| e.into_inner())
     }
     pub fn handle(&self, event: PlacementEvent) {
-        self.control().handle(event, Instant::now());
+        self.control().handle(event, clock::now());
     }
 }
--- a/sidecar/src/relay/handlers.rs
+++ b/sidecar/src/relay/handlers.rs
@@ -1,11 +1,11 @@
 use {
     super::RelayHub,
     chalkcart_protocol::peer::{PublishedAsk, RelayAsk, RelayDemands},
+    chalkcart_transport::clock,
     chalkcart_transport::server::{
         encoded_frames_reply, message_reply, pages, read_message, SharedData,
     },
     gotham::{handler::HandlerResult, state::State},
-    std::time::Instant,
 };
 
 /// an entry says what it needs of engines
@@ -27,7 +27,7 @@
     let reply = match read_message::<RelayAsk>(&mut state).await {
         Ok(ask) => {
             log::info!(entry = ask.entry.as_str(); "relay: entry follows");
-            encoded_frames_reply(hub.follow(Instant::now()))
+            encoded_frames_reply(hub.follow(clock::now()))
         }
         Err(e) => pages::bad_message(&e),
     };
@@ -39,7 +39,7 @@
     let hub = SharedData::<RelayHub>::of(&state);
     let reply = match read_message::<PublishedAsk>(&mut state).await {
         Ok(ask) => {
-            hub.published.on_asked(Instant::now());
+            hub.published.on_asked(clock::now());
             hub.changed.notify_one();
             message_reply(&hub.published.answer(&ask).await)
         }
--- a/sidecar/src/relay/hub.rs
+++ b/sidecar/src/relay/hub.rs
@@ -7,7 +7,7 @@
         peer::{EngineFigures, EngineView, RelayDemands, RelayUpdate},
     },
     chalkcart_state::{backends::BackendId, ids::BoxName},
-    chalkcart_transport::links::ViewSink,
+    chalkcart_transport::{clock, links::ViewSink},
     futures::{stream, Stream, StreamExt},
     std::{
         net::SocketAddr,
@@ -58,7 +58,7 @@
 
     /// an entry says what it needs
     pub fn on_demands(&self, message: RelayDemands) {
-        if self.book().on_demands(message, Instant::now()) {
+        if self.book().on_demands(message, clock::now()) {
             self.has_other_engines.store(true, Ordering::Relaxed);
         }
         self.changed.notify_one();
@@ -109,16 +109,16 @@
 
 impl ViewSink for RelayHub {
     fn on_view(&self, engine: SocketAddr, view: EngineView) {
-        let is_urgent = self.book().on_view(engine, view, Instant::now());
+        let is_urgent = self.book().on_view(engine, view, clock::now());
         self.wake(is_urgent);
     }
     fn on_figures(&self, engine: SocketAddr, backend: &BackendId, figures: EngineFigures) {
-        let now = Instant::now();
+        let now = clock::now();
         let is_urgent = self.book().on_figures(engine, backend, figures, now);
         self.wake(is_urgent);
     }
     fn on_silent(&self, engine: SocketAddr, _backend: &BackendId) {
-        self.book().on_silent(engine, Instant::now());
+        self.book().on_silent(engine, clock::now());
         self.wake(true);
     }
 }
--- a/sidecar/src/relay/published.rs
+++ b/sidecar/src/relay/published.rs
@@ -2,7 +2,10 @@
     chalkcart_coordination::relay::{PublishedBook, RelayPacing},
     chalkcart_protocol::peer::{PublishedAnswer, PublishedAsk},
     chalkcart_state::published::Topic,
-    chalkcart_transport::metadata::{self as store, Follower, MetadataSource, RecordSink},
+    chalkcart_transport::{
+        clock,
+        metadata::{self as store, Follower, MetadataSource, RecordSink},
+    },
     std::{
         sync::{Arc, Mutex, MutexGuard},
         time::{Duration, Instant},
@@ -93,7 +96,7 @@
 
     /// answer an entry as soon as there is something newer than it knows
     pub async fn answer(&self, ask: &PublishedAsk) -> PublishedAnswer {
-        let asked = Instant::now();
+        let asked = clock::now();
         let heard = self.heard(ask.topic);
         let mut changes = heard.changed.subscribe();
         if !heard.book().has_heard() {
@@ -103,7 +106,7 @@
         let until = Deadline::now() + Duration::from_millis(ask.wait_ms);
         loop {
             changes.mark_unchanged();
-            if let Some(answer) = heard.book().answer(ask.after, asked, Instant::now()) {
+            if let Some(answer) = heard.book().answer(ask.after, asked, clock::now()) {
                 return answer;
             }
             let left = until.saturating_duration_since(Deadline::now());
@@ -132,7 +135,7 @@
         let has_news = is_whole || !snapshot.records.is_empty();
         let to = self.heard(topic);
         to.book()
-            .take_in(snapshot, is_whole, current_at, Instant::now());
+            .take_in(snapshot, is_whole, current_at, clock::now());
         if has_news {
             to.changed.send_modify(|count| *count += 1);
         }
--- a/sidecar/src/relay/pump.rs
+++ b/sidecar/src/relay/pump.rs
@@ -1,10 +1,7 @@
 use {
     super::RelayHub,
-    chalkcart_transport::links::SidecarLinks,
-    std::{
-        sync::Arc,
-        time::{Duration, Instant},
-    },
+    chalkcart_transport::{clock, links::SidecarLinks},
+    std::{sync::Arc, time::Duration},
     tokio::{
         runtime::Handle,
         time::{sleep, timeout},
@@ -21,10 +18,10 @@
 /// all sidecars
 pub async fn run_pump(hub: Arc<RelayHub>, sidecar_port: u16) {
     let mut links = SidecarLinks::new(Handle::current(), hub.clone(), sidecar_port);
-    let mut told = Instant::now();
+    let mut told = clock::now();
     loop {
         wait(&hub).await;
-        let now = Instant::now();
+        let now = clock::now();
         let has_other_engines = hub.review(now);
         hub.published.review(now);
         if has_other_engines {
@@ -46,7 +43,7 @@
 
 /// wait for work; a relay that nobody uses has none
 async fn wait(hub: &RelayHub) {
-    let is_idle = hub.book().entry_count() == 0 && !hub.published.review(Instant::now());
+    let is_idle = hub.book().entry_count() == 0 && !hub.published.review(clock::now());
     if is_idle {
         hub.changed.notified().await;
     } else {
--- a/sidecar/src/streams/stream_hub.rs
+++ b/sidecar/src/streams/stream_hub.rs
@@ -2,6 +2,7 @@
     chalkcart_coordination::stream::StreamBuffer,
     chalkcart_protocol::peer::FrameBody,
     chalkcart_state::ids::{RequestId, Sequence},
+    chalkcart_transport::clock,
     std::{
         collections::HashMap,
         sync::{
@@ -41,7 +42,7 @@
             buffer: Mutex::new(StreamBuffer::new()),
             count: watch::Sender::new(0),
             readers: AtomicUsize::new(0),
-            idle_since: Mutex::new(Instant::now()),
+            idle_since: Mutex::new(clock::now()),
         }
     }
     pub fn push(&self, body: FrameBody) {
@@ -49,7 +50,7 @@
         if buffer.push(body) {
             let count = buffer.len();
             drop(buffer);
-            *lock(&self.idle_since) = Instant::now();
+            *lock(&self.idle_since) = clock::now();
             self.count.send_replace(count);
         }
     }
@@ -69,7 +70,7 @@
         self.readers.fetch_add(1, Ordering::Relaxed);
     }
     pub fn remove_reader(&self) {
-        *lock(&self.idle_since) = Instant::now();
+        *lock(&self.idle_since) = clock::now();
         self.readers.fetch_sub(1, Ordering::Relaxed);
     }
     fn bytes(&self) -> usize {
--- a/transport/src/ingress/pass_body.rs
+++ b/transport/src/ingress/pass_body.rs
@@ -1,5 +1,8 @@
 use {
-    crate::backend::Connection,
+    crate::{
+        backend::Connection,
+        clock::{self, sleep_until_deadline},
+    },
     bytes::Bytes,
     http_body::{Body, Frame, SizeHint},
     hyper::body::Incoming,
@@ -8,9 +11,8 @@
         io,
         pin::Pin,
         task::{ready, Context, Poll},
-        time::Duration,
+        time::{Duration, Instant},
     },
-    tokio::time::{sleep_until, Instant, Sleep},
 };
 
 /// how a body that was passed on ended
@@ -39,7 +41,8 @@
 pub struct PassBody {
     body: Incoming,
     _connection: Connection,
-    deadline: Pin<Box<Sleep>>,
+    deadline: Instant,
+    timer: Pin<Box<dyn Future<Output = ()> + Send + Sync>>,
     last: Option<Instant>,
     longest_pause: Duration,
     observer: Box<dyn PassObserver>,
@@ -50,13 +53,14 @@
     pub fn new(
         body: Incoming,
         connection: Connection,
-        deadline: std::time::Instant,
+        deadline: Instant,
         observer: Box<dyn PassObserver>,
     ) -> Self {
         Self {
             body,
             _connection: connection,
-            deadline: Box::pin(sleep_until(deadline.into())),
+            deadline,
+            timer: Box::pin(sleep_until_deadline(deadline)),
             last: None,
             longest_pause: Duration::ZERO,
             observer,
@@ -71,9 +75,11 @@
         }
     }
     fn on_part(&mut self) {
-        let now = Instant::now();
+        let now = clock::now();
         match self.last {
-            Some(last) => self.longest_pause = self.longest_pause.max(now - last),
+            Some(last) => {
+                self.longest_pause = self.longest_pause.max(now.saturating_duration_since(last))
+            }
             None => self.observer.on_first(),
         }
         self.last = Some(now);
@@ -88,7 +94,8 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context,
     ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
-        if self.deadline.as_mut().poll(cx).is_ready() {
+        let is_over = clock::now() >= self.deadline;
+        if is_over || self.timer.as_mut().poll(cx).is_ready() {
             self.end(PassEnd::TimedOut);
             return Poll::Ready(Some(Err(io::ErrorKind::TimedOut.into())));
         }
--- a/transport/src/metadata/follower.rs
+++ b/transport/src/metadata/follower.rs
@@ -1,5 +1,6 @@
 use {
     super::{Heard, MetadataSource, SourceError, Watched},
+    crate::clock,
     chalkcart_coordination::following::FollowPacing,
     chalkcart_state::published::Topic,
     std::{
@@ -46,14 +47,14 @@
             pacing,
             known: None,
             failures: 0,
-            heard: Instant::now(),
+            heard: clock::now(),
         }
     }
 
     /// follow the topic until the task is ended
     pub async fn run(mut self) {
         loop {
-            let asked = Instant::now();
+            let asked = clock::now();
             match self.step().await {
                 Ok(pause) => {
                     self.on_heard(asked);
@@ -82,7 +83,7 @@
             );
         }
         self.failures = 0;
-        self.heard = Instant::now();
+        self.heard = clock::now();
     }
 
     /// A line for each call: they say when the calls of an outage began and how long
@@ -136,5 +137,5 @@
 }
 
 fn elapsed_ms(since: Instant) -> u64 {
-    since.elapsed().as_millis() as u64
+    clock::elapsed(since).as_millis() as u64
 }
