Zones that are to be emptied get nothing, and cold engines what they carry

Cause: nothing read op/evacuate/ZONE, nor ColdLeftMs. Ruled out: the list and its pacing (the record comes with the configuration, which is watched). Change: Record::Zone by entries and relays, a filter where candidates are chosen, so that waits, homes, copies and orders follow; what waits is looked at again with each change.

--- a/coordination/src/dispatch/backend_state.rs
+++ b/coordination/src/dispatch/backend_state.rs
@@ -1,5 +1,5 @@
 use {
-    super::{Ask, Health},
+    super::{Ask, ColdBound, ColdPace, Health},
     crate::{
         membership::stable_hash,
         placement::{adapter_mark, AdapterMark, LatelyHeld},
@@ -90,6 +90,8 @@
     /// adapters that the engine has refused since the last view
     refused: HashSet<AdapterRef>,
     full_until: Instant,
+    /// while it is cold, or was when this was looked at last
+    pub cold: Option<ColdBound>,
 }
 
 impl BackendState {
@@ -116,6 +118,24 @@
             is_quiet: false,
             refused: HashSet::new(),
             full_until: now,
+            cold: None,
+        }
+    }
+
+    /// it says how much longer it is cold; `entry` is the one that asks
+    pub fn set_cold(&mut self, entry: &str, left: Duration, now: Instant) {
+        match &mut self.cold {
+            Some(cold) => cold.set_left(left, now),
+            None if left.is_zero() => {}
+            None => self.cold = Some(ColdBound::new(entry, &self.listed.id, left, now)),
+        }
+    }
+    pub fn pass_cold(&mut self, pace: ColdPace, entries: u32, now: Instant) {
+        self.cold = self.cold.take().filter(|cold| cold.is_cold(now));
+        // a service without a pace does not bound its cold ones
+        self.cold = self.cold.take().filter(|_| pace.per_s > 0.0);
+        if let Some(cold) = &mut self.cold {
+            cold.pass(pace, entries, now);
         }
     }
 
@@ -167,6 +187,9 @@
         self.held.clear();
     }
     pub fn on_sent(&mut self, sent: &Sent) {
+        if let Some(cold) = &mut self.cold {
+            cold.on_sent();
+        }
         self.in_flight += 1;
         self.unstarted += 1;
         self.unstarted_tokens += u64::from(sent.prompt_tokens);
@@ -264,7 +287,8 @@
         f64::from(self.occupied(now)) / f64::from(self.listed.slots.max(1))
     }
     pub fn has_place(&self, now: Instant) -> bool {
-        now >= self.full_until && self.occupied(now) < self.listed.slots
+        let is_warm = self.cold.as_ref().is_none_or(|cold| cold.allows_one(now));
+        is_warm && now >= self.full_until && self.occupied(now) < self.listed.slots
     }
     /// prompts that are read or wait there, as far as is known
     pub fn unread(&self, now: Instant) -> u32 {
--- a/coordination/src/dispatch/choosing.rs
+++ b/coordination/src/dispatch/choosing.rs
@@ -175,6 +175,7 @@
             .backends
             .values()
             .filter(|b| b.listed.service == ask.service && !ask.tried.contains(&b.listed.id))
+            .filter(|b| !self.evacuated.contains(&b.listed.zone))
             .collect();
         let keep = |is_kept: &dyn Fn(&BackendState) -> bool| -> Vec<&BackendState> {
             let kept = of_service.iter().copied().filter(|b| is_kept(b));
--- a/coordination/src/dispatch/dispatcher.rs
+++ b/coordination/src/dispatch/dispatcher.rs
@@ -2,13 +2,13 @@
     super::{
         choosing::Choice, listing::Life, promises::Promise, waiting::WaitingList, wishes::Wish,
         AccountTurns, AdapterVersions, Ask, Assignment, BackendState, Basis, BudgetStanding,
-        Decision, DispatchEvent, DispatchSettings, FleetSize, ReadingRate, RefusalCause,
+        ColdPace, Decision, DispatchEvent, DispatchSettings, FleetSize, ReadingRate, RefusalCause,
         SendOutcome, Sent, SharedBudget, Ticket, Wished,
     },
     crate::crashes::{Crash, CrashEvidence},
     chalkcart_state::{
         backends::{AdapterRef, Backend, BackendId},
-        ids::ServiceName,
+        ids::{ServiceName, ZoneName},
         ingress::{RequestDigest, RouteTable, Service},
     },
     std::{
@@ -21,6 +21,10 @@
 
 /// entries assumed before a sidecar has counted them
 const ENTRIES_UNKNOWN: u32 = 8;
+/// the same for what cold engines take, where too many do harm
+const COLD_ENTRIES_UNKNOWN: u32 = 32;
+/// time until entries that began together have made themselves known to all sidecars
+const COUNTED_AFTER: Duration = Duration::from_secs(3);
 /// what a request that was refused waits at least
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
 
@@ -60,6 +64,8 @@
     /// engines whose sidecars must hear of a new wish
     pub(super) urgent: HashSet<BackendId>,
     pub(super) decided: Vec<(Ticket, Decision)>,
+    /// zones whose back ends are to be sent nothing
+    pub(super) evacuated: HashSet<ZoneName>,
     /// which runs the ends of engines belong to
     pub(super) crashes: CrashEvidence,
     /// requests that were served since the last call of `take_served`
@@ -93,6 +99,7 @@
             promises: HashMap::new(),
             urgent: HashSet::new(),
             decided: Vec::new(),
+            evacuated: HashSet::new(),
             crashes: CrashEvidence::default(),
             served: Vec::new(),
             last_heard: None,
@@ -101,6 +108,7 @@
 
     /// take in what happened; gives what was decided by it
     pub fn handle(&mut self, event: DispatchEvent, now: Instant) -> Vec<(Ticket, Decision)> {
+        self.pass_cold(now);
         match event {
             DispatchEvent::Asked { ticket, ask } => self.on_asked(ticket, ask, now),
             DispatchEvent::Withdrawn(ticket) => {
@@ -129,6 +137,10 @@
                 self.table = table;
                 self.serve_waiting(|_| true, now);
             }
+            DispatchEvent::Evacuated(zones) => {
+                self.evacuated = zones;
+                self.serve_waiting(|_| true, now);
+            }
             DispatchEvent::Tuned(settings) => self.on_settings(settings),
             DispatchEvent::ViewLost(backend) => self.on_view_lost(&backend),
             DispatchEvent::Versioned { adapter, version } => self.on_version(adapter, version, now),
@@ -387,6 +399,29 @@
         self.fleet_size.entries().unwrap_or(ENTRIES_UNKNOWN)
     }
 
+    /// count the time that has passed for engines that are cold
+    fn pass_cold(&mut self, now: Instant) {
+        let entries = self.cold_entries(now);
+        for state in self.backends.values_mut().filter(|b| b.cold.is_some()) {
+            let service = self.table.services.get(&state.listed.service);
+            let pace = service.map_or(ColdPace::default(), |s| ColdPace {
+                per_s: s.cold_per_s,
+            });
+            state.pass_cold(pace, entries, now);
+        }
+    }
+    /// Entries that share what a cold engine takes. Sidecars that have just begun count few,
+    /// and so does an entry that has.
+    fn cold_entries(&self, now: Instant) -> u32 {
+        let counted = self.fleet_size.entries();
+        let began = self.settings.began_anew;
+        let is_young = began.is_some_and(|at| now.saturating_duration_since(at) < COUNTED_AFTER);
+        match counted {
+            Some(entries) if !is_young => entries,
+            counted => counted.unwrap_or(0).max(COLD_ENTRIES_UNKNOWN),
+        }
+    }
+
     /// the configuration of a service
     pub fn service(&self, name: &str) -> Option<&Service> {
         self.table.services.get(name)
--- a/coordination/src/dispatch/event.rs
+++ b/coordination/src/dispatch/event.rs
@@ -3,9 +3,10 @@
     chalkcart_protocol::peer::{EngineFigures, EngineView},
     chalkcart_state::{
         backends::{AdapterRef, BackendId, BackendList},
+        ids::ZoneName,
         ingress::RouteTable,
     },
-    std::{net::SocketAddr, sync::Arc},
+    std::{collections::HashSet, net::SocketAddr, sync::Arc},
 };
 
 /// how a send ended
@@ -66,6 +67,8 @@
         list: BackendList,
     },
     Configured(Arc<RouteTable>),
+    /// zones whose back ends are to be sent nothing
+    Evacuated(HashSet<ZoneName>),
     /// the settings were read again
     Tuned(DispatchSettings),
     /// the sidecar of the engine at this address said this
--- a/coordination/src/dispatch/listing.rs
+++ b/coordination/src/dispatch/listing.rs
@@ -14,7 +14,7 @@
     std::{
         collections::{HashMap, HashSet},
         net::SocketAddr,
-        time::Instant,
+        time::{Duration, Instant},
     },
 };
 
@@ -48,12 +48,22 @@
             }
         }
         for backend in list {
+            let cold_left = backend.cold_left;
+            let entry = &self.settings.entry;
             match self.backends.get_mut(&backend.id) {
-                Some(state) => state.listed = backend,
+                Some(state) => {
+                    // what was listed before has run on since
+                    if state.listed.cold_left != cold_left {
+                        state.set_cold(entry, cold_left, now);
+                    }
+                    state.listed = backend;
+                }
                 None => {
                     let id = backend.id.clone();
                     self.urgent.insert(id.clone());
-                    self.backends.insert(id, BackendState::new(backend, now));
+                    let mut state = BackendState::new(backend, now);
+                    state.set_cold(entry, cold_left, now);
+                    self.backends.insert(id, state);
                 }
             }
         }
@@ -192,15 +202,19 @@
         };
         self.crashes.on_ended(&former.listed.id, now);
         former.end_life();
+        let service = self.table.services.get(&former.listed.service);
+        let cold_left = service.map_or(Duration::ZERO, |s| s.cold_start);
         let listed = Backend {
             id: id.clone(),
             leaving: false,
+            cold_left,
             models: Vec::new(),
             held: Vec::new(),
             ..former.listed.clone()
         };
         let mut state = BackendState::new(listed, now);
         state.is_ahead = true;
+        state.set_cold(&self.settings.entry, cold_left, now);
         self.backends.insert(id.clone(), state);
     }
 
--- a/coordination/src/dispatch/mod.rs
+++ b/coordination/src/dispatch/mod.rs
@@ -6,6 +6,7 @@
 mod ask;
 mod backend_state;
 mod choosing;
+mod cold_bound;
 mod copies;
 mod decision;
 mod demands;
@@ -31,6 +32,7 @@
     adapter_versions::AdapterVersions,
     ask::{Ask, Ticket},
     backend_state::{BackendState, Sent},
+    cold_bound::{ColdBound, ColdPace},
     decision::{Assignment, Basis, Decision, RefusalCause},
     dispatcher::{BackendRow, Dispatcher},
     event::{DispatchEvent, SendOutcome},
--- a/coordination/src/relay/published_book.rs
+++ b/coordination/src/relay/published_book.rs
@@ -2,6 +2,7 @@
     chalkcart_protocol::peer::PublishedAnswer,
     chalkcart_state::{
         backends::{AdapterRef, BackendName},
+        ids::ZoneName,
         published::{Record, RecordSubject, Snapshot},
     },
     std::{
@@ -19,6 +20,7 @@
     Table,
     Version(AdapterRef),
     Backend(BackendName),
+    Zone(ZoneName),
     Other(String),
 }
 
@@ -133,15 +135,23 @@
         }
     }
 
-    /// back ends that are not in the whole are gone
+    /// back ends that are not in the whole are gone, and zones are evacuated no more
     fn note_missing(&mut self, whole: &Snapshot) {
         let listed: Vec<Subject> = whole.records.iter().map(subject).collect();
         for (subject, (at, record)) in &mut self.records {
-            if let Record::Backend(backend) = record {
-                if !listed.contains(subject) {
+            if listed.contains(subject) {
+                continue;
+            }
+            match record {
+                Record::Backend(backend) => {
                     *record = Record::BackendGone(backend.id.name.clone());
                     *at = whole.at;
                 }
+                Record::Zone { is_evacuated, .. } if *is_evacuated => {
+                    *is_evacuated = false;
+                    *at = whole.at;
+                }
+                _ => {}
             }
         }
     }
@@ -168,6 +178,7 @@
         Record::AdapterVersion { adapter, .. } => Subject::Version(adapter.clone()),
         Record::Backend(backend) => Subject::Backend(backend.id.name.clone()),
         Record::BackendGone(id) => Subject::Backend(id.clone()),
+        Record::Zone { zone, .. } => Subject::Zone(zone.clone()),
         // an entry must hear of it in the place of what it knows
         Record::Unreadable { subject, key, .. } => match subject {
             RecordSubject::Table => Subject::Table,
--- a/coordination/tests/relays.rs
+++ b/coordination/tests/relays.rs
@@ -322,6 +322,7 @@
         zone: "z".to_string(),
         slots: 4,
         leaving: false,
+        cold_left: Duration::ZERO,
         models: Vec::new(),
         held: Vec::new(),
     })
@@ -457,6 +458,32 @@
         .is_some_and(|a| a != PublishedAnswer::HistoryLost));
 }
 
+/// an entry that asks for changes, and a zone that is no longer in the whole
+#[test]
+fn a_relay_tells_which_zones_are_to_be_emptied_and_when_that_is_over() {
+    let now = Instant::now();
+    let zone = |is_evacuated| Record::Zone {
+        zone: "y".to_string(),
+        is_evacuated,
+    };
+    let told = |book: &PublishedBook, after| match book.answer(after, now, now) {
+        Some(PublishedAnswer::Records { snapshot, .. }) => snapshot.records,
+        other => panic!("{other:?}"),
+    };
+    let mut book = PublishedBook::new(STALE_AFTER);
+    book.take_in(snapshot(1, Vec::new()), true, now, now);
+    book.take_in(snapshot(2, vec![zone(true)]), false, now, now);
+    assert_eq!(told(&book, Some(1)), [zone(true)]);
+    assert_eq!(told(&book, None), [zone(true)]);
+    book.take_in(snapshot(3, Vec::new()), true, now, now);
+    assert_eq!(
+        book.answer(Some(2), now, now),
+        Some(PublishedAnswer::HistoryLost),
+        "what went is not known here: all must be asked for"
+    );
+    assert_eq!(told(&book, None), [zone(false)]);
+}
+
 #[test]
 fn a_relay_that_lost_the_store_is_found_out_before_a_change_must_be_known() {
     for known_within in [500, 2_000, 3_000, 4_000].map(Duration::from_millis) {
--- a/entry/src/ingress/records.rs
+++ b/entry/src/ingress/records.rs
@@ -3,6 +3,7 @@
     chalkcart_coordination::dispatch::DispatchEvent,
     chalkcart_state::{
         backends::{Backend, BackendName},
+        ids::ZoneName,
         ingress::RouteTable,
         published::{Record, RecordSubject, Snapshot, Topic},
     },
@@ -11,7 +12,7 @@
         metadata::{Heard, RecordSink},
     },
     std::{
-        collections::BTreeMap,
+        collections::{BTreeMap, HashSet},
         sync::{Arc, Mutex, PoisonError},
         time::{Duration, Instant},
     },
@@ -30,6 +31,8 @@
     shared: Arc<Shared>,
     source: Arc<ZoneSource>,
     list: Mutex<List>,
+    /// zones whose back ends are to be sent nothing
+    evacuated: Mutex<HashSet<ZoneName>>,
     unreadable: UnreadableRecords,
 }
 
@@ -88,6 +91,7 @@
             shared,
             source,
             list: Mutex::default(),
+            evacuated: Mutex::default(),
         }
     }
 
@@ -136,6 +140,7 @@
                 let event = DispatchEvent::Versioned { adapter, version };
                 self.shared.control.tell(event);
             }
+            Record::Zone { .. } => {}
             Record::Unreadable {
                 subject: RecordSubject::Table,
                 ..
@@ -146,6 +151,34 @@
         }
     }
 
+    /// what is known of zones, from all records of the topic or those that have changed
+    fn take_zones(&self, records: &[Record], is_whole: bool) {
+        // no holder panics halfway through a change
+        let known = self.evacuated.lock();
+        let mut known = known.unwrap_or_else(PoisonError::into_inner);
+        let before = known.clone();
+        if is_whole {
+            known.clear();
+        }
+        for record in records {
+            match record {
+                Record::Zone {
+                    zone,
+                    is_evacuated: true,
+                } => known.insert(zone.clone()),
+                Record::Zone { zone, .. } => known.remove(zone),
+                _ => false,
+            };
+        }
+        if *known == before {
+            return;
+        }
+        let zones: Vec<&str> = known.iter().map(String::as_str).collect();
+        log::info!(zones = zones.join(",").as_str(); "store: zones to be emptied");
+        let zones = known.clone();
+        self.shared.control.tell(DispatchEvent::Evacuated(zones));
+    }
+
     /// a configuration never goes back to an earlier version
     fn take_table(&self, table: RouteTable) {
         let known = self.shared.table.load_full();
@@ -185,6 +218,7 @@
         match topic {
             Topic::Backends => self.take_backends(heard.snapshot, is_whole),
             Topic::Configuration => {
+                self.take_zones(&heard.snapshot.records, is_whole);
                 let records = heard.snapshot.records.into_iter();
                 records.for_each(|record| self.take_configuration(record));
                 self.shared.admission.lease().on_current(heard.current_at);
--- a/state/src/backends/backend.rs
+++ b/state/src/backends/backend.rs
@@ -2,7 +2,7 @@
     super::{BackendId, HeldAdapter},
     crate::ids::{BaseModelName, ServiceName, ZoneName},
     serde::{Deserialize, Serialize},
-    std::net::SocketAddr,
+    std::{net::SocketAddr, time::Duration},
 };
 
 /// one back end, an engine or a copy of a plain service
@@ -16,6 +16,8 @@
     pub slots: u32,
     /// takes no new work
     pub leaving: bool,
+    /// how much longer it is cold, by its last word: it carries few requests then
+    pub cold_left: Duration,
     /// base models that it held when the list was written
     pub models: Vec<BaseModelName>,
     /// adapters that it held when the list was written
@@ -31,6 +33,7 @@
             || self.zone != later.zone
             || self.slots != later.slots
             || self.leaving != later.leaving
+            || self.cold_left != later.cold_left
     }
 }
 
--- a/state/src/ingress/service.rs
+++ b/state/src/ingress/service.rs
@@ -36,4 +36,8 @@
     pub health_path: String,
     /// what its engines can hold; none for a plain service
     pub engine: Option<EngineSpec>,
+    /// how long a back end is cold after its start
+    pub cold_start: Duration,
+    /// requests a second that a cold one carries; 0 if it is bounded by nothing
+    pub cold_per_s: f64,
 }
--- a/state/src/published/record.rs
+++ b/state/src/published/record.rs
@@ -1,6 +1,7 @@
 use {
     crate::{
         backends::{AdapterRef, Backend, BackendName},
+        ids::ZoneName,
         ingress::RouteTable,
     },
     serde::{Deserialize, Serialize},
@@ -16,6 +17,11 @@
     },
     Backend(Backend),
     BackendGone(BackendName),
+    /// whether operators want the back ends of a zone to be sent nothing
+    Zone {
+        zone: ZoneName,
+        is_evacuated: bool,
+    },
     /// a record that can't be read, by its key; it may be another writer's
     Unreadable {
         subject: RecordSubject,
