Soak: a client whose request ends each engine that runs it

The check allows three engines more for each start of the only entry where sidecars were struck too: all that knew may have forgotten.

--- a/testkit/examples/soak/main.rs
+++ b/testkit/examples/soak/main.rs
@@ -17,6 +17,7 @@
         .optopt("", "engines", "engines, each with its sidecar", "COUNT")
         .optopt("", "plain", "copies of the plain service", "COUNT")
         .optopt("", "clients", "clients, each with one connection", "COUNT")
+        .optflag("", "crashing", "with a request that ends engines")
         .optflag("h", "help", "what can be set");
     let matches = opts.parse(env::args().skip(1))?;
     if matches.opt_present("help") {
@@ -47,6 +48,7 @@
         engines: number(matches, "engines", default.engines)?,
         plain: number(matches, "plain", default.plain)?,
         clients: number(matches, "clients", default.clients)?,
+        crashing: matches.opt_present("crashing"),
         span: Duration::from_secs(number(matches, "span", default.span.as_secs())?),
         gap: Duration::from_millis(number(matches, "gap", default.gap.as_millis() as u64)?),
     })
--- a/testkit/src/soak/checks.rs
+++ b/testkit/src/soak/checks.rs
@@ -14,6 +14,9 @@
 const SAFE_RUNS: usize = 2;
 /// statuses that promise that the request has not run and never will
 const PROMISES: [u16; 4] = [408, 421, 429, 503];
+/// engines that end until a request is known to do that, and tries that may still reach some
+const UNTIL_KNOWN: u32 = 3;
+const MORE_TRIES: u32 = 3;
 const PLAIN_BODY: &[u8] = b"the whole answer";
 
 /// a promise that was not kept
@@ -30,6 +33,7 @@
     TooManyAdapters { engine: String, most: usize },
     ConfigurationBack { from: u64, to: u64 },
     BudgetExceeded { repeats: usize, allowed: usize },
+    CrashingSent { ended: u32, allowed: u32 },
     Ended { process: String },
     NotRecovered { what: String },
 }
@@ -50,6 +54,7 @@
     found.extend(configurations(ledger));
     found.extend(budget(ledger, true));
     found.extend(budget(ledger, false));
+    found.extend(crashing(ledger));
     let ended = ledger.ended_by_themselves.iter();
     found.extend(ended.map(|process| Violation::Ended {
         process: process.clone(),
@@ -158,6 +163,13 @@
     found.collect()
 }
 
+/// a request that ends engines reaches few of them, and as many again where it is forgotten
+fn crashing(ledger: &SoakLedger) -> Option<Violation> {
+    let allowed = UNTIL_KNOWN + MORE_TRIES + UNTIL_KNOWN * ledger.forgotten;
+    let ended = ledger.crashes;
+    (ended > allowed).then_some(Violation::CrashingSent { ended, allowed })
+}
+
 /// arrivals beyond the first of each request, of engines or of the plain service, in any
 /// window that begins with one
 fn budget(ledger: &SoakLedger, of_engines: bool) -> Option<Violation> {
--- a/testkit/src/soak/ledger.rs
+++ b/testkit/src/soak/ledger.rs
@@ -66,6 +66,10 @@
     pub asked: Vec<Asked>,
     pub backends: Vec<BackendRecord>,
     pub configurations: ConfigurationSeen,
+    /// engines that have ended under a request
+    pub crashes: u32,
+    /// times that an entry and sidecars were struck and may have forgotten it together
+    pub forgotten: u32,
     /// processes that ended and were not ended by the soak
     pub ended_by_themselves: Vec<String>,
     /// what did not come about once all faults were over
--- a/testkit/src/soak/play.rs
+++ b/testkit/src/soak/play.rs
@@ -5,8 +5,8 @@
     },
     crate::{
         users_platform::{
-            request, BackendFault, BackendStandIn, ClientRequest, Fleet, FleetSettings, StoreFault,
-            FIRST_BORN, MODEL,
+            prompt, request, BackendFault, BackendStandIn, ClientRequest, Fleet, FleetSettings,
+            StoreFault, FIRST_BORN, MODEL,
         },
         waiting::until,
     },
@@ -24,7 +24,10 @@
         },
         time::{Duration, Instant},
     },
-    tokio::time::{sleep, sleep_until},
+    tokio::{
+        task::JoinHandle,
+        time::{sleep, sleep_until},
+    },
 };
 
 /// time for the fleet to serve again after the last fault, far beyond what it needs
@@ -35,6 +38,8 @@
 const STOP_LIMIT: Duration = Duration::from_secs(10);
 /// requests that a fault of a back end strikes at the most
 const STRUCK: u32 = 40;
+const CRASHING_BODY: &[u8] = b"ends each engine that runs it";
+const CRASHING_EVERY: Duration = Duration::from_millis(150);
 
 /// what became of a soak
 #[derive(Debug)]
@@ -74,6 +79,7 @@
         tokio::spawn(client.run(stop.clone()))
     });
     let clients: Vec<_> = clients.collect();
+    let crashing = settings.crashing.then(|| send_crashing(&fleet, &stop));
     let faults = draw(settings);
     let mut soak = Soak {
         fleet,
@@ -83,6 +89,9 @@
         versions: 0,
     };
     soak.strike(&faults).await?;
+    if let Some(crashing) = crashing {
+        crashing.abort();
+    }
     let not_recovered = soak.recover().await;
     stop.store(true, Ordering::Relaxed);
     let mut asked = Vec::new();
@@ -93,6 +102,27 @@
     Ok(soak.report(settings.seed, faults, asked, not_recovered))
 }
 
+/// send a request that ends engines, under another id each time
+fn send_crashing(fleet: &Fleet, stop: &Arc<AtomicBool>) -> JoinHandle<()> {
+    for engine in &fleet.engines {
+        engine.state().crashed_by = Some(CRASHING_BODY.to_vec());
+    }
+    let (entry, stop) = (fleet.clients, stop.clone());
+    tokio::spawn(async move {
+        let mut number = 0;
+        while !stop.load(Ordering::Relaxed) {
+            number += 1;
+            let crashing = ClientRequest {
+                body: CRASHING_BODY.to_vec(),
+                ..prompt("a0", &format!("{CRASHING_ID}{number}"))
+            };
+            // whatever becomes of it: the engines count their ends
+            let _ = request(entry, &crashing).await;
+            sleep(CRASHING_EVERY).await;
+        }
+    })
+}
+
 /// a fleet under faults
 struct Soak {
     fleet: Fleet,
@@ -311,6 +341,8 @@
             backends: engines.chain(plain).collect(),
             asked,
             configurations: configurations(&self.fleet.log()),
+            crashes: self.fleet.engines.iter().map(|e| e.state().crashes).sum(),
+            forgotten: forgotten(&faults),
             ended_by_themselves: self.ended,
             not_recovered,
             retry_ratio: 0.2,
@@ -336,6 +368,25 @@
 
 /// ids of the requests that look whether the fleet serves again
 const RECOVERY_ID: &str = "recovery-";
+/// and of those that end engines
+const CRASHING_ID: &str = "crashing-";
+
+/// Each start of the only entry empties it, and sidecars that were struck, too, may have
+/// nothing to tell it.
+fn forgotten(faults: &[PlannedFault]) -> u32 {
+    let is_entry = |f: &&PlannedFault| {
+        matches!(
+            f.fault,
+            Fault::KillIngress | Fault::StopIngress | Fault::FreezeIngress
+        )
+    };
+    let is_sidecar =
+        |f: &PlannedFault| matches!(f.fault, Fault::KillSidecar(_) | Fault::FreezeSidecar(_));
+    match faults.iter().any(is_sidecar) {
+        true => faults.iter().filter(is_entry).count() as u32,
+        false => 0,
+    }
+}
 
 fn engine(fleet: &Fleet, number: u8) -> &BackendStandIn {
     &fleet.engines[usize::from(number)]
@@ -347,7 +398,7 @@
 
 fn record(backend: &BackendStandIn, is_engine: bool) -> BackendRecord {
     let state = backend.state();
-    let of_clients = |id: &str| !id.starts_with(RECOVERY_ID);
+    let of_clients = |id: &str| !id.starts_with(RECOVERY_ID) && !id.starts_with(CRASHING_ID);
     let runs = state.runs.iter().map(|run| run.request.clone());
     BackendRecord {
         name: state.id.clone(),
--- a/testkit/src/soak/settings.rs
+++ b/testkit/src/soak/settings.rs
@@ -8,6 +8,8 @@
     pub engines: u8,
     pub plain: u8,
     pub clients: u32,
+    /// one more client sends a request that ends each engine which runs it, again and again
+    pub crashing: bool,
     /// how long faults strike
     pub span: Duration,
     /// mean time between two faults; each lasts longer, so that they overlap
@@ -21,6 +23,7 @@
             engines: 3,
             plain: 2,
             clients: 16,
+            crashing: false,
             span: Duration::from_secs(8),
             gap: Duration::from_millis(500),
         }
--- a/testkit/tests/soak.rs
+++ b/testkit/tests/soak.rs
@@ -39,6 +39,29 @@
     Ok(())
 }
 
+/// the same with a client whose request ends each engine that runs it
+#[tokio::test]
+async fn promises_hold_while_a_request_ends_engines() -> Result<()> {
+    for seed in [11, 12] {
+        let report = play(&SoakSettings {
+            seed,
+            crashing: true,
+            span: SPAN,
+            ..SoakSettings::default()
+        })
+        .await?;
+        assert!(report.served > 0, "seed {seed}: {:?}", report.outcomes);
+        assert!(
+            report.violations.is_empty(),
+            "seed {seed}: {:?}, faults {:?}, logs {}",
+            report.violations,
+            report.faults,
+            report.logs
+        );
+    }
+    Ok(())
+}
+
 #[test]
 fn a_seed_draws_the_same_faults_each_time() {
     let settings = SoakSettings::default();
@@ -138,6 +161,8 @@
     let mut repeats = ledger(vec![answered(AskKind::Safe, 503, "")], 0);
     let now = Instant::now();
     repeats.backends[0].arrivals = vec![(now, id()); 52];
+    let mut crashing = ledger(Vec::new(), 0);
+    (crashing.crashes, crashing.forgotten) = (10, 1);
     let mut ended = ledger(Vec::new(), 0);
     ended.ended_by_themselves = vec!["ingress".to_string()];
     let mut missing = ledger(Vec::new(), 0);
@@ -197,6 +222,13 @@
                 allowed: 50,
             },
         ),
+        (
+            crashing,
+            Violation::CrashingSent {
+                ended: 10,
+                allowed: 9,
+            },
+        ),
         (
             ended,
             Violation::Ended {
