--- a/testkit/tests/soak.rs
+++ b/testkit/tests/soak.rs
@@ -17,24 +17,31 @@
 const SEEDS: [(u64, u64); 4] = [(1, 500), (2, 500), (3, 250), (102, 250)];
 const SPAN: Duration = Duration::from_secs(6);
 
+/// play a short soak in which all promises must be kept
+async fn play_clean(settings: SoakSettings) -> Result<()> {
+    let report = play(&settings).await?;
+    let seed = settings.seed;
+    assert!(report.served > 0, "seed {seed}: {:?}", report.outcomes);
+    assert!(
+        report.violations.is_empty(),
+        "seed {seed}: {:?}, faults {:?}, logs {}",
+        report.violations,
+        report.faults,
+        report.logs
+    );
+    Ok(())
+}
+
 #[tokio::test]
 async fn promises_hold_under_faults_that_overlap() -> Result<()> {
     for (seed, gap_ms) in SEEDS {
-        let report = play(&SoakSettings {
+        play_clean(SoakSettings {
             seed,
             gap: Duration::from_millis(gap_ms),
             span: SPAN,
             ..SoakSettings::default()
         })
         .await?;
-        assert!(report.served > 0, "seed {seed}: {:?}", report.outcomes);
-        assert!(
-            report.violations.is_empty(),
-            "seed {seed}: {:?}, faults {:?}, logs {}",
-            report.violations,
-            report.faults,
-            report.logs
-        );
     }
     Ok(())
 }
@@ -43,21 +50,13 @@
 #[tokio::test]
 async fn promises_hold_while_a_request_ends_engines() -> Result<()> {
     for seed in [11, 12] {
-        let report = play(&SoakSettings {
+        play_clean(SoakSettings {
             seed,
             crashing: true,
             span: SPAN,
             ..SoakSettings::default()
         })
         .await?;
-        assert!(report.served > 0, "seed {seed}: {:?}", report.outcomes);
-        assert!(
-            report.violations.is_empty(),
-            "seed {seed}: {:?}, faults {:?}, logs {}",
-            report.violations,
-            report.faults,
-            report.logs
-        );
     }
     Ok(())
 }
