--- a/coordination/src/crashes/crash_book.rs
+++ b/coordination/src/crashes/crash_book.rs
@@ -23,7 +23,7 @@
 const REMEMBERED: Duration = Duration::from_secs(600);
 /// ends of engines that are kept of one request
 const MOST_ENDS: usize = CONDEMNED_AFTER + 1;
-/// words of one message at most, some 60 kB
+/// words of one message at most: 72 kB
 const MOST_WORDS: usize = 1_000;
 
 /// what is believed of a request
