A test that fails: a sidecar orders beyond an engine's places once it learns its name

Traced in the sidecars' lines: a sidecar that had just begun took the engine for the former name that the list still had, heard the new one, and ordered by places that the change of name had emptied, with the report still counted as read. Ruled out: two sidecars at once, late orders.

--- a/coordination/tests/keeper_fixture/mod.rs
+++ b/coordination/tests/keeper_fixture/mod.rs
@@ -66,7 +66,10 @@
     }
     /// the engine tells its name
     pub fn identify(&mut self) {
-        self.handle(PlacementEvent::Identified(Some(ENGINE.to_string())));
+        self.identify_as(ENGINE);
+    }
+    pub fn identify_as(&mut self, name: &str) {
+        self.handle(PlacementEvent::Identified(Some(name.to_string())));
     }
     pub fn step(&mut self) -> PlacementStep {
         self.control.next_step(self.now)
--- a/coordination/tests/reborn.rs
+++ b/coordination/tests/reborn.rs
@@ -289,3 +289,27 @@
     let order = keeper.order();
     assert_eq!(order.map(|o| o.backend.born), Some(SECOND));
 }
+
+/// Seen: an engine with two places got an order for a third adapter, which makes it end. How
+/// it came about: it had started again under another name, its sidecar had been killed, and the
+/// new one first took the engine for the life that the list still had. When the engine told
+/// its name, what the sidecar had just read of it was forgotten, and yet the next order went by
+/// it. Proof: here, with one report, one name and one step.
+#[test]
+fn a_sidecar_that_learns_the_engine_s_name_knows_what_it_holds() {
+    let full = [("a", 1), ("b", 1), ("c", 1), ("d", 1)];
+    let mut keeper = Keeper::new();
+    keeper.demand(&["e"], &[]);
+    keeper.report(holding(0, &["m"], &full));
+    assert!(matches!(keeper.step(), PlacementStep::Identify { .. }));
+    keeper.identify_as("another name");
+    for _ in 0..2 {
+        if let Some(order) = keeper.order() {
+            assert!(
+                matches!(order.kind, OrderKind::UnloadAdapter(_)),
+                "{order:?}"
+            );
+        }
+        keeper.report(holding(0, &["m"], &full));
+    }
+}
