A sidecar gives no order by what it read under another name of its engine

Cause: the report read before the engine told its name counted as read after the change of name had emptied the places. Class: a belief that outlives what it was learnt of, half forgotten. Looked for elsewhere: a name by an entry's word and a new born read anew already.

--- a/coordination/src/placement/placement_control.rs
+++ b/coordination/src/placement/placement_control.rs
@@ -223,10 +223,9 @@
             if name == self.backend.name {
                 self.ended = None;
             }
-            let was_read = self.is_read;
+            // with another name nothing is known of its places until it is read again: an order
+            // by the report before would go beyond what the engine can hold
             self.follow_name(name);
-            // the report came from the same engine a moment before
-            self.is_read = was_read;
         }
     }
 
--- a/testkit/tests/soak.rs
+++ b/testkit/tests/soak.rs
@@ -46,13 +46,15 @@
     Ok(())
 }
 
-/// the same with a client whose request ends each engine that runs it
+/// The same with a client whose request ends each engine that runs it. 338 and 344 had an
+/// engine ordered beyond its places by a sidecar that had just begun.
 #[tokio::test]
 async fn promises_hold_while_a_request_ends_engines() -> Result<()> {
-    for seed in [11, 12] {
+    for (seed, gap_ms) in [(11, 500), (12, 500), (338, 300), (344, 300)] {
         play_clean(SoakSettings {
             seed,
             crashing: true,
+            gap: Duration::from_millis(gap_ms),
             span: SPAN,
             ..SoakSettings::default()
         })
