Two requests that are suspected do not run beside each other

Ruled out: evidence that is wrong (each engine had ended under both). Change: an entry sends no two suspected requests to one engine at a time; who waits is served when the other has ended.

--- a/coordination/src/dispatch/ask.rs
+++ b/coordination/src/dispatch/ask.rs
@@ -15,6 +15,8 @@
 #[derive(Debug, Clone)]
 pub struct Ask {
     pub digest: RequestDigest,
+    /// an engine has ended under it since it was served last
+    pub is_suspected: bool,
     pub service: ServiceName,
     /// the base model, also of requests without an adapter
     pub model: Option<BaseModelName>,
--- a/coordination/src/dispatch/backend_state.rs
+++ b/coordination/src/dispatch/backend_state.rs
@@ -26,6 +26,7 @@
 #[derive(Debug, Clone)]
 pub struct Sent {
     pub digest: RequestDigest,
+    pub is_suspected: bool,
     pub adapter: Option<AdapterRef>,
     pub prompt_tokens: u32,
     pub at: Instant,
@@ -72,6 +73,8 @@
     known_since: Instant,
     pub health: Health,
     pub in_flight: u32,
+    /// of these, requests that engines ended under before
+    suspected: u32,
     /// of these, waiting for their first token
     unstarted: u32,
     unstarted_tokens: u64,
@@ -109,6 +112,7 @@
             known_since: now,
             health: Health::new(now),
             in_flight: 0,
+            suspected: 0,
             unstarted: 0,
             unstarted_tokens: 0,
             view: None,
@@ -191,6 +195,7 @@
             cold.on_sent();
         }
         self.in_flight += 1;
+        self.suspected += u32::from(sent.is_suspected);
         self.unstarted += 1;
         self.unstarted_tokens += u64::from(sent.prompt_tokens);
         if let Some(adapter) = &sent.adapter {
@@ -208,6 +213,7 @@
             self.on_started(sent);
         }
         self.in_flight = self.in_flight.saturating_sub(1);
+        self.suspected -= u32::from(sent.is_suspected);
         let Some(adapter) = &sent.adapter else {
             return;
         };
@@ -286,6 +292,11 @@
     pub fn load(&self, now: Instant) -> f64 {
         f64::from(self.occupied(now)) / f64::from(self.listed.slots.max(1))
     }
+    /// Two requests that are suspected do not run beside each other: an innocent one that
+    /// stood beside the cause each time would be condemned with it.
+    pub fn has_place_for(&self, ask: &Ask, now: Instant) -> bool {
+        self.has_place(now) && !(ask.is_suspected && self.suspected > 0)
+    }
     pub fn has_place(&self, now: Instant) -> bool {
         let is_warm = self.cold.as_ref().is_none_or(|cold| cold.allows_one(now));
         is_warm && now >= self.full_until && self.occupied(now) < self.listed.slots
--- a/coordination/src/dispatch/choosing.rs
+++ b/coordination/src/dispatch/choosing.rs
@@ -213,7 +213,7 @@
         candidates: usize,
         now: Instant,
     ) -> Choice {
-        let with_place = states.iter().filter(|b| b.has_place(now));
+        let with_place = states.iter().filter(|b| b.has_place_for(ask, now));
         let costs = with_place.map(|b| (self.cost(b, now), *b));
         let Some((_, cheapest)) = costs.min_by(|(a, _), (b, _)| a.total_cmp(b)) else {
             return Choice::Wait(RefusalCause::Full);
--- a/coordination/src/dispatch/dispatcher.rs
+++ b/coordination/src/dispatch/dispatcher.rs
@@ -313,6 +313,7 @@
         }
         let sent = Sent {
             digest: ask.digest,
+            is_suspected: ask.is_suspected,
             adapter: ask.adapter,
             prompt_tokens: ask.prompt_tokens,
             at: now,
--- a/coordination/tests/crashes.rs
+++ b/coordination/tests/crashes.rs
@@ -5,7 +5,7 @@
 use {
     chalkcart_coordination::{
         crashes::{Crash, CrashBook, Standing, CONDEMNED_AFTER, MOST_DIGESTS},
-        dispatch::SendOutcome,
+        dispatch::{Ask, DispatchEvent, SendOutcome},
     },
     chalkcart_protocol::peer::{CrashEvent, CrashWord, EngineView},
     chalkcart_state::{backends::Backend, ingress::RequestDigest},
@@ -19,8 +19,8 @@
 
 const ENGINE: &str = "engines-1";
 
-fn ask_of(fixture: &Fixture, body: &str) -> chalkcart_coordination::dispatch::Ask {
-    chalkcart_coordination::dispatch::Ask {
+fn ask_of(fixture: &Fixture, body: &str) -> Ask {
+    Ask {
         digest: digest(body),
         ..fixture.new_ask(ENGINES, Some("a"))
     }
@@ -75,9 +75,7 @@
             f.view(1, view("engines-1-later", &[]));
         }),
         ("the list lacks it, and no sidecar speaks", |f| {
-            f.tell(chalkcart_coordination::dispatch::DispatchEvent::ViewLost(
-                ENGINE.into(),
-            ));
+            f.tell(DispatchEvent::ViewLost(ENGINE.into()));
             f.list(Vec::new());
         }),
         ("another incarnation answers there", |f| {
@@ -138,6 +136,28 @@
     }
 }
 
+/// An innocent request that ran beside the cause each time was condemned with it: both came
+/// together, and the engine that held their adapter took both.
+#[test]
+fn two_that_are_suspected_do_not_run_beside_each_other() {
+    let suspected = |fixture: &Fixture, body: &str| Ask {
+        is_suspected: true,
+        ..ask_of(fixture, body)
+    };
+    let mut fixture = with_runs(&["clear"]);
+    let cause = suspected(&fixture, "cause");
+    assert_eq!(sent_to(&fixture.ask(11, cause)), [ENGINE], "beside others");
+    let innocent = suspected(&fixture, "innocent");
+    assert!(fixture.ask(12, innocent).is_empty(), "it waits");
+    let other = ask_of(&fixture, "other");
+    assert_eq!(sent_to(&fixture.ask(13, other)), [ENGINE], "others do not");
+    let decided = fixture.tell(DispatchEvent::Ended {
+        ticket: 11,
+        outcome: SendOutcome::Answered,
+    });
+    assert_eq!(sent_to(&decided), [ENGINE], "once it has ended");
+}
+
 fn ended(book: &mut CrashBook, body: &str, life: u64, at: Instant) {
     book.on_ended(digest(body), life, at, at);
 }
--- a/coordination/tests/dispatch_fixture/mod.rs
+++ b/coordination/tests/dispatch_fixture/mod.rs
@@ -176,6 +176,7 @@
     pub fn new_ask(&self, service: &str, wanted: Option<&str>) -> Ask {
         Ask {
             digest: digest("any"),
+            is_suspected: false,
             service: service.to_string(),
             model: wanted.map(|_| "m".to_string()),
             adapter: wanted.map(adapter),
--- a/entry/src/ingress/exchange.rs
+++ b/entry/src/ingress/exchange.rs
@@ -71,6 +71,7 @@
         let service = route.pick_service(rand::random());
         let ask = Ask {
             digest: accepted.digest,
+            is_suspected: false,
             service: service.cloned().unwrap_or_default(),
             model: accepted.head.model.clone(),
             adapter: accepted.head.adapter.clone(),
@@ -252,7 +253,8 @@
         adapter.map(ToString::to_string).unwrap_or_default()
     }
 
-    async fn wait_for_decision(&self) -> Option<Decision> {
+    async fn wait_for_decision(&mut self) -> Option<Decision> {
+        self.ask.is_suspected = self.is_suspected();
         let control = &self.shared.control;
         let mut guard = WaitGuard::new(control.clone(), self.ticket);
         let asked = control.decide(self.ticket, self.ask.clone());
@@ -304,7 +306,7 @@
     fn standing(&self) -> Standing {
         self.shared.crashes.judge(&self.accepted.digest)
     }
-    /// a repeat of our own would end one engine more
+    /// whether it may end the engine that runs it, for all that is known
     fn is_suspected(&self) -> bool {
         self.standing() != Standing::Clear
     }
--- a/testkit/examples/capacity/dispatch.rs
+++ b/testkit/examples/capacity/dispatch.rs
@@ -123,6 +123,7 @@
     let body = number.to_le_bytes();
     Ask {
         digest: RequestDigest::of("POST", "/", "", &body),
+        is_suspected: false,
         service: SERVICE.to_string(),
         model: Some("model-0".to_string()),
         adapter: Some(adapter(number)),
