--- a/coordination/tests/cold_engines.rs
+++ b/coordination/tests/cold_engines.rs
@@ -1,9 +1,10 @@
 //! Engines that are cold, and zones that are to be emptied.
 //!
 //! Seen: once in many days a cold engine got 18 requests in a second, 17.3 were allowed,
-//! 2.5 s after a loss of power. How it came about: all entries found the same few engines to
-//! hold what was asked for, as the others had not loaded it yet. Cause: nothing read that an
-//! engine was cold. Proof: without the bound the first test sends all that come.
+//! 2.5 s after a loss of power; it did not come again. How it came about is only suspected: all
+//! entries found the same few engines to hold what was asked for, as the others had not loaded
+//! it yet. Cause: nothing read that an engine was cold. Proof: without the bound the first three
+//! tests fail, as all that comes is sent.
 
 mod dispatch_fixture;
 
