The limit that a back end names is read, logged and counted

Ruled out: reading it where it is used only. Whatever an engine says of itself is read by one function for both programs already, and this is one word more of it. Change: OwnWord has a limit (unsaid, named, unreadable); the platform's dialect reads decimal numbers, the least of several; entries and sidecars log it, entries count it. A sidecar logs what lasts when it changes, and an answer that did not come is no word. Nothing is decided by it.

--- a/coordination/src/own_word/mod.rs
+++ b/coordination/src/own_word/mod.rs
@@ -1,5 +1,9 @@
 //! what a back end says of itself in the head of an answer, whatever it answers
 
+mod limit;
 mod word;
 
-pub use word::OwnWord;
+pub use {
+    limit::{LimitWord, RequestRate},
+    word::OwnWord,
+};
--- a/coordination/src/own_word/word.rs
+++ b/coordination/src/own_word/word.rs
@@ -1,4 +1,4 @@
-use std::time::Duration;
+use {super::LimitWord, std::time::Duration};
 
 /// no rest is longer; it keeps sums of times in range, and is beyond any use of a back end
 const LONGEST_REST: Duration = Duration::from_secs(24 * 3_600);
@@ -10,6 +10,8 @@
     pub is_leaving: bool,
     /// it turned a request away, and wants nothing of this entry for so long
     pub rest: Option<Duration>,
+    /// how many requests it takes
+    pub limit: LimitWord,
 }
 
 impl OwnWord {
@@ -17,11 +19,20 @@
         Self {
             is_leaving,
             rest: rest.map(|rest| rest.min(LONGEST_REST)),
+            limit: LimitWord::Unsaid,
         }
     }
+    pub fn with_limit(self, limit: LimitWord) -> Self {
+        Self { limit, ..self }
+    }
     /// the words of it in logs and metrics
     pub fn codes(&self) -> impl Iterator<Item = &'static str> {
-        let said = [(self.is_leaving, "leaving"), (self.rest.is_some(), "rest")];
+        let said = [
+            (self.is_leaving, "leaving"),
+            (self.rest.is_some(), "rest"),
+            (self.limit.named().is_some(), "limit"),
+            (self.limit == LimitWord::Unreadable, "limit_unreadable"),
+        ];
         said.into_iter()
             .filter(|(is_said, _)| *is_said)
             .map(|(_, code)| code)
--- a/coordination/tests/own_words.rs
+++ b/coordination/tests/own_words.rs
@@ -6,7 +6,7 @@
 use {
     chalkcart_coordination::{
         dispatch::{Decision, DispatchEvent, RefusalCause, SendOutcome, Ticket},
-        own_word::OwnWord,
+        own_word::{LimitWord, OwnWord},
         placement::{OrderAnswer, PlacementEvent, PlacementStep},
     },
     chalkcart_state::backends::Backend,
@@ -18,6 +18,7 @@
 const LEAVES: OwnWord = OwnWord {
     is_leaving: true,
     rest: None,
+    limit: LimitWord::Unsaid,
 };
 
 fn two_plain() -> Vec<Backend> {
@@ -29,6 +30,7 @@
 const RESTS: OwnWord = OwnWord {
     is_leaving: false,
     rest: Some(Duration::from_secs(REST_S)),
+    limit: LimitWord::Unsaid,
 };
 
 fn say(fixture: &mut Fixture, backend: &str, word: OwnWord) {
--- a/entry/src/ingress/exchange.rs
+++ b/entry/src/ingress/exchange.rs
@@ -10,6 +10,7 @@
     chalkcart_coordination::{
         crashes::Standing,
         dispatch::{Ask, Assignment, Basis, Decision, DispatchEvent, SendOutcome, Ticket},
+        own_word::RequestRate,
     },
     chalkcart_state::backends::BackendId,
     chalkcart_transport::{
@@ -372,6 +373,7 @@
             born = backend.born,
             leaving = word.is_leaving,
             rest_ms = word.rest.map_or(0, |rest| rest.as_millis() as u64),
+            limit_per_s = word.limit.named().map_or(-1.0, RequestRate::per_s),
             status = status.as_u16(),
             total_ms = elapsed_ms(self.accepted.arrived);
             "backend: says of itself"
--- a/sidecar/src/placement/keeper.rs
+++ b/sidecar/src/placement/keeper.rs
@@ -1,6 +1,9 @@
 use {
     super::shared::Shared,
-    chalkcart_coordination::placement::{EngineOrder, OrderAnswer, PlacementEvent, PlacementStep},
+    chalkcart_coordination::{
+        own_word::{OwnWord, RequestRate},
+        placement::{EngineOrder, OrderAnswer, PlacementEvent, PlacementStep},
+    },
     chalkcart_protocol::peer::EngineView,
     chalkcart_transport::{
         clock,
@@ -28,8 +31,8 @@
     published: Option<Instant>,
     is_reachable: bool,
     read_at: Option<Instant>,
-    /// the engine has said that it leaves
-    has_said_leaving: bool,
+    /// what the engine said of itself last, but for rests
+    said: OwnWord,
 }
 
 impl Keeper {
@@ -40,7 +43,7 @@
             published: None,
             is_reachable: true,
             read_at: None,
-            has_said_leaving: false,
+            said: OwnWord::default(),
         }
     }
 
@@ -82,25 +85,30 @@
     /// take in what the engine says of itself, and give the rest of the answer
     fn take_word<T>(&mut self, told: Told<T>) -> T {
         let Told { value, word } = told;
-        if word.is_empty() {
+        let Some(word) = word else {
             return value;
-        }
-        // one that leaves says so in each answer
-        if word.rest.is_some() || !self.has_said_leaving {
-            self.has_said_leaving |= word.is_leaving;
+        };
+        let lasting = OwnWord { rest: None, ..word };
+        let is_news = word.rest.is_some() || lasting != self.said;
+        // what lasts is said in each answer
+        if is_news {
             log::info!(
                 leaving = word.is_leaving,
-                rest_ms = word.rest.map_or(0, |rest| rest.as_millis() as u64);
+                rest_ms = word.rest.map_or(0, |rest| rest.as_millis() as u64),
+                limit_per_s = word.limit.named().map_or(-1.0, RequestRate::per_s);
                 "engine: says of itself"
             );
+            self.said = lasting;
+        }
+        if is_news || !word.is_empty() {
+            self.shared.handle(PlacementEvent::Said(word));
         }
-        self.shared.handle(PlacementEvent::Said(word));
         value
     }
 
     async fn identify(&mut self, health_path: &str) {
         // another engine may answer, whose own word is news
-        self.has_said_leaving = false;
+        self.said = OwnWord::default();
         let told = self.engine.identity(health_path).await;
         let backend = self.take_word(told);
         log::info!("engine: it is {backend:?}");
--- a/transport/src/ingress/dialect.rs
+++ b/transport/src/ingress/dialect.rs
@@ -1,5 +1,5 @@
 use {
-    chalkcart_coordination::own_word::OwnWord,
+    chalkcart_coordination::own_word::{LimitWord, OwnWord},
     chalkcart_state::{
         accounts::{ApiKeyDigest, ApiKeyError},
         backends::{AdapterRef, BackendName},
@@ -56,6 +56,8 @@
     pub leaving: bool,
     /// time after which the request may come again, if it was turned away
     pub rest: Option<Duration>,
+    /// how many requests the back end takes
+    pub limit: LimitWord,
 }
 
 impl AnswerHead {
@@ -65,7 +67,8 @@
             status,
             StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS
         );
-        OwnWord::new(self.leaving, self.rest.filter(|_| turned_away))
+        let rest = self.rest.filter(|_| turned_away);
+        OwnWord::new(self.leaving, rest).with_limit(self.limit)
     }
 }
 
--- a/transport/src/orders/ordered_engine.rs
+++ b/transport/src/orders/ordered_engine.rs
@@ -12,7 +12,8 @@
 #[derive(Debug, Clone)]
 pub struct Told<T> {
     pub value: T,
-    pub word: OwnWord,
+    /// none if no answer came
+    pub word: Option<OwnWord>,
 }
 
 /// an engine that a sidecar gives orders to
