Tests that fail: a back end that names its limit gets as many requests as before

Ruled out: a fault of one role; plain services have no sidecar and fail in the same way. A fourth, on the end of a limit, passes as nothing bounds.

--- a/testkit/src/users_platform/backend_stand_in.rs
+++ b/testkit/src/users_platform/backend_stand_in.rs
@@ -106,6 +106,8 @@
     pub crashed_by: Option<Vec<u8>>,
     /// it says in all its answers that it leaves
     pub says_leaving: bool,
+    /// the requests a second that it says, in all its answers, that it takes
+    pub names_limit: Option<f64>,
     /// the rest that it asks for when it says that it is full
     pub asks_rest: Option<Duration>,
     /// when a request was first answered with the word that it leaves
@@ -131,7 +133,10 @@
         let leaving = self
             .says_leaving
             .then(|| ("Server-Leaving", "1".to_string()));
-        leaving.into_iter().collect()
+        let limit = self
+            .names_limit
+            .map(|per_s| ("Server-Limit", per_s.to_string()));
+        leaving.into_iter().chain(limit).collect()
     }
     /// headers of an answer that turns a request away
     pub fn words_of_refusal(&mut self, now: Instant) -> Vec<(&'static str, String)> {
@@ -165,6 +170,16 @@
         };
         self.rests.iter().map(within).max().unwrap_or(0)
     }
+    /// the most requests that came within some time, of those that came after a moment
+    pub fn most_within(&self, time: Duration, after: Instant) -> usize {
+        let came = self.arrivals.iter().map(|(at, _)| *at);
+        let mut came: Vec<Instant> = came.filter(|at| *at > after).collect();
+        came.sort();
+        let until = |(from, first): (usize, &Instant)| {
+            came[from..].partition_point(|at| *at - *first < time)
+        };
+        came.iter().enumerate().map(until).max().unwrap_or(0)
+    }
     pub fn is_crashed_by(&self, body: &[u8]) -> bool {
         self.crashed_by.as_deref() == Some(body)
     }
@@ -216,6 +231,7 @@
             pause_per_run: Duration::ZERO,
             crashed_by: None,
             says_leaving: false,
+            names_limit: None,
             asks_rest: None,
             told_leaving: None,
             sent_while_leaving: 0,
--- /dev/null
+++ b/testkit/tests/named_limits.rs
@@ -0,0 +1,143 @@
+//! Back ends that name in the heads of their answers how many requests a second they take.
+
+use {
+    anyhow::Result,
+    chalkcart_testkit::users_platform::{
+        press, prompt, request, serve_prompt, BackendStandIn, ClientRequest, Fleet, FleetSettings,
+        OtherIngress, Pressing,
+    },
+    futures::future::try_join_all,
+    std::{
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
+};
+
+/// time over which requests are counted against a limit
+const WINDOW: Duration = Duration::from_secs(4);
+/// of the settings of the fleet: a limit binds this long after it was first named
+const CONTACT: Duration = Duration::from_secs(3);
+const LIMIT_PER_S: f64 = 2.0;
+/// for each entry in turn, some ten times what is allowed in all
+const PRESSING: Pressing = Pressing {
+    requests: 160,
+    gap: Duration::from_millis(50),
+    retries: 0,
+    heeds_retry_after: true,
+};
+
+/// the most that may come within a window
+fn allowed(per_s: f64) -> usize {
+    (1.5 * per_s * WINDOW.as_secs_f64() + 5.0) as usize
+}
+
+fn safe() -> ClientRequest {
+    ClientRequest {
+        target: "/safe/".to_string(),
+        ..ClientRequest::default()
+    }
+}
+
+/// two more ingresses of a fleet
+async fn two_more(fleet: &Fleet) -> Result<Vec<OtherIngress>> {
+    Ok(vec![
+        fleet.start_other_ingress("front-2").await?,
+        fleet.start_other_ingress("front-3").await?,
+    ])
+}
+
+/// of all ingresses, for clients
+fn addrs(fleet: &Fleet, others: &[OtherIngress]) -> Vec<SocketAddr> {
+    let others = others.iter().map(|other| other.clients);
+    [fleet.clients].into_iter().chain(others).collect()
+}
+
+/// clients press all entries at the same time; gives the statuses of their answers
+async fn press_all(entries: &[SocketAddr], asked: &ClientRequest) -> Result<Vec<u16>> {
+    let pressed = entries.iter().enumerate().map(|(number, entry)| {
+        let asked = ClientRequest {
+            id: format!("{}-{number}", asked.id),
+            ..asked.clone()
+        };
+        async move { press(*entry, &asked, &PRESSING).await }
+    });
+    let stories = try_join_all(pressed).await?.into_iter().flatten();
+    let answers = stories.filter_map(|story| story.answers.last().map(|a| a.status));
+    Ok(answers.collect())
+}
+
+fn assert_limit_kept(backend: &BackendStandIn, since: Instant) {
+    let most = backend.state().most_within(WINDOW, since + CONTACT);
+    let allowed = allowed(LIMIT_PER_S);
+    assert!(most <= allowed, "{most} requests in 4 s, {allowed} allowed");
+}
+
+/// Guards against: requests go on to a copy that has named a limit as if it had not, since
+/// nothing reads its word or each entry takes the whole limit for itself.
+#[tokio::test]
+async fn a_copy_that_names_its_limit_gets_no_more_from_all_entries_together() -> Result<()> {
+    let fleet = Fleet::start(FleetSettings {
+        plain: 2,
+        ..FleetSettings::default()
+    })
+    .await?;
+    let others = two_more(&fleet).await?;
+    fleet.plain[0].state().names_limit = Some(LIMIT_PER_S);
+    let since = Instant::now();
+    let statuses = press_all(&addrs(&fleet, &others), &safe()).await?;
+    assert_limit_kept(&fleet.plain[0], since);
+    // the other copy takes what comes
+    assert!(statuses.iter().all(|status| *status == 200));
+    Ok(())
+}
+
+/// Guards against: the same at an engine that alone holds an adapter; it is loaded elsewhere.
+#[tokio::test]
+async fn an_engine_that_names_its_limit_gets_no_more_from_all_entries_together() -> Result<()> {
+    let fleet = Fleet::start(FleetSettings {
+        engines: 2,
+        ..FleetSettings::default()
+    })
+    .await?;
+    let others = two_more(&fleet).await?;
+    serve_prompt(&fleet, "a", "first").await?;
+    let mut engines = fleet.engines.iter();
+    let limited = engines.find(|e| e.runs().iter().any(|run| run.request == "first"));
+    let limited = limited.expect("an engine ran it");
+    limited.state().names_limit = Some(LIMIT_PER_S);
+    let since = Instant::now();
+    let statuses = press_all(&addrs(&fleet, &others), &prompt("a", "pressed")).await?;
+    assert_limit_kept(limited, since);
+    let served = statuses.iter().filter(|status| **status == 200).count();
+    assert!(served * 10 > statuses.len() * 9, "{served} served");
+    Ok(())
+}
+
+/// Guards against: what only limited copies could serve is sent, or held to its end.
+#[tokio::test]
+async fn a_service_that_is_limited_as_a_whole_gets_no_more() -> Result<()> {
+    let fleet = Fleet::start(FleetSettings::default()).await?;
+    let others = two_more(&fleet).await?;
+    fleet.plain[0].state().names_limit = Some(LIMIT_PER_S);
+    let since = Instant::now();
+    let statuses = press_all(&addrs(&fleet, &others), &safe()).await?;
+    assert_limit_kept(&fleet.plain[0], since);
+    assert!(statuses.iter().all(|status| [200, 503].contains(status)));
+    assert!(statuses.contains(&200));
+    Ok(())
+}
+
+/// Guards against: a limit that is kept after the back end has ceased to name it.
+#[tokio::test]
+async fn a_limit_ends_when_it_is_no_longer_said() -> Result<()> {
+    let fleet = Fleet::start(FleetSettings::default()).await?;
+    fleet.plain[0].state().names_limit = Some(LIMIT_PER_S);
+    press_all(&[fleet.clients], &safe()).await?;
+    fleet.plain[0].state().names_limit = None;
+    // answers say so at the pace of the limit
+    press_all(&[fleet.clients], &safe()).await?;
+    let statuses = press_all(&[fleet.clients], &safe()).await?;
+    assert!(statuses.iter().all(|status| *status == 200));
+    assert_eq!(request(fleet.clients, &safe()).await?.status, 200);
+    Ok(())
+}
