--- a/coordination/src/dispatch/ask.rs
+++ b/coordination/src/dispatch/ask.rs
@@ -4,6 +4,7 @@
         backends::{AdapterRef, BackendId},
         ids::{BaseModelName, ServiceName},
         ingress::RequestDigest,
+        regions::AllowedRegions,
     },
     std::time::{Duration, Instant},
 };
@@ -24,6 +25,8 @@
     pub prompt_tokens: u32,
     /// the client account that asks, none on a route without keys
     pub account: Option<AccountMark>,
+    /// where it may be served
+    pub allowed_regions: AllowedRegions,
     /// of the client account, goes before that of the route; 0 is the most urgent
     pub account_priority: u8,
     /// of the route; 0 is the most urgent
--- a/coordination/src/dispatch/choosing.rs
+++ b/coordination/src/dispatch/choosing.rs
@@ -97,7 +97,7 @@
             self.note_wish(adapter, &homes, &choice, now);
             match choice {
                 Choice::Wait(RefusalCause::Returns) => self.wish_also(adapter, homes, now),
-                _ => self.wish(adapter, homes, now),
+                _ => self.wish_where_allowed(ask, adapter, homes, now),
             }
         }
         choice
@@ -136,7 +136,11 @@
             return (Choice::Wait(RefusalCause::Resting), Vec::new());
         }
         if candidates.is_empty() {
-            return (Choice::Wait(RefusalCause::NoBackend), Vec::new());
+            let cause = match ask.allowed_regions.allows_each() {
+                true => RefusalCause::NoBackend,
+                false => RefusalCause::OutsideRegions,
+            };
+            return (Choice::Wait(cause), Vec::new());
         }
         let Some(adapter) = &ask.adapter else {
             return (self.choose_with_model(ask, &candidates, now), Vec::new());
@@ -214,6 +218,7 @@
         let states = self.backends.values();
         let may_serve =
             states.filter(|b| b.listed.service == ask.service && b.may_be_asked() && !b.is_gone);
+        let may_serve = may_serve.filter(|b| self.may_serve(ask, b));
         let with_model = may_serve.filter(|b| ask.model.as_ref().is_none_or(|m| b.has_model(m)));
         with_model.filter_map(|b| b.rest.left(now)).min()
     }
@@ -240,6 +245,12 @@
         openings.min_by_key(|(_, opens_in)| *opens_in)
     }
 
+    /// whether the request may be served in the region of a back end
+    pub(super) fn may_serve(&self, ask: &Ask, state: &BackendState) -> bool {
+        let region = self.settings.regions.get(&state.listed.zone);
+        ask.allowed_regions.allows(region)
+    }
+
     /// back ends that may take the request, sound ones if there are any
     fn candidates(&self, ask: &Ask, now: Instant) -> Vec<&BackendState> {
         let of_service: Vec<&BackendState> = self
@@ -247,6 +258,7 @@
             .values()
             .filter(|b| b.listed.service == ask.service && !ask.tried.contains(&b.listed.id))
             .filter(|b| !self.evacuated.contains(&b.listed.zone))
+            .filter(|b| self.may_serve(ask, b))
             .collect();
         let keep = |is_kept: &dyn Fn(&BackendState) -> bool| -> Vec<&BackendState> {
             let kept = of_service.iter().copied().filter(|b| is_kept(b));
--- a/coordination/src/dispatch/decision.rs
+++ b/coordination/src/dispatch/decision.rs
@@ -54,6 +54,8 @@
     Resting,
     /// each that could serve it takes no more requests a second
     Limited,
+    /// no region in which it may be served has a back end that takes work
+    OutsideRegions,
     /// its adapter is nowhere, and no sidecar that is heard would bring it
     Unheard,
     /// each back end is full
@@ -75,6 +77,7 @@
             Self::NoBackend => "no_backend",
             Self::Resting => "resting",
             Self::Limited => "limited",
+            Self::OutsideRegions => "outside_regions",
             Self::Unheard => "unheard",
             Self::Full => "full",
             Self::NotLoaded => "not_loaded",
--- a/coordination/src/dispatch/dispatcher.rs
+++ b/coordination/src/dispatch/dispatcher.rs
@@ -417,7 +417,7 @@
     }
 
     fn wait_or_refuse(&mut self, ticket: Ticket, mut ask: Ask, cause: RefusalCause, now: Instant) {
-        if cause == RefusalCause::Unheard {
+        if matches!(cause, RefusalCause::Unheard | RefusalCause::OutsideRegions) {
             let basis = self.basis(&ask, now);
             self.on_unsent(&ask);
             let retry_after = ask.target_latency.max(MIN_RETRY_AFTER);
@@ -434,6 +434,7 @@
         let part = match cause {
             RefusalCause::NotLoaded | RefusalCause::Returns => self.settings.wait_for_adapter,
             RefusalCause::Unheard
+            | RefusalCause::OutsideRegions
             | RefusalCause::Resting
             | RefusalCause::Limited
             | RefusalCause::Full
--- a/coordination/src/dispatch/promises.rs
+++ b/coordination/src/dispatch/promises.rs
@@ -33,7 +33,12 @@
         }
         let adapter = ask.adapter.as_ref()?;
         let wish = self.wishes.get(adapter)?;
-        let (backend, wished_at) = (wish.backends.first()?.clone(), wish.asked_at());
+        let may_serve = |id: &&BackendId| {
+            let state = self.backends.get(*id);
+            state.is_some_and(|state| self.may_serve(ask, state))
+        };
+        let backend = wish.backends.iter().find(may_serve)?.clone();
+        let wished_at = wish.asked_at();
         let state = self.backends.get(&backend)?;
         if !state.has_spoken_since(wished_at) {
             return None;
--- a/coordination/src/dispatch/settings.rs
+++ b/coordination/src/dispatch/settings.rs
@@ -1,8 +1,11 @@
 use {
     super::BudgetBounds,
     crate::mechanisms::Mechanisms,
-    chalkcart_state::ids::{BoxName, ZoneName},
-    std::time::{Duration, Instant},
+    chalkcart_state::ids::{BoxName, RegionName, ZoneName},
+    std::{
+        collections::HashMap,
+        time::{Duration, Instant},
+    },
 };
 
 /// bounds of an entry's decisions
@@ -10,6 +13,8 @@
 pub struct DispatchSettings {
     pub entry: BoxName,
     pub zone: ZoneName,
+    /// the region of each availability zone
+    pub regions: HashMap<ZoneName, RegionName>,
     /// repeats of a service, over all entries
     pub budget: BudgetBounds,
     /// when this process began, if the fleet served before: a former life of it may have
@@ -38,6 +43,7 @@
         Self {
             entry: BoxName::new(),
             zone: ZoneName::new(),
+            regions: HashMap::new(),
             budget: BudgetBounds {
                 ratio: 0.2,
                 extra: 50.0,
--- a/coordination/src/dispatch/wishes.rs
+++ b/coordination/src/dispatch/wishes.rs
@@ -1,7 +1,7 @@
 //! which engines are asked to load what
 
 use {
-    super::{demands::build_demand, dispatcher::Dispatcher, BackendState},
+    super::{demands::build_demand, dispatcher::Dispatcher, Ask, BackendState},
     chalkcart_protocol::peer::{AdapterDemand, WantedAdapter},
     chalkcart_state::backends::{AdapterRef, BackendId},
     std::{
@@ -106,6 +106,24 @@
             .insert(adapter.clone(), Wish { backends, until });
     }
 
+    /// The same for requests that are bound to regions: others may wish for the adapter at
+    /// engines where these may not be served.
+    pub(super) fn wish_where_allowed(
+        &mut self,
+        ask: &Ask,
+        adapter: &AdapterRef,
+        mut homes: Vec<BackendId>,
+        now: Instant,
+    ) {
+        let wished = self.wishes.get(adapter).filter(|w| w.until > now);
+        let elsewhere = wished.iter().flat_map(|w| &w.backends).filter(|id| {
+            let state = self.backends.get(*id);
+            state.is_some_and(|state| !self.may_serve(ask, state))
+        });
+        homes.extend(elsewhere.cloned().collect::<Vec<_>>());
+        self.wish(adapter, homes, now);
+    }
+
     /// the same, beside the engines that are asked already
     pub(super) fn wish_also(&mut self, adapter: &AdapterRef, homes: Vec<BackendId>, now: Instant) {
         if self.is_wished(adapter, &homes, now) {
--- a/coordination/tests/dispatch_fixture/mod.rs
+++ b/coordination/tests/dispatch_fixture/mod.rs
@@ -15,6 +15,7 @@
     chalkcart_state::{
         backends::{AdapterRef, Backend, HeldAdapter},
         ingress::{BaseModel, EngineSpec, IngressLimits, RequestDigest, RouteTable, Service},
+        regions::AllowedRegions,
     },
     std::{
         net::SocketAddr,
@@ -183,6 +184,7 @@
             adapter: wanted.map(adapter),
             prompt_tokens: 100,
             account: None,
+            allowed_regions: AllowedRegions::default(),
             account_priority: 0,
             priority: 1,
             target_latency: ms(400),
--- a/entry/src/conf/ingress_settings.rs
+++ b/entry/src/conf/ingress_settings.rs
@@ -5,9 +5,9 @@
     chalkcart_node::settings::{
         check_filled, check_log, check_positive, defaults, Checked, SettingsError,
     },
-    chalkcart_state::ids::{BoxName, ZoneName},
+    chalkcart_state::ids::{BoxName, RegionName, ZoneName},
     serde::Deserialize,
-    std::{net::SocketAddr, time::Duration},
+    std::{collections::HashMap, net::SocketAddr, time::Duration},
 };
 
 /// the settings file of `chalkcart ingress`
@@ -17,6 +17,9 @@
     /// the box's name
     pub name: BoxName,
     pub zone: ZoneName,
+    /// the region of each availability zone
+    #[serde(default)]
+    pub regions: HashMap<ZoneName, RegionName>,
     /// for clients
     pub clients: SocketAddr,
     /// for the platform's question whether this process takes connections
--- a/entry/src/ingress/admission.rs
+++ b/entry/src/ingress/admission.rs
@@ -7,6 +7,7 @@
         accounts::{AccountMark, ApiKeyDigest, ApiKeyError, ClientAccount, RateLimit},
         ids::BoxName,
         ingress::{Route, RouteTable},
+        regions::AllowedRegions,
     },
     chalkcart_transport::clock,
     std::{
@@ -125,6 +126,23 @@
         }
     }
 
+    /// Where a request may be served, by its route and its account as a table has them. One
+    /// that the table lacks is bound as it was before.
+    pub fn allowed_regions(
+        table: &RouteTable,
+        route: &Route,
+        caller: Option<&Caller>,
+    ) -> AllowedRegions {
+        let Some(caller) = caller else {
+            return route.allowed_regions.clone();
+        };
+        let accounts = table.accounts.as_ref();
+        let known = accounts.and_then(|accounts| accounts.find(&caller.key));
+        let known = known.filter(|known| known.name == caller.account.name);
+        let account = known.unwrap_or(&caller.account);
+        route.allowed_regions.and(&account.allowed_regions)
+    }
+
     /// a request came that is to be charged to its account's limit
     pub fn ask(&self, account: &ClientAccount, limit: &RateLimit, units: u64) {
         let now = clock::now();
--- a/entry/src/ingress/exchange.rs
+++ b/entry/src/ingress/exchange.rs
@@ -1,9 +1,9 @@
 use {
     super::{
-        admission::NotAdmitted,
+        admission::{Admission, NotAdmitted},
         answers::OwnAnswer,
         observers::{SendGuard, StreamObserver, WaitGuard},
-        service::Accepted,
+        service::{find_route, Accepted},
         shared::Shared,
     },
     bytes::Bytes,
@@ -12,7 +12,7 @@
         dispatch::{Ask, Assignment, Basis, Decision, DispatchEvent, SendOutcome, Ticket},
         own_word::RequestRate,
     },
-    chalkcart_state::backends::BackendId,
+    chalkcart_state::{backends::BackendId, ids::Generation, regions::AllowedRegions},
     chalkcart_transport::{
         backend::{send, BackendAnswer, SendError},
         clock::{self, before_deadline},
@@ -42,6 +42,9 @@
 /// the word for a request that ends the engines that run it
 const ENDS_ENGINES: &str = "engines ended under this request: it is not run any more";
 
+/// why a back end that was chosen is not sent a request
+const REGIONS_CHANGED: &str = "its allowed regions changed";
+
 /// one request on its way: waits, sends and repeats
 pub struct Exchange {
     pub(super) shared: Arc<Shared>,
@@ -49,6 +52,8 @@
     pub(super) accepted: Accepted,
     deadline: Instant,
     pub(super) ask: Ask,
+    /// the table by which its allowed regions are known
+    judged_by: Option<Generation>,
     /// back ends on which it may have run
     pub(super) runs: u32,
     /// what the last back end that failed it said, if it was an answer
@@ -78,6 +83,7 @@
             adapter: accepted.head.adapter.clone(),
             prompt_tokens: accepted.head.prompt_tokens,
             account: accepted.caller.as_ref().map(|c| c.account.mark),
+            allowed_regions: AllowedRegions::default(),
             account_priority: accepted.caller.as_ref().map_or(0, |c| c.account.priority),
             priority: route.priority,
             target_latency: route.target_latency,
@@ -95,6 +101,7 @@
             accepted,
             deadline,
             ask,
+            judged_by: None,
             runs: 0,
             failure: None,
         }
@@ -128,6 +135,11 @@
                     _ => self.own().plain(StatusCode::UNAUTHORIZED, KEY_GONE),
                 };
             }
+            // they may be others since it began to wait
+            if self.judge_regions() {
+                self.decline(&assignment, REGIONS_CHANGED);
+                continue;
+            }
             // what others learnt while it waited
             if let Some(refusal) = self.refusal_of_crashing() {
                 self.decline(&assignment, ENDS_ENGINES);
@@ -172,6 +184,7 @@
 
     async fn wait_for_decision(&mut self) -> Option<Decision> {
         self.ask.is_suspected = self.is_suspected();
+        self.judge_regions();
         let control = &self.shared.control;
         let mut guard = WaitGuard::new(control.clone(), self.ticket);
         let asked = control.decide(self.ticket, self.ask.clone());
@@ -238,6 +251,24 @@
         self.shared.admission.admit_again(table, caller)
     }
 
+    /// see where it may be served by the configuration in force; says whether that has changed
+    fn judge_regions(&mut self) -> bool {
+        let Some(table) = self.shared.table.load_full() else {
+            return false;
+        };
+        if self.judged_by == Some(table.generation) {
+            return false;
+        }
+        self.judged_by = Some(table.generation);
+        let route = find_route(&table, &self.accepted.parts);
+        let route = route.as_ref().unwrap_or(&self.accepted.route);
+        let caller = self.accepted.caller.as_ref();
+        let allowed = Admission::allowed_regions(&table, route, caller);
+        let has_changed = allowed != self.ask.allowed_regions;
+        self.ask.allowed_regions = allowed;
+        has_changed
+    }
+
     /// give a back end back that was chosen for a request which must not run
     fn decline(&self, to: &Assignment, cause: &str) {
         let mut guard = SendGuard::new(self.shared.control.clone(), self.ticket);
--- a/entry/src/ingress/exchange_log.rs
+++ b/entry/src/ingress/exchange_log.rs
@@ -5,7 +5,7 @@
         admission::Charge,
         exchange::{elapsed_ms, Exchange},
     },
-    chalkcart_coordination::dispatch::{Assignment, Basis},
+    chalkcart_coordination::dispatch::{Assignment, Basis, RefusalCause},
     chalkcart_transport::clock,
     http::StatusCode,
     std::time::Duration,
@@ -50,12 +50,16 @@
 
     pub(super) fn log_refusal(&self, cause: &'static str, retry_after: Duration, basis: &Basis) {
         self.shared.metrics.on_refused(cause);
+        if cause == RefusalCause::OutsideRegions.code() {
+            self.shared.metrics.on_outside_regions(self.account_name());
+        }
         log::warn!(
             request = self.accepted.head.id.as_str(),
             route = self.accepted.route.name.as_str(),
             account = self.account_name(),
             service = self.ask.service.as_str(),
             adapter = self.adapter_text().as_str(),
+            regions = self.ask.allowed_regions.to_string().as_str(),
             cause = cause,
             retry_after_ms = retry_after.as_millis() as u64,
             sends = self.ask.sends,
--- a/entry/src/ingress/serve.rs
+++ b/entry/src/ingress/serve.rs
@@ -176,6 +176,7 @@
     DispatchSettings {
         entry: settings.name.clone(),
         zone: settings.zone.clone(),
+        regions: settings.regions.clone(),
         budget: BudgetBounds {
             ratio: settings.retry_ratio,
             extra: settings.retry_extra,
--- a/entry/src/ingress/service.rs
+++ b/entry/src/ingress/service.rs
@@ -258,7 +258,7 @@
     }
 }
 
-fn find_route(table: &RouteTable, parts: &Parts) -> Option<Arc<Route>> {
+pub(super) fn find_route(table: &RouteTable, parts: &Parts) -> Option<Arc<Route>> {
     let in_header = parts.headers.get(HOST).and_then(|host| host.to_str().ok());
     let host = parts.uri.host().or(in_header)?;
     table.find(host, parts.uri.path())
--- a/entry/src/ingress/zone_source.rs
+++ b/entry/src/ingress/zone_source.rs
@@ -5,7 +5,10 @@
         following::CallTimes,
         relay::{OwnCalls, RelayPacing},
     },
-    chalkcart_protocol::peer::{path, PublishedAnswer, PublishedAsk},
+    chalkcart_protocol::{
+        peer::{path, PublishedAnswer, PublishedAsk},
+        wire::WireVersion,
+    },
     chalkcart_state::published::Topic,
     chalkcart_transport::{
         client::PeerClient,
@@ -29,6 +32,10 @@
 /// time for the answer of a relay beyond its wait
 const RELAY_SLACK: Duration = Duration::from_millis(300);
 
+/// wire versions from which on a relay passes on all that is read here of a topic
+const CONFIGURATION_SINCE: WireVersion = WireVersion(5);
+const BACKENDS_SINCE: WireVersion = WireVersion(4);
+
 /// how a relay answered
 enum RelayWord {
     Heard(Watched),
@@ -125,9 +132,14 @@
         after: Option<u64>,
         wait: Duration,
     ) -> RelayWord {
-        let is_known = self.peers.version(relay).is_some();
+        let version = self.peers.version(relay);
+        let passes_on = version.is_some_and(|version| version >= needed(topic));
+        if version.is_some() && !passes_on {
+            // it speaks of the other topic, and says so when it is replaced
+            return RelayWord::Stale;
+        }
         // one of an older build is not waited for: its word is not used
-        let wait = wait.min(if is_known { wait } else { Duration::ZERO });
+        let wait = wait.min(if passes_on { wait } else { Duration::ZERO });
         let ask = PublishedAsk {
             topic,
             after,
@@ -137,9 +149,13 @@
         let asked = clock::now();
         let answer = self.peers.call(relay, path::RELAY_PUBLISHED, &ask, limit);
         let answer = answer.await;
-        if answer.is_ok() && self.peers.version(relay).is_none() {
-            self.on_older_relay(relay);
-            return RelayWord::Stale;
+        match self.peers.version(relay) {
+            None if answer.is_ok() => {
+                self.on_older_relay(relay);
+                return RelayWord::Stale;
+            }
+            Some(version) if version < needed(topic) => return RelayWord::Stale,
+            _ => {}
         }
         let (cause, word) = match answer {
             Ok(PublishedAnswer::Records {
@@ -221,6 +237,13 @@
     }
 }
 
+fn needed(topic: Topic) -> WireVersion {
+    match topic {
+        Topic::Configuration => CONFIGURATION_SINCE,
+        Topic::Backends => BACKENDS_SINCE,
+    }
+}
+
 /// A moment so many ms after another. The relay counts from the receipt of a question,
 /// which it can't have received before it was asked: so the moment is never too late.
 fn moment(asked: Instant, after_ms: i64) -> Option<Instant> {
--- a/protocol/src/wire/version.rs
+++ b/protocol/src/wire/version.rs
@@ -13,7 +13,7 @@
 
 impl WireVersion {
     /// of this build
-    pub const CURRENT: Self = Self(4);
+    pub const CURRENT: Self = Self(5);
 }
 
 /// a text that is no wire version
--- a/protocol/tests/recorded.rs
+++ b/protocol/tests/recorded.rs
@@ -26,10 +26,14 @@
 const SECOND: &str = include_str!("recorded/fc8906b.txt");
 const THIRD: &str = include_str!("recorded/f7a7cb2.txt");
 const FOURTH: &str = include_str!("recorded/4.txt");
+const FIFTH: &str = include_str!("recorded/5.txt");
 
 /// what entries do not ask of relays that say no version: they read the store themselves
 const NOT_ASKED: &str = "published_records";
 
+/// messages that builds before 5 do not write
+const SINCE_5: [&str; 1] = ["published_regions"];
+
 /// bytes by the name of the message, of a record with a line for each
 fn bytes_of(recorded: &str) -> HashMap<&str, Vec<u8>> {
     let rows = recorded.lines().map(|line| {
@@ -44,7 +48,8 @@
     let samples = all(is_down);
     for sample in samples.iter().filter(|s| s.name != NOT_ASKED) {
         let Some(bytes) = bytes.get(sample.name) else {
-            assert!(sample.name.starts_with("crash_"), "{}", sample.name);
+            let is_newer = sample.name.starts_with("crash_") || SINCE_5.contains(&sample.name);
+            assert!(is_newer, "{}", sample.name);
             continue;
         };
         let read = (sample.read)(bytes).map_err(|e| e.to_string());
@@ -57,6 +62,7 @@
     reads_all(OLDEST, None);
     reads_all(SECOND, None);
     reads_all(THIRD, Some(true));
+    reads_all(FOURTH, Some(true));
 }
 
 /// what has the same shape as then has the same bytes
@@ -191,7 +197,7 @@
 /// into a file of their own, and keep the former one as a record that is read.
 #[test]
 fn the_shapes_of_messages_are_those_of_the_wire_version() {
-    let (now, then) = (record(), FOURTH);
+    let (now, then) = (record(), FIFTH);
     for (now, then) in now.lines().zip(then.lines()) {
         assert_eq!(now, then);
     }
--- a/protocol/tests/samples/mod.rs
+++ b/protocol/tests/samples/mod.rs
@@ -10,9 +10,11 @@
         wire::{encode_as, encode_frame, CodecError, WireForm},
     },
     chalkcart_state::{
+        accounts::{AccountTable, ClientAccount},
         backends::{AdapterRef, Backend, HeldAdapter},
-        ingress::{IngressLimits, RequestDigest, RouteTable},
+        ingress::{IngressLimits, RequestDigest, Route, RouteKind, RouteTable, WeightedService},
         published::{Record, RecordSubject, Snapshot, Topic, UnreadableCause},
+        regions::AllowedRegions,
     },
     serde::{de::DeserializeOwned, Serialize},
     std::{fmt::Debug, net::SocketAddr, time::Duration},
@@ -236,6 +238,38 @@
     }
 }
 
+/// a configuration with a route and an account that are bound to regions
+fn published_regions() -> PublishedAnswer {
+    let regions = |name: &str| AllowedRegions::only([name.to_string()]);
+    let route = Route {
+        name: "r".to_string(),
+        path_prefix: "/r/".to_string(),
+        kind: RouteKind::Safe,
+        timeout: Duration::from_secs(8),
+        target_latency: Duration::from_millis(300),
+        priority: 1,
+        max_attempts: 2,
+        is_public: false,
+        services: vec![WeightedService {
+            service: "s".to_string(),
+            weight: 1.0,
+        }],
+        allowed_regions: regions("north"),
+    };
+    let account = ClientAccount::new("acme", 1, None).with_allowed_regions(regions("south"));
+    let key = chalkcart_state::accounts::ApiKeyDigest::of(b"key").expect("a key");
+    let mut accounts = AccountTable::default();
+    accounts.add(account, [key]);
+    let mut table = RouteTable::new(7, IngressLimits::default(), Vec::new());
+    table.accounts = Some(accounts);
+    table.add_route("host", route);
+    let records = vec![Record::Table(Box::new(table))];
+    PublishedAnswer::Records {
+        snapshot: Snapshot { at: 47, records },
+        current_ms: 0,
+    }
+}
+
 /// of streams of views, and of demands
 pub fn of_engines(is_down: Option<bool>) -> Vec<Sample> {
     use Kind::{Frame, Message};
@@ -266,6 +300,7 @@
     vec![
         sample(Message, "published_ask", ask),
         sample(Message, "published_records", published()),
+        sample(Message, "published_regions", published_regions()),
         sample(Message, "published_history_lost", lost),
         sample(Message, "published_stale", PublishedAnswer::Stale),
     ]
--- a/state/src/accounts/client_account.rs
+++ b/state/src/accounts/client_account.rs
@@ -1,5 +1,6 @@
 use {
     super::RateLimit,
+    crate::regions::AllowedRegions,
     serde::{Deserialize, Serialize},
     sha2::{Digest, Sha256},
 };
@@ -18,6 +19,9 @@
     pub priority: u8,
     /// none if the account is not limited
     pub limit: Option<RateLimit>,
+    /// where its requests may be served; missing: a build before 5, which reads no such bound
+    #[serde(default)]
+    pub allowed_regions: AllowedRegions,
 }
 
 impl ClientAccount {
@@ -30,6 +34,13 @@
             mark: u64::from_be_bytes(head),
             priority,
             limit,
+            allowed_regions: AllowedRegions::default(),
+        }
+    }
+    pub fn with_allowed_regions(self, allowed_regions: AllowedRegions) -> Self {
+        Self {
+            allowed_regions,
+            ..self
         }
     }
 }
--- a/state/src/ids/aliases.rs
+++ b/state/src/ids/aliases.rs
@@ -16,6 +16,8 @@
 pub type BoxName = String;
 /// name of an availability zone
 pub type ZoneName = String;
+/// name of a region, which holds availability zones
+pub type RegionName = String;
 /// number of a configuration; a higher one replaces a lower one
 pub type Generation = u64;
 /// drawn at random when a process starts; never used again
--- a/state/src/ingress/route.rs
+++ b/state/src/ingress/route.rs
@@ -1,5 +1,5 @@
 use {
-    crate::ids::ServiceName,
+    crate::{ids::ServiceName, regions::AllowedRegions},
     serde::{Deserialize, Serialize},
     std::time::Duration,
 };
@@ -55,6 +55,9 @@
     /// served without a key
     pub is_public: bool,
     pub services: Vec<WeightedService>,
+    /// where its requests may be served; missing: a build before 5, which reads no such bound
+    #[serde(default)]
+    pub allowed_regions: AllowedRegions,
 }
 
 impl Route {
--- a/state/src/lib.rs
+++ b/state/src/lib.rs
@@ -9,3 +9,4 @@
 pub mod ids;
 pub mod ingress;
 pub mod published;
+pub mod regions;
--- /dev/null
+++ b/state/src/regions/mod.rs
@@ -0,0 +1,5 @@
+//! where requests may be served
+
+mod allowed_regions;
+
+pub use allowed_regions::AllowedRegions;
--- a/testkit/examples/capacity/dispatch.rs
+++ b/testkit/examples/capacity/dispatch.rs
@@ -7,6 +7,7 @@
     chalkcart_state::{
         backends::{AdapterRef, Backend, HeldAdapter},
         ingress::{BaseModel, EngineSpec, IngressLimits, RequestDigest, RouteTable, Service},
+        regions::AllowedRegions,
     },
     std::{
         net::SocketAddr,
@@ -129,6 +130,7 @@
         adapter: Some(adapter(number)),
         prompt_tokens: 1_460,
         account: None,
+        allowed_regions: AllowedRegions::default(),
         account_priority: 0,
         priority: 1,
         target_latency: Duration::from_millis(800),
--- a/testkit/src/users_platform/fleet.rs
+++ b/testkit/src/users_platform/fleet.rs
@@ -14,6 +14,7 @@
     http::{Method, StatusCode},
     serde_json::{json, Value},
     std::{
+        collections::HashMap,
         fs,
         net::{IpAddr, SocketAddr},
         path::PathBuf,
@@ -31,6 +32,9 @@
 /// what a fleet is made of
 #[derive(Debug, Clone)]
 pub struct FleetSettings {
+    /// availability zones and their regions: the first is the ingress's, back ends of each
+    /// kind are in one after the other
+    pub places: Vec<(&'static str, &'static str)>,
     pub engines: u8,
     pub plain: u8,
     /// publish a configuration before the start
@@ -53,6 +57,7 @@
 impl Default for FleetSettings {
     fn default() -> Self {
         Self {
+            places: vec![("z", "r")],
             engines: 0,
             plain: 1,
             configured: true,
@@ -131,7 +136,7 @@
         let sidecar_port = next_addr().port();
         let settings_file = folder.join("ingress.json");
         let mut document = json!({
-            "name": "front-1", "zone": "z", "clients": clients, "readiness": readiness,
+            "name": "front-1", "zone": settings.places[0].0, "clients": clients, "readiness": readiness,
             "metrics": metrics, "store": store_addr, "sidecar_port": sidecar_port,
             "grace_s": settings.grace_s, "retry_ratio": 0.2, "retry_extra": 50,
             "retry_window_s": 10, "version_ms": 5000,
@@ -142,6 +147,10 @@
         if settings.entry_program.is_none() {
             document["first_start"] = json!(true);
         }
+        if settings.places.len() > 1 {
+            let regions: HashMap<&str, &str> = settings.places.iter().copied().collect();
+            document["regions"] = json!(regions);
+        }
         if let Some(revoke_ms) = settings.revoke_ms {
             document["revoke_ms"] = json!(revoke_ms);
         }
@@ -181,9 +190,15 @@
 
     /// start one more ingress among the same stand-ins
     pub async fn start_other_ingress(&self, name: &str) -> Result<OtherIngress> {
+        let zone = self.settings.places[0].0;
+        self.start_other_ingress_in(name, zone).await
+    }
+    /// the same, in an availability zone
+    pub async fn start_other_ingress_in(&self, name: &str, zone: &str) -> Result<OtherIngress> {
         let mut document: Value = serde_json::from_slice(&fs::read(&self.settings_file)?)?;
         let (clients, readiness, metrics) = (next_addr(), next_addr(), next_addr());
         document["name"] = json!(name);
+        document["zone"] = json!(zone);
         document["clients"] = json!(clients);
         document["readiness"] = json!(readiness);
         document["metrics"] = json!(metrics);
@@ -260,8 +275,10 @@
             ENGINE_SERVICE => &self.engines[number],
             _ => &self.plain[number],
         };
+        let places = &self.settings.places;
+        let zone = places[number % places.len()].0;
         let row = json!({
-            "Service": service, "Address": backend.addr, "Zone": "z", "Version": "v1",
+            "Service": service, "Address": backend.addr, "Zone": zone, "Version": "v1",
             "Slots": 8, "State": state, "ColdLeftMs": 0, "Seq": 1,
             "born": backend.state().born,
             "Models": [{"Name": MODEL, "Version": 1, "Adapters": []}],
--- a/transport/src/metrics/ingress_metrics.rs
+++ b/transport/src/metrics/ingress_metrics.rs
@@ -31,6 +31,12 @@
     pub by_word: u8,
 }
 
+/// the name of a client account
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct AccountNameLabel {
+    pub account: String,
+}
+
 /// accounts that are counted by name; others count together
 const MOST_ACCOUNTS: usize = 64;
 const OTHER_ACCOUNTS: &str = "other";
@@ -54,6 +60,7 @@
     withheld: Counter,
     unreadable: Family<CodeLabel, Counter>,
     over_limit: Family<AccountLabel, Counter>,
+    outside_regions: Family<AccountNameLabel, Counter>,
     named_accounts: Mutex<HashSet<String>>,
     keeper_entries: Gauge,
     fleet_entries: Gauge,
@@ -78,6 +85,7 @@
             withheld: Counter::default(),
             unreadable: Family::default(),
             over_limit: Family::default(),
+            outside_regions: Family::default(),
             named_accounts: Mutex::default(),
             keeper_entries: Gauge::default(),
             fleet_entries: Gauge::default(),
@@ -133,6 +141,12 @@
         let label = AccountLabel { account, by_word };
         self.over_limit.get_or_create(&label).inc();
     }
+    /// no region in which a request of an account may be served had a back end for it
+    pub fn on_outside_regions(&self, account: &str) {
+        let account = self.counted_as(account);
+        let label = AccountNameLabel { account };
+        self.outside_regions.get_or_create(&label).inc();
+    }
     /// a request was judged by a configuration, and a limit by a keeper's word, of these
     /// ages
     pub fn on_judged(&self, configuration: Option<Duration>, limit: Option<Duration>) {
@@ -226,6 +240,11 @@
             "Requests refused beyond their account's limit",
             self.over_limit.clone(),
         );
+        registry.register(
+            "outside_regions",
+            "Requests refused, as no region allowed to them had a back end",
+            self.outside_regions.clone(),
+        );
         registry.register(
             "limit_keeper_entries",
             "Entries that the keeper of limits hears",
