The sidecar of a limited engine deals out permits, and says what its engine takes

An entry without an answer of its own knew nothing of the limit. The time for which an engine is cold was known by its record alone. Change: entries ask the engine's sidecar directly, for as many requests as wait; it gives out what has become due, in turns, the more urgent first, and says when the next turn is. Entries that do not hear it, and plain services, keep to equal parts; beside a dealer those are small. What one entry hears of a limit, or of its end, all others hear by the sidecar's figures. The same figures pass on how long an engine is cold by its own word, which answers to entries may say as well; both fields belong to wire version 5.

--- a/coordination/src/dispatch/backend_state.rs
+++ b/coordination/src/dispatch/backend_state.rs
@@ -148,11 +148,13 @@
         self.limit = words.take_limit(&self.listed.id);
     }
     /// who shares what it takes: so many entries, of which `entry` is one
-    pub fn sharers(&self, entry: &str, entries: u32) -> Sharers {
+    pub fn sharers(&self, entry: &str, entries: u32, is_engine: bool) -> Sharers {
         let seed = stable_hash(&format!("{entry} {}", self.listed.id));
         Sharers {
             entries,
             phase: seed as f64 / u64::MAX as f64,
+            has_dealer: self.view.is_some(),
+            is_engine,
         }
     }
 
--- a/coordination/src/dispatch/choosing.rs
+++ b/coordination/src/dispatch/choosing.rs
@@ -228,7 +228,7 @@
     pub(super) fn first_to_open(
         &self,
         ask: &Ask,
-        ahead: &HashMap<BackendId, u32>,
+        ahead: &HashMap<BackendId, (u32, u8)>,
         now: Instant,
     ) -> Option<(BackendId, Duration)> {
         let mut states = self.candidates(ask, now);
@@ -239,7 +239,7 @@
         }
         let limited = states.iter().filter(|b| b.has_place_beyond_limit(now));
         let openings = limited.map(|b| {
-            let ahead = ahead.get(&b.listed.id).copied().unwrap_or(0);
+            let ahead = ahead.get(&b.listed.id).map_or(0, |(waiting, _)| *waiting);
             (b.listed.id.clone(), b.limit.opens_after(ahead, now))
         });
         openings.min_by_key(|(_, opens_in)| *opens_in)
--- a/coordination/src/dispatch/dispatcher.rs
+++ b/coordination/src/dispatch/dispatcher.rs
@@ -145,6 +145,18 @@
                 word,
                 sent,
             } => self.on_own_word(&backend, word, sent, now),
+            DispatchEvent::Dealt {
+                backend,
+                asked,
+                answer,
+            } => {
+                self.on_dealt(&backend, asked, answer, now);
+                let held = self
+                    .backends
+                    .get(&backend)
+                    .map(|b| b.listed.service.clone());
+                self.serve_waiting(|ask| Some(&ask.service) == held.as_ref(), now);
+            }
             DispatchEvent::Viewed { .. } | DispatchEvent::Figures { .. }
                 if !self.settings.mechanisms.sidecar_views => {}
             DispatchEvent::Viewed { addr, view } => {
@@ -170,7 +182,10 @@
             DispatchEvent::ViewLost(backend) => self.on_view_lost(&backend, now),
             DispatchEvent::Demanded { addr, is_taken } => self.on_demanded(addr, is_taken),
             DispatchEvent::Versioned { adapter, version } => self.on_version(adapter, version, now),
-            DispatchEvent::Tick => self.serve_waiting(|_| true, now),
+            DispatchEvent::Tick => {
+                let waiting = self.serve_waiting(|_| true, now);
+                self.note_wanted(&waiting, true);
+            }
         }
         std::mem::take(&mut self.decided)
     }
@@ -257,30 +272,17 @@
     /// an answer to a request that was sent then says this of its back end
     fn on_own_word(&mut self, backend: &BackendId, word: OwnWord, sent: Instant, now: Instant) {
         self.note_own_word(backend, word, now);
-        let entries = self.sharing_entries(now);
-        let Some(state) = self.backends.get_mut(backend) else {
-            return;
-        };
-        let sharers = state.sharers(&self.settings.entry, entries);
-        state.limit.on_word(word.limit, sent, sharers, now);
-        match state.limit.named() {
-            Some(_) => self.limited.insert(backend.clone()),
-            None => self.limited.remove(backend),
-        };
+        self.on_limit_word(backend, (word.limit, sent), now);
+        if let Some(left) = word.cold {
+            self.on_cold_told(backend, left, now);
+        }
     }
 
-    /// the entries that share limits may be more or fewer
-    fn share_limits(&mut self, now: Instant) {
-        if self.limited.is_empty() {
-            return;
-        }
-        let entries = self.sharing_entries(now);
-        self.limited.retain(|id| self.backends.contains_key(id));
-        for id in &self.limited {
-            if let Some(state) = self.backends.get_mut(id) {
-                let sharers = state.sharers(&self.settings.entry, entries);
-                state.limit.share_among(sharers, now);
-            }
+    /// a back end says itself, or by its sidecar, how much longer it is cold
+    pub(super) fn on_cold_told(&mut self, backend: &BackendId, left: Duration, now: Instant) {
+        if let Some(state) = self.backends.get_mut(backend) {
+            self.may_have_cold |= !left.is_zero();
+            state.set_cold(&self.settings.entry, left, now);
         }
     }
 
@@ -366,8 +368,13 @@
     }
 
     /// give back ends to those of the requests that wait, in order, and refuse
-    /// those whose wait is over
-    fn serve_waiting(&mut self, is_concerned: impl Fn(&Ask) -> bool, now: Instant) {
+    /// those whose wait is over; gives how many wait for each limited back end, and the
+    /// priority of the most urgent
+    fn serve_waiting(
+        &mut self,
+        is_concerned: impl Fn(&Ask) -> bool,
+        now: Instant,
+    ) -> HashMap<BackendId, (u32, u8)> {
         let mut ahead = HashMap::new();
         for ticket in self.waiting.tickets(is_concerned) {
             let Some(ask) = self.waiting.take(ticket) else {
@@ -381,6 +388,8 @@
                 Choice::Wait(cause) => self.wait_or_refuse(ticket, ask, cause, now),
             }
         }
+        self.note_wanted(&ahead, false);
+        ahead
     }
 
     fn send(&mut self, ticket: Ticket, ask: Ask, assignment: Assignment, now: Instant) {
@@ -465,7 +474,7 @@
         &mut self,
         ticket: Ticket,
         ask: Ask,
-        ahead: &mut HashMap<BackendId, u32>,
+        ahead: &mut HashMap<BackendId, (u32, u8)>,
         now: Instant,
     ) {
         let Some((backend, opens_in)) = self.first_to_open(&ask, ahead, now) else {
@@ -475,7 +484,9 @@
         let longest = ask.target_latency.mul_f64(self.settings.wait_for_place);
         let waited = now.saturating_duration_since(ask.arrived);
         if waited + opens_in < longest && now + opens_in < ask.deadline {
-            *ahead.entry(backend).or_default() += 1;
+            let waiting = ahead.entry(backend).or_insert((0, ask.priority));
+            waiting.0 += 1;
+            waiting.1 = waiting.1.min(ask.priority);
             self.waiting.put(ticket, ask);
             return;
         }
@@ -554,7 +565,7 @@
     }
     /// Entries that share what a back end takes. Sidecars that have just begun count few,
     /// and so does an entry that has.
-    fn sharing_entries(&self, now: Instant) -> u32 {
+    pub(super) fn sharing_entries(&self, now: Instant) -> u32 {
         let counted = self.fleet_size.entries();
         let began = self.settings.began_anew;
         let is_young = began.is_some_and(|at| now.saturating_duration_since(at) < COUNTED_AFTER);
--- a/coordination/src/dispatch/event.rs
+++ b/coordination/src/dispatch/event.rs
@@ -1,7 +1,7 @@
 use {
-    super::{Ask, DispatchSettings, Ticket},
+    super::{Ask, DispatchSettings, NoDeal, Ticket},
     crate::own_word::OwnWord,
-    chalkcart_protocol::peer::{EngineFigures, EngineView},
+    chalkcart_protocol::peer::{EngineFigures, EngineView, IntakeAnswer},
     chalkcart_state::{
         backends::{AdapterRef, BackendId, BackendList},
         ids::ZoneName,
@@ -70,6 +70,12 @@
         /// when the request was sent that it answered
         sent: Instant,
     },
+    /// the dealer of an engine's permits has answered a question that was asked then
+    Dealt {
+        backend: BackendId,
+        asked: Instant,
+        answer: Result<IntakeAnswer, NoDeal>,
+    },
     Listed {
         version: u64,
         list: BackendList,
--- a/coordination/src/dispatch/listing.rs
+++ b/coordination/src/dispatch/listing.rs
@@ -123,7 +123,7 @@
         self.crashes.on_word(&view.backend, &view.figures, now);
         let told = (view.backend.clone(), view.figures);
         let news = state.on_view(view, now);
-        self.on_leaving_told(&told.0, &told.1, now);
+        self.on_own_word_told(&told.0, &told.1, now);
         if is_first {
             self.review_replaced();
         }
@@ -189,9 +189,16 @@
         }
     }
 
-    /// Its sidecar heard from the engine itself that it leaves: entries that had no answer
-    /// of it know it by that, also while the store is silent.
-    fn on_leaving_told(&mut self, backend: &BackendId, figures: &EngineFigures, now: Instant) {
+    /// Its sidecar heard from the engine itself that it leaves, how many requests it takes or
+    /// that it is cold: entries that had no answer of it know it by that, also while the
+    /// store is silent.
+    fn on_own_word_told(&mut self, backend: &BackendId, figures: &EngineFigures, now: Instant) {
+        self.on_limit_told(backend, figures, now);
+        if figures.cold_left_ms > 0 {
+            let left = Duration::from_millis(u64::from(figures.cold_left_ms));
+            let said = Duration::from_millis(u64::from(figures.age_ms));
+            self.on_cold_told(backend, left.saturating_sub(said), now);
+        }
         if figures.is_leaving {
             self.note_own_word(backend, OwnWord::new(true, None), now);
         }
@@ -204,7 +211,7 @@
             self.crashes.on_word(backend, &figures, now);
             state.on_figures(figures, now);
             let addr = state.listed.addr;
-            self.on_leaving_told(backend, &figures, now);
+            self.on_own_word_told(backend, &figures, now);
             self.on_fence(addr, figures.fence);
         }
     }
--- a/coordination/src/dispatch/mod.rs
+++ b/coordination/src/dispatch/mod.rs
@@ -17,6 +17,7 @@
 mod fleet_size;
 mod health;
 mod homes;
+mod limited;
 mod listing;
 mod own_sight;
 mod own_words;
@@ -45,6 +46,7 @@
     event::{DispatchEvent, SendOutcome},
     fleet_size::FleetSize,
     health::Health,
+    limited::{IntakeQuestion, NoDeal},
     own_sight::OwnSight,
     reading_rate::ReadingRate,
     settings::DispatchSettings,
--- a/coordination/src/intake/equal_share.rs
+++ b/coordination/src/intake/equal_share.rs
@@ -1,21 +1,55 @@
-use std::time::{Duration, Instant};
+use {
+    super::LEAST_PER_S,
+    std::time::{Duration, Instant},
+};
 
-/// A back end that takes next to nothing gets this many requests a second all the same, from
-/// all entries together: only an answer can say that it takes more.
-const LEAST_PER_S: f64 = 0.25;
-/// Each entry may save one request up, and all may send theirs at once. What they send in 4 s,
-/// at most `entries + 4 rate`, stays within the allowed `6 rate + 5` while they are no more
-/// than `2 rate` and this; two of the five are left for requests that are not counted here.
-const SAVED_AT_ONCE: f64 = 3.0;
-/// More entries than that send in slots of their own, and save nothing. Their slots begin at
-/// random, so only this part of the rate is used: 12 or more of a mean of 2.25 in 4 s, which
-/// would be too many at 1 a second, are one chance in 200,000.
-const USED_IN_SLOTS: f64 = 0.5;
 const SLOT: Duration = Duration::from_millis(500);
 
+/// who sends besides those that share in equal parts
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ShareBasis {
+    /// nobody
+    Alone,
+    /// those that hear a dealer of permits, which gives out the whole rate
+    BesidePermits,
+}
+
+impl ShareBasis {
+    /// Part of the rate that all of them together use. Beside permits it is small: both
+    /// together must stay within one and a half times the rate, with what is saved up.
+    fn part(self) -> f64 {
+        match self {
+            Self::Alone => 1.0,
+            Self::BesidePermits => 0.25,
+        }
+    }
+
+    /// Each may save one request up, and all may send theirs at once. What they send in 4 s, at
+    /// most `entries + 4 rate`, stays within the allowed `6 rate + 5` while they are no more
+    /// than `2 rate + 5`; two of the five are left for requests that are not counted here, and
+    /// beside permits next to nothing is left.
+    fn may_save(self, per_s: f64, entries: u32) -> bool {
+        match self {
+            Self::Alone => f64::from(entries) <= 2.0 * per_s + 3.0,
+            Self::BesidePermits => entries <= 4,
+        }
+    }
+
+    /// The same where more entries than that send in slots of their own, and save nothing.
+    /// Slots begin at random: at half of 1 a second, 12 requests or more of a mean of 2.25 in
+    /// 4 s, which would be too many, are one chance in 200,000.
+    fn part_in_slots(self) -> f64 {
+        match self {
+            Self::Alone => 0.5,
+            Self::BesidePermits => 0.35,
+        }
+    }
+}
+
 /// One entry's equal part of a rate that all entries share, without a word between them.
 #[derive(Debug, Clone)]
 pub struct EqualShare {
+    basis: ShareBasis,
     /// between 0 and 1, evenly over entries
     phase: f64,
     per_s: f64,
@@ -29,8 +63,9 @@
 
 impl EqualShare {
     /// What was sent before it begins counts as one request too many.
-    pub fn new(per_s: f64, entries: u32, phase: f64, now: Instant) -> Self {
+    pub fn new(basis: ShareBasis, per_s: f64, entries: u32, phase: f64, now: Instant) -> Self {
         Self {
+            basis,
             phase,
             per_s: per_s.max(LEAST_PER_S),
             entries: entries.max(1),
@@ -42,8 +77,9 @@
     }
 
     /// the rate, or the number of entries that share it, is another
-    pub fn set(&mut self, per_s: f64, entries: u32, now: Instant) {
+    pub fn set(&mut self, basis: ShareBasis, per_s: f64, entries: u32, now: Instant) {
         self.level = self.level(now);
+        self.basis = basis;
         self.counted = now;
         self.per_s = per_s.max(LEAST_PER_S);
         self.entries = entries.max(1);
@@ -62,11 +98,11 @@
 
     /// time between two requests of this entry
     pub fn interval(&self) -> Duration {
-        let used = match self.is_in_slots() {
-            true => USED_IN_SLOTS,
-            false => 1.0,
+        let part = match self.is_in_slots() {
+            true => self.basis.part_in_slots(),
+            false => self.basis.part(),
         };
-        Duration::from_secs_f64(f64::from(self.entries) / (self.per_s * used))
+        Duration::from_secs_f64(f64::from(self.entries) / (self.per_s * part))
     }
 
     pub fn on_sent(&mut self, now: Instant) {
@@ -76,13 +112,13 @@
     }
 
     fn is_in_slots(&self) -> bool {
-        f64::from(self.entries) > 2.0 * self.per_s + SAVED_AT_ONCE
+        !self.basis.may_save(self.per_s, self.entries)
     }
 
     fn level(&self, now: Instant) -> f64 {
         let passed = now.saturating_duration_since(self.counted).as_secs_f64();
-        let part = self.per_s / f64::from(self.entries);
-        (self.level + passed * part).min(1.0)
+        let due = passed * self.per_s * self.basis.part() / f64::from(self.entries);
+        (self.level + due).min(1.0)
     }
 
     /// the slot of this entry comes once in each interval, at its own phase of it
--- a/coordination/src/placement/placement_control.rs
+++ b/coordination/src/placement/placement_control.rs
@@ -3,8 +3,13 @@
         adapter_mark, DemandBook, EngineOrder, EngineReport, FenceToken, LatelyHeld, LoadSpeed,
         OrderAnswer, OrderKind, PlacementSettings,
     },
-    crate::own_word::OwnWord,
-    chalkcart_protocol::peer::{AdapterDemand, EngineFigures, EngineView},
+    crate::{
+        intake::EngineLimit,
+        own_word::{OwnWord, RequestRate},
+    },
+    chalkcart_protocol::peer::{
+        AdapterDemand, EngineFigures, EngineView, IntakeAnswer, IntakeReport,
+    },
     chalkcart_state::backends::{AdapterRef, BackendId, BackendName},
     std::{
         collections::HashMap,
@@ -93,6 +98,10 @@
     pub(super) says_leaving: bool,
     /// the engine wants nothing of this machine before
     rests_until: Option<Instant>,
+    /// requests that the engine takes, by its own word
+    pub(super) limit: EngineLimit,
+    /// until when it is cold, by its own word
+    cold_until: Option<Instant>,
     pub(super) model_ordered: Option<Instant>,
     speed: LoadSpeed,
     lately: LatelyHeld,
@@ -116,6 +125,8 @@
             resting: HashMap::new(),
             says_leaving: false,
             rests_until: None,
+            limit: EngineLimit::default(),
+            cold_until: None,
             model_ordered: None,
             speed: LoadSpeed::default(),
             lately: LatelyHeld::default(),
@@ -178,6 +189,8 @@
             entries: self.demands.entries(),
             is_down: Some(self.ended.as_ref() == Some(&self.backend)),
             is_leaving: self.says_leaving,
+            limit_milli_per_s: self.limit.named(now).map(RequestRate::milli),
+            cold_left_ms: self.cold_left_ms(now),
             ..EngineFigures::default()
         };
         let mut view = EngineView {
@@ -202,11 +215,24 @@
     /// Orders, reports and questions for its identity share a machine's rest with requests.
     fn on_own_word(&mut self, word: OwnWord, now: Instant) {
         self.says_leaving |= word.is_leaving;
+        self.limit.on_engine_word(word.limit, now);
+        if let Some(left) = word.cold {
+            self.cold_until = Some(now + left);
+        }
         if let Some(rest) = word.rest {
             let until = now + rest;
             self.rests_until = Some(self.rests_until.map_or(until, |known| known.max(until)));
         }
     }
+    /// an entry says what it heard of the engine's limit, and asks for permits
+    pub fn deal(&mut self, report: &IntakeReport, now: Instant) -> IntakeAnswer {
+        self.limit.on_report(&self.backend, report, now)
+    }
+    fn cold_left_ms(&self, now: Instant) -> u16 {
+        let left = self.cold_until.map(|at| at.saturating_duration_since(now));
+        let left = left.map_or(0, |left| left.as_millis());
+        u16::try_from(left).unwrap_or(u16::MAX)
+    }
     fn rest_left(&self, now: Instant) -> Option<Duration> {
         let left = self.rests_until?.saturating_duration_since(now);
         (!left.is_zero()).then_some(left)
@@ -297,6 +323,8 @@
         self.resting.clear();
         self.rests_until = None;
         self.says_leaving = false;
+        self.limit = EngineLimit::default();
+        self.cold_until = None;
         self.lately.clear();
         self.speed.forget_ordered();
     }
--- a/coordination/src/relay/relay_book.rs
+++ b/coordination/src/relay/relay_book.rs
@@ -127,7 +127,7 @@
         view.figures = figures;
         known.heard = now;
         self.with_news.insert(engine);
-        had_spare != (figures.spare_slots > 0) || figures.ends_after(&before)
+        had_spare != (figures.spare_slots > 0) || figures.binds_otherwise_than(&before)
     }
 
     /// the sidecar of an engine is silent
--- a/coordination/tests/cold_engines.rs
+++ b/coordination/tests/cold_engines.rs
@@ -9,7 +9,10 @@
 mod dispatch_fixture;
 
 use {
-    chalkcart_coordination::dispatch::{ColdBound, ColdPace, DispatchEvent, SendOutcome},
+    chalkcart_coordination::{
+        dispatch::{ColdBound, ColdPace, DispatchEvent, SendOutcome},
+        own_word::OwnWord,
+    },
     chalkcart_state::backends::Backend,
     dispatch_fixture::*,
     std::{
@@ -163,3 +166,35 @@
         }
     }
 }
+
+/// Guards against: an engine that is sent all that comes while it is cold, since its record does
+/// not say so yet, as while the store is away: its sidecar heard it from the engine itself.
+#[test]
+fn an_engine_is_cold_by_its_own_word() {
+    let mut fixture = fixture(vec![cold(1, 0)]);
+    let mut said = view("engines-1", &[("a", 1)]);
+    said.figures.cold_left_ms = 3_000;
+    fixture.view(1, said);
+    let share = CARRIED / 2.0;
+    let sent = sent_in(&mut fixture, ms(3_000), 0);
+    assert!(sent as f64 <= share * 3.0 + 1.0, "{sent} while it was cold");
+    assert_eq!(sent_in(&mut fixture, ms(1_000), 1_000), 100, "warm");
+}
+
+/// Guards against: the same where an answer to an entry says so.
+#[test]
+fn an_engine_is_cold_by_an_answer_to_an_entry() {
+    let mut fixture = fixture(vec![cold(1, 0)]);
+    fixture.view(1, view("engines-1", &[("a", 1)]));
+    let sent = fixture.now;
+    fixture.tell(DispatchEvent::Said {
+        backend: "engines-1".into(),
+        word: OwnWord::default().with_cold(Some(ms(2_000))),
+        sent,
+    });
+    let sent = sent_in(&mut fixture, ms(2_000), 0);
+    assert!(
+        sent as f64 <= CARRIED / 2.0 * 2.0 + 1.0,
+        "{sent} while it was cold"
+    );
+}
--- a/coordination/tests/named_limits.rs
+++ b/coordination/tests/named_limits.rs
@@ -232,6 +232,8 @@
         let sharers = Sharers {
             entries,
             phase: rng.random(),
+            has_dealer: false,
+            is_engine: false,
         };
         let mut limit = NamedLimit::default();
         // each hears of it with an answer of its own
@@ -294,7 +296,12 @@
     /// whatever an engine says, in whatever order, a limit is as it said last or lower
     fn words_in_any_order(words: Vec<(u8, u16)>) -> TestResult {
         let begun = Instant::now();
-        let sharers = Sharers { entries: 3, phase: 0.5 };
+        let sharers = Sharers {
+            entries: 3,
+            phase: 0.5,
+            has_dealer: false,
+            is_engine: false,
+        };
         let mut limit = NamedLimit::default();
         let mut now = begun;
         for (kind, back_ms) in words {
--- a/coordination/tests/own_words.rs
+++ b/coordination/tests/own_words.rs
@@ -6,7 +6,7 @@
 use {
     chalkcart_coordination::{
         dispatch::{Decision, DispatchEvent, RefusalCause, SendOutcome, Ticket},
-        own_word::{LimitWord, OwnWord},
+        own_word::{LimitWord, OwnWord, RequestRate},
         placement::{OrderAnswer, PlacementEvent, PlacementStep},
     },
     chalkcart_state::backends::Backend,
@@ -19,6 +19,7 @@
     is_leaving: true,
     rest: None,
     limit: LimitWord::Unsaid,
+    cold: None,
 };
 
 fn two_plain() -> Vec<Backend> {
@@ -31,6 +32,7 @@
     is_leaving: false,
     rest: Some(Duration::from_secs(REST_S)),
     limit: LimitWord::Unsaid,
+    cold: None,
 };
 
 fn say(fixture: &mut Fixture, backend: &str, word: OwnWord) {
@@ -310,3 +312,25 @@
     let ask = fixture.new_ask(ENGINES, Some("b"));
     assert!(fixture.ask(2, ask).is_empty());
 }
+
+/// Guards against: a sidecar that keeps to itself that its engine names a limit or is cold, and
+/// one that says it of the next life.
+#[test]
+fn a_sidecar_passes_on_what_its_engine_takes_and_forgets_it_with_its_life() {
+    let mut keeper = Keeper::new();
+    keeper.demand(&[], &[]);
+    keeper.identify();
+    let word = OwnWord::default()
+        .with_limit(RequestRate::of_per_s(2.0).map_or(LimitWord::Unsaid, LimitWord::Named))
+        .with_cold(Some(Duration::from_secs(2)));
+    keeper
+        .control
+        .handle(PlacementEvent::Said(word), keeper.now);
+    let figures = keeper.view().figures;
+    assert_eq!(figures.limit_milli_per_s, Some(2_000));
+    assert_eq!(figures.cold_left_ms, 2_000);
+    keeper.identify_as("engines-2");
+    let figures = keeper.view().figures;
+    assert_eq!(figures.limit_milli_per_s, None);
+    assert_eq!(figures.cold_left_ms, 0);
+}
--- a/entry/src/ingress/control.rs
+++ b/entry/src/ingress/control.rs
@@ -1,5 +1,8 @@
 use {
-    super::{crashes::Crashes, figures_board::FiguresBoard, fleet_links::FleetLinks},
+    super::{
+        crashes::Crashes, figures_board::FiguresBoard, fleet_links::FleetLinks,
+        intake_exchange::IntakeExchange,
+    },
     anyhow::{Context, Result},
     arc_swap::ArcSwap,
     chalkcart_coordination::{
@@ -120,6 +123,7 @@
 struct ControlLoop {
     dispatcher: Dispatcher,
     links: FleetLinks,
+    intake: IntakeExchange,
     figures: Arc<FiguresBoard>,
     crashes: Arc<Crashes>,
     askers: HashMap<Ticket, oneshot::Sender<Decision>>,
@@ -136,7 +140,7 @@
 pub fn start(
     dispatcher: Dispatcher,
     crashes: Arc<Crashes>,
-    make_links: impl FnOnce(ControlHandle) -> FleetLinks,
+    make_links: impl FnOnce(ControlHandle) -> (FleetLinks, IntakeExchange),
 ) -> Result<ControlHandle> {
     let (commands, received) = mpsc::channel();
     let figures = Arc::new(FiguresBoard::default());
@@ -153,9 +157,11 @@
         engines: engines.clone(),
     };
     let now = clock::now();
+    let (links, intake) = make_links(handle.clone());
     let mut control = ControlLoop {
         dispatcher,
-        links: make_links(handle.clone()),
+        links,
+        intake,
         figures,
         crashes,
         askers: HashMap::new(),
@@ -188,6 +194,7 @@
             let waiting = self.dispatcher.waiting_count();
             self.waiting.store(waiting, Ordering::Relaxed);
             self.send_demands();
+            self.ask_dealers();
         }
     }
 
@@ -255,6 +262,11 @@
         }
     }
 
+    fn ask_dealers(&mut self) {
+        let questions = self.dispatcher.intake_questions(clock::now());
+        questions.into_iter().for_each(|q| self.intake.ask(q));
+    }
+
     fn demands_due(&self, now: Instant) -> Option<DemandsDue> {
         let passed = |since: Instant| now.saturating_duration_since(since);
         if passed(self.last_all) >= ALL_DEMANDS_EVERY {
--- /dev/null
+++ b/entry/src/ingress/intake_exchange.rs
@@ -0,0 +1,56 @@
+use {
+    super::control::ControlHandle,
+    chalkcart_coordination::dispatch::{DispatchEvent, IntakeQuestion, NoDeal},
+    chalkcart_protocol::peer::{path, IntakeAnswer},
+    chalkcart_transport::client::{ClientError, PeerClient},
+    std::{net::SocketAddr, time::Duration},
+    tokio::runtime::Handle,
+};
+
+/// longest time for a dealer's answer: a permit that comes later is of little use
+const ANSWER_LIMIT: Duration = Duration::from_millis(200);
+
+/// asks the sidecars of limited engines how many requests may be sent there
+pub struct IntakeExchange {
+    runtime: Handle,
+    control: ControlHandle,
+    peers: PeerClient,
+    /// port at which sidecars listen, on the addresses of their engines
+    sidecar_port: u16,
+}
+
+impl IntakeExchange {
+    pub fn new(runtime: Handle, control: ControlHandle, sidecar_port: u16) -> Self {
+        Self {
+            runtime,
+            control,
+            peers: PeerClient::new(),
+            sidecar_port,
+        }
+    }
+
+    /// ask, and tell the control thread what came of it
+    pub fn ask(&self, question: IntakeQuestion) {
+        let (peers, control) = (self.peers.clone(), self.control.clone());
+        let dealer = SocketAddr::new(question.engine.ip(), self.sidecar_port);
+        self.runtime.spawn(async move {
+            let IntakeQuestion { report, asked, .. } = question;
+            let answer = peers.call::<_, IntakeAnswer>(dealer, path::INTAKE, &report, ANSWER_LIMIT);
+            let answer = answer.await.map_err(|e| no_deal(dealer, &e));
+            control.tell(DispatchEvent::Dealt {
+                backend: report.backend,
+                asked,
+                answer,
+            });
+        });
+    }
+}
+
+fn no_deal(dealer: SocketAddr, e: &ClientError) -> NoDeal {
+    log::warn!(dealer = dealer.to_string().as_str(), cause = e.to_string().as_str();
+        "intake: no answer");
+    match e.proves_other_build() {
+        true => NoDeal::Unknowing,
+        false => NoDeal::Silent,
+    }
+}
--- a/entry/src/ingress/mod.rs
+++ b/entry/src/ingress/mod.rs
@@ -10,6 +10,7 @@
 mod exchange_log;
 mod figures_board;
 mod fleet_links;
+mod intake_exchange;
 mod observers;
 mod operator_pages;
 mod records;
--- a/entry/src/ingress/serve.rs
+++ b/entry/src/ingress/serve.rs
@@ -4,6 +4,7 @@
         crash_exchange::exchange_crashes,
         crashes::Crashes,
         fleet_links::{FleetLinks, LinkSettings},
+        intake_exchange::IntakeExchange,
         operator_pages,
         records::EntryRecords,
         service::RoutedIngress,
@@ -71,7 +72,9 @@
     let (runtime, link_settings) = (Handle::current(), link_settings(&settings, &relays));
     let crashes = Arc::new(Crashes::default());
     let control = control::start(dispatcher, crashes.clone(), |control| {
-        FleetLinks::new(link_settings, runtime, control)
+        let sidecar_port = link_settings.sidecar_port;
+        let intake = IntakeExchange::new(runtime.clone(), control.clone(), sidecar_port);
+        (FleetLinks::new(link_settings, runtime, control), intake)
     })?;
     let shared = Arc::new(Shared::new(settings, control, crashes, dialect));
     follow_store(&shared, store.clone(), relays);
--- a/protocol/src/peer/mod.rs
+++ b/protocol/src/peer/mod.rs
@@ -3,6 +3,7 @@
 mod cancel;
 mod crashes;
 mod frame;
+mod intake;
 mod permit;
 mod placement;
 mod published;
@@ -31,12 +32,14 @@
     pub const RELAY_PUBLISHED: &str = "/peer/relay/published";
     pub const USAGE: &str = "/peer/usage";
     pub const CRASHES: &str = "/peer/crashes";
+    pub const INTAKE: &str = "/peer/intake";
 }
 
 pub use {
     cancel::{CancelAnswer, CancelOrder},
     crashes::{CrashAnswer, CrashAsk, CrashEvent, CrashMark, CrashWord},
     frame::{Frame, FrameBody},
+    intake::{HeardLimit, IntakeAnswer, IntakeReport},
     permit::{PermitAnswer, PermitAsk, PermitPurpose},
     placement::{
         AdapterDemand, AdapterUse, EngineFigures, EngineRoom, EngineView, ModelSize, ViewChange,
--- a/protocol/src/peer/placement.rs
+++ b/protocol/src/peer/placement.rs
@@ -120,7 +120,7 @@
         let has_spare = self.figures.spare_slots > 0;
         self.differs_in_holdings(before)
             || had_spare != has_spare
-            || self.figures.ends_after(&before.figures)
+            || self.figures.binds_otherwise_than(&before.figures)
     }
 
     /// the same where a relay gathers views: adapters on their way and places can
@@ -129,7 +129,7 @@
         self.backend != before.backend
             || self.models != before.models
             || self.held != before.held
-            || self.figures.ends_after(&before.figures)
+            || self.figures.binds_otherwise_than(&before.figures)
     }
 }
 
@@ -163,12 +163,23 @@
     /// the engine has told its sidecar that it leaves; false if it has not, or if the
     /// sidecar does not say: its record and its answers to entries tell it then
     pub is_leaving: bool,
+    /// Thousandths of requests a second that the engine says it takes from all entries
+    /// together; none if it names no limit, or if the sidecar does not say: answers to
+    /// entries tell it then
+    pub limit_milli_per_s: Option<u32>,
+    /// how much longer the engine is cold by its own word, in ms, or the longest time that
+    /// can be said (65 s); 0 if it has not said so,
+    /// or if the sidecar does not say: its record tells it then
+    pub cold_left_ms: u16,
 }
 
 impl EngineFigures {
-    /// whether the engine's end, or that it is near, is news since these figures
-    pub fn ends_after(&self, before: &Self) -> bool {
-        self.is_down != before.is_down || self.is_leaving != before.is_leaving
+    /// whether the engine's end, or how much it takes, is news since these figures
+    pub fn binds_otherwise_than(&self, before: &Self) -> bool {
+        self.is_down != before.is_down
+            || self.is_leaving != before.is_leaving
+            || self.limit_milli_per_s != before.limit_milli_per_s
+            || (self.cold_left_ms > 0) != (before.cold_left_ms > 0)
     }
 }
 
@@ -197,6 +208,12 @@
     /// since 4; missing: not said
     #[serde(default)]
     is_leaving: bool,
+    /// since 5; missing: not said
+    #[serde(default)]
+    limit_milli_per_s: Option<u32>,
+    /// since 5; missing: not said
+    #[serde(default)]
+    cold_left_ms: u16,
 }
 
 impl From<WrittenFigures> for EngineFigures {
@@ -216,6 +233,8 @@
             age_ms: w.age_ms,
             is_down: w.is_down.filter(|_| !w.is_down_unknown),
             is_leaving: w.is_leaving,
+            limit_milli_per_s: w.limit_milli_per_s,
+            cold_left_ms: w.cold_left_ms,
         }
     }
 }
@@ -239,6 +258,8 @@
             is_down: Some(f.is_down.unwrap_or(false)),
             is_down_unknown: f.is_down.is_none(),
             is_leaving: f.is_leaving,
+            limit_milli_per_s: f.limit_milli_per_s,
+            cold_left_ms: f.cold_left_ms,
         }
     }
 }
--- a/protocol/tests/recorded.rs
+++ b/protocol/tests/recorded.rs
@@ -32,7 +32,12 @@
 const NOT_ASKED: &str = "published_records";
 
 /// messages that builds before 5 do not write
-const SINCE_5: [&str; 1] = ["published_regions"];
+const SINCE_5: [&str; 4] = [
+    "published_regions",
+    "view_figures_bound",
+    "intake_report",
+    "intake_answer",
+];
 
 /// bytes by the name of the message, of a record with a line for each
 fn bytes_of(recorded: &str) -> HashMap<&str, Vec<u8>> {
--- a/protocol/tests/samples/mod.rs
+++ b/protocol/tests/samples/mod.rs
@@ -111,6 +111,17 @@
         age_ms: 70,
         is_down,
         is_leaving: false,
+        limit_milli_per_s: None,
+        cold_left_ms: 0,
+    }
+}
+
+/// of an engine that names a limit and is cold
+fn figures_bound() -> EngineFigures {
+    EngineFigures {
+        limit_milli_per_s: Some(2_100),
+        cold_left_ms: 900,
+        ..figures(Some(false))
     }
 }
 
@@ -281,6 +292,11 @@
         sample(Frame, "view_whole", ViewUpdate::Whole(view(is_down))),
         sample(Frame, "view_changed", changed(is_down)),
         sample(Frame, "view_figures", figures),
+        sample(
+            Frame,
+            "view_figures_bound",
+            ViewUpdate::Figures(figures_bound()),
+        ),
         sample(Message, "demand", demand()),
         sample(Message, "relay_ask", ask),
         sample(Message, "relay_demands", relay_demands()),
@@ -375,6 +391,34 @@
     ]
 }
 
+/// of dealers of permits
+pub fn of_dealers() -> Vec<Sample> {
+    use Kind::Message;
+    let report = IntakeReport {
+        entry: "entry-1".to_string(),
+        backend: "e-1".into(),
+        named: Some(HeardLimit {
+            milli_per_s: 2_100,
+            ago_ms: 40,
+        }),
+        freed_ago_ms: Some(70_000),
+        wanted: 3,
+        priority: 1,
+        unused: 1,
+    };
+    let answer = IntakeAnswer {
+        backend: "e-1".into(),
+        limit_milli_per_s: Some(2_100),
+        freed_ago_ms: None,
+        granted: 1,
+        next_ms: 480,
+    };
+    vec![
+        sample(Message, "intake_report", report),
+        sample(Message, "intake_answer", answer),
+    ]
+}
+
 /// of requests that pass through sidecars
 pub fn of_work() -> Vec<Sample> {
     use Kind::{Frame as OfStream, Message};
@@ -484,6 +528,7 @@
     all.extend(of_the_store());
     all.extend(of_keepers());
     all.extend(of_crashes());
+    all.extend(of_dealers());
     all.extend(of_work());
     all
 }
--- a/sidecar/src/placement/handlers.rs
+++ b/sidecar/src/placement/handlers.rs
@@ -5,7 +5,7 @@
         relay::{relay_demands, relay_published, relay_views, RelayHub},
     },
     chalkcart_coordination::{limits::UsageKeeper, placement::PlacementEvent},
-    chalkcart_protocol::peer::{path, AdapterDemand, UsageReport},
+    chalkcart_protocol::peer::{path, AdapterDemand, IntakeReport, UsageReport},
     chalkcart_transport::{
         clock,
         server::{
@@ -49,6 +49,7 @@
         route.post(path::RELAY_VIEWS).to_async(relay_views);
         route.post(path::RELAY_PUBLISHED).to_async(relay_published);
         route.post(path::USAGE).to_async(usage_report);
+        route.post(path::INTAKE).to_async(intake_report);
         route.post(path::CRASHES).to_async(crash_words);
         route.get("/healthz").to_async(pages::healthz);
     })
@@ -73,6 +74,15 @@
     Ok((state, reply))
 }
 
+async fn intake_report(mut state: State) -> HandlerResult {
+    let shared = SharedData::<Shared>::of(&state);
+    let reply = match read_message::<IntakeReport>(&mut state).await {
+        Ok(report) => message_reply(&shared.control().deal(&report, clock::now())),
+        Err(e) => pages::bad_message(&e),
+    };
+    Ok((state, reply))
+}
+
 async fn usage_report(mut state: State) -> HandlerResult {
     let sums = SharedData::<UsageSums>::of(&state);
     let reply = match read_message::<UsageReport>(&mut state).await {
--- a/sidecar/src/placement/keeper.rs
+++ b/sidecar/src/placement/keeper.rs
@@ -88,14 +88,19 @@
         let Some(word) = word else {
             return value;
         };
-        let lasting = OwnWord { rest: None, ..word };
-        let is_news = word.rest.is_some() || lasting != self.said;
+        let lasting = OwnWord {
+            rest: None,
+            cold: None,
+            ..word
+        };
+        let is_news = word.rest.is_some() || word.is_cold() || lasting != self.said;
         // what lasts is said in each answer
         if is_news {
             log::info!(
                 leaving = word.is_leaving,
                 rest_ms = word.rest.map_or(0, |rest| rest.as_millis() as u64),
-                limit_per_s = word.limit.named().map_or(-1.0, RequestRate::per_s);
+                limit_per_s = word.limit.named().map_or(-1.0, RequestRate::per_s),
+                cold_ms = word.cold.map_or(-1, |left| left.as_millis() as i64);
                 "engine: says of itself"
             );
             self.said = lasting;
@@ -110,9 +115,11 @@
         // another engine may answer, whose own word is news
         self.said = OwnWord::default();
         let told = self.engine.identity(health_path).await;
-        let backend = self.take_word(told);
-        log::info!("engine: it is {backend:?}");
-        self.shared.handle(PlacementEvent::Identified(backend));
+        let Told { value, word } = told;
+        log::info!("engine: it is {value:?}");
+        // a new life forgets what the one before it said
+        self.shared.handle(PlacementEvent::Identified(value));
+        self.take_word(Told { value: (), word });
         self.publish();
     }
 
--- a/testkit/tests/named_limits.rs
+++ b/testkit/tests/named_limits.rs
@@ -11,6 +11,7 @@
         net::SocketAddr,
         time::{Duration, Instant},
     },
+    tokio::time::sleep,
 };
 
 /// time over which requests are counted against a limit
@@ -151,3 +152,48 @@
     assert_eq!(request(fleet.clients, &safe()).await?.status, 200);
     Ok(())
 }
+
+/// Guards against: a limit of which only an equal part is used where all requests come to one
+/// entry, since the sidecar deals out nothing.
+#[tokio::test]
+async fn one_entry_uses_what_an_engine_takes() -> Result<()> {
+    let fleet = one_copy().await?;
+    let others = two_more(&fleet).await?;
+    serve_prompt(&fleet, "a", "first").await?;
+    let engine = &fleet.engines[0];
+    engine.state().names_limit = Some(LIMIT_PER_S);
+    let since = Instant::now();
+    let statuses = press_all(&addrs(&fleet, &others)[..1], &prompt("a", "pressed")).await?;
+    assert_limit_kept(engine, since);
+    let served = statuses.iter().filter(|status| **status == 200).count();
+    let equal_part = LIMIT_PER_S * since.elapsed().as_secs_f64() / 3.0;
+    assert!(served as f64 > equal_part * 1.5, "{served} served");
+    Ok(())
+}
+
+/// Guards against: entries that go on as before because the one that was told does not say so.
+#[tokio::test]
+async fn an_entry_knows_by_the_sidecar_what_an_engine_takes() -> Result<()> {
+    let fleet = Fleet::start(FleetSettings {
+        engines: 1,
+        ..FleetSettings::default()
+    })
+    .await?;
+    let others = two_more(&fleet).await?;
+    serve_prompt(&fleet, "a", "first").await?;
+    fleet.engines[0].state().names_limit = Some(0.0);
+    // the answer tells the first entry alone
+    serve_prompt(&fleet, "a", "told").await?;
+    sleep(CONTACT).await;
+    let at_once = Pressing {
+        requests: 20,
+        gap: Duration::ZERO,
+        ..PRESSING
+    };
+    let before = fleet.engines[0].state().arrivals.len();
+    press(others[0].clients, &prompt("a", "not-told"), &at_once).await?;
+    let came = fleet.engines[0].state().arrivals.len() - before;
+    let allowed = allowed(0.0);
+    assert!(came <= allowed, "{came} came, {allowed} allowed");
+    Ok(())
+}
--- a/transport/src/ingress/dialect.rs
+++ b/transport/src/ingress/dialect.rs
@@ -58,6 +58,8 @@
     pub rest: Option<Duration>,
     /// how many requests the back end takes
     pub limit: LimitWord,
+    /// how much longer the back end is cold, if it says so
+    pub cold: Option<Duration>,
 }
 
 impl AnswerHead {
@@ -68,7 +70,9 @@
             StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS
         );
         let rest = self.rest.filter(|_| turned_away);
-        OwnWord::new(self.leaving, rest).with_limit(self.limit)
+        OwnWord::new(self.leaving, rest)
+            .with_limit(self.limit)
+            .with_cold(self.cold)
     }
 }
 
