Headers of back ends that this build does not know are counted by name and logged once a life

Ruled out: logging values (they may be anything), a row for each name without a bound. Change: names of answers' headers that neither the platform's pages as read here nor HTTP name are counted, 32 of them by name; a line names each once for each life of a back end. Conclusion: a new word shows on the page of metrics before something depends on it.

--- a/entry/src/ingress/exchange.rs
+++ b/entry/src/ingress/exchange.rs
@@ -18,7 +18,7 @@
         clock::{self, before_deadline},
         ingress::{remove_connection_headers, AnswerHead, ClientResponse, PassBody, SendHead},
     },
-    http::{request::Parts, Request, Response, StatusCode},
+    http::{request::Parts, HeaderMap, Request, Response, StatusCode},
     http_body_util::{BodyExt, Either, Full},
     std::{
         sync::Arc,
@@ -319,6 +319,7 @@
             Ok(Ok(answer)) => {
                 let head = self.shared.dialect.read_answer(answer.response.headers());
                 self.note_word(assignment, sent_at, answer.response.status(), &head);
+                self.note_unknown(&assignment.backend, answer.response.headers());
                 self.take_answer(&assignment.backend, head, answer, guard)
                     .await
             }
@@ -426,6 +427,25 @@
         });
     }
 
+    /// count and log what a back end says and this build does not know; never its value
+    fn note_unknown(&self, backend: &BackendId, headers: &HeaderMap) {
+        let dialect = &self.shared.dialect;
+        for name in headers
+            .keys()
+            .filter(|name| !dialect.knows_in_answers(name))
+        {
+            let is_named = self.shared.metrics.on_unknown_header(name.as_str());
+            if is_named && self.shared.unknown_headers.is_news(backend, name.as_str()) {
+                log::warn!(
+                    backend = backend.as_str(),
+                    born = backend.born,
+                    header = name.as_str();
+                    "backend: says what is not known here"
+                );
+            }
+        }
+    }
+
     fn pass_stream(&self, backend: &BackendId, answer: BackendAnswer, guard: SendGuard) -> Attempt {
         let observer = StreamObserver {
             shared: self.shared.clone(),
--- a/entry/src/ingress/mod.rs
+++ b/entry/src/ingress/mod.rs
@@ -20,6 +20,7 @@
 mod service;
 mod shared;
 mod store_relays;
+mod unknown_headers;
 mod unreadable_records;
 mod usage_reports;
 mod zone_source;
--- a/entry/src/ingress/shared.rs
+++ b/entry/src/ingress/shared.rs
@@ -1,5 +1,8 @@
 use {
-    super::{admission::Admission, control::ControlHandle, crashes::Crashes},
+    super::{
+        admission::Admission, control::ControlHandle, crashes::Crashes,
+        unknown_headers::UnknownHeaders,
+    },
     crate::conf::IngressSettings,
     arc_swap::ArcSwapOption,
     chalkcart_coordination::{dispatch::Ticket, retry::ListPacing},
@@ -42,6 +45,7 @@
     pub table: ArcSwapOption<RouteTable>,
     pub admission: Arc<Admission>,
     pub metrics: IngressMetrics,
+    pub unknown_headers: UnknownHeaders,
     pub phase: watch::Sender<Phase>,
     started: Instant,
     next_ticket: AtomicU64,
@@ -65,6 +69,7 @@
             dialect,
             table: ArcSwapOption::empty(),
             metrics: IngressMetrics::new(&crashes.metrics),
+            unknown_headers: UnknownHeaders::default(),
             crashes,
             phase: watch::Sender::new(Phase::Serving),
             patience: Mutex::default(),
--- a/testkit/src/users_platform/backend_stand_in.rs
+++ b/testkit/src/users_platform/backend_stand_in.rs
@@ -108,6 +108,8 @@
     pub says_leaving: bool,
     /// the requests a second that it says, in all its answers, that it takes
     pub names_limit: Option<f64>,
+    /// headers of all its answers that no page names
+    pub odd_headers: Vec<(&'static str, String)>,
     /// the rest that it asks for when it says that it is full
     pub asks_rest: Option<Duration>,
     /// when a request was first answered with the word that it leaves
@@ -136,7 +138,8 @@
         let limit = self
             .names_limit
             .map(|per_s| ("Server-Limit", per_s.to_string()));
-        leaving.into_iter().chain(limit).collect()
+        let odd = self.odd_headers.iter().cloned();
+        leaving.into_iter().chain(limit).chain(odd).collect()
     }
     /// headers of an answer that turns a request away
     pub fn words_of_refusal(&mut self, now: Instant) -> Vec<(&'static str, String)> {
@@ -232,6 +235,7 @@
             crashed_by: None,
             says_leaving: false,
             names_limit: None,
+            odd_headers: Vec::new(),
             asks_rest: None,
             told_leaving: None,
             sent_while_leaving: 0,
--- a/transport/src/ingress/dialect.rs
+++ b/transport/src/ingress/dialect.rs
@@ -97,6 +97,8 @@
     fn write_send(&self, headers: &mut HeaderMap, send: &SendHead);
     /// headers that always reach the other end of a request or an answer
     fn end_to_end(&self) -> &'static [HeaderName];
+    /// whether this build knows what a header of this name says in an answer
+    fn knows_in_answers(&self, name: &HeaderName) -> bool;
     fn read_answer(&self, headers: &HeaderMap) -> AnswerHead;
     /// mark an answer of our own as one to a request
     fn write_own_answer(&self, headers: &mut HeaderMap, request_id: &str);
--- a/transport/src/metrics/ingress_metrics.rs
+++ b/transport/src/metrics/ingress_metrics.rs
@@ -1,5 +1,5 @@
 use {
-    super::{new_histograms_by, CrashMetrics},
+    super::{bounded_names::BoundedNames, new_histograms_by, CrashMetrics},
     chalkcart_protocol::wire::WireVersion,
     prometheus_client::{
         encoding::{text::encode, EncodeLabelSet},
@@ -8,7 +8,7 @@
         },
         registry::Registry,
     },
-    std::{collections::HashSet, sync::Mutex, time::Duration},
+    std::time::Duration,
 };
 
 /// the route of a request
@@ -37,9 +37,16 @@
     pub account: String,
 }
 
+/// the name of a header
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct HeaderLabel {
+    pub header: String,
+}
+
 /// accounts that are counted by name; others count together
 const MOST_ACCOUNTS: usize = 64;
-const OTHER_ACCOUNTS: &str = "other";
+/// the same for names of headers
+const MOST_HEADERS: usize = 32;
 
 /// one word that says what happened
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
@@ -61,7 +68,9 @@
     unreadable: Family<CodeLabel, Counter>,
     over_limit: Family<AccountLabel, Counter>,
     outside_regions: Family<AccountNameLabel, Counter>,
-    named_accounts: Mutex<HashSet<String>>,
+    unknown_headers: Family<HeaderLabel, Counter>,
+    named_accounts: BoundedNames,
+    named_headers: BoundedNames,
     keeper_entries: Gauge,
     fleet_entries: Gauge,
     knowledge_age: Histograms,
@@ -86,7 +95,9 @@
             unreadable: Family::default(),
             over_limit: Family::default(),
             outside_regions: Family::default(),
-            named_accounts: Mutex::default(),
+            unknown_headers: Family::default(),
+            named_accounts: BoundedNames::new(MOST_ACCOUNTS),
+            named_headers: BoundedNames::new(MOST_HEADERS),
             keeper_entries: Gauge::default(),
             fleet_entries: Gauge::default(),
             knowledge_age: new_histograms_by(),
@@ -136,14 +147,23 @@
     }
     /// a request of an account was beyond its limit, by a keeper's word or without one
     pub fn on_over_limit(&self, account: &str, by_word: bool) {
-        let account = self.counted_as(account);
+        let account = self.named_accounts.counted_as(account);
         let by_word = u8::from(by_word);
         let label = AccountLabel { account, by_word };
         self.over_limit.get_or_create(&label).inc();
     }
+    /// An answer of a back end had a header that this build does not know. Says whether it
+    /// counts under its own name.
+    pub fn on_unknown_header(&self, name: &str) -> bool {
+        let header = self.named_headers.counted_as(name);
+        let is_named = header == name;
+        let label = HeaderLabel { header };
+        self.unknown_headers.get_or_create(&label).inc();
+        is_named
+    }
     /// no region in which a request of an account may be served had a back end for it
     pub fn on_outside_regions(&self, account: &str) {
-        let account = self.counted_as(account);
+        let account = self.named_accounts.counted_as(account);
         let label = AccountNameLabel { account };
         self.outside_regions.get_or_create(&label).inc();
     }
@@ -195,20 +215,6 @@
     }
 
     /// the name under which an account is counted
-    fn counted_as(&self, account: &str) -> String {
-        let mut named = self
-            .named_accounts
-            .lock()
-            .unwrap_or_else(|e| e.into_inner());
-        if named.len() < MOST_ACCOUNTS {
-            named.insert(account.to_string());
-        }
-        match named.contains(account) {
-            true => account.to_string(),
-            false => OTHER_ACCOUNTS.to_string(),
-        }
-    }
-
     fn register(&mut self) {
         let registry = &mut self.registry;
         let answers = self.answers.clone();
@@ -240,6 +246,11 @@
             "Requests refused beyond their account's limit",
             self.over_limit.clone(),
         );
+        registry.register(
+            "unknown_headers",
+            "Answers of back ends with a header that this build does not know, by its name",
+            self.unknown_headers.clone(),
+        );
         registry.register(
             "outside_regions",
             "Requests refused, as no region allowed to them had a back end",
--- a/transport/src/metrics/mod.rs
+++ b/transport/src/metrics/mod.rs
@@ -1,5 +1,6 @@
 //! figures for operators, with histograms for each group and class
 
+mod bounded_names;
 mod crash_metrics;
 mod ingress_metrics;
 mod labels;
