The soak names limits, and counts windows of 4 s from what back ends saw

Cause: no soak had a back end that names a limit, so none could show one that is not kept under faults that overlap. Ruled out: adding it to the seeds that draw leaving and rest, which would then draw other faults. Change: stand-ins count, while they name a limit, what comes in windows of 4 s from 3 s after an answer named it; an entry that was away is excused, as for leaving and rest. Limits last eight times as long as other faults. The bound of the tests over processes is that of the stand-ins.

--- a/testkit/examples/soak/main.rs
+++ b/testkit/examples/soak/main.rs
@@ -26,6 +26,11 @@
             "own-words",
             "with engines that say that they leave or want rest",
         )
+        .optflag(
+            "",
+            "limits",
+            "with back ends that name how many requests they take",
+        )
         .optflag("h", "help", "what can be set");
     let matches = opts.parse(env::args().skip(1))?;
     if matches.opt_present("help") {
@@ -58,6 +63,7 @@
         clients: number(matches, "clients", default.clients)?,
         crashing: matches.opt_present("crashing"),
         own_words: matches.opt_present("own-words"),
+        limits: matches.opt_present("limits"),
         other_build: Binaries::of_other_build(),
         span: Duration::from_secs(number(matches, "span", default.span.as_secs())?),
         gap: Duration::from_millis(number(matches, "gap", default.gap.as_millis() as u64)?),
--- a/testkit/src/soak/checks.rs
+++ b/testkit/src/soak/checks.rs
@@ -35,6 +35,7 @@
     TooManyAdapters { engine: String, most: usize },
     SentToLeaving { engine: String, requests: usize },
     RestNotKept { engine: String, requests: usize },
+    LimitNotKept { engine: String, over: usize },
     ConfigurationBack { from: u64, to: u64 },
     BudgetExceeded { repeats: usize, allowed: usize },
     CrashingSent { ended: u32, allowed: u32 },
@@ -174,6 +175,12 @@
             requests: backend.most_in_a_rest,
         });
     }
+    if backend.over_limit > 0 {
+        found.push(Violation::LimitNotKept {
+            engine: engine(),
+            over: backend.over_limit,
+        });
+    }
     found
 }
 
--- a/testkit/src/soak/faults.rs
+++ b/testkit/src/soak/faults.rs
@@ -27,6 +27,9 @@
     EngineLeaves(u8),
     /// an engine turns requests away and asks for rest
     EngineRests(u8),
+    /// an engine names in its answers how many requests it takes
+    EngineLimited(u8),
+    PlainLimited(u8),
     EngineCutsStreams(u8),
     EngineFails(u8),
     PlainSilent(u8),
@@ -54,6 +57,9 @@
     pub fault: Fault,
 }
 
+/// a limit binds seconds after it was named
+const LIMITED_LONGER: u32 = 8;
+
 /// draw a series of faults that overlap
 pub fn draw(settings: &SoakSettings) -> Vec<PlannedFault> {
     let mut rng = StdRng::seed_from_u64(settings.seed);
@@ -62,6 +68,10 @@
     while at < settings.span {
         let lasts = settings.gap.mul_f64(0.5 + 3.0 * rng.random::<f64>());
         let fault = draw_fault(&mut rng, settings);
+        let lasts = match fault {
+            Fault::EngineLimited(_) | Fault::PlainLimited(_) => lasts * LIMITED_LONGER,
+            _ => lasts,
+        };
         faults.push(PlannedFault { at, lasts, fault });
         at += settings.gap.mul_f64(2.0 * rng.random::<f64>());
     }
@@ -99,5 +109,10 @@
     if settings.own_words {
         all.extend([Fault::EngineLeaves(engine), Fault::EngineRests(engine)]);
     }
+    if settings.limits {
+        all.extend([Fault::EngineLimited(engine), Fault::PlainLimited(plain)]);
+        // often enough to be bound by it in a short soak
+        all.extend([Fault::EngineLimited(engine), Fault::PlainLimited(plain)]);
+    }
     all[rng.random_range(0..all.len())]
 }
--- a/testkit/src/soak/ledger.rs
+++ b/testkit/src/soak/ledger.rs
@@ -55,6 +55,8 @@
     pub sent_while_leaving: usize,
     /// most requests that came in one of its rests
     pub most_in_a_rest: usize,
+    /// requests that came beyond the limit that it named, in the worst window
+    pub over_limit: usize,
 }
 
 /// configurations that came into force at an entry, in the order of its log
--- a/testkit/src/soak/play.rs
+++ b/testkit/src/soak/play.rs
@@ -39,6 +39,8 @@
 const STOP_LIMIT: Duration = Duration::from_secs(10);
 /// rest that engines ask for
 const REST: Duration = Duration::from_secs(1);
+/// requests a second that limited back ends take
+const LIMIT_PER_S: f64 = 2.0;
 /// requests that a fault of a back end strikes at the most
 const STRUCK: u32 = 40;
 const CRASHING_BODY: &[u8] = b"ends each engine that runs it";
@@ -219,6 +221,8 @@
                 engine(fleet, n).state().asks_rest = Some(REST);
                 engine(fleet, n).set_fault(BackendFault::Shed, STRUCK);
             }
+            Fault::EngineLimited(n) => engine(fleet, n).state().set_limit(Some(LIMIT_PER_S)),
+            Fault::PlainLimited(n) => plain(fleet, n).state().set_limit(Some(LIMIT_PER_S)),
             Fault::EngineCutsStreams(n) => {
                 engine(fleet, n).set_fault(BackendFault::CutInBody, STRUCK);
             }
@@ -271,6 +275,8 @@
                 engine(&self.fleet, n).set_fault(BackendFault::None, 0);
                 engine(&self.fleet, n).state().asks_rest = None;
             }
+            Fault::EngineLimited(n) => engine(&self.fleet, n).state().set_limit(None),
+            Fault::PlainLimited(n) => plain(&self.fleet, n).state().set_limit(None),
             Fault::EngineLeaves(n) => self.replace_engine(n),
             Fault::PlainSilent(n) | Fault::PlainCuts(n) | Fault::PlainSheds(n) => {
                 plain(&self.fleet, n).set_fault(BackendFault::None, 0);
@@ -458,6 +464,7 @@
         most_adapters: state.orders.most,
         sent_while_leaving: state.sent_while_leaving,
         most_in_a_rest: state.most_in_a_rest(WORD_KNOWN_AFTER),
+        over_limit: state.over_limit,
     }
 }
 
--- a/testkit/src/soak/settings.rs
+++ b/testkit/src/soak/settings.rs
@@ -13,6 +13,8 @@
     /// engines also say of themselves that they leave or want rest; seeds draw other faults
     /// with it
     pub own_words: bool,
+    /// back ends also name how many requests they take; seeds draw other faults with it
+    pub limits: bool,
     /// programs of an older build, which processes are started with in turn
     pub other_build: Option<Binaries>,
     /// how long faults strike
@@ -30,6 +32,7 @@
             clients: 16,
             crashing: false,
             own_words: false,
+            limits: false,
             other_build: None,
             span: Duration::from_secs(8),
             gap: Duration::from_millis(500),
--- a/testkit/src/users_platform/backend_stand_in.rs
+++ b/testkit/src/users_platform/backend_stand_in.rs
@@ -24,6 +24,12 @@
 pub const FIRST_BORN: u64 = 1_700_000_000_000;
 /// of the settings of the fleet: a back end that leaves gets nothing after it
 pub const DRAIN: Duration = Duration::from_millis(2_000);
+/// a limit binds this long after it was first named
+pub const CONTACT: Duration = Duration::from_secs(3);
+/// a caller is bound by a limit this long after an answer named it
+const LIMIT_KNOWN_AFTER: Duration = Duration::from_millis(500);
+/// time over which requests are counted against a limit
+pub const LIMIT_WINDOW: Duration = Duration::from_secs(4);
 pub const HEALTH_PATH: &str = "/health";
 
 /// what a back end is
@@ -108,6 +114,10 @@
     pub says_leaving: bool,
     /// the requests a second that it says, in all its answers, that it takes
     pub names_limit: Option<f64>,
+    /// when a request was first answered with a limit
+    told_limit: Option<Instant>,
+    /// requests that came beyond its limit in the worst window
+    pub over_limit: usize,
     /// headers of all its answers that no page names
     pub odd_headers: Vec<(&'static str, String)>,
     /// the rest that it asks for when it says that it is full
@@ -153,13 +163,33 @@
     /// a request has come
     pub fn on_arrival(&mut self, request: &str, now: Instant) {
         self.arrivals.push((now, request.to_string()));
+        self.judge_limit(now);
         if self.says_leaving {
             let told = *self.told_leaving.get_or_insert(now);
             self.sent_while_leaving += usize::from(now - told > DRAIN);
         }
     }
+    /// it takes so many requests a second from now on, or what comes
+    pub fn set_limit(&mut self, per_s: Option<f64>) {
+        self.names_limit = per_s;
+        self.told_limit = None;
+    }
+    fn judge_limit(&mut self, now: Instant) {
+        let Some(per_s) = self.names_limit else {
+            return;
+        };
+        let told = *self.told_limit.get_or_insert(now);
+        if now < told + CONTACT {
+            return;
+        }
+        let came = self.arrivals.iter().map(|(at, _)| *at);
+        let bound = came.filter(|at| *at >= told + LIMIT_KNOWN_AFTER && now - *at < LIMIT_WINDOW);
+        let over = bound.count().saturating_sub(allowed_by_limit(per_s));
+        self.over_limit = self.over_limit.max(over);
+    }
     /// nobody is bound any more by what it has said
     pub fn forget_words(&mut self) {
+        self.told_limit = None;
         self.told_leaving = None;
         self.rests.clear();
     }
@@ -197,6 +227,11 @@
     }
 }
 
+/// the most requests that may come within a window, where a limit is named
+pub fn allowed_by_limit(per_s: f64) -> usize {
+    (1.5 * per_s * LIMIT_WINDOW.as_secs_f64() + 5.0) as usize
+}
+
 /// an engine or a copy of a plain service
 pub struct BackendStandIn {
     pub addr: SocketAddr,
@@ -235,6 +270,8 @@
             crashed_by: None,
             says_leaving: false,
             names_limit: None,
+            told_limit: None,
+            over_limit: 0,
             odd_headers: Vec::new(),
             asks_rest: None,
             told_leaving: None,
--- a/testkit/src/users_platform/mod.rs
+++ b/testkit/src/users_platform/mod.rs
@@ -13,7 +13,10 @@
 mod wire;
 
 pub use {
-    backend_stand_in::{BackendFault, BackendKind, BackendStandIn, Run, FIRST_BORN},
+    backend_stand_in::{
+        allowed_by_limit, BackendFault, BackendKind, BackendStandIn, Run, CONTACT, FIRST_BORN,
+        LIMIT_WINDOW,
+    },
     client::{open_stream, request, send_on, Answer, ClientRequest, OpenStream},
     engine_orders::{TakenOrder, ADAPTER_SLOTS, MODEL},
     fleet::{metrics_text, Fleet, FleetSettings, OtherIngress, HOST},
--- a/testkit/tests/named_limits.rs
+++ b/testkit/tests/named_limits.rs
@@ -3,8 +3,8 @@
 use {
     anyhow::Result,
     chalkcart_testkit::users_platform::{
-        press, prompt, request, serve_prompt, BackendStandIn, ClientRequest, Fleet, FleetSettings,
-        OtherIngress, Pressing,
+        allowed_by_limit, press, prompt, request, serve_prompt, BackendStandIn, ClientRequest,
+        Fleet, FleetSettings, OtherIngress, Pressing, CONTACT, LIMIT_WINDOW,
     },
     futures::future::try_join_all,
     std::{
@@ -14,10 +14,6 @@
     tokio::time::sleep,
 };
 
-/// time over which requests are counted against a limit
-const WINDOW: Duration = Duration::from_secs(4);
-/// of the settings of the fleet: a limit binds this long after it was first named
-const CONTACT: Duration = Duration::from_secs(3);
 const LIMIT_PER_S: f64 = 2.0;
 /// for each entry in turn, some ten times what is allowed in all
 const PRESSING: Pressing = Pressing {
@@ -27,11 +23,6 @@
     heeds_retry_after: false,
 };
 
-/// the most that may come within a window
-fn allowed(per_s: f64) -> usize {
-    (1.5 * per_s * WINDOW.as_secs_f64() + 5.0) as usize
-}
-
 fn safe() -> ClientRequest {
     ClientRequest {
         target: "/safe/".to_string(),
@@ -77,8 +68,8 @@
 }
 
 fn assert_limit_kept(backend: &BackendStandIn, since: Instant) {
-    let most = backend.state().most_within(WINDOW, since + CONTACT);
-    let allowed = allowed(LIMIT_PER_S);
+    let most = backend.state().most_within(LIMIT_WINDOW, since + CONTACT);
+    let allowed = allowed_by_limit(LIMIT_PER_S);
     assert!(most <= allowed, "{most} requests in 4 s, {allowed} allowed");
 }
 
@@ -193,7 +184,7 @@
     let before = fleet.engines[0].state().arrivals.len();
     press(others[0].clients, &prompt("a", "not-told"), &at_once).await?;
     let came = fleet.engines[0].state().arrivals.len() - before;
-    let allowed = allowed(0.0);
+    let allowed = allowed_by_limit(0.0);
     assert!(came <= allowed, "{came} came, {allowed} allowed");
     Ok(())
 }
--- a/testkit/tests/soak.rs
+++ b/testkit/tests/soak.rs
@@ -16,6 +16,8 @@
 /// hand. 102 ended an ingress by SIGHUP, which had just been started.
 const SEEDS: [(u64, u64); 4] = [(1, 500), (2, 500), (3, 250), (102, 250)];
 const SPAN: Duration = Duration::from_secs(6);
+/// a limit binds 3 s after it was named, and windows of 4 s are looked at
+const LIMITED_SPAN: Duration = Duration::from_secs(12);
 
 /// play a short soak in which all promises must be kept
 async fn play_clean(settings: SoakSettings) -> Result<()> {
@@ -80,6 +82,22 @@
     Ok(())
 }
 
+/// the same with back ends that name how many requests they take
+#[tokio::test]
+async fn promises_hold_while_back_ends_name_limits() -> Result<()> {
+    for seed in [31, 32] {
+        play_clean(SoakSettings {
+            seed,
+            limits: true,
+            gap: Duration::from_millis(700),
+            span: LIMITED_SPAN,
+            ..SoakSettings::default()
+        })
+        .await?;
+    }
+    Ok(())
+}
+
 #[test]
 fn a_seed_draws_the_same_faults_each_time() {
     let settings = SoakSettings::default();
@@ -176,6 +194,8 @@
     leaving.backends[0].sent_while_leaving = 1;
     let mut resting = ledger(Vec::new(), 0);
     resting.backends[0].most_in_a_rest = 3;
+    let mut limited = ledger(Vec::new(), 0);
+    limited.backends[0].over_limit = 2;
     let mut back = ledger(Vec::new(), 0);
     back.configurations = ConfigurationSeen {
         lives: vec![vec![3, 5], vec![4, 6, 2]],
@@ -250,6 +270,13 @@
                 requests: 3,
             },
         ),
+        (
+            limited,
+            Violation::LimitNotKept {
+                engine: engine(),
+                over: 2,
+            },
+        ),
         (back, Violation::ConfigurationBack { from: 6, to: 2 }),
         (
             repeats,
