One question whether a back end takes one more request, asked of reasons that know nothing of each other

Ruled out: moving leaving, lives and regions in the same step: they decide who is a candidate at all, in three tiers, and need a plan of their own (docs/design/intake.md). Change: intake/ has a trait of reasons (a code, and for how long it is closed); rest, cold bound, health and the pause moved there; BackendState::closed_by asks them. Lines of decisions say how many back ends name limits. No behaviour is changed. Conclusion: a new reason is a file, and a line in closed_by.

--- a/coordination/src/dispatch/backend_state.rs
+++ b/coordination/src/dispatch/backend_state.rs
@@ -1,7 +1,9 @@
 use {
-    super::{own_words::OwnWords, Ask, AskedRest, ColdBound, ColdPace, Health, OwnSight},
+    super::{own_words::OwnWords, Ask, OwnSight},
     crate::{
-        intake::{NamedLimit, Sharers},
+        intake::{
+            AskedRest, ColdBound, ColdPace, FullPause, Health, IntakeReason, NamedLimit, Sharers,
+        },
         membership::stable_hash,
         placement::{adapter_mark, AdapterMark, LatelyHeld},
     },
@@ -20,8 +22,6 @@
 const VIEW_FRESH: Duration = Duration::from_secs(1);
 /// time for a sidecar to speak before the list is believed
 const LIST_TRUSTED_AFTER: Duration = Duration::from_millis(1_500);
-/// a back end that was full, and did not say for how long, is left alone for this long
-const FULL_PAUSE: Duration = Duration::from_millis(60);
 
 /// a request on its way at a back end
 #[derive(Debug, Clone)]
@@ -103,7 +103,7 @@
     pub is_quiet: bool,
     /// adapters that the engine has refused since the last view
     refused: HashSet<AdapterRef>,
-    full_until: Instant,
+    full: FullPause,
     /// while it is cold, or was when this was looked at last
     pub cold: Option<ColdBound>,
 }
@@ -136,7 +136,7 @@
             used: HashSet::new(),
             is_quiet: false,
             refused: HashSet::new(),
-            full_until: now,
+            full: FullPause::default(),
             cold: None,
         }
     }
@@ -268,7 +268,7 @@
         self.running_on.is_empty() && self.used.is_empty()
     }
     pub fn on_full(&mut self, now: Instant) {
-        self.full_until = now + FULL_PAUSE;
+        self.full.on_full(now);
     }
     /// it lacks an adapter, or has another version of it; says whether a request looked for
     /// it there too early
@@ -360,13 +360,31 @@
         self.has_place(now) && !(ask.is_suspected && self.suspected > 0)
     }
     pub fn has_place(&self, now: Instant) -> bool {
-        self.has_place_beyond_limit(now) && self.limit.allows_one(now)
+        self.closed_by(now).is_none()
     }
     /// nothing but the limit that it has named may keep a request from it
     pub fn has_place_beyond_limit(&self, now: Instant) -> bool {
-        let may_come = self.rest.allows_one(now);
-        let is_warm = self.cold.as_ref().is_none_or(|cold| cold.allows_one(now));
-        may_come && is_warm && now >= self.full_until && self.occupied(now) < self.listed.slots
+        let limited = self.limit.code();
+        self.closed_by(now).is_none_or(|code| code == limited)
+    }
+    /// The code of what keeps one more request from it now. That it takes no more by its own
+    /// word comes last, so that it is named only where nothing else does.
+    pub fn closed_by(&self, now: Instant) -> Option<&'static str> {
+        let cold = self.cold.as_ref().map(|cold| cold as &dyn IntakeReason);
+        let before = [
+            Some(&self.rest as &dyn IntakeReason),
+            cold,
+            Some(&self.full),
+        ];
+        let mut before = before.into_iter().flatten();
+        if let Some(reason) = before.find(|reason| reason.closed_for(now).is_some()) {
+            return Some(reason.code());
+        }
+        if self.occupied(now) >= self.listed.slots {
+            return Some(self.full.code());
+        }
+        let is_limited = self.limit.closed_for(now).is_some();
+        is_limited.then(|| self.limit.code())
     }
     /// prompts that are read or wait there, as far as is known
     pub fn unread(&self, now: Instant) -> u32 {
--- a/coordination/src/dispatch/choosing.rs
+++ b/coordination/src/dispatch/choosing.rs
@@ -64,12 +64,13 @@
         chosen: Option<&BackendState>,
         now: Instant,
     ) -> Basis {
-        let (leaving, resting) = self.left_out(ask, now);
+        let (leaving, resting, limited) = self.held_back(ask, now);
         Basis {
             candidates: candidates as u32,
             holders: holders as u32,
             leaving,
             resting,
+            limited,
             queue_ms: chosen.map_or(0.0, |b| self.queue_ms(b, now)),
             occupied: chosen.map_or(0, |b| b.occupied(now)),
             view_age: chosen.and_then(|b| b.view_age(now)),
@@ -79,15 +80,16 @@
         }
     }
 
-    /// back ends of the service that leave, and those that rest
-    fn left_out(&self, ask: &Ask, now: Instant) -> (u32, u32) {
-        let (mut leaving, mut resting) = (0, 0);
+    /// back ends of the service that leave, that rest, and that name a limit
+    fn held_back(&self, ask: &Ask, now: Instant) -> (u32, u32, u32) {
+        let (mut leaving, mut resting, mut limited) = (0, 0, 0);
         let listed = self.backends.values().filter(|b| !b.is_gone);
         for state in listed.filter(|b| b.listed.service == ask.service) {
             leaving += u32::from(state.is_leaving());
             resting += u32::from(state.health.is_resting(now) || state.rest.is_on(now));
+            limited += u32::from(state.limit.named().is_some());
         }
-        (leaving, resting)
+        (leaving, resting, limited)
     }
 
     /// what is done for a request now; an adapter that it lacks is wished for
--- a/coordination/src/dispatch/decision.rs
+++ b/coordination/src/dispatch/decision.rs
@@ -15,6 +15,8 @@
     pub leaving: u32,
     /// the same, because they rest
     pub resting: u32,
+    /// back ends of the service that name how many requests they take
+    pub limited: u32,
     /// expected wait for the first token at the chosen one, in ms
     pub queue_ms: f64,
     /// requests that run or wait there
--- a/coordination/src/dispatch/dispatcher.rs
+++ b/coordination/src/dispatch/dispatcher.rs
@@ -1,10 +1,10 @@
 use {
     super::{
         choosing::Choice, listing::Life, own_words::OwnWords, promises::Promise,
-        waiting::WaitingList, wishes::Wish, AccountTurns, AdapterVersions, Ask, Assignment,
-        BackendState, Basis, BringTime, BudgetStanding, ColdPace, Decision, DispatchEvent,
-        DispatchSettings, FleetSize, ReadingRate, RefusalCause, SendOutcome, Sent, SharedBudget,
-        Ticket, Wished,
+        refusing::MIN_RETRY_AFTER, waiting::WaitingList, wishes::Wish, AccountTurns,
+        AdapterVersions, Ask, Assignment, BackendState, BringTime, BudgetStanding, Decision,
+        DispatchEvent, DispatchSettings, FleetSize, ReadingRate, RefusalCause, SendOutcome, Sent,
+        SharedBudget, Ticket, Wished,
     },
     crate::{
         crashes::{Crash, CrashEvidence},
@@ -19,18 +19,12 @@
         collections::{BTreeMap, HashMap, HashSet},
         net::SocketAddr,
         sync::Arc,
-        time::{Duration, Instant},
+        time::Instant,
     },
 };
 
 /// entries assumed before a sidecar has counted them
 const ENTRIES_UNKNOWN: u32 = 8;
-/// the same for what limited and cold back ends take, where too many do harm
-const SHARING_UNKNOWN: u32 = 32;
-/// time until entries that began together have made themselves known to all sidecars
-const COUNTED_AFTER: Duration = Duration::from_secs(3);
-/// what a request that was refused waits at least
-const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
 
 /// one back end, for logs and operators
 #[derive(Debug, Clone)]
@@ -49,7 +43,7 @@
     pub(super) list_version: u64,
     pub(super) table: Arc<RouteTable>,
     pub(super) waiting: WaitingList,
-    turns: AccountTurns,
+    pub(super) turns: AccountTurns,
     pub(super) sent: HashMap<Ticket, (BackendId, ServiceName, Sent)>,
     /// how fast prompts are read, by service
     pub(super) rates: HashMap<ServiceName, ReadingRate>,
@@ -278,14 +272,6 @@
         }
     }
 
-    /// a back end says itself, or by its sidecar, how much longer it is cold
-    pub(super) fn on_cold_told(&mut self, backend: &BackendId, left: Duration, now: Instant) {
-        if let Some(state) = self.backends.get_mut(backend) {
-            self.may_have_cold |= !left.is_zero();
-            state.set_cold(&self.settings.entry, left, now);
-        }
-    }
-
     fn on_started(&mut self, ticket: Ticket, now: Instant) {
         let Some((backend, service, sent)) = self.sent.get_mut(&ticket) else {
             return;
@@ -425,104 +411,6 @@
         self.decided.push((ticket, Decision::Send(assignment)));
     }
 
-    fn wait_or_refuse(&mut self, ticket: Ticket, mut ask: Ask, cause: RefusalCause, now: Instant) {
-        if matches!(cause, RefusalCause::Unheard | RefusalCause::OutsideRegions) {
-            let basis = self.basis(&ask, now);
-            self.on_unsent(&ask);
-            let retry_after = ask.target_latency.max(MIN_RETRY_AFTER);
-            self.refuse(ticket, cause, retry_after, basis);
-            return;
-        }
-        if cause == RefusalCause::NotLoaded {
-            if let Some(retry_after) = self.promise(&mut ask, now) {
-                let basis = self.basis(&ask, now);
-                self.refuse(ticket, RefusalCause::LoadsLater, retry_after, basis);
-                return;
-            }
-        }
-        let part = match cause {
-            RefusalCause::NotLoaded | RefusalCause::Returns => self.settings.wait_for_adapter,
-            RefusalCause::Unheard
-            | RefusalCause::OutsideRegions
-            | RefusalCause::Resting
-            | RefusalCause::Limited
-            | RefusalCause::Full
-            | RefusalCause::NoBackend
-            | RefusalCause::NoBudget
-            | RefusalCause::LoadsLater => self.settings.wait_for_place,
-        };
-        let longest = ask.target_latency.mul_f64(part);
-        let waited = now.saturating_duration_since(ask.arrived);
-        let rest = match cause {
-            RefusalCause::Resting => self.shortest_rest(&ask, now).unwrap_or_default(),
-            _ => Duration::ZERO,
-        };
-        // what is not served within its wait is refused at once
-        if waited + rest >= longest || now + rest >= ask.deadline {
-            let retry_after = rest.max(ask.target_latency / 2);
-            let basis = self.basis(&ask, now);
-            self.on_unsent(&ask);
-            self.refuse(ticket, cause, retry_after.max(MIN_RETRY_AFTER), basis);
-        } else {
-            self.waiting.put(ticket, ask);
-        }
-    }
-
-    /// All that could serve a request take no more requests now: it waits if its turn comes in
-    /// time. So many others go `ahead` of it at each of them.
-    fn wait_for_limited(
-        &mut self,
-        ticket: Ticket,
-        ask: Ask,
-        ahead: &mut HashMap<BackendId, (u32, u8)>,
-        now: Instant,
-    ) {
-        let Some((backend, opens_in)) = self.first_to_open(&ask, ahead, now) else {
-            self.wait_or_refuse(ticket, ask, RefusalCause::Full, now);
-            return;
-        };
-        let longest = ask.target_latency.mul_f64(self.settings.wait_for_place);
-        let waited = now.saturating_duration_since(ask.arrived);
-        if waited + opens_in < longest && now + opens_in < ask.deadline {
-            let waiting = ahead.entry(backend).or_insert((0, ask.priority));
-            waiting.0 += 1;
-            waiting.1 = waiting.1.min(ask.priority);
-            self.waiting.put(ticket, ask);
-            return;
-        }
-        let returns_in = self.backends.get_mut(&backend);
-        let returns_in = returns_in.map_or(opens_in, |b| b.limit.return_in(now));
-        let basis = self.basis(&ask, now);
-        self.on_unsent(&ask);
-        let retry_after = returns_in.max(MIN_RETRY_AFTER);
-        self.refuse(ticket, RefusalCause::Limited, retry_after, basis);
-    }
-
-    /// a request has waited and is not sent
-    fn on_unsent(&mut self, ask: &Ask) {
-        self.turns.on_left(ask.account, ask.prompt_tokens);
-        if ask.sends > 0 {
-            if let Some(budget) = self.budgets.get_mut(&ask.service) {
-                budget.give_back();
-            }
-        }
-    }
-
-    pub(super) fn refuse(
-        &mut self,
-        ticket: Ticket,
-        cause: RefusalCause,
-        retry_after: Duration,
-        basis: Basis,
-    ) {
-        let decision = Decision::Refuse {
-            cause,
-            retry_after,
-            basis,
-        };
-        self.decided.push((ticket, decision));
-    }
-
     pub(super) fn budget_standing(&self, service: &ServiceName) -> BudgetStanding {
         let budget = self.budgets.get(service);
         budget.map_or_else(BudgetStanding::default, |b| {
@@ -548,33 +436,6 @@
         self.fleet_size.entries().unwrap_or(ENTRIES_UNKNOWN)
     }
 
-    /// count the time that has passed for engines that are cold
-    fn pass_cold(&mut self, now: Instant) {
-        if !self.may_have_cold {
-            return;
-        }
-        let entries = self.sharing_entries(now);
-        for state in self.backends.values_mut().filter(|b| b.cold.is_some()) {
-            let service = self.table.services.get(&state.listed.service);
-            let pace = service.map_or(ColdPace::default(), |s| ColdPace {
-                per_s: s.cold_per_s,
-            });
-            state.pass_cold(pace, entries, now);
-        }
-        self.may_have_cold = self.backends.values().any(|b| b.cold.is_some());
-    }
-    /// Entries that share what a back end takes. Sidecars that have just begun count few,
-    /// and so does an entry that has.
-    pub(super) fn sharing_entries(&self, now: Instant) -> u32 {
-        let counted = self.fleet_size.entries();
-        let began = self.settings.began_anew;
-        let is_young = began.is_some_and(|at| now.saturating_duration_since(at) < COUNTED_AFTER);
-        match counted {
-            Some(entries) if !is_young => entries,
-            counted => counted.unwrap_or(0).max(SHARING_UNKNOWN),
-        }
-    }
-
     /// the configuration of a service
     pub fn service(&self, name: &str) -> Option<&Service> {
         self.table.services.get(name)
--- a/coordination/src/dispatch/mod.rs
+++ b/coordination/src/dispatch/mod.rs
@@ -4,18 +4,16 @@
 mod account_turns;
 mod adapter_versions;
 mod ask;
-mod asked_rest;
 mod backend_state;
 mod bring_time;
 mod choosing;
-mod cold_bound;
+mod cold_engines;
 mod copies;
 mod decision;
 mod demands;
 mod dispatcher;
 mod event;
 mod fleet_size;
-mod health;
 mod homes;
 mod limited;
 mod listing;
@@ -23,6 +21,7 @@
 mod own_words;
 mod promises;
 mod reading_rate;
+mod refusing;
 mod settings;
 mod shared_budget;
 mod unheard;
@@ -37,15 +36,12 @@
     account_turns::AccountTurns,
     adapter_versions::AdapterVersions,
     ask::{Ask, Ticket},
-    asked_rest::AskedRest,
     backend_state::{BackendState, Sent},
     bring_time::BringTime,
-    cold_bound::{ColdBound, ColdPace},
     decision::{Assignment, Basis, Decision, RefusalCause},
     dispatcher::{BackendRow, Dispatcher},
     event::{DispatchEvent, SendOutcome},
     fleet_size::FleetSize,
-    health::Health,
     limited::{IntakeQuestion, NoDeal},
     own_sight::OwnSight,
     reading_rate::ReadingRate,
--- a/coordination/src/dispatch/asked_rest.rs
+++ b/coordination/src/intake/asked_rest.rs
@@ -1,5 +1,6 @@
 use {
-    super::SendOutcome,
+    super::IntakeReason,
+    crate::dispatch::SendOutcome,
     std::time::{Duration, Instant},
 };
 
@@ -54,3 +55,13 @@
         }
     }
 }
+
+impl IntakeReason for AskedRest {
+    fn code(&self) -> &'static str {
+        "resting"
+    }
+    fn closed_for(&self, now: Instant) -> Option<Duration> {
+        // while the first request after the rest is on its way, nobody knows for how long
+        (!self.allows_one(now)).then(|| self.left(now).unwrap_or_default())
+    }
+}
--- a/coordination/src/dispatch/cold_bound.rs
+++ b/coordination/src/intake/cold_bound.rs
@@ -1,4 +1,5 @@
 use {
+    super::IntakeReason,
     crate::membership::stable_hash,
     chalkcart_state::backends::BackendId,
     std::time::{Duration, Instant},
@@ -23,6 +24,8 @@
     /// requests that may be sent now, with its part of the next one
     allowed: f64,
     counted: Instant,
+    /// what this entry may send in a second
+    share: f64,
 }
 
 impl ColdBound {
@@ -34,6 +37,7 @@
             until: now + left,
             allowed: (seed % 1_000) as f64 / 1_000.0,
             counted: now,
+            share: 0.0,
         }
     }
 
@@ -48,8 +52,8 @@
     /// count time that has passed, as one of so many entries
     pub fn pass(&mut self, pace: ColdPace, entries: u32, now: Instant) {
         let passed = now.saturating_duration_since(self.counted).as_secs_f64();
-        let share = pace.per_s * USED_PART / f64::from(entries.max(1));
-        self.allowed = (self.allowed + passed * share).min(1.0);
+        self.share = pace.per_s * USED_PART / f64::from(entries.max(1));
+        self.allowed = (self.allowed + passed * self.share).min(1.0);
         self.counted = now;
     }
     pub fn allows_one(&self, now: Instant) -> bool {
@@ -59,3 +63,18 @@
         self.allowed -= 1.0;
     }
 }
+
+impl IntakeReason for ColdBound {
+    fn code(&self) -> &'static str {
+        "cold"
+    }
+    fn closed_for(&self, now: Instant) -> Option<Duration> {
+        if self.allows_one(now) {
+            return None;
+        }
+        let warm_in = self.until.saturating_duration_since(now);
+        let missing = (1.0 - self.allowed) / self.share.max(f64::MIN_POSITIVE);
+        let due_in = Duration::try_from_secs_f64(missing).unwrap_or(Duration::MAX);
+        Some(due_in.min(warm_in))
+    }
+}
--- a/coordination/src/intake/named_limit.rs
+++ b/coordination/src/intake/named_limit.rs
@@ -1,5 +1,5 @@
 use {
-    super::{EqualShare, HeldPermits, ShareBasis},
+    super::{EqualShare, HeldPermits, IntakeReason, ShareBasis, LEAST_PER_S},
     crate::own_word::{LimitWord, RequestRate},
     chalkcart_protocol::peer::{HeardLimit, IntakeAnswer},
     std::time::{Duration, Instant},
@@ -218,10 +218,18 @@
     /// time between two requests of this entry
     fn interval(&self, share: &EqualShare, now: Instant) -> Duration {
         match (self.dealt_in(now), self.named()) {
-            (Some(_), Some(rate)) => {
-                Duration::from_secs_f64(1.0 / rate.per_s().max(super::LEAST_PER_S))
-            }
+            (Some(_), Some(rate)) => Duration::from_secs_f64(1.0 / rate.per_s().max(LEAST_PER_S)),
             _ => share.interval(),
         }
     }
 }
+
+impl IntakeReason for NamedLimit {
+    fn code(&self) -> &'static str {
+        "limited"
+    }
+    fn closed_for(&self, now: Instant) -> Option<Duration> {
+        let opens_in = self.opens_in(now);
+        (!opens_in.is_zero()).then_some(opens_in)
+    }
+}
--- a/coordination/tests/cold_engines.rs
+++ b/coordination/tests/cold_engines.rs
@@ -10,7 +10,8 @@
 
 use {
     chalkcart_coordination::{
-        dispatch::{ColdBound, ColdPace, DispatchEvent, SendOutcome},
+        dispatch::{DispatchEvent, SendOutcome},
+        intake::{ColdBound, ColdPace},
         own_word::OwnWord,
     },
     chalkcart_state::backends::Backend,
