A test of many streams at once has its adapters loaded before

Cause: the log of its sidecar: the loads of the four adapters ended 1.8, 3.6, 4.8 and 6.8 s after its start, two of the questions for their permits had no answer within 500 ms; a stream lasts 6 s. So the first streams had ended before the last adapter came. Change: each adapter is loaded by a short prompt before the 260 begin. The count at once, one connection and whole answers are asked for as before. Conclusion: the assumption on the time of loads is out of the test.

--- a/testkit/tests/whole_answers.rs
+++ b/testkit/tests/whole_answers.rs
@@ -19,6 +19,8 @@
 };
 
 const TOKENS: u32 = 60;
+/// adapters of the prompts
+const ADAPTERS: usize = 4;
 
 fn engines_only() -> ClusterSettings {
     ClusterSettings {
@@ -40,7 +42,7 @@
     GenerateRequest {
         group: "branches".to_string(),
         class: "sameday".to_string(),
-        adapter: format!("loan-{}", number % 4),
+        adapter: format!("loan-{}", number % ADAPTERS),
         version: 1 + (number % 2) as u32,
         prompt: format!("explain schedule {number}"),
         max_tokens: TOKENS,
@@ -285,6 +287,15 @@
     })
     .await?;
     let client = cluster.client(0).await?;
+    // on a busy machine loads took 5 s, and the first streams ended before the last began
+    for number in 0..ADAPTERS {
+        let short = GenerateRequest {
+            max_tokens: 1,
+            ..prompt(number)
+        };
+        let answer = generate(&mut client.clone(), short).await;
+        assert!(answer.is_ok(), "adapter {number} is loaded");
+    }
     let mut running = Vec::new();
     for number in 0..STREAMS {
         let mut client = client.clone();
