Fleets of tests wait for their sidecars, not for the ingress alone

Cause: a fleet counted as started when its ingress was ready. The logs of that run: the ingress had its configuration 6 ms before the sidecar wrote its first line, and the test called at once. Ruled out: a sidecar that ends: its log has its start and no end before the test's. Change: the start of a fleet waits until each sidecar listens.

--- a/testkit/src/users_platform/fleet.rs
+++ b/testkit/src/users_platform/fleet.rs
@@ -20,6 +20,7 @@
         path::PathBuf,
         time::Duration,
     },
+    tokio::net::TcpStream,
 };
 
 pub const HOST: &str = "host.example";
@@ -100,7 +101,7 @@
 }
 
 impl Fleet {
-    /// start everything and wait until the ingress is ready
+    /// start everything and wait until the sidecars listen and the ingress is ready
     pub async fn start(settings: FleetSettings) -> Result<Self> {
         let folder = std::env::temp_dir().join(format!(
             "chalkcart-{}-{}",
@@ -112,6 +113,7 @@
         for number in 0..fleet.settings.engines {
             fleet.start_engine(number).await?;
         }
+        fleet.wait_for_sidecars().await;
         for number in 0..fleet.settings.plain {
             let id = format!("p-{number}");
             let backend = BackendStandIn::start(&id, BackendKind::Plain, next_addr()).await?;
@@ -188,6 +190,14 @@
         Ok(())
     }
 
+    async fn wait_for_sidecars(&self) {
+        for number in 0..self.engines.len() {
+            let addr = self.sidecar_addr(number);
+            let listens = || async { TcpStream::connect(addr).await.is_ok() };
+            until_async("a sidecar listens", listens).await;
+        }
+    }
+
     /// start one more ingress among the same stand-ins
     pub async fn start_other_ingress(&self, name: &str) -> Result<OtherIngress> {
         let zone = self.settings.places[0].0;
