Limits are looked at by time, not by ticks: no tick comes while other events come more often

In the test script a back end whose limit was over was sent one request in 23 s, all others were refused as limited. Cause: the control thread's tick comes after 25 to 250 ms without any event, so none while requests come each 50 ms. Since limits were shared anew in the tick alone, an entry went on with the part of 32 entries, assumed before a sidecar had counted one. Change: while back ends name limits, each event looks whether 25 ms have passed; then limits are shared anew, what waits is served or refused, and what is wanted is counted. Reached only then. Why it works: any event drives it, and the control thread is never without one for over 250 ms. Open: other requests that wait are looked at by the same tick (docs/OPEN.md).

--- a/coordination/src/dispatch/dispatcher.rs
+++ b/coordination/src/dispatch/dispatcher.rs
@@ -70,6 +70,8 @@
     pub(super) evacuated: HashSet<ZoneName>,
     /// back ends that name a limit
     pub(super) limited: HashSet<BackendId>,
+    /// when their limits were last shared anew
+    pub(super) limits_shared: Option<Instant>,
     /// an engine was cold when this was looked at last: with thousands of engines a look at
     /// each event would cost as much as a decision
     pub(super) may_have_cold: bool,
@@ -110,6 +112,7 @@
             decided: Vec::new(),
             evacuated: HashSet::new(),
             limited: HashSet::new(),
+            limits_shared: None,
             may_have_cold: false,
             crashes: CrashEvidence::default(),
             served: Vec::new(),
@@ -120,6 +123,7 @@
     /// take in what happened; gives what was decided by it
     pub fn handle(&mut self, event: DispatchEvent, now: Instant) -> Vec<(Ticket, Decision)> {
         self.pass_cold(now);
+        self.look_at_limits(now);
         match event {
             DispatchEvent::Asked { ticket, ask } => self.on_asked(ticket, ask, now),
             DispatchEvent::Withdrawn(ticket) => {
@@ -176,10 +180,7 @@
             DispatchEvent::Demanded { addr, is_taken } => self.on_demanded(addr, is_taken),
             DispatchEvent::Versioned { adapter, version } => self.on_version(adapter, version, now),
             DispatchEvent::Tick => {
-                // many may be limited: not with each event
-                self.share_limits(now);
-                let waiting = self.serve_waiting(|_| true, now);
-                self.note_wanted(&waiting, true);
+                self.serve_waiting(|_| true, now);
             }
         }
         std::mem::take(&mut self.decided)
@@ -357,7 +358,7 @@
     /// give back ends to those of the requests that wait, in order, and refuse
     /// those whose wait is over; gives how many wait for each limited back end, and the
     /// priority of the most urgent
-    fn serve_waiting(
+    pub(super) fn serve_waiting(
         &mut self,
         is_concerned: impl Fn(&Ask) -> bool,
         now: Instant,
--- a/coordination/src/dispatch/limited.rs
+++ b/coordination/src/dispatch/limited.rs
@@ -8,9 +8,17 @@
     },
     chalkcart_protocol::peer::{EngineFigures, IntakeAnswer, IntakeReport},
     chalkcart_state::backends::BackendId,
-    std::{collections::HashMap, net::SocketAddr, time::Instant},
+    std::{
+        collections::HashMap,
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
 };
 
+/// Time between two looks at all limits: with a thousand limited engines each costs as much as
+/// many decisions.
+const SHARED_EVERY: Duration = Duration::from_millis(25);
+
 /// why a dealer of permits has not answered
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum NoDeal {
@@ -93,11 +101,23 @@
         };
     }
 
-    /// the entries that share limits may be more or fewer
-    pub(super) fn share_limits(&mut self, now: Instant) {
-        if self.limited.is_empty() {
+    /// While back ends name limits: share them anew, and see what waits for them. Ticks do not
+    /// do, since none comes while other events come more often.
+    pub(super) fn look_at_limits(&mut self, now: Instant) {
+        let is_early = self
+            .limits_shared
+            .is_some_and(|at| now.saturating_duration_since(at) < SHARED_EVERY);
+        if self.limited.is_empty() || is_early {
             return;
         }
+        self.limits_shared = Some(now);
+        self.share_limits(now);
+        let waiting = self.serve_waiting(|_| true, now);
+        self.note_wanted(&waiting, true);
+    }
+
+    /// the entries that share limits may be more or fewer
+    fn share_limits(&mut self, now: Instant) {
         self.limited.retain(|id| self.backends.contains_key(id));
         for id in self.limited.clone() {
             let sharers = self.sharers_of(&id, now);
--- a/coordination/tests/named_limits.rs
+++ b/coordination/tests/named_limits.rs
@@ -129,6 +129,26 @@
     assert!(sent <= allowed(1.0), "{sent}");
 }
 
+/// Guards against: a part of a limit that stays that of more entries than there are, since other
+/// events come so often that no tick does.
+#[test]
+fn a_part_is_that_of_the_entries_that_are_counted_also_without_a_tick() {
+    let mut fixture = Fixture::new(vec![backend(PLAIN, 1), backend(ENGINES, 9)]);
+    say_now(&mut fixture, "plain-1", limited(2.0));
+    let mut counted = view("engines-9", &[]);
+    counted.figures.entries = 1;
+    fixture.view(9, counted);
+    let mut sent = 0;
+    for ticket in 0..800 {
+        fixture.now += STEP;
+        let ask = fixture.new_ask(PLAIN, None);
+        sent += sent_to(&fixture.ask(ticket, ask)).len();
+        fixture.tell(DispatchEvent::Withdrawn(ticket));
+        fixture.end(ticket, SendOutcome::Answered);
+    }
+    assert!(sent >= 12, "{sent} of 16 in 8 s");
+}
+
 /// Guards against: a limit of one life that binds the next, or of one back end another.
 #[test]
 fn it_binds_one_life_of_one_back_end() {
