dispatch: keep using an unlisted incarnation when its sidecar is lost

Cause: an engine that restarts under its name is known by its sidecar's report before the list has the new incarnation. When that sidecar was lost, the new incarnation counted as unlisted and the listed one had ended, so no demand was sent for either. A restarted sidecar identifies its engine only after a demand, and requests were rejected until the list changed.

Change: while the list still has an incarnation at the address that ended according to the sidecar, the incarnation reported last stays in use. Once the list no longer has the record, it is unlisted as before.

--- a/coordination/src/dispatch/backend_updates.rs
+++ b/coordination/src/dispatch/backend_updates.rs
@@ -35,6 +35,11 @@
         let listed: HashMap<&BackendName, &BackendId> =
             list.iter().map(|b| (&b.id.name, &b.id)).collect();
         let ended: HashSet<BackendId> = self.ended_incarnations().cloned().collect();
+        let listed_ended: HashSet<SocketAddr> = list
+            .iter()
+            .filter(|b| ended.contains(&b.id))
+            .map(|b| b.addr)
+            .collect();
         for (id, state) in &mut self.backends {
             let by_name = listed.get(&id.name);
             let is_listed = by_name.is_some_and(|listed| *listed == id);
@@ -42,7 +47,9 @@
                 by_name.is_some_and(|b| b.is_later_incarnation_of(id) && !ended.contains(*b));
             state.is_ahead_of_list &= !is_listed && !has_successor;
             let was_unlisted = state.is_unlisted;
-            state.is_unlisted = !(is_listed || state.is_ahead_of_list && state.view.is_some());
+            let is_list_behind = listed_ended.contains(&state.listed.addr);
+            state.is_unlisted =
+                !(is_listed || state.is_ahead_of_list && (state.view.is_some() || is_list_behind));
             // a reporting sidecar detects the end itself
             if state.is_unlisted && !was_unlisted && state.view.is_none() {
                 self.crashes.on_engine_ended(id, now);
@@ -271,11 +278,24 @@
             return;
         };
         state.on_view_lost(now);
-        state.is_unlisted |= state.is_ahead_of_list;
+        if state.is_ahead_of_list {
+            let addr = state.listed.addr;
+            let is_list_behind = self.lists_ended_incarnation_at(addr);
+            if let Some(state) = self.backends.get_mut(backend) {
+                state.is_unlisted |= !is_list_behind;
+            }
+        }
         // the list is authoritative where no sidecar reports
         self.update_replaced();
     }
 
+    /// Returns whether the list still has an incarnation at an address that has ended according
+    /// to its sidecar, so that the incarnation the sidecar reported last is the current one.
+    fn lists_ended_incarnation_at(&self, addr: SocketAddr) -> bool {
+        let mut states = self.backends.values();
+        states.any(|b| b.has_ended && !b.is_unlisted && b.listed.addr == addr)
+    }
+
     pub(super) fn on_version(&mut self, adapter: AdapterRef, version: u64, now: Instant) {
         let grace = self.settings.version_grace;
         if !self.adapter_versions.insert(&adapter, version, grace, now) {
--- a/coordination/tests/reborn.rs
+++ b/coordination/tests/reborn.rs
@@ -5,7 +5,7 @@
 
 use {
     chalkcart_coordination::{
-        dispatch::{DispatchEvent, SendOutcome},
+        dispatch::{DispatchEvent, DueDemands, SendOutcome},
         placement::{adapter_hash, OrderAnswer, OrderKind, PlacementAction},
     },
     chalkcart_protocol::peer::EngineView,
@@ -162,6 +162,35 @@
     }
 }
 
+/// The sidecar restarts while the list still has the previous incarnation. Only a demand makes
+/// the sidecar identify its engine again, so the incarnation that it reported must stay in use.
+#[test]
+fn an_incarnation_ahead_of_the_list_stays_in_use_when_its_sidecar_is_lost() {
+    for start_time_ms in [SECOND, EARLIER] {
+        let mut fixture = Fixture::new(vec![listed(FIRST), backend(ENGINES, 2)]);
+        fixture.view(1, reported_view(FIRST, &[("a", 1)]));
+        fixture.view(1, reported_view(start_time_ms, &[("a", 1)]));
+        fixture.now += ms(2_000);
+        fixture.handle(DispatchEvent::ViewLost(id(start_time_ms)));
+        assert!(
+            has_demand(&mut fixture, start_time_ms),
+            "the sidecar is lost"
+        );
+        assert_eq!(target_of(&mut fixture, 1, "a"), id_text(start_time_ms));
+        // another record of the list changes
+        fixture.update_list(vec![listed(FIRST)]);
+        assert!(has_demand(&mut fixture, start_time_ms), "the list changes");
+        // the record of the engine is gone
+        fixture.update_list(vec![backend(ENGINES, 2)]);
+        assert!(!has_demand(&mut fixture, start_time_ms), "it is not listed");
+    }
+}
+
+fn has_demand(fixture: &mut Fixture, start_time_ms: u64) -> bool {
+    let demands = fixture.dispatcher.demands(DueDemands::All, fixture.now);
+    demands.iter().any(|(_, d)| d.backend == id(start_time_ms))
+}
+
 /// The address of a removed engine may be reused by a back end of a service without sidecars.
 #[test]
 fn an_address_reused_by_another_service_is_used_for_it() {
--- a/testkit/tests/crashing_requests.rs
+++ b/testkit/tests/crashing_requests.rs
@@ -12,6 +12,7 @@
         waiting::until_async,
     },
     std::{net::SocketAddr, time::Duration},
+    tokio::time::sleep,
 };
 
 const CRASHING_BODY: &[u8] = b"ends each engine that runs it";
@@ -147,6 +148,23 @@
     Ok(())
 }
 
+/// The list still has the incarnations from before the crashes. Only a demand makes a restarted
+/// sidecar identify its engine.
+#[tokio::test]
+async fn restarted_sidecars_receive_demands_for_engines_that_the_list_lacks() -> Result<()> {
+    let mut fleet = start(3).await?;
+    wait_until_blocked(&[fleet.clients]).await;
+    assert!(crashes(&fleet) >= 3, "each engine has restarted");
+    // the sidecars report the new incarnations
+    sleep(Duration::from_secs(1)).await;
+    for number in 0..3u8 {
+        fleet.sidecars[usize::from(number)].kill()?;
+        fleet.sidecars[usize::from(number)] = fleet.start_sidecar(number)?;
+    }
+    wait_until_served(fleet.clients).await;
+    Ok(())
+}
+
 async fn wait_until_registered(fleet: &Fleet, expected: u64) {
     until_async("the entry has received it", || async {
         registered_requests(fleet.metrics).await >= expected
