dispatch: compute replaced back ends once before they are used

Cause: each first view of an engine computed for all back ends whether another incarnation runs at their address, so the work of an entry that starts grew with the square of the engines. A relay's copy of the store compared each record with each record of a new listing, too.

Change: a first view, a lost view and a new list mark the result as outdated; it is computed before waiting requests are checked or demands are built. The records of a listing are looked up in a set.

--- a/coordination/src/dispatch/backend_updates.rs
+++ b/coordination/src/dispatch/backend_updates.rs
@@ -86,7 +86,7 @@
             .remove_expired(|id| backends.contains_key(id), now);
         self.incarnations
             .retain(|_, reported| self.backends.contains_key(&reported.id));
-        self.update_replaced();
+        self.is_replaced_outdated = true;
     }
 
     /// Removes back ends that left the list, unless their service has no other.
@@ -138,9 +138,8 @@
         let reported = (view.backend.clone(), view.figures);
         let affected = state.on_view(view, now);
         self.on_reported_signals(&reported.0, &reported.1, now);
-        if is_first {
-            self.update_replaced();
-        }
+        // All engines report for the first time shortly after each other.
+        self.is_replaced_outdated |= is_first;
         affected
     }
 
@@ -199,7 +198,11 @@
         })
     }
 
-    fn update_replaced(&mut self) {
+    /// Updates which back ends are replaced if that may have changed.
+    pub(super) fn refresh_replaced(&mut self) {
+        if !std::mem::take(&mut self.is_replaced_outdated) {
+            return;
+        }
         let replaced = self.backends.values().filter(|b| self.is_replaced(b));
         let replaced: HashSet<BackendId> = replaced.map(|b| b.listed.id.clone()).collect();
         for (id, state) in &mut self.backends {
@@ -286,7 +289,7 @@
             }
         }
         // the list is authoritative where no sidecar reports
-        self.update_replaced();
+        self.is_replaced_outdated = true;
     }
 
     /// Returns whether the list still has an incarnation at an address that has ended according
--- a/coordination/src/dispatch/dispatcher.rs
+++ b/coordination/src/dispatch/dispatcher.rs
@@ -57,6 +57,8 @@
     pub(super) pending_loads: HashMap<AdapterRef, PendingLoad>,
     /// Incarnations that sidecars reported, by engine address.
     pub(super) incarnations: HashMap<SocketAddr, ReportedIncarnation>,
+    /// Whether `BackendState::is_replaced` must be computed again before it is used.
+    pub(super) is_replaced_outdated: bool,
     /// Signals that back ends sent about themselves.
     pub(super) signals: BackendSignalTracker,
     /// Highest fence that a sidecar reported, by engine address.
@@ -107,6 +109,7 @@
             adapter_versions: AdapterVersions::default(),
             pending_loads: HashMap::new(),
             incarnations: HashMap::new(),
+            is_replaced_outdated: false,
             signals: BackendSignalTracker::default(),
             fences: HashMap::new(),
             requested_loads: Vec::new(),
@@ -388,7 +391,11 @@
         now: Instant,
     ) -> HashMap<BackendId, (u32, u8)> {
         let mut ahead = HashMap::new();
-        for ticket in self.waiting.tickets(is_affected) {
+        let tickets = self.waiting.tickets(is_affected);
+        if !tickets.is_empty() {
+            self.refresh_replaced();
+        }
+        for ticket in tickets {
             let Some(request) = self.waiting.remove(ticket) else {
                 continue;
             };
--- a/coordination/src/dispatch/pending_loads.rs
+++ b/coordination/src/dispatch/pending_loads.rs
@@ -49,6 +49,7 @@
 impl Dispatcher {
     /// Returns the demands to send now.
     pub fn demands(&mut self, due: DueDemands, now: Instant) -> Vec<(SocketAddr, AdapterDemand)> {
+        self.refresh_replaced();
         self.pending_loads.retain(|_, pending| pending.until > now);
         self.expected_returns
             .retain(|_, expected| expected.until > now);
--- a/coordination/src/relay/published_cache.rs
+++ b/coordination/src/relay/published_cache.rs
@@ -6,7 +6,7 @@
         published::{Record, RecordSubject, Snapshot},
     },
     std::{
-        collections::BTreeMap,
+        collections::{BTreeMap, BTreeSet},
         time::{Duration, Instant},
     },
 };
@@ -140,7 +140,7 @@
 
     /// Records which known back ends and evacuations of zones a listing no longer contains.
     fn record_removals(&mut self, listing: &Snapshot) {
-        let listed: Vec<RecordKey> = listing.records.iter().map(record_key).collect();
+        let listed: BTreeSet<RecordKey> = listing.records.iter().map(record_key).collect();
         for (key, (at, record)) in &mut self.records {
             if listed.contains(key) {
                 continue;
--- a/testkit/examples/capacity/dispatch.rs
+++ b/testkit/examples/capacity/dispatch.rs
@@ -19,6 +19,7 @@
 };
 
 const ENGINES: [usize; 3] = [12, 58, 400];
+const STARTING_ENGINES: [usize; 3] = [150, 600, 2_400];
 const ADAPTERS_PER_ENGINE: usize = 19;
 const ROUNDS: u32 = 200;
 const SERVICE: &str = "engines";
@@ -28,7 +29,13 @@
 pub fn measure() -> Vec<Slope> {
     let views = ENGINES.map(|n| (n as f64, view_micros(n)));
     let requests = ENGINES.map(|n| (n as f64, request_micros(n)));
+    let starts = STARTING_ENGINES.map(|n| (n as f64, start_millis(n)));
     vec![
+        Slope::new(
+            "list and first views of all engines",
+            "ms an engine",
+            starts.to_vec(),
+        ),
         Slope::new(
             "one view while 4 requests wait",
             "µs an engine",
@@ -146,6 +153,13 @@
     }
 }
 
+/// Returns the time in which a new entry processes the list and the first view of each engine.
+fn start_millis(engines: usize) -> f64 {
+    let started = Instant::now();
+    dispatcher(engines, started);
+    started.elapsed().as_secs_f64() * 1e3
+}
+
 fn view_micros(engines: usize) -> f64 {
     let now = Instant::now();
     let mut dispatcher = dispatcher(engines, now);
