client: keep reading a large response while its parts arrive

Cause: a page of the store's list had 800 ms for all of its bytes. While a whole fleet starts, the store's link is shared by all pages; a page that took longer was abandoned and requested again, so the same bytes were sent twice.

Change: calls have limits for the head, for the pause between two parts and for the whole response. The store's client can read the first page of a topic alone.

--- a/transport/src/client/http_client.rs
+++ b/transport/src/client/http_client.rs
@@ -1,6 +1,6 @@
 use {
-    super::{ClientError, ClientStep},
-    bytes::Bytes,
+    super::{ClientError, ClientStep, ResponseLimits},
+    bytes::{Bytes, BytesMut},
     http::{header::CONTENT_TYPE, Method, Request, Response, StatusCode, Uri},
     http_body_util::{BodyExt, Full},
     hyper::body::Incoming,
@@ -9,7 +9,7 @@
         rt::{TokioExecutor, TokioTimer},
     },
     serde::{de::DeserializeOwned, Serialize},
-    std::{error::Error, io, net::SocketAddr, time::Duration},
+    std::{error::Error, future::Future, io, net::SocketAddr, time::Duration},
     tokio::time::timeout,
 };
 
@@ -88,7 +88,7 @@
         })
     }
 
-    /// Sends a request and reads the complete response within a time limit.
+    /// Sends a request and reads the complete response within time limits.
     pub async fn exchange(
         &self,
         peer: SocketAddr,
@@ -96,22 +96,11 @@
         path: &str,
         content_type: &str,
         body: Bytes,
-        limit: Duration,
+        limits: impl Into<ResponseLimits>,
     ) -> Result<(StatusCode, Bytes), ClientError> {
-        let call = async {
-            let response = self.send(peer, method, path, content_type, body).await?;
-            let status = response.status();
-            let body = collect(peer, response.into_body()).await?;
-            Ok((status, body))
-        };
-        match timeout(limit, call).await {
-            Ok(result) => result,
-            Err(_) => Err(ClientError::new(
-                ClientStep::Send,
-                peer,
-                format!("no answer within {} ms", limit.as_millis()),
-            )),
-        }
+        let send = self.send(peer, method, path, content_type, body);
+        let response = receive(peer, send, limits.into()).await?;
+        Ok((response.status(), response.into_body()))
     }
 
     /// Posts a JSON message and decodes the JSON response.
@@ -157,10 +146,50 @@
     }
 }
 
-async fn collect(peer: SocketAddr, body: Incoming) -> Result<Bytes, ClientError> {
-    let collected = body.collect().await;
-    let collected = collected.map_err(|e| ClientError::new(ClientStep::Receive, peer, e))?;
-    Ok(collected.to_bytes())
+/// Waits for the head of a response and reads its body within time limits.
+pub(super) async fn receive(
+    peer: SocketAddr,
+    head: impl Future<Output = Result<Response<Incoming>, ClientError>>,
+    limits: ResponseLimits,
+) -> Result<Response<Bytes>, ClientError> {
+    let call = async {
+        let response = within(peer, limits.head, head).await?;
+        let (parts, body) = response.into_parts();
+        let body = collect(peer, body, limits.pause).await?;
+        Ok(Response::from_parts(parts, body))
+    };
+    within(peer, limits.total, call).await
+}
+
+async fn within<T>(
+    peer: SocketAddr,
+    limit: Duration,
+    call: impl Future<Output = Result<T, ClientError>>,
+) -> Result<T, ClientError> {
+    let timed_out = |_| {
+        let detail = format!("no answer within {} ms", limit.as_millis());
+        ClientError::new(ClientStep::Send, peer, detail)
+    };
+    timeout(limit, call).await.map_err(timed_out)?
+}
+
+/// Reads a body whose parts are at most `pause` apart.
+async fn collect(
+    peer: SocketAddr,
+    mut body: Incoming,
+    pause: Duration,
+) -> Result<Bytes, ClientError> {
+    let mut collected = BytesMut::new();
+    loop {
+        let part = async { Ok(body.frame().await) };
+        let Some(part) = within(peer, pause, part).await? else {
+            return Ok(collected.freeze());
+        };
+        let part = part.map_err(|e| ClientError::new(ClientStep::Receive, peer, e))?;
+        if let Ok(data) = part.into_data() {
+            collected.extend_from_slice(&data);
+        }
+    }
 }
 
 fn decode_json<A: DeserializeOwned>(
--- a/transport/src/client/peer_client.rs
+++ b/transport/src/client/peer_client.rs
@@ -1,5 +1,7 @@
 use {
-    super::{ClientError, ClientStep, HttpClient, PeerEncodings},
+    super::{
+        http_client::receive, ClientError, ClientStep, HttpClient, PeerEncodings, ResponseLimits,
+    },
     bytes::Bytes,
     chalkcart_protocol::{
         decode, frame_codec,
@@ -11,8 +13,7 @@
     http_body_util::{BodyExt, Full},
     hyper::body::Incoming,
     serde::{de::DeserializeOwned, Serialize},
-    std::{io, net::SocketAddr, pin::Pin, time::Duration},
-    tokio::time::timeout,
+    std::{io, net::SocketAddr, pin::Pin},
     tokio_util::{codec::FramedRead, io::StreamReader},
 };
 
@@ -47,19 +48,11 @@
         peer: SocketAddr,
         path: &str,
         message: &Q,
-        limit: Duration,
+        limits: impl Into<ResponseLimits>,
     ) -> Result<A, ClientError> {
-        let call = async {
-            let response = self.post_with_fallback(peer, path, message).await?;
-            let body = response.into_body().collect().await;
-            let body = body.map_err(|e| ClientError::new(ClientStep::Receive, peer, e))?;
-            decode(&body.to_bytes()).map_err(|e| self.decode_error(peer, e))
-        };
-        let timed_out = |_| {
-            let detail = format!("no answer within {} ms", limit.as_millis());
-            ClientError::new(ClientStep::Send, peer, detail)
-        };
-        timeout(limit, call).await.map_err(timed_out)?
+        let head = self.post_with_fallback(peer, path, message);
+        let response = receive(peer, head, limits.into()).await?;
+        decode(response.body()).map_err(|e| self.decode_error(peer, e))
     }
 
     /// Sends a message and reads frames until the peer ends the stream.
--- a/transport/src/metadata/mod.rs
+++ b/transport/src/metadata/mod.rs
@@ -4,6 +4,6 @@
 mod store_watcher;
 
 pub use {
-    source::{MetadataSource, SourceError, WatchOutcome, WatchUpdate},
+    source::{FirstPage, MetadataSource, SourceError, WatchOutcome, WatchUpdate},
     store_watcher::{RecordSink, StoreWatcher},
 };
--- a/transport/src/metadata/source.rs
+++ b/transport/src/metadata/source.rs
@@ -16,6 +16,14 @@
     pub current_at: Instant,
 }
 
+/// The first page of a topic.
+#[derive(Debug)]
+pub struct FirstPage {
+    pub update: WatchUpdate,
+    /// Whether the topic has no further pages.
+    pub is_complete: bool,
+}
+
 /// The result of a watch call.
 #[derive(Debug)]
 pub enum WatchOutcome {
@@ -44,6 +52,14 @@
     /// Sets the store's address for all further calls.
     fn set_addr(&self, addr: SocketAddr);
     async fn snapshot(&self, topic: Topic) -> Result<WatchUpdate, SourceError>;
+    /// Reads the first page of a topic, which costs one call however large the topic is.
+    async fn first_page(&self, topic: Topic) -> Result<FirstPage, SourceError> {
+        let update = self.snapshot(topic).await?;
+        Ok(FirstPage {
+            update,
+            is_complete: true,
+        })
+    }
     /// Waits for changes after a revision.
     async fn watch(
         &self,
