entry: read the list through a relay from the start on

Cause: an entry that starts knew no relay, so each read the whole list from the store, and then watched the store until its relay had sent a first update. Four more causes on that path:

- A relay without data waited 300 ms for its first read, and its callers waited 300 ms for the response, so they gave up and called the store.
- After one relay that did not respond, the store was called, not the next relay, even where a change may take 5 s to be known.
- A relay that refused a connection was left for 5 s, so that after a restart of all processes the entries of a zone spread over many relays.
- With more than seven silent sidecars in a zone, an entry tried them again before it reached those of another zone.

Change: the first page of the list names the sidecars from which the entry requests the list; it reads all pages itself if none of them has the list, or is reading it, for 0.6 s. A relay tells callers of wire version 6 that its first read is under way, and holds their call until it is complete. Relays for the store follow from the list, not from the link for views. A second relay is tried while the direct call after it still ends in time. A relay that refuses connections is tried again after 50 ms, for 0.8 s. After four sidecars of the own zone those of other zones alternate with the rest, and a relay is left for a preferred one only if that one responds. A full response of a relay is encoded without field names for callers of the same version.

--- a/coordination/src/relay/mod.rs
+++ b/coordination/src/relay/mod.rs
@@ -11,6 +11,8 @@
     direct_call_pacing::DirectCallPacing,
     published_cache::PublishedCache,
     relay_pacing::RelayPacing,
-    relay_selector::{RelayCandidate, RelaySelector, MIN_ENGINES_FOR_RELAYS, RELAYS_PER_ZONE},
+    relay_selector::{
+        rank_for_zone, RelayCandidate, RelaySelector, MIN_ENGINES_FOR_RELAYS, RELAYS_PER_ZONE,
+    },
     relay_state::RelayState,
 };
--- a/coordination/src/relay/published_cache.rs
+++ b/coordination/src/relay/published_cache.rs
@@ -83,11 +83,6 @@
         self.drop_old_removals();
     }
 
-    /// Returns whether any data was received from the store.
-    pub fn has_received(&self) -> bool {
-        self.received_at.is_some()
-    }
-
     /// Returns the response to an entry that knows the topic up to revision `after` and
     /// sent its request at `requested_at`; `None` if there is nothing newer.
     pub fn response(
--- a/coordination/tests/relays.rs
+++ b/coordination/tests/relays.rs
@@ -89,8 +89,8 @@
     let mut selectors = selectors("z1");
     let readers = selectors
         .iter_mut()
-        .map(|s| s.select_store_reader(&candidates, now));
-    let readers: HashSet<SocketAddr> = readers.map(|r| r.expect("a reader")).collect();
+        .map(|s| s.select_store_readers(&candidates, 1, now));
+    let readers: HashSet<SocketAddr> = readers.flatten().collect();
     assert_eq!(readers.len(), 1, "{readers:?}");
     let reader = *readers.iter().next().expect("a reader");
     let own = candidates.iter().find(|c| c.engine == reader);
@@ -102,11 +102,10 @@
         .collect();
     assert!(relays.contains(&reader), "{relays:?}");
     selectors[0].on_failure(reader, now);
-    assert_ne!(
-        selectors[0].select_store_reader(&candidates, now),
-        Some(reader)
-    );
-    assert_eq!(selectors[0].select_store_reader(&[], now), None);
+    let next = selectors[0].select_store_readers(&candidates, 1, now);
+    assert_eq!(next.len(), 1);
+    assert_ne!(next, [reader]);
+    assert!(selectors[0].select_store_readers(&[], 1, now).is_empty());
 }
 
 #[test]
--- a/entry/src/ingress/fleet_links.rs
+++ b/entry/src/ingress/fleet_links.rs
@@ -21,7 +21,7 @@
     pub sidecar_port: u16,
     /// Number of engines from which on relays are used; `None` to never use them.
     pub relays_from_engines: Option<usize>,
-    /// Set to the relays through which the store may be read.
+    /// Receives the engines whose sidecars may read the store for this entry.
     pub store_relays: Arc<StoreRelays>,
 }
 
@@ -52,10 +52,12 @@
     pub fn set_engines(&mut self, engines: Vec<RelayCandidate>) {
         if !self.should_use_relay(engines.len()) {
             self.relay = None;
+            self.settings.store_relays.set_candidates(&[]);
             self.direct.set_engines(engines.iter().map(|c| c.engine));
             return;
         }
         self.direct.set_engines(iter::empty());
+        self.settings.store_relays.set_candidates(&engines);
         let relay = self.relay.get_or_insert_with(|| {
             RelayLink::open(&self.runtime, &self.settings, self.control.clone())
         });
--- a/entry/src/ingress/mod.rs
+++ b/entry/src/ingress/mod.rs
@@ -11,6 +11,7 @@
 mod observers;
 mod operator_pages;
 mod records;
+mod relay_discovery;
 mod relay_link;
 mod relay_outbox;
 mod request_exchange;
--- a/entry/src/ingress/records.rs
+++ b/entry/src/ingress/records.rs
@@ -212,7 +212,7 @@
             });
         }
         let table = Arc::new(table);
-        self.shared.table.store(Some(table.clone()));
+        self.shared.set_configuration(table.clone());
         self.shared
             .control
             .send_event(DispatchEvent::ConfigUpdated(table));
--- a/entry/src/ingress/relay_link.rs
+++ b/entry/src/ingress/relay_link.rs
@@ -1,19 +1,18 @@
 use {
-    super::{
-        control::ControlHandle, fleet_links::LinkSettings, relay_outbox::RelayOutbox,
-        store_relays::StoreRelays,
-    },
+    super::{control::ControlHandle, fleet_links::LinkSettings, relay_outbox::RelayOutbox},
+    bytes::Bytes,
     chalkcart_coordination::relay::{RelayCandidate, RelaySelector},
     chalkcart_protocol::peer::{
         path, AdapterDemand, EngineUpdate, EngineView, EngineViewState, RelayRequest, RelayUpdate,
         ViewUpdate,
     },
     chalkcart_transport::{
-        client::{ClientError, ClientStep, MessageStream, PeerClient},
+        client::{ClientError, ClientStep, HttpClient, MessageStream, PeerClient},
         clock,
         links::ViewSink,
     },
     futures::StreamExt,
+    http::Method,
     std::{
         collections::{HashMap, HashSet},
         net::SocketAddr,
@@ -29,6 +28,8 @@
 
 /// A relay sends an update at least every 200 ms.
 const UPDATE_TIMEOUT: Duration = Duration::from_millis(700);
+/// Time for a relay to show that it responds; the updates of the current one wait meanwhile.
+const HEALTH_TIMEOUT: Duration = Duration::from_millis(300);
 /// Delay before the next relay is tried.
 const RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Time between two checks whether another relay should be used.
@@ -39,14 +40,12 @@
 /// An entry's link to the relay that it uses. Its task is aborted on drop.
 pub struct RelayLink {
     outbox: Arc<RelayOutbox>,
-    store_relays: Arc<StoreRelays>,
     task: JoinHandle<()>,
 }
 
 impl Drop for RelayLink {
     fn drop(&mut self) {
         self.task.abort();
-        self.store_relays.set(Vec::new());
     }
 }
 
@@ -57,16 +56,13 @@
             settings: settings.clone(),
             control,
             peers: PeerClient::new(),
+            http: HttpClient::new(),
             outbox: outbox.clone(),
             selector: RelaySelector::new(&settings.entry, &settings.zone),
             views: HashMap::new(),
         };
         let task = runtime.spawn(reader.run());
-        Self {
-            outbox,
-            store_relays: settings.store_relays.clone(),
-            task,
-        }
+        Self { outbox, task }
     }
 
     /// Sets the engines that the relay is used for.
@@ -92,6 +88,7 @@
     settings: LinkSettings,
     control: ControlHandle,
     peers: PeerClient,
+    http: HttpClient,
     outbox: Arc<RelayOutbox>,
     selector: RelaySelector,
     /// The latest view of each engine.
@@ -117,13 +114,20 @@
             if let RelayEnd::Failed(e) = end {
                 log::warn!(relay = relay.to_string().as_str(), cause = e.to_string().as_str();
                     "links: relay failed");
-                self.selector.on_failure(engine, clock::now());
+                self.on_relay_failed(engine, &e);
                 current = None;
                 sleep(RETRY_DELAY).await;
             }
         }
     }
 
+    fn on_relay_failed(&mut self, engine: SocketAddr, e: &ClientError) {
+        match e.step {
+            ClientStep::Refused => self.selector.on_refusal(engine, clock::now()),
+            _ => self.selector.on_failure(engine, clock::now()),
+        }
+    }
+
     async fn use_relay(&mut self, engine: SocketAddr, relay: SocketAddr) -> RelayEnd {
         let (peers, outbox) = (self.peers.clone(), self.outbox.clone());
         tokio::select! {
@@ -138,16 +142,12 @@
             Err(e) => return RelayEnd::Failed(e),
         };
         let (opened_at, mut selected_at) = (clock::now(), clock::now());
-        let (mut reported, mut is_first) = (Some(HashSet::new()), true);
+        let mut reported = Some(HashSet::new());
         loop {
             let update = match next_update(&mut updates, relay).await {
                 Ok(update) => update,
                 Err(e) => return RelayEnd::Failed(e),
             };
-            if is_first {
-                is_first = false;
-                self.set_store_relays(relay);
-            }
             if let Some(reported) = &mut reported {
                 reported.extend(update.news.iter().map(|update| update.engine));
             }
@@ -161,8 +161,7 @@
             }
             if clock::elapsed(selected_at) >= SELECTION_INTERVAL {
                 selected_at = clock::now();
-                self.set_store_relays(relay);
-                if self.is_outranked(engine) {
+                if self.is_outranked(engine).await {
                     return RelayEnd::Outranked;
                 }
             }
@@ -179,25 +178,37 @@
             .map_err(|_| timeout_error(relay))?
     }
 
-    /// Sets the relays for the store: the zone's store reader first, then the current relay.
-    fn set_store_relays(&mut self, relay: SocketAddr) {
-        let candidates = self.outbox.candidates();
-        let reader = self.selector.select_store_reader(&candidates, clock::now());
-        let port = self.settings.sidecar_port;
-        let reader = reader.map(|engine| SocketAddr::new(engine.ip(), port));
-        let mut ranked: Vec<SocketAddr> = reader.into_iter().collect();
-        if !ranked.contains(&relay) {
-            ranked.push(relay);
-        }
-        self.settings.store_relays.set(ranked);
-    }
-
-    fn is_outranked(&mut self, engine: SocketAddr) -> bool {
+    /// Returns whether another relay is preferred and responds. The current one is not left for
+    /// a relay that is known from the list alone, as whole zones may be silent.
+    async fn is_outranked(&mut self, engine: SocketAddr) -> bool {
         let candidates = self.outbox.candidates();
         let chosen = self
             .selector
             .select(&candidates, Some(engine), clock::now());
-        chosen != Some(engine)
+        let Some(chosen) = chosen.filter(|chosen| *chosen != engine) else {
+            return false;
+        };
+        match self.check_health(chosen).await {
+            Ok(_) => true,
+            Err(e) => {
+                self.on_relay_failed(chosen, &e);
+                false
+            }
+        }
+    }
+
+    async fn check_health(&self, engine: SocketAddr) -> Result<(), ClientError> {
+        let relay = SocketAddr::new(engine.ip(), self.settings.sidecar_port);
+        let (method, path) = (Method::GET, "/healthz");
+        let call = self.http.exchange(
+            relay,
+            method,
+            path,
+            "text/plain",
+            Bytes::new(),
+            HEALTH_TIMEOUT,
+        );
+        call.await.map(|_| ())
     }
 
     fn apply(&mut self, update: EngineUpdate) {
--- a/entry/src/ingress/serve.rs
+++ b/entry/src/ingress/serve.rs
@@ -6,6 +6,7 @@
         fleet_links::{FleetLinks, LinkSettings},
         operator_pages,
         records::EntryRecords,
+        relay_discovery::RelayDiscovery,
         service::RoutedIngress,
         shared::Shared,
         shared_crash_registry::SharedCrashRegistry,
@@ -68,7 +69,11 @@
     let readiness = server::bind(settings.readiness).await?;
     let metrics = server::bind(settings.metrics).await?;
     let dispatcher = Dispatcher::new(dispatch_settings(&settings));
-    let relays = Arc::new(StoreRelays::default());
+    let relays = Arc::new(StoreRelays::new(
+        &settings.name,
+        &settings.zone,
+        settings.sidecar_port,
+    ));
     let (runtime, link_settings) = (Handle::current(), link_settings(&settings, &relays));
     let crashes = Arc::new(SharedCrashRegistry::default());
     let control = control::start(dispatcher, crashes.clone(), |control| {
@@ -142,16 +147,22 @@
 
 /// Starts watching both topics of the store, through a relay of the zone if there is one.
 fn watch_store(shared: &Arc<Shared>, store: Arc<dyn MetadataSource>, relays: Arc<StoreRelays>) {
-    let relays = match shared.settings.mechanisms.store_by_relay {
+    let settings = &shared.settings;
+    let relays = match settings.mechanisms.store_by_relay {
         true => relays,
-        false => Arc::default(),
+        // one without candidates
+        false => Arc::new(StoreRelays::new(
+            &settings.name,
+            &settings.zone,
+            settings.sidecar_port,
+        )),
     };
+    let discovery = RelayDiscovery::new(shared.clone(), relays.clone());
     let pacing = RelayPacing {
-        propagation_limit: Duration::from_millis(shared.settings.drain_ms),
+        propagation_limit: Duration::from_millis(settings.drain_ms),
     };
-    let source = Arc::new(ZoneSource::new(store, relays, pacing));
+    let source = Arc::new(ZoneSource::new(store, relays, discovery, pacing));
     let records = Arc::new(EntryRecords::new(shared.clone(), source.clone()));
-    let settings = &shared.settings;
     let change_delays = [
         (Topic::Configuration, settings.config_apply_ms),
         (Topic::Backends, settings.drain_ms),
--- a/entry/src/ingress/shared.rs
+++ b/entry/src/ingress/shared.rs
@@ -24,7 +24,10 @@
         },
         time::{Duration, Instant},
     },
-    tokio::{sync::watch, time::sleep},
+    tokio::{
+        sync::{watch, Notify},
+        time::sleep,
+    },
 };
 
 /// A deadline counts as a retry's only if it is shorter than the route's longest by more than
@@ -44,6 +47,8 @@
     pub dialect: Arc<dyn Dialect>,
     /// The active configuration; `None` until the first one has been read.
     pub table: ArcSwapOption<RouteTable>,
+    /// Notified when the first configuration is active.
+    configured: Notify,
     pub admission: Arc<Admission>,
     pub metrics: IngressMetrics,
     pub unknown_headers: UnknownHeaders,
@@ -69,6 +74,7 @@
             control,
             dialect,
             table: ArcSwapOption::empty(),
+            configured: Notify::new(),
             metrics: IngressMetrics::new(&crashes.metrics),
             unknown_headers: UnknownHeaders::default(),
             crashes,
@@ -80,6 +86,23 @@
         }
     }
 
+    /// Activates a configuration.
+    pub fn set_configuration(&self, table: Arc<RouteTable>) {
+        self.table.store(Some(table));
+        self.configured.notify_waiters();
+    }
+
+    /// Waits until there is an active configuration and returns it.
+    pub async fn configuration(&self) -> Arc<RouteTable> {
+        loop {
+            let configured = self.configured.notified();
+            if let Some(table) = self.table.load_full() {
+                return table;
+            }
+            configured.await;
+        }
+    }
+
     pub fn new_ticket(&self) -> Ticket {
         self.next_ticket.fetch_add(1, Ordering::Relaxed)
     }
--- a/entry/src/ingress/store_relays.rs
+++ b/entry/src/ingress/store_relays.rs
@@ -1,50 +1,87 @@
 use {
     arc_swap::ArcSwap,
+    chalkcart_coordination::relay::{rank_for_zone, RelayCandidate, RelaySelector},
+    chalkcart_state::ids::{BoxName, ZoneName},
     std::{
-        collections::HashMap,
         net::SocketAddr,
         sync::{Arc, Mutex, MutexGuard},
-        time::{Duration, Instant},
+        time::Instant,
     },
 };
 
-/// A relay that failed is not called for this long.
-const FAILURE_BACKOFF: Duration = Duration::from_secs(5);
+/// Number of candidates that are kept, so that some remain while others have failed.
+const MAX_CANDIDATES: usize = 8;
+/// Number of relays that are tried for one call.
+const MAX_TRIED_RELAYS: usize = 2;
 
-/// The relays through which an entry may read the platform's store, in order of preference. The
-/// first one reads the store for all entries of the zone. Empty while the entry uses no relay.
-#[derive(Debug, Default)]
+/// The relays through which an entry may read the platform's store. The first one that responds
+/// reads the store for all entries of the zone. Empty while the entry uses no relay.
+#[derive(Debug)]
 pub struct StoreRelays {
-    ranked: ArcSwap<Vec<SocketAddr>>,
-    failed: Mutex<HashMap<SocketAddr, Instant>>,
+    zone: ZoneName,
+    /// Sidecars listen on this port at the addresses of their engines.
+    sidecar_port: u16,
+    /// The first candidates of the zone's order.
+    candidates: ArcSwap<Vec<RelayCandidate>>,
+    /// Remembers the relays that failed.
+    selector: Mutex<RelaySelector>,
 }
 
 impl StoreRelays {
-    pub fn set(&self, ranked: Vec<SocketAddr>) {
-        if **self.ranked.load() != ranked {
-            self.ranked.store(Arc::new(ranked));
+    pub fn new(entry: &BoxName, zone: &ZoneName, sidecar_port: u16) -> Self {
+        Self {
+            zone: zone.clone(),
+            sidecar_port,
+            candidates: ArcSwap::default(),
+            selector: Mutex::new(RelaySelector::new(entry, zone)),
         }
     }
 
+    /// Sets the engines whose sidecars may be relays.
+    pub fn set_candidates(&self, candidates: &[RelayCandidate]) {
+        let mut ranked = rank_for_zone(&self.zone, candidates);
+        ranked.truncate(MAX_CANDIDATES);
+        self.candidates.store(Arc::new(ranked));
+    }
+
     pub fn is_empty(&self) -> bool {
-        self.ranked.load().is_empty()
+        self.candidates.load().is_empty()
     }
 
-    /// Returns the relays that may be called now, in order of preference.
+    /// Returns the relays to try now, in order of preference.
     pub fn available(&self, now: Instant) -> Vec<SocketAddr> {
-        let mut failed = self.failed();
-        failed.retain(|_, at| now.saturating_duration_since(*at) < FAILURE_BACKOFF);
-        let ranked = self.ranked.load();
-        let available = ranked.iter().filter(|relay| !failed.contains_key(relay));
-        available.copied().collect()
+        let candidates = self.candidates.load();
+        let engines = self
+            .selector()
+            .select_store_readers(&candidates, MAX_TRIED_RELAYS, now);
+        let relays = engines.into_iter();
+        relays
+            .map(|engine| SocketAddr::new(engine.ip(), self.sidecar_port))
+            .collect()
     }
 
+    /// Records that a relay can't be used.
     pub fn on_failure(&self, relay: SocketAddr, now: Instant) {
-        self.failed().insert(relay, now);
+        if let Some(engine) = self.engine_of(relay) {
+            self.selector().on_failure(engine, now);
+        }
+    }
+
+    /// Records that nothing listened at the address of a relay.
+    pub fn on_refusal(&self, relay: SocketAddr, now: Instant) {
+        if let Some(engine) = self.engine_of(relay) {
+            self.selector().on_refusal(engine, now);
+        }
+    }
+
+    fn engine_of(&self, relay: SocketAddr) -> Option<SocketAddr> {
+        let candidates = self.candidates.load();
+        let mut engines = candidates.iter().map(|c| c.engine);
+        engines.find(|engine| engine.ip() == relay.ip())
     }
 
-    fn failed(&self) -> MutexGuard<'_, HashMap<SocketAddr, Instant>> {
+    fn selector(&self) -> MutexGuard<'_, RelaySelector> {
         // No holder panics in the middle of an update.
-        self.failed.lock().unwrap_or_else(|e| e.into_inner())
+        self.selector.lock().unwrap_or_else(|e| e.into_inner())
     }
 }
--- a/entry/src/ingress/zone_source.rs
+++ b/entry/src/ingress/zone_source.rs
@@ -1,5 +1,5 @@
 use {
-    super::store_relays::StoreRelays,
+    super::{relay_discovery::RelayDiscovery, store_relays::StoreRelays},
     async_trait::async_trait,
     chalkcart_coordination::{
         relay::{DirectCallPacing, RelayPacing},
@@ -11,7 +11,7 @@
     },
     chalkcart_state::published::Topic,
     chalkcart_transport::{
-        client::PeerClient,
+        client::{ClientStep, PeerClient, ResponseLimits},
         clock,
         metadata::{MetadataSource, SourceError, WatchOutcome, WatchUpdate},
     },
@@ -24,6 +24,7 @@
         },
         time::{Duration, Instant},
     },
+    tokio::time::sleep,
 };
 
 /// Maximum time that a relay may hold a watch call, which bounds the time to notice that the relay
@@ -31,6 +32,14 @@
 const MAX_RELAY_HOLD: Duration = Duration::from_millis(1_000);
 /// Time for the response of a relay in addition to the time that it holds the call.
 const RELAY_RESPONSE_TIMEOUT: Duration = Duration::from_millis(300);
+/// Maximum time for the whole response of a relay, whose size grows with the fleet.
+const MAX_RELAY_RESPONSE: Duration = Duration::from_millis(2_000);
+/// How long an entry without a list waits for relays that respond but have no list yet.
+const MAX_RELAY_START: Duration = Duration::from_secs(5);
+/// How long an entry without a list waits for relays while none of them is reading it.
+const MAX_RELAY_SEARCH: Duration = Duration::from_millis(600);
+/// Delay before the relays are called again.
+const RELAY_RETRY_DELAY: Duration = Duration::from_millis(30);
 
 /// Wire versions from which on a relay forwards all records of a topic that this build reads.
 const CONFIGURATION_MIN_VERSION: WireVersion = WireVersion(5);
@@ -39,16 +48,29 @@
 /// The outcome of a call to a relay.
 enum RelayResult {
     Received(WatchOutcome),
+    /// The relay is reading the topic from the store for the first time.
+    Starting,
     /// The relay has no recent state of the store, or is of an older build.
     Stale,
     NoResponse,
 }
 
+/// The outcome of calls to the relays that are available.
+enum RelaysResult {
+    Received(WatchOutcome),
+    /// No relay has the topic, but at least one is reading it.
+    Starting,
+    /// The store must be called directly.
+    Unavailable,
+}
+
 /// Reads the platform's store through a relay of the zone, or directly while no relay has a recent
 /// state of the store.
 pub struct ZoneSource {
     store: Arc<dyn MetadataSource>,
     relays: Arc<StoreRelays>,
+    discovery: RelayDiscovery,
+    pacing: RelayPacing,
     peers: PeerClient,
     /// Whether the last update came from a relay.
     is_relayed: AtomicBool,
@@ -60,14 +82,17 @@
     pub fn new(
         store: Arc<dyn MetadataSource>,
         relays: Arc<StoreRelays>,
-        relay_pacing: RelayPacing,
+        discovery: RelayDiscovery,
+        pacing: RelayPacing,
     ) -> Self {
-        let pacing = || Mutex::new(DirectCallPacing::new(relay_pacing.direct_call_pause()));
+        let calls = || Mutex::new(DirectCallPacing::new(pacing.direct_call_pause()));
         Self {
-            configuration_calls: pacing(),
-            backends_calls: pacing(),
+            configuration_calls: calls(),
+            backends_calls: calls(),
             store,
             relays,
+            discovery,
+            pacing,
             peers: PeerClient::new(),
             is_relayed: AtomicBool::new(false),
         }
@@ -104,25 +129,84 @@
         result
     }
 
-    /// Returns an update from a relay, trying the zone's store reader first, or `None` if the
-    /// store must be called directly.
+    /// Returns an update from a relay, trying the zone's store reader first.
     ///
-    /// A stale relay responds at once, so the next one is tried. A relay that does not respond
-    /// has used up the time of a watch, so the store is called: otherwise several failing relays
-    /// in a row would delay changes for too long.
-    async fn call_relays(
-        &self,
-        topic: Topic,
-        after: Option<u64>,
-        wait: Duration,
-    ) -> Option<WatchOutcome> {
-        for relay in self.relays.available(clock::now()) {
-            match self.call_relay(relay, topic, after, wait).await {
-                RelayResult::Received(update) => return Some(update),
-                RelayResult::Stale => {}
-                RelayResult::NoResponse => return None,
+    /// A relay that does not respond has used up the time of a watch. The next one is tried only
+    /// while the direct call that may follow still ends within the propagation limit.
+    async fn call_relays(&self, topic: Topic, after: Option<u64>, wait: Duration) -> RelaysResult {
+        let called_at = clock::now();
+        let mut is_starting = false;
+        for relay in self.relays.available(called_at) {
+            let Some(max_wait) = self.max_relay_wait(called_at) else {
+                break;
+            };
+            let call = self.call_relay(relay, topic, after, wait.min(max_wait));
+            let mut result = call.await;
+            if let (RelayResult::Starting, Some(max_wait)) =
+                (&result, self.max_relay_wait(called_at))
+            {
+                // The first call to a relay is not held, as its version is unknown.
+                result = self
+                    .call_relay(relay, topic, after, wait.min(max_wait))
+                    .await;
+            }
+            match result {
+                RelayResult::Received(update) => return RelaysResult::Received(update),
+                RelayResult::Starting => is_starting = true,
+                RelayResult::Stale | RelayResult::NoResponse => {}
             }
         }
+        match is_starting {
+            true => RelaysResult::Starting,
+            false => RelaysResult::Unavailable,
+        }
+    }
+
+    /// Returns how long the next relay may hold a call, or `None` if no further relay may be
+    /// called.
+    fn max_relay_wait(&self, called_at: Instant) -> Option<Duration> {
+        let remaining = self
+            .pacing
+            .stale_after()
+            .checked_sub(clock::elapsed(called_at))?;
+        remaining.checked_sub(RELAY_RESPONSE_TIMEOUT)
+    }
+
+    /// Reads the list through relays that are found on its first page. Reads it completely from
+    /// the store if the first page is all of it, or if no relay delivers it.
+    async fn discover_list(&self) -> Result<WatchUpdate, SourceError> {
+        let topic = Topic::Backends;
+        let page = self.call_store(topic, self.store.first_page(topic)).await?;
+        if page.is_complete {
+            return Ok(page.update);
+        }
+        if self.discovery.discover(&page.update.snapshot).await {
+            if let Some(update) = self.await_list().await {
+                return Ok(update);
+            }
+            log::warn!("store: no relay delivered the list, which is read from the store");
+        }
+        self.call_store(topic, self.store.snapshot(topic)).await
+    }
+
+    /// Calls relays until one delivers the list. Returns `None` if none of them is reading it, or
+    /// if that takes too long.
+    async fn await_list(&self) -> Option<WatchUpdate> {
+        let started_at = clock::now();
+        let mut last_progress = started_at;
+        while clock::elapsed(started_at) < MAX_RELAY_START
+            && clock::elapsed(last_progress) < MAX_RELAY_SEARCH
+        {
+            match self
+                .call_relays(Topic::Backends, None, MAX_RELAY_HOLD)
+                .await
+            {
+                RelaysResult::Received(WatchOutcome::Records(update)) => return Some(update),
+                RelaysResult::Starting => last_progress = clock::now(),
+                RelaysResult::Received(WatchOutcome::HistoryLost) | RelaysResult::Unavailable => {}
+            }
+            sleep(RELAY_RETRY_DELAY).await;
+        }
         None
     }
 
@@ -146,11 +230,15 @@
             after,
             wait_ms: wait.as_millis() as u64,
         };
-        let timeout = wait + RELAY_RESPONSE_TIMEOUT;
+        let limits = ResponseLimits {
+            head: wait + RELAY_RESPONSE_TIMEOUT,
+            pause: RELAY_RESPONSE_TIMEOUT,
+            total: wait + MAX_RELAY_RESPONSE,
+        };
         let sent_at = clock::now();
         let call = self
             .peers
-            .call(relay, path::RELAY_PUBLISHED, &request, timeout);
+            .call(relay, path::RELAY_PUBLISHED, &request, limits);
         let response = call.await;
         match self.peers.version(relay) {
             None if response.is_ok() => {
@@ -178,9 +266,15 @@
                 let lost = RelayResult::Received(WatchOutcome::HistoryLost);
                 ("history lost".to_string(), lost)
             }
+            Ok(PublishedResponse::Starting { .. }) => {
+                ("starting".to_string(), RelayResult::Starting)
+            }
             Ok(PublishedResponse::Stale) => ("stale".to_string(), RelayResult::Stale),
             Err(e) => {
-                self.relays.on_failure(relay, clock::now());
+                match e.step {
+                    ClientStep::Refused => self.relays.on_refusal(relay, clock::now()),
+                    _ => self.relays.on_failure(relay, clock::now()),
+                }
                 (e.to_string(), RelayResult::NoResponse)
             }
         };
@@ -214,11 +308,15 @@
     }
 
     async fn snapshot(&self, topic: Topic) -> Result<WatchUpdate, SourceError> {
-        match self.call_relays(topic, None, Duration::ZERO).await {
-            Some(WatchOutcome::Records(records)) => Ok(records),
-            Some(WatchOutcome::HistoryLost) | None => {
-                self.call_store(topic, self.store.snapshot(topic)).await
+        let relayed = self.call_relays(topic, None, Duration::ZERO).await;
+        if let RelaysResult::Received(WatchOutcome::Records(records)) = relayed {
+            return Ok(records);
+        }
+        match topic {
+            Topic::Backends if self.relays.is_empty() && self.discovery.is_enabled() => {
+                self.discover_list().await
             }
+            _ => self.call_store(topic, self.store.snapshot(topic)).await,
         }
     }
 
@@ -230,8 +328,8 @@
     ) -> Result<WatchOutcome, SourceError> {
         let relayed = times.with_max_hold(MAX_RELAY_HOLD);
         match self.call_relays(topic, Some(after), relayed.hold).await {
-            Some(update) => Ok(update),
-            None => {
+            RelaysResult::Received(update) => Ok(update),
+            RelaysResult::Starting | RelaysResult::Unavailable => {
                 // With relays, the direct call is kept short, since a relay is probably
                 // available again after it.
                 let times = match self.relays.is_empty() {
--- a/protocol/src/lib.rs
+++ b/protocol/src/lib.rs
@@ -15,4 +15,6 @@
     include!("gen/chalkcart.v1.rs");
 }
 
-pub use wire::{decode, encode, encode_frame, frame_codec, CodecError, MAX_MESSAGE_BYTES};
+pub use wire::{
+    decode, encode, encode_frame, encode_response, frame_codec, CodecError, MAX_MESSAGE_BYTES,
+};
--- a/protocol/src/peer/published.rs
+++ b/protocol/src/peer/published.rs
@@ -27,4 +27,10 @@
     HistoryLost,
     /// The relay's own copy is too old.
     Stale,
+    /// The relay has no copy yet and is reading the topic from the store. Since wire version 6;
+    /// callers of earlier versions receive `Stale`.
+    Starting {
+        /// Time since it began to read, in ms.
+        since_ms: u32,
+    },
 }
--- a/protocol/src/wire/codec.rs
+++ b/protocol/src/wire/codec.rs
@@ -46,12 +46,20 @@
     Ok(T::deserialize(&mut reader)?)
 }
 
+/// Encodes a response for a caller, whose wire version its request has told.
+pub fn encode_response<T: Serialize>(
+    message: &T,
+    encoding: WireEncoding,
+) -> Result<Bytes, CodecError> {
+    match encoding {
+        WireEncoding::Positional => Ok(Bytes::from(rmp_serde::to_vec(message)?)),
+        WireEncoding::Named | WireEncoding::NamedTextIds => encode_as(message, encoding),
+    }
+}
+
 /// Encodes a frame of a stream with a length prefix.
 pub fn encode_frame<T: Serialize>(frame: &T, encoding: WireEncoding) -> Result<Bytes, CodecError> {
-    let body = match encoding {
-        WireEncoding::Positional => Bytes::from(rmp_serde::to_vec(frame)?),
-        WireEncoding::Named | WireEncoding::NamedTextIds => encode_as(frame, encoding)?,
-    };
+    let body = encode_response(frame, encoding)?;
     let mut buf = BytesMut::with_capacity(body.len() + size_of::<u32>());
     buf.put_u32(body.len() as u32);
     buf.put_slice(&body);
--- a/protocol/src/wire/mod.rs
+++ b/protocol/src/wire/mod.rs
@@ -7,7 +7,10 @@
 mod version;
 
 pub use {
-    codec::{decode, encode, encode_as, encode_frame, frame_codec, CodecError, MAX_MESSAGE_BYTES},
+    codec::{
+        decode, encode, encode_as, encode_frame, encode_response, frame_codec, CodecError,
+        MAX_MESSAGE_BYTES,
+    },
     encoding::WireEncoding,
     text_ids::has_text_ids,
     version::{WireVersion, PEER_VERSION},
--- a/protocol/tests/recorded.rs
+++ b/protocol/tests/recorded.rs
@@ -24,6 +24,7 @@
 const THIRD: &str = include_str!("recorded/f7a7cb2.txt");
 const FOURTH: &str = include_str!("recorded/4.txt");
 const FIFTH: &str = include_str!("recorded/5.txt");
+const SIXTH: &str = include_str!("recorded/6.txt");
 
 /// Not requested from relays that send no version: entries read the store themselves then.
 const NOT_REQUESTED: &str = "published_records";
@@ -36,6 +37,9 @@
     "intake_answer",
 ];
 
+/// Messages added in wire version 6.
+const SINCE_6: [&str; 1] = ["published_starting"];
+
 /// Parses a record into bytes by message name.
 fn parse_record(recorded: &str) -> HashMap<&str, Vec<u8>> {
     let rows = recorded.lines().map(|line| {
@@ -53,7 +57,9 @@
     let samples = all(is_down);
     for sample in samples.iter().filter(|s| s.name != NOT_REQUESTED) {
         let Some(bytes) = bytes.get(sample.name) else {
-            let is_newer = sample.name.starts_with("crash_") || SINCE_5.contains(&sample.name);
+            let is_newer = sample.name.starts_with("crash_")
+                || SINCE_5.contains(&sample.name)
+                || SINCE_6.contains(&sample.name);
             assert!(is_newer, "{}", sample.name);
             continue;
         };
@@ -68,6 +74,7 @@
     assert_decodes_all(SECOND, None);
     assert_decodes_all(THIRD, Some(true));
     assert_decodes_all(FOURTH, Some(true));
+    assert_decodes_all(FIFTH, Some(true));
 }
 
 /// Messages whose format has not changed are encoded to the same bytes.
@@ -202,7 +209,7 @@
 /// and keep the previous record as one that must decode.
 #[test]
 fn message_formats_match_the_recorded_wire_version() {
-    let (now, then) = (record(), FIFTH);
+    let (now, then) = (record(), SIXTH);
     for (now, then) in now.lines().zip(then.lines()) {
         assert_eq!(now, then);
     }
--- a/protocol/tests/samples/mod.rs
+++ b/protocol/tests/samples/mod.rs
@@ -319,6 +319,11 @@
         sample(Message, "published_regions", published_regions()),
         sample(Message, "published_history_lost", history_lost),
         sample(Message, "published_stale", PublishedResponse::Stale),
+        sample(
+            Message,
+            "published_starting",
+            PublishedResponse::Starting { since_ms: 120 },
+        ),
     ]
 }
 
--- a/sidecar/src/relay/handlers.rs
+++ b/sidecar/src/relay/handlers.rs
@@ -1,14 +1,21 @@
 use {
     super::RelayHub,
-    chalkcart_protocol::peer::{PublishedRequest, PublishedResponse, RelayDemands, RelayRequest},
+    chalkcart_protocol::{
+        peer::{PublishedRequest, PublishedResponse, RelayDemands, RelayRequest},
+        wire::WireVersion,
+    },
     chalkcart_transport::clock,
     chalkcart_transport::server::{
-        caller_encoding, caller_version, encoded_frames_reply, message_reply, pages, read_message,
-        SharedData,
+        caller_encoding, caller_version, encoded_frames_reply, message_reply, message_reply_as,
+        pages, read_message, SharedData,
     },
     gotham::{handler::HandlerResult, state::State},
 };
 
+/// Wire version from which on a caller knows the response that the first read of the store is
+/// under way.
+const FIRST_READ_MIN_VERSION: WireVersion = WireVersion(6);
+
 /// Receives an entry's demands.
 pub async fn relay_demands(mut state: State) -> HandlerResult {
     let hub = SharedData::<RelayHub>::of(&state);
@@ -42,13 +49,15 @@
 /// stale response, so that it reads the store itself.
 pub async fn relay_published(mut state: State) -> HandlerResult {
     let hub = SharedData::<RelayHub>::of(&state);
-    let is_older = caller_version(&state).is_none();
+    let (version, encoding) = (caller_version(&state), caller_encoding(&state));
     let reply = match read_message::<PublishedRequest>(&mut state).await {
-        Ok(_) if is_older => message_reply(&PublishedResponse::Stale),
+        Ok(_) if version.is_none() => message_reply(&PublishedResponse::Stale),
         Ok(request) => {
             hub.store_cache.on_request(clock::now());
             hub.changed.notify_one();
-            message_reply(&hub.store_cache.response(&request).await)
+            let is_start_known = version >= Some(FIRST_READ_MIN_VERSION);
+            let response = hub.store_cache.response(&request, is_start_known).await;
+            message_reply_as(&response, encoding)
         }
         Err(e) => pages::bad_message(&e),
     };
--- a/sidecar/src/relay/store_cache.rs
+++ b/sidecar/src/relay/store_cache.rs
@@ -17,8 +17,13 @@
     },
 };
 
-/// How long a new relay's response waits for the first data from the store.
-const FIRST_READ_TIMEOUT: Duration = Duration::from_millis(300);
+/// How long a response to a caller that can't be told that the first read is under way waits for
+/// it; such callers wait 300 ms for a response.
+const FIRST_READ_WAIT: Duration = Duration::from_millis(200);
+/// Time from which on a first read counts as failed.
+const MAX_FIRST_READ: Duration = Duration::from_secs(5);
+/// Number of failed calls from which on a first read counts as failed.
+const MAX_FIRST_READ_FAILURES: u32 = 3;
 /// The store is watched for this long after the last request; entries send one each second.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(3);
 /// Interval at which a held request is checked again, since the cache may become stale.
@@ -40,6 +45,14 @@
     cache: Mutex<PublishedCache>,
     /// Number of updates from the store.
     changed: watch::Sender<u64>,
+    /// The read of all records that starts a watch, until it is complete.
+    first_read: Mutex<Option<FirstRead>>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct FirstRead {
+    started_at: Instant,
+    failures: u32,
 }
 
 impl PublishedTopic {
@@ -47,12 +60,52 @@
         Self {
             cache: Mutex::new(PublishedCache::new(stale_after)),
             changed: watch::Sender::new(0),
+            first_read: Mutex::default(),
         }
     }
+
     fn cache(&self) -> MutexGuard<'_, PublishedCache> {
         // No holder panics in the middle of an update.
         self.cache.lock().unwrap_or_else(|e| e.into_inner())
     }
+
+    fn first_read(&self) -> MutexGuard<'_, Option<FirstRead>> {
+        // No holder panics in the middle of an update.
+        self.first_read.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    fn start_first_read(&self, now: Instant) {
+        *self.first_read() = Some(FirstRead {
+            started_at: now,
+            failures: 0,
+        });
+    }
+
+    /// Returns the duration of the first read, or `None` if it is complete or has failed.
+    fn first_read_duration(&self, now: Instant) -> Option<Duration> {
+        let read = (*self.first_read())?;
+        let duration = now.saturating_duration_since(read.started_at);
+        let has_failed = duration >= MAX_FIRST_READ || read.failures >= MAX_FIRST_READ_FAILURES;
+        (!has_failed).then_some(duration)
+    }
+
+    /// Waits until the first read is complete or has failed, at most until `until`. Returns its
+    /// duration if it is still under way.
+    async fn wait_for_first_read(
+        &self,
+        changes: &mut watch::Receiver<u64>,
+        until: Deadline,
+    ) -> Option<Duration> {
+        loop {
+            let duration = self.first_read_duration(clock::now())?;
+            let remaining = until.saturating_duration_since(Deadline::now());
+            if remaining.is_zero() {
+                return Some(duration);
+            }
+            // After a timeout the read is checked again.
+            let _ = timeout(remaining.min(CHECK_INTERVAL), changes.changed()).await;
+        }
+    }
 }
 
 impl StoreCache {
@@ -75,6 +128,8 @@
         let Some(store) = self.store.as_ref().filter(|_| watchers.is_empty()) else {
             return;
         };
+        self.configuration.start_first_read(now);
+        self.backends.start_first_read(now);
         watchers.extend([Topic::Configuration, Topic::Backends].map(|topic| {
             let pacing = self.pacing.watch_pacing();
             let watcher = StoreWatcher::new(store.clone(), self.clone(), topic, pacing);
@@ -97,15 +152,31 @@
 
     /// Returns a response as soon as there is a newer revision than the entry has, or when
     /// the request's wait time is over.
-    pub async fn response(&self, request: &PublishedRequest) -> PublishedResponse {
+    ///
+    /// `is_start_known` tells whether the caller knows the response that the first read is still
+    /// under way.
+    pub async fn response(
+        &self,
+        request: &PublishedRequest,
+        is_start_known: bool,
+    ) -> PublishedResponse {
         let requested_at = clock::now();
         let topic = self.topic(request.topic);
         let mut changes = topic.changed.subscribe();
-        if !topic.cache().has_received() {
-            // The watch has just started; without data the response is stale.
-            let _ = timeout(FIRST_READ_TIMEOUT, changes.changed()).await;
-        }
         let until = Deadline::now() + Duration::from_millis(request.wait_ms);
+        let first_read_until = match is_start_known {
+            true => until,
+            false => until.max(Deadline::now() + FIRST_READ_WAIT),
+        };
+        let first_read = topic.wait_for_first_read(&mut changes, first_read_until);
+        if let Some(duration) = first_read.await {
+            return match is_start_known {
+                true => PublishedResponse::Starting {
+                    since_ms: duration.as_millis() as u32,
+                },
+                false => PublishedResponse::Stale,
+            };
+        }
         loop {
             changes.mark_unchanged();
             let response = topic
@@ -142,10 +213,17 @@
         topic
             .cache()
             .apply(snapshot, is_full, current_at, clock::now());
+        *topic.first_read() = None;
         if has_changes {
             topic.changed.send_modify(|count| *count += 1);
         }
     }
+    fn on_read_failed(&self, topic: Topic) {
+        if let Some(read) = self.topic(topic).first_read().as_mut() {
+            read.failures += 1;
+        }
+    }
+
     fn pause_after_change(&self, topic: Topic) -> Duration {
         match topic {
             Topic::Configuration => Duration::ZERO,
--- a/testkit/src/users_platform/store_stand_in.rs
+++ b/testkit/src/users_platform/store_stand_in.rs
@@ -9,17 +9,19 @@
         collections::BTreeMap,
         net::SocketAddr,
         sync::{Arc, Mutex},
-        time::Duration,
+        time::{Duration, Instant},
     },
     tokio::{
         net::{TcpListener, TcpStream},
         sync::watch,
         task::JoinHandle,
-        time::{sleep, timeout},
+        time::{sleep, sleep_until, timeout},
     },
 };
 
 const ITEMS_PER_PAGE: usize = 3;
+/// Largest part of a response that is sent at once over a link of limited rate, in bytes.
+const LINK_PART: usize = 4 * 1024;
 /// Path for reading one item; the processes under test read ranges only.
 const KEY_PATH: &str = "/chalkcart/kv-key";
 
@@ -39,8 +41,26 @@
 /// Values by key, as they were written, with the revision of their last change.
 type Items = BTreeMap<String, (String, u64)>;
 
+/// Limits of the store.
+#[derive(Debug, Clone, Copy)]
+pub struct StoreLimits {
+    pub items_per_page: usize,
+    /// Rate of the link that all responses share, in bytes per second; `None` without a limit.
+    pub link_rate: Option<u64>,
+}
+
+impl Default for StoreLimits {
+    fn default() -> Self {
+        Self {
+            items_per_page: ITEMS_PER_PAGE,
+            link_rate: None,
+        }
+    }
+}
+
 #[derive(Debug, Default)]
 struct State {
+    limits: StoreLimits,
     items: Items,
     /// Changes: revision, key and value, or `None` for a deletion.
     history: Vec<(u64, String, Option<String>)>,
@@ -50,6 +70,10 @@
     fault: StoreFault,
     /// Target of each call.
     calls: Vec<String>,
+    /// Bytes of all response bodies.
+    bytes_sent: u64,
+    /// The time until which the link is in use.
+    link_busy_until: Option<Instant>,
     /// Connections accepted so far; those up to `silent_connections` get no more responses.
     connections: u64,
     silent_connections: u64,
@@ -124,6 +148,24 @@
         let mut state = lock(&self.state);
         state.silent_connections = state.connections;
     }
+    pub fn set_limits(&self, limits: StoreLimits) {
+        lock(&self.state).limits = limits;
+    }
+    /// Returns the bytes of all response bodies.
+    pub fn bytes_sent(&self) -> u64 {
+        lock(&self.state).bytes_sent
+    }
+    /// Returns the bytes of the keys and values with a prefix.
+    pub fn list_bytes(&self, prefix: &str) -> u64 {
+        let state = lock(&self.state);
+        let items = state
+            .items
+            .iter()
+            .filter(|(key, _)| key.starts_with(prefix));
+        items
+            .map(|(key, (value, _))| (key.len() + value.len()) as u64)
+            .sum()
+    }
     /// Returns the targets of all calls in order.
     pub fn calls(&self) -> Vec<String> {
         lock(&self.state).calls.clone()
@@ -169,6 +211,7 @@
             StoreFault::None => respond(&head, &state, &changed).await,
         };
         let body = body.to_string();
+        wait_for_link(&state, body.len()).await;
         if write_response(&mut socket, status, &[], body.as_bytes())
             .await
             .is_err()
@@ -178,6 +221,27 @@
     }
 }
 
+/// Waits until a response has passed the link, in parts that alternate with those of other
+/// responses.
+async fn wait_for_link(state: &Mutex<State>, bytes: usize) {
+    lock(state).bytes_sent += bytes as u64;
+    let Some(rate) = lock(state).limits.link_rate else {
+        return;
+    };
+    for part in (0..bytes).step_by(LINK_PART) {
+        let part = LINK_PART.min(bytes - part);
+        let until = {
+            let mut state = lock(state);
+            let from = state.link_busy_until.unwrap_or_else(Instant::now);
+            let until =
+                from.max(Instant::now()) + Duration::from_secs_f64(part as f64 / rate as f64);
+            state.link_busy_until = Some(until);
+            until
+        };
+        sleep_until(until.into()).await;
+    }
+}
+
 async fn respond(head: &Head, state: &Mutex<State>, changed: &watch::Sender<u64>) -> (u16, Value) {
     let target = head.target();
     let (path, query) = target.split_once('?').unwrap_or((&target, ""));
@@ -196,7 +260,13 @@
                 Some((items, revision)) if value("stale").is_some() => (items, *revision),
                 _ => present,
             };
-            read_range(items, revision, &prefix, &after)
+            read_range(
+                items,
+                revision,
+                &prefix,
+                &after,
+                state.limits.items_per_page,
+            )
         }
         KEY_PATH => read_key(&lock(state), &value("Key").unwrap_or_default()),
         names::WATCH_PATH => {
@@ -208,12 +278,18 @@
     }
 }
 
-fn read_range(items: &Items, revision: u64, prefix: &str, after: &str) -> (u16, Value) {
+fn read_range(
+    items: &Items,
+    revision: u64,
+    prefix: &str,
+    after: &str,
+    items_per_page: usize,
+) -> (u16, Value) {
     let matching = items.iter().filter(|(key, _)| key.starts_with(prefix));
     let mut remaining = matching.filter(|(key, _)| key.as_str() > after);
     let page: Vec<Value> = remaining
         .by_ref()
-        .take(ITEMS_PER_PAGE)
+        .take(items_per_page)
         .map(|(key, (value, revision))| item(key, Some(value), *revision))
         .collect();
     let more = remaining.next().is_some();
--- /dev/null
+++ b/testkit/tests/fleet_start.rs
@@ -0,0 +1,156 @@
+//! Many entries that start at the same time, over real processes.
+//!
+//! Guards against a start for which the store sends each entry the whole list: its calls and bytes
+//! would grow with entries x engines.
+
+use {
+    anyhow::Result,
+    chalkcart_testkit::users_platform::{
+        serve_prompt, Fleet, FleetSettings, OtherIngress, StoreFault, StoreLimits,
+    },
+    futures::future::try_join_all,
+    serde_json::json,
+    std::time::Duration,
+    tokio::time::sleep,
+};
+
+const ENGINES: u8 = 6;
+/// The first page contains the engines and nothing else.
+const ITEMS_PER_PAGE: usize = ENGINES as usize;
+/// Sidecars that read the list: the zone's reader of the store, and one that is used while the
+/// list is not known.
+const READERS: usize = 2;
+
+/// Starts a fleet whose list has this many records beside those of the engines.
+async fn start(records: usize) -> Result<Fleet> {
+    let fleet = Fleet::start(FleetSettings {
+        engines: ENGINES,
+        relays_from_engines: 1,
+        ..FleetSettings::default()
+    })
+    .await?;
+    fleet.store.set_limits(StoreLimits {
+        items_per_page: ITEMS_PER_PAGE,
+        ..StoreLimits::default()
+    });
+    for number in 0..records {
+        let record = json!({
+            "Service": "plain", "Address": fleet.plain[0].addr, "Zone": "z", "Version": "v1",
+            "Slots": 8, "State": "draining", "ColdLeftMs": 0, "Seq": 1, "born": number,
+        });
+        fleet.store.put(&format!("servers/x-{number:04}"), record);
+    }
+    // the first entry and its relay
+    serve_prompt(&fleet, "a", "first").await?;
+    Ok(fleet)
+}
+
+async fn start_entries(fleet: &Fleet, entries: usize) -> Result<Vec<OtherIngress>> {
+    let names: Vec<String> = (0..entries).map(|n| format!("front-1{n:02}")).collect();
+    try_join_all(names.iter().map(|name| fleet.start_other_ingress(name))).await
+}
+
+/// Returns the calls that read a page of the list, from the `first` call on.
+fn list_reads(fleet: &Fleet, first: usize) -> usize {
+    let calls = fleet.store.calls();
+    let pages = calls[first..]
+        .iter()
+        .filter(|target| target.contains("kv-range") && target.contains("PathPrefix=servers"));
+    pages.count()
+}
+
+fn pages(records: usize) -> usize {
+    (records + usize::from(ENGINES) + 1).div_ceil(ITEMS_PER_PAGE)
+}
+
+#[tokio::test]
+async fn the_reads_of_a_start_grow_with_entries_and_not_with_entries_times_records() -> Result<()> {
+    for (entries, records) in [(10, 60), (20, 120)] {
+        let fleet = start(records).await?;
+        let (calls, bytes) = (fleet.store.calls().len(), fleet.store.bytes_sent());
+        let others = start_entries(&fleet, entries).await?;
+        let reads = list_reads(&fleet, calls);
+        let allowed = entries + READERS * pages(records);
+        assert!(
+            reads <= allowed,
+            "{entries} entries: {reads} reads, {allowed} allowed"
+        );
+        let bytes = fleet.store.bytes_sent() - bytes;
+        let list = fleet.store.list_bytes("servers/");
+        let page = list * ITEMS_PER_PAGE as u64 / (records as u64 + u64::from(ENGINES));
+        let configuration = fleet.store.list_bytes("op/");
+        // the first page and the configuration for each entry, with the frame of the responses
+        let allowed = 2 * entries as u64 * (page + configuration) + READERS as u64 * 2 * list;
+        assert!(
+            bytes <= allowed,
+            "{entries} entries: {bytes} B, {allowed} allowed"
+        );
+        drop(others);
+    }
+    Ok(())
+}
+
+#[tokio::test]
+async fn entries_have_their_list_if_all_sidecars_of_the_first_page_are_dead() -> Result<()> {
+    let mut fleet = start(20).await?;
+    for sidecar in &mut fleet.sidecars {
+        sidecar.kill()?;
+    }
+    start_entries(&fleet, 3).await?;
+    Ok(())
+}
+
+#[tokio::test]
+async fn entries_have_their_list_if_all_sidecars_of_the_first_page_are_silent() -> Result<()> {
+    let fleet = start(20).await?;
+    for sidecar in &fleet.sidecars {
+        sidecar.pause()?;
+    }
+    start_entries(&fleet, 3).await?;
+    for sidecar in &fleet.sidecars {
+        sidecar.resume()?;
+    }
+    Ok(())
+}
+
+#[tokio::test]
+async fn entries_have_their_list_after_an_outage_of_the_store() -> Result<()> {
+    let fleet = start(20).await?;
+    fleet.store.set_fault(StoreFault::Status(503));
+    let end_outage = async {
+        sleep(Duration::from_millis(700)).await;
+        fleet.store.set_fault(StoreFault::None);
+        Ok(())
+    };
+    tokio::try_join!(start_entries(&fleet, 3), end_outage)?;
+    Ok(())
+}
+
+/// The relays are as new as the entries, and the store's link is slow enough for all to wait.
+#[tokio::test]
+async fn the_reads_stay_few_when_all_processes_restart_at_once() -> Result<()> {
+    let (entries, records) = (10, 60);
+    let mut fleet = start(records).await?;
+    let others = start_entries(&fleet, entries).await?;
+    drop(others);
+    fleet.ingress.kill()?;
+    for sidecar in &mut fleet.sidecars {
+        sidecar.kill()?;
+    }
+    let calls = fleet.store.calls().len();
+    fleet.store.set_limits(StoreLimits {
+        items_per_page: ITEMS_PER_PAGE,
+        link_rate: Some(400_000),
+    });
+    for number in 0..ENGINES {
+        fleet.sidecars[usize::from(number)] = fleet.start_sidecar(number)?;
+    }
+    fleet.restart_ingress()?;
+    let others = start_entries(&fleet, entries).await?;
+    fleet.wait_ready().await;
+    let reads = list_reads(&fleet, calls);
+    let allowed = entries + 1 + READERS * pages(records);
+    assert!(reads <= allowed, "{reads} reads, {allowed} allowed");
+    drop(others);
+    Ok(())
+}
--- a/transport/src/metadata/store_watcher.rs
+++ b/transport/src/metadata/store_watcher.rs
@@ -14,6 +14,8 @@
 pub trait RecordSink: Send + Sync {
     /// Applies all records of a topic if `is_full`, else the changed ones, if any.
     fn apply(&self, topic: Topic, update: WatchUpdate, is_full: bool);
+    /// Called after each call that failed.
+    fn on_read_failed(&self, _topic: Topic) {}
     /// Returns the pause between a change and the next call.
     fn pause_after_change(&self, topic: Topic) -> Duration;
 }
@@ -63,6 +65,7 @@
                 }
                 Err(e) => {
                     self.on_failure(&e, called_at);
+                    self.sink.on_read_failed(self.topic);
                     let pause = self.pacing.pause(self.failures, rand::random());
                     sleep(pause).await;
                 }
--- a/transport/src/server/replies.rs
+++ b/transport/src/server/replies.rs
@@ -1,8 +1,9 @@
 use {
     bytes::Bytes,
     chalkcart_protocol::{
-        encode, encode_frame,
+        encode, encode_frame, encode_response,
         wire::{WireEncoding, WireVersion, PEER_VERSION},
+        CodecError,
     },
     futures::{Stream, StreamExt},
     gotham::helpers::http::Body,
@@ -39,9 +40,19 @@
     }
 }
 
-/// Returns a response with one message between chalkcart's processes.
+/// Returns a response with one message between chalkcart's processes, with field names.
 pub fn message_reply<T: Serialize>(message: &T) -> Reply {
-    match encode(message) {
+    encoded_message_reply(encode(message))
+}
+
+/// Returns a response with one message in the encoding that the caller reads; for large messages,
+/// which field names would make several times as large.
+pub fn message_reply_as<T: Serialize>(message: &T, encoding: WireEncoding) -> Reply {
+    encoded_message_reply(encode_response(message, encoding))
+}
+
+fn encoded_message_reply(encoded: Result<Bytes, CodecError>) -> Reply {
+    match encoded {
         Ok(body) => with_version(bytes_reply(StatusCode::OK, "application/msgpack", body)),
         Err(e) => text_reply(StatusCode::INTERNAL_SERVER_ERROR, e.to_string()),
     }
