entry: find relays in the latest changes of the list

Cause: the first page of the list was 486 of 600 engines, so that the pages of 385 entries were 150 MB, and arrived 0.55 to 1.0 s after the start of their entries. The relays then built the same full response for each caller: one had 95 MB at its peak.

Change: an entry reads the last 128 changes of the list, whose size does not depend on the fleet, and the first page only if they are lost or name too few engines. A relay encodes the full response once for the callers of 100 ms; its age is stated as for the last of them.

--- a/entry/src/ingress/records.rs
+++ b/entry/src/ingress/records.rs
@@ -224,6 +224,7 @@
         match topic {
             Topic::Backends => self.apply_backends(update.snapshot, is_full),
             Topic::Configuration => {
+                self.shared.set_configuration_revision(update.snapshot.at);
                 self.apply_zones(&update.snapshot.records, is_full);
                 let records = update.snapshot.records.into_iter();
                 records.for_each(|record| self.apply_configuration(record));
--- a/entry/src/ingress/relay_discovery.rs
+++ b/entry/src/ingress/relay_discovery.rs
@@ -10,14 +10,14 @@
     tokio::time::timeout,
 };
 
-/// How long the first page waits for the configuration, which tells the services of engines.
+/// How long the list waits for the configuration, which tells the services of engines.
 const CONFIGURATION_WAIT: Duration = Duration::from_millis(500);
 
 /// Finds relays for an entry that knows none.
 ///
 /// If each entry of a starting fleet read the whole list from the store, the store would send
-/// entries x engines records at once. The first page names enough sidecars to reach one that
-/// reads the list for the zone.
+/// entries x engines records at once. A part of the list names enough sidecars to reach one that
+/// reads it for the zone.
 pub struct RelayDiscovery {
     shared: Arc<Shared>,
     relays: Arc<StoreRelays>,
@@ -34,8 +34,14 @@
         mechanisms.relays && mechanisms.store_by_relay
     }
 
+    /// Returns the revision of the store at which the configuration was read.
+    pub async fn configuration_revision(&self) -> Option<u64> {
+        self.configuration().await?;
+        Some(self.shared.configuration_revision())
+    }
+
     /// Makes the sidecars of the engines on an incomplete list candidates for relays. Returns
-    /// whether there are any.
+    /// whether there are enough.
     pub async fn discover(&self, page: &Snapshot) -> bool {
         let Some(table) = self.configuration().await else {
             return false;
@@ -51,7 +57,7 @@
                 zone: backend.zone.clone(),
             })
             .collect();
-        log::info!(engines = candidates.len(); "store: engines on the first page");
+        log::info!(engines = candidates.len(); "store: engines found in a part of the list");
         if candidates.len() < self.shared.settings.relays_from_engines {
             return false;
         }
--- a/entry/src/ingress/shared.rs
+++ b/entry/src/ingress/shared.rs
@@ -47,6 +47,8 @@
     pub dialect: Arc<dyn Dialect>,
     /// The active configuration; `None` until the first one has been read.
     pub table: ArcSwapOption<RouteTable>,
+    /// The store's revision at which the configuration was read last.
+    configuration_revision: AtomicU64,
     /// Notified when the first configuration is active.
     configured: Notify,
     pub admission: Arc<Admission>,
@@ -74,6 +76,7 @@
             control,
             dialect,
             table: ArcSwapOption::empty(),
+            configuration_revision: AtomicU64::new(0),
             configured: Notify::new(),
             metrics: IngressMetrics::new(&crashes.metrics),
             unknown_headers: UnknownHeaders::default(),
@@ -92,6 +95,15 @@
         self.configured.notify_waiters();
     }
 
+    pub fn set_configuration_revision(&self, revision: u64) {
+        self.configuration_revision
+            .store(revision, Ordering::Relaxed);
+    }
+
+    pub fn configuration_revision(&self) -> u64 {
+        self.configuration_revision.load(Ordering::Relaxed)
+    }
+
     /// Waits until there is an active configuration and returns it.
     pub async fn configuration(&self) -> Arc<RouteTable> {
         loop {
--- a/entry/src/ingress/zone_source.rs
+++ b/entry/src/ingress/zone_source.rs
@@ -40,6 +40,13 @@
 const MAX_RELAY_SEARCH: Duration = Duration::from_millis(600);
 /// Delay before the relays are called again.
 const RELAY_RETRY_DELAY: Duration = Duration::from_millis(30);
+/// Number of the store's latest changes in which an entry without a list looks for engines.
+const RECENT_CHANGES: u64 = 128;
+/// Times of a read of changes that is not held.
+const RECENT_CHANGES_TIMES: WatchTimes = WatchTimes {
+    hold: Duration::ZERO,
+    response: Duration::from_millis(700),
+};
 
 /// Wire versions from which on a relay forwards all records of a topic that this build reads.
 const CONFIGURATION_MIN_VERSION: WireVersion = WireVersion(5);
@@ -172,15 +179,20 @@
         remaining.checked_sub(RELAY_RESPONSE_TIMEOUT)
     }
 
-    /// Reads the list through relays that are found on its first page. Reads it completely from
-    /// the store if the first page is all of it, or if no relay delivers it.
+    /// Reads the list through relays, which are found in the latest changes of the list or on its
+    /// first page. Reads it completely from the store if the first page is all of it, or if no
+    /// relay delivers it.
     async fn discover_list(&self) -> Result<WatchUpdate, SourceError> {
         let topic = Topic::Backends;
-        let page = self.call_store(topic, self.store.first_page(topic)).await?;
-        if page.is_complete {
-            return Ok(page.update);
+        let mut is_found = self.discover_in_recent_changes().await;
+        if !is_found {
+            let page = self.call_store(topic, self.store.first_page(topic)).await?;
+            if page.is_complete {
+                return Ok(page.update);
+            }
+            is_found = self.discovery.discover(&page.update.snapshot).await;
         }
-        if self.discovery.discover(&page.update.snapshot).await {
+        if is_found {
             if let Some(update) = self.await_list().await {
                 return Ok(update);
             }
@@ -189,6 +201,25 @@
         self.call_store(topic, self.store.snapshot(topic)).await
     }
 
+    /// Returns whether the latest changes of the list name enough engines. They are few records
+    /// however large the fleet is; a page may be most of the list.
+    async fn discover_in_recent_changes(&self) -> bool {
+        let Some(revision) = self.discovery.configuration_revision().await else {
+            return false;
+        };
+        let after = revision.saturating_sub(RECENT_CHANGES);
+        let topic = Topic::Backends;
+        let call = self.store.watch(topic, after, RECENT_CHANGES_TIMES);
+        match self.call_store(topic, call).await {
+            Ok(WatchOutcome::Records(changes)) => self.discovery.discover(&changes.snapshot).await,
+            Ok(WatchOutcome::HistoryLost) => false,
+            Err(e) => {
+                log::warn!(cause = e.to_string().as_str(); "store: latest changes not read");
+                false
+            }
+        }
+    }
+
     /// Calls relays until one delivers the list. Returns `None` if none of them is reading it, or
     /// if that takes too long.
     async fn await_list(&self) -> Option<WatchUpdate> {
--- a/sidecar/src/relay/handlers.rs
+++ b/sidecar/src/relay/handlers.rs
@@ -6,8 +6,8 @@
     },
     chalkcart_transport::clock,
     chalkcart_transport::server::{
-        caller_encoding, caller_version, encoded_frames_reply, message_reply, message_reply_as,
-        pages, read_message, SharedData,
+        caller_encoding, caller_version, encoded_frames_reply, encoded_message_reply,
+        message_reply, pages, read_message, SharedData,
     },
     gotham::{handler::HandlerResult, state::State},
 };
@@ -56,8 +56,8 @@
             hub.store_cache.on_request(clock::now());
             hub.changed.notify_one();
             let is_start_known = version >= Some(FIRST_READ_MIN_VERSION);
-            let response = hub.store_cache.response(&request, is_start_known).await;
-            message_reply_as(&response, encoding)
+            let response = hub.store_cache.response(&request, is_start_known, encoding);
+            encoded_message_reply(response.await)
         }
         Err(e) => pages::bad_message(&e),
     };
--- a/sidecar/src/relay/store_cache.rs
+++ b/sidecar/src/relay/store_cache.rs
@@ -1,6 +1,12 @@
 use {
+    bytes::Bytes,
     chalkcart_coordination::relay::{PublishedCache, RelayPacing},
-    chalkcart_protocol::peer::{PublishedRequest, PublishedResponse},
+    chalkcart_protocol::{
+        encode_response,
+        peer::{PublishedRequest, PublishedResponse},
+        wire::WireEncoding,
+        CodecError,
+    },
     chalkcart_state::published::Topic,
     chalkcart_transport::{
         clock,
@@ -29,6 +35,17 @@
 /// Interval at which a held request is checked again, since the cache may become stale.
 const CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
+/// How long an encoded response with all records is used again. Entries that start together
+/// request the same records, which are the largest message of a relay.
+const FULL_RESPONSE_LIFETIME: Duration = Duration::from_millis(100);
+
+/// A response with all records of a topic, as it is sent to several callers.
+struct FullResponse {
+    encoding: WireEncoding,
+    valid_until: Instant,
+    bytes: Bytes,
+}
+
 /// Cache of the platform's store for the entries that use this relay.
 pub struct StoreCache {
     store: Option<Arc<dyn MetadataSource>>,
@@ -47,6 +64,8 @@
     changed: watch::Sender<u64>,
     /// The read of all records that starts a watch, until it is complete.
     first_read: Mutex<Option<FirstRead>>,
+    /// The last encoded response with all records, until the topic changes.
+    full_response: Mutex<Option<FullResponse>>,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -61,6 +80,7 @@
             cache: Mutex::new(PublishedCache::new(stale_after)),
             changed: watch::Sender::new(0),
             first_read: Mutex::default(),
+            full_response: Mutex::default(),
         }
     }
 
@@ -74,6 +94,40 @@
         self.first_read.lock().unwrap_or_else(|e| e.into_inner())
     }
 
+    fn full_response(&self) -> MutexGuard<'_, Option<FullResponse>> {
+        // No holder panics in the middle of an update.
+        self.full_response.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    /// Returns the response with all records, encoded once for the callers of a short time.
+    fn encoded_full_response(
+        &self,
+        encoding: WireEncoding,
+        now: Instant,
+    ) -> Result<Bytes, CodecError> {
+        let mut known = self.full_response();
+        let usable = known
+            .as_ref()
+            .filter(|known| known.encoding == encoding && now < known.valid_until);
+        if let Some(known) = usable {
+            return Ok(known.bytes.clone());
+        }
+        // The response states its age as for the last caller that may receive it, which is never
+        // less than for an earlier one.
+        let valid_until = now + FULL_RESPONSE_LIFETIME;
+        let response = self.cache().response(None, valid_until, now);
+        let response = response.unwrap_or(PublishedResponse::Stale);
+        let bytes = encode_response(&response, encoding)?;
+        if matches!(response, PublishedResponse::Records { .. }) {
+            *known = Some(FullResponse {
+                encoding,
+                valid_until,
+                bytes: bytes.clone(),
+            });
+        }
+        Ok(bytes)
+    }
+
     fn start_first_read(&self, now: Instant) {
         *self.first_read() = Some(FirstRead {
             started_at: now,
@@ -89,6 +143,29 @@
         (!has_failed).then_some(duration)
     }
 
+    /// Returns the records that changed after a revision, as soon as there are any.
+    async fn changes(
+        &self,
+        after: Option<u64>,
+        requested_at: Instant,
+        until: Deadline,
+        changes: &mut watch::Receiver<u64>,
+    ) -> PublishedResponse {
+        loop {
+            changes.mark_unchanged();
+            let response = self.cache().response(after, requested_at, clock::now());
+            if let Some(response) = response {
+                return response;
+            }
+            let remaining = until.saturating_duration_since(Deadline::now());
+            if remaining.is_zero() {
+                return self.cache().empty_response(after, requested_at);
+            }
+            // After a timeout the cache is checked again.
+            let _ = timeout(remaining.min(CHECK_INTERVAL), changes.changed()).await;
+        }
+    }
+
     /// Waits until the first read is complete or has failed, at most until `until`. Returns its
     /// duration if it is still under way.
     async fn wait_for_first_read(
@@ -159,7 +236,8 @@
         &self,
         request: &PublishedRequest,
         is_start_known: bool,
-    ) -> PublishedResponse {
+        encoding: WireEncoding,
+    ) -> Result<Bytes, CodecError> {
         let requested_at = clock::now();
         let topic = self.topic(request.topic);
         let mut changes = topic.changed.subscribe();
@@ -170,28 +248,19 @@
         };
         let first_read = topic.wait_for_first_read(&mut changes, first_read_until);
         if let Some(duration) = first_read.await {
-            return match is_start_known {
+            let response = match is_start_known {
                 true => PublishedResponse::Starting {
                     since_ms: duration.as_millis() as u32,
                 },
                 false => PublishedResponse::Stale,
             };
+            return encode_response(&response, encoding);
         }
-        loop {
-            changes.mark_unchanged();
-            let response = topic
-                .cache()
-                .response(request.after, requested_at, clock::now());
-            if let Some(response) = response {
-                return response;
-            }
-            let remaining = until.saturating_duration_since(Deadline::now());
-            if remaining.is_zero() {
-                return topic.cache().empty_response(request.after, requested_at);
-            }
-            // After a timeout the cache is checked again.
-            let _ = timeout(remaining.min(CHECK_INTERVAL), changes.changed()).await;
+        if request.after.is_none() {
+            return topic.encoded_full_response(encoding, clock::now());
         }
+        let response = topic.changes(request.after, requested_at, until, &mut changes);
+        encode_response(&response.await, encoding)
     }
 
     fn topic(&self, topic: Topic) -> &PublishedTopic {
@@ -215,6 +284,7 @@
             .apply(snapshot, is_full, current_at, clock::now());
         *topic.first_read() = None;
         if has_changes {
+            *topic.full_response() = None;
             topic.changed.send_modify(|count| *count += 1);
         }
     }
--- a/testkit/tests/fleet_start.rs
+++ b/testkit/tests/fleet_start.rs
@@ -5,8 +5,10 @@
 
 use {
     anyhow::Result,
-    chalkcart_testkit::users_platform::{
-        serve_prompt, Fleet, FleetSettings, OtherIngress, StoreFault, StoreLimits,
+    chalkcart_testkit::{
+        users_platform::{
+            serve_prompt, Fleet, FleetSettings, OtherIngress, StoreFault, StoreLimits,
+        },
     },
     futures::future::try_join_all,
     serde_json::json,
@@ -17,6 +19,8 @@
 const ENGINES: u8 = 6;
 /// The first page contains the engines and nothing else.
 const ITEMS_PER_PAGE: usize = ENGINES as usize;
+/// Number of changes in which an entry looks for engines.
+const RECENT_CHANGES: u64 = 128;
 /// Sidecars that read the list: the zone's reader of the store, and one that is used while the
 /// list is not known.
 const READERS: usize = 2;
@@ -40,6 +44,10 @@
         });
         fleet.store.put(&format!("servers/x-{number:04}"), record);
     }
+    // the latest changes name the engines
+    for number in 0..fleet.engines.len() {
+        fleet.publish_engine(number, "ready");
+    }
     // the first entry and its relay
     serve_prompt(&fleet, "a", "first").await?;
     Ok(fleet)
@@ -65,22 +73,23 @@
 
 #[tokio::test]
 async fn the_reads_of_a_start_grow_with_entries_and_not_with_entries_times_records() -> Result<()> {
-    for (entries, records) in [(10, 60), (20, 120)] {
+    for (entries, records) in [(10, 200), (20, 400)] {
         let fleet = start(records).await?;
         let (calls, bytes) = (fleet.store.calls().len(), fleet.store.bytes_sent());
         let others = start_entries(&fleet, entries).await?;
         let reads = list_reads(&fleet, calls);
-        let allowed = entries + READERS * pages(records);
+        let allowed = READERS * pages(records);
         assert!(
             reads <= allowed,
             "{entries} entries: {reads} reads, {allowed} allowed"
         );
         let bytes = fleet.store.bytes_sent() - bytes;
         let list = fleet.store.list_bytes("servers/");
-        let page = list * ITEMS_PER_PAGE as u64 / (records as u64 + u64::from(ENGINES));
+        let record = list / (records as u64 + u64::from(ENGINES));
         let configuration = fleet.store.list_bytes("op/");
-        // the first page and the configuration for each entry, with the frame of the responses
-        let allowed = 2 * entries as u64 * (page + configuration) + READERS as u64 * 2 * list;
+        // the latest changes and the configuration, with the frame of the responses
+        let of_entry = 2 * (RECENT_CHANGES * record + configuration);
+        let allowed = entries as u64 * of_entry + READERS as u64 * 2 * list;
         assert!(
             bytes <= allowed,
             "{entries} entries: {bytes} B, {allowed} allowed"
@@ -90,8 +99,23 @@
     Ok(())
 }
 
+/// Without the latest changes the first page names the engines.
+#[tokio::test]
+async fn an_entry_reads_one_page_if_the_history_of_the_store_is_lost() -> Result<()> {
+    let (entries, records) = (10, 60);
+    let fleet = start(records).await?;
+    fleet.store.compact_history();
+    let calls = fleet.store.calls().len();
+    let others = start_entries(&fleet, entries).await?;
+    let reads = list_reads(&fleet, calls);
+    let allowed = entries + READERS * pages(records);
+    assert!(reads <= allowed, "{reads} reads, {allowed} allowed");
+    drop(others);
+    Ok(())
+}
+
 #[tokio::test]
-async fn entries_have_their_list_if_all_sidecars_of_the_first_page_are_dead() -> Result<()> {
+async fn entries_have_their_list_if_all_sidecars_that_they_find_are_dead() -> Result<()> {
     let mut fleet = start(20).await?;
     for sidecar in &mut fleet.sidecars {
         sidecar.kill()?;
@@ -101,7 +125,7 @@
 }
 
 #[tokio::test]
-async fn entries_have_their_list_if_all_sidecars_of_the_first_page_are_silent() -> Result<()> {
+async fn entries_have_their_list_if_all_sidecars_that_they_find_are_silent() -> Result<()> {
     let fleet = start(20).await?;
     for sidecar in &fleet.sidecars {
         sidecar.pause()?;
@@ -149,7 +173,7 @@
     let others = start_entries(&fleet, entries).await?;
     fleet.wait_ready().await;
     let reads = list_reads(&fleet, calls);
-    let allowed = entries + 1 + READERS * pages(records);
+    let allowed = READERS * pages(records);
     assert!(reads <= allowed, "{reads} reads, {allowed} allowed");
     drop(others);
     Ok(())
--- a/transport/src/server/mod.rs
+++ b/transport/src/server/mod.rs
@@ -11,8 +11,8 @@
     http_server::{bind, serve, ServeError, Stop},
     peer_encodings_by_ip::PeerEncodingsByIp,
     replies::{
-        bytes_reply, encoded_frames_reply, frames_reply, json_reply, message_reply,
-        message_reply_as, text_reply, Reply,
+        bytes_reply, encoded_frames_reply, encoded_message_reply, frames_reply, json_reply,
+        message_reply, text_reply, Reply,
     },
     requests::{caller_encoding, caller_version, read_body, read_json, read_message, BodyError},
     shared_data::SharedData,
--- a/transport/src/server/replies.rs
+++ b/transport/src/server/replies.rs
@@ -1,7 +1,7 @@
 use {
     bytes::Bytes,
     chalkcart_protocol::{
-        encode, encode_frame, encode_response,
+        encode, encode_frame,
         wire::{WireEncoding, WireVersion, PEER_VERSION},
         CodecError,
     },
@@ -45,13 +45,8 @@
     encoded_message_reply(encode(message))
 }
 
-/// Returns a response with one message in the encoding that the caller reads; for large messages,
-/// which field names would make several times as large.
-pub fn message_reply_as<T: Serialize>(message: &T, encoding: WireEncoding) -> Reply {
-    encoded_message_reply(encode_response(message, encoding))
-}
-
-fn encoded_message_reply(encoded: Result<Bytes, CodecError>) -> Reply {
+/// Returns a response with one message that is already encoded for the caller.
+pub fn encoded_message_reply(encoded: Result<Bytes, CodecError>) -> Reply {
     match encoded {
         Ok(body) => with_version(bytes_reply(StatusCode::OK, "application/msgpack", body)),
         Err(e) => text_reply(StatusCode::INTERNAL_SERVER_ERROR, e.to_string()),
