relays: read the own zone, and other zones through the relays there

Change: from 240 engines on a relay links the sidecars of its own zone and reads one relay of each other zone, as entries read relays. Demands name the zones of their engines (wire version 6); what another relay watches is always linked directly, so no message passes more than two relays. Updates carry their age over both. Older relays and entries send no zones and get the former behaviour. Links to relays move to `transport`, since entries and relays share them; the decisions on their updates are `RelayedViews`.

--- a/coordination/src/placement/demand_table.rs
+++ b/coordination/src/placement/demand_table.rs
@@ -37,6 +37,9 @@
     pub fn is_empty(&self) -> bool {
         self.demands.is_empty()
     }
+    pub fn has_demand_of(&self, sender: &BoxName) -> bool {
+        self.demands.contains_key(sender)
+    }
     /// Returns the number of entries with a demand, including those behind a relay.
     pub fn entry_count(&self) -> u32 {
         self.latest_demands().map(|d| d.entries).sum()
--- a/coordination/tests/relays.rs
+++ b/coordination/tests/relays.rs
@@ -3,8 +3,8 @@
 
 use {
     chalkcart_coordination::relay::{
-        DirectCallPacing, PublishedCache, RelayCandidate, RelayPacing, RelaySelector, RelayState,
-        RELAYS_PER_ZONE,
+        DirectCallPacing, PublishedCache, RelayCandidate, RelayPacing, RelaySelector,
+        RelaySettings, RelayState, RELAYS_PER_ZONE,
     },
     chalkcart_protocol::peer::{
         AdapterDemand, AdapterUse, EngineCapacity, EngineDemand, EngineStats, EngineView,
@@ -154,14 +154,23 @@
         engines: vec![EngineDemand {
             engine: addr(1),
             demand: Some(demand(entry, adapter_name)),
+            zone: None,
         }],
+        is_relay: false,
     }
 }
 
+fn new_relay() -> RelayState {
+    RelayState::new(RelaySettings {
+        name: "relay".to_string(),
+        ..RelaySettings::default()
+    })
+}
+
 #[test]
 fn a_relay_merges_the_demands_of_its_entries() {
     let now = Instant::now();
-    let mut relay = RelayState::new("relay".to_string());
+    let mut relay = new_relay();
     assert!(
         relay.on_demands(full_demands("e1", "a"), now),
         "one more engine"
@@ -180,7 +189,7 @@
 #[test]
 fn the_demands_of_an_unresponsive_entry_expire() {
     let now = Instant::now();
-    let mut relay = RelayState::new("relay".to_string());
+    let mut relay = new_relay();
     relay.on_demands(full_demands("e1", "a"), now);
     relay.on_demands(full_demands("e2", "a"), now + Duration::from_secs(2));
     assert!(
@@ -195,7 +204,7 @@
 #[test]
 fn entries_receive_the_removal_of_an_engine_without_demand() {
     let now = Instant::now();
-    let mut relay = RelayState::new("relay".to_string());
+    let mut relay = new_relay();
     relay.on_demands(full_demands("e1", "a"), now);
     relay.on_view(addr(1), view(&[1]), now);
     let mut reader = Reader::default();
@@ -212,6 +221,33 @@
     );
 }
 
+/// The link to its sidecar stays open, and does not repeat a view without a change.
+#[test]
+fn an_engine_that_is_removed_and_watched_again_keeps_its_view() {
+    let now = Instant::now();
+    let mut relay = new_relay();
+    relay.on_demands(full_demands("e1", "a"), now);
+    relay.update_plan();
+    relay.on_view(addr(1), view(&[1]), now);
+    let mut reader = Reader::default();
+    reader.apply(relay.take_update(now));
+    let mut without = full_demands("e1", "a");
+    without.is_whole = false;
+    without.engines[0].demand = None;
+    relay.on_demands(without, now);
+    relay.on_demands(full_demands("e1", "a"), now);
+    reader.apply(relay.take_update(now));
+    assert_eq!(reader.0.get(&addr(1)), Some(&view(&[1])));
+    // removed with its link, it is forgotten
+    let mut without = full_demands("e1", "a");
+    without.engines.clear();
+    relay.on_demands(without, now);
+    assert!(relay.update_plan().direct.is_empty());
+    relay.on_demands(full_demands("e1", "a"), now);
+    reader.apply(relay.take_update(now));
+    assert!(reader.0.is_empty());
+}
+
 /// An event at a relay.
 #[derive(Debug, Clone)]
 enum RelayEvent {
@@ -274,7 +310,7 @@
 /// updates, and of the sidecars are equal after the events.
 fn readers_agree(events: Vec<RelayEvent>, late_at: usize) -> bool {
     let now = Instant::now();
-    let mut relay = RelayState::new("relay".to_string());
+    let mut relay = new_relay();
     for engine in 0..3 {
         let mut message = full_demands("e", "a");
         message.is_whole = false;
--- a/entry/src/ingress/fleet_links.rs
+++ b/entry/src/ingress/fleet_links.rs
@@ -1,9 +1,9 @@
 use {
-    super::{control::ControlHandle, relay_link::RelayLink, store_relays::StoreRelays},
+    super::{control::ControlHandle, store_relays::StoreRelays},
     chalkcart_coordination::relay::RelayCandidate,
     chalkcart_protocol::peer::AdapterDemand,
     chalkcart_state::ids::{BoxName, ZoneName},
-    chalkcart_transport::links::SidecarLinks,
+    chalkcart_transport::links::{RelayLink, RelayLinkSettings, SidecarLinks},
     std::{iter, net::SocketAddr, sync::Arc, time::Instant},
     tokio::runtime::Handle,
 };
@@ -59,7 +59,8 @@
         self.direct.set_engines(iter::empty());
         self.settings.store_relays.set_candidates(&engines);
         let relay = self.relay.get_or_insert_with(|| {
-            RelayLink::open(&self.runtime, &self.settings, self.control.clone())
+            let settings = relay_link_settings(&self.settings);
+            RelayLink::open(&self.runtime, settings, Arc::new(self.control.clone()))
         });
         relay.set_engines(engines);
     }
@@ -80,3 +81,14 @@
         }
     }
 }
+
+fn relay_link_settings(settings: &LinkSettings) -> RelayLinkSettings {
+    RelayLinkSettings {
+        reader: settings.entry.clone(),
+        is_relay: false,
+        zone: settings.zone.clone(),
+        sidecar_port: settings.sidecar_port,
+        // The dispatcher disregards old views by itself.
+        lost_after: None,
+    }
+}
--- a/entry/src/ingress/mod.rs
+++ b/entry/src/ingress/mod.rs
@@ -12,8 +12,6 @@
 mod operator_pages;
 mod records;
 mod relay_discovery;
-mod relay_link;
-mod relay_outbox;
 mod request_exchange;
 mod request_exchange_log;
 mod serve;
--- a/protocol/src/peer/relay.rs
+++ b/protocol/src/peer/relay.rs
@@ -1,6 +1,6 @@
 use {
     super::{AdapterDemand, ViewUpdate},
-    chalkcart_state::ids::BoxName,
+    chalkcart_state::ids::{BoxName, ZoneName},
     serde::{
         de::{EnumAccess, IgnoredAny, VariantAccess, Visitor},
         Deserialize, Deserializer, Serialize,
@@ -8,19 +8,29 @@
     std::{fmt, net::SocketAddr},
 };
 
-/// Requests the views of the engines that an entry watches from a relay.
+/// Requests the views of the engines that an entry, or a relay of another zone, watches from a
+/// relay.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RelayRequest {
+    /// The caller.
     pub entry: BoxName,
+    /// Whether the caller is a relay, which receives the views that this relay reads from
+    /// sidecars itself, not those from other relays. Since wire version 6; missing if false.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub is_relay: bool,
 }
 
-/// An entry's demands, sent to a relay; the demands on other engines are unchanged.
+/// The demands of an entry or of another relay, sent to a relay; the demands on other engines are unchanged.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct RelayDemands {
     pub entry: BoxName,
     /// Whether this replaces all earlier demands of the entry.
     pub is_whole: bool,
     pub engines: Vec<EngineDemand>,
+    /// Whether the sender is a relay, whose demands go to the sidecars directly, not through other
+    /// relays. Since wire version 6; missing if false.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub is_relay: bool,
 }
 
 /// An entry's demand on one engine.
@@ -29,6 +39,10 @@
     pub engine: SocketAddr,
     /// `None` if the entry no longer watches the engine.
     pub demand: Option<AdapterDemand>,
+    /// Availability zone of the engine. Since wire version 6; missing if unknown, and the relay
+    /// then sends the demand to the sidecar directly.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub zone: Option<ZoneName>,
 }
 
 /// A message of a relay's stream; empty ones are keep-alives.
@@ -93,3 +107,8 @@
         }
     }
 }
+
+// The signature is required by `skip_serializing_if`.
+fn is_false(value: &bool) -> bool {
+    !value
+}
--- a/protocol/tests/recorded.rs
+++ b/protocol/tests/recorded.rs
@@ -38,7 +38,11 @@
 ];
 
 /// Messages added in wire version 6.
-const SINCE_6: [&str; 1] = ["published_starting"];
+const SINCE_6: [&str; 3] = [
+    "relay_ask_of_relay",
+    "relay_demands_of_relay",
+    "published_starting",
+];
 
 /// Parses a record into bytes by message name.
 fn parse_record(recorded: &str) -> HashMap<&str, Vec<u8>> {
--- a/protocol/tests/samples/mod.rs
+++ b/protocol/tests/samples/mod.rs
@@ -185,14 +185,26 @@
     let engine_demand = |demand| EngineDemand {
         engine: engine(),
         demand,
+        zone: None,
     };
     RelayDemands {
         entry: "entry-1".to_string(),
         is_whole: true,
         engines: vec![engine_demand(Some(demand())), engine_demand(None)],
+        is_relay: false,
     }
 }
 
+/// Demands of a relay, with the zones of engines.
+fn relay_demands_of_relay() -> RelayDemands {
+    let mut demands = relay_demands();
+    demands.is_relay = true;
+    for engine in &mut demands.engines {
+        engine.zone = Some("z".to_string());
+    }
+    demands
+}
+
 pub fn relay_update(is_down: Option<bool>) -> RelayUpdate {
     let states = [
         EngineViewState::View(ViewUpdate::Whole(view(is_down))),
@@ -286,6 +298,11 @@
     use Kind::{Frame, Message};
     let request = RelayRequest {
         entry: "entry-1".to_string(),
+        is_relay: false,
+    };
+    let request_of_relay = RelayRequest {
+        entry: "side-1".to_string(),
+        is_relay: true,
     };
     let stats = ViewUpdate::Figures(stats(is_down));
     vec![
@@ -299,7 +316,9 @@
         ),
         sample(Message, "demand", demand()),
         sample(Message, "relay_ask", request),
+        sample(Message, "relay_ask_of_relay", request_of_relay),
         sample(Message, "relay_demands", relay_demands()),
+        sample(Message, "relay_demands_of_relay", relay_demands_of_relay()),
         sample(Frame, "relay_update", relay_update(is_down)),
     ]
 }
--- a/sidecar/src/conf/placement_settings.rs
+++ b/sidecar/src/conf/placement_settings.rs
@@ -1,5 +1,8 @@
 use {
-    chalkcart_coordination::{features::FeatureSwitches, relay::RelayPacing},
+    chalkcart_coordination::{
+        features::FeatureSwitches,
+        relay::{RelayPacing, MIN_ENGINES_FOR_ZONE_RELAYS},
+    },
     chalkcart_node::settings::{
         check_log, check_not_empty, check_positive, defaults, Checked, SettingsError,
     },
@@ -28,6 +31,10 @@
     /// Maximum time until a change of the configuration is in force on all boxes, in ms.
     #[serde(default = "default_delay_limit_ms")]
     pub config_apply_ms: u64,
+    /// Number of watched engines from which a relay reads the engines of other zones through
+    /// relays there.
+    #[serde(default = "default_zone_relays_from_engines")]
+    pub zone_relays_from_engines: usize,
     /// Settings that the platform's file left out, for the log.
     #[serde(default)]
     pub defaulted: Vec<String>,
@@ -51,6 +58,10 @@
     2_000
 }
 
+fn default_zone_relays_from_engines() -> usize {
+    MIN_ENGINES_FOR_ZONE_RELAYS
+}
+
 impl Checked for PlacementSettings {
     fn check(&self) -> Result<(), SettingsError> {
         check_not_empty("name", &self.name, "the box's name")?;
--- a/sidecar/src/placement/serve.rs
+++ b/sidecar/src/placement/serve.rs
@@ -13,6 +13,7 @@
     chalkcart_coordination::{
         limits::UsageAggregator,
         placement::{self, PlacementControl},
+        relay::RelaySettings,
     },
     chalkcart_node::{
         runtime::run_on_one_thread, settings::SettingsReloader, signals::stop_signal,
@@ -65,8 +66,9 @@
     let shared = Arc::new(Shared::new(control));
     tokio::spawn(PlacementTask::new(shared.clone(), engine).run());
     let store_cache = Arc::new(StoreCache::new(store, settings.relay_pacing()));
-    let relay = Arc::new(RelayHub::new(settings.name.clone(), store_cache));
-    tokio::spawn(run_relay(relay.clone(), settings.listen.port()));
+    let relay = Arc::new(RelayHub::new(relay_settings(&settings), store_cache));
+    let name = settings.name.clone();
+    tokio::spawn(run_relay(relay.clone(), name, settings.listen.port()));
     let usage = Arc::new(UsageTotals::new(UsageAggregator::new(rand::random())));
     let crashes = Arc::new(CrashAggregator::new(rand::random()));
     let (_stop, stopped) = watch::channel(false);
@@ -84,6 +86,14 @@
     Ok(())
 }
 
+fn relay_settings(settings: &PlacementSettings) -> RelaySettings {
+    RelaySettings {
+        name: settings.name.clone(),
+        ip: Some(settings.listen.ip()),
+        min_engines_for_zone_relays: settings.zone_relays_from_engines,
+    }
+}
+
 /// Checks the settings file when it is reloaded. Changes take effect at the next start.
 async fn reload_settings(reloader: SettingsReloader) {
     let apply = |settings: PlacementSettings| {
--- a/sidecar/src/relay/handlers.rs
+++ b/sidecar/src/relay/handlers.rs
@@ -16,7 +16,7 @@
 /// under way.
 const FIRST_READ_MIN_VERSION: WireVersion = WireVersion(6);
 
-/// Receives an entry's demands.
+/// Receives the demands of an entry or of a relay of another zone.
 pub async fn relay_demands(mut state: State) -> HandlerResult {
     let hub = SharedData::<RelayHub>::of(&state);
     let reply = match read_message::<RelayDemands>(&mut state).await {
@@ -29,14 +29,15 @@
     Ok((state, reply))
 }
 
-/// Streams the views of engines to an entry.
+/// Streams the views of engines to an entry or to a relay of another zone.
 pub async fn relay_views(mut state: State) -> HandlerResult {
     let hub = SharedData::<RelayHub>::of(&state);
     let encoding = caller_encoding(&state);
     let reply = match read_message::<RelayRequest>(&mut state).await {
         Ok(request) => {
-            log::info!(entry = request.entry.as_str(); "relay: entry connected");
-            encoded_frames_reply(hub.updates(clock::now(), encoding))
+            log::info!(entry = request.entry.as_str(), relay = request.is_relay;
+                "relay: entry connected");
+            encoded_frames_reply(hub.updates(clock::now(), request.is_relay, encoding))
         }
         Err(e) => pages::bad_message(&e),
     };
--- a/sidecar/src/relay/hub.rs
+++ b/sidecar/src/relay/hub.rs
@@ -1,13 +1,13 @@
 use {
     super::StoreCache,
     bytes::Bytes,
-    chalkcart_coordination::relay::RelayState,
+    chalkcart_coordination::relay::{RelaySettings, RelayState},
     chalkcart_protocol::{
         encode_frame,
         peer::{EngineStats, EngineView, RelayDemands, RelayUpdate},
         wire::WireEncoding,
     },
-    chalkcart_state::{backends::BackendId, ids::BoxName},
+    chalkcart_state::backends::BackendId,
     chalkcart_transport::{clock, links::ViewSink},
     futures::{stream, Stream, StreamExt},
     std::{
@@ -26,7 +26,7 @@
 /// complete state.
 const MAX_UPDATES_BEHIND: usize = 64;
 
-/// An update for all entries, encoded at most once per wire encoding.
+/// An update for several readers, encoded at most once per wire encoding.
 #[derive(Debug)]
 struct EncodedUpdate {
     update: RelayUpdate,
@@ -50,7 +50,10 @@
 pub struct RelayHub {
     state: Mutex<RelayState>,
     pub store_cache: Arc<StoreCache>,
+    /// Updates of engines that this relay reads itself, for entries and relays of other zones.
     updates: broadcast::Sender<Arc<EncodedUpdate>>,
+    /// Updates that relays of other zones sent, for entries.
+    forwarded_updates: broadcast::Sender<Arc<EncodedUpdate>>,
     /// Wakes the relay task.
     pub changed: Notify,
     /// Whether the next update is sent without waiting for the update interval.
@@ -60,12 +63,12 @@
 }
 
 impl RelayHub {
-    /// `name` is the name of the relay's box.
-    pub fn new(name: BoxName, store_cache: Arc<StoreCache>) -> Self {
+    pub fn new(settings: RelaySettings, store_cache: Arc<StoreCache>) -> Self {
         Self {
-            state: Mutex::new(RelayState::new(name)),
+            state: Mutex::new(RelayState::new(settings)),
             store_cache,
             updates: broadcast::Sender::new(MAX_UPDATES_BEHIND),
+            forwarded_updates: broadcast::Sender::new(MAX_UPDATES_BEHIND),
             changed: Notify::new(),
             is_urgent: AtomicBool::new(false),
             have_engines_changed: AtomicBool::new(false),
@@ -85,9 +88,9 @@
         self.changed.notify_one();
     }
 
-    /// Removes unresponsive entries. Returns whether the set of watched engines has changed
-    /// since the last call.
-    pub fn expire_entries(&self, now: Instant) -> bool {
+    /// Removes unresponsive readers. Returns whether the links may have to change since the last
+    /// call.
+    pub fn expire_readers(&self, now: Instant) -> bool {
         let expired = self.state().expire(now);
         self.have_engines_changed.swap(false, Ordering::Relaxed) || expired
     }
@@ -97,26 +100,40 @@
         self.is_urgent.swap(false, Ordering::Relaxed)
     }
 
-    /// Sends the changes since the last update to all entries.
+    /// Sends the changes since the last update to all readers.
     pub fn broadcast_update(&self, now: Instant) {
-        // Entries subscribe under the same lock, so that they miss no update.
+        // Readers subscribe under the same lock, so that they miss no update.
         let mut relay = self.state();
         let update = EncodedUpdate::new(relay.take_update(now));
-        // Sending fails only if no entry is subscribed.
+        // Sending fails only if no reader is subscribed.
         let _ = self.updates.send(Arc::new(update));
+        let update = relay.take_forwarded_update(now);
+        if !update.news.is_empty() {
+            let update = EncodedUpdate::new(update);
+            let _ = self.forwarded_updates.send(Arc::new(update));
+        }
     }
 
-    /// Returns a stream of the complete state and then the updates. It ends for an entry that
-    /// is too far behind.
+    /// Returns a stream of the complete state and then the updates. It ends for a reader that
+    /// is too far behind. A relay of another zone receives only the engines that this relay reads
+    /// itself.
     pub fn updates(
         &self,
         now: Instant,
+        is_for_relay: bool,
         encoding: WireEncoding,
     ) -> impl Stream<Item = Bytes> + Send {
         let relay = self.state();
-        let full_update = encode(&relay.full_update(now), encoding);
+        let full_update = match is_for_relay {
+            true => relay.full_direct_update(now),
+            false => relay.full_update(now),
+        };
         let updates = BroadcastStream::new(self.updates.subscribe());
+        let forwarded = (!is_for_relay).then(|| self.forwarded_updates.subscribe());
         drop(relay);
+        let full_update = encode(&full_update, encoding);
+        let forwarded = stream::iter(forwarded).flat_map(BroadcastStream::new);
+        let updates = stream::select(updates, forwarded);
         let updates = updates.take_while(|update| {
             let is_received = update.is_ok();
             async move { is_received }
--- a/testkit/src/users_platform/fleet.rs
+++ b/testkit/src/users_platform/fleet.rs
@@ -43,6 +43,9 @@
     pub grace_s: f64,
     /// Number of engines from which on the ingress uses a relay.
     pub relays_from_engines: usize,
+    /// Number of watched engines from which on relays use those of other zones; `None` for the
+    /// default.
+    pub zone_relays_from_engines: Option<usize>,
     /// Maximum time for which a revoked key is accepted, in ms.
     pub revoke_ms: Option<u64>,
     /// Whether the ingress reaches the store through a forwarder that can inject faults.
@@ -64,6 +67,7 @@
             timeout_ms: 8_000,
             grace_s: 6.0,
             relays_from_engines: usize::MAX,
+            zone_relays_from_engines: None,
             revoke_ms: None,
             has_store_forwarder: false,
             can_sidecars_reach_store: true,
@@ -264,10 +268,13 @@
             true => self.store.addr,
             false => next_addr(),
         };
-        let document = json!({
+        let mut document = json!({
             "name": format!("side-{number}"), "listen": listen, "engine": engine,
             "store": store,
         });
+        if let Some(engines) = self.settings.zone_relays_from_engines {
+            document["zone_relays_from_engines"] = json!(engines);
+        }
         let file = self
             .settings_file
             .with_file_name(format!("side-{number}.json"));
--- a/testkit/tests/fleet_start.rs
+++ b/testkit/tests/fleet_start.rs
@@ -9,6 +9,7 @@
         users_platform::{
             serve_prompt, Fleet, FleetSettings, OtherIngress, StoreFault, StoreLimits,
         },
+        waiting::until,
     },
     futures::future::try_join_all,
     serde_json::json,
@@ -178,3 +179,38 @@
     drop(others);
     Ok(())
 }
+
+/// A fleet of two zones whose relays read their own zone alone.
+#[tokio::test]
+async fn engines_of_another_zone_are_reached_through_a_relay_there() -> Result<()> {
+    let mut fleet = Fleet::start(FleetSettings {
+        zones: vec![("z", "r"), ("y", "r")],
+        engines: ENGINES,
+        relays_from_engines: 1,
+        zone_relays_from_engines: Some(2),
+        ..FleetSettings::default()
+    })
+    .await?;
+    let uses_zones = |fleet: &Fleet| {
+        let mut numbers = 0..usize::from(ENGINES);
+        numbers.any(|n| fleet.sidecar_log(n).contains("\"zones\":1"))
+    };
+    until("a relay uses one of the other zone", || uses_zones(&fleet)).await;
+    for adapter in ["a", "b", "c", "d", "e", "f"] {
+        serve_prompt(&fleet, adapter, adapter).await?;
+    }
+    // engines with an odd number are in the other zone
+    let in_other_zone = fleet.engines.iter().skip(1).step_by(2);
+    let loaded: usize = in_other_zone.map(|e| e.state().orders.max_adapters).sum();
+    assert!(loaded > 0, "no adapter was loaded in the other zone");
+    // the relays there end one after the other
+    for number in [1, 3] {
+        fleet.sidecars[number].kill()?;
+        for adapter in ["g", "h"] {
+            let id = format!("{adapter}-{number}");
+            serve_prompt(&fleet, adapter, &id).await?;
+        }
+        fleet.sidecars[number] = fleet.start_sidecar(number as u8)?;
+    }
+    Ok(())
+}
--- a/entry/src/ingress/relay_link.rs
+++ b/transport/src/links/relay_link.rs
@@ -1,23 +1,19 @@
 use {
-    super::{control::ControlHandle, fleet_links::LinkSettings, relay_outbox::RelayOutbox},
-    bytes::Bytes,
-    chalkcart_coordination::relay::{RelayCandidate, RelaySelector},
-    chalkcart_protocol::peer::{
-        path, AdapterDemand, EngineUpdate, EngineView, EngineViewState, RelayRequest, RelayUpdate,
-        ViewUpdate,
-    },
-    chalkcart_transport::{
+    super::{relay_outbox::RelayOutbox, ViewSink},
+    crate::{
         client::{ClientError, ClientStep, HttpClient, MessageStream, PeerClient},
         clock,
-        links::ViewSink,
     },
+    bytes::Bytes,
+    chalkcart_coordination::relay::{RelayCandidate, RelaySelector, RelayedEvent, RelayedViews},
+    chalkcart_protocol::peer::{path, AdapterDemand, RelayRequest, RelayUpdate},
+    chalkcart_state::ids::{BoxName, ZoneName},
     futures::StreamExt,
     http::Method,
     std::{
-        collections::{HashMap, HashSet},
         net::SocketAddr,
         sync::Arc,
-        time::Duration,
+        time::{Duration, Instant},
     },
     tokio::{
         runtime::Handle,
@@ -37,7 +33,23 @@
 /// After this time on a new relay, engines that it has not reported are forgotten.
 const COMPLETE_AFTER: Duration = Duration::from_millis(1_500);
 
-/// An entry's link to the relay that it uses. Its task is aborted on drop.
+/// Identity of a reader and the relays that it uses.
+#[derive(Debug, Clone)]
+pub struct RelayLinkSettings {
+    /// The name of the reader's box.
+    pub reader: BoxName,
+    /// Whether the reader is a relay itself.
+    pub is_relay: bool,
+    /// The zone whose relays are used.
+    pub zone: ZoneName,
+    /// Sidecars listen on this port at the addresses of their engines.
+    pub sidecar_port: u16,
+    /// Time without an update of any relay after which all engines are reported as unresponsive;
+    /// `None` to keep what was reported last.
+    pub lost_after: Option<Duration>,
+}
+
+/// The link of an entry, or of a relay, to the relay that it uses. Its task is aborted on drop.
 pub struct RelayLink {
     outbox: Arc<RelayOutbox>,
     task: JoinHandle<()>,
@@ -50,16 +62,18 @@
 }
 
 impl RelayLink {
-    pub fn open(runtime: &Handle, settings: &LinkSettings, control: ControlHandle) -> Self {
-        let outbox = Arc::new(RelayOutbox::new(settings.entry.clone()));
+    pub fn open(runtime: &Handle, settings: RelayLinkSettings, sink: Arc<dyn ViewSink>) -> Self {
+        let outbox = RelayOutbox::new(settings.reader.clone(), settings.is_relay);
+        let outbox = Arc::new(outbox);
         let reader = RelayReader {
-            settings: settings.clone(),
-            control,
+            selector: RelaySelector::new(&settings.reader, &settings.zone),
+            settings,
+            sink,
             peers: PeerClient::new(),
             http: HttpClient::new(),
             outbox: outbox.clone(),
-            selector: RelaySelector::new(&settings.entry, &settings.zone),
-            views: HashMap::new(),
+            views: RelayedViews::default(),
+            updated_at: clock::now(),
         };
         let task = runtime.spawn(reader.run());
         Self { outbox, task }
@@ -85,14 +99,15 @@
 
 /// Selects relays and reads their updates.
 struct RelayReader {
-    settings: LinkSettings,
-    control: ControlHandle,
+    settings: RelayLinkSettings,
+    sink: Arc<dyn ViewSink>,
     peers: PeerClient,
     http: HttpClient,
     outbox: Arc<RelayOutbox>,
     selector: RelaySelector,
-    /// The latest view of each engine.
-    views: HashMap<SocketAddr, EngineView>,
+    views: RelayedViews,
+    /// The time of the last update of any relay.
+    updated_at: Instant,
 }
 
 impl RelayReader {
@@ -116,6 +131,7 @@
                     "links: relay failed");
                 self.on_relay_failed(engine, &e);
                 current = None;
+                self.forget_lost();
                 sleep(RETRY_DELAY).await;
             }
         }
@@ -142,22 +158,19 @@
             Err(e) => return RelayEnd::Failed(e),
         };
         let (opened_at, mut selected_at) = (clock::now(), clock::now());
-        let mut reported = Some(HashSet::new());
+        let mut is_complete = false;
+        self.views.on_relay_changed();
         loop {
             let update = match next_update(&mut updates, relay).await {
                 Ok(update) => update,
                 Err(e) => return RelayEnd::Failed(e),
             };
-            if let Some(reported) = &mut reported {
-                reported.extend(update.news.iter().map(|update| update.engine));
-            }
-            let updates = update.news.into_iter();
-            updates.for_each(|update| self.apply(update));
-            if clock::elapsed(opened_at) >= COMPLETE_AFTER {
-                reported
-                    .take()
-                    .into_iter()
-                    .for_each(|reported| self.retain_engines(&reported));
+            self.apply(update);
+            if !is_complete && clock::elapsed(opened_at) >= COMPLETE_AFTER {
+                is_complete = true;
+                let outbox = &self.outbox;
+                let lost = self.views.forget_unreported(|e| outbox.is_candidate(e));
+                self.pass_on(lost);
             }
             if clock::elapsed(selected_at) >= SELECTION_INTERVAL {
                 selected_at = clock::now();
@@ -170,7 +183,8 @@
 
     async fn open(&self, relay: SocketAddr) -> Result<MessageStream<RelayUpdate>, ClientError> {
         let request = RelayRequest {
-            entry: self.settings.entry.clone(),
+            entry: self.settings.reader.clone(),
+            is_relay: self.settings.is_relay,
         };
         let stream = self.peers.stream(relay, path::RELAY_VIEWS, &request);
         timeout(UPDATE_TIMEOUT, stream)
@@ -211,40 +225,42 @@
         call.await.map(|_| ())
     }
 
-    fn apply(&mut self, update: EngineUpdate) {
-        let (engine, age_ms) = (update.engine, update.age_ms);
-        match update.word {
-            EngineViewState::Silent => self.forget(engine),
-            EngineViewState::Unknown | EngineViewState::View(ViewUpdate::Unknown) => {}
-            EngineViewState::View(ViewUpdate::Figures(mut stats)) => {
-                stats.age_ms = age_ms;
-                if let Some(view) = self.views.get(&engine) {
-                    self.control.on_stats(engine, &view.backend, stats);
-                }
-            }
-            EngineViewState::View(update) => {
-                let view = self.views.entry(engine).or_default();
-                view.apply(update);
-                view.figures.age_ms = age_ms;
-                let reported = view.clone();
-                // The dispatcher keeps the recently held adapters, so they are reported only once.
-                view.lately.clear();
-                self.control.on_view(engine, reported);
-            }
-        }
+    fn apply(&mut self, update: RelayUpdate) {
+        let now = clock::now();
+        self.updated_at = now;
+        let outbox = self.outbox.clone();
+        let news = update.news.into_iter();
+        let events = news.filter_map(|update| {
+            let is_watched = outbox.is_candidate(&update.engine);
+            self.views.apply(update, is_watched, now)
+        });
+        let events: Vec<RelayedEvent> = events.collect();
+        self.pass_on(events);
     }
 
-    /// Forgets the engines that are not in `reported`.
-    fn retain_engines(&mut self, reported: &HashSet<SocketAddr>) {
-        let views = self.views.keys();
-        let missing = views.filter(|engine| !reported.contains(engine));
-        let missing: Vec<SocketAddr> = missing.copied().collect();
-        missing.into_iter().for_each(|engine| self.forget(engine));
+    /// Reports all engines as unresponsive if no relay has sent an update for too long.
+    fn forget_lost(&mut self) {
+        let silence = clock::elapsed(self.updated_at);
+        if self
+            .settings
+            .lost_after
+            .is_some_and(|limit| silence >= limit)
+        {
+            let outbox = &self.outbox;
+            let lost = self.views.forget_all(|e| outbox.is_candidate(e));
+            self.pass_on(lost);
+        }
     }
 
-    fn forget(&mut self, engine: SocketAddr) {
-        if let Some(view) = self.views.remove(&engine) {
-            self.control.on_unresponsive(engine, &view.backend);
+    fn pass_on(&self, events: Vec<RelayedEvent>) {
+        for event in events {
+            match event {
+                RelayedEvent::View(engine, view) => self.sink.on_view(engine, *view),
+                RelayedEvent::Stats(engine, backend, stats) => {
+                    self.sink.on_stats(engine, &backend, stats);
+                }
+                RelayedEvent::Lost(engine, backend) => self.sink.on_unresponsive(engine, &backend),
+            }
         }
     }
 }
--- a/entry/src/ingress/relay_outbox.rs
+++ b/transport/src/links/relay_outbox.rs
@@ -1,10 +1,10 @@
 use {
+    crate::client::{ClientError, PeerClient},
     chalkcart_coordination::relay::RelayCandidate,
     chalkcart_protocol::peer::{path, AdapterDemand, EngineDemand, RelayDemands},
-    chalkcart_state::ids::BoxName,
-    chalkcart_transport::client::{ClientError, PeerClient},
+    chalkcart_state::ids::{BoxName, ZoneName},
     std::{
-        collections::{BTreeMap, BTreeSet, HashSet},
+        collections::{BTreeMap, BTreeSet, HashMap},
         net::SocketAddr,
         sync::{Mutex, MutexGuard},
         time::Duration,
@@ -18,6 +18,9 @@
 /// A relay forgets an entry that sends nothing for 3 s.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(900);
 const POST_TIMEOUT: Duration = Duration::from_millis(400);
+/// Additional time for each engine in a message, since the first message to a relay contains the
+/// demands on all engines.
+const POST_TIMEOUT_PER_ENGINE: Duration = Duration::from_micros(500);
 /// Changes within this time are sent in one message.
 const BATCH_DELAY: Duration = Duration::from_millis(3);
 /// Delay before a failed call is repeated.
@@ -25,9 +28,10 @@
 /// Number of consecutive failed calls after which another relay is selected.
 const MAX_CONSECUTIVE_FAILURES: u32 = 2;
 
-/// Holds the adapter demands of an entry and sends them to its relay.
+/// Holds the adapter demands of an entry, or of a relay, and sends them to the relay in use.
 pub struct RelayOutbox {
-    entry: BoxName,
+    sender: BoxName,
+    is_relay: bool,
     state: Mutex<OutboxState>,
     changed: Notify,
 }
@@ -35,15 +39,18 @@
 #[derive(Default)]
 struct OutboxState {
     candidates: Vec<RelayCandidate>,
+    /// Zones of the candidates.
+    zones: HashMap<SocketAddr, ZoneName>,
     demands: BTreeMap<SocketAddr, AdapterDemand>,
     /// Engines whose latest demand has not been sent to the relay.
     unsent: BTreeSet<SocketAddr>,
 }
 
 impl RelayOutbox {
-    pub fn new(entry: BoxName) -> Self {
+    pub fn new(sender: BoxName, is_relay: bool) -> Self {
         Self {
-            entry,
+            sender,
+            is_relay,
             state: Mutex::default(),
             changed: Notify::new(),
         }
@@ -52,14 +59,20 @@
     /// Sets the engines that demands are sent for; the sidecar of each may be the relay.
     pub fn set_candidates(&self, candidates: Vec<RelayCandidate>) {
         let mut state = self.state();
-        let engines: HashSet<SocketAddr> = candidates.iter().map(|c| c.engine).collect();
-        let removed = state.demands.keys().filter(|e| !engines.contains(e));
+        let zones = candidates.iter().map(|c| (c.engine, c.zone.clone()));
+        state.zones = zones.collect();
+        state.candidates = candidates;
+        let zones = &state.zones;
+        let removed = state.demands.keys().filter(|e| !zones.contains_key(e));
         let removed: Vec<SocketAddr> = removed.copied().collect();
         for engine in removed {
             state.demands.remove(&engine);
             state.unsent.insert(engine);
         }
-        state.candidates = candidates;
+    }
+
+    pub fn is_candidate(&self, engine: &SocketAddr) -> bool {
+        self.state().zones.contains_key(engine)
     }
 
     pub fn candidates(&self) -> Vec<RelayCandidate> {
@@ -83,9 +96,10 @@
         let (mut is_full, mut failures) = (true, 0);
         loop {
             let message = self.take_message(is_full);
-            let posted: Result<bool, _> = peers
-                .call(relay, path::RELAY_DEMANDS, &message, POST_TIMEOUT)
-                .await;
+            let timeout_of_engines = POST_TIMEOUT_PER_ENGINE * message.engines.len() as u32;
+            let limit = POST_TIMEOUT + timeout_of_engines;
+            let call = peers.call(relay, path::RELAY_DEMANDS, &message, limit);
+            let posted: Result<bool, _> = call.await;
             // The relay may have missed the changes.
             is_full = posted.is_err();
             match posted {
@@ -114,11 +128,13 @@
         let demands = engines.into_iter().map(|engine| EngineDemand {
             engine,
             demand: state.demands.get(&engine).cloned(),
+            zone: state.zones.get(&engine).cloned(),
         });
         RelayDemands {
-            entry: self.entry.clone(),
+            entry: self.sender.clone(),
             is_whole: is_full,
             engines: demands.collect(),
+            is_relay: self.is_relay,
         }
     }
 
