--- a/entry/src/ingress/mod.rs
+++ b/entry/src/ingress/mod.rs
@@ -18,6 +18,7 @@
 mod service;
 mod shared;
 mod shared_crash_registry;
+mod store_relay_client;
 mod store_relays;
 mod unknown_headers;
 mod unreadable_records;
