--- a/coordination/tests/zone_fleet/mod.rs
+++ b/coordination/tests/zone_fleet/mod.rs
@@ -2,19 +2,18 @@
 //! there. Decisions are those of the product; time advances in steps, and messages arrive in the
 //! step in which they are sent.
 
+mod reader;
+mod relay;
+
 use {
     chalkcart_coordination::{
         membership::{rendezvous_weight, stable_hash},
         placement::DemandTable,
-        relay::{
-            LinkPlan, RelayCandidate, RelaySelector, RelaySettings, RelayState, RelayedEvent,
-            RelayedViews,
-        },
-    },
-    chalkcart_protocol::peer::{
-        AdapterDemand, EngineCapacity, EngineDemand, EngineStats, EngineView, RelayDemands,
-        RelayUpdate,
+        relay::{RelayCandidate, RelayedEvent},
     },
+    chalkcart_protocol::peer::{AdapterDemand, EngineCapacity, EngineStats, EngineView},
+    reader::Reader,
+    relay::Relay,
     std::{
         collections::{BTreeMap, BTreeSet},
         net::SocketAddr,
@@ -81,216 +80,6 @@
     relay: Relay,
 }
 
-/// What a sidecar keeps as a relay.
-struct Relay {
-    state: RelayState,
-    plan: LinkPlan,
-    /// The last demand for each engine that is linked directly.
-    demands: BTreeMap<SocketAddr, AdapterDemand>,
-    /// Readers of other zones' relays, by zone.
-    upstream: BTreeMap<String, Reader>,
-    /// The updates of this step: of engines that are read directly, and of others.
-    updates: (RelayUpdate, RelayUpdate),
-    /// Number of reports received from sidecars and other relays.
-    received: u64,
-}
-
-impl Relay {
-    fn new(addr: SocketAddr) -> Self {
-        let settings = RelaySettings {
-            name: relay_name(addr),
-            ip: Some(addr.ip()),
-            min_engines_for_zone_relays: 2,
-        };
-        Self {
-            state: RelayState::new(settings),
-            plan: LinkPlan::default(),
-            demands: BTreeMap::new(),
-            upstream: BTreeMap::new(),
-            updates: (RelayUpdate::default(), RelayUpdate::default()),
-            received: 0,
-        }
-    }
-
-    /// Updates the links and passes demands on.
-    fn update(&mut self, addr: SocketAddr, now: Instant) {
-        self.state.expire(now);
-        self.plan = self.state.update_plan().clone();
-        let plan = &self.plan;
-        self.demands.retain(|engine, _| plan.is_direct(*engine));
-        self.upstream
-            .retain(|zone, _| plan.through_zones.contains_key(zone));
-        for (zone, engines) in &plan.through_zones {
-            let reader = self.upstream.entry(zone.clone());
-            let reader =
-                reader.or_insert_with(|| Reader::new(relay_name(addr), zone, Some(addr), now));
-            reader.set_candidates(candidates_of(engines.iter().copied(), zone));
-        }
-        for (engine, demand) in self.state.take_due_demands() {
-            match self
-                .upstream
-                .values_mut()
-                .find(|r| r.watched.contains(&engine))
-            {
-                Some(reader) => {
-                    reader.demands.insert(engine, demand);
-                    reader.unsent.insert(engine);
-                }
-                None => {
-                    self.demands.insert(engine, demand);
-                }
-            }
-        }
-    }
-
-    fn on_event(&mut self, event: RelayedEvent, now: Instant) {
-        self.received += 1;
-        match event {
-            RelayedEvent::View(engine, view) => {
-                self.state.on_view(engine, *view, now);
-            }
-            RelayedEvent::Stats(engine, backend, stats) => {
-                self.state.on_stats(engine, &backend, stats, now);
-            }
-            RelayedEvent::Lost(engine, _) => self.state.on_unresponsive(engine, now),
-        }
-    }
-
-    /// Returns what a reader receives in this step. Relays read before the updates of the step
-    /// are taken, so that they receive those of the last step.
-    fn updates_for(
-        &self,
-        reader: &Reader,
-        is_older: bool,
-        is_first: bool,
-        now: Instant,
-    ) -> Vec<RelayUpdate> {
-        let is_relay = reader.own.is_some();
-        let (direct, forwarded) = self.updates.clone();
-        match (is_first, is_relay && !is_older) {
-            (true, true) => vec![self.state.full_direct_update(now)],
-            (true, false) => vec![self.state.full_update(now)],
-            (false, _) if is_relay => vec![delayed(direct)],
-            (false, _) => vec![direct, forwarded],
-        }
-    }
-}
-
-/// Returns an update one step after it was taken. The age that a message states does not contain
-/// its own time on the way, which is far shorter than a step in a real fleet.
-fn delayed(mut update: RelayUpdate) -> RelayUpdate {
-    for engine in &mut update.news {
-        engine.age_ms += STEP.as_millis() as u32;
-    }
-    update
-}
-
-/// An entry's or a relay's link to a relay.
-struct Reader {
-    name: String,
-    /// The address of the reader if it is a relay.
-    own: Option<SocketAddr>,
-    selector: RelaySelector,
-    candidates: Vec<RelayCandidate>,
-    /// The engines of the candidates.
-    watched: BTreeSet<SocketAddr>,
-    current: Option<SocketAddr>,
-    /// Whether the current relay's stream is open.
-    is_open: bool,
-    /// How often the relay had been killed when its stream was opened.
-    kills: u32,
-    opened_at: Instant,
-    updated_at: Instant,
-    views: RelayedViews,
-    demands: BTreeMap<SocketAddr, AdapterDemand>,
-    /// Engines whose demand the relay does not have.
-    unsent: BTreeSet<SocketAddr>,
-}
-
-impl Reader {
-    fn new(name: String, zone: &str, own: Option<SocketAddr>, now: Instant) -> Self {
-        Self {
-            selector: RelaySelector::new(&name, &zone.to_string()),
-            name,
-            own,
-            candidates: Vec::new(),
-            watched: BTreeSet::new(),
-            current: None,
-            is_open: false,
-            kills: 0,
-            opened_at: now,
-            updated_at: now,
-            views: RelayedViews::default(),
-            demands: BTreeMap::new(),
-            unsent: BTreeSet::new(),
-        }
-    }
-
-    fn set_candidates(&mut self, candidates: Vec<RelayCandidate>) {
-        self.watched = candidates.iter().map(|c| c.engine).collect();
-        self.candidates = candidates;
-    }
-
-    /// Selects a relay if there is none, or if another one is preferred and responds.
-    fn select(&mut self, step: u64, responds: impl Fn(SocketAddr) -> bool, now: Instant) {
-        if self.current.is_some() && !step.is_multiple_of(SELECTION_STEPS) {
-            return;
-        }
-        let selected = self.selector.select(&self.candidates, self.current, now);
-        let unresponsive =
-            selected.filter(|selected| self.current.is_some() && !responds(*selected));
-        if let Some(unresponsive) = unresponsive.filter(|_| selected != self.current) {
-            self.selector.on_failure(unresponsive, now);
-        } else if selected != self.current {
-            (self.current, self.is_open, self.opened_at) = (selected, false, now);
-        }
-    }
-
-    /// Handles the lack of an update; `is_refused` if the relay is known not to run.
-    fn on_silence(&mut self, is_refused: bool, now: Instant) -> Vec<RelayedEvent> {
-        let silent_since = self.updated_at.max(self.opened_at);
-        let is_failed = now.saturating_duration_since(silent_since) >= UPDATE_TIMEOUT;
-        if !is_refused && !is_failed {
-            return Vec::new();
-        }
-        if let Some(current) = self.current.take() {
-            match is_refused {
-                true => self.selector.on_refusal(current, now),
-                false => self.selector.on_failure(current, now),
-            }
-        }
-        let is_lost = now.saturating_duration_since(self.updated_at) >= ZONE_LOST_AFTER;
-        match self.own.is_some() && is_lost {
-            true => self
-                .views
-                .forget_all(|engine| self.watched.contains(engine)),
-            false => Vec::new(),
-        }
-    }
-
-    fn take_demands(&mut self) -> RelayDemands {
-        let is_whole = !self.is_open;
-        if is_whole {
-            self.unsent = self.demands.keys().copied().collect();
-        }
-        let engines = std::mem::take(&mut self.unsent).into_iter();
-        let engines = engines.map(|engine| {
-            let candidate = self.candidates.iter().find(|c| c.engine == engine);
-            EngineDemand {
-                engine,
-                demand: self.demands.get(&engine).cloned(),
-                zone: candidate.map(|c| c.zone.clone()),
-            }
-        });
-        RelayDemands {
-            entry: self.name.clone(),
-            is_whole,
-            engines: engines.collect(),
-            is_relay: self.own.is_some(),
-        }
-    }
-}
-
 struct Entry {
     reader: Reader,
     /// The number of the last report known of each engine.
