--- a/coordination/src/relay/relay_state.rs
+++ b/coordination/src/relay/relay_state.rs
@@ -58,11 +58,11 @@
     plan: LinkPlan,
     /// Whether the plan must be computed again.
     is_plan_outdated: bool,
-    /// Engines whose newest view has not been sent to entries.
+    /// Engines whose newest view has not been sent to readers.
     unsent_views: BTreeSet<SocketAddr>,
-    /// Engines without demand whose removal has not been sent to entries.
+    /// Engines without demand whose removal has not been sent to readers.
     unsent_removals: BTreeSet<SocketAddr>,
-    /// Engines whose merged demand has not been sent to their sidecar.
+    /// Engines whose merged demand has not been sent on.
     unsent_demands: BTreeSet<SocketAddr>,
 }
 
@@ -70,6 +70,7 @@
 #[derive(Debug)]
 struct RelayedEngine {
     demands: DemandTable,
+    /// `None` if no reader has told it.
     zone: Option<ZoneName>,
     /// The newest view; `None` while the sidecar is unresponsive.
     view: Option<EngineView>,
--- a/coordination/tests/relays.rs
+++ b/coordination/tests/relays.rs
@@ -83,6 +83,49 @@
     assert_eq!(selector.select(&candidates(), None, now), Some(first));
 }
 
+/// After a restart of all processes the entries would otherwise use many relays for 5 s.
+#[test]
+fn a_relay_that_refuses_connections_is_tried_again_soon() {
+    let start = Instant::now();
+    let mut selector = RelaySelector::new(&"entry-1".to_string(), &"z1".to_string());
+    let first = selector
+        .select(&candidates(), None, start)
+        .expect("a relay");
+    let mut now = start;
+    while now < start + Duration::from_millis(800) {
+        selector.on_refusal(first, now);
+        assert_ne!(selector.select(&candidates(), None, now), Some(first));
+        now += Duration::from_millis(60);
+        assert_eq!(selector.select(&candidates(), None, now), Some(first));
+    }
+    // it is not restarting
+    selector.on_refusal(first, now);
+    now += Duration::from_millis(60);
+    assert_ne!(selector.select(&candidates(), None, now), Some(first));
+}
+
+/// The back-off of the first silent relay must not end before another zone is reached.
+#[test]
+fn a_zone_whose_sidecars_are_all_silent_is_left_within_the_back_off() {
+    let start = Instant::now();
+    let mut selector = RelaySelector::new(&"entry-1".to_string(), &"z1".to_string());
+    let is_silent = |engine: SocketAddr| {
+        let candidates = candidates();
+        let candidate = candidates.iter().find(|c| c.engine == engine);
+        candidate.is_some_and(|c| c.zone == "z1")
+    };
+    let mut now = start;
+    loop {
+        let chosen = selector.select(&candidates(), None, now).expect("a relay");
+        if !is_silent(chosen) {
+            break;
+        }
+        now += Duration::from_millis(700);
+        selector.on_failure(chosen, now);
+    }
+    assert!(now - start < Duration::from_secs(5), "{:?}", now - start);
+}
+
 #[test]
 fn the_entries_of_a_zone_share_one_store_reader_and_leave_one_that_failed() {
     let (now, candidates) = (Instant::now(), candidates());
@@ -433,6 +476,23 @@
     );
 }
 
+/// A response is shared by the callers of a short time and states its age as for the last one.
+#[test]
+fn a_response_for_a_later_request_states_no_lower_age() {
+    let now = Instant::now();
+    let mut cache = PublishedCache::new(STALE_AFTER);
+    cache.apply(snapshot(5, vec![listed("a")]), true, now, now);
+    let current_ms = |requested_at| match cache.response(None, requested_at, now) {
+        Some(PublishedResponse::Records { current_ms, .. }) => current_ms,
+        other => panic!("{other:?}"),
+    };
+    let shared = current_ms(now + Duration::from_millis(100));
+    for earlier_ms in [0, 1, 50, 99] {
+        let requested_at = now + Duration::from_millis(earlier_ms);
+        assert!(shared <= current_ms(requested_at), "{earlier_ms} ms");
+    }
+}
+
 /// The pages of a listing are no snapshot: a later page may contain a change that an entry
 /// at the revision of the first page does not know.
 #[test]
--- a/transport/src/links/relay_link.rs
+++ b/transport/src/links/relay_link.rs
@@ -205,6 +205,8 @@
         match self.check_health(chosen).await {
             Ok(_) => true,
             Err(e) => {
+                log::info!(relay = chosen.to_string().as_str(), cause = e.to_string().as_str();
+                    "links: preferred relay does not respond");
                 self.on_relay_failed(chosen, &e);
                 false
             }
