--- a/coordination/src/relay/relay_selector.rs
+++ b/coordination/src/relay/relay_selector.rs
@@ -45,7 +45,7 @@
 
 #[derive(Debug, Clone, Copy)]
 struct RelayFailure {
-    /// When connections were refused first, without a success since.
+    /// When connections were refused first; `None` after a failure of another kind.
     refused_since: Option<Instant>,
     failed_at: Instant,
     /// The relay is not selected until then.
