--- a/entry/src/ingress/zone_source.rs
+++ b/entry/src/ingress/zone_source.rs
@@ -167,11 +167,6 @@
     async fn snapshot(&self, topic: Topic) -> Result<WatchUpdate, SourceError> {
         match (topic, self.relays.call(topic, None, Duration::ZERO).await) {
             (_, RelaysResult::Received(WatchOutcome::Records(records))) => return Ok(records),
-            (Topic::Backends, RelaysResult::Starting) => {
-                if let Some(list) = self.await_list().await {
-                    return Ok(list);
-                }
-            }
             (Topic::Backends, _) if !self.relays.has_relays() && self.discovery.is_enabled() => {
                 return self.discover_list().await;
             }
