crashes: identify events of requests after a crash, so that their reports end

Cause: a report states an event's age, and each receiver computes its time anew from it. The time that the message took makes that time later, so a completed run looked newer at each process and was sent back to both aggregators and all entries without end. Evicted requests were added again by repeats, too.

Change: a completed run carries an id that its entry gives it, an end is identified by digest and incarnation. A report without an id, from an older build, is passed on only if it clears a crash.

--- a/coordination/src/crashes/crash_registry.rs
+++ b/coordination/src/crashes/crash_registry.rs
@@ -1,8 +1,10 @@
 use {
+    super::seen_events::SeenEvents,
     chalkcart_protocol::peer::{CrashEvent, CrashReport},
     chalkcart_state::ingress::RequestDigest,
     std::{
         collections::HashMap,
+        hash::{DefaultHasher, Hash, Hasher},
         time::{Duration, Instant},
     },
 };
@@ -41,10 +43,17 @@
 /// Records requests that were running when an engine crashed.
 ///
 /// Each record states an event that has happened. Registries can therefore be merged in any
-/// order and any number of times; entries exchange their records through aggregators.
+/// order and any number of times; entries exchange their records through aggregators. Each
+/// event has an identity that doesn't change on its way, since its age grows by the time that
+/// each message takes.
 #[derive(Debug, Default)]
 pub struct CrashRegistry {
+    /// Identifies this registry in the ids of the completed runs that it records first.
+    origin: u64,
+    /// Number of completed runs that this registry has recorded first.
+    own_runs: u64,
     requests: HashMap<RequestDigest, RequestRecord>,
+    seen: SeenEvents,
     revision: u64,
 }
 
@@ -52,7 +61,7 @@
 struct RequestRecord {
     /// The newest crashes since the last completed run, ordered by time.
     crashes: Vec<Crash>,
-    completed: Option<Stamp>,
+    completed: Option<CompletedRun>,
     /// When the request was last tried or reported.
     last_used: Instant,
 }
@@ -64,6 +73,13 @@
     stamp: Stamp,
 }
 
+#[derive(Debug, Clone, Copy)]
+struct CompletedRun {
+    /// 0 if an older build reported it.
+    id: u64,
+    stamp: Stamp,
+}
+
 /// Time of an event and the registry's revision that added it.
 #[derive(Debug, Clone, Copy)]
 struct Stamp {
@@ -72,6 +88,15 @@
 }
 
 impl CrashRegistry {
+    /// `origin` is a random number that differs from that of every other process. A process
+    /// that only merges reports needs none and uses the default.
+    pub fn new(origin: u64) -> Self {
+        Self {
+            origin,
+            ..Self::default()
+        }
+    }
+
     /// Returns the revision, which increases with each new event.
     pub fn revision(&self) -> u64 {
         self.revision
@@ -105,7 +130,7 @@
         now: Instant,
     ) -> bool {
         let event = CrashEvent::Ended { life: incarnation };
-        self.record_event(digest, event, at, now)
+        self.record_event(digest, event, 0, at, now)
     }
 
     /// Records that a request ran to completion. Returns whether this is new. Requests
@@ -114,7 +139,12 @@
     pub fn on_completed(&mut self, digest: RequestDigest, now: Instant) -> bool {
         let record = self.requests.get(&digest);
         let is_suspected = record.is_some_and(|record| !record.crashes.is_empty());
-        is_suspected && self.record_event(digest, CrashEvent::Served, now, now)
+        if !is_suspected {
+            return false;
+        }
+        self.own_runs += 1;
+        let run_id = nonzero_hash((self.origin, self.own_runs));
+        self.record_event(digest, CrashEvent::Served, run_id, now, now)
     }
 
     /// Adds the reports of another process. Returns whether any of them is new.
@@ -123,7 +153,7 @@
         for report in reports {
             let age = Duration::from_millis(report.age_ms);
             let at = now.checked_sub(age).unwrap_or(now);
-            self.record_event(report.digest, report.event, at, now);
+            self.record_event(report.digest, report.event, report.run_id, at, now);
         }
         self.revision != previous
     }
@@ -138,13 +168,14 @@
         for (digest, record) in &self.requests {
             let newer = record
                 .events()
-                .filter(|(_, stamp)| stamp.revision > revision);
-            reports.extend(newer.map(|(event, stamp)| {
+                .filter(|(_, _, stamp)| stamp.revision > revision);
+            reports.extend(newer.map(|(event, run_id, stamp)| {
                 let age = now.saturating_duration_since(stamp.at);
                 let report = CrashReport {
                     digest: *digest,
                     event,
                     age_ms: age.as_millis() as u64,
+                    run_id,
                 };
                 (stamp.revision, report)
             }));
@@ -165,12 +196,18 @@
         &mut self,
         digest: RequestDigest,
         event: CrashEvent,
+        run_id: u64,
         at: Instant,
         now: Instant,
     ) -> bool {
         if now.saturating_duration_since(at) >= RETENTION {
             return false;
         }
+        let is_repeated =
+            event_id(&digest, event, run_id).is_some_and(|event| !self.seen.insert(event));
+        if is_repeated {
+            return false;
+        }
         let stamp = Stamp {
             at,
             revision: self.revision + 1,
@@ -181,7 +218,7 @@
                 incarnation: life,
                 stamp,
             }),
-            CrashEvent::Served => record.on_completed(stamp),
+            CrashEvent::Served => record.on_completed(CompletedRun { id: run_id, stamp }),
         };
         if is_new {
             self.revision += 1;
@@ -235,7 +272,7 @@
             .any(|known| known.incarnation == crash.incarnation);
         let is_cleared = self
             .completed
-            .is_some_and(|completed| crash.stamp.at <= completed.at);
+            .is_some_and(|completed| crash.stamp.at <= completed.stamp.at);
         if is_known || is_cleared {
             return false;
         }
@@ -252,17 +289,23 @@
         !is_too_old
     }
 
-    /// Clears the crashes up to a completed run. Returns whether the run is the newest.
-    fn on_completed(&mut self, stamp: Stamp) -> bool {
-        if self
-            .completed
-            .is_some_and(|completed| stamp.at <= completed.at)
-        {
+    /// Clears the crashes up to a completed run. Returns whether other processes need it.
+    fn on_completed(&mut self, mut run: CompletedRun) -> bool {
+        let previous = self.completed;
+        if previous.is_some_and(|previous| run.stamp.at <= previous.stamp.at) {
             return false;
         }
-        self.completed = Some(stamp);
-        self.crashes.retain(|crash| crash.stamp.at > stamp.at);
-        true
+        let crashes = self.crashes.len();
+        self.crashes.retain(|crash| crash.stamp.at > run.stamp.at);
+        let has_cleared = self.crashes.len() < crashes;
+        // Older builds repeat a completed run without end, each time with a later time. A
+        // repeat is not told from a new run, so it is passed on only if it clears a crash.
+        let unneeded = previous.filter(|_| run.id == 0 && !has_cleared);
+        if let Some(previous) = unneeded {
+            run.stamp.revision = previous.stamp.revision;
+        }
+        self.completed = Some(run);
+        unneeded.is_none()
     }
 
     fn verdict(&self, now: Instant) -> RequestVerdict {
@@ -277,17 +320,37 @@
         }
     }
 
-    fn events(&self) -> impl Iterator<Item = (CrashEvent, Stamp)> + '_ {
+    /// Returns the events with the ids of the completed runs.
+    fn events(&self) -> impl Iterator<Item = (CrashEvent, u64, Stamp)> + '_ {
         let crashes = self.crashes.iter().map(|crash| {
             let event = CrashEvent::Ended {
                 life: crash.incarnation,
             };
-            (event, crash.stamp)
+            (event, 0, crash.stamp)
         });
-        crashes.chain(self.completed.map(|stamp| (CrashEvent::Served, stamp)))
+        let completed = self
+            .completed
+            .map(|run| (CrashEvent::Served, run.id, run.stamp));
+        crashes.chain(completed)
     }
 
     fn is_expired(&self, now: Instant) -> bool {
         now.saturating_duration_since(self.last_used) >= RETENTION
     }
 }
+
+/// Returns the identity of an event; `None` for a completed run that an older build reports
+/// without one.
+fn event_id(digest: &RequestDigest, event: CrashEvent, run_id: u64) -> Option<u64> {
+    match event {
+        CrashEvent::Ended { life } => Some(nonzero_hash((digest, life))),
+        CrashEvent::Served => (run_id != 0).then_some(run_id),
+    }
+}
+
+/// Returns a hash that is not 0.
+fn nonzero_hash(parts: impl Hash) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    parts.hash(&mut hasher);
+    hasher.finish().max(1)
+}
--- a/coordination/src/crashes/mod.rs
+++ b/coordination/src/crashes/mod.rs
@@ -3,6 +3,7 @@
 
 mod crash_detector;
 mod crash_registry;
+mod seen_events;
 
 pub use {
     crash_detector::{CrashDetector, EngineCrash, InterruptedRun},
--- a/entry/src/ingress/shared_crash_registry.rs
+++ b/entry/src/ingress/shared_crash_registry.rs
@@ -27,7 +27,7 @@
 impl Default for SharedCrashRegistry {
     fn default() -> Self {
         Self {
-            registry: Mutex::default(),
+            registry: Mutex::new(CrashRegistry::new(rand::random())),
             revision: watch::Sender::new(0),
             metrics: CrashMetrics::default(),
         }
--- a/protocol/src/peer/crashes.rs
+++ b/protocol/src/peer/crashes.rs
@@ -13,6 +13,11 @@
     pub event: CrashEvent,
     /// Time since the event, in ms.
     pub age_ms: u64,
+    /// Identifies a completed run for as long as it is known, so that a repeated report is
+    /// recognised whatever its age says. 0 for a crash, which its engine's incarnation
+    /// identifies, and for a report of a build before wire version 7.
+    #[serde(default)]
+    pub run_id: u64,
 }
 
 /// What happened to a request.
