Read run progress, gap objective and length hint; declare performance figures of a view

Cause: no decision knows which pauses a stream allows, how long its response is expected to be, or how fast an engine is; the parts of docs/design/uneven-load.md need the same fields.

Nothing uses them yet.

Measured: no behaviour changes; tests of protocol, coordination and platform pass.

--- a/coordination/src/dispatch/dispatch_request.rs
+++ b/coordination/src/dispatch/dispatch_request.rs
@@ -23,6 +23,8 @@
     pub model: Option<BaseModelName>,
     pub adapter: Option<AdapterRef>,
     pub prompt_tokens: u32,
+    /// Expected tokens of the response; 0 if unknown or for a request without a prompt.
+    pub expected_output_tokens: u32,
     /// The client account, none on a route without keys.
     pub account: Option<AccountFingerprint>,
     pub allowed_regions: AllowedRegions,
@@ -32,6 +34,8 @@
     /// Priority of the route; 0 is the most urgent.
     pub priority: u8,
     pub target_latency: Duration,
+    /// Longest pause between two events that is in time; `None` without such an objective.
+    pub target_gap: Option<Duration>,
     pub arrived_at: Instant,
     /// When the client or the route gives up.
     pub deadline: Instant,
--- a/coordination/src/lib.rs
+++ b/coordination/src/lib.rs
@@ -4,6 +4,7 @@
 //! actions, so that every decision can be tested without a socket.
 
 pub mod backend_admission;
+pub mod backend_performance;
 pub mod backend_signals;
 pub mod config;
 pub mod crashes;
--- a/coordination/src/placement/mod.rs
+++ b/coordination/src/placement/mod.rs
@@ -14,7 +14,7 @@
 pub use {
     demand_table::DemandTable,
     engine_order::{EngineOrder, OrderAnswer, OrderKind},
-    engine_report::EngineReport,
+    engine_report::{EngineReport, EngineRun},
     fence_token::FenceToken,
     load_time_estimator::LoadTimeEstimator,
     placement_control::{PlacementAction, PlacementControl, PlacementEvent},
--- a/protocol/src/peer/placement.rs
+++ b/protocol/src/peer/placement.rs
@@ -170,6 +170,15 @@
     /// Remaining duration of the engine's slow start, in ms, at most 65 s. 0 if the engine or
     /// its sidecar does not report it; entries then learn it from the engine's record.
     pub cold_left_ms: u16,
+    /// Measured prefill rate in prompt tokens per second. `None` until it is measured, or if the
+    /// sidecar does not report it.
+    pub prefill_tokens_per_s: Option<u32>,
+    /// Measured interval between two events of a stream while nothing is prefilled, in µs. `None`
+    /// until it is measured, or if the sidecar does not report it.
+    pub event_interval_us: Option<u32>,
+    /// Prompt tokens of running and queued requests that are not prefilled yet. `None` if the
+    /// engine or its sidecar does not report it.
+    pub prefill_tokens: Option<u32>,
 }
 
 impl EngineStats {
@@ -213,6 +222,15 @@
     /// Since wire version 5; missing if not reported.
     #[serde(default)]
     cold_left_ms: u16,
+    /// Since wire version 7; missing if not reported.
+    #[serde(default)]
+    prefill_tokens_per_s: Option<u32>,
+    /// Since wire version 7; missing if not reported.
+    #[serde(default)]
+    event_interval_us: Option<u32>,
+    /// Since wire version 7; missing if not reported.
+    #[serde(default)]
+    prefill_tokens: Option<u32>,
 }
 
 impl From<WrittenFigures> for EngineStats {
@@ -234,6 +252,9 @@
             is_leaving: written.is_leaving,
             limit_milli_per_s: written.limit_milli_per_s,
             cold_left_ms: written.cold_left_ms,
+            prefill_tokens_per_s: written.prefill_tokens_per_s,
+            event_interval_us: written.event_interval_us,
+            prefill_tokens: written.prefill_tokens,
         }
     }
 }
@@ -259,6 +280,9 @@
             is_leaving: stats.is_leaving,
             limit_milli_per_s: stats.limit_milli_per_s,
             cold_left_ms: stats.cold_left_ms,
+            prefill_tokens_per_s: stats.prefill_tokens_per_s,
+            event_interval_us: stats.event_interval_us,
+            prefill_tokens: stats.prefill_tokens,
         }
     }
 }
--- a/protocol/src/peer/relay.rs
+++ b/protocol/src/peer/relay.rs
@@ -62,6 +62,8 @@
 
 /// A view update from an engine's sidecar, or that the sidecar is unresponsive. Later variants
 /// follow the rule of [`ViewUpdate`].
+// nearly all states are views, so boxing them would save no memory
+#[allow(clippy::large_enum_variant)]
 #[derive(Debug, Clone, PartialEq, Serialize)]
 pub enum EngineViewState {
     View(ViewUpdate),
--- a/protocol/tests/recorded.rs
+++ b/protocol/tests/recorded.rs
@@ -42,6 +42,9 @@
     "intake_answer",
 ];
 
+/// Messages added in wire version 7.
+const SINCE_7: [&str; 2] = ["crash_ask_run_id", "view_figures_measured"];
+
 /// Messages added in wire version 6.
 const SINCE_6: [&str; 3] = [
     "relay_ask_of_relay",
@@ -68,7 +71,8 @@
         let Some(bytes) = bytes.get(sample.name) else {
             let is_newer = sample.name.starts_with("crash_")
                 || SINCE_5.contains(&sample.name)
-                || SINCE_6.contains(&sample.name);
+                || SINCE_6.contains(&sample.name)
+                || SINCE_7.contains(&sample.name);
             assert!(is_newer, "{}", sample.name);
             continue;
         };
--- a/protocol/tests/samples/mod.rs
+++ b/protocol/tests/samples/mod.rs
@@ -113,6 +113,19 @@
         is_leaving: false,
         limit_milli_per_s: None,
         cold_left_ms: 0,
+        prefill_tokens_per_s: None,
+        event_interval_us: None,
+        prefill_tokens: None,
+    }
+}
+
+/// Stats of an engine whose performance is measured.
+fn measured_stats() -> EngineStats {
+    EngineStats {
+        prefill_tokens_per_s: Some(19_200),
+        event_interval_us: Some(31_500),
+        prefill_tokens: Some(2_370),
+        ..stats(Some(false))
     }
 }
 
@@ -278,6 +291,7 @@
             weight: 1.0,
         }],
         allowed_regions: regions("north"),
+        target_gap: None,
     };
     let account = ClientAccount::new("acme", 1, None).with_allowed_regions(regions("south"));
     let key = chalkcart_state::accounts::ApiKeyDigest::of(b"key").expect("a key");
@@ -314,6 +328,11 @@
             "view_figures_bound",
             ViewUpdate::Figures(limited_stats()),
         ),
+        sample(
+            Frame,
+            "view_figures_measured",
+            ViewUpdate::Figures(measured_stats()),
+        ),
         sample(Message, "demand", demand()),
         sample(Message, "relay_ask", request),
         sample(Message, "relay_ask_of_relay", request_of_relay),
--- a/state/src/ingress/route.rs
+++ b/state/src/ingress/route.rs
@@ -59,6 +59,10 @@
     /// version 5, which do not support the restriction.
     #[serde(default)]
     pub allowed_regions: AllowedRegions,
+    /// Longest pause between two events of a stream that is in time; `None` without such an
+    /// objective, and in messages of builds before wire version 7.
+    #[serde(default)]
+    pub target_gap: Option<Duration>,
 }
 
 impl Route {
--- a/transport/src/ingress/dialect.rs
+++ b/transport/src/ingress/dialect.rs
@@ -21,7 +21,19 @@
     pub adapter: Option<AdapterRef>,
     /// 0 for a request without a prompt.
     pub prompt_tokens: u32,
+    /// The most tokens that the response may have.
     pub output_tokens: u32,
+    /// The client's estimate of the response's tokens: right at the median, often far off.
+    pub expected_output_tokens: Option<u32>,
+}
+
+impl RequestHead {
+    /// Returns the expected tokens of the response: the client's estimate, at most what it
+    /// allows.
+    pub fn response_tokens(&self) -> u32 {
+        let expected = self.expected_output_tokens.unwrap_or(self.output_tokens);
+        expected.min(self.output_tokens)
+    }
 }
 
 /// The fields that an entry adds to a request that it forwards to a back end.
