Compare engines by their published performance in waits, costs and homes

Cause: one prefill rate for a service hides that engines differ, so slow engines are sent as many prompts and adapters as fast ones (docs/design/uneven-load.md, part 1).

Change: Dispatcher::performance returns an engine's own figures, else the service's median; queue_ms, cost, urgency and the order of homes use the rate relative to the median, in steps of 10 in 100. Switch engine_performance. No sidecar publishes figures yet.

Measured: all tests of coordination pass; without figures every relative rate is 1.

--- a/coordination/src/dispatch/backend_updates.rs
+++ b/coordination/src/dispatch/backend_updates.rs
@@ -87,6 +87,7 @@
         self.incarnations
             .retain(|_, reported| self.backends.contains_key(&reported.id));
         self.is_replaced_outdated = true;
+        self.performance.invalidate();
     }
 
     /// Removes back ends that left the list, unless their service has no other.
@@ -135,6 +136,8 @@
         let is_first = state.view.is_none();
         self.crashes
             .on_engine_stats(&view.backend, &view.figures, now);
+        let before = state.view.as_ref().map(|v| &v.figures);
+        self.performance.on_stats(before, &view.figures);
         let reported = (view.backend.clone(), view.figures);
         let affected = state.on_view(view, now);
         self.on_reported_signals(&reported.0, &reported.1, now);
@@ -163,6 +166,7 @@
         if let Some(previous) = previous.and_then(|id| self.backends.get_mut(&id)) {
             self.crashes.on_engine_ended(&previous.listed.id, now);
             previous.end_incarnation();
+            self.performance.invalidate();
         }
         let id = view.backend.clone();
         self.incarnations
@@ -230,6 +234,8 @@
         self.on_entry_count(stats.entries, now);
         if let Some(state) = self.backends.get_mut(backend) {
             self.crashes.on_engine_stats(backend, &stats, now);
+            let before = state.view.as_ref().map(|v| &v.figures);
+            self.performance.on_stats(before, &stats);
             state.on_stats(stats, now);
             let addr = state.listed.addr;
             self.on_reported_signals(backend, &stats, now);
@@ -281,6 +287,7 @@
             return;
         };
         state.on_view_lost(now);
+        self.performance.invalidate();
         if state.is_ahead_of_list {
             let addr = state.listed.addr;
             let is_list_behind = self.lists_ended_incarnation_at(addr);
--- a/coordination/src/dispatch/dispatcher.rs
+++ b/coordination/src/dispatch/dispatcher.rs
@@ -1,13 +1,15 @@
 use {
     super::{
         backend_signal_tracker::BackendSignalTracker, backend_updates::ReportedIncarnation,
-        expected_returns::ExpectedReturn, pending_loads::PendingLoad, rejection::MIN_RETRY_AFTER,
-        selection::Choice, waiting_list::WaitingList, AccountFairQueueing, AdapterVersions,
-        Assignment, BackendState, BudgetUsage, Decision, DispatchEvent, DispatchRequest,
-        DispatchSettings, FleetSize, InFlightRequest, LoadDelay, PrefillRate, RejectionCause,
-        RequestedLoad, SendOutcome, SharedRetryBudget, Ticket,
+        expected_returns::ExpectedReturn, pending_loads::PendingLoad,
+        performance::ServicePerformance, rejection::MIN_RETRY_AFTER, selection::Choice,
+        waiting_list::WaitingList, AccountFairQueueing, AdapterVersions, Assignment, BackendState,
+        BudgetUsage, Decision, DispatchEvent, DispatchRequest, DispatchSettings, FleetSize,
+        InFlightRequest, LoadDelay, PrefillRate, RejectionCause, RequestedLoad, SendOutcome,
+        SharedRetryBudget, Ticket,
     },
     crate::{
+        backend_performance::EnginePerformance,
         backend_signals::BackendSignals,
         crashes::{CrashDetector, EngineCrash},
     },
@@ -38,6 +40,8 @@
     /// Number of adapters that its sidecar reports as loaded.
     pub held: usize,
     pub failure_rate: f64,
+    /// How fast it is, by its own figures or those of its service; `None` if none are known.
+    pub performance: Option<EnginePerformance>,
 }
 
 /// Chooses back ends for the requests of one entry.
@@ -51,6 +55,8 @@
     pub(super) in_flight: HashMap<Ticket, (BackendId, ServiceName, InFlightRequest)>,
     /// Prefill rates by service.
     pub(super) prefill_rates: HashMap<ServiceName, PrefillRate>,
+    /// Median performance of each service's engines.
+    pub(super) performance: ServicePerformance,
     pub(super) retry_budgets: HashMap<ServiceName, SharedRetryBudget>,
     pub(super) adapter_versions: AdapterVersions,
     /// Adapters that sidecars were requested to load.
@@ -105,6 +111,7 @@
             fair_queueing: AccountFairQueueing::default(),
             in_flight: HashMap::new(),
             prefill_rates: HashMap::new(),
+            performance: ServicePerformance::default(),
             retry_budgets: HashMap::new(),
             adapter_versions: AdapterVersions::default(),
             pending_loads: HashMap::new(),
@@ -193,6 +200,7 @@
                 self.on_version(adapter, version, now)
             }
             DispatchEvent::Tick => {
+                self.refresh_performance(now);
                 self.dispatch_waiting(|_| true, now);
             }
         }
@@ -234,6 +242,7 @@
             occupied: b.occupied(now),
             held: b.view.as_ref().map_or(0, |v| v.held.len()),
             failure_rate: b.health.failure_rate(now),
+            performance: self.performance(b),
         });
         summaries.collect()
     }
@@ -394,6 +403,7 @@
         let tickets = self.waiting.tickets(is_affected);
         if !tickets.is_empty() {
             self.refresh_replaced();
+            self.refresh_performance(now);
         }
         for ticket in tickets {
             let Some(request) = self.waiting.remove(ticket) else {
--- a/coordination/src/dispatch/homes.rs
+++ b/coordination/src/dispatch/homes.rs
@@ -8,12 +8,12 @@
         dispatcher::Dispatcher, pending_loads::PENDING_LOAD_TIMEOUT, selection::holders_of_model,
         BackendState, DispatchRequest,
     },
-    crate::{membership::rendezvous_weight, placement::adapter_hash},
-    chalkcart_state::backends::{AdapterRef, BackendId},
-    std::{
-        cmp::Reverse,
-        time::{Duration, Instant},
+    crate::{
+        membership::{rendezvous_weight, RendezvousScore},
+        placement::adapter_hash,
     },
+    chalkcart_state::backends::{AdapterRef, BackendId},
+    std::time::{Duration, Instant},
 };
 
 /// Prefill time of the waiting prompts above which an adapter gets another home, in ms.
@@ -35,7 +35,8 @@
     wait_steps: u32,
     /// Whether the adapter has to be fetched from the weight store.
     is_fetch_needed: bool,
-    weight: Reverse<u64>,
+    /// Order of the adapter's homes, by which an engine is home in proportion to its rate.
+    score: RendezvousScore,
 }
 
 impl Dispatcher {
@@ -146,7 +147,10 @@
                         now,
                     ),
                     is_fetch_needed: !(prefers_recent && b.has_recently_held(hash)),
-                    weight: Reverse(rendezvous_weight(hash, b.home_hash())),
+                    score: RendezvousScore::new(
+                        rendezvous_weight(hash, b.home_hash()),
+                        self.relative_rate(b).value(),
+                    ),
                 };
                 (rank, *b)
             })
--- a/coordination/src/dispatch/mod.rs
+++ b/coordination/src/dispatch/mod.rs
@@ -20,6 +20,7 @@
 mod limited_backends;
 mod load_delay;
 mod pending_loads;
+mod performance;
 mod prefill_rate;
 mod rejection;
 mod requested_load;
--- /dev/null
+++ b/coordination/src/dispatch/performance.rs
@@ -0,0 +1,146 @@
+//! How fast the engines of a service are, compared with each other.
+
+use {
+    super::{dispatcher::Dispatcher, BackendState},
+    crate::backend_performance::{EnginePerformance, RelativeRate},
+    chalkcart_protocol::peer::EngineStats,
+    chalkcart_state::ids::ServiceName,
+    std::{
+        collections::HashMap,
+        time::{Duration, Instant},
+    },
+};
+
+/// Age from which the figures of a view are no longer used. Sidecars repeat a view each 400 ms and
+/// relays forward it within 200 ms, so an older view means that its path is interrupted.
+const MAX_FIGURES_AGE: Duration = Duration::from_secs(3);
+/// Maximum interval between checks for figures that have become too old.
+const AGE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Median figures of the engines of one service that report them.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+struct MedianFigures {
+    event_interval_us: Option<u32>,
+    prefill_tokens_per_s: Option<u32>,
+}
+
+/// Median figures by service, computed again after a change of any engine's figures.
+#[derive(Debug, Default)]
+pub(super) struct ServicePerformance {
+    medians: HashMap<ServiceName, MedianFigures>,
+    /// Whether the medians must be computed again before they are used.
+    is_outdated: bool,
+    refreshed_at: Option<Instant>,
+}
+
+impl ServicePerformance {
+    /// Handles the change of an engine's figures, or of the engines of a service.
+    pub fn invalidate(&mut self) {
+        self.is_outdated = true;
+    }
+    /// Handles new stats of an engine, after `before`.
+    pub fn on_stats(&mut self, before: Option<&EngineStats>, stats: &EngineStats) {
+        let figures = |s: &EngineStats| (s.event_interval_us, s.prefill_tokens_per_s);
+        self.is_outdated |= before.map(figures) != Some(figures(stats));
+    }
+}
+
+impl Dispatcher {
+    /// Returns how fast an engine is: by its own figures, else by the median of the engines of its
+    /// service that report them, else `None`.
+    ///
+    /// An engine that reports no prefill rate is assumed to prefill at the rate that this entry
+    /// observed in the service, scaled like its event interval: an engine that is slow in one is
+    /// as slow in the other.
+    pub(super) fn performance(&self, state: &BackendState) -> Option<EnginePerformance> {
+        let median = self.median_figures(state)?;
+        let own = self.own_stats(state);
+        let own_interval = own.and_then(|s| s.event_interval_us);
+        let interval = own_interval.or(median.event_interval_us)?;
+        let reported = own.and_then(|s| s.prefill_tokens_per_s);
+        let reported = reported.or(median
+            .prefill_tokens_per_s
+            .filter(|_| own_interval.is_none()));
+        let prefill_tokens_per_ms = match reported {
+            Some(per_s) => f64::from(per_s) / 1e3,
+            None => self.tokens_per_ms_of(state),
+        };
+        Some(EnginePerformance {
+            prefill_tokens_per_ms,
+            event_interval_ms: f64::from(interval) / 1e3,
+        })
+    }
+
+    /// Returns the rate of an engine relative to the median of its service; 1 if it is unknown.
+    pub(super) fn relative_rate(&self, state: &BackendState) -> RelativeRate {
+        let median = self.median_figures(state).and_then(|m| m.event_interval_us);
+        let own = self.own_stats(state).and_then(|s| s.event_interval_us);
+        match (own, median) {
+            (Some(own), Some(median)) => RelativeRate::of_intervals(own, median),
+            _ => RelativeRate::default(),
+        }
+    }
+
+    /// Returns the prefill rate of an engine in tokens per ms: the rate observed in its service,
+    /// scaled by its relative rate.
+    pub(super) fn tokens_per_ms_of(&self, state: &BackendState) -> f64 {
+        self.tokens_per_ms(&state.listed.service) * self.relative_rate(state).value()
+    }
+
+    /// Computes the medians again if an engine's figures changed or may have become too old.
+    pub(super) fn refresh_performance(&mut self, now: Instant) {
+        let is_due = self
+            .performance
+            .refreshed_at
+            .is_none_or(|at| now.saturating_duration_since(at) >= AGE_CHECK_INTERVAL);
+        if !is_due && !self.performance.is_outdated {
+            return;
+        }
+        self.performance.is_outdated = false;
+        self.performance.refreshed_at = Some(now);
+        let mut figures: HashMap<&ServiceName, (Vec<u32>, Vec<u32>)> = HashMap::new();
+        let states = self.backends.values().filter(|b| b.may_be_current());
+        for state in states.filter(|b| !b.is_unlisted) {
+            let Some(stats) = self.own_stats(state) else {
+                continue;
+            };
+            let (intervals, rates) = figures.entry(&state.listed.service).or_default();
+            intervals.extend(stats.event_interval_us);
+            rates.extend(stats.prefill_tokens_per_s);
+        }
+        let medians = figures.into_iter().map(|(service, (intervals, rates))| {
+            let median = MedianFigures {
+                event_interval_us: median(intervals),
+                prefill_tokens_per_s: median(rates),
+            };
+            (service.clone(), median)
+        });
+        self.performance.medians = medians.collect();
+    }
+
+    fn median_figures(&self, state: &BackendState) -> Option<MedianFigures> {
+        if !self.settings.features.engine_performance {
+            return None;
+        }
+        self.performance.medians.get(&state.listed.service).copied()
+    }
+
+    /// Returns the stats of an engine's view unless they are too old.
+    fn own_stats<'b>(&self, state: &'b BackendState) -> Option<&'b EngineStats> {
+        let checked_at = self.performance.refreshed_at?;
+        let is_recent = state.view_age(checked_at)? < MAX_FIGURES_AGE;
+        state
+            .view
+            .as_ref()
+            .map(|v| &v.figures)
+            .filter(|_| is_recent)
+    }
+}
+
+/// Returns the lower median, which is a reported value, so that equal engines have a relative rate
+/// of exactly 1.
+fn median(mut values: Vec<u32>) -> Option<u32> {
+    let middle = values.len().checked_sub(1)? / 2;
+    let (_, median, _) = values.select_nth_unstable(middle);
+    Some(*median)
+}
--- a/coordination/src/dispatch/selection.rs
+++ b/coordination/src/dispatch/selection.rs
@@ -351,7 +351,7 @@
             backend: cheapest.listed.id.clone(),
             addr: cheapest.listed.addr,
             version: adapter.and_then(|a| self.required_version(cheapest, a, now)),
-            urgency: self.urgency(request, now),
+            urgency: self.urgency(request, cheapest, now),
             utilization: self.utilization(cheapest, now),
             is_limited: cheapest.limit.effective_rate().is_some(),
             inputs: self.decision_inputs_for(request, candidates, holders, Some(cheapest), now),
@@ -389,12 +389,12 @@
             true => self.typical_prompt_tokens(service),
             false => 0.0,
         };
-        state.queued_tokens(typical, now) / self.tokens_per_ms(service)
+        state.queued_tokens(typical, now) / self.tokens_per_ms_of(state)
     }
 
-    fn urgency(&self, request: &DispatchRequest, now: Instant) -> u8 {
+    fn urgency(&self, request: &DispatchRequest, state: &BackendState, now: Instant) -> u8 {
         match self.settings.features.urgency_by_size {
-            true => urgency(request, self.tokens_per_ms(&request.service), now),
+            true => urgency(request, self.tokens_per_ms_of(state), now),
             false => request.priority.min(LOWEST_URGENCY),
         }
     }
@@ -439,10 +439,10 @@
         };
         // requests without tokens add no prefill, but take slots
         let load = state.load(now);
+        let load_cost = load * LOAD_COST_MS + load * load * CROWDING_COST_MS;
         self.queue_ms(state, now)
             + f64::from(state.occupied(now)) * ACTIVE_REQUEST_COST_MS
-            + load * LOAD_COST_MS
-            + load * load * CROWDING_COST_MS
+            + load_cost * self.relative_rate(state).slowness()
             + remote_zone
             + limited
             + state.health.failure_rate(now) * FAILURE_COST_MS
--- a/coordination/src/membership/mod.rs
+++ b/coordination/src/membership/mod.rs
@@ -6,6 +6,6 @@
 
 pub use {
     aggregator_selector::{AggregatedState, AggregatorSelector},
-    rendezvous::{rank_by_rendezvous, rendezvous_weight, stable_hash},
+    rendezvous::{rank_by_rendezvous, rendezvous_weight, stable_hash, RendezvousScore},
     roles::{select_permit_issuer, select_watchers, WATCHERS_PER_ZONE},
 };
--- a/coordination/src/membership/rendezvous.rs
+++ b/coordination/src/membership/rendezvous.rs
@@ -1,4 +1,7 @@
-use sha2::{Digest, Sha256};
+use {
+    sha2::{Digest, Sha256},
+    std::cmp::Reverse,
+};
 
 /// Returns a hash of a name that is the same in every process and build.
 pub fn stable_hash(name: &str) -> u64 {
@@ -17,6 +20,33 @@
     z ^ (z >> 31)
 }
 
+/// Position of a member for a key where members have different capacities: the smallest score is
+/// preferred, and a member is preferred for keys in proportion to its capacity. Members of equal
+/// capacity are ordered by [`rendezvous_weight`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct RendezvousScore {
+    /// Bits of a positive float, which are ordered like its value.
+    score: u64,
+    /// Orders scores that rounding made equal.
+    weight: Reverse<u64>,
+}
+
+impl RendezvousScore {
+    /// `weight` is the [`rendezvous_weight`] of key and member; `capacity` is above 0.
+    ///
+    /// The score is that of weighted rendezvous hashing, -ln(u) / capacity with u uniform in 0..1.
+    /// It changes only with the member's own capacity, so that a change of it moves no key between
+    /// two others.
+    pub fn new(weight: u64, capacity: f64) -> Self {
+        let uniform = (weight as f64 + 1.0) / (u64::MAX as f64 + 1.0);
+        let score = uniform.ln().abs() / capacity;
+        Self {
+            score: score.to_bits(),
+            weight: Reverse(weight),
+        }
+    }
+}
+
 /// Returns the members by descending rendezvous weight for a key.
 pub fn rank_by_rendezvous<'m, T>(
     key: &str,
