--- a/coordination/src/placement/placement_control.rs
+++ b/coordination/src/placement/placement_control.rs
@@ -5,6 +5,7 @@
     },
     crate::{
         backend_admission::EngineLimit,
+        backend_performance::{PerformanceChange, PerformanceEstimator, PublishedPerformance},
         backend_signals::{BackendSignals, RequestRate},
     },
     chalkcart_protocol::peer::{
@@ -103,6 +104,8 @@
     pub(super) model_ordered_at: Option<Instant>,
     load_times: LoadTimeEstimator,
     recent: RecentAdapters,
+    /// How fast the current incarnation is.
+    performance: PerformanceEstimator,
 }
 
 impl PlacementControl {
@@ -128,6 +131,7 @@
             model_ordered_at: None,
             load_times: LoadTimeEstimator::default(),
             recent: RecentAdapters::default(),
+            performance: PerformanceEstimator::default(),
         }
     }
 
@@ -175,6 +179,10 @@
 
     /// Returns the state of the engine that is published to entries.
     pub fn view(&self, now: Instant) -> EngineView {
+        let performance = match self.settings.features.engine_performance {
+            true => self.performance.published(),
+            false => PublishedPerformance::default(),
+        };
         let stats = EngineStats {
             fence: self.fence.value(),
             next_load_ms: self
@@ -194,6 +202,8 @@
             is_leaving: self.is_engine_leaving,
             limit_milli_per_s: self.limit.effective_rate(now).map(RequestRate::milli_per_s),
             cold_left_ms: self.slow_start_left_ms(now),
+            event_interval_us: performance.event_interval_us,
+            prefill_tokens_per_s: performance.prefill_tokens_per_s,
             ..EngineStats::default()
         };
         let mut view = EngineView {
@@ -218,6 +228,13 @@
         &self.backend
     }
 
+    /// Returns a change of the published performance by more than a quarter since the last call,
+    /// for logs.
+    pub fn take_performance_change(&mut self, now: Instant) -> Option<PerformanceChange> {
+        let is_published = self.settings.features.engine_performance;
+        is_published.then(|| self.performance.take_change(now))?
+    }
+
     /// Applies the engine's signals. A requested back-off holds for everything that this
     /// machine sends to the engine: orders, reads and identity requests.
     fn on_signals(&mut self, signals: BackendSignals, now: Instant) {
@@ -318,6 +335,7 @@
         }
         self.is_report_valid = false;
         self.is_identified = false;
+        self.performance.on_report_failed();
     }
 
     fn set_name(&mut self, name: BackendName) {
@@ -340,6 +358,7 @@
         self.slow_start_until = None;
         self.recent.clear();
         self.load_times.clear_ordered();
+        self.performance = PerformanceEstimator::default();
     }
 
     /// Handles a restart of the engine. Reports are read in order, so that any other start
@@ -376,6 +395,7 @@
         }
         self.remember_evicted(&report);
         self.load_times.on_report(&report, now);
+        self.performance.on_report(report.runs.as_deref(), now);
         self.slots = slots;
         self.report = report;
         self.is_report_valid = true;
--- a/sidecar/src/placement/placement_task.rs
+++ b/sidecar/src/placement/placement_task.rs
@@ -1,6 +1,7 @@
 use {
     super::shared::Shared,
     chalkcart_coordination::{
+        backend_performance::PublishedPerformance,
         backend_signals::{BackendSignals, RequestRate},
         placement::{EngineOrder, OrderAnswer, PlacementAction, PlacementEvent},
     },
@@ -146,9 +147,31 @@
         };
         self.polled_at = Some(clock::now());
         self.shared.handle(event);
+        self.log_performance_change();
         self.publish();
     }
 
+    /// Logs a large change of the measured performance. An estimate follows a change only after
+    /// a second, which bounds the number of lines.
+    fn log_performance_change(&self) {
+        let now = clock::now();
+        let Some(change) = self.shared.control().take_performance_change(now) else {
+            return;
+        };
+        let rate = |p: &PublishedPerformance| p.prefill_tokens_per_s.unwrap_or(0);
+        let interval = |p: &PublishedPerformance| p.event_interval_us.unwrap_or(0);
+        log::info!(
+            event_us = interval(&change.after),
+            event_us_before = interval(&change.before),
+            prefill_per_s = rate(&change.after),
+            prefill_per_s_before = rate(&change.before),
+            samples = change.samples,
+            oldest_ms = change.oldest_sample_age.as_millis() as u64,
+            ratio_measured = change.is_ratio_measured;
+            "engine: performance changed"
+        );
+    }
+
     async fn send_order(&mut self, order: EngineOrder) {
         let response = self.engine.order(&order).await;
         let answer = self.handle_signals(response);
