--- a/coordination/src/backend_performance/performance_estimator.rs
+++ b/coordination/src/backend_performance/performance_estimator.rs
@@ -14,25 +14,33 @@
 const MIN_SAMPLE_EVENTS: u64 = 20;
 /// Time after which a sample ends with fewer events.
 const MAX_SAMPLE_TIME: Duration = Duration::from_millis(500);
-/// Half-life of a sample's weight. The median of the samples follows a lasting change after one
-/// half-life. It ignores two slow phases of 600 ms in direct succession, and is still within the
-/// 2 s in which a slow engine must be known.
-const HALF_LIFE: Duration = Duration::from_millis(1_250);
+/// Half-life of a sample's weight in the median, which follows a lasting change after one
+/// half-life: a slow phase of 600 ms has a third of the weight and changes nothing, and a slow
+/// engine is known within 2 s.
+const HALF_LIFE: Duration = Duration::from_secs(1);
 /// Half-life of a sample in the mean of those near the median, which evens out their scatter.
-const MEAN_HALF_LIFE: Duration = Duration::from_secs(4);
+const MEAN_HALF_LIFE: Duration = Duration::from_secs(6);
 /// Age from which a sample is dropped, so that an engine without requests becomes unknown.
 const MAX_SAMPLE_AGE: Duration = Duration::from_secs(30);
-/// Number of samples kept; they cover some 10 s at least, eight half-lives.
+/// Number of samples kept; they cover 9.6 s at least.
 const MAX_SAMPLES: usize = 32;
 /// Time that samples must cover before figures are published.
 const MIN_COVERED_TIME: Duration = Duration::from_millis(600);
-/// Ratio to the median up to which samples are averaged. It includes the scatter of short samples,
-/// some 0.3, and excludes slow phases.
+/// Ratio to the median up to which samples are averaged. It excludes slow phases of 2.5 times; with
+/// 1.3, the scatter of short samples changed which were included, and the mean with it.
 const MAX_DEVIATION: f64 = 1.5;
-
+/// Events that take as long as the longest usual step, which prefills a full chunk: 3.4 for the
+/// 2,048 tokens of docs/design/uneven-load.md. A busy engine without progress for longer is
+/// slower than estimated, which is known before its step ends.
+const LONGEST_STEP_EVENTS: f64 = 4.0;
+/// Idle time after a sample for which it stands too. Without it, phases in which an engine is slow
+/// and so less idle would have too much weight; with more, a slow engine would be known too late.
+const MAX_IDLE_TIME: Duration = Duration::from_millis(300);
+/// Idle time after which an incomplete sample is dropped; otherwise it continues, so that an engine
+/// that only runs single short streams is measured.
+const MAX_SAMPLE_GAP: Duration = Duration::from_secs(5);
 /// Factor from which a change of the published interval is logged.
 const LOGGED_FACTOR: f64 = 1.25;
-
 /// Minimum interval between two changes that are logged.
 const MIN_LOG_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -50,6 +58,9 @@
     fn interval_ms(&self) -> f64 {
         self.ms / self.events
     }
+    fn ended_at(&self) -> Instant {
+        self.started_at + Duration::from_secs_f64(self.ms / 1_000.0)
+    }
 }
 
 /// Returns the weight of the time from `from` until `until`, which decays with its age.
@@ -94,6 +105,9 @@
     observer: RunObserver,
     /// Progress since the last sample.
     open: RunProgress,
+    open_until: Option<Instant>,
+    /// Time since the last step that made progress, while the engine was busy.
+    since_step: Duration,
     samples: VecDeque<Sample>,
     ratio: PrefillRatio,
     interval: PublishedStep,
@@ -109,18 +123,30 @@
     pub fn on_report(&mut self, runs: Option<&[EngineRun]>, now: Instant) {
         self.drop_old_samples(now);
         let Some(progress) = self.observer.on_report(runs.unwrap_or_default(), now) else {
-            self.open = RunProgress::default();
+            self.since_step = Duration::ZERO;
             return;
         };
+        let last = self.open_until.replace(now);
+        let gap = last.map(|at| now.saturating_duration_since(at));
+        if gap.is_some_and(|gap| gap > progress.elapsed + MAX_SAMPLE_GAP) {
+            self.open = RunProgress::default();
+        }
         self.ratio.on_progress(&progress, now);
         self.open.add(progress);
+        self.since_step = match progress.has_step() {
+            true => Duration::ZERO,
+            false => self.since_step + progress.elapsed,
+        };
         let is_complete = match self.open.total_events >= MIN_SAMPLE_EVENTS {
             true => self.open.elapsed >= MIN_SAMPLE_TIME,
             false => self.open.elapsed >= MAX_SAMPLE_TIME,
         };
         if is_complete && progress.has_step() {
             let sample = std::mem::take(&mut self.open);
-            self.on_sample(sample, now);
+            self.add_sample(sample, now);
+            self.update(now);
+        } else if self.sample_of_long_step(now).is_some() {
+            self.update(now);
         }
     }
     /// Handles a failure to read the engine.
@@ -171,10 +197,9 @@
         })
     }
 
-    fn on_sample(&mut self, progress: RunProgress, now: Instant) {
-        let ms = progress.elapsed.as_secs_f64() * 1_000.0;
-        let events =
-            progress.events + progress.prompt_tokens as f64 / self.ratio.tokens_per_event();
+    fn add_sample(&mut self, progress: RunProgress, now: Instant) {
+        let prefill_events = progress.prompt_tokens as f64 / self.ratio.tokens_per_event();
+        let events = progress.events + prefill_events;
         if events <= 0.0 {
             return;
         }
@@ -183,9 +208,13 @@
         }
         self.samples.push_back(Sample {
             started_at: now.checked_sub(progress.elapsed).unwrap_or(now),
-            ms,
+            ms: progress.elapsed.as_secs_f64() * 1_000.0,
             events,
         });
+    }
+
+    /// Updates the published figures.
+    fn update(&mut self, now: Instant) {
         if let Some(interval_ms) = self.interval_ms(now) {
             self.interval.update(interval_ms * 1_000.0);
         }
@@ -194,6 +223,18 @@
         }
     }
 
+    /// Returns the step in progress as a sample, if it alone shows that the engine is slower than
+    /// published.
+    fn sample_of_long_step(&self, now: Instant) -> Option<Sample> {
+        let sample = Sample {
+            started_at: now.checked_sub(self.since_step)?,
+            ms: self.since_step.as_secs_f64() * 1_000.0,
+            events: LONGEST_STEP_EVENTS,
+        };
+        let published_ms = self.interval.value()? / 1_000.0;
+        (sample.interval_ms() > published_ms).then_some(sample)
+    }
+
     fn drop_old_samples(&mut self, now: Instant) {
         let is_old = |s: &Sample| now.saturating_duration_since(s.started_at) > MAX_SAMPLE_AGE;
         while self.samples.front().is_some_and(is_old) {
@@ -210,15 +251,14 @@
         if covered_ms < MIN_COVERED_TIME.as_secs_f64() * 1_000.0 {
             return None;
         }
-        let ends = self.samples.iter().skip(1).map(|s| s.started_at);
+        let long_step = self.sample_of_long_step(now);
+        let samples = self.samples.iter().chain(&long_step);
+        let ends = samples.clone().skip(1).map(|s| s.started_at);
         let ends = ends.chain([now]);
-        // a sample stands for the time until the next one, so that idle times don't change the
-        // proportion of slow phases
-        let mut weighted: Vec<(f64, f64, f64)> = self
-            .samples
-            .iter()
+        let mut weighted: Vec<(f64, f64, f64)> = samples
             .zip(ends)
-            .map(|(s, end)| {
+            .map(|(s, next)| {
+                let end = next.min(s.ended_at() + MAX_IDLE_TIME);
                 let level_weight = weight(s.started_at, end, HALF_LIFE, now);
                 let mean_weight = weight(s.started_at, end, MEAN_HALF_LIFE, now);
                 (s.interval_ms(), level_weight, mean_weight)
--- a/coordination/src/backend_performance/run_progress.rs
+++ b/coordination/src/backend_performance/run_progress.rs
@@ -83,7 +83,7 @@
                 .any(|(id, (_, events))| *events == 0 && !self.runs.contains_key(id)),
             ..RunProgress::default()
         };
-        let (mut is_busy, mut generating) = (false, 0u32);
+        let (mut is_busy, mut generating, mut first_events) = (false, 0u32, 0);
         for (id, (tokens, events)) in &self.runs {
             let (known_tokens, known_events) = match before.get(id) {
                 Some(known) => {
@@ -97,11 +97,16 @@
                 progress.total_events += events.saturating_sub(known_events);
             } else {
                 progress.has_prefill = true;
+                first_events = first_events.max(*events);
                 progress.prompt_tokens += tokens.saturating_sub(known_tokens);
             }
         }
         if generating > 0 {
             progress.events = progress.total_events as f64 / f64::from(generating);
+        } else if is_busy {
+            // the first events after a prefill, which no other run shows
+            progress.total_events = first_events;
+            progress.events = first_events as f64;
         }
         is_busy.then_some(progress)
     }
