Keep relative rates at the back ends; log and count them

Cause: with 4,000 engines some figure changes before each decision, and medians and logarithms would be computed for every engine each time.

Change: medians are computed at most each 200 ms, and an engine's relative rate when its figures or the median change.

--- a/coordination/src/dispatch/backend_state.rs
+++ b/coordination/src/dispatch/backend_state.rs
@@ -5,6 +5,7 @@
             AdmissionGate, AdvertisedLimit, Health, LimitSharing, RequestedBackoff,
             SaturationPause, SlowStart, SlowStartSettings,
         },
+        backend_performance::RelativeRate,
         membership::{rendezvous_weight, stable_hash},
         placement::{adapter_hash, AdapterHash, RecentAdapters},
     },
@@ -109,6 +110,8 @@
     /// Adapters that the engine refused since the last view.
     refused_adapters: HashSet<AdapterRef>,
     saturation: SaturationPause,
+    /// Rate relative to the median of the service, by the sidecar's figures; 1 if it is unknown.
+    pub relative_rate: RelativeRate,
     /// Present while the engine is in slow start, or was at the last check.
     pub slow_start: Option<SlowStart>,
 }
@@ -142,6 +145,7 @@
             is_last_demand_empty: false,
             refused_adapters: HashSet::new(),
             saturation: SaturationPause::default(),
+            relative_rate: RelativeRate::default(),
             slow_start: None,
         }
     }
@@ -235,12 +239,14 @@
         self.has_ended = true;
         self.is_ahead_of_list = false;
         self.view = None;
+        self.relative_rate = RelativeRate::default();
         self.held_versions.clear();
     }
     /// Handles the loss of the link to the sidecar; the engine most likely still holds its
     /// adapters.
     pub fn on_view_lost(&mut self, now: Instant) {
         self.view = None;
+        self.relative_rate = RelativeRate::default();
         let held = std::mem::take(&mut self.held_versions);
         self.observations.on_view_lost(held.into_keys(), now);
     }
--- a/coordination/src/dispatch/backend_updates.rs
+++ b/coordination/src/dispatch/backend_updates.rs
@@ -136,10 +136,10 @@
         let is_first = state.view.is_none();
         self.crashes
             .on_engine_stats(&view.backend, &view.figures, now);
-        let before = state.view.as_ref().map(|v| &v.figures);
-        self.performance.on_stats(before, &view.figures);
+        let before = state.view.as_ref().map(|v| v.figures);
         let reported = (view.backend.clone(), view.figures);
         let affected = state.on_view(view, now);
+        self.on_figures(&reported.0, before);
         self.on_reported_signals(&reported.0, &reported.1, now);
         // All engines report for the first time shortly after each other.
         self.is_replaced_outdated |= is_first;
@@ -234,10 +234,10 @@
         self.on_entry_count(stats.entries, now);
         if let Some(state) = self.backends.get_mut(backend) {
             self.crashes.on_engine_stats(backend, &stats, now);
-            let before = state.view.as_ref().map(|v| &v.figures);
-            self.performance.on_stats(before, &stats);
+            let before = state.view.as_ref().map(|v| v.figures);
             state.on_stats(stats, now);
             let addr = state.listed.addr;
+            self.on_figures(backend, before);
             self.on_reported_signals(backend, &stats, now);
             self.on_fence(addr, stats.fence);
         }
--- a/coordination/src/dispatch/decision.rs
+++ b/coordination/src/dispatch/decision.rs
@@ -19,6 +19,8 @@
     pub limited: u32,
     /// Expected wait until prefill at the chosen back end, in ms.
     pub queue_ms: f64,
+    /// Rate of the chosen back end relative to the median of its service; 1 if it is unknown.
+    pub relative_rate: f64,
     /// Requests that run or wait at the chosen back end.
     pub occupied: u32,
     /// Age of the sidecar's last report on the chosen back end.
--- a/coordination/src/dispatch/dispatcher.rs
+++ b/coordination/src/dispatch/dispatcher.rs
@@ -252,6 +252,7 @@
             budget.update_settings(settings.budget);
         }
         self.settings = settings;
+        self.performance = ServicePerformance::default();
     }
 
     fn on_request_arrived(&mut self, ticket: Ticket, mut request: DispatchRequest, now: Instant) {
--- a/coordination/src/dispatch/mod.rs
+++ b/coordination/src/dispatch/mod.rs
@@ -46,6 +46,7 @@
     limited_backends::{PermitError, PermitQuery},
     load_delay::LoadDelay,
     pending_loads::DueDemands,
+    performance::MeasuredEngines,
     prefill_rate::PrefillRate,
     requested_load::{LoadCause, RequestedLoad},
     settings::DispatchSettings,
--- a/coordination/src/dispatch/performance.rs
+++ b/coordination/src/dispatch/performance.rs
@@ -4,7 +4,7 @@
     super::{dispatcher::Dispatcher, BackendState},
     crate::backend_performance::{EnginePerformance, RelativeRate},
     chalkcart_protocol::peer::EngineStats,
-    chalkcart_state::ids::ServiceName,
+    chalkcart_state::{backends::BackendId, ids::ServiceName},
     std::{
         collections::HashMap,
         time::{Duration, Instant},
@@ -14,8 +14,13 @@
 /// Age from which the figures of a view are no longer used. Sidecars repeat a view each 400 ms and
 /// relays forward it within 200 ms, so an older view means that its path is interrupted.
 const MAX_FIGURES_AGE: Duration = Duration::from_secs(3);
-/// Maximum interval between checks for figures that have become too old.
-const AGE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+/// Minimum interval between two computations of the medians, which go through all engines. At 4,000
+/// engines some figure changes before each decision.
+const MIN_REFRESH_INTERVAL: Duration = Duration::from_millis(200);
+/// Maximum interval, after which figures may have become too old.
+const MAX_REFRESH_INTERVAL: Duration = Duration::from_millis(500);
+/// Relative rate up to which an engine counts as slow in the metrics.
+const SLOW_RATE: f64 = 0.5;
 
 /// Median figures of the engines of one service that report them.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
@@ -24,11 +29,11 @@
     prefill_tokens_per_s: Option<u32>,
 }
 
-/// Median figures by service, computed again after a change of any engine's figures.
+/// Median figures by service.
 #[derive(Debug, Default)]
 pub(super) struct ServicePerformance {
     medians: HashMap<ServiceName, MedianFigures>,
-    /// Whether the medians must be computed again before they are used.
+    /// Whether any engine's figures have changed since the medians were computed.
     is_outdated: bool,
     refreshed_at: Option<Instant>,
 }
@@ -38,13 +43,27 @@
     pub fn invalidate(&mut self) {
         self.is_outdated = true;
     }
-    /// Handles new stats of an engine, after `before`.
-    pub fn on_stats(&mut self, before: Option<&EngineStats>, stats: &EngineStats) {
-        let figures = |s: &EngineStats| (s.event_interval_us, s.prefill_tokens_per_s);
-        self.is_outdated |= before.map(figures) != Some(figures(stats));
+
+    fn is_refresh_due(&self, now: Instant) -> bool {
+        let Some(at) = self.refreshed_at else {
+            return true;
+        };
+        let elapsed = now.saturating_duration_since(at);
+        let is_first = self.medians.is_empty();
+        elapsed >= MAX_REFRESH_INTERVAL
+            || self.is_outdated && (is_first || elapsed >= MIN_REFRESH_INTERVAL)
     }
 }
 
+/// Numbers of engines by what is known of their performance, for metrics.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct MeasuredEngines {
+    /// Engines whose sidecars report how fast they are.
+    pub measured: u32,
+    /// Of these, the ones that take twice as long as the median of their service.
+    pub slow: u32,
+}
+
 impl Dispatcher {
     /// Returns how fast an engine is: by its own figures, else by the median of the engines of its
     /// service that report them, else `None`.
@@ -53,7 +72,7 @@
     /// observed in the service, scaled like its event interval: an engine that is slow in one is
     /// as slow in the other.
     pub(super) fn performance(&self, state: &BackendState) -> Option<EnginePerformance> {
-        let median = self.median_figures(state)?;
+        let median = self.median_figures(&state.listed.service)?;
         let own = self.own_stats(state);
         let own_interval = own.and_then(|s| s.event_interval_us);
         let interval = own_interval.or(median.event_interval_us)?;
@@ -71,29 +90,48 @@
         })
     }
 
-    /// Returns the rate of an engine relative to the median of its service; 1 if it is unknown.
-    pub(super) fn relative_rate(&self, state: &BackendState) -> RelativeRate {
-        let median = self.median_figures(state).and_then(|m| m.event_interval_us);
-        let own = self.own_stats(state).and_then(|s| s.event_interval_us);
-        match (own, median) {
-            (Some(own), Some(median)) => RelativeRate::of_intervals(own, median),
-            _ => RelativeRate::default(),
-        }
-    }
-
     /// Returns the prefill rate of an engine in tokens per ms: the rate observed in its service,
     /// scaled by its relative rate.
     pub(super) fn tokens_per_ms_of(&self, state: &BackendState) -> f64 {
-        self.tokens_per_ms(&state.listed.service) * self.relative_rate(state).value()
+        self.tokens_per_ms(&state.listed.service) * state.relative_rate.value()
     }
 
-    /// Computes the medians again if an engine's figures changed or may have become too old.
+    /// Returns the numbers of engines that are measured and slow.
+    pub fn measured_engines(&self) -> MeasuredEngines {
+        let states = self.backends.values().filter(|b| b.may_be_current());
+        let measured = states.filter(|b| {
+            let stats = self.own_stats(b);
+            stats.is_some_and(|s| s.event_interval_us.is_some())
+        });
+        measured.fold(MeasuredEngines::default(), |counts, state| {
+            MeasuredEngines {
+                measured: counts.measured + 1,
+                slow: counts.slow + u32::from(state.relative_rate.value() <= SLOW_RATE),
+            }
+        })
+    }
+
+    /// Handles the change of an engine's figures from those of `before`.
+    pub(super) fn on_figures(&mut self, id: &BackendId, before: Option<EngineStats>) {
+        let figures = |s: &EngineStats| (s.event_interval_us, s.prefill_tokens_per_s);
+        let Some(state) = self.backends.get(id) else {
+            return;
+        };
+        let stats = state.view.as_ref().map(|v| &v.figures);
+        if stats.map(figures) == before.as_ref().map(figures) {
+            return;
+        }
+        self.performance.invalidate();
+        let rate = self.measured_rate(state);
+        if let Some(state) = self.backends.get_mut(id) {
+            state.relative_rate = rate;
+        }
+    }
+
+    /// Computes the medians and relative rates again if figures changed or may have become too
+    /// old.
     pub(super) fn refresh_performance(&mut self, now: Instant) {
-        let is_due = self
-            .performance
-            .refreshed_at
-            .is_none_or(|at| now.saturating_duration_since(at) >= AGE_CHECK_INTERVAL);
-        if !is_due && !self.performance.is_outdated {
+        if !self.performance.is_refresh_due(now) {
             return;
         }
         self.performance.is_outdated = false;
@@ -104,6 +142,9 @@
             let Some(stats) = self.own_stats(state) else {
                 continue;
             };
+            if stats.event_interval_us.is_none() && stats.prefill_tokens_per_s.is_none() {
+                continue;
+            }
             let (intervals, rates) = figures.entry(&state.listed.service).or_default();
             intervals.extend(stats.event_interval_us);
             rates.extend(stats.prefill_tokens_per_s);
@@ -116,13 +157,30 @@
             (service.clone(), median)
         });
         self.performance.medians = medians.collect();
+        let rates = self.backends.values().map(|b| self.measured_rate(b));
+        let rates: Vec<RelativeRate> = rates.collect();
+        for (state, rate) in self.backends.values_mut().zip(rates) {
+            state.relative_rate = rate;
+        }
+    }
+
+    /// Returns the rate of an engine relative to the median of its service; 1 if it is unknown.
+    fn measured_rate(&self, state: &BackendState) -> RelativeRate {
+        let Some(own) = self.own_stats(state).and_then(|s| s.event_interval_us) else {
+            return RelativeRate::default();
+        };
+        let median = self.median_figures(&state.listed.service);
+        match median.and_then(|m| m.event_interval_us) {
+            Some(median) => RelativeRate::of_intervals(own, median),
+            None => RelativeRate::default(),
+        }
     }
 
-    fn median_figures(&self, state: &BackendState) -> Option<MedianFigures> {
+    fn median_figures(&self, service: &ServiceName) -> Option<MedianFigures> {
         if !self.settings.features.engine_performance {
             return None;
         }
-        self.performance.medians.get(&state.listed.service).copied()
+        self.performance.medians.get(service).copied()
     }
 
     /// Returns the stats of an engine's view unless they are too old.
--- a/coordination/src/dispatch/selection.rs
+++ b/coordination/src/dispatch/selection.rs
@@ -78,6 +78,7 @@
             backed_off,
             limited,
             queue_ms: chosen.map_or(0.0, |b| self.queue_ms(b, now)),
+            relative_rate: chosen.map_or(1.0, |b| b.relative_rate.value()),
             occupied: chosen.map_or(0, |b| b.occupied(now)),
             view_age: chosen.and_then(|b| b.view_age(now)),
             waiting: self.waiting.len() as u32,
@@ -442,7 +443,7 @@
         let load_cost = load * LOAD_COST_MS + load * load * CROWDING_COST_MS;
         self.queue_ms(state, now)
             + f64::from(state.occupied(now)) * ACTIVE_REQUEST_COST_MS
-            + load_cost * self.relative_rate(state).slowness()
+            + load_cost * state.relative_rate.slowness()
             + remote_zone
             + limited
             + state.health.failure_rate(now) * FAILURE_COST_MS
--- a/entry/src/ingress/control.rs
+++ b/entry/src/ingress/control.rs
@@ -7,7 +7,8 @@
     arc_swap::ArcSwap,
     chalkcart_coordination::{
         dispatch::{
-            Decision, DispatchEvent, DispatchRequest, Dispatcher, DueDemands, RequestedLoad, Ticket,
+            Decision, DispatchEvent, DispatchRequest, Dispatcher, DueDemands, MeasuredEngines,
+            RequestedLoad, Ticket,
         },
         relay::RelayCandidate,
     },
@@ -59,6 +60,7 @@
     stats: Arc<EngineStatsBuffer>,
     can_reach_backends: Arc<AtomicBool>,
     waiting_count: Arc<AtomicUsize>,
+    measured_engines: Arc<ArcSwap<MeasuredEngines>>,
     entry_count: Arc<AtomicU32>,
     engines: Arc<ArcSwap<Vec<SocketAddr>>>,
 }
@@ -79,6 +81,11 @@
         self.waiting_count.load(Ordering::Relaxed)
     }
 
+    /// Returns the numbers of engines that are measured and slow, as of the last second.
+    pub fn measured_engines(&self) -> MeasuredEngines {
+        **self.measured_engines.load()
+    }
+
     /// Returns the number of entries in the fleet, or an assumed one until a sidecar reports it.
     pub fn entry_count(&self) -> u32 {
         self.reported_entry_count().unwrap_or(ASSUMED_ENTRY_COUNT)
@@ -145,6 +152,7 @@
     last_all_demands: Instant,
     can_reach_backends: Arc<AtomicBool>,
     waiting_count: Arc<AtomicUsize>,
+    measured_engines: Arc<ArcSwap<MeasuredEngines>>,
     entry_count: Arc<AtomicU32>,
     engines: Arc<ArcSwap<Vec<SocketAddr>>>,
 }
@@ -159,6 +167,7 @@
     let stats = Arc::new(EngineStatsBuffer::default());
     let can_reach_backends = Arc::new(AtomicBool::new(true));
     let waiting_count = Arc::new(AtomicUsize::new(0));
+    let measured_engines = Arc::new(ArcSwap::default());
     let entry_count = Arc::new(AtomicU32::new(0));
     let engines = Arc::new(ArcSwap::default());
     let handle = ControlHandle {
@@ -166,6 +175,7 @@
         stats: stats.clone(),
         can_reach_backends: can_reach_backends.clone(),
         waiting_count: waiting_count.clone(),
+        measured_engines: measured_engines.clone(),
         entry_count: entry_count.clone(),
         engines: engines.clone(),
     };
@@ -183,6 +193,7 @@
         last_all_demands: now,
         can_reach_backends,
         waiting_count,
+        measured_engines,
         entry_count,
         engines,
     };
@@ -313,6 +324,8 @@
         }
         if due == DueDemands::All {
             self.last_all_demands = now;
+            let measured = self.dispatcher.measured_engines();
+            self.measured_engines.store(Arc::new(measured));
             if let Some(count) = self.dispatcher.reported_entry_count() {
                 self.entry_count.store(count, Ordering::Relaxed);
             }
--- a/entry/src/ingress/request_exchange_log.rs
+++ b/entry/src/ingress/request_exchange_log.rs
@@ -38,6 +38,7 @@
             left_out_resting = inputs.backed_off,
             limited = inputs.limited,
             queue_ms = inputs.queue_ms,
+            rate = inputs.relative_rate,
             occupied = inputs.occupied,
             urgency = assignment.urgency,
             view_age_ms = inputs.view_age.map_or(-1, |age| age.as_millis() as i64),
--- a/entry/src/ingress/shared.rs
+++ b/entry/src/ingress/shared.rs
@@ -179,6 +179,9 @@
 impl ProcessStatus for Shared {
     fn metrics_text(&self) -> String {
         self.metrics.on_waiting(self.control.waiting_count());
+        let engines = self.control.measured_engines();
+        self.metrics
+            .on_engine_performance(engines.measured, engines.slow);
         self.metrics.text()
     }
     fn is_ready(&self) -> bool {
--- a/transport/src/metrics/ingress_metrics.rs
+++ b/transport/src/metrics/ingress_metrics.rs
@@ -80,6 +80,8 @@
     configuration: Gauge,
     list: Gauge,
     waiting: Gauge,
+    measured_engines: Gauge,
+    slow_engines: Gauge,
 }
 
 impl IngressMetrics {
@@ -107,6 +109,8 @@
             configuration: Gauge::default(),
             list: Gauge::default(),
             waiting: Gauge::default(),
+            measured_engines: Gauge::default(),
+            slow_engines: Gauge::default(),
         };
         metrics.register();
         let build = [
@@ -210,6 +214,13 @@
         self.waiting.set(requests as i64);
     }
 
+    /// Records the number of engines whose sidecars report how fast they are, and of those among
+    /// them that are slow.
+    pub fn on_engine_performance(&self, measured: u32, slow: u32) {
+        self.measured_engines.set(i64::from(measured));
+        self.slow_engines.set(i64::from(slow));
+    }
+
     /// Returns the metrics in the Prometheus text format.
     pub fn text(&self) -> String {
         let mut text = String::new();
@@ -294,6 +305,16 @@
         registry.register("list", "Version of the list of back ends", list);
         let waiting = self.waiting.clone();
         registry.register("waiting", "Requests that wait for a back end", waiting);
+        registry.register(
+            "measured_engines",
+            "Engines whose sidecars report how fast they are",
+            self.measured_engines.clone(),
+        );
+        registry.register(
+            "slow_engines",
+            "Engines that take twice as long as the median of their service",
+            self.slow_engines.clone(),
+        );
     }
 }
 
