Measure engines whose reports count prompts in full at once

Cause: a report may count a prompt's memory when it is reserved; a queue of prompts would then make a slow engine look fast.

Change: after ten prompts without visible progress, prompt tokens count when the prefill has ended, in longer samples.

--- a/coordination/src/backend_performance/performance_estimator.rs
+++ b/coordination/src/backend_performance/performance_estimator.rs
@@ -12,8 +12,11 @@
 const MIN_SAMPLE_TIME: Duration = Duration::from_millis(300);
 /// Events of all runs from which a sample ends after the minimum time; fewer are too coarse.
 const MIN_SAMPLE_EVENTS: u64 = 20;
-/// Time after which a sample ends with fewer events.
+/// Time from which a sample may end with fewer events.
 const MAX_SAMPLE_TIME: Duration = Duration::from_millis(500);
+/// Minimum time of a sample with prefill where reports don't show its progress: a prompt counts in
+/// full when its first event appears, long after most of it was prefilled.
+const MIN_HIDDEN_PREFILL_TIME: Duration = Duration::from_millis(1_200);
 /// Half-life of a sample's weight in the median, which follows a lasting change after one
 /// half-life: a slow phase of 600 ms has a third of the weight and changes nothing, and a slow
 /// engine is known within 2 s.
@@ -97,6 +100,8 @@
     /// Progress since the last sample.
     open: RunProgress,
     open_until: Option<Instant>,
+    /// Whether reports don't show the progress of prefill.
+    is_prefill_hidden: bool,
     /// Time since the last step that made progress, while the engine was busy.
     since_step: Duration,
     samples: VecDeque<Sample>,
@@ -117,6 +122,13 @@
             self.since_step = Duration::ZERO;
             return;
         };
+        if !self.is_prefill_hidden && !self.observer.is_prefill_visible() {
+            // what was measured so far took prompts for prefilled as soon as they arrived
+            self.is_prefill_hidden = true;
+            self.samples.clear();
+            self.open = RunProgress::default();
+            self.ratio = PrefillRatio::default();
+        }
         let last = self.open_until.replace(now);
         let gap = last.map(|at| now.saturating_duration_since(at));
         if gap.is_some_and(|gap| gap > progress.elapsed + MAX_SAMPLE_GAP) {
@@ -124,15 +136,11 @@
         }
         self.ratio.on_progress(&progress, now);
         self.open.add(progress);
-        self.since_step = match progress.has_step() {
+        self.since_step = match progress.has_step() || self.is_prefill_hidden {
             true => Duration::ZERO,
             false => self.since_step + progress.elapsed,
         };
-        let is_complete = match self.open.total_events >= MIN_SAMPLE_EVENTS {
-            true => self.open.elapsed >= MIN_SAMPLE_TIME,
-            false => self.open.elapsed >= MAX_SAMPLE_TIME,
-        };
-        if is_complete && progress.has_step() {
+        if self.open.elapsed >= self.min_sample_time() && progress.has_step() {
             let sample = std::mem::take(&mut self.open);
             self.add_sample(sample, now);
             self.update(now);
@@ -140,6 +148,15 @@
             self.update(now);
         }
     }
+    fn min_sample_time(&self) -> Duration {
+        if self.is_prefill_hidden && self.open.has_prefill {
+            return MIN_HIDDEN_PREFILL_TIME;
+        }
+        match self.open.total_events >= MIN_SAMPLE_EVENTS {
+            true => MIN_SAMPLE_TIME,
+            false => MAX_SAMPLE_TIME,
+        }
+    }
     /// Returns the figures to publish, without values until they are measured.
     pub fn published(&self) -> PublishedPerformance {
         let interval_us = self.interval.value();
--- a/coordination/src/backend_performance/run_progress.rs
+++ b/coordination/src/backend_performance/run_progress.rs
@@ -11,6 +11,12 @@
 /// suspended between the response and its handling, and the report be as old as the gap.
 const MAX_REPORT_GAP: Duration = Duration::from_secs(1);
 
+/// Growth of a run in its prefill above which it can't be its response alone, in tokens.
+const MIN_PROMPT_GROWTH: u64 = 64;
+/// Prompts that ended their prefill without visible growth, from which reports are taken to count
+/// prompts in full from the start.
+const MIN_PROMPTS_WITHOUT_GROWTH: u32 = 10;
+
 /// What the runs of an engine did between two reports while it was never idle.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct RunProgress {
@@ -19,8 +25,9 @@
     pub events: f64,
     /// Events of all these runs together.
     pub total_events: u64,
-    /// Prompt tokens that appeared in the engine's memory. They include the parts that it kept from
-    /// earlier prompts, which a report doesn't tell apart.
+    /// Prompt tokens that appeared in the engine's memory, or of the prompts whose prefill ended if
+    /// reports don't show its progress. They include the parts that the engine kept from earlier
+    /// prompts, which a report doesn't tell apart.
     pub prompt_tokens: u64,
     /// Whether a run was in prefill or started.
     pub has_prefill: bool,
@@ -46,6 +53,10 @@
     reported_at: Option<Instant>,
     /// Tokens in memory and events of each run, by a hash of its request id.
     runs: HashMap<u64, (u64, u64)>,
+    /// Whether the tokens of a run were seen to grow during its prefill.
+    has_seen_growth: bool,
+    /// Prompts whose prefill ended without visible growth.
+    prompts_without_growth: u32,
 }
 
 impl RunObserver {
@@ -57,6 +68,7 @@
             .map(|run| (id_hash(&run.request_id), (run.tokens, run.events)))
             .collect();
         let before = std::mem::replace(&mut self.runs, current);
+        self.observe_growth(&before);
         let reported_at = self.reported_at.replace(now)?;
         let elapsed = now.saturating_duration_since(reported_at);
         if elapsed > MAX_REPORT_GAP {
@@ -65,6 +77,26 @@
         self.progress_since(&before, elapsed)
     }
 
+    /// Returns whether reports show which part of a prompt is prefilled. An engine may instead count
+    /// a prompt in full as soon as it has reserved the memory for it.
+    pub fn is_prefill_visible(&self) -> bool {
+        self.has_seen_growth || self.prompts_without_growth < MIN_PROMPTS_WITHOUT_GROWTH
+    }
+
+    fn observe_growth(&mut self, before: &HashMap<u64, (u64, u64)>) {
+        if self.has_seen_growth {
+            return;
+        }
+        let in_prefill = before.iter().filter(|(_, (_, events))| *events == 0);
+        for (id, (known_tokens, _)) in in_prefill {
+            let Some((tokens, events)) = self.runs.get(id) else {
+                continue;
+            };
+            self.has_seen_growth |= *tokens > known_tokens + MIN_PROMPT_GROWTH;
+            self.prompts_without_growth += u32::from(*events > 0);
+        }
+    }
+
     fn progress_since(
         &self,
         before: &HashMap<u64, (u64, u64)>,
@@ -93,7 +125,11 @@
             } else {
                 progress.has_prefill = true;
                 first_events = first_events.max(*events);
-                progress.prompt_tokens += tokens.saturating_sub(known_tokens);
+                progress.prompt_tokens += match self.is_prefill_visible() {
+                    true => tokens.saturating_sub(known_tokens),
+                    false if *events > 0 => *tokens,
+                    false => 0,
+                };
             }
         }
         if generating > 0 {
--- a/coordination/tests/engine_sim/mod.rs
+++ b/coordination/tests/engine_sim/mod.rs
@@ -63,6 +63,8 @@
     /// relative time of a step
     pub relative_time: f64,
     pub has_slow_phases: bool,
+    /// whether reports count a prompt in full from its start
+    pub counts_full_prompts: bool,
     slow_until_ms: f64,
     next_slow_ms: f64,
     next_arrival_ms: f64,
@@ -85,6 +87,7 @@
             load,
             relative_time,
             has_slow_phases: false,
+            counts_full_prompts: false,
             slow_until_ms: 0.0,
             next_slow_ms: 0.0,
             next_arrival_ms: 0.0,
@@ -136,7 +139,11 @@
     pub fn report(&self) -> Vec<EngineRun> {
         let runs = self.runs.iter().map(|run| EngineRun {
             request_id: run.id.clone(),
-            tokens: run.prefilled + run.generated,
+            tokens: run.generated
+                + match self.counts_full_prompts {
+                    true => run.prompt,
+                    false => run.prefilled,
+                },
             events: run.generated / TOKENS_PER_EVENT,
             priority: 0,
         });
--- a/coordination/tests/performance_estimator.rs
+++ b/coordination/tests/performance_estimator.rs
@@ -146,6 +146,34 @@
     }
 }
 
+#[test]
+fn engines_that_count_prompts_in_full_at_once_are_measured_too() {
+    // guards against prompts that count as prefilled when they arrive: a queue of them would make
+    // a slow engine look fast
+    for relative_time in RELATIVE_TIMES {
+        let mut ratios = Vec::new();
+        for seed in 0..SEEDS {
+            let mut measured = Measured::new(seed, EngineLoad::CALM, relative_time);
+            measured.engine.counts_full_prompts = true;
+            measured.run(10_000);
+            for _ in 0..10 {
+                measured.run(1_000);
+                let known = measured.interval_ms().expect("a figure after 10 s");
+                ratios.push(known / measured.engine.event_interval_ms());
+            }
+            let middle = EVENT_MS * relative_time * SLOW_FACTOR.sqrt();
+            measured.engine.relative_time = relative_time * SLOW_FACTOR;
+            // prompts show no progress until their first event, so it is known later than usual,
+            // but before half of the slowness is over
+            let time = measured.busy_time_until(|ms| ms > middle);
+            assert!(time <= SLOW_MS / 2, "{relative_time} {seed}: {time}");
+        }
+        ratios.sort_by(f64::total_cmp);
+        let median = ratios[ratios.len() / 2];
+        assert!((0.8..1.2).contains(&median), "{relative_time}: {median}");
+    }
+}
+
 #[test]
 fn short_slow_phases_seldom_change_the_figures() {
     // guards against figures that follow each phase, which would move the homes of adapters
