Observe the prefill rate of a service as that of its median engine

Cause: samples of slow engines lowered the rate that is assumed for the others.

Change: a sample's time is multiplied by the relative rate of its engine.

--- a/coordination/src/backend_performance/engine_performance.rs
+++ b/coordination/src/backend_performance/engine_performance.rs
@@ -3,7 +3,8 @@
 /// Performance of one engine, as measured by its sidecar.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct EnginePerformance {
-    /// Prefill rate in prompt tokens per ms.
+    /// Prefill rate in prompt tokens per ms. Parts of prompts that the engine kept count as
+    /// prefilled, as they do in the prompt sizes that entries know.
     pub prefill_tokens_per_ms: f64,
     /// Interval between two events of a stream while nothing is prefilled, in ms.
     pub event_interval_ms: f64,
--- a/coordination/src/dispatch/dispatcher.rs
+++ b/coordination/src/dispatch/dispatcher.rs
@@ -326,8 +326,14 @@
         }
         if sent.is_sole_prefill {
             let prefill_time = now.saturating_duration_since(sent.sent_at);
+            // the rate of the service is that of its median engine
+            let relative_rate = self
+                .backends
+                .get(backend)
+                .map_or(1.0, |b| b.relative_rate.value());
+            let prefill_ms = prefill_time.as_secs_f64() * 1_000.0 * relative_rate;
             let rate = self.prefill_rates.entry(service.clone()).or_default();
-            rate.on_sole_prefill(sent.prompt_tokens, prefill_time.as_secs_f64() * 1_000.0);
+            rate.on_sole_prefill(sent.prompt_tokens, prefill_ms);
         }
         sent.has_started = true;
         if let (Some(state), Some(adapter)) = (self.backends.get_mut(backend), &sent.adapter) {
--- a/coordination/tests/dispatch_performance.rs
+++ b/coordination/tests/dispatch_performance.rs
@@ -263,6 +263,36 @@
     assert_eq!(chosen, name(1));
 }
 
+#[test]
+fn prompts_at_a_slow_engine_do_not_lower_the_rate_of_the_others() {
+    // guards against a service's rate that depends on which engines an entry happened to use
+    let mut fixture = fixture_with_times(&[1.0, 1.0, 2.0], &[]);
+    let held = with_performance(view(&name(3), &[("a", 1)]), 2.0);
+    fixture.view(3, held);
+    let mut prefill = |ticket: Ticket| {
+        let request = DispatchRequest {
+            prompt_tokens: 1_600,
+            ..fixture.new_request(ENGINES, Some("a"))
+        };
+        let decided = fixture.submit(ticket, request);
+        assert_eq!(sent(&decided).0, name(3));
+        // 16 tokens a ms, the default of the median engine, are 200 ms there
+        fixture.now += ms(200);
+        fixture.handle(DispatchEvent::ResponseStarted(ticket));
+        fixture.end(ticket, SendOutcome::Answered);
+    };
+    (1..=10).for_each(&mut prefill);
+    // an engine without a prefill rate of its own has that of the service
+    let mut partial = with_performance(view(&name(1), &[]), 1.0);
+    partial.figures.prefill_tokens_per_s = None;
+    fixture.view(1, partial);
+    let known = performances(&mut fixture)[0].expect("known");
+    assert!(
+        (14.0..18.0).contains(&known.prefill_tokens_per_ms),
+        "{known:?}"
+    );
+}
+
 #[test]
 fn the_urgency_of_a_prompt_follows_the_engine_that_runs_it() {
     // guards against a prompt that can't be in time at a slow engine displacing others there
