--- a/coordination/src/dispatch/mod.rs
+++ b/coordination/src/dispatch/mod.rs
@@ -20,6 +20,7 @@
 mod limited_backends;
 mod load_delay;
 mod pending_loads;
+mod performance;
 mod prefill_rate;
 mod rejection;
 mod requested_load;
@@ -45,6 +46,7 @@
     limited_backends::{PermitError, PermitQuery},
     load_delay::LoadDelay,
     pending_loads::DueDemands,
+    performance::MeasuredEngines,
     prefill_rate::PrefillRate,
     requested_load::{LoadCause, RequestedLoad},
     settings::DispatchSettings,
