ingress: continue a resumable stream at another engine

A route with Resumable: when the engine's stream breaks off, the entry closes its connection, waits until the engine is known to have ended or 400 ms have passed, and sends the request with Last-Event-Id through the dispatcher like a retry (budget, MaxAttempts, deadline, crash registry). The response keeps its head. ProxyBody forwards such streams in complete events. Switch stream_recovery, on; log lines 'stream resumed' and 'stream not resumed'; metric resumptions.

Not noticed by a test: the refused connection used for a request whose engine crashed before its first event.

--- a/coordination/src/features/switches.rs
+++ b/coordination/src/features/switches.rs
@@ -37,6 +37,9 @@
     /// Uses the engine views that sidecars report; otherwise entries rely on the list, the
     /// responses of engines and the loads that they requested.
     pub sidecar_views: bool,
+    /// Continues a resumable stream at another engine when its engine fails; otherwise the
+    /// response breaks off and the client resumes it.
+    pub stream_recovery: bool,
 }
 
 impl Default for FeatureSwitches {
@@ -55,13 +58,14 @@
             store_by_relay: true,
             shared_limits: true,
             sidecar_views: true,
+            stream_recovery: true,
         }
     }
 }
 
 impl FeatureSwitches {
     /// Returns the name and the state of each switch.
-    fn named_states(&self) -> [(&'static str, bool); 13] {
+    fn named_states(&self) -> [(&'static str, bool); 14] {
         [
             ("observed_rate", self.observed_rate),
             ("prompts_of_all", self.prompts_of_all),
@@ -76,6 +80,7 @@
             ("store_by_relay", self.store_by_relay),
             ("shared_limits", self.shared_limits),
             ("sidecar_views", self.sidecar_views),
+            ("stream_recovery", self.stream_recovery),
         ]
     }
 }
--- a/entry/src/ingress/observers.rs
+++ b/entry/src/ingress/observers.rs
@@ -1,5 +1,5 @@
 use {
-    super::{control::ControlHandle, shared::Shared},
+    super::{control::ControlHandle, shared::Shared, stream_recovery::StreamRecovery},
     chalkcart_coordination::dispatch::{DispatchEvent, SendOutcome, Ticket},
     chalkcart_state::{
         backends::BackendId,
@@ -8,7 +8,7 @@
     },
     chalkcart_transport::{
         clock,
-        ingress::{ProxyBodyEnd, ProxyBodyObserver},
+        ingress::{ProxyBodyEnd, ProxyBodyObserver, ResumeFuture, StreamCut},
     },
     log::Level,
     std::{
@@ -44,13 +44,16 @@
         }
     }
 
-    pub fn end(&mut self, outcome: SendOutcome) {
-        if !self.has_ended {
-            self.has_ended = true;
-            let ticket = self.ticket;
-            self.control
-                .send_event(DispatchEvent::SendEnded { ticket, outcome });
+    /// Reports the end; returns false if it was reported before.
+    pub fn end(&mut self, outcome: SendOutcome) -> bool {
+        if self.has_ended {
+            return false;
         }
+        self.has_ended = true;
+        let ticket = self.ticket;
+        self.control
+            .send_event(DispatchEvent::SendEnded { ticket, outcome });
+        true
     }
 }
 
@@ -71,13 +74,26 @@
     pub arrived: Instant,
     /// Time from the arrival of the request to the first part of the body.
     pub first_part: Option<Duration>,
+    /// Present on a stream that may be resumed.
+    pub recovery: Option<Box<StreamRecovery>>,
+}
+
+impl StreamObserver {
+    /// Reports the end of the send to the current back end, once.
+    fn end_send(&mut self, outcome: SendOutcome) {
+        if self.guard.end(outcome) {
+            self.shared.metrics.on_send_ended(outcome.code());
+        }
+    }
 }
 
 impl ProxyBodyObserver for StreamObserver {
     fn on_first_frame(&mut self) {
-        let after = clock::elapsed(self.arrived);
-        self.first_part = Some(after);
-        self.shared.metrics.on_first_part(&self.route.name, after);
+        if self.first_part.is_none() {
+            let after = clock::elapsed(self.arrived);
+            self.first_part = Some(after);
+            self.shared.metrics.on_first_part(&self.route.name, after);
+        }
         self.guard.start();
     }
 
@@ -88,8 +104,7 @@
             ProxyBodyEnd::TimedOut => (SendOutcome::Abandoned, "timed_out"),
             ProxyBodyEnd::ClientDisconnected => (SendOutcome::Abandoned, "client_left"),
         };
-        self.guard.end(outcome);
-        self.shared.metrics.on_send_ended(outcome.code());
+        self.end_send(outcome);
         self.shared
             .metrics
             .on_pause(&self.route.name, longest_pause);
@@ -114,6 +129,15 @@
             "ingress: stream ended"
         );
     }
+
+    fn resume(&mut self, cut: StreamCut) -> Option<ResumeFuture<dyn ProxyBodyObserver>> {
+        let recovery = self.recovery.take()?;
+        self.end_send(match cut.fault {
+            None => SendOutcome::Broken,
+            Some(_) => SendOutcome::Failed,
+        });
+        Some(ResumeFuture::new(recovery.resume(cut, self.first_part)))
+    }
 }
 
 /// Withdraws a queued request from the dispatcher if it is dropped before a decision, as when the
--- a/entry/src/ingress/request_exchange.rs
+++ b/entry/src/ingress/request_exchange.rs
@@ -2,9 +2,10 @@
     super::{
         admission::{Admission, AdmissionError},
         local_response::LocalResponse,
-        observers::{SendGuard, StreamObserver, WaitGuard},
+        observers::{SendGuard, WaitGuard},
         service::{find_route, AcceptedRequest},
         shared::Shared,
+        stream_response::StartedStream,
     },
     bytes::Bytes,
     chalkcart_coordination::{
@@ -14,6 +15,7 @@
             Assignment, Decision, DecisionInputs, DispatchEvent, DispatchRequest, SendOutcome,
             Ticket,
         },
+        stream_recovery::EventId,
     },
     chalkcart_state::{backends::BackendId, ids::Generation, regions::AllowedRegions},
     chalkcart_transport::{
@@ -21,7 +23,6 @@
         clock::{self, before_deadline},
         ingress::{
             remove_connection_headers, BackendRequestHead, BackendResponseHead, ClientResponse,
-            ProxyBody,
         },
     },
     http::{request::Parts, HeaderMap, Request, Response, StatusCode},
@@ -48,27 +49,30 @@
 const BLOCKED: &str = "engines ended under this request: it is not run any more";
 
 /// Log value for a request that is queued again because its allowed regions changed.
-const REGIONS_CHANGED: &str = "its allowed regions changed";
+pub(super) const REGIONS_CHANGED: &str = "its allowed regions changed";
 
 /// Handles one client request: queueing, sends and retries.
 pub struct RequestExchange {
     pub(super) shared: Arc<Shared>,
-    ticket: Ticket,
+    pub(super) ticket: Ticket,
     pub(super) accepted: AcceptedRequest,
-    deadline: Instant,
+    pub(super) deadline: Instant,
     pub(super) request: DispatchRequest,
     /// Generation of the configuration that `request.allowed_regions` was computed from.
     regions_generation: Option<Generation>,
     /// Number of sends after which the request may have run.
     pub(super) runs: u32,
+    /// The last event that the client has of a stream that is resumed.
+    pub(super) last_event: Option<EventId>,
     /// The response of the last back end that failed, if it sent one.
     failure: Option<ClientResponse>,
 }
 
 /// The result of one send.
-enum SendResult {
-    /// The response is complete, or its stream has started.
+pub(super) enum SendResult {
+    /// The response is complete.
     Responded(ClientResponse),
+    Streaming(Box<StartedStream>),
     NotRun(SendOutcome),
     /// The request may have run; holds the back end's error response if it sent one.
     Failed(Option<ClientResponse>),
@@ -111,6 +115,7 @@
             request,
             regions_generation: None,
             runs: 0,
+            last_event: None,
             failure: None,
         }
     }
@@ -166,6 +171,9 @@
             self.set_may_have_run(true);
             match self.send_request(&assignment).await {
                 SendResult::Responded(response) => return response,
+                SendResult::Streaming(stream) => {
+                    return self.stream_to_client(assignment, *stream);
+                }
                 SendResult::TimedOut => {
                     self.log_send_end(&assignment, "timed_out", None);
                     return self
@@ -183,8 +191,7 @@
                 SendResult::Failed(failure) => {
                     let status = failure.as_ref().map(|f| f.status());
                     self.log_send_end(&assignment, "failed", status);
-                    self.runs += 1;
-                    self.request.tried_backends.push(assignment.backend);
+                    self.count_run(&assignment);
                     self.failure = failure;
                     let may_retry = self.accepted.route.kind.is_repeatable()
                         && self.runs < self.accepted.route.max_attempts
@@ -200,7 +207,14 @@
         }
     }
 
-    async fn wait_for_decision(&mut self) -> Option<Decision> {
+    /// Records that a back end may have run the request and is not tried again.
+    pub(super) fn count_run(&mut self, assignment: &Assignment) {
+        self.runs += 1;
+        let backend = assignment.backend.clone();
+        self.request.tried_backends.push(backend);
+    }
+
+    pub(super) async fn wait_for_decision(&mut self) -> Option<Decision> {
         self.request.is_crash_suspect = self.is_crash_suspect();
         self.update_allowed_regions();
         let control = &self.shared.control;
@@ -253,7 +267,7 @@
         })
     }
 
-    fn crash_verdict(&self) -> RequestVerdict {
+    pub(super) fn crash_verdict(&self) -> RequestVerdict {
         self.shared.crashes.verdict(&self.accepted.digest)
     }
 
@@ -264,7 +278,7 @@
     }
 
     /// Checks that the caller's key has not been revoked in the meantime.
-    fn revalidate_key(&self) -> Result<(), AdmissionError> {
+    pub(super) fn revalidate_key(&self) -> Result<(), AdmissionError> {
         let Some(caller) = &self.accepted.caller else {
             return Ok(());
         };
@@ -274,7 +288,7 @@
     }
 
     /// Updates the allowed regions from the active configuration; returns whether they changed.
-    fn update_allowed_regions(&mut self) -> bool {
+    pub(super) fn update_allowed_regions(&mut self) -> bool {
         let Some(table) = self.shared.table.load_full() else {
             return false;
         };
@@ -292,7 +306,7 @@
     }
 
     /// Reports to the dispatcher that the request is not sent to the back end assigned to it.
-    fn abandon_assignment(&self, assignment: &Assignment, cause: &str) {
+    pub(super) fn abandon_assignment(&self, assignment: &Assignment, cause: &str) {
         let mut guard = SendGuard::new(self.shared.control.clone(), self.ticket);
         guard.end(SendOutcome::Abandoned);
         log::warn!(
@@ -317,7 +331,7 @@
         }
     }
 
-    async fn send_request(&self, assignment: &Assignment) -> SendResult {
+    pub(super) async fn send_request(&self, assignment: &Assignment) -> SendResult {
         let mut guard = SendGuard::new(self.shared.control.clone(), self.ticket);
         let Some(req) = self.build_request(assignment) else {
             return SendResult::Failed(None);
@@ -375,6 +389,7 @@
                 .caller
                 .as_ref()
                 .map(|c| c.account.name.as_str()),
+            last_event: self.last_event,
         };
         self.shared
             .dialect
@@ -419,7 +434,10 @@
             return SendResult::Failed(None);
         }
         match self.accepted.route.kind.is_stream() && status.is_success() {
-            true => self.proxy_stream(backend, backend_response, guard),
+            true => SendResult::Streaming(Box::new(StartedStream {
+                response: backend_response,
+                guard,
+            })),
             false => self.buffer_response(backend_response, guard).await,
         }
     }
@@ -486,33 +504,6 @@
         }
     }
 
-    fn proxy_stream(
-        &self,
-        backend: &BackendId,
-        backend_response: BackendResponse,
-        guard: SendGuard,
-    ) -> SendResult {
-        let observer = StreamObserver {
-            shared: self.shared.clone(),
-            guard,
-            request: self.accepted.head.id.clone(),
-            digest: self.accepted.digest,
-            route: self.accepted.route.clone(),
-            backend: backend.clone(),
-            arrived: self.accepted.arrived,
-            first_part: None,
-        };
-        let (mut parts, body) = backend_response.response.into_parts();
-        remove_connection_headers(&mut parts.headers, self.shared.dialect.end_to_end_headers());
-        let body = ProxyBody::new(
-            body,
-            backend_response.connection,
-            self.deadline,
-            Box::new(observer),
-        );
-        SendResult::Responded(Response::from_parts(parts, Either::Right(body)))
-    }
-
     /// Reads the complete body, so that a failed send can still be retried.
     async fn buffer_response(
         &self,
--- a/entry/src/ingress/shared_crash_registry.rs
+++ b/entry/src/ingress/shared_crash_registry.rs
@@ -1,4 +1,5 @@
 use {
+    super::ended_engines::EndedEngines,
     chalkcart_coordination::{
         crashes::{CrashRegistry, EngineCrash, RequestVerdict},
         membership::stable_hash,
@@ -21,6 +22,8 @@
     registry: Mutex<CrashRegistry>,
     /// Notifies subscribers of the registry's revision.
     revision: watch::Sender<u64>,
+    /// Engines that ended while they ran requests of this entry.
+    pub ended: EndedEngines,
     pub metrics: CrashMetrics,
 }
 
@@ -29,6 +32,7 @@
         Self {
             registry: Mutex::new(CrashRegistry::new(rand::random())),
             revision: watch::Sender::new(0),
+            ended: EndedEngines::default(),
             metrics: CrashMetrics::default(),
         }
     }
@@ -64,6 +68,7 @@
             drop(registry);
             self.metrics.ended.inc();
             log_crash(&crash, now);
+            self.ended.insert(crash.backend, now);
         }
     }
 
--- a/testkit/src/users_platform/backend_responses.rs
+++ b/testkit/src/users_platform/backend_responses.rs
@@ -1,6 +1,7 @@
 use {
     super::{
         backend_stand_in::{BackendFault, BackendKind, BackendState, Run},
+        backend_streams::stream_events,
         wire::{write_response, Head},
     },
     crate::serving::lock,
@@ -61,10 +62,8 @@
         }
         (BackendFault::Status(status), _) => write_response(socket, status, &headers, b"").await,
         (_, BackendKind::Engine) => {
-            let from = head
-                .get_number("last-event-id")
-                .map_or(0, |id| id as u32 + 1);
-            stream_events(socket, state, run_index, &headers, (fault, from)).await
+            let last = head.get_number("last-event-id");
+            stream_events(socket, state, run_index, &headers, (fault, last)).await
         }
         (_, BackendKind::Plain) => {
             let delay = lock(state).delay;
@@ -194,41 +193,8 @@
     }
 }
 
-/// Streams numbered events in chunks, starting at one of them.
-async fn stream_events(
-    socket: &mut TcpStream,
-    state: &Mutex<BackendState>,
-    run_index: usize,
-    headers: &[(&'static str, String)],
-    (fault, from): (BackendFault, u32),
-) -> Result<()> {
-    let (event_count, event_interval) = {
-        let state = lock(state);
-        (
-            state.event_count,
-            state.event_interval + state.event_interval_per_run * state.running,
-        )
-    };
-    let head = response_head(headers, "Transfer-Encoding: chunked");
-    socket.write_all(&head).await?;
-    for part in from..event_count {
-        if fault == BackendFault::TruncateBody && part == event_count / 2 {
-            bail!("connection closed in the body");
-        }
-        let event = format!("id: {part}\ndata: x\n\n");
-        let chunk = format!("{:x}\r\n{event}\r\n", event.len());
-        if socket.write_all(chunk.as_bytes()).await.is_err() {
-            lock(state).runs[run_index].has_client_disconnected = true;
-            bail!("caller disconnected");
-        }
-        wait_unless_disconnected(socket, state, run_index, event_interval).await?;
-    }
-    socket.write_all(b"0\r\n\r\n").await?;
-    Ok(())
-}
-
 /// Waits and records whether the caller closes the connection meanwhile.
-async fn wait_unless_disconnected(
+pub(super) async fn wait_unless_disconnected(
     socket: &mut TcpStream,
     state: &Mutex<BackendState>,
     run_index: usize,
@@ -244,7 +210,7 @@
     }
 }
 
-fn response_head(headers: &[(&'static str, String)], framing: &str) -> Vec<u8> {
+pub(super) fn response_head(headers: &[(&'static str, String)], framing: &str) -> Vec<u8> {
     let mut text = format!("HTTP/1.1 200 OK\r\n{framing}\r\n");
     for (name, value) in headers {
         text.push_str(&format!("{name}: {value}\r\n"));
--- a/testkit/src/users_platform/backend_stand_in.rs
+++ b/testkit/src/users_platform/backend_stand_in.rs
@@ -30,6 +30,8 @@
 const LIMIT_PROPAGATION_DELAY: Duration = Duration::from_millis(500);
 /// Window over which requests are counted against a limit.
 pub const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+/// Number of events in a stream unless a test sets another one.
+pub const DEFAULT_EVENT_COUNT: u32 = 3;
 pub const HEALTH_PATH: &str = "/health";
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -67,6 +69,43 @@
     Unresponsive,
     /// Runs the request and sends bytes that are not HTTP.
     InvalidBytes,
+    /// Cuts a stream.
+    Cut(StreamFault),
+    /// Starts a resumed stream this many events too late, or too early if it is negative.
+    ShiftEvents(i32),
+}
+
+/// How a back end cuts a stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StreamFault {
+    pub kind: CutKind,
+    /// Number of events that are sent before.
+    pub after: u32,
+    /// Number of bytes of the next event that are sent too.
+    pub extra_bytes: usize,
+    /// Whether the body is chunked; otherwise the end of the connection ends it.
+    pub is_chunked: bool,
+}
+
+impl Default for StreamFault {
+    fn default() -> Self {
+        Self {
+            kind: CutKind::Close,
+            after: 2,
+            extra_bytes: 0,
+            is_chunked: true,
+        }
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CutKind {
+    /// Closes the connection.
+    Close,
+    /// Resets the connection.
+    Reset,
+    /// The back end ends with all its connections and starts again.
+    Crash,
 }
 
 /// A request that a back end ran.
@@ -136,6 +175,8 @@
     pub restart_delay: Duration,
     /// Number of crashes caused by a request.
     pub crashes: u32,
+    /// Times at which streams were cut, other than by a crash.
+    pub cuts: Vec<Instant>,
     has_crashed: Arc<Notify>,
 }
 
@@ -276,7 +317,7 @@
             slots: u32::MAX,
             running: 0,
             delay: Duration::ZERO,
-            event_count: 3,
+            event_count: DEFAULT_EVENT_COUNT,
             event_interval: Duration::from_millis(5),
             event_interval_per_run: Duration::ZERO,
             crash_body: None,
@@ -293,6 +334,7 @@
             backoffs: Vec::new(),
             restart_delay: Duration::from_millis(300),
             crashes: 0,
+            cuts: Vec::new(),
             has_crashed: has_crashed.clone(),
         }));
         let incarnations = watch::Sender::new(FIRST_START_TIME_MS);
--- a/testkit/src/users_platform/client.rs
+++ b/testkit/src/users_platform/client.rs
@@ -57,6 +57,24 @@
     received: Vec<u8>,
 }
 
+impl ClientResponse {
+    /// Returns the body without the framing of its chunks, as far as it was received.
+    pub fn data(&self) -> Vec<u8> {
+        if self.head.get("transfer-encoding") != Some("chunked") {
+            return self.body.clone();
+        }
+        let (mut rest, mut data) = (self.body.as_slice(), Vec::new());
+        while let Some(end) = rest.windows(2).position(|w| w == b"\r\n") {
+            let size = String::from_utf8_lossy(&rest[..end]);
+            let size = usize::from_str_radix(&size, 16).unwrap_or(0);
+            let chunk = &rest[end + 2..];
+            data.extend_from_slice(&chunk[..size.min(chunk.len())]);
+            rest = chunk.get(size + 2..).unwrap_or_default();
+        }
+        data
+    }
+}
+
 impl ClientRequest {
     fn text(&self) -> Vec<u8> {
         let mut text = format!(
--- a/testkit/src/users_platform/fleet.rs
+++ b/testkit/src/users_platform/fleet.rs
@@ -41,6 +41,8 @@
     pub should_publish_config: bool,
     pub timeout_ms: u64,
     pub grace_s: f64,
+    /// Maximum number of engines for a stream; streams may be resumed if it is more than 1.
+    pub stream_attempts: u32,
     /// Number of engines from which on the ingress uses a relay.
     pub relays_from_engines: usize,
     /// Number of watched engines from which on relays use those of other zones; `None` for the
@@ -66,6 +68,7 @@
             should_publish_config: true,
             timeout_ms: 8_000,
             grace_s: 6.0,
+            stream_attempts: 1,
             relays_from_engines: usize::MAX,
             zone_relays_from_engines: None,
             revoke_ms: None,
@@ -318,7 +321,7 @@
             json!({
                 "Name": name, "Host": HOST, "PathPrefix": prefix, "Kind": kind,
                 "TimeoutMs": self.settings.timeout_ms, "TargetLatencyMs": 1500, "Priority": 1,
-                "Service": service, "MaxAttempts": attempts, "Resumable": false,
+                "Service": service, "MaxAttempts": attempts, "Resumable": kind == "stream" && attempts > 1,
             })
         };
         let mut document = json!({
@@ -326,7 +329,7 @@
             "Routes": [
                 route("safe", "/safe/", "safe", PLAIN_SERVICE, 2),
                 route("unsafe", "/unsafe/", "unsafe", PLAIN_SERVICE, 1),
-                route("stream", "/stream/", "stream", ENGINE_SERVICE, 1),
+                route("stream", "/stream/", "stream", ENGINE_SERVICE, self.settings.stream_attempts),
             ],
             "Services": [
                 {"Name": PLAIN_SERVICE, "HealthPath": HEALTH_PATH, "MaxConns": 100},
--- a/testkit/src/users_platform/mod.rs
+++ b/testkit/src/users_platform/mod.rs
@@ -4,6 +4,7 @@
 
 mod backend_responses;
 mod backend_stand_in;
+mod backend_streams;
 mod client;
 mod engine_orders;
 mod fleet;
@@ -14,8 +15,8 @@
 
 pub use {
     backend_stand_in::{
-        max_requests_in_window, BackendFault, BackendKind, BackendStandIn, Run,
-        FIRST_START_TIME_MS, LIMIT_GRACE, LIMIT_WINDOW,
+        max_requests_in_window, BackendFault, BackendKind, BackendStandIn, CutKind, Run,
+        StreamFault, DEFAULT_EVENT_COUNT, FIRST_START_TIME_MS, LIMIT_GRACE, LIMIT_WINDOW,
     },
     client::{open_stream, request, send_on, ClientRequest, ClientResponse, OpenStream},
     engine_orders::{AcceptedOrder, ADAPTER_SLOTS, MODEL},
--- a/transport/src/backend/mod.rs
+++ b/transport/src/backend/mod.rs
@@ -2,4 +2,4 @@
 
 mod sender;
 
-pub use sender::{send, BackendResponse, BackendSendError, Connection};
+pub use sender::{is_refused, send, BackendResponse, BackendSendError, Connection};
--- a/transport/src/backend/sender.rs
+++ b/transport/src/backend/sender.rs
@@ -14,6 +14,15 @@
 #[derive(Debug)]
 pub struct Connection(JoinHandle<()>);
 
+impl Connection {
+    /// Closes the connection and returns once it is closed.
+    pub async fn close(mut self) {
+        self.0.abort();
+        // the only error is the cancellation
+        let _ = (&mut self.0).await;
+    }
+}
+
 impl Drop for Connection {
     fn drop(&mut self) {
         self.0.abort();
@@ -71,6 +80,12 @@
     }
 }
 
+/// Returns whether a connection to the address is refused: no process listens there.
+pub async fn is_refused(addr: SocketAddr, connect_timeout: Duration) -> bool {
+    let connected = connect(addr, connect_timeout).await;
+    connected.is_err_and(|e| e.kind() == io::ErrorKind::ConnectionRefused)
+}
+
 async fn connect(addr: SocketAddr, max_duration: Duration) -> io::Result<TcpStream> {
     let connected = timeout(max_duration, TcpStream::connect(addr)).await;
     let stream = connected.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
--- a/transport/src/ingress/dialect.rs
+++ b/transport/src/ingress/dialect.rs
@@ -1,5 +1,8 @@
 use {
-    chalkcart_coordination::backend_signals::{BackendSignals, LimitSignal},
+    chalkcart_coordination::{
+        backend_signals::{BackendSignals, LimitSignal},
+        stream_recovery::EventId,
+    },
     chalkcart_state::{
         accounts::{ApiKeyDigest, ApiKeyError},
         backends::{AdapterRef, BackendName},
@@ -25,6 +28,8 @@
     pub output_tokens: u32,
     /// The client's estimate of the response's tokens: right at the median, often far off.
     pub expected_output_tokens: Option<u32>,
+    /// The last event that the client has of a stream that it resumes.
+    pub last_event: Option<EventId>,
 }
 
 impl RequestHead {
@@ -49,6 +54,9 @@
     pub urgency: u8,
     /// The client account that sent the request.
     pub account: Option<&'s str>,
+    /// The last event that the client has of a stream that this entry resumes; `None` leaves
+    /// the client's own.
+    pub last_event: Option<EventId>,
 }
 
 /// The platform's fields in the head of a back end's response.
--- a/transport/src/ingress/mod.rs
+++ b/transport/src/ingress/mod.rs
@@ -4,10 +4,14 @@
 mod headers;
 mod proxy_body;
 mod server;
+mod stream_continuation;
 
 pub use {
     dialect::{BackendRequestHead, BackendResponseHead, Dialect, HeadError, RequestHead},
     headers::remove_connection_headers,
-    proxy_body::{ProxyBody, ProxyBodyEnd, ProxyBodyObserver},
+    proxy_body::ProxyBody,
     server::{serve, ClientBody, ClientRequest, ClientResponse, IngressService, Phase},
+    stream_continuation::{
+        Continuation, ProxyBodyEnd, ProxyBodyObserver, ResumeFuture, StreamCut, StreamEvents,
+    },
 };
--- a/transport/src/ingress/proxy_body.rs
+++ b/transport/src/ingress/proxy_body.rs
@@ -1,66 +1,81 @@
 use {
+    super::stream_continuation::{
+        Continuation, ProxyBodyEnd, ProxyBodyObserver, ResumeFuture, StreamCut, StreamEvents,
+    },
     crate::{
         backend::Connection,
         clock::{self, sleep_until_deadline},
     },
     bytes::Bytes,
+    chalkcart_coordination::stream_recovery::{NotResumed, StreamEnd},
     http_body::{Body, Frame, SizeHint},
     hyper::body::Incoming,
     std::{
         future::Future,
-        io,
+        io, mem,
         pin::Pin,
         task::{ready, Context, Poll},
         time::{Duration, Instant},
     },
 };
 
-/// How a proxied body ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum ProxyBodyEnd {
+/// Where the next bytes come from.
+enum Source {
+    Backend {
+        body: Incoming,
+        connection: Connection,
+    },
+    /// An engine that continues the stream is being found.
+    Resuming(ResumeFuture<dyn ProxyBodyObserver>),
     Complete,
-    /// The connection to the back end failed.
-    Broken,
-    /// The deadline passed.
-    TimedOut,
-    ClientDisconnected,
+    Failed,
 }
 
-/// Observes the progress of a proxied body.
-pub trait ProxyBodyObserver: Send + Sync {
-    /// Called when the first frame has arrived.
-    fn on_first_frame(&mut self);
-    /// Called once when the body has ended, with the longest pause between two frames.
-    fn on_end(&mut self, end: ProxyBodyEnd, longest_pause: Duration);
+/// What a received frame or the end of a body means for the client.
+enum Step {
+    Forward(Frame<Bytes>),
+    /// Nothing is passed on yet.
+    Continue,
+    /// The engine's stream can't be used any further.
+    Cut(Option<NotResumed>),
 }
 
 /// A back end's response body that is forwarded to the client frame by frame.
 ///
-/// Dropping it closes the connection to the back end.
+/// A body with `StreamEvents` is forwarded in complete events, and is continued by another
+/// engine if its stream is cut. Dropping the body closes the connection to the back end.
 pub struct ProxyBody {
-    body: Incoming,
-    _connection: Connection,
+    source: Source,
+    events: Option<StreamEvents>,
+    /// Trailers that follow the bytes that were held back.
+    trailers: Option<Frame<Bytes>>,
     deadline: Instant,
     timer: Pin<Box<dyn Future<Output = ()> + Send + Sync>>,
     last_frame_at: Option<Instant>,
+    /// Whether the current back end has sent a frame.
+    has_started: bool,
     longest_pause: Duration,
     observer: Box<dyn ProxyBodyObserver>,
     has_ended: bool,
 }
 
 impl ProxyBody {
+    /// `events` is present for a stream that may be resumed.
     pub fn new(
         body: Incoming,
         connection: Connection,
         deadline: Instant,
         observer: Box<dyn ProxyBodyObserver>,
+        events: Option<StreamEvents>,
     ) -> Self {
         Self {
-            body,
-            _connection: connection,
+            source: Source::Backend { body, connection },
+            events,
+            trailers: None,
             deadline,
             timer: Box::pin(sleep_until_deadline(deadline)),
             last_frame_at: None,
+            has_started: false,
             longest_pause: Duration::ZERO,
             observer,
             has_ended: false,
@@ -73,16 +88,122 @@
             self.observer.on_end(end, self.longest_pause);
         }
     }
+
+    fn fail(
+        &mut self,
+        end: ProxyBodyEnd,
+        error: io::Error,
+    ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
+        self.source = Source::Failed;
+        self.end(end);
+        Poll::Ready(Some(Err(error)))
+    }
+
     fn on_frame(&mut self) {
         let now = clock::now();
-        match self.last_frame_at {
-            Some(last) => {
-                self.longest_pause = self.longest_pause.max(now.saturating_duration_since(last))
-            }
-            None => self.observer.on_first_frame(),
+        if let Some(last) = self.last_frame_at {
+            self.longest_pause = self.longest_pause.max(now.saturating_duration_since(last));
+        }
+        if !self.has_started {
+            self.has_started = true;
+            self.observer.on_first_frame();
         }
         self.last_frame_at = Some(now);
     }
+
+    fn on_received(&mut self, frame: Frame<Bytes>) -> Step {
+        self.on_frame();
+        let Some(events) = &mut self.events else {
+            if self.is_source_at_end() {
+                self.end(ProxyBodyEnd::Complete);
+            }
+            return Step::Forward(frame);
+        };
+        let data = match frame.into_data() {
+            Ok(data) => data,
+            Err(trailers) => {
+                self.trailers = Some(trailers);
+                return Step::Continue;
+            }
+        };
+        let pushed = events.assembler.push(&data);
+        if let Some(fault) = pushed.fault {
+            // the events before it were checked
+            return match pushed.passed.is_empty() {
+                true => Step::Cut(Some(fault)),
+                false => {
+                    events.fault = Some(fault);
+                    Step::Forward(Frame::data(pushed.passed.into()))
+                }
+            };
+        }
+        match pushed.passed.is_empty() {
+            true => Step::Continue,
+            false => Step::Forward(Frame::data(pushed.passed.into())),
+        }
+    }
+
+    /// Handles the end of the back end's body.
+    fn on_body_end(&mut self) -> Step {
+        if let Some(events) = &mut self.events {
+            match events.assembler.end(events.is_framed) {
+                StreamEnd::Cut => return Step::Cut(None),
+                StreamEnd::Complete(rest) if !rest.is_empty() => {
+                    self.source = Source::Complete;
+                    return Step::Forward(Frame::data(rest.into()));
+                }
+                StreamEnd::Complete(_) => {}
+            }
+        }
+        self.source = Source::Complete;
+        Step::Continue
+    }
+
+    /// Starts to find an engine that continues the stream; returns false if it can't be resumed.
+    fn try_resume(&mut self, fault: Option<NotResumed>) -> bool {
+        let Some(events) = &mut self.events else {
+            return false;
+        };
+        let Source::Backend { body, connection } = mem::replace(&mut self.source, Source::Failed)
+        else {
+            return false;
+        };
+        drop(body);
+        self.trailers = None;
+        events.fault = None;
+        let cut = StreamCut {
+            connection,
+            fault,
+            last_event: events.assembler.cut(),
+            has_progress: events.assembler.has_event(),
+        };
+        match self.observer.resume(cut) {
+            Some(resume) => self.source = Source::Resuming(resume),
+            None => return false,
+        }
+        true
+    }
+
+    fn on_resumed(&mut self, continuation: Continuation<dyn ProxyBodyObserver>) {
+        if let Some(events) = &mut self.events {
+            events.assembler.start_continuation();
+            events.is_framed = continuation.is_framed;
+        }
+        self.has_started = false;
+        self.observer = continuation.observer;
+        self.source = Source::Backend {
+            body: continuation.body,
+            connection: continuation.connection,
+        };
+    }
+
+    fn is_source_at_end(&self) -> bool {
+        match &self.source {
+            Source::Backend { body, .. } => body.is_end_stream(),
+            Source::Complete => true,
+            Source::Resuming(_) | Source::Failed => false,
+        }
+    }
 }
 
 impl Body for ProxyBody {
@@ -90,37 +211,69 @@
     type Error = io::Error;
 
     fn poll_frame(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context,
     ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
-        let is_past_deadline = clock::now() >= self.deadline;
-        if is_past_deadline || self.timer.as_mut().poll(cx).is_ready() {
-            self.end(ProxyBodyEnd::TimedOut);
-            return Poll::Ready(Some(Err(io::ErrorKind::TimedOut.into())));
+        let this = self.get_mut();
+        let is_past_deadline = clock::now() >= this.deadline;
+        if is_past_deadline || this.timer.as_mut().poll(cx).is_ready() {
+            return this.fail(ProxyBodyEnd::TimedOut, io::ErrorKind::TimedOut.into());
         }
-        match ready!(Pin::new(&mut self.body).poll_frame(cx)) {
-            Some(Ok(frame)) => {
-                self.on_frame();
-                if self.body.is_end_stream() {
-                    self.end(ProxyBodyEnd::Complete);
+        loop {
+            let fault = this.events.as_mut().and_then(|events| events.fault.take());
+            let (step, error) = match &mut this.source {
+                Source::Backend { .. } if fault.is_some() => {
+                    (Step::Cut(fault), io::ErrorKind::InvalidData.into())
+                }
+                Source::Backend { body, .. } => match ready!(Pin::new(body).poll_frame(cx)) {
+                    Some(Ok(frame)) => (this.on_received(frame), io::ErrorKind::InvalidData.into()),
+                    Some(Err(e)) => (Step::Cut(None), io::Error::other(e)),
+                    None => (this.on_body_end(), io::ErrorKind::UnexpectedEof.into()),
+                },
+                Source::Resuming(resume) => match ready!(Pin::new(resume).poll(cx)) {
+                    Some(continuation) => {
+                        this.on_resumed(continuation);
+                        continue;
+                    }
+                    None => {
+                        let error = io::ErrorKind::ConnectionAborted.into();
+                        return this.fail(ProxyBodyEnd::Broken, error);
+                    }
+                },
+                Source::Complete => {
+                    if let Some(trailers) = this.trailers.take() {
+                        return Poll::Ready(Some(Ok(trailers)));
+                    }
+                    this.end(ProxyBodyEnd::Complete);
+                    return Poll::Ready(None);
+                }
+                Source::Failed => {
+                    let error = io::ErrorKind::ConnectionAborted.into();
+                    return this.fail(ProxyBodyEnd::Broken, error);
+                }
+            };
+            match step {
+                Step::Forward(frame) => return Poll::Ready(Some(Ok(frame))),
+                Step::Continue => {}
+                Step::Cut(fault) => {
+                    if !this.try_resume(fault) {
+                        return this.fail(ProxyBodyEnd::Broken, error);
+                    }
                 }
-                Poll::Ready(Some(Ok(frame)))
-            }
-            Some(Err(e)) => {
-                self.end(ProxyBodyEnd::Broken);
-                Poll::Ready(Some(Err(io::Error::other(e))))
-            }
-            None => {
-                self.end(ProxyBodyEnd::Complete);
-                Poll::Ready(None)
             }
         }
     }
     fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
+        match self.events {
+            Some(_) => self.has_ended && matches!(self.source, Source::Complete),
+            None => self.is_source_at_end(),
+        }
     }
     fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
+        match (&self.source, &self.events) {
+            (Source::Backend { body, .. }, None) => body.size_hint(),
+            _ => SizeHint::default(),
+        }
     }
 }
 
--- a/transport/src/metrics/ingress_metrics.rs
+++ b/transport/src/metrics/ingress_metrics.rs
@@ -63,6 +63,7 @@
     refusals: Family<CodeLabel, Counter>,
     sends: Family<CodeLabel, Counter>,
     backend_signals: Family<CodeLabel, Counter>,
+    resumptions: Family<CodeLabel, Counter>,
     retries: Counter,
     removed_headers: Counter,
     unreadable: Family<CodeLabel, Counter>,
@@ -90,6 +91,7 @@
             refusals: Family::default(),
             sends: Family::default(),
             backend_signals: Family::default(),
+            resumptions: Family::default(),
             retries: Counter::default(),
             removed_headers: Counter::default(),
             unreadable: Family::default(),
@@ -137,6 +139,10 @@
             self.retries.inc();
         }
     }
+    /// Counts a stream that was cut, by whether it was resumed or the cause why not.
+    pub fn on_resumption(&self, code: &'static str) {
+        self.resumptions.get_or_create(&CodeLabel { code }).inc();
+    }
     /// Counts headers that were removed from a client's request.
     pub fn on_headers_removed(&self, headers: usize) {
         self.removed_headers.inc_by(headers as u64);
@@ -226,6 +232,12 @@
             "Requests answered, by route and status",
             responses,
         );
+        let resumptions = self.resumptions.clone();
+        registry.register(
+            "resumptions",
+            "Streams that were cut, by outcome: resumed, or the cause why not",
+            resumptions,
+        );
         let refusals = self.refusals.clone();
         registry.register("refusals", "Requests refused, by cause", refusals);
         let sends = self.sends.clone();
