--- a/testkit/examples/soak/main.rs
+++ b/testkit/examples/soak/main.rs
@@ -27,6 +27,7 @@
             "include engines that announce leaving or request back-off",
         )
         .optflag("", "limits", "include back ends that advertise rate limits")
+        .optflag("", "resumable", "include streams that may be resumed")
         .optflag("h", "help", "print this help");
     let matches = opts.parse(env::args().skip(1))?;
     if matches.opt_present("help") {
@@ -60,6 +61,7 @@
         has_crashing_requests: matches.opt_present("crashing"),
         has_backend_signals: matches.opt_present("own-words"),
         has_rate_limits: matches.opt_present("limits"),
+        has_resumable_streams: matches.opt_present("resumable"),
         other_build: Binaries::from_other_build(),
         fault_period: Duration::from_secs(number(matches, "span", default.fault_period.as_secs())?),
         mean_fault_interval: Duration::from_millis(number(
--- a/testkit/src/soak/record.rs
+++ b/testkit/src/soak/record.rs
@@ -80,6 +80,10 @@
     pub exited_processes: Vec<String>,
     /// Routes and state that did not recover after the last fault.
     pub not_recovered: Vec<String>,
+    /// Maximum number of runs of a stream.
+    pub max_stream_runs: usize,
+    /// Number of events in a complete stream.
+    pub stream_events: usize,
     pub retry_ratio: f64,
     pub retry_extra: f64,
     pub retry_window: Duration,
--- a/testkit/src/soak/runner.rs
+++ b/testkit/src/soak/runner.rs
@@ -8,7 +8,7 @@
         cluster::Binaries,
         users_platform::{
             prompt, request, BackendFault, BackendStandIn, ClientRequest, Fleet, FleetSettings,
-            StoreFault, FIRST_START_TIME_MS, MODEL,
+            StoreFault, DEFAULT_EVENT_COUNT, FIRST_START_TIME_MS, MODEL,
         },
         waiting::until,
     },
@@ -44,6 +44,10 @@
 const RATE_LIMIT_PER_S: f64 = 2.0;
 /// Maximum number of requests that one fault of a back end affects.
 const MAX_FAULTY_REQUESTS: u32 = 40;
+/// Attempts and events of streams that may be resumed; more events than by default, so that
+/// more of them are cut.
+const RESUMABLE_STREAM_ATTEMPTS: u32 = 3;
+const RESUMABLE_STREAM_EVENTS: u32 = 20;
 const CRASHING_BODY: &[u8] = b"ends each engine that runs it";
 const CRASHING_REQUEST_INTERVAL: Duration = Duration::from_millis(150);
 
@@ -70,14 +74,22 @@
 
 /// Runs a soak with one seed.
 pub async fn run_soak(settings: &SoakSettings) -> Result<SoakReport> {
+    let (stream_attempts, stream_events) = match settings.has_resumable_streams {
+        true => (RESUMABLE_STREAM_ATTEMPTS, RESUMABLE_STREAM_EVENTS),
+        false => (1, DEFAULT_EVENT_COUNT),
+    };
     let fleet = Fleet::start(FleetSettings {
         engines: settings.engines,
         plain: settings.plain,
         grace_s: GRACE_S,
         has_store_forwarder: true,
+        stream_attempts,
         ..FleetSettings::default()
     })
     .await?;
+    for engine in &fleet.engines {
+        engine.state().event_count = stream_events;
+    }
     let stop = Arc::new(AtomicBool::new(false));
     let clients = (0..settings.clients).map(|number| {
         let client = KeepAliveClient::new(fleet.clients, settings.seed, number);
@@ -96,6 +108,8 @@
         adapter_versions: 0,
         other_build: settings.other_build.clone(),
         starts: 0,
+        max_stream_runs: stream_attempts,
+        stream_events,
     };
     soak.inject_faults(&faults).await?;
     if let Some(client) = crashing_client {
@@ -144,6 +158,8 @@
     /// Programs of an older build; process starts alternate between it and this build.
     other_build: Option<Binaries>,
     starts: u64,
+    max_stream_runs: u32,
+    stream_events: u32,
 }
 
 impl SoakRun {
@@ -414,6 +430,8 @@
             crash_registry_losses: crash_registry_losses(&faults),
             exited_processes: self.exited,
             not_recovered,
+            max_stream_runs: self.max_stream_runs as usize,
+            stream_events: self.stream_events as usize,
             retry_ratio: 0.2,
             retry_extra: 50.0,
             retry_window: Duration::from_secs(10),
--- a/testkit/src/soak/settings.rs
+++ b/testkit/src/soak/settings.rs
@@ -14,6 +14,8 @@
     pub has_backend_signals: bool,
     /// Whether back ends also announce rate limits; changes the faults that a seed generates.
     pub has_rate_limits: bool,
+    /// Whether streams may be resumed, and have more events.
+    pub has_resumable_streams: bool,
     /// Programs of an older build; process starts alternate between it and this build.
     pub other_build: Option<Binaries>,
     /// Period during which faults start.
@@ -32,6 +34,7 @@
             has_crashing_requests: false,
             has_backend_signals: false,
             has_rate_limits: false,
+            has_resumable_streams: false,
             other_build: None,
             fault_period: Duration::from_secs(8),
             mean_fault_interval: Duration::from_millis(500),
