dispatch: run suspected streams with progress beside each other

When an engine crashes, all its streams are suspected, and two suspects did not run at one engine: the streams that an entry continues waited for each other. Requests that an engine had sent events of may now run beside each other, and not beside suspects without progress.

Two tests of testkit/tests/stream_recovery.rs are corrected. The test of rejected continuations checks that an engine rejected one.

--- a/coordination/src/dispatch/backend_state.rs
+++ b/coordination/src/dispatch/backend_state.rs
@@ -29,6 +29,8 @@
 pub struct InFlightRequest {
     pub digest: RequestDigest,
     pub is_crash_suspect: bool,
+    /// Whether it continues a stream of which an engine has sent events.
+    pub has_progress: bool,
     pub adapter: Option<AdapterRef>,
     pub prompt_tokens: u32,
     pub sent_at: Instant,
@@ -91,6 +93,8 @@
     pub in_flight: u32,
     /// Of these, requests that are suspected of crashing engines.
     crash_suspects: u32,
+    /// Of these, requests without progress.
+    starting_suspects: u32,
     /// Of these, requests that wait for their first token.
     waiting_prefills: u32,
     waiting_prefill_tokens: u64,
@@ -133,6 +137,7 @@
             health: Health::new(now),
             in_flight: 0,
             crash_suspects: 0,
+            starting_suspects: 0,
             waiting_prefills: 0,
             waiting_prefill_tokens: 0,
             view: None,
@@ -251,6 +256,7 @@
         self.limit.on_request_sent(sent.sent_at);
         self.in_flight += 1;
         self.crash_suspects += u32::from(sent.is_crash_suspect);
+        self.starting_suspects += u32::from(sent.is_crash_suspect && !sent.has_progress);
         self.waiting_prefills += 1;
         self.waiting_prefill_tokens += u64::from(sent.prompt_tokens);
         if let Some(adapter) = &sent.adapter {
@@ -272,6 +278,7 @@
         }
         self.in_flight = self.in_flight.saturating_sub(1);
         self.crash_suspects -= u32::from(sent.is_crash_suspect);
+        self.starting_suspects -= u32::from(sent.is_crash_suspect && !sent.has_progress);
         let Some(adapter) = &sent.adapter else {
             return;
         };
@@ -376,9 +383,14 @@
         f64::from(self.occupied(now)) / f64::from(self.listed.slots.max(1))
     }
     /// Returns whether the back end can take this request now. Two crash suspects never run
-    /// side by side: an innocent one could be blocked together with the cause.
+    /// side by side: an innocent one could be blocked together with the cause. Those with
+    /// progress do: the cause is hardly among them, and a crash leaves many of them at once.
     pub fn can_accept_request(&self, request: &DispatchRequest, now: Instant) -> bool {
-        self.can_accept(now) && !(request.is_crash_suspect && self.crash_suspects > 0)
+        let others = match request.has_progress {
+            true => self.starting_suspects,
+            false => self.crash_suspects,
+        };
+        self.can_accept(now) && !(request.is_crash_suspect && others > 0)
     }
     /// Returns whether the back end can take any request now.
     pub fn can_accept(&self, now: Instant) -> bool {
--- a/coordination/src/dispatch/dispatch_request.rs
+++ b/coordination/src/dispatch/dispatch_request.rs
@@ -18,6 +18,8 @@
     pub digest: RequestDigest,
     /// Whether an engine crashed under it since it last completed.
     pub is_crash_suspect: bool,
+    /// Whether it continues a stream of which an engine has sent events.
+    pub has_progress: bool,
     pub service: ServiceName,
     /// The base model, also set for requests without an adapter.
     pub model: Option<BaseModelName>,
--- a/coordination/src/dispatch/dispatcher.rs
+++ b/coordination/src/dispatch/dispatcher.rs
@@ -439,6 +439,7 @@
             is_probe,
             digest: request.digest,
             is_crash_suspect: request.is_crash_suspect,
+            has_progress: request.has_progress,
             adapter: request.adapter,
             prompt_tokens: request.prompt_tokens,
             sent_at: now,
--- a/coordination/tests/crashes.rs
+++ b/coordination/tests/crashes.rs
@@ -199,6 +199,38 @@
     );
 }
 
+/// Guards against streams of one engine that, once it has crashed under all of them, wait for each
+/// other at the engines that continue them.
+#[test]
+fn suspected_requests_with_progress_run_concurrently() {
+    let suspected = |fixture: &Fixture, body: &str, has_progress: bool| DispatchRequest {
+        is_crash_suspect: true,
+        has_progress,
+        ..request_of(fixture, body)
+    };
+    let mut fixture = with_runs(&["clear"]);
+    for (ticket, body) in [(11, "one"), (12, "two")] {
+        let resumed = suspected(&fixture, body, true);
+        assert_eq!(sent_to(&fixture.submit(ticket, resumed)), [ENGINE]);
+    }
+    let cause = suspected(&fixture, "cause", false);
+    assert!(
+        fixture.submit(13, cause).is_empty(),
+        "a suspect without progress waits for those with progress"
+    );
+    let mut end = |ticket| {
+        let outcome = SendOutcome::Answered;
+        fixture.handle(DispatchEvent::SendEnded { ticket, outcome })
+    };
+    assert!(end(11).is_empty());
+    assert_eq!(sent_to(&end(12)), [ENGINE]);
+    let resumed = suspected(&fixture, "three", true);
+    assert!(
+        fixture.submit(14, resumed).is_empty(),
+        "and those with progress wait for it"
+    );
+}
+
 fn record_crash(registry: &mut CrashRegistry, body: &str, incarnation: u64, at: Instant) {
     registry.on_engine_ended(digest(body), incarnation, at, at);
 }
--- a/coordination/tests/dispatch_fixture/mod.rs
+++ b/coordination/tests/dispatch_fixture/mod.rs
@@ -179,6 +179,7 @@
         DispatchRequest {
             digest: digest("any"),
             is_crash_suspect: false,
+            has_progress: false,
             service: service.to_string(),
             model: wanted.map(|_| "m".to_string()),
             adapter: wanted.map(adapter),
--- a/entry/src/ingress/request_exchange.rs
+++ b/entry/src/ingress/request_exchange.rs
@@ -62,6 +62,8 @@
     regions_generation: Option<Generation>,
     /// Number of sends after which the request may have run.
     pub(super) runs: u32,
+    /// Whether the engine of the last run has ended. The crash registry learns it later.
+    pub(super) has_engine_ended: bool,
     /// The last event that the client has of a stream that is resumed.
     pub(super) last_event: Option<EventId>,
     /// The response of the last back end that failed, if it sent one.
@@ -88,6 +90,7 @@
         let request = DispatchRequest {
             digest: accepted.digest,
             is_crash_suspect: false,
+            has_progress: false,
             service: service.cloned().unwrap_or_default(),
             model: accepted.head.model.clone(),
             adapter: accepted.head.adapter.clone(),
@@ -115,6 +118,7 @@
             request,
             regions_generation: None,
             runs: 0,
+            has_engine_ended: false,
             last_event: None,
             failure: None,
         }
@@ -215,7 +219,7 @@
     }
 
     pub(super) async fn wait_for_decision(&mut self) -> Option<Decision> {
-        self.request.is_crash_suspect = self.is_crash_suspect();
+        self.request.is_crash_suspect = self.has_engine_ended || self.is_crash_suspect();
         self.update_allowed_regions();
         let control = &self.shared.control;
         let mut guard = WaitGuard::new(control.clone(), self.ticket);
--- a/entry/src/ingress/stream_recovery.rs
+++ b/entry/src/ingress/stream_recovery.rs
@@ -16,7 +16,7 @@
         ingress::{Continuation, ProxyBodyObserver, StreamCut},
     },
     std::time::{Duration, Instant},
-    tokio::time::sleep,
+    tokio::{task::yield_now, time::sleep},
 };
 
 /// Time between two checks of whether an engine refuses connections. The port of a process that
@@ -104,14 +104,20 @@
         let mut closed_at = clock::now();
         let mut previous = self.current.clone();
         let mut has_progress = cut.has_progress;
+        let mut has_stopped = false;
         self.exchange.count_run(&previous);
         loop {
             self.check(log.sends, has_progress)?;
-            log.has_engine_ended = self
-                .wait_until_stopped(&previous, closed_at, has_progress)
-                .await;
-            // The dispatcher bounds the wait of a request by its time of arrival.
-            self.exchange.request.arrived_at = clock::now();
+            if !has_stopped {
+                log.has_engine_ended = self
+                    .wait_until_stopped(&previous, closed_at, has_progress)
+                    .await;
+                has_stopped = true;
+                self.exchange.has_engine_ended = log.has_engine_ended;
+                self.exchange.request.has_progress = has_progress;
+                // The dispatcher bounds the wait of a request by its time of arrival.
+                self.exchange.request.arrived_at = clock::now();
+            }
             let assignment = self.next_assignment(log.sends, has_progress).await?;
             log.sends += 1;
             self.exchange.request.send_count += 1;
@@ -144,8 +150,10 @@
                 }
                 SendResult::Responded(_) | SendResult::Failed(_) => "failed",
             };
+            // A connection that was dropped is closed by its task.
+            yield_now().await;
             closed_at = clock::now();
-            has_progress = false;
+            (has_progress, has_stopped) = (false, false);
             self.exchange.log_send_end(&assignment, outcome, None);
             self.exchange.count_run(&assignment);
             previous = assignment;
--- a/testkit/examples/capacity/dispatch.rs
+++ b/testkit/examples/capacity/dispatch.rs
@@ -134,6 +134,7 @@
     DispatchRequest {
         digest: RequestDigest::of("POST", "/", "", &body),
         is_crash_suspect: false,
+        has_progress: false,
         service: SERVICE.to_string(),
         model: Some("model-0".to_string()),
         adapter: Some(adapter(number)),
--- a/testkit/tests/stream_recovery.rs
+++ b/testkit/tests/stream_recovery.rs
@@ -26,6 +26,7 @@
 const ENGINES: u8 = 3;
 const EVENTS: u32 = 8;
 const MAX_ATTEMPTS: u32 = 3;
+const STREAMS: usize = 6;
 /// Time for which a closed connection's run may go on at its engine.
 const STOP_TIME: Duration = Duration::from_millis(400);
 /// Longer than the time in which the end of an engine is noticed.
@@ -296,6 +297,38 @@
     Ok(())
 }
 
+/// Guards against: streams of one engine that wait for each other, or are lost, once it has
+/// crashed under all of them.
+#[tokio::test]
+async fn all_streams_of_an_engine_are_whole_after_its_crash() -> Result<()> {
+    let fleet = start(|_| {}).await?;
+    for engine in &fleet.engines {
+        let mut state = engine.state();
+        state.restart_delay = RESTART_DELAY;
+        state.event_interval = Duration::from_millis(100);
+    }
+    let holder = holder(&fleet);
+    let streams = (0..STREAMS).map(|number| {
+        let id = format!("r{number}");
+        let body = id.clone().into_bytes();
+        let (clients, sent) = (fleet.clients, prompt("a", &id));
+        let sent = ClientRequest { body, ..sent };
+        tokio::spawn(async move { request(clients, &sent).await })
+    });
+    let streams: Vec<_> = streams.collect();
+    until("all streams have events", || {
+        let runs = fleet.engines[holder].runs();
+        runs.len() > STREAMS
+    })
+    .await;
+    sleep(Duration::from_millis(250)).await;
+    fleet.engines[holder].state().crash();
+    for (number, stream) in streams.into_iter().enumerate() {
+        assert_whole(&stream.await??, &format!("r{number}"));
+    }
+    Ok(())
+}
+
 #[tokio::test]
 async fn a_stream_that_is_not_resumable_breaks_off_with_its_engine() -> Result<()> {
     for kind in [CutKind::Close, CutKind::Reset, CutKind::Crash] {
@@ -456,23 +489,26 @@
 #[tokio::test]
 async fn a_continuation_that_an_engine_rejects_goes_to_the_next_one() -> Result<()> {
     let fleet = start(|_| {}).await?;
-    serve_everywhere(&fleet).await?;
     set_fault(&fleet, BackendFault::Cut(cut(CutKind::Close)));
     set_fault_of_others(&fleet, BackendFault::Overloaded);
     let response = request(fleet.clients, &prompt("a", "r")).await?;
     assert_whole(&response, "overloaded once");
+    let states = fleet.engines.iter().map(|engine| engine.state());
+    let arrivals = states.map(|state| state.arrivals.iter().filter(|(_, id)| id == "r").count());
+    assert!(arrivals.sum::<usize>() > 2, "no engine rejected it");
+    assert_eq!(last_event_ids(&fleet, "r"), [None, id(1)]);
     Ok(())
 }
 
 /// A client that resumes by itself receives the rest of its stream once.
 #[tokio::test]
 async fn a_clients_own_resumption_is_continued() -> Result<()> {
-    let fleet = start(|_| {}).await?;
     let fault = StreamFault {
         after: 0,
         ..cut(CutKind::Close)
     };
     for (fault, resumed_after) in [(fault, 2), (cut(CutKind::Close), 4)] {
+        let fleet = start(|_| {}).await?;
         set_fault(&fleet, BackendFault::Cut(fault));
         let id = format!("r{resumed_after}");
         let sent = ClientRequest {
