--- a/testkit/tests/stream_recovery.rs
+++ b/testkit/tests/stream_recovery.rs
@@ -2,155 +2,21 @@
 //! continued by another engine.
 //!
 //! Guards against: streams that break off with their engine, events that are lost, repeated or
-//! joined from two parts, responses that end as complete before their last event, and a run that
-//! starts while the previous one may go on.
+//! joined from two parts, and responses that end as complete before their last event.
+
+mod recovery_fixture;
 
 use {
     anyhow::Result,
     chalkcart_testkit::{
-        users_platform::{
-            open_stream, prompt, request, serve_prompt, BackendFault, ClientRequest,
-            ClientResponse, CutKind, Fleet, FleetSettings, StreamFault,
-        },
+        users_platform::{prompt, request, BackendFault, ClientRequest, CutKind, StreamFault},
         waiting::until,
     },
-    nix::{
-        sys::signal::{kill, Signal},
-        unistd::Pid,
-    },
-    serde_json::json,
+    recovery_fixture::*,
     std::time::Duration,
     tokio::time::sleep,
 };
 
-const ENGINES: u8 = 3;
-const EVENTS: u32 = 8;
-const MAX_ATTEMPTS: u32 = 3;
-const STREAMS: usize = 6;
-/// Time for which a closed connection's run may go on at its engine.
-const STOP_TIME: Duration = Duration::from_millis(400);
-/// Longer than the time in which the end of an engine is noticed.
-const RESTART_DELAY: Duration = Duration::from_secs(2);
-/// Length of `id: 0`, a line without its end.
-const FIRST_LINE: usize = 5;
-
-fn cut(kind: CutKind) -> StreamFault {
-    StreamFault {
-        kind,
-        ..StreamFault::default()
-    }
-}
-
-/// Starts a fleet whose streams may be resumed, with an adapter on one engine.
-async fn start(change: impl FnOnce(&mut serde_json::Value)) -> Result<Fleet> {
-    start_with(FleetSettings::default(), change).await
-}
-
-async fn start_with(
-    settings: FleetSettings,
-    change: impl FnOnce(&mut serde_json::Value),
-) -> Result<Fleet> {
-    let mut fleet = Fleet::start(FleetSettings {
-        engines: ENGINES,
-        stream_attempts: MAX_ATTEMPTS,
-        ..settings
-    })
-    .await?;
-    fleet.configure(|document| {
-        let route = &mut document["Routes"][2];
-        route["Resumable"] = json!(true);
-        route["MaxAttempts"] = json!(MAX_ATTEMPTS);
-        change(document);
-    });
-    let version = format!("configuration {} in force", fleet.version());
-    until("the configuration is applied", || {
-        fleet.log().contains(&version)
-    })
-    .await;
-    for engine in &fleet.engines {
-        engine.state().event_count = EVENTS;
-    }
-    serve_prompt(&fleet, "a", "first").await?;
-    Ok(fleet)
-}
-
-/// Returns the engine that has the adapter.
-fn holder(fleet: &Fleet) -> usize {
-    let ran = |engine: usize| !fleet.engines[engine].runs().is_empty();
-    (0..fleet.engines.len()).find(|e| ran(*e)).expect("a run")
-}
-
-/// Injects a fault into the next stream of the engine that has the adapter.
-fn set_fault(fleet: &Fleet, fault: BackendFault) {
-    fleet.engines[holder(fleet)].set_fault(fault, 1);
-}
-
-/// Injects a fault into the next stream of each other engine.
-fn set_fault_of_others(fleet: &Fleet, fault: BackendFault) {
-    let holder = holder(fleet);
-    let others = fleet.engines.iter().enumerate();
-    let others = others.filter(|(number, _)| *number != holder);
-    others.for_each(|(_, engine)| engine.set_fault(fault, 1));
-}
-
-/// Returns the events in a range, as engines send them.
-fn events(range: std::ops::Range<u32>) -> String {
-    let events = range.map(|id| format!("id: {id}\ndata: x\n\n"));
-    events.collect()
-}
-
-fn text(response: &ClientResponse) -> String {
-    String::from_utf8_lossy(&response.data()).to_string()
-}
-
-fn assert_whole(response: &ClientResponse, case: &str) {
-    assert_eq!(response.status, 200, "{case}");
-    assert_eq!(text(response), events(0..EVENTS), "{case}");
-    assert!(response.is_complete, "{case}");
-    let stamp = response.head.get("chalkcart-response-stamp");
-    assert_eq!(stamp, Some("stamp"), "{case}");
-}
-
-/// Asserts that a response broke off after complete events.
-fn assert_broken_after(response: &ClientResponse, count: u32, case: &str) {
-    assert_eq!(text(response), events(0..count), "{case}");
-    assert!(!response.is_complete, "{case}");
-}
-
-/// Returns the values of `Last-Event-Id` of a request's runs, in the order of the engines.
-fn last_event_ids(fleet: &Fleet, id: &str) -> Vec<Option<String>> {
-    let runs = fleet.engines.iter().flat_map(|engine| engine.runs());
-    let runs = runs.filter(|run| run.request == id);
-    let mut ids: Vec<_> = runs
-        .map(|run| run.headers.get("last-event-id").cloned())
-        .collect();
-    ids.sort();
-    ids
-}
-
-fn id(id: u32) -> Option<String> {
-    Some(id.to_string())
-}
-
-/// Returns the lines of the log that contain a text.
-fn lines(fleet: &Fleet, text: &str) -> Vec<String> {
-    let log = fleet.log();
-    let lines = log.lines().filter(|line| line.contains(text));
-    lines.map(str::to_string).collect()
-}
-
-async fn wait_until_logged(fleet: &Fleet, text: &str) {
-    until(text, || !lines(fleet, text).is_empty()).await;
-}
-
-async fn assert_not_resumed(fleet: &Fleet, cause: &str) {
-    wait_until_logged(fleet, "stream not resumed").await;
-    let lines = lines(fleet, "stream not resumed");
-    let cause = format!("\"cause\":\"{cause}\"");
-    assert!(lines[0].contains(&cause), "{cause}: {lines:?}");
-    assert_eq!(lines.len(), 1, "{lines:?}");
-}
-
 #[tokio::test]
 async fn a_stream_is_whole_after_a_cut() -> Result<()> {
     let unframed = StreamFault {
@@ -203,18 +69,6 @@
     Ok(())
 }
 
-/// Asserts that the engine that continued a stream got it only after the other one had time to
-/// stop.
-fn assert_started_after_stop(fleet: &Fleet, id: &str, case: &str) {
-    let states: Vec<_> = fleet.engines.iter().map(|engine| engine.state()).collect();
-    let cuts = states.iter().flat_map(|state| state.cuts.iter().copied());
-    let arrivals = states.iter().flat_map(|state| state.arrivals.iter());
-    let arrivals = arrivals.filter(|(_, request)| request == id);
-    let (cut, resumed) = (cuts.max(), arrivals.map(|(at, _)| *at).max());
-    let (cut, resumed) = (cut.expect("a cut"), resumed.expect("an arrival"));
-    assert!(resumed >= cut + STOP_TIME, "{case}: {:?}", resumed - cut);
-}
-
 #[tokio::test]
 async fn a_stream_cut_at_each_byte_of_an_event_is_whole() -> Result<()> {
     let fleet = start(|_| {}).await?;
@@ -244,15 +98,6 @@
     Ok(())
 }
 
-/// Loads the adapter on every engine.
-async fn serve_everywhere(fleet: &Fleet) -> Result<()> {
-    for engine in &fleet.engines {
-        engine.state().orders.held.insert("a".to_string(), 1);
-    }
-    serve_prompt(fleet, "a", "everywhere").await?;
-    Ok(())
-}
-
 #[tokio::test]
 async fn a_stream_with_two_cuts_in_a_row_is_whole() -> Result<()> {
     for kinds in [
@@ -329,104 +174,6 @@
     Ok(())
 }
 
-#[tokio::test]
-async fn a_stream_that_is_not_resumable_breaks_off_with_its_engine() -> Result<()> {
-    for kind in [CutKind::Close, CutKind::Reset, CutKind::Crash] {
-        let fleet = start(|document| document["Routes"][2]["Resumable"] = json!(false)).await?;
-        set_fault(&fleet, BackendFault::Cut(cut(kind)));
-        let response = request(fleet.clients, &prompt("a", "r")).await?;
-        assert_broken_after(&response, 2, &format!("{kind:?}"));
-        sleep(2 * STOP_TIME).await;
-        assert_eq!(last_event_ids(&fleet, "r"), [None]);
-    }
-    Ok(())
-}
-
-#[tokio::test]
-async fn nothing_is_resumed_for_a_client_that_has_left() -> Result<()> {
-    let fleet = start(|_| {}).await?;
-    set_fault(&fleet, BackendFault::Cut(cut(CutKind::Close)));
-    let stream = open_stream(fleet.clients, &prompt("a", "r")).await?;
-    until("the stream is cut", || {
-        fleet.engines.iter().any(|e| !e.state().cuts.is_empty())
-    })
-    .await;
-    drop(stream);
-    assert_not_resumed(&fleet, "client_left").await;
-    sleep(2 * STOP_TIME).await;
-    assert_eq!(last_event_ids(&fleet, "r"), [None]);
-    Ok(())
-}
-
-#[tokio::test]
-async fn a_stream_breaks_off_at_its_deadline() -> Result<()> {
-    // before another engine may start, and while one runs
-    for (deadline_ms, engine_runs) in [(300, 1), (900, 2)] {
-        let fleet = start(|_| {}).await?;
-        set_fault(&fleet, BackendFault::Cut(cut(CutKind::Close)));
-        set_fault_of_others(&fleet, BackendFault::Unresponsive);
-        let sent = ClientRequest {
-            deadline_ms,
-            ..prompt("a", "r")
-        };
-        let response = request(fleet.clients, &sent).await?;
-        assert_broken_after(&response, 2, &deadline_ms.to_string());
-        assert_not_resumed(&fleet, "deadline").await;
-        sleep(2 * STOP_TIME).await;
-        assert_eq!(last_event_ids(&fleet, "r").len(), engine_runs);
-    }
-    Ok(())
-}
-
-/// A stream that this entry ends at its deadline is not repeated.
-#[tokio::test]
-async fn a_stream_that_reaches_its_deadline_is_not_resumed() -> Result<()> {
-    let fleet = start(|_| {}).await?;
-    for engine in &fleet.engines {
-        engine.state().event_interval = Duration::from_millis(200);
-    }
-    let sent = ClientRequest {
-        deadline_ms: 500,
-        ..prompt("a", "r")
-    };
-    let response = request(fleet.clients, &sent).await?;
-    assert!(!response.is_complete);
-    sleep(2 * STOP_TIME).await;
-    assert_eq!(last_event_ids(&fleet, "r"), [None]);
-    assert!(lines(&fleet, "stream not resumed").is_empty());
-    Ok(())
-}
-
-#[tokio::test]
-async fn a_stream_breaks_off_when_its_attempts_are_used_up() -> Result<()> {
-    let fleet = start(|document| document["Routes"][2]["MaxAttempts"] = json!(2)).await?;
-    set_fault(&fleet, BackendFault::Cut(cut(CutKind::Close)));
-    set_fault_of_others(&fleet, BackendFault::Cut(cut(CutKind::Close)));
-    let response = request(fleet.clients, &prompt("a", "r")).await?;
-    assert_broken_after(&response, 4, "two engines");
-    assert_eq!(last_event_ids(&fleet, "r"), [None, id(1)]);
-    assert_not_resumed(&fleet, "attempts").await;
-    Ok(())
-}
-
-/// Guards against: continuations of cut streams that the retry budget of the service does not
-/// count.
-#[tokio::test]
-async fn a_stream_breaks_off_when_the_retry_budget_is_used_up() -> Result<()> {
-    let fleet = start(|_| {}).await?;
-    let settings = std::fs::read_to_string(&fleet.settings_file)?;
-    let settings = settings.replace("\"retry_extra\":50", "\"retry_extra\":0");
-    std::fs::write(&fleet.settings_file, settings)?;
-    kill(Pid::from_raw(fleet.ingress.id() as i32), Signal::SIGHUP)?;
-    sleep(Duration::from_secs(1)).await;
-    set_fault(&fleet, BackendFault::Cut(cut(CutKind::Close)));
-    let response = request(fleet.clients, &prompt("a", "r")).await?;
-    assert_broken_after(&response, 2, "no budget");
-    assert_not_resumed(&fleet, "no_budget").await;
-    assert_eq!(last_event_ids(&fleet, "r"), [None]);
-    Ok(())
-}
-
 #[tokio::test]
 async fn a_wrong_continuation_is_not_used() -> Result<()> {
     let cases = [
@@ -456,35 +203,6 @@
     Ok(())
 }
 
-/// Asserts the cause for which the last cut of a stream was not resumed.
-async fn assert_not_resumed_last(fleet: &Fleet, cause: &str) {
-    wait_until_logged(fleet, "stream not resumed").await;
-    let lines = lines(fleet, "stream not resumed");
-    let cause = format!("\"cause\":\"{cause}\"");
-    assert!(lines.iter().any(|l| l.contains(&cause)), "{lines:?}");
-}
-
-/// Guards against: a request that crashes the engines that run it, sent to one engine after the
-/// other for each attempt of its client.
-#[tokio::test]
-async fn a_request_that_crashes_engines_is_not_resumed() -> Result<()> {
-    let fleet = start(|_| {}).await?;
-    let body = b"ends each engine that runs it".to_vec();
-    for engine in &fleet.engines {
-        let mut state = engine.state();
-        state.restart_delay = RESTART_DELAY;
-        state.crash_body = Some(body.clone());
-    }
-    let sent = ClientRequest {
-        body,
-        ..prompt("a", "r")
-    };
-    let response = request(fleet.clients, &sent).await?;
-    assert_broken_after(&response, 0, "crashing");
-    assert_not_resumed(&fleet, "suspected").await;
-    Ok(())
-}
-
 /// An engine that rejects the continuation has not run it: the next one gets it.
 #[tokio::test]
 async fn a_continuation_that_an_engine_rejects_goes_to_the_next_one() -> Result<()> {
@@ -540,22 +258,3 @@
     assert_eq!(last_event_ids(&fleet, "r"), [None]);
     Ok(())
 }
-
-/// With the switch off, a stream breaks off as before.
-#[tokio::test]
-async fn a_stream_breaks_off_with_the_feature_off() -> Result<()> {
-    let mut fleet = start(|_| {}).await?;
-    let settings = std::fs::read_to_string(&fleet.settings_file)?;
-    let mut settings: serde_json::Value = serde_json::from_str(&settings)?;
-    settings["mechanisms"] = json!({ "stream_recovery": false });
-    std::fs::write(&fleet.settings_file, settings.to_string())?;
-    fleet.ingress.kill()?;
-    fleet.start_ingress()?;
-    fleet.wait_ready().await;
-    serve_prompt(&fleet, "a", "second").await?;
-    set_fault(&fleet, BackendFault::Cut(cut(CutKind::Close)));
-    let response = request(fleet.clients, &prompt("a", "r")).await?;
-    assert_broken_after(&response, 2, "off");
-    assert_eq!(last_event_ids(&fleet, "r"), [None]);
-    Ok(())
-}
