--- a/coordination/tests/mechanisms.rs
+++ b/coordination/tests/mechanisms.rs
@@ -34,6 +34,7 @@
         |m| m.several_homes = false,
         |m| m.early_refusals = false,
         |m| m.engine_performance = false,
+        |m| m.stream_recovery = false,
     ];
     off.iter()
         .map(|switch| {
