--- a/coordination/tests/mechanisms.rs
+++ b/coordination/tests/mechanisms.rs
@@ -22,7 +22,7 @@
 /// Returns the settings with each switch off, and with all on.
 fn variants() -> Vec<FeatureSwitches> {
     let on = FeatureSwitches::default();
-    let off: [fn(&mut FeatureSwitches); 11] = [
+    let off: [fn(&mut FeatureSwitches); 12] = [
         |_| {},
         |m| m.observed_rate = false,
         |m| m.prompts_of_all = false,
