Keep adapters at engines with them in host memory while slots are short

An adapter was loaded from the weight store again because a home changed with the queue although another engine had the adapter in host memory or would soon have a slot for it, because one more waiting request at one of many entries was extrapolated to a second home, because copies were loaded for queues shorter than a load, and because an engine that had just evicted an adapter was not known to have it in memory.

While most engines have no empty adapter slot, a load from the weight store now costs 600 ms in the ranking of homes, a slot of an engine with the adapter in host memory is awaited for up to 400 ms, and further homes and copies need more demand. Switch adapter_affinity. The log line of a requested load lists the inputs of its choice.

A seeded simulation of entries and sidecars (coordination/tests/adapter_sim, 21 entries, 38 engines, 5 slots, seeds 1 to 5) counts 1.57 loads from the weight store for each adapter in calm without the switch and 1.28 with it, 1.82 and 1.45 under a burst and a crash of a quarter of the engines.

--- /dev/null
+++ b/coordination/src/dispatch/adapter_affinity.rs
@@ -0,0 +1,73 @@
+//! Keeps adapters at engines that have them in host memory while adapter slots are short.
+
+use {
+    super::{dispatcher::Dispatcher, BackendState, LoadInputs},
+    crate::placement::adapter_hash,
+    chalkcart_state::backends::{AdapterRef, BackendId},
+    std::time::{Duration, Instant},
+};
+
+/// Wait that a load from the weight store is worth avoiding, in ms. Such a load is priced and
+/// slows down the loads of all engines, unlike one from host memory.
+pub(super) const STORE_LOAD_COST_MS: f64 = 600.0;
+/// How long a request waits for a slot of an engine that has its adapter in host memory, before
+/// another engine loads the adapter: little more than a load from the weight store takes.
+pub(super) const MAX_SLOT_WAIT: Duration = Duration::from_millis(400);
+/// Expected part of that wait, in ms.
+pub(super) const EXPECTED_SLOT_WAIT_MS: f64 = 200.0;
+/// Ratio of the engines without an empty adapter slot from which slots are short.
+const SHORT_SLOTS_RATIO: f64 = 0.5;
+
+impl Dispatcher {
+    /// Returns what is known about a load that is requested from these engines.
+    pub(super) fn load_inputs(
+        &self,
+        adapter: &AdapterRef,
+        backends: &[BackendId],
+        now: Instant,
+    ) -> LoadInputs {
+        let Some(first) = backends.first().and_then(|id| self.backends.get(id)) else {
+            return LoadInputs::default();
+        };
+        let hash = adapter_hash(adapter);
+        let states = self.backends.values();
+        let of_service = states.filter(|b| b.listed.service == first.listed.service);
+        let candidates: Vec<&BackendState> = of_service.filter(|b| b.is_available(now)).collect();
+        let (mut holders, mut in_memory) = (0, 0);
+        for state in &candidates {
+            let is_holder = state.held_version(adapter, now).is_some();
+            holders += u32::from(is_holder);
+            in_memory += u32::from(!is_holder && state.has_recently_held(hash));
+        }
+        let queue_ms = self.queue_ms(first, now).max(0.0);
+        LoadInputs {
+            holders,
+            in_memory,
+            is_reload: first.has_recently_held(hash),
+            queue: Duration::from_millis(queue_ms as u64),
+            spare_slots: first.spare_slots(),
+            view_age: first.view_age(now),
+            are_slots_short: self.are_slots_short(&candidates),
+        }
+    }
+
+    /// Returns whether most engines can load an adapter only if they evict another one. Decisions
+    /// about engines with room for the adapters in use don't depend on `adapter_affinity`.
+    pub(super) fn are_slots_short(&self, candidates: &[&BackendState]) -> bool {
+        if !self.settings.features.adapter_affinity {
+            return false;
+        }
+        let (mut reporting, mut full) = (0, 0);
+        for state in candidates {
+            let Some(view) = &state.view else {
+                continue;
+            };
+            reporting += 1;
+            let service = self.table.services.get(&state.listed.service);
+            let spec = service.and_then(|service| service.engine.as_ref());
+            let slots = spec.map_or(u32::MAX, |spec| spec.adapter_slots) as usize;
+            full += usize::from(view.held.len() + view.loading.len() >= slots);
+        }
+        full > 0 && f64::from(full as u32) >= f64::from(reporting) * SHORT_SLOTS_RATIO
+    }
+}
--- a/coordination/src/dispatch/backend_state.rs
+++ b/coordination/src/dispatch/backend_state.rs
@@ -302,6 +302,13 @@
             }
         }
     }
+    /// Records that the engine evicted an adapter since its last view, and most likely still
+    /// has it in host memory.
+    pub fn on_eviction_seen(&mut self, adapter: &AdapterRef) {
+        if self.held_versions.contains_key(adapter) {
+            self.recently_held.insert(adapter_hash(adapter));
+        }
+    }
     /// Returns whether the sidecar doesn't report although it had time to.
     pub fn is_sidecar_unresponsive(&self, now: Instant) -> bool {
         let known_for = now.saturating_duration_since(self.discovered_at);
--- a/coordination/src/dispatch/copies.rs
+++ b/coordination/src/dispatch/copies.rs
@@ -12,6 +12,9 @@
 const MIN_SLOT_DEMAND_RATIO: f64 = 0.25;
 /// Minimum prefill queue for which a copy is worthwhile, as a fraction of the load time.
 const MIN_QUEUE_TO_LOAD_RATIO: f64 = 0.4;
+/// The same while adapter slots are short: a copy costs a load from the weight store and evicts
+/// an adapter, and has to be of use for more than the requests that wait now.
+const MIN_QUEUE_TO_LOAD_RATIO_SHORT: f64 = 1.5;
 /// Maximum utilization of an engine that loads a copy, as a fraction of the holders'
 /// utilization.
 const COPY_TARGET_UTILIZATION_RATIO: f64 = 0.6;
@@ -44,6 +47,7 @@
         if self.slot_demand_ratio(adapter, holders) < MIN_SLOT_DEMAND_RATIO {
             return Vec::new();
         }
+        let are_slots_short = self.are_slots_short(candidates);
         let candidates = load_candidates(candidates, adapter);
         let loading_count = candidates.iter().filter(|b| b.is_loading(adapter)).count();
         let others: Vec<&BackendState> = candidates
@@ -53,10 +57,10 @@
             .filter(|b| {
                 self.utilization(b, now) < (utilization * COPY_TARGET_UTILIZATION_RATIO).min(1.0)
             })
-            .filter(|b| self.is_copy_worthwhile(b, adapter, holders, now))
+            .filter(|b| self.is_copy_worthwhile(b, adapter, holders, are_slots_short, now))
             .collect();
         let new_copies = holders.len().div_ceil(2).saturating_sub(loading_count);
-        let ranked = self.rank_homes(adapter, &others, now);
+        let ranked = self.rank_homes(adapter, &others, false, now);
         let chosen = ranked.iter().take(new_copies).map(|b| b.listed.id.clone());
         chosen.collect()
     }
@@ -68,6 +72,7 @@
         target: &BackendState,
         adapter: &AdapterRef,
         holders: &[&BackendState],
+        are_slots_short: bool,
         now: Instant,
     ) -> bool {
         let is_load_time_weighed = self.settings.features.copies_weighed;
@@ -81,7 +86,11 @@
         let are_holders_busy = holders
             .iter()
             .all(|b| b.load(now) >= self.settings.copy_load_threshold);
-        are_holders_busy || shortest >= load_ms * MIN_QUEUE_TO_LOAD_RATIO
+        let min_ratio = match are_slots_short {
+            true => MIN_QUEUE_TO_LOAD_RATIO_SHORT,
+            false => MIN_QUEUE_TO_LOAD_RATIO,
+        };
+        are_holders_busy || shortest >= load_ms * min_ratio
     }
 
     /// Estimates the requests of all entries for an adapter, as a fraction of one engine's
--- a/coordination/src/dispatch/dispatcher.rs
+++ b/coordination/src/dispatch/dispatcher.rs
@@ -351,6 +351,9 @@
             SendOutcome::Shed => state.on_saturated(now),
             SendOutcome::Misdirected => match &sent.adapter {
                 Some(adapter) => {
+                    if self.settings.features.adapter_affinity {
+                        state.on_eviction_seen(adapter);
+                    }
                     if state.on_adapter_refused(adapter, now) {
                         self.load_delay.on_adapter_missing();
                     }
--- a/coordination/src/dispatch/engines_without_sidecar.rs
+++ b/coordination/src/dispatch/engines_without_sidecar.rs
@@ -27,7 +27,7 @@
     ) -> Vec<&'b BackendState> {
         let pending = self.pending_loads.get(adapter);
         let is_load_due = pending.is_some_and(|pending| {
-            now.saturating_duration_since(pending.requested_at()) >= self.load_delay.get()
+            now.saturating_duration_since(pending.requested_at) >= self.load_delay.get()
         });
         let is_expected = |b: &&BackendState| {
             let was_requested =
--- a/coordination/src/dispatch/expected_returns.rs
+++ b/coordination/src/dispatch/expected_returns.rs
@@ -46,7 +46,7 @@
             state.is_some_and(|state| self.is_region_allowed(request, state))
         };
         let backend = pending.backends.iter().find(may_serve)?.clone();
-        let requested_at = pending.requested_at();
+        let requested_at = pending.requested_at;
         let state = self.backends.get(&backend)?;
         if !state.has_reported_since(requested_at) {
             return None;
--- a/coordination/src/dispatch/homes.rs
+++ b/coordination/src/dispatch/homes.rs
@@ -5,7 +5,10 @@
 
 use {
     super::{
-        dispatcher::Dispatcher, pending_loads::PENDING_LOAD_TIMEOUT, selection::holders_of_model,
+        adapter_affinity::{EXPECTED_SLOT_WAIT_MS, MAX_SLOT_WAIT, STORE_LOAD_COST_MS},
+        dispatcher::Dispatcher,
+        pending_loads::PENDING_LOAD_TIMEOUT,
+        selection::holders_of_model,
         BackendState, DispatchRequest,
     },
     crate::{membership::rendezvous_weight, placement::adapter_hash},
@@ -21,6 +24,11 @@
 /// Fraction of the requests waiting at one entry that other entries are assumed to have
 /// too.
 const COMMON_REQUEST_RATIO: f64 = 0.5;
+/// The same limits while adapter slots are short, as each further home costs a load from the
+/// weight store and evicts an adapter. With the limits above, one more waiting request at one
+/// of 21 entries was enough for a second home.
+const MAX_PREFILL_MS_PER_HOME_SHORT: f64 = 1_000.0;
+const COMMON_REQUEST_RATIO_SHORT: f64 = 0.2;
 /// Resolution of expected waits when homes are ranked, in ms.
 const HOME_WAIT_STEP_MS: f64 = 200.0;
 
@@ -32,6 +40,7 @@
     /// Whether its load is at the threshold for copies.
     is_crowded: bool,
     /// Expected wait in coarse steps, so that entries with slightly different views agree.
+    /// Includes the cost of a load from the weight store while adapter slots are short.
     wait_steps: u32,
     /// Whether the adapter has to be fetched from the weight store.
     is_fetch_needed: bool,
@@ -48,7 +57,8 @@
         request: &DispatchRequest,
         now: Instant,
     ) -> Vec<BackendId> {
-        let needed = self.homes_needed(adapter, request);
+        let are_slots_short = self.are_slots_short(candidates);
+        let needed = self.homes_needed(adapter, request, are_slots_short);
         let pending = self
             .pending_loads
             .get(adapter)
@@ -62,9 +72,10 @@
         let candidates = load_candidates(candidates, adapter);
         let loading = candidates.iter().filter(|b| b.is_loading(adapter));
         let mut homes: Vec<BackendId> = loading.map(|b| b.listed.id.clone()).collect();
-        let ranked = self.rank_homes(adapter, &candidates, now);
-        // a request that still waits after a timeout tries the next engine in the order
         let waited = now.saturating_duration_since(request.arrived_at);
+        let may_wait_for_slot = are_slots_short && waited < MAX_SLOT_WAIT;
+        let ranked = self.rank_homes(adapter, &candidates, may_wait_for_slot, now);
+        // a request that still waits after a timeout tries the next engine in the order
         let skip = (waited.as_millis() / PENDING_LOAD_TIMEOUT.as_millis()) as usize;
         let start = skip % ranked.len().max(1);
         let (wrapped, from) = ranked.split_at(start);
@@ -104,48 +115,57 @@
     /// Returns the number of engines needed for the waiting requests of an adapter. Several
     /// requests waiting here suggest that more wait at other entries; a single one may be
     /// the only one.
-    fn homes_needed(&self, adapter: &AdapterRef, request: &DispatchRequest) -> usize {
+    fn homes_needed(
+        &self,
+        adapter: &AdapterRef,
+        request: &DispatchRequest,
+        are_slots_short: bool,
+    ) -> usize {
         if !self.settings.features.several_homes {
             return 1;
         }
+        let (common_ratio, max_prefill_ms) = match are_slots_short {
+            true => (COMMON_REQUEST_RATIO_SHORT, MAX_PREFILL_MS_PER_HOME_SHORT),
+            false => (COMMON_REQUEST_RATIO, MAX_PREFILL_MS_PER_HOME),
+        };
         let waiting = self.waiting.iter();
         let others = waiting.filter(|request| request.adapter.as_ref() == Some(adapter));
         let tokens: u64 = others.map(|request| u64::from(request.prompt_tokens)).sum();
-        let estimated_total = tokens as f64 * f64::from(self.entry_count()) * COMMON_REQUEST_RATIO;
+        let estimated_total = tokens as f64 * f64::from(self.entry_count()) * common_ratio;
         let prefill_ms = (f64::from(request.prompt_tokens) + estimated_total)
             / self.tokens_per_ms(&request.service);
-        ((prefill_ms / MAX_PREFILL_MS_PER_HOME).ceil() as usize).max(1)
+        ((prefill_ms / max_prefill_ms).ceil() as usize).max(1)
     }
 
     /// Returns engines with a free adapter slot in the adapter's order of homes, which is
     /// the same at every entry. Engines with shorter waits come first, then those that
-    /// recently held the adapter.
+    /// recently held the adapter. With `may_wait_for_slot`, an engine that has the adapter in
+    /// host memory needs no free slot.
     pub(super) fn rank_homes<'b>(
         &self,
         adapter: &AdapterRef,
         candidates: &[&'b BackendState],
+        may_wait_for_slot: bool,
         now: Instant,
     ) -> Vec<&'b BackendState> {
+        let hash = adapter_hash(adapter);
+        let prefers_recent = self.settings.features.return_home;
+        let is_reload = |b: &BackendState| prefers_recent && b.has_recently_held(hash);
+        let are_slots_short = self.are_slots_short(candidates);
         // an engine whose sidecar doesn't report may be gone with its machine
         let is_any_reporting = candidates.iter().any(|b| !b.is_sidecar_unresponsive(now));
         let is_eligible = |b: &&&BackendState| match is_any_reporting {
-            true => b.spare_slots() > 0,
+            true => b.spare_slots() > 0 || may_wait_for_slot && is_reload(b),
             false => b.observations.may_load(now),
         };
         let eligible = candidates.iter().filter(is_eligible);
-        let hash = adapter_hash(adapter);
-        let prefers_recent = self.settings.features.return_home;
         let mut ranked: Vec<(HomeRank, &BackendState)> = eligible
             .map(|b| {
                 let rank = HomeRank {
                     is_limited: b.limit.effective_rate().is_some(),
                     is_crowded: b.load(now) >= self.settings.copy_load_threshold,
-                    wait_steps: self.wait_steps(
-                        b,
-                        prefers_recent && b.has_recently_held(hash),
-                        now,
-                    ),
-                    is_fetch_needed: !(prefers_recent && b.has_recently_held(hash)),
+                    wait_steps: self.wait_steps(b, is_reload(b), are_slots_short, now),
+                    is_fetch_needed: !is_reload(b),
                     weight: Reverse(rendezvous_weight(hash, b.home_hash())),
                 };
                 (rank, *b)
@@ -156,14 +176,26 @@
     }
 
     /// Returns the expected wait until prefill at an engine that has to load the adapter,
-    /// in steps.
-    fn wait_steps(&self, state: &BackendState, is_reload: bool, now: Instant) -> u32 {
+    /// in steps. While adapter slots are short, a load from the weight store adds its cost.
+    fn wait_steps(
+        &self,
+        state: &BackendState,
+        is_reload: bool,
+        are_slots_short: bool,
+        now: Instant,
+    ) -> u32 {
         let view = state.view.as_ref();
         let load_ms = match is_reload {
             true => 0.0,
             false => view.map_or(0.0, |v| f64::from(v.figures.next_load_ms)),
         };
-        ((self.queue_ms(state, now) + load_ms) / HOME_WAIT_STEP_MS) as u32
+        let cost_ms = match (are_slots_short, is_reload) {
+            (false, _) => 0.0,
+            (true, false) => STORE_LOAD_COST_MS,
+            (true, true) if state.spare_slots() == 0 => EXPECTED_SLOT_WAIT_MS,
+            (true, true) => 0.0,
+        };
+        ((self.queue_ms(state, now) + load_ms + cost_ms) / HOME_WAIT_STEP_MS) as u32
     }
 }
 
--- a/coordination/src/dispatch/mod.rs
+++ b/coordination/src/dispatch/mod.rs
@@ -2,6 +2,7 @@
 //! is rejected.
 
 mod account_fair_queueing;
+mod adapter_affinity;
 mod adapter_versions;
 mod backend_signal_tracker;
 mod backend_state;
@@ -46,7 +47,7 @@
     load_delay::LoadDelay,
     pending_loads::DueDemands,
     prefill_rate::PrefillRate,
-    requested_load::{LoadCause, RequestedLoad},
+    requested_load::{LoadCause, LoadInputs, RequestedLoad},
     settings::DispatchSettings,
     shared_retry_budget::{BudgetUsage, RetryBudgetSettings, SharedRetryBudget},
     urgency::urgency,
--- a/coordination/src/dispatch/pending_loads.rs
+++ b/coordination/src/dispatch/pending_loads.rs
@@ -1,7 +1,10 @@
 //! Requests loads of adapters from the sidecars of engines.
 
 use {
-    super::{demands::build_demand, dispatcher::Dispatcher, BackendState, DispatchRequest},
+    super::{
+        adapter_affinity::MAX_SLOT_WAIT, demands::build_demand, dispatcher::Dispatcher,
+        BackendState, DispatchRequest,
+    },
     chalkcart_protocol::peer::{AdapterDemand, WantedAdapter},
     chalkcart_state::backends::{AdapterRef, BackendId},
     std::{
@@ -19,14 +22,11 @@
 #[derive(Debug, Clone)]
 pub(super) struct PendingLoad {
     pub(super) backends: Vec<BackendId>,
+    pub(super) requested_at: Instant,
     pub(super) until: Instant,
 }
 
 impl PendingLoad {
-    /// Returns when the load was requested.
-    pub(super) fn requested_at(&self) -> Instant {
-        self.until - PENDING_LOAD_TIMEOUT
-    }
     /// Returns how many of its engines are among the candidates.
     pub(super) fn count_among(&self, candidates: &[&BackendState]) -> usize {
         let known = candidates
@@ -107,9 +107,26 @@
         now: Instant,
     ) {
         self.urgent_demands.extend(backends.iter().cloned());
-        let until = now + PENDING_LOAD_TIMEOUT;
-        self.pending_loads
-            .insert(adapter.clone(), PendingLoad { backends, until });
+        let load = PendingLoad {
+            until: now + self.pending_load_timeout(adapter, &backends),
+            requested_at: now,
+            backends,
+        };
+        self.pending_loads.insert(adapter.clone(), load);
+    }
+
+    /// Returns how long a load stays requested at these engines: a shorter time if all of them
+    /// first need a slot.
+    fn pending_load_timeout(&self, adapter: &AdapterRef, backends: &[BackendId]) -> Duration {
+        let needs_slot = |id: &BackendId| {
+            let state = self.backends.get(id);
+            state
+                .is_some_and(|b| b.view.is_some() && b.spare_slots() == 0 && !b.is_loading(adapter))
+        };
+        match self.settings.features.adapter_affinity && backends.iter().all(needs_slot) {
+            true => MAX_SLOT_WAIT,
+            false => PENDING_LOAD_TIMEOUT,
+        }
     }
 
     /// Requests a load for a request that is bound to regions, and keeps loads pending at
--- a/coordination/src/dispatch/selection.rs
+++ b/coordination/src/dispatch/selection.rs
@@ -135,6 +135,7 @@
             backends: backends.to_vec(),
             cause,
             waiting: self.waiting.len(),
+            inputs: self.load_inputs(adapter, backends, now),
         });
     }
 
--- a/coordination/src/features/switches.rs
+++ b/coordination/src/features/switches.rs
@@ -25,6 +25,9 @@
     pub copies: bool,
     /// Loads an adapter with many waiting requests on several engines at first.
     pub several_homes: bool,
+    /// While adapter slots are short, loads an adapter on an engine that has it in host memory,
+    /// and loads fewer copies; otherwise where the expected wait is shortest.
+    pub adapter_affinity: bool,
     /// Rejects a request whose adapter would load too late at once, with a retry time.
     pub early_refusals: bool,
     /// Sends engine views to the entries of a large fleet through a relay of their zone.
@@ -50,6 +53,7 @@
             copies_weighed: true,
             copies: true,
             several_homes: true,
+            adapter_affinity: true,
             early_refusals: true,
             relays: true,
             store_by_relay: true,
@@ -61,7 +65,7 @@
 
 impl FeatureSwitches {
     /// Returns the name and the state of each switch.
-    fn named_states(&self) -> [(&'static str, bool); 13] {
+    fn named_states(&self) -> [(&'static str, bool); 14] {
         [
             ("observed_rate", self.observed_rate),
             ("prompts_of_all", self.prompts_of_all),
@@ -71,6 +75,7 @@
             ("copies_weighed", self.copies_weighed),
             ("copies", self.copies),
             ("several_homes", self.several_homes),
+            ("adapter_affinity", self.adapter_affinity),
             ("early_refusals", self.early_refusals),
             ("relays", self.relays),
             ("store_by_relay", self.store_by_relay),
--- /dev/null
+++ b/coordination/tests/adapter_sim/mod.rs
@@ -0,0 +1,33 @@
+//! Simulation of entries and engines with few adapter slots. It runs the decisions of the
+//! entries (`Dispatcher`) and of the sidecars (`PlacementControl`) in simulated time, without
+//! sockets.
+
+// each user needs only some of the items
+#![allow(dead_code)]
+
+mod engine;
+mod entry;
+mod fleet;
+mod outcome;
+mod workload;
+
+pub use {
+    fleet::{run, Scenario},
+    outcome::Outcome,
+};
+
+use std::time::Duration;
+
+/// Time since the start of the simulation, in ms.
+pub type SimTime = u64;
+
+/// Resolution of the simulated time, in ms.
+pub const STEP_MS: SimTime = 5;
+/// Adapters of one base model.
+pub const MODEL: &str = "m";
+/// The service of all engines.
+pub const SERVICE: &str = "engines";
+
+fn ms(ms: SimTime) -> Duration {
+    Duration::from_millis(ms)
+}
--- a/entry/src/ingress/control.rs
+++ b/entry/src/ingress/control.rs
@@ -329,7 +329,14 @@
         adapter = load.adapter.to_string().as_str(),
         backends = backends.join(",").as_str(),
         cause = load.cause.code(),
-        waiting = load.waiting;
+        waiting = load.waiting,
+        holders = load.inputs.holders,
+        in_memory = load.inputs.in_memory,
+        is_reload = load.inputs.is_reload,
+        queue_ms = load.inputs.queue.as_millis() as u64,
+        spare_slots = load.inputs.spare_slots,
+        view_age_ms = load.inputs.view_age.map_or(-1, |age| age.as_millis() as i64),
+        slots_short = load.inputs.are_slots_short;
         "dispatch: wished"
     );
 }
