--- a/coordination/src/dispatch/homes.rs
+++ b/coordination/src/dispatch/homes.rs
@@ -11,12 +11,12 @@
         selection::holders_of_model,
         BackendState, DispatchRequest,
     },
-    crate::{membership::rendezvous_weight, placement::adapter_hash},
-    chalkcart_state::backends::{AdapterRef, BackendId},
-    std::{
-        cmp::Reverse,
-        time::{Duration, Instant},
+    crate::{
+        membership::{rendezvous_weight, RendezvousScore},
+        placement::adapter_hash,
     },
+    chalkcart_state::backends::{AdapterRef, BackendId},
+    std::time::{Duration, Instant},
 };
 
 /// Prefill time of the waiting prompts above which an adapter gets another home, in ms.
@@ -44,7 +44,8 @@
     wait_steps: u32,
     /// Whether the adapter has to be fetched from the weight store.
     is_fetch_needed: bool,
-    weight: Reverse<u64>,
+    /// Order of the adapter's homes, by which an engine is home in proportion to its rate.
+    score: RendezvousScore,
 }
 
 impl Dispatcher {
@@ -166,7 +167,10 @@
                     is_crowded: b.load(now) >= self.settings.copy_load_threshold,
                     wait_steps: self.wait_steps(b, is_reload(b), are_slots_short, now),
                     is_fetch_needed: !is_reload(b),
-                    weight: Reverse(rendezvous_weight(hash, b.home_hash())),
+                    score: RendezvousScore::new(
+                        rendezvous_weight(hash, b.home_hash()),
+                        b.relative_rate.value(),
+                    ),
                 };
                 (rank, *b)
             })
--- a/coordination/src/dispatch/mod.rs
+++ b/coordination/src/dispatch/mod.rs
@@ -21,6 +21,7 @@
 mod limited_backends;
 mod load_delay;
 mod pending_loads;
+mod performance;
 mod prefill_rate;
 mod rejection;
 mod requested_load;
@@ -46,6 +47,7 @@
     limited_backends::{PermitError, PermitQuery},
     load_delay::LoadDelay,
     pending_loads::DueDemands,
+    performance::MeasuredEngines,
     prefill_rate::PrefillRate,
     requested_load::{LoadCause, LoadInputs, RequestedLoad},
     settings::DispatchSettings,
--- a/coordination/tests/adapter_sim/engine.rs
+++ b/coordination/tests/adapter_sim/engine.rs
@@ -4,7 +4,7 @@
     super::{SimTime, MODEL},
     chalkcart_coordination::{
         dispatch::Ticket,
-        placement::{EngineReport, OrderAnswer, OrderKind},
+        placement::{EngineReport, EngineRun, OrderAnswer, OrderKind},
     },
     chalkcart_state::backends::{AdapterRef, HeldAdapter},
     std::collections::HashSet,
@@ -40,10 +40,22 @@
 #[derive(Debug)]
 struct Run {
     request: EngineRequest,
+    prompt_tokens: u32,
     prefill_left: u32,
     tokens: u32,
 }
 
+impl Run {
+    fn report(&self) -> EngineRun {
+        EngineRun {
+            request_id: self.request.ticket.to_string(),
+            tokens: u64::from(self.prompt_tokens - self.prefill_left + self.tokens),
+            events: u64::from(self.tokens / TOKENS_PER_EVENT),
+            priority: self.request.urgency,
+        }
+    }
+}
+
 #[derive(Debug)]
 struct Load {
     adapter: String,
@@ -226,6 +238,7 @@
             queued: self.waiting.len() as u32,
             prefilling: (prefilling + self.waiting.len()) as u32,
             start_time_ms: self.start_time_ms,
+            runs: Some(self.runs.iter().map(Run::report).collect()),
             ..EngineReport::default()
         }
     }
@@ -268,6 +281,7 @@
                 false => request.shared_tokens,
             };
             self.runs.push(Run {
+                prompt_tokens: request.shared_tokens + request.own_tokens,
                 prefill_left: shared + request.own_tokens,
                 tokens: 0,
                 request,
