Prefer host memory more, and load nothing for requests that are too late

Waits are ranked in steps of 400 ms while adapter slots are short, since entries with views of different age chose different homes with 200 ms; a copy needs a queue of 2.5 loads; slots count as short from a quarter of full engines on. No home is requested for a request whose deadline passes before the load ends.

--- a/coordination/src/dispatch/adapter_affinity.rs
+++ b/coordination/src/dispatch/adapter_affinity.rs
@@ -1,7 +1,7 @@
 //! Keeps adapters at engines that have them in host memory while adapter slots are short.
 
 use {
-    super::{dispatcher::Dispatcher, BackendState, LoadInputs},
+    super::{dispatcher::Dispatcher, BackendState, DispatchRequest, LoadInputs},
     crate::placement::adapter_hash,
     chalkcart_state::backends::{AdapterRef, BackendId},
     std::time::{Duration, Instant},
@@ -9,14 +9,18 @@
 
 /// Wait that a load from the weight store is worth avoiding, in ms. Such a load is priced and
 /// slows down the loads of all engines, unlike one from host memory.
-pub(super) const STORE_LOAD_COST_MS: f64 = 600.0;
+pub(super) const STORE_LOAD_COST_MS: f64 = 1_000.0;
+/// Resolution of expected waits when homes are ranked while slots are short, in ms. With steps of
+/// 200 ms, entries with views of different age chose different homes at the same moment.
+pub(super) const WAIT_STEP_MS: f64 = 400.0;
 /// How long a request waits for a slot of an engine that has its adapter in host memory, before
 /// another engine loads the adapter: little more than a load from the weight store takes.
 pub(super) const MAX_SLOT_WAIT: Duration = Duration::from_millis(400);
 /// Expected part of that wait, in ms.
 pub(super) const EXPECTED_SLOT_WAIT_MS: f64 = 200.0;
-/// Ratio of the engines without an empty adapter slot from which slots are short.
-const SHORT_SLOTS_RATIO: f64 = 0.5;
+/// Ratio of the engines without an empty adapter slot from which slots are short. Homes are chosen
+/// by hash, so that some engines are full long before the others.
+const SHORT_SLOTS_RATIO: f64 = 0.25;
 
 impl Dispatcher {
     /// Returns what is known about a load that is requested from these engines.
@@ -51,7 +55,26 @@
         }
     }
 
-    /// Returns whether most engines can load an adapter only if they evict another one. Decisions
+    /// Returns whether a request would pass its deadline before its first token if the engine
+    /// loaded its adapter. Evicting an adapter for it would be of no use.
+    pub(super) fn is_too_late_at(
+        &self,
+        request: &DispatchRequest,
+        adapter: &AdapterRef,
+        state: &BackendState,
+        now: Instant,
+    ) -> bool {
+        let load_ms = state.view.as_ref().map_or(0, |view| {
+            match state.has_recently_held(adapter_hash(adapter)) {
+                true => view.figures.next_return_ms,
+                false => view.figures.next_load_ms,
+            }
+        });
+        let load = Duration::from_millis(u64::from(load_ms));
+        now + load + self.settings.first_token_delay > request.deadline
+    }
+
+    /// Returns whether many engines can load an adapter only if they evict another one. Decisions
     /// about engines with room for the adapters in use don't depend on `adapter_affinity`.
     pub(super) fn are_slots_short(&self, candidates: &[&BackendState]) -> bool {
         if !self.settings.features.adapter_affinity {
--- a/coordination/src/dispatch/copies.rs
+++ b/coordination/src/dispatch/copies.rs
@@ -14,7 +14,7 @@
 const MIN_QUEUE_TO_LOAD_RATIO: f64 = 0.4;
 /// The same while adapter slots are short: a copy costs a load from the weight store and evicts
 /// an adapter, and has to be of use for more than the requests that wait now.
-const MIN_QUEUE_TO_LOAD_RATIO_SHORT: f64 = 1.5;
+const MIN_QUEUE_TO_LOAD_RATIO_SHORT: f64 = 2.5;
 /// Maximum utilization of an engine that loads a copy, as a fraction of the holders'
 /// utilization.
 const COPY_TARGET_UTILIZATION_RATIO: f64 = 0.6;
--- a/coordination/src/dispatch/homes.rs
+++ b/coordination/src/dispatch/homes.rs
@@ -5,7 +5,9 @@
 
 use {
     super::{
-        adapter_affinity::{EXPECTED_SLOT_WAIT_MS, MAX_SLOT_WAIT, STORE_LOAD_COST_MS},
+        adapter_affinity::{
+            EXPECTED_SLOT_WAIT_MS, MAX_SLOT_WAIT, STORE_LOAD_COST_MS, WAIT_STEP_MS,
+        },
         dispatcher::Dispatcher,
         pending_loads::PENDING_LOAD_TIMEOUT,
         selection::holders_of_model,
@@ -84,7 +86,8 @@
             if homes.len() >= needed {
                 break;
             }
-            if !homes.contains(&home.listed.id) {
+            let is_too_late = are_slots_short && self.is_too_late_at(request, adapter, home, now);
+            if !homes.contains(&home.listed.id) && !is_too_late {
                 homes.push(home.listed.id.clone());
             }
         }
@@ -199,7 +202,11 @@
             (true, true) if state.spare_slots() == 0 => EXPECTED_SLOT_WAIT_MS,
             (true, true) => 0.0,
         };
-        ((self.queue_ms(state, now) + load_ms + cost_ms) / HOME_WAIT_STEP_MS) as u32
+        let step_ms = match are_slots_short {
+            true => WAIT_STEP_MS,
+            false => HOME_WAIT_STEP_MS,
+        };
+        ((self.queue_ms(state, now) + load_ms + cost_ms) / step_ms) as u32
     }
 }
 
--- a/coordination/src/dispatch/requested_load.rs
+++ b/coordination/src/dispatch/requested_load.rs
@@ -40,7 +40,7 @@
     pub spare_slots: u32,
     /// Age of the last report on the first requested engine.
     pub view_age: Option<Duration>,
-    /// Whether most engines have no empty slot.
+    /// Whether many engines have no empty slot.
     pub are_slots_short: bool,
 }
 
--- a/coordination/tests/adapter_affinity.rs
+++ b/coordination/tests/adapter_affinity.rs
@@ -14,8 +14,8 @@
 /// Prompts in prefill at an engine that is busy for about 250 ms, with prompts of 1,000 tokens
 /// at 16 tokens a ms.
 const SOME_PROMPTS: u32 = 4;
-/// The same for about 1,900 ms.
-const MANY_PROMPTS: u32 = 30;
+/// The same for about 2,500 ms.
+const MANY_PROMPTS: u32 = 40;
 
 /// Returns the view of an engine whose adapter slots all hold unused adapters.
 fn full_view(number: u8) -> EngineView {
@@ -108,6 +108,25 @@
     }
 }
 
+/// Guards against the eviction of an adapter for a request that passes its deadline before the
+/// load ends.
+#[test]
+fn no_adapter_is_loaded_for_a_request_that_is_too_late() {
+    for (left_ms, is_loaded) in [(300, false), (1_000, true)] {
+        let mut fixture = fixture_with_full_engines();
+        let request = DispatchRequest {
+            deadline: fixture.now + ms(left_ms),
+            ..fixture.new_request(ENGINES, Some("a"))
+        };
+        fixture.submit(1, request.clone());
+        assert_eq!(!fixture.homes("a").is_empty(), is_loaded, "{left_ms} ms");
+        let mut fixture = fixture_with_full_engines();
+        without_affinity(&mut fixture);
+        fixture.submit(1, request);
+        assert_eq!(fixture.homes("a").len(), 1, "switched off");
+    }
+}
+
 /// Guards against a second home when one more request waits at one of many entries.
 #[test]
 fn one_more_waiting_request_is_no_reason_for_another_home() {
