--- a/coordination/src/placement/placement_control.rs
+++ b/coordination/src/placement/placement_control.rs
@@ -224,6 +224,15 @@
         view
     }
 
+    /// Returns whether an order loads an adapter that the engine held recently, which takes no
+    /// load from the weight store while the engine has it in host memory.
+    pub fn is_reload(&self, order: &OrderKind) -> bool {
+        match order {
+            OrderKind::LoadAdapter(adapter) => self.recent.contains(adapter_hash(adapter)),
+            OrderKind::UnloadAdapter(_) | OrderKind::LoadModel(_) => false,
+        }
+    }
+
     pub fn backend(&self) -> &BackendId {
         &self.backend
     }
--- a/coordination/tests/adapter_sim/mod.rs
+++ b/coordination/tests/adapter_sim/mod.rs
@@ -5,16 +5,16 @@
 // each user needs only some of the items
 #![allow(dead_code)]
 
+mod client;
 mod engine;
 mod entry;
 mod fleet;
 mod outcome;
+mod scenario;
+mod sidecar;
 mod workload;
 
-pub use {
-    fleet::{run, Scenario},
-    outcome::Outcome,
-};
+pub use {fleet::run, outcome::Outcome, scenario::Scenario};
 
 use std::time::Duration;
 
--- a/sidecar/src/placement/placement_task.rs
+++ b/sidecar/src/placement/placement_task.rs
@@ -173,6 +173,7 @@
     }
 
     async fn send_order(&mut self, order: EngineOrder) {
+        let is_reload = self.shared.control().is_reload(&order.kind);
         let response = self.engine.order(&order).await;
         let answer = self.handle_signals(response);
         let level = match answer {
@@ -182,6 +183,7 @@
         log::log!(
             level,
             order = order.kind.to_string().as_str(),
+            is_reload = is_reload,
             backend = order.backend.as_str(),
             born = order.backend.start_time_ms,
             fence = order.fence,
