--- a/coordination/src/dispatch/mod.rs
+++ b/coordination/src/dispatch/mod.rs
@@ -2,6 +2,7 @@
 //! is rejected.
 
 mod account_fair_queueing;
+mod adapter_affinity;
 mod adapter_versions;
 mod backend_signal_tracker;
 mod backend_state;
@@ -48,7 +49,7 @@
     pending_loads::DueDemands,
     performance::MeasuredEngines,
     prefill_rate::PrefillRate,
-    requested_load::{LoadCause, RequestedLoad},
+    requested_load::{LoadCause, LoadInputs, RequestedLoad},
     settings::DispatchSettings,
     shared_retry_budget::{BudgetUsage, RetryBudgetSettings, SharedRetryBudget},
     urgency::urgency,
