dispatch: end a load request with the requests that waited for it while slots are short

Cause: a load stayed requested for 1.5 s although no request waited for it any more. Change: while slots are short, a home is asked for an adapter only as long as requests wait for it; a copy is wanted until it is loaded.

--- a/coordination/src/dispatch/pending_loads.rs
+++ b/coordination/src/dispatch/pending_loads.rs
@@ -24,6 +24,8 @@
     pub(super) backends: Vec<BackendId>,
     pub(super) requested_at: Instant,
     pub(super) until: Instant,
+    /// Whether the adapter is wanted only as long as requests wait for it.
+    pub(super) ends_with_requests: bool,
 }
 
 impl PendingLoad {
@@ -108,6 +110,7 @@
     ) {
         self.urgent_demands.extend(backends.iter().cloned());
         let load = PendingLoad {
+            ends_with_requests: self.ends_with_requests(adapter, &backends, now),
             until: now + self.pending_load_timeout(adapter, &backends),
             requested_at: now,
             backends,
@@ -115,6 +118,29 @@
         self.pending_loads.insert(adapter.clone(), load);
     }
 
+    /// Returns whether a load is of no use once no request waits for it: slots are short, and it is
+    /// no copy, which is requested while requests are sent to other engines. Until it expired, such
+    /// a load was carried out again each time the sidecar had evicted the adapter for others.
+    fn ends_with_requests(
+        &self,
+        adapter: &AdapterRef,
+        backends: &[BackendId],
+        now: Instant,
+    ) -> bool {
+        let Some(home) = backends.first().and_then(|id| self.backends.get(id)) else {
+            return false;
+        };
+        let same_service = self
+            .backends
+            .values()
+            .filter(|b| b.listed.service == home.listed.service);
+        let candidates: Vec<&BackendState> = same_service.collect();
+        let is_copy = candidates
+            .iter()
+            .any(|b| b.held_version(adapter, now).is_some());
+        !is_copy && self.are_slots_short(&candidates)
+    }
+
     /// Returns how long a load stays requested at these engines: a shorter time if all of them
     /// first need a slot.
     fn pending_load_timeout(&self, adapter: &AdapterRef, backends: &[BackendId]) -> Duration {
@@ -217,6 +243,8 @@
                 .pending_loads
                 .get(adapter)
                 .map(|load| load.backends.clone());
+            let load = self.pending_loads.get(adapter);
+            let ends_with_requests = load.is_some_and(|load| load.ends_with_requests);
             // a loaded adapter without waiting requests needs no load request
             let is_done = |id: &BackendId| {
                 let Some(state) = self.backends.get(id) else {
@@ -224,7 +252,7 @@
                 };
                 let is_loaded = state.held_version(adapter, now).is_some();
                 // no request would be sent there
-                state.is_leaving() || summary.waiting == 0 && is_loaded
+                state.is_leaving() || summary.waiting == 0 && (is_loaded || ends_with_requests)
             };
             for backend in pending.or(expected).unwrap_or_default() {
                 if is_done(&backend) {
--- a/coordination/tests/adapter_affinity.rs
+++ b/coordination/tests/adapter_affinity.rs
@@ -257,3 +257,22 @@
     assert!(inputs.queue > ms(0));
     assert_eq!(inputs.view_age, Some(ms(0)));
 }
+
+/// Guards against loading an adapter again that the sidecar has evicted for others, after its only
+/// request was sent.
+#[test]
+fn a_load_request_ends_with_its_requests() {
+    for is_on in [true, false] {
+        let mut fixture = fixture_with_full_engines();
+        if !is_on {
+            without_affinity(&mut fixture);
+        }
+        let home = home(&mut fixture);
+        let number: u8 = home[home.len() - 1..].parse().expect("a number");
+        let decided = fixture.view(number, view(&home, &[("a", 1)]));
+        assert!(matches!(decided[..], [(1, Decision::Send(_))]));
+        fixture.end(1, SendOutcome::Answered);
+        fixture.view(number, full_view(number));
+        assert_eq!(fixture.homes("a").is_empty(), is_on);
+    }
+}
--- a/coordination/tests/adapter_sim/entry.rs
+++ b/coordination/tests/adapter_sim/entry.rs
@@ -125,6 +125,7 @@
         tried_backends: Vec::new(),
         was_rejected_before,
         is_load_time_checked: false,
+        has_progress: false,
         send_count: 0,
         start_tag: 0,
     }
