Let the order of homes follow lasting changes of an engine's rate

Change: the order of homes uses a rate once it has been higher or lower for 1 s; waits and costs use the current one.

--- a/coordination/src/backend_performance/mod.rs
+++ b/coordination/src/backend_performance/mod.rs
@@ -6,6 +6,7 @@
 mod published_step;
 mod relative_rate;
 mod run_progress;
+mod settled_rate;
 
 pub use {
     engine_performance::EnginePerformance,
@@ -14,4 +15,5 @@
     published_step::PublishedStep,
     relative_rate::RelativeRate,
     run_progress::{RunObserver, RunProgress},
+    settled_rate::SettledRate,
 };
--- a/coordination/src/dispatch/backend_state.rs
+++ b/coordination/src/dispatch/backend_state.rs
@@ -5,7 +5,7 @@
             AdmissionGate, AdvertisedLimit, Health, LimitSharing, RequestedBackoff,
             SaturationPause, SlowStart, SlowStartSettings,
         },
-        backend_performance::RelativeRate,
+        backend_performance::{RelativeRate, SettledRate},
         membership::{rendezvous_weight, stable_hash},
         placement::{adapter_hash, AdapterHash, RecentAdapters},
     },
@@ -112,6 +112,8 @@
     saturation: SaturationPause,
     /// Rate relative to the median of the service, by the sidecar's figures; 1 if it is unknown.
     pub relative_rate: RelativeRate,
+    /// The rate that the order of homes uses.
+    pub home_rate: SettledRate,
     /// Present while the engine is in slow start, or was at the last check.
     pub slow_start: Option<SlowStart>,
 }
@@ -146,6 +148,7 @@
             refused_adapters: HashSet::new(),
             saturation: SaturationPause::default(),
             relative_rate: RelativeRate::default(),
+            home_rate: SettledRate::default(),
             slow_start: None,
         }
     }
--- a/coordination/src/dispatch/dispatcher.rs
+++ b/coordination/src/dispatch/dispatcher.rs
@@ -9,7 +9,7 @@
         SharedRetryBudget, Ticket,
     },
     crate::{
-        backend_performance::EnginePerformance,
+        backend_performance::{EnginePerformance, SettledRate},
         backend_signals::BackendSignals,
         crashes::{CrashDetector, EngineCrash},
     },
@@ -253,6 +253,9 @@
         }
         self.settings = settings;
         self.performance = ServicePerformance::default();
+        for state in self.backends.values_mut() {
+            state.home_rate = SettledRate::default();
+        }
     }
 
     fn on_request_arrived(&mut self, ticket: Ticket, mut request: DispatchRequest, now: Instant) {
--- a/coordination/src/dispatch/homes.rs
+++ b/coordination/src/dispatch/homes.rs
@@ -149,7 +149,7 @@
                     is_fetch_needed: !(prefers_recent && b.has_recently_held(hash)),
                     score: RendezvousScore::new(
                         rendezvous_weight(hash, b.home_hash()),
-                        b.relative_rate.value(),
+                        b.home_rate.value(),
                     ),
                 };
                 (rank, *b)
--- a/coordination/src/dispatch/performance.rs
+++ b/coordination/src/dispatch/performance.rs
@@ -158,6 +158,9 @@
         let rates: Vec<RelativeRate> = rates.collect();
         for (state, rate) in self.backends.values_mut().zip(rates) {
             state.relative_rate = rate;
+            if state.view.is_some() {
+                state.home_rate.update(rate, now);
+            }
         }
     }
 
--- a/coordination/tests/dispatch_performance.rs
+++ b/coordination/tests/dispatch_performance.rs
@@ -116,6 +116,29 @@
     assert!(moved > 0);
 }
 
+#[test]
+fn homes_follow_a_slow_engine_but_not_a_short_slow_phase() {
+    // guards against homes that move with each slow phase of 600 ms, or never
+    let homes_after = |phases: &[(f64, u32)]| {
+        let mut fixture = fixture_with_times(&[1.0; 3], &[]);
+        for (time, ticks) in phases {
+            for _ in 0..*ticks {
+                for (number, time) in (1..=3).zip([*time, 1.0, 1.0]) {
+                    fixture.view(number, with_performance(view(&name(number), &[]), time));
+                }
+                fixture.advance(ms(100));
+            }
+        }
+        let homes = homes_of(&mut fixture, 90);
+        homes.values().filter(|home| **home == name(1)).count()
+    };
+    let equal = homes_after(&[(1.0, 20)]);
+    assert_eq!(homes_after(&[(1.0, 20), (2.5, 6)]), equal);
+    let slow = homes_after(&[(1.0, 20), (3.5, 25)]);
+    assert!(slow * 2 < equal, "{slow} after {equal}");
+    assert_eq!(homes_after(&[(1.0, 20), (3.5, 25), (1.0, 25)]), equal);
+}
+
 #[test]
 fn entries_with_slightly_different_figures_agree_on_homes() {
     // guards against a cold load at each of several engines while figures change by a step
--- a/coordination/tests/weighted_rendezvous.rs
+++ b/coordination/tests/weighted_rendezvous.rs
@@ -2,10 +2,11 @@
 
 use {
     chalkcart_coordination::{
-        backend_performance::RelativeRate,
+        backend_performance::{RelativeRate, SettledRate},
         membership::{rendezvous_weight, stable_hash, RendezvousScore},
     },
     rand::{rngs::StdRng, RngExt, SeedableRng},
+    std::time::{Duration, Instant},
 };
 
 #[test]
@@ -58,3 +59,30 @@
     assert!(rate(1, u32::MAX) < 17.0 && rate(u32::MAX, 1) > 1.0 / 17.0);
     assert!(rate(0, 0).is_finite());
 }
+
+#[test]
+fn the_rate_for_homes_follows_lasting_changes_only() {
+    // guards against homes that move with each short slow phase, and against homes that stay at an
+    // engine that became slow for good
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let rate = |own| RelativeRate::of_intervals(own, 31_500);
+    let mut settled = SettledRate::default();
+    assert_eq!(settled.value(), 1.0);
+    settled.update(rate(63_000), at(0));
+    let first = settled.value();
+    assert!(first < 0.6, "the first figure counts at once: {first}");
+    for ms in [500, 2_000, 3_500] {
+        settled.update(rate(150_000), at(ms));
+        settled.update(rate(63_000), at(ms + 500));
+        assert_eq!(settled.value(), first);
+    }
+    // a change of the side begins anew
+    settled.update(rate(150_000), at(5_000));
+    settled.update(rate(20_000), at(5_500));
+    settled.update(rate(150_000), at(6_000));
+    assert_eq!(settled.value(), first);
+    settled.update(rate(200_000), at(6_500));
+    settled.update(rate(180_000), at(7_000));
+    assert_eq!(settled.value(), rate(180_000).value());
+}
