Choose engines by the pauses that prefill causes, and reject what misses its deadline

Cause: no decision read TargetGapMs, and none checked whether a response can end before its deadline, so prompts delayed the running streams of slow engines and requests ran into their deadlines.

Change: coordination/src/stream_pacing predicts first event, longest pause and end of a request at an engine; choose_cheapest prefers engines where all objectives hold, then a wait for a turn, then the least loss; a request that no engine can complete in time is rejected with the time until one can.

--- a/coordination/src/dispatch/backend_state.rs
+++ b/coordination/src/dispatch/backend_state.rs
@@ -6,7 +6,9 @@
             SaturationPause, SlowStart, SlowStartSettings,
         },
         membership::{rendezvous_weight, stable_hash},
+        backend_performance::EnginePerformance,
         placement::{adapter_hash, AdapterHash, RecentAdapters},
+        stream_pacing::PrefillWindow,
     },
     chalkcart_protocol::peer::{EngineStats, EngineView},
     chalkcart_state::{
@@ -94,6 +96,8 @@
     /// Of these, requests that wait for their first token.
     waiting_prefills: u32,
     waiting_prefill_tokens: u64,
+    /// Prompts that started there lately.
+    pub prefill_window: PrefillWindow,
     pub view: Option<EngineView>,
     viewed_at: Instant,
     /// Versions of the adapters in the view.
@@ -135,6 +139,7 @@
             crash_suspects: 0,
             waiting_prefills: 0,
             waiting_prefill_tokens: 0,
+            prefill_window: PrefillWindow::default(),
             view: None,
             viewed_at: now,
             running_by_adapter: HashMap::new(),
@@ -204,6 +209,7 @@
             .iter()
             .for_each(|adapter_hash| self.recently_held.insert(*adapter_hash));
         self.viewed_at = reported_at(&view.figures, now);
+        self.on_prefill_reported(&view.figures);
         self.view = Some(view);
         self.observations.on_report();
         self.refused_adapters.clear();
@@ -228,19 +234,31 @@
             view.figures = stats;
             self.viewed_at = reported_at(&stats, now);
             self.refused_adapters.clear();
+            self.on_prefill_reported(&stats);
         }
     }
+    fn on_prefill_reported(&mut self, stats: &EngineStats) {
+        let performance = EnginePerformance::reported(stats);
+        let (Some(pending), Some(performance)) = (stats.prefill_tokens, performance) else {
+            return;
+        };
+        let rate = performance.prefill_tokens_per_ms;
+        self.prefill_window
+            .on_report(f64::from(pending), rate, self.viewed_at);
+    }
     /// Handles the start of another incarnation at the same address.
     pub fn end_incarnation(&mut self) {
         self.has_ended = true;
         self.is_ahead_of_list = false;
         self.view = None;
+        self.prefill_window.on_reports_lost();
         self.held_versions.clear();
     }
     /// Handles the loss of the link to the sidecar; the engine most likely still holds its
     /// adapters.
     pub fn on_view_lost(&mut self, now: Instant) {
         self.view = None;
+        self.prefill_window.on_reports_lost();
         let held = std::mem::take(&mut self.held_versions);
         self.observations.on_view_lost(held.into_keys(), now);
     }
@@ -253,6 +271,9 @@
         self.crash_suspects += u32::from(sent.is_crash_suspect);
         self.waiting_prefills += 1;
         self.waiting_prefill_tokens += u64::from(sent.prompt_tokens);
+        if sent.prompt_tokens > 0 {
+            self.prefill_window.on_sent(sent.prompt_tokens, sent.sent_at);
+        }
         if let Some(adapter) = &sent.adapter {
             *self.running_by_adapter.entry(adapter.clone()).or_default() += 1;
             self.used_adapters.insert(adapter.clone());
@@ -424,6 +445,33 @@
         self.waiting_prefill_tokens as f64 + f64::from(from_other_entries) * typical_prompt_tokens
     }
 
+    /// Estimates the prompt tokens that are not prefilled yet, at a prefill rate in tokens per
+    /// ms: those of the last report, less those prefilled since, and the prompts sent since.
+    pub fn pending_prompt_tokens(
+        &self,
+        tokens_per_ms: f64,
+        typical_prompt_tokens: f64,
+        now: Instant,
+    ) -> f64 {
+        let Some(view) = self.recent_view(now) else {
+            return self.waiting_prefill_tokens as f64;
+        };
+        let stats = &view.figures;
+        let reported = match stats.prefill_tokens {
+            Some(tokens) => f64::from(tokens),
+            None => f64::from(stats.reading) * typical_prompt_tokens,
+        };
+        let age = now.saturating_duration_since(self.viewed_at);
+        let prefilled = age.as_secs_f64() * 1e3 * tokens_per_ms;
+        let sent = self.prefill_window.sent_between(self.viewed_at, now);
+        (reported - prefilled).max(0.0) + sent
+    }
+    /// Returns the performance that its sidecar measured, if the report is recent.
+    pub fn measured_performance(&self, now: Instant) -> Option<EnginePerformance> {
+        let view = self.recent_view(now)?;
+        EnginePerformance::reported(&view.figures)
+    }
+
     /// Returns whether its sidecar reported after `at`.
     pub fn has_reported_since(&self, at: Instant) -> bool {
         self.view.is_some() && self.viewed_at > at
--- a/coordination/src/dispatch/copies.rs
+++ b/coordination/src/dispatch/copies.rs
@@ -31,6 +31,11 @@
         let is_holder = |id: &BackendId| holders.iter().any(|h| h.listed.id == *id);
         let utilization = match choice {
             Choice::Send(assignment) => assignment.utilization,
+            // a wait for a turn alone is no lack of capacity
+            Choice::WaitForTurn(_) => {
+                let utilization = holders.iter().map(|b| self.utilization(b, now));
+                utilization.min_by(f64::total_cmp).unwrap_or(0.0)
+            }
             Choice::Wait(_) => f64::INFINITY,
         };
         let pending = self
--- a/coordination/src/dispatch/decision.rs
+++ b/coordination/src/dispatch/decision.rs
@@ -1,5 +1,6 @@
 use {
     super::BudgetUsage,
+    crate::stream_pacing::PacingInputs,
     chalkcart_state::backends::BackendId,
     std::{net::SocketAddr, time::Duration},
 };
@@ -28,6 +29,8 @@
     pub list_version: u64,
     /// Retry budget of the service before this send.
     pub budget: BudgetUsage,
+    /// Inputs of the decision on a request with a gap objective.
+    pub pacing: Option<PacingInputs>,
 }
 
 /// Where a request is sent.
@@ -69,6 +72,8 @@
     LoadTooSlow,
     /// The retry budget is used up.
     RetryBudgetExhausted,
+    /// No engine can complete it by its deadline.
+    MissesDeadline,
 }
 
 impl RejectionCause {
@@ -85,6 +90,7 @@
             Self::Reloading => "returns",
             Self::LoadTooSlow => "loads_later",
             Self::RetryBudgetExhausted => "no_budget",
+            Self::MissesDeadline => "misses_deadline",
         }
     }
 }
--- a/coordination/src/dispatch/dispatcher.rs
+++ b/coordination/src/dispatch/dispatcher.rs
@@ -2,7 +2,7 @@
     super::{
         backend_signal_tracker::BackendSignalTracker, backend_updates::ReportedIncarnation,
         expected_returns::ExpectedReturn, pending_loads::PendingLoad, rejection::MIN_RETRY_AFTER,
-        selection::Choice, waiting_list::WaitingList, AccountFairQueueing, AdapterVersions,
+        pacing::TurnWait, selection::Choice, waiting_list::WaitingList, AccountFairQueueing, AdapterVersions,
         Assignment, BackendState, BudgetUsage, Decision, DispatchEvent, DispatchRequest,
         DispatchSettings, FleetSize, InFlightRequest, LoadDelay, PrefillRate, RejectionCause,
         RequestedLoad, SendOutcome, SharedRetryBudget, Ticket,
@@ -72,6 +72,12 @@
     /// Engines whose sidecars must receive a new load request.
     pub(super) urgent_demands: HashSet<BackendId>,
     pub(super) decisions: Vec<(Ticket, Decision)>,
+    /// Requests that wait for their turn at an engine.
+    pub(super) turn_waits: BTreeMap<Ticket, TurnWait>,
+    /// Of these, the ones since the last call of `take_turn_waits`.
+    pub(super) new_turn_waits: Vec<(Ticket, TurnWait)>,
+    /// Time of the last check of turns.
+    pub(super) turns_checked_at: Option<Instant>,
     /// Zones whose back ends receive no requests.
     pub(super) evacuated_zones: HashSet<ZoneName>,
     /// Back ends that advertise a rate limit.
@@ -117,6 +123,9 @@
             expected_returns: HashMap::new(),
             urgent_demands: HashSet::new(),
             decisions: Vec::new(),
+            turn_waits: BTreeMap::new(),
+            new_turn_waits: Vec::new(),
+            turns_checked_at: None,
             evacuated_zones: HashSet::new(),
             limited_backends: HashSet::new(),
             limits_refreshed_at: None,
@@ -131,11 +140,13 @@
     pub fn handle(&mut self, event: DispatchEvent, now: Instant) -> Vec<(Ticket, Decision)> {
         self.advance_slow_starts(now);
         self.refresh_limits(now);
+        self.refresh_turns(now);
         match event {
             DispatchEvent::RequestArrived { ticket, request } => {
                 self.on_request_arrived(ticket, request, now)
             }
             DispatchEvent::RequestWithdrawn(ticket) => {
+                self.turn_waits.remove(&ticket);
                 if let Some(request) = self.waiting.remove(ticket) {
                     self.on_not_sent(&request);
                 }
@@ -166,12 +177,17 @@
             DispatchEvent::ViewReceived { .. } | DispatchEvent::StatsReceived { .. }
                 if !self.settings.features.sidecar_views => {}
             DispatchEvent::ViewReceived { addr, view } => {
+                let backend = view.backend.clone();
                 let affected = self.on_view(addr, view, now);
                 if !affected.is_empty() {
                     self.dispatch_waiting(|request| affected.includes(request), now);
                 }
+                self.refresh_turns_at(&backend, now);
+            }
+            DispatchEvent::StatsReceived { backend, stats } => {
+                self.on_stats(&backend, stats, now);
+                self.refresh_turns_at(&backend, now);
             }
-            DispatchEvent::StatsReceived { backend, stats } => self.on_stats(&backend, stats, now),
             DispatchEvent::ListUpdated { version, list } => {
                 self.on_list(version, list, now);
                 self.dispatch_waiting(|_| true, now);
@@ -390,8 +406,17 @@
         is_affected: impl Fn(&DispatchRequest) -> bool,
         now: Instant,
     ) -> HashMap<BackendId, (u32, u8)> {
-        let mut ahead = HashMap::new();
         let tickets = self.waiting.tickets(is_affected);
+        self.dispatch_tickets(tickets, now)
+    }
+
+    /// Does the same for these waiting requests, in the given order.
+    pub(super) fn dispatch_tickets(
+        &mut self,
+        tickets: Vec<Ticket>,
+        now: Instant,
+    ) -> HashMap<BackendId, (u32, u8)> {
+        let mut ahead = HashMap::new();
         if !tickets.is_empty() {
             self.refresh_replaced();
         }
@@ -399,8 +424,17 @@
             let Some(request) = self.waiting.remove(ticket) else {
                 continue;
             };
+            let turn_since = self.turn_waits.remove(&ticket).map(|wait| wait.since);
             match self.choose(&request, now) {
-                Choice::Send(assignment) => self.send(ticket, request, assignment, now),
+                Choice::Send(mut assignment) => {
+                    if let (Some(pacing), Some(since)) =
+                        (&mut assignment.inputs.pacing, turn_since)
+                    {
+                        pacing.turn_waited = now.saturating_duration_since(since);
+                    }
+                    self.send(ticket, request, assignment, now)
+                }
+                Choice::WaitForTurn(wait) => self.wait_for_turn(ticket, request, wait, turn_since),
                 Choice::Wait(RejectionCause::RateLimited) => {
                     self.wait_for_rate_limit(ticket, request, &mut ahead, now);
                 }
--- a/coordination/src/dispatch/mod.rs
+++ b/coordination/src/dispatch/mod.rs
@@ -19,7 +19,9 @@
 mod homes;
 mod limited_backends;
 mod load_delay;
+mod pacing;
 mod pending_loads;
+mod performance;
 mod prefill_rate;
 mod rejection;
 mod requested_load;
@@ -44,6 +46,7 @@
     fleet_size::FleetSize,
     limited_backends::{PermitError, PermitQuery},
     load_delay::LoadDelay,
+    pacing::TurnWait,
     pending_loads::DueDemands,
     prefill_rate::PrefillRate,
     requested_load::{LoadCause, RequestedLoad},
--- /dev/null
+++ b/coordination/src/dispatch/pacing.rs
@@ -0,0 +1,306 @@
+//! Chooses engines for requests with a gap objective, so that prefill doesn't delay the streams
+//! that run there.
+
+use {
+    super::{
+        dispatcher::Dispatcher, homes::load_candidates, selection::holders_of_model, BackendState,
+        DispatchRequest, Ticket,
+    },
+    crate::{
+        placement::adapter_hash,
+        stream_pacing::{
+            EngineLoad, Forecast, PacingInputs, PacingOutcome, ShortestRun, StreamObjectives,
+        },
+    },
+    chalkcart_state::backends::{AdapterRef, BackendId},
+    std::time::{Duration, Instant},
+};
+
+/// Cost of each expected event of a stream at an engine that needs protection, in ms: the turns
+/// of prompts keep the pauses there only as far as all entries know each other's sends.
+const EXPOSED_EVENT_COST_MS: f64 = 1.0;
+/// Cost of each stream that a prompt would make late, in ms, and its maximum. It is compared
+/// with the time to reload an adapter elsewhere, some tens of ms.
+const LOST_STREAM_COST_MS: f64 = 100.0;
+const MAX_LOSS_COST_MS: f64 = 1_000.0;
+/// Interval at which waiting turns are checked at most; every event may come sooner.
+const TURN_CHECK_INTERVAL: Duration = Duration::from_millis(10);
+
+/// A request that waits until its prompt fits into an engine's limit for one gap.
+#[derive(Debug, Clone, PartialEq)]
+pub struct TurnWait {
+    pub backend: BackendId,
+    /// When the wait began.
+    pub since: Instant,
+    /// When the prompt is expected to fit.
+    pub until: Instant,
+    pub view_age: Option<Duration>,
+    pub inputs: PacingInputs,
+}
+
+/// What to do with a request that has a gap objective.
+pub(super) enum PacedChoice<'b> {
+    Send(&'b BackendState, PacingInputs),
+    Wait(TurnWait),
+}
+
+/// An engine and what is expected of the request there.
+struct PacedOption<'b> {
+    state: &'b BackendState,
+    forecast: Forecast,
+    inputs: PacingInputs,
+    cost: f64,
+}
+
+impl Dispatcher {
+    /// Returns what the request needs; `None` if no gap objective applies to it.
+    fn stream_objectives(
+        &self,
+        request: &DispatchRequest,
+        now: Instant,
+    ) -> Option<StreamObjectives> {
+        let gap = request.target_gap?;
+        if !self.settings.features.stream_pacing || request.prompt_tokens == 0 {
+            return None;
+        }
+        let waited = now.saturating_duration_since(request.arrived_at);
+        Some(StreamObjectives {
+            prompt_tokens: request.prompt_tokens,
+            output_tokens: request.expected_output_tokens,
+            first_event_in: request.target_latency.saturating_sub(waited),
+            gap,
+            deadline_in: request.deadline.saturating_duration_since(now),
+        })
+    }
+
+    /// Returns the work of an engine; `None` if its performance is unknown.
+    fn engine_load<'b>(&self, state: &'b BackendState, now: Instant) -> Option<EngineLoad<'b>> {
+        let measured = state.measured_performance(now);
+        let performance = measured.or_else(|| self.performance(state))?;
+        let rate = performance.prefill_tokens_per_ms;
+        let typical = self.typical_prompt_tokens(&state.listed.service);
+        (rate > 0.0 && performance.event_interval_ms > 0.0).then(|| EngineLoad {
+            performance,
+            is_measured: measured.is_some(),
+            pending_tokens: state.pending_prompt_tokens(rate, typical, now),
+            running: state.occupied(now),
+            window: &state.prefill_window,
+        })
+    }
+
+    /// Chooses among engines that could take the request now: the cheapest one where all
+    /// objectives hold, else a wait that keeps them, else the engine with the least loss.
+    /// Returns `None` if no gap objective applies or the performance is unknown.
+    pub(super) fn choose_paced<'b>(
+        &self,
+        request: &DispatchRequest,
+        accepting: &[&'b BackendState],
+        now: Instant,
+    ) -> Option<PacedChoice<'b>> {
+        let objectives = self.stream_objectives(request, now)?;
+        let mut options = Vec::with_capacity(accepting.len());
+        for state in accepting.iter().copied() {
+            let load = self.engine_load(state, now)?;
+            let forecast = Forecast::new(&load, &objectives, &self.settings.pacing, now);
+            let outcome = match forecast.holds(&objectives) {
+                true => PacingOutcome::Holds,
+                false => PacingOutcome::LeastLoss,
+            };
+            options.push(PacedOption {
+                state,
+                inputs: PacingInputs::new(outcome, &load, &forecast),
+                cost: self.cost(state, now) + self.exposure_ms(&forecast, &objectives),
+                forecast,
+            });
+        }
+        let holding = options.iter().filter(|o| o.forecast.holds(&objectives));
+        if let Some(best) = holding.min_by(|a, b| a.cost.total_cmp(&b.cost)) {
+            return Some(PacedChoice::Send(best.state, best.inputs));
+        }
+        let waits = options
+            .iter()
+            .filter_map(|o| Some((o.forecast.worthwhile_wait(&objectives)?, o)));
+        if let Some((wait, option)) = waits.min_by_key(|(wait, _)| *wait) {
+            return Some(PacedChoice::Wait(TurnWait {
+                backend: option.state.listed.id.clone(),
+                since: now,
+                until: now + wait,
+                view_age: option.state.view_age(now),
+                inputs: PacingInputs {
+                    outcome: PacingOutcome::Waits,
+                    ..option.inputs
+                },
+            }));
+        }
+        let best = options.iter().min_by(|a, b| {
+            let loss = |o: &PacedOption| o.forecast.loss(&objectives);
+            let by_loss = loss(a).total_cmp(&loss(b));
+            by_loss.then_with(|| a.cost.total_cmp(&b.cost))
+        })?;
+        Some(PacedChoice::Send(best.state, best.inputs))
+    }
+
+    /// Returns the cost of the pauses that a stream may see during its run, in ms.
+    fn exposure_ms(&self, forecast: &Forecast, objectives: &StreamObjectives) -> f64 {
+        let events = f64::from(objectives.output_tokens) / self.settings.pacing.tokens_per_event;
+        match forecast.tokens_per_gap {
+            Some(_) => events * EXPOSED_EVENT_COST_MS,
+            None => 0.0,
+        }
+    }
+
+    /// Returns the cost of a back end for this request, in ms: also its wait for a turn, or the
+    /// streams that it would make late.
+    pub(super) fn cost_for(
+        &self,
+        request: &DispatchRequest,
+        state: &BackendState,
+        now: Instant,
+    ) -> f64 {
+        let cost = self.cost(state, now);
+        let Some(objectives) = self.stream_objectives(request, now) else {
+            return cost;
+        };
+        let Some(load) = self.engine_load(state, now) else {
+            return cost;
+        };
+        let forecast = Forecast::new(&load, &objectives, &self.settings.pacing, now);
+        let delay_ms = match forecast.worthwhile_wait(&objectives) {
+            Some(wait) => wait.as_secs_f64() * 1e3,
+            None => (forecast.loss(&objectives) * LOST_STREAM_COST_MS).min(MAX_LOSS_COST_MS),
+        };
+        cost + delay_ms + self.exposure_ms(&forecast, &objectives)
+    }
+
+    /// Returns the time until an engine could complete the request within its deadline, and
+    /// what is known of the engine that would end it first. Returns `None` if an engine could
+    /// complete it in time as it is, or if that is unknown for any engine.
+    pub(super) fn missed_deadline(
+        &self,
+        request: &DispatchRequest,
+        now: Instant,
+    ) -> Option<(Duration, PacingInputs)> {
+        // after a send the output that is still to come is unknown
+        if request.send_count > 0 {
+            return None;
+        }
+        let objectives = self.stream_objectives(request, now)?;
+        let timeout = request
+            .deadline
+            .saturating_duration_since(request.arrived_at);
+        let listed = self.backends.values().filter(|b| {
+            b.listed.service == request.service && b.may_receive_requests() && !b.is_unlisted
+        });
+        let allowed: Vec<&BackendState> = listed
+            .filter(|b| !request.tried_backends.contains(&b.listed.id))
+            .filter(|b| !self.evacuated_zones.contains(&b.listed.zone))
+            .filter(|b| self.is_region_allowed(request, b))
+            .collect();
+        let able = match (&request.adapter, &request.model) {
+            (Some(adapter), _) => load_candidates(&allowed, adapter),
+            (None, Some(model)) => holders_of_model(&allowed, model),
+            (None, None) => allowed,
+        };
+        let mut retry_after: Option<Duration> = None;
+        let mut earliest: Option<(Duration, EngineLoad)> = None;
+        for state in able {
+            state.measured_performance(now)?;
+            let load = self.engine_load(state, now)?;
+            let backoff = state.backoff.remaining(now).unwrap_or_default();
+            let load_time = request.adapter.as_ref().map(|a| load_time(state, a, now));
+            let run = ShortestRun::new(
+                &load.performance,
+                load.pending_tokens,
+                backoff.max(load_time.unwrap_or_default()),
+                &objectives,
+                &self.settings.pacing,
+            )?;
+            if run.end() <= objectives.deadline_in {
+                return None;
+            }
+            let fits_in = run.fits_in(timeout);
+            retry_after = Some(retry_after.map_or(fits_in, |known| known.min(fits_in)));
+            if earliest.as_ref().is_none_or(|(end, _)| run.end() < *end) {
+                earliest = Some((run.end(), load));
+            }
+        }
+        let (end, load) = earliest?;
+        let forecast = Forecast::new(&load, &objectives, &self.settings.pacing, now);
+        let inputs = PacingInputs {
+            end_ms: Some(end.as_secs_f64() * 1e3),
+            ..PacingInputs::new(PacingOutcome::MissesDeadline, &load, &forecast)
+        };
+        Some((retry_after?, inputs))
+    }
+
+    /// Records that a request waits for its turn. A wait that began earlier goes on.
+    pub(super) fn wait_for_turn(
+        &mut self,
+        ticket: Ticket,
+        request: DispatchRequest,
+        wait: TurnWait,
+        began: Option<Instant>,
+    ) {
+        match began {
+            Some(began) => {
+                let wait = TurnWait {
+                    since: began,
+                    ..wait
+                };
+                self.turn_waits.insert(ticket, wait);
+            }
+            None => {
+                self.new_turn_waits.push((ticket, wait.clone()));
+                self.turn_waits.insert(ticket, wait);
+            }
+        }
+        self.waiting.insert(ticket, request);
+    }
+
+    /// Sends the requests whose turn has come. Runs at every event, since no tick comes while
+    /// other events are frequent.
+    pub(super) fn refresh_turns(&mut self, now: Instant) {
+        let is_due = self.turn_waits.values().any(|wait| wait.until <= now);
+        let is_recent = self
+            .turns_checked_at
+            .is_some_and(|at| now.saturating_duration_since(at) < TURN_CHECK_INTERVAL);
+        if is_due && !is_recent {
+            self.dispatch_turns(|wait| wait.until <= now, now);
+        }
+    }
+
+    /// Checks the turns at an engine after a report of its sidecar.
+    pub(super) fn refresh_turns_at(&mut self, backend: &BackendId, now: Instant) {
+        let mut waits = self.turn_waits.values();
+        if waits.any(|wait| wait.backend == *backend) {
+            self.dispatch_turns(|wait| wait.backend == *backend, now);
+        }
+    }
+
+    fn dispatch_turns(&mut self, is_affected: impl Fn(&TurnWait) -> bool, now: Instant) {
+        self.turns_checked_at = Some(now);
+        let affected = self.turn_waits.iter().filter(|(_, w)| is_affected(w));
+        let tickets = affected.map(|(ticket, _)| *ticket).collect();
+        self.dispatch_tickets(self.waiting.in_order(tickets), now);
+    }
+
+    /// Returns the waits for turns that began since the last call, for logs.
+    pub fn take_turn_waits(&mut self) -> Vec<(Ticket, TurnWait)> {
+        std::mem::take(&mut self.new_turn_waits)
+    }
+}
+
+/// Returns the expected time to load an adapter at an engine; zero if it holds the adapter.
+fn load_time(state: &BackendState, adapter: &AdapterRef, now: Instant) -> Duration {
+    let Some(view) = state.view.as_ref() else {
+        return Duration::ZERO;
+    };
+    if state.held_version(adapter, now).is_some() || view.loading.contains(adapter) {
+        return Duration::ZERO;
+    }
+    let load_ms = match state.has_recently_held(adapter_hash(adapter)) {
+        true => view.figures.next_return_ms,
+        false => view.figures.next_load_ms,
+    };
+    Duration::from_millis(u64::from(load_ms))
+}
--- a/coordination/src/dispatch/rejection.rs
+++ b/coordination/src/dispatch/rejection.rs
@@ -34,6 +34,17 @@
             self.reject(ticket, cause, retry_after, inputs);
             return;
         }
+        if cause == RejectionCause::MissesDeadline {
+            let missed = self.missed_deadline(&request, now);
+            let retry_after = missed.map_or(MIN_RETRY_AFTER, |(fits_in, _)| fits_in);
+            let inputs = DecisionInputs {
+                pacing: missed.map(|(_, pacing)| pacing),
+                ..self.decision_inputs(&request, now)
+            };
+            self.on_not_sent(&request);
+            self.reject(ticket, cause, retry_after.max(MIN_RETRY_AFTER), inputs);
+            return;
+        }
         if cause == RejectionCause::NotLoaded {
             if let Some(retry_after) = self.schedule_return(&mut request, now) {
                 let inputs = self.decision_inputs(&request, now);
@@ -52,7 +63,8 @@
             | RejectionCause::Full
             | RejectionCause::NoBackend
             | RejectionCause::RetryBudgetExhausted
-            | RejectionCause::LoadTooSlow => self.settings.max_slot_wait_ratio,
+            | RejectionCause::LoadTooSlow
+            | RejectionCause::MissesDeadline => self.settings.max_slot_wait_ratio,
         };
         let max_wait = request.target_latency.mul_f64(max_wait_ratio);
         let waited = now.saturating_duration_since(request.arrived_at);
--- a/coordination/src/dispatch/selection.rs
+++ b/coordination/src/dispatch/selection.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         dispatcher::Dispatcher,
+        pacing::{PacedChoice, TurnWait},
         urgency::{urgency, LOWEST_URGENCY},
         Assignment, BackendState, DecisionInputs, DispatchRequest, LoadCause, RejectionCause,
         RequestedLoad,
@@ -45,6 +46,8 @@
 pub(super) enum Choice {
     Send(Assignment),
     Wait(RejectionCause),
+    /// Its prompt waits until it fits into an engine's limit for one gap.
+    WaitForTurn(TurnWait),
 }
 
 impl Dispatcher {
@@ -83,6 +86,7 @@
             waiting: self.waiting.len() as u32,
             list_version: self.list_version,
             budget: self.budget_usage(&request.service),
+            pacing: None,
         }
     }
 
@@ -154,6 +158,9 @@
             };
             return (Choice::Wait(cause), Vec::new());
         }
+        if self.missed_deadline(request, now).is_some() {
+            return (Choice::Wait(RejectionCause::MissesDeadline), Vec::new());
+        }
         let Some(adapter) = &request.adapter else {
             return (
                 self.choose_with_model(request, &candidates, now),
@@ -206,14 +213,14 @@
         }
         let hash = adapter_hash(adapter);
         let accepting = holders.iter().filter(|b| b.can_accept(now));
-        let holder_costs = accepting.map(|b| self.cost(b, now));
+        let holder_costs = accepting.map(|b| self.cost_for(request, b, now));
         let lowest_cost = holder_costs.min_by(f64::total_cmp).unwrap_or(f64::INFINITY);
         let is_holder = |b: &BackendState| holders.iter().any(|h| h.listed.id == b.listed.id);
         let others = candidates.iter().filter(|b| {
             let may_load = b.spare_slots() > 0 || b.is_loading(adapter);
             b.has_recently_held(hash) && may_load && b.can_accept(now) && !is_holder(b)
         });
-        let costs = others.map(|b| (self.cost(b, now) + reload_ms(b), b));
+        let costs = others.map(|b| (self.cost_for(request, b, now) + reload_ms(b), b));
         let (cost, best) = costs.min_by(|(a, _), (b, _)| a.total_cmp(b))?;
         (cost + MIN_RELOAD_SAVING_MS < lowest_cost).then(|| best.listed.id.clone())
     }
@@ -337,8 +344,17 @@
         now: Instant,
     ) -> Choice {
         let accepting = states.iter().filter(|b| b.can_accept_request(request, now));
-        let costs = accepting.map(|b| (self.cost(b, now), *b));
-        let Some((_, cheapest)) = costs.min_by(|(a, _), (b, _)| a.total_cmp(b)) else {
+        let accepting: Vec<&BackendState> = accepting.copied().collect();
+        let (chosen, pacing) = match self.choose_paced(request, &accepting, now) {
+            Some(PacedChoice::Wait(wait)) => return Choice::WaitForTurn(wait),
+            Some(PacedChoice::Send(state, pacing)) => (Some(state), Some(pacing)),
+            None => {
+                let costs = accepting.into_iter().map(|b| (self.cost(b, now), b));
+                let cheapest = costs.min_by(|(a, _), (b, _)| a.total_cmp(b));
+                (cheapest.map(|(_, state)| state), None)
+            }
+        };
+        let Some(cheapest) = chosen else {
             let is_limited = states.iter().any(|b| b.can_accept_beyond_limit(now));
             return Choice::Wait(match is_limited {
                 true => RejectionCause::RateLimited,
@@ -354,7 +370,10 @@
             urgency: self.urgency(request, now),
             utilization: self.utilization(cheapest, now),
             is_limited: cheapest.limit.effective_rate().is_some(),
-            inputs: self.decision_inputs_for(request, candidates, holders, Some(cheapest), now),
+            inputs: DecisionInputs {
+                pacing,
+                ..self.decision_inputs_for(request, candidates, holders, Some(cheapest), now)
+            },
         })
     }
 
@@ -409,7 +428,7 @@
         observed.unwrap_or(self.settings.default_tokens_per_ms)
     }
 
-    fn typical_prompt_tokens(&self, service: &ServiceName) -> f64 {
+    pub(super) fn typical_prompt_tokens(&self, service: &ServiceName) -> f64 {
         let observed = self
             .prefill_rates
             .get(service)
@@ -426,7 +445,7 @@
 
     /// Returns the cost of sending a request to a back end, in ms: its expected wait plus
     /// penalties for load, distance, rate limits and failures. The lowest cost is chosen.
-    fn cost(&self, state: &BackendState, now: Instant) -> f64 {
+    pub(super) fn cost(&self, state: &BackendState, now: Instant) -> f64 {
         let is_remote_zone = state.listed.zone != self.settings.zone;
         let remote_zone = if is_remote_zone {
             REMOTE_ZONE_COST_MS
--- a/coordination/src/dispatch/settings.rs
+++ b/coordination/src/dispatch/settings.rs
@@ -1,6 +1,6 @@
 use {
     super::RetryBudgetSettings,
-    crate::features::FeatureSwitches,
+    crate::{features::FeatureSwitches, stream_pacing::PacingSettings},
     chalkcart_state::ids::{BoxName, RegionName, ZoneName},
     std::{
         collections::HashMap,
@@ -35,6 +35,8 @@
     pub disconnected_after: Duration,
     /// How long requests may start on the previous version of an adapter.
     pub version_grace: Duration,
+    /// How the engines run steps, for the pauses of streams.
+    pub pacing: PacingSettings,
     pub features: FeatureSwitches,
 }
 
@@ -58,6 +60,7 @@
             copy_load_threshold: 0.5,
             disconnected_after: Duration::from_millis(1_200),
             version_grace: Duration::from_millis(2_500),
+            pacing: PacingSettings::default(),
             features: FeatureSwitches::default(),
         }
     }
--- a/coordination/src/dispatch/waiting_list.rs
+++ b/coordination/src/dispatch/waiting_list.rs
@@ -38,6 +38,12 @@
             .filter(|(_, request)| is_included(request));
         requests.map(|((.., ticket), _)| *ticket).collect()
     }
+    /// Returns those of these tickets that wait, in serving order.
+    pub fn in_order(&self, mut tickets: Vec<Ticket>) -> Vec<Ticket> {
+        tickets.retain(|ticket| self.keys_by_ticket.contains_key(ticket));
+        tickets.sort_by_key(|ticket| self.keys_by_ticket[ticket]);
+        tickets
+    }
     pub fn iter(&self) -> impl Iterator<Item = &DispatchRequest> {
         self.requests.values()
     }
--- a/coordination/src/features/switches.rs
+++ b/coordination/src/features/switches.rs
@@ -37,6 +37,10 @@
     /// Uses the engine views that sidecars report; otherwise entries rely on the list, the
     /// responses of engines and the loads that they requested.
     pub sidecar_views: bool,
+    /// Sends prompts of streams with a gap objective where running streams keep theirs, and
+    /// rejects those that no engine can complete by their deadline; otherwise the gap objective
+    /// is ignored.
+    pub stream_pacing: bool,
 }
 
 impl Default for FeatureSwitches {
@@ -55,13 +59,14 @@
             store_by_relay: true,
             shared_limits: true,
             sidecar_views: true,
+            stream_pacing: true,
         }
     }
 }
 
 impl FeatureSwitches {
     /// Returns the name and the state of each switch.
-    fn named_states(&self) -> [(&'static str, bool); 13] {
+    fn named_states(&self) -> [(&'static str, bool); 14] {
         [
             ("observed_rate", self.observed_rate),
             ("prompts_of_all", self.prompts_of_all),
@@ -76,6 +81,7 @@
             ("store_by_relay", self.store_by_relay),
             ("shared_limits", self.shared_limits),
             ("sidecar_views", self.sidecar_views),
+            ("stream_pacing", self.stream_pacing),
         ]
     }
 }
--- a/coordination/src/lib.rs
+++ b/coordination/src/lib.rs
@@ -24,4 +24,5 @@
 pub mod sidecar;
 pub mod slots;
 pub mod stream;
+pub mod stream_pacing;
 pub mod watch;
--- /dev/null
+++ b/coordination/src/stream_pacing/pacing_inputs.rs
@@ -0,0 +1,72 @@
+use {
+    super::{EngineLoad, Forecast},
+    std::time::Duration,
+};
+
+/// What was decided for a request with a gap objective.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum PacingOutcome {
+    /// All objectives hold at the chosen engine.
+    Holds,
+    /// No engine meets all objectives, also after a wait; the chosen one loses the least.
+    LeastLoss,
+    /// The prompt waits until it fits into the engine's limit for one gap.
+    Waits,
+    /// No engine can complete it by its deadline.
+    MissesDeadline,
+}
+
+impl PacingOutcome {
+    /// Returns the code in logs and metrics.
+    pub fn code(self) -> &'static str {
+        match self {
+            Self::Holds => "holds",
+            Self::LeastLoss => "least_loss",
+            Self::Waits => "turn",
+            Self::MissesDeadline => "misses_deadline",
+        }
+    }
+}
+
+/// Inputs of a decision on a request with a gap objective, for logs.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct PacingInputs {
+    pub outcome: PacingOutcome,
+    pub tokens_per_ms: f64,
+    pub event_interval_ms: f64,
+    /// Whether the engine's own sidecar measured these figures; otherwise they are the median
+    /// of the service.
+    pub is_measured: bool,
+    pub tokens_per_gap: Option<f64>,
+    pub used_tokens: f64,
+    pub pending_tokens: f64,
+    pub running: u32,
+    pub first_event_ms: f64,
+    /// Longest pause of the request and of the streams that run there.
+    pub pause_ms: f64,
+    pub end_ms: Option<f64>,
+    /// Time until its turn.
+    pub turn_in: Option<Duration>,
+    /// How long it has waited for its turn.
+    pub turn_waited: Duration,
+}
+
+impl PacingInputs {
+    pub fn new(outcome: PacingOutcome, load: &EngineLoad, forecast: &Forecast) -> Self {
+        Self {
+            outcome,
+            tokens_per_ms: load.performance.prefill_tokens_per_ms,
+            event_interval_ms: load.performance.event_interval_ms,
+            is_measured: load.is_measured,
+            tokens_per_gap: forecast.tokens_per_gap,
+            used_tokens: forecast.used_tokens,
+            pending_tokens: load.pending_tokens,
+            running: load.running,
+            first_event_ms: forecast.first_event_ms,
+            pause_ms: forecast.pause_ms.max(forecast.running_pause_ms),
+            end_ms: forecast.end_ms,
+            turn_in: forecast.turn_in,
+            turn_waited: Duration::ZERO,
+        }
+    }
+}
