--- a/coordination/src/dispatch/backend_state.rs
+++ b/coordination/src/dispatch/backend_state.rs
@@ -5,8 +5,8 @@
             AdmissionGate, AdvertisedLimit, Health, LimitSharing, RequestedBackoff,
             SaturationPause, SlowStart, SlowStartSettings,
         },
-        membership::{rendezvous_weight, stable_hash},
         backend_performance::EnginePerformance,
+        membership::{rendezvous_weight, stable_hash},
         placement::{adapter_hash, AdapterHash, RecentAdapters},
         stream_pacing::PrefillWindow,
     },
@@ -272,7 +272,8 @@
         self.waiting_prefills += 1;
         self.waiting_prefill_tokens += u64::from(sent.prompt_tokens);
         if sent.prompt_tokens > 0 {
-            self.prefill_window.on_sent(sent.prompt_tokens, sent.sent_at);
+            self.prefill_window
+                .on_sent(sent.prompt_tokens, sent.sent_at);
         }
         if let Some(adapter) = &sent.adapter {
             *self.running_by_adapter.entry(adapter.clone()).or_default() += 1;
--- a/coordination/src/dispatch/pacing.rs
+++ b/coordination/src/dispatch/pacing.rs
@@ -75,13 +75,12 @@
 
     /// Returns the work of an engine; `None` if its performance is unknown.
     fn engine_load<'b>(&self, state: &'b BackendState, now: Instant) -> Option<EngineLoad<'b>> {
-        let measured = state.measured_performance(now);
-        let performance = measured.or_else(|| self.performance(state))?;
+        let performance = self.performance(state)?;
         let rate = performance.prefill_tokens_per_ms;
         let typical = self.typical_prompt_tokens(&state.listed.service);
         (rate > 0.0 && performance.event_interval_ms > 0.0).then(|| EngineLoad {
             performance,
-            is_measured: measured.is_some(),
+            is_measured: state.measured_performance(now).is_some(),
             pending_tokens: state.pending_prompt_tokens(rate, typical, now),
             running: state.occupied(now),
             window: &state.prefill_window,
--- a/coordination/src/stream_pacing/prefill_window.rs
+++ b/coordination/src/stream_pacing/prefill_window.rs
@@ -65,14 +65,21 @@
 
     /// Returns the prompt tokens that started within `gap` before now.
     pub fn started_within(&self, gap: Duration, now: Instant) -> f64 {
-        let recent = self.starts.iter().filter(|start| is_within(start, gap, now));
+        let recent = self
+            .starts
+            .iter()
+            .filter(|start| is_within(start, gap, now));
         recent.map(|start| start.tokens).sum()
     }
 
     /// Returns the time until at most `max_tokens` started within `gap`.
     pub fn time_until_at_most(&self, max_tokens: f64, gap: Duration, now: Instant) -> Duration {
         let mut started = self.started_within(gap, now);
-        for start in self.starts.iter().filter(|start| is_within(start, gap, now)) {
+        for start in self
+            .starts
+            .iter()
+            .filter(|start| is_within(start, gap, now))
+        {
             if started <= max_tokens {
                 break;
             }
--- a/coordination/tests/dispatch_pacing.rs
+++ b/coordination/tests/dispatch_pacing.rs
@@ -50,7 +50,10 @@
     let mut fixture = Fixture::new(list);
     for number in 1..=3_u8 {
         let stats = stats(speeds[usize::from(number) - 1], running, 0);
-        fixture.view(number, engine_view(number, holders.contains(&number), stats));
+        fixture.view(
+            number,
+            engine_view(number, holders.contains(&number), stats),
+        );
     }
     fixture
 }
@@ -74,7 +77,10 @@
 }
 
 fn outcome(decided: &[(Ticket, Decision)]) -> Option<PacingOutcome> {
-    assignment(decided).inputs.pacing.map(|pacing| pacing.outcome)
+    assignment(decided)
+        .inputs
+        .pacing
+        .map(|pacing| pacing.outcome)
 }
 
 const NOMINAL: Option<f64> = Some(1.0);
--- a/coordination/tests/stream_pacing.rs
+++ b/coordination/tests/stream_pacing.rs
@@ -228,7 +228,10 @@
     assert_eq!(window.started_within(GAP, start + ms(300)), 3_500.0);
     // the own ones leave the window first
     assert_eq!(window.started_within(GAP, start + ms(430)), 2_500.0);
-    assert_eq!(window.time_until_at_most(500.0, GAP, start + ms(430)), ms(70));
+    assert_eq!(
+        window.time_until_at_most(500.0, GAP, start + ms(430)),
+        ms(70)
+    );
     assert_eq!(window.started_within(GAP, start + ms(700)), 0.0);
     // the first report after a loss is no start
     window.on_reports_lost();
