--- a/coordination/src/dispatch/pacing.rs
+++ b/coordination/src/dispatch/pacing.rs
@@ -3,8 +3,10 @@
 
 use {
     super::{
-        dispatcher::Dispatcher, homes::load_candidates, selection::holders_of_model, BackendState,
-        DispatchRequest, Ticket,
+        dispatcher::Dispatcher,
+        homes::load_candidates,
+        selection::{holders_of_model, Choice},
+        BackendState, DispatchRequest, Ticket,
     },
     crate::{
         placement::adapter_hash,
@@ -23,6 +25,9 @@
 /// with the time to reload an adapter elsewhere, some tens of ms.
 const LOST_STREAM_COST_MS: f64 = 100.0;
 const MAX_LOSS_COST_MS: f64 = 1_000.0;
+/// Loss in streams from which a prompt has its adapter loaded elsewhere: five late streams. A load
+/// evicts another adapter and is paid for.
+const MIN_LOSS_FOR_LOAD: f64 = 3.5;
 /// Interval at which waiting turns are checked at most; every event may come sooner.
 const TURN_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -107,7 +112,7 @@
             };
             options.push(PacedOption {
                 state,
-                inputs: PacingInputs::new(outcome, &load, &forecast),
+                inputs: PacingInputs::new(outcome, &load, &forecast, &objectives),
                 cost: self.cost(state, now) + self.exposure_ms(&forecast, &objectives),
                 forecast,
             });
@@ -139,6 +144,46 @@
         Some(PacedChoice::Send(best.state, best.inputs))
     }
 
+    /// Returns an engine that could load the adapter of a prompt which makes several streams late
+    /// at its holders, and where all objectives would hold after the load.
+    pub(super) fn load_target_for_pauses(
+        &self,
+        request: &DispatchRequest,
+        adapter: &AdapterRef,
+        holders: &[&BackendState],
+        candidates: &[&BackendState],
+        choice: &Choice,
+        now: Instant,
+    ) -> Option<BackendId> {
+        let Choice::Send(assignment) = choice else {
+            return None;
+        };
+        let pacing = assignment.inputs.pacing?;
+        if pacing.outcome != PacingOutcome::LeastLoss || pacing.running_loss < MIN_LOSS_FOR_LOAD {
+            return None;
+        }
+        let objectives = self.stream_objectives(request, now)?;
+        let holds_after_load = |state: &BackendState| {
+            let Some(load) = self.engine_load(state, now) else {
+                return false;
+            };
+            let forecast = Forecast::new(&load, &objectives, &self.settings.pacing, now);
+            let load_time = load_time(state, adapter, now);
+            forecast.turn_in.is_some_and(|turn| turn <= load_time)
+                && forecast.holds_after(load_time, &objectives)
+        };
+        let is_holder = |b: &BackendState| holders.iter().any(|h| h.listed.id == b.listed.id);
+        let others: Vec<&BackendState> = load_candidates(candidates, adapter)
+            .into_iter()
+            .filter(|b| !is_holder(b) && b.can_accept(now) && holds_after_load(b))
+            .collect();
+        let is_requested =
+            |b: &&&BackendState| self.is_load_pending(adapter, &[b.listed.id.clone()], now);
+        let requested = others.iter().find(is_requested).copied();
+        let target = requested.or_else(|| self.rank_homes(adapter, &others, now).first().copied());
+        target.map(|b| b.listed.id.clone())
+    }
+
     /// Returns the cost of the pauses that a stream may see during its run, in ms.
     fn exposure_ms(&self, forecast: &Forecast, objectives: &StreamObjectives) -> f64 {
         let events = f64::from(objectives.output_tokens) / self.settings.pacing.tokens_per_event;
@@ -227,7 +272,7 @@
         let forecast = Forecast::new(&load, &objectives, &self.settings.pacing, now);
         let inputs = PacingInputs {
             end_ms: Some(end.as_secs_f64() * 1e3),
-            ..PacingInputs::new(PacingOutcome::MissesDeadline, &load, &forecast)
+            ..PacingInputs::new(PacingOutcome::MissesDeadline, &load, &forecast, &objectives)
         };
         Some((retry_after?, inputs))
     }
--- a/coordination/src/dispatch/selection.rs
+++ b/coordination/src/dispatch/selection.rs
@@ -192,6 +192,11 @@
         {
             return (Choice::Wait(RejectionCause::Reloading), vec![home]);
         }
+        if let Some(target) =
+            self.load_target_for_pauses(request, adapter, &holders, &candidates, &choice, now)
+        {
+            return (Choice::Wait(RejectionCause::Reloading), vec![target]);
+        }
         let copies = self.copy_targets(adapter, &holders, &candidates, &choice, now);
         (choice, copies)
     }
--- a/coordination/src/stream_pacing/forecast.rs
+++ b/coordination/src/stream_pacing/forecast.rs
@@ -108,9 +108,14 @@
             _ if is_late => LATE_LOSS,
             _ => 0.0,
         };
-        match self.running_pause_ms > gap_ms {
-            true => own + f64::from(self.running) * LATE_LOSS,
-            false => own,
+        own + self.running_loss(request)
+    }
+
+    /// Returns the loss of the streams that run there.
+    pub fn running_loss(&self, request: &StreamObjectives) -> f64 {
+        match self.running_pause_ms > ms(request.gap) {
+            true => f64::from(self.running) * LATE_LOSS,
+            false => 0.0,
         }
     }
 }
--- a/coordination/src/stream_pacing/pacing_inputs.rs
+++ b/coordination/src/stream_pacing/pacing_inputs.rs
@@ -1,5 +1,5 @@
 use {
-    super::{EngineLoad, Forecast},
+    super::{EngineLoad, Forecast, StreamObjectives},
     std::time::Duration,
 };
 
@@ -45,6 +45,8 @@
     /// Longest pause of the request and of the streams that run there.
     pub pause_ms: f64,
     pub end_ms: Option<f64>,
+    /// Loss of the streams that run there, in streams.
+    pub running_loss: f64,
     /// Time until its turn.
     pub turn_in: Option<Duration>,
     /// How long it has waited for its turn.
@@ -52,7 +54,12 @@
 }
 
 impl PacingInputs {
-    pub fn new(outcome: PacingOutcome, load: &EngineLoad, forecast: &Forecast) -> Self {
+    pub fn new(
+        outcome: PacingOutcome,
+        load: &EngineLoad,
+        forecast: &Forecast,
+        request: &StreamObjectives,
+    ) -> Self {
         Self {
             outcome,
             tokens_per_ms: load.performance.prefill_tokens_per_ms,
@@ -65,6 +72,7 @@
             first_event_ms: forecast.first_event_ms,
             pause_ms: forecast.pause_ms.max(forecast.running_pause_ms),
             end_ms: forecast.end_ms,
+            running_loss: forecast.running_loss(request),
             turn_in: forecast.turn_in,
             turn_waited: Duration::ZERO,
         }
