--- a/coordination/src/dispatch/backend_state.rs
+++ b/coordination/src/dispatch/backend_state.rs
@@ -5,7 +5,7 @@
             AdmissionGate, AdvertisedLimit, Health, LimitSharing, RequestedBackoff,
             SaturationPause, SlowStart, SlowStartSettings,
         },
-        backend_performance::EnginePerformance,
+        backend_performance::{EnginePerformance, RelativeRate},
         membership::{rendezvous_weight, stable_hash},
         placement::{adapter_hash, AdapterHash, RecentAdapters},
         stream_pacing::PrefillWindow,
@@ -113,6 +113,8 @@
     /// Adapters that the engine refused since the last view.
     refused_adapters: HashSet<AdapterRef>,
     saturation: SaturationPause,
+    /// Rate relative to the median of the service, by the sidecar's figures; 1 if it is unknown.
+    pub relative_rate: RelativeRate,
     /// Present while the engine is in slow start, or was at the last check.
     pub slow_start: Option<SlowStart>,
 }
@@ -147,6 +149,7 @@
             is_last_demand_empty: false,
             refused_adapters: HashSet::new(),
             saturation: SaturationPause::default(),
+            relative_rate: RelativeRate::default(),
             slow_start: None,
         }
     }
@@ -209,7 +212,6 @@
             .iter()
             .for_each(|adapter_hash| self.recently_held.insert(*adapter_hash));
         self.viewed_at = reported_at(&view.figures, now);
-        self.on_prefill_reported(&view.figures);
         self.view = Some(view);
         self.observations.on_report();
         self.refused_adapters.clear();
@@ -234,17 +236,27 @@
             view.figures = stats;
             self.viewed_at = reported_at(&stats, now);
             self.refused_adapters.clear();
-            self.on_prefill_reported(&stats);
         }
     }
-    fn on_prefill_reported(&mut self, stats: &EngineStats) {
-        let performance = EnginePerformance::reported(stats);
-        let (Some(pending), Some(performance)) = (stats.prefill_tokens, performance) else {
+    /// Records the prompts of other entries that the last report shows. Without the number of
+    /// tokens each prompt counts as a typical one.
+    pub fn on_prefill_reported(&mut self, typical_prompt_tokens: f64) {
+        let Some(stats) = self.view.as_ref().map(|v| v.figures) else {
             return;
         };
+        let Some(performance) = EnginePerformance::reported(&stats) else {
+            return;
+        };
+        let (pending, unit) = match stats.prefill_tokens {
+            Some(tokens) => (f64::from(tokens), 1.0),
+            None => (
+                f64::from(stats.reading) * typical_prompt_tokens,
+                typical_prompt_tokens,
+            ),
+        };
         let rate = performance.prefill_tokens_per_ms;
         self.prefill_window
-            .on_report(f64::from(pending), rate, self.viewed_at);
+            .on_report(pending, unit, rate, self.viewed_at);
     }
     /// Handles the start of another incarnation at the same address.
     pub fn end_incarnation(&mut self) {
@@ -252,6 +264,7 @@
         self.is_ahead_of_list = false;
         self.view = None;
         self.prefill_window.on_reports_lost();
+        self.relative_rate = RelativeRate::default();
         self.held_versions.clear();
     }
     /// Handles the loss of the link to the sidecar; the engine most likely still holds its
@@ -259,6 +272,7 @@
     pub fn on_view_lost(&mut self, now: Instant) {
         self.view = None;
         self.prefill_window.on_reports_lost();
+        self.relative_rate = RelativeRate::default();
         let held = std::mem::take(&mut self.held_versions);
         self.observations.on_view_lost(held.into_keys(), now);
     }
--- a/coordination/src/dispatch/backend_updates.rs
+++ b/coordination/src/dispatch/backend_updates.rs
@@ -136,11 +136,12 @@
         let is_first = state.view.is_none();
         self.crashes
             .on_engine_stats(&view.backend, &view.figures, now);
-        let before = state.view.as_ref().map(|v| &v.figures);
-        self.performance.on_stats(before, &view.figures);
+        let before = state.view.as_ref().map(|v| v.figures);
         let reported = (view.backend.clone(), view.figures);
         let affected = state.on_view(view, now);
+        self.on_figures(&reported.0, before);
         self.on_reported_signals(&reported.0, &reported.1, now);
+        self.on_prefill_reported(&reported.0);
         // All engines report for the first time shortly after each other.
         self.is_replaced_outdated |= is_first;
         affected
@@ -234,15 +235,24 @@
         self.on_entry_count(stats.entries, now);
         if let Some(state) = self.backends.get_mut(backend) {
             self.crashes.on_engine_stats(backend, &stats, now);
-            let before = state.view.as_ref().map(|v| &v.figures);
-            self.performance.on_stats(before, &stats);
+            let before = state.view.as_ref().map(|v| v.figures);
             state.on_stats(stats, now);
             let addr = state.listed.addr;
+            self.on_figures(backend, before);
             self.on_reported_signals(backend, &stats, now);
+            self.on_prefill_reported(backend);
             self.on_fence(addr, stats.fence);
         }
     }
 
+    fn on_prefill_reported(&mut self, backend: &BackendId) {
+        let service = self.backends.get(backend).map(|b| &b.listed.service);
+        let typical = service.map(|service| self.typical_prompt_tokens(service));
+        if let (Some(state), Some(typical)) = (self.backends.get_mut(backend), typical) {
+            state.on_prefill_reported(typical);
+        }
+    }
+
     fn on_entry_count(&mut self, entries: u32, now: Instant) {
         let window = self.settings.budget.window;
         self.fleet_size.on_entry_count(entries, window, now);
--- a/coordination/src/dispatch/mod.rs
+++ b/coordination/src/dispatch/mod.rs
@@ -48,6 +48,7 @@
     load_delay::LoadDelay,
     pacing::TurnWait,
     pending_loads::DueDemands,
+    performance::MeasuredEngines,
     prefill_rate::PrefillRate,
     requested_load::{LoadCause, RequestedLoad},
     settings::DispatchSettings,
--- a/coordination/src/stream_pacing/prefill_window.rs
+++ b/coordination/src/stream_pacing/prefill_window.rs
@@ -36,14 +36,16 @@
 
     /// Applies a report of the engine's pending prompt tokens, written at `reported_at`. Tokens
     /// that neither remained from the last report nor were sent by this entry are those of
-    /// other entries. Prompts that started and ended between two reports are not seen.
-    pub fn on_report(&mut self, pending: f64, tokens_per_ms: f64, reported_at: Instant) {
+    /// other entries. Prompts that started and ended between two reports are not seen. `unit` is
+    /// the resolution of `pending`: 1, or the size of a prompt if prompts were counted.
+    pub fn on_report(&mut self, pending: f64, unit: f64, tokens_per_ms: f64, reported_at: Instant) {
         let before = self.reported.replace((pending, reported_at));
         let Some((known, known_at)) = before.filter(|(_, at)| *at < reported_at) else {
             return;
         };
         let elapsed_ms = (reported_at - known_at).as_secs_f64() * 1e3;
         let remaining = (known - elapsed_ms * tokens_per_ms).max(0.0);
+        let remaining = (remaining / unit).ceil() * unit;
         let sent = self.sent_between(known_at, reported_at);
         let of_others = pending - remaining - sent;
         if of_others > 0.0 {
--- a/coordination/tests/pacing_fleet.rs
+++ b/coordination/tests/pacing_fleet.rs
@@ -16,8 +16,14 @@
         short_per_s: 137.0 * factor,
         long_per_s: 35.0 * factor,
         seconds: 15.0,
-        report_ms: std::env::var("REPORT").unwrap_or("200".into()).parse().unwrap(),
-        slow_share: std::env::var("SLOW").unwrap_or("0.15".into()).parse().unwrap(),
+        report_ms: std::env::var("REPORT")
+            .unwrap_or("200".into())
+            .parse()
+            .unwrap(),
+        slow_share: std::env::var("SLOW")
+            .unwrap_or("0.15".into())
+            .parse()
+            .unwrap(),
         reports_tokens: std::env::var("NOTOK").is_err(),
         features: FeatureSwitches::default(),
         seed,
@@ -60,13 +66,28 @@
     for factor in factors.split(',').map(|f| f.parse::<f64>().unwrap()) {
         for (name, thirds) in [("U", [0.7, 0.7, 1.7]), ("C", [1.0, 1.0, 1.3])] {
             let scenario = Scenario {
-                thirds, slow_share: if name == "U" { 0.15 } else { 0.0 },
+                thirds,
+                slow_share: if name == "U" { 0.15 } else { 0.0 },
                 ..uneven(factor, 7)
             };
-            for paced in [false, true] { if !paced && std::env::var("ONLY").is_ok() { continue; }
-                let seeds: u64 = std::env::var("SEEDS").unwrap_or("4".into()).parse().unwrap();
+            for paced in [false, true] {
+                if !paced && std::env::var("ONLY").is_ok() {
+                    continue;
+                }
+                let seeds: u64 = std::env::var("SEEDS")
+                    .unwrap_or("4".into())
+                    .parse()
+                    .unwrap();
                 let mut o = Outcome::default();
-                (0..seeds).for_each(|n| o.add(&run(&Scenario { seed: 7 + 10 * n, ..scenario.clone() }, paced)));
+                (0..seeds).for_each(|n| {
+                    o.add(&run(
+                        &Scenario {
+                            seed: 7 + 10 * n,
+                            ..scenario.clone()
+                        },
+                        paced,
+                    ))
+                });
                 print(&format!("{name} x{factor} paced={paced}"), &o);
             }
         }
--- a/coordination/tests/stream_pacing.rs
+++ b/coordination/tests/stream_pacing.rs
@@ -215,16 +215,16 @@
 fn prompts_of_other_entries_are_seen_in_the_reports() {
     let start = Instant::now();
     let mut window = PrefillWindow::default();
-    window.on_report(0.0, 10.0, start);
+    window.on_report(0.0, 1.0, 10.0, start);
     window.on_sent(1_000, start + ms(20));
     // 1,000 own tokens and 2,000 of others, none prefilled yet
-    window.on_report(3_000.0, 10.0, start + ms(100));
+    window.on_report(3_000.0, 1.0, 10.0, start + ms(100));
     assert_eq!(window.started_within(GAP, start + ms(100)), 3_000.0);
     // 1,000 of them are prefilled, nothing came
-    window.on_report(2_000.0, 10.0, start + ms(200));
+    window.on_report(2_000.0, 1.0, 10.0, start + ms(200));
     assert_eq!(window.started_within(GAP, start + ms(200)), 3_000.0);
     // after another 100 ms 1,000 would remain, so 500 came
-    window.on_report(1_500.0, 10.0, start + ms(300));
+    window.on_report(1_500.0, 1.0, 10.0, start + ms(300));
     assert_eq!(window.started_within(GAP, start + ms(300)), 3_500.0);
     // the own ones leave the window first
     assert_eq!(window.started_within(GAP, start + ms(430)), 2_500.0);
@@ -235,7 +235,7 @@
     assert_eq!(window.started_within(GAP, start + ms(700)), 0.0);
     // the first report after a loss is no start
     window.on_reports_lost();
-    window.on_report(9_000.0, 10.0, start + ms(800));
+    window.on_report(9_000.0, 1.0, 10.0, start + ms(800));
     assert_eq!(window.started_within(GAP, start + ms(800)), 0.0);
 }
 
