--- a/coordination/src/dispatch/pacing.rs
+++ b/coordination/src/dispatch/pacing.rs
@@ -159,7 +159,8 @@
             return None;
         };
         let pacing = assignment.inputs.pacing?;
-        if pacing.outcome != PacingOutcome::LeastLoss || pacing.running_loss < MIN_LOSS_FOR_LOAD {
+        let is_loss_large = pacing.own_loss >= 1.0 || pacing.running_loss >= MIN_LOSS_FOR_LOAD;
+        if pacing.outcome != PacingOutcome::LeastLoss || !is_loss_large {
             return None;
         }
         let objectives = self.stream_objectives(request, now)?;
@@ -245,6 +246,15 @@
             (None, Some(model)) => holders_of_model(&allowed, model),
             (None, None) => allowed,
         };
+        // with a holder the request is sent there rather than wait for a slot elsewhere
+        let may_run = |b: &BackendState, adapter: &AdapterRef| {
+            b.held_version(adapter, now).is_some() || b.is_loading(adapter)
+        };
+        let adapter = request.adapter.as_ref();
+        let has_holder = adapter.is_some_and(|a| able.iter().any(|b| may_run(b, a)));
+        let able = able.into_iter().filter(|b| {
+            !has_holder || b.spare_slots() > 0 || adapter.is_none_or(|a| may_run(b, a))
+        });
         let mut retry_after: Option<Duration> = None;
         let mut earliest: Option<(Duration, EngineLoad)> = None;
         for state in able {
--- a/coordination/src/stream_pacing/pacing_inputs.rs
+++ b/coordination/src/stream_pacing/pacing_inputs.rs
@@ -45,7 +45,8 @@
     /// Longest pause of the request and of the streams that run there.
     pub pause_ms: f64,
     pub end_ms: Option<f64>,
-    /// Loss of the streams that run there, in streams.
+    /// Loss of the request and of the streams that run there, in streams.
+    pub own_loss: f64,
     pub running_loss: f64,
     /// Time until its turn.
     pub turn_in: Option<Duration>,
@@ -72,6 +73,7 @@
             first_event_ms: forecast.first_event_ms,
             pause_ms: forecast.pause_ms.max(forecast.running_pause_ms),
             end_ms: forecast.end_ms,
+            own_loss: forecast.own_loss(request),
             running_loss: forecast.running_loss(request),
             turn_in: forecast.turn_in,
             turn_waited: Duration::ZERO,
--- a/coordination/tests/pacing_sim/engine.rs
+++ b/coordination/tests/pacing_sim/engine.rs
@@ -24,6 +24,9 @@
     pub relative_time: f64,
     /// Until when it runs 2.5 times as slow.
     pub slow_until: f64,
+    /// How many times as long it takes for some seconds, and what its sidecar knows of it.
+    pub degradation: f64,
+    pub known_degradation: f64,
     pub queued: Vec<Run>,
     pub running: Vec<Run>,
     /// Adapters in slots, the least recently used first.
@@ -41,6 +44,8 @@
             name,
             relative_time,
             slow_until: 0.0,
+            degradation: 1.0,
+            known_degradation: 1.0,
             queued: Vec::new(),
             running: Vec::new(),
             held: VecDeque::new(),
@@ -73,7 +78,7 @@
         }
         let prefill_ms = f64::from(CHUNK_TOKENS - left) / PREFILL_TOKENS_PER_MS;
         let factor = if now < self.slow_until { 2.5 } else { 1.0 };
-        Some((BASE_STEP_MS + prefill_ms) * self.relative_time * factor)
+        Some((BASE_STEP_MS + prefill_ms) * self.relative_time * self.degradation * factor)
     }
 
     /// Ends the step and returns the runs that have a new event or their end.
@@ -130,6 +135,7 @@
         });
         let runs = || self.running.iter().chain(&self.queued);
         let idle = self.held.iter().filter(|held| !self.is_used(held)).count();
+        let known_time = self.relative_time * self.known_degradation;
         let free = ADAPTER_SLOTS - (self.held.len() + self.loading.len()).min(ADAPTER_SLOTS);
         EngineView {
             backend: self.name.as_str().into(),
@@ -146,10 +152,10 @@
                 entries,
                 is_down: Some(false),
                 prefill_tokens_per_s: Some(
-                    (PREFILL_TOKENS_PER_MS * 1e3 / self.relative_time) as u32,
+                    (PREFILL_TOKENS_PER_MS * 1e3 / known_time) as u32,
                 ),
                 event_interval_us: Some(
-                    (BASE_STEP_MS * f64::from(TOKENS_PER_EVENT) * 1e3 * self.relative_time) as u32,
+                    (BASE_STEP_MS * f64::from(TOKENS_PER_EVENT) * 1e3 * known_time) as u32,
                 ),
                 prefill_tokens: Some(runs().map(|run| run.unread_tokens).sum()),
                 ..EngineStats::default()
--- a/coordination/tests/pacing_sim/mod.rs
+++ b/coordination/tests/pacing_sim/mod.rs
@@ -41,6 +41,8 @@
 /// How long an engine is slow for a moment, in ms.
 const SLOW_MS: f64 = 600.0;
 const GAP_MS: u64 = 400;
+/// Time after which a sidecar has measured that its engine became slow, or fast again, in ms.
+const MEASURE_MS: f64 = 1_500.0;
 const ADAPTERS: usize = 10_000;
 const ZIPF: f64 = 1.2;
 /// Time at the start that is not counted, in ms: adapters are being loaded.
@@ -61,6 +63,8 @@
     pub report_ms: f64,
     /// Share of the time in which an engine is slow for a moment.
     pub slow_share: f64,
+    /// How many times as long a sixth of the engines takes, from 4 s on for 6.5 s.
+    pub degradation: f64,
     /// Whether reports hold the pending prompt tokens.
     pub reports_tokens: bool,
     pub features: FeatureSwitches,
@@ -108,6 +112,8 @@
     Report(usize),
     View(usize, Box<EngineView>, bool),
     Slow(usize),
+    Degrade(f64),
+    DegradeKnown(f64),
 }
 
 struct Entry {
@@ -217,6 +223,13 @@
             simulation.schedule(first, Event::Tick(entry));
             simulation.schedule(10.0 + first, Event::Demands(entry, false));
         }
+        if simulation.scenario.degradation != 1.0 {
+            let degradation = simulation.scenario.degradation;
+            for (at, factor) in [(4_000.0, degradation), (10_500.0, 1.0)] {
+                simulation.schedule(at, Event::Degrade(factor));
+                simulation.schedule(at + MEASURE_MS, Event::DegradeKnown(factor));
+            }
+        }
         simulation.schedule(100.0, Event::Arrival);
         simulation
     }
@@ -259,6 +272,14 @@
                 self.schedule(self.scenario.report_ms, Event::Report(engine));
             }
             Event::View(engine, view, is_whole) => self.on_view(engine, &view, is_whole),
+            Event::Degrade(factor) => {
+                let engines = self.engines.iter_mut().step_by(6);
+                engines.for_each(|engine| engine.degradation = factor);
+            }
+            Event::DegradeKnown(factor) => {
+                let engines = self.engines.iter_mut().step_by(6);
+                engines.for_each(|engine| engine.known_degradation = factor);
+            }
             Event::Slow(engine) => {
                 self.engines[engine].slow_until = self.now + SLOW_MS;
                 let pause = SLOW_MS / self.scenario.slow_share * (0.5 + self.rng.random::<f64>());
