--- a/coordination/src/backend_performance/performance_estimator.rs
+++ b/coordination/src/backend_performance/performance_estimator.rs
@@ -12,8 +12,11 @@
 const MIN_SAMPLE_TIME: Duration = Duration::from_millis(300);
 /// Events of all runs from which a sample ends after the minimum time; fewer are too coarse.
 const MIN_SAMPLE_EVENTS: u64 = 20;
-/// Time after which a sample ends with fewer events.
+/// Time from which a sample may end with fewer events.
 const MAX_SAMPLE_TIME: Duration = Duration::from_millis(500);
+/// Minimum time of a sample with prefill where reports don't show its progress: a prompt counts in
+/// full when its first event appears, long after most of it was prefilled.
+const MIN_HIDDEN_PREFILL_TIME: Duration = Duration::from_millis(1_200);
 /// Half-life of a sample's weight in the median, which follows a lasting change after one
 /// half-life: a slow phase of 600 ms has a third of the weight and changes nothing, and a slow
 /// engine is known within 2 s.
@@ -33,9 +36,6 @@
 /// 2,048 tokens of docs/design/uneven-load.md. A busy engine without progress for longer is
 /// slower than estimated, which is known before its step ends.
 const LONGEST_STEP_EVENTS: f64 = 4.0;
-/// Idle time after a sample for which it stands too. Without it, phases in which an engine is slow
-/// and so less idle would have too much weight; with more, a slow engine would be known too late.
-const MAX_IDLE_TIME: Duration = Duration::from_millis(300);
 /// Idle time after which an incomplete sample is dropped; otherwise it continues, so that an engine
 /// that only runs single short streams is measured.
 const MAX_SAMPLE_GAP: Duration = Duration::from_secs(5);
@@ -58,20 +58,14 @@
     fn interval_ms(&self) -> f64 {
         self.ms / self.events
     }
-    fn ended_at(&self) -> Instant {
-        self.started_at + Duration::from_secs_f64(self.ms / 1_000.0)
+    /// Returns the weight of its time, which decays with its age.
+    fn weight(&self, half_life: Duration, now: Instant) -> f64 {
+        let age = now.saturating_duration_since(self.started_at).as_secs_f64();
+        let decay = |age: f64| 0.5f64.powf(age / half_life.as_secs_f64());
+        decay((age - self.ms / 1_000.0).max(0.0)) - decay(age)
     }
 }
 
-/// Returns the weight of the time from `from` until `until`, which decays with its age.
-fn weight(from: Instant, until: Instant, half_life: Duration, now: Instant) -> f64 {
-    let decay = |at: Instant| {
-        let age = now.saturating_duration_since(at);
-        0.5f64.powf(age.as_secs_f64() / half_life.as_secs_f64())
-    };
-    decay(until) - decay(from)
-}
-
 /// Figures of an engine as its sidecar publishes them, rounded to steps.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct PublishedPerformance {
@@ -106,6 +100,8 @@
     /// Progress since the last sample.
     open: RunProgress,
     open_until: Option<Instant>,
+    /// Whether reports don't show the progress of prefill.
+    is_prefill_hidden: bool,
     /// Time since the last step that made progress, while the engine was busy.
     since_step: Duration,
     samples: VecDeque<Sample>,
@@ -126,6 +122,13 @@
             self.since_step = Duration::ZERO;
             return;
         };
+        if !self.is_prefill_hidden && !self.observer.is_prefill_visible() {
+            // what was measured so far took prompts for prefilled as soon as they arrived
+            self.is_prefill_hidden = true;
+            self.samples.clear();
+            self.open = RunProgress::default();
+            self.ratio = PrefillRatio::default();
+        }
         let last = self.open_until.replace(now);
         let gap = last.map(|at| now.saturating_duration_since(at));
         if gap.is_some_and(|gap| gap > progress.elapsed + MAX_SAMPLE_GAP) {
@@ -133,15 +136,11 @@
         }
         self.ratio.on_progress(&progress, now);
         self.open.add(progress);
-        self.since_step = match progress.has_step() {
+        self.since_step = match progress.has_step() || self.is_prefill_hidden {
             true => Duration::ZERO,
             false => self.since_step + progress.elapsed,
         };
-        let is_complete = match self.open.total_events >= MIN_SAMPLE_EVENTS {
-            true => self.open.elapsed >= MIN_SAMPLE_TIME,
-            false => self.open.elapsed >= MAX_SAMPLE_TIME,
-        };
-        if is_complete && progress.has_step() {
+        if self.open.elapsed >= self.min_sample_time() && progress.has_step() {
             let sample = std::mem::take(&mut self.open);
             self.add_sample(sample, now);
             self.update(now);
@@ -149,12 +148,15 @@
             self.update(now);
         }
     }
-    /// Handles a failure to read the engine.
-    pub fn on_report_failed(&mut self) {
-        self.observer.on_report_failed();
-        self.open = RunProgress::default();
+    fn min_sample_time(&self) -> Duration {
+        if self.is_prefill_hidden && self.open.has_prefill {
+            return MIN_HIDDEN_PREFILL_TIME;
+        }
+        match self.open.total_events >= MIN_SAMPLE_EVENTS {
+            true => MIN_SAMPLE_TIME,
+            false => MAX_SAMPLE_TIME,
+        }
     }
-
     /// Returns the figures to publish, without values until they are measured.
     pub fn published(&self) -> PublishedPerformance {
         let interval_us = self.interval.value();
@@ -253,14 +255,10 @@
         }
         let long_step = self.sample_of_long_step(now);
         let samples = self.samples.iter().chain(&long_step);
-        let ends = samples.clone().skip(1).map(|s| s.started_at);
-        let ends = ends.chain([now]);
         let mut weighted: Vec<(f64, f64, f64)> = samples
-            .zip(ends)
-            .map(|(s, next)| {
-                let end = next.min(s.ended_at() + MAX_IDLE_TIME);
-                let level_weight = weight(s.started_at, end, HALF_LIFE, now);
-                let mean_weight = weight(s.started_at, end, MEAN_HALF_LIFE, now);
+            .map(|s| {
+                let level_weight = s.weight(HALF_LIFE, now);
+                let mean_weight = s.weight(MEAN_HALF_LIFE, now);
                 (s.interval_ms(), level_weight, mean_weight)
             })
             .collect();
