--- a/coordination/src/dispatch/pacing.rs
+++ b/coordination/src/dispatch/pacing.rs
@@ -269,13 +269,14 @@
                 &objectives,
                 &self.settings.pacing,
             )?;
-            if run.end() <= objectives.deadline_in {
+            if run.earliest_end <= objectives.deadline_in {
                 return None;
             }
             let fits_in = run.fits_in(timeout);
             retry_after = Some(retry_after.map_or(fits_in, |known| known.min(fits_in)));
-            if earliest.as_ref().is_none_or(|(end, _)| run.end() < *end) {
-                earliest = Some((run.end(), load));
+            let end = run.wait + run.run;
+            if earliest.as_ref().is_none_or(|(known, _)| end < *known) {
+                earliest = Some((end, load));
             }
         }
         let (end, load) = earliest?;
--- a/coordination/src/stream_pacing/forecast.rs
+++ b/coordination/src/stream_pacing/forecast.rs
@@ -106,8 +106,8 @@
 
     /// Returns the loss of the request itself: 1 if it would not be complete in time.
     pub fn own_loss(&self, request: &StreamObjectives) -> f64 {
-        let is_late = self.first_event_ms > ms(request.first_event_in)
-            || self.pause_ms > ms(request.gap);
+        let is_late =
+            self.first_event_ms > ms(request.first_event_in) || self.pause_ms > ms(request.gap);
         match self.end_ms {
             Some(end_ms) if end_ms > ms(request.deadline_in) => 1.0,
             _ if is_late => LATE_LOSS,
--- a/coordination/src/stream_pacing/pacing_settings.rs
+++ b/coordination/src/stream_pacing/pacing_settings.rs
@@ -13,9 +13,10 @@
     pub gap_ratio: f64,
     /// Time from the engine to the client and back: the two links and the entry.
     pub delivery_time: Duration,
-    /// Fraction of the expected output tokens that a rejection relies on. Clients' estimates are
-    /// right at the median and often far off.
-    pub min_output_ratio: f64,
+    /// Fraction of the expected output tokens and of the queue that a rejection relies on.
+    /// Clients' estimates are right at the median and often far off, and more urgent prompts
+    /// overtake the queue.
+    pub certain_ratio: f64,
 }
 
 impl Default for PacingSettings {
@@ -25,7 +26,7 @@
             tokens_per_event: 3.0,
             gap_ratio: 0.9,
             delivery_time: Duration::from_millis(10),
-            min_output_ratio: 0.5,
+            certain_ratio: 0.5,
         }
     }
 }
