--- a/coordination/src/dispatch/pacing.rs
+++ b/coordination/src/dispatch/pacing.rs
@@ -164,7 +164,9 @@
         };
         let pacing = assignment.inputs.pacing?;
         let is_loss_large = pacing.own_loss >= 1.0 || pacing.running_loss >= MIN_LOSS_FOR_LOAD;
-        if pacing.outcome != PacingOutcome::LeastLoss || !is_loss_large {
+        // requests that wait for anything but a turn need the adapter slots themselves
+        let are_slots_short = self.waiting.len() > self.turn_waits.len();
+        if pacing.outcome != PacingOutcome::LeastLoss || !is_loss_large || are_slots_short {
             return None;
         }
         let objectives = self.stream_objectives(request, now)?;
