--- a/coordination/src/dispatch/backend_updates.rs
+++ b/coordination/src/dispatch/backend_updates.rs
@@ -141,6 +141,7 @@
         let affected = state.on_view(view, now);
         self.on_figures(&reported.0, before);
         self.on_reported_signals(&reported.0, &reported.1, now);
+        self.on_prefill_reported(&reported.0);
         // All engines report for the first time shortly after each other.
         self.is_replaced_outdated |= is_first;
         affected
@@ -239,10 +240,19 @@
             let addr = state.listed.addr;
             self.on_figures(backend, before);
             self.on_reported_signals(backend, &stats, now);
+            self.on_prefill_reported(backend);
             self.on_fence(addr, stats.fence);
         }
     }
 
+    fn on_prefill_reported(&mut self, backend: &BackendId) {
+        let service = self.backends.get(backend).map(|b| &b.listed.service);
+        let typical = service.map(|service| self.typical_prompt_tokens(service));
+        if let (Some(state), Some(typical)) = (self.backends.get_mut(backend), typical) {
+            state.on_prefill_reported(typical);
+        }
+    }
+
     fn on_entry_count(&mut self, entries: u32, now: Instant) {
         let window = self.settings.budget.window;
         self.fleet_size.on_entry_count(entries, window, now);
--- a/coordination/src/dispatch/mod.rs
+++ b/coordination/src/dispatch/mod.rs
@@ -20,6 +20,7 @@
 mod homes;
 mod limited_backends;
 mod load_delay;
+mod pacing;
 mod pending_loads;
 mod performance;
 mod prefill_rate;
@@ -46,6 +47,7 @@
     fleet_size::FleetSize,
     limited_backends::{PermitError, PermitQuery},
     load_delay::LoadDelay,
+    pacing::TurnWait,
     pending_loads::DueDemands,
     performance::MeasuredEngines,
     prefill_rate::PrefillRate,
--- a/coordination/src/features/switches.rs
+++ b/coordination/src/features/switches.rs
@@ -46,6 +46,10 @@
     /// Continues a resumable stream at another engine when its engine fails; otherwise the
     /// response breaks off and the client resumes it.
     pub stream_recovery: bool,
+    /// Sends prompts of streams with a gap objective where running streams keep theirs, and
+    /// rejects those that no engine can complete by their deadline; otherwise the gap objective
+    /// is ignored.
+    pub stream_pacing: bool,
 }
 
 impl Default for FeatureSwitches {
@@ -67,13 +71,14 @@
             engine_performance: true,
             sidecar_views: true,
             stream_recovery: true,
+            stream_pacing: true,
         }
     }
 }
 
 impl FeatureSwitches {
     /// Returns the name and the state of each switch.
-    fn named_states(&self) -> [(&'static str, bool); 16] {
+    fn named_states(&self) -> [(&'static str, bool); 17] {
         [
             ("observed_rate", self.observed_rate),
             ("prompts_of_all", self.prompts_of_all),
@@ -91,6 +96,7 @@
             ("engine_performance", self.engine_performance),
             ("sidecar_views", self.sidecar_views),
             ("stream_recovery", self.stream_recovery),
+            ("stream_pacing", self.stream_pacing),
         ]
     }
 }
--- a/coordination/src/lib.rs
+++ b/coordination/src/lib.rs
@@ -24,5 +24,6 @@
 pub mod sidecar;
 pub mod slots;
 pub mod stream;
+pub mod stream_pacing;
 pub mod stream_recovery;
 pub mod watch;
