--- a/coordination/tests/pacing_sim/mod.rs
+++ b/coordination/tests/pacing_sim/mod.rs
@@ -354,6 +354,7 @@
             deadline: now + Duration::from_secs_f64(deadline_ms / 1e3),
             tried_backends: Vec::new(),
             was_rejected_before: false,
+            has_progress: false,
             is_load_time_checked: false,
             send_count: 0,
             start_tag: 0,
