limits: entries without an aggregator use their share of an account's demand

Cause: an entry without a recent level kept to an equal part of the limit, so entries that receive more of an account's requests than others rejected requests within its limit. When a cut ended, the units that an entry had charged to its part were charged to the fleet's level again, their demand of seconds appeared as that of one second, and the sum of the window counted them late. A debt of a large request outlasted a shortage.

Change: an aggregator returns each entry's share with the level. A share, its level and its usage of the window move with the entry: the aggregator grants what the entries that it no longer hears leave. Shares age toward equal parts with a time constant of 8 s. A share that is less than a request admits it with a debt. Switch limit_shares_by_demand. Wire version 7, recorded/7.txt.

--- a/coordination/src/features/switches.rs
+++ b/coordination/src/features/switches.rs
@@ -34,6 +34,9 @@
     /// Shares the limits of client accounts among entries by the usage that an aggregator
     /// sums up; otherwise each entry enforces an equal share.
     pub shared_limits: bool,
+    /// Without a recent level, an entry keeps to its share of an account's limit by the demand
+    /// last known; otherwise to an equal share.
+    pub limit_shares_by_demand: bool,
     /// Uses the engine views that sidecars report; otherwise entries rely on the list, the
     /// responses of engines and the loads that they requested.
     pub sidecar_views: bool,
@@ -54,6 +57,7 @@
             relays: true,
             store_by_relay: true,
             shared_limits: true,
+            limit_shares_by_demand: true,
             sidecar_views: true,
         }
     }
@@ -61,7 +65,7 @@
 
 impl FeatureSwitches {
     /// Returns the name and the state of each switch.
-    fn named_states(&self) -> [(&'static str, bool); 13] {
+    fn named_states(&self) -> [(&'static str, bool); 14] {
         [
             ("observed_rate", self.observed_rate),
             ("prompts_of_all", self.prompts_of_all),
@@ -75,6 +79,7 @@
             ("relays", self.relays),
             ("store_by_relay", self.store_by_relay),
             ("shared_limits", self.shared_limits),
+            ("limit_shares_by_demand", self.limit_shares_by_demand),
             ("sidecar_views", self.sidecar_views),
         ]
     }
--- a/coordination/src/limits/account_limiter.rs
+++ b/coordination/src/limits/account_limiter.rs
@@ -1,7 +1,7 @@
 use {
     super::{
+        account_state::AMPLE_FRACTION,
         shared_bucket::{SharedBucket, StartupState},
-        usage_aggregator::AMPLE_FRACTION,
         LimitBounds, LimitSettings,
     },
     crate::membership::{rendezvous_weight, stable_hash},
@@ -47,6 +47,10 @@
     pub age: Option<Duration>,
     /// Number of entries that share the limit.
     pub entries: u32,
+    /// Fraction of the limit that the entry uses without a level.
+    pub share: f64,
+    /// Age of that fraction; `None` if it is an equal part.
+    pub share_age: Option<Duration>,
 }
 
 /// A limit that is new or has changed.
@@ -127,7 +131,9 @@
             }
             let phase = phase_of(&self.entry, account.fingerprint);
             let bucket = self.accounts.entry(account.fingerprint);
-            let bucket = bucket.or_insert_with(|| SharedBucket::new(bounds, entries, phase, now));
+            let settings = &self.settings;
+            let bucket =
+                bucket.or_insert_with(|| SharedBucket::new(bounds, entries, phase, settings, now));
             bucket.set_bounds(bounds, entries, now);
         }
         self.accounts.retain(|account, _| limited.contains(account));
@@ -191,6 +197,8 @@
             level: bucket.fleet_level(now),
             age: bucket.level_age(now),
             entries,
+            share: bucket.share_fraction(now),
+            share_age: bucket.share_age(now),
         };
         Err(LimitExceeded {
             retry_after: retry_at
@@ -209,7 +217,8 @@
         let (bounds, entries) = (self.settings.bounds(limit), self.entry_count());
         let phase = phase_of(&self.entry, account);
         let bucket = self.accounts.entry(account);
-        bucket.or_insert_with(|| SharedBucket::new(bounds, entries, phase, now))
+        let settings = &self.settings;
+        bucket.or_insert_with(|| SharedBucket::new(bounds, entries, phase, settings, now))
     }
 
     /// Refunds the charge of a request that did not run.
--- a/coordination/src/limits/mod.rs
+++ b/coordination/src/limits/mod.rs
@@ -1,6 +1,9 @@
 //! Rate limits of client accounts, shared by all entries.
 
 mod account_limiter;
+mod account_state;
+mod aged_share;
+mod decayed_sum;
 mod settings;
 mod shared_bucket;
 mod token_bucket;
--- a/coordination/src/limits/settings.rs
+++ b/coordination/src/limits/settings.rs
@@ -8,6 +8,13 @@
 /// overshoot is known.
 const WINDOW_TOLERANCE: f64 = 0.5;
 
+/// Fractions of the tolerance and of the slack by which the entries' own shares may hold more
+/// than the burst in total: a share of the burst of a small account is less than one request.
+/// With 0.15 of the tolerance, windows of large accounts exceeded their bound in the
+/// simulation of `limit_cuts.rs`.
+const OWN_SHARE_TOLERANCE: f64 = 0.07;
+const OWN_SHARE_SLACK: f64 = 0.5;
+
 /// How exactly the fleet enforces the limits of client accounts.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct LimitSettings {
@@ -16,6 +23,9 @@
     pub overage: f64,
     /// In units of the limit.
     pub slack: f64,
+    /// Without a recent level, an entry uses its share by the demand last known; otherwise
+    /// an equal share.
+    pub is_share_by_demand: bool,
 }
 
 /// What the fleet lets one account run, in units of its limit.
@@ -29,6 +39,9 @@
     pub burst: f64,
     /// Units that may run in one window.
     pub per_window: f64,
+    /// Additional units that the entries' own shares may hold in total while there is no
+    /// aggregator, if the account was within its limit before.
+    pub own_share_extra: f64,
 }
 
 impl Default for LimitSettings {
@@ -37,6 +50,7 @@
             window: Duration::from_secs(8),
             overage: 0.0,
             slack: 0.0,
+            is_share_by_demand: true,
         }
     }
 }
@@ -52,6 +66,10 @@
             steady_per_s: (granted + granted_tolerance) / window_s,
             burst: limit.burst + granted_tolerance,
             per_window: granted + WINDOW_TOLERANCE * tolerance,
+            own_share_extra: match self.is_share_by_demand {
+                true => OWN_SHARE_TOLERANCE * tolerance + OWN_SHARE_SLACK * self.slack,
+                false => 0.0,
+            },
         }
     }
 }
--- a/coordination/src/limits/usage_aggregator.rs
+++ b/coordination/src/limits/usage_aggregator.rs
@@ -1,6 +1,6 @@
 use {
-    super::{TokenBucket, WindowSum},
-    chalkcart_protocol::peer::{AccountLevel, AccountUsage, UsageReport, UsageResponse},
+    super::account_state::{AccountState, FleetLimit, ReportedAccount, Reporting},
+    chalkcart_protocol::peer::{AccountLevel, UsageReport, UsageResponse},
     chalkcart_state::{
         accounts::AccountFingerprint,
         ids::{BoxName, Incarnation},
@@ -14,23 +14,22 @@
 /// An entry that hasn't reported for this long is no longer counted. Entries report at
 /// least every 600 ms.
 const ENTRY_TIMEOUT: Duration = Duration::from_millis(1_400);
-
-/// Window over which the request rate of clients is measured.
-const DEMAND_WINDOW: Duration = Duration::from_secs(1);
-
-/// An account with at least this fraction of its burst left is ample: its level is only sent
-/// to the entries that use it.
-pub(super) const AMPLE_FRACTION: f64 = 0.5;
+/// The same for an entry that takes its share of the limits along: as long as a level is
+/// valid at it, so that the share isn't granted here while the entry uses it elsewhere.
+const SHARE_HOLDER_TIMEOUT: Duration = Duration::from_millis(900);
 
 /// Sums up the usage that entries report for client accounts, and returns the level of
 /// each account.
 ///
 /// It grants the fraction of each limit that belongs to the entries that report to it, so
-/// that two aggregators together never grant more than one limit.
+/// that two aggregators together never grant more than one limit. An entry brings its share
+/// along with its first report, and takes it away when it stops reporting.
 #[derive(Debug)]
 pub struct UsageAggregator {
     incarnation: Incarnation,
     entries: HashMap<BoxName, EntryState>,
+    /// Entries that stopped reporting within the last window.
+    departed: HashMap<BoxName, EntryState>,
     accounts: HashMap<AccountFingerprint, AccountState>,
 }
 
@@ -38,18 +37,7 @@
 struct EntryState {
     incarnation: Incarnation,
     last_reported_at: Instant,
-    /// Last reported counters of each account: units charged and units requested.
-    reported: HashMap<AccountFingerprint, (i64, i64)>,
-}
-
-#[derive(Debug)]
-struct AccountState {
-    bucket: TokenBucket,
-    /// Units that may run in each window.
-    per_window: f64,
-    window: Duration,
-    charged: WindowSum,
-    requested: WindowSum,
+    reported: HashMap<AccountFingerprint, ReportedAccount>,
 }
 
 impl UsageAggregator {
@@ -57,43 +45,69 @@
         Self {
             incarnation,
             entries: HashMap::new(),
+            departed: HashMap::new(),
             accounts: HashMap::new(),
         }
     }
 
     /// Applies the report of an entry and returns the levels that the entry needs.
     pub fn on_report(&mut self, report: UsageReport, now: Instant) -> UsageResponse {
-        self.expire(now);
+        let window = Duration::from_millis(u64::from(report.window_ms));
+        self.expire(report.entries, window, now);
         let known = self.entries.get(&report.entry);
         if known.is_none_or(|entry| entry.incarnation != report.incarnation) {
             let entry = EntryState::new(report.incarnation, now);
-            self.entries.insert(report.entry.clone(), entry);
+            if let Some(mut previous) = self.entries.insert(report.entry.clone(), entry) {
+                self.on_entry_left(&mut previous, report.entries, true, now);
+            }
+            self.add_lost_debts(&report, now);
         }
-        let reporting = self.entries.len() as u32;
+        let entries = self.entries.len() as u32;
         // an entry that doesn't know the size of the fleet reports 0
-        let fleet = report.entries.max(reporting);
-        let fraction = f64::from(reporting) / f64::from(fleet);
-        let window = Duration::from_millis(u64::from(report.window_ms));
+        let fleet = report.entries.max(entries);
+        let reporting = Reporting {
+            entries,
+            fleet,
+            is_fleet_known: report.entries > 0,
+        };
+        let departed = self.departed.get(&report.entry);
+        let departed = departed.filter(|entry| entry.incarnation == report.incarnation);
+        let reported_by = report.entry.clone();
         let entry = self.entries.entry(report.entry);
         let entry = entry.or_insert_with(|| EntryState::new(report.incarnation, now));
         entry.last_reported_at = now;
         let levels = report.accounts.iter().map(|usage| {
+            let limit = FleetLimit::new(usage, window);
             let account = self.accounts.entry(usage.account);
-            let account = account.or_insert_with(|| AccountState::new(usage, window, now));
-            account.set_bounds(usage, window, fraction, now);
-            let counters = (usage.taken, usage.asked);
-            let previous = entry.reported.insert(usage.account, counters);
-            if previous.is_none() && report.entries > 0 {
-                // a new entry contributes its share of the level that it last knew
-                let contributed = usage.level / f64::from(fleet);
-                account.bucket.spend(-contributed, now);
+            let account = account.or_insert_with(|| AccountState::new(limit, now));
+            account.age(reporting, now);
+            let is_new = !entry.reported.contains_key(&usage.account);
+            let known = entry.reported.entry(usage.account);
+            let known = known.or_insert_with(|| {
+                let demand = account.add_entry(usage, reporting, now);
+                ReportedAccount::new(usage, demand, now)
+            });
+            account.set_limit(limit, usage.share > 0.0, reporting, now);
+            match is_new {
+                true => {
+                    let earlier = departed.and_then(|entry| entry.reported.get(&usage.account));
+                    account.add_first_usage(usage, earlier, report.entries > 0, fleet, now);
+                }
+                false => account.add_usage(usage, known, now),
             }
-            let (taken, asked) = previous.unwrap_or((usage.told_taken, usage.told_asked));
-            account.add_charged(usage.taken - taken, now);
-            account.add_requested(usage.asked - asked, now);
-            account.level(usage.account, now)
+            known.counters = (usage.taken, usage.asked);
+            known.taken_in_window = usage.taken_in_window;
+            known.reported_at = now;
+            let mut level = account.level(usage.account, now);
+            if usage.share > 0.0 {
+                level.share = account.share_of(&known.demand, entries, now);
+                // the response may be lost
+                known.share = level.share.max(usage.share);
+            }
+            level
         });
         let mut accounts: Vec<AccountLevel> = levels.collect();
+        self.departed.remove(&reported_by);
         let reported: HashSet<AccountFingerprint> = accounts.iter().map(|a| a.account).collect();
         for (account, state) in &self.accounts {
             if !reported.contains(account) && state.is_short(now) {
@@ -102,18 +116,68 @@
         }
         UsageResponse {
             incarnation: self.incarnation,
-            entries: reporting,
+            entries,
             accounts,
         }
     }
 
-    fn expire(&mut self, now: Instant) {
-        self.entries.retain(|_, entry| {
-            now.saturating_duration_since(entry.last_reported_at) < ENTRY_TIMEOUT
-        });
+    /// Returns the number of rows kept: accounts of each entry.
+    pub fn rows(&self) -> usize {
+        let entries = self.entries.values().chain(self.departed.values());
+        entries.map(|entry| entry.reported.len()).sum()
+    }
+
+    fn expire(&mut self, fleet: u32, window: Duration, now: Instant) {
+        let is_late = |entry: &EntryState| {
+            let holds_share = entry.reported.values().any(|known| known.share > 0.0);
+            let timeout = match holds_share {
+                true => SHARE_HOLDER_TIMEOUT,
+                false => ENTRY_TIMEOUT,
+            };
+            now.saturating_duration_since(entry.last_reported_at) >= timeout
+        };
+        let late = self.entries.extract_if(|_, entry| is_late(entry));
+        let mut late: Vec<(BoxName, EntryState)> = late.collect();
+        for (_, entry) in &mut late {
+            self.on_entry_left(entry, fleet, false, now);
+        }
+        self.departed.extend(late);
+        self.departed
+            .retain(|_, entry| now.saturating_duration_since(entry.last_reported_at) < window);
         if self.entries.is_empty() {
             // entries that return contribute the level that they last knew
             self.accounts.clear();
+            self.departed.clear();
+        }
+    }
+
+    /// Takes away the shares of an entry, which uses them on its own from now on.
+    fn on_entry_left(
+        &mut self,
+        entry: &mut EntryState,
+        fleet: u32,
+        has_restarted: bool,
+        now: Instant,
+    ) {
+        let fleet = fleet.max(self.entries.len() as u32 + 1);
+        for (account, known) in &mut entry.reported {
+            if let Some(state) = self.accounts.get_mut(account) {
+                state.remove_entry(known, fleet, has_restarted, now);
+            }
+        }
+    }
+
+    /// Charges the debts that an entry took along when it stopped reporting, if it has
+    /// restarted since then and doesn't know them any more.
+    fn add_lost_debts(&mut self, report: &UsageReport, now: Instant) {
+        let departed = self.departed.get(&report.entry);
+        let Some(departed) = departed.filter(|e| e.incarnation != report.incarnation) else {
+            return;
+        };
+        for (account, known) in &departed.reported {
+            if let Some(state) = self.accounts.get_mut(account) {
+                state.add_lost_debt(known, now);
+            }
         }
     }
 }
@@ -127,51 +191,3 @@
         }
     }
 }
-
-impl AccountState {
-    fn new(usage: &AccountUsage, window: Duration, now: Instant) -> Self {
-        Self {
-            bucket: TokenBucket::new(usage.per_s, usage.most, now),
-            per_window: usage.in_window,
-            window,
-            charged: WindowSum::default(),
-            requested: WindowSum::default(),
-        }
-    }
-
-    /// Sets the fraction of the account's limit that this aggregator grants.
-    fn set_bounds(&mut self, usage: &AccountUsage, window: Duration, fraction: f64, now: Instant) {
-        let (rate_per_s, capacity) = (usage.per_s * fraction, usage.most * fraction);
-        self.bucket.set_bounds(rate_per_s, capacity, now);
-        self.per_window = usage.in_window * fraction;
-        self.window = window;
-    }
-
-    fn add_charged(&mut self, units: i64, now: Instant) {
-        self.bucket.spend(units as f64, now);
-        self.charged.add(units as f64, self.window, now);
-    }
-
-    fn add_requested(&mut self, units: i64, now: Instant) {
-        self.requested.add(units as f64, DEMAND_WINDOW, now);
-    }
-
-    /// Returns the units that may run now: the level of the bucket or what is left of the
-    /// window, whichever is less.
-    fn available(&self, now: Instant) -> f64 {
-        let left_in_window = self.per_window - self.charged.get(self.window, now);
-        self.bucket.level(now).min(left_in_window)
-    }
-
-    fn is_short(&self, now: Instant) -> bool {
-        self.available(now) < self.bucket.capacity() * AMPLE_FRACTION
-    }
-
-    fn level(&self, account: AccountFingerprint, now: Instant) -> AccountLevel {
-        AccountLevel {
-            account,
-            level: self.available(now),
-            asked_per_s: self.requested.get(DEMAND_WINDOW, now) / DEMAND_WINDOW.as_secs_f64(),
-        }
-    }
-}
--- a/coordination/src/limits/window_sum.rs
+++ b/coordination/src/limits/window_sum.rs
@@ -30,6 +30,27 @@
         }
     }
 
+    /// Adds units that were spent evenly over the time `since`, which ends now.
+    pub fn add_spread(&mut self, units: f64, since: Duration, window: Duration, now: Instant) {
+        let slot_length = window / SLOTS_PER_WINDOW;
+        let parts = (since.as_secs_f64() / slot_length.as_secs_f64()).ceil();
+        let each = units / parts.max(1.0);
+        // what was spent before the window has left the sum
+        for part in (0..SLOTS_PER_WINDOW.min(parts as u32).max(1)).rev() {
+            let Some(at) = now.checked_sub(slot_length * part) else {
+                continue;
+            };
+            let later = self.slots.partition_point(|(since, _)| *since <= at);
+            let earlier = later.checked_sub(1).and_then(|n| self.slots.get_mut(n));
+            match earlier {
+                Some((since, slot)) if at.saturating_duration_since(*since) < slot_length => {
+                    *slot += each
+                }
+                _ => self.slots.insert(later, (at, each)),
+            }
+        }
+    }
+
     /// Returns the sum over the window that ends now.
     pub fn get(&self, window: Duration, now: Instant) -> f64 {
         let slots = self.slots.iter();
--- a/coordination/tests/limit_fleet.rs
+++ b/coordination/tests/limit_fleet.rs
@@ -55,6 +55,7 @@
         window: WINDOW,
         overage: 0.25,
         slack: 11_000.0,
+        ..LimitSettings::default()
     }
 }
 
--- a/coordination/tests/limits.rs
+++ b/coordination/tests/limits.rs
@@ -33,6 +33,7 @@
         window: WINDOW,
         overage: 0.25,
         slack: 0.0,
+        ..LimitSettings::default()
     }
 }
 
@@ -277,3 +278,161 @@
     let units = units + exhaust(&mut limiters[1], now);
     assert!(units >= 1_000, "less than the full burst: {units}");
 }
+
+/// Ten entries of which one has half of the requests, after ten seconds with an aggregator.
+/// Returns the entries, the aggregator and the time.
+fn unequal_entries(settings: LimitSettings) -> (Vec<AccountLimiter>, UsageAggregator, Instant) {
+    let start = Instant::now();
+    let mut aggregator = UsageAggregator::new(7);
+    let new = |n| {
+        let mut limiter = AccountLimiter::new(settings, format!("e{n}"), 1, start);
+        limiter.set_entry_count(Some(10), start);
+        limiter.set_accounts([&account()].into_iter(), start);
+        limiter
+    };
+    let mut limiters: Vec<AccountLimiter> = (0..10).map(new).collect();
+    let mut now = start;
+    for step in 0..400 {
+        now = start + Duration::from_millis(25 * step);
+        serve_unequally(&mut limiters, step, now);
+        for (n, limiter) in limiters.iter_mut().enumerate() {
+            if step % 10 == n as u64 {
+                exchange_report(limiter, &mut aggregator, now);
+            }
+        }
+    }
+    (limiters, aggregator, now)
+}
+
+/// Sends 800 units per second, half of them to the first entry; returns the units rejected.
+fn serve_unequally(limiters: &mut [AccountLimiter], step: u64, now: Instant) -> u64 {
+    let rest = limiters.len() as u64 - 1;
+    let others = if rest == 0 { 0 } else { 1 + step % rest };
+    let rejects = |n: u64, limiters: &mut [AccountLimiter]| {
+        u64::from(charge(&mut limiters[n as usize], 10, now).is_err()) * 10
+    };
+    rejects(0, limiters) + rejects(others, limiters)
+}
+
+/// Guards against equal shares without an aggregator: the entry with half of the requests
+/// would reject three quarters of them, though the account is within its limit.
+#[test]
+fn an_entry_that_is_cut_off_keeps_its_share_of_the_demand() {
+    let rejected = |is_share_by_demand| {
+        let (mut limiters, _, start) = unequal_entries(LimitSettings {
+            is_share_by_demand,
+            ..settings()
+        });
+        let steps = 1..=200;
+        let rejected = steps.map(|step| {
+            let now = start + Duration::from_millis(25 * step);
+            serve_unequally(&mut limiters, step, now)
+        });
+        rejected.sum::<u64>()
+    };
+    assert_eq!(rejected(true), 0, "of 4,000 units in 5 s");
+    assert!(rejected(false) >= 800, "by equal shares");
+}
+
+/// Guards against a share that is kept for ever: the entries that left or came since then
+/// are not known.
+#[test]
+fn the_share_of_a_cut_off_entry_ages_toward_an_equal_part() {
+    let (mut limiters, _, start) = unequal_entries(settings());
+    let mut share_at = |n: usize, seconds| {
+        let now = start + Duration::from_secs(seconds);
+        let _ = charge(&mut limiters[n], 1, now);
+        let report = limiters[n].usage_report(now).expect("a report");
+        report.accounts[0].share
+    };
+    // a fifth of the limit is divided equally, the rest by demand
+    let shares = [0, 4, 8, 40].map(|seconds| share_at(0, seconds));
+    assert!((0.3..=0.42).contains(&shares[0]), "{shares:?}");
+    assert!(shares[1] < shares[0] && shares[2] < shares[1], "{shares:?}");
+    assert!((0.1..0.12).contains(&shares[3]), "{shares:?}");
+    let sum: f64 = (0..10).map(|n| share_at(n, 6)).sum();
+    assert!((0.95..=1.05).contains(&sum), "{sum} of the limit");
+}
+
+/// Guards against an aggregator that grants the full limit, or equal parts of it, to the
+/// entries that it hears while the others use their shares.
+#[test]
+fn an_aggregator_grants_what_the_entries_it_no_longer_hears_leave() {
+    let (mut limiters, mut aggregator, start) = unequal_entries(settings());
+    let mut granted = 1.0;
+    for step in 0..8 {
+        let now = start + Duration::from_millis(250 * (step + 1));
+        serve_unequally(&mut limiters, step, now);
+        for limiter in &mut limiters[1..] {
+            let report = limiter.usage_report(now).expect("a report");
+            let response = aggregator.on_report(report.clone(), now);
+            let level = response.accounts.first();
+            granted = level.map_or(granted, |level| level.granted);
+            limiter.on_response(&report, &response, now);
+        }
+    }
+    let now = start + Duration::from_secs(2);
+    let kept = limiters[0].usage_report(now).expect("a report").accounts[0].share;
+    assert!(kept > 0.25, "{kept}");
+    let sum = granted + kept;
+    assert!((0.95..=1.05).contains(&sum), "{granted} and {kept}");
+}
+
+/// Guards against the units that a cut-off entry charged to its share being charged again to
+/// the level of the fleet when it returns, and its demand of seconds appearing as that of one.
+#[test]
+fn an_entry_that_returns_after_a_cut_costs_the_others_nothing() {
+    let (mut limiters, mut aggregator, start) = unequal_entries(settings());
+    let mut rejected = 0;
+    for step in 1..=400 {
+        let now = start + Duration::from_millis(25 * step);
+        rejected += serve_unequally(&mut limiters, step, now);
+        for (n, limiter) in limiters.iter_mut().enumerate() {
+            // the first entry is cut off for 6 s
+            let is_cut = n == 0 && step < 240;
+            if !is_cut && step % 10 == n as u64 {
+                exchange_report(limiter, &mut aggregator, now);
+            }
+        }
+    }
+    assert_eq!(rejected, 0, "of 8,000 units in 10 s");
+}
+
+/// Guards against the debt of a large request that outlasts the shortage: the next requests
+/// were rejected though the level allowed all of them.
+#[test]
+fn a_debt_ends_with_the_shortage() {
+    let start = Instant::now();
+    let mut aggregator = UsageAggregator::new(7);
+    let mut limiters = [limiter("e0", 1, start)];
+    let now = refill(&mut limiters, &mut aggregator, start);
+    let [mut one] = limiters;
+    exhaust(&mut one, now);
+    let mut now = now;
+    for _ in 0..12 {
+        now += Duration::from_millis(250);
+        let _ = charge(&mut one, 900, now);
+        exchange_report(&mut one, &mut aggregator, now);
+    }
+    // the demand is now far below the rate
+    for _ in 0..10 {
+        now += Duration::from_millis(250);
+        exchange_report(&mut one, &mut aggregator, now);
+    }
+    assert!(charge(&mut one, 10, now).is_ok());
+}
+
+#[test]
+fn usage_that_is_reported_late_leaves_the_window_in_time() {
+    let start = Instant::now() + WINDOW;
+    let mut sum = WindowSum::default();
+    sum.add(100.0, WINDOW, start);
+    sum.add_spread(800.0, WINDOW, WINDOW, start);
+    assert!((sum.get(WINDOW, start) - 900.0).abs() < 1.0);
+    let later = start + WINDOW / 2;
+    let left = sum.get(WINDOW, later);
+    assert!((450.0..=600.0).contains(&left), "{left}");
+    assert_eq!(sum.get(WINDOW, start + WINDOW * 2), 0.0);
+    sum.add_spread(-left, WINDOW / 2, WINDOW, later);
+    assert!(sum.get(WINDOW, later).abs() < 1.0);
+}
--- a/coordination/tests/mechanisms.rs
+++ b/coordination/tests/mechanisms.rs
@@ -22,7 +22,7 @@
 /// Returns the settings with each switch off, and with all on.
 fn variants() -> Vec<FeatureSwitches> {
     let on = FeatureSwitches::default();
-    let off: [fn(&mut FeatureSwitches); 10] = [
+    let off: [fn(&mut FeatureSwitches); 11] = [
         |_| {},
         |m| m.observed_rate = false,
         |m| m.prompts_of_all = false,
@@ -33,6 +33,7 @@
         |m| m.copies = false,
         |m| m.several_homes = false,
         |m| m.early_refusals = false,
+        |m| m.limit_shares_by_demand = false,
     ];
     off.iter()
         .map(|switch| {
--- a/entry/src/conf/ingress_settings.rs
+++ b/entry/src/conf/ingress_settings.rs
@@ -93,6 +93,7 @@
             window: Duration::from_secs_f64(self.quota_window_s),
             overage: self.quota_overage,
             slack: self.quota_slack,
+            is_share_by_demand: self.mechanisms.limit_shares_by_demand,
         }
     }
 }
--- a/entry/src/ingress/service.rs
+++ b/entry/src/ingress/service.rs
@@ -152,6 +152,8 @@
             level = exceeded.inputs.level.unwrap_or(f64::NAN),
             age_ms = exceeded.inputs.age.map_or(-1, |age| age.as_millis() as i64),
             entries = exceeded.inputs.entries,
+            share = exceeded.inputs.share,
+            share_age_ms = exceeded.inputs.share_age.map_or(-1, |age| age.as_millis() as i64),
             retry_after_ms = exceeded.retry_after.as_millis() as u64;
             "ingress: over limit"
         );
--- a/protocol/src/peer/usage.rs
+++ b/protocol/src/peer/usage.rs
@@ -38,6 +38,21 @@
     pub most: f64,
     /// Fleet-wide limit in units per window.
     pub in_window: f64,
+    /// Since wire version 7: the fraction of the limit that the entry uses while it has no
+    /// recent level; 0 if it uses an equal part.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub share: f64,
+    /// Since wire version 7: what is left of that share, in units; negative if it was
+    /// exceeded. Only with `share`.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub share_level: f64,
+    /// Since wire version 7: units charged at the entry in the window that ends now. Only with
+    /// `share`.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub taken_in_window: f64,
+    /// Since wire version 7: time since an aggregator acknowledged the counters, in ms.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub unacked_ms: u32,
 }
 
 /// Levels of the accounts in the report and of all accounts with little left. Every other
@@ -59,4 +74,17 @@
     pub level: f64,
     /// Units per second that clients request at all entries together.
     pub asked_per_s: f64,
+    /// Since wire version 7: the fraction of the limit that the entry may use while it has no
+    /// recent level; 0 if the account isn't in its report.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub share: f64,
+    /// Since wire version 7: the fraction of the limit that this aggregator grants to the
+    /// entries that report to it; 0 if unknown.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub granted: f64,
+}
+
+/// Returns whether a field has the value that it has if it is missing.
+fn is_zero<T: Default + PartialEq>(value: &T) -> bool {
+    *value == T::default()
 }
--- a/protocol/tests/recorded.rs
+++ b/protocol/tests/recorded.rs
@@ -43,7 +43,12 @@
 ];
 
 /// Messages added in wire version 7.
-const SINCE_7: [&str; 2] = ["crash_ask_run_id", "view_figures_measured"];
+const SINCE_7: [&str; 4] = [
+    "crash_ask_run_id",
+    "view_figures_measured",
+    "usage_report_share",
+    "usage_answer_share",
+];
 
 /// Messages added in wire version 6.
 const SINCE_6: [&str; 3] = [
--- a/protocol/tests/samples/mod.rs
+++ b/protocol/tests/samples/mod.rs
@@ -378,6 +378,10 @@
         per_s: 100.0,
         most: 50.0,
         in_window: 110.0,
+        share: 0.0,
+        share_level: 0.0,
+        taken_in_window: 0.0,
+        unacked_ms: 0,
     };
     let report = UsageReport {
         entry: "entry-1".to_string(),
@@ -390,13 +394,37 @@
         account: 5,
         level: 2.5,
         asked_per_s: 30.0,
+        share: 0.0,
+        granted: 0.0,
     };
     let response = UsageResponse {
         incarnation: 78,
         entries: 3,
         accounts: vec![level],
     };
+    let usage_with_share = AccountUsage {
+        share: 0.25,
+        share_level: 3.5,
+        taken_in_window: 6.5,
+        unacked_ms: 250,
+        ..report.accounts[0].clone()
+    };
+    let report_with_share = UsageReport {
+        accounts: vec![usage_with_share],
+        ..report.clone()
+    };
+    let level_with_share = AccountLevel {
+        share: 0.25,
+        granted: 0.75,
+        ..response.accounts[0].clone()
+    };
+    let response_with_share = UsageResponse {
+        accounts: vec![level_with_share],
+        ..response.clone()
+    };
     vec![
+        sample(Message, "usage_report_share", report_with_share),
+        sample(Message, "usage_answer_share", response_with_share),
         sample(Message, "usage_report", report),
         sample(Message, "usage_answer", response),
     ]
