dispatch: requests rejected with loads_later or no_budget cost their account nothing

Cause: both rejections left the request's size in the account's finish tag, so later requests of the account waited behind those of all others. Change: both withdraw the request from fair queueing. Measured: coordination/tests/admission_order.rs, two tests, each seen to fail before.

--- a/coordination/src/dispatch/dispatcher.rs
+++ b/coordination/src/dispatch/dispatcher.rs
@@ -258,6 +258,9 @@
             _ if !budget.try_reserve(entries, now) => {
                 let cause = RejectionCause::RetryBudgetExhausted;
                 let inputs = self.decision_inputs(&request, now);
+                // no reservation of the budget to release
+                self.fair_queueing
+                    .on_withdrawn(request.account, request.prompt_tokens);
                 self.reject(ticket, cause, MIN_RETRY_AFTER, inputs);
                 return;
             }
--- a/coordination/src/dispatch/rejection.rs
+++ b/coordination/src/dispatch/rejection.rs
@@ -37,6 +37,7 @@
         if cause == RejectionCause::NotLoaded {
             if let Some(retry_after) = self.schedule_return(&mut request, now) {
                 let inputs = self.decision_inputs(&request, now);
+                self.on_not_sent(&request);
                 self.reject(ticket, RejectionCause::LoadTooSlow, retry_after, inputs);
                 return;
             }
