dispatch: one order of routes and accounts that compete for engines

Cause: the urgency sent to engines was by prompt size and half the priority, so a less urgent route with shorter prompts was served more often. The excess of one account competed like the requests of others, and clients rejected for want of room were told the same retry time.

Change: where the routes of a service differ in priority, urgency is the size relative to the route's typical prompt plus the rank of the route; requests of accounts beyond their share (by the level of the limit) go after all in time, wait behind their kind and get no copies; what misses its objective goes last. Retry times are spread. Switches urgency_by_route, account_shares, spread_retries. Services whose routes have one priority are served as before.

--- a/coordination/src/dispatch/decision.rs
+++ b/coordination/src/dispatch/decision.rs
@@ -17,6 +17,10 @@
     pub backed_off: u32,
     /// Back ends of the service that advertise a rate limit.
     pub limited: u32,
+    /// Position of its route among the priorities of the service; `None` if there is only one.
+    pub route_rank: Option<u8>,
+    /// Typical prompt of the routes of its priority, in tokens.
+    pub typical_prompt_tokens: f64,
     /// Expected wait until prefill at the chosen back end, in ms.
     pub queue_ms: f64,
     /// Requests that run or wait at the chosen back end.
--- a/coordination/src/dispatch/dispatch_request.rs
+++ b/coordination/src/dispatch/dispatch_request.rs
@@ -31,6 +31,9 @@
     /// Priority of the client account; compared before that of the route. 0 is the most
     /// urgent.
     pub account_priority: u8,
+    /// Whether its account uses more than its share of the fleet, by the level of its limit.
+    /// The dispatcher ignores it on services whose routes all have one priority.
+    pub is_beyond_share: bool,
     /// Priority of the route; 0 is the most urgent.
     pub priority: u8,
     pub target_latency: Duration,
--- a/coordination/src/dispatch/dispatcher.rs
+++ b/coordination/src/dispatch/dispatcher.rs
@@ -3,9 +3,9 @@
         backend_signal_tracker::BackendSignalTracker, backend_updates::ReportedIncarnation,
         expected_returns::ExpectedReturn, pending_loads::PendingLoad, rejection::MIN_RETRY_AFTER,
         selection::Choice, waiting_list::WaitingList, AccountFairQueueing, AdapterVersions,
-        Assignment, BackendState, BudgetUsage, Decision, DispatchEvent, DispatchRequest,
-        DispatchSettings, FleetSize, InFlightRequest, LoadDelay, PrefillRate, RejectionCause,
-        RequestedLoad, SendOutcome, SharedRetryBudget, Ticket,
+        AdmissionOrder, Assignment, BackendState, BudgetUsage, Decision, DispatchEvent,
+        DispatchRequest, DispatchSettings, FleetSize, InFlightRequest, LoadDelay, PrefillRate,
+        RejectionCause, RequestedLoad, SendOutcome, SharedRetryBudget, Ticket,
     },
     crate::{
         backend_signals::BackendSignals,
@@ -48,6 +48,8 @@
     pub(super) table: Arc<RouteTable>,
     pub(super) waiting: WaitingList,
     pub(super) fair_queueing: AccountFairQueueing,
+    /// Priorities of the routes that compete for a service.
+    pub(super) admission_order: AdmissionOrder,
     pub(super) in_flight: HashMap<Ticket, (BackendId, ServiceName, InFlightRequest)>,
     /// Prefill rates by service.
     pub(super) prefill_rates: HashMap<ServiceName, PrefillRate>,
@@ -103,6 +105,7 @@
             table: Arc::default(),
             waiting: WaitingList::default(),
             fair_queueing: AccountFairQueueing::default(),
+            admission_order: AdmissionOrder::default(),
             in_flight: HashMap::new(),
             prefill_rates: HashMap::new(),
             retry_budgets: HashMap::new(),
@@ -177,6 +180,7 @@
                 self.dispatch_waiting(|_| true, now);
             }
             DispatchEvent::ConfigUpdated(table) => {
+                self.admission_order.set_routes(&table);
                 self.table = table;
                 self.dispatch_waiting(|_| true, now);
             }
@@ -246,6 +250,8 @@
     }
 
     fn on_request_arrived(&mut self, ticket: Ticket, mut request: DispatchRequest, now: Instant) {
+        // where all routes have one priority, requests are ordered as without shares
+        request.is_beyond_share &= self.admission_order.rank(&request).is_some();
         request.start_tag = self
             .fair_queueing
             .next_start_tag(request.account, request.prompt_tokens);
@@ -435,6 +441,8 @@
                 .entry(request.service.clone())
                 .or_default();
             rate.on_sent(request.prompt_tokens);
+            self.admission_order
+                .on_sent(&request.service, request.priority, request.prompt_tokens);
         }
         let state = self.backends.get_mut(&assignment.backend);
         let is_probe = state.is_some_and(|state| state.backoff.on_request_sent());
--- a/coordination/src/dispatch/homes.rs
+++ b/coordination/src/dispatch/homes.rs
@@ -105,7 +105,7 @@
     /// requests waiting here suggest that more wait at other entries; a single one may be
     /// the only one.
     fn homes_needed(&self, adapter: &AdapterRef, request: &DispatchRequest) -> usize {
-        if !self.settings.features.several_homes {
+        if !self.settings.features.several_homes || request.is_beyond_share {
             return 1;
         }
         let waiting = self.waiting.iter();
--- a/coordination/src/dispatch/mod.rs
+++ b/coordination/src/dispatch/mod.rs
@@ -3,6 +3,7 @@
 
 mod account_fair_queueing;
 mod adapter_versions;
+mod admission_order;
 mod backend_signal_tracker;
 mod backend_state;
 mod backend_updates;
@@ -35,6 +36,7 @@
 pub use {
     account_fair_queueing::AccountFairQueueing,
     adapter_versions::AdapterVersions,
+    admission_order::{AdmissionOrder, RouteRank},
     backend_state::{BackendState, InFlightRequest},
     decision::{Assignment, Decision, DecisionInputs, RejectionCause},
     dispatch_request::{DispatchRequest, Ticket},
@@ -49,5 +51,5 @@
     requested_load::{LoadCause, RequestedLoad},
     settings::DispatchSettings,
     shared_retry_budget::{BudgetUsage, RetryBudgetSettings, SharedRetryBudget},
-    urgency::urgency,
+    urgency::{urgency, urgency_by_route},
 };
--- a/coordination/src/dispatch/pending_loads.rs
+++ b/coordination/src/dispatch/pending_loads.rs
@@ -186,6 +186,11 @@
             let waited = now
                 .saturating_duration_since(request.arrived_at)
                 .as_millis();
+            if request.is_beyond_share {
+                // the adapter is loaded after those that others wait for
+                summary.waiting = summary.waiting.max(1);
+                continue;
+            }
             summary.waiting += 1;
             summary.priority = summary.priority.min(request.priority);
             summary.waited_ms = summary.waited_ms.max(waited as u32);
--- a/coordination/src/dispatch/rejection.rs
+++ b/coordination/src/dispatch/rejection.rs
@@ -5,6 +5,7 @@
     super::{
         dispatcher::Dispatcher, Decision, DecisionInputs, DispatchRequest, RejectionCause, Ticket,
     },
+    crate::membership::{rendezvous_weight, stable_hash},
     chalkcart_state::backends::BackendId,
     std::{
         collections::HashMap,
@@ -14,6 +15,8 @@
 
 /// Minimum retry time given to rejected requests.
 pub(super) const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
+/// Longest time over which retries are spread.
+const MAX_RETRY_SPREAD: Duration = Duration::from_secs(5);
 
 impl Dispatcher {
     /// Keeps a request waiting, or rejects it if it can't be served within its maximum wait.
@@ -63,7 +66,8 @@
         };
         // a request that can't be served within its maximum wait is rejected at once
         if waited + backoff >= max_wait || now + backoff >= request.deadline {
-            let retry_after = backoff.max(request.target_latency / 2);
+            let base = backoff.max(request.target_latency / 2);
+            let retry_after = self.spread_retry(ticket, &request, cause, base, now);
             let inputs = self.decision_inputs(&request, now);
             self.on_not_sent(&request);
             self.reject(ticket, cause, retry_after.max(MIN_RETRY_AFTER), inputs);
@@ -72,6 +76,36 @@
         }
     }
 
+    /// Spreads the retry times of requests rejected for want of room over the time in which
+    /// room is expected: from `base` to the time until the shortest prefill queue is done,
+    /// at least as long again. Clients that return at the same moment would find the slots
+    /// taken by each other.
+    fn spread_retry(
+        &self,
+        ticket: Ticket,
+        request: &DispatchRequest,
+        cause: RejectionCause,
+        base: Duration,
+        now: Instant,
+    ) -> Duration {
+        let is_for_room = matches!(cause, RejectionCause::Full | RejectionCause::NotLoaded);
+        let do_callers_compete = self.admission_order.rank(request).is_some();
+        if !self.settings.features.spread_retries || !is_for_room || !do_callers_compete {
+            return base;
+        }
+        let of_service = self.backends.values();
+        let of_service =
+            of_service.filter(|b| b.listed.service == request.service && b.is_available(now));
+        let queues = of_service.map(|b| self.queue_ms(b, now));
+        let shortest_ms = queues.min_by(f64::total_cmp).unwrap_or(0.0);
+        let shortest = Duration::from_secs_f64(shortest_ms.max(0.0) / 1_000.0);
+        let span = shortest.saturating_sub(base).max(base);
+        let position = rendezvous_weight(stable_hash(&self.settings.entry), ticket);
+        base + span
+            .min(MAX_RETRY_SPREAD)
+            .mul_f64(position as f64 / u64::MAX as f64)
+    }
+
     /// Handles a request whose possible back ends have all reached their rate limits: it
     /// waits if it can be sent in time. `ahead` counts the requests queued before it at
     /// each back end.
--- a/coordination/src/dispatch/selection.rs
+++ b/coordination/src/dispatch/selection.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         dispatcher::Dispatcher,
-        urgency::{urgency, LOWEST_URGENCY},
+        urgency::{urgency, urgency_by_route, LOWEST_URGENCY},
         Assignment, BackendState, DecisionInputs, DispatchRequest, LoadCause, RejectionCause,
         RequestedLoad,
     },
@@ -77,6 +77,8 @@
             leaving,
             backed_off,
             limited,
+            route_rank: self.route_rank(request).map(|route| route.rank),
+            typical_prompt_tokens: self.typical_prompt_of_route(request),
             queue_ms: chosen.map_or(0.0, |b| self.queue_ms(b, now)),
             occupied: chosen.map_or(0, |b| b.occupied(now)),
             view_age: chosen.and_then(|b| b.view_age(now)),
@@ -185,6 +187,9 @@
         {
             return (Choice::Wait(RejectionCause::Reloading), vec![home]);
         }
+        if request.is_beyond_share {
+            return (choice, Vec::new());
+        }
         let copies = self.copy_targets(adapter, &holders, &candidates, &choice, now);
         (choice, copies)
     }
@@ -393,9 +398,16 @@
     }
 
     fn urgency(&self, request: &DispatchRequest, now: Instant) -> u8 {
-        match self.settings.features.urgency_by_size {
-            true => urgency(request, self.tokens_per_ms(&request.service), now),
-            false => request.priority.min(LOWEST_URGENCY),
+        if !self.settings.features.urgency_by_size {
+            return request.priority.min(LOWEST_URGENCY);
+        }
+        let tokens_per_ms = self.tokens_per_ms(&request.service);
+        match self.route_rank(request) {
+            Some(route) => {
+                let typical = self.typical_prompt_of_route(request);
+                urgency_by_route(request, route, typical, tokens_per_ms, now)
+            }
+            None => urgency(request, tokens_per_ms, now),
         }
     }
 
@@ -409,7 +421,7 @@
         observed.unwrap_or(self.settings.default_tokens_per_ms)
     }
 
-    fn typical_prompt_tokens(&self, service: &ServiceName) -> f64 {
+    pub(super) fn typical_prompt_tokens(&self, service: &ServiceName) -> f64 {
         let observed = self
             .prefill_rates
             .get(service)
--- a/coordination/src/dispatch/waiting_list.rs
+++ b/coordination/src/dispatch/waiting_list.rs
@@ -3,9 +3,9 @@
     std::{collections::BTreeMap, time::Instant},
 };
 
-/// Sort key of a waiting request: priority of its account, priority of its route, start
-/// tag, arrival.
-type SortKey = (u8, u8, u64, Instant, Ticket);
+/// Sort key of a waiting request: priority of its account, priority of its route, whether its
+/// account is beyond its share, start tag, arrival.
+type SortKey = (u8, u8, bool, u64, Instant, Ticket);
 
 /// Waiting requests in the order in which they are served.
 #[derive(Debug, Default)]
@@ -19,6 +19,7 @@
         let key = (
             request.account_priority,
             request.priority,
+            request.is_beyond_share,
             request.start_tag,
             request.arrived_at,
             ticket,
--- a/coordination/src/features/switches.rs
+++ b/coordination/src/features/switches.rs
@@ -17,6 +17,14 @@
     /// Has engines prefill short prompts first and late ones last; otherwise by the route's
     /// priority only.
     pub urgency_by_size: bool,
+    /// Where the routes of a service differ in priority, orders prompts by their size relative to
+    /// the route's typical one and by the route; otherwise by size and half the priority.
+    pub urgency_by_route: bool,
+    /// Lets requests of accounts beyond their share of the fleet go after the others of their
+    /// kind, without new copies and homes of adapters.
+    pub account_shares: bool,
+    /// Spreads the retry times of requests rejected for want of room; otherwise they are equal.
+    pub spread_retries: bool,
     /// Loads fewer adapters at once on an engine while loads are slow.
     pub loads_by_speed: bool,
     /// Loads a copy only if it is ready before the queue at the holders is processed.
@@ -49,6 +57,9 @@
             prompts_of_all: true,
             return_home: true,
             urgency_by_size: true,
+            urgency_by_route: true,
+            account_shares: true,
+            spread_retries: true,
             loads_by_speed: true,
             copies_weighed: true,
             copies: true,
@@ -65,12 +76,15 @@
 
 impl FeatureSwitches {
     /// Returns the name and the state of each switch.
-    fn named_states(&self) -> [(&'static str, bool); 14] {
+    fn named_states(&self) -> [(&'static str, bool); 17] {
         [
             ("observed_rate", self.observed_rate),
             ("prompts_of_all", self.prompts_of_all),
             ("return_home", self.return_home),
             ("urgency_by_size", self.urgency_by_size),
+            ("urgency_by_route", self.urgency_by_route),
+            ("account_shares", self.account_shares),
+            ("spread_retries", self.spread_retries),
             ("loads_by_speed", self.loads_by_speed),
             ("copies_weighed", self.copies_weighed),
             ("copies", self.copies),
--- a/coordination/src/limits/account_limiter.rs
+++ b/coordination/src/limits/account_limiter.rs
@@ -193,13 +193,7 @@
             (charge as f64 / entry_per_s).min(MAX_RETRY_AFTER.as_secs_f64()),
         );
         bucket.next_retry_at = (retry_at + spacing).min(now + MAX_RETRY_AFTER);
-        let inputs = LimitDecisionInputs {
-            level: bucket.fleet_level(now),
-            age: bucket.level_age(now),
-            entries,
-            share: bucket.share_fraction(now),
-            share_age: bucket.share_age(now),
-        };
+        let inputs = inputs_of(bucket, entries, now);
         Err(LimitExceeded {
             retry_after: retry_at
                 .saturating_duration_since(now)
@@ -221,6 +215,23 @@
         bucket.or_insert_with(|| SharedBucket::new(bounds, entries, phase, settings, now))
     }
 
+    /// Returns whether a request that was charged is beyond its account's share of the fleet,
+    /// with the inputs of that decision; `None` if it is within.
+    ///
+    /// Without a recent level, no request is beyond.
+    pub fn beyond_share(
+        &mut self,
+        account: AccountFingerprint,
+        charge: u64,
+        now: Instant,
+    ) -> Option<LimitDecisionInputs> {
+        let entries = self.entry_count();
+        let bucket = self.accounts.get_mut(&account)?;
+        bucket
+            .is_beyond_share(charge, now)
+            .then(|| inputs_of(bucket, entries, now))
+    }
+
     /// Refunds the charge of a request that did not run.
     pub fn refund(&mut self, account: AccountFingerprint, charge: u64, now: Instant) {
         if let Some(bucket) = self.accounts.get_mut(&account) {
@@ -302,6 +313,16 @@
     }
 }
 
+fn inputs_of(bucket: &SharedBucket, entries: u32, now: Instant) -> LimitDecisionInputs {
+    LimitDecisionInputs {
+        level: bucket.fleet_level(now),
+        age: bucket.level_age(now),
+        entries,
+        share: bucket.share_fraction(now),
+        share_age: bucket.share_age(now),
+    }
+}
+
 /// Returns a value between 0 and 1 that is evenly distributed over the entries.
 fn phase_of(entry: &BoxName, account: AccountFingerprint) -> f64 {
     rendezvous_weight(account, stable_hash(entry)) as f64 / u64::MAX as f64
--- a/coordination/src/limits/mod.rs
+++ b/coordination/src/limits/mod.rs
@@ -4,6 +4,7 @@
 mod account_state;
 mod aged_share;
 mod decayed_sum;
+mod fraction_credit;
 mod settings;
 mod shared_bucket;
 mod token_bucket;
--- a/coordination/src/limits/shared_bucket.rs
+++ b/coordination/src/limits/shared_bucket.rs
@@ -1,7 +1,7 @@
 use {
     super::{
-        account_state::AMPLE_FRACTION, aged_share::aged_share, LimitBounds, LimitSettings,
-        TokenBucket, WindowSum,
+        account_state::AMPLE_FRACTION, aged_share::aged_share, fraction_credit::FractionCredit,
+        LimitBounds, LimitSettings, TokenBucket, WindowSum,
     },
     chalkcart_protocol::peer::{AccountLevel, AccountUsage},
     chalkcart_state::{accounts::AccountFingerprint, ids::Incarnation},
@@ -65,11 +65,11 @@
     unused_fraction: f64,
     /// When a request last arrived.
     pub(super) last_request_at: Option<Instant>,
-    /// Units that the entry may still admit of the requests that have arrived while the
-    /// level is low.
-    credit: f64,
-    /// Between 0 and 1, different at each entry, so that entries with a fraction of a
-    /// request each admit their first request at different times.
+    /// Admits requests while the level is low.
+    admitted: FractionCredit,
+    /// Of these, the requests within the account's share.
+    within_share: FractionCredit,
+    /// Between 0 and 1, different at each entry; see `FractionCredit`.
     phase: f64,
     /// Earliest retry of the next rejected request, so that retries are spread out.
     pub(super) next_retry_at: Instant,
@@ -117,7 +117,8 @@
             share_refreshed_at: now,
             unused_fraction: 0.0,
             last_request_at: None,
-            credit: 0.0,
+            admitted: FractionCredit::new(phase),
+            within_share: FractionCredit::new(phase),
             phase,
             next_retry_at: now,
         }
@@ -212,6 +213,27 @@
         demand.filter(|demand| *demand > 0.0)
     }
 
+    /// Returns whether an admitted request is beyond its account's share: the account has used
+    /// half of its burst, and the fleet admits more for it than the limit's rate. Each entry
+    /// marks the same fraction of its requests.
+    pub fn is_beyond_share(&mut self, charge: u64, now: Instant) -> bool {
+        let (Some(level), Some(demand_per_s)) = (self.fleet_level(now), self.demand_per_s(now))
+        else {
+            return false;
+        };
+        if self.is_ample(level) {
+            return false;
+        }
+        let granted = self.granted_fraction();
+        let due_per_s = self.bounds.steady_per_s * granted + level.max(0.0) / CORRECTION_TIME_S;
+        let admitted_per_s = demand_per_s.min(due_per_s);
+        let fraction = self.bounds.granted_per_s * granted / admitted_per_s;
+        if fraction >= 1.0 {
+            return false;
+        }
+        !self.within_share.admits(charge as f64, fraction)
+    }
+
     fn is_ample(&self, level: f64) -> bool {
         level >= self.bounds.burst * self.granted_fraction() * AMPLE_FRACTION
     }
@@ -243,12 +265,7 @@
             // a debt from an earlier shortage must not reject requests after its end
             return true;
         }
-        self.credit += units * fraction;
-        let is_admitted = self.credit > units * self.phase;
-        if is_admitted {
-            self.credit -= units;
-        }
-        is_admitted
+        self.admitted.admits(units, fraction)
     }
 
     /// Refunds the charge of a request that did not run.
--- a/coordination/tests/dispatch_fixture/mod.rs
+++ b/coordination/tests/dispatch_fixture/mod.rs
@@ -187,6 +187,7 @@
             account: None,
             allowed_regions: AllowedRegions::default(),
             account_priority: 0,
+            is_beyond_share: false,
             priority: 1,
             target_latency: ms(400),
             target_gap: None,
--- a/coordination/tests/limits.rs
+++ b/coordination/tests/limits.rs
@@ -436,3 +436,42 @@
     sum.add_spread(-left, WINDOW / 2, WINDOW, later);
     assert!(sum.get(WINDOW, later).abs() < 1.0);
 }
+
+/// Guards against an account at a multiple of its usual demand whose requests all count like
+/// those of accounts within their share.
+#[test]
+fn a_part_of_the_requests_of_an_account_above_its_rate_is_beyond_its_share() {
+    let start = Instant::now();
+    let mut aggregator = UsageAggregator::new(7);
+    let mut limiters = [limiter("e0", 1, start)];
+    let now = refill(&mut limiters, &mut aggregator, start);
+    let [mut one] = limiters;
+    let beyond = |one: &mut AccountLimiter, now| {
+        let beyond = one.beyond_share(account().fingerprint, 100, now);
+        if let Some(inputs) = beyond {
+            assert!(inputs.level.is_some() && inputs.age.is_some());
+        }
+        beyond.is_some()
+    };
+    assert!(charge(&mut one, 100, now).is_ok() && !beyond(&mut one, now));
+    let (mut admitted, mut marked) = (0, 0);
+    for step in 1..200 {
+        let now = now + Duration::from_millis(25 * step);
+        // four times the rate
+        if charge(&mut one, 100, now).is_ok() {
+            admitted += 1;
+            marked += u32::from(beyond(&mut one, now));
+        }
+        if step % 10 == 0 {
+            exchange_report(&mut one, &mut aggregator, now);
+        }
+    }
+    // 5 s at the rate are 50 requests; the first burst is within
+    assert!(
+        marked >= 5 && admitted - marked >= 45,
+        "{marked} of {admitted}"
+    );
+    // an entry without a level marks nothing
+    let later = now + Duration::from_secs(7);
+    assert!(!beyond(&mut one, later));
+}
--- a/coordination/tests/mechanisms.rs
+++ b/coordination/tests/mechanisms.rs
@@ -22,7 +22,7 @@
 /// Returns the settings with each switch off, and with all on.
 fn variants() -> Vec<FeatureSwitches> {
     let on = FeatureSwitches::default();
-    let off: [fn(&mut FeatureSwitches); 11] = [
+    let off: [fn(&mut FeatureSwitches); 14] = [
         |_| {},
         |m| m.observed_rate = false,
         |m| m.prompts_of_all = false,
@@ -34,6 +34,9 @@
         |m| m.several_homes = false,
         |m| m.early_refusals = false,
         |m| m.limit_shares_by_demand = false,
+        |m| m.urgency_by_route = false,
+        |m| m.account_shares = false,
+        |m| m.spread_retries = false,
     ];
     off.iter()
         .map(|switch| {
--- a/entry/src/ingress/admission.rs
+++ b/entry/src/ingress/admission.rs
@@ -1,7 +1,7 @@
 use {
     chalkcart_coordination::{
         config::ConfigLease,
-        limits::{AccountLimiter, LimitExceeded, LimitSettings},
+        limits::{AccountLimiter, LimitDecisionInputs, LimitExceeded, LimitSettings},
     },
     chalkcart_state::{
         accounts::{AccountFingerprint, ApiKeyDigest, ApiKeyError, ClientAccount, RateLimit},
@@ -152,6 +152,16 @@
             .record_request(account.fingerprint, limit, units, now);
     }
 
+    /// Returns the inputs of the decision if a charged request is beyond its account's share of
+    /// the fleet.
+    pub fn beyond_share(
+        &self,
+        account: AccountFingerprint,
+        units: u64,
+    ) -> Option<LimitDecisionInputs> {
+        self.limits().beyond_share(account, units, clock::now())
+    }
+
     /// Charges a request to its account's limit.
     ///
     /// # Errors
--- a/entry/src/ingress/request_exchange.rs
+++ b/entry/src/ingress/request_exchange.rs
@@ -75,6 +75,32 @@
     TimedOut,
 }
 
+/// Returns whether a request is beyond its account's share of the fleet, and logs the inputs.
+fn is_beyond_share(shared: &Shared, accepted: &AcceptedRequest) -> bool {
+    let (Some(caller), Some(charge)) = (&accepted.caller, &accepted.charge) else {
+        return false;
+    };
+    if !shared.settings.mechanisms.account_shares {
+        return false;
+    }
+    let account = &caller.account;
+    let units = charge.units();
+    let Some(inputs) = shared.admission.beyond_share(account.fingerprint, units) else {
+        return false;
+    };
+    shared.metrics.on_beyond_share(&account.name);
+    log::info!(
+        request = accepted.head.id.as_str(),
+        account = account.name.as_str(),
+        units = units,
+        level = inputs.level.unwrap_or(f64::NAN),
+        age_ms = inputs.age.map_or(-1, |age| age.as_millis() as i64),
+        entries = inputs.entries;
+        "ingress: beyond the account's share"
+    );
+    true
+}
+
 impl RequestExchange {
     pub fn new(shared: Arc<Shared>, accepted: AcceptedRequest) -> Self {
         let route = &accepted.route;
@@ -92,6 +118,7 @@
             account: accepted.caller.as_ref().map(|c| c.account.fingerprint),
             allowed_regions: AllowedRegions::default(),
             account_priority: accepted.caller.as_ref().map_or(0, |c| c.account.priority),
+            is_beyond_share: is_beyond_share(&shared, &accepted),
             priority: route.priority,
             target_latency: route.target_latency,
             target_gap: route.target_gap,
--- a/state/src/ingress/route_table.rs
+++ b/state/src/ingress/route_table.rs
@@ -47,6 +47,11 @@
         found.cloned()
     }
 
+    /// Returns all routes, in no particular order.
+    pub fn routes(&self) -> impl Iterator<Item = &Arc<Route>> {
+        self.routes.values().flatten()
+    }
+
     pub fn route_count(&self) -> usize {
         self.routes.values().map(Vec::len).sum()
     }
--- a/testkit/examples/capacity/dispatch.rs
+++ b/testkit/examples/capacity/dispatch.rs
@@ -142,6 +142,7 @@
         account: None,
         allowed_regions: AllowedRegions::default(),
         account_priority: 0,
+        is_beyond_share: false,
         priority: 1,
         target_latency: Duration::from_millis(800),
         target_gap: None,
--- a/transport/src/metrics/ingress_metrics.rs
+++ b/transport/src/metrics/ingress_metrics.rs
@@ -68,6 +68,7 @@
     unreadable: Family<CodeLabel, Counter>,
     over_limit: Family<AccountLabel, Counter>,
     outside_regions: Family<AccountNameLabel, Counter>,
+    beyond_share: Family<AccountNameLabel, Counter>,
     unknown_headers: Family<HeaderLabel, Counter>,
     account_names: BoundedNames,
     header_names: BoundedNames,
@@ -95,6 +96,7 @@
             unreadable: Family::default(),
             over_limit: Family::default(),
             outside_regions: Family::default(),
+            beyond_share: Family::default(),
             unknown_headers: Family::default(),
             account_names: BoundedNames::new(MAX_ACCOUNTS),
             header_names: BoundedNames::new(MAX_HEADERS),
@@ -153,6 +155,12 @@
         let label = AccountLabel { account, by_word };
         self.over_limit.get_or_create(&label).inc();
     }
+    /// Counts a request beyond its account's share of the fleet.
+    pub fn on_beyond_share(&self, account: &str) {
+        let account = self.account_names.label_for(account);
+        let label = AccountNameLabel { account };
+        self.beyond_share.get_or_create(&label).inc();
+    }
     /// Counts a back end's response header that this build does not know, and returns whether
     /// it has a label value of its own.
     pub fn on_unknown_header(&self, name: &str) -> bool {
@@ -253,6 +261,11 @@
             "Requests refused beyond their account's limit",
             self.over_limit.clone(),
         );
+        registry.register(
+            "beyond_share",
+            "Requests beyond their account's share of the fleet, by account",
+            self.beyond_share.clone(),
+        );
         registry.register(
             "unknown_headers",
             "Answers of back ends with a header that this build does not know, by its name",
