--- a/coordination/tests/admission_order.rs
+++ b/coordination/tests/admission_order.rs
@@ -259,11 +259,11 @@
     assert!(beyond < sent_urgency(&mut fixture, late));
 }
 
-/// Guards against the excess of one account taking the next free slot.
-#[test]
-fn a_request_beyond_its_accounts_share_waits_behind_its_kind() {
+/// Lets a request beyond its account's share, one of a less urgent route, and one within its
+/// account's share wait in this order, and returns the order in which they are sent.
+fn order_of_waiting(priorities: &[u8]) -> Vec<Ticket> {
     let mut fixture = fixture_with_holders();
-    add_routes(&mut fixture, &[0, 2]);
+    add_routes(&mut fixture, priorities);
     let mut running = Vec::new();
     for ticket in 100..200 {
         let request = prompt(&fixture, 0, 100);
@@ -287,7 +287,19 @@
         let decisions = fixture.handle(DispatchEvent::SendEnded { ticket, outcome });
         order.extend(decisions.iter().map(|(sent, _)| *sent));
     }
-    assert_eq!(order, [3, 1, 2]);
+    order
+}
+
+/// Guards against the excess of one account taking the next free slot.
+#[test]
+fn a_request_beyond_its_accounts_share_waits_behind_its_kind() {
+    assert_eq!(order_of_waiting(&[0, 2]), [3, 1, 2]);
+}
+
+/// Guards against a change for deployments whose routes all have one priority.
+#[test]
+fn without_different_priorities_waiting_requests_keep_their_order() {
+    assert_eq!(order_of_waiting(&[1]), [1, 3, 2]);
 }
 
 /// Guards against adapter slots filled for the excess of one account.
--- a/coordination/tests/limits.rs
+++ b/coordination/tests/limits.rs
@@ -403,23 +403,31 @@
 #[test]
 fn a_debt_ends_with_the_shortage() {
     let start = Instant::now();
-    let mut aggregator = UsageAggregator::new(7);
-    let mut limiters = [limiter("e0", 1, start)];
-    let now = refill(&mut limiters, &mut aggregator, start);
-    let [mut one] = limiters;
-    exhaust(&mut one, now);
-    let mut now = now;
-    for _ in 0..12 {
-        now += Duration::from_millis(250);
-        let _ = charge(&mut one, 900, now);
-        exchange_report(&mut one, &mut aggregator, now);
-    }
-    // the demand is now far below the rate
-    for _ in 0..10 {
-        now += Duration::from_millis(250);
-        exchange_report(&mut one, &mut aggregator, now);
+    // entries admit their first request of a shortage at different times
+    for name in ["e0", "e1", "e2", "e3"] {
+        let mut aggregator = UsageAggregator::new(7);
+        let mut limiters = [limiter(name, 1, start)];
+        let start = refill(&mut limiters, &mut aggregator, start);
+        let [mut one] = limiters;
+        let mut rejected = 0;
+        for step in 0..200 {
+            let now = start + Duration::from_millis(25 * step);
+            match step {
+                // 3,600 units per second
+                0..120 if step % 10 == 0 => drop(charge(&mut one, 900, now)),
+                0..120 => {}
+                // 800 units per second, below the rate
+                _ => {
+                    let is_rejected = charge(&mut one, 20, now).is_err();
+                    rejected += u32::from(is_rejected && step > 170);
+                }
+            }
+            if step % 10 == 5 {
+                exchange_report(&mut one, &mut aggregator, now);
+            }
+        }
+        assert_eq!(rejected, 0, "{name}, from 1.25 s after the shortage on");
     }
-    assert!(charge(&mut one, 10, now).is_ok());
 }
 
 #[test]
