limits: the demand of a returning entry leaves the last second in time

Cause: the demand that an entry reports after a cut was counted at the time of the report, so for a second the demand of the second before was counted as well: 1,270 of 800 units per second. Change: it is spread over the last second.

--- a/coordination/src/limits/account_state.rs
+++ b/coordination/src/limits/account_state.rs
@@ -262,7 +262,9 @@
         let since = Duration::from_millis(u64::from(usage.unacked_ms));
         // the demand of a longer time must not appear as that of one second
         let recent = DEMAND_WINDOW.as_secs_f64() / since.max(DEMAND_WINDOW).as_secs_f64();
-        self.requested.add(asked * recent, DEMAND_WINDOW, now);
+        let since = since.min(DEMAND_WINDOW);
+        self.requested
+            .add_spread(asked * recent, since, DEMAND_WINDOW, now);
     }
 
     /// Returns the fraction of the limit that an entry may use on its own.
