--- a/coordination/src/dispatch/dispatcher.rs
+++ b/coordination/src/dispatch/dispatcher.rs
@@ -3,10 +3,10 @@
         backend_signal_tracker::BackendSignalTracker, backend_updates::ReportedIncarnation,
         expected_returns::ExpectedReturn, pacing::TurnWait, pending_loads::PendingLoad,
         performance::ServicePerformance, rejection::MIN_RETRY_AFTER, selection::Choice,
-        waiting_list::WaitingList, AccountFairQueueing, AdapterVersions, Assignment, BackendState,
-        BudgetUsage, Decision, DispatchEvent, DispatchRequest, DispatchSettings, FleetSize,
-        InFlightRequest, LoadDelay, PrefillRate, RejectionCause, RequestedLoad, SendOutcome,
-        SharedRetryBudget, Ticket,
+        waiting_list::WaitingList, AccountFairQueueing, AdapterVersions, AdmissionOrder,
+        Assignment, BackendState, BudgetUsage, Decision, DispatchEvent, DispatchRequest,
+        DispatchSettings, FleetSize, InFlightRequest, LoadDelay, PrefillRate, RejectionCause,
+        RequestedLoad, SendOutcome, SharedRetryBudget, Ticket,
     },
     crate::{
         backend_performance::{EnginePerformance, SettledRate},
@@ -52,6 +52,8 @@
     pub(super) table: Arc<RouteTable>,
     pub(super) waiting: WaitingList,
     pub(super) fair_queueing: AccountFairQueueing,
+    /// Priorities of the routes that compete for a service.
+    pub(super) admission_order: AdmissionOrder,
     pub(super) in_flight: HashMap<Ticket, (BackendId, ServiceName, InFlightRequest)>,
     /// Prefill rates by service.
     pub(super) prefill_rates: HashMap<ServiceName, PrefillRate>,
@@ -115,6 +117,7 @@
             table: Arc::default(),
             waiting: WaitingList::default(),
             fair_queueing: AccountFairQueueing::default(),
+            admission_order: AdmissionOrder::default(),
             in_flight: HashMap::new(),
             prefill_rates: HashMap::new(),
             performance: ServicePerformance::default(),
@@ -200,6 +203,7 @@
                 self.dispatch_waiting(|_| true, now);
             }
             DispatchEvent::ConfigUpdated(table) => {
+                self.admission_order.set_routes(&table);
                 self.table = table;
                 self.dispatch_waiting(|_| true, now);
             }
@@ -275,6 +279,8 @@
     }
 
     fn on_request_arrived(&mut self, ticket: Ticket, mut request: DispatchRequest, now: Instant) {
+        // where all routes have one priority, requests are ordered as without shares
+        request.is_beyond_share &= self.admission_order.rank(&request).is_some();
         request.start_tag = self
             .fair_queueing
             .next_start_tag(request.account, request.prompt_tokens);
@@ -287,6 +293,9 @@
             _ if !budget.try_reserve(entries, now) => {
                 let cause = RejectionCause::RetryBudgetExhausted;
                 let inputs = self.decision_inputs(&request, now);
+                // no reservation of the budget to release
+                self.fair_queueing
+                    .on_withdrawn(request.account, request.prompt_tokens);
                 self.reject(ticket, cause, MIN_RETRY_AFTER, inputs);
                 return;
             }
@@ -488,6 +497,8 @@
                 .entry(request.service.clone())
                 .or_default();
             rate.on_sent(request.prompt_tokens);
+            self.admission_order
+                .on_sent(&request.service, request.priority, request.prompt_tokens);
         }
         let state = self.backends.get_mut(&assignment.backend);
         let is_probe = state.is_some_and(|state| state.backoff.on_request_sent());
--- a/coordination/src/dispatch/homes.rs
+++ b/coordination/src/dispatch/homes.rs
@@ -125,7 +125,7 @@
         request: &DispatchRequest,
         are_slots_short: bool,
     ) -> usize {
-        if !self.settings.features.several_homes {
+        if !self.settings.features.several_homes || request.is_beyond_share {
             return 1;
         }
         let (common_ratio, max_prefill_ms) = match are_slots_short {
--- a/coordination/src/dispatch/mod.rs
+++ b/coordination/src/dispatch/mod.rs
@@ -4,6 +4,7 @@
 mod account_fair_queueing;
 mod adapter_affinity;
 mod adapter_versions;
+mod admission_order;
 mod backend_signal_tracker;
 mod backend_state;
 mod backend_updates;
@@ -38,6 +39,7 @@
 pub use {
     account_fair_queueing::AccountFairQueueing,
     adapter_versions::AdapterVersions,
+    admission_order::{AdmissionOrder, RouteRank},
     backend_state::{BackendState, InFlightRequest},
     decision::{Assignment, Decision, DecisionInputs, RejectionCause},
     dispatch_request::{DispatchRequest, Ticket},
@@ -54,5 +56,5 @@
     requested_load::{LoadCause, LoadInputs, RequestedLoad},
     settings::DispatchSettings,
     shared_retry_budget::{BudgetUsage, RetryBudgetSettings, SharedRetryBudget},
-    urgency::urgency,
+    urgency::{urgency, urgency_by_route},
 };
--- a/coordination/src/dispatch/selection.rs
+++ b/coordination/src/dispatch/selection.rs
@@ -4,7 +4,7 @@
     super::{
         dispatcher::Dispatcher,
         pacing::{PacedChoice, TurnWait},
-        urgency::{urgency, LOWEST_URGENCY},
+        urgency::{urgency, urgency_by_route, LOWEST_URGENCY},
         Assignment, BackendState, DecisionInputs, DispatchRequest, LoadCause, RejectionCause,
         RequestedLoad,
     },
@@ -80,6 +80,8 @@
             leaving,
             backed_off,
             limited,
+            route_rank: self.route_rank(request).map(|route| route.rank),
+            typical_prompt_tokens: self.typical_prompt_of_route(request),
             queue_ms: chosen.map_or(0.0, |b| self.queue_ms(b, now)),
             relative_rate: chosen.map_or(1.0, |b| b.relative_rate.value()),
             occupied: chosen.map_or(0, |b| b.occupied(now)),
@@ -194,6 +196,9 @@
         {
             return (Choice::Wait(RejectionCause::Reloading), vec![home]);
         }
+        if request.is_beyond_share {
+            return (choice, Vec::new());
+        }
         if let Some(target) =
             self.load_target_for_pauses(request, adapter, &holders, &candidates, &choice, now)
         {
@@ -419,9 +424,16 @@
     }
 
     fn urgency(&self, request: &DispatchRequest, state: &BackendState, now: Instant) -> u8 {
-        match self.settings.features.urgency_by_size {
-            true => urgency(request, self.tokens_per_ms_of(state), now),
-            false => request.priority.min(LOWEST_URGENCY),
+        if !self.settings.features.urgency_by_size {
+            return request.priority.min(LOWEST_URGENCY);
+        }
+        let tokens_per_ms = self.tokens_per_ms_of(state);
+        match self.route_rank(request) {
+            Some(route) => {
+                let typical = self.typical_prompt_of_route(request);
+                urgency_by_route(request, route, typical, tokens_per_ms, now)
+            }
+            None => urgency(request, tokens_per_ms, now),
         }
     }
 
--- a/coordination/tests/adapter_sim/entry.rs
+++ b/coordination/tests/adapter_sim/entry.rs
@@ -126,6 +126,7 @@
         was_rejected_before,
         is_load_time_checked: false,
         has_progress: false,
+        is_beyond_share: false,
         send_count: 0,
         start_tag: 0,
     }
--- a/coordination/tests/mechanisms.rs
+++ b/coordination/tests/mechanisms.rs
@@ -22,7 +22,7 @@
 /// Returns the settings with each switch off, and with all on.
 fn variants() -> Vec<FeatureSwitches> {
     let on = FeatureSwitches::default();
-    let off: [fn(&mut FeatureSwitches); 14] = [
+    let off: [fn(&mut FeatureSwitches); 18] = [
         |_| {},
         |m| m.observed_rate = false,
         |m| m.prompts_of_all = false,
@@ -37,6 +37,10 @@
         |m| m.stream_pacing = false,
         |m| m.engine_performance = false,
         |m| m.stream_recovery = false,
+        |m| m.limit_shares_by_demand = false,
+        |m| m.urgency_by_route = false,
+        |m| m.account_shares = false,
+        |m| m.spread_retries = false,
     ];
     off.iter()
         .map(|switch| {
--- a/coordination/tests/pacing_sim/mod.rs
+++ b/coordination/tests/pacing_sim/mod.rs
@@ -355,6 +355,7 @@
             tried_backends: Vec::new(),
             was_rejected_before: false,
             has_progress: false,
+            is_beyond_share: false,
             is_load_time_checked: false,
             send_count: 0,
             start_tag: 0,
