--- a/coordination/src/dispatch/adapter_affinity.rs
+++ b/coordination/src/dispatch/adapter_affinity.rs
@@ -80,17 +80,21 @@
         if !self.settings.features.adapter_affinity {
             return false;
         }
+        // all candidates are of one service
+        let service = candidates.first().map(|b| &b.listed.service);
+        let service = service.and_then(|name| self.table.services.get(name));
+        let Some(spec) = service.and_then(|service| service.engine.as_ref()) else {
+            return false;
+        };
         let (mut reporting, mut full) = (0, 0);
         for state in candidates {
             let Some(view) = &state.view else {
                 continue;
             };
             reporting += 1;
-            let service = self.table.services.get(&state.listed.service);
-            let spec = service.and_then(|service| service.engine.as_ref());
-            let slots = spec.map_or(u32::MAX, |spec| spec.adapter_slots) as usize;
-            full += usize::from(view.held.len() + view.loading.len() >= slots);
+            let taken = view.held.len() + view.loading.len();
+            full += u32::from(taken >= spec.adapter_slots as usize);
         }
-        full > 0 && f64::from(full as u32) >= f64::from(reporting) * SHORT_SLOTS_RATIO
+        full > 0 && f64::from(full) >= f64::from(reporting) * SHORT_SLOTS_RATIO
     }
 }
