--- a/coordination/src/dispatch/homes.rs
+++ b/coordination/src/dispatch/homes.rs
@@ -172,7 +172,7 @@
                     is_fetch_needed: !is_reload(b),
                     score: RendezvousScore::new(
                         rendezvous_weight(hash, b.home_hash()),
-                        b.relative_rate.value(),
+                        b.home_rate.value(),
                     ),
                 };
                 (rank, *b)
