Restore reasons and figures of constants that a rewording had dropped

Cause: the comments on some constants of the deciding code had lost the reason or the number behind them. Change: one or two sentences each, from the comments before the rewording; no code.

--- a/coordination/src/backend_admission/slow_start.rs
+++ b/coordination/src/backend_admission/slow_start.rs
@@ -7,6 +7,8 @@
 
 /// Fraction of the slow-start rate that all entries together use. Entries don't coordinate
 /// their requests, so bursts above the average must stay below the engine's capacity.
+/// With 24 entries and 8.2 requests per second the sum has a mean of 5.7 and a standard deviation
+/// of 2.1 (counted), and 17 in one second make the engine collapse.
 const USED_FRACTION: f64 = 0.7;
 
 /// Request rate of an engine in slow start.
--- a/coordination/src/crashes/crash_detector.rs
+++ b/coordination/src/crashes/crash_detector.rs
@@ -9,7 +9,8 @@
 };
 
 /// An interrupted run and the end of its engine are attributed to each other within this
-/// time. The backend list shows an engine's end after three missed heartbeats, up to 3.6 s.
+/// time. The backend list shows an engine's end after three missed heartbeats, up to 3.6 s;
+/// sidecars show it after some 100 ms.
 const CORRELATION_WINDOW: Duration = Duration::from_secs(5);
 /// If an engine responds to its sidecar this long after a run was interrupted, the engine
 /// has survived the interruption. Longer than the sidecar's poll interval of 100 ms plus
--- a/coordination/src/crashes/crash_registry.rs
+++ b/coordination/src/crashes/crash_registry.rs
@@ -11,14 +11,16 @@
 
 /// A request is blocked after this many engines have crashed while running it, without a
 /// completed run in between. One crash doesn't tell which of the concurrent requests was
-/// the cause.
+/// the cause. An innocent one would have to run beside the cause three times in a row without
+/// completing, which a retry or two of its client doesn't bring about.
 pub const BLOCKED_AFTER_CRASHES: usize = 3;
-/// Upper bound on the number of tracked requests; about 0.9 MB when full.
+/// Upper bound on the number of tracked requests: 16 crashes of engines with 256 requests each;
+/// about 0.9 MB when full.
 pub const MAX_TRACKED_REQUESTS: usize = 4_096;
 /// One in this many requests is evicted when the registry is full.
 const EVICTION_DIVISOR: usize = 4;
 /// A request that hasn't been tried for this long may run again, since the engines may have
-/// been fixed meanwhile.
+/// been fixed meanwhile. It costs three engines at most to learn that they were not.
 const RETENTION: Duration = Duration::from_secs(600);
 /// Upper bound on the crashes that are kept per request.
 const MAX_CRASHES_PER_REQUEST: usize = BLOCKED_AFTER_CRASHES + 1;
--- a/coordination/src/dispatch/dispatcher.rs
+++ b/coordination/src/dispatch/dispatcher.rs
@@ -309,7 +309,8 @@
 
     /// Records what a back end reports about itself. It may announce that it is leaving
     /// before its record in the registry does, and it alone knows how long it needs to
-    /// recover.
+    /// recover. When such back ends were tried each 60 ms, the retries of a service were used up
+    /// within 2 s.
     pub(super) fn record_signal(
         &mut self,
         backend: &BackendId,
--- a/coordination/src/dispatch/load_delay.rs
+++ b/coordination/src/dispatch/load_delay.rs
@@ -5,7 +5,8 @@
 /// Maximum; less than the time for which a load stays requested.
 const MAX_DELAY: Duration = Duration::from_millis(1_200);
 /// Increase for each request that came before its adapter; ten times the decrease, so that
-/// about one request in eleven is early and costs a retry.
+/// about one request in eleven is early and costs a retry. The retry budget of a service is one
+/// retry for five requests.
 const INCREASE: Duration = Duration::from_millis(100);
 const DECREASE: Duration = Duration::from_millis(10);
 
--- a/coordination/src/limits/settings.rs
+++ b/coordination/src/limits/settings.rs
@@ -4,8 +4,8 @@
 /// rejections of requests within the limit.
 const GRANTED_TOLERANCE: f64 = 0.15;
 /// Fraction of the tolerance that the sum of a window may use, so that a window that begins
-/// with a burst doesn't end with a pause. The remainder absorbs what runs before an
-/// overshoot is known.
+/// with a burst doesn't end with a pause. The remainder, 0.9 times the rate per second with the
+/// documented settings, absorbs what runs before an overshoot is known.
 const WINDOW_TOLERANCE: f64 = 0.5;
 
 /// Fractions of the tolerance and of the slack by which the entries' own shares may hold more
--- a/coordination/src/placement/placement_control.rs
+++ b/coordination/src/placement/placement_control.rs
@@ -23,8 +23,8 @@
 /// Interval between reads of the engine otherwise.
 const IDLE_READ_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Age from which a report is discarded. Reads are more frequent and time out earlier, so
-/// an older report means that this process or its machine was suspended.
+/// Age from which a report is discarded. The engine is read each 100 ms and each call ends within
+/// 500 ms, so an older report means that this process or its machine was suspended.
 const MAX_REPORT_AGE: Duration = Duration::from_secs(1);
 
 /// An input of `PlacementControl`.
--- a/coordination/src/relay/relay_pacing.rs
+++ b/coordination/src/relay/relay_pacing.rs
@@ -1,10 +1,13 @@
 use {crate::watch::WatchPacing, std::time::Duration};
 
-// Fractions of the propagation limit. What remains after `STALE_FRACTION` is left for the
+// Fractions of the time within which a change must be known everywhere: the wait of one watch of
+// the store, the pause after a change of the list, and the time without a response of the store
+// after which a relay's data counts as stale. What remains after `STALE_FRACTION` is left for the
 // entry's direct call to the store.
 const WATCH_WAIT_FRACTION: f64 = 0.3;
 const CHANGE_PAUSE_FRACTION: f64 = 0.2;
 const STALE_FRACTION: f64 = 0.6;
+/// Fraction of that time for which an entry whose direct call failed leaves the calls to its relay.
 const DIRECT_CALL_PAUSE_FRACTION: f64 = 0.25;
 
 /// Intervals at which a relay reads the store. They are short enough that entries notice
--- a/coordination/src/watch/watch_pacing.rs
+++ b/coordination/src/watch/watch_pacing.rs
@@ -1,7 +1,7 @@
 use {super::WatchTimes, crate::retry::Backoff, std::time::Duration};
 
-/// Time allowed for the store's response; covers the slowest documented speed of the store
-/// with a margin.
+/// Time allowed for the store's response: three times the slowest documented one (60 times 4 ms),
+/// so that a slow store is still read.
 const RESPONSE_TIME: Duration = Duration::from_millis(700);
 /// Fraction of the change delay for which the store may hold a call.
 const HOLD_FRACTION: f64 = 0.45;
