dispatch: don't ask again for an adapter that a home has already loaded

Change: a load request is done at an engine once the engine has held the adapter; further homes are still loaded. Measured: adapter_places passes; an_adapter_is_not_loaded_again_without_a_request fails without it.

--- a/coordination/src/dispatch/pending_loads.rs
+++ b/coordination/src/dispatch/pending_loads.rs
@@ -24,8 +24,8 @@
     pub(super) backends: Vec<BackendId>,
     pub(super) requested_at: Instant,
     pub(super) until: Instant,
-    /// Whether the adapter is wanted only as long as requests wait for it.
-    pub(super) ends_with_requests: bool,
+    /// Engines that have held the adapter since.
+    pub(super) loaded: Vec<BackendId>,
 }
 
 impl PendingLoad {
@@ -55,6 +55,7 @@
         self.pending_loads.retain(|_, pending| pending.until > now);
         self.expected_returns
             .retain(|_, expected| expected.until > now);
+        self.record_completed_loads(now);
         let urgent = std::mem::take(&mut self.urgent_demands);
         let mut wanted = self.wanted_adapters(now);
         let mut demands = Vec::new();
@@ -110,7 +111,7 @@
     ) {
         self.urgent_demands.extend(backends.iter().cloned());
         let load = PendingLoad {
-            ends_with_requests: self.ends_with_requests(adapter, &backends, now),
+            loaded: Vec::new(),
             until: now + self.pending_load_timeout(adapter, &backends),
             requested_at: now,
             backends,
@@ -118,27 +119,20 @@
         self.pending_loads.insert(adapter.clone(), load);
     }
 
-    /// Returns whether a load is of no use once no request waits for it: slots are short, and it is
-    /// no copy, which is requested while requests are sent to other engines. Until it expired, such
-    /// a load was carried out again each time the sidecar had evicted the adapter for others.
-    fn ends_with_requests(
-        &self,
-        adapter: &AdapterRef,
-        backends: &[BackendId],
-        now: Instant,
-    ) -> bool {
-        let Some(home) = backends.first().and_then(|id| self.backends.get(id)) else {
-            return false;
-        };
-        let same_service = self
-            .backends
-            .values()
-            .filter(|b| b.listed.service == home.listed.service);
-        let candidates: Vec<&BackendState> = same_service.collect();
-        let is_copy = candidates
-            .iter()
-            .any(|b| b.held_version(adapter, now).is_some());
-        !is_copy && self.are_slots_short(&candidates)
+    /// Records which of the engines have carried out their load requests.
+    fn record_completed_loads(&mut self, now: Instant) {
+        if !self.settings.features.adapter_affinity {
+            return;
+        }
+        for (adapter, load) in &mut self.pending_loads {
+            for id in &load.backends {
+                let state = self.backends.get(id);
+                let is_held = state.is_some_and(|b| b.held_version(adapter, now).is_some());
+                if is_held && !load.loaded.contains(id) {
+                    load.loaded.push(id.clone());
+                }
+            }
+        }
     }
 
     /// Returns how long a load stays requested at these engines: a shorter time if all of them
@@ -249,15 +243,17 @@
                 .get(adapter)
                 .map(|load| load.backends.clone());
             let load = self.pending_loads.get(adapter);
-            let ends_with_requests = load.is_some_and(|load| load.ends_with_requests);
             // a loaded adapter without waiting requests needs no load request
             let is_done = |id: &BackendId| {
                 let Some(state) = self.backends.get(id) else {
                     return false;
                 };
-                let is_loaded = state.held_version(adapter, now).is_some();
+                // Until it expired, the request had the adapter loaded again each time the
+                // sidecar had evicted it for others.
+                let was_loaded = load.is_some_and(|load| load.loaded.contains(id));
+                let is_loaded = was_loaded || state.held_version(adapter, now).is_some();
                 // no request would be sent there
-                state.is_leaving() || summary.waiting == 0 && (is_loaded || ends_with_requests)
+                state.is_leaving() || summary.waiting == 0 && is_loaded
             };
             for backend in pending.or(expected).unwrap_or_default() {
                 if is_done(&backend) {
--- a/coordination/tests/adapter_affinity.rs
+++ b/coordination/tests/adapter_affinity.rs
@@ -261,7 +261,7 @@
 /// Guards against loading an adapter again that the sidecar has evicted for others, after its only
 /// request was sent.
 #[test]
-fn a_load_request_ends_with_its_requests() {
+fn an_adapter_is_not_loaded_again_without_a_request() {
     for is_on in [true, false] {
         let mut fixture = fixture_with_full_engines();
         if !is_on {
@@ -272,6 +272,7 @@
         let decided = fixture.view(number, view(&home, &[("a", 1)]));
         assert!(matches!(decided[..], [(1, Decision::Send(_))]));
         fixture.end(1, SendOutcome::Answered);
+        assert!(fixture.homes("a").is_empty(), "loaded");
         fixture.view(number, full_view(number));
         assert_eq!(fixture.homes("a").is_empty(), is_on);
     }
