Log and count what is read from the store and not used

Callers saw requests at a leaving engine and an old configuration; the logs told neither that lists and a relay's updates had been left out as older, nor that the store had returned with an older state. The era that the store names in its responses is logged and shown as a gauge; it decides nothing yet.

--- a/coordination/src/dispatch/dispatcher.rs
+++ b/coordination/src/dispatch/dispatcher.rs
@@ -227,6 +227,10 @@
         std::mem::take(&mut self.decisions)
     }
 
+    /// Returns the version of the list in use.
+    pub fn list_version(&self) -> u64 {
+        self.list_version
+    }
     /// Returns the loads requested since the last call, for logs.
     pub fn take_requested_loads(&mut self) -> Vec<RequestedLoad> {
         std::mem::take(&mut self.requested_loads)
--- a/coordination/src/relay/published_cache.rs
+++ b/coordination/src/relay/published_cache.rs
@@ -54,12 +54,24 @@
         }
     }
 
+    /// Revision up to which the copy is complete.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
     /// Applies a listing of the topic (`is_full`) or a set of changes; the store had
-    /// nothing newer at `current_at`.
-    pub fn apply(&mut self, update: Snapshot, is_full: bool, current_at: Instant, now: Instant) {
+    /// nothing newer at `current_at`. Returns false if the update is older than the copy, which
+    /// then stays as it is.
+    pub fn apply(
+        &mut self,
+        update: Snapshot,
+        is_full: bool,
+        current_at: Instant,
+        now: Instant,
+    ) -> bool {
         if update.at < self.revision {
             // an earlier state does not show that the store can still be reached
-            return;
+            return false;
         }
         self.received_at = Some(now);
         self.current_at = self.current_at.max(Some(current_at));
@@ -81,6 +93,7 @@
             }
         }
         self.drop_old_removals();
+        true
     }
 
     /// Returns the response to an entry that knows the topic up to revision `after` and
--- a/entry/src/ingress/control.rs
+++ b/entry/src/ingress/control.rs
@@ -260,8 +260,12 @@
             event,
             DispatchEvent::ListUpdated { .. } | DispatchEvent::ConfigUpdated(_)
         );
-        if let DispatchEvent::RequestWithdrawn(ticket) = &event {
-            self.pending_decisions.remove(ticket);
+        match &event {
+            DispatchEvent::RequestWithdrawn(ticket) => {
+                self.pending_decisions.remove(ticket);
+            }
+            DispatchEvent::ListUpdated { version, .. } => self.log_older_list(*version),
+            _ => {}
         }
         for (ticket, decision) in self.dispatcher.handle(event, clock::now()) {
             if let Some(sender) = self.pending_decisions.remove(&ticket) {
@@ -297,6 +301,15 @@
         }
     }
 
+    /// Logs a list that the dispatcher is going to leave out. Lists are paced, which limits the
+    /// rate of lines.
+    fn log_older_list(&self, version: u64) {
+        let in_use = self.dispatcher.list_version();
+        if version < in_use {
+            log::warn!(version = version, in_use = in_use; "dispatch: older list not used");
+        }
+    }
+
     fn request_permits(&mut self) {
         let queries = self.dispatcher.permit_queries(clock::now());
         queries
--- a/entry/src/ingress/records.rs
+++ b/entry/src/ingress/records.rs
@@ -9,7 +9,7 @@
     },
     chalkcart_transport::{
         clock,
-        metadata::{RecordSink, WatchUpdate},
+        metadata::{MetadataSource, RecordSink, WatchUpdate},
     },
     std::{
         collections::{BTreeMap, HashSet},
@@ -123,6 +123,8 @@
         self.shared.set_has_backend_list();
         self.shared.metrics.on_list(snapshot.at);
         let version = snapshot.at;
+        let era = self.source.known_era().get();
+        self.shared.metrics.on_store_era(era);
         self.shared.control.send_event(DispatchEvent::ListUpdated {
             version,
             list: backends,
@@ -190,6 +192,8 @@
             return;
         }
         log::info!(
+            revision = self.shared.configuration_revision(),
+            era = self.source.known_era().get();
             "store: configuration {} in force, {} routes",
             table.generation,
             table.route_count()
--- a/entry/src/ingress/zone_source.rs
+++ b/entry/src/ingress/zone_source.rs
@@ -12,7 +12,7 @@
     chalkcart_state::published::Topic,
     chalkcart_transport::{
         clock,
-        metadata::{MetadataSource, SourceError, WatchOutcome, WatchUpdate},
+        metadata::{KnownEra, MetadataSource, SourceError, WatchOutcome, WatchUpdate},
     },
     std::{
         future::Future,
@@ -164,6 +164,10 @@
         self.store.set_addr(addr);
     }
 
+    fn known_era(&self) -> Arc<KnownEra> {
+        self.store.known_era()
+    }
+
     async fn snapshot(&self, topic: Topic) -> Result<WatchUpdate, SourceError> {
         match (topic, self.relays.call(topic, None, Duration::ZERO).await) {
             (_, RelaysResult::Received(WatchOutcome::Records(records))) => return Ok(records),
--- a/sidecar/src/relay/store_cache.rs
+++ b/sidecar/src/relay/store_cache.rs
@@ -13,7 +13,10 @@
         metadata::{self as store, MetadataSource, RecordSink, StoreWatcher},
     },
     std::{
-        sync::{Arc, Mutex, MutexGuard},
+        sync::{
+            atomic::{AtomicU64, Ordering},
+            Arc, Mutex, MutexGuard,
+        },
         time::{Duration, Instant},
     },
     tokio::{
@@ -66,6 +69,8 @@
     first_read: Mutex<Option<FirstRead>>,
     /// The last encoded response with all records, until the topic changes.
     full_response: Mutex<Option<FullResponse>>,
+    /// Number of requests of callers that knew a later revision than the cache has.
+    requests_ahead: AtomicU64,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -81,6 +86,7 @@
             changed: watch::Sender::new(0),
             first_read: Mutex::default(),
             full_response: Mutex::default(),
+            requests_ahead: AtomicU64::new(0),
         }
     }
 
@@ -99,6 +105,24 @@
         self.full_response.lock().unwrap_or_else(|e| e.into_inner())
     }
 
+    /// Logs the first, second, fourth and so on request whose caller knows more than the cache.
+    fn log_request_ahead(&self, request: &PublishedRequest) {
+        let revision = self.cache().revision();
+        let Some(after) = request.after.filter(|after| *after > revision) else {
+            return;
+        };
+        let times = self.requests_ahead.fetch_add(1, Ordering::Relaxed) + 1;
+        if times.is_power_of_two() {
+            log::info!(
+                topic = request.topic.code(),
+                after = after,
+                revision = revision,
+                times = times;
+                "relay: caller knows a later revision"
+            );
+        }
+    }
+
     /// Returns the response with all records, encoded once for the callers of a short time.
     fn encoded_full_response(
         &self,
@@ -259,6 +283,7 @@
         if request.after.is_none() {
             return topic.encoded_full_response(encoding, clock::now());
         }
+        topic.log_request_ahead(request);
         let response = topic.changes(request.after, requested_at, until, &mut changes);
         encode_response(&response.await, encoding)
     }
@@ -278,10 +303,15 @@
             current_at,
         } = update;
         let has_changes = is_full || !snapshot.records.is_empty();
+        let (code, at) = (topic.code(), snapshot.at);
         let topic = self.topic(topic);
-        topic
-            .cache()
-            .apply(snapshot, is_full, current_at, clock::now());
+        let mut cache = topic.cache();
+        let is_applied = cache.apply(snapshot, is_full, current_at, clock::now());
+        let revision = cache.revision();
+        drop(cache);
+        if !is_applied {
+            log::warn!(topic = code, at = at, revision = revision; "relay: older update not used");
+        }
         *topic.first_read() = None;
         if has_changes {
             *topic.full_response() = None;
--- a/transport/src/client/http_client.rs
+++ b/transport/src/client/http_client.rs
@@ -88,6 +88,20 @@
         })
     }
 
+    /// Sends a request and reads the complete response with its head within time limits.
+    pub async fn fetch(
+        &self,
+        peer: SocketAddr,
+        method: Method,
+        path: &str,
+        content_type: &str,
+        body: Bytes,
+        limits: impl Into<ResponseLimits>,
+    ) -> Result<Response<Bytes>, ClientError> {
+        let send = self.send(peer, method, path, content_type, body);
+        receive(peer, send, limits.into()).await
+    }
+
     /// Sends a request and reads the complete response within time limits.
     pub async fn exchange(
         &self,
@@ -98,8 +112,8 @@
         body: Bytes,
         limits: impl Into<ResponseLimits>,
     ) -> Result<(StatusCode, Bytes), ClientError> {
-        let send = self.send(peer, method, path, content_type, body);
-        let response = receive(peer, send, limits.into()).await?;
+        let call = self.fetch(peer, method, path, content_type, body, limits);
+        let response = call.await?;
         Ok((response.status(), response.into_body()))
     }
 
--- a/transport/src/metadata/mod.rs
+++ b/transport/src/metadata/mod.rs
@@ -1,9 +1,11 @@
 //! Reading and watching of the platform's metadata store.
 
+mod known_era;
 mod source;
 mod store_watcher;
 
 pub use {
+    known_era::KnownEra,
     source::{FirstPage, MetadataSource, SourceError, WatchOutcome, WatchUpdate},
     store_watcher::{RecordSink, StoreWatcher},
 };
--- a/transport/src/metadata/source.rs
+++ b/transport/src/metadata/source.rs
@@ -1,9 +1,10 @@
 use {
+    super::KnownEra,
     crate::client::ClientError,
     async_trait::async_trait,
     chalkcart_coordination::watch::WatchTimes,
     chalkcart_state::published::{Snapshot, Topic},
-    std::{net::SocketAddr, time::Instant},
+    std::{net::SocketAddr, sync::Arc, time::Instant},
     thiserror::Error,
 };
 
@@ -51,6 +52,8 @@
 pub trait MetadataSource: Send + Sync {
     /// Sets the store's address for all further calls.
     fn set_addr(&self, addr: SocketAddr);
+    /// Returns the era of the store, as its responses tell it.
+    fn known_era(&self) -> Arc<KnownEra>;
     async fn snapshot(&self, topic: Topic) -> Result<WatchUpdate, SourceError>;
     /// Reads the first page of a topic, which costs one call however large the topic is.
     async fn first_page(&self, topic: Topic) -> Result<FirstPage, SourceError> {
--- a/transport/src/metrics/ingress_metrics.rs
+++ b/transport/src/metrics/ingress_metrics.rs
@@ -82,6 +82,7 @@
     pause: Histograms,
     configuration: Gauge,
     list: Gauge,
+    store_era: Gauge,
     waiting: Gauge,
     measured_engines: Gauge,
     slow_engines: Gauge,
@@ -114,6 +115,7 @@
             pause: new_histograms_by(),
             configuration: Gauge::default(),
             list: Gauge::default(),
+            store_era: Gauge::default(),
             waiting: Gauge::default(),
             measured_engines: Gauge::default(),
             slow_engines: Gauge::default(),
@@ -230,6 +232,10 @@
     pub fn on_list(&self, version: u64) {
         self.list.set(version as i64);
     }
+    /// Records the era of the store; 0 if it names none.
+    pub fn on_store_era(&self, era: u64) {
+        self.store_era.set(era as i64);
+    }
     pub fn on_waiting(&self, requests: usize) {
         self.waiting.set(requests as i64);
     }
@@ -339,6 +345,7 @@
         registry.register("configuration", "Configuration in force", configuration);
         let list = self.list.clone();
         registry.register("list", "Version of the list of back ends", list);
+        registry.register("store_era", "Era of the store", self.store_era.clone());
         let waiting = self.waiting.clone();
         registry.register("waiting", "Requests that wait for a back end", waiting);
         registry.register(
--- a/transport/tests/store_outages.rs
+++ b/transport/tests/store_outages.rs
@@ -8,7 +8,8 @@
     chalkcart_transport::{
         client::{ClientError, ClientStep},
         metadata::{
-            MetadataSource, RecordSink, SourceError, StoreWatcher, WatchOutcome, WatchUpdate,
+            KnownEra, MetadataSource, RecordSink, SourceError, StoreWatcher, WatchOutcome,
+            WatchUpdate,
         },
     },
     std::{
@@ -75,6 +76,10 @@
 impl MetadataSource for FailingStore {
     fn set_addr(&self, _addr: SocketAddr) {}
 
+    fn known_era(&self) -> Arc<KnownEra> {
+        Arc::default()
+    }
+
     async fn snapshot(&self, _topic: Topic) -> Result<WatchUpdate, SourceError> {
         let called_at = Instant::now();
         self.calls.fetch_add(1, Ordering::Relaxed);
--- a/transport/tests/suspended.rs
+++ b/transport/tests/suspended.rs
@@ -15,7 +15,8 @@
     chalkcart_transport::{
         clock::{self, before_deadline, sleep_until_deadline, Clock, DeadlineElapsed},
         metadata::{
-            MetadataSource, RecordSink, SourceError, StoreWatcher, WatchOutcome, WatchUpdate,
+            KnownEra, MetadataSource, RecordSink, SourceError, StoreWatcher, WatchOutcome,
+            WatchUpdate,
         },
     },
     std::{
@@ -92,6 +93,10 @@
 impl MetadataSource for Store {
     fn set_addr(&self, _addr: SocketAddr) {}
 
+    fn known_era(&self) -> Arc<KnownEra> {
+        Arc::default()
+    }
+
     async fn snapshot(&self, _topic: Topic) -> Result<WatchUpdate, SourceError> {
         Ok(no_changes(clock::now()))
     }
