tests: a store that returns with an older state, failing on this code

The stand-in of the store names an era in its responses, can return to a copy of its state, gives revisions out again, and repeats or forgets the writes since the copy. Three tests over processes fail as the users saw: requests to a draining back end go on for 60 s without and behind a relay, and a route added later is answered with 404. The entry logs 'older list not used' (version 8, in use 48).

--- a/testkit/src/users_platform/mod.rs
+++ b/testkit/src/users_platform/mod.rs
@@ -23,6 +23,6 @@
     fleet::{metrics_text, Fleet, FleetSettings, OtherIngress, HOST},
     prompts::{engine_runs, prompt, serve_prompt},
     retrying_clients::{send_with_retries, AttemptHistory, RetryingClients},
-    store_stand_in::{StoreFault, StoreLimits, StoreStandIn},
+    store_stand_in::{LostWrites, StoreCopy, StoreFault, StoreLimits, StoreStandIn},
     wire::{read_head, Head},
 };
--- a/testkit/src/users_platform/store_stand_in.rs
+++ b/testkit/src/users_platform/store_stand_in.rs
@@ -22,6 +22,9 @@
 const ITEMS_PER_PAGE: usize = 3;
 /// Largest part of a response that is sent at once over a link of limited rate, in bytes.
 const LINK_PART: usize = 4 * 1024;
+/// Era of a store that has never returned with an older state.
+const FIRST_ERA: u64 = 1;
+const ERA_HEADER: &str = "Store-Era";
 /// Path for reading one item; the processes under test read ranges only.
 const KEY_PATH: &str = "/chalkcart/kv-key";
 
@@ -58,7 +61,23 @@
     }
 }
 
-#[derive(Debug, Default)]
+/// A state of the store to which it can return.
+#[derive(Debug, Clone)]
+pub struct StoreCopy {
+    items: Items,
+    revision: u64,
+}
+
+/// What happens to the writes that a store lost when it returned with an older state.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LostWrites {
+    /// Their writers write the last value of each key again.
+    Repeated,
+    /// Their writers don't notice.
+    Forgotten,
+}
+
+#[derive(Debug)]
 struct State {
     limits: StoreLimits,
     items: Items,
@@ -79,6 +98,28 @@
     silent_connections: u64,
     /// Items and revision that stale reads return instead of the current ones.
     stale: Option<(Items, u64)>,
+    /// The era that all responses name; `None` for a store that names none.
+    era: Option<u64>,
+}
+
+impl Default for State {
+    fn default() -> Self {
+        Self {
+            limits: StoreLimits::default(),
+            items: Items::new(),
+            history: Vec::new(),
+            forgotten: 0,
+            revision: 0,
+            fault: StoreFault::None,
+            calls: Vec::new(),
+            bytes_sent: 0,
+            link_busy_until: None,
+            connections: 0,
+            silent_connections: 0,
+            stale: None,
+            era: Some(FIRST_ERA),
+        }
+    }
 }
 
 /// Stand-in for the platform's store.
@@ -138,6 +179,42 @@
         state.history.clear();
         state.forgotten = state.revision;
     }
+    /// Returns a copy of the present state.
+    pub fn copy(&self) -> StoreCopy {
+        let state = lock(&self.state);
+        StoreCopy {
+            items: state.items.clone(),
+            revision: state.revision,
+        }
+    }
+    /// Returns to the state of a copy in a new era. Revisions after the copy are given out again;
+    /// a watch from one that is not reached yet gets 410.
+    pub fn restore(&self, copy: &StoreCopy, lost_writes: LostWrites) {
+        let lost = {
+            let mut state = lock(&self.state);
+            let lost = std::mem::replace(&mut state.items, copy.items.clone());
+            state.revision = copy.revision;
+            state.forgotten = state.forgotten.min(copy.revision);
+            state
+                .history
+                .retain(|(revision, _, _)| *revision <= copy.revision);
+            state.era = state.era.map(|era| era + 1);
+            lost
+        };
+        if lost_writes == LostWrites::Repeated {
+            let is_lost =
+                |key: &str, text: &str| copy.items.get(key).is_none_or(|(t, _)| t != text);
+            let written = lost.iter().filter(|(key, (text, _))| is_lost(key, text));
+            written.for_each(|(key, (text, _))| self.put_text(key, text));
+            let deleted = copy.items.keys().filter(|key| !lost.contains_key(*key));
+            deleted.for_each(|key| self.delete(key));
+        }
+        self.changed.send_modify(|_| {});
+    }
+    /// Makes responses name no era.
+    pub fn hide_era(&self) {
+        lock(&self.state).era = None;
+    }
     /// Makes stale reads return the current state from now on.
     pub fn freeze_stale_reads(&self) {
         let mut state = lock(&self.state);
@@ -212,7 +289,10 @@
         };
         let body = body.to_string();
         wait_for_link(&state, body.len()).await;
-        if write_response(&mut socket, status, &[], body.as_bytes())
+        let era = lock(&state).era;
+        let header = era.map(|era| (ERA_HEADER, era.to_string()));
+        let headers: Vec<_> = header.into_iter().collect();
+        if write_response(&mut socket, status, &headers, body.as_bytes())
             .await
             .is_err()
         {
@@ -316,7 +396,7 @@
         loop {
             {
                 let state = lock(state);
-                if after < state.forgotten {
+                if after < state.forgotten || after > state.revision {
                     return (410, Value::Null);
                 }
                 let events = events(&state, prefix, after);
--- /dev/null
+++ b/testkit/tests/restored_store.rs
@@ -0,0 +1,155 @@
+//! A store that returns with an older state, in a new era: revisions are given out again, and
+//! what was written since the copy is lost unless its writers repeat it. Over real processes.
+
+use {
+    anyhow::Result,
+    chalkcart_testkit::{
+        users_platform::{
+            request, BackendStandIn, ClientRequest, ClientResponse, Fleet, FleetSettings,
+            LostWrites, StoreCopy, StoreFault,
+        },
+        waiting::{until, until_async},
+    },
+    serde_json::{json, Value},
+};
+
+/// Writes between the copy and the loss, so that the store needs as many to pass its former
+/// revision again.
+const WRITES_SINCE_COPY: u32 = 40;
+/// Requests by which a test decides that a back end gets none.
+const PROBES: u32 = 12;
+
+async fn start(settings: FleetSettings) -> Result<Fleet> {
+    Fleet::start(FleetSettings {
+        plain: 2,
+        ..settings
+    })
+    .await
+}
+
+async fn start_with_relay() -> Result<Fleet> {
+    let fleet = start(FleetSettings {
+        engines: 3,
+        relays_from_engines: 1,
+        ..FleetSettings::default()
+    })
+    .await?;
+    until("the relay forwards store updates", || {
+        fleet.log().contains("\"by_relay\":true")
+    })
+    .await;
+    Ok(fleet)
+}
+
+async fn send(fleet: &Fleet, target: &str) -> Result<ClientResponse> {
+    let probe = ClientRequest {
+        target: target.to_string(),
+        ..ClientRequest::default()
+    };
+    request(fleet.clients, &probe).await
+}
+
+async fn wait_until_status(fleet: &Fleet, target: &str, status: u16) {
+    until_async(&format!("{target} gives {status}"), || async {
+        let response = send(fleet, target).await;
+        response.is_ok_and(|response| response.status == status)
+    })
+    .await;
+}
+
+fn arrivals(backend: &BackendStandIn) -> usize {
+    backend.state().arrivals.len()
+}
+
+/// Returns whether none of several requests reaches a back end. One after the other, they all go
+/// to the first back end unless it may not be used.
+async fn is_unused(fleet: &Fleet, backend: &BackendStandIn) -> bool {
+    let before = arrivals(backend);
+    for _ in 0..PROBES {
+        if send(fleet, "/safe/").await.is_err() {
+            return false;
+        }
+    }
+    arrivals(backend) == before
+}
+
+async fn wait_until_unused(fleet: &Fleet, number: usize) {
+    until_async(&format!("plain {number} gets no request"), || {
+        is_unused(fleet, &fleet.plain[number])
+    })
+    .await;
+}
+
+async fn wait_until_used(fleet: &Fleet, number: usize) {
+    until_async(&format!("plain {number} gets requests"), || async {
+        !is_unused(fleet, &fleet.plain[number]).await
+    })
+    .await;
+}
+
+/// Returns a copy of the store, after which the entry sees many more revisions.
+async fn copy_and_write(fleet: &Fleet) -> StoreCopy {
+    let copy = fleet.store.copy();
+    for number in 0..WRITES_SINCE_COPY {
+        let record = json!({"Model": "m", "Adapter": "unused", "Version": number});
+        fleet.store.put("op/version/m.unused", record);
+    }
+    fleet.publish_plain(0, "draining");
+    wait_until_unused(fleet, 0).await;
+    fleet.publish_plain(0, "ready");
+    wait_until_used(fleet, 0).await;
+    copy
+}
+
+/// Lets the store be away for a moment and return to the state of a copy.
+async fn restore(fleet: &Fleet, copy: &StoreCopy, lost_writes: LostWrites) {
+    fleet.store.set_fault(StoreFault::Reset);
+    until("the outage is logged", || fleet.log().contains("not read")).await;
+    fleet.store.restore(copy, lost_writes);
+    fleet.store.set_fault(StoreFault::None);
+}
+
+fn add_route(document: &mut Value, prefix: &str) {
+    let mut route = document["Routes"][0].clone();
+    route["Name"] = json!("added");
+    route["PathPrefix"] = json!(prefix);
+    document["Routes"]
+        .as_array_mut()
+        .expect("routes")
+        .push(route);
+}
+
+/// Guards against requests sent to a back end that leaves after the store's return, because its
+/// list has a lower revision than the one in use.
+#[tokio::test]
+async fn a_back_end_that_leaves_after_a_restore_gets_no_requests() -> Result<()> {
+    let fleet = start(FleetSettings::default()).await?;
+    let copy = copy_and_write(&fleet).await;
+    restore(&fleet, &copy, LostWrites::Forgotten).await;
+    fleet.publish_plain(0, "draining");
+    wait_until_unused(&fleet, 0).await;
+    Ok(())
+}
+
+/// Guards against a relay that ignores the restored store, or answers that nothing is newer than
+/// a revision of the former era.
+#[tokio::test]
+async fn a_route_added_after_a_restore_is_served_behind_a_relay() -> Result<()> {
+    let mut fleet = start_with_relay().await?;
+    let copy = copy_and_write(&fleet).await;
+    restore(&fleet, &copy, LostWrites::Repeated).await;
+    fleet.configure(|document| add_route(document, "/added/"));
+    wait_until_status(&fleet, "/added/", 200).await;
+    Ok(())
+}
+
+/// Guards against a back end that leaves after the store's return, behind a relay.
+#[tokio::test]
+async fn a_back_end_that_leaves_after_a_restore_gets_no_requests_behind_a_relay() -> Result<()> {
+    let fleet = start_with_relay().await?;
+    let copy = copy_and_write(&fleet).await;
+    restore(&fleet, &copy, LostWrites::Forgotten).await;
+    fleet.publish_plain(0, "draining");
+    wait_until_unused(&fleet, 0).await;
+    Ok(())
+}
--- a/transport/src/metadata/known_era.rs
+++ b/transport/src/metadata/known_era.rs
@@ -15,7 +15,9 @@
         if era <= known {
             return false;
         }
-        log::warn!(era = era, before = known; "store: era changed");
+        if known != 0 {
+            log::warn!(era = era, before = known; "store: era changed");
+        }
         true
     }
 }
