--- a/coordination/src/dispatch/backend_updates.rs
+++ b/coordination/src/dispatch/backend_updates.rs
@@ -11,6 +11,7 @@
     chalkcart_state::{
         backends::{AdapterRef, Backend, BackendId, BackendList, BackendName},
         ids::ServiceName,
+        published::StorePosition,
     },
     std::{
         collections::{HashMap, HashSet},
@@ -27,11 +28,11 @@
 }
 
 impl Dispatcher {
-    pub(super) fn on_list(&mut self, version: u64, list: BackendList, now: Instant) {
-        if version < self.list_version {
+    pub(super) fn on_list(&mut self, at: StorePosition, list: BackendList, now: Instant) {
+        if at < self.list_position {
             return;
         }
-        self.list_version = version;
+        self.list_position = at;
         let listed: HashMap<&BackendName, &BackendId> =
             list.iter().map(|b| (&b.id.name, &b.id)).collect();
         let ended: HashSet<BackendId> = self.ended_incarnations().cloned().collect();
--- a/coordination/src/dispatch/decision.rs
+++ b/coordination/src/dispatch/decision.rs
@@ -1,7 +1,7 @@
 use {
     super::BudgetUsage,
     crate::stream_pacing::PacingInputs,
-    chalkcart_state::backends::BackendId,
+    chalkcart_state::{backends::BackendId, published::StorePosition},
     std::{net::SocketAddr, time::Duration},
 };
 
@@ -32,7 +32,8 @@
     pub view_age: Option<Duration>,
     /// Requests that wait in this entry.
     pub waiting: u32,
-    pub list_version: u64,
+    /// The position of the store at which the list was read.
+    pub list: StorePosition,
     /// Retry budget of the service before this send.
     pub budget: BudgetUsage,
     /// Inputs of the decision on a request with a gap objective.
--- a/coordination/src/dispatch/demands.rs
+++ b/coordination/src/dispatch/demands.rs
@@ -6,13 +6,14 @@
     chalkcart_state::{
         backends::{AdapterRef, HeldAdapter},
         ingress::{EngineSpec, Service},
+        published::StorePosition,
     },
 };
 
 /// Builds the demand of this entry for one engine, and resets its set of used adapters.
 pub fn build_demand(
     settings: &DispatchSettings,
-    list_version: u64,
+    list: StorePosition,
     service: &Service,
     spec: &EngineSpec,
     state: &mut BackendState,
@@ -36,13 +37,14 @@
         entry: settings.entry.clone(),
         entries: 1,
         backend: state.listed.id.clone(),
-        list_version,
+        list_version: list.revision,
         fence_seen: 0,
         health_path: service.health_path.clone(),
         room: engine_capacity(spec),
         wanted,
         used,
         outdated: outdated_adapters(state, versions),
+        list_era: list.era,
     }
 }
 
--- a/coordination/src/dispatch/dispatcher.rs
+++ b/coordination/src/dispatch/dispatcher.rs
@@ -17,6 +17,7 @@
         backends::{AdapterRef, Backend, BackendId},
         ids::{ServiceName, ZoneName},
         ingress::{RequestDigest, RouteTable, Service},
+        published::StorePosition,
     },
     std::{
         collections::{BTreeMap, HashMap, HashSet},
@@ -48,7 +49,7 @@
 pub struct Dispatcher {
     pub(super) settings: DispatchSettings,
     pub(super) backends: BTreeMap<BackendId, BackendState>,
-    pub(super) list_version: u64,
+    pub(super) list_position: StorePosition,
     pub(super) table: Arc<RouteTable>,
     pub(super) waiting: WaitingList,
     pub(super) fair_queueing: AccountFairQueueing,
@@ -113,7 +114,7 @@
             fleet_size: FleetSize::default(),
             settings,
             backends: BTreeMap::new(),
-            list_version: 0,
+            list_position: StorePosition::default(),
             table: Arc::default(),
             waiting: WaitingList::default(),
             fair_queueing: AccountFairQueueing::default(),
@@ -198,8 +199,8 @@
                 self.on_stats(&backend, stats, now);
                 self.refresh_turns_at(&backend, now);
             }
-            DispatchEvent::ListUpdated { version, list } => {
-                self.on_list(version, list, now);
+            DispatchEvent::ListUpdated { at, list } => {
+                self.on_list(at, list, now);
                 self.dispatch_waiting(|_| true, now);
             }
             DispatchEvent::ConfigUpdated(table) => {
@@ -227,9 +228,9 @@
         std::mem::take(&mut self.decisions)
     }
 
-    /// Returns the version of the list in use.
-    pub fn list_version(&self) -> u64 {
-        self.list_version
+    /// Returns the position of the store at which the list in use was read.
+    pub fn list_position(&self) -> StorePosition {
+        self.list_position
     }
     /// Returns the loads requested since the last call, for logs.
     pub fn take_requested_loads(&mut self) -> Vec<RequestedLoad> {
--- a/coordination/src/dispatch/event.rs
+++ b/coordination/src/dispatch/event.rs
@@ -6,6 +6,7 @@
         backends::{AdapterRef, BackendId, BackendList},
         ids::ZoneName,
         ingress::RouteTable,
+        published::StorePosition,
     },
     std::{collections::HashSet, net::SocketAddr, sync::Arc, time::Instant},
 };
@@ -78,7 +79,8 @@
         response: Result<AdmissionResponse, PermitError>,
     },
     ListUpdated {
-        version: u64,
+        /// The position of the store at which the list was read.
+        at: StorePosition,
         list: BackendList,
     },
     ConfigUpdated(Arc<RouteTable>),
--- a/coordination/src/dispatch/pending_loads.rs
+++ b/coordination/src/dispatch/pending_loads.rs
@@ -85,7 +85,7 @@
             let settings = &self.settings;
             let demand = build_demand(
                 settings,
-                self.list_version,
+                self.list_position,
                 service,
                 spec,
                 state,
--- a/coordination/src/dispatch/selection.rs
+++ b/coordination/src/dispatch/selection.rs
@@ -87,7 +87,7 @@
             occupied: chosen.map_or(0, |b| b.occupied(now)),
             view_age: chosen.and_then(|b| b.view_age(now)),
             waiting: self.waiting.len() as u32,
-            list_version: self.list_version,
+            list: self.list_position,
             budget: self.budget_usage(&request.service),
             pacing: None,
         }
--- a/coordination/src/placement/demand_table.rs
+++ b/coordination/src/placement/demand_table.rs
@@ -105,7 +105,7 @@
     }
     /// Returns the demand that is based on the newest list of back ends.
     pub fn newest(&self) -> Option<&AdapterDemand> {
-        self.latest_demands().max_by_key(|d| d.list_version)
+        self.latest_demands().max_by_key(|d| d.list_position())
     }
 
     fn merged_uses(&self) -> Vec<AdapterUse> {
--- a/coordination/src/relay/published_cache.rs
+++ b/coordination/src/relay/published_cache.rs
@@ -3,7 +3,7 @@
     chalkcart_state::{
         backends::{AdapterRef, BackendName},
         ids::ZoneName,
-        published::{Record, RecordSubject, Snapshot},
+        published::{Record, RecordSubject, Snapshot, StorePosition},
     },
     std::{
         collections::{BTreeMap, BTreeSet},
@@ -25,21 +25,23 @@
     Other(String),
 }
 
-/// A relay's copy of one topic of the platform's store. Revisions are those of the store,
+/// A relay's copy of one topic of the platform's store. Positions are those of the store,
 /// so that an entry may switch to another relay or to the store itself.
 #[derive(Debug)]
 pub struct PublishedCache {
     /// Time without data from the store after which the copy is stale.
     stale_after: Duration,
-    /// Records with the revisions at which they changed.
-    records: BTreeMap<RecordKey, (u64, Record)>,
-    /// Revision up to which the copy is complete.
-    revision: u64,
+    /// Records with the positions at which they changed.
+    records: BTreeMap<RecordKey, (StorePosition, Record)>,
+    /// Position up to which the copy is complete.
+    position: StorePosition,
+    /// Whether the store has begun another era since the first read.
+    has_changed_era: bool,
     received_at: Option<Instant>,
     /// Last time at which the store had nothing newer.
     current_at: Option<Instant>,
-    /// Changes up to this revision may be missing from the copy.
-    history_lost_to: u64,
+    /// Changes up to this position may be missing from the copy.
+    history_lost_to: StorePosition,
 }
 
 impl PublishedCache {
@@ -47,16 +49,17 @@
         Self {
             stale_after,
             records: BTreeMap::new(),
-            revision: 0,
+            position: StorePosition::default(),
+            has_changed_era: false,
             received_at: None,
             current_at: None,
-            history_lost_to: 0,
+            history_lost_to: StorePosition::default(),
         }
     }
 
-    /// Revision up to which the copy is complete.
-    pub fn revision(&self) -> u64 {
-        self.revision
+    /// Returns the position up to which the copy is complete.
+    pub fn position(&self) -> StorePosition {
+        self.position
     }
 
     /// Applies a listing of the topic (`is_full`) or a set of changes; the store had
@@ -69,24 +72,26 @@
         current_at: Instant,
         now: Instant,
     ) -> bool {
-        if update.at < self.revision {
+        let is_new_era = update.at.era > self.position.era;
+        if update.at < self.position || is_new_era && !is_full {
             // an earlier state does not show that the store can still be reached
             return false;
         }
+        self.has_changed_era |= is_new_era && self.received_at.is_some();
         self.received_at = Some(now);
         self.current_at = self.current_at.max(Some(current_at));
         if is_full {
             self.record_removals(&update);
             // Changes before the listing are unknown, so that an entry at an earlier
-            // revision must read the topic in full.
+            // position must read the topic in full.
             self.history_lost_to = update.at;
         }
-        self.revision = update.at;
+        self.position = update.at;
         for record in update.records {
             let key = record_key(&record);
-            // A change gets its revision even if the listing contained it already. The
+            // A change gets its position even if the listing contained it already. The
             // pages of a listing are no snapshot: a later page may include changes after
-            // the listing's revision, which is that of its first page.
+            // the listing's position, which is that of its first page.
             let known = self.records.get(&key);
             if !is_full || known.is_none_or(|(_, known)| *known != record) {
                 self.records.insert(key, (update.at, record));
@@ -96,11 +101,11 @@
         true
     }
 
-    /// Returns the response to an entry that knows the topic up to revision `after` and
+    /// Returns the response to an entry that knows the topic up to the position `after` and
     /// sent its request at `requested_at`; `None` if there is nothing newer.
     pub fn response(
         &self,
-        after: Option<u64>,
+        after: Option<StorePosition>,
         requested_at: Instant,
         now: Instant,
     ) -> Option<PublishedResponse> {
@@ -114,6 +119,9 @@
             let present = records.filter(is_present).cloned().collect();
             return Some(self.records_response(present, requested_at));
         };
+        let Some(after) = self.known_position(after) else {
+            return Some(PublishedResponse::Stale);
+        };
         if after < self.history_lost_to {
             return Some(PublishedResponse::HistoryLost);
         }
@@ -123,14 +131,31 @@
     }
 
     /// Returns the response to an entry whose wait for a change has timed out.
-    pub fn empty_response(&self, after: Option<u64>, requested_at: Instant) -> PublishedResponse {
-        let at = self.revision.max(after.unwrap_or(0));
+    pub fn empty_response(
+        &self,
+        after: Option<StorePosition>,
+        requested_at: Instant,
+    ) -> PublishedResponse {
+        let after = after.and_then(|after| self.known_position(after));
+        let at = self.position.max(after.unwrap_or_default());
         let records = Vec::new();
         self.snapshot_response(Snapshot { records, at }, requested_at)
     }
 
+    /// Returns the position of a caller in this copy's eras; `None` if the copy can't tell what
+    /// the caller lacks: the caller knows a later era, or is of a build that names none while
+    /// there was more than one.
+    fn known_position(&self, after: StorePosition) -> Option<StorePosition> {
+        let after = match after.era {
+            0 if self.has_changed_era => return None,
+            0 => StorePosition::new(self.position.era, after.revision),
+            _ => after,
+        };
+        (after.era <= self.position.era).then_some(after)
+    }
+
     fn records_response(&self, records: Vec<Record>, requested_at: Instant) -> PublishedResponse {
-        let at = self.revision;
+        let at = self.position;
         self.snapshot_response(Snapshot { records, at }, requested_at)
     }
 
@@ -171,14 +196,14 @@
     fn drop_old_removals(&mut self) {
         let records = self.records.values();
         let removed = records.filter(|(_, record)| matches!(record, Record::BackendGone(_)));
-        let mut removed_at: Vec<u64> = removed.map(|(at, _)| *at).collect();
+        let mut removed_at: Vec<StorePosition> = removed.map(|(at, _)| *at).collect();
         if removed_at.len() <= MAX_REMOVED_BACKENDS {
             return;
         }
         removed_at.sort_unstable();
         let median = removed_at[removed_at.len() / 2];
         self.history_lost_to = median;
-        let is_kept = |(at, record): &(u64, Record)| {
+        let is_kept = |(at, record): &(StorePosition, Record)| {
             !matches!(record, Record::BackendGone(_)) || *at > median
         };
         self.records.retain(|_, entry| is_kept(entry));
--- a/coordination/tests/adapter_sim/entry.rs
+++ b/coordination/tests/adapter_sim/entry.rs
@@ -9,6 +9,7 @@
     chalkcart_state::{
         backends::Backend,
         ingress::{BaseModel, EngineSpec, IngressLimits, RequestDigest, RouteTable, Service},
+        published::StorePosition,
         regions::AllowedRegions,
     },
     std::{
@@ -57,7 +58,13 @@
             ..settings
         };
         let mut dispatcher = Dispatcher::new(settings);
-        dispatcher.handle(DispatchEvent::ListUpdated { version: 1, list }, now);
+        dispatcher.handle(
+            DispatchEvent::ListUpdated {
+                at: StorePosition::new(1, 1),
+                list,
+            },
+            now,
+        );
         Self {
             dispatcher,
             views: VecDeque::new(),
--- a/coordination/tests/dispatch_fixture/mod.rs
+++ b/coordination/tests/dispatch_fixture/mod.rs
@@ -15,6 +15,7 @@
     chalkcart_state::{
         backends::{AdapterRef, Backend, HeldAdapter},
         ingress::{BaseModel, EngineSpec, IngressLimits, RequestDigest, RouteTable, Service},
+        published::StorePosition,
         regions::AllowedRegions,
     },
     std::{
@@ -152,8 +153,8 @@
     }
     pub fn update_list(&mut self, list: Vec<Backend>) {
         self.list_version += 1;
-        let version = self.list_version;
-        self.handle(DispatchEvent::ListUpdated { version, list });
+        let at = StorePosition::new(1, self.list_version);
+        self.handle(DispatchEvent::ListUpdated { at, list });
     }
     /// Changes the settings at run time.
     pub fn update_settings(&mut self, change: impl FnOnce(&mut DispatchSettings)) {
--- a/coordination/tests/dispatch_listing.rs
+++ b/coordination/tests/dispatch_listing.rs
@@ -5,7 +5,10 @@
 use {
     chalkcart_coordination::dispatch::{DispatchEvent, DispatchRequest, DueDemands, SendOutcome},
     chalkcart_protocol::peer::EngineStats,
-    chalkcart_state::backends::{Backend, HeldAdapter},
+    chalkcart_state::{
+        backends::{Backend, HeldAdapter},
+        published::StorePosition,
+    },
     dispatch_fixture::*,
 };
 
@@ -66,7 +69,10 @@
     let mut fixture = Fixture::new(vec![backend(PLAIN, 1)]);
     fixture.update_list(vec![backend(PLAIN, 2)]);
     let list = vec![backend(PLAIN, 1)];
-    fixture.handle(DispatchEvent::ListUpdated { version: 1, list });
+    fixture.handle(DispatchEvent::ListUpdated {
+        at: StorePosition::new(1, 1),
+        list,
+    });
     let request = fixture.new_request(PLAIN, None);
     assert_eq!(sent_to(&fixture.submit(1, request)), ["plain-2"]);
 }
@@ -241,3 +247,20 @@
     let request = fixture.new_request(ENGINES, Some("a"));
     assert!(fixture.submit(1, request).is_empty());
 }
+
+/// Guards against a list of a restored store that is left out for its lower revision.
+#[test]
+fn a_list_of_a_later_era_replaces_one_with_a_higher_revision() {
+    let mut fixture = Fixture::new(vec![backend(PLAIN, 1)]);
+    let mut list_at = |era, revision, number| {
+        fixture.handle(DispatchEvent::ListUpdated {
+            at: StorePosition::new(era, revision),
+            list: vec![backend(PLAIN, number)],
+        });
+        let request = fixture.new_request(PLAIN, None);
+        sent_to(&fixture.submit(revision, request))
+    };
+    assert_eq!(list_at(1, 306, 1), ["plain-1"]);
+    assert_eq!(list_at(2, 171, 2), ["plain-2"]);
+    assert_eq!(list_at(1, 310, 1), ["plain-2"], "the former era is over");
+}
--- a/coordination/tests/pacing_sim/mod.rs
+++ b/coordination/tests/pacing_sim/mod.rs
@@ -20,6 +20,7 @@
     chalkcart_protocol::peer::EngineView,
     chalkcart_state::{
         backends::{AdapterRef, Backend},
+        published::StorePosition,
         regions::AllowedRegions,
     },
     engine::{Engine, LOAD_MS, SLOTS, TOKENS_PER_EVENT},
@@ -180,7 +181,13 @@
             });
             dispatcher.handle(DispatchEvent::ConfigUpdated(Arc::new(table())), start);
             let list = list.clone();
-            dispatcher.handle(DispatchEvent::ListUpdated { version: 1, list }, start);
+            dispatcher.handle(
+                DispatchEvent::ListUpdated {
+                    at: StorePosition::new(1, 1),
+                    list,
+                },
+                start,
+            );
             Entry {
                 dispatcher,
                 waiting: BTreeMap::new(),
--- a/coordination/tests/performance_views.rs
+++ b/coordination/tests/performance_views.rs
@@ -169,6 +169,7 @@
         wanted: Vec::new(),
         used: Vec::new(),
         outdated: Vec::new(),
+        list_era: 1,
     };
     RelayDemands {
         entry: "e".to_string(),
--- a/coordination/tests/placement.rs
+++ b/coordination/tests/placement.rs
@@ -2,8 +2,8 @@
 
 use {
     chalkcart_coordination::placement::{
-        adapter_hash, EngineOrder, EngineReport, OrderAnswer, OrderKind, PlacementAction,
-        PlacementControl, PlacementEvent, PlacementSettings,
+        adapter_hash, DemandTable, EngineOrder, EngineReport, OrderAnswer, OrderKind,
+        PlacementAction, PlacementControl, PlacementEvent, PlacementSettings,
     },
     chalkcart_protocol::peer::{
         AdapterDemand, AdapterUse, EngineCapacity, ModelSize, WantedAdapter,
@@ -56,6 +56,7 @@
         wanted: wants.iter().map(|(name, p)| wanted(name, *p)).collect(),
         used: Vec::new(),
         outdated: Vec::new(),
+        list_era: 1,
     }
 }
 
@@ -471,3 +472,23 @@
         assert_eq!(loads, concurrent, "{load_ms} ms per load");
     }
 }
+
+/// Guards against a demand of before a restore of the store that prevails with its higher revision
+/// over one with the engine's present incarnation.
+#[test]
+fn the_demand_with_the_list_of_the_latest_era_is_the_newest() {
+    let now = Instant::now();
+    let of = |entry: &str, list_era, list_version, backend: &str| AdapterDemand {
+        entry: entry.to_string(),
+        list_era,
+        list_version,
+        backend: backend.into(),
+        ..demand(&[])
+    };
+    let mut table = DemandTable::default();
+    table.insert(of("older build", 0, 400, "of no era"), now);
+    table.insert(of("late", 1, 306, "former"), now);
+    table.insert(of("current", 2, 171, "present"), now);
+    let newest = table.newest().map(|demand| demand.backend.to_string());
+    assert_eq!(newest.as_deref(), Some("present"));
+}
--- a/coordination/tests/placement_fixture/mod.rs
+++ b/coordination/tests/placement_fixture/mod.rs
@@ -65,6 +65,7 @@
             wanted: wanted.collect(),
             used: Vec::new(),
             outdated: outdated.to_vec(),
+            list_era: 1,
         }));
     }
     pub fn report(&mut self, report: EngineReport) {
--- a/coordination/tests/reborn.rs
+++ b/coordination/tests/reborn.rs
@@ -9,7 +9,10 @@
         placement::{adapter_hash, OrderAnswer, OrderKind, PlacementAction},
     },
     chalkcart_protocol::peer::EngineView,
-    chalkcart_state::backends::{Backend, BackendId},
+    chalkcart_state::{
+        backends::{Backend, BackendId},
+        published::StorePosition,
+    },
     dispatch_fixture::*,
     placement_fixture::{holding, PlacementFixture},
     std::time::Duration,
@@ -104,7 +107,7 @@
         assert_eq!(target_of(&mut fixture, 2, "b"), id_text(start_time_ms));
         let ended = fixture.list_version;
         fixture.handle(DispatchEvent::ListUpdated {
-            version: ended - 1,
+            at: StorePosition::new(1, ended - 1),
             list: vec![listed(FIRST)],
         });
         assert_eq!(target_of(&mut fixture, 3, "b"), id_text(start_time_ms));
--- a/coordination/tests/relays.rs
+++ b/coordination/tests/relays.rs
@@ -12,7 +12,7 @@
     },
     chalkcart_state::{
         backends::{AdapterRef, Backend, HeldAdapter},
-        published::{Record, Snapshot},
+        published::{Record, Snapshot, StorePosition},
     },
     quickcheck::{Arbitrary, Gen, QuickCheck},
     std::{
@@ -187,6 +187,7 @@
             in_flight: 3,
         }],
         outdated: Vec::new(),
+        list_era: 1,
     }
 }
 
@@ -423,7 +424,13 @@
     })
 }
 
-fn snapshot(at: u64, records: Vec<Record>) -> Snapshot {
+/// A position in the first era.
+fn at(revision: u64) -> StorePosition {
+    StorePosition::new(1, revision)
+}
+
+fn snapshot(revision: u64, records: Vec<Record>) -> Snapshot {
+    let at = at(revision);
     Snapshot { records, at }
 }
 
@@ -447,13 +454,13 @@
     cache.apply(snapshot(5, vec![listed("a"), listed("b")]), true, now, now);
     let all = current(snapshot(5, vec![listed("a"), listed("b")]));
     assert_eq!(cache.response(None, now, now), Some(all));
-    assert_eq!(cache.response(Some(5), now, now), None, "nothing newer");
+    assert_eq!(cache.response(Some(at(5)), now, now), None, "nothing newer");
     // a later listing lacks a known back end, and an earlier state is ignored
     cache.apply(snapshot(9, vec![listed("a")]), true, now, now);
     cache.apply(snapshot(7, vec![listed("c")]), false, now, now);
     let lost = Some(PublishedResponse::HistoryLost);
     assert_eq!(
-        cache.response(Some(5), now, now),
+        cache.response(Some(at(5)), now, now),
         lost,
         "the topic must be read in full"
     );
@@ -462,16 +469,16 @@
     let gone = Record::BackendGone("a".to_string());
     cache.apply(snapshot(10, vec![gone.clone()]), false, now, now);
     let gone = current(snapshot(10, vec![gone]));
-    assert_eq!(cache.response(Some(9), now, now), Some(gone));
+    assert_eq!(cache.response(Some(at(9)), now, now), Some(gone));
     let nothing = current(snapshot(12, Vec::new()));
     assert_eq!(
-        cache.empty_response(Some(12), now),
+        cache.empty_response(Some(at(12)), now),
         nothing,
         "never an earlier revision"
     );
     let later = now + Duration::from_secs(2);
     assert_eq!(
-        cache.response(Some(10), later, later),
+        cache.response(Some(at(10)), later, later),
         Some(PublishedResponse::Stale)
     );
 }
@@ -514,7 +521,7 @@
     );
     cache.apply(snapshot(6, vec![leaving.clone()]), false, now, now);
     let change = current(snapshot(6, vec![leaving]));
-    assert_eq!(cache.response(Some(5), now, now), Some(change));
+    assert_eq!(cache.response(Some(at(5)), now, now), Some(change));
 }
 
 /// A relay does not know which back ends were removed before it started.
@@ -524,11 +531,11 @@
     let mut cache = PublishedCache::new(STALE_AFTER);
     cache.apply(snapshot(888, vec![listed("a")]), true, now, now);
     let lost = Some(PublishedResponse::HistoryLost);
-    assert_eq!(cache.response(Some(847), now, now), lost);
-    assert_eq!(cache.response(Some(888), now, now), None);
+    assert_eq!(cache.response(Some(at(847)), now, now), lost);
+    assert_eq!(cache.response(Some(at(888)), now, now), None);
     cache.apply(snapshot(890, vec![listed("c")]), false, now, now);
     let newer = current(snapshot(890, vec![listed("c")]));
-    assert_eq!(cache.response(Some(888), now, now), Some(newer));
+    assert_eq!(cache.response(Some(at(888)), now, now), Some(newer));
 }
 
 #[test]
@@ -539,7 +546,7 @@
     let later = now + STALE_AFTER + Duration::from_millis(1);
     cache.apply(snapshot(7, vec![listed("b")]), true, later, later);
     assert_eq!(
-        cache.response(Some(9), later, later),
+        cache.response(Some(at(9)), later, later),
         Some(PublishedResponse::Stale)
     );
 }
@@ -564,16 +571,17 @@
 fn dropped_removals_require_a_full_read() {
     let now = Instant::now();
     let mut cache = PublishedCache::new(STALE_AFTER);
-    for at in 1..=2_001 {
-        let gone = Record::BackendGone(format!("b{at}"));
-        cache.apply(snapshot(at, vec![gone]), false, now, now);
+    cache.apply(snapshot(0, Vec::new()), true, now, now);
+    for revision in 1..=2_001 {
+        let gone = Record::BackendGone(format!("b{revision}"));
+        cache.apply(snapshot(revision, vec![gone]), false, now, now);
     }
     assert_eq!(
-        cache.response(Some(1), now, now),
+        cache.response(Some(at(1)), now, now),
         Some(PublishedResponse::HistoryLost)
     );
     assert!(cache
-        .response(Some(2_000), now, now)
+        .response(Some(at(2_000)), now, now)
         .is_some_and(|a| a != PublishedResponse::HistoryLost));
 }
 
@@ -592,11 +600,11 @@
     let mut cache = PublishedCache::new(STALE_AFTER);
     cache.apply(snapshot(1, Vec::new()), true, now, now);
     cache.apply(snapshot(2, vec![zone(true)]), false, now, now);
-    assert_eq!(records(&cache, Some(1)), [zone(true)]);
+    assert_eq!(records(&cache, Some(at(1))), [zone(true)]);
     assert_eq!(records(&cache, None), [zone(true)]);
     cache.apply(snapshot(3, Vec::new()), true, now, now);
     assert_eq!(
-        cache.response(Some(2), now, now),
+        cache.response(Some(at(2)), now, now),
         Some(PublishedResponse::HistoryLost),
         "removals before the listing are unknown"
     );
@@ -615,3 +623,56 @@
         assert!(pacing.stale_after() < propagation_limit.mul_f64(0.7));
     }
 }
+
+/// A position in an era.
+fn in_era(era: u64, revision: u64) -> StorePosition {
+    StorePosition::new(era, revision)
+}
+
+fn in_new_era(revision: u64, records: Vec<Record>) -> Snapshot {
+    let at = in_era(2, revision);
+    Snapshot { records, at }
+}
+
+/// Guards against a relay that keeps the records of a store that was restored since, or says that
+/// nothing is newer than a revision of the former era.
+#[test]
+fn a_relay_follows_a_restored_store_to_a_lower_revision() {
+    let now = Instant::now();
+    let mut cache = PublishedCache::new(STALE_AFTER);
+    assert!(cache.apply(snapshot(306, vec![listed("a")]), true, now, now));
+    let changes = in_new_era(172, vec![listed("b")]);
+    assert!(
+        !cache.apply(changes, false, now, now),
+        "the listing is missing"
+    );
+    let lost = Some(PublishedResponse::HistoryLost);
+    let stale = Some(PublishedResponse::Stale);
+    assert_eq!(cache.response(Some(in_era(2, 171)), now, now), stale);
+    assert!(cache.apply(in_new_era(171, vec![listed("b")]), true, now, now));
+    for revision in [171, 306, 400] {
+        assert_eq!(cache.response(Some(at(revision)), now, now), lost);
+    }
+    assert_eq!(cache.response(Some(in_era(2, 171)), now, now), None);
+    assert_eq!(
+        cache.response(Some(in_era(0, 171)), now, now),
+        stale,
+        "which era is unknown"
+    );
+    assert!(!cache.apply(snapshot(500, vec![listed("a")]), true, now, now));
+    let all = current(in_new_era(171, vec![listed("b")]));
+    assert_eq!(cache.response(None, now, now), Some(all));
+}
+
+/// Builds before wire version 8 name no era.
+#[test]
+fn a_relay_that_knows_one_era_serves_callers_that_name_none() {
+    let now = Instant::now();
+    let mut cache = PublishedCache::new(STALE_AFTER);
+    cache.apply(snapshot(5, vec![listed("a")]), true, now, now);
+    cache.apply(snapshot(6, vec![listed("b")]), false, now, now);
+    let newer = current(snapshot(6, vec![listed("b")]));
+    assert_eq!(cache.response(Some(in_era(0, 5)), now, now), Some(newer));
+    let nothing = current(snapshot(6, Vec::new()));
+    assert_eq!(cache.empty_response(Some(in_era(0, 6)), now), nothing);
+}
--- a/coordination/tests/zone_fleet/mod.rs
+++ b/coordination/tests/zone_fleet/mod.rs
@@ -150,6 +150,7 @@
         wanted: Vec::new(),
         used: Vec::new(),
         outdated: Vec::new(),
+        list_era: 1,
     }
 }
 
--- a/entry/src/ingress/control.rs
+++ b/entry/src/ingress/control.rs
@@ -13,7 +13,7 @@
         relay::RelayCandidate,
     },
     chalkcart_protocol::peer::{EngineStats, EngineView},
-    chalkcart_state::backends::BackendId,
+    chalkcart_state::{backends::BackendId, published::StorePosition},
     chalkcart_transport::{clock, links::ViewSink},
     std::{
         collections::HashMap,
@@ -264,7 +264,7 @@
             DispatchEvent::RequestWithdrawn(ticket) => {
                 self.pending_decisions.remove(ticket);
             }
-            DispatchEvent::ListUpdated { version, .. } => self.log_older_list(*version),
+            DispatchEvent::ListUpdated { at, .. } => self.log_older_list(*at),
             _ => {}
         }
         for (ticket, decision) in self.dispatcher.handle(event, clock::now()) {
@@ -303,10 +303,10 @@
 
     /// Logs a list that the dispatcher is going to leave out. Lists are paced, which limits the
     /// rate of lines.
-    fn log_older_list(&self, version: u64) {
-        let in_use = self.dispatcher.list_version();
-        if version < in_use {
-            log::warn!(version = version, in_use = in_use; "dispatch: older list not used");
+    fn log_older_list(&self, at: StorePosition) {
+        let in_use = self.dispatcher.list_position();
+        if at < in_use {
+            log::warn!(at:%, in_use:%; "dispatch: older list not used");
         }
     }
 
--- a/entry/src/ingress/records.rs
+++ b/entry/src/ingress/records.rs
@@ -9,7 +9,7 @@
     },
     chalkcart_transport::{
         clock,
-        metadata::{MetadataSource, RecordSink, WatchUpdate},
+        metadata::{RecordSink, WatchUpdate},
     },
     std::{
         collections::{BTreeMap, HashSet},
@@ -121,14 +121,11 @@
         list.reported_at = Some(clock::now());
         let backends = list.backends.values().cloned().collect();
         self.shared.set_has_backend_list();
-        self.shared.metrics.on_list(snapshot.at);
-        let version = snapshot.at;
-        let era = self.source.known_era().get();
-        self.shared.metrics.on_store_era(era);
-        self.shared.control.send_event(DispatchEvent::ListUpdated {
-            version,
-            list: backends,
-        });
+        let at = snapshot.at;
+        self.shared.metrics.on_list(at);
+        self.shared
+            .control
+            .send_event(DispatchEvent::ListUpdated { at, list: backends });
     }
 
     fn apply_configuration(&self, record: Record) {
@@ -192,8 +189,7 @@
             return;
         }
         log::info!(
-            revision = self.shared.configuration_revision(),
-            era = self.source.known_era().get();
+            at:% = self.shared.configuration_position();
             "store: configuration {} in force, {} routes",
             table.generation,
             table.route_count()
@@ -228,7 +224,7 @@
         match topic {
             Topic::Backends => self.apply_backends(update.snapshot, is_full),
             Topic::Configuration => {
-                self.shared.set_configuration_revision(update.snapshot.at);
+                self.shared.set_configuration_position(update.snapshot.at);
                 self.apply_zones(&update.snapshot.records, is_full);
                 let records = update.snapshot.records.into_iter();
                 records.for_each(|record| self.apply_configuration(record));
--- a/entry/src/ingress/relay_discovery.rs
+++ b/entry/src/ingress/relay_discovery.rs
@@ -4,7 +4,7 @@
     chalkcart_state::{
         backends::Backend,
         ingress::RouteTable,
-        published::{Record, Snapshot},
+        published::{Record, Snapshot, StorePosition},
     },
     std::{sync::Arc, time::Duration},
     tokio::time::timeout,
@@ -34,10 +34,10 @@
         mechanisms.relays && mechanisms.store_by_relay
     }
 
-    /// Returns the revision of the store at which the configuration was read.
-    pub async fn configuration_revision(&self) -> Option<u64> {
+    /// Returns the position of the store at which the configuration was read.
+    pub async fn configuration_position(&self) -> Option<StorePosition> {
         self.configuration().await?;
-        Some(self.shared.configuration_revision())
+        Some(self.shared.configuration_position())
     }
 
     /// Makes the sidecars of the engines on an incomplete list candidates for relays. Returns
--- a/entry/src/ingress/shared.rs
+++ b/entry/src/ingress/shared.rs
@@ -9,6 +9,7 @@
     chalkcart_state::{
         accounts::AccountFingerprint,
         ingress::{Route, RouteTable},
+        published::StorePosition,
     },
     chalkcart_transport::{
         clock,
@@ -20,7 +21,7 @@
         collections::HashMap,
         sync::{
             atomic::{AtomicBool, AtomicU64, Ordering},
-            Arc, Mutex,
+            Arc, Mutex, MutexGuard,
         },
         time::{Duration, Instant},
     },
@@ -47,8 +48,8 @@
     pub dialect: Arc<dyn Dialect>,
     /// The active configuration; `None` until the first one has been read.
     pub table: ArcSwapOption<RouteTable>,
-    /// The store's revision at which the configuration was read last.
-    configuration_revision: AtomicU64,
+    /// The store's position at which the configuration was read last.
+    configuration_position: Mutex<StorePosition>,
     /// Notified when the first configuration is active.
     configured: Notify,
     pub admission: Arc<Admission>,
@@ -76,7 +77,7 @@
             control,
             dialect,
             table: ArcSwapOption::empty(),
-            configuration_revision: AtomicU64::new(0),
+            configuration_position: Mutex::default(),
             configured: Notify::new(),
             metrics: IngressMetrics::new(&crashes.metrics),
             unknown_headers: UnknownHeaders::default(),
@@ -95,13 +96,18 @@
         self.configured.notify_waiters();
     }
 
-    pub fn set_configuration_revision(&self, revision: u64) {
-        self.configuration_revision
-            .store(revision, Ordering::Relaxed);
+    pub fn set_configuration_position(&self, at: StorePosition) {
+        *self.locked_position() = at;
     }
 
-    pub fn configuration_revision(&self) -> u64 {
-        self.configuration_revision.load(Ordering::Relaxed)
+    pub fn configuration_position(&self) -> StorePosition {
+        *self.locked_position()
+    }
+
+    fn locked_position(&self) -> MutexGuard<'_, StorePosition> {
+        // No holder panics in the middle of an update.
+        let position = self.configuration_position.lock();
+        position.unwrap_or_else(|e| e.into_inner())
     }
 
     /// Waits until there is an active configuration and returns it.
--- a/entry/src/ingress/store_relay_client.rs
+++ b/entry/src/ingress/store_relay_client.rs
@@ -5,11 +5,11 @@
         peer::{path, PublishedRequest, PublishedResponse},
         wire::WireVersion,
     },
-    chalkcart_state::published::Topic,
+    chalkcart_state::published::{StoreEra, StorePosition, Topic},
     chalkcart_transport::{
         client::{ClientStep, PeerClient, ResponseLimits},
         clock,
-        metadata::{WatchOutcome, WatchUpdate},
+        metadata::{KnownEra, WatchOutcome, WatchUpdate},
     },
     std::{
         net::SocketAddr,
@@ -25,9 +25,9 @@
 const RELAY_RESPONSE_TIMEOUT: Duration = Duration::from_millis(300);
 /// Maximum time for the whole response of a relay, whose size grows with the fleet.
 const MAX_RELAY_RESPONSE: Duration = Duration::from_millis(2_000);
-/// Wire versions from which on a relay forwards all records of a topic that this build reads.
-const CONFIGURATION_MIN_VERSION: WireVersion = WireVersion(5);
-const BACKENDS_MIN_VERSION: WireVersion = WireVersion(4);
+/// Wire version from which on a relay tells the era of the store with its records. Earlier ones go on
+/// with the records of an era that is over.
+const MIN_RELAY_VERSION: WireVersion = WireVersion(8);
 
 /// The outcome of a call to a relay.
 enum RelayResult {
@@ -53,13 +53,15 @@
     relays: Arc<StoreRelays>,
     pacing: RelayPacing,
     peers: PeerClient,
+    era: Arc<KnownEra>,
     /// Whether the last update came from a relay.
     is_relayed: AtomicBool,
 }
 
 impl StoreRelayClient {
-    pub fn new(relays: Arc<StoreRelays>, pacing: RelayPacing) -> Self {
+    pub fn new(relays: Arc<StoreRelays>, pacing: RelayPacing, era: Arc<KnownEra>) -> Self {
         Self {
+            era,
             relays,
             pacing,
             peers: PeerClient::new(),
@@ -80,7 +82,12 @@
     ///
     /// A relay that does not respond has used up the time of a watch. The next one is tried only
     /// while the direct call that may follow still ends within the propagation limit.
-    pub async fn call(&self, topic: Topic, after: Option<u64>, wait: Duration) -> RelaysResult {
+    pub async fn call(
+        &self,
+        topic: Topic,
+        after: Option<StorePosition>,
+        wait: Duration,
+    ) -> RelaysResult {
         let called_at = clock::now();
         let mut is_starting = false;
         for relay in self.relays.available(called_at) {
@@ -123,11 +130,11 @@
         &self,
         relay: SocketAddr,
         topic: Topic,
-        after: Option<u64>,
+        after: Option<StorePosition>,
         wait: Duration,
     ) -> RelayResult {
         let version = self.peers.version(relay);
-        let is_supported = version.is_some_and(|version| version >= min_version(topic));
+        let is_supported = version.is_some_and(|version| version >= MIN_RELAY_VERSION);
         if version.is_some() && !is_supported {
             // The relay may still serve the other topic, whose calls detect an upgrade.
             return RelayResult::Stale;
@@ -154,11 +161,11 @@
                 self.on_unsupported_relay(relay);
                 return RelayResult::Stale;
             }
-            Some(version) if version < min_version(topic) => return RelayResult::Stale,
+            Some(version) if version < MIN_RELAY_VERSION => return RelayResult::Stale,
             _ => {}
         }
         let (result, cause) = match response {
-            Ok(response) => read_response(response, sent_at),
+            Ok(response) => read_response(response, sent_at, self.era.get()),
             Err(e) => {
                 match e.step {
                     ClientStep::Refused => self.relays.on_refusal(relay, clock::now()),
@@ -190,9 +197,17 @@
     }
 }
 
-/// Returns the result of a call that was sent at `sent_at`, and its name for the log.
-fn read_response(response: PublishedResponse, sent_at: Instant) -> (RelayResult, String) {
+/// Returns the result of a call that was sent at `sent_at`, and its name for the log. `era` is the
+/// latest one known.
+fn read_response(
+    response: PublishedResponse,
+    sent_at: Instant,
+    era: StoreEra,
+) -> (RelayResult, String) {
     let (result, name) = match response {
+        PublishedResponse::Records { snapshot, .. } if snapshot.at.era < era => {
+            (RelayResult::Stale, "earlier era")
+        }
         PublishedResponse::Records {
             snapshot,
             current_ms,
@@ -216,13 +231,6 @@
     (result, name.to_string())
 }
 
-fn min_version(topic: Topic) -> WireVersion {
-    match topic {
-        Topic::Configuration => CONFIGURATION_MIN_VERSION,
-        Topic::Backends => BACKENDS_MIN_VERSION,
-    }
-}
-
 /// Returns the instant `after_ms` after `sent_at`, when a request was sent. The relay counts from
 /// the receipt of the request, so the result is never later than the actual instant.
 fn offset(sent_at: Instant, after_ms: i64) -> Option<Instant> {
--- a/entry/src/ingress/zone_source.rs
+++ b/entry/src/ingress/zone_source.rs
@@ -9,7 +9,7 @@
         relay::{DirectCallPacing, RelayPacing},
         watch::WatchTimes,
     },
-    chalkcart_state::published::Topic,
+    chalkcart_state::published::{StorePosition, Topic},
     chalkcart_transport::{
         clock,
         metadata::{KnownEra, MetadataSource, SourceError, WatchOutcome, WatchUpdate},
@@ -61,8 +61,8 @@
         Self {
             configuration_calls: calls(),
             backends_calls: calls(),
+            relays: StoreRelayClient::new(relays, pacing, store.known_era()),
             store,
-            relays: StoreRelayClient::new(relays, pacing),
             discovery,
         }
     }
@@ -122,10 +122,10 @@
     /// Returns whether the latest changes of the list name enough engines. They are few records
     /// however large the fleet is; a page may be most of the list.
     async fn discover_in_recent_changes(&self) -> bool {
-        let Some(revision) = self.discovery.configuration_revision().await else {
+        let Some(position) = self.discovery.configuration_position().await else {
             return false;
         };
-        let after = revision.saturating_sub(RECENT_CHANGES);
+        let after = position.back_by(RECENT_CHANGES);
         let topic = Topic::Backends;
         let call = self.store.watch(topic, after, RECENT_CHANGES_TIMES);
         match self.call_store(topic, call).await {
@@ -182,7 +182,7 @@
     async fn watch(
         &self,
         topic: Topic,
-        after: u64,
+        after: StorePosition,
         times: WatchTimes,
     ) -> Result<WatchOutcome, SourceError> {
         let relayed = times.with_max_hold(MAX_RELAY_HOLD);
--- a/protocol/src/peer/placement.rs
+++ b/protocol/src/peer/placement.rs
@@ -2,6 +2,7 @@
     chalkcart_state::{
         backends::{AdapterRef, BackendId, HeldAdapter},
         ids::{BaseModelName, BoxName},
+        published::{StoreEra, StorePosition},
     },
     serde::{
         de::{EnumAccess, IgnoredAny, VariantAccess, Visitor},
@@ -58,7 +59,7 @@
     pub entries: u32,
     /// The engine's incarnation as the entry knows it.
     pub backend: BackendId,
-    /// Version of the back end list that contains the engine.
+    /// Revision of the store at which the list with the engine was read.
     pub list_version: u64,
     /// Highest fence that the entry has seen at the engine's address. A restarted sidecar learns
     /// it from here.
@@ -71,9 +72,16 @@
     pub used: Vec<AdapterUse>,
     /// Adapters loaded on the engine of which a newer version exists.
     pub outdated: Vec<HeldAdapter>,
+    /// Era of the store at which the list was read; 0 from builds before wire version 8.
+    #[serde(default)]
+    pub list_era: StoreEra,
 }
 
 impl AdapterDemand {
+    /// Returns the position of the store at which the list with the engine was read.
+    pub fn list_position(&self) -> StorePosition {
+        StorePosition::new(self.list_era, self.list_version)
+    }
     /// Whether two demands differ in nothing but the version of the list and the sender.
     pub fn is_equivalent_to(&self, other: &Self) -> bool {
         self.backend == other.backend
--- a/protocol/src/peer/published.rs
+++ b/protocol/src/peer/published.rs
@@ -1,19 +1,54 @@
 use {
-    chalkcart_state::published::{Snapshot, Topic},
+    chalkcart_state::published::{Snapshot, StoreEra, StorePosition, Topic},
     serde::{Deserialize, Serialize},
 };
 
 /// Requests the records of the platform's store from a relay.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "EncodedRequest", into = "EncodedRequest")]
 pub struct PublishedRequest {
     pub topic: Topic,
-    /// Store revision that the entry has; `None` to request all records.
-    pub after: Option<u64>,
-    /// How long the relay may hold the request until there is a newer revision, in ms.
+    /// Position that the entry has; `None` to request all records. Builds before wire version 8
+    /// send no era.
+    pub after: Option<StorePosition>,
+    /// How long the relay may hold the request until there is a later position, in ms.
     pub wait_ms: u64,
 }
 
-/// A relay's response; revisions are those of the store.
+/// The encoded form.
+#[derive(Serialize, Deserialize)]
+#[serde(rename = "PublishedRequest")]
+struct EncodedRequest {
+    topic: Topic,
+    after: Option<u64>,
+    wait_ms: u64,
+    #[serde(default)]
+    era: StoreEra,
+}
+
+impl From<EncodedRequest> for PublishedRequest {
+    fn from(encoded: EncodedRequest) -> Self {
+        let after = encoded.after;
+        Self {
+            topic: encoded.topic,
+            after: after.map(|revision| StorePosition::new(encoded.era, revision)),
+            wait_ms: encoded.wait_ms,
+        }
+    }
+}
+
+impl From<PublishedRequest> for EncodedRequest {
+    fn from(request: PublishedRequest) -> Self {
+        Self {
+            topic: request.topic,
+            after: request.after.map(|after| after.revision),
+            wait_ms: request.wait_ms,
+            era: request.after.map_or(0, |after| after.era),
+        }
+    }
+}
+
+/// A relay's response; positions are those of the store.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum PublishedResponse {
     /// The newer records, or all records if all were requested.
--- a/protocol/tests/landed/mod.rs
+++ b/protocol/tests/landed/mod.rs
@@ -9,6 +9,7 @@
     chalkcart_state::{
         backends::{AdapterRef, HeldAdapter},
         ingress::RequestDigest,
+        published::{Record, Topic},
     },
     serde::Deserialize,
     std::net::SocketAddr,
@@ -171,3 +172,24 @@
     pub words: Vec<CrashReport>,
     pub wait_ms: u64,
 }
+
+/// Before wire version 8.
+#[derive(Debug, PartialEq, Deserialize)]
+pub struct PublishedRequest {
+    pub topic: Topic,
+    pub after: Option<u64>,
+    pub wait_ms: u64,
+}
+
+/// Before wire version 8.
+#[derive(Debug, PartialEq, Deserialize)]
+pub enum PublishedResponse {
+    Records { snapshot: Snapshot, current_ms: i64 },
+}
+
+/// Before wire version 8.
+#[derive(Debug, PartialEq, Deserialize)]
+pub struct Snapshot {
+    pub records: Vec<Record>,
+    pub at: u64,
+}
--- a/protocol/tests/recorded.rs
+++ b/protocol/tests/recorded.rs
@@ -26,6 +26,7 @@
 const FIFTH: &str = include_str!("recorded/5.txt");
 const SIXTH: &str = include_str!("recorded/6.txt");
 const SEVENTH: &str = include_str!("recorded/7.txt");
+const EIGHTH: &str = include_str!("recorded/8.txt");
 
 /// Not requested from relays that send no version: entries read the store themselves then.
 const NOT_REQUESTED: &str = "published_records";
@@ -34,6 +35,13 @@
 /// `crash_reports_for_earlier_builds_decode_with_their_types`.
 const CHANGED_IN_7: &str = "crash_ask";
 
+/// Has a field more since wire version 8; see
+/// `positions_for_earlier_builds_decode_with_their_types`.
+const CHANGED_IN_8: &str = "published_ask";
+
+/// Messages added in wire version 8.
+const SINCE_8: [&str; 3] = ["published_ask_era", "published_records_era", "demand_era"];
+
 /// Messages added in wire version 5.
 const SINCE_5: [&str; 4] = [
     "published_regions",
@@ -77,7 +85,8 @@
             let is_newer = sample.name.starts_with("crash_")
                 || SINCE_5.contains(&sample.name)
                 || SINCE_6.contains(&sample.name)
-                || SINCE_7.contains(&sample.name);
+                || SINCE_7.contains(&sample.name)
+                || SINCE_8.contains(&sample.name);
             assert!(is_newer, "{}", sample.name);
             continue;
         };
@@ -94,6 +103,7 @@
     assert_decodes_all(FOURTH, Some(true));
     assert_decodes_all(FIFTH, Some(true));
     assert_decodes_all(SIXTH, Some(true));
+    assert_decodes_all(SEVENTH, Some(true));
 }
 
 /// Messages whose format has not changed are encoded to the same bytes.
@@ -103,7 +113,8 @@
         let bytes = parse_record(recorded);
         let engine_names: Vec<&str> = engine_samples(None).iter().map(|s| s.name).collect();
         let same = |s: &&Sample| {
-            ![NOT_REQUESTED, CHANGED_IN_7].contains(&s.name) && !engine_names.contains(&s.name)
+            ![NOT_REQUESTED, CHANGED_IN_7, CHANGED_IN_8].contains(&s.name)
+                && !engine_names.contains(&s.name)
         };
         for sample in all(None).iter().filter(same) {
             if let Some(bytes) = bytes.get(sample.name) {
@@ -176,6 +187,33 @@
     }
 }
 
+/// An earlier build must read a request and records whose positions have an era.
+#[test]
+fn positions_for_earlier_builds_decode_with_their_types() {
+    let samples = samples::store_samples();
+    let named = |name: &str| {
+        let sample = samples.iter().find(|s| s.name == name);
+        (sample.expect("a sample").write)(WireEncoding::Named)
+    };
+    for recorded in [THIRD, FOURTH, FIFTH, SIXTH, SEVENTH] {
+        let then = parse_record(recorded);
+        for name in [CHANGED_IN_8, "published_ask_era"] {
+            let today: landed::PublishedRequest = decode(&named(name)).expect("decodes");
+            let then: landed::PublishedRequest =
+                decode(&then[CHANGED_IN_8]).expect("decodes its own messages");
+            assert_eq!(today, then);
+        }
+    }
+    for recorded in [FOURTH, FIFTH, SIXTH, SEVENTH] {
+        let then = &parse_record(recorded)[NOT_REQUESTED];
+        for name in [NOT_REQUESTED, "published_records_era"] {
+            let today: landed::PublishedResponse = decode(&named(name)).expect("decodes");
+            let then: landed::PublishedResponse = decode(then).expect("decodes its own messages");
+            assert_eq!(today, then);
+        }
+    }
+}
+
 /// A relay must not turn an unknown `is_down` into a value when it forwards stats.
 #[test]
 fn unknown_liveness_stays_unknown_when_forwarded() {
@@ -244,7 +282,7 @@
 /// and keep the previous record as one that must decode.
 #[test]
 fn message_formats_match_the_recorded_wire_version() {
-    let (now, then) = (record(), SEVENTH);
+    let (now, then) = (record(), EIGHTH);
     for (now, then) in now.lines().zip(then.lines()) {
         assert_eq!(now, then);
     }
--- a/protocol/tests/samples/mod.rs
+++ b/protocol/tests/samples/mod.rs
@@ -13,7 +13,7 @@
         accounts::{AccountTable, ClientAccount},
         backends::{AdapterRef, Backend, HeldAdapter},
         ingress::{IngressLimits, RequestDigest, Route, RouteKind, RouteTable, WeightedService},
-        published::{Record, RecordSubject, Snapshot, Topic, UnreadableCause},
+        published::{Record, RecordSubject, Snapshot, StorePosition, Topic, UnreadableCause},
         regions::AllowedRegions,
     },
     serde::{de::DeserializeOwned, Serialize},
@@ -187,6 +187,7 @@
             in_flight: 3,
         }],
         outdated: vec![held("a", 3)],
+        list_era: 0,
     }
 }
 
@@ -269,11 +270,31 @@
         unreadable,
     ];
     PublishedResponse::Records {
-        snapshot: Snapshot { at: 46, records },
+        snapshot: Snapshot {
+            at: StorePosition::new(0, 46),
+            records,
+        },
         current_ms: -5,
     }
 }
 
+/// The same in the third era of the store.
+fn published_in_era() -> PublishedResponse {
+    match published() {
+        PublishedResponse::Records {
+            snapshot,
+            current_ms,
+        } => PublishedResponse::Records {
+            snapshot: Snapshot {
+                at: StorePosition::new(3, snapshot.at.revision),
+                ..snapshot
+            },
+            current_ms,
+        },
+        other => other,
+    }
+}
+
 /// A configuration with a route and an account that are restricted to regions.
 fn published_regions() -> PublishedResponse {
     let regions = |name: &str| AllowedRegions::restricted_to([name.to_string()]);
@@ -302,7 +323,10 @@
     table.add_route("host", route);
     let records = vec![Record::Table(Box::new(table))];
     PublishedResponse::Records {
-        snapshot: Snapshot { at: 47, records },
+        snapshot: Snapshot {
+            at: StorePosition::new(0, 47),
+            records,
+        },
         current_ms: 0,
     }
 }
@@ -334,6 +358,14 @@
             ViewUpdate::Figures(measured_stats()),
         ),
         sample(Message, "demand", demand()),
+        sample(
+            Message,
+            "demand_era",
+            AdapterDemand {
+                list_era: 3,
+                ..demand()
+            },
+        ),
         sample(Message, "relay_ask", request),
         sample(Message, "relay_ask_of_relay", request_of_relay),
         sample(Message, "relay_demands", relay_demands()),
@@ -347,14 +379,20 @@
     use Kind::Message;
     let request = PublishedRequest {
         topic: Topic::Backends,
-        after: Some(45),
+        after: Some(StorePosition::new(0, 45)),
         wait_ms: 1000,
     };
+    let request_in_era = PublishedRequest {
+        after: Some(StorePosition::new(3, 45)),
+        ..request
+    };
     let history_lost = PublishedResponse::HistoryLost;
     vec![
         sample(Message, "published_ask", request),
         sample(Message, "published_records", published()),
         sample(Message, "published_regions", published_regions()),
+        sample(Message, "published_ask_era", request_in_era),
+        sample(Message, "published_records_era", published_in_era()),
         sample(Message, "published_history_lost", history_lost),
         sample(Message, "published_stale", PublishedResponse::Stale),
         sample(
--- a/sidecar/src/relay/store_cache.rs
+++ b/sidecar/src/relay/store_cache.rs
@@ -7,7 +7,7 @@
         wire::WireEncoding,
         CodecError,
     },
-    chalkcart_state::published::Topic,
+    chalkcart_state::published::{StorePosition, Topic},
     chalkcart_transport::{
         clock,
         metadata::{self as store, MetadataSource, RecordSink, StoreWatcher},
@@ -69,7 +69,7 @@
     first_read: Mutex<Option<FirstRead>>,
     /// The last encoded response with all records, until the topic changes.
     full_response: Mutex<Option<FullResponse>>,
-    /// Number of requests of callers that knew a later revision than the cache has.
+    /// Number of requests of callers that knew a later position than the cache has.
     requests_ahead: AtomicU64,
 }
 
@@ -107,18 +107,18 @@
 
     /// Logs the first, second, fourth and so on request whose caller knows more than the cache.
     fn log_request_ahead(&self, request: &PublishedRequest) {
-        let revision = self.cache().revision();
-        let Some(after) = request.after.filter(|after| *after > revision) else {
+        let at = self.cache().position();
+        let Some(after) = request.after.filter(|after| *after > at) else {
             return;
         };
         let times = self.requests_ahead.fetch_add(1, Ordering::Relaxed) + 1;
         if times.is_power_of_two() {
             log::info!(
                 topic = request.topic.code(),
-                after = after,
-                revision = revision,
-                times = times;
-                "relay: caller knows a later revision"
+                after:%,
+                at:%,
+                times;
+                "relay: caller knows a later position"
             );
         }
     }
@@ -167,10 +167,10 @@
         (!has_failed).then_some(duration)
     }
 
-    /// Returns the records that changed after a revision, as soon as there are any.
+    /// Returns the records that changed after a position, as soon as there are any.
     async fn changes(
         &self,
-        after: Option<u64>,
+        after: Option<StorePosition>,
         requested_at: Instant,
         until: Deadline,
         changes: &mut watch::Receiver<u64>,
@@ -251,7 +251,7 @@
         !watchers.is_empty()
     }
 
-    /// Returns a response as soon as there is a newer revision than the entry has, or when
+    /// Returns a response as soon as there is a later position than the entry has, or when
     /// the request's wait time is over.
     ///
     /// `is_start_known` tells whether the caller knows the response that the first read is still
@@ -307,10 +307,10 @@
         let topic = self.topic(topic);
         let mut cache = topic.cache();
         let is_applied = cache.apply(snapshot, is_full, current_at, clock::now());
-        let revision = cache.revision();
+        let in_use = cache.position();
         drop(cache);
         if !is_applied {
-            log::warn!(topic = code, at = at, revision = revision; "relay: older update not used");
+            log::warn!(topic = code, at:%, in_use:%; "relay: older update not used");
         }
         *topic.first_read() = None;
         if has_changes {
--- a/state/src/published/mod.rs
+++ b/state/src/published/mod.rs
@@ -2,8 +2,10 @@
 
 mod record;
 mod snapshot;
+mod store_position;
 
 pub use {
     record::{Record, RecordSubject, UnreadableCause},
     snapshot::{Snapshot, Topic},
+    store_position::{StoreEra, StorePosition},
 };
--- a/testkit/examples/capacity/dispatch.rs
+++ b/testkit/examples/capacity/dispatch.rs
@@ -9,6 +9,7 @@
     chalkcart_state::{
         backends::{AdapterRef, Backend, HeldAdapter},
         ingress::{BaseModel, EngineSpec, IngressLimits, RequestDigest, RouteTable, Service},
+        published::StorePosition,
         regions::AllowedRegions,
     },
     std::{
@@ -116,7 +117,13 @@
         held: Vec::new(),
     });
     let list = list.collect();
-    dispatcher.handle(DispatchEvent::ListUpdated { version: 1, list }, now);
+    dispatcher.handle(
+        DispatchEvent::ListUpdated {
+            at: StorePosition::new(1, 1),
+            list,
+        },
+        now,
+    );
     for number in 0..engines {
         on_view(&mut dispatcher, number, 1, now);
     }
--- a/testkit/tests/ingress_engines.rs
+++ b/testkit/tests/ingress_engines.rs
@@ -229,6 +229,7 @@
         wanted: Vec::new(),
         used: Vec::new(),
         outdated: Vec::new(),
+        list_era: 1,
     };
     loop {
         let sent: Result<bool, _> = peers
--- a/transport/src/metadata/source.rs
+++ b/transport/src/metadata/source.rs
@@ -3,7 +3,7 @@
     crate::client::ClientError,
     async_trait::async_trait,
     chalkcart_coordination::watch::WatchTimes,
-    chalkcart_state::published::{Snapshot, Topic},
+    chalkcart_state::published::{Snapshot, StoreEra, StorePosition, Topic},
     std::{net::SocketAddr, sync::Arc, time::Instant},
     thiserror::Error,
 };
@@ -29,7 +29,8 @@
 #[derive(Debug)]
 pub enum WatchOutcome {
     Records(WatchUpdate),
-    /// The store has dropped some of the changes, so a snapshot is needed.
+    /// The store has dropped some of the changes, or has begun another era, so a snapshot is
+    /// needed.
     HistoryLost,
 }
 
@@ -42,6 +43,9 @@
     Status(u16),
     #[error("store response: {0}")]
     Body(String),
+    /// The records are of an era that is over.
+    #[error("store response is of era {found}, era {known} is known")]
+    EarlierEra { found: StoreEra, known: StoreEra },
     /// Not called, as the last call failed and a relay polls the store.
     #[error("not called: the last call failed, and a relay polls the store")]
     LeftToRelay,
@@ -52,7 +56,7 @@
 pub trait MetadataSource: Send + Sync {
     /// Sets the store's address for all further calls.
     fn set_addr(&self, addr: SocketAddr);
-    /// Returns the era of the store, as its responses tell it.
+    /// Returns the era of the store, which each response of the store may raise.
     fn known_era(&self) -> Arc<KnownEra>;
     async fn snapshot(&self, topic: Topic) -> Result<WatchUpdate, SourceError>;
     /// Reads the first page of a topic, which costs one call however large the topic is.
@@ -63,11 +67,11 @@
             is_complete: true,
         })
     }
-    /// Waits for changes after a revision.
+    /// Waits for changes after a position.
     async fn watch(
         &self,
         topic: Topic,
-        after: u64,
+        after: StorePosition,
         times: WatchTimes,
     ) -> Result<WatchOutcome, SourceError>;
 }
--- a/transport/src/metadata/store_watcher.rs
+++ b/transport/src/metadata/store_watcher.rs
@@ -1,13 +1,13 @@
 use {
-    super::{MetadataSource, SourceError, WatchOutcome, WatchUpdate},
+    super::{KnownEra, MetadataSource, SourceError, WatchOutcome, WatchUpdate},
     crate::clock,
     chalkcart_coordination::watch::WatchPacing,
-    chalkcart_state::published::Topic,
+    chalkcart_state::published::{StorePosition, Topic},
     std::{
         sync::Arc,
         time::{Duration, Instant},
     },
-    tokio::time::sleep,
+    tokio::time::{sleep, timeout},
 };
 
 /// Receives the records that a store watcher reads.
@@ -26,8 +26,9 @@
     sink: Arc<dyn RecordSink>,
     topic: Topic,
     pacing: WatchPacing,
-    /// The last revision read, or `None` if a snapshot is needed.
-    revision: Option<u64>,
+    era: Arc<KnownEra>,
+    /// The last position read, or `None` if a snapshot is needed.
+    position: Option<StorePosition>,
     /// Consecutive failed calls.
     failures: u32,
     /// The time of the last successful response, or of the start before the first.
@@ -42,11 +43,12 @@
         pacing: WatchPacing,
     ) -> Self {
         Self {
+            era: source.known_era(),
             source,
             sink,
             topic,
             pacing,
-            revision: None,
+            position: None,
             failures: 0,
             last_success: clock::now(),
         }
@@ -60,24 +62,37 @@
                 Ok(pause) => {
                     self.on_success(called_at);
                     if !pause.is_zero() {
-                        sleep(pause).await;
+                        self.pause(pause).await;
                     }
                 }
                 Err(e) => {
                     self.on_failure(&e, called_at);
                     self.sink.on_read_failed(self.topic);
                     let pause = self.pacing.pause(self.failures, rand::random());
-                    sleep(pause).await;
+                    self.pause(pause).await;
                 }
             }
         }
     }
 
+    /// Waits before the next call; a new era, of which the other topic may learn first, ends the
+    /// wait.
+    async fn pause(&self, pause: Duration) {
+        match self.position {
+            Some(at) => {
+                // Either way the next call follows.
+                let _ = timeout(pause, self.era.passes(at.era)).await;
+            }
+            None => sleep(pause).await,
+        }
+    }
+
     fn on_success(&mut self, called_at: Instant) {
         if self.failures > 0 {
             log::info!(
                 topic = self.topic.code(),
-                revision = self.revision.unwrap_or(0),
+                revision = self.position().revision,
+                era = self.position().era,
                 failures = self.failures,
                 unheard_ms = elapsed_ms(self.last_success),
                 took_ms = elapsed_ms(called_at);
@@ -94,7 +109,8 @@
         self.failures += 1;
         log::warn!(
             topic = self.topic.code(),
-            revision = self.revision.unwrap_or(0),
+            revision = self.position().revision,
+            era = self.position().era,
             failures = self.failures,
             unheard_ms = elapsed_ms(self.last_success),
             took_ms = elapsed_ms(called_at),
@@ -105,21 +121,42 @@
 
     /// Makes one call, and returns the pause until the next.
     async fn read_once(&mut self) -> Result<Duration, SourceError> {
-        let Some(after) = self.revision else {
-            let update = self.source.snapshot(self.topic).await?;
-            self.revision = Some(update.snapshot.at);
-            self.sink.apply(self.topic, update, true);
-            return Ok(Duration::ZERO);
-        };
+        match self.position {
+            Some(after) => self.read_changes(after).await,
+            None => self.read_all().await,
+        }
+    }
+
+    async fn read_all(&mut self) -> Result<Duration, SourceError> {
+        let update = self.source.snapshot(self.topic).await?;
+        let at = update.snapshot.at;
+        let known = self.era.get();
+        if at.era < known {
+            let found = at.era;
+            return Err(SourceError::EarlierEra { found, known });
+        }
+        // A relay may have told a later era than the store itself so far.
+        self.era.raise(at.era);
+        self.position = Some(at);
+        self.sink.apply(self.topic, update, true);
+        Ok(Duration::ZERO)
+    }
+
+    async fn read_changes(&mut self, after: StorePosition) -> Result<Duration, SourceError> {
         let times = self.pacing.next_call(self.failures);
-        match self.source.watch(self.topic, after, times).await? {
+        let outcome = tokio::select! {
+            // The other topic may learn of a new era first.
+            () = self.era.passes(after.era) => WatchOutcome::HistoryLost,
+            outcome = self.source.watch(self.topic, after, times) => outcome?,
+        };
+        match outcome {
             WatchOutcome::Records(update) if update.snapshot.at < after => {
                 // The response is older than the known state.
-                self.revision = None;
+                self.position = None;
             }
             WatchOutcome::Records(update) => {
                 let has_changes = !update.snapshot.records.is_empty();
-                self.revision = Some(update.snapshot.at);
+                self.position = Some(update.snapshot.at);
                 self.sink.apply(self.topic, update, false);
                 if has_changes {
                     return Ok(self.sink.pause_after_change(self.topic));
@@ -128,14 +165,19 @@
             WatchOutcome::HistoryLost => {
                 log::warn!(
                     topic = self.topic.code(),
-                    revision = after;
+                    revision = after.revision,
+                    era = after.era;
                     "store: history of {:?} lost after {after}", self.topic
                 );
-                self.revision = None;
+                self.position = None;
             }
         }
         Ok(Duration::ZERO)
     }
+
+    fn position(&self) -> StorePosition {
+        self.position.unwrap_or_default()
+    }
 }
 
 fn elapsed_ms(since: Instant) -> u64 {
--- a/transport/src/metrics/ingress_metrics.rs
+++ b/transport/src/metrics/ingress_metrics.rs
@@ -1,6 +1,7 @@
 use {
     super::{bounded_names::BoundedNames, new_histograms_by, CrashMetrics},
     chalkcart_protocol::wire::WireVersion,
+    chalkcart_state::published::StorePosition,
     prometheus_client::{
         encoding::{text::encode, EncodeLabelSet},
         metrics::{
@@ -229,12 +230,10 @@
     pub fn on_configuration(&self, generation: u64) {
         self.configuration.set(generation as i64);
     }
-    pub fn on_list(&self, version: u64) {
-        self.list.set(version as i64);
-    }
-    /// Records the era of the store; 0 if it names none.
-    pub fn on_store_era(&self, era: u64) {
-        self.store_era.set(era as i64);
+    /// Records the position of the store at which the list was read.
+    pub fn on_list(&self, at: StorePosition) {
+        self.list.set(at.revision as i64);
+        self.store_era.set(at.era as i64);
     }
     pub fn on_waiting(&self, requests: usize) {
         self.waiting.set(requests as i64);
@@ -345,7 +344,11 @@
         registry.register("configuration", "Configuration in force", configuration);
         let list = self.list.clone();
         registry.register("list", "Version of the list of back ends", list);
-        registry.register("store_era", "Era of the store", self.store_era.clone());
+        registry.register(
+            "store_era",
+            "Era of the store in which the list was read",
+            self.store_era.clone(),
+        );
         let waiting = self.waiting.clone();
         registry.register("waiting", "Requests that wait for a back end", waiting);
         registry.register(
--- a/transport/tests/store_outages.rs
+++ b/transport/tests/store_outages.rs
@@ -4,7 +4,7 @@
 use {
     async_trait::async_trait,
     chalkcart_coordination::watch::{WatchPacing, WatchTimes},
-    chalkcart_state::published::{Snapshot, Topic},
+    chalkcart_state::published::{Snapshot, StorePosition, Topic},
     chalkcart_transport::{
         client::{ClientError, ClientStep},
         metadata::{
@@ -60,7 +60,10 @@
     fn update(&self, at: u64) -> WatchUpdate {
         let records = Vec::new();
         WatchUpdate {
-            snapshot: Snapshot { records, at },
+            snapshot: Snapshot {
+                records,
+                at: StorePosition::new(1, at),
+            },
             current_at: std::time::Instant::now(),
         }
     }
@@ -93,7 +96,7 @@
     async fn watch(
         &self,
         _topic: Topic,
-        after: u64,
+        after: StorePosition,
         times: WatchTimes,
     ) -> Result<WatchOutcome, SourceError> {
         let called_at = Instant::now();
@@ -102,7 +105,7 @@
             if self.is_lost(called_at).await {
                 return Err(time_out(called_at, times.timeout()).await);
             }
-            if self.revision() > after || called_at.elapsed() >= times.hold {
+            if self.revision() > after.revision || called_at.elapsed() >= times.hold {
                 sleep(RESPONSE_TIME).await;
                 return match self.is_lost(called_at).await {
                     true => Err(time_out(called_at, times.timeout()).await),
@@ -121,7 +124,7 @@
 impl RecordSink for RevisionTimes {
     fn apply(&self, _topic: Topic, update: WatchUpdate, _is_full: bool) {
         let mut rows = self.0.lock().unwrap();
-        rows.push((update.snapshot.at, Instant::now()));
+        rows.push((update.snapshot.at.revision, Instant::now()));
     }
     fn pause_after_change(&self, _topic: Topic) -> Duration {
         Duration::ZERO
--- a/transport/tests/suspended.rs
+++ b/transport/tests/suspended.rs
@@ -10,7 +10,7 @@
     },
     chalkcart_state::{
         ingress::RequestDigest,
-        published::{Snapshot, Topic},
+        published::{Snapshot, StorePosition, Topic},
     },
     chalkcart_transport::{
         clock::{self, before_deadline, sleep_until_deadline, Clock, DeadlineElapsed},
@@ -105,7 +105,7 @@
     async fn watch(
         &self,
         _: Topic,
-        _: u64,
+        _: StorePosition,
         times: WatchTimes,
     ) -> Result<WatchOutcome, SourceError> {
         let called_at = clock::now();
@@ -118,7 +118,10 @@
 fn no_changes(current_at: Instant) -> WatchUpdate {
     let records = Vec::new();
     WatchUpdate {
-        snapshot: Snapshot { records, at: 1 },
+        snapshot: Snapshot {
+            records,
+            at: StorePosition::new(1, 1),
+        },
         current_at,
     }
 }
