Keep what was heard of leaving back ends, evacuations and configurations beyond a restore

A restored store lists a back end as ready that had said that it leaves, or had left, and lacks an evacuation, until their writers repeat what was lost.

An entry holds back ends that were leaving for 60 s, those that were gone for 6 s, and evacuated zones for 60 s, unless their record is written again in the new era; then the store's word decides. A relay never replaces a configuration or an adapter's version by an earlier one, so an entry that starts beside it gets the latest. A relay that reads a restored store says so, and its entries wait for it; without relays the entries spread their reads of the list over what the store's read rate and the drain time allow.

The list of back ends moves from the entry into coordination, where it has tests without I/O.

--- a/coordination/src/lib.rs
+++ b/coordination/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod membership;
 pub mod permits;
 pub mod placement;
+pub mod published;
 pub mod queue;
 pub mod relay;
 pub mod retry;
--- /dev/null
+++ b/coordination/src/published/listed_backends.rs
@@ -0,0 +1,163 @@
+use {
+    super::holds::{Holds, RESTORED_HOLD},
+    chalkcart_state::{
+        backends::{Backend, BackendId, BackendList, BackendName},
+        published::{Record, RecordSubject, Snapshot, StorePosition},
+    },
+    std::{
+        collections::{BTreeMap, HashMap},
+        time::{Duration, Instant},
+    },
+};
+
+/// How long a back end that was gone is treated as leaving if a restored store lists it: its record
+/// disappears after three heartbeats of 1.2 s that it does not send.
+const GONE_HOLD: Duration = Duration::from_secs(6);
+/// Time between reports of the listed weights, unless another change is reported earlier. They are
+/// used only for engines without a reporting sidecar.
+const WEIGHTS_INTERVAL: Duration = Duration::from_secs(2);
+
+/// The list of back ends to use from now on.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ListUpdate {
+    /// The position of the store at which it was read.
+    pub at: StorePosition,
+    pub list: BackendList,
+}
+
+/// The back ends that the store lists.
+///
+/// A restored store may list a back end as ready that was leaving or gone before. Such a back end is
+/// treated as leaving for a while, unless its record is written again.
+#[derive(Debug, Default)]
+pub struct ListedBackends {
+    at: StorePosition,
+    backends: BTreeMap<BackendName, Backend>,
+    /// When back ends left the list.
+    gone: HashMap<BackendId, Instant>,
+    /// Back ends that are treated as leaving.
+    held: Holds<BackendId>,
+    reported_at: Option<Instant>,
+    has_unreported_changes: bool,
+}
+
+impl ListedBackends {
+    /// Applies all records of the list if `is_full`, else the changed ones. Returns the list if it
+    /// must be used at once, or if its changes have waited long enough.
+    pub fn apply(&mut self, snapshot: Snapshot, is_full: bool, now: Instant) -> Option<ListUpdate> {
+        let is_new_era = snapshot.at.era > self.at.era;
+        self.at = snapshot.at;
+        let mut is_urgent = is_full;
+        let before = match is_full {
+            true => std::mem::take(&mut self.backends),
+            false => BTreeMap::new(),
+        };
+        for record in snapshot.records {
+            is_urgent |= match record {
+                Record::Backend(backend) => self.insert(backend, is_full),
+                Record::BackendGone(name) => self.remove(&name, now),
+                Record::Unreadable {
+                    subject: RecordSubject::Backend(name),
+                    ..
+                } => self.set_unreadable(&name, before.get(&name)),
+                _ => continue,
+            };
+            self.has_unreported_changes = true;
+        }
+        match is_new_era {
+            true => self.hold_leaving(&before, now),
+            false => self.record_missing(before, now),
+        }
+        is_urgent |= self.expire(now);
+        (is_urgent || self.is_due(now)).then(|| self.report(now))
+    }
+
+    pub fn len(&self) -> usize {
+        self.backends.len()
+    }
+    pub fn is_empty(&self) -> bool {
+        self.backends.is_empty()
+    }
+
+    /// Adds or replaces a back end; returns whether the change must be used at once.
+    fn insert(&mut self, backend: Backend, is_full: bool) -> bool {
+        // A write in this era outweighs what was known before.
+        let was_held = !is_full && self.held.release(&backend.id);
+        if !is_full {
+            self.gone.remove(&backend.id);
+        }
+        let known = self
+            .backends
+            .insert(backend.id.name.clone(), backend.clone());
+        was_held || known.is_none_or(|known| known.differs_beyond_weights(&backend))
+    }
+
+    fn remove(&mut self, name: &BackendName, now: Instant) -> bool {
+        let Some(backend) = self.backends.remove(name) else {
+            return false;
+        };
+        self.gone.insert(backend.id, now);
+        true
+    }
+
+    /// Marks a back end with an undecodable record as leaving: it gets no new requests, while
+    /// running ones continue. Returns whether the change must be used at once.
+    fn set_unreadable(&mut self, name: &BackendName, before: Option<&Backend>) -> bool {
+        if let Some(before) = before {
+            self.backends.insert(name.clone(), before.clone());
+        }
+        let Some(backend) = self.backends.get_mut(name) else {
+            return false;
+        };
+        let was_used = !backend.leaving;
+        backend.leaving = true;
+        was_used
+    }
+
+    /// Records which back ends of an earlier list of the same era are missing in a full list.
+    fn record_missing(&mut self, before: BTreeMap<BackendName, Backend>, now: Instant) {
+        for (name, backend) in before {
+            let listed = self.backends.get(&name);
+            if listed.is_none_or(|listed| listed.id != backend.id) {
+                self.gone.insert(backend.id, now);
+            }
+        }
+    }
+
+    /// Keeps back ends that were leaving or gone from being used because a restored store lists
+    /// them as ready.
+    fn hold_leaving(&mut self, before: &BTreeMap<BackendName, Backend>, now: Instant) {
+        let leaving = before.values().filter(|backend| backend.leaving);
+        for backend in leaving {
+            self.held.hold(backend.id.clone(), now + RESTORED_HOLD);
+        }
+        for id in self.gone.keys() {
+            self.held.hold(id.clone(), now + GONE_HOLD);
+        }
+    }
+
+    /// Drops what is too old; returns whether a listed back end may be used again.
+    fn expire(&mut self, now: Instant) -> bool {
+        self.gone
+            .retain(|_, gone_at| now.saturating_duration_since(*gone_at) < RESTORED_HOLD);
+        self.held.expire(now)
+    }
+
+    fn is_due(&self, now: Instant) -> bool {
+        let is_over = |at| now.saturating_duration_since(at) >= WEIGHTS_INTERVAL;
+        self.has_unreported_changes && self.reported_at.is_none_or(is_over)
+    }
+
+    fn report(&mut self, now: Instant) -> ListUpdate {
+        self.has_unreported_changes = false;
+        self.reported_at = Some(now);
+        let backends = self.backends.values().map(|backend| Backend {
+            leaving: backend.leaving || self.held.contains(&backend.id),
+            ..backend.clone()
+        });
+        ListUpdate {
+            at: self.at,
+            list: backends.collect(),
+        }
+    }
+}
--- a/coordination/src/relay/published_cache.rs
+++ b/coordination/src/relay/published_cache.rs
@@ -92,8 +92,12 @@
             // A change gets its position even if the listing contained it already. The
             // pages of a listing are no snapshot: a later page may include changes after
             // the listing's position, which is that of its first page.
-            let known = self.records.get(&key);
-            if !is_full || known.is_none_or(|(_, known)| *known != record) {
+            let known = self.records.get(&key).map(|(_, known)| known);
+            let record = match known {
+                Some(known) if known.is_later_version_of(&record) => known.clone(),
+                _ => record,
+            };
+            if !is_full || known != Some(&record) {
                 self.records.insert(key, (update.at, record));
             }
         }
--- a/coordination/src/retry/list_pacing.rs
+++ b/coordination/src/retry/list_pacing.rs
@@ -12,6 +12,11 @@
 /// Fraction of the store's read rate that the list requests of all entries may use.
 const READS_FRACTION: f64 = 0.25;
 
+/// Back ends in one page of the list.
+const BACKENDS_PER_READ: f64 = 500.0;
+/// Fraction of the drain time over which the entries of a large fleet may read the whole list again.
+const MAX_RESTORE_FRACTION: f64 = 0.3;
+
 /// Pace at which an entry requests changes of the list of back ends.
 #[derive(Debug, Clone)]
 pub struct ListPacing {
@@ -34,4 +39,16 @@
         let pause = SMALL_FLEET_PAUSE.mul_f64(growth).min(max_pause);
         pause.max(Duration::from_secs_f64(min_pause_s))
     }
+
+    /// Returns the pause before the whole list is read again after the store was restored, which
+    /// all entries notice at once. The pauses of `entries` entries spread their reads so that they
+    /// stay within the entries' part of the store's read rate, if the drain time allows.
+    pub fn pause_after_restore(&self, entries: u32, backends: usize, jitter: f64) -> Duration {
+        let pages = (backends as f64 / BACKENDS_PER_READ).ceil().max(1.0);
+        let reads = f64::from(entries.max(1)) * pages;
+        let spread_s = reads / (self.store_reads_per_s * READS_FRACTION).max(1.0);
+        let max_spread = self.drain.mul_f64(MAX_RESTORE_FRACTION);
+        let spread = Duration::from_secs_f64(spread_s).min(max_spread);
+        spread.mul_f64(jitter)
+    }
 }
--- a/entry/src/ingress/records.rs
+++ b/entry/src/ingress/records.rs
@@ -1,9 +1,10 @@
 use {
     super::{shared::Shared, unreadable_records::UnreadableRecords, zone_source::ZoneSource},
-    chalkcart_coordination::dispatch::DispatchEvent,
+    chalkcart_coordination::{
+        dispatch::DispatchEvent,
+        published::{EvacuatedZones, ListUpdate, ListedBackends},
+    },
     chalkcart_state::{
-        backends::{Backend, BackendName},
-        ids::ZoneName,
         ingress::RouteTable,
         published::{Record, RecordSubject, Snapshot, Topic},
     },
@@ -12,77 +13,23 @@
         metadata::{RecordSink, WatchUpdate},
     },
     std::{
-        collections::{BTreeMap, HashSet},
         sync::{Arc, Mutex, PoisonError},
-        time::{Duration, Instant},
+        time::Duration,
     },
 };
 
 /// Delay after a list change from a relay, which costs no store call, only processing time.
 const RELAYED_LIST_DELAY: Duration = Duration::from_millis(150);
 
-/// Time between reports of the listed weights to the dispatcher, unless another change is reported
-/// earlier. They are used only for engines without a reporting sidecar.
-const WEIGHTS_INTERVAL: Duration = Duration::from_secs(2);
-
 /// Applies the records of the platform's store to an entry.
 pub struct EntryRecords {
     shared: Arc<Shared>,
     source: Arc<ZoneSource>,
-    list: Mutex<BackendList>,
-    /// Zones whose back ends must not get requests.
-    evacuated: Mutex<HashSet<ZoneName>>,
+    list: Mutex<ListedBackends>,
+    evacuated: Mutex<EvacuatedZones>,
     unreadable: UnreadableRecords,
 }
 
-/// The listed back ends.
-#[derive(Default)]
-struct BackendList {
-    backends: BTreeMap<BackendName, Backend>,
-    /// When the list was last reported to the dispatcher.
-    reported_at: Option<Instant>,
-    has_unreported_changes: bool,
-}
-
-impl BackendList {
-    /// Applies a record; returns whether the change must be reported at once.
-    fn apply(&mut self, record: Record) -> bool {
-        match record {
-            Record::Backend(backend) => {
-                let known = self
-                    .backends
-                    .insert(backend.id.name.clone(), backend.clone());
-                known.is_none_or(|known| known.differs_beyond_weights(&backend))
-            }
-            Record::BackendGone(name) => self.backends.remove(&name).is_some(),
-            other => {
-                log_unexpected(&other);
-                false
-            }
-        }
-    }
-
-    /// Marks a back end with an undecodable record as leaving: it gets no new requests, while
-    /// running ones continue. Returns whether the change must be reported at once.
-    fn set_unreadable(&mut self, name: &BackendName, before: Option<&Backend>) -> bool {
-        if let Some(before) = before {
-            self.backends.insert(name.clone(), before.clone());
-        }
-        let Some(backend) = self.backends.get_mut(name) else {
-            return false;
-        };
-        let was_used = !backend.leaving;
-        backend.leaving = true;
-        was_used
-    }
-
-    fn is_due(&self) -> bool {
-        let reported_at = self.reported_at;
-        self.has_unreported_changes
-            && reported_at.is_none_or(|at| clock::elapsed(at) >= WEIGHTS_INTERVAL)
-    }
-}
-
 impl EntryRecords {
     pub fn new(shared: Arc<Shared>, source: Arc<ZoneSource>) -> Self {
         Self {
@@ -95,37 +42,21 @@
     }
 
     fn apply_backends(&self, snapshot: Snapshot, is_full: bool) {
-        // No holder panics in the middle of an update.
-        let mut list = self.list.lock().unwrap_or_else(PoisonError::into_inner);
-        let before = match is_full {
-            true => std::mem::take(&mut list.backends),
-            false => BTreeMap::new(),
-        };
-        let mut is_urgent = is_full;
-        for record in snapshot.records {
+        for record in &snapshot.records {
             self.unreadable
-                .record_if_unreadable(&record, &self.shared.metrics);
-            is_urgent |= match &record {
-                Record::Unreadable {
-                    subject: RecordSubject::Backend(name),
-                    ..
-                } => list.set_unreadable(name, before.get(name)),
-                _ => list.apply(record),
-            };
-            list.has_unreported_changes = true;
+                .record_if_unreadable(record, &self.shared.metrics);
+            log_unless_backend(record);
         }
-        if !is_urgent && !list.is_due() {
+        // No holder panics in the middle of an update.
+        let mut list = self.list.lock().unwrap_or_else(PoisonError::into_inner);
+        let Some(ListUpdate { at, list }) = list.apply(snapshot, is_full, clock::now()) else {
             return;
-        }
-        list.has_unreported_changes = false;
-        list.reported_at = Some(clock::now());
-        let backends = list.backends.values().cloned().collect();
+        };
         self.shared.set_has_backend_list();
-        let at = snapshot.at;
         self.shared.metrics.on_list(at);
         self.shared
             .control
-            .send_event(DispatchEvent::ListUpdated { at, list: backends });
+            .send_event(DispatchEvent::ListUpdated { at, list });
     }
 
     fn apply_configuration(&self, record: Record) {
@@ -151,32 +82,15 @@
         }
     }
 
-    /// Updates the evacuated zones from all records of the topic if `is_full`, else from the
-    /// changed ones.
-    fn apply_zones(&self, records: &[Record], is_full: bool) {
+    fn apply_zones(&self, snapshot: &Snapshot, is_full: bool) {
         // No holder panics in the middle of an update.
         let known = self.evacuated.lock();
         let mut known = known.unwrap_or_else(PoisonError::into_inner);
-        let before = known.clone();
-        if is_full {
-            known.clear();
-        }
-        for record in records {
-            match record {
-                Record::Zone {
-                    zone,
-                    is_evacuated: true,
-                } => known.insert(zone.clone()),
-                Record::Zone { zone, .. } => known.remove(zone),
-                _ => false,
-            };
-        }
-        if *known == before {
+        let Some(zones) = known.apply(snapshot, is_full, clock::now()) else {
             return;
-        }
-        let zones: Vec<&str> = known.iter().map(String::as_str).collect();
-        log::info!(zones = zones.join(",").as_str(); "store: evacuated zones changed");
-        let zones = known.clone();
+        };
+        let names: Vec<&str> = zones.iter().map(String::as_str).collect();
+        log::info!(zones = names.join(",").as_str(); "store: evacuated zones changed");
         self.shared
             .control
             .send_event(DispatchEvent::ZonesEvacuated(zones));
@@ -225,7 +139,7 @@
             Topic::Backends => self.apply_backends(update.snapshot, is_full),
             Topic::Configuration => {
                 self.shared.set_configuration_position(update.snapshot.at);
-                self.apply_zones(&update.snapshot.records, is_full);
+                self.apply_zones(&update.snapshot, is_full);
                 let records = update.snapshot.records.into_iter();
                 records.for_each(|record| self.apply_configuration(record));
                 self.shared.admission.lease().on_current(update.current_at);
@@ -233,6 +147,23 @@
         }
     }
 
+    fn on_new_era(&self, topic: Topic, jitter: f64) -> Duration {
+        match topic {
+            Topic::Backends if !self.source.has_relays() => {
+                let backends = self
+                    .list
+                    .lock()
+                    .unwrap_or_else(PoisonError::into_inner)
+                    .len();
+                let entries = self.shared.control.entry_count();
+                let pacing = self.shared.list_pacing();
+                pacing.pause_after_restore(entries, backends, jitter)
+            }
+            // The configuration is one read, and a relay reads the list for the entries of its zone.
+            Topic::Configuration | Topic::Backends => Duration::ZERO,
+        }
+    }
+
     fn pause_after_change(&self, topic: Topic) -> Duration {
         match topic {
             Topic::Configuration => Duration::ZERO,
@@ -245,6 +176,21 @@
     }
 }
 
+fn log_unless_backend(record: &Record) {
+    let is_expected = matches!(
+        record,
+        Record::Backend(_)
+            | Record::BackendGone(_)
+            | Record::Unreadable {
+                subject: RecordSubject::Backend(_),
+                ..
+            }
+    );
+    if !is_expected {
+        log_unexpected(record);
+    }
+}
+
 /// Logs a record that does not belong to its topic, as a relay of another version might send.
 fn log_unexpected(record: &Record) {
     log::error!("store: unexpected record for this topic: {record:?}");
--- a/entry/src/ingress/zone_source.rs
+++ b/entry/src/ingress/zone_source.rs
@@ -46,6 +46,7 @@
     store: Arc<dyn MetadataSource>,
     relays: StoreRelayClient,
     discovery: RelayDiscovery,
+    pacing: RelayPacing,
     configuration_calls: Mutex<DirectCallPacing>,
     backends_calls: Mutex<DirectCallPacing>,
 }
@@ -64,9 +65,14 @@
             relays: StoreRelayClient::new(relays, pacing, store.known_era()),
             store,
             discovery,
+            pacing,
         }
     }
 
+    pub fn has_relays(&self) -> bool {
+        self.relays.has_relays()
+    }
+
     pub fn is_relayed(&self) -> bool {
         self.relays.is_relayed()
     }
@@ -97,6 +103,11 @@
         result
     }
 
+    /// Returns whether relays that can read a topic must be found first.
+    fn should_discover(&self, topic: Topic) -> bool {
+        topic == Topic::Backends && !self.relays.has_relays() && self.discovery.is_enabled()
+    }
+
     /// Reads the list through relays, which are found in the latest changes of the list or on its
     /// first page. Reads it completely from the store if the first page is all of it, or if no
     /// relay delivers it.
@@ -111,7 +122,7 @@
             is_found = self.discovery.discover(&page.update.snapshot).await;
         }
         if is_found {
-            if let Some(update) = self.await_list().await {
+            if let Some(update) = self.await_relay(topic, MAX_RELAY_START).await {
                 return Ok(update);
             }
             log::warn!("store: no relay delivered the list, which is read from the store");
@@ -138,15 +149,14 @@
         }
     }
 
-    /// Calls relays until one delivers the list. Returns `None` if none of them is reading it, or
-    /// if that takes too long.
-    async fn await_list(&self) -> Option<WatchUpdate> {
+    /// Calls relays until one delivers all records of a topic. Returns `None` if none of them is
+    /// reading it, or if that takes longer than `limit`.
+    async fn await_relay(&self, topic: Topic, limit: Duration) -> Option<WatchUpdate> {
         let started_at = clock::now();
         let mut last_progress = started_at;
-        while clock::elapsed(started_at) < MAX_RELAY_START
-            && clock::elapsed(last_progress) < MAX_RELAY_SEARCH
+        while clock::elapsed(started_at) < limit && clock::elapsed(last_progress) < MAX_RELAY_SEARCH
         {
-            let call = self.relays.call(Topic::Backends, None, MAX_RELAY_HOLD);
+            let call = self.relays.call(topic, None, MAX_RELAY_HOLD.min(limit));
             match call.await {
                 RelaysResult::Received(WatchOutcome::Records(update)) => return Some(update),
                 RelaysResult::Starting => last_progress = clock::now(),
@@ -169,11 +179,15 @@
     }
 
     async fn snapshot(&self, topic: Topic) -> Result<WatchUpdate, SourceError> {
-        match (topic, self.relays.call(topic, None, Duration::ZERO).await) {
-            (_, RelaysResult::Received(WatchOutcome::Records(records))) => return Ok(records),
-            (Topic::Backends, _) if !self.relays.has_relays() && self.discovery.is_enabled() => {
-                return self.discover_list().await;
+        match self.relays.call(topic, None, Duration::ZERO).await {
+            RelaysResult::Received(WatchOutcome::Records(records)) => return Ok(records),
+            RelaysResult::Starting => {
+                let read = self.await_relay(topic, self.pacing.restored_list_wait());
+                if let Some(update) = read.await {
+                    return Ok(update);
+                }
             }
+            _ if self.should_discover(topic) => return self.discover_list().await,
             _ => {}
         }
         self.call_store(topic, self.store.snapshot(topic)).await
--- a/sidecar/src/relay/store_cache.rs
+++ b/sidecar/src/relay/store_cache.rs
@@ -65,7 +65,7 @@
     cache: Mutex<PublishedCache>,
     /// Number of updates from the store.
     changed: watch::Sender<u64>,
-    /// The read of all records that starts a watch, until it is complete.
+    /// The read of all records that starts a watch or an era, until it is complete.
     first_read: Mutex<Option<FirstRead>>,
     /// The last encoded response with all records, until the topic changes.
     full_response: Mutex<Option<FullResponse>>,
@@ -324,6 +324,15 @@
         }
     }
 
+    /// Callers wait for the read of the restored store, instead of reading it themselves.
+    fn on_new_era(&self, topic: Topic, jitter: f64) -> Duration {
+        self.topic(topic).start_first_read(clock::now());
+        match topic {
+            Topic::Configuration => Duration::ZERO,
+            Topic::Backends => self.pacing.pause_after_restore(jitter),
+        }
+    }
+
     fn pause_after_change(&self, topic: Topic) -> Duration {
         match topic {
             Topic::Configuration => Duration::ZERO,
--- a/state/src/published/record.rs
+++ b/state/src/published/record.rs
@@ -31,6 +31,20 @@
     },
 }
 
+impl Record {
+    /// Returns whether this is a later version than another record of the same key. A restored store
+    /// may have the earlier one.
+    pub fn is_later_version_of(&self, other: &Self) -> bool {
+        match (self, other) {
+            (Self::Table(table), Self::Table(other)) => table.generation > other.generation,
+            (Self::AdapterVersion { version, .. }, Self::AdapterVersion { version: other, .. }) => {
+                version > other
+            }
+            _ => false,
+        }
+    }
+}
+
 /// The subject of an unreadable record, by its key.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RecordSubject {
--- a/testkit/tests/restored_store.rs
+++ b/testkit/tests/restored_store.rs
@@ -4,6 +4,7 @@
 use {
     anyhow::Result,
     chalkcart_testkit::{
+        forwarder::LinkFault,
         users_platform::{
             request, BackendStandIn, ClientRequest, ClientResponse, Fleet, FleetSettings,
             LostWrites, StoreCopy, StoreFault,
@@ -119,6 +120,15 @@
         .push(route);
 }
 
+/// Waits until the ingress uses a list of this era of the store.
+async fn wait_for_era(fleet: &Fleet, era: u64) {
+    let gauge = format!("chalkcart_ingress_store_era {era}\n");
+    until_async("the list of the new era is used", || async {
+        fleet.metrics_text().await.contains(&gauge)
+    })
+    .await;
+}
+
 /// Guards against requests sent to a back end that leaves after the store's return, because its
 /// list has a lower revision than the one in use.
 #[tokio::test]
@@ -153,3 +163,85 @@
     wait_until_unused(&fleet, 0).await;
     Ok(())
 }
+
+/// Guards against requests to a back end that was leaving before the restore, while the store lists
+/// it as ready again.
+#[tokio::test]
+async fn a_back_end_that_was_leaving_before_a_restore_gets_no_requests() -> Result<()> {
+    let fleet = start(FleetSettings::default()).await?;
+    let copy = copy_and_write(&fleet).await;
+    fleet.publish_plain(0, "draining");
+    wait_until_unused(&fleet, 0).await;
+    restore(&fleet, &copy, LostWrites::Forgotten).await;
+    wait_for_era(&fleet, 2).await;
+    assert!(is_unused(&fleet, &fleet.plain[0]).await);
+    Ok(())
+}
+
+/// Guards against a confirmed configuration that goes back with the store.
+#[tokio::test]
+async fn a_configuration_stays_in_force_beyond_a_restore() -> Result<()> {
+    for has_relay in [false, true] {
+        let mut fleet = match has_relay {
+            true => start_with_relay().await?,
+            false => start(FleetSettings::default()).await?,
+        };
+        let copy = copy_and_write(&fleet).await;
+        fleet.configure(|document| add_route(document, "/added/"));
+        wait_until_status(&fleet, "/added/", 200).await;
+        restore(&fleet, &copy, LostWrites::Forgotten).await;
+        wait_for_era(&fleet, 2).await;
+        assert_eq!(send(&fleet, "/added/").await?.status, 200);
+        fleet.configure(|document| add_route(document, "/later/"));
+        wait_until_status(&fleet, "/later/", 200).await;
+    }
+    Ok(())
+}
+
+/// Guards against relays that learn of the restore later than the entry, and an entry that takes
+/// their records of the former era.
+#[tokio::test]
+async fn relays_that_learn_of_a_restore_late_are_used_again() -> Result<()> {
+    let mut fleet = start_with_relay().await?;
+    let copy = copy_and_write(&fleet).await;
+    for sidecar in &mut fleet.sidecars {
+        sidecar.pause()?;
+    }
+    restore(&fleet, &copy, LostWrites::Repeated).await;
+    fleet.configure(|document| add_route(document, "/added/"));
+    wait_until_status(&fleet, "/added/", 200).await;
+    wait_for_era(&fleet, 2).await;
+    for sidecar in &mut fleet.sidecars {
+        sidecar.resume()?;
+    }
+    fleet.configure(|document| add_route(document, "/later/"));
+    wait_until_status(&fleet, "/later/", 200).await;
+    fleet.publish_plain(0, "draining");
+    wait_until_unused(&fleet, 0).await;
+    Ok(())
+}
+
+/// Guards against an entry that was cut off from the store during the restore and takes a revision
+/// that was given out again for one that it knows.
+#[tokio::test]
+async fn an_entry_that_learns_of_a_restore_late_reads_the_store_in_full() -> Result<()> {
+    let mut fleet = start(FleetSettings {
+        has_store_forwarder: true,
+        ..FleetSettings::default()
+    })
+    .await?;
+    let copy = copy_and_write(&fleet).await;
+    let link = fleet.store_forwarder.as_ref().expect("a forwarder");
+    link.set_fault(LinkFault::Blackhole);
+    fleet.store.restore(&copy, LostWrites::Forgotten);
+    fleet.publish_plain(0, "draining");
+    for number in 0..2 * WRITES_SINCE_COPY {
+        let record = json!({"Model": "m", "Adapter": "unused", "Version": number});
+        fleet.store.put("op/version/m.unused", record);
+    }
+    link.set_fault(LinkFault::None);
+    wait_until_unused(&fleet, 0).await;
+    fleet.configure(|document| add_route(document, "/added/"));
+    wait_until_status(&fleet, "/added/", 200).await;
+    Ok(())
+}
--- a/transport/src/metadata/store_watcher.rs
+++ b/transport/src/metadata/store_watcher.rs
@@ -16,6 +16,11 @@
     fn apply(&self, topic: Topic, update: WatchUpdate, is_full: bool);
     /// Called after each call that failed.
     fn on_read_failed(&self, _topic: Topic) {}
+    /// Called when the store has begun another era, so that the topic must be read in full. Returns
+    /// the pause before that; `jitter` is between 0 and 1 and differs between processes.
+    fn on_new_era(&self, _topic: Topic, _jitter: f64) -> Duration {
+        Duration::ZERO
+    }
     /// Returns the pause between a change and the next call.
     fn pause_after_change(&self, topic: Topic) -> Duration;
 }
@@ -170,6 +175,9 @@
                     "store: history of {:?} lost after {after}", self.topic
                 );
                 self.position = None;
+                if self.era.get() > after.era {
+                    return Ok(self.sink.on_new_era(self.topic, rand::random()));
+                }
             }
         }
         Ok(Duration::ZERO)
