soak: a store that returns with an older state, with and without a relay

The stand-in of the store returns to an earlier copy, with writes of other systems in between, so that revisions go back by a hundred and more; the ingress may be cut off from it meanwhile. At its end each soak drains a back end that must then get no requests.

--- a/testkit/examples/soak/main.rs
+++ b/testkit/examples/soak/main.rs
@@ -27,6 +27,12 @@
             "include engines that announce leaving or request back-off",
         )
         .optflag("", "limits", "include back ends that advertise rate limits")
+        .optflag(
+            "",
+            "restores",
+            "include a store that returns with an older state",
+        )
+        .optflag("", "relay", "let the ingress use a relay")
         .optflag("", "resumable", "include streams that may be resumed")
         .optflag("h", "help", "print this help");
     let matches = opts.parse(env::args().skip(1))?;
@@ -61,6 +67,11 @@
         has_crashing_requests: matches.opt_present("crashing"),
         has_backend_signals: matches.opt_present("own-words"),
         has_rate_limits: matches.opt_present("limits"),
+        has_store_restores: matches.opt_present("restores"),
+        relays_from_engines: match matches.opt_present("relay") {
+            true => 1,
+            false => default.relays_from_engines,
+        },
         has_resumable_streams: matches.opt_present("resumable"),
         other_build: Binaries::from_other_build(),
         fault_period: Duration::from_secs(number(matches, "span", default.fault_period.as_secs())?),
--- a/testkit/src/soak/fault_schedule.rs
+++ b/testkit/src/soak/fault_schedule.rs
@@ -45,6 +45,10 @@
     StoreCompacts,
     /// The store never responds again on its open connections.
     StoreConnectionsUnresponsive,
+    /// The store is away, returns with an older state, and its writers repeat what it lost.
+    StoreRestored,
+    /// The same, while the ingress can't reach the store for twice as long.
+    StoreRestoredUnseen,
     Configuration,
     AdapterVersion(u8),
 }
@@ -125,5 +129,10 @@
         // twice as likely, so that a limit is enforced even in a short soak
         all.extend([Fault::EngineLimited(engine), Fault::PlainLimited(plain)]);
     }
+    if settings.has_store_restores {
+        // as likely as all other faults of the store
+        all.extend([Fault::StoreRestored, Fault::StoreRestoredUnseen].repeat(3));
+        all.extend([Fault::Configuration, Fault::PlainDrains(plain)]);
+    }
     all[rng.random_range(0..all.len())]
 }
--- a/testkit/src/soak/mod.rs
+++ b/testkit/src/soak/mod.rs
@@ -7,6 +7,7 @@
 mod record;
 mod runner;
 mod settings;
+mod store_restores;
 
 pub use {
     checks::{violations, Violation},
--- a/testkit/src/soak/runner.rs
+++ b/testkit/src/soak/runner.rs
@@ -1,8 +1,10 @@
 use {
     super::{
-        keep_alive_client::KeepAliveClient, schedule_faults, violations, BackendRecord,
-        ConfigurationHistory, Fault, Outcome, RequestRecord, ScheduledFault, SoakRecord,
-        SoakSettings, Violation,
+        keep_alive_client::KeepAliveClient,
+        schedule_faults,
+        store_restores::{cut_off_ingress, set_store_away, StoreRestores},
+        violations, BackendRecord, ConfigurationHistory, Fault, Outcome, RequestRecord,
+        ScheduledFault, SoakRecord, SoakSettings, Violation,
     },
     crate::{
         cluster::Binaries,
@@ -34,6 +36,8 @@
 
 /// Time limit for the fleet to serve all routes again after the last fault.
 const RECOVERY_TIMEOUT: Duration = Duration::from_secs(30);
+/// Requests by which a drained back end is seen to get none.
+const DRAIN_PROBES: u32 = 6;
 const RECOVERY_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Time between SIGTERM and SIGKILL, in seconds, and the time limit for an exit after it.
 const GRACE_S: f64 = 2.0;
@@ -84,6 +88,7 @@
         grace_s: GRACE_S,
         has_store_forwarder: true,
         stream_attempts,
+        relays_from_engines: settings.relays_from_engines,
         ..FleetSettings::default()
     })
     .await?;
@@ -110,6 +115,7 @@
         starts: 0,
         max_stream_runs: stream_attempts,
         stream_events,
+        restores: StoreRestores::default(),
     };
     soak.inject_faults(&faults).await?;
     if let Some(client) = crashing_client {
@@ -160,6 +166,7 @@
     starts: u64,
     max_stream_runs: u32,
     stream_events: u32,
+    restores: StoreRestores,
 }
 
 impl SoakRun {
@@ -199,6 +206,7 @@
 
     async fn start_fault(&mut self, fault: Fault) -> Result<()> {
         self.record_exits();
+        self.restores.copy(&self.fleet);
         let fleet = &mut self.fleet;
         match fault {
             Fault::KillIngress if !self.is_stopped => {
@@ -258,8 +266,12 @@
             Fault::PlainOverloaded(n) => {
                 plain(fleet, n).set_fault(BackendFault::Overloaded, MAX_FAULTY_REQUESTS)
             }
-            Fault::PlainDrains(n) => fleet.publish_plain(usize::from(n), "draining"),
+            Fault::PlainDrains(n) => {
+                self.restores.on_leaving(n);
+                fleet.publish_plain(usize::from(n), "draining");
+            }
             Fault::PlainRecordUnreadable(n) => {
+                self.restores.on_leaving(n);
                 let key = format!("servers/{}", plain(fleet, n).id());
                 fleet.store.put_bytes(&key, b"{\"Service\":[]");
             }
@@ -268,6 +280,11 @@
             Fault::StoreResetsConnections => fleet.store.set_fault(StoreFault::Reset),
             Fault::StoreCompacts => fleet.store.compact_history(),
             Fault::StoreConnectionsUnresponsive => fleet.store.silence_connections(),
+            Fault::StoreRestored => set_store_away(fleet, true),
+            Fault::StoreRestoredUnseen => {
+                cut_off_ingress(fleet, true);
+                self.restores.restore(fleet);
+            }
             Fault::Configuration => fleet.configure(|_| {}),
             Fault::AdapterVersion(n) => {
                 self.adapter_versions += 1;
@@ -310,8 +327,16 @@
                 plain(&self.fleet, n).set_fault(BackendFault::None, 0);
             }
             Fault::PlainDrains(n) | Fault::PlainRecordUnreadable(n) => {
-                self.fleet.publish_plain(usize::from(n), "ready");
+                match self.restores.on_return(n) {
+                    true => self.replace_plain(n),
+                    false => self.fleet.publish_plain(usize::from(n), "ready"),
+                }
+            }
+            Fault::StoreRestored => {
+                self.restores.restore(&self.fleet);
+                set_store_away(&self.fleet, false);
             }
+            Fault::StoreRestoredUnseen => cut_off_ingress(&self.fleet, false),
             Fault::StoreUnresponsive
             | Fault::StoreReturnsErrors
             | Fault::StoreResetsConnections => {
@@ -339,6 +364,16 @@
         self.fleet.publish_engine(usize::from(number), "ready");
     }
 
+    /// Replaces a plain back end that left by another one at its address.
+    fn replace_plain(&mut self, number: u8) {
+        self.incarnations += 1;
+        let key = format!("servers/{}", plain(&self.fleet, number).id());
+        self.fleet.store.delete(&key);
+        let name = format!("p-{number}-{}", self.incarnations);
+        plain(&self.fleet, number).restart_with_id(&name);
+        self.fleet.publish_plain(usize::from(number), "ready");
+    }
+
     async fn start_ingress(&mut self) -> Result<()> {
         if self.is_stopped {
             // a terminated process exits within its grace period
@@ -384,16 +419,33 @@
             }
             missing = left;
             let is_in_force = self.fleet.metrics_text().await.contains(&gauge_line);
-            if missing.is_empty() && is_in_force {
+            if missing.is_empty() && is_in_force && self.is_list_in_use(deadline).await {
                 return Vec::new();
             }
             sleep(RECOVERY_POLL_INTERVAL).await;
         }
         let mut missing: Vec<String> = missing.into_iter().map(str::to_string).collect();
-        missing.push(gauge_line);
+        missing.push(format!("{} or the list", gauge_line.trim_end()));
         missing
     }
 
+    /// Drains the first plain back end; returns whether it gets no more requests by the deadline.
+    async fn is_list_in_use(&self, deadline: Instant) -> bool {
+        self.fleet.publish_plain(0, "draining");
+        let arrivals = || self.fleet.plain[0].state().arrivals.len();
+        while Instant::now() < deadline {
+            let before = arrivals();
+            for number in 0..DRAIN_PROBES {
+                self.is_route_served("/safe/", number).await;
+            }
+            if arrivals() == before {
+                return true;
+            }
+            sleep(RECOVERY_POLL_INTERVAL).await;
+        }
+        false
+    }
+
     async fn is_route_served(&self, target: &str, number: u32) -> bool {
         let probe = ClientRequest {
             target: target.to_string(),
--- a/testkit/src/soak/settings.rs
+++ b/testkit/src/soak/settings.rs
@@ -14,6 +14,11 @@
     pub has_backend_signals: bool,
     /// Whether back ends also announce rate limits; changes the faults that a seed generates.
     pub has_rate_limits: bool,
+    /// Whether the store also returns with an older state; changes the faults that a seed
+    /// generates.
+    pub has_store_restores: bool,
+    /// Number of engines from which on the ingress uses a relay.
+    pub relays_from_engines: usize,
     /// Whether streams may be resumed, and have more events.
     pub has_resumable_streams: bool,
     /// Programs of an older build; process starts alternate between it and this build.
@@ -34,6 +39,8 @@
             has_crashing_requests: false,
             has_backend_signals: false,
             has_rate_limits: false,
+            has_store_restores: false,
+            relays_from_engines: usize::MAX,
             has_resumable_streams: false,
             other_build: None,
             fault_period: Duration::from_secs(8),
--- a/testkit/src/users_platform/store_stand_in.rs
+++ b/testkit/src/users_platform/store_stand_in.rs
@@ -179,6 +179,10 @@
         state.history.clear();
         state.forgotten = state.revision;
     }
+    /// Raises the revision, as writes of other systems do.
+    pub fn raise_revision(&self, writes: u64) {
+        lock(&self.state).revision += writes;
+    }
     /// Returns a copy of the present state.
     pub fn copy(&self) -> StoreCopy {
         let state = lock(&self.state);
--- a/testkit/tests/soak.rs
+++ b/testkit/tests/soak.rs
@@ -82,6 +82,23 @@
     Ok(())
 }
 
+/// The same with a store that returns with an older state.
+#[tokio::test]
+async fn no_violations_while_the_store_is_restored() -> Result<()> {
+    for (seed, relays_from_engines) in [(51, usize::MAX), (52, usize::MAX), (53, 1), (54, 1)] {
+        run_without_violations(SoakSettings {
+            seed,
+            has_store_restores: true,
+            relays_from_engines,
+            mean_fault_interval: Duration::from_millis(300),
+            fault_period: FAULT_PERIOD,
+            ..SoakSettings::default()
+        })
+        .await?;
+    }
+    Ok(())
+}
+
 /// The same with streams that their entry continues at other engines.
 #[tokio::test]
 async fn no_violations_while_streams_are_resumed() -> Result<()> {
