relay: dropped removals never shorten the lost part of the history

Read in the code, not seen by callers: when a relay drops the older half of more than 2,000 remembered removals, the position up to which its history is lost was set to their median, also where a later listing had lost more. An entry between the two would get the changes after its position without those before the listing. The test fails before (an answer instead of 'history lost') and passes; the position only rises now.

--- a/coordination/src/relay/published_cache.rs
+++ b/coordination/src/relay/published_cache.rs
@@ -206,7 +206,8 @@
         }
         removed_at.sort_unstable();
         let median = removed_at[removed_at.len() / 2];
-        self.history_lost_to = median;
+        // A later listing may have lost more.
+        self.history_lost_to = median.max(self.history_lost_to);
         let is_kept = |(at, record): &(StorePosition, Record)| {
             !matches!(record, Record::BackendGone(_)) || *at > median
         };
--- a/coordination/tests/relays.rs
+++ b/coordination/tests/relays.rs
@@ -585,6 +585,24 @@
         .is_some_and(|a| a != PublishedResponse::HistoryLost));
 }
 
+/// Guards against an entry at a position before a listing that is told of the changes after a
+/// removal that was dropped, and so misses those in between.
+#[test]
+fn dropped_removals_do_not_shorten_the_lost_history() {
+    let now = Instant::now();
+    let mut cache = PublishedCache::new(STALE_AFTER);
+    cache.apply(snapshot(0, Vec::new()), true, now, now);
+    for revision in 1..=2_000 {
+        let gone = Record::BackendGone(format!("b{revision}"));
+        cache.apply(snapshot(revision, vec![gone]), false, now, now);
+    }
+    cache.apply(snapshot(3_000, vec![listed("a")]), true, now, now);
+    let gone = Record::BackendGone("b0".to_string());
+    cache.apply(snapshot(3_001, vec![gone]), false, now, now);
+    let lost = Some(PublishedResponse::HistoryLost);
+    assert_eq!(cache.response(Some(at(2_500)), now, now), lost);
+}
+
 /// Covers an entry that reads changes, and a zone that a later listing lacks.
 #[test]
 fn a_relay_serves_the_start_and_the_end_of_a_zone_evacuation() {
