--- a/coordination/src/dispatch/backend_updates.rs
+++ b/coordination/src/dispatch/backend_updates.rs
@@ -33,6 +33,22 @@
             return;
         }
         self.list_position = at;
+        self.mark_unlisted(&list, now);
+        for backend in list {
+            self.update_listed(backend, now);
+        }
+        self.remove_unlisted(now);
+        let backends = &self.backends;
+        self.signals
+            .remove_expired(|id| backends.contains_key(id), now);
+        self.incarnations
+            .retain(|_, reported| self.backends.contains_key(&reported.id));
+        self.is_replaced_outdated = true;
+        self.performance.invalidate();
+    }
+
+    /// Marks the back ends that a list no longer contains.
+    fn mark_unlisted(&mut self, list: &BackendList, now: Instant) {
         let listed: HashMap<&BackendName, &BackendId> =
             list.iter().map(|b| (&b.id.name, &b.id)).collect();
         let ended: HashSet<BackendId> = self.ended_incarnations().cloned().collect();
@@ -56,39 +72,30 @@
                 self.crashes.on_engine_ended(id, now);
             }
         }
-        for backend in list {
-            let slow_start_left = backend.slow_start_left;
-            self.may_have_slow_start |= !slow_start_left.is_zero();
-            let entry = &self.settings.entry;
-            match self.backends.get_mut(&backend.id) {
-                Some(state) => {
-                    // an unchanged value has been counting down since it was listed
-                    if state.listed.slow_start_left != slow_start_left {
-                        state.set_slow_start(entry, slow_start_left, now);
-                    }
-                    state.listed = backend;
-                }
-                None => {
-                    let id = backend.id.clone();
-                    self.urgent_demands.insert(id.clone());
-                    let mut state = BackendState::new(backend, now);
-                    state.restore_signals(&mut self.signals, now);
-                    if state.limit.effective_rate().is_some() {
-                        self.limited_backends.insert(id.clone());
-                    }
-                    state.set_slow_start(entry, slow_start_left, now);
-                    self.backends.insert(id, state);
-                }
+    }
+
+    /// Applies one row of a list.
+    fn update_listed(&mut self, backend: Backend, now: Instant) {
+        let slow_start_left = backend.slow_start_left;
+        self.may_have_slow_start |= !slow_start_left.is_zero();
+        let entry = &self.settings.entry;
+        if let Some(state) = self.backends.get_mut(&backend.id) {
+            // an unchanged value has been counting down since it was listed
+            if state.listed.slow_start_left != slow_start_left {
+                state.set_slow_start(entry, slow_start_left, now);
             }
+            state.listed = backend;
+            return;
         }
-        self.remove_unlisted(now);
-        let backends = &self.backends;
-        self.signals
-            .remove_expired(|id| backends.contains_key(id), now);
-        self.incarnations
-            .retain(|_, reported| self.backends.contains_key(&reported.id));
-        self.is_replaced_outdated = true;
-        self.performance.invalidate();
+        let id = backend.id.clone();
+        self.urgent_demands.insert(id.clone());
+        let mut state = BackendState::new(backend, now);
+        state.restore_signals(&mut self.signals, now);
+        if state.limit.effective_rate().is_some() {
+            self.limited_backends.insert(id.clone());
+        }
+        state.set_slow_start(entry, slow_start_left, now);
+        self.backends.insert(id, state);
     }
 
     /// Removes back ends that left the list, unless their service has no other.
--- a/coordination/src/dispatch/dispatcher.rs
+++ b/coordination/src/dispatch/dispatcher.rs
@@ -6,7 +6,7 @@
         waiting_list::WaitingList, AccountFairQueueing, AdapterVersions, AdmissionOrder,
         Assignment, BackendState, BudgetUsage, Decision, DispatchEvent, DispatchRequest,
         DispatchSettings, FleetSize, InFlightRequest, LoadDelay, PrefillRate, RejectionCause,
-        RequestedLoad, SendOutcome, SharedRetryBudget, Ticket,
+        RequestedLoad, SharedRetryBudget, Ticket,
     },
     crate::{
         backend_performance::{EnginePerformance, SettledRate},
@@ -99,7 +99,7 @@
     /// Attributes engine crashes to the requests that were running.
     pub(super) crashes: CrashDetector,
     /// Requests completed since the last call of `take_completed`.
-    completed: Vec<RequestDigest>,
+    pub(super) completed: Vec<RequestDigest>,
     /// Start time of this process, if the fleet was already serving.
     restarted_at: Option<Instant>,
     pub(super) fleet_size: FleetSize,
@@ -345,96 +345,6 @@
         }
     }
 
-    fn on_response_started(&mut self, ticket: Ticket, now: Instant) {
-        let Some((backend, service, sent)) = self.in_flight.get_mut(&ticket) else {
-            return;
-        };
-        if sent.has_started {
-            return;
-        }
-        if let Some(state) = self.backends.get_mut(backend) {
-            state.on_response_started(sent);
-            if sent.is_probe {
-                state.backoff.on_probe_started(now);
-            }
-        }
-        if sent.is_sole_prefill {
-            let prefill_time = now.saturating_duration_since(sent.sent_at);
-            // the rate of the service is that of its median engine
-            let relative_rate = self
-                .backends
-                .get(backend)
-                .map_or(1.0, |b| b.relative_rate.value());
-            let prefill_ms = prefill_time.as_secs_f64() * 1_000.0 * relative_rate;
-            let rate = self.prefill_rates.entry(service.clone()).or_default();
-            rate.on_sole_prefill(sent.prompt_tokens, prefill_ms);
-        }
-        sent.has_started = true;
-        if let (Some(state), Some(adapter)) = (self.backends.get_mut(backend), &sent.adapter) {
-            if state.observations.on_ran(adapter, now) {
-                self.load_delay.on_adapter_present();
-            }
-        }
-    }
-
-    /// Returns the service whose back end has a free slot now.
-    fn on_request_ended(
-        &mut self,
-        ticket: Ticket,
-        outcome: SendOutcome,
-        now: Instant,
-    ) -> Option<ServiceName> {
-        let (backend, service, sent) = self.in_flight.remove(&ticket)?;
-        let Some(state) = self.backends.get_mut(&backend) else {
-            return Some(service);
-        };
-        state.on_request_ended(&sent);
-        if sent.is_probe {
-            state.backoff.on_probe_ended(outcome, now);
-        }
-        match outcome {
-            SendOutcome::Answered => {
-                state.health.on_success(now);
-                self.last_report_at = Some(now);
-                self.completed.push(sent.digest);
-            }
-            SendOutcome::Shed => state.on_saturated(now),
-            SendOutcome::Misdirected => match &sent.adapter {
-                Some(adapter) => {
-                    if self.settings.features.adapter_affinity {
-                        state.on_eviction_seen(adapter);
-                    }
-                    if state.on_adapter_refused(adapter, now) {
-                        self.load_delay.on_adapter_missing();
-                    }
-                }
-                // the engine lacks the base model
-                None => state.on_saturated(now),
-            },
-            SendOutcome::Superseded => {
-                state.is_superseded = true;
-                self.crashes.on_engine_ended(&backend, now);
-            }
-            SendOutcome::Unreachable => state.health.on_unreachable(now),
-            SendOutcome::Failed => state.health.on_failure(now),
-            SendOutcome::Broken => {
-                state.health.on_failure(now);
-                // responses cut off by a leaving engine belong to its planned stop
-                if !state.is_leaving() {
-                    self.crashes.on_interrupted_run(&backend, sent.digest, now);
-                }
-            }
-            SendOutcome::Abandoned => {}
-        }
-        let is_removable = state.is_unlisted && state.in_flight == 0;
-        if is_removable && self.has_listed(&service) {
-            if let Some(state) = self.backends.remove(&backend) {
-                self.signals.save_limit(&backend, &state.limit, now);
-            }
-        }
-        Some(service)
-    }
-
     /// Sends waiting requests in order and rejects those whose wait is over. Returns, for
     /// each rate-limited back end, the number of requests that wait for it and the priority
     /// of the most urgent one.
--- a/coordination/src/dispatch/mod.rs
+++ b/coordination/src/dispatch/mod.rs
@@ -26,6 +26,7 @@
 mod performance;
 mod prefill_rate;
 mod rejection;
+mod request_progress;
 mod requested_load;
 mod selection;
 mod settings;
--- a/testkit/src/soak/mod.rs
+++ b/testkit/src/soak/mod.rs
@@ -5,6 +5,7 @@
 mod fault_schedule;
 mod keep_alive_client;
 mod record;
+mod recovery;
 mod runner;
 mod settings;
 mod store_restores;
--- a/testkit/src/soak/runner.rs
+++ b/testkit/src/soak/runner.rs
@@ -1,6 +1,7 @@
 use {
     super::{
         keep_alive_client::KeepAliveClient,
+        recovery::{recover, RECOVERY_ID},
         schedule_faults,
         store_restores::{cut_off_ingress, set_store_away, StoreRestores},
         violations, BackendRecord, ConfigurationHistory, Fault, Outcome, RequestRecord,
@@ -26,7 +27,7 @@
             atomic::{AtomicBool, Ordering},
             Arc,
         },
-        time::{Duration, Instant},
+        time::Duration,
     },
     tokio::{
         task::JoinHandle,
@@ -34,11 +35,6 @@
     },
 };
 
-/// Time limit for the fleet to serve all routes again after the last fault.
-const RECOVERY_TIMEOUT: Duration = Duration::from_secs(30);
-/// Requests by which a drained back end is seen to get none.
-const DRAIN_PROBES: u32 = 6;
-const RECOVERY_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Time between SIGTERM and SIGKILL, in seconds, and the time limit for an exit after it.
 const GRACE_S: f64 = 2.0;
 const STOP_TIMEOUT: Duration = Duration::from_secs(10);
@@ -121,7 +117,7 @@
     if let Some(client) = crashing_client {
         client.abort();
     }
-    let not_recovered = soak.recover().await;
+    let not_recovered = recover(&mut soak.fleet).await;
     stop.store(true, Ordering::Relaxed);
     let mut requests = Vec::new();
     for client in clients {
@@ -400,63 +396,6 @@
         }
     }
 
-    /// Waits until each route is served and the newest configuration is in force; returns what
-    /// is missing at the time limit.
-    async fn recover(&mut self) -> Vec<String> {
-        self.fleet.configure(|_| {});
-        // checked by the gauge, since log lines may be dropped
-        let gauge_line = format!("chalkcart_ingress_configuration {}\n", self.fleet.version());
-        let deadline = Instant::now() + RECOVERY_TIMEOUT;
-        let mut missing: Vec<&str> = vec!["/safe/", "/unsafe/", "/stream/"];
-        let mut tries = 0;
-        while Instant::now() < deadline {
-            let mut left = Vec::new();
-            for target in missing {
-                tries += 1;
-                if !self.is_route_served(target, tries).await {
-                    left.push(target);
-                }
-            }
-            missing = left;
-            let is_in_force = self.fleet.metrics_text().await.contains(&gauge_line);
-            if missing.is_empty() && is_in_force && self.is_list_in_use(deadline).await {
-                return Vec::new();
-            }
-            sleep(RECOVERY_POLL_INTERVAL).await;
-        }
-        let mut missing: Vec<String> = missing.into_iter().map(str::to_string).collect();
-        missing.push(format!("{} or the list", gauge_line.trim_end()));
-        missing
-    }
-
-    /// Drains the first plain back end; returns whether it gets no more requests by the deadline.
-    async fn is_list_in_use(&self, deadline: Instant) -> bool {
-        self.fleet.publish_plain(0, "draining");
-        let arrivals = || self.fleet.plain[0].state().arrivals.len();
-        while Instant::now() < deadline {
-            let before = arrivals();
-            for number in 0..DRAIN_PROBES {
-                self.is_route_served("/safe/", number).await;
-            }
-            if arrivals() == before {
-                return true;
-            }
-            sleep(RECOVERY_POLL_INTERVAL).await;
-        }
-        false
-    }
-
-    async fn is_route_served(&self, target: &str, number: u32) -> bool {
-        let probe = ClientRequest {
-            target: target.to_string(),
-            id: format!("{RECOVERY_ID}{number}"),
-            adapter: (target == "/stream/").then(|| format!("{MODEL}/a0")),
-            ..ClientRequest::default()
-        };
-        let response = request(self.fleet.clients, &probe).await;
-        response.is_ok_and(|response| response.status == 200)
-    }
-
     fn report(
         self,
         seed: u64,
@@ -505,8 +444,6 @@
     }
 }
 
-/// Prefix of the ids of requests that check the recovery.
-const RECOVERY_ID: &str = "recovery-";
 /// Prefix of the ids of requests that crash engines.
 const CRASHING_ID: &str = "crashing-";
 
--- a/testkit/tests/restored_store.rs
+++ b/testkit/tests/restored_store.rs
@@ -129,15 +129,19 @@
     .await;
 }
 
+/// Restores the store and waits until a back end that leaves after it gets no requests.
+async fn restore_and_drain(fleet: &Fleet) {
+    let copy = copy_and_write(fleet).await;
+    restore(fleet, &copy, LostWrites::Forgotten).await;
+    fleet.publish_plain(0, "draining");
+    wait_until_unused(fleet, 0).await;
+}
+
 /// Guards against requests sent to a back end that leaves after the store's return, because its
 /// list has a lower revision than the one in use.
 #[tokio::test]
 async fn a_back_end_that_leaves_after_a_restore_gets_no_requests() -> Result<()> {
-    let fleet = start(FleetSettings::default()).await?;
-    let copy = copy_and_write(&fleet).await;
-    restore(&fleet, &copy, LostWrites::Forgotten).await;
-    fleet.publish_plain(0, "draining");
-    wait_until_unused(&fleet, 0).await;
+    restore_and_drain(&start(FleetSettings::default()).await?).await;
     Ok(())
 }
 
@@ -156,11 +160,7 @@
 /// Guards against a back end that leaves after the store's return, behind a relay.
 #[tokio::test]
 async fn a_back_end_that_leaves_after_a_restore_gets_no_requests_behind_a_relay() -> Result<()> {
-    let fleet = start_with_relay().await?;
-    let copy = copy_and_write(&fleet).await;
-    restore(&fleet, &copy, LostWrites::Forgotten).await;
-    fleet.publish_plain(0, "draining");
-    wait_until_unused(&fleet, 0).await;
+    restore_and_drain(&start_with_relay().await?).await;
     Ok(())
 }
 
