entry: wait for a relay that notices a restore later than the entry

Read in the code: while the store is away the relays' copies become stale, so each entry calls the store itself and notices the new era at the same moment as its relay. With the relay still stale, each entry read the whole list.

--- a/entry/src/ingress/zone_source.rs
+++ b/entry/src/ingress/zone_source.rs
@@ -149,6 +149,18 @@
         }
     }
 
+    /// Waits for a relay that reads a restored store. It may notice the restore a little later than
+    /// this entry, and the whole list is too much to be read by each entry.
+    async fn await_restored(&self, topic: Topic, result: RelaysResult) -> Option<WatchUpdate> {
+        let is_starting = matches!(result, RelaysResult::Starting);
+        let is_list = topic == Topic::Backends && self.relays.has_relays();
+        if !is_starting && !is_list {
+            return None;
+        }
+        let limit = self.pacing.restored_list_wait();
+        self.await_relay(topic, limit).await
+    }
+
     /// Calls relays until one delivers all records of a topic. Returns `None` if none of them is
     /// reading it, or if that takes longer than `limit`.
     async fn await_relay(&self, topic: Topic, limit: Duration) -> Option<WatchUpdate> {
@@ -181,14 +193,12 @@
     async fn snapshot(&self, topic: Topic) -> Result<WatchUpdate, SourceError> {
         match self.relays.call(topic, None, Duration::ZERO).await {
             RelaysResult::Received(WatchOutcome::Records(records)) => return Ok(records),
-            RelaysResult::Starting => {
-                let read = self.await_relay(topic, self.pacing.restored_list_wait());
-                if let Some(update) = read.await {
+            _ if self.should_discover(topic) => return self.discover_list().await,
+            result => {
+                if let Some(update) = self.await_restored(topic, result).await {
                     return Ok(update);
                 }
             }
-            _ if self.should_discover(topic) => return self.discover_list().await,
-            _ => {}
         }
         self.call_store(topic, self.store.snapshot(topic)).await
     }
