tests: engines of another zone are used whatever their addresses

Cause: homes of adapters follow a hash of the engines' addresses, which differ from run to run, and an engine whose first load was fast is preferred to those that have loaded nothing yet. All six adapters of the test could get their homes in the entry's own zone; the log of a failed run shows so, with the relay of the other zone linked 70 ms after the start.

Change: the test uses eight adapters at the same time, and the engines of the own zone have slots for six, so at least two must be loaded through the relay of the other zone.

--- a/testkit/tests/fleet_start.rs
+++ b/testkit/tests/fleet_start.rs
@@ -7,7 +7,8 @@
     anyhow::Result,
     chalkcart_testkit::{
         users_platform::{
-            serve_prompt, Fleet, FleetSettings, OtherIngress, StoreFault, StoreLimits,
+            open_stream, prompt, serve_prompt, Fleet, FleetSettings, OpenStream, OtherIngress,
+            StoreFault, StoreLimits,
         },
         waiting::until,
     },
@@ -25,6 +26,10 @@
 /// Sidecars that read the list: the zone's reader of the store, and one that is used while the
 /// list is not known.
 const READERS: usize = 2;
+/// The engines of one of two zones have slots for six adapters.
+const ADAPTERS_IN_USE: usize = 8;
+/// Longer than the other streams take to start.
+const EVENTS_OF_LONG_STREAM: u32 = 1_000;
 
 /// Starts a fleet whose list has this many records beside those of the engines.
 async fn start(records: usize) -> Result<Fleet> {
@@ -180,6 +185,22 @@
     Ok(())
 }
 
+fn set_event_count(fleet: &Fleet, events: u32) {
+    for engine in &fleet.engines {
+        engine.state().event_count = events;
+    }
+}
+
+/// Starts a stream on an adapter; a 503 response means that it did not run.
+async fn start_stream(fleet: &Fleet, adapter: &str) -> Result<OpenStream> {
+    loop {
+        let stream = open_stream(fleet.clients, &prompt(adapter, adapter)).await?;
+        if stream.head.start_line.get(1).is_none_or(|s| s != "503") {
+            return Ok(stream);
+        }
+    }
+}
+
 /// A fleet of two zones whose relays read their own zone alone.
 #[tokio::test]
 async fn engines_of_another_zone_are_reached_through_a_relay_there() -> Result<()> {
@@ -196,9 +217,13 @@
         numbers.any(|n| fleet.sidecar_log(n).contains("\"zones\":1"))
     };
     until("a relay uses one of the other zone", || uses_zones(&fleet)).await;
-    for adapter in ["a", "b", "c", "d", "e", "f"] {
-        serve_prompt(&fleet, adapter, adapter).await?;
-    }
+    // more adapters in use than the engines of the own zone have slots
+    let event_count = fleet.engines[0].state().event_count;
+    set_event_count(&fleet, EVENTS_OF_LONG_STREAM);
+    let adapters: Vec<String> = (0..ADAPTERS_IN_USE).map(|n| format!("used-{n}")).collect();
+    let streams = try_join_all(adapters.iter().map(|adapter| start_stream(&fleet, adapter)));
+    drop(streams.await?);
+    set_event_count(&fleet, event_count);
     // engines with an odd number are in the other zone
     let in_other_zone = fleet.engines.iter().skip(1).step_by(2);
     let loaded: usize = in_other_zone.map(|e| e.state().orders.max_adapters).sum();
