dispatch: an engine that a restored store lacks has not ended

Read in the code, not seen by callers: requests could get 400 as requests that crash engines. An engine that no longer is on the list, and whose sidecar does not report, counts as ended, and runs on it that broke off shortly before count as crashes. The list of a restored store lacks each engine that started since its copy, although it runs.

Change: the first list of a new era tells of no ends. The back ends that it lacks still get no requests until their records are written again. The test fails before (one request suspected) and passes; an end within an era is confirmed as before.

--- a/coordination/src/dispatch/backend_updates.rs
+++ b/coordination/src/dispatch/backend_updates.rs
@@ -32,8 +32,14 @@
         if at < self.list_position {
             return;
         }
+        // A restored store may lack back ends that started since its copy.
+        let may_lack_running = at.era > self.list_position.era;
         self.list_position = at;
-        self.mark_unlisted(&list, now);
+        let unlisted = self.mark_unlisted(&list);
+        if !may_lack_running {
+            let ended = unlisted.iter();
+            ended.for_each(|id| self.crashes.on_engine_ended(id, now));
+        }
         for backend in list {
             self.update_listed(backend, now);
         }
@@ -47,8 +53,9 @@
         self.performance.invalidate();
     }
 
-    /// Marks the back ends that a list no longer contains.
-    fn mark_unlisted(&mut self, list: &BackendList, now: Instant) {
+    /// Marks the back ends that a list does not contain. Returns those that it no longer contains
+    /// and whose sidecar, which would detect their end itself, does not report.
+    fn mark_unlisted(&mut self, list: &BackendList) -> Vec<BackendId> {
         let listed: HashMap<&BackendName, &BackendId> =
             list.iter().map(|b| (&b.id.name, &b.id)).collect();
         let ended: HashSet<BackendId> = self.ended_incarnations().cloned().collect();
@@ -57,6 +64,7 @@
             .filter(|b| ended.contains(&b.id))
             .map(|b| b.addr)
             .collect();
+        let mut newly_unlisted = Vec::new();
         for (id, state) in &mut self.backends {
             let by_name = listed.get(&id.name);
             let is_listed = by_name.is_some_and(|listed| *listed == id);
@@ -67,11 +75,11 @@
             let is_list_behind = listed_ended.contains(&state.listed.addr);
             state.is_unlisted =
                 !(is_listed || state.is_ahead_of_list && (state.view.is_some() || is_list_behind));
-            // a reporting sidecar detects the end itself
             if state.is_unlisted && !was_unlisted && state.view.is_none() {
-                self.crashes.on_engine_ended(id, now);
+                newly_unlisted.push(id.clone());
             }
         }
+        newly_unlisted
     }
 
     /// Applies one row of a list.
--- a/coordination/tests/crashes.rs
+++ b/coordination/tests/crashes.rs
@@ -11,7 +11,7 @@
         membership::stable_hash,
     },
     chalkcart_protocol::peer::{CrashEvent, CrashReport, EngineView},
-    chalkcart_state::{backends::Backend, ingress::RequestDigest},
+    chalkcart_state::{backends::Backend, ingress::RequestDigest, published::StorePosition},
     dispatch_fixture::*,
     quickcheck::{Arbitrary, Gen, QuickCheck},
     std::{
@@ -108,6 +108,19 @@
     }
 }
 
+/// Guards against requests that are blocked as crashing engines which a restored store lacks.
+#[test]
+fn an_engine_that_a_restored_store_lacks_has_not_crashed() {
+    let mut fixture = with_runs(&["one"]);
+    fixture.end(0, SendOutcome::Broken);
+    fixture.handle(DispatchEvent::ViewLost(ENGINE.into()));
+    fixture.handle(DispatchEvent::ListUpdated {
+        at: StorePosition::new(2, 1),
+        list: Vec::new(),
+    });
+    assert!(suspected(&mut fixture).is_empty());
+}
+
 #[test]
 fn other_failures_suspect_no_request() {
     type OtherFailure = (&'static str, fn(&mut Fixture));
