relay: callers that name no era and know a higher revision are told nothing

Read in the code: an entry of a build before wire version 8 names no era.

Change: such a caller gets 'stale' while its revision is higher than that of the copy, and calls the store itself. A caller that names its era is served as before. The test fails before (held as up to date) and passes.

--- a/coordination/src/relay/published_cache.rs
+++ b/coordination/src/relay/published_cache.rs
@@ -147,15 +147,15 @@
     }
 
     /// Returns the position of a caller in this copy's eras; `None` if the copy can't tell what
-    /// the caller lacks: the caller knows a later era, or is of a build that names none while
-    /// there was more than one.
+    /// the caller lacks: it knows a later era, or it is of a build that names none and its revision
+    /// may be of an earlier one.
     fn known_position(&self, after: StorePosition) -> Option<StorePosition> {
-        let after = match after.era {
-            0 if self.has_changed_era => return None,
-            0 => StorePosition::new(self.position.era, after.revision),
-            _ => after,
-        };
-        (after.era <= self.position.era).then_some(after)
+        let position = self.position;
+        if after.era != 0 {
+            return (after.era <= position.era).then_some(after);
+        }
+        let may_be_earlier = self.has_changed_era || after.revision > position.revision;
+        (!may_be_earlier).then_some(StorePosition::new(position.era, after.revision))
     }
 
     fn records_response(&self, records: Vec<Record>, requested_at: Instant) -> PublishedResponse {
--- a/coordination/tests/relays.rs
+++ b/coordination/tests/relays.rs
@@ -694,3 +694,17 @@
     let nothing = current(snapshot(6, Vec::new()));
     assert_eq!(cache.empty_response(Some(in_era(0, 6)), now), nothing);
 }
+
+/// Guards against a relay that began to read after a restore and tells a caller of an earlier build,
+/// whose revision is of the former era, that nothing is newer.
+#[test]
+fn a_caller_that_names_no_era_and_knows_a_higher_revision_is_told_nothing() {
+    let now = Instant::now();
+    let mut cache = PublishedCache::new(STALE_AFTER);
+    cache.apply(in_new_era(171, vec![listed("b")]), true, now, now);
+    let stale = Some(PublishedResponse::Stale);
+    assert_eq!(cache.response(Some(in_era(0, 306)), now, now), stale);
+    assert_eq!(cache.response(Some(in_era(0, 171)), now, now), None);
+    // its own era is known, and it may have read the store itself
+    assert_eq!(cache.response(Some(in_era(2, 172)), now, now), None);
+}
