entry: a back end with an unreadable record has not said that it leaves

Read in the code, not seen by callers: a back end whose record could not be read when the store was restored was left out for 60 s, although the restored record is readable and says ready. An unreadable record was kept as 'leaving', and what was leaving before a restore is held back.

Change: unreadable records are remembered apart from what a record says. A back end is left out while its record is unreadable, as before, and held back beyond a restore only if its last readable record said that it leaves. The test fails before (one of three back ends used) and passes.

--- a/coordination/src/published/listed_backends.rs
+++ b/coordination/src/published/listed_backends.rs
@@ -5,7 +5,7 @@
         published::{Record, RecordSubject, Snapshot, StorePosition},
     },
     std::{
-        collections::{BTreeMap, HashMap},
+        collections::{BTreeMap, HashMap, HashSet},
         time::{Duration, Instant},
     },
 };
@@ -28,15 +28,20 @@
 /// The back ends that the store lists.
 ///
 /// A restored store may list a back end as ready that was leaving or gone before. Such a back end is
-/// treated as leaving for a while, unless its record is written again.
+/// treated as leaving for a while.
 #[derive(Debug, Default)]
 pub struct ListedBackends {
     at: StorePosition,
+    /// The back ends as their last readable records describe them.
     backends: BTreeMap<BackendName, Backend>,
+    /// Back ends whose records can't be read. They get no new requests, while running ones continue.
+    unreadable: HashSet<BackendName>,
     /// When back ends left the list.
     gone: HashMap<BackendId, Instant>,
-    /// Back ends that are treated as leaving.
-    held: Holds<BackendId>,
+    /// Back ends that were leaving in an earlier era.
+    held_leaving: Holds<BackendId>,
+    /// Back ends that were gone in an earlier era.
+    held_gone: Holds<BackendId>,
     reported_at: Option<Instant>,
     has_unreported_changes: bool,
 }
@@ -48,10 +53,11 @@
         let is_new_era = snapshot.at.era > self.at.era;
         self.at = snapshot.at;
         let mut is_urgent = is_full;
-        let before = match is_full {
-            true => std::mem::take(&mut self.backends),
-            false => BTreeMap::new(),
-        };
+        let mut before = BTreeMap::new();
+        if is_full {
+            before = std::mem::take(&mut self.backends);
+            self.unreadable.clear();
+        }
         for record in snapshot.records {
             is_urgent |= match record {
                 Record::Backend(backend) => self.insert(backend, is_full),
@@ -59,13 +65,13 @@
                 Record::Unreadable {
                     subject: RecordSubject::Backend(name),
                     ..
-                } => self.set_unreadable(&name, before.get(&name)),
+                } => self.set_unreadable(name, &before),
                 _ => continue,
             };
             self.has_unreported_changes = true;
         }
         match is_new_era {
-            true => self.hold_leaving(&before, now),
+            true => self.hold_former(&before, now),
             false => self.record_missing(before, now),
         }
         is_urgent |= self.expire(now);
@@ -81,37 +87,43 @@
 
     /// Adds or replaces a back end; returns whether the change must be used at once.
     fn insert(&mut self, backend: Backend, is_full: bool) -> bool {
-        // A write in this era outweighs what was known before.
-        let was_held = !is_full && self.held.release(&backend.id);
-        if !is_full {
-            self.gone.remove(&backend.id);
-        }
+        let was_held = !is_full && self.release(&backend);
+        let was_unreadable = self.unreadable.remove(&backend.id.name);
         let known = self
             .backends
             .insert(backend.id.name.clone(), backend.clone());
-        was_held || known.is_none_or(|known| known.differs_beyond_weights(&backend))
+        let is_changed = known.is_none_or(|known| known.differs_beyond_weights(&backend));
+        was_held || was_unreadable || is_changed
+    }
+
+    /// Ends the holds of a back end whose record was written in this era; returns whether there were
+    /// any.
+    fn release(&mut self, written: &Backend) -> bool {
+        let id = &written.id;
+        self.gone.remove(id);
+        let was_held = self.held_leaving.release(id);
+        self.held_gone.release(id) || was_held
     }
 
     fn remove(&mut self, name: &BackendName, now: Instant) -> bool {
         let Some(backend) = self.backends.remove(name) else {
             return false;
         };
+        self.unreadable.remove(name);
         self.gone.insert(backend.id, now);
         true
     }
 
-    /// Marks a back end with an undecodable record as leaving: it gets no new requests, while
-    /// running ones continue. Returns whether the change must be used at once.
-    fn set_unreadable(&mut self, name: &BackendName, before: Option<&Backend>) -> bool {
-        if let Some(before) = before {
+    /// Returns whether the change must be used at once. `before` is the list that a full one replaces.
+    fn set_unreadable(
+        &mut self,
+        name: BackendName,
+        before: &BTreeMap<BackendName, Backend>,
+    ) -> bool {
+        if let Some(before) = before.get(&name) {
             self.backends.insert(name.clone(), before.clone());
         }
-        let Some(backend) = self.backends.get_mut(name) else {
-            return false;
-        };
-        let was_used = !backend.leaving;
-        backend.leaving = true;
-        was_used
+        self.backends.contains_key(&name) && self.unreadable.insert(name)
     }
 
     /// Records which back ends of an earlier list of the same era are missing in a full list.
@@ -126,13 +138,14 @@
 
     /// Keeps back ends that were leaving or gone from being used because a restored store lists
     /// them as ready.
-    fn hold_leaving(&mut self, before: &BTreeMap<BackendName, Backend>, now: Instant) {
-        let leaving = before.values().filter(|backend| backend.leaving);
-        for backend in leaving {
-            self.held.hold(backend.id.clone(), now + RESTORED_HOLD);
+    fn hold_former(&mut self, before: &BTreeMap<BackendName, Backend>, now: Instant) {
+        for backend in before.values().filter(|backend| backend.leaving) {
+            let until = now + RESTORED_HOLD;
+            self.held_leaving.hold(backend.id.clone(), until);
         }
         for id in self.gone.keys() {
-            self.held.hold(id.clone(), now + GONE_HOLD);
+            let until = now + GONE_HOLD;
+            self.held_gone.hold(id.clone(), until);
         }
     }
 
@@ -140,7 +153,8 @@
     fn expire(&mut self, now: Instant) -> bool {
         self.gone
             .retain(|_, gone_at| now.saturating_duration_since(*gone_at) < RESTORED_HOLD);
-        self.held.expire(now)
+        // Both are to be expired.
+        self.held_leaving.expire(now) | self.held_gone.expire(now)
     }
 
     fn is_due(&self, now: Instant) -> bool {
@@ -152,7 +166,7 @@
         self.has_unreported_changes = false;
         self.reported_at = Some(now);
         let backends = self.backends.values().map(|backend| Backend {
-            leaving: backend.leaving || self.held.contains(&backend.id),
+            leaving: self.is_excluded(backend),
             ..backend.clone()
         });
         ListUpdate {
@@ -160,4 +174,10 @@
             list: backends.collect(),
         }
     }
+    /// Returns whether a back end must get no new requests.
+    fn is_excluded(&self, backend: &Backend) -> bool {
+        let id = &backend.id;
+        let is_held = self.held_leaving.contains(id) || self.held_gone.contains(id);
+        backend.leaving || is_held || self.unreadable.contains(&id.name)
+    }
 }
--- a/coordination/tests/restored_records.rs
+++ b/coordination/tests/restored_records.rs
@@ -149,6 +149,19 @@
     assert_eq!(fixture.usable, ["a", "b"]);
 }
 
+/// Guards against a sound back end that is left out for a minute since its record could not be read
+/// when the store was restored.
+#[test]
+fn a_back_end_whose_record_was_unreadable_is_used_once_a_restored_store_has_a_readable_one() {
+    let mut fixture = Fixture::new(vec![ready("a"), ready("b"), ready("c")]);
+    fixture.change(1, 301, leaving("b"));
+    fixture.change(1, 302, unreadable("a"));
+    fixture.change(1, 303, unreadable("b"));
+    assert_eq!(fixture.usable, ["c"]);
+    fixture.restore(&["a", "b", "c"]);
+    assert_eq!(fixture.usable, ["a", "c"], "it never said that it leaves");
+}
+
 /// Without a restore the store's list decides, and a record may become ready again.
 #[test]
 fn within_an_era_the_list_decides() {
