entry: a repeated ready record does not end what a leaving back end said

Read in the code, not seen by callers: after a restore a writer repeats what it wrote since the copy. A back end that wrote 'ready' and then 'draining' within these seconds repeats both, and between the two it got requests, although its leaving had been heard: any record of the new era ended the hold.

Change: a record that says 'draining' ends the hold, as it says the same; one that says 'ready' does not, and the hold ends after 60 s. For a back end that was gone, each record that is written proves that it runs and ends its hold, as before.

The test `a_record_that_is_written_again_outweighs_what_was_known_before` asserted that a 'ready' record puts a leaving back end in use at once, which the repetition of an earlier record does not justify.

--- a/coordination/src/published/listed_backends.rs
+++ b/coordination/src/published/listed_backends.rs
@@ -96,12 +96,14 @@
         was_held || was_unreadable || is_changed
     }
 
-    /// Ends the holds of a back end whose record was written in this era; returns whether there were
-    /// any.
+    /// Ends the holds that a record written in this era outweighs; returns whether there were any.
+    ///
+    /// The record of a back end that is gone proves that it runs. A ready record of one that was
+    /// leaving may be the repetition of an earlier one.
     fn release(&mut self, written: &Backend) -> bool {
         let id = &written.id;
         self.gone.remove(id);
-        let was_held = self.held_leaving.release(id);
+        let was_held = written.leaving && self.held_leaving.release(id);
         self.held_gone.release(id) || was_held
     }
 
--- a/coordination/tests/restored_records.rs
+++ b/coordination/tests/restored_records.rs
@@ -134,18 +134,32 @@
     assert_eq!(fixture.usable, ["a", "b", "c"], "it sends heartbeats");
 }
 
+/// Guards against requests to a back end that was leaving while its writer repeats what it wrote
+/// before that.
 #[test]
-fn a_record_that_is_written_again_outweighs_what_was_known_before() {
-    let mut fixture = Fixture::new(vec![ready("a"), ready("b"), ready("c")]);
+fn a_back_end_that_was_leaving_is_not_used_while_its_earlier_record_is_repeated() {
+    let mut fixture = Fixture::new(vec![ready("a"), ready("b")]);
     fixture.change(1, 301, leaving("a"));
-    fixture.change(1, 302, gone("b"));
+    fixture.restore(&["a", "b"]);
+    fixture.change(2, 101, ready("a"));
+    assert_eq!(fixture.usable, ["b"]);
+    fixture.change(2, 102, leaving("a"));
+    assert_eq!(fixture.usable, ["b"]);
+    fixture.wait(61);
+    assert_eq!(fixture.usable, ["b"], "its record says so");
+    fixture.change(2, 103, ready("a"));
+    assert_eq!(fixture.usable, ["a", "b"]);
+}
+
+#[test]
+fn a_back_end_that_was_gone_is_used_once_its_record_is_written_again() {
+    let mut fixture = Fixture::new(vec![ready("a"), ready("b"), ready("c")]);
+    fixture.change(1, 301, gone("b"));
     fixture.restore(&["a", "b", "c"]);
-    assert_eq!(fixture.usable, ["c"]);
+    assert_eq!(fixture.usable, ["a", "c"]);
     fixture.change(2, 101, ready("b"));
-    assert_eq!(fixture.usable, ["b", "c"]);
-    fixture.change(2, 102, ready("a"));
     assert_eq!(fixture.usable, ["a", "b", "c"]);
-    fixture.change(2, 103, leaving("c"));
+    fixture.change(2, 102, leaving("c"));
     assert_eq!(fixture.usable, ["a", "b"]);
 }
 
