entry: the heartbeat interval of back ends is a setting

Change: `heartbeat_ms`, from the platform's `HeartbeatMs` (1200 if absent); the hold is five of them. The test with heartbeats of 3.6 s fails with the fixed time.

--- a/coordination/src/published/listed_backends.rs
+++ b/coordination/src/published/listed_backends.rs
@@ -10,9 +10,9 @@
     },
 };
 
-/// How long a back end that was gone is treated as leaving if a restored store lists it: its record
-/// disappears after three heartbeats of 1.2 s that it does not send.
-const GONE_HOLD: Duration = Duration::from_secs(6);
+/// Heartbeats for which a back end that was gone is treated as leaving if a restored store lists it.
+/// The store drops its record after three that are missing.
+const GONE_HOLD_HEARTBEATS: u32 = 5;
 /// Time between reports of the listed weights, unless another change is reported earlier. They are
 /// used only for engines without a reporting sidecar.
 const WEIGHTS_INTERVAL: Duration = Duration::from_secs(2);
@@ -29,8 +29,10 @@
 ///
 /// A restored store may list a back end as ready that was leaving or gone before. Such a back end is
 /// treated as leaving for a while.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct ListedBackends {
+    /// How often back ends write their records.
+    heartbeat: Duration,
     at: StorePosition,
     /// The back ends as their last readable records describe them.
     backends: BTreeMap<BackendName, Backend>,
@@ -47,6 +49,21 @@
 }
 
 impl ListedBackends {
+    /// Creates an empty list of back ends that write their records at intervals of `heartbeat`.
+    pub fn new(heartbeat: Duration) -> Self {
+        Self {
+            heartbeat,
+            at: StorePosition::default(),
+            backends: BTreeMap::new(),
+            unreadable: HashSet::new(),
+            gone: HashMap::new(),
+            held_leaving: Holds::default(),
+            held_gone: Holds::default(),
+            reported_at: None,
+            has_unreported_changes: false,
+        }
+    }
+
     /// Applies all records of the list if `is_full`, else the changed ones. Returns the list if it
     /// must be used at once, or if its changes have waited long enough.
     pub fn apply(&mut self, snapshot: Snapshot, is_full: bool, now: Instant) -> Option<ListUpdate> {
@@ -146,7 +163,7 @@
             self.held_leaving.hold(backend.id.clone(), until);
         }
         for id in self.gone.keys() {
-            let until = now + GONE_HOLD;
+            let until = now + self.heartbeat * GONE_HOLD_HEARTBEATS;
             self.held_gone.hold(id.clone(), until);
         }
     }
--- a/coordination/tests/restored_records.rs
+++ b/coordination/tests/restored_records.rs
@@ -19,6 +19,8 @@
     },
 };
 
+/// Interval at which back ends write their records.
+const HEARTBEAT: Duration = Duration::from_millis(1_200);
 const DRAIN: Duration = Duration::from_millis(2_000);
 
 fn backend(name: &str) -> Backend {
@@ -76,7 +78,7 @@
     /// Lists these back ends in the first era.
     fn new(records: Vec<Record>) -> Self {
         let mut fixture = Self {
-            list: ListedBackends::default(),
+            list: ListedBackends::new(HEARTBEAT),
             now: Instant::now(),
             usable: Vec::new(),
         };
@@ -285,3 +287,17 @@
     let largest = pacing.pause_after_restore(350, 4_000, 1.0);
     assert!(largest <= DRAIN.mul_f64(0.3), "{largest:?}");
 }
+
+/// Guards against a back end that is used again before its missing heartbeats can be noticed.
+#[test]
+fn a_back_end_that_was_gone_is_held_back_for_heartbeats() {
+    let mut fixture = Fixture::new(vec![ready("a"), ready("b")]);
+    fixture.list = ListedBackends::new(3 * HEARTBEAT);
+    fixture.apply(snapshot(1, 300, vec![ready("a"), ready("b")]), true);
+    fixture.change(1, 301, gone("a"));
+    fixture.restore(&["a", "b"]);
+    fixture.wait(17);
+    assert_eq!(fixture.usable, ["b"]);
+    fixture.wait(2);
+    assert_eq!(fixture.usable, ["a", "b"]);
+}
--- a/entry/src/conf/ingress_settings.rs
+++ b/entry/src/conf/ingress_settings.rs
@@ -63,6 +63,9 @@
     /// Milliseconds after which a configuration change is in force everywhere.
     #[serde(default = "default_config_apply_ms")]
     pub config_apply_ms: u64,
+    /// Milliseconds between the writes of a back end's record.
+    #[serde(default = "default_heartbeat_ms")]
+    pub heartbeat_ms: u64,
     /// Read calls per second that the store allows over all processes.
     pub store_reads_per_s: f64,
     /// Minimum number of engines for which this entry receives their views through relays.
@@ -82,6 +85,9 @@
     pub fn grace(&self) -> Duration {
         Duration::from_secs_f64(self.grace_s)
     }
+    pub fn heartbeat(&self) -> Duration {
+        Duration::from_millis(self.heartbeat_ms)
+    }
     /// Returns the time after which a revoked API key must be rejected on every box, or `None`
     /// if disconnected boxes may go on using it.
     pub fn revocation_bound(&self) -> Option<Duration> {
@@ -106,6 +112,7 @@
         check_positive("version_ms", self.version_ms)?;
         check_positive("drain_ms", self.drain_ms)?;
         check_positive("config_apply_ms", self.config_apply_ms)?;
+        check_positive("heartbeat_ms", self.heartbeat_ms)?;
         check_number("store_reads_per_s", self.store_reads_per_s)?;
         check_number("grace_s", self.grace_s)?;
         check_number("retry_ratio", self.retry_ratio)?;
@@ -125,6 +132,10 @@
     MIN_ENGINES_FOR_RELAYS
 }
 
+fn default_heartbeat_ms() -> u64 {
+    1_200
+}
+
 /// Returns the shortest time among the platform's sites, in milliseconds.
 fn default_config_apply_ms() -> u64 {
     2_000
--- a/entry/src/ingress/records.rs
+++ b/entry/src/ingress/records.rs
@@ -32,11 +32,12 @@
 
 impl EntryRecords {
     pub fn new(shared: Arc<Shared>, source: Arc<ZoneSource>) -> Self {
+        let list = ListedBackends::new(shared.settings.heartbeat());
         Self {
             unreadable: UnreadableRecords::default(),
             shared,
             source,
-            list: Mutex::default(),
+            list: Mutex::new(list),
             evacuated: Mutex::default(),
         }
     }
