--- a/coordination/src/relay/published_cache.rs
+++ b/coordination/src/relay/published_cache.rs
@@ -151,7 +151,7 @@
     /// may be of an earlier one.
     fn known_position(&self, after: StorePosition) -> Option<StorePosition> {
         let position = self.position;
-        if after.era != 0 {
+        if after.era != 0 || position.era == 0 {
             return (after.era <= position.era).then_some(after);
         }
         let may_be_earlier = self.has_changed_era || after.revision > position.revision;
--- a/coordination/tests/relays.rs
+++ b/coordination/tests/relays.rs
@@ -707,4 +707,13 @@
     assert_eq!(cache.response(Some(in_era(0, 171)), now, now), None);
     // its own era is known, and it may have read the store itself
     assert_eq!(cache.response(Some(in_era(2, 172)), now, now), None);
+    let mut of_one_era = PublishedCache::new(STALE_AFTER);
+    let at = in_era(0, 171);
+    let records = vec![listed("b")];
+    of_one_era.apply(Snapshot { records, at }, true, now, now);
+    assert_eq!(
+        of_one_era.response(Some(in_era(0, 172)), now, now),
+        None,
+        "the store names no era"
+    );
 }
