--- a/testkit/tests/fleet_start.rs
+++ b/testkit/tests/fleet_start.rs
@@ -3,80 +3,30 @@
 //! Guards against a start for which the store sends each entry the whole list: its calls and bytes
 //! would grow with entries x engines.
 
+mod many_entries;
+
 use {
     anyhow::Result,
     chalkcart_testkit::{
         users_platform::{
-            open_stream, prompt, serve_prompt, Fleet, FleetSettings, OpenStream, OtherIngress,
-            StoreFault, StoreLimits,
+            open_stream, prompt, serve_prompt, Fleet, FleetSettings, OpenStream, StoreFault,
+            StoreLimits,
         },
         waiting::until,
     },
     futures::future::try_join_all,
-    serde_json::json,
+    many_entries::*,
     std::time::Duration,
     tokio::time::sleep,
 };
 
-const ENGINES: u8 = 6;
-/// The first page contains the engines and nothing else.
-const ITEMS_PER_PAGE: usize = ENGINES as usize;
 /// Number of changes in which an entry looks for engines.
 const RECENT_CHANGES: u64 = 128;
-/// Sidecars that read the list: the zone's reader of the store, and one that is used while the
-/// list is not known.
-const READERS: usize = 2;
 /// The engines of one of two zones have slots for six adapters.
 const ADAPTERS_IN_USE: usize = 8;
 /// Longer than the other streams take to start.
 const EVENTS_OF_LONG_STREAM: u32 = 1_000;
 
-/// Starts a fleet whose list has this many records beside those of the engines.
-async fn start(records: usize) -> Result<Fleet> {
-    let fleet = Fleet::start(FleetSettings {
-        engines: ENGINES,
-        relays_from_engines: 1,
-        ..FleetSettings::default()
-    })
-    .await?;
-    fleet.store.set_limits(StoreLimits {
-        items_per_page: ITEMS_PER_PAGE,
-        ..StoreLimits::default()
-    });
-    for number in 0..records {
-        let record = json!({
-            "Service": "plain", "Address": fleet.plain[0].addr, "Zone": "z", "Version": "v1",
-            "Slots": 8, "State": "draining", "ColdLeftMs": 0, "Seq": 1, "born": number,
-        });
-        fleet.store.put(&format!("servers/x-{number:04}"), record);
-    }
-    // the latest changes name the engines
-    for number in 0..fleet.engines.len() {
-        fleet.publish_engine(number, "ready");
-    }
-    // the first entry and its relay
-    serve_prompt(&fleet, "a", "first").await?;
-    Ok(fleet)
-}
-
-async fn start_entries(fleet: &Fleet, entries: usize) -> Result<Vec<OtherIngress>> {
-    let names: Vec<String> = (0..entries).map(|n| format!("front-1{n:02}")).collect();
-    try_join_all(names.iter().map(|name| fleet.start_other_ingress(name))).await
-}
-
-/// Returns the calls that read a page of the list, from the `first` call on.
-fn list_reads(fleet: &Fleet, first: usize) -> usize {
-    let calls = fleet.store.calls();
-    let pages = calls[first..]
-        .iter()
-        .filter(|target| target.contains("kv-range") && target.contains("PathPrefix=servers"));
-    pages.count()
-}
-
-fn pages(records: usize) -> usize {
-    (records + usize::from(ENGINES) + 1).div_ceil(ITEMS_PER_PAGE)
-}
-
 #[tokio::test]
 async fn the_reads_of_a_start_grow_with_entries_and_not_with_entries_times_records() -> Result<()> {
     for (entries, records) in [(10, 200), (20, 400)] {
