--- a/coordination/src/dispatch/backend_state.rs
+++ b/coordination/src/dispatch/backend_state.rs
@@ -1,5 +1,8 @@
 use {
-    super::{backend_signal_tracker::BackendSignalTracker, DispatchRequest, EngineObservations},
+    super::{
+        affected_requests::AffectedRequests, backend_signal_tracker::BackendSignalTracker,
+        DispatchRequest, EngineObservations, InFlightRequest,
+    },
     crate::{
         backend_admission::{
             AdmissionGate, AdvertisedLimit, Health, LimitSharing, RequestedBackoff,
@@ -11,10 +14,7 @@
         stream_pacing::PrefillWindow,
     },
     chalkcart_protocol::peer::{EngineStats, EngineView},
-    chalkcart_state::{
-        backends::{AdapterRef, Backend},
-        ingress::RequestDigest,
-    },
+    chalkcart_state::backends::{AdapterRef, Backend},
     std::{
         collections::{HashMap, HashSet},
         time::{Duration, Instant},
@@ -26,47 +26,6 @@
 /// Time for a sidecar to report before the list is trusted instead.
 const SIDECAR_REPORT_TIMEOUT: Duration = Duration::from_millis(1_500);
 
-/// A request that was sent to a back end.
-#[derive(Debug, Clone)]
-pub struct InFlightRequest {
-    pub digest: RequestDigest,
-    pub is_crash_suspect: bool,
-    /// Whether it continues a stream of which an engine has sent events.
-    pub has_progress: bool,
-    pub adapter: Option<AdapterRef>,
-    pub prompt_tokens: u32,
-    pub sent_at: Instant,
-    /// Whether the first part of the response arrived.
-    pub has_started: bool,
-    /// Whether no other prompt was being prefilled on the engine when it was sent.
-    pub is_sole_prefill: bool,
-    /// Whether it is the probe after a requested back-off.
-    pub is_probe: bool,
-}
-
-/// Waiting requests that a new view may allow to be sent.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum AffectedRequests {
-    All,
-    /// Requests for adapters that were loaded.
-    OfAdapters(Vec<AdapterRef>),
-}
-
-impl AffectedRequests {
-    pub fn includes(&self, request: &DispatchRequest) -> bool {
-        match self {
-            Self::All => true,
-            Self::OfAdapters(adapters) => request
-                .adapter
-                .as_ref()
-                .is_some_and(|a| adapters.contains(a)),
-        }
-    }
-    pub fn is_empty(&self) -> bool {
-        *self == Self::OfAdapters(Vec::new())
-    }
-}
-
 /// What an entry knows about one back end.
 #[derive(Debug, Clone)]
 pub struct BackendState {
--- a/coordination/src/dispatch/backend_updates.rs
+++ b/coordination/src/dispatch/backend_updates.rs
@@ -2,8 +2,7 @@
 
 use {
     super::{
-        backend_state::{reported_at, AffectedRequests},
-        dispatcher::Dispatcher,
+        affected_requests::AffectedRequests, backend_state::reported_at, dispatcher::Dispatcher,
         BackendState,
     },
     crate::backend_signals::BackendSignals,
--- a/coordination/src/dispatch/mod.rs
+++ b/coordination/src/dispatch/mod.rs
@@ -5,6 +5,8 @@
 mod adapter_affinity;
 mod adapter_versions;
 mod admission_order;
+mod affected_requests;
+mod backend_cost;
 mod backend_signal_tracker;
 mod backend_state;
 mod backend_updates;
@@ -19,6 +21,7 @@
 mod expected_returns;
 mod fleet_size;
 mod homes;
+mod in_flight_request;
 mod limited_backends;
 mod load_delay;
 mod pacing;
@@ -41,13 +44,14 @@
     account_fair_queueing::AccountFairQueueing,
     adapter_versions::AdapterVersions,
     admission_order::{AdmissionOrder, RouteRank},
-    backend_state::{BackendState, InFlightRequest},
+    backend_state::BackendState,
     decision::{Assignment, Decision, DecisionInputs, RejectionCause},
     dispatch_request::{DispatchRequest, Ticket},
     dispatcher::{BackendSummary, Dispatcher},
     engine_observations::EngineObservations,
     event::{DispatchEvent, SendOutcome},
     fleet_size::FleetSize,
+    in_flight_request::InFlightRequest,
     limited_backends::{PermitError, PermitQuery},
     load_delay::LoadDelay,
     pacing::TurnWait,
