--- a/testkit/src/soak/mod.rs
+++ b/testkit/src/soak/mod.rs
@@ -4,6 +4,7 @@
 mod checks;
 mod fault_schedule;
 mod keep_alive_client;
+mod observations;
 mod record;
 mod recovery;
 mod runner;
--- a/testkit/src/soak/runner.rs
+++ b/testkit/src/soak/runner.rs
@@ -1,11 +1,14 @@
 use {
     super::{
         keep_alive_client::KeepAliveClient,
-        recovery::{recover, RECOVERY_ID},
+        observations::{
+            applied_configurations, backend_record, crash_registry_losses, CRASHING_ID,
+        },
+        recovery::recover,
         schedule_faults,
         store_restores::{cut_off_ingress, set_store_away, StoreRestores},
-        violations, BackendRecord, ConfigurationHistory, Fault, Outcome, RequestRecord,
-        ScheduledFault, SoakRecord, SoakSettings, Violation,
+        violations, Fault, Outcome, RequestRecord, ScheduledFault, SoakRecord, SoakSettings,
+        Violation,
     },
     crate::{
         cluster::Binaries,
@@ -444,26 +447,6 @@
     }
 }
 
-/// Prefix of the ids of requests that crash engines.
-const CRASHING_ID: &str = "crashing-";
-
-/// Counts the faults that may lose the crash registry: a start or pause of the only entry
-/// loses its copy, and the sidecars may have lost theirs if any of them was affected.
-fn crash_registry_losses(faults: &[ScheduledFault]) -> u32 {
-    let is_entry = |f: &&ScheduledFault| {
-        matches!(
-            f.fault,
-            Fault::KillIngress | Fault::TerminateIngress | Fault::PauseIngress
-        )
-    };
-    let is_sidecar =
-        |f: &ScheduledFault| matches!(f.fault, Fault::KillSidecar(_) | Fault::PauseSidecar(_));
-    match faults.iter().any(is_sidecar) {
-        true => faults.iter().filter(is_entry).count() as u32,
-        false => 0,
-    }
-}
-
 fn engine(fleet: &Fleet, number: u8) -> &BackendStandIn {
     &fleet.engines[usize::from(number)]
 }
@@ -471,44 +454,3 @@
 fn plain(fleet: &Fleet, number: u8) -> &BackendStandIn {
     &fleet.plain[usize::from(number)]
 }
-
-fn backend_record(backend: &BackendStandIn, is_engine: bool) -> BackendRecord {
-    let state = backend.state();
-    let is_client_request = |id: &str| !id.starts_with(RECOVERY_ID) && !id.starts_with(CRASHING_ID);
-    let runs = state.runs.iter().map(|run| run.request.clone());
-    BackendRecord {
-        name: state.id.clone(),
-        is_engine,
-        runs: runs.filter(|id| is_client_request(id)).collect(),
-        arrivals: state.arrivals.clone(),
-        orders: state.all_orders.clone(),
-        max_adapters: state.orders.max_adapters,
-        requests_while_leaving: state.requests_while_leaving,
-        max_requests_in_backoff: state.max_requests_in_backoff(SIGNAL_PROPAGATION_DELAY),
-        requests_over_limit: state.requests_over_limit,
-    }
-}
-
-/// Time for a back end's signal to reach the entry.
-const SIGNAL_PROPAGATION_DELAY: Duration = Duration::from_millis(500);
-
-/// Extracts the configurations that an ingress put in force from its log, by incarnation.
-fn applied_configurations(log: &str) -> ConfigurationHistory {
-    let mut incarnations: Vec<Vec<u64>> = vec![Vec::new()];
-    for line in log.lines() {
-        if line.contains("serves on ") {
-            incarnations.push(Vec::new());
-        }
-        let Some((_, suffix)) = line.split_once("configuration ") else {
-            continue;
-        };
-        let number = suffix.split(' ').next().and_then(|n| n.parse().ok());
-        let is_in_force = suffix.contains(" in force, ");
-        if let (Some(number), true, Some(incarnation)) =
-            (number, is_in_force, incarnations.last_mut())
-        {
-            incarnation.push(number);
-        }
-    }
-    ConfigurationHistory { incarnations }
-}
