--- a/entry/src/ingress/mod.rs
+++ b/entry/src/ingress/mod.rs
@@ -15,6 +15,7 @@
 mod relay_discovery;
 mod request_exchange;
 mod request_exchange_log;
+mod request_exchange_response;
 mod serve;
 mod service;
 mod shared;
--- a/entry/src/ingress/request_exchange.rs
+++ b/entry/src/ingress/request_exchange.rs
@@ -9,24 +9,18 @@
     },
     bytes::Bytes,
     chalkcart_coordination::{
-        backend_signals::RequestRate,
         crashes::RequestVerdict,
-        dispatch::{
-            Assignment, Decision, DecisionInputs, DispatchEvent, DispatchRequest, SendOutcome,
-            Ticket,
-        },
+        dispatch::{Assignment, Decision, DecisionInputs, DispatchRequest, SendOutcome, Ticket},
         stream_recovery::EventId,
     },
-    chalkcart_state::{backends::BackendId, ids::Generation, regions::AllowedRegions},
+    chalkcart_state::{ids::Generation, regions::AllowedRegions},
     chalkcart_transport::{
-        backend::{send, BackendResponse, BackendSendError},
+        backend::{send, BackendSendError},
         clock::{self, before_deadline},
-        ingress::{
-            remove_connection_headers, BackendRequestHead, BackendResponseHead, ClientResponse,
-        },
+        ingress::{BackendRequestHead, ClientResponse},
     },
-    http::{request::Parts, HeaderMap, Request, Response, StatusCode},
-    http_body_util::{BodyExt, Either, Full},
+    http::{request::Parts, Request, StatusCode},
+    http_body_util::Full,
     std::{
         sync::Arc,
         time::{Duration, Instant},
@@ -427,144 +421,6 @@
             .write_backend_request(sent_headers, &send);
         req.body(Full::new(self.accepted.body.clone())).ok()
     }
-
-    async fn handle_response(
-        &self,
-        backend: &BackendId,
-        head: BackendResponseHead,
-        backend_response: BackendResponse,
-        mut guard: SendGuard,
-    ) -> SendResult {
-        let status = backend_response.response.status();
-        let is_ours = head.request_id.as_deref() == Some(self.accepted.head.id.as_str());
-        if status == StatusCode::MISDIRECTED_REQUEST {
-            let is_other_backend = head.backend.is_some_and(|name| name != backend.name);
-            let outcome = match is_other_backend {
-                true => SendOutcome::Superseded,
-                false => SendOutcome::Misdirected,
-            };
-            guard.end(outcome);
-            return SendResult::NotRun(outcome);
-        }
-        if head.proves_not_run {
-            guard.end(SendOutcome::Shed);
-            return SendResult::NotRun(SendOutcome::Shed);
-        }
-        let is_valid = is_ours && !head.is_encoded && (head.is_signed || !status.is_success());
-        // These would tell the client that the request did not run.
-        let means_not_run = matches!(
-            status,
-            StatusCode::TOO_MANY_REQUESTS
-                | StatusCode::SERVICE_UNAVAILABLE
-                | StatusCode::REQUEST_TIMEOUT
-        );
-        if !is_valid || means_not_run {
-            let request = self.accepted.head.id.as_str();
-            log::info!(request = request; "send: invalid response with status {status}");
-            guard.end(SendOutcome::Failed);
-            return SendResult::Failed(None);
-        }
-        match self.accepted.route.kind.is_stream() && status.is_success() {
-            true => SendResult::Streaming(Box::new(StartedStream {
-                response: backend_response,
-                guard,
-            })),
-            false => self.buffer_response(backend_response, guard).await,
-        }
-    }
-
-    /// Reports the signals in a back end's response headers to the dispatcher, before the body is
-    /// complete.
-    fn report_signals(
-        &self,
-        assignment: &Assignment,
-        sent_at: Instant,
-        status: StatusCode,
-        head: &BackendResponseHead,
-    ) {
-        let backend = assignment.backend.clone();
-        let is_other_backend = head.backend.as_ref().is_some_and(|n| *n != backend.name);
-        let signals = head.signals(status);
-        // A response of this back end without a limit means that its earlier limit is lifted.
-        let is_ours = head.request_id.as_deref() == Some(self.accepted.head.id.as_str());
-        let is_from_backend = is_ours && status != StatusCode::MISDIRECTED_REQUEST;
-        let lifts_limit = assignment.is_limited && is_from_backend;
-        if is_other_backend || (signals.is_empty() && !lifts_limit) {
-            return;
-        }
-        signals
-            .codes()
-            .for_each(|code| self.shared.metrics.on_backend_signal(code));
-        log::info!(
-            request = self.accepted.head.id.as_str(),
-            backend = backend.as_str(),
-            born = backend.start_time_ms,
-            leaving = signals.is_leaving,
-            rest_ms = signals.backoff.map_or(0, |backoff| backoff.as_millis() as u64),
-            limit_per_s = signals.limit.rate().map_or(-1.0, RequestRate::per_s),
-            cold_ms = signals.slow_start_left.map_or(-1, |left| left.as_millis() as i64),
-            status = status.as_u16(),
-            total_ms = elapsed_ms(self.accepted.arrived);
-            "backend: signals received"
-        );
-        self.shared
-            .control
-            .send_event(DispatchEvent::SignalReceived {
-                backend,
-                signal: signals,
-                sent_at,
-            });
-    }
-
-    /// Counts and logs response headers that this build does not know, without their values.
-    fn record_unknown_headers(&self, backend: &BackendId, headers: &HeaderMap) {
-        let dialect = &self.shared.dialect;
-        for name in headers
-            .keys()
-            .filter(|name| !dialect.is_known_response_header(name))
-        {
-            let is_named = self.shared.metrics.on_unknown_header(name.as_str());
-            if is_named && self.shared.unknown_headers.insert(backend, name.as_str()) {
-                log::warn!(
-                    backend = backend.as_str(),
-                    born = backend.start_time_ms,
-                    header = name.as_str();
-                    "backend: unknown response header"
-                );
-            }
-        }
-    }
-
-    /// Reads the complete body, so that a failed send can still be retried.
-    async fn buffer_response(
-        &self,
-        backend_response: BackendResponse,
-        mut guard: SendGuard,
-    ) -> SendResult {
-        let (mut parts, body) = backend_response.response.into_parts();
-        remove_connection_headers(&mut parts.headers, self.shared.dialect.end_to_end_headers());
-        let body = match before_deadline(self.deadline, body.collect()).await {
-            Err(_) => return SendResult::TimedOut,
-            Ok(Err(_)) => {
-                guard.end(SendOutcome::Broken);
-                return SendResult::Failed(None);
-            }
-            Ok(Ok(collected)) => collected.to_bytes(),
-        };
-        let is_failure = parts.status.is_server_error();
-        let response = Response::from_parts(parts, Either::Left(Full::new(body)));
-        if is_failure {
-            guard.end(SendOutcome::Failed);
-            return SendResult::Failed(Some(response));
-        }
-        guard.end(SendOutcome::Answered);
-        let outcome = SendOutcome::Answered.code();
-        self.shared.metrics.on_send_ended(outcome);
-        let route = &self.accepted.route.name;
-        let after = clock::elapsed(self.accepted.arrived);
-        self.shared.metrics.on_first_part(route, after);
-        SendResult::Responded(response)
-    }
 }
 
 /// Returns the time since `since` in ms.
