entry: a repeated record does not end the evacuation of a zone

An operator who ended one evacuation and began another within the seconds that a restore loses repeats both, and between the two the zone got requests, although its evacuation had been heard.

Change: in the new era only a record that evacuates the zone ends the hold of 60 s, as it says the same. An evacuation that really ends within that minute ends with the hold. The test fails before (the zone in use) and passes.

--- a/coordination/src/published/evacuated_zones.rs
+++ b/coordination/src/published/evacuated_zones.rs
@@ -62,8 +62,8 @@
             true => self.listed.insert(zone.clone()),
             false => self.listed.remove(zone),
         };
-        // A write in this era outweighs what was known before.
-        if !is_full {
+        // A record that ends the evacuation may be the repetition of an earlier one.
+        if !is_full && *is_evacuated {
             self.held.release(zone);
         }
     }
--- a/coordination/tests/restored_records.rs
+++ b/coordination/tests/restored_records.rs
@@ -245,6 +245,24 @@
     );
 }
 
+/// Guards against requests to an evacuated zone while its operator repeats what was written before
+/// the evacuation.
+#[test]
+fn an_evacuation_is_kept_while_its_earlier_record_is_repeated() {
+    let now = Instant::now();
+    let mut zones = EvacuatedZones::default();
+    let change = |zones: &mut EvacuatedZones, revision, record, at| {
+        zones.apply(&snapshot(2, revision, vec![record]), false, at)
+    };
+    let evacuated = zones.apply(&snapshot(1, 9, vec![zone(true)]), true, now);
+    assert!(evacuated.is_some_and(|zones| zones.contains("y")));
+    assert_eq!(zones.apply(&snapshot(2, 5, Vec::new()), true, now), None);
+    assert_eq!(change(&mut zones, 6, zone(false), now), None);
+    assert_eq!(change(&mut zones, 7, zone(true), now), None);
+    let over = change(&mut zones, 8, zone(false), now);
+    assert!(over.is_some_and(|zones| zones.is_empty()));
+}
+
 /// Guards against a relay that gives an older configuration to an entry that starts after a restore.
 #[test]
 fn a_relay_keeps_the_latest_configuration_beyond_a_restored_store() {
