--- a/coordination/src/published/listed_backends.rs
+++ b/coordination/src/published/listed_backends.rs
@@ -133,7 +133,8 @@
         true
     }
 
-    /// Returns whether the change must be used at once. `before` is the list that a full one replaces.
+    /// Keeps a back end whose record can't be read as it was last described, if it is known. Returns
+    /// whether the change must be used at once. `before` is the list that a full one replaces.
     fn set_unreadable(
         &mut self,
         name: BackendName,
@@ -193,6 +194,7 @@
             list: backends.collect(),
         }
     }
+
     /// Returns whether a back end must get no new requests.
     fn is_excluded(&self, backend: &Backend) -> bool {
         let id = &backend.id;
