ingress: log and count the framing and the position at the end of a stream

Two streams were broken off and reached their callers as complete. Three hypotheses differ in how these answers were framed and where they ended, and no line told either. 'stream ended' now has 'framing' and 'position', and the metric body_ends counts both with the outcome. What a stream's end means has not changed.

--- a/coordination/src/lib.rs
+++ b/coordination/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod published;
 pub mod queue;
 pub mod relay;
+pub mod response_end;
 pub mod retry;
 pub mod routing;
 pub mod run_once;
--- /dev/null
+++ b/coordination/src/response_end/response_progress.rs
@@ -0,0 +1,34 @@
+use super::{EventScanner, Framing, StreamPosition};
+
+/// How far the response of one back end has come.
+#[derive(Debug, Clone)]
+pub struct ResponseProgress {
+    framing: Framing,
+    /// Present if the body is a stream of events.
+    events: Option<EventScanner>,
+}
+
+impl ResponseProgress {
+    pub fn new(framing: Framing, is_event_stream: bool) -> Self {
+        Self {
+            framing,
+            events: is_event_stream.then(EventScanner::default),
+        }
+    }
+
+    /// Takes bytes of the body.
+    pub fn on_data(&mut self, bytes: &[u8]) {
+        if let Some(events) = &mut self.events {
+            events.take_all(bytes);
+        }
+    }
+
+    pub fn framing(&self) -> Framing {
+        self.framing
+    }
+
+    /// Returns the position within the events; `None` if the body is no stream of events.
+    pub fn position(&self) -> Option<StreamPosition> {
+        self.events.as_ref().map(EventScanner::position)
+    }
+}
--- a/entry/src/ingress/observers.rs
+++ b/entry/src/ingress/observers.rs
@@ -8,7 +8,8 @@
     },
     chalkcart_transport::{
         clock,
-        ingress::{ProxyBodyEnd, ProxyBodyObserver, ResumeFuture, StreamCut},
+        ingress::{ProxyBodyEnd, ProxyBodyObserver, ProxyBodyReport, ResumeFuture, StreamCut},
+        metrics::BodyEndLabel,
     },
     log::Level,
     std::{
@@ -97,7 +98,10 @@
         self.guard.start();
     }
 
-    fn on_end(&mut self, end: ProxyBodyEnd, longest_pause: Duration) {
+    fn on_end(&mut self, report: ProxyBodyReport) {
+        let ProxyBodyReport {
+            end, longest_pause, ..
+        } = report;
         let (outcome, outcome_name) = match end {
             ProxyBodyEnd::Complete => (SendOutcome::Answered, "whole"),
             ProxyBodyEnd::Broken => (SendOutcome::Broken, "broken"),
@@ -108,6 +112,13 @@
         self.shared
             .metrics
             .on_pause(&self.route.name, longest_pause);
+        let framing = report.framing.code();
+        let position = report.position.map_or("no_events", |at| at.code());
+        self.shared.metrics.on_body_end(BodyEndLabel {
+            end: outcome_name,
+            framing,
+            position,
+        });
         let level = match end {
             ProxyBodyEnd::Complete => Level::Info,
             ProxyBodyEnd::Broken | ProxyBodyEnd::TimedOut | ProxyBodyEnd::ClientDisconnected => {
@@ -122,6 +133,8 @@
             backend = self.backend.as_str(),
             born = self.backend.start_time_ms,
             outcome = outcome_name,
+            framing = framing,
+            position = position,
             objective_ms = self.route.target_latency.as_millis() as u64,
             first_part_ms = self.first_part.map_or(-1, |t| t.as_millis() as i64),
             longest_pause_ms = longest_pause.as_millis() as u64,
--- a/entry/src/ingress/stream_recovery.rs
+++ b/entry/src/ingress/stream_recovery.rs
@@ -4,7 +4,7 @@
     super::{
         request_exchange::{RequestExchange, SendResult, REGIONS_CHANGED},
         stream_recovery_log::CutLog,
-        stream_response::{is_event_stream, is_framed, StartedStream},
+        stream_response::StartedStream,
     },
     chalkcart_coordination::{
         dispatch::{Assignment, Decision, SendOutcome},
@@ -75,17 +75,15 @@
         stream: StartedStream,
         first_part: Option<Duration>,
     ) -> Continuation<dyn ProxyBodyObserver> {
-        let is_framed = is_framed(stream.headers());
         let backend = &assignment.backend;
         let mut observer = self
             .exchange
             .stream_observer(backend, stream.guard, first_part);
         self.current = assignment;
         observer.recovery = Some(self);
+        let (_, body) = stream.response.into_parts(true);
         Continuation {
-            body: stream.response.response.into_body(),
-            connection: stream.response.connection,
-            is_framed,
+            body,
             observer: Box::new(observer),
         }
     }
@@ -123,7 +121,7 @@
             self.exchange.request.send_count += 1;
             self.exchange.log_send(&assignment);
             let outcome = match self.exchange.send_request(&assignment).await {
-                SendResult::Streaming(stream) if is_event_stream(stream.headers()) => {
+                SendResult::Streaming(stream) if stream.may_have_events() => {
                     return Ok((assignment, *stream));
                 }
                 SendResult::Streaming(stream) => {
--- a/transport/src/backend/mod.rs
+++ b/transport/src/backend/mod.rs
@@ -1,5 +1,9 @@
 //! Requests to back ends, each on its own connection.
 
+mod response;
 mod sender;
 
-pub use sender::{is_refused, send, BackendResponse, BackendSendError, Connection};
+pub use {
+    response::{BackendBody, BackendResponse},
+    sender::{is_refused, send, BackendSendError, Connection},
+};
--- a/transport/src/backend/sender.rs
+++ b/transport/src/backend/sender.rs
@@ -1,9 +1,10 @@
 use {
+    super::BackendResponse,
     crate::sockets::tune_stream,
     bytes::Bytes,
-    http::{Request, Response},
+    http::Request,
     http_body_util::Full,
-    hyper::{body::Incoming, client::conn::http1},
+    hyper::client::conn::http1,
     hyper_util::rt::TokioIo,
     std::{io, net::SocketAddr, time::Duration},
     thiserror::Error,
@@ -29,13 +30,6 @@
     }
 }
 
-/// The head of a back end's response, with the connection that its body is read from.
-#[derive(Debug)]
-pub struct BackendResponse {
-    pub response: Response<Incoming>,
-    pub connection: Connection,
-}
-
 /// A send that brought no response.
 #[derive(Debug, Error)]
 pub enum BackendSendError {
--- a/transport/src/ingress/mod.rs
+++ b/transport/src/ingress/mod.rs
@@ -12,6 +12,7 @@
     proxy_body::ProxyBody,
     server::{serve, ClientBody, ClientRequest, ClientResponse, IngressService, Phase},
     stream_continuation::{
-        Continuation, ProxyBodyEnd, ProxyBodyObserver, ResumeFuture, StreamCut, StreamEvents,
+        Continuation, ProxyBodyEnd, ProxyBodyObserver, ProxyBodyReport, ResumeFuture, StreamCut,
+        StreamEvents,
     },
 };
--- a/transport/src/ingress/proxy_body.rs
+++ b/transport/src/ingress/proxy_body.rs
@@ -1,13 +1,17 @@
 use {
     super::stream_continuation::{
-        Continuation, ProxyBodyEnd, ProxyBodyObserver, ResumeFuture, StreamCut, StreamEvents,
+        Continuation, ProxyBodyEnd, ProxyBodyObserver, ProxyBodyReport, ResumeFuture, StreamCut,
+        StreamEvents,
     },
     crate::{
-        backend::Connection,
+        backend::{BackendBody, Connection},
         clock::{self, sleep_until_deadline},
     },
     bytes::Bytes,
-    chalkcart_coordination::stream_recovery::{NotResumed, StreamEnd},
+    chalkcart_coordination::{
+        response_end::{Framing, ResponseProgress},
+        stream_recovery::{NotResumed, StreamEnd},
+    },
     http_body::{Body, Frame, SizeHint},
     hyper::body::Incoming,
     std::{
@@ -46,6 +50,8 @@
 /// engine if its stream is cut. Dropping the body closes the connection to the back end.
 pub struct ProxyBody {
     source: Source,
+    /// Progress of the last back end's response.
+    progress: ResponseProgress,
     events: Option<StreamEvents>,
     /// Trailers that follow the bytes that were held back.
     trailers: Option<Frame<Bytes>>,
@@ -62,14 +68,19 @@
 impl ProxyBody {
     /// `events` is present for a stream that may be resumed.
     pub fn new(
-        body: Incoming,
-        connection: Connection,
+        body: BackendBody,
         deadline: Instant,
         observer: Box<dyn ProxyBodyObserver>,
         events: Option<StreamEvents>,
     ) -> Self {
+        let BackendBody {
+            body,
+            connection,
+            progress,
+        } = body;
         Self {
             source: Source::Backend { body, connection },
+            progress,
             events,
             trailers: None,
             deadline,
@@ -85,7 +96,12 @@
     fn end(&mut self, end: ProxyBodyEnd) {
         if !self.has_ended {
             self.has_ended = true;
-            self.observer.on_end(end, self.longest_pause);
+            self.observer.on_end(ProxyBodyReport {
+                end,
+                longest_pause: self.longest_pause,
+                framing: self.progress.framing(),
+                position: self.progress.position(),
+            });
         }
     }
 
@@ -113,6 +129,9 @@
 
     fn on_received(&mut self, frame: Frame<Bytes>) -> Step {
         self.on_frame();
+        if let Some(data) = frame.data_ref() {
+            self.progress.on_data(data);
+        }
         let Some(events) = &mut self.events else {
             if self.is_source_at_end() {
                 self.end(ProxyBodyEnd::Complete);
@@ -146,7 +165,8 @@
     /// Handles the end of the back end's body.
     fn on_body_end(&mut self) -> Step {
         if let Some(events) = &mut self.events {
-            match events.assembler.end(events.is_framed) {
+            let is_framed = self.progress.framing() != Framing::Connection;
+            match events.assembler.end(is_framed) {
                 StreamEnd::Cut => return Step::Cut(None),
                 StreamEnd::Complete(rest) if !rest.is_empty() => {
                     self.source = Source::Complete;
@@ -187,14 +207,16 @@
     fn on_resumed(&mut self, continuation: Continuation<dyn ProxyBodyObserver>) {
         if let Some(events) = &mut self.events {
             events.assembler.start_continuation();
-            events.is_framed = continuation.is_framed;
         }
         self.has_started = false;
         self.observer = continuation.observer;
-        self.source = Source::Backend {
-            body: continuation.body,
-            connection: continuation.connection,
-        };
+        let BackendBody {
+            body,
+            connection,
+            progress,
+        } = continuation.body;
+        self.progress = progress;
+        self.source = Source::Backend { body, connection };
     }
 
     fn is_source_at_end(&self) -> bool {
--- a/transport/src/ingress/stream_continuation.rs
+++ b/transport/src/ingress/stream_continuation.rs
@@ -1,7 +1,9 @@
 use {
-    crate::backend::Connection,
-    chalkcart_coordination::stream_recovery::{EventAssembler, EventId, NotResumed},
-    hyper::body::Incoming,
+    crate::backend::{BackendBody, Connection},
+    chalkcart_coordination::{
+        response_end::{Framing, StreamPosition},
+        stream_recovery::{EventAssembler, EventId, NotResumed},
+    },
     std::{
         future::Future,
         pin::Pin,
@@ -26,27 +28,21 @@
 
 /// The stream of an engine that continues a response.
 pub struct Continuation<O: ?Sized> {
-    pub body: Incoming,
-    pub connection: Connection,
-    /// Whether the end of the body is distinguishable from the end of its connection.
-    pub is_framed: bool,
+    pub body: BackendBody,
     pub observer: Box<O>,
 }
 
 /// The events of a stream that may be resumed.
 pub struct StreamEvents {
     pub assembler: EventAssembler,
-    /// Whether the end of the body is distinguishable from the end of its connection.
-    pub is_framed: bool,
     /// Why the engine's stream must not be used beyond the bytes that were passed on.
     pub(super) fault: Option<NotResumed>,
 }
 
 impl StreamEvents {
-    pub fn new(assembler: EventAssembler, is_framed: bool) -> Self {
+    pub fn new(assembler: EventAssembler) -> Self {
         Self {
             assembler,
-            is_framed,
             fault: None,
         }
     }
@@ -86,12 +82,24 @@
     ClientDisconnected,
 }
 
+/// What was seen of a proxied body that has ended.
+#[derive(Debug, Clone, Copy)]
+pub struct ProxyBodyReport {
+    pub end: ProxyBodyEnd,
+    /// The longest pause between two frames.
+    pub longest_pause: Duration,
+    /// Framing of the last back end's response.
+    pub framing: Framing,
+    /// Where the last back end's events ended; `None` if its body is no stream of events.
+    pub position: Option<StreamPosition>,
+}
+
 /// Observes the progress of a proxied body.
 pub trait ProxyBodyObserver: Send + Sync {
     /// Called when the first frame of a back end has arrived.
     fn on_first_frame(&mut self);
-    /// Called once when the body has ended, with the longest pause between two frames.
-    fn on_end(&mut self, end: ProxyBodyEnd, longest_pause: Duration);
+    /// Called once when the body has ended.
+    fn on_end(&mut self, report: ProxyBodyReport);
     /// Called when a stream with `StreamEvents` was cut; returns the search for an engine that
     /// continues it, or `None` if the response ends as broken. The observer of the continuation
     /// replaces this one.
--- a/transport/src/metrics/ingress_metrics.rs
+++ b/transport/src/metrics/ingress_metrics.rs
@@ -55,6 +55,14 @@
     pub code: &'static str,
 }
 
+/// How a proxied body ended: its outcome, what its framing is, and where in its events.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct BodyEndLabel {
+    pub end: &'static str,
+    pub framing: &'static str,
+    pub position: &'static str,
+}
+
 type Histograms = Family<RouteLabel, Histogram, fn() -> Histogram>;
 
 /// Metrics of an ingress about its requests.
@@ -66,6 +74,7 @@
     sends: Family<CodeLabel, Counter>,
     backend_signals: Family<CodeLabel, Counter>,
     resumptions: Family<CodeLabel, Counter>,
+    body_ends: Family<BodyEndLabel, Counter>,
     retries: Counter,
     removed_headers: Counter,
     unreadable: Family<CodeLabel, Counter>,
@@ -99,6 +108,7 @@
             sends: Family::default(),
             backend_signals: Family::default(),
             resumptions: Family::default(),
+            body_ends: Family::default(),
             retries: Counter::default(),
             removed_headers: Counter::default(),
             unreadable: Family::default(),
@@ -158,6 +168,10 @@
     pub fn on_resumption(&self, code: &'static str) {
         self.resumptions.get_or_create(&CodeLabel { code }).inc();
     }
+    /// Counts the end of a proxied body.
+    pub fn on_body_end(&self, label: BodyEndLabel) {
+        self.body_ends.get_or_create(&label).inc();
+    }
     /// Counts headers that were removed from a client's request.
     pub fn on_headers_removed(&self, headers: usize) {
         self.removed_headers.inc_by(headers as u64);
@@ -268,6 +282,11 @@
             "Streams that were cut, by outcome: resumed, or the cause why not",
             resumptions,
         );
+        registry.register(
+            "body_ends",
+            "Streams forwarded, by how they ended, their framing and where in their events",
+            self.body_ends.clone(),
+        );
         let refusals = self.refusals.clone();
         registry.register("refusals", "Requests refused, by cause", refusals);
         registry.register(
--- a/transport/src/metrics/mod.rs
+++ b/transport/src/metrics/mod.rs
@@ -10,7 +10,7 @@
 
 pub use {
     crash_metrics::CrashMetrics,
-    ingress_metrics::IngressMetrics,
+    ingress_metrics::{BodyEndLabel, IngressMetrics},
     labels::{GroupClass, RefusalLabel},
     request_metrics::RequestMetrics,
 };
