--- a/testkit/src/users_platform/backend_stand_in.rs
+++ b/testkit/src/users_platform/backend_stand_in.rs
@@ -6,6 +6,7 @@
     },
     crate::serving::lock,
     anyhow::Result,
+    chalkcart_coordination::response_end::Framing,
     chalkcart_platform::names,
     std::{
         net::SocketAddr,
@@ -83,8 +84,7 @@
     pub after: u32,
     /// Number of bytes of the next event that are sent too.
     pub extra_bytes: usize,
-    /// Whether the body is chunked; otherwise the end of the connection ends it.
-    pub is_chunked: bool,
+    pub framing: Framing,
 }
 
 impl Default for StreamFault {
@@ -93,7 +93,7 @@
             kind: CutKind::Close,
             after: 2,
             extra_bytes: 0,
-            is_chunked: true,
+            framing: Framing::Chunks,
         }
     }
 }
@@ -102,6 +102,8 @@
 pub enum CutKind {
     /// Closes the connection.
     Close,
+    /// Ends the body as its framing requires, as if it were whole.
+    End,
     /// Resets the connection.
     Reset,
     /// The back end ends with all its connections and starts again.
@@ -143,6 +145,10 @@
     pub delay: Duration,
     /// Number of events in a stream and the time between two of them.
     pub event_count: u32,
+    /// Content of each event's data.
+    pub event_data: String,
+    /// Whether events have ids.
+    pub has_event_ids: bool,
     pub event_interval: Duration,
     /// Added to `event_interval` for each running request.
     pub event_interval_per_run: Duration,
@@ -318,6 +324,8 @@
             running: 0,
             delay: Duration::ZERO,
             event_count: DEFAULT_EVENT_COUNT,
+            event_data: "x".to_string(),
+            has_event_ids: true,
             event_interval: Duration::from_millis(5),
             event_interval_per_run: Duration::ZERO,
             crash_body: None,
--- a/testkit/src/users_platform/client.rs
+++ b/testkit/src/users_platform/client.rs
@@ -14,6 +14,7 @@
 
 #[derive(Debug, Clone)]
 pub struct ClientRequest {
+    pub protocol: &'static str,
     pub method: &'static str,
     pub target: String,
     pub host: String,
@@ -28,6 +29,7 @@
 impl Default for ClientRequest {
     fn default() -> Self {
         Self {
+            protocol: "HTTP/1.1",
             method: "POST",
             target: "/".to_string(),
             host: super::HOST.to_string(),
@@ -78,10 +80,11 @@
 impl ClientRequest {
     fn text(&self) -> Vec<u8> {
         let mut text = format!(
-            "{} {} HTTP/1.1\r\nHost: {}\r\nContent-Length: {}\r\n\
+            "{} {} {}\r\nHost: {}\r\nContent-Length: {}\r\n\
              Chalkcart-Request-Id: {}\r\nChalkcart-Deadline-Ms: {}\r\n",
             self.method,
             self.target,
+            self.protocol,
             self.host,
             self.body.len(),
             self.id,
@@ -155,7 +158,8 @@
                 return true;
             }
             match self.socket.read_buf(&mut self.received).await {
-                Ok(0) | Err(_) => return false,
+                Ok(0) => return !self.is_framed(),
+                Err(_) => return false,
                 Ok(_) => {}
             }
         }
@@ -163,9 +167,14 @@
     fn is_body_complete(&self) -> bool {
         match self.head.get_number("content-length") {
             Some(length) => self.received.len() as u64 >= length,
-            None => self.received.ends_with(b"0\r\n\r\n"),
+            None => self.is_framed() && self.received.ends_with(b"0\r\n\r\n"),
         }
     }
+    /// Returns whether the end of the body is distinguishable from the end of the connection.
+    fn is_framed(&self) -> bool {
+        let has_length = self.head.get_number("content-length").is_some();
+        has_length || self.head.get("transfer-encoding") == Some("chunked")
+    }
     /// Returns the number of bytes that arrive after the complete response within a short time.
     pub async fn extra_bytes(&mut self) -> Result<usize> {
         let count_before = self.received.len();
--- a/testkit/tests/stream_recovery.rs
+++ b/testkit/tests/stream_recovery.rs
@@ -8,6 +8,7 @@
 
 use {
     anyhow::Result,
+    chalkcart_coordination::response_end::Framing,
     chalkcart_testkit::{
         users_platform::{prompt, request, BackendFault, ClientRequest, CutKind, StreamFault},
         waiting::until,
@@ -20,7 +21,7 @@
 #[tokio::test]
 async fn a_stream_is_whole_after_a_cut() -> Result<()> {
     let unframed = StreamFault {
-        is_chunked: false,
+        framing: Framing::Connection,
         ..cut(CutKind::Reset)
     };
     let inside = StreamFault {
@@ -28,7 +29,7 @@
         ..cut(CutKind::Close)
     };
     let inside_unframed = StreamFault {
-        is_chunked: false,
+        framing: Framing::Connection,
         ..inside
     };
     let before_events = StreamFault {
@@ -248,7 +249,7 @@
 async fn an_unframed_stream_ends_with_its_connection() -> Result<()> {
     let fleet = start(|_| {}).await?;
     let fault = StreamFault {
-        is_chunked: false,
+        framing: Framing::Connection,
         after: u32::MAX,
         ..cut(CutKind::Close)
     };
