ingress: judge whether a response is whole in one place, for each response

Callers got streams as complete that their engines had broken off in the middle.

Cause: an answer may come with neither a length nor chunks and end with its connection. Whether such an end is an end or a crash shows only in the events, and these were looked at only where a stream may be resumed: on any other route, with recovery off, and once an event was large or without id, the end of a connection counted as the end of the stream. Two questions, whether an answer is whole and whether it may be resumed, had one answer. So did a framed stream that ends inside an event, and a buffered answer with events.

Change: coordination/src/response_end judges each response by its framing and by the position in its events; ProxyBody and the buffered path ask it, EventAssembler::end takes its verdict. The scan of line ends, which stood in the assembler, is EventScanner. Nothing more is held back than before, except the last byte of an incomplete event in a body with a length, which would complete the response at its client.

It works because an end now needs both to say so: the framing, and events that are complete.

Two lines of the end-of-stream table in coordination/tests/stream_recovery.rs were wrong: a framed end inside an event and an unframed end before any event counted as complete; the users' pages say that a stream that ends inside an event has been broken off. The table now has each of three framings for six bodies.

--- a/coordination/src/response_end/mod.rs
+++ b/coordination/src/response_end/mod.rs
@@ -1,11 +1,16 @@
-//! How a back end's response ends: where in it, and what its framing says of the end.
+//! How a back end's response ends: whole, or broken off.
+//!
+//! Each response is judged here, whatever its route or size. Whether a stream that was broken off
+//! may be resumed is decided by `stream_recovery`.
 
 mod event_scanner;
 mod framing;
 mod response_progress;
+mod verdict;
 
 pub use {
     event_scanner::{EventScanner, StreamPosition},
     framing::Framing,
     response_progress::ResponseProgress,
+    verdict::Verdict,
 };
--- a/coordination/src/response_end/response_progress.rs
+++ b/coordination/src/response_end/response_progress.rs
@@ -1,4 +1,4 @@
-use super::{EventScanner, Framing, StreamPosition};
+use super::{EventScanner, Framing, StreamPosition, Verdict};
 
 /// How far the response of one back end has come.
 #[derive(Debug, Clone)]
@@ -23,6 +23,11 @@
         }
     }
 
+    /// Returns what an end at this point means.
+    pub fn verdict(&self) -> Verdict {
+        Verdict::of(self.framing, self.position())
+    }
+
     pub fn framing(&self) -> Framing {
         self.framing
     }
--- a/coordination/src/stream_recovery/event_assembler.rs
+++ b/coordination/src/stream_recovery/event_assembler.rs
@@ -1,4 +1,7 @@
-use super::{EventBlock, EventId, NotResumed};
+use {
+    super::{EventBlock, EventId, NotResumed},
+    crate::response_end::{EventScanner, Verdict},
+};
 
 /// Bytes of an incomplete event that are held back. A stream with a larger event is passed on
 /// as it arrives and is not resumed.
@@ -22,21 +25,6 @@
     Cut,
 }
 
-/// Position within the lines of a stream.
-#[derive(Debug, Clone, Copy)]
-struct LineScan {
-    is_line_empty: bool,
-    /// Whether the last byte was a CR; an LF that follows belongs to the same line end.
-    is_after_cr: bool,
-}
-
-impl LineScan {
-    const START: Self = Self {
-        is_line_empty: true,
-        is_after_cr: false,
-    };
-}
-
 /// Assembles one response from the event streams of one or more engines.
 ///
 /// Bytes are passed on in complete events, so that a cut never leaves a partial event at the
@@ -48,7 +36,7 @@
     held: Vec<u8>,
     /// Number of bytes of `held` that were scanned.
     scanned: usize,
-    scan: LineScan,
+    scanner: EventScanner,
     /// The last event that the client has.
     last: Option<EventId>,
     /// Whether each id so far was the previous one plus 1.
@@ -67,7 +55,7 @@
         Self {
             held: Vec::new(),
             scanned: 0,
-            scan: LineScan::START,
+            scanner: EventScanner::default(),
             last,
             is_dense: true,
             is_continuation: false,
@@ -83,24 +71,8 @@
             return self.pass(self.held.len());
         }
         let mut block_start = 0;
-        while self.scanned < self.held.len() {
-            let byte = self.held[self.scanned];
-            self.scanned += 1;
-            let is_line_end = matches!(byte, b'\n' | b'\r');
-            let ends_crlf = byte == b'\n' && self.scan.is_after_cr;
-            self.scan.is_after_cr = byte == b'\r';
-            if ends_crlf {
-                // the LF after the CR that ended an event is passed on with that event
-                if block_start + 1 == self.scanned {
-                    block_start = self.scanned;
-                }
-                continue;
-            }
-            let ends_block = is_line_end && self.scan.is_line_empty;
-            self.scan.is_line_empty = is_line_end;
-            if !ends_block {
-                continue;
-            }
+        while let Some(taken) = self.scanner.take_block(&self.held[self.scanned..]) {
+            self.scanned += taken;
             let block = EventBlock::read(&self.held[block_start..self.scanned]);
             if let Err(fault) = self.on_event(block) {
                 let passed = self.held[..block_start].to_vec();
@@ -109,6 +81,7 @@
             }
             block_start = self.scanned;
         }
+        self.scanned = self.held.len();
         if self.held.len() - block_start > MAX_HELD_BYTES {
             if self.is_unverified() {
                 let passed = self.held[..block_start].to_vec();
@@ -123,20 +96,12 @@
         }
     }
 
-    /// Handles the end of the current engine's stream. The end of an unframed one is that of
-    /// its connection, which closes at a failure as well.
-    pub fn end(&mut self, is_framed: bool) -> StreamEnd {
-        if self.off.is_none() {
-            let is_partial = !self.held.is_empty();
-            let is_cut = match is_framed {
-                true => is_partial && self.is_unverified(),
-                false => is_partial || self.is_unverified(),
-            };
-            if is_cut {
-                return StreamEnd::Cut;
-            }
+    /// Handles the end of the current engine's response.
+    pub fn end(&mut self, verdict: Verdict) -> StreamEnd {
+        match verdict {
+            Verdict::Whole => StreamEnd::Complete(self.pass(self.held.len()).passed),
+            Verdict::BrokenOff => StreamEnd::Cut,
         }
-        StreamEnd::Complete(self.pass(self.held.len()).passed)
     }
 
     /// Drops the incomplete event of a stream that was cut, and returns the last event that
@@ -157,7 +122,7 @@
     pub fn start_continuation(&mut self) {
         self.held.clear();
         self.scanned = 0;
-        self.scan = LineScan::START;
+        self.scanner = EventScanner::default();
         self.is_continuation = true;
         self.has_event = false;
     }
--- a/coordination/tests/stream_recovery.rs
+++ b/coordination/tests/stream_recovery.rs
@@ -6,6 +6,7 @@
 use {
     chalkcart_coordination::{
         crashes::RequestVerdict,
+        response_end::{Framing, ResponseProgress, Verdict},
         stream_recovery::{
             EventAssembler, EventBlock, EventId, NotResumed, PriorRun, RecoveryInputs, StreamEnd,
             MAX_HELD_BYTES, MAX_SENDS_PER_CUT, STOP_TIME,
@@ -47,7 +48,7 @@
 }
 
 fn end(assembler: &mut EventAssembler) -> Vec<u8> {
-    match assembler.end(true) {
+    match assembler.end(Verdict::Whole) {
         StreamEnd::Complete(rest) => rest,
         StreamEnd::Cut => panic!("a complete stream counts as cut"),
     }
@@ -181,29 +182,43 @@
     assert!(!EventBlock::read(b": id: 4\n\n").is_event);
 }
 
-/// An end of stream counts as complete only if its framing says so.
+/// Returns what the end of an engine's response after these bytes means.
+fn verdict(sent: &str, framing: Framing) -> Verdict {
+    let mut progress = ResponseProgress::new(framing, true);
+    progress.on_data(sent.as_bytes());
+    progress.verdict()
+}
+
+/// An end of stream counts as complete only between events, and only as its framing says.
 #[test]
 fn the_end_of_a_stream_is_complete_as_its_framing_says() {
     let one = "id: 0\ndata: x\n\n";
-    // bytes of the first engine, whether they are framed, and whether they are complete
+    // bytes of the first engine, and whether their end is complete if framed and if not
     let cases = [
-        ("", true, true),
+        ("", true, false),
         (one, true, true),
-        ("id: 0\ndata", true, true),
-        ("", false, true),
-        (one, false, true),
         ("id: 0\ndata", false, false),
+        ("id: 0\ndata: x\n\nid: 1\n", false, false),
+        ("data: no id\n\nid: 1\nda", false, false),
+        ("data: no id\n\n", true, true),
     ];
-    for (sent, is_framed, is_complete) in cases {
-        let mut assembler = EventAssembler::new(None);
-        let mut passed = assembler.push(sent.as_bytes()).passed;
-        match assembler.end(is_framed) {
-            StreamEnd::Complete(rest) => {
-                assert!(is_complete, "{sent:?} {is_framed}");
-                passed.extend(rest);
-                assert_eq!(passed, sent.as_bytes());
+    for (sent, if_framed, if_unframed) in cases {
+        let framings = [
+            (Framing::Length, if_framed),
+            (Framing::Chunks, if_framed),
+            (Framing::Connection, if_unframed),
+        ];
+        for (framing, is_complete) in framings {
+            let mut assembler = EventAssembler::new(None);
+            let mut passed = assembler.push(sent.as_bytes()).passed;
+            match assembler.end(verdict(sent, framing)) {
+                StreamEnd::Complete(rest) => {
+                    assert!(is_complete, "{sent:?} {framing:?}");
+                    passed.extend(rest);
+                    assert_eq!(passed, sent.as_bytes());
+                }
+                StreamEnd::Cut => assert!(!is_complete, "{sent:?} {framing:?}"),
             }
-            StreamEnd::Cut => assert!(!is_complete, "{sent:?} {is_framed}"),
         }
     }
 }
@@ -212,15 +227,22 @@
 /// after the head looks the same on an unframed response.
 #[test]
 fn a_continuation_without_events_is_complete_only_if_it_is_framed() {
-    let complete = StreamEnd::Complete(Vec::new());
-    assert_eq!(cut_after_two().end(true), complete);
-    assert_eq!(cut_after_two().end(false), StreamEnd::Cut);
-    let mut assembler = cut_after_two();
-    assembler.push(b"id: 2\nda");
-    assert_eq!(assembler.end(true), StreamEnd::Cut);
-    let mut assembler = cut_after_two();
-    assembler.push(b"id: 2\ndata: x\n\n");
-    assert_eq!(assembler.end(false), complete);
+    let cases = [
+        ("", Framing::Chunks, true),
+        ("", Framing::Connection, false),
+        ("id: 2\nda", Framing::Chunks, false),
+        ("id: 2\ndata: x\n\n", Framing::Connection, true),
+    ];
+    for (sent, framing, is_complete) in cases {
+        let mut assembler = cut_after_two();
+        assembler.push(sent.as_bytes());
+        let expected = match is_complete {
+            true => StreamEnd::Complete(Vec::new()),
+            false => StreamEnd::Cut,
+        };
+        let end = assembler.end(verdict(sent, framing));
+        assert_eq!(end, expected, "{sent:?} {framing:?}");
+    }
 }
 
 #[test]
--- a/entry/src/ingress/request_exchange_response.rs
+++ b/entry/src/ingress/request_exchange_response.rs
@@ -9,10 +9,11 @@
     chalkcart_coordination::{
         backend_signals::RequestRate,
         dispatch::{Assignment, DispatchEvent, SendOutcome},
+        response_end::Verdict,
     },
     chalkcart_state::backends::BackendId,
     chalkcart_transport::{
-        backend::BackendResponse,
+        backend::{BackendBody, BackendResponse},
         clock::{self, before_deadline},
         ingress::{remove_connection_headers, BackendResponseHead},
     },
@@ -135,7 +136,14 @@
         backend_response: BackendResponse,
         mut guard: SendGuard,
     ) -> SendResult {
-        let (mut parts, body) = backend_response.response.into_parts();
+        let is_event_stream = backend_response.has_events();
+        let (mut parts, backend_body) = backend_response.into_parts(is_event_stream);
+        let BackendBody {
+            body,
+            mut progress,
+            // closed once the body was read
+            connection: _connection,
+        } = backend_body;
         remove_connection_headers(&mut parts.headers, self.shared.dialect.end_to_end_headers());
         let body = match before_deadline(self.deadline, body.collect()).await {
             Err(_) => return SendResult::TimedOut,
@@ -145,6 +153,11 @@
             }
             Ok(Ok(collected)) => collected.to_bytes(),
         };
+        progress.on_data(&body);
+        if progress.verdict() == Verdict::BrokenOff {
+            guard.end(SendOutcome::Broken);
+            return SendResult::Failed(None);
+        }
         let is_failure = parts.status.is_server_error();
         let response = Response::from_parts(parts, Either::Left(Full::new(body)));
         if is_failure {
--- a/testkit/tests/response_ends.rs
+++ b/testkit/tests/response_ends.rs
@@ -8,7 +8,8 @@
     anyhow::Result,
     chalkcart_coordination::response_end::Framing,
     chalkcart_testkit::users_platform::{
-        prompt, request, BackendFault, ClientRequest, ClientResponse, CutKind, Fleet, StreamFault,
+        prompt, request, BackendFault, ClientRequest, ClientResponse, CutKind, Fleet,
+        FleetSettings, StreamFault,
     },
     recovery_fixture::*,
     serde_json::json,
@@ -29,10 +30,20 @@
     .await
 }
 
-/// Sends a prompt to the engine that has the adapter, which ends its stream with a fault.
-async fn response_with(fleet: &Fleet, fault: StreamFault, id: &str) -> Result<ClientResponse> {
-    set_fault(fleet, BackendFault::Cut(fault));
-    request(fleet.clients, &prompt("a", id)).await
+/// Sends a request whose stream each engine ends with a fault.
+async fn response_with(
+    fleet: &Fleet,
+    fault: StreamFault,
+    sent: ClientRequest,
+) -> Result<ClientResponse> {
+    let engines = &fleet.engines;
+    let fault = BackendFault::Cut(fault);
+    engines.iter().for_each(|e| e.set_fault(fault, 1));
+    let response = request(fleet.clients, &sent).await;
+    engines
+        .iter()
+        .for_each(|e| e.set_fault(BackendFault::None, 0));
+    response
 }
 
 async fn assert_logged_as_broken(fleet: &Fleet, id: &str) {
@@ -59,7 +70,7 @@
             ..cut(CutKind::Close)
         };
         let id = format!("r{extra_bytes}");
-        let response = response_with(&fleet, fault, &id).await?;
+        let response = response_with(&fleet, fault, prompt("a", &id)).await?;
         assert!(!response.is_complete, "{extra_bytes}: {}", text(&response));
         assert!(text(&response).starts_with(&events(0..2)), "{extra_bytes}");
         assert_logged_as_broken(&fleet, &id).await;
@@ -72,19 +83,16 @@
 async fn a_framed_stream_that_ends_inside_an_event_is_broken_off() -> Result<()> {
     for is_resumable in [false, true] {
         let fleet = start_without_resumption(is_resumable).await?;
-        // no engine may continue it
-        fleet.engines.iter().for_each(|e| e.state().slots = 1);
         for framing in [Framing::Chunks, Framing::Length] {
             let fault = StreamFault {
                 framing,
                 extra_bytes: EVENT.len() - 1,
                 ..cut(CutKind::End)
             };
-            set_fault_of_others(&fleet, BackendFault::CloseBeforeResponse);
             let id = format!("{framing:?}");
-            let response = response_with(&fleet, fault, &id).await?;
-            let is_whole = text(&response) == events(0..EVENTS);
-            assert_eq!(response.is_complete, is_whole, "{is_resumable} {id}");
+            let response = response_with(&fleet, fault, prompt("a", &id)).await?;
+            assert!(!response.is_complete, "{is_resumable} {id}");
+            assert_logged_as_broken(&fleet, &id).await;
         }
     }
     Ok(())
@@ -111,7 +119,7 @@
             extra_bytes: length + 3,
             ..cut(CutKind::Close)
         };
-        let response = response_with(&fleet, fault, "r").await?;
+        let response = response_with(&fleet, fault, prompt("a", "r")).await?;
         assert!(!response.is_complete, "{case}");
         assert_logged_as_broken(&fleet, "r").await;
     }
@@ -127,7 +135,7 @@
         after: 0,
         ..cut(CutKind::Close)
     };
-    let response = response_with(&fleet, fault, "r").await?;
+    let response = response_with(&fleet, fault, prompt("a", "r")).await?;
     assert!(!response.is_complete);
     assert_logged_as_broken(&fleet, "r").await;
     Ok(())
@@ -149,12 +157,11 @@
             extra_bytes,
             ..cut(CutKind::Close)
         };
-        set_fault(&fleet, BackendFault::Cut(fault));
         let sent = ClientRequest {
             protocol: "HTTP/1.0",
             ..prompt("a", &format!("{framing:?}"))
         };
-        let response = request(fleet.clients, &sent).await?;
+        let response = response_with(&fleet, fault, sent).await?;
         assert!(!response.is_complete, "{framing:?}: {}", text(&response));
     }
     Ok(())
@@ -170,7 +177,7 @@
             after: EVENTS,
             ..cut(CutKind::Close)
         };
-        let response = response_with(&fleet, fault, "r").await?;
+        let response = response_with(&fleet, fault, prompt("a", "r")).await?;
         assert_whole(&response, &format!("resumable: {is_resumable}"));
         let old = ClientRequest {
             protocol: "HTTP/1.0",
@@ -180,3 +187,22 @@
     }
     Ok(())
 }
+
+/// Guards against: a response with events on a route of another kind, which is read to its end
+/// before it is passed on, and counts as complete although it ends inside an event.
+#[tokio::test]
+async fn events_that_were_broken_off_on_another_kind_of_route_are_a_failure() -> Result<()> {
+    let fleet = Fleet::start(FleetSettings::default()).await?;
+    let content_type = ("Content-Type", "text/event-stream".to_string());
+    fleet.plain[0].state().extra_headers.push(content_type);
+    for fault in [BackendFault::None, BackendFault::DelimitBodyByClose] {
+        fleet.plain[0].set_fault(fault, 1);
+        let sent = ClientRequest {
+            target: "/unsafe/".to_string(),
+            ..ClientRequest::default()
+        };
+        let response = request(fleet.clients, &sent).await?;
+        assert_eq!(response.status, 502, "{fault:?}");
+    }
+    Ok(())
+}
--- a/transport/src/ingress/proxy_body.rs
+++ b/transport/src/ingress/proxy_body.rs
@@ -7,9 +7,9 @@
         backend::{BackendBody, Connection},
         clock::{self, sleep_until_deadline},
     },
-    bytes::Bytes,
+    bytes::{Bytes, BytesMut},
     chalkcart_coordination::{
-        response_end::{Framing, ResponseProgress},
+        response_end::{Framing, ResponseProgress, StreamPosition, Verdict},
         stream_recovery::{NotResumed, StreamEnd},
     },
     http_body::{Body, Frame, SizeHint},
@@ -53,6 +53,8 @@
     /// Progress of the last back end's response.
     progress: ResponseProgress,
     events: Option<StreamEvents>,
+    /// The last byte of an incomplete event; see `hold_last_byte`.
+    held_byte: Option<u8>,
     /// Trailers that follow the bytes that were held back.
     trailers: Option<Frame<Bytes>>,
     deadline: Instant,
@@ -82,6 +84,7 @@
             source: Source::Backend { body, connection },
             progress,
             events,
+            held_byte: None,
             trailers: None,
             deadline,
             timer: Box::pin(sleep_until_deadline(deadline)),
@@ -132,20 +135,55 @@
         if let Some(data) = frame.data_ref() {
             self.progress.on_data(data);
         }
-        let Some(events) = &mut self.events else {
-            if self.is_source_at_end() {
-                self.end(ProxyBodyEnd::Complete);
-            }
-            return Step::Forward(frame);
-        };
-        let data = match frame.into_data() {
-            Ok(data) => data,
+        if self.events.is_none() {
+            return self.forward_unassembled(frame);
+        }
+        match frame.into_data() {
+            Ok(data) => self.assemble(&data),
             Err(trailers) => {
                 self.trailers = Some(trailers);
-                return Step::Continue;
+                Step::Continue
             }
+        }
+    }
+
+    /// Passes on a frame of a stream that is not resumed.
+    fn forward_unassembled(&mut self, frame: Frame<Bytes>) -> Step {
+        let data = match frame.into_data() {
+            Ok(data) => self.hold_last_byte(data),
+            Err(trailers) => return Step::Forward(trailers),
         };
-        let pushed = events.assembler.push(&data);
+        if self.is_whole_at_end() {
+            self.end(ProxyBodyEnd::Complete);
+        }
+        match data.is_empty() {
+            true => Step::Continue,
+            false => Step::Forward(Frame::data(data)),
+        }
+    }
+
+    /// Keeps the last byte of an incomplete event back where the client knows the length of the
+    /// body: it would take the response as whole with that byte.
+    fn hold_last_byte(&mut self, data: Bytes) -> Bytes {
+        if self.progress.framing() != Framing::Length || data.is_empty() {
+            return data;
+        }
+        let mut buf = BytesMut::with_capacity(data.len() + 1);
+        buf.extend(self.held_byte.take());
+        buf.extend_from_slice(&data);
+        if self.progress.position() == Some(StreamPosition::InsideEvent) {
+            self.held_byte = buf.last().copied();
+            buf.truncate(buf.len() - 1);
+        }
+        buf.freeze()
+    }
+
+    /// Passes on the complete events of a stream that may be resumed.
+    fn assemble(&mut self, data: &[u8]) -> Step {
+        let Some(events) = &mut self.events else {
+            return Step::Continue;
+        };
+        let pushed = events.assembler.push(data);
         if let Some(fault) = pushed.fault {
             // the events before it were checked
             return match pushed.passed.is_empty() {
@@ -164,9 +202,9 @@
 
     /// Handles the end of the back end's body.
     fn on_body_end(&mut self) -> Step {
+        let verdict = self.progress.verdict();
         if let Some(events) = &mut self.events {
-            let is_framed = self.progress.framing() != Framing::Connection;
-            match events.assembler.end(is_framed) {
+            match events.assembler.end(verdict) {
                 StreamEnd::Cut => return Step::Cut(None),
                 StreamEnd::Complete(rest) if !rest.is_empty() => {
                     self.source = Source::Complete;
@@ -175,6 +213,9 @@
                 StreamEnd::Complete(_) => {}
             }
         }
+        if verdict == Verdict::BrokenOff {
+            return Step::Cut(None);
+        }
         self.source = Source::Complete;
         Step::Continue
     }
@@ -219,6 +260,10 @@
         self.source = Source::Backend { body, connection };
     }
 
+    fn is_whole_at_end(&self) -> bool {
+        self.is_source_at_end() && self.progress.verdict() == Verdict::Whole
+    }
+
     fn is_source_at_end(&self) -> bool {
         match &self.source {
             Source::Backend { body, .. } => body.is_end_stream(),
@@ -288,7 +333,7 @@
     fn is_end_stream(&self) -> bool {
         match self.events {
             Some(_) => self.has_ended && matches!(self.source, Source::Complete),
-            None => self.is_source_at_end(),
+            None => self.is_whole_at_end(),
         }
     }
     fn size_hint(&self) -> SizeHint {
