ingress: reset a client's connection that ends in the middle of an unframed response

A client with HTTP/1.0 gets streams without chunks, so the end of its connection is the end of the response. When an engine broke a stream off, the entry closed that connection in good order, and the client took what it had for the whole answer.

Cause: the same as for back ends, on the other side: an orderly close is the only sign of an end that such a response has, and each close was orderly.

Change: a connection that is dropped in the middle of such a response is reset. The server's library shuts the connection down only after a complete body; that tells an end from a failure, also when the entry stops with streams open. A killed entry can't reset anything: its system closes the connection in good order.

--- a/transport/src/ingress/mod.rs
+++ b/transport/src/ingress/mod.rs
@@ -1,5 +1,6 @@
 //! HTTP/1.1 server for clients: heads, connections and proxied responses.
 
+mod client_socket;
 mod dialect;
 mod headers;
 mod proxy_body;
--- a/transport/src/ingress/server.rs
+++ b/transport/src/ingress/server.rs
@@ -1,11 +1,18 @@
 use {
-    super::ProxyBody,
+    super::{
+        client_socket::{ClientSocket, EndsWithConnection},
+        ProxyBody,
+    },
     crate::sockets::tune_stream,
     async_trait::async_trait,
     bytes::Bytes,
-    http::{Request, Response},
+    http::{header::CONTENT_LENGTH, Request, Response, Version},
     http_body_util::{Either, Full},
-    hyper::{body::Incoming, server::conn::http1, service::service_fn},
+    hyper::{
+        body::{Body, Incoming},
+        server::conn::http1,
+        service::service_fn,
+    },
     hyper_util::rt::{TokioIo, TokioTimer},
     std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration},
     tokio::{
@@ -92,9 +99,17 @@
         .timer(TokioTimer::new())
         .header_read_timeout(service.header_timeout())
         .max_buf_size(service.max_header_bytes().max(MIN_HEAD_BUFFER));
-    let handled = service_fn(move |req| {
+    let ends_with_connection = EndsWithConnection::default();
+    let socket = ClientSocket::new(socket, ends_with_connection.clone());
+    let handled = service_fn(move |req: ClientRequest| {
         let service = service.clone();
-        async move { Ok::<_, Infallible>(service.respond(req).await) }
+        let ends_with_connection = ends_with_connection.clone();
+        async move {
+            let version = req.version();
+            let response = service.respond(req).await;
+            ends_with_connection.set(is_unframed(version, &response));
+            Ok::<_, Infallible>(response)
+        }
     });
     let connection = builder.serve_connection(TokioIo::new(socket), handled);
     tokio::pin!(connection);
@@ -109,3 +124,9 @@
         log::debug!("ingress: connection of {addr} ended: {e}");
     }
 }
+
+/// Returns whether a client without chunks gets a response without a length.
+fn is_unframed(version: Version, response: &ClientResponse) -> bool {
+    let has_length = response.body().size_hint().exact().is_some();
+    version < Version::HTTP_11 && !has_length && !response.headers().contains_key(CONTENT_LENGTH)
+}
--- a/transport/src/sockets.rs
+++ b/transport/src/sockets.rs
@@ -11,6 +11,11 @@
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
 const KEEPALIVE_PROBES: u32 = 2;
 
+/// Has the connection reset when it is closed, which discards what was not sent yet.
+pub fn reset_on_close(stream: &TcpStream) {
+    let _ = stream.set_zero_linger();
+}
+
 /// Disables Nagle's algorithm, and enables the detection of dead peers.
 ///
 /// Errors are ignored, as the options are not needed for correct service.
