ingress: read the software version of back ends and what a client takes up, and log both

Streams went on at another software version than the one that began them. No line told the version of an engine, or that a request takes a stream up. 'dispatch: sent' now has 'software', 'stream resumed' the versions of both engines, and 'stream taken up by its client' names the first attempt and the last event. Where a request goes has not changed.

The version is the last field of a listed back end, so records have a new wire version, 9. An older relay drops the field: entries of 9 take records from relays of 9 alone, as they did for eras with 8. Two messages by which entries and sidecars exchange the origins of streams are recorded with it and not used yet.

--- a/coordination/src/dispatch/backend_updates.rs
+++ b/coordination/src/dispatch/backend_updates.rs
@@ -294,6 +294,8 @@
             slow_start_left,
             models: Vec::new(),
             held: Vec::new(),
+            // the later incarnation may run another one
+            software_version: None,
             ..previous.listed.clone()
         };
         let mut state = BackendState::new(listed, now);
--- a/coordination/src/dispatch/decision.rs
+++ b/coordination/src/dispatch/decision.rs
@@ -1,7 +1,10 @@
 use {
     super::BudgetUsage,
     crate::stream_pacing::PacingInputs,
-    chalkcart_state::{backends::BackendId, published::StorePosition},
+    chalkcart_state::{
+        backends::{BackendId, SoftwareVersion},
+        published::StorePosition,
+    },
     std::{net::SocketAddr, time::Duration},
 };
 
@@ -47,6 +50,8 @@
     pub addr: SocketAddr,
     /// Version of the adapter that must run.
     pub version: Option<u64>,
+    /// Version of the software that the back end runs; `None` if it is not known.
+    pub software_version: Option<SoftwareVersion>,
     /// 0 is the most urgent, 9 the least.
     pub urgency: u8,
     /// How busy it is; from 1 on its adapter is worth another copy.
--- a/coordination/src/dispatch/selection.rs
+++ b/coordination/src/dispatch/selection.rs
@@ -359,6 +359,7 @@
             backend: cheapest.listed.id.clone(),
             addr: cheapest.listed.addr,
             version: adapter.and_then(|a| self.required_version(cheapest, a, now)),
+            software_version: cheapest.listed.software_version.clone(),
             urgency: self.urgency(request, cheapest, now),
             utilization: self.utilization(cheapest, now),
             is_limited: cheapest.limit.effective_rate().is_some(),
--- a/coordination/src/lib.rs
+++ b/coordination/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod run_once;
 pub mod sidecar;
 pub mod slots;
+
 pub mod stream;
 pub mod stream_pacing;
 pub mod stream_recovery;
--- a/coordination/tests/adapter_sim/fleet.rs
+++ b/coordination/tests/adapter_sim/fleet.rs
@@ -93,6 +93,7 @@
                 slow_start_left: ms(0),
                 models: vec![MODEL.to_string()],
                 held: Vec::new(),
+                software_version: None,
             })
             .collect();
         let settings = DispatchSettings {
--- a/coordination/tests/dispatch_fixture/mod.rs
+++ b/coordination/tests/dispatch_fixture/mod.rs
@@ -59,6 +59,7 @@
         slow_start_left: Duration::ZERO,
         models: Vec::new(),
         held: Vec::new(),
+        software_version: None,
     }
 }
 
--- a/coordination/tests/published_cache.rs
+++ b/coordination/tests/published_cache.rs
@@ -26,6 +26,7 @@
         slow_start_left: Duration::ZERO,
         models: Vec::new(),
         held: Vec::new(),
+        software_version: None,
     })
 }
 
--- a/coordination/tests/restored_records.rs
+++ b/coordination/tests/restored_records.rs
@@ -34,6 +34,7 @@
         slow_start_left: Duration::ZERO,
         models: Vec::new(),
         held: Vec::new(),
+        software_version: None,
     }
 }
 
--- a/entry/src/ingress/request_exchange.rs
+++ b/entry/src/ingress/request_exchange.rs
@@ -147,6 +147,9 @@
 
     /// Processes the request and returns the response to the client.
     pub async fn run(mut self) -> ClientResponse {
+        if self.accepted.head.takes_up {
+            self.log_take_up();
+        }
         if let Some(response) = self.reject_if_blocked() {
             return response;
         }
--- a/entry/src/ingress/request_exchange_log.rs
+++ b/entry/src/ingress/request_exchange_log.rs
@@ -34,6 +34,7 @@
             version = assignment.version.unwrap_or(0),
             backend = assignment.backend.as_str(),
             born = assignment.backend.start_time_ms,
+            software = software_of(assignment),
             send = self.request.send_count,
             waited_ms = elapsed_ms(self.accepted.arrived),
             candidates = inputs.candidates,
@@ -59,6 +60,18 @@
         );
     }
 
+    /// Logs that a client takes up a stream that broke off.
+    pub(super) fn log_take_up(&self) {
+        let head = &self.accepted.head;
+        log::info!(
+            request = head.id.as_str(),
+            route = self.accepted.route.name.as_str(),
+            first_attempt = head.first_attempt.as_deref().unwrap_or_default(),
+            last_event = head.last_event.map_or(-1, |event| event as i64);
+            "ingress: stream taken up by its client"
+        );
+    }
+
     pub(super) fn log_rejection(
         &self,
         cause: &'static str,
@@ -141,6 +154,11 @@
     }
 }
 
+/// Returns the software version of a back end, empty if it is not known.
+pub(super) fn software_of(assignment: &Assignment) -> &str {
+    assignment.software_version.as_deref().unwrap_or_default()
+}
+
 /// Returns the inputs of a decision on a stream with a gap objective, empty for other requests.
 fn pacing_text(inputs: &DecisionInputs) -> String {
     inputs
--- a/entry/src/ingress/store_relay_client.rs
+++ b/entry/src/ingress/store_relay_client.rs
@@ -25,9 +25,9 @@
 const RELAY_RESPONSE_TIMEOUT: Duration = Duration::from_millis(300);
 /// Maximum time for the whole response of a relay, whose size grows with the fleet.
 const MAX_RELAY_RESPONSE: Duration = Duration::from_millis(2_000);
-/// Wire version from which on a relay tells the era of the store with its records. Earlier ones go on
-/// with the records of an era that is over.
-const MIN_RELAY_VERSION: WireVersion = WireVersion(8);
+/// Wire version from which on a relay passes the software versions of back ends on. Those before 8
+/// also go on with the records of an era of the store that is over.
+const MIN_RELAY_VERSION: WireVersion = WireVersion(9);
 
 /// The outcome of a call to a relay.
 enum RelayResult {
--- a/entry/src/ingress/stream_recovery.rs
+++ b/entry/src/ingress/stream_recovery.rs
@@ -53,7 +53,7 @@
         let mut log = CutLog::new(
             self.exchange.shared.clone(),
             (&accepted.head.id, &accepted.route.name),
-            self.current.backend.clone(),
+            &self.current,
             self.exchange.deadline,
             &cut,
         );
--- a/entry/src/ingress/stream_recovery_log.rs
+++ b/entry/src/ingress/stream_recovery_log.rs
@@ -1,5 +1,5 @@
 use {
-    super::{request_exchange::elapsed_ms, shared::Shared},
+    super::{request_exchange::elapsed_ms, request_exchange_log::software_of, shared::Shared},
     chalkcart_coordination::{dispatch::Assignment, stream_recovery::EventId},
     chalkcart_state::{backends::BackendId, ids::RequestId},
     chalkcart_transport::{clock, ingress::StreamCut},
@@ -19,8 +19,9 @@
     pub request: RequestId,
     pub route: String,
     pub deadline: Instant,
-    /// The back end whose stream was cut.
+    /// The back end whose stream was cut, and the version of its software.
     pub from: BackendId,
+    from_software: String,
     cut_at: Instant,
     cut_cause: &'static str,
     last_event: Option<EventId>,
@@ -35,7 +36,7 @@
     pub fn new(
         shared: Arc<Shared>,
         (request, route): (&str, &str),
-        from: BackendId,
+        from: &Assignment,
         deadline: Instant,
         cut: &StreamCut,
     ) -> Self {
@@ -44,7 +45,8 @@
             request: request.to_string(),
             route: route.to_string(),
             deadline,
-            from,
+            from: from.backend.clone(),
+            from_software: software_of(from).to_string(),
             cut_at: clock::now(),
             cut_cause: cut.fault.map_or("broken", |fault| fault.code()),
             last_event: cut.last_event.unwrap_or_default(),
@@ -62,7 +64,9 @@
             route = self.route.as_str(),
             backend = to.backend.as_str(),
             born = to.backend.start_time_ms,
+            software = software_of(to),
             from = self.from.as_str(),
+            from_software = self.from_software.as_str(),
             cut = self.cut_cause,
             last_event = self.last_event_or_none(),
             engine_ended = self.has_engine_ended,
@@ -80,6 +84,7 @@
             request = self.request.as_str(),
             route = self.route.as_str(),
             from = self.from.as_str(),
+            from_software = self.from_software.as_str(),
             cut = self.cut_cause,
             last_event = self.last_event_or_none(),
             engine_ended = self.has_engine_ended,
--- a/protocol/src/peer/mod.rs
+++ b/protocol/src/peer/mod.rs
@@ -11,6 +11,7 @@
 mod relay;
 mod report;
 mod reserve;
+mod stream_origins;
 mod sync;
 mod usage;
 mod work;
@@ -33,6 +34,7 @@
     pub const USAGE: &str = "/peer/usage";
     pub const CRASHES: &str = "/peer/crashes";
     pub const INTAKE: &str = "/peer/intake";
+    pub const STREAM_ORIGINS: &str = "/peer/stream-origins";
 }
 
 pub use {
@@ -50,6 +52,7 @@
     relay::{EngineDemand, EngineUpdate, EngineViewState, RelayDemands, RelayRequest, RelayUpdate},
     report::{LoadedAdapter, TargetReport},
     reserve::{ReserveAnswer, ReserveOrder},
+    stream_origins::{StreamOrigin, StreamOriginsRequest, StreamOriginsResponse},
     sync::{ShardRequest, ShardResponse, SyncRequest, SyncResponse},
     usage::{AccountLevel, AccountUsage, UsageReport, UsageResponse},
     work::{CallWork, GenerateWork, ResumeOrder, Work, WorkOrder},
--- a/protocol/tests/samples/mod.rs
+++ b/protocol/tests/samples/mod.rs
@@ -247,6 +247,7 @@
         slow_start_left: Duration::from_millis(2_500),
         models: vec!["m".to_string()],
         held: vec![held("a", 2)],
+        software_version: None,
     };
     let unreadable = Record::Unreadable {
         subject: RecordSubject::Backend("e-2".to_string()),
@@ -295,6 +296,20 @@
     }
 }
 
+/// A back end with the version of its software.
+fn published_software() -> PublishedResponse {
+    let mut response = published();
+    if let PublishedResponse::Records { snapshot, .. } = &mut response {
+        snapshot.records.retain(|r| matches!(r, Record::Backend(_)));
+        for record in &mut snapshot.records {
+            if let Record::Backend(backend) = record {
+                backend.software_version = Some("v1.2".to_string());
+            }
+        }
+    }
+    response
+}
+
 /// A configuration with a route and an account that are restricted to regions.
 fn published_regions() -> PublishedResponse {
     let regions = |name: &str| AllowedRegions::restricted_to([name.to_string()]);
@@ -393,6 +408,7 @@
         sample(Message, "published_regions", published_regions()),
         sample(Message, "published_ask_era", request_in_era),
         sample(Message, "published_records_era", published_in_era()),
+        sample(Message, "published_software", published_software()),
         sample(Message, "published_history_lost", history_lost),
         sample(Message, "published_stale", PublishedResponse::Stale),
         sample(
@@ -506,6 +522,27 @@
     ]
 }
 
+/// Messages about the software versions that began streams.
+pub fn origin_samples() -> Vec<Sample> {
+    use Kind::Message;
+    let origin = || StreamOrigin {
+        request: "r-1".to_string(),
+        service: "s".to_string(),
+        version: "v1.2".to_string(),
+    };
+    let request = StreamOriginsRequest {
+        kept: vec![origin()],
+        asked: vec!["r-0".to_string()],
+    };
+    let response = StreamOriginsResponse {
+        known: vec![origin()],
+    };
+    vec![
+        sample(Message, "origins_ask", request),
+        sample(Message, "origins_answer", response),
+    ]
+}
+
 /// Messages of admission permits.
 pub fn admission_samples() -> Vec<Sample> {
     use Kind::Message;
@@ -643,6 +680,7 @@
     all.extend(store_samples());
     all.extend(usage_samples());
     all.extend(crash_samples());
+    all.extend(origin_samples());
     all.extend(admission_samples());
     all.extend(work_samples());
     all
--- a/state/src/backends/backend.rs
+++ b/state/src/backends/backend.rs
@@ -1,5 +1,5 @@
 use {
-    super::{BackendId, HeldAdapter},
+    super::{BackendId, HeldAdapter, SoftwareVersion},
     crate::ids::{BaseModelName, ServiceName, ZoneName},
     serde::{Deserialize, Serialize},
     std::{net::SocketAddr, time::Duration},
@@ -24,6 +24,10 @@
     pub models: Vec<BaseModelName>,
     /// Adapters loaded when the list was written.
     pub held: Vec<HeldAdapter>,
+    /// Version of the software that it runs; `None` if it is not known yet, or if a relay of a
+    /// build before wire version 9 passed the record on.
+    #[serde(default)]
+    pub software_version: Option<SoftwareVersion>,
 }
 
 impl Backend {
@@ -36,6 +40,7 @@
             || self.slots != later.slots
             || self.leaving != later.leaving
             || self.slow_start_left != later.slow_start_left
+            || self.software_version != later.software_version
     }
 }
 
--- a/testkit/examples/capacity/dispatch.rs
+++ b/testkit/examples/capacity/dispatch.rs
@@ -115,6 +115,7 @@
         slow_start_left: Duration::ZERO,
         models: Vec::new(),
         held: Vec::new(),
+        software_version: None,
     });
     let list = list.collect();
     dispatcher.handle(
--- a/transport/src/ingress/dialect.rs
+++ b/transport/src/ingress/dialect.rs
@@ -6,7 +6,7 @@
     chalkcart_state::{
         accounts::{ApiKeyDigest, ApiKeyError},
         backends::{AdapterRef, BackendName},
-        ids::BaseModelName,
+        ids::{BaseModelName, RequestId},
     },
     http::{HeaderMap, HeaderName, StatusCode},
     std::time::Duration,
@@ -28,8 +28,13 @@
     pub output_tokens: u32,
     /// The client's estimate of the response's tokens: right at the median, often far off.
     pub expected_output_tokens: Option<u32>,
-    /// The last event that the client has of a stream that it resumes.
+    /// The last event that the client has of a stream that it takes up.
     pub last_event: Option<EventId>,
+    /// Whether the client takes a stream up, also after an event whose id can't be read.
+    pub takes_up: bool,
+    /// The client's attempt that brought the first event of that stream; `None` if it is not
+    /// named or can't be read.
+    pub first_attempt: Option<RequestId>,
 }
 
 impl RequestHead {
