--- a/testkit/src/users_platform/backend_stand_in.rs
+++ b/testkit/src/users_platform/backend_stand_in.rs
@@ -129,6 +129,8 @@
     /// Start time of this incarnation, in Unix milliseconds.
     pub start_time_ms: u64,
     pub kind: BackendKind,
+    /// Version of its software, which its record has.
+    pub software_version: String,
     pub fault: BackendFault,
     /// Number of further requests that the fault affects.
     pub fault_requests_left: u32,
@@ -314,6 +316,7 @@
             id: id.to_string(),
             start_time_ms: FIRST_START_TIME_MS,
             kind,
+            software_version: "v1".to_string(),
             fault: BackendFault::None,
             fault_requests_left: 0,
             runs: Vec::new(),
--- a/testkit/src/users_platform/client.rs
+++ b/testkit/src/users_platform/client.rs
@@ -152,6 +152,18 @@
         Ok((response, self.socket))
     }
 
+    /// Reads until a text was received; returns false if the response ended before.
+    pub async fn read_until(&mut self, text: &str) -> Result<bool> {
+        let has_text = |received: &[u8]| String::from_utf8_lossy(received).contains(text);
+        while !has_text(&self.received) {
+            let read = self.socket.read_buf(&mut self.received);
+            if timeout(RESPONSE_TIMEOUT, read).await?? == 0 {
+                return Ok(false);
+            }
+        }
+        Ok(true)
+    }
+
     async fn read_to_end(&mut self) -> bool {
         loop {
             if self.is_body_complete() {
--- a/testkit/src/users_platform/fleet.rs
+++ b/testkit/src/users_platform/fleet.rs
@@ -300,7 +300,8 @@
         let zones = &self.settings.zones;
         let zone = zones[number % zones.len()].0;
         let record = json!({
-            "Service": service, "Address": backend.addr, "Zone": zone, "Version": "v1",
+            "Service": service, "Address": backend.addr, "Zone": zone,
+            "Version": backend.state().software_version,
             "Slots": 8, "State": state, "ColdLeftMs": 0, "Seq": 1,
             "born": backend.state().start_time_ms,
             "Models": [{"Name": MODEL, "Version": 1, "Adapters": []}],
--- a/testkit/src/users_platform/store_stand_in.rs
+++ b/testkit/src/users_platform/store_stand_in.rs
@@ -180,6 +180,10 @@
         state.forgotten = state.revision;
     }
     /// Raises the revision, as writes of other systems do.
+    /// Returns the revision of the last change.
+    pub fn revision(&self) -> u64 {
+        lock(&self.state).revision
+    }
     pub fn raise_revision(&self, writes: u64) {
         lock(&self.state).revision += writes;
     }
