ingress: continue a stream only at the software version that began it, within one response

Responses held events from two software versions of a service.

Cause: an entry that continues a stream asks the dispatcher for any engine of the service that has the adapter. It checked the version of the adapter, after the choice, and no other.

Change: a request may be bound to a software version, as it may be to regions, and the dispatcher chooses among the engines that fit: candidates, homes of adapters, pending loads, back-offs and turns. A request without such an engine is rejected at once ('other_software'). The version of an engine's next life is unknown until its record tells it. Where several versions may serve and that of the engine that began the stream is unknown, the stream is not resumed ('unknown_software').

Whether several may serve is told by the lists of the last 30 s, or of twice the longest time-out of a stream.

It works because the version is a property of the request from the first engine on, and not of the choice.

--- a/coordination/src/dispatch/decision.rs
+++ b/coordination/src/dispatch/decision.rs
@@ -72,6 +72,8 @@
     RateLimited,
     /// No allowed region has a back end that takes requests.
     OutsideRegions,
+    /// No engine of the software version that began its stream takes requests.
+    OtherSoftware,
     /// No engine holds its adapter, and no reporting sidecar could load it.
     NoLoadingSidecar,
     /// Every back end is full.
@@ -96,6 +98,7 @@
             Self::BackedOff => "resting",
             Self::RateLimited => "limited",
             Self::OutsideRegions => "outside_regions",
+            Self::OtherSoftware => "other_software",
             Self::NoLoadingSidecar => "unheard",
             Self::Full => "full",
             Self::NotLoaded => "not_loaded",
--- a/coordination/src/dispatch/dispatch_request.rs
+++ b/coordination/src/dispatch/dispatch_request.rs
@@ -1,7 +1,7 @@
 use {
     chalkcart_state::{
         accounts::AccountFingerprint,
-        backends::{AdapterRef, BackendId},
+        backends::{AdapterRef, BackendId, SoftwareVersion},
         ids::{BaseModelName, ServiceName},
         ingress::RequestDigest,
         regions::AllowedRegions,
@@ -30,6 +30,9 @@
     /// The client account, none on a route without keys.
     pub account: Option<AccountFingerprint>,
     pub allowed_regions: AllowedRegions,
+    /// The only software version that may serve it: that of the engine which began its stream.
+    /// `None` if any may.
+    pub software_version: Option<SoftwareVersion>,
     /// Priority of the client account; compared before that of the route. 0 is the most
     /// urgent.
     pub account_priority: u8,
--- a/coordination/src/dispatch/expected_returns.rs
+++ b/coordination/src/dispatch/expected_returns.rs
@@ -43,7 +43,7 @@
         let pending = self.pending_loads.get(adapter)?;
         let may_serve = |id: &&BackendId| {
             let state = self.backends.get(*id);
-            state.is_some_and(|state| self.is_region_allowed(request, state))
+            state.is_some_and(|state| self.is_allowed(request, state))
         };
         let backend = pending.backends.iter().find(may_serve)?.clone();
         let requested_at = pending.requested_at;
--- a/coordination/src/dispatch/pacing.rs
+++ b/coordination/src/dispatch/pacing.rs
@@ -250,7 +250,7 @@
         let allowed: Vec<&BackendState> = listed
             .filter(|b| !request.tried_backends.contains(&b.listed.id))
             .filter(|b| !self.evacuated_zones.contains(&b.listed.zone))
-            .filter(|b| self.is_region_allowed(request, b))
+            .filter(|b| self.is_allowed(request, b))
             .collect();
         let able = match (&request.adapter, &request.model) {
             (Some(adapter), _) => load_candidates(&allowed, adapter),
--- a/coordination/src/dispatch/pending_loads.rs
+++ b/coordination/src/dispatch/pending_loads.rs
@@ -149,9 +149,9 @@
         }
     }
 
-    /// Requests a load for a request that is bound to regions, and keeps loads pending at
-    /// engines that may not serve it.
-    pub(super) fn request_load_for_region(
+    /// Requests a load for a request that may be bound to regions or to a software version, and
+    /// keeps loads pending at engines that may not serve it.
+    pub(super) fn request_load_where_allowed(
         &mut self,
         request: &DispatchRequest,
         adapter: &AdapterRef,
@@ -164,7 +164,7 @@
             .filter(|load| load.until > now);
         let elsewhere = pending.iter().flat_map(|load| &load.backends).filter(|id| {
             let state = self.backends.get(*id);
-            state.is_some_and(|state| !self.is_region_allowed(request, state))
+            state.is_some_and(|state| !self.is_allowed(request, state))
         });
         homes.extend(elsewhere.cloned().collect::<Vec<_>>());
         self.request_load(adapter, homes, now);
--- a/coordination/src/dispatch/rejection.rs
+++ b/coordination/src/dispatch/rejection.rs
@@ -29,7 +29,9 @@
     ) {
         if matches!(
             cause,
-            RejectionCause::NoLoadingSidecar | RejectionCause::OutsideRegions
+            RejectionCause::NoLoadingSidecar
+                | RejectionCause::OutsideRegions
+                | RejectionCause::OtherSoftware
         ) {
             let inputs = self.decision_inputs(&request, now);
             self.on_not_sent(&request);
@@ -62,6 +64,7 @@
             }
             RejectionCause::NoLoadingSidecar
             | RejectionCause::OutsideRegions
+            | RejectionCause::OtherSoftware
             | RejectionCause::BackedOff
             | RejectionCause::RateLimited
             | RejectionCause::Full
--- a/coordination/src/dispatch/selection.rs
+++ b/coordination/src/dispatch/selection.rs
@@ -96,7 +96,7 @@
                 Choice::Wait(RejectionCause::Reloading) => {
                     self.request_additional_load(adapter, homes, now)
                 }
-                _ => self.request_load_for_region(request, adapter, homes, now),
+                _ => self.request_load_where_allowed(request, adapter, homes, now),
             }
         }
         choice
@@ -136,10 +136,7 @@
             return (Choice::Wait(RejectionCause::BackedOff), Vec::new());
         }
         if candidates.is_empty() {
-            let cause = match request.allowed_regions.is_unrestricted() {
-                true => RejectionCause::NoBackend,
-                false => RejectionCause::OutsideRegions,
-            };
+            let cause = self.cause_without_candidates(request);
             return (Choice::Wait(cause), Vec::new());
         }
         if self.missed_deadline(request, now).is_some() {
@@ -188,6 +185,17 @@
         (choice, copies)
     }
 
+    /// Returns why no back end may take a request.
+    fn cause_without_candidates(&self, request: &DispatchRequest) -> RejectionCause {
+        if !request.allowed_regions.is_unrestricted() {
+            return RejectionCause::OutsideRegions;
+        }
+        match request.software_version {
+            Some(_) => RejectionCause::OtherSoftware,
+            None => RejectionCause::NoBackend,
+        }
+    }
+
     /// Returns an engine that held the adapter recently, has a slot for it and would
     /// prefill the prompt sooner than every current holder. A reload from the host cache is
     /// cheap.
@@ -245,7 +253,7 @@
         let may_serve = states.filter(|b| {
             b.listed.service == request.service && b.may_receive_requests() && !b.is_unlisted
         });
-        let may_serve = may_serve.filter(|b| self.is_region_allowed(request, b));
+        let may_serve = may_serve.filter(|b| self.is_allowed(request, b));
         let with_model =
             may_serve.filter(|b| request.model.as_ref().is_none_or(|m| b.has_model(m)));
         with_model.filter_map(|b| b.backoff.remaining(now)).min()
@@ -274,14 +282,14 @@
         openings.min_by_key(|(_, opens_in)| *opens_in)
     }
 
-    /// Returns whether the request may be served in the region of a back end.
-    pub(super) fn is_region_allowed(
-        &self,
-        request: &DispatchRequest,
-        state: &BackendState,
-    ) -> bool {
+    /// Returns whether the request may be served in the region of a back end and by the software
+    /// that runs there.
+    pub(super) fn is_allowed(&self, request: &DispatchRequest, state: &BackendState) -> bool {
         let region = self.settings.regions.get(&state.listed.zone);
-        request.allowed_regions.allows(region)
+        let required = request.software_version.as_ref();
+        let has_software =
+            required.is_none_or(|v| state.listed.software_version.as_ref() == Some(v));
+        has_software && request.allowed_regions.allows(region)
     }
 
     /// Returns the back ends that may take the request: healthy ones if there are any, else
@@ -295,7 +303,7 @@
                     && !request.tried_backends.contains(&b.listed.id)
             })
             .filter(|b| !self.evacuated_zones.contains(&b.listed.zone))
-            .filter(|b| self.is_region_allowed(request, b))
+            .filter(|b| self.is_allowed(request, b))
             .collect();
         let filter_backends = |is_match: &dyn Fn(&BackendState) -> bool| -> Vec<&BackendState> {
             let matching = of_service.iter().copied().filter(|b| is_match(b));
--- a/coordination/src/lib.rs
+++ b/coordination/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod sidecar;
 pub mod slots;
 
+pub mod software_versions;
 pub mod stream;
 pub mod stream_pacing;
 pub mod stream_recovery;
--- /dev/null
+++ b/coordination/src/software_versions/mod.rs
@@ -0,0 +1,16 @@
+//! Software versions of back ends, and which of them began a stream.
+//!
+//! What two versions of a service write doesn't fit together, so a stream goes on only at the
+//! version that began it. docs/design/software-versions.md describes who knows what.
+
+mod origin_holders;
+mod stream_origins;
+mod take_up;
+mod version_mix;
+
+pub use {
+    origin_holders::{OriginHolders, HOLDERS_ASKED, HOLDERS_TOLD},
+    stream_origins::StreamOrigins,
+    take_up::TakeUp,
+    version_mix::{stream_memory, SoftwareVersions, VersionMix},
+};
--- /dev/null
+++ b/coordination/src/software_versions/version_mix.rs
@@ -0,0 +1,107 @@
+use {
+    chalkcart_state::{
+        backends::{Backend, SoftwareVersion},
+        ids::ServiceName,
+    },
+    std::{
+        collections::{BTreeSet, HashMap},
+        time::{Duration, Instant},
+    },
+};
+
+/// Shortest time for which versions and origins are remembered.
+const MIN_MEMORY: Duration = Duration::from_secs(30);
+
+/// Returns the time after which no stream is taken up any more, by the longest time that one attempt
+/// of a stream may take: a client's tries may last as long again.
+pub fn stream_memory(longest_attempt: Duration) -> Duration {
+    MIN_MEMORY.max(2 * longest_attempt)
+}
+
+/// Which software versions of a service may have begun streams that are still taken up.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum VersionMix {
+    /// One at most, as far as this process has seen.
+    One,
+    Several {
+        /// The only version that served before the others came, while streams that began then
+        /// may be taken up.
+        former: Option<SoftwareVersion>,
+    },
+}
+
+/// The versions of one service.
+#[derive(Debug, Default)]
+struct ServiceVersions {
+    listed: BTreeSet<SoftwareVersion>,
+    /// When versions left the list.
+    unlisted: HashMap<SoftwareVersion, Instant>,
+    /// The only version that was listed before another came, and when that was.
+    former: Option<(SoftwareVersion, Instant)>,
+}
+
+/// The software versions that serve, or served a short time ago, as the list of back ends
+/// tells.
+#[derive(Debug, Default)]
+pub struct SoftwareVersions {
+    services: HashMap<ServiceName, ServiceVersions>,
+}
+
+impl SoftwareVersions {
+    /// Applies a list. Versions that are not listed any more are kept for `memory`.
+    pub fn on_list(&mut self, list: &[Backend], memory: Duration, now: Instant) {
+        let mut listed: HashMap<ServiceName, BTreeSet<SoftwareVersion>> = HashMap::new();
+        for backend in list {
+            let versions = listed.entry(backend.service.clone()).or_default();
+            versions.extend(backend.software_version.clone());
+        }
+        for service in listed.keys() {
+            self.services.entry(service.clone()).or_default();
+        }
+        for (service, versions) in &mut self.services {
+            let listed = listed.remove(service).unwrap_or_default();
+            versions.set_listed(listed, memory, now);
+        }
+        self.services.retain(|_, versions| !versions.is_empty());
+    }
+
+    /// Returns the versions of a service whose streams may be taken up within `memory`.
+    pub fn mix(&self, service: &str, memory: Duration, now: Instant) -> VersionMix {
+        match self.services.get(service) {
+            Some(versions) => versions.mix(memory, now),
+            None => VersionMix::One,
+        }
+    }
+}
+
+impl ServiceVersions {
+    fn set_listed(&mut self, listed: BTreeSet<SoftwareVersion>, memory: Duration, now: Instant) {
+        let was_one = self.mix(memory, now) == VersionMix::One;
+        let before = std::mem::replace(&mut self.listed, listed);
+        self.unlisted.retain(|version, at| {
+            !self.listed.contains(version) && now.saturating_duration_since(*at) < memory
+        });
+        let gone = before.difference(&self.listed);
+        self.unlisted.extend(gone.map(|v| (v.clone(), now)));
+        if was_one && self.mix(memory, now) != VersionMix::One {
+            let sole = before.first().or_else(|| self.unlisted.keys().next());
+            self.former = sole.map(|version| (version.clone(), now));
+        }
+    }
+
+    fn is_empty(&self) -> bool {
+        self.listed.is_empty() && self.unlisted.is_empty()
+    }
+
+    fn mix(&self, memory: Duration, now: Instant) -> VersionMix {
+        let is_recent = |at: &Instant| now.saturating_duration_since(*at) < memory;
+        let recent = self.unlisted.values().filter(|at| is_recent(at)).count();
+        if self.listed.len() + recent <= 1 {
+            return VersionMix::One;
+        }
+        let former = self.former.as_ref().filter(|(_, at)| is_recent(at));
+        VersionMix::Several {
+            former: former.map(|(version, _)| version.clone()),
+        }
+    }
+}
--- a/coordination/tests/adapter_sim/entry.rs
+++ b/coordination/tests/adapter_sim/entry.rs
@@ -123,6 +123,7 @@
         expected_output_tokens: stream.kind.events * 3,
         account: None,
         allowed_regions: AllowedRegions::default(),
+        software_version: None,
         account_priority: 0,
         priority: stream.kind.priority,
         target_latency: ms(stream.kind.objective_ms),
--- a/coordination/tests/dispatch_fixture/mod.rs
+++ b/coordination/tests/dispatch_fixture/mod.rs
@@ -189,6 +189,7 @@
             expected_output_tokens: 0,
             account: None,
             allowed_regions: AllowedRegions::default(),
+            software_version: None,
             account_priority: 0,
             is_beyond_share: false,
             priority: 1,
--- a/coordination/tests/pacing_sim/mod.rs
+++ b/coordination/tests/pacing_sim/mod.rs
@@ -353,6 +353,7 @@
             expected_output_tokens: events * TOKENS_PER_EVENT,
             account: None,
             allowed_regions: AllowedRegions::default(),
+            software_version: None,
             account_priority: 0,
             priority: 1,
             target_latency: Duration::from_secs(1),
--- /dev/null
+++ b/coordination/tests/software_versions.rs
@@ -0,0 +1,271 @@
+//! Streams that go on only at the software version that began them.
+
+mod dispatch_fixture;
+
+use {
+    chalkcart_coordination::{
+        dispatch::{Decision, DispatchRequest, RejectionCause},
+        software_versions::{
+            OriginHolders, SoftwareVersions, StreamOrigins, TakeUp, VersionMix, HOLDERS_ASKED,
+            HOLDERS_TOLD,
+        },
+    },
+    chalkcart_protocol::peer::StreamOrigin,
+    chalkcart_state::backends::Backend,
+    dispatch_fixture::*,
+    quickcheck::{Gen, QuickCheck},
+    std::{
+        net::SocketAddr,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+};
+
+const SEED: u64 = 65;
+const CASES: u64 = 500;
+const MEMORY: Duration = Duration::from_secs(30);
+
+fn at_version(number: u8, version: &str) -> Backend {
+    Backend {
+        software_version: Some(version.to_string()),
+        ..backend(ENGINES, number)
+    }
+}
+
+fn bound(fixture: &Fixture, version: &str) -> DispatchRequest {
+    DispatchRequest {
+        software_version: Some(version.to_string()),
+        ..fixture.new_request(ENGINES, Some("a"))
+    }
+}
+
+/// Engines 1 and 2 run v1, 3 runs v2; each engine's sidecar reports.
+fn fixture() -> Fixture {
+    let list = [(1, "v1"), (2, "v1"), (3, "v2")];
+    let list = list.map(|(number, version)| at_version(number, version));
+    let mut fixture = Fixture::new(list.to_vec());
+    for number in 1..=3 {
+        fixture.view(number, view(&format!("{ENGINES}-{number}"), &[]));
+    }
+    fixture
+}
+
+/// Guards against: a stream that goes on where its adapter is held, at another version.
+#[test]
+fn a_request_of_a_version_gets_its_adapter_there() {
+    let mut fixture = fixture();
+    fixture.view(3, view("engines-3", &[("a", 1)]));
+    let request = bound(&fixture, "v1");
+    assert!(sent_to(&fixture.submit(1, request)).is_empty());
+    let homes = fixture.homes("a");
+    assert!(homes.iter().all(|home| home != "engines-3"), "{homes:?}");
+    assert_eq!(homes.len(), 1);
+    let number = homes[0].trim_start_matches("engines-").parse();
+    let loaded = view(&homes[0], &[("a", 1)]);
+    assert_eq!(
+        sent_to(&fixture.view(number.expect("a number"), loaded)),
+        homes
+    );
+}
+
+/// Guards against: a stream that waits for the load of its adapter at an engine of another version.
+#[test]
+fn a_load_pending_at_another_version_is_none_for_the_request() {
+    let mut fixture = fixture();
+    let request = bound(&fixture, "v2");
+    fixture.submit(1, request);
+    assert_eq!(fixture.homes("a"), ["engines-3"]);
+    let request = bound(&fixture, "v1");
+    fixture.submit(2, request);
+    let homes = fixture.homes("a");
+    assert!(homes.contains(&"engines-3".to_string()), "{homes:?}");
+    assert_eq!(homes.len(), 2);
+}
+
+/// Guards against: a stream that goes on at another version once its own is gone, or at an engine
+/// whose version is not known.
+#[test]
+fn a_request_of_a_version_that_is_gone_is_rejected_at_once() {
+    let unknown = backend(ENGINES, 2);
+    let mut fixture = Fixture::new(vec![at_version(1, "v2"), unknown]);
+    for number in 1..=2 {
+        fixture.view(number, view(&format!("engines-{number}"), &[("a", 1)]));
+    }
+    let request = bound(&fixture, "v1");
+    let decided = fixture.submit(1, request);
+    let [(1, Decision::Reject { cause, .. })] = decided.as_slice() else {
+        panic!("{decided:?}");
+    };
+    assert_eq!(*cause, RejectionCause::OtherSoftware);
+}
+
+/// Guards against: the version of an engine's former life that is taken for that of its next one.
+#[test]
+fn the_version_of_a_new_life_is_not_that_of_the_former_one() {
+    let mut fixture = Fixture::new(vec![at_version(1, "v1")]);
+    fixture.view(1, view("engines-1", &[("a", 1)]));
+    fixture.view(1, view("reborn", &[("a", 1)]));
+    let request = bound(&fixture, "v1");
+    assert!(sent_to(&fixture.submit(1, request)).is_empty());
+    let request = fixture.new_request(ENGINES, Some("a"));
+    assert_eq!(sent_to(&fixture.submit(2, request)), ["reborn"]);
+}
+
+fn mix_after(lists: &[&[&str]], now: Instant) -> VersionMix {
+    let mut versions = SoftwareVersions::default();
+    for list in lists {
+        let list = (1..).zip(*list).map(|(n, version)| at_version(n, version));
+        versions.on_list(&list.collect::<Vec<_>>(), MEMORY, now);
+    }
+    versions.mix(ENGINES, MEMORY, now)
+}
+
+fn several(former: Option<&str>) -> VersionMix {
+    let former = former.map(str::to_string);
+    VersionMix::Several { former }
+}
+
+#[test]
+fn versions_count_as_mixed_while_streams_of_two_may_be_taken_up() {
+    let now = Instant::now();
+    let cases: [(&[&[&str]], VersionMix); 8] = [
+        (&[], VersionMix::One),
+        (&[&["v1", "v1"]], VersionMix::One),
+        (&[&["v1", "v2"]], several(None)),
+        (&[&["v1"], &["v1", "v2"]], several(Some("v1"))),
+        // an older one may come later
+        (&[&["v2"], &["v1", "v2"]], several(Some("v2"))),
+        (&[&["v1"], &["v2"]], several(Some("v1"))),
+        (&[&["v1"], &[], &["v2"]], several(Some("v1"))),
+        (
+            &[&["v1"], &["v1", "v2"], &["v2", "v3"]],
+            several(Some("v1")),
+        ),
+    ];
+    for (lists, expected) in cases {
+        assert_eq!(mix_after(lists, now), expected, "{lists:?}");
+    }
+}
+
+#[test]
+fn a_mix_ends_once_no_stream_of_the_other_version_is_taken_up() {
+    let start = Instant::now();
+    let mut versions = SoftwareVersions::default();
+    let one = [at_version(1, "v1")];
+    let two = [at_version(1, "v1"), at_version(2, "v2")];
+    versions.on_list(&one, MEMORY, start);
+    versions.on_list(&two, MEMORY, start);
+    assert_eq!(versions.mix(ENGINES, MEMORY, start), several(Some("v1")));
+    // all streams from before the mix are over
+    let later = start + MEMORY;
+    assert_eq!(versions.mix(ENGINES, MEMORY, later), several(None));
+    versions.on_list(&two[1..], MEMORY, later);
+    let just_before = later + MEMORY - ms(1);
+    assert_eq!(versions.mix(ENGINES, MEMORY, just_before), several(None));
+    assert_eq!(
+        versions.mix(ENGINES, MEMORY, later + MEMORY),
+        VersionMix::One
+    );
+    versions.on_list(&two, MEMORY, later + MEMORY);
+    let mixed_again = versions.mix(ENGINES, MEMORY, later + MEMORY);
+    assert_eq!(mixed_again, several(Some("v2")));
+}
+
+fn origin(request: &str, version: &str) -> StreamOrigin {
+    StreamOrigin {
+        request: request.to_string(),
+        service: ENGINES.to_string(),
+        version: version.to_string(),
+    }
+}
+
+#[test]
+fn a_stream_is_taken_up_at_the_version_that_is_known_to_have_begun_it() {
+    let at = |version: &str| TakeUp::At(version.to_string());
+    let known = origin("r", "v1");
+    let cases = [
+        (None, VersionMix::One, TakeUp::Anywhere),
+        (Some(&known), VersionMix::One, at("v1")),
+        (Some(&known), several(Some("v2")), at("v1")),
+        (Some(&known), several(None), at("v1")),
+        (None, several(Some("v2")), at("v2")),
+        (None, several(None), TakeUp::Unknown),
+    ];
+    for (origin, mix, expected) in cases {
+        assert_eq!(TakeUp::decide(origin, &mix), expected, "{origin:?} {mix:?}");
+    }
+}
+
+#[test]
+fn origins_are_kept_for_their_time_and_the_first_of_an_attempt_stays() {
+    let start = Instant::now();
+    let mut origins = StreamOrigins::default();
+    origins.insert(origin("r", "v1"), MEMORY, start);
+    origins.insert(origin("r", "v2"), MEMORY, start);
+    origins.insert(origin("s", "v2"), 2 * MEMORY, start);
+    let version = |origins: &StreamOrigins, request: &str, now| {
+        origins.get(request, now).map(|o| o.version.clone())
+    };
+    let last = start + MEMORY - ms(1);
+    assert_eq!(version(&origins, "r", last).as_deref(), Some("v1"));
+    assert_eq!(version(&origins, "r", start + MEMORY), None);
+    assert_eq!(
+        version(&origins, "s", start + MEMORY).as_deref(),
+        Some("v2")
+    );
+    origins.insert(origin("t", "v2"), MEMORY, start + MEMORY);
+    assert_eq!(origins.len(), 2);
+}
+
+/// Guards against: a table that grows without bound.
+#[test]
+fn the_oldest_origins_give_way() {
+    let now = Instant::now();
+    let mut origins = StreamOrigins::default();
+    for number in 0..100_000 {
+        origins.insert(origin(&number.to_string(), "v1"), MEMORY, now);
+    }
+    assert!(origins.len() < 40_000, "{}", origins.len());
+    assert!(origins.get("99999", now).is_some());
+    assert!(origins.get("0", now).is_none());
+}
+
+fn engine_addrs(numbers: impl Iterator<Item = u16>) -> Arc<Vec<SocketAddr>> {
+    let addrs = numbers.map(|n| SocketAddr::from(([10, 0, 0, 1], n)));
+    Arc::new(addrs.collect())
+}
+
+/// Guards against: an entry that asks sidecars which were not told, after engines have joined and
+/// left.
+#[test]
+fn sidecars_that_keep_an_origin_are_asked_after_changes_of_the_list() {
+    fn check(request: u64, joined: u16, left: u16) -> bool {
+        let request = request.to_string();
+        let mut holders = OriginHolders::default();
+        holders.set_engines(engine_addrs(1..13));
+        let told = holders.first(HOLDERS_TOLD, &request);
+        // a fourth of the engines is replaced
+        let left = left % 10;
+        let kept = (1..13).filter(|n| !(left..left + 3).contains(n));
+        let joined = 100 + joined % 1_000;
+        let engines = engine_addrs(kept.chain(joined..joined + 3));
+        holders.set_engines(engines.clone());
+        let asked = holders.first(HOLDERS_ASKED, &request);
+        let remaining = told.iter().filter(|holder| engines.contains(holder));
+        // three more rank before one of the told ones at most if all joined ones do
+        let mut remaining = remaining.peekable();
+        remaining.peek().is_none() || remaining.all(|holder| asked.contains(holder))
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(30, SEED))
+        .tests(CASES)
+        .quickcheck(check as fn(u64, u16, u16) -> bool);
+}
+
+#[test]
+fn few_engines_are_all_holders() {
+    let mut holders = OriginHolders::default();
+    assert!(holders.first(HOLDERS_TOLD, "r").is_empty());
+    holders.set_engines(engine_addrs(1..3));
+    assert_eq!(holders.first(HOLDERS_TOLD, "r").len(), 2);
+}
--- a/entry/src/ingress/mod.rs
+++ b/entry/src/ingress/mod.rs
@@ -20,6 +20,7 @@
 mod service;
 mod shared;
 mod shared_crash_registry;
+mod shared_software_versions;
 mod store_relay_client;
 mod store_relays;
 mod stream_recovery;
--- a/entry/src/ingress/records.rs
+++ b/entry/src/ingress/records.rs
@@ -55,6 +55,7 @@
         };
         self.shared.set_has_backend_list();
         self.shared.metrics.on_list(at);
+        self.shared.software_versions.on_list(&list);
         self.shared
             .control
             .send_event(DispatchEvent::ListUpdated { at, list });
@@ -126,6 +127,7 @@
                 );
             });
         }
+        self.shared.software_versions.on_configuration(&table);
         let table = Arc::new(table);
         self.shared.set_configuration(table.clone());
         self.shared
--- a/entry/src/ingress/request_exchange.rs
+++ b/entry/src/ingress/request_exchange.rs
@@ -118,6 +118,7 @@
             expected_output_tokens: accepted.head.response_tokens(),
             account: accepted.caller.as_ref().map(|c| c.account.fingerprint),
             allowed_regions: AllowedRegions::default(),
+            software_version: None,
             account_priority: accepted.caller.as_ref().map_or(0, |c| c.account.priority),
             is_beyond_share: is_beyond_share(&shared, &accepted),
             priority: route.priority,
--- a/entry/src/ingress/shared.rs
+++ b/entry/src/ingress/shared.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         admission::Admission, control::ControlHandle, shared_crash_registry::SharedCrashRegistry,
-        unknown_headers::UnknownHeaders,
+        shared_software_versions::SharedSoftwareVersions, unknown_headers::UnknownHeaders,
     },
     crate::conf::IngressSettings,
     arc_swap::ArcSwapOption,
@@ -55,6 +55,7 @@
     pub admission: Arc<Admission>,
     pub metrics: IngressMetrics,
     pub unknown_headers: UnknownHeaders,
+    pub software_versions: SharedSoftwareVersions,
     pub phase: watch::Sender<Phase>,
     started: Instant,
     next_ticket: AtomicU64,
@@ -81,6 +82,7 @@
             configured: Notify::new(),
             metrics: IngressMetrics::new(&crashes.metrics),
             unknown_headers: UnknownHeaders::default(),
+            software_versions: SharedSoftwareVersions::default(),
             crashes,
             phase: watch::Sender::new(Phase::Serving),
             longest_deadlines: Mutex::default(),
--- a/entry/src/ingress/stream_recovery.rs
+++ b/entry/src/ingress/stream_recovery.rs
@@ -8,6 +8,7 @@
     },
     chalkcart_coordination::{
         dispatch::{Assignment, Decision, SendOutcome},
+        software_versions::VersionMix,
         stream_recovery::{NotResumed, PriorRun, RecoveryInputs},
     },
     chalkcart_transport::{
@@ -29,6 +30,7 @@
 const DEADLINE_PASSED: &str = NotResumed::Deadline.code();
 const KEY_REVOKED: &str = "key";
 const OTHER_VERSION: &str = "other_version";
+const UNKNOWN_SOFTWARE: &str = "unknown_software";
 
 /// Resumes a stream that is being forwarded to a client.
 pub struct StreamRecovery {
@@ -98,6 +100,7 @@
         log: &mut CutLog,
     ) -> Result<(Assignment, StartedStream), &'static str> {
         self.exchange.last_event = cut.last_event.map_err(NotResumed::code)?;
+        self.keep_software_version()?;
         cut.connection.close().await;
         let mut closed_at = clock::now();
         let mut previous = self.current.clone();
@@ -158,6 +161,23 @@
         }
     }
 
+    /// Has the stream go on at the software version that began it.
+    ///
+    /// # Errors
+    /// Several versions may serve, and the one that began it is not known.
+    fn keep_software_version(&mut self) -> Result<(), &'static str> {
+        let request = &mut self.exchange.request;
+        if request.software_version.is_none() {
+            request.software_version = self.current.software_version.clone();
+        }
+        let versions = &self.exchange.shared.software_versions;
+        let may_mix = versions.mix(&request.service) != VersionMix::One;
+        match request.software_version.is_none() && may_mix {
+            true => Err(UNKNOWN_SOFTWARE),
+            false => Ok(()),
+        }
+    }
+
     /// Checks whether a further engine may be tried.
     fn check(&self, sends: u32, has_progress: bool) -> Result<(), &'static str> {
         let inputs = RecoveryInputs {
--- a/protocol/src/peer/stream_origins.rs
+++ b/protocol/src/peer/stream_origins.rs
@@ -19,6 +19,8 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StreamOriginsRequest {
     pub kept: Vec<StreamOrigin>,
+    /// How long to keep them, in ms.
+    pub keep_ms: u64,
     pub asked: Vec<RequestId>,
 }
 
--- a/protocol/tests/samples/mod.rs
+++ b/protocol/tests/samples/mod.rs
@@ -532,6 +532,7 @@
     };
     let request = StreamOriginsRequest {
         kept: vec![origin()],
+        keep_ms: 30_000,
         asked: vec!["r-0".to_string()],
     };
     let response = StreamOriginsResponse {
