ingress: a client takes a stream up only at the software version that began it

Cause: which version began a stream was known to no one. A client's next try may come to any entry, mostly because the first one died, and it was sent to any engine that has the adapter. Resumes, which names the attempt that brought the first event, was not read.

Change: while several versions serve, or did a short time ago, an entry keeps the origin of each resumable stream at its first event, and has three sidecars keep it, ranked by rendezvous on the attempt's id. The entry that gets a try which names that attempt looks at its own origins, asks six sidecars at once (150 ms at most), and binds the request to the version (and the service) that it learns. Nobody knows it: it began before the others came, at the only version there was then, or its records are lost and it is refused with 503, which is true, as it hasn't run. With one version alone it goes on anywhere.

It works because the knowledge leaves the entry that has it with the first event, and the entry that needs it finds the same sidecars from the id that the client sends.

--- a/entry/src/ingress/observers.rs
+++ b/entry/src/ingress/observers.rs
@@ -1,6 +1,10 @@
 use {
     super::{control::ControlHandle, shared::Shared, stream_recovery::StreamRecovery},
-    chalkcart_coordination::dispatch::{DispatchEvent, SendOutcome, Ticket},
+    chalkcart_coordination::{
+        dispatch::{DispatchEvent, SendOutcome, Ticket},
+        software_versions::VersionMix,
+    },
+    chalkcart_protocol::peer::StreamOrigin,
     chalkcart_state::{
         backends::BackendId,
         ids::RequestId,
@@ -72,6 +76,8 @@
     pub digest: RequestDigest,
     pub route: Arc<Route>,
     pub backend: BackendId,
+    /// The origin of the stream until its first frame; `None` if it may not be taken up.
+    pub origin: Option<StreamOrigin>,
     pub arrived: Instant,
     /// Time from the arrival of the request to the first part of the body.
     pub first_part: Option<Duration>,
@@ -88,6 +94,25 @@
     }
 }
 
+impl StreamObserver {
+    /// Has sidecars keep which software version began the stream, while several may serve.
+    fn tell_origin(&mut self) {
+        let Some(origin) = self.origin.take() else {
+            return;
+        };
+        let versions = &self.shared.software_versions;
+        if versions.mix(&origin.service) == VersionMix::One {
+            return;
+        }
+        let shared = self.shared.clone();
+        self.shared
+            .stream_origins
+            .tell(origin, versions.memory(), move |outcome| {
+                shared.metrics.on_origin_told(outcome);
+            });
+    }
+}
+
 impl ProxyBodyObserver for StreamObserver {
     fn on_first_frame(&mut self) {
         if self.first_part.is_none() {
@@ -95,6 +120,7 @@
             self.first_part = Some(after);
             self.shared.metrics.on_first_part(&self.route.name, after);
         }
+        self.tell_origin();
         self.guard.start();
     }
 
--- a/entry/src/ingress/request_exchange.rs
+++ b/entry/src/ingress/request_exchange.rs
@@ -148,12 +148,14 @@
 
     /// Processes the request and returns the response to the client.
     pub async fn run(mut self) -> ClientResponse {
-        if self.accepted.head.takes_up {
-            self.log_take_up();
-        }
         if let Some(response) = self.reject_if_blocked() {
             return response;
         }
+        if self.takes_stream_up() {
+            if let Some(response) = self.bind_to_software_version().await {
+                return response;
+            }
+        }
         loop {
             let assignment = match self.wait_for_decision().await {
                 Some(Decision::Send(assignment)) => assignment,
@@ -236,6 +238,10 @@
         }
     }
 
+    fn takes_stream_up(&self) -> bool {
+        self.accepted.head.takes_up && self.accepted.route.kind.is_stream()
+    }
+
     /// Records that a back end may have run the request and is not tried again.
     pub(super) fn count_run(&mut self, assignment: &Assignment) {
         self.runs += 1;
@@ -260,7 +266,7 @@
 
     /// Returns the response to a request that no back end has served: the last back end's error
     /// response if there is one, else 503 if the request has not run and 502 if it may have.
-    fn final_response(&mut self, reason: &str, retry_after: Duration) -> ClientResponse {
+    pub(super) fn final_response(&mut self, reason: &str, retry_after: Duration) -> ClientResponse {
         if let Some(failure) = self.failure.take() {
             return failure;
         }
--- a/entry/src/ingress/request_exchange_log.rs
+++ b/entry/src/ingress/request_exchange_log.rs
@@ -60,18 +60,6 @@
         );
     }
 
-    /// Logs that a client takes up a stream that broke off.
-    pub(super) fn log_take_up(&self) {
-        let head = &self.accepted.head;
-        log::info!(
-            request = head.id.as_str(),
-            route = self.accepted.route.name.as_str(),
-            first_attempt = head.first_attempt.as_deref().unwrap_or_default(),
-            last_event = head.last_event.map_or(-1, |event| event as i64);
-            "ingress: stream taken up by its client"
-        );
-    }
-
     pub(super) fn log_rejection(
         &self,
         cause: &'static str,
--- a/entry/src/ingress/shared.rs
+++ b/entry/src/ingress/shared.rs
@@ -1,7 +1,8 @@
 use {
     super::{
         admission::Admission, control::ControlHandle, shared_crash_registry::SharedCrashRegistry,
-        shared_software_versions::SharedSoftwareVersions, unknown_headers::UnknownHeaders,
+        shared_software_versions::SharedSoftwareVersions,
+        stream_origin_exchange::StreamOriginExchange, unknown_headers::UnknownHeaders,
     },
     crate::conf::IngressSettings,
     arc_swap::ArcSwapOption,
@@ -56,6 +57,7 @@
     pub metrics: IngressMetrics,
     pub unknown_headers: UnknownHeaders,
     pub software_versions: SharedSoftwareVersions,
+    pub stream_origins: StreamOriginExchange,
     pub phase: watch::Sender<Phase>,
     started: Instant,
     next_ticket: AtomicU64,
@@ -74,6 +76,7 @@
         let (revocation_bound, limits) = (settings.revocation_bound(), settings.limits());
         Self {
             admission: Arc::new(Admission::new(&settings.name, revocation_bound, limits)),
+            stream_origins: StreamOriginExchange::new(control.clone(), settings.sidecar_port),
             settings,
             control,
             dialect,
--- /dev/null
+++ b/entry/src/ingress/stream_origin_exchange.rs
@@ -0,0 +1,167 @@
+//! Has sidecars keep the software versions that began streams, and asks them for those of streams
+//! that began at other entries.
+
+use {
+    super::control::ControlHandle,
+    chalkcart_coordination::software_versions::{
+        OriginHolders, StreamOrigins, HOLDERS_ASKED, HOLDERS_TOLD,
+    },
+    chalkcart_protocol::peer::{path, StreamOrigin, StreamOriginsRequest, StreamOriginsResponse},
+    chalkcart_transport::{
+        client::{ClientError, PeerClient},
+        clock,
+    },
+    futures::{stream::FuturesUnordered, StreamExt},
+    std::{
+        net::SocketAddr,
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        time::Duration,
+    },
+    tokio::{sync::Semaphore, time::sleep},
+};
+
+/// Time limit of one call. A client that takes a stream up waits for it at most once.
+const ASK_TIMEOUT: Duration = Duration::from_millis(150);
+const TELL_TIMEOUT: Duration = Duration::from_millis(300);
+/// Calls by which one sidecar is told, and the time between two of them.
+const MAX_TELL_CALLS: u32 = 3;
+const TELL_INTERVAL: Duration = Duration::from_millis(200);
+/// Maximum number of sidecars that are being told at a time; further ones are left out.
+const MAX_TOLD_AT_ONCE: usize = 512;
+
+/// Who knew the origin of a stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OriginSource {
+    Entry,
+    Sidecar,
+}
+
+impl OriginSource {
+    /// Returns the name in logs.
+    pub fn code(self) -> &'static str {
+        match self {
+            OriginSource::Entry => "entry",
+            OriginSource::Sidecar => "sidecar",
+        }
+    }
+}
+
+/// Exchanges the origins of streams with sidecars.
+pub struct StreamOriginExchange {
+    /// Origins of streams that this entry forwarded.
+    own: Mutex<StreamOrigins>,
+    holders: Mutex<OriginHolders>,
+    peers: PeerClient,
+    control: ControlHandle,
+    sidecar_port: u16,
+    told_at_once: Arc<Semaphore>,
+}
+
+impl StreamOriginExchange {
+    pub fn new(control: ControlHandle, sidecar_port: u16) -> Self {
+        Self {
+            own: Mutex::default(),
+            holders: Mutex::default(),
+            peers: PeerClient::new(),
+            control,
+            sidecar_port,
+            told_at_once: Arc::new(Semaphore::new(MAX_TOLD_AT_ONCE)),
+        }
+    }
+
+    /// Keeps an origin and has sidecars keep it. `on_told` gets the outcome at each of them.
+    pub fn tell(
+        &self,
+        origin: StreamOrigin,
+        keep: Duration,
+        on_told: impl Fn(&'static str) + Clone + Send + 'static,
+    ) {
+        self.own().insert(origin.clone(), keep, clock::now());
+        let holders = self.first_holders(HOLDERS_TOLD, &origin.request);
+        let request = StreamOriginsRequest {
+            kept: vec![origin],
+            keep_ms: keep.as_millis() as u64,
+            asked: Vec::new(),
+        };
+        for holder in holders {
+            let Ok(permit) = self.told_at_once.clone().try_acquire_owned() else {
+                on_told("left_out");
+                continue;
+            };
+            let (peers, request, on_told) = (self.peers.clone(), request.clone(), on_told.clone());
+            tokio::spawn(async move {
+                let outcome = tell_holder(&peers, holder, &request).await;
+                on_told(outcome);
+                drop(permit);
+            });
+        }
+    }
+
+    /// Returns the origin of the stream that an attempt began, and who knew it.
+    pub async fn find(&self, request: &str) -> Option<(StreamOrigin, OriginSource)> {
+        if let Some(origin) = self.own().get(request, clock::now()) {
+            return Some((origin.clone(), OriginSource::Entry));
+        }
+        let asked = StreamOriginsRequest {
+            asked: vec![request.to_string()],
+            ..StreamOriginsRequest::default()
+        };
+        let holders = self.first_holders(HOLDERS_ASKED, request);
+        let calls = holders
+            .into_iter()
+            .map(|holder| call(&self.peers, holder, &asked, ASK_TIMEOUT));
+        let mut calls: FuturesUnordered<_> = calls.collect();
+        while let Some(response) = calls.next().await {
+            let known = response.map(|response| response.known).unwrap_or_default();
+            let origin = known.into_iter().find(|origin| origin.request == request);
+            if let Some(origin) = origin {
+                return Some((origin, OriginSource::Sidecar));
+            }
+        }
+        None
+    }
+
+    fn first_holders(&self, count: usize, request: &str) -> Vec<SocketAddr> {
+        // No holder panics in the middle of an update.
+        let mut holders = self.holders.lock().unwrap_or_else(PoisonError::into_inner);
+        holders.set_engines(self.control.engines());
+        let engines = holders.first(count, request).into_iter();
+        let sidecars = engines.map(|engine| SocketAddr::new(engine.ip(), self.sidecar_port));
+        sidecars.collect()
+    }
+
+    fn own(&self) -> MutexGuard<'_, StreamOrigins> {
+        // No holder panics in the middle of an update.
+        self.own.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Has a sidecar keep origins; returns the outcome.
+async fn tell_holder(
+    peers: &PeerClient,
+    holder: SocketAddr,
+    request: &StreamOriginsRequest,
+) -> &'static str {
+    for number in 0..MAX_TELL_CALLS {
+        if number > 0 {
+            sleep(TELL_INTERVAL).await;
+        }
+        match call(peers, holder, request, TELL_TIMEOUT).await {
+            Ok(_) => return "told",
+            Err(e) if e.is_unsupported_by_peer() => return "unsupported",
+            Err(_) => {}
+        }
+    }
+    "failed"
+}
+
+async fn call(
+    peers: &PeerClient,
+    holder: SocketAddr,
+    request: &StreamOriginsRequest,
+    timeout: Duration,
+) -> Result<StreamOriginsResponse, ClientError> {
+    peers
+        .call(holder, path::STREAM_ORIGINS, request, timeout)
+        .await
+}
--- a/entry/src/ingress/stream_response.rs
+++ b/entry/src/ingress/stream_response.rs
@@ -7,6 +7,7 @@
         stream_recovery::StreamRecovery,
     },
     chalkcart_coordination::{dispatch::Assignment, stream_recovery::EventAssembler},
+    chalkcart_protocol::peer::StreamOrigin,
     chalkcart_state::{backends::BackendId, ingress::RouteKind},
     chalkcart_transport::{
         backend::BackendResponse,
@@ -41,6 +42,7 @@
         let events = self.recoverable_events(&stream.response);
         let is_event_stream = stream.may_have_events();
         let mut observer = self.stream_observer(&backend, stream.guard, None);
+        observer.origin = self.origin(&assignment);
         let end_to_end = self.shared.dialect.end_to_end_headers();
         let (mut parts, body) = stream.response.into_parts(is_event_stream);
         remove_connection_headers(&mut parts.headers, end_to_end);
@@ -65,12 +67,27 @@
             digest: self.accepted.digest,
             route: self.accepted.route.clone(),
             backend: backend.clone(),
+            origin: None,
             arrived: self.accepted.arrived,
             first_part,
             recovery: None,
         }
     }
 
+    /// Returns the origin of a stream that its client may take up; `None` for any other, and if the
+    /// version of its engine is not known.
+    fn origin(&self, assignment: &Assignment) -> Option<StreamOrigin> {
+        let is_resumable = self.accepted.route.kind == RouteKind::Stream { resumable: true };
+        let version = assignment.software_version.clone();
+        version
+            .filter(|_| is_resumable)
+            .map(|version| StreamOrigin {
+                request: self.accepted.head.id.clone(),
+                service: self.request.service.clone(),
+                version,
+            })
+    }
+
     /// Returns the events of a stream that may be resumed; `None` for any other. The number of
     /// bytes in a head with `Content-Length` is that of its own back end's stream only.
     fn recoverable_events(&self, response: &BackendResponse) -> Option<StreamEvents> {
--- /dev/null
+++ b/entry/src/ingress/stream_take_up.rs
@@ -0,0 +1,79 @@
+//! Streams that clients take up after they broke off, at any entry.
+
+use {
+    super::{
+        request_exchange::{elapsed_ms, RequestExchange},
+        stream_origin_exchange::OriginSource,
+    },
+    chalkcart_coordination::{dispatch::DecisionInputs, software_versions::TakeUp},
+    chalkcart_protocol::peer::StreamOrigin,
+    chalkcart_transport::{clock::before_deadline, ingress::ClientResponse},
+    std::time::Duration,
+};
+
+/// Log value for a stream whose origin is not known while several versions may have begun it.
+const UNKNOWN_SOFTWARE: &str = "unknown_software";
+/// A sidecar that could not answer may do so by then.
+const UNKNOWN_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+impl RequestExchange {
+    /// Binds a stream that its client takes up to the software version that began it. Returns a
+    /// response if it may go on nowhere.
+    pub(super) async fn bind_to_software_version(&mut self) -> Option<ClientResponse> {
+        let origin = self.find_origin().await;
+        let (origin, source) = origin.unzip();
+        let take_up = self.take_up(origin.as_ref());
+        self.log_take_up(&take_up, source);
+        match take_up {
+            TakeUp::Anywhere => None,
+            TakeUp::At(version) => {
+                self.request.software_version = Some(version);
+                None
+            }
+            TakeUp::Unknown => {
+                let inputs = DecisionInputs::default();
+                self.log_rejection(UNKNOWN_SOFTWARE, UNKNOWN_RETRY_AFTER, &inputs);
+                Some(self.final_response(UNKNOWN_SOFTWARE, UNKNOWN_RETRY_AFTER))
+            }
+        }
+    }
+
+    /// Returns where the stream may go on, and selects the service that began it.
+    fn take_up(&mut self, origin: Option<&StreamOrigin>) -> TakeUp {
+        if let Some(origin) = origin {
+            let mut services = self.accepted.route.services.iter();
+            if !services.any(|s| s.service == origin.service) {
+                return TakeUp::Unknown;
+            }
+            self.request.service = origin.service.clone();
+        }
+        let mix = self.shared.software_versions.mix(&self.request.service);
+        TakeUp::decide(origin, &mix)
+    }
+
+    async fn find_origin(&self) -> Option<(StreamOrigin, OriginSource)> {
+        let first_attempt = self.accepted.head.first_attempt.as_deref()?;
+        let found = self.shared.stream_origins.find(first_attempt);
+        before_deadline(self.deadline, found).await.ok().flatten()
+    }
+
+    fn log_take_up(&self, take_up: &TakeUp, source: Option<OriginSource>) {
+        let head = &self.accepted.head;
+        let software = match take_up {
+            TakeUp::At(version) => version.as_str(),
+            TakeUp::Anywhere | TakeUp::Unknown => "",
+        };
+        self.shared.metrics.on_take_up(take_up.code());
+        log::info!(
+            request = head.id.as_str(),
+            route = self.accepted.route.name.as_str(),
+            first_attempt = head.first_attempt.as_deref().unwrap_or_default(),
+            last_event = head.last_event.map_or(-1, |event| event as i64),
+            goes_on = take_up.code(),
+            software = software,
+            known_by = source.map_or("", OriginSource::code),
+            waited_ms = elapsed_ms(self.accepted.arrived);
+            "ingress: stream taken up by its client"
+        );
+    }
+}
--- a/sidecar/src/lib.rs
+++ b/sidecar/src/lib.rs
@@ -9,4 +9,5 @@
 pub mod placement;
 mod relay;
 mod server;
+mod stream_origins;
 mod streams;
--- a/sidecar/src/placement/handlers.rs
+++ b/sidecar/src/placement/handlers.rs
@@ -3,6 +3,7 @@
     crate::{
         crashes::{crash_reports, CrashAggregator},
         relay::{relay_demands, relay_published, relay_views, RelayHub},
+        stream_origins::{stream_origins, KeptOrigins},
     },
     chalkcart_coordination::{limits::UsageAggregator, placement::PlacementEvent},
     chalkcart_protocol::peer::{path, AdapterDemand, AdmissionReport, UsageReport},
@@ -42,7 +43,10 @@
         .add(StateMiddleware::new(SharedData::new(shared)))
         .add(StateMiddleware::new(SharedData::new(relay)))
         .add(StateMiddleware::new(SharedData::new(usage)))
-        .add(StateMiddleware::new(SharedData::new(crashes)));
+        .add(StateMiddleware::new(SharedData::new(crashes)))
+        .add(StateMiddleware::new(SharedData::new(Arc::new(
+            KeptOrigins::default(),
+        ))));
     let (chain, pipelines) = single_pipeline(pipeline.build());
     build_router(chain, pipelines, |route| {
         route.post(path::DEMAND).to_async(demand);
@@ -53,6 +57,7 @@
         route.post(path::USAGE).to_async(usage_report);
         route.post(path::INTAKE).to_async(admission_report);
         route.post(path::CRASHES).to_async(crash_reports);
+        route.post(path::STREAM_ORIGINS).to_async(stream_origins);
         route.get("/healthz").to_async(pages::healthz);
     })
 }
--- /dev/null
+++ b/sidecar/src/stream_origins/kept_origins.rs
@@ -0,0 +1,33 @@
+use {
+    chalkcart_coordination::software_versions::StreamOrigins,
+    chalkcart_protocol::peer::{StreamOriginsRequest, StreamOriginsResponse},
+    chalkcart_transport::clock,
+    std::{
+        sync::{Mutex, PoisonError},
+        time::Duration,
+    },
+};
+
+/// Longest time for which an origin is kept, whatever an entry requests.
+const MAX_KEEP: Duration = Duration::from_secs(600);
+
+/// The origins that entries had this sidecar keep.
+#[derive(Debug, Default)]
+pub struct KeptOrigins(Mutex<StreamOrigins>);
+
+impl KeptOrigins {
+    pub fn response(&self, request: StreamOriginsRequest) -> StreamOriginsResponse {
+        let now = clock::now();
+        // No holder panics in the middle of an update.
+        let mut origins = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let keep = Duration::from_millis(request.keep_ms).min(MAX_KEEP);
+        for origin in request.kept {
+            origins.insert(origin, keep, now);
+        }
+        let asked = request.asked.iter();
+        let known = asked.filter_map(|request| origins.get(request, now));
+        StreamOriginsResponse {
+            known: known.cloned().collect(),
+        }
+    }
+}
--- a/transport/src/metrics/ingress_metrics.rs
+++ b/transport/src/metrics/ingress_metrics.rs
@@ -75,6 +75,8 @@
     backend_signals: Family<CodeLabel, Counter>,
     resumptions: Family<CodeLabel, Counter>,
     body_ends: Family<BodyEndLabel, Counter>,
+    take_ups: Family<CodeLabel, Counter>,
+    origins_told: Family<CodeLabel, Counter>,
     retries: Counter,
     removed_headers: Counter,
     unreadable: Family<CodeLabel, Counter>,
@@ -109,6 +111,8 @@
             backend_signals: Family::default(),
             resumptions: Family::default(),
             body_ends: Family::default(),
+            take_ups: Family::default(),
+            origins_told: Family::default(),
             retries: Counter::default(),
             removed_headers: Counter::default(),
             unreadable: Family::default(),
@@ -172,6 +176,14 @@
     pub fn on_body_end(&self, label: BodyEndLabel) {
         self.body_ends.get_or_create(&label).inc();
     }
+    /// Counts a stream that its client takes up, by where it may go on.
+    pub fn on_take_up(&self, code: &'static str) {
+        self.take_ups.get_or_create(&CodeLabel { code }).inc();
+    }
+    /// Counts a sidecar that was to keep the origin of a stream, by the outcome.
+    pub fn on_origin_told(&self, code: &'static str) {
+        self.origins_told.get_or_create(&CodeLabel { code }).inc();
+    }
     /// Counts headers that were removed from a client's request.
     pub fn on_headers_removed(&self, headers: usize) {
         self.removed_headers.inc_by(headers as u64);
@@ -287,6 +299,16 @@
             "Streams forwarded, by how they ended, their framing and where in their events",
             self.body_ends.clone(),
         );
+        registry.register(
+            "take_ups",
+            "Streams that clients take up, by where they may go on",
+            self.take_ups.clone(),
+        );
+        registry.register(
+            "origins_told",
+            "Sidecars that were to keep which software version began a stream, by outcome",
+            self.origins_told.clone(),
+        );
         let refusals = self.refusals.clone();
         registry.register("refusals", "Requests refused, by cause", refusals);
         registry.register(
