ingress: before its first list, an entry does not know that one version serves

Before the first list there may be several versions, of which none is known to be the former one. The table of mixes has the case, and failed on it before.

--- a/coordination/src/software_versions/version_mix.rs
+++ b/coordination/src/software_versions/version_mix.rs
@@ -45,11 +45,13 @@
 #[derive(Debug, Default)]
 pub struct SoftwareVersions {
     services: HashMap<ServiceName, ServiceVersions>,
+    has_list: bool,
 }
 
 impl SoftwareVersions {
     /// Applies a list. Versions that are not listed any more are kept for `memory`.
     pub fn on_list(&mut self, list: &[Backend], memory: Duration, now: Instant) {
+        self.has_list = true;
         let mut listed: HashMap<ServiceName, BTreeSet<SoftwareVersion>> = HashMap::new();
         for backend in list {
             let versions = listed.entry(backend.service.clone()).or_default();
@@ -65,8 +67,12 @@
         self.services.retain(|_, versions| !versions.is_empty());
     }
 
-    /// Returns the versions of a service whose streams may be taken up within `memory`.
+    /// Returns the versions of a service whose streams may be taken up within `memory`. Before the
+    /// first list there may be several.
     pub fn mix(&self, service: &str, memory: Duration, now: Instant) -> VersionMix {
+        if !self.has_list {
+            return VersionMix::Several { former: None };
+        }
         match self.services.get(service) {
             Some(versions) => versions.mix(memory, now),
             None => VersionMix::One,
--- a/coordination/tests/software_versions.rs
+++ b/coordination/tests/software_versions.rs
@@ -128,8 +128,10 @@
 #[test]
 fn versions_count_as_mixed_while_streams_of_two_may_be_taken_up() {
     let now = Instant::now();
-    let cases: [(&[&[&str]], VersionMix); 8] = [
-        (&[], VersionMix::One),
+    let cases: [(&[&[&str]], VersionMix); 9] = [
+        // guards against: a guess by an entry that has just started
+        (&[], several(None)),
+        (&[&[]], VersionMix::One),
         (&[&["v1", "v1"]], VersionMix::One),
         (&[&["v1", "v2"]], several(None)),
         (&[&["v1"], &["v1", "v2"]], several(Some("v1"))),
