ingress: a stream of unknown origin goes on only if sidecars say that they don't keep it

An entry that can't ask guessed the former version, also for streams that began later.

Now half of the sidecars that are asked must say that they don't keep it; else the stream is refused while several versions serve. So is one that its client doesn't name. With one version nothing changes.

--- a/coordination/src/software_versions/mod.rs
+++ b/coordination/src/software_versions/mod.rs
@@ -11,6 +11,6 @@
 pub use {
     origin_holders::{OriginHolders, HOLDERS_ASKED, HOLDERS_TOLD},
     stream_origins::StreamOrigins,
-    take_up::TakeUp,
+    take_up::{OriginSearch, TakeUp},
     version_mix::{stream_memory, SoftwareVersions, VersionMix},
 };
--- a/coordination/src/software_versions/take_up.rs
+++ b/coordination/src/software_versions/take_up.rs
@@ -3,6 +3,16 @@
     chalkcart_state::backends::SoftwareVersion,
 };
 
+/// What the search for the origin of a stream found.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum OriginSearch {
+    Found(StreamOrigin),
+    /// Sidecars that would know it were asked and don't.
+    NotKept,
+    /// Too few of them answered, or the client did not name the stream.
+    Unanswered,
+}
+
 /// Where a stream that a client takes up may go on.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum TakeUp {
@@ -14,19 +24,30 @@
     Unknown,
 }
 
+impl OriginSearch {
+    /// Returns the result of asking sidecars none of which knew the origin.
+    pub fn without_origin(asked: usize, answered: usize) -> Self {
+        match answered > 0 && 2 * answered >= asked {
+            true => OriginSearch::NotKept,
+            false => OriginSearch::Unanswered,
+        }
+    }
+}
+
 impl TakeUp {
-    /// Decides by the origin of the stream, if it is known, and by the versions of the service.
+    /// Decides by what is known of the origin of the stream, and by the versions of the service.
     ///
-    /// Streams are recorded only while several versions serve. One without a record began before
-    /// that, or its records are lost.
-    pub fn decide(origin: Option<&StreamOrigin>, mix: &VersionMix) -> Self {
-        match (origin, mix) {
-            (Some(origin), _) => TakeUp::At(origin.version.clone()),
-            (None, VersionMix::One) => TakeUp::Anywhere,
-            (None, VersionMix::Several { former }) => match former {
+    /// Origins are kept only while several versions serve. A stream whose origin is not kept began
+    /// before that.
+    pub fn decide(search: &OriginSearch, mix: &VersionMix) -> Self {
+        match (search, mix) {
+            (OriginSearch::Found(origin), _) => TakeUp::At(origin.version.clone()),
+            (_, VersionMix::One) => TakeUp::Anywhere,
+            (OriginSearch::NotKept, VersionMix::Several { former }) => match former {
                 Some(version) => TakeUp::At(version.clone()),
                 None => TakeUp::Unknown,
             },
+            (OriginSearch::Unanswered, VersionMix::Several { .. }) => TakeUp::Unknown,
         }
     }
 
--- a/coordination/tests/software_versions.rs
+++ b/coordination/tests/software_versions.rs
@@ -6,8 +6,8 @@
     chalkcart_coordination::{
         dispatch::{Decision, DispatchRequest, RejectionCause},
         software_versions::{
-            OriginHolders, SoftwareVersions, StreamOrigins, TakeUp, VersionMix, HOLDERS_ASKED,
-            HOLDERS_TOLD,
+            OriginHolders, OriginSearch, SoftwareVersions, StreamOrigins, TakeUp, VersionMix,
+            HOLDERS_ASKED, HOLDERS_TOLD,
         },
     },
     chalkcart_protocol::peer::StreamOrigin,
@@ -184,17 +184,43 @@
 #[test]
 fn a_stream_is_taken_up_at_the_version_that_is_known_to_have_begun_it() {
     let at = |version: &str| TakeUp::At(version.to_string());
-    let known = origin("r", "v1");
+    let found = || OriginSearch::Found(origin("r", "v1"));
+    let (not_kept, unanswered) = (OriginSearch::NotKept, OriginSearch::Unanswered);
     let cases = [
-        (None, VersionMix::One, TakeUp::Anywhere),
-        (Some(&known), VersionMix::One, at("v1")),
-        (Some(&known), several(Some("v2")), at("v1")),
-        (Some(&known), several(None), at("v1")),
-        (None, several(Some("v2")), at("v2")),
-        (None, several(None), TakeUp::Unknown),
+        (found(), VersionMix::One, at("v1")),
+        (found(), several(Some("v2")), at("v1")),
+        (found(), several(None), at("v1")),
+        (not_kept.clone(), VersionMix::One, TakeUp::Anywhere),
+        (not_kept.clone(), several(Some("v2")), at("v2")),
+        (not_kept, several(None), TakeUp::Unknown),
+        (unanswered.clone(), VersionMix::One, TakeUp::Anywhere),
+        // guards against: a guess by an entry that can't ask
+        (unanswered.clone(), several(Some("v2")), TakeUp::Unknown),
+        (unanswered, several(None), TakeUp::Unknown),
     ];
-    for (origin, mix, expected) in cases {
-        assert_eq!(TakeUp::decide(origin, &mix), expected, "{origin:?} {mix:?}");
+    for (search, mix, expected) in cases {
+        assert_eq!(
+            TakeUp::decide(&search, &mix),
+            expected,
+            "{search:?} {mix:?}"
+        );
+    }
+}
+
+/// Guards against: a stream that counts as older than the mix because those who know better are
+/// cut off.
+#[test]
+fn half_of_the_sidecars_that_are_asked_must_answer() {
+    let cases = [
+        (6, 6, OriginSearch::NotKept),
+        (6, 3, OriginSearch::NotKept),
+        (6, 2, OriginSearch::Unanswered),
+        (1, 0, OriginSearch::Unanswered),
+        (0, 0, OriginSearch::Unanswered),
+    ];
+    for (asked, answered, expected) in cases {
+        let search = OriginSearch::without_origin(asked, answered);
+        assert_eq!(search, expected, "{answered} of {asked}");
     }
 }
 
--- a/entry/src/ingress/stream_origin_exchange.rs
+++ b/entry/src/ingress/stream_origin_exchange.rs
@@ -4,7 +4,7 @@
 use {
     super::control::ControlHandle,
     chalkcart_coordination::software_versions::{
-        OriginHolders, StreamOrigins, HOLDERS_ASKED, HOLDERS_TOLD,
+        OriginHolders, OriginSearch, StreamOrigins, HOLDERS_ASKED, HOLDERS_TOLD,
     },
     chalkcart_protocol::peer::{path, StreamOrigin, StreamOriginsRequest, StreamOriginsResponse},
     chalkcart_transport::{
@@ -97,28 +97,34 @@
         }
     }
 
-    /// Returns the origin of the stream that an attempt began, and who knew it.
-    pub async fn find(&self, request: &str) -> Option<(StreamOrigin, OriginSource)> {
+    /// Searches the origin of the stream that an attempt began; returns also who knew it.
+    pub async fn find(&self, request: &str) -> (OriginSearch, Option<OriginSource>) {
         if let Some(origin) = self.own().get(request, clock::now()) {
-            return Some((origin.clone(), OriginSource::Entry));
+            let found = OriginSearch::Found(origin.clone());
+            return (found, Some(OriginSource::Entry));
         }
-        let asked = StreamOriginsRequest {
+        let question = StreamOriginsRequest {
             asked: vec![request.to_string()],
             ..StreamOriginsRequest::default()
         };
         let holders = self.first_holders(HOLDERS_ASKED, request);
+        let (asked, mut answered) = (holders.len(), 0);
         let calls = holders
             .into_iter()
-            .map(|holder| call(&self.peers, holder, &asked, ASK_TIMEOUT));
+            .map(|holder| call(&self.peers, holder, &question, ASK_TIMEOUT));
         let mut calls: FuturesUnordered<_> = calls.collect();
         while let Some(response) = calls.next().await {
-            let known = response.map(|response| response.known).unwrap_or_default();
-            let origin = known.into_iter().find(|origin| origin.request == request);
-            if let Some(origin) = origin {
-                return Some((origin, OriginSource::Sidecar));
+            let Ok(response) = response else {
+                continue;
+            };
+            answered += 1;
+            let mut known = response.known.into_iter();
+            if let Some(origin) = known.find(|origin| origin.request == request) {
+                let found = OriginSearch::Found(origin);
+                return (found, Some(OriginSource::Sidecar));
             }
         }
-        None
+        (OriginSearch::without_origin(asked, answered), None)
     }
 
     fn first_holders(&self, count: usize, request: &str) -> Vec<SocketAddr> {
--- a/entry/src/ingress/stream_take_up.rs
+++ b/entry/src/ingress/stream_take_up.rs
@@ -5,8 +5,10 @@
         request_exchange::{elapsed_ms, RequestExchange},
         stream_origin_exchange::OriginSource,
     },
-    chalkcart_coordination::{dispatch::DecisionInputs, software_versions::TakeUp},
-    chalkcart_protocol::peer::StreamOrigin,
+    chalkcart_coordination::{
+        dispatch::DecisionInputs,
+        software_versions::{OriginSearch, TakeUp},
+    },
     chalkcart_transport::{clock::before_deadline, ingress::ClientResponse},
     std::time::Duration,
 };
@@ -20,9 +22,8 @@
     /// Binds a stream that its client takes up to the software version that began it. Returns a
     /// response if it may go on nowhere.
     pub(super) async fn bind_to_software_version(&mut self) -> Option<ClientResponse> {
-        let origin = self.find_origin().await;
-        let (origin, source) = origin.unzip();
-        let take_up = self.take_up(origin.as_ref());
+        let (search, source) = self.find_origin().await;
+        let take_up = self.take_up(&search);
         self.log_take_up(&take_up, source);
         match take_up {
             TakeUp::Anywhere => None,
@@ -39,8 +40,8 @@
     }
 
     /// Returns where the stream may go on, and selects the service that began it.
-    fn take_up(&mut self, origin: Option<&StreamOrigin>) -> TakeUp {
-        if let Some(origin) = origin {
+    fn take_up(&mut self, search: &OriginSearch) -> TakeUp {
+        if let OriginSearch::Found(origin) = search {
             let mut services = self.accepted.route.services.iter();
             if !services.any(|s| s.service == origin.service) {
                 return TakeUp::Unknown;
@@ -48,13 +49,17 @@
             self.request.service = origin.service.clone();
         }
         let mix = self.shared.software_versions.mix(&self.request.service);
-        TakeUp::decide(origin, &mix)
+        TakeUp::decide(search, &mix)
     }
 
-    async fn find_origin(&self) -> Option<(StreamOrigin, OriginSource)> {
-        let first_attempt = self.accepted.head.first_attempt.as_deref()?;
-        let found = self.shared.stream_origins.find(first_attempt);
-        before_deadline(self.deadline, found).await.ok().flatten()
+    async fn find_origin(&self) -> (OriginSearch, Option<OriginSource>) {
+        let unanswered = (OriginSearch::Unanswered, None);
+        let Some(first_attempt) = self.accepted.head.first_attempt.as_deref() else {
+            return unanswered;
+        };
+        let search = self.shared.stream_origins.find(first_attempt);
+        let found = before_deadline(self.deadline, search).await;
+        found.unwrap_or(unanswered)
     }
 
     fn log_take_up(&self, take_up: &TakeUp, source: Option<OriginSource>) {
--- a/testkit/tests/software_versions.rs
+++ b/testkit/tests/software_versions.rs
@@ -140,3 +140,30 @@
     until_async("the entry is ready", || fleet.is_ready()).await;
     Ok(())
 }
+
+/// Guards against: a stream that counts as older than the mix of versions, because the sidecars that
+/// know its origin are frozen.
+#[tokio::test]
+async fn nothing_is_guessed_while_sidecars_do_not_answer() -> Result<()> {
+    let fleet = start(&["v1", "v1", "v1", "v1"]).await?;
+    for engine in 0..3 {
+        set_version(&fleet, engine, "v2");
+    }
+    let mut other = fleet.start_other_ingress("front-2").await?;
+    wait_for_list(&fleet, other.metrics).await;
+    wait_for_list(&fleet, fleet.metrics).await;
+    let before = lose_stream(other.clients, "r", || other.process.kill()).await?;
+    let (last, version) = before.last().expect("an event");
+    assert_eq!(version, "v2");
+    for sidecar in &fleet.sidecars {
+        sidecar.pause()?;
+    }
+    let response = request(fleet.clients, &take_up("next", Some("r"), *last)).await?;
+    for sidecar in &fleet.sidecars {
+        sidecar.resume()?;
+    }
+    assert_eq!(response.status, 503);
+    let response = serve(fleet.clients, &take_up("again", Some("r"), *last)).await?;
+    assert_eq!(versions(&events(&response)), ["v2"]);
+    Ok(())
+}
