ingress: the origin of a stream is kept also while the version of its engine is not known

Within a response the version is looked up again before it goes on.

The tables of decisions and of kept origins have the cases. A run over processes that needs just this was not built.

--- a/coordination/src/software_versions/stream_origins.rs
+++ b/coordination/src/software_versions/stream_origins.rs
@@ -25,11 +25,13 @@
 }
 
 impl StreamOrigins {
-    /// Keeps an origin for some time; the first of an attempt stays.
+    /// Keeps an origin for some time; the first of an attempt with a version stays.
     pub fn insert(&mut self, origin: StreamOrigin, keep: Duration, now: Instant) {
         self.remove_expired(now);
         let request = origin.request.clone();
-        if self.origins.contains_key(&request) {
+        if let Some(kept) = self.origins.get_mut(&request) {
+            let known = kept.origin.version.take();
+            kept.origin.version = known.or(origin.version);
             return;
         }
         let until = now + keep;
--- a/coordination/src/software_versions/take_up.rs
+++ b/coordination/src/software_versions/take_up.rs
@@ -41,7 +41,11 @@
     /// before that.
     pub fn decide(search: &OriginSearch, mix: &VersionMix) -> Self {
         match (search, mix) {
-            (OriginSearch::Found(origin), _) => TakeUp::At(origin.version.clone()),
+            (OriginSearch::Found(origin), mix) => match (&origin.version, mix) {
+                (Some(version), _) => TakeUp::At(version.clone()),
+                (None, VersionMix::One) => TakeUp::Anywhere,
+                (None, VersionMix::Several { .. }) => TakeUp::Unknown,
+            },
             (_, VersionMix::One) => TakeUp::Anywhere,
             (OriginSearch::NotKept, VersionMix::Several { former }) => match former {
                 Some(version) => TakeUp::At(version.clone()),
--- a/coordination/tests/software_versions.rs
+++ b/coordination/tests/software_versions.rs
@@ -177,7 +177,7 @@
     StreamOrigin {
         request: request.to_string(),
         service: ENGINES.to_string(),
-        version: version.to_string(),
+        version: Some(version.to_string()),
     }
 }
 
@@ -185,11 +185,20 @@
 fn a_stream_is_taken_up_at_the_version_that_is_known_to_have_begun_it() {
     let at = |version: &str| TakeUp::At(version.to_string());
     let found = || OriginSearch::Found(origin("r", "v1"));
+    let without_version = || {
+        OriginSearch::Found(StreamOrigin {
+            version: None,
+            ..origin("r", "v1")
+        })
+    };
     let (not_kept, unanswered) = (OriginSearch::NotKept, OriginSearch::Unanswered);
     let cases = [
         (found(), VersionMix::One, at("v1")),
         (found(), several(Some("v2")), at("v1")),
         (found(), several(None), at("v1")),
+        (without_version(), VersionMix::One, TakeUp::Anywhere),
+        // guards against: a guess for a stream whose engine was not listed yet
+        (without_version(), several(Some("v2")), TakeUp::Unknown),
         (not_kept.clone(), VersionMix::One, TakeUp::Anywhere),
         (not_kept.clone(), several(Some("v2")), at("v2")),
         (not_kept, several(None), TakeUp::Unknown),
@@ -232,7 +241,7 @@
     origins.insert(origin("r", "v2"), MEMORY, start);
     origins.insert(origin("s", "v2"), 2 * MEMORY, start);
     let version = |origins: &StreamOrigins, request: &str, now| {
-        origins.get(request, now).map(|o| o.version.clone())
+        origins.get(request, now).and_then(|o| o.version.clone())
     };
     let last = start + MEMORY - ms(1);
     assert_eq!(version(&origins, "r", last).as_deref(), Some("v1"));
@@ -245,6 +254,21 @@
     assert_eq!(origins.len(), 2);
 }
 
+#[test]
+fn an_origin_gets_its_version_once_it_is_known() {
+    let now = Instant::now();
+    let mut origins = StreamOrigins::default();
+    let without_version = StreamOrigin {
+        version: None,
+        ..origin("r", "v1")
+    };
+    origins.insert(without_version.clone(), MEMORY, now);
+    assert_eq!(origins.get("r", now), Some(&without_version));
+    origins.insert(origin("r", "v1"), MEMORY, now);
+    origins.insert(without_version, MEMORY, now);
+    assert_eq!(origins.get("r", now), Some(&origin("r", "v1")));
+}
+
 /// Guards against: a table that grows without bound.
 #[test]
 fn the_oldest_origins_give_way() {
--- a/entry/src/ingress/shared_software_versions.rs
+++ b/entry/src/ingress/shared_software_versions.rs
@@ -1,11 +1,12 @@
 use {
     chalkcart_coordination::software_versions::{stream_memory, SoftwareVersions, VersionMix},
     chalkcart_state::{
-        backends::BackendList,
+        backends::{BackendId, BackendList, SoftwareVersion},
         ingress::{Route, RouteTable},
     },
     chalkcart_transport::clock,
     std::{
+        collections::HashMap,
         sync::{Mutex, MutexGuard, PoisonError},
         time::Duration,
     },
@@ -18,6 +19,8 @@
 
 struct Known {
     versions: SoftwareVersions,
+    /// The version of each back end in the list.
+    listed: HashMap<BackendId, SoftwareVersion>,
     /// Time after which no stream is taken up any more.
     memory: Duration,
 }
@@ -26,6 +29,7 @@
     fn default() -> Self {
         let known = Known {
             versions: SoftwareVersions::default(),
+            listed: HashMap::new(),
             memory: stream_memory(Duration::ZERO),
         };
         Self {
@@ -39,6 +43,16 @@
         let mut known = self.known();
         let memory = known.memory;
         known.versions.on_list(list, memory, clock::now());
+        let versions = list.iter().filter_map(|backend| {
+            let version = backend.software_version.clone()?;
+            Some((backend.id.clone(), version))
+        });
+        known.listed = versions.collect();
+    }
+
+    /// Returns the version of a listed back end.
+    pub fn version_of(&self, backend: &BackendId) -> Option<SoftwareVersion> {
+        self.known().listed.get(backend).cloned()
     }
 
     pub fn on_configuration(&self, table: &RouteTable) {
--- a/entry/src/ingress/stream_origin_exchange.rs
+++ b/entry/src/ingress/stream_origin_exchange.rs
@@ -109,6 +109,7 @@
         };
         let holders = self.first_holders(HOLDERS_ASKED, request);
         let (asked, mut answered) = (holders.len(), 0);
+        let mut found = None;
         let calls = holders
             .into_iter()
             .map(|holder| call(&self.peers, holder, &question, ASK_TIMEOUT));
@@ -119,12 +120,19 @@
             };
             answered += 1;
             let mut known = response.known.into_iter();
-            if let Some(origin) = known.find(|origin| origin.request == request) {
-                let found = OriginSearch::Found(origin);
-                return (found, Some(OriginSource::Sidecar));
+            let Some(origin) = known.find(|origin| origin.request == request) else {
+                continue;
+            };
+            let has_version = origin.version.is_some();
+            found = Some(origin);
+            if has_version {
+                break;
             }
         }
-        (OriginSearch::without_origin(asked, answered), None)
+        match found {
+            Some(origin) => (OriginSearch::Found(origin), Some(OriginSource::Sidecar)),
+            None => (OriginSearch::without_origin(asked, answered), None),
+        }
     }
 
     fn first_holders(&self, count: usize, request: &str) -> Vec<SocketAddr> {
--- a/entry/src/ingress/stream_recovery.rs
+++ b/entry/src/ingress/stream_recovery.rs
@@ -166,11 +166,14 @@
     /// # Errors
     /// Several versions may serve, and the one that began it is not known.
     fn keep_software_version(&mut self) -> Result<(), &'static str> {
+        let versions = &self.exchange.shared.software_versions;
         let request = &mut self.exchange.request;
         if request.software_version.is_none() {
-            request.software_version = self.current.software_version.clone();
+            let known = self.current.software_version.clone();
+            // it may have been listed since
+            let listed = || versions.version_of(&self.current.backend);
+            request.software_version = known.or_else(listed);
         }
-        let versions = &self.exchange.shared.software_versions;
         let may_mix = versions.mix(&request.service) != VersionMix::One;
         match request.software_version.is_none() && may_mix {
             true => Err(UNKNOWN_SOFTWARE),
--- a/entry/src/ingress/stream_response.rs
+++ b/entry/src/ingress/stream_response.rs
@@ -74,18 +74,14 @@
         }
     }
 
-    /// Returns the origin of a stream that its client may take up; `None` for any other, and if the
-    /// version of its engine is not known.
+    /// Returns the origin of a stream that its client may take up; `None` for any other.
     fn origin(&self, assignment: &Assignment) -> Option<StreamOrigin> {
         let is_resumable = self.accepted.route.kind == RouteKind::Stream { resumable: true };
-        let version = assignment.software_version.clone();
-        version
-            .filter(|_| is_resumable)
-            .map(|version| StreamOrigin {
-                request: self.accepted.head.id.clone(),
-                service: self.request.service.clone(),
-                version,
-            })
+        is_resumable.then(|| StreamOrigin {
+            request: self.accepted.head.id.clone(),
+            service: self.request.service.clone(),
+            version: assignment.software_version.clone(),
+        })
     }
 
     /// Returns the events of a stream that may be resumed; `None` for any other. The number of
--- a/protocol/src/peer/stream_origins.rs
+++ b/protocol/src/peer/stream_origins.rs
@@ -12,7 +12,8 @@
     /// The client's attempt that brought the first event.
     pub request: RequestId,
     pub service: ServiceName,
-    pub version: SoftwareVersion,
+    /// `None` while the version of its engine is not known.
+    pub version: Option<SoftwareVersion>,
 }
 
 /// Has a sidecar keep origins, and asks it for those of other streams.
--- a/protocol/tests/samples/mod.rs
+++ b/protocol/tests/samples/mod.rs
@@ -528,7 +528,7 @@
     let origin = || StreamOrigin {
         request: "r-1".to_string(),
         service: "s".to_string(),
-        version: "v1.2".to_string(),
+        version: Some("v1.2".to_string()),
     };
     let request = StreamOriginsRequest {
         kept: vec![origin()],
