ingress: the origins of streams are kept by sidecars of engines that stay

The list says 2 s and more before which engines leave: origins are kept by the sidecars of the others, and those of leaving engines are asked as well, as they may have been told before. Properties with fixed seeds: after a fourth of the engines was replaced, each sidecar that keeps an origin and is still listed is asked (500 cases); with half of the engines leaving none of these is told, and all that were told before are asked (100 attempts).

--- a/coordination/src/software_versions/mod.rs
+++ b/coordination/src/software_versions/mod.rs
@@ -9,7 +9,7 @@
 mod version_mix;
 
 pub use {
-    origin_holders::{OriginHolders, HOLDERS_ASKED, HOLDERS_TOLD},
+    origin_holders::{ListedEngines, OriginHolders},
     stream_origins::StreamOrigins,
     take_up::{OriginSearch, TakeUp},
     version_mix::{stream_memory, SoftwareVersions, VersionMix},
--- a/coordination/tests/software_versions.rs
+++ b/coordination/tests/software_versions.rs
@@ -6,8 +6,8 @@
     chalkcart_coordination::{
         dispatch::{Decision, DispatchRequest, RejectionCause},
         software_versions::{
-            OriginHolders, OriginSearch, SoftwareVersions, StreamOrigins, TakeUp, VersionMix,
-            HOLDERS_ASKED, HOLDERS_TOLD,
+            ListedEngines, OriginHolders, OriginSearch, SoftwareVersions, StreamOrigins, TakeUp,
+            VersionMix,
         },
     },
     chalkcart_protocol::peer::StreamOrigin,
@@ -282,31 +282,32 @@
     assert!(origins.get("0", now).is_none());
 }
 
-fn engine_addrs(numbers: impl Iterator<Item = u16>) -> Arc<Vec<SocketAddr>> {
+fn addrs(numbers: impl Iterator<Item = u16>) -> Vec<SocketAddr> {
     let addrs = numbers.map(|n| SocketAddr::from(([10, 0, 0, 1], n)));
-    Arc::new(addrs.collect())
+    addrs.collect()
 }
 
-/// Guards against: an entry that asks sidecars which were not told, after engines have joined and
-/// left.
+fn listed(staying: Vec<SocketAddr>, leaving: Vec<SocketAddr>) -> Arc<ListedEngines> {
+    Arc::new(ListedEngines { staying, leaving })
+}
+
+/// Guards against: an entry that asks sidecars which were not told, after a fourth of the engines
+/// was replaced.
 #[test]
 fn sidecars_that_keep_an_origin_are_asked_after_changes_of_the_list() {
     fn check(request: u64, joined: u16, left: u16) -> bool {
         let request = request.to_string();
         let mut holders = OriginHolders::default();
-        holders.set_engines(engine_addrs(1..13));
-        let told = holders.first(HOLDERS_TOLD, &request);
-        // a fourth of the engines is replaced
+        holders.set_engines(listed(addrs(1..13), Vec::new()));
+        let told = holders.told(&request);
         let left = left % 10;
         let kept = (1..13).filter(|n| !(left..left + 3).contains(n));
         let joined = 100 + joined % 1_000;
-        let engines = engine_addrs(kept.chain(joined..joined + 3));
-        holders.set_engines(engines.clone());
-        let asked = holders.first(HOLDERS_ASKED, &request);
-        let remaining = told.iter().filter(|holder| engines.contains(holder));
-        // three more rank before one of the told ones at most if all joined ones do
-        let mut remaining = remaining.peekable();
-        remaining.peek().is_none() || remaining.all(|holder| asked.contains(holder))
+        let staying = addrs(kept.chain(joined..joined + 3));
+        holders.set_engines(listed(staying.clone(), Vec::new()));
+        let asked = holders.asked(&request);
+        let mut remaining = told.iter().filter(|holder| staying.contains(holder));
+        remaining.all(|holder| asked.contains(holder))
     }
     QuickCheck::new()
         .rng(Gen::from_size_and_seed(30, SEED))
@@ -314,10 +315,27 @@
         .quickcheck(check as fn(u64, u16, u16) -> bool);
 }
 
+/// Guards against: an origin that is kept only by sidecars which end with their leaving engines.
+#[test]
+fn sidecars_of_leaving_engines_are_asked_but_not_told() {
+    let mut holders = OriginHolders::default();
+    for request in 0..100 {
+        let request = request.to_string();
+        holders.set_engines(listed(addrs(1..13), Vec::new()));
+        let before = holders.told(&request);
+        holders.set_engines(listed(addrs(1..7), addrs(7..13)));
+        let told = holders.told(&request);
+        assert!(told.iter().all(|engine| engine.port() < 7), "{told:?}");
+        assert_eq!(told.len(), 3);
+        let asked = holders.asked(&request);
+        assert!(before.iter().all(|engine| asked.contains(engine)));
+    }
+}
+
 #[test]
 fn few_engines_are_all_holders() {
     let mut holders = OriginHolders::default();
-    assert!(holders.first(HOLDERS_TOLD, "r").is_empty());
-    holders.set_engines(engine_addrs(1..3));
-    assert_eq!(holders.first(HOLDERS_TOLD, "r").len(), 2);
+    assert!(holders.told("r").is_empty());
+    holders.set_engines(listed(addrs(1..2), addrs(2..3)));
+    assert_eq!(holders.told("r"), addrs(1..3));
 }
--- a/entry/src/ingress/control.rs
+++ b/entry/src/ingress/control.rs
@@ -11,9 +11,13 @@
             RequestedLoad, Ticket, TurnWait,
         },
         relay::RelayCandidate,
+        software_versions::ListedEngines,
     },
     chalkcart_protocol::peer::{EngineStats, EngineView},
-    chalkcart_state::{backends::BackendId, published::StorePosition},
+    chalkcart_state::{
+        backends::{Backend, BackendId},
+        published::StorePosition,
+    },
     chalkcart_transport::{clock, links::ViewSink},
     std::{
         collections::HashMap,
@@ -63,6 +67,7 @@
     measured_engines: Arc<ArcSwap<MeasuredEngines>>,
     entry_count: Arc<AtomicU32>,
     engines: Arc<ArcSwap<Vec<SocketAddr>>>,
+    listed_engines: Arc<ArcSwap<ListedEngines>>,
 }
 
 impl ControlHandle {
@@ -102,6 +107,11 @@
         self.engines.load_full()
     }
 
+    /// Returns the addresses of the listed engines by whether they are leaving.
+    pub fn listed_engines(&self) -> Arc<ListedEngines> {
+        self.listed_engines.load_full()
+    }
+
     /// Queues a request until the dispatcher assigns a back end or rejects it; `None` if the
     /// control thread has ended.
     pub async fn decide(&self, ticket: Ticket, request: DispatchRequest) -> Option<Decision> {
@@ -155,6 +165,7 @@
     measured_engines: Arc<ArcSwap<MeasuredEngines>>,
     entry_count: Arc<AtomicU32>,
     engines: Arc<ArcSwap<Vec<SocketAddr>>>,
+    listed_engines: Arc<ArcSwap<ListedEngines>>,
 }
 
 /// Starts the control thread, which ends when the last handle is dropped.
@@ -170,6 +181,7 @@
     let measured_engines = Arc::new(ArcSwap::default());
     let entry_count = Arc::new(AtomicU32::new(0));
     let engines = Arc::new(ArcSwap::default());
+    let listed_engines = Arc::new(ArcSwap::default());
     let handle = ControlHandle {
         commands,
         stats: stats.clone(),
@@ -178,6 +190,7 @@
         measured_engines: measured_engines.clone(),
         entry_count: entry_count.clone(),
         engines: engines.clone(),
+        listed_engines: listed_engines.clone(),
     };
     let now = clock::now();
     let (links, admission) = make_links(handle.clone());
@@ -196,6 +209,7 @@
         measured_engines,
         entry_count,
         engines,
+        listed_engines,
     };
     let builder = thread::Builder::new().name("control".to_string());
     let run = move || control.run(&received);
@@ -285,22 +299,34 @@
         self.crashes
             .on_engine_crashes(self.dispatcher.take_crashes());
         if may_change_engines {
-            let dispatcher = &self.dispatcher;
-            let engines = dispatcher.listed_backends().filter(|b| {
-                let service = dispatcher.service(&b.service);
-                service.is_some_and(|s| s.engine.is_some())
-            });
-            let candidates = engines.map(|b| RelayCandidate {
-                engine: b.addr,
-                zone: b.zone.clone(),
-            });
-            let candidates: Vec<RelayCandidate> = candidates.collect();
-            let engines = candidates.iter().map(|c| c.engine).collect();
-            self.engines.store(Arc::new(engines));
-            self.links.set_engines(candidates);
+            self.publish_engines();
         }
     }
 
+    /// Publishes the listed engines and connects their sidecars.
+    fn publish_engines(&mut self) {
+        let dispatcher = &self.dispatcher;
+        let is_engine = |b: &&Backend| {
+            let service = dispatcher.service(&b.service);
+            service.is_some_and(|s| s.engine.is_some())
+        };
+        let engines: Vec<&Backend> = dispatcher.listed_backends().filter(is_engine).collect();
+        let addrs = engines.iter().map(|b| b.addr).collect();
+        self.engines.store(Arc::new(addrs));
+        let (leaving, staying): (Vec<&Backend>, _) = engines.iter().partition(|b| b.leaving);
+        let addrs = |engines: Vec<&Backend>| engines.iter().map(|b| b.addr).collect();
+        self.listed_engines.store(Arc::new(ListedEngines {
+            staying: addrs(staying),
+            leaving: addrs(leaving),
+        }));
+        let candidates = engines.iter().map(|b| RelayCandidate {
+            engine: b.addr,
+            zone: b.zone.clone(),
+        });
+        let candidates = candidates.collect();
+        self.links.set_engines(candidates);
+    }
+
     /// Logs a list that the dispatcher is going to leave out. Lists are paced, which limits the
     /// rate of lines.
     fn log_older_list(&self, at: StorePosition) {
--- a/entry/src/ingress/stream_origin_exchange.rs
+++ b/entry/src/ingress/stream_origin_exchange.rs
@@ -3,9 +3,7 @@
 
 use {
     super::control::ControlHandle,
-    chalkcart_coordination::software_versions::{
-        OriginHolders, OriginSearch, StreamOrigins, HOLDERS_ASKED, HOLDERS_TOLD,
-    },
+    chalkcart_coordination::software_versions::{OriginHolders, OriginSearch, StreamOrigins},
     chalkcart_protocol::peer::{path, StreamOrigin, StreamOriginsRequest, StreamOriginsResponse},
     chalkcart_transport::{
         client::{ClientError, PeerClient},
@@ -77,13 +75,14 @@
         on_told: impl Fn(&'static str) + Clone + Send + 'static,
     ) {
         self.own().insert(origin.clone(), keep, clock::now());
-        let holders = self.first_holders(HOLDERS_TOLD, &origin.request);
+        let holders = self.holders().told(&origin.request);
         let request = StreamOriginsRequest {
             kept: vec![origin],
             keep_ms: keep.as_millis() as u64,
             asked: Vec::new(),
         };
-        for holder in holders {
+        for engine in holders {
+            let holder = self.sidecar_of(engine);
             let Ok(permit) = self.told_at_once.clone().try_acquire_owned() else {
                 on_told("left_out");
                 continue;
@@ -107,12 +106,12 @@
             asked: vec![request.to_string()],
             ..StreamOriginsRequest::default()
         };
-        let holders = self.first_holders(HOLDERS_ASKED, request);
+        let holders = self.holders().asked(request);
         let (asked, mut answered) = (holders.len(), 0);
         let mut found = None;
         let calls = holders
             .into_iter()
-            .map(|holder| call(&self.peers, holder, &question, ASK_TIMEOUT));
+            .map(|engine| call(&self.peers, self.sidecar_of(engine), &question, ASK_TIMEOUT));
         let mut calls: FuturesUnordered<_> = calls.collect();
         while let Some(response) = calls.next().await {
             let Ok(response) = response else {
@@ -135,13 +134,15 @@
         }
     }
 
-    fn first_holders(&self, count: usize, request: &str) -> Vec<SocketAddr> {
+    fn holders(&self) -> MutexGuard<'_, OriginHolders> {
         // No holder panics in the middle of an update.
         let mut holders = self.holders.lock().unwrap_or_else(PoisonError::into_inner);
-        holders.set_engines(self.control.engines());
-        let engines = holders.first(count, request).into_iter();
-        let sidecars = engines.map(|engine| SocketAddr::new(engine.ip(), self.sidecar_port));
-        sidecars.collect()
+        holders.set_engines(self.control.listed_engines());
+        holders
+    }
+
+    fn sidecar_of(&self, engine: SocketAddr) -> SocketAddr {
+        SocketAddr::new(engine.ip(), self.sidecar_port)
     }
 
     fn own(&self) -> MutexGuard<'_, StreamOrigins> {
