--- a/testkit/examples/soak/main.rs
+++ b/testkit/examples/soak/main.rs
@@ -34,6 +34,16 @@
         )
         .optflag("", "relay", "let the ingress use a relay")
         .optflag("", "resumable", "include streams that may be resumed")
+        .optflag(
+            "",
+            "versions",
+            "include engines of two software versions, and clients that take streams up",
+        )
+        .optflag(
+            "",
+            "unframed",
+            "include streams that end with their connection",
+        )
         .optflag("h", "help", "print this help");
     let matches = opts.parse(env::args().skip(1))?;
     if matches.opt_present("help") {
@@ -73,6 +83,8 @@
             false => default.relays_from_engines,
         },
         has_resumable_streams: matches.opt_present("resumable"),
+        has_software_versions: matches.opt_present("versions"),
+        has_unframed_ends: matches.opt_present("unframed"),
         other_build: Binaries::from_other_build(),
         fault_period: Duration::from_secs(number(matches, "span", default.fault_period.as_secs())?),
         mean_fault_interval: Duration::from_millis(number(
@@ -99,6 +111,12 @@
         report.served,
         report.outcomes
     );
+    if report.take_ups > 0 {
+        println!(
+            "  {} of {} take-ups went on",
+            report.taken_up, report.take_ups
+        );
+    }
     if report.violations.is_empty() {
         return;
     }
--- a/testkit/src/soak/checks.rs
+++ b/testkit/src/soak/checks.rs
@@ -4,7 +4,7 @@
     super::{BackendRecord, Outcome, RequestKind, RequestRecord, SoakRecord},
     crate::users_platform::ADAPTER_SLOTS,
     std::{
-        collections::{BTreeSet, HashSet},
+        collections::{BTreeMap, BTreeSet, HashSet},
         fmt::{self, Display, Formatter},
         time::Instant,
     },
@@ -24,23 +24,70 @@
 /// A guarantee that was not kept.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Violation {
-    TooManyRuns { id: String, runs: usize },
-    RejectedButRun { id: String, status: u16 },
-    WrongRequestId { id: String },
-    CorruptResponse { id: String },
-    UnexpectedNotFound { id: String },
-    UnknownRequestRun { id: String },
-    MultipleHolders { engine: String },
-    FenceDecreased { engine: String },
-    TooManyAdapters { engine: String, max_held: usize },
-    SentToLeaving { engine: String, requests: usize },
-    BackoffNotHonored { engine: String, requests: usize },
-    LimitNotHonored { engine: String, excess: usize },
-    ConfigurationRegressed { from: u64, to: u64 },
-    RetryBudgetExceeded { retries: usize, allowed: usize },
-    TooManyCrashes { crashes: u32, allowed: u32 },
-    UnexpectedExit { process: String },
-    NotRecovered { what: String },
+    TooManyRuns {
+        id: String,
+        runs: usize,
+    },
+    RejectedButRun {
+        id: String,
+        status: u16,
+    },
+    WrongRequestId {
+        id: String,
+    },
+    CorruptResponse {
+        id: String,
+    },
+    UnexpectedNotFound {
+        id: String,
+    },
+    UnknownRequestRun {
+        id: String,
+    },
+    MultipleHolders {
+        engine: String,
+    },
+    FenceDecreased {
+        engine: String,
+    },
+    TooManyAdapters {
+        engine: String,
+        max_held: usize,
+    },
+    SentToLeaving {
+        engine: String,
+        requests: usize,
+    },
+    BackoffNotHonored {
+        engine: String,
+        requests: usize,
+    },
+    LimitNotHonored {
+        engine: String,
+        excess: usize,
+    },
+    ConfigurationRegressed {
+        from: u64,
+        to: u64,
+    },
+    RetryBudgetExceeded {
+        retries: usize,
+        allowed: usize,
+    },
+    TooManyCrashes {
+        crashes: u32,
+        allowed: u32,
+    },
+    UnexpectedExit {
+        process: String,
+    },
+    NotRecovered {
+        what: String,
+    },
+    MixedSoftware {
+        first_attempt: String,
+        versions: Vec<String>,
+    },
 }
 
 impl Display for Violation {
@@ -63,6 +110,7 @@
     found.extend(check_retry_budget(record, true));
     found.extend(check_retry_budget(record, false));
     found.extend(check_crashes(record));
+    found.extend(check_software(record));
     let ended = record.exited_processes.iter();
     found.extend(ended.map(|process| Violation::UnexpectedExit {
         process: process.clone(),
@@ -119,18 +167,30 @@
     let is_success = (200..300).contains(status);
     let is_body_valid = match request.kind {
         RequestKind::Safe | RequestKind::Unsafe => body == PLAIN_RESPONSE_BODY,
-        RequestKind::Stream => is_complete_stream(body, stream_events),
+        RequestKind::Stream => {
+            let first = request.taken_up.as_ref().map_or(0, |t| t.last_event + 1);
+            request.events().into_iter().eq(first..stream_events)
+        }
     };
     let is_corrupt = is_success && *is_complete && !(*has_stamp && is_body_valid);
     is_corrupt.then_some(Violation::CorruptResponse { id: request_id })
 }
 
-/// Returns whether a stream has all its events once, in order.
-fn is_complete_stream(body: &[u8], events: usize) -> bool {
-    let text = String::from_utf8_lossy(body);
-    let numbers = text.lines().filter_map(|line| line.strip_prefix("id: "));
-    let numbers: Vec<usize> = numbers.filter_map(|n| n.trim().parse().ok()).collect();
-    numbers.into_iter().eq(0..events)
+/// Checks that the events of a stream are of one software version, over all attempts of its client.
+fn check_software(record: &SoakRecord) -> Vec<Violation> {
+    let mut versions: BTreeMap<&str, BTreeSet<String>> = BTreeMap::new();
+    for request in &record.requests {
+        let taken_up = request.taken_up.as_ref();
+        let first_attempt = taken_up.map_or(request.id.as_str(), |t| &t.first_attempt);
+        let seen = versions.entry(first_attempt).or_default();
+        seen.extend(request.event_data());
+    }
+    let mixed = versions.into_iter().filter(|(_, seen)| seen.len() > 1);
+    let found = mixed.map(|(first_attempt, seen)| Violation::MixedSoftware {
+        first_attempt: first_attempt.to_string(),
+        versions: seen.into_iter().collect(),
+    });
+    found.collect()
 }
 
 fn unknown_request_runs(record: &SoakRecord) -> Vec<Violation> {
--- a/testkit/src/soak/fault_schedule.rs
+++ b/testkit/src/soak/fault_schedule.rs
@@ -32,6 +32,10 @@
     PlainLimited(u8),
     EngineTruncatesStreams(u8),
     EngineFails(u8),
+    /// The engine ends streams with their connection, some of them inside an event.
+    EngineEndsUnframed(u8),
+    /// The engine restarts with the other software version.
+    EngineChangesSoftware(u8),
     PlainUnresponsive(u8),
     PlainClosesWithoutResponse(u8),
     PlainOverloaded(u8),
@@ -129,6 +133,14 @@
         // twice as likely, so that a limit is enforced even in a short soak
         all.extend([Fault::EngineLimited(engine), Fault::PlainLimited(plain)]);
     }
+    if settings.has_unframed_ends {
+        all.extend([Fault::EngineEndsUnframed(engine)].repeat(4));
+    }
+    if settings.has_software_versions {
+        // the entry loses streams more often than by the other faults
+        all.extend([Fault::EngineChangesSoftware(engine)].repeat(2));
+        all.extend([Fault::KillIngress].repeat(3));
+    }
     if settings.has_store_restores {
         // as likely as all other faults of the store
         all.extend([Fault::StoreRestored, Fault::StoreRestoredUnseen].repeat(3));
--- a/testkit/src/soak/keep_alive_client.rs
+++ b/testkit/src/soak/keep_alive_client.rs
@@ -1,5 +1,5 @@
 use {
-    super::{Outcome, RequestKind, RequestRecord},
+    super::{Outcome, RequestKind, RequestRecord, TakenUp},
     crate::users_platform::{send_on, ClientRequest, MODEL},
     rand::{rngs::StdRng, RngExt, SeedableRng},
     std::{
@@ -17,6 +17,8 @@
 const ADAPTER_COUNT: u32 = 4;
 /// Maximum pause of a client between two requests, in ms.
 const MAX_THINK_TIME_MS: u64 = 120;
+/// Number of times that a stream is taken up.
+const MAX_TAKE_UPS: u32 = 8;
 const RECONNECT_DELAY: Duration = Duration::from_millis(20);
 
 /// Client that sends its requests on one connection while it stays open.
@@ -26,16 +28,25 @@
     rng: StdRng,
     socket: Option<TcpStream>,
     requests: Vec<RequestRecord>,
+    /// Whether it takes up streams that broke off.
+    takes_up: bool,
+    /// Adapter of that stream.
+    adapter: Option<String>,
+    /// A stream that broke off, and the number of times that it was taken up.
+    broken: Option<(TakenUp, u32)>,
 }
 
 impl KeepAliveClient {
-    pub fn new(addr: SocketAddr, seed: u64, number: u32) -> Self {
+    pub fn new(addr: SocketAddr, seed: u64, number: u32, takes_up: bool) -> Self {
         Self {
             addr,
             number,
             rng: StdRng::seed_from_u64(seed ^ (u64::from(number) << 32)),
             socket: None,
             requests: Vec::new(),
+            takes_up,
+            adapter: None,
+            broken: None,
         }
     }
 
@@ -48,14 +59,21 @@
                 sleep(RECONNECT_DELAY).await;
                 continue;
             };
-            let (kind, request) = self.random_request();
+            let taken_up = self.broken.as_ref().map(|(stream, _)| stream.clone());
+            let (kind, request) = match &taken_up {
+                Some(stream) => (RequestKind::Stream, self.take_up(stream)),
+                None => self.random_request(),
+            };
             let (outcome, socket) = send(socket, &request).await;
             self.socket = socket;
-            self.requests.push(RequestRecord {
+            let record = RequestRecord {
                 id: request.id,
                 kind,
+                taken_up,
                 outcome,
-            });
+            };
+            self.remember_if_broken(&record, request.adapter);
+            self.requests.push(record);
         }
         self.requests
     }
@@ -67,6 +85,54 @@
         }
     }
 
+    /// Returns a request that takes a stream up.
+    fn take_up(&self, stream: &TakenUp) -> ClientRequest {
+        let id = format!("c{}-{}", self.number, self.requests.len());
+        let headers = [
+            ("Last-Event-Id", stream.last_event.to_string()),
+            ("Resumes", stream.first_attempt.clone()),
+        ];
+        ClientRequest {
+            target: "/stream/".to_string(),
+            id,
+            deadline_ms: 3_000,
+            adapter: self.adapter.clone(),
+            headers: headers
+                .map(|(name, value)| (name.to_string(), value))
+                .to_vec(),
+            ..ClientRequest::default()
+        }
+    }
+
+    /// Remembers a stream that broke off after its first event, to take it up.
+    fn remember_if_broken(&mut self, record: &RequestRecord, adapter: Option<String>) {
+        let tries = self.broken.take().map_or(0, |(_, tries)| tries + 1);
+        let is_complete = matches!(
+            record.outcome,
+            Outcome::Responded {
+                status: 200,
+                is_complete: true,
+                ..
+            }
+        );
+        let last_event = record.complete_events().last().copied();
+        let before = record.taken_up.clone();
+        let last_event = last_event.or(before.as_ref().map(|t| t.last_event));
+        let (Some(last_event), true) = (last_event, self.takes_up) else {
+            return;
+        };
+        if is_complete || record.kind != RequestKind::Stream || tries >= MAX_TAKE_UPS {
+            return;
+        }
+        let first_attempt = before.map_or(record.id.clone(), |t| t.first_attempt);
+        let stream = TakenUp {
+            first_attempt,
+            last_event,
+        };
+        self.broken = Some((stream, tries));
+        self.adapter = adapter;
+    }
+
     fn random_request(&mut self) -> (RequestKind, ClientRequest) {
         let id = format!("c{}-{}", self.number, self.requests.len());
         let (kind, target) = match self.rng.random_range(0..4) {
--- a/testkit/src/soak/mod.rs
+++ b/testkit/src/soak/mod.rs
@@ -16,6 +16,7 @@
     fault_schedule::{schedule_faults, Fault, ScheduledFault},
     record::{
         BackendRecord, ConfigurationHistory, Outcome, RequestKind, RequestRecord, SoakRecord,
+        TakenUp,
     },
     runner::{run_soak, SoakReport},
     settings::SoakSettings,
--- a/testkit/src/soak/record.rs
+++ b/testkit/src/soak/record.rs
@@ -31,14 +31,65 @@
     ConnectionLost,
 }
 
+/// A stream that broke off and that its client takes up.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TakenUp {
+    /// The attempt that brought the first event.
+    pub first_attempt: String,
+    /// The last event that the client has.
+    pub last_event: usize,
+}
+
 /// Record of one client request.
 #[derive(Debug, Clone)]
 pub struct RequestRecord {
     pub id: String,
     pub kind: RequestKind,
+    /// Present if the request takes up a stream.
+    pub taken_up: Option<TakenUp>,
     pub outcome: Outcome,
 }
 
+impl RequestRecord {
+    /// Returns the ids of the events that the client received, complete or not.
+    pub fn events(&self) -> Vec<usize> {
+        let text = self.text();
+        let numbers = text.lines().filter_map(|line| line.strip_prefix("id: "));
+        numbers.filter_map(|n| n.trim().parse().ok()).collect()
+    }
+
+    /// Returns the ids of the events that the client received completely.
+    pub fn complete_events(&self) -> Vec<usize> {
+        let ids = self.complete_blocks().into_iter().map(|(id, _)| id);
+        ids.collect()
+    }
+
+    /// Returns the data of the complete events: the software versions of the engines, where these
+    /// differ.
+    pub fn event_data(&self) -> Vec<String> {
+        let data = self.complete_blocks().into_iter().map(|(_, data)| data);
+        data.collect()
+    }
+
+    fn complete_blocks(&self) -> Vec<(usize, String)> {
+        let text = self.text();
+        let (complete, _) = text.rsplit_once("\n\n").unwrap_or_default();
+        let blocks = complete.split("\n\n").filter_map(|block| {
+            let at = block.find("id: ")?;
+            let (id, data) = block[at + 4..].split_once('\n')?;
+            Some((id.parse().ok()?, data.strip_prefix("data: ")?.to_string()))
+        });
+        blocks.collect()
+    }
+
+    fn text(&self) -> String {
+        match &self.outcome {
+            Outcome::Responded { body, .. } => String::from_utf8_lossy(body).to_string(),
+            Outcome::ConnectionLost => String::new(),
+        }
+    }
+}
+
 /// Record of what one back end received and ran.
 #[derive(Debug, Clone, Default)]
 pub struct BackendRecord {
--- a/testkit/src/soak/runner.rs
+++ b/testkit/src/soak/runner.rs
@@ -13,12 +13,14 @@
     crate::{
         cluster::Binaries,
         users_platform::{
-            prompt, request, BackendFault, BackendStandIn, ClientRequest, Fleet, FleetSettings,
-            StoreFault, DEFAULT_EVENT_COUNT, FIRST_START_TIME_MS, MODEL,
+            prompt, request, BackendFault, BackendStandIn, ClientRequest, CutKind, Fleet,
+            FleetSettings, StoreFault, StreamFault, DEFAULT_EVENT_COUNT, FIRST_START_TIME_MS,
+            MODEL,
         },
         waiting::until,
     },
     anyhow::{Context, Result},
+    chalkcart_coordination::response_end::Framing,
     nix::{
         sys::signal::{kill, Signal},
         unistd::Pid,
@@ -51,6 +53,15 @@
 /// more of them are cut.
 const RESUMABLE_STREAM_ATTEMPTS: u32 = 3;
 const RESUMABLE_STREAM_EVENTS: u32 = 20;
+/// Software versions of engines.
+const SOFTWARE: [&str; 2] = ["v1", "v2"];
+/// A stream that ends with its connection inside an event.
+const UNFRAMED_END: StreamFault = StreamFault {
+    kind: CutKind::Close,
+    after: 1,
+    extra_bytes: 9,
+    framing: Framing::Connection,
+};
 const CRASHING_BODY: &[u8] = b"ends each engine that runs it";
 const CRASHING_REQUEST_INTERVAL: Duration = Duration::from_millis(150);
 
@@ -62,6 +73,9 @@
     pub served: usize,
     /// Number of requests by status; 0 for lost connections.
     pub outcomes: BTreeMap<u16, usize>,
+    /// Number of times that clients took streams up, and of those that went on.
+    pub take_ups: usize,
+    pub taken_up: usize,
     pub violations: Vec<Violation>,
     /// Folder of the processes' logs.
     pub log_folder: String,
@@ -77,7 +91,8 @@
 
 /// Runs a soak with one seed.
 pub async fn run_soak(settings: &SoakSettings) -> Result<SoakReport> {
-    let (stream_attempts, stream_events) = match settings.has_resumable_streams {
+    let is_resumable = settings.has_resumable_streams || settings.has_software_versions;
+    let (stream_attempts, stream_events) = match is_resumable {
         true => (RESUMABLE_STREAM_ATTEMPTS, RESUMABLE_STREAM_EVENTS),
         false => (1, DEFAULT_EVENT_COUNT),
     };
@@ -91,12 +106,25 @@
         ..FleetSettings::default()
     })
     .await?;
-    for engine in &fleet.engines {
+    for (number, engine) in fleet.engines.iter().enumerate() {
         engine.state().event_count = stream_events;
+        if settings.has_software_versions {
+            set_software(&fleet, number as u8, SOFTWARE[number % SOFTWARE.len()]);
+            fleet.publish_engine(number, "ready");
+        }
+    }
+    if settings.has_software_versions {
+        // the version of an engine never changes within its life
+        fleet.wait_for_list(fleet.metrics).await;
     }
     let stop = Arc::new(AtomicBool::new(false));
     let clients = (0..settings.clients).map(|number| {
-        let client = KeepAliveClient::new(fleet.clients, settings.seed, number);
+        let client = KeepAliveClient::new(
+            fleet.clients,
+            settings.seed,
+            number,
+            settings.has_software_versions,
+        );
         tokio::spawn(client.run(stop.clone()))
     });
     let clients: Vec<_> = clients.collect();
@@ -115,6 +143,7 @@
         max_stream_runs: stream_attempts,
         stream_events,
         restores: StoreRestores::default(),
+        has_software_versions: settings.has_software_versions,
     };
     soak.inject_faults(&faults).await?;
     if let Some(client) = crashing_client {
@@ -166,6 +195,7 @@
     max_stream_runs: u32,
     stream_events: u32,
     restores: StoreRestores,
+    has_software_versions: bool,
 }
 
 impl SoakRun {
@@ -256,6 +286,16 @@
             Fault::EngineFails(n) => {
                 engine(fleet, n).set_fault(BackendFault::Status(500), MAX_FAULTY_REQUESTS);
             }
+            Fault::EngineEndsUnframed(n) => {
+                let fault = BackendFault::Cut(UNFRAMED_END);
+                engine(fleet, n).set_fault(fault, MAX_FAULTY_REQUESTS);
+            }
+            Fault::EngineChangesSoftware(n) => {
+                self.incarnations += 1;
+                let later = engine(fleet, n).state().software_version != SOFTWARE[1];
+                set_software(fleet, n, SOFTWARE[usize::from(later)]);
+                engine(fleet, n).restart(FIRST_START_TIME_MS + self.incarnations);
+            }
             Fault::PlainUnresponsive(n) => {
                 plain(fleet, n).set_fault(BackendFault::Unresponsive, MAX_FAULTY_REQUESTS)
             }
@@ -310,9 +350,17 @@
             Fault::PauseSidecar(n) => self.fleet.sidecars[usize::from(n)].resume()?,
             Fault::EngineOverloaded(n)
             | Fault::EngineTruncatesStreams(n)
+            | Fault::EngineEndsUnframed(n)
             | Fault::EngineFails(n) => {
                 engine(&self.fleet, n).set_fault(BackendFault::None, 0);
             }
+            // the list learns of the new life late
+            Fault::EngineChangesSoftware(n) => self.fleet.publish_engine(usize::from(n), "ready"),
+            Fault::EngineRestarts(n) | Fault::EngineRestartsWithEarlierClock(n)
+                if self.has_software_versions =>
+            {
+                self.fleet.publish_engine(usize::from(n), "ready");
+            }
             Fault::EngineRequestsBackoff(n) => {
                 engine(&self.fleet, n).set_fault(BackendFault::None, 0);
                 engine(&self.fleet, n).state().requested_backoff = None;
@@ -414,6 +462,10 @@
         for request in &requests {
             *outcomes.entry(status(request)).or_default() += 1;
         }
+        let take_ups = requests.iter().filter(|r| r.taken_up.is_some());
+        let goes_on = |r: &&RequestRecord| !r.complete_events().is_empty() || status(r) == 200;
+        let taken_up = take_ups.clone().filter(goes_on).count();
+        let take_ups = take_ups.count();
         let engines = self.fleet.engines.iter().map(|b| backend_record(b, true));
         let plain = self.fleet.plain.iter().map(|b| backend_record(b, false));
         let record = SoakRecord {
@@ -436,6 +488,8 @@
             requests: record.requests.len(),
             served: outcomes.get(&200).copied().unwrap_or(0),
             outcomes,
+            take_ups,
+            taken_up,
             violations: violations(&record),
             log_folder: self
                 .fleet
@@ -447,6 +501,13 @@
     }
 }
 
+/// Sets the software version of an engine, which its events name.
+fn set_software(fleet: &Fleet, number: u8, version: &str) {
+    let mut state = engine(fleet, number).state();
+    state.software_version = version.to_string();
+    state.event_data = version.to_string();
+}
+
 fn engine(fleet: &Fleet, number: u8) -> &BackendStandIn {
     &fleet.engines[usize::from(number)]
 }
--- a/testkit/src/soak/settings.rs
+++ b/testkit/src/soak/settings.rs
@@ -21,6 +21,10 @@
     pub relays_from_engines: usize,
     /// Whether streams may be resumed, and have more events.
     pub has_resumable_streams: bool,
+    /// Whether engines run two software versions and clients take up streams that broke off.
+    pub has_software_versions: bool,
+    /// Whether engines end streams with their connection, also inside an event.
+    pub has_unframed_ends: bool,
     /// Programs of an older build; process starts alternate between it and this build.
     pub other_build: Option<Binaries>,
     /// Period during which faults start.
@@ -42,6 +46,8 @@
             has_store_restores: false,
             relays_from_engines: usize::MAX,
             has_resumable_streams: false,
+            has_software_versions: false,
+            has_unframed_ends: false,
             other_build: None,
             fault_period: Duration::from_secs(8),
             mean_fault_interval: Duration::from_millis(500),
--- a/testkit/src/users_platform/fleet.rs
+++ b/testkit/src/users_platform/fleet.rs
@@ -348,6 +348,15 @@
         self.store.put("op/config", document);
     }
 
+    /// Waits until the entry with a metrics page uses the newest list.
+    pub async fn wait_for_list(&self, metrics: SocketAddr) {
+        let revision = self.store.revision();
+        until_async("the newest list is in use", || async {
+            list_revision(&metrics_text(metrics).await) >= revision
+        })
+        .await;
+    }
+
     /// Returns the version of the newest configuration.
     pub fn version(&self) -> u64 {
         self.version
@@ -371,6 +380,13 @@
     }
 }
 
+/// Returns the revision of the list in use according to a metrics page.
+fn list_revision(metrics: &str) -> u64 {
+    let mut lines = metrics.lines();
+    let value = lines.find_map(|line| line.strip_prefix("chalkcart_ingress_list "));
+    value.and_then(|v| v.parse().ok()).unwrap_or(0)
+}
+
 fn entry_program(settings: &FleetSettings) -> Result<PathBuf> {
     match &settings.entry_program {
         Some(program) => Ok(program.clone()),
--- a/testkit/tests/soak.rs
+++ b/testkit/tests/soak.rs
@@ -5,7 +5,7 @@
     chalkcart_testkit::{
         soak::{
             run_soak, schedule_faults, violations, BackendRecord, ConfigurationHistory, Outcome,
-            RequestKind, RequestRecord, SoakRecord, SoakSettings, Violation,
+            RequestKind, RequestRecord, SoakRecord, SoakSettings, TakenUp, Violation,
         },
         users_platform::{AcceptedOrder, ADAPTER_SLOTS},
     },
@@ -115,6 +115,40 @@
     Ok(())
 }
 
+/// The same with streams that end with their connection, also inside an event.
+#[tokio::test]
+async fn no_violations_while_streams_end_unframed() -> Result<()> {
+    for (seed, has_resumable_streams) in [(61, false), (62, true)] {
+        run_without_violations(SoakSettings {
+            seed,
+            has_resumable_streams,
+            has_unframed_ends: true,
+            mean_fault_interval: Duration::from_millis(300),
+            fault_period: FAULT_PERIOD,
+            ..SoakSettings::default()
+        })
+        .await?;
+    }
+    Ok(())
+}
+
+/// The same with engines of two software versions, and clients that take up streams.
+#[tokio::test]
+async fn no_violations_while_engines_run_two_software_versions() -> Result<()> {
+    for seed in [71, 72, 73] {
+        run_without_violations(SoakSettings {
+            seed,
+            has_software_versions: true,
+            has_unframed_ends: true,
+            mean_fault_interval: Duration::from_millis(300),
+            fault_period: FAULT_PERIOD,
+            ..SoakSettings::default()
+        })
+        .await?;
+    }
+    Ok(())
+}
+
 /// The same with back ends that advertise rate limits.
 #[tokio::test]
 async fn no_violations_while_back_ends_advertise_limits() -> Result<()> {
@@ -147,6 +181,7 @@
     RequestRecord {
         id: "r".to_string(),
         kind,
+        taken_up: None,
         outcome: Outcome::Responded {
             status,
             is_complete: true,
@@ -171,6 +206,13 @@
     request
 }
 
+fn incomplete(mut request: RequestRecord) -> RequestRecord {
+    if let Outcome::Responded { is_complete, .. } = &mut request.outcome {
+        *is_complete = false;
+    }
+    request
+}
+
 fn record(requests: Vec<RequestRecord>, runs: usize) -> SoakRecord {
     SoakRecord {
         requests,
@@ -250,6 +292,21 @@
     exited.exited_processes = vec!["ingress".to_string()];
     let mut not_recovered = record(Vec::new(), 0);
     not_recovered.not_recovered = vec!["/safe/".to_string()];
+    let began = response_to(RequestKind::Stream, 200, "id: 0\ndata: v1\n\nid: 1\nda");
+    let went_on = RequestRecord {
+        id: "s".to_string(),
+        taken_up: Some(TakenUp {
+            first_attempt: id(),
+            last_event: 0,
+        }),
+        ..response_to(
+            RequestKind::Stream,
+            200,
+            "id: 1\ndata: v2\n\nid: 2\ndata: v2\n\n",
+        )
+    };
+    let mut mixed = record(vec![incomplete(began), with_id(went_on, "s")], 1);
+    mixed.backends[0].runs.push("s".to_string());
     let unsafe_ok = || response_to(RequestKind::Unsafe, 200, COMPLETE_BODY);
     let cases = [
         (
@@ -375,6 +432,13 @@
                 process: "ingress".to_string(),
             },
         ),
+        (
+            mixed,
+            Violation::MixedSoftware {
+                first_attempt: id(),
+                versions: vec!["v1".to_string(), "v2".to_string()],
+            },
+        ),
         (
             not_recovered,
             Violation::NotRecovered {
--- a/testkit/tests/software_versions.rs
+++ b/testkit/tests/software_versions.rs
@@ -41,13 +41,13 @@
     for number in 0..STREAMS {
         let id = format!("r{number}");
         let mut other = fleet.start_other_ingress(&format!("front-{id}")).await?;
-        wait_for_list(&fleet, other.metrics).await;
+        fleet.wait_for_list(other.metrics).await;
         let before = lose_stream(other.clients, &id, || other.process.kill()).await?;
         let (last, _) = before.last().expect("an event");
         // the engine that began it would be chosen again
         let engine = engine_of(&fleet, &id);
         fleet.publish_engine(engine, "draining");
-        wait_for_list(&fleet, fleet.metrics).await;
+        fleet.wait_for_list(fleet.metrics).await;
         let next = take_up(&format!("{id}-next"), Some(&id), *last);
         let response = serve(fleet.clients, &next).await?;
         ensure!(response.status == 200, "{id}: {}", response.status);
@@ -69,7 +69,7 @@
     for number in 0..STREAMS {
         let id = format!("r{number}");
         let mut first = fleet.start_other_ingress(&format!("first-{id}")).await?;
-        wait_for_list(&fleet, first.metrics).await;
+        fleet.wait_for_list(first.metrics).await;
         let mut all = lose_stream(first.clients, &id, || first.process.kill()).await?;
         for (attempt, should_end) in [("second", false), ("third", true)] {
             let last = all.last().expect("an event").0;
@@ -102,7 +102,7 @@
         set_version(&fleet, later, "v2");
     }
     fleet.publish_engine(engine, "draining");
-    wait_for_list(&fleet, fleet.metrics).await;
+    fleet.wait_for_list(fleet.metrics).await;
     for number in 0..STREAMS {
         let next = take_up(&format!("next-{number}"), Some("r"), *last);
         let response = serve(fleet.clients, &next).await?;
@@ -117,7 +117,7 @@
 async fn a_stream_of_unknown_origin_is_refused_while_several_versions_serve() -> Result<()> {
     let fleet = start(&["v1", "v2", "v1", "v2"]).await?;
     let other = fleet.start_other_ingress("front-2").await?;
-    wait_for_list(&fleet, other.metrics).await;
+    fleet.wait_for_list(other.metrics).await;
     for (number, first_attempt) in [Some("nobody"), None, Some("")].into_iter().enumerate() {
         let next = take_up(&format!("next-{number}"), first_attempt, 3);
         let response = request(other.clients, &next).await?;
@@ -150,8 +150,8 @@
         set_version(&fleet, engine, "v2");
     }
     let mut other = fleet.start_other_ingress("front-2").await?;
-    wait_for_list(&fleet, other.metrics).await;
-    wait_for_list(&fleet, fleet.metrics).await;
+    fleet.wait_for_list(other.metrics).await;
+    fleet.wait_for_list(fleet.metrics).await;
     let before = lose_stream(other.clients, "r", || other.process.kill()).await?;
     let (last, version) = before.last().expect("an event");
     assert_eq!(version, "v2");
--- a/testkit/tests/versions_fixture/mod.rs
+++ b/testkit/tests/versions_fixture/mod.rs
@@ -5,12 +5,8 @@
 
 use {
     anyhow::{bail, ensure, Result},
-    chalkcart_testkit::{
-        users_platform::{
-            metrics_text, open_stream, prompt, request, ClientRequest, ClientResponse, Fleet,
-            FleetSettings,
-        },
-        waiting::until_async,
+    chalkcart_testkit::users_platform::{
+        open_stream, prompt, request, ClientRequest, ClientResponse, Fleet, FleetSettings,
     },
     std::{net::SocketAddr, time::Duration},
 };
@@ -35,7 +31,7 @@
         state.event_interval = EVENT_INTERVAL;
         state.orders.held.insert("a".to_string(), 1);
     }
-    wait_for_list(&fleet, fleet.metrics).await;
+    fleet.wait_for_list(fleet.metrics).await;
     Ok(fleet)
 }
 
@@ -48,23 +44,6 @@
     fleet.publish_engine(engine, "ready");
 }
 
-/// Waits until an entry uses the newest list.
-pub async fn wait_for_list(fleet: &Fleet, metrics: SocketAddr) {
-    let revision = fleet.store.revision();
-    until_async("the newest list is in use", || async {
-        list_revision(&metrics_text(metrics).await) >= revision
-    })
-    .await;
-}
-
-fn list_revision(metrics: &str) -> u64 {
-    let line = metrics
-        .lines()
-        .find(|l| l.starts_with("chalkcart_ingress_list "));
-    let value = line.and_then(|l| l.rsplit(' ').next());
-    value.and_then(|v| v.parse().ok()).unwrap_or(0)
-}
-
 /// The events of a response, each with its id and the version of its engine.
 pub fn events(response: &ClientResponse) -> Vec<(u32, String)> {
     let text = String::from_utf8_lossy(&response.data()).to_string();
