ingress: the origin of a stream names the engine that began it

The origin now names the engine, and the entry that is asked to go on looks the version up in its own list. It works because the one that needs the version is the one that is alive.

--- a/coordination/tests/software_versions.rs
+++ b/coordination/tests/software_versions.rs
@@ -177,6 +177,7 @@
     StreamOrigin {
         request: request.to_string(),
         service: ENGINES.to_string(),
+        backend: "engines-1".into(),
         version: Some(version.to_string()),
     }
 }
--- a/entry/src/ingress/observers.rs
+++ b/entry/src/ingress/observers.rs
@@ -20,13 +20,8 @@
         sync::Arc,
         time::{Duration, Instant},
     },
-    tokio::time::sleep,
 };
 
-/// Checks of whether an engine that was ahead of the list is listed, and the time between two.
-const MAX_LIST_CHECKS: u32 = 50;
-const LIST_CHECK_INTERVAL: Duration = Duration::from_millis(100);
-
 /// Reports the end of one send to the control thread. A send whose guard is dropped without an
 /// outcome counts as abandoned.
 pub struct SendGuard {
@@ -108,31 +103,10 @@
         if self.shared.software_versions.mix(&origin.service) == VersionMix::One {
             return;
         }
-        if origin.version.is_none() {
-            let (shared, backend) = (self.shared.clone(), self.backend.clone());
-            tokio::spawn(tell_once_listed(shared, backend, origin.clone()));
-        }
-        tell(&self.shared, origin);
-    }
-}
-
-fn tell(shared: &Arc<Shared>, origin: StreamOrigin) {
-    let keep = shared.software_versions.memory();
-    let counted = shared.clone();
-    shared.stream_origins.tell(origin, keep, move |outcome| {
-        counted.metrics.on_origin_told(outcome);
-    });
-}
-
-/// Tells the origin of a stream again once the list has the version of its engine.
-async fn tell_once_listed(shared: Arc<Shared>, backend: BackendId, origin: StreamOrigin) {
-    for _ in 0..MAX_LIST_CHECKS {
-        sleep(LIST_CHECK_INTERVAL).await;
-        let version = shared.software_versions.version_of(&backend);
-        if version.is_some() {
-            tell(&shared, StreamOrigin { version, ..origin });
-            return;
-        }
+        let keep = self.shared.software_versions.memory();
+        let shared = self.shared.clone();
+        let count = move |outcome| shared.metrics.on_origin_told(outcome);
+        self.shared.stream_origins.tell(origin, keep, count);
     }
 }
 
--- a/entry/src/ingress/stream_response.rs
+++ b/entry/src/ingress/stream_response.rs
@@ -80,6 +80,7 @@
         is_resumable.then(|| StreamOrigin {
             request: self.accepted.head.id.clone(),
             service: self.request.service.clone(),
+            backend: assignment.backend.clone(),
             version: assignment.software_version.clone(),
         })
     }
--- a/entry/src/ingress/stream_take_up.rs
+++ b/entry/src/ingress/stream_take_up.rs
@@ -9,6 +9,7 @@
         dispatch::DecisionInputs,
         software_versions::{OriginSearch, TakeUp},
     },
+    chalkcart_protocol::peer::StreamOrigin,
     chalkcart_transport::{clock::before_deadline, ingress::ClientResponse},
     std::time::Duration,
 };
@@ -22,7 +23,10 @@
     /// Binds a stream that its client takes up to the software version that began it. Returns a
     /// response if it may go on nowhere.
     pub(super) async fn bind_to_software_version(&mut self) -> Option<ClientResponse> {
-        let (search, source) = self.find_origin().await;
+        let (mut search, source) = self.find_origin().await;
+        if let OriginSearch::Found(origin) = &mut search {
+            self.complete_origin(origin);
+        }
         let take_up = self.take_up(&search);
         self.log_take_up(&take_up, source);
         match take_up {
@@ -39,6 +43,13 @@
         }
     }
 
+    /// Adds the version of an engine that was not listed when it began the stream.
+    fn complete_origin(&self, origin: &mut StreamOrigin) {
+        let versions = &self.shared.software_versions;
+        let listed = || versions.version_of(&origin.backend);
+        origin.version = origin.version.clone().or_else(listed);
+    }
+
     /// Returns where the stream may go on, and selects the service that began it.
     fn take_up(&mut self, search: &OriginSearch) -> TakeUp {
         if let OriginSearch::Found(origin) = search {
--- a/protocol/src/peer/stream_origins.rs
+++ b/protocol/src/peer/stream_origins.rs
@@ -1,6 +1,6 @@
 use {
     chalkcart_state::{
-        backends::SoftwareVersion,
+        backends::{BackendId, SoftwareVersion},
         ids::{RequestId, ServiceName},
     },
     serde::{Deserialize, Serialize},
@@ -12,7 +12,9 @@
     /// The client's attempt that brought the first event.
     pub request: RequestId,
     pub service: ServiceName,
-    /// `None` while the version of its engine is not known.
+    /// The engine that began it.
+    pub backend: BackendId,
+    /// Version of that engine's software; `None` if it was not listed yet.
     pub version: Option<SoftwareVersion>,
 }
 
--- a/protocol/tests/samples/mod.rs
+++ b/protocol/tests/samples/mod.rs
@@ -528,6 +528,7 @@
     let origin = || StreamOrigin {
         request: "r-1".to_string(),
         service: "s".to_string(),
+        backend: "e-1".into(),
         version: Some("v1.2".to_string()),
     };
     let request = StreamOriginsRequest {
