--- a/testkit/examples/capacity/decisions.rs
+++ b/testkit/examples/capacity/decisions.rs
@@ -10,6 +10,7 @@
         membership::{select_permit_issuer, select_watchers},
         permits::{LoadPermitIssuer, LoadPermitSettings},
         routing::{PolicyName, RouteRequest, TargetRequirement},
+        software_versions::{ListedEngines, OriginHolders},
     },
     chalkcart_protocol::peer::{PermitPurpose, PermitRequest},
     chalkcart_state::{
@@ -18,6 +19,7 @@
     },
     std::{
         hint::black_box,
+        net::SocketAddr,
         sync::Arc,
         time::{Duration, Instant},
     },
@@ -31,12 +33,18 @@
     let routes = TARGETS.iter().map(|n| (*n as f64, route_micros(*n)));
     let lists = TARGETS.iter().map(|n| (*n as f64, list_micros(*n)));
     let selections = TARGETS.iter().map(|n| (*n as f64, selection_micros(*n)));
+    let holders = TARGETS.iter().map(|n| (*n as f64, holder_micros(*n)));
     let permits = REQUESTERS.iter().map(|n| (*n as f64, permit_micros(*n)));
     let mut changes = Vec::new();
     for adapters in ADAPTERS {
         changes.push((adapters as f64, change_micros(adapters)?));
     }
     Ok(vec![
+        Slope::new(
+            "sidecars that keep the origin of a stream",
+            "µs a listed engine",
+            holders.collect(),
+        ),
         Slope::new(
             "one routing decision",
             "µs a listed engine",
@@ -138,3 +146,17 @@
     }
     Ok(micros(elapsed, CHANGES))
 }
+
+fn holder_micros(engines: usize) -> f64 {
+    let addrs = (0..engines).map(|n| SocketAddr::from(([10, 0, (n >> 8) as u8, n as u8], 80)));
+    let mut holders = OriginHolders::default();
+    holders.set_engines(Arc::new(ListedEngines {
+        staying: addrs.collect(),
+        leaving: Vec::new(),
+    }));
+    let begin = Instant::now();
+    for number in 0..ROUTES {
+        black_box(holders.told(&number.to_string()));
+    }
+    begin.elapsed().as_secs_f64() * 1e6 / f64::from(ROUTES)
+}
--- a/testkit/examples/capacity/memory.rs
+++ b/testkit/examples/capacity/memory.rs
@@ -6,28 +6,35 @@
     chalkcart_coordination::{
         routing::{PolicyName, TargetTable},
         run_once::{RunOnceSettings, RunOnceTable},
+        software_versions::StreamOrigins,
         stream::StreamBuffer,
     },
-    chalkcart_protocol::peer::{FrameBody, LoadedAdapter, TargetReport},
+    chalkcart_protocol::peer::{FrameBody, LoadedAdapter, StreamOrigin, TargetReport},
     chalkcart_state::{
         config::Configuration,
         fleet::{BoxState, FleetBox, FleetList, Role},
     },
     chalkcart_testkit::configs::Documents,
     stats_alloc::Region,
-    std::{net::SocketAddr, sync::Arc, time::Instant},
+    std::{
+        net::SocketAddr,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
 };
 
 pub const ADAPTERS: [usize; 3] = [10_000, 60_000, 180_000];
 pub const TARGETS: [usize; 3] = [15, 400, 4_000];
 pub const SHARDS: usize = 512;
 const IDS: [usize; 3] = [1_000, 10_000, 100_000];
+const ORIGINS: [usize; 3] = [1_000, 8_000, 30_000];
 const TOKENS: [usize; 3] = [16, 256, 2_048];
 
 pub fn measure() -> Result<Vec<Slope>> {
     let adapters = ADAPTERS.iter().map(|n| (*n as f64, table_bytes(*n)));
     let targets = TARGETS.iter().map(|n| (*n as f64, target_bytes(*n)));
     let ids = IDS.iter().map(|n| (*n as f64, id_bytes(*n)));
+    let origins = ORIGINS.iter().map(|n| (*n as f64, origin_bytes(*n)));
     let tokens = TOKENS.iter().map(|n| (*n as f64, buffer_bytes(*n)));
     Ok(vec![
         Slope::new(
@@ -41,6 +48,11 @@
             targets.collect(),
         ),
         Slope::new("sidecar's run-once table", "bytes an id", ids.collect()),
+        Slope::new(
+            "origins of streams that a sidecar keeps",
+            "bytes an origin",
+            origins.collect(),
+        ),
         Slope::new("sidecar's stream buffer", "bytes a token", tokens.collect()),
     ])
 }
@@ -162,3 +174,20 @@
         buffer
     })
 }
+
+fn origin_bytes(count: usize) -> f64 {
+    let now = Instant::now();
+    retained_bytes(|| {
+        let mut origins = StreamOrigins::default();
+        for number in 0..count {
+            let origin = StreamOrigin {
+                request: format!("{number:016x}"),
+                service: "engines".to_string(),
+                backend: format!("i-{number:010x}").into(),
+                version: Some("v1.2".to_string()),
+            };
+            origins.insert(origin, Duration::from_secs(30), now);
+        }
+        origins
+    })
+}
