--- a/coordination/src/software_versions/stream_origins.rs
+++ b/coordination/src/software_versions/stream_origins.rs
@@ -7,8 +7,8 @@
     },
 };
 
-/// Some 200 bytes each.
-const MAX_ORIGINS: usize = 32 * 1024;
+/// Some 420 bytes each.
+const MAX_ORIGINS: usize = 16 * 1024;
 
 /// The software versions that began streams, by the client's attempt.
 #[derive(Debug, Default)]
