ingress: pauses and the held byte of a proxied body, and what the control thread publishes, in modules of their own

ProxyBody measured pauses, kept a byte back and forwarded; FramePauses and LastByte are small types with one job each. The handle and the loop of the control thread had the same six shared values each, written out four times: ControlState holds them once. Nothing else changes; response_ends, stream_recovery and software_versions pass.

--- a/entry/src/ingress/control.rs
+++ b/entry/src/ingress/control.rs
@@ -1,10 +1,10 @@
 use {
     super::{
-        admission_exchange::AdmissionExchange, engine_stats_buffer::EngineStatsBuffer,
-        fleet_links::FleetLinks, shared_crash_registry::SharedCrashRegistry,
+        admission_exchange::AdmissionExchange, control_state::ControlState,
+        engine_stats_buffer::EngineStatsBuffer, fleet_links::FleetLinks,
+        shared_crash_registry::SharedCrashRegistry,
     },
     anyhow::{Context, Result},
-    arc_swap::ArcSwap,
     chalkcart_coordination::{
         dispatch::{
             Decision, DispatchEvent, DispatchRequest, Dispatcher, DueDemands, MeasuredEngines,
@@ -23,7 +23,7 @@
         collections::HashMap,
         net::SocketAddr,
         sync::{
-            atomic::{AtomicBool, AtomicU32, AtomicUsize, Ordering},
+            atomic::Ordering,
             mpsc::{self, RecvTimeoutError},
             Arc,
         },
@@ -62,12 +62,7 @@
 pub struct ControlHandle {
     commands: mpsc::Sender<Command>,
     stats: Arc<EngineStatsBuffer>,
-    can_reach_backends: Arc<AtomicBool>,
-    waiting_count: Arc<AtomicUsize>,
-    measured_engines: Arc<ArcSwap<MeasuredEngines>>,
-    entry_count: Arc<AtomicU32>,
-    engines: Arc<ArcSwap<Vec<SocketAddr>>>,
-    listed_engines: Arc<ArcSwap<ListedEngines>>,
+    state: Arc<ControlState>,
 }
 
 impl ControlHandle {
@@ -78,17 +73,17 @@
 
     /// Returns whether any back end was reachable recently.
     pub fn can_reach_backends(&self) -> bool {
-        self.can_reach_backends.load(Ordering::Relaxed)
+        self.state.can_reach_backends.load(Ordering::Relaxed)
     }
 
     /// Returns the number of requests queued for a back end.
     pub fn waiting_count(&self) -> usize {
-        self.waiting_count.load(Ordering::Relaxed)
+        self.state.waiting_count.load(Ordering::Relaxed)
     }
 
     /// Returns the numbers of engines that are measured and slow, as of the last second.
     pub fn measured_engines(&self) -> MeasuredEngines {
-        **self.measured_engines.load()
+        **self.state.measured_engines.load()
     }
 
     /// Returns the number of entries in the fleet, or an assumed one until a sidecar reports it.
@@ -98,18 +93,18 @@
 
     /// Returns the number of entries in the fleet as reported by sidecars.
     pub fn reported_entry_count(&self) -> Option<u32> {
-        let count = self.entry_count.load(Ordering::Relaxed);
+        let count = self.state.entry_count.load(Ordering::Relaxed);
         (count > 0).then_some(count)
     }
 
     /// Returns the addresses of the listed engines.
     pub fn engines(&self) -> Arc<Vec<SocketAddr>> {
-        self.engines.load_full()
+        self.state.engines.load_full()
     }
 
     /// Returns the addresses of the listed engines by whether they are leaving.
     pub fn listed_engines(&self) -> Arc<ListedEngines> {
-        self.listed_engines.load_full()
+        self.state.listed_engines.load_full()
     }
 
     /// Queues a request until the dispatcher assigns a back end or rejects it; `None` if the
@@ -160,12 +155,7 @@
     last_urgent_demands: Instant,
     last_changed_demands: Instant,
     last_all_demands: Instant,
-    can_reach_backends: Arc<AtomicBool>,
-    waiting_count: Arc<AtomicUsize>,
-    measured_engines: Arc<ArcSwap<MeasuredEngines>>,
-    entry_count: Arc<AtomicU32>,
-    engines: Arc<ArcSwap<Vec<SocketAddr>>>,
-    listed_engines: Arc<ArcSwap<ListedEngines>>,
+    state: Arc<ControlState>,
 }
 
 /// Starts the control thread, which ends when the last handle is dropped.
@@ -176,21 +166,11 @@
 ) -> Result<ControlHandle> {
     let (commands, received) = mpsc::channel();
     let stats = Arc::new(EngineStatsBuffer::default());
-    let can_reach_backends = Arc::new(AtomicBool::new(true));
-    let waiting_count = Arc::new(AtomicUsize::new(0));
-    let measured_engines = Arc::new(ArcSwap::default());
-    let entry_count = Arc::new(AtomicU32::new(0));
-    let engines = Arc::new(ArcSwap::default());
-    let listed_engines = Arc::new(ArcSwap::default());
+    let state = Arc::new(ControlState::default());
     let handle = ControlHandle {
         commands,
         stats: stats.clone(),
-        can_reach_backends: can_reach_backends.clone(),
-        waiting_count: waiting_count.clone(),
-        measured_engines: measured_engines.clone(),
-        entry_count: entry_count.clone(),
-        engines: engines.clone(),
-        listed_engines: listed_engines.clone(),
+        state: state.clone(),
     };
     let now = clock::now();
     let (links, admission) = make_links(handle.clone());
@@ -204,12 +184,7 @@
         last_urgent_demands: now,
         last_changed_demands: now,
         last_all_demands: now,
-        can_reach_backends,
-        waiting_count,
-        measured_engines,
-        entry_count,
-        engines,
-        listed_engines,
+        state,
     };
     let builder = thread::Builder::new().name("control".to_string());
     let run = move || control.run(&received);
@@ -230,10 +205,13 @@
                 Err(RecvTimeoutError::Disconnected) => return,
             }
             let can_reach_backends = self.dispatcher.can_reach_backends(clock::now());
-            self.can_reach_backends
+            self.state
+                .can_reach_backends
                 .store(can_reach_backends, Ordering::Relaxed);
             let waiting_count = self.dispatcher.waiting_count();
-            self.waiting_count.store(waiting_count, Ordering::Relaxed);
+            self.state
+                .waiting_count
+                .store(waiting_count, Ordering::Relaxed);
             self.send_demands();
             self.request_permits();
         }
@@ -312,10 +290,10 @@
         };
         let engines: Vec<&Backend> = dispatcher.listed_backends().filter(is_engine).collect();
         let addrs = engines.iter().map(|b| b.addr).collect();
-        self.engines.store(Arc::new(addrs));
+        self.state.engines.store(Arc::new(addrs));
         let (leaving, staying): (Vec<&Backend>, _) = engines.iter().partition(|b| b.leaving);
         let addrs = |engines: Vec<&Backend>| engines.iter().map(|b| b.addr).collect();
-        self.listed_engines.store(Arc::new(ListedEngines {
+        self.state.listed_engines.store(Arc::new(ListedEngines {
             staying: addrs(staying),
             leaving: addrs(leaving),
         }));
@@ -368,9 +346,9 @@
         if due == DueDemands::All {
             self.last_all_demands = now;
             let measured = self.dispatcher.measured_engines();
-            self.measured_engines.store(Arc::new(measured));
+            self.state.measured_engines.store(Arc::new(measured));
             if let Some(count) = self.dispatcher.reported_entry_count() {
-                self.entry_count.store(count, Ordering::Relaxed);
+                self.state.entry_count.store(count, Ordering::Relaxed);
             }
         }
         for (engine, demand) in self.dispatcher.demands(due, now) {
--- /dev/null
+++ b/entry/src/ingress/control_state.rs
@@ -0,0 +1,37 @@
+use {
+    arc_swap::ArcSwap,
+    chalkcart_coordination::{dispatch::MeasuredEngines, software_versions::ListedEngines},
+    std::{
+        net::SocketAddr,
+        sync::atomic::{AtomicBool, AtomicU32, AtomicUsize},
+    },
+};
+
+/// State that the control thread publishes for other threads.
+#[derive(Debug)]
+pub(super) struct ControlState {
+    /// Whether any back end was reachable recently.
+    pub can_reach_backends: AtomicBool,
+    /// Number of requests queued for a back end.
+    pub waiting_count: AtomicUsize,
+    pub measured_engines: ArcSwap<MeasuredEngines>,
+    /// Number of entries as reported by sidecars; 0 before the first report.
+    pub entry_count: AtomicU32,
+    /// Addresses of the listed engines.
+    pub engines: ArcSwap<Vec<SocketAddr>>,
+    /// The same by whether they are leaving.
+    pub listed_engines: ArcSwap<ListedEngines>,
+}
+
+impl Default for ControlState {
+    fn default() -> Self {
+        Self {
+            can_reach_backends: AtomicBool::new(true),
+            waiting_count: AtomicUsize::default(),
+            measured_engines: ArcSwap::default(),
+            entry_count: AtomicU32::default(),
+            engines: ArcSwap::default(),
+            listed_engines: ArcSwap::default(),
+        }
+    }
+}
--- a/entry/src/ingress/mod.rs
+++ b/entry/src/ingress/mod.rs
@@ -4,6 +4,7 @@
 mod admission;
 mod admission_exchange;
 mod control;
+mod control_state;
 mod crash_exchange;
 mod ended_engines;
 mod engine_stats_buffer;
--- a/transport/src/ingress/mod.rs
+++ b/transport/src/ingress/mod.rs
@@ -2,7 +2,9 @@
 
 mod client_socket;
 mod dialect;
+mod frame_pauses;
 mod headers;
+mod last_byte;
 mod proxy_body;
 mod server;
 mod stream_continuation;
--- a/transport/src/ingress/proxy_body.rs
+++ b/transport/src/ingress/proxy_body.rs
@@ -1,13 +1,17 @@
 use {
-    super::stream_continuation::{
-        Continuation, ProxyBodyEnd, ProxyBodyObserver, ProxyBodyReport, ResumeFuture, StreamCut,
-        StreamEvents,
+    super::{
+        frame_pauses::FramePauses,
+        last_byte::LastByte,
+        stream_continuation::{
+            Continuation, ProxyBodyEnd, ProxyBodyObserver, ProxyBodyReport, ResumeFuture,
+            StreamCut, StreamEvents,
+        },
     },
     crate::{
         backend::{BackendBody, Connection},
         clock::{self, sleep_until_deadline},
     },
-    bytes::{Bytes, BytesMut},
+    bytes::Bytes,
     chalkcart_coordination::{
         response_end::{Framing, ResponseProgress, StreamPosition, Verdict},
         stream_recovery::{NotResumed, StreamEnd},
@@ -19,7 +23,7 @@
         io, mem,
         pin::Pin,
         task::{ready, Context, Poll},
-        time::{Duration, Instant},
+        time::Instant,
     },
 };
 
@@ -53,16 +57,14 @@
     /// Progress of the last back end's response.
     progress: ResponseProgress,
     events: Option<StreamEvents>,
-    /// The last byte of an incomplete event; see `hold_last_byte`.
-    held_byte: Option<u8>,
+    last_byte: LastByte,
     /// Trailers that follow the bytes that were held back.
     trailers: Option<Frame<Bytes>>,
     deadline: Instant,
     timer: Pin<Box<dyn Future<Output = ()> + Send + Sync>>,
-    last_frame_at: Option<Instant>,
+    pauses: FramePauses,
     /// Whether the current back end has sent a frame.
     has_started: bool,
-    longest_pause: Duration,
     observer: Box<dyn ProxyBodyObserver>,
     has_ended: bool,
 }
@@ -84,13 +86,12 @@
             source: Source::Backend { body, connection },
             progress,
             events,
-            held_byte: None,
+            last_byte: LastByte::default(),
             trailers: None,
             deadline,
             timer: Box::pin(sleep_until_deadline(deadline)),
-            last_frame_at: None,
+            pauses: FramePauses::default(),
             has_started: false,
-            longest_pause: Duration::ZERO,
             observer,
             has_ended: false,
         }
@@ -101,7 +102,7 @@
             self.has_ended = true;
             self.observer.on_end(ProxyBodyReport {
                 end,
-                longest_pause: self.longest_pause,
+                longest_pause: self.pauses.longest(),
                 framing: self.progress.framing(),
                 position: self.progress.position(),
             });
@@ -119,15 +120,11 @@
     }
 
     fn on_frame(&mut self) {
-        let now = clock::now();
-        if let Some(last) = self.last_frame_at {
-            self.longest_pause = self.longest_pause.max(now.saturating_duration_since(last));
-        }
+        self.pauses.on_frame(clock::now());
         if !self.has_started {
             self.has_started = true;
             self.observer.on_first_frame();
         }
-        self.last_frame_at = Some(now);
     }
 
     fn on_received(&mut self, frame: Frame<Bytes>) -> Step {
@@ -162,20 +159,12 @@
         }
     }
 
-    /// Keeps the last byte of an incomplete event back where the client knows the length of the
-    /// body: it would take the response as whole with that byte.
     fn hold_last_byte(&mut self, data: Bytes) -> Bytes {
-        if self.progress.framing() != Framing::Length || data.is_empty() {
+        if self.progress.framing() != Framing::Length {
             return data;
         }
-        let mut buf = BytesMut::with_capacity(data.len() + 1);
-        buf.extend(self.held_byte.take());
-        buf.extend_from_slice(&data);
-        if self.progress.position() == Some(StreamPosition::InsideEvent) {
-            self.held_byte = buf.last().copied();
-            buf.truncate(buf.len() - 1);
-        }
-        buf.freeze()
+        let is_inside_event = self.progress.position() == Some(StreamPosition::InsideEvent);
+        self.last_byte.pass(&data, is_inside_event)
     }
 
     /// Passes on the complete events of a stream that may be resumed.
