ingress: the streams that run are kept when a second software version comes

A guess was left in the design: for 30 s after a second version came, a stream that no sidecar keeps counted as older than the mix and went on at the former version. One that began at the new version, at an entry that was cut off from the sidecars or on sidecars that all ended, would go on at the wrong one. And an entry that starts in a running fleet kept nothing while it saw one version, although another had served.

Now an entry tells the sidecars of the streams that run when a second version comes, and of all new ones until it has lists of the whole memory. The guess remains for 5 s, in which a list reaches all entries, and for them the stream is refused after that.

a_stream_that_runs_while_another_version_comes_is_kept: its entry is killed more than 5 s after the second version came, and it goes on at its version; the start of a mix and the certainty of one version have tables.

--- a/coordination/src/software_versions/take_up.rs
+++ b/coordination/src/software_versions/take_up.rs
@@ -37,8 +37,8 @@
 impl TakeUp {
     /// Decides by what is known of the origin of the stream, and by the versions of the service.
     ///
-    /// Origins are kept only while several versions serve. A stream whose origin is not kept began
-    /// before that.
+    /// Origins are kept while several versions serve, and from the start of that on for the streams
+    /// that run then. Shortly after, one that is not kept may be of before.
     pub fn decide(search: &OriginSearch, mix: &VersionMix) -> Self {
         match (search, mix) {
             (OriginSearch::Found(origin), mix) => match (&origin.version, mix) {
--- a/coordination/tests/software_versions.rs
+++ b/coordination/tests/software_versions.rs
@@ -158,7 +158,9 @@
     versions.on_list(&one, MEMORY, start);
     versions.on_list(&two, MEMORY, start);
     assert_eq!(versions.mix(ENGINES, MEMORY, start), several(Some("v1")));
-    // all streams from before the mix are over
+    // all entries have told the streams that ran
+    let told = versions.mix(ENGINES, MEMORY, start + Duration::from_secs(5));
+    assert_eq!(told, several(None));
     let later = start + MEMORY;
     assert_eq!(versions.mix(ENGINES, MEMORY, later), several(None));
     versions.on_list(&two[1..], MEMORY, later);
@@ -173,6 +175,31 @@
     assert_eq!(mixed_again, several(Some("v2")));
 }
 
+/// Guards against: streams that run while another version comes and that nobody keeps.
+#[test]
+fn the_start_of_a_mix_is_told_once() {
+    let now = Instant::now();
+    let mut versions = SoftwareVersions::default();
+    let two = [at_version(1, "v1"), at_version(2, "v2")];
+    assert!(versions.on_list(&two[..1], MEMORY, now).is_empty());
+    assert_eq!(versions.on_list(&two, MEMORY, now), [ENGINES]);
+    assert!(versions.on_list(&two, MEMORY, now).is_empty());
+    assert!(versions.on_list(&two[1..], MEMORY, now).is_empty());
+}
+
+/// Guards against: an entry that has just started, keeps no origins as it sees one version alone, and
+/// whose streams others take for those of an earlier one.
+#[test]
+fn one_version_is_sure_after_lists_of_the_whole_memory() {
+    let start = Instant::now();
+    let mut versions = SoftwareVersions::default();
+    versions.on_list(&[at_version(1, "v1")], MEMORY, start);
+    let is_sure = |now| versions.is_surely_one(ENGINES, MEMORY, now);
+    assert!(!is_sure(start));
+    assert!(!is_sure(start + MEMORY - ms(1)));
+    assert!(is_sure(start + MEMORY));
+}
+
 fn origin(request: &str, version: &str) -> StreamOrigin {
     StreamOrigin {
         request: request.to_string(),
--- a/entry/src/ingress/observers.rs
+++ b/entry/src/ingress/observers.rs
@@ -1,9 +1,6 @@
 use {
     super::{control::ControlHandle, shared::Shared, stream_recovery::StreamRecovery},
-    chalkcart_coordination::{
-        dispatch::{DispatchEvent, SendOutcome, Ticket},
-        software_versions::VersionMix,
-    },
+    chalkcart_coordination::dispatch::{DispatchEvent, SendOutcome, Ticket},
     chalkcart_protocol::peer::StreamOrigin,
     chalkcart_state::{
         backends::BackendId,
@@ -94,22 +91,6 @@
     }
 }
 
-impl StreamObserver {
-    /// Has sidecars keep which software version began the stream, while several may serve.
-    fn tell_origin(&mut self) {
-        let Some(origin) = self.origin.take() else {
-            return;
-        };
-        if self.shared.software_versions.mix(&origin.service) == VersionMix::One {
-            return;
-        }
-        let keep = self.shared.software_versions.memory();
-        let shared = self.shared.clone();
-        let count = move |outcome| shared.metrics.on_origin_told(outcome);
-        self.shared.stream_origins.tell(origin, keep, count);
-    }
-}
-
 impl ProxyBodyObserver for StreamObserver {
     fn on_first_frame(&mut self) {
         if self.first_part.is_none() {
@@ -117,7 +98,9 @@
             self.first_part = Some(after);
             self.shared.metrics.on_first_part(&self.route.name, after);
         }
-        self.tell_origin();
+        if let Some(origin) = self.origin.take() {
+            self.shared.on_stream_began(origin);
+        }
         self.guard.start();
     }
 
@@ -132,6 +115,7 @@
             ProxyBodyEnd::ClientDisconnected => (SendOutcome::Abandoned, "client_left"),
         };
         self.end_send(outcome);
+        self.shared.stream_origins.on_stream_ended(&self.request);
         self.shared
             .metrics
             .on_pause(&self.route.name, longest_pause);
--- a/entry/src/ingress/records.rs
+++ b/entry/src/ingress/records.rs
@@ -55,7 +55,9 @@
         };
         self.shared.set_has_backend_list();
         self.shared.metrics.on_list(at);
-        self.shared.software_versions.on_list(&list);
+        for service in self.shared.software_versions.on_list(&list) {
+            self.shared.on_versions_mixed(&service);
+        }
         self.shared
             .control
             .send_event(DispatchEvent::ListUpdated { at, list });
--- a/entry/src/ingress/shared.rs
+++ b/entry/src/ingress/shared.rs
@@ -7,6 +7,7 @@
     crate::conf::IngressSettings,
     arc_swap::ArcSwapOption,
     chalkcart_coordination::{dispatch::Ticket, retry::ListPacing},
+    chalkcart_protocol::peer::StreamOrigin,
     chalkcart_state::{
         accounts::AccountFingerprint,
         ingress::{Route, RouteTable},
@@ -76,6 +77,7 @@
         let (revocation_bound, limits) = (settings.revocation_bound(), settings.limits());
         Self {
             admission: Arc::new(Admission::new(&settings.name, revocation_bound, limits)),
+            software_versions: SharedSoftwareVersions::new(settings.first_start),
             stream_origins: StreamOriginExchange::new(control.clone(), settings.sidecar_port),
             settings,
             control,
@@ -85,7 +87,6 @@
             configured: Notify::new(),
             metrics: IngressMetrics::new(&crashes.metrics),
             unknown_headers: UnknownHeaders::default(),
-            software_versions: SharedSoftwareVersions::default(),
             crashes,
             phase: watch::Sender::new(Phase::Serving),
             longest_deadlines: Mutex::default(),
@@ -126,6 +127,32 @@
         }
     }
 
+    /// Keeps the origin of a stream that has begun, also at sidecars while versions may mix.
+    pub fn on_stream_began(self: &Arc<Self>, origin: StreamOrigin) {
+        self.stream_origins
+            .on_stream_began(origin.clone(), self.software_versions.memory());
+        if self.software_versions.may_mix(&origin.service) {
+            self.tell_origin(origin);
+        }
+    }
+
+    /// Has sidecars keep the origins of the streams that run, as several versions of their service
+    /// serve from now on.
+    pub fn on_versions_mixed(self: &Arc<Self>, service: &str) {
+        let running = self.stream_origins.running(service);
+        log::info!(service = service, streams = running.len(); "ingress: several software versions serve");
+        for origin in running {
+            self.tell_origin(origin);
+        }
+    }
+
+    fn tell_origin(self: &Arc<Self>, origin: StreamOrigin) {
+        let keep = self.software_versions.memory();
+        let shared = self.clone();
+        let count = move |outcome| shared.metrics.on_origin_told(outcome);
+        self.stream_origins.tell(origin, keep, count);
+    }
+
     pub fn new_ticket(&self) -> Ticket {
         self.next_ticket.fetch_add(1, Ordering::Relaxed)
     }
--- a/entry/src/ingress/shared_software_versions.rs
+++ b/entry/src/ingress/shared_software_versions.rs
@@ -2,12 +2,13 @@
     chalkcart_coordination::software_versions::{stream_memory, SoftwareVersions, VersionMix},
     chalkcart_state::{
         backends::{BackendId, BackendList, SoftwareVersion},
+        ids::ServiceName,
         ingress::{Route, RouteTable},
     },
     chalkcart_transport::clock,
     std::{
         collections::HashMap,
-        sync::{Mutex, MutexGuard, PoisonError},
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
         time::Duration,
     },
 };
@@ -15,6 +16,8 @@
 /// The software versions that may have begun streams which are still taken up.
 pub struct SharedSoftwareVersions {
     known: Mutex<Known>,
+    /// Whether the whole fleet starts with this process, so that no other version has served.
+    is_first_start: bool,
 }
 
 struct Known {
@@ -25,8 +28,8 @@
     memory: Duration,
 }
 
-impl Default for SharedSoftwareVersions {
-    fn default() -> Self {
+impl SharedSoftwareVersions {
+    pub fn new(is_first_start: bool) -> Self {
         let known = Known {
             versions: SoftwareVersions::default(),
             listed: HashMap::new(),
@@ -34,20 +37,31 @@
         };
         Self {
             known: Mutex::new(known),
+            is_first_start,
         }
     }
-}
 
-impl SharedSoftwareVersions {
-    pub fn on_list(&self, list: &BackendList) {
+    /// Applies a list; returns the services that had one version and have several now.
+    pub fn on_list(&self, list: &BackendList) -> Vec<ServiceName> {
         let mut known = self.known();
         let memory = known.memory;
-        known.versions.on_list(list, memory, clock::now());
+        let mixed = known.versions.on_list(list, memory, clock::now());
         let versions = list.iter().filter_map(|backend| {
             let version = backend.software_version.clone()?;
             Some((backend.id.clone(), version))
         });
         known.listed = versions.collect();
+        mixed
+    }
+
+    /// Returns whether origins of a service's streams have to be kept: several versions may have
+    /// served within the memory.
+    pub fn may_mix(&self, service: &str) -> bool {
+        let known = self.known();
+        let now = clock::now();
+        let mix = known.versions.mix(service, known.memory, now);
+        let is_sure = known.versions.is_surely_one(service, known.memory, now);
+        mix != VersionMix::One || !(is_sure || self.is_first_start)
     }
 
     /// Returns the version of a listed back end.
@@ -56,7 +70,7 @@
     }
 
     pub fn on_configuration(&self, table: &RouteTable) {
-        let is_stream = |route: &&std::sync::Arc<Route>| route.kind.is_stream();
+        let is_stream = |route: &&Arc<Route>| route.kind.is_stream();
         let streams = table.routes().filter(is_stream);
         let longest = streams.map(|route| route.timeout).max();
         self.known().memory = stream_memory(longest.unwrap_or_default());
--- a/entry/src/ingress/stream_origin_exchange.rs
+++ b/entry/src/ingress/stream_origin_exchange.rs
@@ -5,12 +5,14 @@
     super::control::ControlHandle,
     chalkcart_coordination::software_versions::{OriginHolders, OriginSearch, StreamOrigins},
     chalkcart_protocol::peer::{path, StreamOrigin, StreamOriginsRequest, StreamOriginsResponse},
+    chalkcart_state::ids::RequestId,
     chalkcart_transport::{
         client::{ClientError, PeerClient},
         clock,
     },
     futures::{stream::FuturesUnordered, StreamExt},
     std::{
+        collections::HashMap,
         net::SocketAddr,
         sync::{Arc, Mutex, MutexGuard, PoisonError},
         time::Duration,
@@ -25,7 +27,7 @@
 const MAX_TELL_CALLS: u32 = 3;
 const TELL_INTERVAL: Duration = Duration::from_millis(200);
 /// Maximum number of sidecars that are being told at a time; further ones are left out.
-const MAX_TOLD_AT_ONCE: usize = 512;
+const MAX_TOLD_AT_ONCE: usize = 1_024;
 
 /// Who knew the origin of a stream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -48,6 +50,8 @@
 pub struct StreamOriginExchange {
     /// Origins of streams that this entry forwarded.
     own: Mutex<StreamOrigins>,
+    /// Those of streams that run.
+    running: Mutex<HashMap<RequestId, StreamOrigin>>,
     holders: Mutex<OriginHolders>,
     peers: PeerClient,
     control: ControlHandle,
@@ -59,6 +63,7 @@
     pub fn new(control: ControlHandle, sidecar_port: u16) -> Self {
         Self {
             own: Mutex::default(),
+            running: Mutex::default(),
             holders: Mutex::default(),
             peers: PeerClient::new(),
             control,
@@ -67,14 +72,30 @@
         }
     }
 
-    /// Keeps an origin and has sidecars keep it. `on_told` gets the outcome at each of them.
+    /// Keeps the origin of a stream that has begun.
+    pub fn on_stream_began(&self, origin: StreamOrigin, keep: Duration) {
+        self.own().insert(origin.clone(), keep, clock::now());
+        self.lock_running().insert(origin.request.clone(), origin);
+    }
+
+    pub fn on_stream_ended(&self, request: &RequestId) {
+        self.lock_running().remove(request);
+    }
+
+    /// Returns the origins of a service's streams that run.
+    pub fn running(&self, service: &str) -> Vec<StreamOrigin> {
+        let running = self.lock_running();
+        let of_service = running.values().filter(|o| o.service == service);
+        of_service.cloned().collect()
+    }
+
+    /// Has sidecars keep an origin. `on_told` gets the outcome at each of them.
     pub fn tell(
         &self,
         origin: StreamOrigin,
         keep: Duration,
         on_told: impl Fn(&'static str) + Clone + Send + 'static,
     ) {
-        self.own().insert(origin.clone(), keep, clock::now());
         let holders = self.holders().told(&origin.request);
         let request = StreamOriginsRequest {
             kept: vec![origin],
@@ -145,6 +166,11 @@
         SocketAddr::new(engine.ip(), self.sidecar_port)
     }
 
+    fn lock_running(&self) -> MutexGuard<'_, HashMap<RequestId, StreamOrigin>> {
+        // No holder panics in the middle of an update.
+        self.running.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn own(&self) -> MutexGuard<'_, StreamOrigins> {
         // No holder panics in the middle of an update.
         self.own.lock().unwrap_or_else(PoisonError::into_inner)
--- a/testkit/tests/software_versions.rs
+++ b/testkit/tests/software_versions.rs
@@ -8,9 +8,11 @@
 use {
     anyhow::{ensure, Result},
     chalkcart_testkit::{
-        users_platform::{prompt, request, BackendFault, StreamFault},
+        users_platform::{open_stream, prompt, request, BackendFault, StreamFault},
         waiting::until_async,
     },
+    std::time::Duration,
+    tokio::time::sleep,
     versions_fixture::*,
 };
 
@@ -167,3 +169,32 @@
     assert_eq!(versions(&events(&response)), ["v2"]);
     Ok(())
 }
+
+/// Guards against: a stream that runs while another version comes, and whose origin is lost with its
+/// entry.
+#[tokio::test]
+async fn a_stream_that_runs_while_another_version_comes_is_kept() -> Result<()> {
+    let fleet = start(&["v1", "v1", "v1", "v1"]).await?;
+    for engine in &fleet.engines {
+        engine.state().event_interval = 10 * EVENT_INTERVAL;
+    }
+    let mut other = fleet.start_other_ingress("front-2").await?;
+    let mut stream = open_stream(other.clients, &prompt("a", "r")).await?;
+    ensure!(stream.read_until("id: 0\n").await?, "ended early");
+    let engine = engine_of(&fleet, "r");
+    for later in (0..4).filter(|e| *e != engine).take(2) {
+        set_version(&fleet, later, "v2");
+    }
+    fleet.wait_for_list(other.metrics).await;
+    fleet.wait_for_list(fleet.metrics).await;
+    // streams from before are not told any more
+    sleep(Duration::from_millis(5_100)).await;
+    other.process.kill()?;
+    let before = events(&stream.finish().await?);
+    let (last, _) = before.last().expect("an event");
+    fleet.publish_engine(engine, "draining");
+    fleet.wait_for_list(fleet.metrics).await;
+    let response = serve(fleet.clients, &take_up("next", Some("r"), *last)).await?;
+    assert_eq!(versions(&events(&response)), ["v1"]);
+    Ok(())
+}
