ingress: read the parts of prompts, and log them with how long crashed runs had written

What callers saw: requests with one part in their prompts crashed engine after engine. The lines of sends and crashes named digests alone, so nothing showed which part stood under each crash, nor whether a request had just begun.

Changed: the head of a request has its shared parts (all but the last); 'dispatch: sent' names them, and 'crashes: engine ended' names each run as DIGEST:MS:PARTS with the time for which its response had been written. No decision changes.

--- a/coordination/src/crashes/crash_detector.rs
+++ b/coordination/src/crashes/crash_detector.rs
@@ -1,7 +1,10 @@
 use {
     crate::dispatch::reported_at,
     chalkcart_protocol::peer::EngineStats,
-    chalkcart_state::{backends::BackendId, ingress::RequestDigest},
+    chalkcart_state::{
+        backends::BackendId,
+        ingress::{RequestDigest, SharedParts},
+    },
     std::{
         collections::HashMap,
         time::{Duration, Instant},
@@ -27,9 +30,12 @@
 }
 
 /// Run whose connection closed before the response was complete.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct InterruptedRun {
     pub digest: RequestDigest,
+    pub shared_parts: SharedParts,
+    /// For how long the engine had written the response; `None` before its first part.
+    pub written: Option<Duration>,
     pub at: Instant,
 }
 
@@ -49,11 +55,11 @@
 
 impl CrashDetector {
     /// Records a run whose connection closed before the response was complete.
-    pub fn on_interrupted_run(&mut self, backend: &BackendId, digest: RequestDigest, now: Instant) {
-        self.expire(now);
+    pub fn on_interrupted_run(&mut self, backend: &BackendId, run: InterruptedRun) {
+        self.expire(run.at);
         let runs = self.interrupted.entry(backend.clone()).or_default();
         if runs.len() < MAX_RUNS_PER_INCARNATION {
-            runs.push(InterruptedRun { digest, at: now });
+            runs.push(run);
         }
         if self.ended.contains_key(backend) {
             self.confirm_crash(backend);
--- a/coordination/src/dispatch/backend_state.rs
+++ b/coordination/src/dispatch/backend_state.rs
@@ -271,7 +271,7 @@
         self.waiting_prefill_tokens = self.waiting_prefill_tokens.saturating_sub(tokens);
     }
     pub fn on_request_ended(&mut self, sent: &InFlightRequest) {
-        if !sent.has_started {
+        if sent.started_at.is_none() {
             self.on_response_started(sent);
         }
         self.in_flight = self.in_flight.saturating_sub(1);
--- a/coordination/src/dispatch/dispatch_request.rs
+++ b/coordination/src/dispatch/dispatch_request.rs
@@ -3,7 +3,7 @@
         accounts::AccountFingerprint,
         backends::{AdapterRef, BackendId, SoftwareVersion},
         ids::{BaseModelName, ServiceName},
-        ingress::RequestDigest,
+        ingress::{RequestDigest, SharedParts},
         regions::AllowedRegions,
     },
     std::time::{Duration, Instant},
@@ -16,6 +16,7 @@
 #[derive(Debug, Clone)]
 pub struct DispatchRequest {
     pub digest: RequestDigest,
+    pub shared_parts: SharedParts,
     /// Whether an engine crashed under it since it last completed.
     pub is_crash_suspect: bool,
     /// Whether it continues a stream of which an engine has sent events.
--- a/coordination/src/dispatch/dispatcher.rs
+++ b/coordination/src/dispatch/dispatcher.rs
@@ -421,12 +421,13 @@
         let sent = InFlightRequest {
             is_probe,
             digest: request.digest,
+            shared_parts: request.shared_parts,
             is_crash_suspect: request.is_crash_suspect,
             has_progress: request.has_progress,
             adapter: request.adapter,
             prompt_tokens: request.prompt_tokens,
             sent_at: now,
-            has_started: false,
+            started_at: None,
             is_sole_prefill: pending_prefills == 0,
         };
         if let Some(state) = self.backends.get_mut(&assignment.backend) {
--- a/coordination/src/dispatch/in_flight_request.rs
+++ b/coordination/src/dispatch/in_flight_request.rs
@@ -1,5 +1,9 @@
 use {
-    chalkcart_state::{backends::AdapterRef, ingress::RequestDigest},
+    crate::crashes::InterruptedRun,
+    chalkcart_state::{
+        backends::AdapterRef,
+        ingress::{RequestDigest, SharedParts},
+    },
     std::time::Instant,
 };
 
@@ -7,16 +11,30 @@
 #[derive(Debug, Clone)]
 pub struct InFlightRequest {
     pub digest: RequestDigest,
+    pub shared_parts: SharedParts,
     pub is_crash_suspect: bool,
     /// Whether it continues a stream of which an engine has sent events.
     pub has_progress: bool,
     pub adapter: Option<AdapterRef>,
     pub prompt_tokens: u32,
     pub sent_at: Instant,
-    /// Whether the first part of the response arrived.
-    pub has_started: bool,
+    /// When the first part of the response arrived.
+    pub started_at: Option<Instant>,
     /// Whether no other prompt was being prefilled on the engine when it was sent.
     pub is_sole_prefill: bool,
     /// Whether it is the probe after a requested back-off.
     pub is_probe: bool,
 }
+
+impl InFlightRequest {
+    /// Returns the run that this request was until its connection closed.
+    pub(super) fn interrupted_run(self, now: Instant) -> InterruptedRun {
+        let written = self.started_at;
+        InterruptedRun {
+            digest: self.digest,
+            shared_parts: self.shared_parts,
+            written: written.map(|at| now.saturating_duration_since(at)),
+            at: now,
+        }
+    }
+}
--- a/coordination/src/dispatch/request_progress.rs
+++ b/coordination/src/dispatch/request_progress.rs
@@ -11,7 +11,7 @@
         let Some((backend, service, sent)) = self.in_flight.get_mut(&ticket) else {
             return;
         };
-        if sent.has_started {
+        if sent.started_at.is_some() {
             return;
         }
         if let Some(state) = self.backends.get_mut(backend) {
@@ -31,7 +31,7 @@
             let rate = self.prefill_rates.entry(service.clone()).or_default();
             rate.on_sole_prefill(sent.prompt_tokens, prefill_ms);
         }
-        sent.has_started = true;
+        sent.started_at = Some(now);
         if let (Some(state), Some(adapter)) = (self.backends.get_mut(backend), &sent.adapter) {
             if state.observations.on_ran(adapter, now) {
                 self.load_delay.on_adapter_present();
@@ -83,7 +83,8 @@
                 state.health.on_failure(now);
                 // responses cut off by a leaving engine belong to its planned stop
                 if !state.is_leaving() {
-                    self.crashes.on_interrupted_run(&backend, sent.digest, now);
+                    let run = sent.interrupted_run(now);
+                    self.crashes.on_interrupted_run(&backend, run);
                 }
             }
             SendOutcome::Abandoned => {}
--- a/coordination/tests/adapter_sim/entry.rs
+++ b/coordination/tests/adapter_sim/entry.rs
@@ -8,7 +8,9 @@
     chalkcart_protocol::peer::{AdapterDemand, EngineView},
     chalkcart_state::{
         backends::Backend,
-        ingress::{BaseModel, EngineSpec, IngressLimits, RequestDigest, RouteTable, Service},
+        ingress::{
+            BaseModel, EngineSpec, IngressLimits, RequestDigest, RouteTable, Service, SharedParts,
+        },
         published::StorePosition,
         regions::AllowedRegions,
     },
@@ -115,6 +117,7 @@
 ) -> DispatchRequest {
     DispatchRequest {
         digest: RequestDigest::of("POST", "/", "", b"any"),
+        shared_parts: SharedParts::default(),
         is_crash_suspect: false,
         service: SERVICE.to_string(),
         model: Some(MODEL.to_string()),
--- a/coordination/tests/dispatch_fixture/mod.rs
+++ b/coordination/tests/dispatch_fixture/mod.rs
@@ -14,7 +14,9 @@
     chalkcart_protocol::peer::{EngineStats, EngineView},
     chalkcart_state::{
         backends::{AdapterRef, Backend, HeldAdapter},
-        ingress::{BaseModel, EngineSpec, IngressLimits, RequestDigest, RouteTable, Service},
+        ingress::{
+            BaseModel, EngineSpec, IngressLimits, RequestDigest, RouteTable, Service, SharedParts,
+        },
         published::StorePosition,
         regions::AllowedRegions,
     },
@@ -180,6 +182,7 @@
     pub fn new_request(&self, service: &str, wanted: Option<&str>) -> DispatchRequest {
         DispatchRequest {
             digest: digest("any"),
+            shared_parts: SharedParts::default(),
             is_crash_suspect: false,
             has_progress: false,
             service: service.to_string(),
--- a/coordination/tests/pacing_sim/mod.rs
+++ b/coordination/tests/pacing_sim/mod.rs
@@ -20,6 +20,7 @@
     chalkcart_protocol::peer::EngineView,
     chalkcart_state::{
         backends::{AdapterRef, Backend},
+        ingress::SharedParts,
         published::StorePosition,
         regions::AllowedRegions,
     },
@@ -342,6 +343,7 @@
         let now = self.clock();
         let request = DispatchRequest {
             digest: digest("any"),
+            shared_parts: SharedParts::default(),
             is_crash_suspect: false,
             service: ENGINES.to_string(),
             model: Some("m".to_string()),
--- a/entry/src/ingress/request_exchange.rs
+++ b/entry/src/ingress/request_exchange.rs
@@ -109,6 +109,7 @@
         let service = route.pick_service(rand::random());
         let request = DispatchRequest {
             digest: accepted.digest,
+            shared_parts: accepted.head.shared_parts.clone(),
             is_crash_suspect: false,
             has_progress: false,
             service: service.cloned().unwrap_or_default(),
--- a/entry/src/ingress/request_exchange_log.rs
+++ b/entry/src/ingress/request_exchange_log.rs
@@ -9,6 +9,7 @@
         dispatch::{Assignment, DecisionInputs, RejectionCause},
         stream_pacing::PacingOutcome,
     },
+    chalkcart_state::ingress::part_list,
     chalkcart_transport::clock,
     http::StatusCode,
     std::time::Duration,
@@ -26,6 +27,7 @@
         log::info!(
             request = self.accepted.head.id.as_str(),
             digest = self.accepted.digest.to_string().as_str(),
+            parts = part_list(&self.accepted.head.shared_parts).as_str(),
             route = self.accepted.route.name.as_str(),
             account = self.account_name(),
             units = self.accepted.charge.as_ref().map_or(0, Charge::units),
--- a/entry/src/ingress/shared_crash_registry.rs
+++ b/entry/src/ingress/shared_crash_registry.rs
@@ -1,11 +1,11 @@
 use {
     super::ended_engines::EndedEngines,
     chalkcart_coordination::{
-        crashes::{CrashRegistry, EngineCrash, RequestVerdict},
+        crashes::{CrashRegistry, EngineCrash, InterruptedRun, RequestVerdict},
         membership::stable_hash,
     },
     chalkcart_protocol::peer::CrashReport,
-    chalkcart_state::ingress::RequestDigest,
+    chalkcart_state::ingress::{part_list, RequestDigest},
     chalkcart_transport::{clock, metrics::CrashMetrics},
     std::{
         sync::{Mutex, MutexGuard},
@@ -14,8 +14,8 @@
     tokio::sync::watch,
 };
 
-/// Maximum number of digests in one log line.
-const MAX_DIGESTS_LOGGED: usize = 8;
+/// Maximum number of runs named in one log line.
+const MAX_RUNS_LOGGED: usize = 8;
 
 /// The entry's registry of requests that were running when engines crashed.
 pub struct SharedCrashRegistry {
@@ -109,15 +109,26 @@
 }
 
 fn log_crash(crash: &EngineCrash, now: Instant) {
-    let digests = crash.runs.iter().take(MAX_DIGESTS_LOGGED);
-    let digests: Vec<String> = digests.map(|run| run.digest.to_string()).collect();
+    let logged = crash.runs.iter().take(MAX_RUNS_LOGGED);
+    let logged: Vec<String> = logged.map(run_text).collect();
     let first = crash.runs.iter().map(|run| run.at).min().unwrap_or(now);
     log::warn!(
         backend = crash.backend.as_str(),
         born = crash.backend.start_time_ms,
         runs = crash.runs.len(),
-        digests = digests.join(",").as_str(),
+        digests = logged.join(" ").as_str(),
         age_ms = now.saturating_duration_since(first).as_millis() as u64;
         "crashes: engine ended"
     );
 }
+
+/// Returns a run as `DIGEST:MS:PARTS`, with how long its response had been written; -1 before
+/// its first part.
+fn run_text(run: &InterruptedRun) -> String {
+    let written_ms = run.written.map_or(-1, |time| time.as_millis() as i64);
+    format!(
+        "{}:{written_ms}:{}",
+        run.digest,
+        part_list(&run.shared_parts)
+    )
+}
--- a/state/src/ingress/mod.rs
+++ b/state/src/ingress/mod.rs
@@ -1,6 +1,7 @@
 //! The ingress configuration: routes, services and limits on client requests.
 
 mod limits;
+mod part_id;
 mod request_digest;
 mod route;
 mod route_table;
@@ -8,6 +9,7 @@
 
 pub use {
     limits::IngressLimits,
+    part_id::{part_list, PartId, SharedParts},
     request_digest::RequestDigest,
     route::{Route, RouteKind, WeightedService},
     route_table::RouteTable,
--- a/testkit/examples/capacity/dispatch.rs
+++ b/testkit/examples/capacity/dispatch.rs
@@ -8,7 +8,9 @@
     chalkcart_protocol::peer::{EngineStats, EngineView},
     chalkcart_state::{
         backends::{AdapterRef, Backend, HeldAdapter},
-        ingress::{BaseModel, EngineSpec, IngressLimits, RequestDigest, RouteTable, Service},
+        ingress::{
+            BaseModel, EngineSpec, IngressLimits, RequestDigest, RouteTable, Service, SharedParts,
+        },
         published::StorePosition,
         regions::AllowedRegions,
     },
@@ -141,6 +143,7 @@
     let body = number.to_le_bytes();
     DispatchRequest {
         digest: RequestDigest::of("POST", "/", "", &body),
+        shared_parts: SharedParts::default(),
         is_crash_suspect: false,
         has_progress: false,
         service: SERVICE.to_string(),
--- a/transport/src/ingress/dialect.rs
+++ b/transport/src/ingress/dialect.rs
@@ -7,6 +7,7 @@
         accounts::{ApiKeyDigest, ApiKeyError},
         backends::{AdapterRef, BackendName},
         ids::{BaseModelName, RequestId},
+        ingress::SharedParts,
     },
     http::{HeaderMap, HeaderName, StatusCode},
     std::time::Duration,
@@ -24,6 +25,8 @@
     pub adapter: Option<AdapterRef>,
     /// 0 for a request without a prompt.
     pub prompt_tokens: u32,
+    /// The parts of the prompt that other requests may have too.
+    pub shared_parts: SharedParts,
     /// The most tokens that the response may have.
     pub output_tokens: u32,
     /// The client's estimate of the response's tokens: right at the median, often far off.
