--- a/testkit/src/users_platform/backend_responses.rs
+++ b/testkit/src/users_platform/backend_responses.rs
@@ -38,7 +38,8 @@
         let headers = rejection_response_headers(&mut lock(state), status, request);
         return write_response(socket, status, &headers, b"").await;
     }
-    let is_crashing = lock(state).is_crash_body(&body);
+    let prompt = head.get("chalkcart-prefix-hash").unwrap_or_default();
+    let is_crashing = lock(state).crashes_on(prompt, &body);
     let run_index = record_run(state, head, body);
     let _running = RunningRequest(state.clone());
     let kind = lock(state).kind;
--- a/testkit/src/users_platform/backend_stand_in.rs
+++ b/testkit/src/users_platform/backend_stand_in.rs
@@ -8,6 +8,7 @@
     anyhow::Result,
     chalkcart_coordination::response_end::Framing,
     chalkcart_platform::names,
+    chalkcart_state::ingress::PartId,
     std::{
         net::SocketAddr,
         sync::{Arc, Mutex, MutexGuard},
@@ -156,6 +157,8 @@
     pub event_interval_per_run: Duration,
     /// A request with this body crashes the back end.
     pub crash_body: Option<Vec<u8>>,
+    /// A request whose prompt shares one of these parts crashes the back end.
+    pub crash_parts: Vec<PartId>,
     /// Whether all responses carry the `Server-Leaving` header.
     pub is_leaving: bool,
     /// Limit in requests per second that all responses carry, if any.
@@ -274,8 +277,13 @@
             .max()
             .unwrap_or(0)
     }
-    pub fn is_crash_body(&self, body: &[u8]) -> bool {
-        self.crash_body.as_deref() == Some(body)
+    /// Returns whether the back end crashes when it begins to write a response to this request.
+    pub fn crashes_on(&self, prompt: &str, body: &[u8]) -> bool {
+        let shared = prompt.rsplit_once(',').map_or("", |(shared, _)| shared);
+        let ids = shared.split(',').filter_map(|part| part.split(':').next());
+        let mut parts = ids.map(PartId::of);
+        let has_crash_part = parts.any(|part| self.crash_parts.contains(&part));
+        has_crash_part || self.crash_body.as_deref() == Some(body)
     }
     /// Ends the current incarnation; the next one has another id and holds no adapters.
     pub fn crash(&mut self) {
@@ -332,6 +340,7 @@
             event_interval: Duration::from_millis(5),
             event_interval_per_run: Duration::ZERO,
             crash_body: None,
+            crash_parts: Vec::new(),
             is_leaving: false,
             advertised_limit: None,
             limit_announced_at: None,
--- a/testkit/src/users_platform/mod.rs
+++ b/testkit/src/users_platform/mod.rs
@@ -21,7 +21,7 @@
     client::{open_stream, request, send_on, ClientRequest, ClientResponse, OpenStream},
     engine_orders::{AcceptedOrder, ADAPTER_SLOTS, MODEL},
     fleet::{metrics_text, Fleet, FleetSettings, OtherIngress, HOST},
-    prompts::{engine_runs, prompt, serve_prompt},
+    prompts::{engine_runs, prompt, prompt_with_parts, serve_prompt},
     retrying_clients::{send_with_retries, AttemptHistory, RetryingClients},
     store_stand_in::{LostWrites, StoreCopy, StoreFault, StoreLimits, StoreStandIn},
     wire::{read_head, Head},
--- a/testkit/src/users_platform/prompts.rs
+++ b/testkit/src/users_platform/prompts.rs
@@ -13,6 +13,14 @@
     }
 }
 
+/// Returns a request whose prompt has these parts.
+pub fn prompt_with_parts(mut request: ClientRequest, parts: &[&str]) -> ClientRequest {
+    let parts: Vec<String> = parts.iter().map(|id| format!("{id}:40")).collect();
+    let header = ("Chalkcart-Prefix-Hash".to_string(), parts.join(","));
+    request.headers.push(header);
+    request
+}
+
 /// Sends a prompt until it is served; a 503 response means that it did not run, so it may be sent
 /// again.
 pub async fn serve_prompt(fleet: &Fleet, adapter: &str, id: &str) -> Result<ClientResponse> {
