crashes: block the part of prompts that crashes engines, by evidence for each part

What callers saw: requests with one part in their prompts, no two alike, crashed 43 engines each half second of which broke some fifteen streams beside it; 34 and 35 more of them were sent after five crashes.

Cause: a crash was attributed to whole requests only. A request that never comes twice never has three crashes. Class: evidence kept under a key narrower than the cause.

Changed: a confirmed crash is recorded for each shared part of the runs aboard, as early (the response had been written for under 1 s, or not begun: weight 2) or late (weight 1). A complete response clears a part; one that is written for 2 s clears its early crashes. Weight 8 blocks a part, unless other suspected parts, which the request does not have, stood under all these crashes. Crashes that a part explains no longer count for whole requests. Blocked requests get 400 at once, as those blocked for their digest; also before sends after a wait and before a stream goes on. A part is tried again after a minute, then less often. Records travel as digests of their own form, which older builds pass on unread.

Why it works: the cause stands under each of its crashes early and never in a run that does well; a sound part that many requests share does well all the time, and one that stood under the same crashes by chance is excused wherever the cause is absent, so that its next run clears it.

--- a/coordination/src/crashes/crash_registry.rs
+++ b/coordination/src/crashes/crash_registry.rs
@@ -1,9 +1,16 @@
 use {
-    super::seen_events::SeenEvents,
+    super::{
+        crash_record::{CompletedRun, Crash, Stamp, RETENTION},
+        part_evidence::{blocked_part, BlockedPart, PartEvidence, EARLY_CRASH},
+        record_table::RecordTable,
+        seen_events::SeenEvents,
+        EngineCrash, InterruptedRun,
+    },
+    crate::membership::stable_hash,
     chalkcart_protocol::peer::{CrashEvent, CrashReport},
-    chalkcart_state::ingress::RequestDigest,
+    chalkcart_state::ingress::{PartId, PartRecord, RequestDigest},
     std::{
-        collections::HashMap,
+        collections::{HashMap, HashSet},
         hash::{DefaultHasher, Hash, Hasher},
         time::{Duration, Instant},
     },
@@ -17,13 +24,13 @@
 /// Upper bound on the number of tracked requests: 16 crashes of engines with 256 requests each;
 /// about 0.9 MB when full.
 pub const MAX_TRACKED_REQUESTS: usize = 4_096;
-/// One in this many requests is evicted when the registry is full.
-const EVICTION_DIVISOR: usize = 4;
-/// A request that hasn't been tried for this long may run again, since the engines may have
-/// been fixed meanwhile. It costs three engines at most to learn that they were not.
-const RETENTION: Duration = Duration::from_secs(600);
+/// Upper bound on the records of parts, of which each part has two: 28 crashes of engines with 24
+/// requests of three parts each that no other request has; about 0.9 MB when full.
+pub const MAX_TRACKED_PARTS: usize = 4_096;
 /// Upper bound on the crashes that are kept per request.
 const MAX_CRASHES_PER_REQUEST: usize = BLOCKED_AFTER_CRASHES + 1;
+/// Upper bound on the crashes that are kept per record of a part. They explain crashes of others.
+const MAX_CRASHES_PER_PART: usize = 32;
 /// Upper bound on the reports in one message, about 72 kB.
 const MAX_REPORTS_PER_MESSAGE: usize = 1_000;
 
@@ -42,51 +49,38 @@
     },
 }
 
-/// Records requests that were running when an engine crashed.
+/// Records requests that were running when an engine crashed, and the parts of their prompts.
 ///
 /// Each record states an event that has happened. Registries can therefore be merged in any
 /// order and any number of times; entries exchange their records through aggregators. Each
 /// event has an identity that doesn't change on its way, since its age grows by the time that
 /// each message takes.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct CrashRegistry {
     /// Identifies this registry in the ids of the completed runs that it records first.
     origin: u64,
     /// Number of completed runs that this registry has recorded first.
     own_runs: u64,
-    requests: HashMap<RequestDigest, RequestRecord>,
+    requests: RecordTable,
+    parts: RecordTable,
+    suspects: PartSuspects,
     seen: SeenEvents,
     revision: u64,
 }
 
-#[derive(Debug, Clone)]
-struct RequestRecord {
-    /// The newest crashes since the last completed run, ordered by time.
-    crashes: Vec<Crash>,
-    completed: Option<CompletedRun>,
-    /// When the request was last tried or reported.
-    last_used: Instant,
-}
-
-#[derive(Debug, Clone, Copy)]
-struct Crash {
-    /// Hash of the engine's incarnation.
-    incarnation: u64,
-    stamp: Stamp,
-}
-
-#[derive(Debug, Clone, Copy)]
-struct CompletedRun {
-    /// 0 if an older build reported it.
-    id: u64,
-    stamp: Stamp,
+/// The parts with enough crashes to block them, as of a revision.
+#[derive(Debug, Default)]
+struct PartSuspects {
+    revision: u64,
+    parts: Vec<PartEvidence>,
+    /// The incarnations that crashed under one of them.
+    explained: HashSet<u64>,
 }
 
-/// Time of an event and the registry's revision that added it.
-#[derive(Debug, Clone, Copy)]
-struct Stamp {
-    at: Instant,
-    revision: u64,
+impl Default for CrashRegistry {
+    fn default() -> Self {
+        Self::new(0)
+    }
 }
 
 impl CrashRegistry {
@@ -95,7 +89,12 @@
     pub fn new(origin: u64) -> Self {
         Self {
             origin,
-            ..Self::default()
+            own_runs: 0,
+            requests: RecordTable::new(MAX_TRACKED_REQUESTS, MAX_CRASHES_PER_REQUEST),
+            parts: RecordTable::new(MAX_TRACKED_PARTS, MAX_CRASHES_PER_PART),
+            suspects: PartSuspects::default(),
+            seen: SeenEvents::default(),
+            revision: 0,
         }
     }
 
@@ -103,6 +102,7 @@
     pub fn revision(&self) -> u64 {
         self.revision
     }
+    /// Returns the number of requests with a record.
     pub fn len(&self) -> usize {
         self.requests.len()
     }
@@ -110,17 +110,68 @@
         self.requests.is_empty()
     }
 
-    /// Assesses a request that arrives now.
+    /// Assesses a request that arrives now. Crashes that a part explains don't count.
     pub fn verdict(&mut self, digest: &RequestDigest, now: Instant) -> RequestVerdict {
-        let Some(record) = self.requests.get_mut(digest) else {
+        self.update_suspects();
+        let Some(record) = self.requests.used(digest, now) else {
             return RequestVerdict::Clear;
         };
-        if record.is_expired(now) {
-            self.requests.remove(digest);
-            return RequestVerdict::Clear;
+        let explained = &self.suspects.explained;
+        let crashes = record.crashes.iter();
+        let crashes = crashes.filter(|crash| !explained.contains(&crash.incarnation));
+        let crashes: Vec<&Crash> = crashes.collect();
+        match crashes.last().map(|crash| crash.stamp.at) {
+            None => RequestVerdict::Clear,
+            Some(at) if crashes.len() >= BLOCKED_AFTER_CRASHES => RequestVerdict::Blocked {
+                crashes: crashes.len(),
+                age: now.saturating_duration_since(at),
+            },
+            Some(_) => RequestVerdict::Suspected {
+                crashes: crashes.len(),
+            },
+        }
+    }
+
+    /// Returns the part for which a request with these parts must not run now.
+    pub fn blocked_part(&mut self, parts: &[PartId], now: Instant) -> Option<BlockedPart> {
+        if self.parts.is_empty() {
+            return None;
+        }
+        self.update_suspects();
+        let suspects = &self.suspects.parts;
+        let is_suspected = |part: &&PartId| suspects.iter().any(|s| s.part == **part);
+        let part = parts.iter().find(is_suspected)?;
+        let spread = spread_of(self.origin, *part);
+        let blocked = blocked_part(parts, suspects, spread, now);
+        for record in parts.iter().flat_map(|part| PartRecord::both(*part)) {
+            self.parts.used(&record.digest(), now);
+        }
+        blocked
+    }
+
+    /// Returns the parts with enough crashes to block them.
+    pub fn suspected_parts(&mut self) -> Vec<PartId> {
+        self.update_suspects();
+        self.suspects.parts.iter().map(|s| s.part).collect()
+    }
+
+    /// Records a crash under all requests that the engine ran, and under their parts.
+    pub fn on_crash(&mut self, crash: &EngineCrash, now: Instant) {
+        let incarnation = stable_hash(&crash.backend.to_string());
+        for run in &crash.runs {
+            self.on_engine_ended(run.digest, incarnation, run.at, now);
+        }
+        let (early, late): (Vec<&InterruptedRun>, Vec<&InterruptedRun>) =
+            crash.runs.iter().partition(|run| is_early(run));
+        let mut recorded: HashSet<PartId> = HashSet::new();
+        for (runs, is_early) in [(early, true), (late, false)] {
+            for (part, at) in runs.iter().flat_map(|run| parts_of(run)) {
+                if recorded.insert(part) {
+                    let record = PartRecord { part, is_early };
+                    self.on_engine_ended(record.digest(), incarnation, at, now);
+                }
+            }
         }
-        record.last_used = now;
-        record.verdict(now)
     }
 
     /// Records that an engine crashed while running a request. Returns whether this is new.
@@ -139,9 +190,7 @@
     /// without a crash are not recorded, so that the registry stays empty while no engine
     /// crashes.
     pub fn on_completed(&mut self, digest: RequestDigest, now: Instant) -> bool {
-        let record = self.requests.get(&digest);
-        let is_suspected = record.is_some_and(|record| !record.crashes.is_empty());
-        if !is_suspected {
+        if !self.table(&digest).has_crashes(&digest) {
             return false;
         }
         self.own_runs += 1;
@@ -149,6 +198,31 @@
         self.record_event(digest, CrashEvent::Served, run_id, now, now)
     }
 
+    /// Records that a prompt with these parts was answered to its end. Returns whether this is
+    /// new.
+    pub fn on_parts_served(&mut self, parts: &[PartId], now: Instant) -> bool {
+        let records = parts.iter().flat_map(|part| PartRecord::both(*part));
+        self.clear_parts(records, now)
+    }
+
+    /// Records that an engine has written an answer to a prompt with these parts for
+    /// `OUTLIVED_AFTER`. Returns whether this is new.
+    pub fn on_parts_outlived(&mut self, parts: &[PartId], now: Instant) -> bool {
+        let records = parts.iter().map(|part| PartRecord {
+            part: *part,
+            is_early: true,
+        });
+        self.clear_parts(records, now)
+    }
+
+    fn clear_parts(&mut self, records: impl Iterator<Item = PartRecord>, now: Instant) -> bool {
+        if self.parts.is_empty() {
+            return false;
+        }
+        let new = records.filter(|record| self.on_completed(record.digest(), now));
+        new.count() > 0
+    }
+
     /// Adds the reports of another process. Returns whether any of them is new.
     pub fn merge(&mut self, reports: &[CrashReport], now: Instant) -> bool {
         let previous = self.revision;
@@ -167,7 +241,7 @@
             return (Vec::new(), self.revision);
         }
         let mut reports: Vec<(u64, CrashReport)> = Vec::new();
-        for (digest, record) in &self.requests {
+        for (digest, record) in self.requests.iter().chain(self.parts.iter()) {
             let newer = record
                 .events()
                 .filter(|(_, _, stamp)| stamp.revision > revision);
@@ -214,7 +288,7 @@
             at,
             revision: self.revision + 1,
         };
-        let record = self.record_mut(digest, now);
+        let record = self.table_mut(&digest).reported(digest, now);
         let is_new = match event {
             CrashEvent::Ended { life } => record.add_crash(Crash {
                 incarnation: life,
@@ -228,117 +302,58 @@
         is_new
     }
 
-    fn record_mut(&mut self, digest: RequestDigest, now: Instant) -> &mut RequestRecord {
-        if self.requests.len() >= MAX_TRACKED_REQUESTS && !self.requests.contains_key(&digest) {
-            self.evict(now);
+    fn table(&self, digest: &RequestDigest) -> &RecordTable {
+        match PartRecord::of(digest) {
+            Some(_) => &self.parts,
+            None => &self.requests,
         }
-        let record = self.requests.entry(digest);
-        let record = record.or_insert_with(|| RequestRecord::new(now));
-        record.last_used = now;
-        record
     }
-
-    /// Evicts the requests with the fewest crashes, and among these the least recently used,
-    /// so that a flood of new crashing requests doesn't displace those already blocked.
-    fn evict(&mut self, now: Instant) {
-        self.requests.retain(|_, record| !record.is_expired(now));
-        let mut ranked: Vec<(usize, Instant, RequestDigest)> = self
-            .requests
-            .iter()
-            .map(|(digest, record)| (record.crashes.len(), record.last_used, *digest))
-            .collect();
-        ranked.sort_unstable();
-        let excess = (ranked.len() + MAX_TRACKED_REQUESTS / EVICTION_DIVISOR)
-            .saturating_sub(MAX_TRACKED_REQUESTS);
-        for (_, _, digest) in ranked.into_iter().take(excess) {
-            self.requests.remove(&digest);
+    fn table_mut(&mut self, digest: &RequestDigest) -> &mut RecordTable {
+        match PartRecord::of(digest) {
+            Some(_) => &mut self.parts,
+            None => &mut self.requests,
         }
     }
-}
 
-impl RequestRecord {
-    fn new(now: Instant) -> Self {
-        Self {
-            crashes: Vec::new(),
-            completed: None,
-            last_used: now,
+    /// Finds the parts with enough crashes, if an event was added since the last time.
+    fn update_suspects(&mut self) {
+        if self.suspects.revision == self.revision {
+            return;
         }
-    }
-
-    /// Adds a crash, unless it is already known or precedes a completed run. Returns whether
-    /// it was added.
-    fn add_crash(&mut self, crash: Crash) -> bool {
-        let is_known = self
-            .crashes
-            .iter()
-            .any(|known| known.incarnation == crash.incarnation);
-        let is_cleared = self
-            .completed
-            .is_some_and(|completed| crash.stamp.at <= completed.stamp.at);
-        if is_known || is_cleared {
-            return false;
-        }
-        // keep the newest, since a completed run clears all crashes before it
-        let index = self
-            .crashes
-            .partition_point(|c| c.stamp.at <= crash.stamp.at);
-        let is_too_old = index == 0 && self.crashes.len() >= MAX_CRASHES_PER_REQUEST;
-        if !is_too_old {
-            self.crashes.insert(index, crash);
-            let excess = self.crashes.len().saturating_sub(MAX_CRASHES_PER_REQUEST);
-            self.crashes.drain(..excess);
+        let mut evidence: HashMap<PartId, PartEvidence> = HashMap::new();
+        for (digest, record) in self.parts.iter() {
+            if let Some(PartRecord { part, is_early }) = PartRecord::of(digest) {
+                let evidence = evidence.entry(part);
+                let evidence = evidence.or_insert_with(|| PartEvidence::new(part));
+                record
+                    .crashes
+                    .iter()
+                    .for_each(|crash| evidence.add(crash, is_early));
+            }
         }
-        !is_too_old
-    }
-
-    /// Clears the crashes up to a completed run. Returns whether other processes need it.
-    fn on_completed(&mut self, mut run: CompletedRun) -> bool {
-        let previous = self.completed;
-        if previous.is_some_and(|previous| run.stamp.at <= previous.stamp.at) {
-            return false;
-        }
-        let crashes = self.crashes.len();
-        self.crashes.retain(|crash| crash.stamp.at > run.stamp.at);
-        let has_cleared = self.crashes.len() < crashes;
-        // Older builds repeat a completed run without end, each time with a later time. A
-        // repeat is not told from a new run, so it is passed on only if it clears a crash.
-        let unneeded = previous.filter(|_| run.id == 0 && !has_cleared);
-        if let Some(previous) = unneeded {
-            run.stamp.revision = previous.stamp.revision;
-        }
-        self.completed = Some(run);
-        unneeded.is_none()
+        let parts = evidence.into_values().filter(PartEvidence::is_sufficient);
+        let parts: Vec<PartEvidence> = parts.collect();
+        self.suspects = PartSuspects {
+            revision: self.revision,
+            explained: parts.iter().flat_map(PartEvidence::incarnations).collect(),
+            parts,
+        };
     }
+}
 
-    fn verdict(&self, now: Instant) -> RequestVerdict {
-        let crashes = self.crashes.len();
-        match self.crashes.last().map(|crash| crash.stamp.at) {
-            None => RequestVerdict::Clear,
-            Some(at) if crashes >= BLOCKED_AFTER_CRASHES => RequestVerdict::Blocked {
-                crashes,
-                age: now.saturating_duration_since(at),
-            },
-            Some(_) => RequestVerdict::Suspected { crashes },
-        }
-    }
+/// Returns whether a run had only begun when its engine crashed.
+fn is_early(run: &InterruptedRun) -> bool {
+    run.written.is_none_or(|written| written < EARLY_CRASH)
+}
 
-    /// Returns the events with the ids of the completed runs.
-    fn events(&self) -> impl Iterator<Item = (CrashEvent, u64, Stamp)> + '_ {
-        let crashes = self.crashes.iter().map(|crash| {
-            let event = CrashEvent::Ended {
-                life: crash.incarnation,
-            };
-            (event, 0, crash.stamp)
-        });
-        let completed = self
-            .completed
-            .map(|run| (CrashEvent::Served, run.id, run.stamp));
-        crashes.chain(completed)
-    }
+/// Returns the parts of a run with the time at which it was interrupted.
+fn parts_of(run: &InterruptedRun) -> impl Iterator<Item = (PartId, Instant)> + '_ {
+    run.shared_parts.iter().map(|part| (*part, run.at))
+}
 
-    fn is_expired(&self, now: Instant) -> bool {
-        now.saturating_duration_since(self.last_used) >= RETENTION
-    }
+/// Returns a number from 0 to 1 that differs between entries and parts.
+fn spread_of(origin: u64, part: PartId) -> f64 {
+    nonzero_hash((origin, part)) as f64 / u64::MAX as f64
 }
 
 /// Returns the identity of an event; `None` for a completed run that an older build reports
--- a/coordination/src/crashes/mod.rs
+++ b/coordination/src/crashes/mod.rs
@@ -1,11 +1,18 @@
-//! Requests that crash the engines that run them: detection, shared records and the
-//! decision to reject such a request.
+//! Requests, and parts of prompts, that crash the engines that run them: detection, shared
+//! records and the decision to reject such a request.
 
 mod crash_detector;
+mod crash_record;
 mod crash_registry;
+mod part_evidence;
+mod record_table;
 mod seen_events;
 
 pub use {
     crash_detector::{CrashDetector, EngineCrash, InterruptedRun},
-    crash_registry::{CrashRegistry, RequestVerdict, BLOCKED_AFTER_CRASHES, MAX_TRACKED_REQUESTS},
+    crash_registry::{
+        CrashRegistry, RequestVerdict, BLOCKED_AFTER_CRASHES, MAX_TRACKED_PARTS,
+        MAX_TRACKED_REQUESTS,
+    },
+    part_evidence::{BlockedPart, OUTLIVED_AFTER},
 };
--- /dev/null
+++ b/coordination/tests/crashing_parts.rs
@@ -0,0 +1,287 @@
+//! Parts of prompts that crash engines: which part of a request is blamed, and for how long.
+
+use {
+    chalkcart_coordination::{
+        crashes::{CrashRegistry, EngineCrash, InterruptedRun, RequestVerdict, MAX_TRACKED_PARTS},
+        membership::stable_hash,
+    },
+    chalkcart_protocol::peer::{CrashEvent, CrashReport},
+    chalkcart_state::{
+        backends::BackendId,
+        ingress::{PartId, PartRecord, RequestDigest},
+    },
+    quickcheck::{Gen, QuickCheck},
+    std::time::{Duration, Instant},
+};
+
+/// The first part of all requests of a caller.
+const FIRST: PartId = PartId(1);
+const BAD: PartId = PartId(2);
+const OTHER_BAD: PartId = PartId(3);
+const SOUND: PartId = PartId(4);
+/// How long a response had been written at an early crash, and at a late one.
+const EARLY: Option<Duration> = Some(Duration::from_millis(100));
+const LATE: Option<Duration> = Some(Duration::from_millis(1_500));
+const MINUTE: Duration = Duration::from_secs(60);
+
+/// A registry with simulated time in which engines crash.
+struct History {
+    registry: CrashRegistry,
+    now: Instant,
+    crashes: u64,
+}
+
+impl History {
+    fn new() -> Self {
+        Self {
+            registry: CrashRegistry::new(7),
+            now: Instant::now(),
+            crashes: 0,
+        }
+    }
+
+    /// An engine crashes under runs with these parts, each with how long it had been written.
+    fn crash(&mut self, runs: &[(&[PartId], Option<Duration>)]) {
+        self.now += Duration::from_millis(500);
+        self.crashes += 1;
+        let runs = (0..)
+            .zip(runs)
+            .map(|(number, (parts, written))| InterruptedRun {
+                digest: digest(self.crashes * 100 + number),
+                shared_parts: parts.iter().copied().collect(),
+                written: *written,
+                at: self.now,
+            });
+        let crash = EngineCrash {
+            backend: BackendId::from(format!("e-{}", self.crashes)),
+            runs: runs.collect(),
+        };
+        self.registry.on_crash(&crash, self.now);
+    }
+
+    fn crashes(&mut self, count: u32, parts: &[PartId], written: Option<Duration>) {
+        (0..count).for_each(|_| self.crash(&[(parts, written)]));
+    }
+
+    fn served(&mut self, parts: &[PartId]) {
+        self.now += Duration::from_millis(10);
+        self.registry.on_parts_served(parts, self.now);
+    }
+
+    fn outlived(&mut self, parts: &[PartId]) {
+        self.now += Duration::from_millis(10);
+        self.registry.on_parts_outlived(parts, self.now);
+    }
+
+    fn blocked(&mut self, parts: &[PartId]) -> Option<PartId> {
+        let blocked = self.registry.blocked_part(parts, self.now);
+        blocked.map(|blocked| blocked.part)
+    }
+}
+
+fn digest(number: u64) -> RequestDigest {
+    RequestDigest::of("POST", "/", "", &number.to_be_bytes())
+}
+
+#[test]
+fn four_early_crashes_or_eight_late_ones_block_a_part() {
+    for (written, needed) in [(EARLY, 4), (None, 4), (LATE, 8)] {
+        let mut history = History::new();
+        history.crashes(needed - 1, &[BAD], written);
+        assert_eq!(history.blocked(&[BAD]), None, "{written:?}");
+        history.crashes(1, &[BAD], written);
+        assert_eq!(history.blocked(&[SOUND, BAD]), Some(BAD), "{written:?}");
+        assert_eq!(history.blocked(&[SOUND]), None, "{written:?}");
+    }
+}
+
+#[test]
+fn a_run_that_does_well_clears_what_it_disproves() {
+    let mut history = History::new();
+    history.crashes(4, &[BAD], EARLY);
+    history.outlived(&[BAD]);
+    assert_eq!(history.blocked(&[BAD]), None);
+    // a part that crashes engines late is not cleared by its own long runs
+    history.crashes(8, &[OTHER_BAD], LATE);
+    history.outlived(&[OTHER_BAD]);
+    assert_eq!(history.blocked(&[OTHER_BAD]), Some(OTHER_BAD));
+    history.served(&[OTHER_BAD]);
+    assert_eq!(history.blocked(&[OTHER_BAD]), None);
+}
+
+/// Guards against sound requests that are rejected for the first part of their caller.
+#[test]
+fn a_sound_part_under_all_crashes_is_excused_without_the_cause() {
+    let mut history = History::new();
+    history.crashes(5, &[FIRST, BAD], EARLY);
+    assert!(history.blocked(&[FIRST, BAD]).is_some());
+    assert_eq!(history.blocked(&[FIRST, SOUND]), None);
+    history.served(&[FIRST, SOUND]);
+    assert_eq!(history.blocked(&[FIRST, BAD]), Some(BAD));
+    assert_eq!(history.blocked(&[OTHER_BAD, BAD]), Some(BAD));
+}
+
+/// Guards against a first part that is excused again and again while it is the cause.
+#[test]
+fn a_first_part_that_is_the_cause_is_excused_once() {
+    let mut history = History::new();
+    history.crashes(5, &[FIRST, SOUND], EARLY);
+    assert_eq!(history.blocked(&[FIRST, BAD]), None);
+    history.crash(&[(&[FIRST, BAD], EARLY)]);
+    assert_eq!(history.blocked(&[FIRST, OTHER_BAD]), Some(FIRST));
+    assert_eq!(
+        history.blocked(&[SOUND]),
+        None,
+        "all its crashes are explained"
+    );
+}
+
+#[test]
+fn two_causes_are_told_from_what_stands_beside_both() {
+    let mut history = History::new();
+    for _ in 0..4 {
+        history.crash(&[(&[FIRST, BAD], EARLY), (&[SOUND], LATE)]);
+        history.crash(&[(&[FIRST, OTHER_BAD], EARLY), (&[SOUND], LATE)]);
+    }
+    for cause in [BAD, OTHER_BAD] {
+        assert!(history.blocked(&[FIRST, cause]).is_some());
+    }
+    assert_eq!(history.blocked(&[FIRST]), None);
+    assert_eq!(history.blocked(&[SOUND]), None);
+}
+
+/// Guards against sound requests that are blocked because they ran beside a crashing part.
+#[test]
+fn crashes_that_a_part_explains_do_not_count_for_requests() {
+    let mut history = History::new();
+    let beside = digest(0);
+    for crash in 1..=3 {
+        history.crashes(1, &[BAD], EARLY);
+        let backend = BackendId::from(format!("e-{crash}"));
+        let incarnation = stable_hash(&backend.to_string());
+        let now = history.now;
+        history
+            .registry
+            .on_engine_ended(beside, incarnation, now, now);
+    }
+    let verdict = |history: &mut History| history.registry.verdict(&beside, history.now);
+    assert!(matches!(
+        verdict(&mut history),
+        RequestVerdict::Blocked { crashes: 3, .. }
+    ));
+    history.crashes(1, &[BAD], EARLY);
+    assert_eq!(verdict(&mut history), RequestVerdict::Clear);
+}
+
+#[test]
+fn a_blocked_part_is_tried_again_later_and_less_often() {
+    let mut history = History::new();
+    history.crashes(4, &[BAD], EARLY);
+    history.now += MINUTE - Duration::from_secs(1);
+    assert_eq!(history.blocked(&[BAD]), Some(BAD));
+    history.now += MINUTE;
+    assert_eq!(history.blocked(&[BAD]), None);
+    // one crash more blocks it at once, for twice as long
+    history.crashes(1, &[BAD], EARLY);
+    history.now += 2 * MINUTE - Duration::from_secs(1);
+    assert_eq!(history.blocked(&[BAD]), Some(BAD));
+    history.now += MINUTE;
+    assert_eq!(history.blocked(&[BAD]), None);
+}
+
+#[test]
+fn a_flood_of_invented_parts_evicts_no_blocked_part() {
+    let mut history = History::new();
+    history.crashes(4, &[BAD], EARLY);
+    let invented: Vec<PartId> = (10..10 + 2 * MAX_TRACKED_PARTS as u64)
+        .map(PartId)
+        .collect();
+    let blocked_at = history.now;
+    for parts in invented.chunks(32) {
+        history.crash(&[(parts, EARLY)]);
+    }
+    history.now = blocked_at;
+    assert_eq!(history.blocked(&[BAD]), Some(BAD));
+}
+
+/// Guards against an aggregator of an older build that loses what it doesn't know: it keeps all
+/// records as those of requests.
+#[test]
+fn records_of_parts_are_passed_on_as_those_of_requests() {
+    let mut history = History::new();
+    history.crashes(4, &[FIRST, BAD], EARLY);
+    history.crashes(2, &[FIRST], LATE);
+    let (reports, _) = history.registry.reports_since(0, history.now);
+    let records: Vec<PartRecord> = reports
+        .iter()
+        .filter_map(|r| PartRecord::of(&r.digest))
+        .collect();
+    assert_eq!(
+        records
+            .iter()
+            .filter(|r| r.part == BAD && r.is_early)
+            .count(),
+        4
+    );
+    assert_eq!(
+        records
+            .iter()
+            .filter(|r| r.part == FIRST && !r.is_early)
+            .count(),
+        2
+    );
+    let mut other = CrashRegistry::new(8);
+    other.merge(&reports, history.now);
+    assert!(other.blocked_part(&[FIRST, BAD], history.now).is_some());
+}
+
+/// Builds the report of a random event about one of four parts.
+fn report_of(event: u16) -> CrashReport {
+    let record = PartRecord {
+        part: PartId(u64::from(event % 4)),
+        is_early: event & 4 == 0,
+    };
+    let is_served = event & 0x38 == 0;
+    let age = u64::from(event) * 10;
+    CrashReport {
+        digest: record.digest(),
+        event: match is_served {
+            true => CrashEvent::Served,
+            false => CrashEvent::Ended {
+                life: u64::from(event >> 3),
+            },
+        },
+        age_ms: age,
+        run_id: if is_served { u64::from(event) + 1 } else { 0 },
+    }
+}
+
+#[test]
+fn registries_with_the_same_events_block_the_same_parts() {
+    fn property(events: Vec<u16>, shift: usize) -> bool {
+        let now = Instant::now();
+        let mut events: Vec<u16> = events.into_iter().map(|event| event % 512).collect();
+        events.sort_unstable();
+        events.dedup();
+        let reports: Vec<CrashReport> = events.into_iter().map(report_of).collect();
+        let mut rotated = reports.clone();
+        rotated.rotate_left(shift % reports.len().max(1));
+        let blocked = |reports: &[CrashReport]| {
+            let mut registry = CrashRegistry::new(1);
+            for chunk in reports.chunks(3) {
+                registry.merge(chunk, now);
+            }
+            let requests = (0..16).map(|set| {
+                let parts = (0..4).filter(|part| set >> part & 1 == 1).map(PartId);
+                parts.collect::<Vec<PartId>>()
+            });
+            let verdicts = requests.map(|parts| registry.blocked_part(&parts, now).is_some());
+            verdicts.collect::<Vec<bool>>()
+        };
+        blocked(&reports) == blocked(&rotated)
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(40, 68))
+        .tests(1_000)
+        .quickcheck(property as fn(Vec<u16>, usize) -> bool);
+}
--- a/entry/src/ingress/observers.rs
+++ b/entry/src/ingress/observers.rs
@@ -1,11 +1,15 @@
 use {
     super::{control::ControlHandle, shared::Shared, stream_recovery::StreamRecovery},
-    chalkcart_coordination::dispatch::{DispatchEvent, SendOutcome, Ticket},
+    chalkcart_coordination::{
+        crashes::OUTLIVED_AFTER,
+        dispatch::{DispatchEvent, SendOutcome, Ticket},
+        response_end::Framing,
+    },
     chalkcart_protocol::peer::StreamOrigin,
     chalkcart_state::{
         backends::BackendId,
         ids::RequestId,
-        ingress::{RequestDigest, Route},
+        ingress::{RequestDigest, Route, SharedParts},
     },
     chalkcart_transport::{
         clock,
@@ -71,6 +75,7 @@
     pub guard: SendGuard,
     pub request: RequestId,
     pub digest: RequestDigest,
+    pub shared_parts: SharedParts,
     pub route: Arc<Route>,
     pub backend: BackendId,
     /// The origin of the stream until its first frame; `None` if it may not be taken up.
@@ -78,6 +83,9 @@
     pub arrived: Instant,
     /// Time from the arrival of the request to the first part of the body.
     pub first_part: Option<Duration>,
+    /// When the back end, if it still writes, shows again that the parts don't crash it; `None`
+    /// before its first frame.
+    pub outlives_at: Option<Instant>,
     /// Present on a stream that may be resumed.
     pub recovery: Option<Box<StreamRecovery>>,
 }
@@ -104,6 +112,14 @@
         self.guard.start();
     }
 
+    fn on_frame(&mut self, now: Instant) {
+        let outlives_at = self.outlives_at.get_or_insert(now + OUTLIVED_AFTER);
+        if now >= *outlives_at {
+            *outlives_at = now + OUTLIVED_AFTER;
+            self.shared.crashes.on_parts_outlived(&self.shared_parts);
+        }
+    }
+
     fn on_end(&mut self, report: ProxyBodyReport) {
         let ProxyBodyReport {
             end, longest_pause, ..
@@ -114,6 +130,10 @@
             ProxyBodyEnd::TimedOut => (SendOutcome::Abandoned, "timed_out"),
             ProxyBodyEnd::ClientDisconnected => (SendOutcome::Abandoned, "client_left"),
         };
+        // a connection also ends when its engine crashes
+        if end == ProxyBodyEnd::Complete && report.framing != Framing::Connection {
+            self.shared.crashes.on_parts_served(&self.shared_parts);
+        }
         self.end_send(outcome);
         self.shared.stream_origins.on_stream_ended(&self.request);
         self.shared
--- a/entry/src/ingress/request_exchange.rs
+++ b/entry/src/ingress/request_exchange.rs
@@ -9,7 +9,7 @@
     },
     bytes::Bytes,
     chalkcart_coordination::{
-        crashes::RequestVerdict,
+        crashes::{BlockedPart, RequestVerdict},
         dispatch::{Assignment, Decision, DecisionInputs, DispatchRequest, SendOutcome, Ticket},
         stream_recovery::EventId,
     },
@@ -279,15 +279,19 @@
         }
     }
 
-    /// Rejects a request that is blocked because it crashes the engines that run it. One that has
-    /// not run gets a 400 response without Retry-After, since a retry would be blocked too.
+    /// Rejects a request that is blocked because it, or a part of its prompt, crashes the engines
+    /// that run it. One that has not run gets a 400 response without Retry-After, since a retry
+    /// would be blocked too.
     fn reject_if_blocked(&mut self) -> Option<ClientResponse> {
+        let blocked_part = self.blocked_part();
         let RequestVerdict::Blocked { crashes, age } = self.crash_verdict() else {
             return None;
         };
+        let part = blocked_part.map(|blocked| blocked.part.to_string());
         log::warn!(
             request = self.accepted.head.id.as_str(),
             digest = self.accepted.digest.to_string().as_str(),
+            part = part.as_deref().unwrap_or_default(),
             route = self.accepted.route.name.as_str(),
             account = self.account_name(),
             ended = crashes,
@@ -296,15 +300,30 @@
             waited_ms = elapsed_ms(self.accepted.arrived);
             "crashes: request blocked"
         );
-        self.shared.crashes.metrics.refused.inc();
+        let metrics = &self.shared.crashes.metrics;
+        metrics.refused.inc();
+        metrics.refused_for_part.inc_by(u64::from(part.is_some()));
+        let reason = part.map_or(BLOCKED.to_string(), |part| {
+            format!("engines ended under part {part} of this prompt: it is not run any more")
+        });
         Some(match self.runs {
-            0 => self.local_response().text(StatusCode::BAD_REQUEST, BLOCKED),
-            _ => self.final_response(BLOCKED, DEFAULT_RETRY_AFTER),
+            0 => self.local_response().text(StatusCode::BAD_REQUEST, &reason),
+            _ => self.final_response(&reason, DEFAULT_RETRY_AFTER),
         })
     }
 
+    /// Returns the verdict on the request, also for a part of its prompt.
     pub(super) fn crash_verdict(&self) -> RequestVerdict {
-        self.shared.crashes.verdict(&self.accepted.digest)
+        let crashes = &self.shared.crashes;
+        match self.blocked_part() {
+            Some(BlockedPart { crashes, age, .. }) => RequestVerdict::Blocked { crashes, age },
+            None => crashes.verdict(&self.accepted.digest),
+        }
+    }
+
+    fn blocked_part(&self) -> Option<BlockedPart> {
+        let parts = &self.accepted.head.shared_parts;
+        self.shared.crashes.blocked_part(parts)
     }
 
     /// Returns whether the request may crash the engine that runs it, according to the crash
--- a/entry/src/ingress/request_exchange_response.rs
+++ b/entry/src/ingress/request_exchange_response.rs
@@ -9,7 +9,7 @@
     chalkcart_coordination::{
         backend_signals::RequestRate,
         dispatch::{Assignment, DispatchEvent, SendOutcome},
-        response_end::Verdict,
+        response_end::{Framing, Verdict},
     },
     chalkcart_state::backends::BackendId,
     chalkcart_transport::{
@@ -164,6 +164,11 @@
             guard.end(SendOutcome::Failed);
             return SendResult::Failed(Some(response));
         }
+        // a connection also ends when its engine crashes
+        if response.status().is_success() && progress.framing() != Framing::Connection {
+            let parts = &self.accepted.head.shared_parts;
+            self.shared.crashes.on_parts_served(parts);
+        }
         guard.end(SendOutcome::Answered);
         let outcome = SendOutcome::Answered.code();
         self.shared.metrics.on_send_ended(outcome);
--- a/entry/src/ingress/shared_crash_registry.rs
+++ b/entry/src/ingress/shared_crash_registry.rs
@@ -1,11 +1,10 @@
 use {
     super::ended_engines::EndedEngines,
-    chalkcart_coordination::{
-        crashes::{CrashRegistry, EngineCrash, InterruptedRun, RequestVerdict},
-        membership::stable_hash,
+    chalkcart_coordination::crashes::{
+        BlockedPart, CrashRegistry, EngineCrash, InterruptedRun, RequestVerdict,
     },
     chalkcart_protocol::peer::CrashReport,
-    chalkcart_state::ingress::{part_list, RequestDigest},
+    chalkcart_state::ingress::{part_list, PartId, RequestDigest},
     chalkcart_transport::{clock, metrics::CrashMetrics},
     std::{
         sync::{Mutex, MutexGuard},
@@ -43,6 +42,28 @@
         self.registry().verdict(digest, clock::now())
     }
 
+    /// Returns the part for which a request with these parts must not run now.
+    pub fn blocked_part(&self, parts: &[PartId]) -> Option<BlockedPart> {
+        self.registry().blocked_part(parts, clock::now())
+    }
+
+    /// Records that a prompt with these parts was answered to its end.
+    pub fn on_parts_served(&self, parts: &[PartId]) {
+        let mut registry = self.registry();
+        if registry.on_parts_served(parts, clock::now()) {
+            self.publish(&mut registry);
+        }
+    }
+
+    /// Records that an engine has been answering a prompt with these parts for long enough to
+    /// show that they don't crash it.
+    pub fn on_parts_outlived(&self, parts: &[PartId]) {
+        let mut registry = self.registry();
+        if registry.on_parts_outlived(parts, clock::now()) {
+            self.publish(&mut registry);
+        }
+    }
+
     /// Records requests that ran to completion.
     pub fn on_completed(&self, digests: Vec<RequestDigest>) {
         let now = clock::now();
@@ -51,7 +72,7 @@
             .into_iter()
             .filter(|d| registry.on_completed(*d, now));
         if changes.count() > 0 {
-            self.publish(&registry);
+            self.publish(&mut registry);
         }
     }
 
@@ -60,11 +81,8 @@
         let now = clock::now();
         for crash in crashes {
             let mut registry = self.registry();
-            let incarnation = stable_hash(&crash.backend.to_string());
-            for run in &crash.runs {
-                registry.on_engine_ended(run.digest, incarnation, run.at, now);
-            }
-            self.publish(&registry);
+            registry.on_crash(&crash, now);
+            self.publish(&mut registry);
             drop(registry);
             self.metrics.ended.inc();
             log_crash(&crash, now);
@@ -80,7 +98,7 @@
         let mut registry = self.registry();
         let before = registry.revision();
         if registry.merge(reports, clock::now()) {
-            self.publish(&registry);
+            self.publish(&mut registry);
         }
         match sent_revision == before {
             true => registry.revision(),
@@ -97,7 +115,11 @@
         self.revision.subscribe()
     }
 
-    fn publish(&self, registry: &CrashRegistry) {
+    fn publish(&self, registry: &mut CrashRegistry) {
+        let parts = registry.suspected_parts();
+        if self.metrics.suspected_parts.set(parts.len() as i64) != parts.len() as i64 {
+            log::warn!(parts = part_list(&parts).as_str(); "crashes: suspected parts changed");
+        }
         self.metrics.remembered.set(registry.len() as i64);
         self.revision.send_replace(registry.revision());
     }
--- a/entry/src/ingress/stream_response.rs
+++ b/entry/src/ingress/stream_response.rs
@@ -65,11 +65,13 @@
             guard,
             request: self.accepted.head.id.clone(),
             digest: self.accepted.digest,
+            shared_parts: self.accepted.head.shared_parts.clone(),
             route: self.accepted.route.clone(),
             backend: backend.clone(),
             origin: None,
             arrived: self.accepted.arrived,
             first_part,
+            outlives_at: None,
             recovery: None,
         }
     }
--- a/state/src/ingress/request_digest.rs
+++ b/state/src/ingress/request_digest.rs
@@ -5,7 +5,7 @@
 };
 
 /// 128 bits make a collision among a million requests negligible, at about 1e-27.
-const DIGEST_BYTES: usize = 16;
+pub(super) const DIGEST_BYTES: usize = 16;
 
 /// Digest of a request's method, target, caller and body. Retries of a request have the same
 /// digest in every process, whatever their request id.
@@ -28,6 +28,13 @@
         bytes.copy_from_slice(&hash[..DIGEST_BYTES]);
         Self(bytes)
     }
+
+    pub(super) fn from_bytes(bytes: [u8; DIGEST_BYTES]) -> Self {
+        Self(bytes)
+    }
+    pub(super) fn bytes(&self) -> &[u8] {
+        &self.0
+    }
 }
 
 impl Display for RequestDigest {
--- a/transport/src/ingress/proxy_body.rs
+++ b/transport/src/ingress/proxy_body.rs
@@ -120,7 +120,9 @@
     }
 
     fn on_frame(&mut self) {
-        self.pauses.on_frame(clock::now());
+        let now = clock::now();
+        self.pauses.on_frame(now);
+        self.observer.on_frame(now);
         if !self.has_started {
             self.has_started = true;
             self.observer.on_first_frame();
--- a/transport/src/ingress/stream_continuation.rs
+++ b/transport/src/ingress/stream_continuation.rs
@@ -9,7 +9,7 @@
         pin::Pin,
         sync::{Mutex, PoisonError},
         task::{Context, Poll},
-        time::Duration,
+        time::{Duration, Instant},
     },
 };
 
@@ -98,6 +98,8 @@
 pub trait ProxyBodyObserver: Send + Sync {
     /// Called when the first frame of a back end has arrived.
     fn on_first_frame(&mut self);
+    /// Called for each frame, also the first.
+    fn on_frame(&mut self, now: Instant);
     /// Called once when the body has ended.
     fn on_end(&mut self, report: ProxyBodyReport);
     /// Called when a stream with `StreamEvents` was cut; returns the search for an engine that
--- a/transport/src/metrics/crash_metrics.rs
+++ b/transport/src/metrics/crash_metrics.rs
@@ -10,6 +10,10 @@
     pub ended: Counter,
     /// Attempts rejected because engines ended while running the request.
     pub refused: Counter,
+    /// Of these, attempts rejected for a part of their prompt.
+    pub refused_for_part: Counter,
+    /// Parts of prompts with enough crashes to block them.
+    pub suspected_parts: Gauge,
     /// Requests during which an engine ended, blocked or not.
     pub remembered: Gauge,
 }
@@ -26,6 +30,16 @@
             "Tries refused since engines ended under their request",
             self.refused.clone(),
         );
+        registry.register(
+            "crashing_refused_for_part",
+            "Tries refused since engines ended under a part of their prompt",
+            self.refused_for_part.clone(),
+        );
+        registry.register(
+            "crashing_parts",
+            "Parts of prompts under which enough engines ended to refuse them",
+            self.suspected_parts.clone(),
+        );
         registry.register(
             "crashing_remembered",
             "Requests remembered since an engine ended under them",
