crashes: a response that only its connection ended is evidence once its engine survived

What callers saw: nothing yet; found by a test. A crash between two events of a stream without framing looks like its end.

Cause: such a run counted as complete at once. It was left out of the crash, and cleared the request. Class: an absence of evidence (no error) taken for evidence.

Changed: SendOutcome::Closed. For the engine's health it is as before; for crashes the run is kept until the engine is read again a second later (then it is complete) or has ended (then it stood under the crash). What the client gets is as before.

Why it works: the same proof that tells a reset from a crash, an engine that is read later under the same incarnation, tells a closed connection from one.

--- a/coordination/src/backend_admission/requested_backoff.rs
+++ b/coordination/src/backend_admission/requested_backoff.rs
@@ -49,7 +49,10 @@
     pub fn on_probe_ended(&mut self, outcome: SendOutcome, now: Instant) {
         self.is_probing = false;
         // a misdirected request lacked its adapter: the back end isn't full
-        let has_responded = matches!(outcome, SendOutcome::Answered | SendOutcome::Misdirected);
+        let has_responded = matches!(
+            outcome,
+            SendOutcome::Answered | SendOutcome::Closed | SendOutcome::Misdirected
+        );
         if has_responded {
             self.on_probe_started(now);
         }
--- a/coordination/src/crashes/crash_detector.rs
+++ b/coordination/src/crashes/crash_detector.rs
@@ -29,13 +29,16 @@
     pub runs: Vec<InterruptedRun>,
 }
 
-/// Run whose connection closed before the response was complete.
+/// Run whose connection closed before the response was complete, or at the end of a response that
+/// only its connection ended.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct InterruptedRun {
     pub digest: RequestDigest,
     pub shared_parts: SharedParts,
     /// For how long the engine had written the response; `None` before its first part.
     pub written: Option<Duration>,
+    /// Whether the response is complete if the engine has survived.
+    pub is_whole: bool,
     pub at: Instant,
 }
 
@@ -51,10 +54,12 @@
     /// When the end of an incarnation was reported.
     ended: HashMap<BackendId, Instant>,
     crashes: Vec<EngineCrash>,
+    /// Runs whose engine has survived, so that their responses are complete.
+    completed: Vec<InterruptedRun>,
 }
 
 impl CrashDetector {
-    /// Records a run whose connection closed before the response was complete.
+    /// Records a run whose connection closed.
     pub fn on_interrupted_run(&mut self, backend: &BackendId, run: InterruptedRun) {
         self.expire(run.at);
         let runs = self.interrupted.entry(backend.clone()).or_default();
@@ -88,7 +93,8 @@
         let Some(runs) = self.interrupted.get_mut(backend) else {
             return;
         };
-        runs.retain(|run| read_at < run.at + SURVIVAL_DELAY);
+        let survived = runs.extract_if(.., |run| read_at >= run.at + SURVIVAL_DELAY);
+        self.completed.extend(survived.filter(|run| run.is_whole));
         if runs.is_empty() {
             self.interrupted.remove(backend);
         }
@@ -99,6 +105,11 @@
         std::mem::take(&mut self.crashes)
     }
 
+    /// Returns the runs that turned out to be complete since the last call.
+    pub fn take_completed(&mut self) -> Vec<InterruptedRun> {
+        std::mem::take(&mut self.completed)
+    }
+
     fn confirm_crash(&mut self, backend: &BackendId) {
         if let Some(runs) = self.interrupted.remove(backend) {
             let backend = backend.clone();
@@ -110,7 +121,8 @@
         let is_recent = |at: &Instant| now.saturating_duration_since(*at) < CORRELATION_WINDOW;
         self.ended.retain(|_, at| is_recent(at));
         for runs in self.interrupted.values_mut() {
-            runs.retain(|run| is_recent(&run.at));
+            let survived = runs.extract_if(.., |run| !is_recent(&run.at));
+            self.completed.extend(survived.filter(|run| run.is_whole));
         }
         self.interrupted.retain(|_, runs| !runs.is_empty());
     }
--- a/coordination/src/dispatch/dispatcher.rs
+++ b/coordination/src/dispatch/dispatcher.rs
@@ -11,7 +11,7 @@
     crate::{
         backend_performance::{EnginePerformance, SettledRate},
         backend_signals::BackendSignals,
-        crashes::{CrashDetector, EngineCrash},
+        crashes::{CrashDetector, EngineCrash, InterruptedRun},
     },
     chalkcart_state::{
         backends::{AdapterRef, Backend, BackendId},
@@ -244,6 +244,11 @@
     pub fn take_completed(&mut self) -> Vec<RequestDigest> {
         std::mem::take(&mut self.completed)
     }
+    /// Returns the runs whose connection ended their response and whose engine turned out to have
+    /// survived since the last call.
+    pub fn take_survived_runs(&mut self) -> Vec<InterruptedRun> {
+        self.crashes.take_completed()
+    }
     pub fn has_urgent_demands(&self) -> bool {
         !self.urgent_demands.is_empty()
     }
--- a/coordination/src/dispatch/event.rs
+++ b/coordination/src/dispatch/event.rs
@@ -1,6 +1,6 @@
 use {
     super::{DispatchRequest, DispatchSettings, PermitError, Ticket},
-    crate::backend_signals::BackendSignals,
+    crate::{backend_signals::BackendSignals, response_end::Framing},
     chalkcart_protocol::peer::{AdmissionResponse, EngineStats, EngineView},
     chalkcart_state::{
         backends::{AdapterRef, BackendId, BackendList},
@@ -16,6 +16,8 @@
 pub enum SendOutcome {
     /// The response is complete.
     Answered,
+    /// The response is complete unless its engine crashed: it ended with its connection.
+    Closed,
     /// The back end was full and didn't run it.
     Shed,
     /// The back end lacks the adapter, or has another version of it.
@@ -33,10 +35,19 @@
 }
 
 impl SendOutcome {
+    /// Returns the outcome of a complete response with this framing.
+    pub fn of_complete(framing: Framing) -> Self {
+        match framing {
+            Framing::Length | Framing::Chunks => Self::Answered,
+            Framing::Connection => Self::Closed,
+        }
+    }
+
     /// Returns the code in logs and metrics.
     pub fn code(self) -> &'static str {
         match self {
             Self::Answered => "answered",
+            Self::Closed => "closed",
             Self::Shed => "shed",
             Self::Misdirected => "misdirected",
             Self::Superseded => "superseded",
--- a/coordination/src/dispatch/in_flight_request.rs
+++ b/coordination/src/dispatch/in_flight_request.rs
@@ -28,12 +28,13 @@
 
 impl InFlightRequest {
     /// Returns the run that this request was until its connection closed.
-    pub(super) fn interrupted_run(self, now: Instant) -> InterruptedRun {
+    pub(super) fn interrupted_run(self, is_whole: bool, now: Instant) -> InterruptedRun {
         let written = self.started_at;
         InterruptedRun {
             digest: self.digest,
             shared_parts: self.shared_parts,
             written: written.map(|at| now.saturating_duration_since(at)),
+            is_whole,
             at: now,
         }
     }
--- a/coordination/src/dispatch/request_progress.rs
+++ b/coordination/src/dispatch/request_progress.rs
@@ -55,10 +55,16 @@
             state.backoff.on_probe_ended(outcome, now);
         }
         match outcome {
-            SendOutcome::Answered => {
+            SendOutcome::Answered | SendOutcome::Closed => {
                 state.health.on_success(now);
                 self.last_report_at = Some(now);
-                self.completed.push(sent.digest);
+                match outcome == SendOutcome::Closed && !state.is_leaving() {
+                    true => {
+                        let run = sent.interrupted_run(true, now);
+                        self.crashes.on_interrupted_run(&backend, run);
+                    }
+                    false => self.completed.push(sent.digest),
+                }
             }
             SendOutcome::Shed => state.on_saturated(now),
             SendOutcome::Misdirected => match &sent.adapter {
@@ -83,7 +89,7 @@
                 state.health.on_failure(now);
                 // responses cut off by a leaving engine belong to its planned stop
                 if !state.is_leaving() {
-                    let run = sent.interrupted_run(now);
+                    let run = sent.interrupted_run(false, now);
                     self.crashes.on_interrupted_run(&backend, run);
                 }
             }
--- a/coordination/tests/crashes.rs
+++ b/coordination/tests/crashes.rs
@@ -121,6 +121,26 @@
     assert!(suspected(&mut fixture).is_empty());
 }
 
+/// Guards against a crash that looks like the end of a response and clears the request.
+#[test]
+fn a_response_that_its_connection_ended_counts_once_its_engine_survived() {
+    let mut crashed = with_runs(&["one"]);
+    crashed.end(0, SendOutcome::Closed);
+    assert_eq!(crashed.dispatcher.take_completed(), []);
+    crashed.view(1, with_engine_down(view(ENGINE, &[("a", 1)])));
+    assert_eq!(suspected(&mut crashed), sorted(&["one"]));
+    assert!(crashed.dispatcher.take_survived_runs().is_empty());
+    let mut survived = with_runs(&["one"]);
+    survived.end(0, SendOutcome::Closed);
+    survived.advance(ms(1_100));
+    survived.view(1, view(ENGINE, &[("a", 1)]));
+    let runs = survived.dispatcher.take_survived_runs();
+    let completed: Vec<RequestDigest> = runs.iter().map(|run| run.digest).collect();
+    assert_eq!(completed, sorted(&["one"]));
+    survived.view(1, with_engine_down(view(ENGINE, &[("a", 1)])));
+    assert_eq!(suspected(&mut survived), []);
+}
+
 #[test]
 fn other_failures_suspect_no_request() {
     type OtherFailure = (&'static str, fn(&mut Fixture));
--- a/coordination/tests/crashing_parts.rs
+++ b/coordination/tests/crashing_parts.rs
@@ -50,6 +50,7 @@
                 digest: digest(self.crashes * 100 + number),
                 shared_parts: parts.iter().copied().collect(),
                 written: *written,
+                is_whole: false,
                 at: self.now,
             });
         let crash = EngineCrash {
--- a/entry/src/ingress/control.rs
+++ b/entry/src/ingress/control.rs
@@ -274,6 +274,8 @@
             .iter()
             .for_each(|(_, wait)| log_turn_wait(wait));
         self.crashes.on_completed(self.dispatcher.take_completed());
+        self.crashes
+            .on_survived(self.dispatcher.take_survived_runs());
         self.crashes
             .on_engine_crashes(self.dispatcher.take_crashes());
         if may_change_engines {
--- a/entry/src/ingress/observers.rs
+++ b/entry/src/ingress/observers.rs
@@ -3,7 +3,6 @@
     chalkcart_coordination::{
         crashes::OUTLIVED_AFTER,
         dispatch::{DispatchEvent, SendOutcome, Ticket},
-        response_end::Framing,
     },
     chalkcart_protocol::peer::StreamOrigin,
     chalkcart_state::{
@@ -125,13 +124,12 @@
             end, longest_pause, ..
         } = report;
         let (outcome, outcome_name) = match end {
-            ProxyBodyEnd::Complete => (SendOutcome::Answered, "whole"),
+            ProxyBodyEnd::Complete => (SendOutcome::of_complete(report.framing), "whole"),
             ProxyBodyEnd::Broken => (SendOutcome::Broken, "broken"),
             ProxyBodyEnd::TimedOut => (SendOutcome::Abandoned, "timed_out"),
             ProxyBodyEnd::ClientDisconnected => (SendOutcome::Abandoned, "client_left"),
         };
-        // a connection also ends when its engine crashes
-        if end == ProxyBodyEnd::Complete && report.framing != Framing::Connection {
+        if outcome == SendOutcome::Answered {
             self.shared.crashes.on_parts_served(&self.shared_parts);
         }
         self.end_send(outcome);
--- a/entry/src/ingress/request_exchange_response.rs
+++ b/entry/src/ingress/request_exchange_response.rs
@@ -9,7 +9,7 @@
     chalkcart_coordination::{
         backend_signals::RequestRate,
         dispatch::{Assignment, DispatchEvent, SendOutcome},
-        response_end::{Framing, Verdict},
+        response_end::Verdict,
     },
     chalkcart_state::backends::BackendId,
     chalkcart_transport::{
@@ -164,14 +164,17 @@
             guard.end(SendOutcome::Failed);
             return SendResult::Failed(Some(response));
         }
-        // a connection also ends when its engine crashes
-        if response.status().is_success() && progress.framing() != Framing::Connection {
+        let is_success = response.status().is_success();
+        let outcome = match is_success {
+            true => SendOutcome::of_complete(progress.framing()),
+            false => SendOutcome::Answered,
+        };
+        if is_success && outcome == SendOutcome::Answered {
             let parts = &self.accepted.head.shared_parts;
             self.shared.crashes.on_parts_served(parts);
         }
-        guard.end(SendOutcome::Answered);
-        let outcome = SendOutcome::Answered.code();
-        self.shared.metrics.on_send_ended(outcome);
+        guard.end(outcome);
+        self.shared.metrics.on_send_ended(outcome.code());
         let route = &self.accepted.route.name;
         let after = clock::elapsed(self.accepted.arrived);
         self.shared.metrics.on_first_part(route, after);
--- a/entry/src/ingress/shared_crash_registry.rs
+++ b/entry/src/ingress/shared_crash_registry.rs
@@ -76,6 +76,14 @@
         }
     }
 
+    /// Records runs whose connection ended their response and whose engine has survived.
+    pub fn on_survived(&self, runs: Vec<InterruptedRun>) {
+        for run in &runs {
+            self.on_parts_served(&run.shared_parts);
+        }
+        self.on_completed(runs.into_iter().map(|run| run.digest).collect());
+    }
+
     /// Records engine crashes with the requests that were running.
     pub fn on_engine_crashes(&self, crashes: Vec<EngineCrash>) {
         let now = clock::now();
--- a/testkit/src/users_platform/backend_responses.rs
+++ b/testkit/src/users_platform/backend_responses.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         backend_stand_in::{BackendFault, BackendKind, BackendState, Run},
-        backend_streams::stream_events,
+        backend_streams::{event, framed, framing_header, stream_events},
         wire::{write_response, Head},
     },
     crate::serving::lock,
@@ -46,11 +46,7 @@
     let mut headers = response_headers(request, fault);
     headers.extend(lock(state).signal_headers());
     if is_crashing {
-        let head = response_head(&headers, "Transfer-Encoding: chunked");
-        socket.write_all(&head).await?;
-        sleep(CRASH_DELAY).await;
-        lock(state).crash();
-        bail!("back end crashed")
+        return crash_in_stream(socket, state, &headers).await;
     }
     match (fault, kind) {
         (BackendFault::CloseBeforeResponse, _) => bail!("connection closed before the response"),
@@ -74,6 +70,27 @@
     }
 }
 
+/// Begins a stream and crashes after some of its events.
+async fn crash_in_stream(
+    socket: &mut TcpStream,
+    state: &Mutex<BackendState>,
+    headers: &[(&'static str, String)],
+) -> Result<()> {
+    let (framing, events) = {
+        let state = lock(state);
+        (state.crash_framing, state.events_before_crash)
+    };
+    let head = response_head(headers, &framing_header(framing, 0));
+    socket.write_all(&head).await?;
+    for number in 0..events {
+        let event = event(state, number);
+        socket.write_all(&framed(event.as_bytes(), framing)).await?;
+    }
+    sleep(CRASH_DELAY).await;
+    lock(state).crash();
+    bail!("back end crashed")
+}
+
 /// Counts a running request until it is dropped.
 struct RunningRequest(Arc<Mutex<BackendState>>);
 
--- a/testkit/src/users_platform/backend_stand_in.rs
+++ b/testkit/src/users_platform/backend_stand_in.rs
@@ -159,6 +159,10 @@
     pub crash_body: Option<Vec<u8>>,
     /// A request whose prompt shares one of these parts crashes the back end.
     pub crash_parts: Vec<PartId>,
+    /// Framing of the stream that a crashing request gets.
+    pub crash_framing: Framing,
+    /// Number of events that a crashing request gets.
+    pub events_before_crash: u32,
     /// Whether all responses carry the `Server-Leaving` header.
     pub is_leaving: bool,
     /// Limit in requests per second that all responses carry, if any.
@@ -341,6 +345,8 @@
             event_interval_per_run: Duration::ZERO,
             crash_body: None,
             crash_parts: Vec::new(),
+            crash_framing: Framing::Chunks,
+            events_before_crash: 0,
             is_leaving: false,
             advertised_limit: None,
             limit_announced_at: None,
--- a/testkit/src/users_platform/backend_streams.rs
+++ b/testkit/src/users_platform/backend_streams.rs
@@ -67,7 +67,7 @@
 }
 
 /// Returns an event as it is sent.
-fn event(state: &Mutex<BackendState>, number: u32) -> String {
+pub(super) fn event(state: &Mutex<BackendState>, number: u32) -> String {
     let state = lock(state);
     let data = &state.event_data;
     match state.has_event_ids {
@@ -88,7 +88,7 @@
     }
 }
 
-fn framing_header(framing: Framing, length: usize) -> String {
+pub(super) fn framing_header(framing: Framing, length: usize) -> String {
     match framing {
         Framing::Length => format!("Content-Length: {length}"),
         Framing::Chunks => "Transfer-Encoding: chunked".to_string(),
@@ -96,7 +96,7 @@
     }
 }
 
-fn framed(bytes: &[u8], framing: Framing) -> Vec<u8> {
+pub(super) fn framed(bytes: &[u8], framing: Framing) -> Vec<u8> {
     if framing != Framing::Chunks {
         return bytes.to_vec();
     }
--- a/testkit/tests/crashing_parts.rs
+++ b/testkit/tests/crashing_parts.rs
@@ -5,6 +5,7 @@
 
 use {
     anyhow::Result,
+    chalkcart_coordination::response_end::Framing,
     chalkcart_state::ingress::PartId,
     chalkcart_testkit::{
         users_platform::{
@@ -175,3 +176,17 @@
     scenario.send_crashing_requests(REQUESTS / 2, &shared).await;
     scenario.assert_blocked(MAX_CRASHES).await
 }
+
+/// Guards against a crash that looks like the end of a whole stream and clears its cause.
+#[tokio::test]
+async fn a_part_is_blocked_though_its_streams_end_between_events_without_framing() -> Result<()> {
+    let mut scenario = Scenario::start(4).await?;
+    for engine in &scenario.fleet.engines {
+        let mut state = engine.state();
+        (state.crash_framing, state.events_before_crash) = (Framing::Connection, 1);
+    }
+    scenario
+        .send_crashing_requests(REQUESTS, &[FIRST_PART, CRASH_PART])
+        .await;
+    scenario.assert_blocked(MAX_CRASHES).await
+}
