crashes: a part with an older run beside the crash is no explanation of it

Cause: a popular sound part stands early under many crashes by one of its many runs, and was then as good an explanation as the cause. Where engines live for under a second no run does well that would clear it. Class: one of several witnesses heard, the one that says least.

Changed: a crash is early for a part only if all its runs aboard were early, in whichever entry; if the part were the cause, the older run would have crashed the engine before. The test fails without it.

--- a/coordination/src/crashes/crash_registry.rs
+++ b/coordination/src/crashes/crash_registry.rs
@@ -164,7 +164,7 @@
         let (early, late): (Vec<&InterruptedRun>, Vec<&InterruptedRun>) =
             crash.runs.iter().partition(|run| is_early(run));
         let mut recorded: HashSet<PartId> = HashSet::new();
-        for (runs, is_early) in [(early, true), (late, false)] {
+        for (runs, is_early) in [(late, false), (early, true)] {
             for (part, at) in runs.iter().flat_map(|run| parts_of(run)) {
                 if recorded.insert(part) {
                     let record = PartRecord { part, is_early };
--- a/coordination/src/crashes/part_evidence.rs
+++ b/coordination/src/crashes/part_evidence.rs
@@ -7,7 +7,7 @@
     },
 };
 
-/// A crash counts as early for a part if a run with it had been written for less than this, or
+/// A crash counts as early for a part if all runs with it had been written for less than this, or
 /// not at all: a part that crashes engines does so soon.
 pub const EARLY_CRASH: Duration = Duration::from_secs(1);
 /// A run that is written for this long has outlived what an early crash is due to.
@@ -57,7 +57,8 @@
         }
     }
 
-    /// Adds a crash. One that was early for some run and late for another counts as early.
+    /// Adds a crash. One that was late for a run counts as late, however early it was for others:
+    /// that run would have crashed the engine before.
     pub fn add(&mut self, crash: &Crash, is_early: bool) {
         let weight = match is_early {
             true => EARLY_WEIGHT,
@@ -66,7 +67,7 @@
         let at = crash.stamp.at;
         let known = self.crashes.entry(crash.incarnation);
         let known = known.or_insert(PartCrash { weight, at });
-        known.weight = known.weight.max(weight);
+        known.weight = known.weight.min(weight);
     }
 
     /// Returns whether the crashes are enough to block the part.
--- a/coordination/tests/crashing_parts.rs
+++ b/coordination/tests/crashing_parts.rs
@@ -137,6 +137,17 @@
     );
 }
 
+/// Guards against a popular part that stands under every crash and hides the cause.
+#[test]
+fn a_part_with_an_older_run_beside_the_crash_does_not_hide_the_cause() {
+    let mut history = History::new();
+    for _ in 0..4 {
+        history.crash(&[(&[FIRST, BAD], EARLY), (&[SOUND], EARLY), (&[SOUND], LATE)]);
+    }
+    history.crashes(4, &[SOUND], LATE);
+    assert!(history.blocked(&[FIRST, BAD]).is_some());
+}
+
 #[test]
 fn two_causes_are_told_from_what_stands_beside_both() {
     let mut history = History::new();
--- a/testkit/examples/experiment/main.rs
+++ b/testkit/examples/experiment/main.rs
@@ -1,6 +1,7 @@
 //! Experiments that compare variants in one run:
 //! `cargo run --release --example experiment -- NAME`.
 
+mod crashing_parts;
 mod fleet;
 mod overhead;
 mod overload;
@@ -16,7 +17,7 @@
 };
 
 const NAMES: &str =
-    "routing, routing-hot, batch-ahead, permits, shares, overload, overhead, spread";
+    "routing, routing-hot, batch-ahead, permits, shares, overload, overhead, spread, crashing-parts";
 
 #[tokio::main]
 async fn main() -> Result<()> {
@@ -50,6 +51,7 @@
         Some("overload") => overload::run(&plan).await?,
         Some("overhead") => overhead::run(&plan).await?,
         Some("spread") => spread::run().await?,
+        Some("crashing-parts") => crashing_parts::run(&plan),
         _ => bail!("expected one of: {NAMES}"),
     };
     print_table(&rows);
