soak: clients whose requests share a part that crashes engines, beside sound ones

A client sends requests with one crashing part, no two alike, each beside a sound one with the same first part, under the soak's faults. Checked: at most five crashes and three more, again for each loss of the registry; no sound request gets 400 (RejectedForPart, with an injected case). Soaks without it allow as many crashes as before.

--- a/testkit/examples/soak/main.rs
+++ b/testkit/examples/soak/main.rs
@@ -21,6 +21,11 @@
         .optopt("", "plain", "replicas of the plain service", "COUNT")
         .optopt("", "clients", "clients, each with one connection", "COUNT")
         .optflag("", "crashing", "include a request that crashes engines")
+        .optflag(
+            "",
+            "crashing-parts",
+            "include requests with a part that crashes engines",
+        )
         .optflag(
             "",
             "own-words",
@@ -75,6 +80,7 @@
         plain: number(matches, "plain", default.plain)?,
         clients: number(matches, "clients", default.clients)?,
         has_crashing_requests: matches.opt_present("crashing"),
+        has_crashing_parts: matches.opt_present("crashing-parts"),
         has_backend_signals: matches.opt_present("own-words"),
         has_rate_limits: matches.opt_present("limits"),
         has_store_restores: matches.opt_present("restores"),
--- a/testkit/src/soak/checks.rs
+++ b/testkit/src/soak/checks.rs
@@ -14,8 +14,7 @@
 const MAX_SAFE_RUNS: usize = 2;
 /// Statuses that guarantee that the request has not run and never will.
 const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
-/// Crashes until a request is blocked, and crashes by attempts that are already in flight then.
-const CRASHES_UNTIL_BLOCKED: u32 = 3;
+/// Crashes by attempts that are already in flight when a request or part is blocked.
 const MAX_LATE_CRASHES: u32 = 3;
 /// Maximum number of requests that a back end may receive during a requested back-off.
 const MAX_REQUESTS_IN_BACKOFF: usize = 2;
@@ -78,6 +77,9 @@
         crashes: u32,
         allowed: u32,
     },
+    RejectedForPart {
+        id: String,
+    },
     UnexpectedExit {
         process: String,
     },
@@ -111,6 +113,8 @@
     found.extend(check_retry_budget(record, false));
     found.extend(check_crashes(record));
     found.extend(check_software(record));
+    let rejected = record.rejected_for_part.iter();
+    found.extend(rejected.map(|id| Violation::RejectedForPart { id: id.clone() }));
     let ended = record.exited_processes.iter();
     found.extend(ended.map(|process| Violation::UnexpectedExit {
         process: process.clone(),
@@ -261,9 +265,8 @@
 /// Checks that a request that crashes engines reaches few of them; each loss of the crash
 /// registry allows as many again as it takes to block the request.
 fn check_crashes(record: &SoakRecord) -> Option<Violation> {
-    let allowed = CRASHES_UNTIL_BLOCKED
-        + MAX_LATE_CRASHES
-        + CRASHES_UNTIL_BLOCKED * record.crash_registry_losses;
+    let until_blocked = record.crashes_until_blocked;
+    let allowed = until_blocked + MAX_LATE_CRASHES + until_blocked * record.crash_registry_losses;
     let crashes = record.crashes;
     (crashes > allowed).then_some(Violation::TooManyCrashes { crashes, allowed })
 }
--- /dev/null
+++ b/testkit/src/soak/crashing_clients.rs
@@ -0,0 +1,95 @@
+//! Clients whose requests crash each engine that runs them.
+
+use {
+    super::observations::CRASHING_ID,
+    crate::{
+        serving::lock,
+        users_platform::{prompt, prompt_with_parts, request, ClientRequest, Fleet},
+    },
+    chalkcart_state::ingress::PartId,
+    std::{
+        net::SocketAddr,
+        sync::{
+            atomic::{AtomicBool, Ordering},
+            Arc, Mutex,
+        },
+        time::Duration,
+    },
+    tokio::{task::JoinHandle, time::sleep},
+};
+
+const CRASHING_BODY: &[u8] = b"ends each engine that runs it";
+const CRASHING_PART: &str = "bad0";
+/// The first part of all prompts of the client, also of sound ones.
+const FIRST_PART: &str = "5c1e07a2";
+/// Marks the numbers of sound requests.
+const SOUND: u64 = 1 << 32;
+const REQUEST_INTERVAL: Duration = Duration::from_millis(150);
+
+/// Ids of sound requests that were rejected for a part of their prompt.
+pub type RejectedSound = Arc<Mutex<Vec<String>>>;
+
+/// Sends the same request again and again, each time under another id.
+pub fn send_crashing_requests(fleet: &Fleet, stop: &Arc<AtomicBool>) -> JoinHandle<()> {
+    for engine in &fleet.engines {
+        engine.state().crash_body = Some(CRASHING_BODY.to_vec());
+    }
+    let (entry, stop) = (fleet.clients, stop.clone());
+    tokio::spawn(async move {
+        let mut number = 0;
+        while !stop.load(Ordering::Relaxed) {
+            number += 1;
+            let crashing_request = ClientRequest {
+                body: CRASHING_BODY.to_vec(),
+                ..prompt("a0", &format!("{CRASHING_ID}{number}"))
+            };
+            // the result doesn't matter: the engines count their crashes
+            let _ = request(entry, &crashing_request).await;
+            sleep(REQUEST_INTERVAL).await;
+        }
+    })
+}
+
+/// Sends requests with a part that crashes engines, no two alike, each beside a sound one with
+/// the same first part.
+pub fn send_crashing_parts(
+    fleet: &Fleet,
+    stop: &Arc<AtomicBool>,
+    rejected: &RejectedSound,
+) -> JoinHandle<()> {
+    for engine in &fleet.engines {
+        engine.state().crash_parts = vec![PartId::of(CRASHING_PART)];
+    }
+    let (entry, stop, rejected) = (fleet.clients, stop.clone(), rejected.clone());
+    tokio::spawn(async move {
+        let mut number = 0;
+        while !stop.load(Ordering::Relaxed) {
+            number += 1;
+            tokio::join!(
+                send(entry, number, &[FIRST_PART, CRASHING_PART]),
+                send_sound(entry, number, &rejected),
+            );
+            sleep(REQUEST_INTERVAL).await;
+        }
+    })
+}
+
+async fn send_sound(entry: SocketAddr, number: u64, rejected: &RejectedSound) {
+    let number = number | SOUND;
+    if send(entry, number, &[FIRST_PART]).await == Some(400) {
+        lock(rejected).push(format!("{CRASHING_ID}{number}"));
+    }
+}
+
+/// Sends a request that no other one equals. Returns the status of a complete response.
+async fn send(entry: SocketAddr, number: u64, shared: &[&str]) -> Option<u16> {
+    let id = format!("{CRASHING_ID}{number}");
+    let last = format!("{number:x}");
+    let parts: Vec<&str> = shared.iter().copied().chain([last.as_str()]).collect();
+    let unique = ClientRequest {
+        body: id.clone().into_bytes(),
+        ..prompt_with_parts(prompt("a0", &id), &parts)
+    };
+    let response = request(entry, &unique).await.ok()?;
+    response.is_complete.then_some(response.status)
+}
--- a/testkit/src/soak/mod.rs
+++ b/testkit/src/soak/mod.rs
@@ -2,6 +2,7 @@
 //! and overlapping faults. The responses and runs are checked against the service's guarantees.
 
 mod checks;
+mod crashing_clients;
 mod fault_schedule;
 mod keep_alive_client;
 mod observations;
--- a/testkit/src/soak/observations.rs
+++ b/testkit/src/soak/observations.rs
@@ -1,7 +1,10 @@
 //! What a soak reads from its stand-ins, logs and faults for the checks.
 
 use {
-    super::{recovery::RECOVERY_ID, BackendRecord, ConfigurationHistory, Fault, ScheduledFault},
+    super::{
+        recovery::RECOVERY_ID, BackendRecord, ConfigurationHistory, Fault, ScheduledFault,
+        SoakSettings,
+    },
     crate::users_platform::BackendStandIn,
     std::time::Duration,
 };
@@ -12,6 +15,19 @@
 /// Prefix of the ids of requests that crash engines.
 pub const CRASHING_ID: &str = "crashing-";
 
+/// Crashes until a request is blocked, and until a part of prompts is.
+const CRASHES_UNTIL_REQUEST_BLOCKED: u32 = 3;
+const CRASHES_UNTIL_PART_BLOCKED: u32 = 5;
+
+/// Returns how many crashes it takes to block all that crashes engines in a soak.
+pub fn crashes_until_blocked(settings: &SoakSettings) -> u32 {
+    match (settings.has_crashing_requests, settings.has_crashing_parts) {
+        (true, true) => CRASHES_UNTIL_REQUEST_BLOCKED + CRASHES_UNTIL_PART_BLOCKED,
+        (false, true) => CRASHES_UNTIL_PART_BLOCKED,
+        (_, false) => CRASHES_UNTIL_REQUEST_BLOCKED,
+    }
+}
+
 /// Counts the faults that may lose the crash registry: a start or pause of the only entry
 /// loses its copy, and the sidecars may have lost theirs if any of them was affected.
 pub fn crash_registry_losses(faults: &[ScheduledFault]) -> u32 {
--- a/testkit/src/soak/record.rs
+++ b/testkit/src/soak/record.rs
@@ -124,6 +124,10 @@
     pub configurations: ConfigurationHistory,
     /// Number of engine crashes caused by a request.
     pub crashes: u32,
+    /// Number of crashes until all that crashes engines is blocked.
+    pub crashes_until_blocked: u32,
+    /// Ids of sound requests that were rejected for a part of their prompt.
+    pub rejected_for_part: Vec<String>,
     /// Number of faults by which the entry and the sidecars may both have lost the crash
     /// registry.
     pub crash_registry_losses: u32,
--- a/testkit/src/soak/runner.rs
+++ b/testkit/src/soak/runner.rs
@@ -1,8 +1,9 @@
 use {
     super::{
+        crashing_clients::{send_crashing_parts, send_crashing_requests, RejectedSound},
         keep_alive_client::KeepAliveClient,
         observations::{
-            applied_configurations, backend_record, crash_registry_losses, CRASHING_ID,
+            applied_configurations, backend_record, crash_registry_losses, crashes_until_blocked,
         },
         recovery::recover,
         schedule_faults,
@@ -12,10 +13,10 @@
     },
     crate::{
         cluster::Binaries,
+        serving::lock,
         users_platform::{
-            prompt, request, BackendFault, BackendStandIn, ClientRequest, CutKind, Fleet,
-            FleetSettings, StoreFault, StreamFault, DEFAULT_EVENT_COUNT, FIRST_START_TIME_MS,
-            MODEL,
+            BackendFault, BackendStandIn, CutKind, Fleet, FleetSettings, StoreFault, StreamFault,
+            DEFAULT_EVENT_COUNT, FIRST_START_TIME_MS, MODEL,
         },
         waiting::until,
     },
@@ -34,10 +35,7 @@
         },
         time::Duration,
     },
-    tokio::{
-        task::JoinHandle,
-        time::{sleep, sleep_until},
-    },
+    tokio::time::sleep_until,
 };
 
 /// Time between SIGTERM and SIGKILL, in seconds, and the time limit for an exit after it.
@@ -62,8 +60,6 @@
     extra_bytes: 9,
     framing: Framing::Connection,
 };
-const CRASHING_BODY: &[u8] = b"ends each engine that runs it";
-const CRASHING_REQUEST_INTERVAL: Duration = Duration::from_millis(150);
 
 #[derive(Debug)]
 pub struct SoakReport {
@@ -128,9 +124,13 @@
         tokio::spawn(client.run(stop.clone()))
     });
     let clients: Vec<_> = clients.collect();
+    let rejected = RejectedSound::default();
     let crashing_client = settings
         .has_crashing_requests
         .then(|| send_crashing_requests(&fleet, &stop));
+    let crashing_parts_client = settings
+        .has_crashing_parts
+        .then(|| send_crashing_parts(&fleet, &stop, &rejected));
     let faults = schedule_faults(settings);
     let mut soak = SoakRun {
         fleet,
@@ -144,9 +144,11 @@
         stream_events,
         restores: StoreRestores::default(),
         has_software_versions: settings.has_software_versions,
+        crashes_until_blocked: crashes_until_blocked(settings),
+        rejected,
     };
     soak.inject_faults(&faults).await?;
-    if let Some(client) = crashing_client {
+    for client in crashing_client.into_iter().chain(crashing_parts_client) {
         client.abort();
     }
     let not_recovered = recover(&mut soak.fleet).await;
@@ -159,27 +161,6 @@
     Ok(soak.report(settings.seed, faults, requests, not_recovered))
 }
 
-/// Sends requests that crash engines, each under another id.
-fn send_crashing_requests(fleet: &Fleet, stop: &Arc<AtomicBool>) -> JoinHandle<()> {
-    for engine in &fleet.engines {
-        engine.state().crash_body = Some(CRASHING_BODY.to_vec());
-    }
-    let (entry, stop) = (fleet.clients, stop.clone());
-    tokio::spawn(async move {
-        let mut number = 0;
-        while !stop.load(Ordering::Relaxed) {
-            number += 1;
-            let crashing_request = ClientRequest {
-                body: CRASHING_BODY.to_vec(),
-                ..prompt("a0", &format!("{CRASHING_ID}{number}"))
-            };
-            // the result doesn't matter: the engines count their crashes
-            let _ = request(entry, &crashing_request).await;
-            sleep(CRASHING_REQUEST_INTERVAL).await;
-        }
-    })
-}
-
 /// Fleet under faults.
 struct SoakRun {
     fleet: Fleet,
@@ -196,6 +177,9 @@
     stream_events: u32,
     restores: StoreRestores,
     has_software_versions: bool,
+    crashes_until_blocked: u32,
+    /// Sound requests that were rejected for a part of their prompt.
+    rejected: RejectedSound,
 }
 
 impl SoakRun {
@@ -473,7 +457,9 @@
             requests,
             configurations: applied_configurations(&self.fleet.log()),
             crashes: self.fleet.engines.iter().map(|e| e.state().crashes).sum(),
+            crashes_until_blocked: self.crashes_until_blocked,
             crash_registry_losses: crash_registry_losses(&faults),
+            rejected_for_part: lock(&self.rejected).clone(),
             exited_processes: self.exited,
             not_recovered,
             max_stream_runs: self.max_stream_runs as usize,
--- a/testkit/src/soak/settings.rs
+++ b/testkit/src/soak/settings.rs
@@ -9,6 +9,9 @@
     pub clients: u32,
     /// Whether another client keeps sending a request that crashes each engine that runs it.
     pub has_crashing_requests: bool,
+    /// Whether another client keeps sending requests with a part that crashes each engine, no two
+    /// alike.
+    pub has_crashing_parts: bool,
     /// Whether engines also announce that they leave or need a back-off; changes the faults
     /// that a seed generates.
     pub has_backend_signals: bool,
@@ -41,6 +44,7 @@
             plain: 2,
             clients: 16,
             has_crashing_requests: false,
+            has_crashing_parts: false,
             has_backend_signals: false,
             has_rate_limits: false,
             has_store_restores: false,
--- a/testkit/tests/soak.rs
+++ b/testkit/tests/soak.rs
@@ -66,6 +66,23 @@
     Ok(())
 }
 
+/// The same with a client whose requests share a part that crashes engines and are never alike,
+/// beside sound ones with the same first part.
+#[tokio::test]
+async fn no_violations_while_a_part_crashes_engines() -> Result<()> {
+    for (seed, interval_ms) in [(21, 500), (22, 300), (23, 300)] {
+        run_without_violations(SoakSettings {
+            seed,
+            has_crashing_parts: true,
+            mean_fault_interval: Duration::from_millis(interval_ms),
+            fault_period: FAULT_PERIOD,
+            ..SoakSettings::default()
+        })
+        .await?;
+    }
+    Ok(())
+}
+
 /// The same with engines that announce leaving or request back-off.
 #[tokio::test]
 async fn no_violations_while_engines_leave_and_request_backoff() -> Result<()> {
@@ -284,10 +301,11 @@
     let now = Instant::now();
     retries.backends[0].arrivals = vec![(now, id()); 52];
     let mut crashing_requests = record(Vec::new(), 0);
-    (
-        crashing_requests.crashes,
-        crashing_requests.crash_registry_losses,
-    ) = (10, 1);
+    crashing_requests.crashes = 10;
+    crashing_requests.crashes_until_blocked = 3;
+    crashing_requests.crash_registry_losses = 1;
+    let mut rejected_for_part = record(Vec::new(), 0);
+    rejected_for_part.rejected_for_part = vec![id()];
     let mut exited = record(Vec::new(), 0);
     exited.exited_processes = vec!["ingress".to_string()];
     let mut not_recovered = record(Vec::new(), 0);
@@ -426,6 +444,7 @@
                 allowed: 9,
             },
         ),
+        (rejected_for_part, Violation::RejectedForPart { id: id() }),
         (
             exited,
             Violation::UnexpectedExit {
