--- a/entry/src/ingress/mod.rs
+++ b/entry/src/ingress/mod.rs
@@ -5,6 +5,7 @@
 mod admission_exchange;
 mod control;
 mod control_state;
+mod crash_check;
 mod crash_exchange;
 mod ended_engines;
 mod engine_stats_buffer;
--- a/entry/src/ingress/request_exchange.rs
+++ b/entry/src/ingress/request_exchange.rs
@@ -1,6 +1,7 @@
 use {
     super::{
         admission::{Admission, AdmissionError},
+        crash_check::BLOCKED,
         local_response::LocalResponse,
         observers::{SendGuard, WaitGuard},
         service::{find_route, AcceptedRequest},
@@ -9,7 +10,6 @@
     },
     bytes::Bytes,
     chalkcart_coordination::{
-        crashes::{BlockedPart, RequestVerdict},
         dispatch::{Assignment, Decision, DecisionInputs, DispatchRequest, SendOutcome, Ticket},
         stream_recovery::EventId,
     },
@@ -31,7 +31,7 @@
 /// Maximum sends of one request, including those that did not run it.
 const MAX_SENDS: u32 = 4;
 /// Retry-After of responses for which the dispatcher gives none.
-const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(100);
+pub(super) const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(100);
 
 /// Response text for a request whose deadline passed.
 const DEADLINE_PASSED: &str = "late";
@@ -39,9 +39,6 @@
 /// Response text for a request whose key was revoked while it was queued.
 const KEY_REVOKED: &str = "key taken away";
 
-/// Response text for a request that is blocked because it crashes engines.
-const BLOCKED: &str = "engines ended under this request: it is not run any more";
-
 /// Log value for a request that is queued again because its allowed regions changed.
 pub(super) const REGIONS_CHANGED: &str = "its allowed regions changed";
 
@@ -279,59 +276,6 @@
         }
     }
 
-    /// Rejects a request that is blocked because it, or a part of its prompt, crashes the engines
-    /// that run it. One that has not run gets a 400 response without Retry-After, since a retry
-    /// would be blocked too.
-    fn reject_if_blocked(&mut self) -> Option<ClientResponse> {
-        let blocked_part = self.blocked_part();
-        let RequestVerdict::Blocked { crashes, age } = self.crash_verdict() else {
-            return None;
-        };
-        let part = blocked_part.map(|blocked| blocked.part.to_string());
-        log::warn!(
-            request = self.accepted.head.id.as_str(),
-            digest = self.accepted.digest.to_string().as_str(),
-            part = part.as_deref().unwrap_or_default(),
-            route = self.accepted.route.name.as_str(),
-            account = self.account_name(),
-            ended = crashes,
-            age_ms = age.as_millis() as u64,
-            sends = self.request.send_count,
-            waited_ms = elapsed_ms(self.accepted.arrived);
-            "crashes: request blocked"
-        );
-        let metrics = &self.shared.crashes.metrics;
-        metrics.refused.inc();
-        metrics.refused_for_part.inc_by(u64::from(part.is_some()));
-        let reason = part.map_or(BLOCKED.to_string(), |part| {
-            format!("engines ended under part {part} of this prompt: it is not run any more")
-        });
-        Some(match self.runs {
-            0 => self.local_response().text(StatusCode::BAD_REQUEST, &reason),
-            _ => self.final_response(&reason, DEFAULT_RETRY_AFTER),
-        })
-    }
-
-    /// Returns the verdict on the request, also for a part of its prompt.
-    pub(super) fn crash_verdict(&self) -> RequestVerdict {
-        let crashes = &self.shared.crashes;
-        match self.blocked_part() {
-            Some(BlockedPart { crashes, age, .. }) => RequestVerdict::Blocked { crashes, age },
-            None => crashes.verdict(&self.accepted.digest),
-        }
-    }
-
-    fn blocked_part(&self) -> Option<BlockedPart> {
-        let parts = &self.accepted.head.shared_parts;
-        self.shared.crashes.blocked_part(parts)
-    }
-
-    /// Returns whether the request may crash the engine that runs it, according to the crash
-    /// registry.
-    fn is_crash_suspect(&self) -> bool {
-        self.crash_verdict() != RequestVerdict::Clear
-    }
-
     /// Checks that the caller's key has not been revoked in the meantime.
     pub(super) fn revalidate_key(&self) -> Result<(), AdmissionError> {
         let Some(caller) = &self.accepted.caller else {
@@ -379,7 +323,7 @@
         }
     }
 
-    fn local_response(&self) -> LocalResponse<'_> {
+    pub(super) fn local_response(&self) -> LocalResponse<'_> {
         LocalResponse {
             dialect: self.shared.dialect.as_ref(),
             request_id: Some(&self.accepted.head.id),
