tests: crashing parts in continued streams, beside sixty long streams, and crashes of other causes

Guards for what the part rule must not do: continue such a stream at engine after engine, blame the streams that a crash breaks off, or block a part because engines crash by themselves. All pass on the rule as it is.

--- a/testkit/tests/crashing_parts.rs
+++ b/testkit/tests/crashing_parts.rs
@@ -16,7 +16,9 @@
     std::{
         net::SocketAddr,
         sync::atomic::{AtomicU32, Ordering},
+        time::Duration,
     },
+    tokio::time::sleep,
 };
 
 const REQUESTS: u32 = 24;
@@ -39,11 +41,15 @@
 
 impl Scenario {
     async fn start(engines: u8) -> Result<Self> {
-        let fleet = Fleet::start(FleetSettings {
+        Self::start_with(FleetSettings {
             engines,
             ..FleetSettings::default()
         })
-        .await?;
+        .await
+    }
+
+    async fn start_with(settings: FleetSettings) -> Result<Self> {
+        let fleet = Fleet::start(settings).await?;
         for engine in &fleet.engines {
             engine.state().crash_parts = vec![PartId::of(CRASH_PART), PartId::of(OTHER_CRASH_PART)];
         }
@@ -190,3 +196,77 @@
         .await;
     scenario.assert_blocked(MAX_CRASHES).await
 }
+
+/// Guards against an entry that continues the stream of a crashing prompt at engine after engine.
+#[tokio::test]
+async fn a_part_is_blocked_for_streams_that_are_continued() -> Result<()> {
+    let mut scenario = Scenario::start_with(FleetSettings {
+        engines: 4,
+        stream_attempts: 3,
+        ..FleetSettings::default()
+    })
+    .await?;
+    for engine in &scenario.fleet.engines {
+        engine.state().events_before_crash = 2;
+    }
+    scenario
+        .send_crashing_requests(REQUESTS, &[FIRST_PART, CRASH_PART])
+        .await;
+    scenario.assert_blocked(MAX_CRASHES).await
+}
+
+/// Guards against sound streams that are blamed for the crashes which break them off.
+#[tokio::test]
+async fn sixty_long_streams_beside_a_crashing_part_are_not_blocked() -> Result<()> {
+    let mut scenario = Scenario::start(4).await?;
+    for engine in &scenario.fleet.engines {
+        let mut state = engine.state();
+        state.slots = 64;
+        (state.event_count, state.event_interval) = (60, Duration::from_millis(50));
+    }
+    let entry = scenario.fleet.clients;
+    let streams = (0..60).map(|number| {
+        tokio::spawn(async move {
+            // two streams share a part that others lack
+            let rare = format!("{:x}", 0x1000 + number / 2);
+            let stream = unique_prompt("long", number, &[FIRST_PART, &rare]);
+            request(entry, &stream).await.map_or(0, |r| r.status)
+        })
+    });
+    let streams: Vec<_> = streams.collect();
+    for number in 0..12 {
+        let crashing = unique_prompt("crashing", number, &[FIRST_PART, CRASH_PART]);
+        let response = request(entry, &crashing).await;
+        scenario.rejected += u32::from(response.is_ok_and(|r| r.status == 400));
+        sleep(Duration::from_millis(200)).await;
+    }
+    for stream in streams {
+        assert_ne!(stream.await?, 400);
+    }
+    wait_until_served(entry).await;
+    scenario.assert_blocked(MAX_CRASHES).await
+}
+
+/// Guards against parts that are blocked because engines crash for other reasons.
+#[tokio::test]
+async fn engines_that_crash_by_themselves_block_no_part() -> Result<()> {
+    let scenario = Scenario::start(4).await?;
+    let entry = scenario.fleet.clients;
+    wait_until_served(entry).await;
+    for number in 0..16 {
+        let engine = &scenario.fleet.engines[number as usize % 4];
+        let beside = (0..4).map(|stream| {
+            let stream = unique_prompt("beside", 4 * number + stream, &[FIRST_PART]);
+            tokio::spawn(async move { request(entry, &stream).await })
+        });
+        let beside: Vec<_> = beside.collect();
+        sleep(Duration::from_millis(20)).await;
+        engine.state().crash();
+        for stream in beside {
+            assert_ne!(stream.await?.map_or(0, |r| r.status), 400);
+        }
+    }
+    wait_until_served(entry).await;
+    assert!(!scenario.fleet.log().contains("request blocked"));
+    Ok(())
+}
