--- a/coordination/src/crashes/crash_registry.rs
+++ b/coordination/src/crashes/crash_registry.rs
@@ -25,7 +25,7 @@
 /// about 0.9 MB when full.
 pub const MAX_TRACKED_REQUESTS: usize = 4_096;
 /// Upper bound on the records of parts, of which each part has two: 28 crashes of engines with 24
-/// requests of three parts each that no other request has; about 0.9 MB when full.
+/// requests of three parts each that no other request has; at most 4.2 MB when full.
 pub const MAX_TRACKED_PARTS: usize = 4_096;
 /// Upper bound on the crashes that are kept per request.
 const MAX_CRASHES_PER_REQUEST: usize = BLOCKED_AFTER_CRASHES + 1;
