crashes: engines that crash at one moment count once, late crashes and runs without a response not at all

Cause: each of the engines counted as a crash under each popular part. Streams that had run for long counted half, those that waited for a response as if they had begun. A popular part that is blocked gets no run that would clear it. Class: witnesses counted that saw one event, and witnesses that saw nothing.

Changed: crashes within 100 ms count once. A crash counts only for runs whose response had begun (its head, HeadReceived) less than 0.5 s before; a run of the part that was older disproves it, in whichever entry. 1 s of writing clears a part (1 s and 2 s before). Four separate crashes block, as before; there is no second class that blocks after eight.

Why it works: the cause stands under crashes at different moments, always early; what ends several engines together is seen as one crash, and a part that many requests share has older runs aboard.

--- a/coordination/src/crashes/crash_detector.rs
+++ b/coordination/src/crashes/crash_detector.rs
@@ -35,7 +35,7 @@
 pub struct InterruptedRun {
     pub digest: RequestDigest,
     pub shared_parts: SharedParts,
-    /// For how long the engine had written the response; `None` before its first part.
+    /// For how long the engine had written the response; `None` before its head.
     pub written: Option<Duration>,
     /// Whether the response is complete if the engine has survived.
     pub is_whole: bool,
--- a/coordination/src/crashes/crash_registry.rs
+++ b/coordination/src/crashes/crash_registry.rs
@@ -150,8 +150,9 @@
         for run in &crash.runs {
             self.on_engine_ended(run.digest, incarnation, run.at, now);
         }
+        let begun = crash.runs.iter().filter(|run| run.written.is_some());
         let (early, late): (Vec<&InterruptedRun>, Vec<&InterruptedRun>) =
-            crash.runs.iter().partition(|run| is_early(run));
+            begun.partition(|run| is_early(run));
         let mut recorded: HashSet<PartId> = HashSet::new();
         for (runs, is_early) in [(late, false), (early, true)] {
             for (part, at) in runs.iter().flat_map(|run| parts_of(run)) {
@@ -309,13 +310,12 @@
 
     /// Adds or removes a part whose records have changed.
     fn update_suspect(&mut self, part: PartId, now: Instant) {
-        let mut evidence = PartEvidence::new(part);
-        for record in PartRecord::both(part) {
-            let crashes = self.parts.crashes_of(&record.digest());
-            crashes
-                .iter()
-                .for_each(|crash| evidence.add(crash, record.is_early));
-        }
+        let [early, late] = PartRecord::both(part).map(|record| record.digest());
+        let evidence = PartEvidence::new(
+            part,
+            self.parts.crashes_of(&early),
+            self.parts.crashes_of(&late),
+        );
         // those whose records have expired or were evicted go, too
         self.suspects.retain(|suspect| {
             let age = suspect.age(now);
@@ -327,9 +327,9 @@
     }
 }
 
-/// Returns whether a run had only begun when its engine crashed.
+/// Returns whether the response of a run had only begun when its engine crashed.
 fn is_early(run: &InterruptedRun) -> bool {
-    run.written.is_none_or(|written| written < EARLY_CRASH)
+    run.written.is_some_and(|written| written < EARLY_CRASH)
 }
 
 /// Returns the parts of a run with the time at which it was interrupted.
--- a/coordination/src/crashes/part_evidence.rs
+++ b/coordination/src/crashes/part_evidence.rs
@@ -2,23 +2,24 @@
     super::crash_record::Crash,
     chalkcart_state::ingress::PartId,
     std::{
-        collections::BTreeMap,
+        collections::{BTreeMap, HashSet},
         time::{Duration, Instant},
     },
 };
 
-/// A crash counts as early for a part if all runs with it had been written for less than this, or
-/// not at all: a part that crashes engines does so soon.
-pub const EARLY_CRASH: Duration = Duration::from_secs(1);
+/// A crash counts for a part if all runs with it had been written for less than this: a part that
+/// crashes engines does so soon. A run that had been written for longer disproves it.
+pub const EARLY_CRASH: Duration = Duration::from_millis(500);
 /// A run that is written for this long has outlived what an early crash is due to.
-pub const OUTLIVED_AFTER: Duration = Duration::from_secs(2);
+pub const OUTLIVED_AFTER: Duration = Duration::from_secs(1);
 
-const EARLY_WEIGHT: u32 = 2;
-const LATE_WEIGHT: u32 = 1;
-/// Four early crashes, or eight late ones, without a run that did well.
-const BLOCKING_WEIGHT: u32 = 4 * EARLY_WEIGHT;
+/// A part is blocked after this many separate crashes without a run that did well.
+const BLOCKED_AFTER_CRASHES: usize = 4;
+/// Crashes within this time of each other count once: engines that end at one moment have a
+/// cause of their own.
+const COMMON_CAUSE: Duration = Duration::from_millis(100);
 
-/// Time from the last crash until a part is tried again; doubles with each early crash beyond
+/// Time from the last crash until a part is tried again; doubles with each separate crash beyond
 /// those that block it.
 const MIN_BLOCK: Duration = Duration::from_secs(60);
 const MAX_BLOCK: Duration = Duration::from_secs(480);
@@ -30,14 +31,8 @@
 #[derive(Debug, Clone)]
 pub struct PartEvidence {
     pub part: PartId,
-    /// By the hash of the engine's incarnation.
-    crashes: BTreeMap<u64, PartCrash>,
-}
-
-#[derive(Debug, Clone, Copy)]
-struct PartCrash {
-    weight: u32,
-    at: Instant,
+    /// Times of the early crashes by the hash of the engine's incarnation.
+    crashes: BTreeMap<u64, Instant>,
 }
 
 /// A part that crashes the engines that begin to answer a prompt with it.
@@ -50,29 +45,23 @@
 }
 
 impl PartEvidence {
-    pub fn new(part: PartId) -> Self {
+    /// `early` are the crashes that came early in the part's runs aboard; those that came late in
+    /// any run, also of another entry, don't count.
+    pub fn new(part: PartId, early: &[Crash], late: &[Crash]) -> Self {
+        let disproved: HashSet<u64> = late.iter().map(|crash| crash.incarnation).collect();
+        let crashes = early
+            .iter()
+            .map(|crash| (crash.incarnation, crash.stamp.at));
+        let crashes = crashes.filter(|(incarnation, _)| !disproved.contains(incarnation));
         Self {
             part,
-            crashes: BTreeMap::new(),
+            crashes: crashes.collect(),
         }
     }
 
-    /// Adds a crash. One that was late for a run counts as late, however early it was for others:
-    /// that run would have crashed the engine before.
-    pub fn add(&mut self, crash: &Crash, is_early: bool) {
-        let weight = match is_early {
-            true => EARLY_WEIGHT,
-            false => LATE_WEIGHT,
-        };
-        let at = crash.stamp.at;
-        let known = self.crashes.entry(crash.incarnation);
-        let known = known.or_insert(PartCrash { weight, at });
-        known.weight = known.weight.min(weight);
-    }
-
     /// Returns whether the crashes are enough to block the part.
     pub fn is_sufficient(&self) -> bool {
-        self.weight() >= BLOCKING_WEIGHT
+        self.separate_crashes() >= BLOCKED_AFTER_CRASHES
     }
 
     /// Returns whether this incarnation of an engine crashed under the part.
@@ -82,39 +71,43 @@
 
     /// Returns the time since the last crash.
     pub fn age(&self, now: Instant) -> Option<Duration> {
-        let last = self.crashes.values().map(|crash| crash.at).max();
-        last.map(|at| now.saturating_duration_since(at))
+        let last = self.crashes.values().max();
+        last.map(|at| now.saturating_duration_since(*at))
     }
 
-    fn weight(&self) -> u32 {
-        self.crashes.values().map(|crash| crash.weight).sum()
+    /// Returns the number of crashes, of which those at one moment count once.
+    fn separate_crashes(&self) -> usize {
+        let mut times: Vec<Instant> = self.crashes.values().copied().collect();
+        times.sort_unstable();
+        let mut counted: Vec<Instant> = Vec::new();
+        for at in times {
+            let previous = counted.last();
+            if previous.is_none_or(|previous| at.duration_since(*previous) >= COMMON_CAUSE) {
+                counted.push(at);
+            }
+        }
+        counted.len()
     }
 
     /// Returns the time since the last crash while the part is blocked; `None` if it may be tried
     /// again. `spread` from 0 to 1 differs between entries.
     fn blocked_age(&self, spread: f64, now: Instant) -> Option<Duration> {
         let age = self.age(now)?;
-        let beyond = self.weight().saturating_sub(BLOCKING_WEIGHT) / EARLY_WEIGHT;
-        let block = MIN_BLOCK.saturating_mul(2_u32.saturating_pow(beyond));
+        let beyond = self
+            .separate_crashes()
+            .saturating_sub(BLOCKED_AFTER_CRASHES);
+        let block = MIN_BLOCK.saturating_mul(2_u32.saturating_pow(beyond as u32));
         let block = block.min(MAX_BLOCK).mul_f64(1.0 + spread * RETRY_SPREAD);
         (age < block).then_some(age)
     }
 
-    /// Returns whether another part is as good an explanation of a crash of this one.
-    fn explains(&self, incarnation: u64, weight: u32) -> bool {
-        let crash = self.crashes.get(&incarnation);
-        crash.is_some_and(|crash| crash.weight >= weight)
-    }
-
-    /// Returns whether parts that a request does not have explain all crashes of this one, but
-    /// for what weighs less than one early crash.
+    /// Returns whether parts that a request does not have stood under all crashes of this one.
     fn is_excused(&self, others: &[&PartEvidence]) -> bool {
-        let unexplained = self.crashes.iter().filter(|(incarnation, crash)| {
+        let is_explained = |incarnation: &u64| {
             let mut others = others.iter();
-            !others.any(|other| other.explains(**incarnation, crash.weight))
-        });
-        let weight: u32 = unexplained.map(|(_, crash)| crash.weight).sum();
-        weight < EARLY_WEIGHT
+            others.any(|other| other.has_crash(*incarnation))
+        };
+        self.crashes.keys().all(is_explained)
     }
 }
 
--- a/coordination/src/dispatch/dispatcher.rs
+++ b/coordination/src/dispatch/dispatcher.rs
@@ -162,6 +162,7 @@
                     self.on_not_sent(&request);
                 }
             }
+            DispatchEvent::HeadReceived(ticket) => self.on_head_received(ticket, now),
             DispatchEvent::ResponseStarted(ticket) => self.on_response_started(ticket, now),
             DispatchEvent::SendEnded { ticket, outcome } => {
                 if let Some(service) = self.on_request_ended(ticket, outcome, now) {
@@ -432,6 +433,7 @@
             adapter: request.adapter,
             prompt_tokens: request.prompt_tokens,
             sent_at: now,
+            head_at: None,
             started_at: None,
             is_sole_prefill: pending_prefills == 0,
         };
--- a/coordination/src/dispatch/event.rs
+++ b/coordination/src/dispatch/event.rs
@@ -69,6 +69,8 @@
     },
     /// A waiting request was cancelled.
     RequestWithdrawn(Ticket),
+    /// The head of a successful response arrived: the back end has begun to write it.
+    HeadReceived(Ticket),
     /// The first part of a response arrived.
     ResponseStarted(Ticket),
     SendEnded {
--- a/coordination/src/dispatch/in_flight_request.rs
+++ b/coordination/src/dispatch/in_flight_request.rs
@@ -18,6 +18,8 @@
     pub adapter: Option<AdapterRef>,
     pub prompt_tokens: u32,
     pub sent_at: Instant,
+    /// When the head of a successful response arrived.
+    pub head_at: Option<Instant>,
     /// When the first part of the response arrived.
     pub started_at: Option<Instant>,
     /// Whether no other prompt was being prefilled on the engine when it was sent.
@@ -29,7 +31,7 @@
 impl InFlightRequest {
     /// Returns the run that this request was until its connection closed.
     pub(super) fn interrupted_run(self, is_whole: bool, now: Instant) -> InterruptedRun {
-        let written = self.started_at;
+        let written = self.started_at.or(self.head_at);
         InterruptedRun {
             digest: self.digest,
             shared_parts: self.shared_parts,
--- a/coordination/src/dispatch/request_progress.rs
+++ b/coordination/src/dispatch/request_progress.rs
@@ -7,6 +7,12 @@
 };
 
 impl Dispatcher {
+    pub(super) fn on_head_received(&mut self, ticket: Ticket, now: Instant) {
+        if let Some((_, _, sent)) = self.in_flight.get_mut(&ticket) {
+            sent.head_at = Some(now);
+        }
+    }
+
     pub(super) fn on_response_started(&mut self, ticket: Ticket, now: Instant) {
         let Some((backend, service, sent)) = self.in_flight.get_mut(&ticket) else {
             return;
--- a/entry/src/ingress/observers.rs
+++ b/entry/src/ingress/observers.rs
@@ -41,6 +41,12 @@
         }
     }
 
+    /// Reports that the head of a successful response arrived.
+    pub fn on_head(&self) {
+        let event = DispatchEvent::HeadReceived(self.ticket);
+        self.control.send_event(event);
+    }
+
     pub fn start(&mut self) {
         if !self.has_started {
             self.has_started = true;
--- a/entry/src/ingress/request_exchange_response.rs
+++ b/entry/src/ingress/request_exchange_response.rs
@@ -59,6 +59,9 @@
             guard.end(SendOutcome::Failed);
             return SendResult::Failed(None);
         }
+        if status.is_success() {
+            guard.on_head();
+        }
         match self.accepted.route.kind.is_stream() && status.is_success() {
             true => SendResult::Streaming(Box::new(StartedStream {
                 response: backend_response,
--- a/testkit/examples/experiment/crashing_parts.rs
+++ b/testkit/examples/experiment/crashing_parts.rs
@@ -31,6 +31,7 @@
 const CRASH_AFTER: Duration = Duration::from_millis(100);
 /// Time until all entries know of a crash.
 const EXCHANGE_DELAY: Duration = Duration::from_millis(150);
+const HALF_CRASH_INTERVAL: Duration = Duration::from_secs(10);
 const RESTART: Duration = Duration::from_secs(4);
 /// Time after the fifth crash from which sends of a part are counted, and their target.
 const GRACE: Duration = Duration::from_secs(3);
@@ -49,6 +50,8 @@
         part: u64,
     },
     EngineCrashes,
+    /// Half of the engines crash at one moment.
+    HalfCrash,
     CrashKnown(usize),
     Outlived(RunId, u32),
     Ended(RunId, u32),
@@ -119,27 +122,35 @@
     engines: usize,
     crashing_parts: u64,
     other_crashes: f64,
+    /// Whether half of the engines crash now and then.
+    has_half_crashes: bool,
 }
 
 pub fn run(plan: &Plan) -> Vec<Value> {
     let cases = [
-        (12, 1, 0.0),
-        (12, 2, 0.0),
-        (12, 3, 0.0),
-        (12, 1, 0.5),
-        (12, 0, 1.7),
-        (400, 1, 0.0),
-        (400, 3, 2.0),
-        (4_000, 3, 0.0),
+        (12, 1, 0.0, false),
+        (12, 2, 0.0, false),
+        (12, 3, 0.0, false),
+        (12, 1, 0.5, false),
+        (12, 2, 1.0, false),
+        (12, 0, 1.7, false),
+        (12, 0, 0.5, true),
+        (12, 1, 0.5, true),
+        (400, 1, 0.0, false),
+        (400, 3, 2.0, true),
+        (4_000, 3, 0.0, false),
     ];
-    let rows = cases.map(|(engines, crashing_parts, other_crashes)| {
-        let case = Case {
-            engines,
-            crashing_parts,
-            other_crashes,
-        };
-        row_of(case, plan)
-    });
+    let rows = cases.map(
+        |(engines, crashing_parts, other_crashes, has_half_crashes)| {
+            let case = Case {
+                engines,
+                crashing_parts,
+                other_crashes,
+                has_half_crashes,
+            };
+            row_of(case, plan)
+        },
+    );
     rows.to_vec()
 }
 
@@ -157,6 +168,7 @@
         "engines": case.engines,
         "crashing parts": case.crashing_parts,
         "other crashes a second": case.other_crashes,
+        "half at once": case.has_half_crashes,
         "sound requests": sound,
         "rejected of 10,000": 10_000.0 * rejected as f64 / sound as f64,
         "crashes a seed": crashes as f64 / plan.seeds as f64,
@@ -185,6 +197,9 @@
             let begin = Duration::from_secs(5);
             simulation.schedule(begin, Step::CrashingArrives(number));
         }
+        if case.has_half_crashes {
+            simulation.schedule(HALF_CRASH_INTERVAL, Step::HalfCrash);
+        }
         if case.other_crashes > 0.0 {
             simulation.schedule(Duration::ZERO, Step::EngineCrashes);
         }
@@ -224,6 +239,7 @@
             }
             Step::Crash { .. } => {}
             Step::EngineCrashes => self.on_other_crash(),
+            Step::HalfCrash => self.on_half_crash(),
             Step::CrashKnown(number) => self.registry.on_crash(&self.crashes[number], self.now),
             Step::Outlived(id, attempt) if self.is_running(id, attempt) => {
                 let parts = self.runs[id].parts.clone();
@@ -299,6 +315,13 @@
         part.late_sends += u64::from(is_late);
     }
 
+    fn on_half_crash(&mut self) {
+        self.schedule(HALF_CRASH_INTERVAL, Step::HalfCrash);
+        (0..self.engines.len())
+            .step_by(2)
+            .for_each(|engine| self.crash(engine));
+    }
+
     fn on_other_crash(&mut self) {
         let next = self.exponential(1.0 / self.other_crashes);
         self.schedule(next, Step::EngineCrashes);
