ingress: measure how far the event loop and the link are behind

Callers saw requests fail that a crowded entry had read, and neither log nor metrics told a busy processor from a full link or a full queue of the socket: waited_ms holds the wait for an engine too.

Two standing delays (the least of the last few, so that one long step or one far target raises neither), connections accepted, open and taken in one step, failed accepts; a log line each second while either delay is 10 ms or more. No decision uses them yet.

--- a/coordination/src/lib.rs
+++ b/coordination/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod fence;
 pub mod limits;
 pub mod membership;
+pub mod overload;
 pub mod permits;
 pub mod placement;
 pub mod published;
--- /dev/null
+++ b/coordination/src/overload/connect_delay.rs
@@ -0,0 +1,57 @@
+use {
+    super::StandingDelay,
+    std::{
+        collections::HashMap,
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
+};
+
+/// Number of connects that are compared.
+const SAMPLES: usize = 6;
+const MAX_AGE: Duration = Duration::from_millis(500);
+/// Peers whose shortest connect is kept; all are forgotten beyond it.
+const MAX_PEERS: usize = 8_192;
+/// Part of the excess by which the shortest connect rises with each longer one, since the way to
+/// a peer may have become longer.
+const RISE: u32 = 64;
+
+/// The time by which connects to all peers take longer than they did at best. A handshake passes
+/// the link in both directions, so this is the time that packets wait there, and the time that the
+/// process takes to notice.
+#[derive(Debug, Clone)]
+pub struct ConnectDelay {
+    shortest: HashMap<SocketAddr, Duration>,
+    standing: StandingDelay,
+}
+
+impl Default for ConnectDelay {
+    fn default() -> Self {
+        Self {
+            shortest: HashMap::new(),
+            standing: StandingDelay::new(SAMPLES, MAX_AGE),
+        }
+    }
+}
+
+impl ConnectDelay {
+    /// Records how long a connect to a peer took. The first one to a peer has nothing to be
+    /// compared with.
+    pub fn record(&mut self, now: Instant, peer: SocketAddr, took: Duration) {
+        if self.shortest.len() >= MAX_PEERS && !self.shortest.contains_key(&peer) {
+            self.shortest.clear();
+        }
+        let Some(shortest) = self.shortest.get_mut(&peer) else {
+            self.shortest.insert(peer, took);
+            return;
+        };
+        let excess = took.saturating_sub(*shortest);
+        *shortest = took.min(*shortest + excess / RISE);
+        self.standing.record(now, excess);
+    }
+
+    /// Returns the delay of all recent connects, or zero if there were few.
+    pub fn get(&self, now: Instant) -> Duration {
+        self.standing.get(now)
+    }
+}
--- a/entry/src/ingress/mod.rs
+++ b/entry/src/ingress/mod.rs
@@ -10,6 +10,7 @@
 mod ended_engines;
 mod engine_stats_buffer;
 mod fleet_links;
+mod load_monitor;
 mod local_response;
 mod observers;
 mod operator_pages;
--- a/entry/src/ingress/request_exchange.rs
+++ b/entry/src/ingress/request_exchange.rs
@@ -15,13 +15,14 @@
     },
     chalkcart_state::{ids::Generation, regions::AllowedRegions},
     chalkcart_transport::{
-        backend::{send, BackendSendError},
+        backend::{connect, send_on, BackendResponse, BackendSendError},
         clock::{self, before_deadline},
         ingress::{BackendRequestHead, ClientResponse},
     },
     http::{request::Parts, Request, StatusCode},
     http_body_util::Full,
     std::{
+        net::SocketAddr,
         sync::Arc,
         time::{Duration, Instant},
     },
@@ -336,7 +337,7 @@
             return SendResult::Failed(None);
         };
         let sent_at = clock::now();
-        let result = before_deadline(self.deadline, send(assignment.addr, req, CONNECT_TIMEOUT));
+        let result = before_deadline(self.deadline, self.connect_and_send(assignment.addr, req));
         match result.await {
             Err(_) => SendResult::TimedOut,
             Ok(Err(BackendSendError::NotSent { addr, problem })) => {
@@ -367,6 +368,17 @@
         }
     }
 
+    async fn connect_and_send(
+        &self,
+        addr: SocketAddr,
+        req: Request<Full<Bytes>>,
+    ) -> Result<BackendResponse, BackendSendError> {
+        let began = clock::now();
+        let stream = connect(addr, CONNECT_TIMEOUT).await?;
+        self.shared.load.on_connected(addr, clock::elapsed(began));
+        send_on(stream, addr, req).await
+    }
+
     fn build_request(&self, assignment: &Assignment) -> Option<Request<Full<Bytes>>> {
         let Parts {
             method,
--- a/entry/src/ingress/serve.rs
+++ b/entry/src/ingress/serve.rs
@@ -99,8 +99,14 @@
     let router = operator_pages::new_metrics_router(shared.clone());
     tokio::spawn(server::serve(metrics, router, stopped, Duration::ZERO));
     tokio::spawn(apply_settings_changes(reloader, shared.clone(), store));
+    tokio::spawn(shared.load.clone().run());
     let service = Arc::new(RoutedIngress::new(shared.clone()));
-    let server = tokio::spawn(ingress::serve(clients, service, shared.phase.subscribe()));
+    let server = tokio::spawn(ingress::serve(
+        clients,
+        service,
+        shared.load.clone(),
+        shared.phase.subscribe(),
+    ));
     log::info!("settings: mechanisms {}", shared.settings.mechanisms);
     log::info!(
         first_start = shared.settings.first_start;
--- a/entry/src/ingress/shared.rs
+++ b/entry/src/ingress/shared.rs
@@ -1,6 +1,7 @@
 use {
     super::{
-        admission::Admission, control::ControlHandle, shared_crash_registry::SharedCrashRegistry,
+        admission::Admission, control::ControlHandle, load_monitor::LoadMonitor,
+        shared_crash_registry::SharedCrashRegistry,
         shared_software_versions::SharedSoftwareVersions,
         stream_origin_exchange::StreamOriginExchange, unknown_headers::UnknownHeaders,
     },
@@ -56,6 +57,8 @@
     configured: Notify,
     pub admission: Arc<Admission>,
     pub metrics: IngressMetrics,
+    /// The load of this process.
+    pub load: Arc<LoadMonitor>,
     pub unknown_headers: UnknownHeaders,
     pub software_versions: SharedSoftwareVersions,
     pub stream_origins: StreamOriginExchange,
@@ -75,6 +78,7 @@
         dialect: Arc<dyn Dialect>,
     ) -> Self {
         let (revocation_bound, limits) = (settings.revocation_bound(), settings.limits());
+        let load = Arc::new(LoadMonitor::default());
         Self {
             admission: Arc::new(Admission::new(&settings.name, revocation_bound, limits)),
             software_versions: SharedSoftwareVersions::new(settings.first_start),
@@ -85,7 +89,8 @@
             table: ArcSwapOption::empty(),
             configuration_position: Mutex::default(),
             configured: Notify::new(),
-            metrics: IngressMetrics::new(&crashes.metrics),
+            metrics: IngressMetrics::new(&crashes.metrics, &load.metrics),
+            load,
             unknown_headers: UnknownHeaders::default(),
             crashes,
             phase: watch::Sender::new(Phase::Serving),
--- a/transport/src/backend/mod.rs
+++ b/transport/src/backend/mod.rs
@@ -5,5 +5,5 @@
 
 pub use {
     response::{BackendBody, BackendResponse},
-    sender::{is_refused, send, BackendSendError, Connection},
+    sender::{connect, is_refused, send, send_on, BackendSendError, Connection},
 };
--- a/transport/src/backend/sender.rs
+++ b/transport/src/backend/sender.rs
@@ -51,10 +51,30 @@
     addr: SocketAddr,
     req: Request<Full<Bytes>>,
     connect_timeout: Duration,
+) -> Result<BackendResponse, BackendSendError> {
+    let stream = connect(addr, connect_timeout).await?;
+    send_on(stream, addr, req).await
+}
+
+/// Opens a connection to a back end.
+pub async fn connect(
+    addr: SocketAddr,
+    connect_timeout: Duration,
+) -> Result<TcpStream, BackendSendError> {
+    let stream = open(addr, connect_timeout).await;
+    stream.map_err(|e| BackendSendError::NotSent {
+        addr,
+        problem: e.to_string(),
+    })
+}
+
+/// Sends one request on a connection that was opened for it.
+pub async fn send_on(
+    stream: TcpStream,
+    addr: SocketAddr,
+    req: Request<Full<Bytes>>,
 ) -> Result<BackendResponse, BackendSendError> {
     let not_sent = |problem: String| BackendSendError::NotSent { addr, problem };
-    let stream = connect(addr, connect_timeout).await;
-    let stream = stream.map_err(|e| not_sent(e.to_string()))?;
     let handshake = http1::handshake(TokioIo::new(stream)).await;
     let (mut sender, connection) = handshake.map_err(|e| not_sent(e.to_string()))?;
     let connection = Connection(tokio::spawn(async move {
@@ -76,11 +96,11 @@
 
 /// Returns whether a connection to the address is refused: no process listens there.
 pub async fn is_refused(addr: SocketAddr, connect_timeout: Duration) -> bool {
-    let connected = connect(addr, connect_timeout).await;
+    let connected = open(addr, connect_timeout).await;
     connected.is_err_and(|e| e.kind() == io::ErrorKind::ConnectionRefused)
 }
 
-async fn connect(addr: SocketAddr, max_duration: Duration) -> io::Result<TcpStream> {
+async fn open(addr: SocketAddr, max_duration: Duration) -> io::Result<TcpStream> {
     let connected = timeout(max_duration, TcpStream::connect(addr)).await;
     let stream = connected.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
     tune_stream(&stream);
--- a/transport/src/ingress/mod.rs
+++ b/transport/src/ingress/mod.rs
@@ -1,5 +1,6 @@
 //! HTTP/1.1 server for clients: heads, connections and proxied responses.
 
+mod accept;
 mod client_socket;
 mod dialect;
 mod frame_pauses;
@@ -10,6 +11,7 @@
 mod stream_continuation;
 
 pub use {
+    accept::ConnectionControl,
     dialect::{BackendRequestHead, BackendResponseHead, Dialect, HeadError, RequestHead},
     headers::remove_connection_headers,
     proxy_body::ProxyBody,
--- a/transport/src/ingress/server.rs
+++ b/transport/src/ingress/server.rs
@@ -1,5 +1,6 @@
 use {
     super::{
+        accept::{accept_waiting, ConnectionControl},
         client_socket::{ClientSocket, EndsWithConnection},
         ProxyBody,
     },
@@ -14,7 +15,7 @@
         service::service_fn,
     },
     hyper_util::rt::{TokioIo, TokioTimer},
-    std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration},
+    std::{convert::Infallible, sync::Arc, time::Duration},
     tokio::{
         net::{TcpListener, TcpStream},
         sync::watch,
@@ -57,21 +58,28 @@
 pub async fn serve(
     listener: TcpListener,
     service: Arc<dyn IngressService>,
+    control: Arc<dyn ConnectionControl>,
     mut phase: watch::Receiver<Phase>,
 ) {
     let (alive, mut all_ended) = tokio::sync::mpsc::channel::<Infallible>(1);
     loop {
         tokio::select! {
-            accepted = listener.accept() => match accepted {
-                Ok((socket, addr)) => {
-                    let connection = serve_connection(socket, addr, service.clone(), phase.clone());
-                    let alive = alive.clone();
-                    tokio::spawn(async move {
-                        connection.await;
-                        drop(alive);
-                    });
+            accepted = accept_waiting(&listener) => match accepted {
+                Ok(sockets) => {
+                    control.on_accepted(sockets.len());
+                    for socket in sockets {
+                        let ended = EndGuard { control: control.clone(), _alive: alive.clone() };
+                        let connection = serve_connection(socket, service.clone(), phase.clone());
+                        tokio::spawn(async move {
+                            connection.await;
+                            drop(ended);
+                        });
+                    }
+                }
+                Err(e) => {
+                    control.on_accept_failed(&e);
+                    sleep(ACCEPT_PAUSE).await;
                 }
-                Err(_) => sleep(ACCEPT_PAUSE).await,
             },
             () = wait_for_phase(&mut phase, Phase::Closing) => break,
         }
@@ -82,6 +90,18 @@
     all_ended.recv().await;
 }
 
+/// Reports the end of a connection when it is dropped.
+struct EndGuard {
+    control: Arc<dyn ConnectionControl>,
+    _alive: tokio::sync::mpsc::Sender<Infallible>,
+}
+
+impl Drop for EndGuard {
+    fn drop(&mut self) {
+        self.control.on_ended();
+    }
+}
+
 async fn wait_for_phase(phase: &mut watch::Receiver<Phase>, wanted: Phase) {
     // An error means that the process is exiting.
     let _ = phase.wait_for(|phase| *phase >= wanted).await;
@@ -89,7 +109,6 @@
 
 async fn serve_connection(
     socket: TcpStream,
-    addr: SocketAddr,
     service: Arc<dyn IngressService>,
     mut phase: watch::Receiver<Phase>,
 ) {
@@ -121,7 +140,7 @@
         }
     };
     if let Err(e) = ended {
-        log::debug!("ingress: connection of {addr} ended: {e}");
+        log::debug!("ingress: a connection ended: {e}");
     }
 }
 
--- a/transport/src/metrics/ingress_metrics.rs
+++ b/transport/src/metrics/ingress_metrics.rs
@@ -1,5 +1,5 @@
 use {
-    super::{bounded_names::BoundedNames, new_histograms_by, CrashMetrics},
+    super::{bounded_names::BoundedNames, new_histograms_by, CrashMetrics, LoadMetrics},
     chalkcart_protocol::wire::WireVersion,
     chalkcart_state::published::StorePosition,
     prometheus_client::{
@@ -101,7 +101,7 @@
 }
 
 impl IngressMetrics {
-    pub fn new(crashes: &CrashMetrics) -> Self {
+    pub fn new(crashes: &CrashMetrics, load: &LoadMetrics) -> Self {
         let mut metrics = Self {
             registry: Registry::with_prefix("chalkcart_ingress"),
             responses: Family::default(),
@@ -145,6 +145,7 @@
             .registry
             .register("build", "The build that runs", build);
         crashes.register(&mut metrics.registry);
+        load.register(&mut metrics.registry);
         metrics
     }
 
--- a/transport/src/metrics/mod.rs
+++ b/transport/src/metrics/mod.rs
@@ -4,6 +4,7 @@
 mod crash_metrics;
 mod ingress_metrics;
 mod labels;
+mod load_metrics;
 mod request_metrics;
 
 use request_metrics::new_histograms_by;
@@ -12,5 +13,6 @@
     crash_metrics::CrashMetrics,
     ingress_metrics::{BodyEndLabel, IngressMetrics},
     labels::{GroupClass, RefusalLabel},
+    load_metrics::LoadMetrics,
     request_metrics::RequestMetrics,
 };
