tests: most new connections at one small entry (known red)

Callers saw requests fail that a crowded entry had read. The testkit learns the trouble: a quota that stops a process once it has used its share of a period, and clients of which most open their connections to one entry and retry at others.

--- a/testkit/src/cluster/mod.rs
+++ b/testkit/src/cluster/mod.rs
@@ -2,6 +2,7 @@
 
 mod addresses;
 mod binaries;
+mod cpu_quota;
 mod fleet;
 mod node;
 mod process;
@@ -10,6 +11,7 @@
 pub use {
     addresses::next_addr,
     binaries::{Binaries, OTHER_BUILD},
+    cpu_quota::CpuQuota,
     fleet::{Cluster, EngineNode, ServiceNode},
     node::Node,
     process::Process,
--- a/testkit/src/cluster/process.rs
+++ b/testkit/src/cluster/process.rs
@@ -112,11 +112,32 @@
             sleep(EXIT_POLL_INTERVAL).await;
         }
     }
+    /// Returns the processor time that all threads have used.
+    pub fn cpu_time(&self) -> Duration {
+        cpu_time(self.id())
+    }
     fn signal(&self, signal: Signal) -> Result<()> {
         kill(Pid::from_raw(self.child.id() as i32), signal).context("send a signal")
     }
 }
 
+/// Returns the processor time that the threads of a process have used, or zero once it has exited.
+pub(super) fn cpu_time(process: u32) -> Duration {
+    let Ok(tasks) = fs::read_dir(format!("/proc/{process}/task")) else {
+        return Duration::ZERO;
+    };
+    let nanos = tasks.filter_map(|task| {
+        let stat = fs::read_to_string(task.ok()?.path().join("schedstat")).ok()?;
+        stat.split_whitespace().next()?.parse::<u64>().ok()
+    });
+    Duration::from_nanos(nanos.sum())
+}
+
+/// Sends a signal to a process, which may have exited.
+pub(super) fn signal_process(process: u32, signal: Signal) {
+    let _ = kill(Pid::from_raw(process as i32), signal);
+}
+
 impl Drop for Process {
     fn drop(&mut self) {
         // the process may have exited already
--- a/testkit/src/users_platform/mod.rs
+++ b/testkit/src/users_platform/mod.rs
@@ -6,6 +6,7 @@
 mod backend_stand_in;
 mod backend_streams;
 mod client;
+mod crowd;
 mod engine_orders;
 mod fleet;
 mod prompts;
@@ -19,6 +20,7 @@
         StreamFault, DEFAULT_EVENT_COUNT, FIRST_START_TIME_MS, LIMIT_GRACE, LIMIT_WINDOW,
     },
     client::{open_stream, request, send_on, ClientRequest, ClientResponse, OpenStream},
+    crowd::{send_crowd, Crowd, CrowdAttempt, CrowdRequest},
     engine_orders::{AcceptedOrder, ADAPTER_SLOTS, MODEL},
     fleet::{metrics_text, Fleet, FleetSettings, OtherIngress, HOST},
     prompts::{engine_runs, prompt, prompt_with_parts, serve_prompt},
