ingress: read only the requests that this process carries

Callers saw requests fail that a crowded entry had read, while other entries had room. Cause: an entry read all that came; what it had read then delayed all of its streams for seconds.

An entry now limits what it reads by delays that it measures of itself (event loop, connects, utilization), with no rate of a machine; it closes further connections unread, and beyond twice the limit leaves them in a short queue of its socket. Kept connections are announced to close while they alone are more than the limit, and connections beyond the descriptors are closed.

Why it works: a closed connection is tried at another entry at once, and what is read meets a process that is not behind.

--- a/coordination/src/overload/connect_delay.rs
+++ b/coordination/src/overload/connect_delay.rs
@@ -9,7 +9,7 @@
 
 /// Number of connects that are compared.
 const SAMPLES: usize = 6;
-const MAX_AGE: Duration = Duration::from_millis(500);
+const MAX_AGE: Duration = Duration::from_secs(2);
 /// Peers whose shortest connect is kept; all are forgotten beyond it.
 const MAX_PEERS: usize = 8_192;
 /// Part of the excess by which the shortest connect rises with each longer one, since the way to
@@ -22,6 +22,8 @@
 #[derive(Debug, Clone)]
 pub struct ConnectDelay {
     shortest: HashMap<SocketAddr, Duration>,
+    /// Sum of `shortest`.
+    sum: Duration,
     standing: StandingDelay,
 }
 
@@ -29,27 +31,37 @@
     fn default() -> Self {
         Self {
             shortest: HashMap::new(),
+            sum: Duration::ZERO,
             standing: StandingDelay::new(SAMPLES, MAX_AGE),
         }
     }
 }
 
 impl ConnectDelay {
-    /// Records how long a connect to a peer took. The first one to a peer has nothing to be
-    /// compared with.
+    /// Records how long a connect to a peer took. The first one to a peer is compared with the
+    /// mean of the others.
     pub fn record(&mut self, now: Instant, peer: SocketAddr, took: Duration) {
         if self.shortest.len() >= MAX_PEERS && !self.shortest.contains_key(&peer) {
             self.shortest.clear();
+            self.sum = Duration::ZERO;
         }
-        let Some(shortest) = self.shortest.get_mut(&peer) else {
-            self.shortest.insert(peer, took);
-            return;
+        let shortest = match self.shortest.get(&peer) {
+            Some(shortest) => *shortest,
+            None => self.mean().map_or(took, |mean| mean.min(took)),
         };
-        let excess = took.saturating_sub(*shortest);
-        *shortest = took.min(*shortest + excess / RISE);
+        let excess = took.saturating_sub(shortest);
+        let shortest = took.min(shortest + excess / RISE);
+        let replaced = self.shortest.insert(peer, shortest);
+        self.sum = (self.sum + shortest).saturating_sub(replaced.unwrap_or_default());
         self.standing.record(now, excess);
     }
 
+    /// Returns the mean of the shortest connects to all peers, if enough are known.
+    fn mean(&self) -> Option<Duration> {
+        let peers = self.shortest.len();
+        (peers >= SAMPLES).then(|| self.sum / peers as u32)
+    }
+
     /// Returns the delay of all recent connects, or zero if there were few.
     pub fn get(&self, now: Instant) -> Duration {
         self.standing.get(now)
--- a/coordination/src/overload/mod.rs
+++ b/coordination/src/overload/mod.rs
@@ -1,7 +1,17 @@
-//! Whether a process has more work than its processor and its link carry, from delays that it
-//! measures itself.
+//! Whether a process has more work than its processor and its link carry, and how many requests
+//! it reads then, from delays that it measures itself. docs/design/crowded-entry.md has the
+//! alternatives.
 
+mod admission_limit;
+mod admission_tokens;
 mod connect_delay;
+mod request_rates;
 mod standing_delay;
 
-pub use {connect_delay::ConnectDelay, standing_delay::StandingDelay};
+pub use {
+    admission_limit::{AdmissionLimit, AdmissionLimitSettings, LoadSample},
+    admission_tokens::AdmissionTokens,
+    connect_delay::ConnectDelay,
+    request_rates::RequestRates,
+    standing_delay::StandingDelay,
+};
--- a/entry/src/ingress/service.rs
+++ b/entry/src/ingress/service.rs
@@ -253,7 +253,8 @@
             Ok(accepted) => self.process(accepted).await,
             Err(response) => response,
         };
-        if *self.shared.phase.borrow() != Phase::Serving {
+        let is_serving = *self.shared.phase.borrow() == Phase::Serving;
+        if !is_serving || self.shared.load.should_close_kept() {
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(CONNECTION, close);
         }
--- a/node/src/runtime/run_process.rs
+++ b/node/src/runtime/run_process.rs
@@ -1,4 +1,5 @@
 use {
+    super::idle_time::{on_park, on_unpark},
     crate::logging,
     anyhow::{Context, Result},
     std::future::Future,
@@ -35,6 +36,8 @@
     let log = logging::start(name, log_level)?;
     let runtime = builder
         .enable_all()
+        .on_thread_park(on_park)
+        .on_thread_unpark(on_unpark)
         .build()
         .context("cannot start the runtime")?;
     let result = runtime.block_on(process);
--- a/transport/src/ingress/mod.rs
+++ b/transport/src/ingress/mod.rs
@@ -2,6 +2,8 @@
 
 mod accept;
 mod client_socket;
+mod counted_body;
+mod descriptors;
 mod dialect;
 mod frame_pauses;
 mod headers;
@@ -11,7 +13,8 @@
 mod stream_continuation;
 
 pub use {
-    accept::ConnectionControl,
+    accept::{AcceptPacing, ConnectionControl, RequestPlace},
+    descriptors::max_connections,
     dialect::{BackendRequestHead, BackendResponseHead, Dialect, HeadError, RequestHead},
     headers::remove_connection_headers,
     proxy_body::ProxyBody,
--- a/transport/src/ingress/server.rs
+++ b/transport/src/ingress/server.rs
@@ -1,7 +1,8 @@
 use {
     super::{
-        accept::{accept_waiting, ConnectionControl},
+        accept::{accept, set_queue, AcceptPacing, ConnectionControl, RequestPlace},
         client_socket::{ClientSocket, EndsWithConnection},
+        counted_body::{CountedBody, RequestGuard},
         ProxyBody,
     },
     crate::sockets::tune_stream,
@@ -15,10 +16,18 @@
         service::service_fn,
     },
     hyper_util::rt::{TokioIo, TokioTimer},
-    std::{convert::Infallible, sync::Arc, time::Duration},
+    std::{
+        convert::Infallible,
+        sync::{
+            atomic::{AtomicBool, Ordering},
+            Arc,
+        },
+        time::Duration,
+    },
     tokio::{
         net::{TcpListener, TcpStream},
-        sync::watch,
+        sync::{mpsc, watch},
+        task::yield_now,
         time::sleep,
     },
 };
@@ -61,44 +70,87 @@
     control: Arc<dyn ConnectionControl>,
     mut phase: watch::Receiver<Phase>,
 ) {
-    let (alive, mut all_ended) = tokio::sync::mpsc::channel::<Infallible>(1);
+    let (alive, mut all_ended) = mpsc::channel::<Infallible>(1);
+    let mut acceptor = Acceptor {
+        listener,
+        service,
+        control,
+        phase: phase.clone(),
+        queue: AcceptPacing::default().queue,
+        alive,
+    };
     loop {
         tokio::select! {
-            accepted = accept_waiting(&listener) => match accepted {
-                Ok(sockets) => {
-                    control.on_accepted(sockets.len());
-                    for socket in sockets {
-                        let ended = EndGuard { control: control.clone(), _alive: alive.clone() };
-                        let connection = serve_connection(socket, service.clone(), phase.clone());
-                        tokio::spawn(async move {
-                            connection.await;
-                            drop(ended);
-                        });
-                    }
-                }
-                Err(e) => {
-                    control.on_accept_failed(&e);
-                    sleep(ACCEPT_PAUSE).await;
-                }
-            },
+            () = acceptor.step() => {}
             () = wait_for_phase(&mut phase, Phase::Closing) => break,
         }
     }
-    drop(listener);
-    drop(alive);
+    drop(acceptor);
     // Nothing is sent; `recv` returns when the last sender has been dropped.
     all_ended.recv().await;
 }
 
+/// Takes connections from the queue of the listening socket.
+struct Acceptor {
+    listener: TcpListener,
+    service: Arc<dyn IngressService>,
+    control: Arc<dyn ConnectionControl>,
+    phase: watch::Receiver<Phase>,
+    /// Length of the socket's queue.
+    queue: usize,
+    alive: mpsc::Sender<Infallible>,
+}
+
+impl Acceptor {
+    async fn step(&mut self) {
+        let pacing = self.control.accept_pacing();
+        if pacing.queue != self.queue {
+            self.queue = pacing.queue;
+            set_queue(&self.listener, self.queue);
+        }
+        if pacing.batch > 0 {
+            self.accept(pacing.batch).await;
+        }
+        match pacing.interval.is_zero() {
+            // the timers that measure the delay have their turn too
+            true => yield_now().await,
+            false => sleep(pacing.interval).await,
+        }
+    }
+
+    async fn accept(&self, batch: usize) {
+        match accept(&self.listener, self.control.as_ref(), batch).await {
+            Ok(sockets) => sockets.into_iter().for_each(|socket| self.spawn(socket)),
+            Err(e) => {
+                self.control.on_accept_failed(&e);
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+
+    fn spawn(&self, socket: TcpStream) {
+        let guard = EndGuard {
+            control: self.control.clone(),
+            _alive: self.alive.clone(),
+        };
+        let (service, control) = (self.service.clone(), self.control.clone());
+        let connection = serve_connection(socket, service, control, self.phase.clone());
+        tokio::spawn(async move {
+            connection.await;
+            drop(guard);
+        });
+    }
+}
+
 /// Reports the end of a connection when it is dropped.
 struct EndGuard {
     control: Arc<dyn ConnectionControl>,
-    _alive: tokio::sync::mpsc::Sender<Infallible>,
+    _alive: mpsc::Sender<Infallible>,
 }
 
 impl Drop for EndGuard {
     fn drop(&mut self) {
-        self.control.on_ended();
+        self.control.on_connection_ended();
     }
 }
 
@@ -110,6 +162,7 @@
 async fn serve_connection(
     socket: TcpStream,
     service: Arc<dyn IngressService>,
+    control: Arc<dyn ConnectionControl>,
     mut phase: watch::Receiver<Phase>,
 ) {
     tune_stream(&socket);
@@ -120,13 +173,20 @@
         .max_buf_size(service.max_header_bytes().max(MIN_HEAD_BUFFER));
     let ends_with_connection = EndsWithConnection::default();
     let socket = ClientSocket::new(socket, ends_with_connection.clone());
+    let has_request = AtomicBool::new(false);
     let handled = service_fn(move |req: ClientRequest| {
+        let place = match has_request.swap(true, Ordering::Relaxed) {
+            false => RequestPlace::First,
+            true => RequestPlace::Later,
+        };
+        let guard = RequestGuard::start(control.clone(), place);
         let service = service.clone();
         let ends_with_connection = ends_with_connection.clone();
         async move {
             let version = req.version();
             let response = service.respond(req).await;
             ends_with_connection.set(is_unframed(version, &response));
+            let response = response.map(|body| CountedBody::new(body, guard));
             Ok::<_, Infallible>(response)
         }
     });
--- a/transport/src/metrics/load_metrics.rs
+++ b/transport/src/metrics/load_metrics.rs
@@ -7,7 +7,7 @@
         },
         registry::Registry,
     },
-    std::time::Duration,
+    std::{sync::atomic::AtomicU64, time::Duration},
 };
 
 const FIRST_BUCKET_SECONDS: f64 = 0.001;
@@ -19,12 +19,18 @@
 pub struct LoadMetrics {
     /// Connections that clients opened.
     pub accepted: Counter,
+    /// Of these, connections closed with their request unread.
+    pub closed_unread: Counter,
+    /// Requests per second to which reading is limited, or -1.
+    pub limit: Gauge,
     /// Connections that could not be accepted, as descriptors ran out.
     pub accept_failures: Counter,
     /// Connections that clients keep open.
     pub open: Gauge,
     /// Most connections that waited in the queue of the socket at once.
     pub accept_queue: Gauge,
+    /// Part of the last window for which the event loop was busy.
+    utilization: Gauge<f64, AtomicU64>,
     /// Time by which the event loop is behind.
     loop_delay: Histogram,
     /// Time by which connects to targets take longer than at best.
@@ -35,9 +41,12 @@
     fn default() -> Self {
         Self {
             accepted: Counter::default(),
+            closed_unread: Counter::default(),
+            limit: Gauge::default(),
             accept_failures: Counter::default(),
             open: Gauge::default(),
             accept_queue: Gauge::default(),
+            utilization: Gauge::default(),
             loop_delay: new_histogram(),
             connect_delay: new_histogram(),
         }
@@ -45,9 +54,11 @@
 }
 
 impl LoadMetrics {
-    pub fn on_delays(&self, event_loop: Duration, connect: Duration) {
-        self.loop_delay.observe(event_loop.as_secs_f64());
-        self.connect_delay.observe(connect.as_secs_f64());
+    /// Records what was measured in a window.
+    pub fn on_sample(&self, loop_delay: Duration, connect_delay: Duration, utilization: f64) {
+        self.loop_delay.observe(loop_delay.as_secs_f64());
+        self.connect_delay.observe(connect_delay.as_secs_f64());
+        self.utilization.set(utilization);
     }
 
     pub(super) fn register(&self, registry: &mut Registry) {
@@ -56,6 +67,16 @@
             "Connections that clients opened",
             self.accepted.clone(),
         );
+        registry.register(
+            "connections_closed_unread",
+            "Connections closed with their request unread, as this entry is overloaded",
+            self.closed_unread.clone(),
+        );
+        registry.register(
+            "admission_limit",
+            "Requests per second to which reading is limited, or -1",
+            self.limit.clone(),
+        );
         registry.register(
             "accept_failures",
             "Connections that could not be accepted",
@@ -71,6 +92,11 @@
             "Most connections that were accepted in one step",
             self.accept_queue.clone(),
         );
+        registry.register(
+            "loop_utilization",
+            "Part of the last window for which the event loop was busy",
+            self.utilization.clone(),
+        );
         registry.register(
             "loop_delay_seconds",
             "Time by which the event loop is behind at any time of a window",
