soak: crowds at one entry, which is small meanwhile

A crowd opens most of its connections to the ingress, which has a tenth of a core for its length, and retries at another entry; crowds overlap with each other and with all other faults. New violation: a connection that was closed without a response by an entry that kept running, though its request ran.

--- a/testkit/examples/soak/main.rs
+++ b/testkit/examples/soak/main.rs
@@ -49,6 +49,11 @@
             "unframed",
             "include streams that end with their connection",
         )
+        .optflag(
+            "",
+            "crowds",
+            "include crowds at one entry, which is small meanwhile",
+        )
         .optflag("h", "help", "print this help");
     let matches = opts.parse(env::args().skip(1))?;
     if matches.opt_present("help") {
@@ -91,6 +96,7 @@
         has_resumable_streams: matches.opt_present("resumable"),
         has_software_versions: matches.opt_present("versions"),
         has_unframed_ends: matches.opt_present("unframed"),
+        has_crowds: matches.opt_present("crowds"),
         other_build: Binaries::from_other_build(),
         fault_period: Duration::from_secs(number(matches, "span", default.fault_period.as_secs())?),
         mean_fault_interval: Duration::from_millis(number(
--- a/testkit/src/soak/checks.rs
+++ b/testkit/src/soak/checks.rs
@@ -80,6 +80,9 @@
     RejectedForPart {
         id: String,
     },
+    ClosedButRun {
+        id: String,
+    },
     UnexpectedExit {
         process: String,
     },
@@ -115,6 +118,7 @@
     found.extend(check_software(record));
     let rejected = record.rejected_for_part.iter();
     found.extend(rejected.map(|id| Violation::RejectedForPart { id: id.clone() }));
+    found.extend(check_closed(record));
     let ended = record.exited_processes.iter();
     found.extend(ended.map(|process| Violation::UnexpectedExit {
         process: process.clone(),
@@ -124,6 +128,15 @@
     found
 }
 
+/// Checks that no request ran whose connection was closed without a response.
+fn check_closed(record: &SoakRecord) -> Vec<Violation> {
+    let runs = record.runs();
+    let closed = record.closed_unread.iter();
+    let run = closed.filter(|id| runs.contains_key(id.as_str()));
+    run.map(|id| Violation::ClosedButRun { id: id.clone() })
+        .collect()
+}
+
 fn check_runs(record: &SoakRecord) -> Vec<Violation> {
     let runs = record.runs();
     let mut found = Vec::new();
--- a/testkit/src/soak/fault_schedule.rs
+++ b/testkit/src/soak/fault_schedule.rs
@@ -55,6 +55,8 @@
     StoreRestoredUnseen,
     Configuration,
     AdapterVersion(u8),
+    /// Most new connections of a crowd go to the ingress, which has a share of a core.
+    Crowd,
 }
 
 /// Fault with its start time and duration.
@@ -67,6 +69,8 @@
 
 /// Limited faults last longer, since a limit is enforced only seconds after its announcement.
 const LIMIT_DURATION_FACTOR: u32 = 8;
+/// A crowd lasts some seconds.
+const CROWD_DURATION_FACTOR: u32 = 4;
 
 /// Generates a random schedule of overlapping faults from the seed.
 pub fn schedule_faults(settings: &SoakSettings) -> Vec<ScheduledFault> {
@@ -80,6 +84,7 @@
         let fault = random_fault(&mut rng, settings);
         let duration = match fault {
             Fault::EngineLimited(_) | Fault::PlainLimited(_) => duration * LIMIT_DURATION_FACTOR,
+            Fault::Crowd => duration * CROWD_DURATION_FACTOR,
             _ => duration,
         };
         faults.push(ScheduledFault {
@@ -141,6 +146,9 @@
         all.extend([Fault::EngineChangesSoftware(engine)].repeat(2));
         all.extend([Fault::KillIngress].repeat(3));
     }
+    if settings.has_crowds {
+        all.extend([Fault::Crowd].repeat(6));
+    }
     if settings.has_store_restores {
         // as likely as all other faults of the store
         all.extend([Fault::StoreRestored, Fault::StoreRestoredUnseen].repeat(3));
--- a/testkit/src/soak/mod.rs
+++ b/testkit/src/soak/mod.rs
@@ -3,6 +3,7 @@
 
 mod checks;
 mod crashing_clients;
+mod crowds;
 mod fault_schedule;
 mod keep_alive_client;
 mod observations;
--- a/testkit/src/soak/record.rs
+++ b/testkit/src/soak/record.rs
@@ -128,6 +128,9 @@
     pub crashes_until_blocked: u32,
     /// Ids of sound requests that were rejected for a part of their prompt.
     pub rejected_for_part: Vec<String>,
+    /// Ids of requests whose connection was closed without a response by an entry that kept
+    /// running.
+    pub closed_unread: Vec<String>,
     /// Number of faults by which the entry and the sidecars may both have lost the crash
     /// registry.
     pub crash_registry_losses: u32,
--- a/testkit/src/soak/runner.rs
+++ b/testkit/src/soak/runner.rs
@@ -1,6 +1,7 @@
 use {
     super::{
         crashing_clients::{send_crashing_parts, send_crashing_requests, RejectedSound},
+        crowds::{CrowdRecord, Crowds},
         keep_alive_client::KeepAliveClient,
         observations::{
             applied_configurations, backend_record, crash_registry_losses, crashes_until_blocked,
@@ -81,6 +82,7 @@
 #[derive(Debug, Clone, Copy)]
 struct FaultStep {
     at: Duration,
+    duration: Duration,
     fault: Fault,
     is_start: bool,
 }
@@ -113,6 +115,10 @@
         // the version of an engine never changes within its life
         fleet.wait_for_list(fleet.metrics).await;
     }
+    let crowds = match settings.has_crowds {
+        true => Some(Crowds::new(&fleet, settings.seed).await?),
+        false => None,
+    };
     let stop = Arc::new(AtomicBool::new(false));
     let clients = (0..settings.clients).map(|number| {
         let client = KeepAliveClient::new(
@@ -143,6 +149,7 @@
         max_stream_runs: stream_attempts,
         stream_events,
         restores: StoreRestores::default(),
+        crowds,
         has_software_versions: settings.has_software_versions,
         crashes_until_blocked: crashes_until_blocked(settings),
         rejected,
@@ -157,8 +164,20 @@
     for client in clients {
         requests.extend(client.await?);
     }
+    let crowd = match soak.crowds.take() {
+        Some(crowds) => crowds.finish().await?,
+        None => CrowdRecord::default(),
+    };
+    requests.extend(crowd.requests);
     soak.record_exits();
-    Ok(soak.report(settings.seed, faults, requests, not_recovered))
+    let report = soak.report(
+        settings.seed,
+        faults,
+        requests,
+        not_recovered,
+        crowd.closed_unread,
+    );
+    Ok(report)
 }
 
 /// Fleet under faults.
@@ -176,6 +195,7 @@
     max_stream_runs: u32,
     stream_events: u32,
     restores: StoreRestores,
+    crowds: Option<Crowds>,
     has_software_versions: bool,
     crashes_until_blocked: u32,
     /// Sound requests that were rejected for a part of their prompt.
@@ -196,6 +216,7 @@
         let steps = faults.iter().flat_map(|planned| {
             let step = |at, is_start| FaultStep {
                 at,
+                duration: planned.duration,
                 fault: planned.fault,
                 is_start,
             };
@@ -209,7 +230,7 @@
         for step in steps {
             sleep_until(begin + step.at).await;
             let done = match step.is_start {
-                true => self.start_fault(step.fault).await,
+                true => self.start_fault(step.fault, step.duration).await,
                 false => self.end_fault(step.fault).await,
             };
             done.with_context(|| format!("{step:?}"))?;
@@ -217,9 +238,10 @@
         Ok(())
     }
 
-    async fn start_fault(&mut self, fault: Fault) -> Result<()> {
+    async fn start_fault(&mut self, fault: Fault, duration: Duration) -> Result<()> {
         self.record_exits();
         self.restores.copy(&self.fleet);
+        self.prepare_crowds_for(fault);
         let fleet = &mut self.fleet;
         match fault {
             Fault::KillIngress if !self.is_stopped => {
@@ -240,6 +262,11 @@
             | Fault::TerminateIngress
             | Fault::PauseIngress
             | Fault::ReloadIngress => {}
+            Fault::Crowd => {
+                if let Some(crowds) = self.crowds.as_mut().filter(|_| !self.is_stopped) {
+                    crowds.start(fleet.ingress.id(), fleet.clients, duration);
+                }
+            }
             Fault::KillSidecar(n) => {
                 fleet.sidecars[usize::from(n)].kill()?;
                 self.select_build();
@@ -324,8 +351,24 @@
         Ok(())
     }
 
+    /// Ends the quota of the ingress before another fault stops it.
+    fn prepare_crowds_for(&mut self, fault: Fault) {
+        let stops = matches!(
+            fault,
+            Fault::KillIngress | Fault::TerminateIngress | Fault::PauseIngress
+        );
+        if let Some(crowds) = self.crowds.as_mut().filter(|_| stops) {
+            crowds.on_disturbed();
+        }
+    }
+
     async fn end_fault(&mut self, fault: Fault) -> Result<()> {
         match fault {
+            Fault::Crowd => {
+                if let Some(crowds) = &mut self.crowds {
+                    crowds.end();
+                }
+            }
             Fault::KillIngress | Fault::TerminateIngress => self.start_ingress().await?,
             Fault::PauseIngress if !self.is_stopped => {
                 self.fleet.ingress.resume()?;
@@ -437,6 +480,7 @@
         faults: Vec<ScheduledFault>,
         requests: Vec<RequestRecord>,
         not_recovered: Vec<String>,
+        closed_unread: Vec<String>,
     ) -> SoakReport {
         let status = |request: &RequestRecord| match &request.outcome {
             Outcome::Responded { status, .. } => *status,
@@ -460,6 +504,7 @@
             crashes_until_blocked: self.crashes_until_blocked,
             crash_registry_losses: crash_registry_losses(&faults),
             rejected_for_part: lock(&self.rejected).clone(),
+            closed_unread,
             exited_processes: self.exited,
             not_recovered,
             max_stream_runs: self.max_stream_runs as usize,
--- a/testkit/src/soak/settings.rs
+++ b/testkit/src/soak/settings.rs
@@ -28,6 +28,9 @@
     pub has_software_versions: bool,
     /// Whether engines end streams with their connection, also inside an event.
     pub has_unframed_ends: bool,
+    /// Whether crowds also open most connections to an ingress that is small meanwhile; changes
+    /// the faults that a seed generates.
+    pub has_crowds: bool,
     /// Programs of an older build; process starts alternate between it and this build.
     pub other_build: Option<Binaries>,
     /// Period during which faults start.
@@ -52,6 +55,7 @@
             has_resumable_streams: false,
             has_software_versions: false,
             has_unframed_ends: false,
+            has_crowds: false,
             other_build: None,
             fault_period: Duration::from_secs(8),
             mean_fault_interval: Duration::from_millis(500),
--- a/testkit/tests/soak.rs
+++ b/testkit/tests/soak.rs
@@ -48,6 +48,23 @@
     Ok(())
 }
 
+/// The same with crowds that open most of their connections to one entry, which has a tenth of a
+/// core meanwhile. Guards against requests that run though their connection was closed unread.
+#[tokio::test]
+async fn no_violations_while_most_connections_go_to_one_entry() -> Result<()> {
+    for seed in [74, 75] {
+        run_without_violations(SoakSettings {
+            seed,
+            has_crowds: true,
+            mean_fault_interval: Duration::from_millis(400),
+            fault_period: FAULT_PERIOD,
+            ..SoakSettings::default()
+        })
+        .await?;
+    }
+    Ok(())
+}
+
 /// The same with a client whose request crashes each engine that runs it. Seeds 338 and 344 guard
 /// against a restarted sidecar that exceeds the adapter slots, 439 against a restarted engine
 /// that loads an earlier version.
@@ -306,6 +323,10 @@
     crashing_requests.crash_registry_losses = 1;
     let mut rejected_for_part = record(Vec::new(), 0);
     rejected_for_part.rejected_for_part = vec![id()];
+    let mut closed = response_to(RequestKind::Safe, 200, COMPLETE_BODY);
+    closed.outcome = Outcome::ConnectionLost;
+    let mut closed_but_run = record(vec![closed], 1);
+    closed_but_run.closed_unread = vec![id()];
     let mut exited = record(Vec::new(), 0);
     exited.exited_processes = vec!["ingress".to_string()];
     let mut not_recovered = record(Vec::new(), 0);
@@ -445,6 +466,7 @@
             },
         ),
         (rejected_for_part, Violation::RejectedForPart { id: id() }),
+        (closed_but_run, Violation::ClosedButRun { id: id() }),
         (
             exited,
             Violation::UnexpectedExit {
