ingress: the limit grows only as far as it is used, and more connections may be closed

Cause: an entry that a quota stops for most of each 0.1 s lost the tokens of that time, so it read less than its limit, had no delay, and the limit grew from 44 to 156 and ended, which read everything again.

Tokens are kept for 0.1 s, the limit grows up to 1.5 times what is read, and four connections are closed for one that is read. A connection that its client had reset before it was registered stayed counted as open; it is not. Failed accepts stand in the line of the load instead of one each.

--- a/coordination/src/overload/admission_limit.rs
+++ b/coordination/src/overload/admission_limit.rs
@@ -28,6 +28,8 @@
 const MIN_GROWTH_PER_S: f64 = 1.0;
 /// Least part of the limit that may be read while the delay is too long to wait for the next cut.
 const MIN_PACE: f64 = 0.05;
+/// The limit grows up to this many times what is read, as more than that is not tried out.
+const MAX_UNUSED: f64 = 1.5;
 /// The limit ends once it is this many times the requests that would be read without it.
 const ROOM: f64 = 1.3;
 
@@ -256,7 +258,8 @@
         let room = self.settings.target_utilization / self.utilization.max(f64::EPSILON) - 1.0;
         let part = room.clamp(MIN_PART_PER_S, MAX_PART_PER_S);
         let growth = (overload.limit * part).max(MIN_GROWTH_PER_S);
-        overload.limit += growth * window.as_secs_f64();
+        let tried_out = overload.limit.max(self.rates.read() * MAX_UNUSED);
+        overload.limit = (overload.limit + growth * window.as_secs_f64()).min(tried_out);
         if overload.limit >= self.rates.wished() * ROOM {
             self.overload = None;
         }
--- a/coordination/src/overload/admission_tokens.rs
+++ b/coordination/src/overload/admission_tokens.rs
@@ -1,10 +1,11 @@
 use std::time::{Duration, Instant};
 
-/// Time for which unused tokens are kept.
-const BURST: Duration = Duration::from_millis(30);
+/// Time for which unused tokens are kept: a process may be stopped for a part of each 0.1 s by a
+/// quota of the kernel.
+const BURST: Duration = Duration::from_millis(100);
 /// Connections closed unread for each request that may be read; closing one costs a small part of
 /// serving a request.
-const CLOSED_PER_READ: f64 = 2.0;
+const CLOSED_PER_READ: f64 = 4.0;
 /// Time that connections may wait in the queue of the socket.
 const MAX_QUEUE_TIME: Duration = Duration::from_millis(200);
 
--- a/entry/src/ingress/load_monitor.rs
+++ b/entry/src/ingress/load_monitor.rs
@@ -52,6 +52,8 @@
     /// Most connections accepted in one step since the last log line.
     accept_queue: usize,
     open: usize,
+    /// Whether a connection could not be accepted since the last log line.
+    has_accept_failure: bool,
 }
 
 impl Default for LoadMonitor {
@@ -67,6 +69,7 @@
                 closed_unread: 0,
                 accept_queue: 0,
                 open: 0,
+                has_accept_failure: false,
             }),
             max_open: max_connections(),
             metrics: LoadMetrics::default(),
@@ -128,11 +131,13 @@
         let is_due = state
             .logged_at
             .is_none_or(|at| now.saturating_duration_since(at) >= LOG_INTERVAL);
-        let is_behind = sample.loop_delay.max(sample.connect_delay) >= LOGGED_FROM || limit >= 0;
-        if !is_behind || !is_due {
+        let is_behind = sample.loop_delay.max(sample.connect_delay) >= LOGGED_FROM;
+        let is_logged = is_behind || limit >= 0 || state.has_accept_failure;
+        if !is_logged || !is_due {
             return;
         }
         state.logged_at = Some(now);
+        state.has_accept_failure = false;
         let accept_queue = std::mem::take(&mut state.accept_queue);
         log::warn!(
             loop_delay_ms = sample.loop_delay.as_millis() as u64,
@@ -142,7 +147,8 @@
             limit = limit,
             accepted = state.accepted,
             closed_unread = state.closed_unread,
-            accept_queue = accept_queue;
+            accept_queue = accept_queue,
+            accept_failures = self.metrics.accept_failures.get();
             "ingress: behind its load"
         );
     }
@@ -206,7 +212,8 @@
 
     fn on_accept_failed(&self, e: &io::Error) {
         self.metrics.accept_failures.inc();
-        log::warn!("ingress: no connection can be accepted: {e}");
+        self.state().has_accept_failure = true;
+        log::debug!("ingress: no connection can be accepted: {e}");
     }
 
     fn on_connection_ended(&self) {
--- a/testkit/tests/crowded_entry.rs
+++ b/testkit/tests/crowded_entry.rs
@@ -11,7 +11,8 @@
             send_crowd, Crowd, CrowdAttempt, CrowdRequest, Fleet, FleetSettings, OtherIngress,
         },
     },
-    std::{net::SocketAddr, time::Duration},
+    std::{collections::BTreeMap, net::SocketAddr, time::Duration},
+    tokio::sync::Mutex,
 };
 
 /// Requests per second that the small entry carries.
@@ -23,6 +24,8 @@
 const REACTION: Duration = Duration::from_secs(1);
 /// Clients leave after this time, so a request that waits longer is not served.
 const PATIENCE: Duration = Duration::from_secs(1);
+/// Crowds of several tests at once would take the processor from each other's entries.
+static ONE_AT_A_TIME: Mutex<()> = Mutex::const_new(());
 
 /// A small entry, and large ones beside it.
 struct Scenario {
@@ -136,8 +139,18 @@
     served.count() as f64 / counted.len() as f64
 }
 
+/// Returns the number of attempts by entry and by what became of them.
+fn outcomes(requests: &[CrowdRequest]) -> BTreeMap<String, usize> {
+    let mut counts = BTreeMap::new();
+    for (_, entry, outcome) in requests.iter().flat_map(|r| &r.attempts) {
+        *counts.entry(format!("{entry} {outcome:?}")).or_default() += 1;
+    }
+    counts
+}
+
 #[tokio::test]
 async fn a_crowded_small_entry_leaves_what_it_cannot_carry_to_others() -> Result<()> {
+    let _one = ONE_AT_A_TIME.lock().await;
     let scenario = Scenario::start(2).await?;
     let (before, cost) = scenario.calm().await;
     let quota = CpuQuota::start(scenario.fleet.ingress.id(), cost.as_secs_f64() * CARRIED);
@@ -146,7 +159,8 @@
     let share = served_at_first_read(&requests, REACTION);
     assert!(
         share >= 0.95 * before,
-        "served at the first attempt that was read: {share:.3}, before {before:.3}; log:\n{}",
+        "served at the first attempt that was read: {share:.3}, before {before:.3}; {:?}; log:\n{}",
+        outcomes(&requests),
         scenario.fleet.log()
     );
     scenario.expect_closed_ones_not_run(&requests);
@@ -167,6 +181,7 @@
 
 #[tokio::test]
 async fn a_crowded_entry_without_others_serves_what_it_carries() -> Result<()> {
+    let _one = ONE_AT_A_TIME.lock().await;
     let scenario = Scenario::start(0).await?;
     let (_, cost) = scenario.calm().await;
     let quota = CpuQuota::start(scenario.fleet.ingress.id(), cost.as_secs_f64() * CARRIED);
--- a/transport/src/ingress/accept.rs
+++ b/transport/src/ingress/accept.rs
@@ -75,7 +75,10 @@
         };
         accepted += 1;
         if control.admits() {
-            served.extend(register(socket));
+            match register(socket) {
+                Some(socket) => served.push(socket),
+                None => control.on_connection_ended(),
+            }
         }
     }
     control.on_accepted(accepted);
