ingress: idle time of the event loop by the clock that counts suspension

Found by one_clock in a whole run of the test script: the idle time was taken by the steady clock and the window by the one that counts suspension, so a machine that had been suspended counted as busy for that time, and an entry could have closed connections after it. Both now use the one clock. The runtime takes its park hooks as an argument, so sidecars have none.

--- a/entry/src/ingress/load_monitor.rs
+++ b/entry/src/ingress/load_monitor.rs
@@ -2,7 +2,6 @@
     chalkcart_coordination::overload::{
         AdmissionLimit, AdmissionLimitSettings, ConnectDelay, LoadSample, StandingDelay,
     },
-    chalkcart_node::runtime::idle_time,
     chalkcart_transport::{
         clock,
         ingress::{max_connections, AcceptPacing, ConnectionControl, RequestPlace},
@@ -63,7 +62,7 @@
                 event_loop: StandingDelay::new(TICKS_PER_WINDOW, MAX_TICK_AGE),
                 connect: ConnectDelay::default(),
                 limit: AdmissionLimit::new(AdmissionLimitSettings::default(), clock::now()),
-                window_began: (clock::now(), idle_time()),
+                window_began: (clock::now(), clock::idle_time()),
                 logged_at: None,
                 accepted: 0,
                 closed_unread: 0,
@@ -81,7 +80,7 @@
     /// Returns what was measured in the window that ends.
     fn take_sample(&mut self, now: Instant) -> LoadSample {
         let (began, idle_before) = self.window_began;
-        let idle = idle_time();
+        let idle = clock::idle_time();
         self.window_began = (now, idle);
         let window = now.saturating_duration_since(began).as_secs_f64();
         let idle_share = (idle - idle_before).as_secs_f64() / window.max(f64::EPSILON);
--- a/entry/src/ingress/serve.rs
+++ b/entry/src/ingress/serve.rs
@@ -23,11 +23,14 @@
         watch::WatchPacing,
     },
     chalkcart_node::{
-        runtime::run_on_one_thread, settings::SettingsReloader, signals::stop_signal,
+        runtime::{run_on_one_thread, ParkHooks},
+        settings::SettingsReloader,
+        signals::stop_signal,
     },
     chalkcart_protocol::wire::WireVersion,
     chalkcart_state::published::Topic,
     chalkcart_transport::{
+        clock,
         ingress::{self, Dialect, Phase},
         metadata::{MetadataSource, StoreWatcher},
         server,
@@ -47,7 +50,11 @@
     dialect: Arc<dyn Dialect>,
 ) -> Result<()> {
     let (name, log) = (settings.name.clone(), settings.log.clone());
-    run_on_one_thread(&name, &log, run(settings, reloader, store, dialect))
+    let hooks = ParkHooks {
+        on_park: clock::on_park,
+        on_unpark: clock::on_unpark,
+    };
+    run_on_one_thread(&name, &log, hooks, run(settings, reloader, store, dialect))
 }
 
 async fn run(
--- a/node/src/runtime/run_process.rs
+++ b/node/src/runtime/run_process.rs
@@ -1,11 +1,26 @@
 use {
-    super::idle_time::{on_park, on_unpark},
     crate::logging,
     anyhow::{Context, Result},
     std::future::Future,
     tokio::runtime::Builder,
 };
 
+/// Functions that threads of a runtime call when they have nothing to do, and when they go on.
+#[derive(Debug, Clone, Copy)]
+pub struct ParkHooks {
+    pub on_park: fn(),
+    pub on_unpark: fn(),
+}
+
+impl Default for ParkHooks {
+    fn default() -> Self {
+        Self {
+            on_park: || {},
+            on_unpark: || {},
+        }
+    }
+}
+
 /// Starts logging and a multi-threaded runtime, and runs a process to completion.
 pub fn run_process(
     name: &str,
@@ -22,9 +37,14 @@
 pub fn run_on_one_thread(
     name: &str,
     log_level: &str,
+    hooks: ParkHooks,
     process: impl Future<Output = Result<()>>,
 ) -> Result<()> {
-    run(name, log_level, Builder::new_current_thread(), process)
+    let mut builder = Builder::new_current_thread();
+    builder
+        .on_thread_park(hooks.on_park)
+        .on_thread_unpark(hooks.on_unpark);
+    run(name, log_level, builder, process)
 }
 
 fn run(
@@ -36,8 +56,6 @@
     let log = logging::start(name, log_level)?;
     let runtime = builder
         .enable_all()
-        .on_thread_park(on_park)
-        .on_thread_unpark(on_unpark)
         .build()
         .context("cannot start the runtime")?;
     let result = runtime.block_on(process);
--- a/sidecar/src/placement/serve.rs
+++ b/sidecar/src/placement/serve.rs
@@ -16,7 +16,9 @@
         relay::RelaySettings,
     },
     chalkcart_node::{
-        runtime::run_on_one_thread, settings::SettingsReloader, signals::stop_signal,
+        runtime::{run_on_one_thread, ParkHooks},
+        settings::SettingsReloader,
+        signals::stop_signal,
     },
     chalkcart_protocol::wire::WireVersion,
     chalkcart_transport::{metadata::MetadataSource, orders::EngineControl, server},
@@ -35,7 +37,12 @@
     store: Option<Arc<dyn MetadataSource>>,
 ) -> Result<()> {
     let (name, log) = (settings.name.clone(), settings.log.clone());
-    run_on_one_thread(&name, &log, run(settings, reloader, engine, store))
+    run_on_one_thread(
+        &name,
+        &log,
+        ParkHooks::default(),
+        run(settings, reloader, engine, store),
+    )
 }
 
 async fn run(
--- a/node/src/runtime/idle_time.rs
+++ b/transport/src/clock/idle_time.rs
@@ -1,7 +1,10 @@
-use std::{
-    cell::Cell,
-    sync::atomic::{AtomicU64, Ordering},
-    time::{Duration, Instant},
+use {
+    super::now,
+    std::{
+        cell::Cell,
+        sync::atomic::{AtomicU64, Ordering},
+        time::{Duration, Instant},
+    },
 };
 
 /// Time for which threads of the runtime had nothing to do, in ns.
@@ -13,13 +16,13 @@
 
 /// Called when a thread of the runtime has nothing to do.
 pub fn on_park() {
-    PARKED_AT.set(Some(Instant::now()));
+    PARKED_AT.set(Some(now()));
 }
 
 /// Called when a thread of the runtime goes on.
 pub fn on_unpark() {
     if let Some(parked_at) = PARKED_AT.take() {
-        let idle = parked_at.elapsed().as_nanos() as u64;
+        let idle = now().saturating_duration_since(parked_at).as_nanos() as u64;
         IDLE_NS.fetch_add(idle, Ordering::Relaxed);
     }
 }
--- a/transport/src/clock/mod.rs
+++ b/transport/src/clock/mod.rs
@@ -6,12 +6,14 @@
 mod boot_clock;
 mod deadlines;
 mod errors;
+mod idle_time;
 mod process_clock;
 
 pub use {
     boot_clock::BootClock,
     deadlines::{before_deadline, sleep_until_deadline, DeadlineElapsed},
     errors::ClockError,
+    idle_time::{idle_time, on_park, on_unpark},
     process_clock::{elapsed, install, now},
 };
 
