placement: an order that got no answer takes no place beside a later one

Callers saw: all streams of an engine broke off, as the engine ended when it was ordered to load more adapters than its slots hold. It happened where an engine took more than 0.5 s over an order.

Cause: an order without an answer counted as refused. Only the same order was delayed, so the next report, which did not list the load yet, let another adapter have its place, and both were taken. Class: an action without an answer that may still take effect holds nothing.

Change: each order names the number of orders that the engine had taken in the report it was decided on (`ExpectedCount`), and the engine refuses another one. After an order that was taken, the next one waits for a report that counts it. An order refused for an old report is sent again with the next one.

A place is never held in vain, as nothing waits.

Why it works: of all orders decided on the same state an engine takes one at most, whoever sent them and however late they arrive, since the first one changes the count.

--- a/coordination/src/placement/engine_order.rs
+++ b/coordination/src/placement/engine_order.rs
@@ -32,6 +32,8 @@
     /// The incarnation of the engine that the order is meant for.
     pub backend: BackendId,
     pub fence: u64,
+    /// Number of orders that the engine must have taken before; another number refuses the order.
+    pub expected_count: Option<u64>,
 }
 
 /// The engine's response to an order.
@@ -41,7 +43,7 @@
     Taken,
     /// Nothing to do: the engine is already in the requested state.
     Done,
-    /// The engine is performing another order.
+    /// The engine is performing another order, or has taken another number of them.
     Busy,
     /// The engine has seen a higher fence.
     Fenced,
--- a/coordination/src/placement/engine_report.rs
+++ b/coordination/src/placement/engine_report.rs
@@ -14,6 +14,8 @@
     /// Adapters that are being loaded.
     pub loading: Vec<AdapterRef>,
     pub busy: bool,
+    /// Orders taken in this incarnation; `None` if the engine does not report it.
+    pub order_count: Option<u64>,
     pub running: u32,
     pub queued: u32,
     /// Running and queued requests whose prefill has not ended.
--- a/coordination/src/placement/mod.rs
+++ b/coordination/src/placement/mod.rs
@@ -7,10 +7,13 @@
 mod fence_token;
 mod load_time_estimator;
 mod next_order;
+mod order_count;
 mod placement_control;
 mod recent_adapters;
 mod settings;
 
+use order_count::OrderCount;
+
 pub use {
     demand_table::DemandTable,
     engine_order::{EngineOrder, OrderAnswer, OrderKind},
--- a/coordination/src/placement/placement_control.rs
+++ b/coordination/src/placement/placement_control.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         adapter_hash, DemandTable, EngineOrder, EngineReport, FenceToken, LoadTimeEstimator,
-        OrderAnswer, OrderKind, PlacementSettings, RecentAdapters,
+        OrderAnswer, OrderCount, OrderKind, PlacementSettings, RecentAdapters,
     },
     crate::{
         backend_admission::EngineLimit,
@@ -93,6 +93,7 @@
     ended: Option<BackendId>,
     /// When orders that failed may be retried.
     pub(super) retry_at: HashMap<OrderKind, Instant>,
+    order_count: OrderCount,
     /// Whether the engine has signalled that it is leaving.
     pub(super) is_engine_leaving: bool,
     /// End of the back-off that the engine requested from this machine.
@@ -124,6 +125,7 @@
             read_at: None,
             ended: None,
             retry_at: HashMap::new(),
+            order_count: OrderCount::default(),
             is_engine_leaving: false,
             backoff_until: None,
             limit: EngineLimit::default(),
@@ -160,17 +162,19 @@
             self.identity_requested_at = Some(now);
             return PlacementAction::Identify { health_path };
         }
-        if self.is_report_valid && !self.backend.is_empty() {
+        let may_order = self.order_count.is_current(now);
+        if self.is_report_valid && may_order && !self.backend.is_empty() {
             if let Some(kind) = self.next_order(now) {
                 return PlacementAction::Order(EngineOrder {
                     kind,
                     backend: self.backend.clone(),
                     fence: self.fence.value(),
+                    expected_count: self.order_count.reported(),
                 });
             }
         }
         let is_loading = !self.report.loading.is_empty() || self.is_replacing();
-        let after = match is_loading || !self.is_report_valid {
+        let after = match is_loading || !self.is_report_valid || !may_order {
             true => LOADING_READ_INTERVAL,
             false => IDLE_READ_INTERVAL,
         };
@@ -362,6 +366,7 @@
     fn reset_incarnation(&mut self) {
         self.slots.clear();
         self.retry_at.clear();
+        self.order_count = OrderCount::default();
         self.backoff_until = None;
         self.is_engine_leaving = false;
         self.limit = EngineLimit::default();
@@ -403,6 +408,9 @@
             }
             slots.insert(held.adapter.clone(), slot);
         }
+        if let Some(refused) = self.order_count.on_report(report.order_count) {
+            self.retry_at.remove(&refused);
+        }
         self.remember_evicted(&report);
         self.load_times.on_report(&report, now);
         self.performance.on_report(report.runs.as_deref(), now);
@@ -457,6 +465,7 @@
     fn on_order_answered(&mut self, order: EngineOrder, answer: OrderAnswer, now: Instant) {
         // the engine is read again before the next order
         self.is_report_valid = false;
+        self.order_count.on_answer(&order, &answer, now);
         match answer {
             OrderAnswer::Taken | OrderAnswer::Done => self.on_order_accepted(&order.kind, now),
             OrderAnswer::Fenced => self.fence.on_refused(order.fence),
--- a/testkit/src/users_platform/engine_orders.rs
+++ b/testkit/src/users_platform/engine_orders.rs
@@ -56,6 +56,10 @@
             return 412;
         }
         self.highest_fence = fence;
+        let expected = order["ExpectedCount"].as_u64();
+        if expected.is_some_and(|count| count != self.accepted.len() as u64) {
+            return 409;
+        }
         let adapter = text("Adapter");
         self.accepted.push(AcceptedOrder {
             operation: text("Operation"),
