dispatch: back ends that left the list are used only while the list may lack running ones

Callers saw: requests that ran at a server which was taken away were lost with its end (502, some 3 of 30), where 503 with Retry-After would have been true. It was the last server of its service, and had left the store without announcing it.

Cause: if a service had no listed back end, those that had left the list were used, for as long as they listened. That helps while the store is away and records lapse, but it neither asked whether the store was away nor ended. Class: a fallback to old knowledge without its condition and without a bound.

Change: entries tell the dispatcher when the list can be read no longer, and again.

back_ends_stay_in_use_when_a_list_has_none_of_their_service asserted the fault: that a back end which left a list that can be read gets requests. It is replaced by four tests: none without an outage, none while it still runs requests, use until 3 s after an outage, and the same after a restore.

Why it works: a server that runs and reaches the store writes its record within about two seconds of the store's return, so one that is missing later has gone.

--- a/coordination/src/dispatch/backend_state.rs
+++ b/coordination/src/dispatch/backend_state.rs
@@ -38,8 +38,10 @@
     pub limit: AdvertisedLimit,
     /// What this entry observed while the sidecar didn't report.
     pub observations: EngineObservations,
-    /// Whether it left the list; it is used only if the service has no other back end.
+    /// Whether it left the list.
     pub is_unlisted: bool,
+    /// Whether it left the list while the store may not have heard it.
+    pub is_lapsed: bool,
     /// Whether its sidecar reported it before the list had it.
     pub is_ahead_of_list: bool,
     /// Whether another incarnation responded at its address.
@@ -96,6 +98,7 @@
             limit: AdvertisedLimit::default(),
             observations: EngineObservations::default(),
             is_unlisted: false,
+            is_lapsed: false,
             is_ahead_of_list: false,
             is_superseded: false,
             is_replaced: false,
--- a/coordination/src/dispatch/backend_updates.rs
+++ b/coordination/src/dispatch/backend_updates.rs
@@ -33,8 +33,12 @@
         }
         // A restored store may lack back ends that started since its copy.
         let may_lack_running = at.era > self.list_position.era;
+        let is_first = self.list_position == StorePosition::default();
         self.list_position = at;
-        let unlisted = self.mark_unlisted(&list);
+        if may_lack_running && !is_first {
+            self.list_source.on_restored(now);
+        }
+        let unlisted = self.mark_unlisted(&list, now);
         if !may_lack_running {
             let ended = unlisted.iter();
             ended.for_each(|id| self.crashes.on_engine_ended(id, now));
@@ -54,7 +58,8 @@
 
     /// Marks the back ends that a list does not contain. Returns those that it no longer contains
     /// and whose sidecar, which would detect their end itself, does not report.
-    fn mark_unlisted(&mut self, list: &BackendList) -> Vec<BackendId> {
+    fn mark_unlisted(&mut self, list: &BackendList, now: Instant) -> Vec<BackendId> {
+        let may_lack_running = self.list_source.may_lack_running(now);
         let listed: HashMap<&BackendName, &BackendId> =
             list.iter().map(|b| (&b.id.name, &b.id)).collect();
         let ended: HashSet<BackendId> = self.ended_incarnations().cloned().collect();
@@ -74,7 +79,11 @@
             let is_list_behind = listed_ended.contains(&state.listed.addr);
             state.is_unlisted =
                 !(is_listed || state.is_ahead_of_list && (state.view.is_some() || is_list_behind));
-            if state.is_unlisted && !was_unlisted && state.view.is_none() {
+            let has_left = state.is_unlisted && !was_unlisted;
+            if has_left {
+                state.is_lapsed = may_lack_running;
+            }
+            if has_left && state.view.is_none() {
                 newly_unlisted.push(id.clone());
             }
         }
@@ -105,7 +114,7 @@
         self.backends.insert(id, state);
     }
 
-    /// Removes back ends that left the list, unless their service has no other.
+    /// Removes back ends that left the list, unless they may run and their service has no other.
     pub(super) fn remove_unlisted(&mut self, now: Instant) {
         let services: HashSet<ServiceName> = self
             .backends
@@ -113,9 +122,11 @@
             .filter(|b| !b.is_unlisted)
             .map(|b| b.listed.service.clone())
             .collect();
+        let may_lack_running = self.list_source.may_lack_running(now);
         self.backends.retain(|id, b| {
-            let is_kept =
-                !b.is_unlisted || b.in_flight > 0 || !services.contains(&b.listed.service);
+            let may_be_needed = may_lack_running && b.is_lapsed;
+            let has_other = services.contains(&b.listed.service);
+            let is_kept = !b.is_unlisted || b.in_flight > 0 || (may_be_needed && !has_other);
             if !is_kept {
                 self.signals.save_limit(id, &b.limit, now);
             }
--- a/coordination/src/dispatch/dispatcher.rs
+++ b/coordination/src/dispatch/dispatcher.rs
@@ -1,12 +1,12 @@
 use {
     super::{
         backend_signal_tracker::BackendSignalTracker, backend_updates::ReportedIncarnation,
-        expected_returns::ExpectedReturn, pacing::TurnWait, pending_loads::PendingLoad,
-        performance::ServicePerformance, rejection::MIN_RETRY_AFTER, selection::Choice,
-        waiting_list::WaitingList, AccountFairQueueing, AdapterVersions, AdmissionOrder,
-        Assignment, BackendState, BudgetUsage, Decision, DispatchEvent, DispatchRequest,
-        DispatchSettings, FleetSize, InFlightRequest, LoadDelay, PrefillRate, RejectionCause,
-        RequestedLoad, SharedRetryBudget, Ticket,
+        expected_returns::ExpectedReturn, list_source::ListSource, pacing::TurnWait,
+        pending_loads::PendingLoad, performance::ServicePerformance, rejection::MIN_RETRY_AFTER,
+        selection::Choice, waiting_list::WaitingList, AccountFairQueueing, AdapterVersions,
+        AdmissionOrder, Assignment, BackendState, BudgetUsage, Decision, DispatchEvent,
+        DispatchRequest, DispatchSettings, FleetSize, InFlightRequest, LoadDelay, PrefillRate,
+        RejectionCause, RequestedLoad, SharedRetryBudget, Ticket,
     },
     crate::{
         backend_performance::{EnginePerformance, SettledRate},
@@ -50,6 +50,7 @@
     pub(super) settings: DispatchSettings,
     pub(super) backends: BTreeMap<BackendId, BackendState>,
     pub(super) list_position: StorePosition,
+    pub(super) list_source: ListSource,
     pub(super) table: Arc<RouteTable>,
     pub(super) waiting: WaitingList,
     pub(super) fair_queueing: AccountFairQueueing,
@@ -115,6 +116,7 @@
             settings,
             backends: BTreeMap::new(),
             list_position: StorePosition::default(),
+            list_source: ListSource::default(),
             table: Arc::default(),
             waiting: WaitingList::default(),
             fair_queueing: AccountFairQueueing::default(),
@@ -204,6 +206,9 @@
                 self.on_list(at, list, now);
                 self.dispatch_waiting(|_| true, now);
             }
+            DispatchEvent::ListSourceChanged { is_available } => {
+                self.list_source.set_available(is_available, now)
+            }
             DispatchEvent::ConfigUpdated(table) => {
                 self.admission_order.set_routes(&table);
                 self.table = table;
--- a/coordination/src/dispatch/event.rs
+++ b/coordination/src/dispatch/event.rs
@@ -96,6 +96,10 @@
         at: StorePosition,
         list: BackendList,
     },
+    /// The list of back ends can be read again, or no longer.
+    ListSourceChanged {
+        is_available: bool,
+    },
     ConfigUpdated(Arc<RouteTable>),
     /// The zones whose back ends receive no requests.
     ZonesEvacuated(HashSet<ZoneName>),
--- a/coordination/src/dispatch/mod.rs
+++ b/coordination/src/dispatch/mod.rs
@@ -23,6 +23,7 @@
 mod homes;
 mod in_flight_request;
 mod limited_backends;
+mod list_source;
 mod load_delay;
 mod pacing;
 mod pending_loads;
--- a/coordination/src/dispatch/selection.rs
+++ b/coordination/src/dispatch/selection.rs
@@ -316,10 +316,11 @@
         let listed = filter_backends(&|b| {
             b.may_receive_requests() && !b.is_unlisted && !b.backoff.is_active(now)
         });
-        if !listed.is_empty() || self.has_listed(&request.service) {
+        let is_list_complete = !self.list_source.may_lack_running(now);
+        if !listed.is_empty() || is_list_complete || self.has_listed(&request.service) {
             return listed;
         }
-        filter_backends(&|b| b.may_receive_requests() && !b.backoff.is_active(now))
+        filter_backends(&|b| b.may_receive_requests() && b.is_lapsed && !b.backoff.is_active(now))
     }
 
     /// Returns the candidates that hold the adapter in a usable version.
--- a/coordination/tests/dispatch_listing.rs
+++ b/coordination/tests/dispatch_listing.rs
@@ -53,15 +53,69 @@
     fixture.end(50, outcome);
 }
 
+fn set_list_available(fixture: &mut Fixture, is_available: bool) {
+    fixture.handle(DispatchEvent::ListSourceChanged { is_available });
+}
+
+/// Returns the back end that a new request is sent to, if any.
+fn chosen(fixture: &mut Fixture, ticket: u64) -> Option<String> {
+    let request = fixture.new_request(PLAIN, None);
+    let sent = sent_to(&fixture.submit(ticket, request)).into_iter().next();
+    fixture.handle(DispatchEvent::RequestWithdrawn(ticket));
+    sent
+}
+
+/// Guards against requests to the last server of a service after it left without a word.
 #[test]
-fn back_ends_stay_in_use_when_a_list_has_none_of_their_service() {
+fn a_back_end_that_left_receives_no_requests_though_its_service_has_no_other() {
     let mut fixture = Fixture::new(vec![backend(PLAIN, 1)]);
     fixture.update_list(Vec::new());
-    let request = fixture.new_request(PLAIN, None);
-    assert_eq!(sent_to(&fixture.submit(1, request)), ["plain-1"]);
+    assert_eq!(chosen(&mut fixture, 1), None);
+    // neither does an outage bring it back
+    set_list_available(&mut fixture, false);
+    assert_eq!(chosen(&mut fixture, 2), None);
     fixture.update_list(vec![backend(PLAIN, 2)]);
+    assert_eq!(chosen(&mut fixture, 3).as_deref(), Some("plain-2"));
+}
+
+/// Guards against requests that wait for the last one's end before its back end is excluded.
+#[test]
+fn a_back_end_that_left_while_it_runs_requests_receives_no_further_ones() {
+    let mut fixture = Fixture::new(vec![backend(PLAIN, 1)]);
     let request = fixture.new_request(PLAIN, None);
-    assert_eq!(sent_to(&fixture.submit(2, request)), ["plain-2"]);
+    assert_eq!(sent_to(&fixture.submit(1, request)), ["plain-1"]);
+    fixture.update_list(Vec::new());
+    assert_eq!(chosen(&mut fixture, 2), None);
+    fixture.end(1, SendOutcome::Answered);
+    assert_eq!(chosen(&mut fixture, 3), None);
+}
+
+#[test]
+fn back_ends_whose_records_lapsed_in_an_outage_stay_in_use_until_they_are_missing() {
+    let mut fixture = Fixture::new(vec![backend(PLAIN, 1)]);
+    set_list_available(&mut fixture, false);
+    fixture.advance(ms(8_000));
+    set_list_available(&mut fixture, true);
+    fixture.update_list(Vec::new());
+    assert_eq!(chosen(&mut fixture, 1).as_deref(), Some("plain-1"));
+    fixture.advance(ms(2_500));
+    assert_eq!(chosen(&mut fixture, 2).as_deref(), Some("plain-1"));
+    fixture.advance(ms(1_000));
+    assert_eq!(chosen(&mut fixture, 3), None);
+    fixture.update_list(vec![backend(PLAIN, 1)]);
+    assert_eq!(chosen(&mut fixture, 4).as_deref(), Some("plain-1"));
+}
+
+#[test]
+fn back_ends_that_a_restored_store_lacks_stay_in_use_for_a_while() {
+    let mut fixture = Fixture::new(vec![backend(PLAIN, 1)]);
+    fixture.handle(DispatchEvent::ListUpdated {
+        at: StorePosition::new(2, 1),
+        list: Vec::new(),
+    });
+    assert_eq!(chosen(&mut fixture, 1).as_deref(), Some("plain-1"));
+    fixture.advance(ms(3_500));
+    assert_eq!(chosen(&mut fixture, 2), None);
 }
 
 #[test]
--- a/entry/src/ingress/records.rs
+++ b/entry/src/ingress/records.rs
@@ -13,7 +13,10 @@
         metadata::{RecordSink, WatchUpdate},
     },
     std::{
-        sync::{Arc, Mutex, PoisonError},
+        sync::{
+            atomic::{AtomicBool, Ordering},
+            Arc, Mutex, PoisonError,
+        },
         time::Duration,
     },
 };
@@ -28,6 +31,8 @@
     list: Mutex<ListedBackends>,
     evacuated: Mutex<EvacuatedZones>,
     unreadable: UnreadableRecords,
+    /// Whether the last read of the list failed.
+    is_list_away: AtomicBool,
 }
 
 impl EntryRecords {
@@ -39,6 +44,17 @@
             source,
             list: Mutex::new(list),
             evacuated: Mutex::default(),
+            is_list_away: AtomicBool::new(false),
+        }
+    }
+
+    /// Tells the dispatcher when the list can be read again, or no longer.
+    fn set_list_away(&self, is_away: bool) {
+        if self.is_list_away.swap(is_away, Ordering::Relaxed) != is_away {
+            let is_available = !is_away;
+            self.shared
+                .control
+                .send_event(DispatchEvent::ListSourceChanged { is_available });
         }
     }
 
@@ -141,7 +157,10 @@
 impl RecordSink for EntryRecords {
     fn apply(&self, topic: Topic, update: WatchUpdate, is_full: bool) {
         match topic {
-            Topic::Backends => self.apply_backends(update.snapshot, is_full),
+            Topic::Backends => {
+                self.set_list_away(false);
+                self.apply_backends(update.snapshot, is_full);
+            }
             Topic::Configuration => {
                 self.shared.set_configuration_position(update.snapshot.at);
                 self.apply_zones(&update.snapshot, is_full);
@@ -152,6 +171,12 @@
         }
     }
 
+    fn on_read_failed(&self, topic: Topic) {
+        if topic == Topic::Backends {
+            self.set_list_away(true);
+        }
+    }
+
     fn on_new_era(&self, topic: Topic, jitter: f64) -> Duration {
         match topic {
             Topic::Backends if !self.source.has_relays() => {
--- a/testkit/tests/leaving_and_rest.rs
+++ b/testkit/tests/leaving_and_rest.rs
@@ -1,7 +1,7 @@
-//! Back ends that announce in response headers that they are leaving or request back-off.
+//! Back ends that leave, which some announce in response headers, or request back-off.
 //!
-//! Guards against: requests sent to a back end after it has announced that it is leaving, or
-//! during the back-off that it has requested.
+//! Guards against: requests sent to a back end after it has announced that it is leaving or has
+//! left the store, or during the back-off that it has requested.
 
 use {
     anyhow::Result,
@@ -18,6 +18,8 @@
 
 /// Time after which a leaving back end receives no requests.
 const DRAIN_TIME: Duration = Duration::from_millis(2_000);
+/// Time in which an entry notices that the store does not respond.
+const STORE_OUTAGE: Duration = Duration::from_millis(3_000);
 /// Time for the requested back-off to reach the caller.
 const SIGNAL_DELAY: Duration = Duration::from_millis(500);
 /// Probes that a back end may receive during its back-off.
@@ -138,6 +140,47 @@
     Ok(())
 }
 
+/// Guards against requests to the last server of a service after it left without a word.
+#[tokio::test]
+async fn the_last_server_receives_no_more_requests_once_it_has_left() -> Result<()> {
+    let fleet = plain(1).await?;
+    let served = request(fleet.clients, &safe_request("before")).await?;
+    assert_eq!(served.status, 200);
+    let at = Instant::now();
+    fleet
+        .store
+        .delete(&format!("servers/{}", fleet.plain[0].id()));
+    sleep(DRAIN_TIME).await;
+    for number in 0..4 {
+        let rejected = request(fleet.clients, &safe_request(&format!("after-{number}"))).await?;
+        assert_eq!(rejected.status, 503);
+        assert!(rejected.head.get("retry-after").is_some());
+    }
+    assert_eq!(
+        arrivals_since(&fleet.plain[0], at + DRAIN_TIME),
+        Vec::<String>::new()
+    );
+    Ok(())
+}
+
+/// The store drops the records of servers that it could not hear.
+#[tokio::test]
+async fn servers_whose_records_lapsed_while_the_store_was_away_serve_on() -> Result<()> {
+    let fleet = plain(2).await?;
+    fleet.store.set_fault(StoreFault::Unresponsive);
+    sleep(STORE_OUTAGE).await;
+    for server in &fleet.plain {
+        fleet.store.delete(&format!("servers/{}", server.id()));
+    }
+    fleet.store.set_fault(StoreFault::None);
+    for number in 0..10 {
+        let response = request(fleet.clients, &safe_request(&format!("after-{number}"))).await?;
+        assert_eq!(response.status, 200);
+        sleep(Duration::from_millis(100)).await;
+    }
+    Ok(())
+}
+
 /// Another replica of the service has capacity.
 #[tokio::test]
 async fn requests_are_withheld_during_the_backoff_of_a_back_end() -> Result<()> {
