dispatch: an engine whose sidecar is silent is asked for a version that may still begin

Callers saw: responses of an adapter version that had been replaced, for as long as the sidecar of the engine that held it was frozen or gone (11.8 s and more after the newer version was announced).

Cause: the outdated version made the engine no holder any more, but it was still expected to have the adapter, as it had run it lately, and the request then named the version in the store's list, which lags and was not compared with what may begin. Class: old knowledge used without asking whether it may still be.

Change: a request names the version that the engine is known to hold only if requests may still begin on it, else the newest announced one. An engine with an older version refuses it without running it, and the adapter is loaded elsewhere or the request rejected.

--- a/coordination/src/dispatch/selection.rs
+++ b/coordination/src/dispatch/selection.rs
@@ -379,8 +379,9 @@
         })
     }
 
-    /// Returns the version that the request must run on. For an engine without a reporting
-    /// sidecar it is the newest announced version, which every load fetches.
+    /// Returns the version that the request must run on: the one that the engine is known to hold,
+    /// if requests may still start on it, else the newest announced one, which every load fetches.
+    /// An engine that still holds an older one refuses the request without running it.
     fn required_version(
         &self,
         state: &BackendState,
@@ -388,7 +389,9 @@
         now: Instant,
     ) -> Option<u64> {
         let newest = Some(self.adapter_versions.newest(adapter)).filter(|newest| *newest > 0);
-        state.held_version(adapter, now).or(newest)
+        let held = state.held_version(adapter, now);
+        held.filter(|version| self.is_version_usable(adapter, *version, now))
+            .or(newest)
     }
 
     /// Returns whether requests may still start on this version of the adapter.
--- a/testkit/tests/ingress_engines.rs
+++ b/testkit/tests/ingress_engines.rs
@@ -13,10 +13,16 @@
     chalkcart_transport::client::PeerClient,
     futures::future::join_all,
     serde_json::json,
-    std::{collections::HashSet, time::Duration},
-    tokio::net::TcpStream,
+    std::{
+        collections::HashSet,
+        time::{Duration, Instant},
+    },
+    tokio::{net::TcpStream, time::sleep},
 };
 
+/// Time after which no request may begin on an older version.
+const VERSION_TIME: Duration = Duration::from_secs(5);
+
 async fn start(engines: u8) -> Result<Fleet> {
     Fleet::start(FleetSettings {
         engines,
@@ -144,6 +150,39 @@
     Ok(())
 }
 
+/// Guards against requests that begin on an outdated version while no sidecar reports.
+#[tokio::test]
+async fn no_request_begins_on_an_outdated_version_while_all_sidecars_are_down() -> Result<()> {
+    let mut fleet = start(2).await?;
+    serve_prompt(&fleet, "a", "before").await?;
+    for number in 0..2 {
+        let engine = &fleet.engines[number];
+        let adapters = engine.state().orders.report(std::time::Instant::now())["Models"].take();
+        let record = json!({"Service": "engines", "Address": engine.addr, "Zone": "z", "Slots": 8,
+                            "State": "ready", "Models": adapters});
+        fleet.store.put(&format!("servers/{}", engine.id()), record);
+        fleet.sidecars[number].kill()?;
+    }
+    let newer = json!({"Model": "m", "Adapter": "a", "Version": 2});
+    fleet.store.put("op/version/m.a", newer);
+    let announced_at = Instant::now();
+    let mut late = Vec::new();
+    while announced_at.elapsed() < VERSION_TIME + Duration::from_secs(1) {
+        let id = format!("after-{}", announced_at.elapsed().as_millis());
+        if announced_at.elapsed() > VERSION_TIME {
+            late.push(id.clone());
+        }
+        request(fleet.clients, &prompt("a", &id)).await?;
+        sleep(Duration::from_millis(50)).await;
+    }
+    let outdated: Vec<&String> = late
+        .iter()
+        .filter(|id| engine_runs(&fleet, id) > 0)
+        .collect();
+    assert_eq!(outdated, Vec::<&String>::new());
+    Ok(())
+}
+
 #[tokio::test]
 async fn a_truncated_stream_is_not_complete_and_not_run_again() -> Result<()> {
     let fleet = start(1).await?;
