dispatch: types of the dispatcher in modules of their own, without a circle

The dispatcher imported the types of its state from the modules that extend it, which import the dispatcher: a circle of 14 modules. The types now stand in modules that import no dispatcher (choice, expected_return, holders, pending_load, permit_query, reported_incarnation, route_rank, service_performance, turn_wait), what the dispatcher adds to the order of routes in route_order. Text moved only; the public names are the same. A search for strongly connected imports finds none.

--- a/coordination/src/dispatch/admission_order.rs
+++ b/coordination/src/dispatch/admission_order.rs
@@ -1,20 +1,11 @@
 //! Order of the routes of a service that compete for its engines.
 
 use {
-    super::{dispatcher::Dispatcher, urgency::LOWEST_URGENCY, DispatchRequest},
+    super::{route_rank::RouteRank, urgency::LOWEST_URGENCY, DispatchRequest},
     chalkcart_state::{ids::ServiceName, ingress::RouteTable},
     std::collections::HashMap,
 };
 
-/// Position of a route among the priorities of its service.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct RouteRank {
-    /// 0 is the most urgent.
-    pub rank: u8,
-    /// Number of different priorities; at least two.
-    pub ranks: u8,
-}
-
 /// Smallest weight of the newest prompt in the typical size.
 const MIN_PROMPT_WEIGHT: f64 = 0.02;
 
@@ -85,20 +76,3 @@
         })
     }
 }
-
-impl Dispatcher {
-    /// Returns the rank of a request's route; `None` if the order of routes doesn't apply.
-    pub(super) fn route_rank(&self, request: &DispatchRequest) -> Option<RouteRank> {
-        let is_on = self.settings.features.urgency_by_route;
-        is_on.then(|| self.admission_order.rank(request)).flatten()
-    }
-
-    /// Returns the typical prompt of the routes of a request's priority, in tokens.
-    pub(super) fn typical_prompt_of_route(&self, request: &DispatchRequest) -> f64 {
-        let (service, priority) = (&request.service, request.priority);
-        let typical = self
-            .admission_order
-            .typical_prompt_tokens(service, priority);
-        typical.unwrap_or_else(|| self.typical_prompt_tokens(service))
-    }
-}
--- a/coordination/src/dispatch/backend_updates.rs
+++ b/coordination/src/dispatch/backend_updates.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         affected_requests::AffectedRequests, backend_state::reported_at, dispatcher::Dispatcher,
-        BackendState,
+        reported_incarnation::ReportedIncarnation, BackendState,
     },
     crate::backend_signals::BackendSignals,
     chalkcart_protocol::peer::{EngineStats, EngineView},
@@ -19,13 +19,6 @@
     },
 };
 
-/// The incarnation that a sidecar last reported for the engine at an address.
-#[derive(Debug, Clone)]
-pub(super) struct ReportedIncarnation {
-    id: BackendId,
-    reported_at: Instant,
-}
-
 impl Dispatcher {
     pub(super) fn on_list(&mut self, at: StorePosition, list: BackendList, now: Instant) {
         if at < self.list_position {
--- a/coordination/src/dispatch/copies.rs
+++ b/coordination/src/dispatch/copies.rs
@@ -1,7 +1,7 @@
 //! Selects engines that load another copy of an adapter.
 
 use {
-    super::{dispatcher::Dispatcher, homes::load_candidates, selection::Choice, BackendState},
+    super::{choice::Choice, dispatcher::Dispatcher, homes::load_candidates, BackendState},
     crate::placement::adapter_hash,
     chalkcart_state::backends::{AdapterRef, BackendId},
     std::time::Instant,
--- a/coordination/src/dispatch/decision.rs
+++ b/coordination/src/dispatch/decision.rs
@@ -8,6 +8,9 @@
     std::{net::SocketAddr, time::Duration},
 };
 
+/// Minimum retry time given to rejected requests.
+pub(super) const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
+
 /// Inputs of a decision, for logs.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct DecisionInputs {
--- a/coordination/src/dispatch/dispatcher.rs
+++ b/coordination/src/dispatch/dispatcher.rs
@@ -1,9 +1,9 @@
 use {
     super::{
-        backend_signal_tracker::BackendSignalTracker, backend_updates::ReportedIncarnation,
-        expected_returns::ExpectedReturn, list_source::ListSource, pacing::TurnWait,
-        pending_loads::PendingLoad, performance::ServicePerformance, rejection::MIN_RETRY_AFTER,
-        selection::Choice, waiting_list::WaitingList, AccountFairQueueing, AdapterVersions,
+        backend_signal_tracker::BackendSignalTracker, choice::Choice, decision::MIN_RETRY_AFTER,
+        expected_return::ExpectedReturn, list_source::ListSource, pending_load::PendingLoad,
+        reported_incarnation::ReportedIncarnation, service_performance::ServicePerformance,
+        turn_wait::TurnWait, waiting_list::WaitingList, AccountFairQueueing, AdapterVersions,
         AdmissionOrder, Assignment, BackendState, BudgetUsage, Decision, DispatchEvent,
         DispatchRequest, DispatchSettings, FleetSize, InFlightRequest, LoadDelay, PrefillRate,
         RejectionCause, RequestedLoad, SharedRetryBudget, Ticket,
--- a/coordination/src/dispatch/expected_returns.rs
+++ b/coordination/src/dispatch/expected_returns.rs
@@ -1,7 +1,7 @@
 //! Requests that are rejected with the time at which their adapter will be loaded.
 
 use {
-    super::{dispatcher::Dispatcher, DispatchRequest},
+    super::{dispatcher::Dispatcher, expected_return::ExpectedReturn, DispatchRequest},
     crate::placement::adapter_hash,
     chalkcart_state::backends::BackendId,
     std::time::{Duration, Instant},
@@ -12,16 +12,6 @@
 /// How long an adapter stays wanted after the retry time of its rejected requests.
 const RETURN_GRACE: Duration = Duration::from_millis(400);
 
-/// Rejected requests for an adapter whose clients are expected to retry once it is loaded.
-#[derive(Debug, Clone)]
-pub(super) struct ExpectedReturn {
-    pub(super) backend: BackendId,
-    pub(super) priority: u8,
-    pub(super) requests: u32,
-    /// Time until which retries are expected.
-    pub(super) until: Instant,
-}
-
 impl Dispatcher {
     /// Returns the retry time of a request whose adapter can't be loaded within its latency
     /// objective; the request is then rejected, and its adapter stays wanted.
--- a/coordination/src/dispatch/homes.rs
+++ b/coordination/src/dispatch/homes.rs
@@ -9,8 +9,8 @@
             EXPECTED_SLOT_WAIT_MS, MAX_SLOT_WAIT, STORE_LOAD_COST_MS, WAIT_STEP_MS,
         },
         dispatcher::Dispatcher,
+        holders::holders_of_model,
         pending_loads::PENDING_LOAD_TIMEOUT,
-        selection::holders_of_model,
         BackendState, DispatchRequest,
     },
     crate::{
--- a/coordination/src/dispatch/limited_backends.rs
+++ b/coordination/src/dispatch/limited_backends.rs
@@ -1,7 +1,7 @@
 //! Back ends that advertise a rate limit.
 
 use {
-    super::dispatcher::Dispatcher,
+    super::{dispatcher::Dispatcher, PermitError, PermitQuery},
     crate::{
         backend_admission::{AdvertisedLimit, LimitSharing},
         backend_signals::{LimitSignal, RequestRate},
@@ -10,7 +10,6 @@
     chalkcart_state::backends::BackendId,
     std::{
         collections::HashMap,
-        net::SocketAddr,
         time::{Duration, Instant},
     },
 };
@@ -18,22 +17,6 @@
 /// Minimum time between two updates of all limits, which cost as much as many decisions.
 const LIMIT_REFRESH_INTERVAL: Duration = Duration::from_millis(25);
 
-/// Why a permit issuer sent no permits.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum PermitError {
-    /// Its build doesn't issue permits.
-    Unsupported,
-    NoResponse,
-}
-
-/// A query to the permit issuer beside an engine.
-#[derive(Debug, Clone, PartialEq)]
-pub struct PermitQuery {
-    pub engine: SocketAddr,
-    pub report: AdmissionReport,
-    pub requested_at: Instant,
-}
-
 impl Dispatcher {
     /// Applies the limit signal in the response to a request that was sent at `sent_at`.
     pub(super) fn on_limit_signal(
--- a/coordination/src/dispatch/mod.rs
+++ b/coordination/src/dispatch/mod.rs
@@ -10,6 +10,7 @@
 mod backend_signal_tracker;
 mod backend_state;
 mod backend_updates;
+mod choice;
 mod copies;
 mod decision;
 mod demands;
@@ -18,24 +19,33 @@
 mod engine_observations;
 mod engines_without_sidecar;
 mod event;
+mod expected_return;
 mod expected_returns;
 mod fleet_size;
+mod holders;
 mod homes;
 mod in_flight_request;
 mod limited_backends;
 mod list_source;
 mod load_delay;
 mod pacing;
+mod pending_load;
 mod pending_loads;
 mod performance;
+mod permit_query;
 mod prefill_rate;
 mod rejection;
+mod reported_incarnation;
 mod request_progress;
 mod requested_load;
+mod route_order;
+mod route_rank;
 mod selection;
+mod service_performance;
 mod settings;
 mod shared_retry_budget;
 mod slow_start;
+mod turn_wait;
 mod urgency;
 mod waiting_list;
 
@@ -44,7 +54,7 @@
 pub use {
     account_fair_queueing::AccountFairQueueing,
     adapter_versions::AdapterVersions,
-    admission_order::{AdmissionOrder, RouteRank},
+    admission_order::AdmissionOrder,
     backend_state::BackendState,
     decision::{Assignment, Decision, DecisionInputs, RejectionCause},
     dispatch_request::{DispatchRequest, Ticket},
@@ -53,14 +63,15 @@
     event::{DispatchEvent, SendOutcome},
     fleet_size::FleetSize,
     in_flight_request::InFlightRequest,
-    limited_backends::{PermitError, PermitQuery},
     load_delay::LoadDelay,
-    pacing::TurnWait,
-    pending_loads::DueDemands,
-    performance::MeasuredEngines,
+    pending_load::DueDemands,
+    permit_query::{PermitError, PermitQuery},
     prefill_rate::PrefillRate,
     requested_load::{LoadCause, LoadInputs, RequestedLoad},
+    route_rank::RouteRank,
+    service_performance::MeasuredEngines,
     settings::DispatchSettings,
     shared_retry_budget::{BudgetUsage, RetryBudgetSettings, SharedRetryBudget},
+    turn_wait::TurnWait,
     urgency::{urgency, urgency_by_route},
 };
--- a/coordination/src/dispatch/pacing.rs
+++ b/coordination/src/dispatch/pacing.rs
@@ -3,9 +3,11 @@
 
 use {
     super::{
+        choice::{Choice, PacedChoice},
         dispatcher::Dispatcher,
+        holders::holders_of_model,
         homes::load_candidates,
-        selection::{holders_of_model, Choice},
+        turn_wait::TurnWait,
         BackendState, DispatchRequest, Ticket,
     },
     crate::{
@@ -14,10 +16,7 @@
             EngineLoad, Forecast, PacingInputs, PacingOutcome, ShortestRun, StreamObjectives,
         },
     },
-    chalkcart_state::{
-        backends::{AdapterRef, BackendId},
-        ingress::RequestDigest,
-    },
+    chalkcart_state::backends::{AdapterRef, BackendId},
     std::time::{Duration, Instant},
 };
 
@@ -34,24 +33,6 @@
 /// Interval at which waiting turns are checked at most; every event may come sooner.
 const TURN_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
-/// A request that waits until its prompt fits into an engine's limit for one gap.
-#[derive(Debug, Clone, PartialEq)]
-pub struct TurnWait {
-    pub digest: RequestDigest,
-    pub backend: BackendId,
-    /// When the wait began.
-    pub since: Instant,
-    /// When the prompt is expected to fit.
-    pub until: Instant,
-    pub inputs: PacingInputs,
-}
-
-/// What to do with a request that has a gap objective.
-pub(super) enum PacedChoice<'b> {
-    Send(&'b BackendState, PacingInputs),
-    Wait(TurnWait),
-}
-
 /// An engine and what is expected of the request there.
 struct PacedOption<'b> {
     state: &'b BackendState,
--- a/coordination/src/dispatch/pending_loads.rs
+++ b/coordination/src/dispatch/pending_loads.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         adapter_affinity::MAX_SLOT_WAIT, demands::build_demand, dispatcher::Dispatcher,
-        BackendState, DispatchRequest,
+        pending_load::PendingLoad, DispatchRequest, DueDemands,
     },
     chalkcart_protocol::peer::{AdapterDemand, WantedAdapter},
     chalkcart_state::backends::{AdapterRef, BackendId},
@@ -18,36 +18,6 @@
 /// next.
 pub(super) const PENDING_LOAD_TIMEOUT: Duration = Duration::from_millis(1_500);
 
-/// A load that was requested from one or more engines.
-#[derive(Debug, Clone)]
-pub(super) struct PendingLoad {
-    pub(super) backends: Vec<BackendId>,
-    pub(super) requested_at: Instant,
-    pub(super) until: Instant,
-    /// Engines that have held the adapter since.
-    pub(super) loaded: Vec<BackendId>,
-}
-
-impl PendingLoad {
-    /// Returns how many of its engines are among the candidates.
-    pub(super) fn count_among(&self, candidates: &[&BackendState]) -> usize {
-        let known = candidates
-            .iter()
-            .filter(|b| self.backends.contains(&b.listed.id));
-        known.count()
-    }
-}
-
-/// Which sidecars are sent a demand.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum DueDemands {
-    /// Sidecars of engines with new load requests.
-    Urgent,
-    /// Also those of engines whose demand is or was not empty.
-    Changed,
-    All,
-}
-
 impl Dispatcher {
     /// Returns the demands to send now.
     pub fn demands(&mut self, due: DueDemands, now: Instant) -> Vec<(SocketAddr, AdapterDemand)> {
--- a/coordination/src/dispatch/performance.rs
+++ b/coordination/src/dispatch/performance.rs
@@ -1,7 +1,9 @@
 //! How fast the engines of a service are, compared with each other.
 
 use {
-    super::{dispatcher::Dispatcher, BackendState},
+    super::{
+        dispatcher::Dispatcher, service_performance::MedianFigures, BackendState, MeasuredEngines,
+    },
     crate::backend_performance::{EnginePerformance, RelativeRate},
     chalkcart_protocol::peer::EngineStats,
     chalkcart_state::{backends::BackendId, ids::ServiceName},
@@ -14,53 +16,9 @@
 /// Age from which the figures of a view are no longer used. Sidecars repeat a view each 400 ms and
 /// relays forward it within 200 ms, so an older view means that its path is interrupted.
 const MAX_FIGURES_AGE: Duration = Duration::from_secs(3);
-/// Interval between two computations of the medians and checks for figures that have become too
-/// old. At 4,000 engines, where some figure changes before each decision, one takes 0.6 ms. An
-/// engine's own rate changes with its figures.
-const REFRESH_INTERVAL: Duration = Duration::from_millis(500);
 /// Relative rate up to which an engine counts as slow in the metrics.
 const SLOW_RATE: f64 = 0.5;
 
-/// Median figures of the engines of one service that report them.
-#[derive(Debug, Clone, Copy, Default, PartialEq)]
-struct MedianFigures {
-    event_interval_us: Option<u32>,
-    prefill_tokens_per_s: Option<u32>,
-}
-
-/// Median figures by service.
-#[derive(Debug, Default)]
-pub(super) struct ServicePerformance {
-    medians: HashMap<ServiceName, MedianFigures>,
-    /// Whether any engine's figures have changed since the medians were computed.
-    is_outdated: bool,
-    refreshed_at: Option<Instant>,
-}
-
-impl ServicePerformance {
-    /// Handles the change of an engine's figures, or of the engines of a service.
-    pub fn invalidate(&mut self) {
-        self.is_outdated = true;
-    }
-
-    fn is_refresh_due(&self, now: Instant) -> bool {
-        let Some(at) = self.refreshed_at else {
-            return true;
-        };
-        let elapsed = now.saturating_duration_since(at);
-        elapsed >= REFRESH_INTERVAL || self.is_outdated && self.medians.is_empty()
-    }
-}
-
-/// Numbers of engines by what is known of their performance, for metrics.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct MeasuredEngines {
-    /// Engines whose sidecars report how fast they are.
-    pub measured: u32,
-    /// Of these, the ones that take twice as long as the median of their service.
-    pub slow: u32,
-}
-
 impl Dispatcher {
     /// Returns how fast an engine is: by its own figures, else by the median of the engines of its
     /// service that report them, else `None`.
--- a/coordination/src/dispatch/rejection.rs
+++ b/coordination/src/dispatch/rejection.rs
@@ -3,7 +3,8 @@
 
 use {
     super::{
-        dispatcher::Dispatcher, Decision, DecisionInputs, DispatchRequest, RejectionCause, Ticket,
+        decision::MIN_RETRY_AFTER, dispatcher::Dispatcher, Decision, DecisionInputs,
+        DispatchRequest, RejectionCause, Ticket,
     },
     crate::membership::{rendezvous_weight, stable_hash},
     chalkcart_state::backends::BackendId,
@@ -13,8 +14,6 @@
     },
 };
 
-/// Minimum retry time given to rejected requests.
-pub(super) const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
 /// Longest time over which retries are spread.
 const MAX_RETRY_SPREAD: Duration = Duration::from_secs(5);
 
--- a/coordination/src/dispatch/selection.rs
+++ b/coordination/src/dispatch/selection.rs
@@ -2,8 +2,9 @@
 
 use {
     super::{
+        choice::{Choice, PacedChoice},
         dispatcher::Dispatcher,
-        pacing::{PacedChoice, TurnWait},
+        holders::holders_of_model,
         urgency::{urgency, urgency_by_route, LOWEST_URGENCY},
         Assignment, BackendState, DecisionInputs, DispatchRequest, LoadCause, RejectionCause,
         RequestedLoad,
@@ -22,14 +23,6 @@
 /// Minimum saving for which an adapter is reloaded on another engine, in ms.
 const MIN_RELOAD_SAVING_MS: f64 = 60.0;
 
-/// What can be done for a request now.
-pub(super) enum Choice {
-    Send(Assignment),
-    Wait(RejectionCause),
-    /// Its prompt waits until it fits into an engine's limit for one gap.
-    WaitForTurn(TurnWait),
-}
-
 impl Dispatcher {
     /// Returns the inputs of a rejection, for logs.
     pub(super) fn decision_inputs(
@@ -426,12 +419,3 @@
     let view = state.view.as_ref();
     view.map_or(0.0, |v| f64::from(v.figures.next_return_ms))
 }
-
-/// Returns the candidates that hold a base model.
-pub(super) fn holders_of_model<'b>(
-    candidates: &[&'b BackendState],
-    model: &str,
-) -> Vec<&'b BackendState> {
-    let holders = candidates.iter().filter(|b| b.has_model(model));
-    holders.copied().collect()
-}
--- a/coordination/tests/crowded_sim/mod.rs
+++ b/coordination/tests/crowded_sim/mod.rs
@@ -77,7 +77,7 @@
     limit: AdmissionLimit,
     loop_delay: StandingDelay,
     connect_delay: ConnectDelay,
-    /// Backlog at the end of the last window and work since then, for the utilization.
+    /// Work done since the start of the window, for the utilization.
     work_in_window: Duration,
     /// Attempts in the queue of its socket.
     queued: usize,
