--- a/testkit/src/soak/mod.rs
+++ b/testkit/src/soak/mod.rs
@@ -11,6 +11,7 @@
 mod recovery;
 mod runner;
 mod settings;
+mod soak_run;
 mod store_restores;
 
 pub use {
