overload: comments that a newcomer could not follow

Cause: a rename had turned "delays" into "sample" in three comments of the admission limit; one on idle time was no sentence. Change: comments alone.

--- a/coordination/src/overload/admission_limit.rs
+++ b/coordination/src/overload/admission_limit.rs
@@ -30,7 +30,7 @@
 const MIN_PACE: f64 = 0.05;
 /// The limit grows up to this many times what is read, as more than that is not tried out.
 const MAX_UNUSED: f64 = 1.5;
-/// The limit ends once it is this many times the requests that would be read without it.
+/// The limit is lifted once it is this many times the requests that would be read without it.
 const ROOM: f64 = 1.3;
 
 /// Settings of an [`AdmissionLimit`].
@@ -64,7 +64,7 @@
     }
 }
 
-/// The standing sample of a window.
+/// What was measured in a window; the delays are standing ones.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct LoadSample {
     /// Standing delay of the event loop.
@@ -75,15 +75,15 @@
     pub utilization: f64,
 }
 
-/// Limits the requests that a process reads to what it carries, which it learns from its own
-/// sample: the limit falls while they stand and rises slowly without them.
+/// Limits the requests that a process reads to what it carries, which it learns from the delays that
+/// it measures of itself: the limit falls while they stand and rises slowly without them.
 #[derive(Debug)]
 pub struct AdmissionLimit {
     settings: AdmissionLimitSettings,
     rates: RequestRates,
     /// Requests read per second outside of overloads.
     usual_rate: f64,
-    /// The longer of the sample of the last window.
+    /// The longer delay of the last window.
     delay: Duration,
     utilization: f64,
     /// When a new connection was served last.
--- a/transport/src/clock/idle_time.rs
+++ b/transport/src/clock/idle_time.rs
@@ -27,8 +27,8 @@
     }
 }
 
-/// Returns for how long the threads of the runtime have had nothing to do, summed over them.
-/// What is missing to the time that passed, they were busy, or waited for the processor.
+/// Returns for how long the threads of the runtime have had nothing to do, summed over them. In
+/// the rest of the time they were busy, or waited for the processor.
 pub fn idle_time() -> Duration {
     Duration::from_nanos(IDLE_NS.load(Ordering::Relaxed))
 }
