Tests: a crowd, a full link and a silent store at once

Callers would see 404 on a route that was added longer ago than the time within which a change must be in force, if an entry whose processor or link is full read the configuration late. None of our tests had both.

--- a/coordination/tests/crowded_fleet.rs
+++ b/coordination/tests/crowded_fleet.rs
@@ -6,8 +6,9 @@
 mod crowded_sim;
 
 use {
-    crowded_sim::{CrowdedFleet, Machine, LARGE, SMALL, SMALL_LINK},
-    std::time::Duration,
+    crowded_sim::{ConfigPlan, CrowdedFleet, Machine, LARGE, SMALL, SMALL_LINK},
+    rand::{rngs::StdRng, RngExt, SeedableRng},
+    std::{thread, time::Duration},
 };
 
 const ENGINES: usize = 1_000;
@@ -18,6 +19,10 @@
 /// Share of the requests served before the crowd that are served during it.
 const TARGET: f64 = 0.95;
 const SEEDS: [u64; 3] = [1, 2, 3];
+/// Time within which a confirmed configuration must be in force everywhere.
+const MAX_CONFIG_DELAY: Duration = Duration::from_millis(2_000);
+const CONFIG_SEEDS: u64 = 200;
+const CONFIG_END: Duration = Duration::from_secs(14);
 
 /// Half small and half large entries, a small or a large one first.
 fn fleet_of(first: Machine, entries: usize) -> Vec<Machine> {
@@ -107,3 +112,77 @@
         assert_eq!(closed, 0, "seed {seed}");
     }
 }
+
+/// Returns a store that is silent twice during a crowd, and confirms configurations before, between
+/// and after.
+fn config_plan(rng: &mut StdRng) -> ConfigPlan {
+    let mut span = |from: u64, ms: u64| {
+        let start = Duration::from_millis(from + rng.random_range(0..900));
+        start..start + Duration::from_millis(rng.random_range(5..ms))
+    };
+    let silent = vec![span(3_000, 4_000), span(9_500, 1_500)];
+    let mut plan = ConfigPlan {
+        confirmed: Vec::new(),
+        silent,
+    };
+    let mut at = Duration::from_millis(rng.random_range(100..900));
+    while at + MAX_CONFIG_DELAY < CONFIG_END {
+        if !plan.is_silent(at) {
+            plan.confirmed.push(at);
+        }
+        at += Duration::from_millis(rng.random_range(30..900));
+    }
+    // changes that waited for the store are confirmed as soon as it is back
+    for span in &plan.silent {
+        plan.confirmed.push(span.end);
+    }
+    plan.confirmed.sort();
+    plan
+}
+
+/// Returns the longest time from a version's confirmation until it is in force, over all entries.
+fn longest_config_delay(seed: u64) -> Duration {
+    let first = if seed.is_multiple_of(2) {
+        SMALL
+    } else {
+        SMALL_LINK
+    };
+    let mut fleet = CrowdedFleet::new(seed, &fleet_of(first, 100), ENGINES);
+    let plan = config_plan(&mut StdRng::seed_from_u64(seed));
+    fleet.plan_configs(plan.clone());
+    fleet.plan(Duration::ZERO, Duration::from_secs(2), 60.0, None);
+    let crowd = Some((0, 0.9));
+    fleet.plan(Duration::from_secs(2), CONFIG_END, 400.0, crowd);
+    fleet.run(CONFIG_END + MAX_CONFIG_DELAY);
+    let versions = 1..=plan.confirmed.len() as u64;
+    let due = versions.filter(|v| plan.due(*v, MAX_CONFIG_DELAY).is_some());
+    let delays = due.flat_map(|version| {
+        let confirmed = plan.confirmed[version as usize - 1];
+        let fleet = &fleet;
+        (0..100).map(move |entry| {
+            let applied = fleet.config_applied_at(entry, version);
+            applied.map_or(Duration::MAX, |at| at.saturating_sub(confirmed))
+        })
+    });
+    delays.max().unwrap_or_default()
+}
+
+/// Guards against 404 from a configuration that is too old, at an entry whose processor or link is
+/// full after the store was silent.
+#[test]
+fn a_crowded_entry_has_each_configuration_in_time_after_silences_of_the_store() {
+    const THREADS: u64 = 4;
+    let workers = (0..THREADS).map(|first| {
+        thread::spawn(move || {
+            let seeds = (first..CONFIG_SEEDS).step_by(THREADS as usize);
+            seeds.map(|seed| (longest_config_delay(seed), seed)).max()
+        })
+    });
+    let workers: Vec<_> = workers.collect();
+    let longest = workers.into_iter().filter_map(|w| w.join().unwrap()).max();
+    println!("longest delay and its seed: {longest:?}");
+    assert!(
+        longest.is_some_and(|(delay, _)| delay <= MAX_CONFIG_DELAY),
+        "{longest:?}"
+    );
+}
--- a/coordination/tests/crowded_sim/mod.rs
+++ b/coordination/tests/crowded_sim/mod.rs
@@ -1,10 +1,14 @@
 //! Entries in simulated time, each with a share of a processor and a link, and clients of which
 //! most open their connections at one of them.
 
+mod config_feed;
+
+pub use config_feed::ConfigPlan;
 use {
     chalkcart_coordination::overload::{
         AdmissionLimit, AdmissionLimitSettings, ConnectDelay, LoadSample, StandingDelay,
     },
+    config_feed::{ConfigState, CALL_BYTES, CONFIG_BYTES, CONFIG_WORK},
     rand::{rngs::StdRng, RngExt, SeedableRng},
     std::{
         cmp::Reverse,
@@ -28,6 +32,8 @@
 const REQUEST_BYTES: f64 = 2_000.0;
 const EVENT_BYTES: f64 = 130.0;
 const CONNECT_TIME: Duration = Duration::from_millis(1);
+/// The longest response time of a store that is slow but sound.
+const SLOW_STORE: Duration = Duration::from_millis(240);
 /// Time that a request which was read may wait for its first event.
 pub const MAX_WAIT: Duration = Duration::from_secs(1);
 
@@ -83,6 +89,7 @@
     queued: usize,
     closed: usize,
     served: usize,
+    config: ConfigState,
 }
 
 /// An attempt of a request that waits in the queue of an entry's socket.
@@ -107,6 +114,28 @@
         entry: usize,
         left: u32,
     },
+    Config(ConfigStep),
+}
+
+/// A step of an entry's call for the next configuration.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum ConfigStep {
+    Call {
+        entry: usize,
+    },
+    Responded {
+        entry: usize,
+        call: u64,
+    },
+    Received {
+        entry: usize,
+        call: u64,
+        version: u64,
+    },
+    TimedOut {
+        entry: usize,
+        call: u64,
+    },
 }
 
 /// What became of a request at the first attempt that was read.
@@ -128,6 +157,7 @@
     next_action: u64,
     /// When each request was sent and read, and what became of it.
     pub requests: Vec<(Duration, Duration, Fate)>,
+    configs: ConfigPlan,
     rng: StdRng,
 }
 
@@ -145,6 +175,7 @@
             queued: 0,
             closed: 0,
             served: 0,
+            config: ConfigState::default(),
         });
         let mut fleet = Self {
             begin,
@@ -154,6 +185,7 @@
             actions: BinaryHeap::new(),
             next_action: 0,
             requests: Vec::new(),
+            configs: ConfigPlan::default(),
             rng: StdRng::seed_from_u64(seed),
         };
         for entry in 0..fleet.entries.len() {
@@ -185,6 +217,21 @@
         }
     }
 
+    /// Plans the store's configurations, which all entries watch.
+    pub fn plan_configs(&mut self, configs: ConfigPlan) {
+        self.configs = configs;
+        for entry in 0..self.entries.len() {
+            let first = self.rng.random_range(0..1_000_000);
+            let call = ConfigStep::Call { entry };
+            self.schedule(Duration::from_micros(first), Action::Config(call));
+        }
+    }
+
+    /// Returns when a version came into force at an entry.
+    pub fn config_applied_at(&self, entry: usize, version: u64) -> Option<Duration> {
+        self.entries[entry].config.applied_at(version)
+    }
+
     pub fn run(&mut self, until: Duration) {
         while let Some(Reverse((at, _, action))) = self.actions.pop() {
             if at > until {
@@ -199,6 +246,7 @@
                     entry,
                     left,
                 } => self.event(request, entry, left),
+                Action::Config(step) => self.config_step(step),
             }
         }
     }
@@ -362,6 +410,93 @@
         self.schedule(now + EVENT_INTERVAL, next);
     }
 
+    fn config_step(&mut self, step: ConfigStep) {
+        match step {
+            ConfigStep::Call { entry } => self.call_store(entry),
+            ConfigStep::Responded { entry, call } => self.receive_config(entry, call),
+            ConfigStep::Received {
+                entry,
+                call,
+                version,
+            } => self.apply_config(entry, call, version),
+            ConfigStep::TimedOut { entry, call } => self.fail_call(entry, call),
+        }
+    }
+
+    /// Calls the store once the processor turns to it; the call passes the link after what waits
+    /// there.
+    fn call_store(&mut self, number: usize) {
+        let now = self.now;
+        let entry = &mut self.entries[number];
+        let begins = work(entry, now, EVENT_WORK);
+        let arrives = transfer(entry, now, CALL_BYTES).max(begins) + CONNECT_TIME;
+        entry.config.call += 1;
+        let call = entry.config.call;
+        let times = entry.config.pacing.next_call(entry.config.failures);
+        let known = entry.config.version();
+        if let Some(at) = self.configs.response_at(arrives, known, times.hold) {
+            let latency = self.rng.random_range(4..SLOW_STORE.as_millis() as u64);
+            let at = at + Duration::from_millis(latency);
+            let step = ConfigStep::Responded {
+                entry: number,
+                call,
+            };
+            self.schedule(at, Action::Config(step));
+        }
+        let step = ConfigStep::TimedOut {
+            entry: number,
+            call,
+        };
+        self.schedule(begins + times.timeout(), Action::Config(step));
+    }
+
+    fn receive_config(&mut self, number: usize, call: u64) {
+        let now = self.now;
+        if self.configs.is_silent(now) {
+            return;
+        }
+        let version = self.configs.newest(now);
+        let entry = &mut self.entries[number];
+        let received = transfer(entry, now, CONFIG_BYTES);
+        let processed = entry
+            .processor
+            .add(received, CONFIG_WORK.div_f64(entry.machine.cores));
+        let step = ConfigStep::Received {
+            entry: number,
+            call,
+            version,
+        };
+        self.schedule(processed, Action::Config(step));
+    }
+
+    fn apply_config(&mut self, number: usize, call: u64, version: u64) {
+        let now = self.now;
+        let config = &mut self.entries[number].config;
+        if config.call != call {
+            return;
+        }
+        config.call += 1;
+        config.failures = 0;
+        if version > config.version() {
+            config.applied.push((now, version));
+        }
+        self.call_store(number);
+    }
+
+    fn fail_call(&mut self, number: usize, call: u64) {
+        let jitter = self.rng.random();
+        let now = self.now;
+        let config = &mut self.entries[number].config;
+        if config.call != call {
+            return;
+        }
+        config.call += 1;
+        config.failures += 1;
+        let pause = config.pacing.pause(config.failures, jitter);
+        let call = ConfigStep::Call { entry: number };
+        self.schedule(now + pause, Action::Config(call));
+    }
+
     fn other_entry(&mut self, entry: usize) -> usize {
         match self.entries.len() {
             1 => 0,
--- a/testkit/src/forwarder/mod.rs
+++ b/testkit/src/forwarder/mod.rs
@@ -1,5 +1,9 @@
-//! TCP forwarder that injects network faults.
+//! TCP forwarders between processes, which inject faults and limit rates.
 
+mod shared_link;
 mod tcp_forwarder;
 
-pub use tcp_forwarder::{LinkFault, TcpForwarder};
+pub use {
+    shared_link::SharedLink,
+    tcp_forwarder::{Direction, LinkFault, TcpForwarder},
+};
--- a/testkit/src/forwarder/tcp_forwarder.rs
+++ b/testkit/src/forwarder/tcp_forwarder.rs
@@ -1,6 +1,7 @@
 use {
+    super::SharedLink,
     anyhow::Result,
-    std::{net::SocketAddr, time::Duration},
+    std::{net::SocketAddr, sync::Arc, time::Duration},
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::{
@@ -39,11 +40,23 @@
 impl TcpForwarder {
     /// Forwards a free loopback port to a peer, with a delay in each direction.
     pub async fn start(peer: SocketAddr, delay: Duration) -> Result<Self> {
+        Self::start_on(peer, delay, None).await
+    }
+    /// Forwards a free loopback port to a peer over a link that other forwarders share.
+    pub async fn start_on_link(peer: SocketAddr, link: Arc<SharedLink>) -> Result<Self> {
+        Self::start_on(peer, Duration::ZERO, Some(link)).await
+    }
+
+    async fn start_on(
+        peer: SocketAddr,
+        delay: Duration,
+        link: Option<Arc<SharedLink>>,
+    ) -> Result<Self> {
         let listener = TcpListener::bind(SocketAddr::from(([127, 0, 0, 1], 0))).await?;
         let addr = listener.local_addr()?;
         let (fault, epoch) = (watch::Sender::new(LinkFault::None), watch::Sender::new(0));
         let state = (fault.subscribe(), epoch.subscribe());
-        tokio::spawn(accept(listener, peer, delay, state));
+        tokio::spawn(accept(listener, peer, (delay, link), state));
         Ok(Self { addr, fault, epoch })
     }
     pub fn set_fault(&self, fault: LinkFault) {
@@ -61,7 +74,7 @@
 async fn accept(
     listener: TcpListener,
     peer: SocketAddr,
-    delay: Duration,
+    (delay, link): (Duration, Option<Arc<SharedLink>>),
     (fault, epoch): FaultState,
 ) {
     while let Ok((near, _)) = listener.accept().await {
@@ -71,6 +84,7 @@
                 opened_in_epoch: *epoch.borrow(),
                 epoch: epoch.clone(),
                 delay,
+                link: link.clone(),
             };
             tokio::spawn(forward(near, peer, connection));
         }
@@ -84,6 +98,7 @@
     opened_in_epoch: u64,
     epoch: watch::Receiver<u64>,
     delay: Duration,
+    link: Option<Arc<SharedLink>>,
 }
 
 impl Connection {
@@ -117,8 +132,9 @@
     }
 }
 
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum Direction {
+/// Direction of bytes through a forwarder.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Direction {
     ToPeer,
     FromPeer,
 }
@@ -138,6 +154,9 @@
         if !connection.delay.is_zero() {
             sleep(connection.delay).await;
         }
+        if let Some(link) = &connection.link {
+            link.pass(direction, count).await;
+        }
         let is_dropped = connection.drops_bytes(direction);
         has_gap |= is_dropped;
         if is_dropped {
--- a/testkit/src/users_platform/fleet.rs
+++ b/testkit/src/users_platform/fleet.rs
@@ -6,7 +6,7 @@
     },
     crate::{
         cluster::{next_addr, Binaries, Process},
-        forwarder::TcpForwarder,
+        forwarder::{SharedLink, TcpForwarder},
         waiting::until_async,
     },
     anyhow::Result,
@@ -18,6 +18,7 @@
         fs,
         net::{IpAddr, SocketAddr},
         path::PathBuf,
+        sync::Arc,
         time::Duration,
     },
     tokio::net::TcpStream,
@@ -52,6 +53,9 @@
     pub revoke_ms: Option<u64>,
     /// Whether the ingress reaches the store through a forwarder that can inject faults.
     pub has_store_forwarder: bool,
+    /// Mbit/s of the link of the first ingress, for its clients and the store; `None` without a
+    /// limit.
+    pub ingress_link_mbps: Option<f64>,
     /// Whether the sidecars get the address of the store; otherwise nothing listens at theirs.
     pub can_sidecars_reach_store: bool,
     /// Programs to start instead of those of this build.
@@ -73,6 +77,7 @@
             zone_relays_from_engines: None,
             revoke_ms: None,
             has_store_forwarder: false,
+            ingress_link_mbps: None,
             can_sidecars_reach_store: true,
             entry_program: None,
             sidecar_program: None,
@@ -84,6 +89,8 @@
 pub struct Fleet {
     pub store: StoreStandIn,
     pub store_forwarder: Option<TcpForwarder>,
+    /// Before the ingress, if its link is limited.
+    pub client_forwarder: Option<TcpForwarder>,
     pub engines: Vec<BackendStandIn>,
     pub plain: Vec<BackendStandIn>,
     pub ingress: Process,
@@ -135,12 +142,19 @@
 
     async fn start_processes(settings: FleetSettings, folder: PathBuf) -> Result<Self> {
         let store = StoreStandIn::start().await?;
-        let store_forwarder = match settings.has_store_forwarder {
-            true => Some(TcpForwarder::start(store.addr, Duration::ZERO).await?),
-            false => None,
+        let link = settings.ingress_link_mbps.map(SharedLink::with_mbps);
+        let link = link.map(Arc::new);
+        let store_forwarder = match (&link, settings.has_store_forwarder) {
+            (Some(link), _) => Some(TcpForwarder::start_on_link(store.addr, link.clone()).await?),
+            (None, true) => Some(TcpForwarder::start(store.addr, Duration::ZERO).await?),
+            (None, false) => None,
         };
         let store_addr = store_forwarder.as_ref().map_or(store.addr, |f| f.addr);
         let (clients, readiness, metrics) = (next_addr(), next_addr(), next_addr());
+        let client_forwarder = match link {
+            Some(link) => Some(TcpForwarder::start_on_link(clients, link).await?),
+            None => None,
+        };
         let sidecar_port = next_addr().port();
         let settings_file = folder.join("ingress.json");
         let mut document = json!({
@@ -170,6 +184,7 @@
         Ok(Self {
             store,
             store_forwarder,
+            client_forwarder,
             engines: Vec::new(),
             plain: Vec::new(),
             ingress,
@@ -217,6 +232,9 @@
     ) -> Result<OtherIngress> {
         let mut document: Value = serde_json::from_slice(&fs::read(&self.settings_file)?)?;
         let (clients, readiness, metrics) = (next_addr(), next_addr(), next_addr());
+        if self.settings.ingress_link_mbps.is_some() {
+            document["store"] = json!(self.store.addr);
+        }
         document["name"] = json!(name);
         document["zone"] = json!(zone);
         document["clients"] = json!(clients);
