Responses without end are read up to a bound and count as broken off

Callers of a route whose back end sent 1xx heads without end had no answer 4 s after its timeout: the HTTP library reads them in one loop, 400 KB at a time. A chunk's size may go on in zeros or spaces for as long as the connection lasts, a body was collected until the deadline, an event was passed on for as long, and pooled connections to stores, relays, sidecars and engines were read on after their caller had gone.

Class: a reader whose end only its sender decides.

Change: each connection counts what arrives (transport/src/inbound). Bytes that are no data of a body are bound by the read buffer, 16 heads of 1xx at back ends, whole responses by their reader, events by 60 KiB. Beyond that the connection is closed and the send ends like any broken one, so its engine is blamed and a repeatable request goes to another. What is held to be complete comes from a shared budget; larger successes are passed on as they arrive, and four large ones at a time are read. Log line 'inbound: too many bytes'.

--- a/coordination/src/overload/mod.rs
+++ b/coordination/src/overload/mod.rs
@@ -5,6 +5,7 @@
 mod admission_limit;
 mod admission_tokens;
 mod connect_delay;
+mod held_bytes;
 mod request_rates;
 mod standing_delay;
 
@@ -12,6 +13,7 @@
     admission_limit::{AdmissionLimit, AdmissionLimitSettings, LoadSample},
     admission_tokens::AdmissionTokens,
     connect_delay::ConnectDelay,
+    held_bytes::{HeldBytes, HeldResponse},
     request_rates::RequestRates,
     standing_delay::StandingDelay,
 };
--- a/coordination/src/response_end/event_scanner.rs
+++ b/coordination/src/response_end/event_scanner.rs
@@ -41,6 +41,8 @@
     /// Whether a complete line of the current block is a field.
     has_field: bool,
     has_event: bool,
+    /// Bytes of the current block so far.
+    block_bytes: usize,
 }
 
 impl Default for EventScanner {
@@ -50,6 +52,7 @@
             is_after_cr: false,
             has_field: false,
             has_event: false,
+            block_bytes: 0,
         }
     }
 }
@@ -59,6 +62,20 @@
     /// returns `None` if the block goes on. An LF after the CR that ended a block counts as a
     /// block of its own.
     pub fn take_block(&mut self, bytes: &[u8]) -> Option<usize> {
+        let taken = self.find_block_end(bytes);
+        self.block_bytes = match taken {
+            Some(_) => 0,
+            None => self.block_bytes + bytes.len(),
+        };
+        taken
+    }
+
+    /// Returns the bytes of the current block so far.
+    pub fn block_bytes(&self) -> usize {
+        self.block_bytes
+    }
+
+    fn find_block_end(&mut self, bytes: &[u8]) -> Option<usize> {
         let mut taken = 0;
         if self.is_after_cr && bytes.first() == Some(&b'\n') {
             self.is_after_cr = false;
--- a/coordination/src/response_end/response_progress.rs
+++ b/coordination/src/response_end/response_progress.rs
@@ -1,5 +1,8 @@
 use super::{EventScanner, Framing, StreamPosition, Verdict};
 
+/// Bytes of the longest event; the longest that engines are known to send has some hundred.
+const MAX_EVENT_BYTES: usize = 60 * 1024;
+
 /// How far the response of one back end has come.
 #[derive(Debug, Clone)]
 pub struct ResponseProgress {
@@ -23,6 +26,12 @@
         }
     }
 
+    /// Returns whether the present event is longer than any sound one.
+    pub fn is_event_too_long(&self) -> bool {
+        let events = self.events.as_ref();
+        events.is_some_and(|events| events.block_bytes() > MAX_EVENT_BYTES)
+    }
+
     /// Returns what an end at this point means.
     pub fn verdict(&self) -> Verdict {
         Verdict::of(self.framing, self.position())
--- a/entry/src/conf/ingress_settings.rs
+++ b/entry/src/conf/ingress_settings.rs
@@ -71,6 +71,9 @@
     /// Minimum number of engines for which this entry receives their views through relays.
     #[serde(default = "default_relays_from_engines")]
     pub relays_from_engines: usize,
+    /// Largest response of a back end in bytes, with its head and framing.
+    #[serde(default = "default_max_response_bytes")]
+    pub max_response_bytes: usize,
     /// Values that the platform left out, for the log.
     #[serde(default)]
     pub defaulted: Vec<String>,
@@ -113,6 +116,7 @@
         check_positive("drain_ms", self.drain_ms)?;
         check_positive("config_apply_ms", self.config_apply_ms)?;
         check_positive("heartbeat_ms", self.heartbeat_ms)?;
+        check_positive("max_response_bytes", self.max_response_bytes as u64)?;
         check_number("store_reads_per_s", self.store_reads_per_s)?;
         check_number("grace_s", self.grace_s)?;
         check_number("retry_ratio", self.retry_ratio)?;
@@ -132,6 +136,11 @@
     MIN_ENGINES_FOR_RELAYS
 }
 
+/// Returns four times the largest body of a request on the platform's sites.
+fn default_max_response_bytes() -> usize {
+    16 * 1024 * 1024
+}
+
 fn default_heartbeat_ms() -> u64 {
     1_200
 }
--- a/entry/src/ingress/request_exchange.rs
+++ b/entry/src/ingress/request_exchange.rs
@@ -376,7 +376,11 @@
         let began = clock::now();
         let stream = connect(addr, CONNECT_TIMEOUT).await?;
         self.shared.load.on_connected(addr, clock::elapsed(began));
-        send_on(stream, addr, req).await
+        let mut received = send_on(stream, addr, req).await?;
+        let body = received.response.body_mut();
+        body.set_max_bytes(self.shared.settings.max_response_bytes);
+        body.set_allowance(self.shared.bulk.begin(self.accepted.head.output_tokens));
+        Ok(received)
     }
 
     fn build_request(&self, assignment: &Assignment) -> Option<Request<Full<Bytes>>> {
--- a/entry/src/ingress/request_exchange_response.rs
+++ b/entry/src/ingress/request_exchange_response.rs
@@ -6,15 +6,17 @@
         request_exchange::{elapsed_ms, RequestExchange, SendResult},
         stream_response::StartedStream,
     },
+    bytes::Bytes,
     chalkcart_coordination::{
         backend_signals::RequestRate,
         dispatch::{Assignment, DispatchEvent, SendOutcome},
-        response_end::Verdict,
+        response_end::{ResponseProgress, Verdict},
     },
     chalkcart_state::backends::BackendId,
     chalkcart_transport::{
-        backend::{BackendBody, BackendResponse},
+        backend::BackendResponse,
         clock::{self, before_deadline},
+        inbound::{BodyError, HeldParts, MeteredBody},
         ingress::{remove_connection_headers, BackendResponseHead},
     },
     http::{HeaderMap, Response, StatusCode},
@@ -63,10 +65,10 @@
             guard.on_head();
         }
         match self.accepted.route.kind.is_stream() && status.is_success() {
-            true => SendResult::Streaming(Box::new(StartedStream {
-                response: backend_response,
-                guard,
-            })),
+            true => {
+                let stream = StartedStream::new(backend_response, guard);
+                SendResult::Streaming(Box::new(stream))
+            }
             false => self.buffer_response(backend_response, guard).await,
         }
     }
@@ -133,34 +135,32 @@
         }
     }
 
-    /// Reads the complete body, so that a failed send can still be retried.
+    /// Reads the complete body, so that a failed send can still be retried. A success that is too
+    /// large for that is passed on as it arrives.
     async fn buffer_response(
         &self,
-        backend_response: BackendResponse,
+        mut backend_response: BackendResponse,
         mut guard: SendGuard,
     ) -> SendResult {
         let is_event_stream = backend_response.has_events();
-        let (mut parts, backend_body) = backend_response.into_parts(is_event_stream);
-        let BackendBody {
-            body,
-            mut progress,
-            // closed once the body was read
-            connection: _connection,
-        } = backend_body;
-        remove_connection_headers(&mut parts.headers, self.shared.dialect.end_to_end_headers());
-        let body = match before_deadline(self.deadline, body.collect()).await {
+        let mut progress = ResponseProgress::new(backend_response.framing(), is_event_stream);
+        let body = backend_response.response.body_mut();
+        let held = HeldParts::new(self.shared.held.begin());
+        let read = read_held(body, held, &mut progress);
+        let body = match before_deadline(self.deadline, read).await {
             Err(_) => return SendResult::TimedOut,
-            Ok(Err(_)) => {
+            Ok(Ok(HeldBody::Whole(body))) if progress.verdict() == Verdict::Whole => body,
+            Ok(Ok(HeldBody::TooLarge)) if backend_response.response.status().is_success() => {
+                let stream = StartedStream::of_large_response(backend_response, guard);
+                return SendResult::Streaming(Box::new(stream));
+            }
+            Ok(Ok(HeldBody::Whole(_) | HeldBody::TooLarge) | Err(_)) => {
                 guard.end(SendOutcome::Broken);
                 return SendResult::Failed(None);
             }
-            Ok(Ok(collected)) => collected.to_bytes(),
         };
-        progress.on_data(&body);
-        if progress.verdict() == Verdict::BrokenOff {
-            guard.end(SendOutcome::Broken);
-            return SendResult::Failed(None);
-        }
+        let (mut parts, _) = backend_response.into_parts(is_event_stream);
+        remove_connection_headers(&mut parts.headers, self.shared.dialect.end_to_end_headers());
         let is_failure = parts.status.is_server_error();
         let response = Response::from_parts(parts, Either::Left(Full::new(body)));
         if is_failure {
@@ -184,3 +184,37 @@
         SendResult::Responded(response)
     }
 }
+
+/// A body that was read to be held.
+enum HeldBody {
+    Whole(Bytes),
+    /// There is no room for all of it; what was read was put back.
+    TooLarge,
+}
+
+/// Reads a body as long as there is room for it.
+///
+/// # Errors
+/// The body broke off, is too long, or has an event that is.
+async fn read_held(
+    body: &mut MeteredBody,
+    mut held: HeldParts,
+    progress: &mut ResponseProgress,
+) -> Result<HeldBody, BodyError> {
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame?.into_data() else {
+            continue;
+        };
+        progress.on_data(&data);
+        if progress.is_event_too_long() {
+            let e = BodyError::EventTooLong;
+            log::warn!(cause = e.to_string().as_str(); "inbound: too many bytes");
+            return Err(e);
+        }
+        if !held.push(&data) {
+            body.put_back(held);
+            return Ok(HeldBody::TooLarge);
+        }
+    }
+    Ok(HeldBody::Whole(held.into_bytes()))
+}
--- a/entry/src/ingress/shared.rs
+++ b/entry/src/ingress/shared.rs
@@ -7,7 +7,7 @@
     },
     crate::conf::IngressSettings,
     arc_swap::ArcSwapOption,
-    chalkcart_coordination::{dispatch::Ticket, retry::ListPacing},
+    chalkcart_coordination::{dispatch::Ticket, overload::HeldBytes, retry::ListPacing},
     chalkcart_protocol::peer::StreamOrigin,
     chalkcart_state::{
         accounts::AccountFingerprint,
@@ -16,6 +16,7 @@
     },
     chalkcart_transport::{
         clock,
+        inbound::BulkReads,
         ingress::{Dialect, Phase},
         metrics::IngressMetrics,
         server::pages::ProcessStatus,
@@ -59,6 +60,10 @@
     pub metrics: IngressMetrics,
     /// The load of this process.
     pub load: Arc<LoadMonitor>,
+    /// Memory for responses that are held until they are complete.
+    pub held: HeldBytes,
+    /// Turns of large responses.
+    pub bulk: BulkReads,
     pub unknown_headers: UnknownHeaders,
     pub software_versions: SharedSoftwareVersions,
     pub stream_origins: StreamOriginExchange,
@@ -91,6 +96,8 @@
             configured: Notify::new(),
             metrics: IngressMetrics::new(&crashes.metrics, &load.metrics),
             load,
+            held: HeldBytes::default(),
+            bulk: BulkReads::default(),
             unknown_headers: UnknownHeaders::default(),
             crashes,
             phase: watch::Sender::new(Phase::Serving),
--- a/entry/src/ingress/store_relay_client.rs
+++ b/entry/src/ingress/store_relay_client.rs
@@ -149,7 +149,7 @@
         let limits = ResponseLimits {
             head: wait + RELAY_RESPONSE_TIMEOUT,
             pause: RELAY_RESPONSE_TIMEOUT,
-            total: wait + MAX_RELAY_RESPONSE,
+            ..ResponseLimits::from(wait + MAX_RELAY_RESPONSE)
         };
         let sent_at = clock::now();
         let call = self
--- a/entry/src/ingress/stream_recovery.rs
+++ b/entry/src/ingress/stream_recovery.rs
@@ -124,7 +124,7 @@
             self.exchange.request.send_count += 1;
             self.exchange.log_send(&assignment);
             let outcome = match self.exchange.send_request(&assignment).await {
-                SendResult::Streaming(stream) if stream.may_have_events() => {
+                SendResult::Streaming(stream) if stream.is_event_stream => {
                     return Ok((assignment, *stream));
                 }
                 SendResult::Streaming(stream) => {
--- a/entry/src/ingress/stream_response.rs
+++ b/entry/src/ingress/stream_response.rs
@@ -22,12 +22,28 @@
 pub struct StartedStream {
     pub response: BackendResponse,
     pub guard: SendGuard,
+    /// Whether the body is taken for a stream of events.
+    pub is_event_stream: bool,
 }
 
 impl StartedStream {
-    /// Returns whether the body may be a stream of events.
-    pub fn may_have_events(&self) -> bool {
-        self.response.may_have_events()
+    /// The response to a request for a stream, which is one of events unless its head says
+    /// otherwise.
+    pub fn new(response: BackendResponse, guard: SendGuard) -> Self {
+        Self {
+            is_event_stream: response.may_have_events(),
+            response,
+            guard,
+        }
+    }
+
+    /// A response that is too large to be held until it is complete.
+    pub fn of_large_response(response: BackendResponse, guard: SendGuard) -> Self {
+        Self {
+            is_event_stream: response.has_events(),
+            response,
+            guard,
+        }
     }
 }
 
@@ -40,7 +56,7 @@
     ) -> ClientResponse {
         let (backend, deadline) = (assignment.backend.clone(), self.deadline);
         let events = self.recoverable_events(&stream.response);
-        let is_event_stream = stream.may_have_events();
+        let is_event_stream = stream.is_event_stream;
         let mut observer = self.stream_observer(&backend, stream.guard, None);
         observer.origin = self.origin(&assignment);
         let end_to_end = self.shared.dialect.end_to_end_headers();
--- a/testkit/src/forwarder/mod.rs
+++ b/testkit/src/forwarder/mod.rs
@@ -5,5 +5,5 @@
 
 pub use {
     shared_link::SharedLink,
-    tcp_forwarder::{Direction, LinkFault, TcpForwarder},
+    tcp_forwarder::{LinkFault, TcpForwarder},
 };
--- a/testkit/src/forwarder/tcp_forwarder.rs
+++ b/testkit/src/forwarder/tcp_forwarder.rs
@@ -48,15 +48,17 @@
         Self::start_on(peer, delay, None).await
     }
     /// Forwards a free loopback port to a peer over a link that other forwarders share.
-    pub async fn start_on_link(peer: SocketAddr, link: Arc<SharedLink>) -> Result<Self> {
+    /// The link is that of the peer's machine if `is_peers`, else that of the callers'.
+    pub async fn start_on_link(
+        peer: SocketAddr,
+        link: Arc<SharedLink>,
+        is_peers: bool,
+    ) -> Result<Self> {
+        let link = LinkSide { link, is_peers };
         Self::start_on(peer, Duration::ZERO, Some(link)).await
     }
 
-    async fn start_on(
-        peer: SocketAddr,
-        delay: Duration,
-        link: Option<Arc<SharedLink>>,
-    ) -> Result<Self> {
+    async fn start_on(peer: SocketAddr, delay: Duration, link: Option<LinkSide>) -> Result<Self> {
         let listener = TcpListener::bind(SocketAddr::new(peer.ip(), 0)).await?;
         let addr = listener.local_addr()?;
         let (fault, epoch) = (watch::Sender::new(LinkFault::None), watch::Sender::new(0));
@@ -79,7 +81,7 @@
 async fn accept(
     listener: TcpListener,
     peer: SocketAddr,
-    (delay, link): (Duration, Option<Arc<SharedLink>>),
+    (delay, link): (Duration, Option<LinkSide>),
     (fault, epoch): FaultState,
 ) {
     while let Ok((near, _)) = listener.accept().await {
@@ -103,7 +105,21 @@
     opened_in_epoch: u64,
     epoch: watch::Receiver<u64>,
     delay: Duration,
-    link: Option<Arc<SharedLink>>,
+    link: Option<LinkSide>,
+}
+
+/// A machine's link, and on which side of the forwarder the machine is.
+#[derive(Debug, Clone)]
+struct LinkSide {
+    link: Arc<SharedLink>,
+    is_peers: bool,
+}
+
+impl LinkSide {
+    async fn pass(&self, direction: Direction, bytes: usize) {
+        let is_inbound = (direction == Direction::ToPeer) == self.is_peers;
+        self.link.pass(is_inbound, bytes).await;
+    }
 }
 
 impl Connection {
@@ -147,9 +163,8 @@
     let _ = socket.set_send_buffer_size(WINDOW_BYTES);
 }
 
-/// Direction of bytes through a forwarder.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Direction {
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Direction {
     ToPeer,
     FromPeer,
 }
--- a/testkit/src/users_platform/endless_responses.rs
+++ b/testkit/src/users_platform/endless_responses.rs
@@ -52,6 +52,11 @@
         Self::Trailers,
     ];
 
+    /// Returns whether the bytes are data of a body.
+    pub fn is_body(self) -> bool {
+        matches!(self, Self::Chunks | Self::Body | Self::Events)
+    }
+
     /// Returns what is sent once, after the headers of a response, and what is repeated.
     fn parts(self) -> (&'static str, String) {
         let chunked = "Transfer-Encoding: chunked\r\n\r\n";
--- a/testkit/src/users_platform/fleet.rs
+++ b/testkit/src/users_platform/fleet.rs
@@ -153,14 +153,16 @@
         let link = settings.ingress_link_mbps.map(SharedLink::with_mbps);
         let link = link.map(Arc::new);
         let store_forwarder = match (&link, settings.has_store_forwarder) {
-            (Some(link), _) => Some(TcpForwarder::start_on_link(store.addr, link.clone()).await?),
+            (Some(link), _) => {
+                Some(TcpForwarder::start_on_link(store.addr, link.clone(), false).await?)
+            }
             (None, true) => Some(TcpForwarder::start(store.addr, Duration::ZERO).await?),
             (None, false) => None,
         };
         let store_addr = store_forwarder.as_ref().map_or(store.addr, |f| f.addr);
         let (clients, readiness, metrics) = (next_addr(), next_addr(), next_addr());
         let client_forwarder = match &link {
-            Some(link) => Some(TcpForwarder::start_on_link(clients, link.clone()).await?),
+            Some(link) => Some(TcpForwarder::start_on_link(clients, link.clone(), true).await?),
             None => None,
         };
         let sidecar_port = next_addr().port();
@@ -225,7 +227,7 @@
     async fn start_backend_forwarder(&mut self, backend: SocketAddr) -> Result<()> {
         let link = self.link.clone();
         if let Some(link) = link.filter(|_| self.settings.are_backends_behind_link) {
-            let forwarder = TcpForwarder::start_on_link(backend, link).await?;
+            let forwarder = TcpForwarder::start_on_link(backend, link, false).await?;
             self.backend_forwarders.insert(backend, forwarder);
         }
         Ok(())
--- a/transport/src/backend/response.rs
+++ b/transport/src/backend/response.rs
@@ -1,5 +1,6 @@
 use {
     super::Connection,
+    crate::inbound::MeteredBody,
     chalkcart_coordination::response_end::{Framing, ResponseProgress},
     http::{
         header::{CONTENT_TYPE, TRANSFER_ENCODING},
@@ -7,7 +8,6 @@
         HeaderMap, Response,
     },
     http_body::Body,
-    hyper::body::Incoming,
 };
 
 const EVENT_STREAM: &str = "text/event-stream";
@@ -16,14 +16,14 @@
 /// The head of a back end's response, with the connection that its body is read from.
 #[derive(Debug)]
 pub struct BackendResponse {
-    pub response: Response<Incoming>,
+    pub response: Response<MeteredBody>,
     pub connection: Connection,
 }
 
 /// The body of a back end's response.
 #[derive(Debug)]
 pub struct BackendBody {
-    pub body: Incoming,
+    pub body: MeteredBody,
     pub connection: Connection,
     pub progress: ResponseProgress,
 }
--- a/transport/src/backend/sender.rs
+++ b/transport/src/backend/sender.rs
@@ -1,16 +1,22 @@
 use {
     super::BackendResponse,
-    crate::sockets::tune_stream,
+    crate::{
+        inbound::{ByteMeter, MeteredBody, MeteredSocket},
+        sockets::tune_stream,
+    },
     bytes::Bytes,
     http::Request,
     http_body_util::Full,
-    hyper::client::conn::http1,
+    hyper::{client::conn::http1, ext::on_informational},
     hyper_util::rt::TokioIo,
     std::{io, net::SocketAddr, time::Duration},
     thiserror::Error,
     tokio::{net::TcpStream, task::JoinHandle, time::timeout},
 };
 
+/// Bytes that are read at once; a head must fit.
+const READ_BUFFER: usize = 8 * 1024;
+
 /// A connection to a back end that carries one request and is closed when dropped.
 #[derive(Debug)]
 pub struct Connection(JoinHandle<()>);
@@ -72,19 +78,26 @@
 pub async fn send_on(
     stream: TcpStream,
     addr: SocketAddr,
-    req: Request<Full<Bytes>>,
+    mut req: Request<Full<Bytes>>,
 ) -> Result<BackendResponse, BackendSendError> {
     let not_sent = |problem: String| BackendSendError::NotSent { addr, problem };
-    let handshake = http1::handshake(TokioIo::new(stream)).await;
+    let meter = ByteMeter::with_buffer(READ_BUFFER);
+    let socket = TokioIo::new(MeteredSocket::new(stream, meter.clone()));
+    let handshake = http1::Builder::new()
+        .max_buf_size(READ_BUFFER)
+        .handshake(socket)
+        .await;
     let (mut sender, connection) = handshake.map_err(|e| not_sent(e.to_string()))?;
     let connection = Connection(tokio::spawn(async move {
         if let Err(e) = connection.await {
             log::debug!("backend: connection to {addr} ended: {e}");
         }
     }));
+    let informational = meter.clone();
+    on_informational(&mut req, move |_| informational.on_informational());
     match sender.send_request(req).await {
         Ok(response) => Ok(BackendResponse {
-            response,
+            response: response.map(|body| MeteredBody::new(body, meter)),
             connection,
         }),
         Err(e) => Err(BackendSendError::Lost {
--- a/transport/src/client/http_client.rs
+++ b/transport/src/client/http_client.rs
@@ -1,9 +1,9 @@
 use {
     super::{ClientError, ClientStep, ResponseLimits},
+    crate::inbound::{MeteredBody, MeteredConnector},
     bytes::{Bytes, BytesMut},
     http::{header::CONTENT_TYPE, Method, Request, Response, StatusCode, Uri},
     http_body_util::{BodyExt, Full},
-    hyper::body::Incoming,
     hyper_util::{
         client::legacy::{connect::HttpConnector, Client},
         rt::{TokioExecutor, TokioTimer},
@@ -17,6 +17,9 @@
 /// Shorter than the idle timeout of any chalkcart server.
 const POOL_IDLE_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Bytes that are read at once; a head must fit.
+const READ_BUFFER: usize = 64 * 1024;
+
 /// A status and a decoded JSON body.
 #[derive(Debug)]
 pub struct JsonReply<T> {
@@ -27,7 +30,7 @@
 /// A pooled HTTP/1 client whose errors tell whether the peer can have seen the call.
 #[derive(Debug, Clone)]
 pub struct HttpClient {
-    client: Client<HttpConnector, Full<Bytes>>,
+    client: Client<MeteredConnector, Full<Bytes>>,
 }
 
 impl Default for HttpClient {
@@ -46,7 +49,8 @@
             .pool_idle_timeout(POOL_IDLE_TIMEOUT)
             // Only the caller knows whether the request may be repeated.
             .retry_canceled_requests(false)
-            .build(connector);
+            .http1_max_buf_size(READ_BUFFER)
+            .build(MeteredConnector::new(connector, READ_BUFFER));
         Self { client }
     }
 
@@ -58,7 +62,7 @@
         path: &str,
         content_type: &str,
         body: Bytes,
-    ) -> Result<Response<Incoming>, ClientError> {
+    ) -> Result<Response<MeteredBody>, ClientError> {
         let uri: Uri = format!("http://{peer}{path}")
             .parse()
             .map_err(|e| ClientError::new(ClientStep::Connect, peer, e))?;
@@ -77,8 +81,9 @@
         &self,
         peer: SocketAddr,
         req: Request<Full<Bytes>>,
-    ) -> Result<Response<Incoming>, ClientError> {
-        self.client.request(req).await.map_err(|e| {
+    ) -> Result<Response<MeteredBody>, ClientError> {
+        let response = self.client.request(req).await;
+        response.map(MeteredBody::of_response).map_err(|e| {
             let step = match e.is_connect() {
                 true if is_refused(&e) => ClientStep::Refused,
                 true => ClientStep::Connect,
@@ -163,13 +168,13 @@
 /// Waits for the head of a response and reads its body within time limits.
 pub(super) async fn receive(
     peer: SocketAddr,
-    head: impl Future<Output = Result<Response<Incoming>, ClientError>>,
+    head: impl Future<Output = Result<Response<MeteredBody>, ClientError>>,
     limits: ResponseLimits,
 ) -> Result<Response<Bytes>, ClientError> {
     let call = async {
         let response = within(peer, limits.head, head).await?;
         let (parts, body) = response.into_parts();
-        let body = collect(peer, body, limits.pause).await?;
+        let body = collect(peer, body, limits).await?;
         Ok(Response::from_parts(parts, body))
     };
     within(peer, limits.total, call).await
@@ -187,16 +192,26 @@
     timeout(limit, call).await.map_err(timed_out)?
 }
 
-/// Reads a body whose parts are at most `pause` apart.
+/// Reads a body within limits.
+pub async fn read_body(
+    peer: SocketAddr,
+    body: MeteredBody,
+    limits: ResponseLimits,
+) -> Result<Bytes, ClientError> {
+    within(peer, limits.total, collect(peer, body, limits)).await
+}
+
+/// Reads a body that is short enough and whose parts are close enough.
 async fn collect(
     peer: SocketAddr,
-    mut body: Incoming,
-    pause: Duration,
+    mut body: MeteredBody,
+    limits: ResponseLimits,
 ) -> Result<Bytes, ClientError> {
+    body.set_max_bytes(limits.bytes);
     let mut collected = BytesMut::new();
     loop {
         let part = async { Ok(body.frame().await) };
-        let Some(part) = within(peer, pause, part).await? else {
+        let Some(part) = within(peer, limits.pause, part).await? else {
             return Ok(collected.freeze());
         };
         let part = part.map_err(|e| ClientError::new(ClientStep::Receive, peer, e))?;
--- a/transport/src/client/mod.rs
+++ b/transport/src/client/mod.rs
@@ -8,7 +8,7 @@
 
 pub use {
     errors::{ClientError, ClientStep},
-    http_client::{HttpClient, JsonReply},
+    http_client::{read_body, HttpClient, JsonReply},
     peer_client::{peer_version, FrameStream, MessageStream, PeerClient},
     peer_encodings::PeerEncodings,
     response_limits::ResponseLimits,
--- a/transport/src/client/peer_client.rs
+++ b/transport/src/client/peer_client.rs
@@ -2,6 +2,7 @@
     super::{
         http_client::receive, ClientError, ClientStep, HttpClient, PeerEncodings, ResponseLimits,
     },
+    crate::inbound::MeteredBody,
     bytes::Bytes,
     chalkcart_protocol::{
         decode, frame_codec,
@@ -11,7 +12,6 @@
     futures::{Stream, StreamExt, TryStreamExt},
     http::{header::CONTENT_TYPE, HeaderMap, Method, Request, Response, StatusCode},
     http_body_util::{BodyExt, Full},
-    hyper::body::Incoming,
     serde::{de::DeserializeOwned, Serialize},
     std::{io, net::SocketAddr, pin::Pin},
     tokio_util::{codec::FramedRead, io::StreamReader},
@@ -81,7 +81,7 @@
         peer: SocketAddr,
         path: &str,
         message: &Q,
-    ) -> Result<Response<Incoming>, ClientError> {
+    ) -> Result<Response<MeteredBody>, ClientError> {
         let mut response = self.post(peer, path, message).await?;
         if response.status() == StatusCode::BAD_REQUEST && self.version(peer).is_none() {
             self.encodings.on_message_rejected(peer);
@@ -99,7 +99,7 @@
         peer: SocketAddr,
         path: &str,
         message: &Q,
-    ) -> Result<Response<Incoming>, ClientError> {
+    ) -> Result<Response<MeteredBody>, ClientError> {
         let unsent = |e: &dyn std::fmt::Display| ClientError::new(ClientStep::Connect, peer, e);
         let body = encode_as(message, self.encodings.encoding_for(peer)).map_err(|e| unsent(&e))?;
         let req = request(peer, path, body).map_err(|e| unsent(&e))?;
--- a/transport/src/client/response_limits.rs
+++ b/transport/src/client/response_limits.rs
@@ -1,6 +1,9 @@
-use std::time::Duration;
+use {chalkcart_protocol::MAX_MESSAGE_BYTES, std::time::Duration};
 
-/// Time limits of one call.
+/// Bytes that a response may have: the largest message and its framing.
+const DEFAULT_BYTES: usize = 2 * MAX_MESSAGE_BYTES;
+
+/// Limits of one call.
 ///
 /// A large response takes as long as the link needs. Repeating the call would put the same bytes
 /// on the link again, so a response whose parts keep arriving is not abandoned before `total`.
@@ -12,6 +15,18 @@
     pub pause: Duration,
     /// Maximum time until the end of the response.
     pub total: Duration,
+    /// Maximum size of the response, with its head and framing.
+    pub bytes: usize,
+}
+
+impl ResponseLimits {
+    /// Limits the whole response to a time and a size.
+    pub fn new(total: Duration, bytes: usize) -> Self {
+        Self {
+            bytes,
+            ..Self::from(total)
+        }
+    }
 }
 
 impl From<Duration> for ResponseLimits {
@@ -21,6 +36,7 @@
             head: total,
             pause: total,
             total,
+            bytes: DEFAULT_BYTES,
         }
     }
 }
--- a/transport/src/engine/http_engine.rs
+++ b/transport/src/engine/http_engine.rs
@@ -3,7 +3,7 @@
         AdapterBody, CancelBody, CancelReply, Engine, EngineError, EngineEvents, EngineRun,
         FenceBody, GenerateBody, OrderReply, ResumeBody, RunningBody, StatusReply,
     },
-    crate::client::{ClientError, ClientStep, HttpClient},
+    crate::client::{read_body, ClientError, ClientStep, HttpClient, ResponseLimits},
     async_trait::async_trait,
     chalkcart_coordination::{
         fence::{EngineStatus, RunningRequest},
@@ -24,6 +24,13 @@
 
 const ORDER_TIMEOUT: Duration = Duration::from_secs(2);
 const LOAD_TIMEOUT: Duration = Duration::from_secs(30);
+/// A refusal has one short message.
+const REFUSAL_LIMITS: ResponseLimits = ResponseLimits {
+    head: ORDER_TIMEOUT,
+    pause: ORDER_TIMEOUT,
+    total: ORDER_TIMEOUT,
+    bytes: 64 * 1024,
+};
 const MAX_LINE_BYTES: usize = 1024 * 1024;
 
 /// An engine that is called over HTTP with JSON bodies.
@@ -79,8 +86,8 @@
             .await?;
         let status = response.status();
         if status != StatusCode::OK {
-            let body = response.into_body().collect().await;
-            let body = body.map(|b| b.to_bytes()).unwrap_or_default();
+            let body = read_body(addr, response.into_body(), REFUSAL_LIMITS).await;
+            let body = body.unwrap_or_default();
             let reply: OrderReply = serde_json::from_slice(&body).unwrap_or_default();
             return Err(match status {
                 StatusCode::CONFLICT => EngineError::Fenced(reply.refused),
--- /dev/null
+++ b/transport/src/inbound/mod.rs
@@ -0,0 +1,21 @@
+//! What is read from other processes: each response is bound in bytes, whatever its sender does.
+//!
+//! docs/INVARIANTS.md lists the readers with their bounds.
+
+mod body_error;
+mod bulk_reads;
+mod byte_meter;
+mod held_parts;
+mod metered_body;
+mod metered_connector;
+mod metered_socket;
+
+pub use {
+    body_error::BodyError,
+    bulk_reads::{BulkAllowance, BulkReads},
+    byte_meter::{ByteMeter, TooManyBytes},
+    held_parts::HeldParts,
+    metered_body::MeteredBody,
+    metered_connector::MeteredConnector,
+    metered_socket::MeteredSocket,
+};
--- a/transport/src/ingress/proxy_body.rs
+++ b/transport/src/ingress/proxy_body.rs
@@ -10,6 +10,7 @@
     crate::{
         backend::{BackendBody, Connection},
         clock::{self, sleep_until_deadline},
+        inbound::{BodyError, MeteredBody},
     },
     bytes::Bytes,
     chalkcart_coordination::{
@@ -17,7 +18,6 @@
         stream_recovery::{NotResumed, StreamEnd},
     },
     http_body::{Body, Frame, SizeHint},
-    hyper::body::Incoming,
     std::{
         future::Future,
         io, mem,
@@ -30,7 +30,7 @@
 /// Where the next bytes come from.
 enum Source {
     Backend {
-        body: Incoming,
+        body: MeteredBody,
         connection: Connection,
     },
     /// An engine that continues the stream is being found.
@@ -134,6 +134,10 @@
         if let Some(data) = frame.data_ref() {
             self.progress.on_data(data);
         }
+        if self.progress.is_event_too_long() {
+            log::warn!(cause = BodyError::EventTooLong.to_string().as_str(); "inbound: too many bytes");
+            return Step::Cut(None);
+        }
         if self.events.is_none() {
             return self.forward_unassembled(frame);
         }
--- a/transport/src/lib.rs
+++ b/transport/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod client;
 pub mod clock;
 pub mod engine;
+pub mod inbound;
 pub mod ingress;
 pub mod links;
 pub mod metadata;
--- a/transport/tests/large_responses.rs
+++ b/transport/tests/large_responses.rs
@@ -22,6 +22,7 @@
     head: Duration::from_millis(1_000),
     pause: Duration::from_millis(1_000),
     total: Duration::from_secs(20),
+    bytes: 1_024,
 };
 
 /// Serves one response of `PARTS` bytes, of which `sent` are sent one by one.
