--- a/testkit/tests/crowded_configuration.rs
+++ b/testkit/tests/crowded_configuration.rs
@@ -19,7 +19,10 @@
         ops::Range,
         time::{Duration, Instant},
     },
-    tokio::time::{sleep, timeout},
+    tokio::{
+        sync::Mutex,
+        time::{sleep, timeout},
+    },
 };
 
 /// Time within which a confirmed configuration must be in force everywhere.
@@ -40,6 +43,9 @@
 const PROBE_PATIENCE: Duration = Duration::from_secs(2);
 const EVENT_BYTES: usize = 10_000;
 
+/// Two crowds at once would take the processor from each other's entries.
+static ONE_AT_A_TIME: Mutex<()> = Mutex::const_new(());
+
 /// When each version was confirmed, and when it must be in force.
 #[derive(Default)]
 struct Changes {
@@ -175,6 +181,7 @@
 }
 
 async fn expect_no_old_configuration(relays_from_engines: usize) -> Result<()> {
+    let _one = ONE_AT_A_TIME.lock().await;
     let (mut fleet, entries, _others) = start(relays_from_engines).await?;
     let calm = crowd(CARRIED, Duration::from_secs(3), 1.0);
     send_crowd(&entries, "warm", &calm).await;
