--- a/coordination/src/crashes/crash_registry.rs
+++ b/coordination/src/crashes/crash_registry.rs
@@ -1,7 +1,8 @@
 use {
     super::{
         crash_record::{CompletedRun, Crash, Stamp, RETENTION},
-        part_evidence::{blocked_part, BlockedPart, PartEvidence, EARLY_CRASH},
+        part_change::{PartChange, PartChangeKind, PartChanges},
+        part_evidence::{part_verdict, BlockedPart, PartEvidence, PartVerdict, EARLY_CRASH},
         record_table::RecordTable,
         seen_events::SeenEvents,
         EngineCrash, InterruptedRun,
@@ -67,6 +68,9 @@
     suspects: Vec<PartEvidence>,
     seen: SeenEvents,
     revision: u64,
+    changes: PartChanges,
+    /// Whether the events come from another process.
+    is_merging: bool,
 }
 
 impl Default for CrashRegistry {
@@ -87,6 +91,8 @@
             suspects: Vec::new(),
             seen: SeenEvents::default(),
             revision: 0,
+            changes: PartChanges::default(),
+            is_merging: false,
         }
     }
 
@@ -128,15 +134,31 @@
 
     /// Returns the part for which a request with these parts must not run now.
     pub fn blocked_part(&mut self, parts: &[PartId], now: Instant) -> Option<BlockedPart> {
+        match self.part_verdict(parts, now) {
+            PartVerdict::Blocked(blocked) => Some(blocked),
+            PartVerdict::Excused(_) | PartVerdict::Clear => None,
+        }
+    }
+
+    /// Returns whether a request with these parts may run now.
+    pub fn part_verdict(&mut self, parts: &[PartId], now: Instant) -> PartVerdict {
         let suspects = &self.suspects;
         let is_suspected = |part: &&PartId| suspects.iter().any(|s| s.part == **part);
-        let part = parts.iter().find(is_suspected)?;
+        let Some(part) = parts.iter().find(is_suspected) else {
+            return PartVerdict::Clear;
+        };
         let spread = spread_of(self.origin, *part);
-        let blocked = blocked_part(parts, suspects, spread, now);
+        let verdict = part_verdict(parts, suspects, spread, now);
         for record in parts.iter().flat_map(|part| PartRecord::both(*part)) {
             self.parts.used(&record.digest(), now);
         }
-        blocked
+        verdict
+    }
+
+    /// Returns what was learnt about parts since the last call, and the number of changes that
+    /// were left out.
+    pub fn take_part_changes(&mut self) -> (Vec<PartChange>, u64) {
+        self.changes.take()
     }
 
     /// Returns the parts with enough crashes to block them.
@@ -216,11 +238,13 @@
     /// Adds the reports of another process. Returns whether any of them is new.
     pub fn merge(&mut self, reports: &[CrashReport], now: Instant) -> bool {
         let previous = self.revision;
+        self.is_merging = true;
         for report in reports {
             let age = Duration::from_millis(report.age_ms);
             let at = now.checked_sub(age).unwrap_or(now);
             self.record_event(report.digest, report.event, report.run_id, at, now);
         }
+        self.is_merging = false;
         self.revision != previous
     }
 
@@ -289,12 +313,30 @@
         if is_new {
             self.revision += 1;
             if let Some(record) = PartRecord::of(&digest) {
+                self.record_change(record, event, at, now);
                 self.update_suspect(record.part, now);
             }
         }
         is_new
     }
 
+    /// Records what an event says about a part, for the log.
+    fn record_change(&mut self, record: PartRecord, event: CrashEvent, at: Instant, now: Instant) {
+        let kind = match event {
+            CrashEvent::Ended { life } => PartChangeKind::Crash {
+                life,
+                is_early: record.is_early,
+            },
+            CrashEvent::Served => PartChangeKind::DidWell,
+        };
+        self.changes.push(PartChange {
+            part: record.part,
+            kind,
+            is_own: !self.is_merging,
+            age: now.saturating_duration_since(at),
+        });
+    }
+
     fn table(&self, digest: &RequestDigest) -> &RecordTable {
         match PartRecord::of(digest) {
             Some(_) => &self.parts,
@@ -316,12 +358,28 @@
             self.parts.crashes_of(&early),
             self.parts.crashes_of(&late),
         );
+        let was_suspected = self.suspects.iter().any(|suspect| suspect.part == part);
         // those whose records have expired or were evicted go, too
         self.suspects.retain(|suspect| {
             let age = suspect.age(now);
             suspect.part != part && age.is_some_and(|age| age < RETENTION)
         });
-        if evidence.is_sufficient() {
+        let is_suspected = evidence.is_sufficient();
+        let kind = match is_suspected {
+            true => PartChangeKind::Suspected {
+                crashes: evidence.crash_count(),
+            },
+            false => PartChangeKind::Released,
+        };
+        if is_suspected != was_suspected {
+            self.changes.push(PartChange {
+                part,
+                kind,
+                is_own: !self.is_merging,
+                age: evidence.age(now).unwrap_or_default(),
+            });
+        }
+        if is_suspected {
             self.suspects.push(evidence);
         }
     }
--- a/coordination/src/crashes/mod.rs
+++ b/coordination/src/crashes/mod.rs
@@ -4,6 +4,7 @@
 mod crash_detector;
 mod crash_record;
 mod crash_registry;
+mod part_change;
 mod part_evidence;
 mod record_table;
 mod seen_events;
@@ -14,5 +15,6 @@
         CrashRegistry, RequestVerdict, BLOCKED_AFTER_CRASHES, MAX_TRACKED_PARTS,
         MAX_TRACKED_REQUESTS,
     },
-    part_evidence::{BlockedPart, OUTLIVED_AFTER},
+    part_change::{PartChange, PartChangeKind},
+    part_evidence::{BlockedPart, ExcusedPart, PartVerdict, OUTLIVED_AFTER},
 };
--- a/coordination/src/crashes/part_evidence.rs
+++ b/coordination/src/crashes/part_evidence.rs
@@ -44,6 +44,21 @@
     pub age: Duration,
 }
 
+/// A part that has enough crashes to be blocked, in a request that may run all the same.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ExcusedPart {
+    pub part: PartId,
+    pub crashes: usize,
+}
+
+/// Whether a request may run, by the parts of its prompt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PartVerdict {
+    Clear,
+    Excused(ExcusedPart),
+    Blocked(BlockedPart),
+}
+
 impl PartEvidence {
     /// `early` are the crashes that came early in the part's runs aboard; those that came late in
     /// any run, also of another entry, don't count.
@@ -64,6 +79,10 @@
         self.separate_crashes() >= BLOCKED_AFTER_CRASHES
     }
 
+    pub fn crash_count(&self) -> usize {
+        self.crashes.len()
+    }
+
     /// Returns whether this incarnation of an engine crashed under the part.
     pub fn has_crash(&self, incarnation: u64) -> bool {
         self.crashes.contains_key(&incarnation)
@@ -111,24 +130,24 @@
     }
 }
 
-/// Returns the part for which a request with these parts must not run.
+/// Returns whether a request with these parts may run.
 ///
 /// `suspects` are all parts with enough crashes. A sound part that stood under the same crashes as
 /// the cause, such as the first part of its caller, is excused in requests without the cause; one
 /// of them that runs well clears it.
-pub fn blocked_part(
+pub fn part_verdict(
     parts: &[PartId],
     suspects: &[PartEvidence],
     spread: f64,
     now: Instant,
-) -> Option<BlockedPart> {
+) -> PartVerdict {
     let (own, others): (Vec<&PartEvidence>, Vec<&PartEvidence>) = suspects
         .iter()
         .partition(|suspect| parts.contains(&suspect.part));
-    let blocked = own
+    let (excused, accused): (Vec<&PartEvidence>, Vec<&PartEvidence>) = own
         .into_iter()
-        .filter(|suspect| !suspect.is_excused(&others));
-    let blocked = blocked.filter_map(|suspect| {
+        .partition(|suspect| suspect.is_excused(&others));
+    let blocked = accused.iter().filter_map(|suspect| {
         let age = suspect.blocked_age(spread, now)?;
         Some(BlockedPart {
             part: suspect.part,
@@ -136,5 +155,12 @@
             age,
         })
     });
-    blocked.max_by_key(|blocked| blocked.crashes)
+    if let Some(blocked) = blocked.max_by_key(|blocked| blocked.crashes) {
+        return PartVerdict::Blocked(blocked);
+    }
+    let excused = excused.first().map(|suspect| ExcusedPart {
+        part: suspect.part,
+        crashes: suspect.crashes.len(),
+    });
+    excused.map_or(PartVerdict::Clear, PartVerdict::Excused)
 }
--- a/coordination/tests/crashing_parts.rs
+++ b/coordination/tests/crashing_parts.rs
@@ -2,7 +2,10 @@
 
 use {
     chalkcart_coordination::{
-        crashes::{CrashRegistry, EngineCrash, InterruptedRun, RequestVerdict, MAX_TRACKED_PARTS},
+        crashes::{
+            CrashRegistry, EngineCrash, InterruptedRun, PartChange, PartChangeKind, RequestVerdict,
+            MAX_TRACKED_PARTS,
+        },
         membership::stable_hash,
     },
     chalkcart_protocol::peer::{CrashEvent, CrashReport},
@@ -267,6 +270,32 @@
     assert!(other.blocked_part(&[FIRST, BAD], history.now).is_some());
 }
 
+/// Guards against an entry whose log doesn't tell which crashes it saw, which it heard of, and when
+/// they were enough.
+#[test]
+fn what_was_learnt_about_a_part_is_told_once() {
+    let mut history = History::new();
+    history.crashes(4, &[BAD], EARLY);
+    let (seen, _) = history.registry.take_part_changes();
+    let crashes = seen
+        .iter()
+        .filter(|change| matches!(change.kind, PartChangeKind::Crash { .. }));
+    assert_eq!(crashes.count(), 4);
+    assert!(seen.iter().all(|change| change.is_own));
+    let is_suspected =
+        |change: &PartChange| matches!(change.kind, PartChangeKind::Suspected { .. });
+    assert!(seen.iter().any(is_suspected));
+    let (reports, _) = history.registry.reports_since(0, history.now + MINUTE);
+    let mut other = CrashRegistry::new(8);
+    other.merge(&reports, history.now + MINUTE);
+    let (heard, _) = other.take_part_changes();
+    assert!(heard.iter().all(|change| !change.is_own));
+    assert!(heard.iter().any(is_suspected));
+    assert!(heard.iter().all(|change| change.age >= MINUTE));
+    other.merge(&reports, history.now + MINUTE);
+    assert!(other.take_part_changes().0.is_empty());
+}
+
 /// Builds the report of a random event about one of four parts.
 fn report_of(event: u16) -> CrashReport {
     let record = PartRecord {
--- a/entry/src/ingress/crash_check.rs
+++ b/entry/src/ingress/crash_check.rs
@@ -2,7 +2,7 @@
 
 use {
     super::request_exchange::{elapsed_ms, RequestExchange, DEFAULT_RETRY_AFTER},
-    chalkcart_coordination::crashes::{BlockedPart, RequestVerdict},
+    chalkcart_coordination::crashes::{BlockedPart, ExcusedPart, PartVerdict, RequestVerdict},
     chalkcart_state::ingress::PartId,
     chalkcart_transport::ingress::ClientResponse,
     http::StatusCode,
@@ -31,7 +31,7 @@
         log::warn!(
             request = self.accepted.head.id.as_str(),
             digest = self.accepted.digest.to_string().as_str(),
-            part = part.as_deref().unwrap_or_default(),
+            shared_part = part.as_deref().unwrap_or_default(),
             route = self.accepted.route.name.as_str(),
             account = self.account_name(),
             ended = crashes,
@@ -79,7 +79,30 @@
 
     fn blocked_part(&self) -> Option<BlockedPart> {
         let parts = &self.accepted.head.shared_parts;
-        self.shared.crashes.blocked_part(parts)
+        match self.shared.crashes.part_verdict(parts) {
+            PartVerdict::Blocked(blocked) => Some(blocked),
+            PartVerdict::Excused(_) | PartVerdict::Clear => None,
+        }
+    }
+
+    /// Counts and logs a send whose prompt has a suspected part.
+    pub(super) fn log_excused_part(&self) {
+        let crashes = &self.shared.crashes;
+        let verdict = crashes.part_verdict(&self.accepted.head.shared_parts);
+        let PartVerdict::Excused(ExcusedPart {
+            part,
+            crashes: ended,
+        }) = verdict
+        else {
+            return;
+        };
+        crashes.metrics.excused_for_part.inc();
+        log::info!(
+            request = self.accepted.head.id.as_str(),
+            shared_part = part.to_string().as_str(),
+            ended = ended;
+            "crashes: suspected part excused"
+        );
     }
 
     /// Returns whether the request may crash the engine that runs it, according to the crash
--- a/entry/src/ingress/request_exchange.rs
+++ b/entry/src/ingress/request_exchange.rs
@@ -200,6 +200,7 @@
                 self.abandon_assignment(&assignment, BLOCKED);
                 return response;
             }
+            self.log_excused_part();
             self.request.send_count += 1;
             self.log_send(&assignment);
             self.set_may_have_run(true);
--- a/entry/src/ingress/shared_crash_registry.rs
+++ b/entry/src/ingress/shared_crash_registry.rs
@@ -1,12 +1,16 @@
 use {
     super::ended_engines::EndedEngines,
     chalkcart_coordination::crashes::{
-        BlockedPart, CrashRegistry, EngineCrash, InterruptedRun, RequestVerdict,
+        CrashRegistry, EngineCrash, InterruptedRun, PartChange, PartChangeKind, PartVerdict,
+        RequestVerdict,
     },
+    chalkcart_coordination::membership::stable_hash,
     chalkcart_protocol::peer::CrashReport,
     chalkcart_state::ingress::{part_list, PartId, RequestDigest},
     chalkcart_transport::{clock, metrics::CrashMetrics},
     std::{
+        cmp::Reverse,
+        collections::BTreeMap,
         sync::{Mutex, MutexGuard},
         time::Instant,
     },
@@ -15,6 +19,8 @@
 
 /// Maximum number of runs named in one log line.
 const MAX_RUNS_LOGGED: usize = 8;
+/// Maximum number of parts named in one log line, those of most runs first.
+const MAX_PARTS_LOGGED: usize = 24;
 
 /// The entry's registry of requests that were running when engines crashed.
 pub struct SharedCrashRegistry {
@@ -42,16 +48,16 @@
         self.registry().verdict(digest, clock::now())
     }
 
-    /// Returns the part for which a request with these parts must not run now.
-    pub fn blocked_part(&self, parts: &[PartId]) -> Option<BlockedPart> {
-        self.registry().blocked_part(parts, clock::now())
+    /// Returns whether a request with these parts may run now.
+    pub fn part_verdict(&self, parts: &[PartId]) -> PartVerdict {
+        self.registry().part_verdict(parts, clock::now())
     }
 
     /// Records that a prompt with these parts was answered to its end.
     pub fn on_parts_served(&self, parts: &[PartId]) {
         let mut registry = self.registry();
         if registry.on_parts_served(parts, clock::now()) {
-            self.publish(&registry);
+            self.publish(&mut registry);
         }
     }
 
@@ -60,7 +66,7 @@
     pub fn on_parts_outlived(&self, parts: &[PartId]) {
         let mut registry = self.registry();
         if registry.on_parts_outlived(parts, clock::now()) {
-            self.publish(&registry);
+            self.publish(&mut registry);
         }
     }
 
@@ -72,7 +78,7 @@
             .into_iter()
             .filter(|d| registry.on_completed(*d, now));
         if changes.count() > 0 {
-            self.publish(&registry);
+            self.publish(&mut registry);
         }
     }
 
@@ -90,7 +96,7 @@
         for crash in crashes {
             let mut registry = self.registry();
             registry.on_crash(&crash, now);
-            self.publish(&registry);
+            self.publish(&mut registry);
             drop(registry);
             self.metrics.ended.inc();
             log_crash(&crash, now);
@@ -106,7 +112,7 @@
         let mut registry = self.registry();
         let before = registry.revision();
         if registry.merge(reports, clock::now()) {
-            self.publish(&registry);
+            self.publish(&mut registry);
         }
         match sent_revision == before {
             true => registry.revision(),
@@ -123,7 +129,12 @@
         self.revision.subscribe()
     }
 
-    fn publish(&self, registry: &CrashRegistry) {
+    fn publish(&self, registry: &mut CrashRegistry) {
+        let (changes, left_out) = registry.take_part_changes();
+        changes.iter().for_each(|change| self.log_change(change));
+        if left_out > 0 {
+            log::warn!(lines = left_out; "crashes: changes of parts left out");
+        }
         let parts = registry.suspected_parts();
         if self.metrics.suspected_parts.set(parts.len() as i64) != parts.len() as i64 {
             log::warn!(parts = part_list(&parts).as_str(); "crashes: suspected parts changed");
@@ -132,12 +143,52 @@
         self.revision.send_replace(registry.revision());
     }
 
+    fn log_change(&self, change: &PartChange) {
+        let (life, is_early, crashes) = match change.kind {
+            PartChangeKind::Crash { life, is_early } => (life, is_early, 1),
+            PartChangeKind::Suspected { crashes } => (0, false, crashes),
+            PartChangeKind::DidWell | PartChangeKind::Released => (0, false, 0),
+        };
+        self.metrics
+            .on_part_change(change.kind.code(), change.is_own);
+        log::info!(
+            shared_part = change.part.to_string().as_str(),
+            change = change.kind.code(),
+            life = life,
+            is_early = is_early,
+            crashes = crashes,
+            own = change.is_own,
+            age_ms = change.age.as_millis() as u64;
+            "crashes: part of prompts"
+        );
+    }
+
     fn registry(&self) -> MutexGuard<'_, CrashRegistry> {
         // No holder panics in the middle of an update.
         self.registry.lock().unwrap_or_else(|e| e.into_inner())
     }
 }
 
+/// Returns `PART:RUNS:YOUNGEST:OLDEST` for each part of the runs aboard, with the times in ms for
+/// which these runs had been written; -1 before the head of a response.
+fn part_runs_text(crash: &EngineCrash) -> String {
+    let mut parts: BTreeMap<PartId, Vec<i64>> = BTreeMap::new();
+    for run in &crash.runs {
+        let written = written_ms(run);
+        for part in run.shared_parts.iter() {
+            parts.entry(*part).or_default().push(written);
+        }
+    }
+    let mut parts: Vec<(PartId, Vec<i64>)> = parts.into_iter().collect();
+    parts.sort_by_key(|(_, written)| Reverse(written.len()));
+    let texts = parts.iter().take(MAX_PARTS_LOGGED).map(|(part, written)| {
+        let youngest = written.iter().min().unwrap_or(&-1);
+        let oldest = written.iter().max().unwrap_or(&-1);
+        format!("{part}:{}:{youngest}:{oldest}", written.len())
+    });
+    texts.collect::<Vec<String>>().join(" ")
+}
+
 fn log_crash(crash: &EngineCrash, now: Instant) {
     let logged = crash.runs.iter().take(MAX_RUNS_LOGGED);
     let logged: Vec<String> = logged.map(run_text).collect();
@@ -146,7 +197,9 @@
         backend = crash.backend.as_str(),
         born = crash.backend.start_time_ms,
         runs = crash.runs.len(),
+        life = stable_hash(&crash.backend.to_string()),
         digests = logged.join(" ").as_str(),
+        parts = part_runs_text(crash).as_str(),
         age_ms = now.saturating_duration_since(first).as_millis() as u64;
         "crashes: engine ended"
     );
@@ -155,10 +208,15 @@
 /// Returns a run as `DIGEST:MS:PARTS`, with how long its response had been written; -1 before
 /// its first part.
 fn run_text(run: &InterruptedRun) -> String {
-    let written_ms = run.written.map_or(-1, |time| time.as_millis() as i64);
     format!(
-        "{}:{written_ms}:{}",
+        "{}:{}:{}",
         run.digest,
+        written_ms(run),
         part_list(&run.shared_parts)
     )
 }
+
+/// Returns how long a response had been written, in ms; -1 before its head.
+fn written_ms(run: &InterruptedRun) -> i64 {
+    run.written.map_or(-1, |time| time.as_millis() as i64)
+}
