--- a/testkit/src/users_platform/backend_responses.rs
+++ b/testkit/src/users_platform/backend_responses.rs
@@ -23,8 +23,6 @@
 const INVALID_BYTES: &[u8] = b"\x16\x03\x01 no answer in the protocol\r\n\r\n";
 /// Delay of a late second response.
 const EXTRA_RESPONSE_DELAY: Duration = Duration::from_millis(150);
-/// Time from the head of the response until the back end crashes.
-const CRASH_DELAY: Duration = Duration::from_millis(20);
 /// Bytes of each chunk of a large body.
 const LARGE_PART: usize = 1_000;
 const UNRESPONSIVE_DURATION: Duration = Duration::from_secs(30);
@@ -43,14 +41,14 @@
         return write_response(socket, status, &headers, b"").await;
     }
     let prompt = head.get("chalkcart-prefix-hash").unwrap_or_default();
-    let is_crashing = lock(state).crashes_on(prompt, &body);
+    let is_crashing = lock(state).crashes_on(request, prompt, &body);
     let run_index = record_run(state, head, body);
     let _running = RunningRequest(state.clone());
     let kind = lock(state).kind;
     let mut headers = response_headers(request, fault);
     headers.extend(lock(state).signal_headers());
     if is_crashing {
-        return crash_in_stream(socket, state, &headers).await;
+        return crash_in_stream(socket, state, &headers, request).await;
     }
     match (fault, kind) {
         (BackendFault::CloseBeforeResponse, _) => bail!("connection closed before the response"),
@@ -75,24 +73,32 @@
     }
 }
 
-/// Begins a stream and crashes after some of its events.
+/// Begins a stream and crashes after some of its events, at the moment that is set.
 async fn crash_in_stream(
     socket: &mut TcpStream,
     state: &Mutex<BackendState>,
     headers: &[(&'static str, String)],
+    request: &str,
 ) -> Result<()> {
-    let (framing, events) = {
+    let (framing, events, moment, born) = {
         let state = lock(state);
-        (state.crash_framing, state.events_before_crash)
+        (
+            state.crash_framing,
+            state.events_before_crash,
+            state.crash_moment.clone(),
+            state.start_time_ms,
+        )
     };
-    let head = response_head(headers, &framing_header(framing, 0));
-    socket.write_all(&head).await?;
-    for number in 0..events {
-        let event = event(state, number);
-        socket.write_all(&framed(event.as_bytes(), framing)).await?;
+    if !moment.is_silent(request) {
+        let head = response_head(headers, &framing_header(framing, 0));
+        socket.write_all(&head).await?;
+        for number in 0..events {
+            let event = event(state, number);
+            socket.write_all(&framed(event.as_bytes(), framing)).await?;
+        }
     }
-    sleep(CRASH_DELAY).await;
-    lock(state).crash();
+    sleep(moment.delay(request)).await;
+    lock(state).crash_under(request, born);
     bail!("back end crashed")
 }
 
--- a/testkit/src/users_platform/backend_stand_in.rs
+++ b/testkit/src/users_platform/backend_stand_in.rs
@@ -1,6 +1,7 @@
 use {
     super::{
         backend_responses::respond,
+        crash_moment::{CausedCrash, CrashMoment},
         endless_responses::{send_endless, EndlessPart},
         engine_orders::{AcceptedOrder, EngineOrders},
         wire::{read_body, read_head, write_response, Head},
@@ -164,6 +165,7 @@
     pub crash_body: Option<Vec<u8>>,
     /// A request whose prompt shares one of these parts crashes the back end.
     pub crash_parts: Vec<PartId>,
+    pub crash_moment: CrashMoment,
     /// Framing of the stream that a crashing request gets.
     pub crash_framing: Framing,
     /// Number of events that a crashing request gets.
@@ -200,6 +202,8 @@
     pub endless_closed: u32,
     /// Number of crashes caused by a request.
     pub crashes: u32,
+    /// The crashes that requests caused.
+    pub caused_crashes: Vec<CausedCrash>,
     /// Times at which streams were cut, other than by a crash.
     pub cuts: Vec<Instant>,
     has_crashed: Arc<Notify>,
@@ -292,13 +296,24 @@
             .unwrap_or(0)
     }
     /// Returns whether the back end crashes when it begins to write a response to this request.
-    pub fn crashes_on(&self, prompt: &str, body: &[u8]) -> bool {
+    pub fn crashes_on(&self, request: &str, prompt: &str, body: &[u8]) -> bool {
         let shared = prompt.rsplit_once(',').map_or("", |(shared, _)| shared);
         let ids = shared.split(',').filter_map(|part| part.split(':').next());
         let mut parts = ids.map(PartId::of);
-        let has_crash_part = parts.any(|part| self.crash_parts.contains(&part));
+        let has_crash_part = parts.any(|part| self.crash_parts.contains(&part))
+            && !self.crash_moment.is_spared(request);
         has_crash_part || self.crash_body.as_deref() == Some(body)
     }
+    /// Crashes under a request, unless its run ended with an earlier incarnation.
+    pub fn crash_under(&mut self, request: &str, born: u64) {
+        if self.start_time_ms == born {
+            self.caused_crashes.push(CausedCrash {
+                at: Instant::now(),
+                request: request.to_string(),
+            });
+            self.crash();
+        }
+    }
     /// Ends the current incarnation; the next one has another id and holds no adapters.
     pub fn crash(&mut self) {
         self.crashes += 1;
@@ -355,6 +370,7 @@
             event_interval_per_run: Duration::ZERO,
             crash_body: None,
             crash_parts: Vec::new(),
+            crash_moment: CrashMoment::default(),
             crash_framing: Framing::Chunks,
             events_before_crash: 0,
             is_leaving: false,
@@ -373,6 +389,7 @@
             endless_bytes: 0,
             endless_closed: 0,
             crashes: 0,
+            caused_crashes: Vec::new(),
             cuts: Vec::new(),
             has_crashed: has_crashed.clone(),
         }));
--- a/testkit/src/users_platform/mod.rs
+++ b/testkit/src/users_platform/mod.rs
@@ -6,6 +6,7 @@
 mod backend_stand_in;
 mod backend_streams;
 mod client;
+mod crash_moment;
 mod crowd;
 mod endless_responses;
 mod engine_orders;
@@ -23,6 +24,7 @@
         StreamFault, DEFAULT_EVENT_COUNT, FIRST_START_TIME_MS, LIMIT_GRACE, LIMIT_WINDOW,
     },
     client::{open_stream, request, send_on, ClientRequest, ClientResponse, OpenStream},
+    crash_moment::{CausedCrash, CrashMoment},
     crowd::{send_crowd, Crowd, CrowdAttempt, CrowdRequest},
     endless_responses::EndlessPart,
     engine_orders::{AcceptedOrder, ADAPTER_SLOTS, MODEL},
