--- a/testkit/src/lib.rs
+++ b/testkit/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod cluster;
 pub mod commands;
 pub mod configs;
+pub mod crash_sim;
 pub mod crashing_parts;
 pub mod engine;
 pub mod forwarder;
