--- a/coordination/src/crashes/crash_detector.rs
+++ b/coordination/src/crashes/crash_detector.rs
@@ -37,6 +37,8 @@
     pub shared_parts: SharedParts,
     /// For how long the engine had written the response; `None` before its head.
     pub written: Option<Duration>,
+    /// Time since it was sent to the engine.
+    pub sent_for: Duration,
     /// Whether the response is complete if the engine has survived.
     pub is_whole: bool,
     pub at: Instant,
--- a/coordination/src/crashes/crash_registry.rs
+++ b/coordination/src/crashes/crash_registry.rs
@@ -1,17 +1,21 @@
 use {
     super::{
         crash_record::{CompletedRun, Crash, Stamp, RETENTION},
-        part_change::{PartChange, PartChangeKind, PartChanges},
-        part_evidence::{part_verdict, BlockedPart, PartEvidence, PartVerdict, EARLY_CRASH},
+        crash_times,
+        part_change::PartChange,
+        part_evidence::PartVerdict,
+        part_history::{GoodRun, LongestRun, PartCrash},
+        part_registry::PartRegistry,
+        part_run::PartRun,
         record_table::RecordTable,
         seen_events::SeenEvents,
-        EngineCrash, InterruptedRun,
+        EngineCrash,
     },
     crate::membership::stable_hash,
     chalkcart_protocol::peer::{CrashEvent, CrashReport},
     chalkcart_state::ingress::{PartId, PartRecord, RequestDigest},
     std::{
-        collections::HashSet,
+        collections::HashMap,
         hash::{DefaultHasher, Hash, Hasher},
         time::{Duration, Instant},
     },
@@ -25,13 +29,10 @@
 /// Upper bound on the number of tracked requests: 16 crashes of engines with 256 requests each;
 /// about 0.9 MB when full.
 pub const MAX_TRACKED_REQUESTS: usize = 4_096;
-/// Upper bound on the records of parts, of which each part has two: 28 crashes of engines with 24
-/// requests of three parts each that no other request has; at most 4.2 MB when full.
-pub const MAX_TRACKED_PARTS: usize = 4_096;
 /// Upper bound on the crashes that are kept per request.
 const MAX_CRASHES_PER_REQUEST: usize = BLOCKED_AFTER_CRASHES + 1;
-/// Upper bound on the crashes that are kept per record of a part. They explain crashes of others.
-const MAX_CRASHES_PER_PART: usize = 32;
+/// Part of its time for which a run that goes on counts as a good one.
+const COUNTED_PROGRESS: f64 = 2.0 / 3.0;
 /// Upper bound on the reports in one message, about 72 kB.
 const MAX_REPORTS_PER_MESSAGE: usize = 1_000;
 
@@ -63,14 +64,9 @@
     /// Number of completed runs that this registry has recorded first.
     own_runs: u64,
     requests: RecordTable,
-    parts: RecordTable,
-    /// The parts with enough crashes to block them.
-    suspects: Vec<PartEvidence>,
+    parts: PartRegistry,
     seen: SeenEvents,
     revision: u64,
-    changes: PartChanges,
-    /// Whether the events come from another process.
-    is_merging: bool,
 }
 
 impl Default for CrashRegistry {
@@ -87,12 +83,9 @@
             origin,
             own_runs: 0,
             requests: RecordTable::new(MAX_TRACKED_REQUESTS, MAX_CRASHES_PER_REQUEST),
-            parts: RecordTable::new(MAX_TRACKED_PARTS, MAX_CRASHES_PER_PART),
-            suspects: Vec::new(),
+            parts: PartRegistry::default(),
             seen: SeenEvents::default(),
             revision: 0,
-            changes: PartChanges::default(),
-            is_merging: false,
         }
     }
 
@@ -108,13 +101,25 @@
         self.requests.is_empty()
     }
 
+    /// Returns whether engines crashed under parts of prompts.
+    pub fn has_parts(&self) -> bool {
+        !self.parts.is_empty()
+    }
+
+    /// Sets the number of engines that can take requests now, by which crashes of other causes are
+    /// expected.
+    pub fn set_engines(&mut self, engines: usize, now: Instant) {
+        self.parts.set_engines(engines, now);
+    }
+
     /// Assesses a request that arrives now. Crashes that a part explains don't count.
     pub fn verdict(&mut self, digest: &RequestDigest, now: Instant) -> RequestVerdict {
+        let suspects = self.parts.suspects(now);
         let Some(record) = self.requests.used(digest, now) else {
             return RequestVerdict::Clear;
         };
         let is_explained = |crash: &&Crash| {
-            let mut suspects = self.suspects.iter();
+            let mut suspects = suspects.iter();
             suspects.any(|suspect| suspect.has_crash(crash.incarnation))
         };
         let crashes = record.crashes.iter();
@@ -132,58 +137,96 @@
         }
     }
 
-    /// Returns the part for which a request with these parts must not run now.
-    pub fn blocked_part(&mut self, parts: &[PartId], now: Instant) -> Option<BlockedPart> {
-        match self.part_verdict(parts, now) {
-            PartVerdict::Blocked(blocked) => Some(blocked),
-            PartVerdict::Excused(_) | PartVerdict::Clear => None,
-        }
-    }
-
     /// Returns whether a request with these parts may run now.
     pub fn part_verdict(&mut self, parts: &[PartId], now: Instant) -> PartVerdict {
-        let suspects = &self.suspects;
-        let is_suspected = |part: &&PartId| suspects.iter().any(|s| s.part == **part);
-        let Some(part) = parts.iter().find(is_suspected) else {
-            return PartVerdict::Clear;
-        };
-        let spread = spread_of(self.origin, *part);
-        let verdict = part_verdict(parts, suspects, spread, now);
-        for record in parts.iter().flat_map(|part| PartRecord::both(*part)) {
-            self.parts.used(&record.digest(), now);
-        }
-        verdict
+        let origin = self.origin;
+        self.parts
+            .verdict(parts, |part| spread_of(origin, part), now)
     }
 
     /// Returns what was learnt about parts since the last call, and the number of changes that
     /// were left out.
     pub fn take_part_changes(&mut self) -> (Vec<PartChange>, u64) {
-        self.changes.take()
+        self.parts.changes.take()
     }
 
     /// Returns the parts with enough crashes to block them.
-    pub fn suspected_parts(&self) -> Vec<PartId> {
-        self.suspects.iter().map(|s| s.part).collect()
+    pub fn suspected_parts(&mut self, now: Instant) -> Vec<PartId> {
+        let suspects = self.parts.suspects(now).iter();
+        suspects.map(|suspect| suspect.part).collect()
     }
 
     /// Records a crash under all requests that the engine ran, and under their parts.
     pub fn on_crash(&mut self, crash: &EngineCrash, now: Instant) {
         let incarnation = stable_hash(&crash.backend.to_string());
+        let mut longest: HashMap<PartId, (LongestRun, Instant)> = HashMap::new();
         for run in &crash.runs {
             self.on_engine_ended(run.digest, incarnation, run.at, now);
-        }
-        let begun = crash.runs.iter().filter(|run| run.written.is_some());
-        let (early, late): (Vec<&InterruptedRun>, Vec<&InterruptedRun>) =
-            begun.partition(|run| is_early(run));
-        let mut recorded: HashSet<PartId> = HashSet::new();
-        for (runs, is_early) in [(late, false), (early, true)] {
-            for (part, at) in runs.iter().flat_map(|run| parts_of(run)) {
-                if recorded.insert(part) {
-                    let record = PartRecord { part, is_early };
-                    self.on_engine_ended(record.digest(), incarnation, at, now);
-                }
+            let aboard = LongestRun::of(run);
+            for part in run.shared_parts.iter() {
+                let (known, at) = longest.entry(*part).or_insert((aboard, run.at));
+                *known = known.max(aboard);
+                *at = run.at.min(*at);
             }
         }
+        for (part, (aboard, at)) in longest {
+            self.on_part_crash(part, (incarnation, aboard), at, now);
+        }
+    }
+
+    fn on_part_crash(
+        &mut self,
+        part: PartId,
+        (incarnation, aboard): (u64, LongestRun),
+        at: Instant,
+        now: Instant,
+    ) {
+        let is_early = crash_times::is_early(aboard);
+        let digest = PartRecord { part, is_early }.digest();
+        let event = CrashEvent::Ended { life: incarnation };
+        let times = crash_times::encode(aboard);
+        if self.is_new_event(&digest, event, times, at, now) {
+            self.add_part_crash(part, (incarnation, aboard), true, at, now);
+        }
+    }
+
+    fn add_part_crash(
+        &mut self,
+        part: PartId,
+        (incarnation, aboard): (u64, LongestRun),
+        is_own: bool,
+        at: Instant,
+        now: Instant,
+    ) -> bool {
+        let crash = PartCrash {
+            incarnation,
+            stamp: self.next_stamp(at),
+            aboard,
+        };
+        let is_new = self.parts.on_crash(part, crash, is_own, now);
+        self.revision += u64::from(is_new);
+        if is_new {
+            self.share_earlier_run(part, now);
+        }
+        is_new
+    }
+
+    /// Adds a good run of before the first crash under a part, so that other processes know of it.
+    fn share_earlier_run(&mut self, part: PartId, now: Instant) {
+        let Some(at) = self.parts.unshared_earlier_run(part, now) else {
+            return;
+        };
+        self.own_runs += 1;
+        let id = nonzero_hash((self.origin, self.own_runs, part));
+        self.seen.insert(id);
+        self.revision += 1;
+        let run = GoodRun {
+            id,
+            at,
+            written: Duration::MAX,
+            revision: Some(self.revision),
+        };
+        self.parts.on_good_run(part, run, true, now);
     }
 
     /// Records that an engine crashed while running a request. Returns whether this is new.
@@ -202,7 +245,7 @@
     /// without a crash are not recorded, so that the registry stays empty while no engine
     /// crashes.
     pub fn on_completed(&mut self, digest: RequestDigest, now: Instant) -> bool {
-        if self.table(&digest).crashes_of(&digest).is_empty() {
+        if self.requests.crashes_of(&digest).is_empty() {
             return false;
         }
         self.own_runs += 1;
@@ -210,41 +253,85 @@
         self.record_event(digest, CrashEvent::Served, run_id, now, now)
     }
 
-    /// Records that a prompt with these parts was answered to its end. Returns whether this is
-    /// new.
-    pub fn on_parts_served(&mut self, parts: &[PartId], now: Instant) -> bool {
-        let records = parts.iter().flat_map(|part| PartRecord::both(*part));
-        self.clear_parts(records, now)
+    /// Records that a prompt with these parts was answered to its end. Returns whether other
+    /// processes need to know.
+    pub fn on_parts_served(&mut self, run: &mut PartRun, parts: &[PartId], now: Instant) -> bool {
+        for part in parts {
+            self.parts.on_served(*part, now);
+        }
+        self.add_good_run(run, parts, Duration::MAX, now)
     }
 
-    /// Records that an engine has written an answer to a prompt with these parts for
-    /// `OUTLIVED_AFTER`. Returns whether this is new.
-    pub fn on_parts_outlived(&mut self, parts: &[PartId], now: Instant) -> bool {
-        let records = parts.iter().map(|part| PartRecord {
-            part: *part,
-            is_early: true,
-        });
-        self.clear_parts(records, now)
+    /// Records that a response to a prompt with these parts ended before its end, after it had been
+    /// written for some time, and not with its engine. Returns whether others need to know.
+    pub fn on_parts_left(
+        &mut self,
+        run: &mut PartRun,
+        parts: &[PartId],
+        written: Duration,
+        now: Instant,
+    ) -> bool {
+        self.add_good_run(run, parts, written, now)
     }
 
-    fn clear_parts(&mut self, records: impl Iterator<Item = PartRecord>, now: Instant) -> bool {
+    /// Records that a response to a prompt with these parts has been written for some time and goes
+    /// on. Returns whether others need to know.
+    pub fn on_parts_progress(
+        &mut self,
+        run: &mut PartRun,
+        parts: &[PartId],
+        written: Duration,
+        now: Instant,
+    ) -> bool {
+        // the run may end its engine a little later than those before
+        self.add_good_run(run, parts, written.mul_f64(COUNTED_PROGRESS), now)
+    }
+
+    fn add_good_run(
+        &mut self,
+        run: &mut PartRun,
+        parts: &[PartId],
+        written: Duration,
+        now: Instant,
+    ) -> bool {
         if self.parts.is_empty() {
             return false;
         }
-        let new = records.filter(|record| self.on_completed(record.digest(), now));
-        new.count() > 0
+        let number = run.id.unwrap_or_else(|| {
+            self.own_runs += 1;
+            self.own_runs
+        });
+        let previous = self.revision;
+        for part in parts {
+            let id = nonzero_hash((self.origin, number, part));
+            if !self.parts.is_good_run(part, id, written) {
+                continue;
+            }
+            run.id = Some(number);
+            let is_shared = self.parts.needs_sharing(part);
+            let revision = is_shared.then_some(self.revision + 1);
+            self.revision += u64::from(is_shared);
+            self.seen.insert(id);
+            let at = now;
+            let good_run = GoodRun {
+                id,
+                at,
+                written,
+                revision,
+            };
+            self.parts.on_good_run(*part, good_run, true, now);
+        }
+        self.revision != previous
     }
 
     /// Adds the reports of another process. Returns whether any of them is new.
     pub fn merge(&mut self, reports: &[CrashReport], now: Instant) -> bool {
         let previous = self.revision;
-        self.is_merging = true;
         for report in reports {
             let age = Duration::from_millis(report.age_ms);
             let at = now.checked_sub(age).unwrap_or(now);
             self.record_event(report.digest, report.event, report.run_id, at, now);
         }
-        self.is_merging = false;
         self.revision != previous
     }
 
@@ -254,22 +341,8 @@
         if revision >= self.revision {
             return (Vec::new(), self.revision);
         }
-        let mut reports: Vec<(u64, CrashReport)> = Vec::new();
-        for (digest, record) in self.requests.iter().chain(self.parts.iter()) {
-            let newer = record
-                .events()
-                .filter(|(_, _, stamp)| stamp.revision > revision);
-            reports.extend(newer.map(|(event, run_id, stamp)| {
-                let age = now.saturating_duration_since(stamp.at);
-                let report = CrashReport {
-                    digest: *digest,
-                    event,
-                    age_ms: age.as_millis() as u64,
-                    run_id,
-                };
-                (stamp.revision, report)
-            }));
-        }
+        let mut reports = self.request_reports(revision, now);
+        reports.extend(self.part_reports(revision, now));
         reports.sort_unstable_by_key(|(revision, _)| *revision);
         let complete_up_to = match reports.get(MAX_REPORTS_PER_MESSAGE) {
             Some(_) => reports[MAX_REPORTS_PER_MESSAGE - 1].0,
@@ -282,6 +355,43 @@
         )
     }
 
+    /// Returns the events of requests after a revision, each with the one that added it.
+    fn request_reports(&self, after: u64, now: Instant) -> Vec<(u64, CrashReport)> {
+        let mut reports = Vec::new();
+        for (digest, record) in self.requests.iter() {
+            let events = record.events();
+            let newer = events.filter(|(_, _, stamp)| stamp.revision > after);
+            reports.extend(newer.map(|(event, run_id, stamp)| {
+                let report = report(*digest, event, run_id, stamp.at, now);
+                (stamp.revision, report)
+            }));
+        }
+        reports
+    }
+
+    /// Returns the events of parts after a revision that others need, each with the one that added
+    /// it.
+    fn part_reports(&self, after: u64, now: Instant) -> Vec<(u64, CrashReport)> {
+        let mut reports = Vec::new();
+        for (part, history) in self.parts.table().iter() {
+            let crashes = history.crashes().iter();
+            let newer = crashes.filter(|crash| crash.stamp.revision > after);
+            reports.extend(newer.map(|crash| {
+                let stamp = crash.stamp;
+                (stamp.revision, part_crash_report(*part, crash, now))
+            }));
+            let runs = history.shared_runs();
+            let newer = runs.filter(|(_, revision)| *revision > after);
+            reports.extend(newer.map(|(run, revision)| {
+                let digest = PartRecord::both(*part)[0].digest();
+                let report = report(digest, CrashEvent::Served, run.id, run.at, now);
+                (revision, report)
+            }));
+        }
+        reports
+    }
+
+    /// Records an event that this process saw or, if it is about a part, heard of.
     fn record_event(
         &mut self,
         digest: RequestDigest,
@@ -290,19 +400,14 @@
         at: Instant,
         now: Instant,
     ) -> bool {
-        if now.saturating_duration_since(at) >= RETENTION {
+        if !self.is_new_event(&digest, event, run_id, at, now) {
             return false;
         }
-        let is_repeated =
-            event_id(&digest, event, run_id).is_some_and(|event| !self.seen.insert(event));
-        if is_repeated {
-            return false;
+        if let Some(record) = PartRecord::of(&digest) {
+            return self.on_heard_of_part(record, event, run_id, at, now);
         }
-        let stamp = Stamp {
-            at,
-            revision: self.revision + 1,
-        };
-        let record = self.table_mut(&digest).reported(digest, now);
+        let stamp = self.next_stamp(at);
+        let record = self.requests.reported(digest, now);
         let is_new = match event {
             CrashEvent::Ended { life } => record.add_crash(Crash {
                 incarnation: life,
@@ -310,89 +415,93 @@
             }),
             CrashEvent::Served => record.on_completed(CompletedRun { id: run_id, stamp }),
         };
-        if is_new {
-            self.revision += 1;
-            if let Some(record) = PartRecord::of(&digest) {
-                self.record_change(record, event, at, now);
-                self.update_suspect(record.part, now);
-            }
-        }
+        self.revision += u64::from(is_new);
         is_new
     }
 
-    /// Records what an event says about a part, for the log.
-    fn record_change(&mut self, record: PartRecord, event: CrashEvent, at: Instant, now: Instant) {
-        let kind = match event {
-            CrashEvent::Ended { life } => PartChangeKind::Crash {
-                life,
-                is_early: record.is_early,
-            },
-            CrashEvent::Served => PartChangeKind::DidWell,
-        };
-        self.changes.push(PartChange {
-            part: record.part,
-            kind,
-            is_own: !self.is_merging,
-            age: now.saturating_duration_since(at),
-        });
+    fn on_heard_of_part(
+        &mut self,
+        PartRecord { part, is_early }: PartRecord,
+        event: CrashEvent,
+        run_id: u64,
+        at: Instant,
+        now: Instant,
+    ) -> bool {
+        match event {
+            CrashEvent::Ended { life } => {
+                let aboard = crash_times::decode(run_id, is_early, life);
+                let is_assumed = run_id == 0;
+                if is_assumed && self.parts.has_crash(&part, life) {
+                    return false;
+                }
+                self.add_part_crash(part, (life, aboard), false, at, now)
+            }
+            // builds of before tell a run twice, for both records of a part
+            CrashEvent::Served if !is_early || run_id == 0 => false,
+            CrashEvent::Served => {
+                let run = GoodRun {
+                    id: run_id,
+                    at,
+                    written: Duration::MAX,
+                    revision: Some(self.revision + 1),
+                };
+                let is_new = self.parts.on_good_run(part, run, false, now);
+                self.revision += u64::from(is_new);
+                is_new
+            }
+        }
     }
 
-    fn table(&self, digest: &RequestDigest) -> &RecordTable {
-        match PartRecord::of(digest) {
-            Some(_) => &self.parts,
-            None => &self.requests,
+    /// Returns whether an event is not too old and was not processed before.
+    fn is_new_event(
+        &mut self,
+        digest: &RequestDigest,
+        event: CrashEvent,
+        run_id: u64,
+        at: Instant,
+        now: Instant,
+    ) -> bool {
+        if now.saturating_duration_since(at) >= RETENTION {
+            return false;
         }
-    }
-    fn table_mut(&mut self, digest: &RequestDigest) -> &mut RecordTable {
-        match PartRecord::of(digest) {
-            Some(_) => &mut self.parts,
-            None => &mut self.requests,
+        if let CrashEvent::Ended { life } = event {
+            self.parts.on_engine_crash(life, at);
         }
+        event_id(digest, event, run_id).is_none_or(|event| self.seen.insert(event))
     }
 
-    /// Adds or removes a part whose records have changed.
-    fn update_suspect(&mut self, part: PartId, now: Instant) {
-        let [early, late] = PartRecord::both(part).map(|record| record.digest());
-        let evidence = PartEvidence::new(
-            part,
-            self.parts.crashes_of(&early),
-            self.parts.crashes_of(&late),
-        );
-        let was_suspected = self.suspects.iter().any(|suspect| suspect.part == part);
-        // those whose records have expired or were evicted go, too
-        self.suspects.retain(|suspect| {
-            let age = suspect.age(now);
-            suspect.part != part && age.is_some_and(|age| age < RETENTION)
-        });
-        let is_suspected = evidence.is_sufficient();
-        let kind = match is_suspected {
-            true => PartChangeKind::Suspected {
-                crashes: evidence.crash_count(),
-            },
-            false => PartChangeKind::Released,
-        };
-        if is_suspected != was_suspected {
-            self.changes.push(PartChange {
-                part,
-                kind,
-                is_own: !self.is_merging,
-                age: evidence.age(now).unwrap_or_default(),
-            });
-        }
-        if is_suspected {
-            self.suspects.push(evidence);
+    fn next_stamp(&self, at: Instant) -> Stamp {
+        Stamp {
+            at,
+            revision: self.revision + 1,
         }
     }
 }
 
-/// Returns whether the response of a run had only begun when its engine crashed.
-fn is_early(run: &InterruptedRun) -> bool {
-    run.written.is_some_and(|written| written < EARLY_CRASH)
+fn part_crash_report(part: PartId, crash: &PartCrash, now: Instant) -> CrashReport {
+    let is_early = crash_times::is_early(crash.aboard);
+    let digest = PartRecord { part, is_early }.digest();
+    let event = CrashEvent::Ended {
+        life: crash.incarnation,
+    };
+    let times = crash_times::encode(crash.aboard);
+    report(digest, event, times, crash.stamp.at, now)
 }
 
-/// Returns the parts of a run with the time at which it was interrupted.
-fn parts_of(run: &InterruptedRun) -> impl Iterator<Item = (PartId, Instant)> + '_ {
-    run.shared_parts.iter().map(|part| (*part, run.at))
+fn report(
+    digest: RequestDigest,
+    event: CrashEvent,
+    run_id: u64,
+    at: Instant,
+    now: Instant,
+) -> CrashReport {
+    let age = now.saturating_duration_since(at);
+    CrashReport {
+        digest,
+        event,
+        age_ms: age.as_millis() as u64,
+        run_id,
+    }
 }
 
 /// Returns a number from 0 to 1 that differs between entries and parts.
@@ -404,7 +513,8 @@
 /// without one.
 fn event_id(digest: &RequestDigest, event: CrashEvent, run_id: u64) -> Option<u64> {
     match event {
-        CrashEvent::Ended { life } => Some(nonzero_hash((digest, life))),
+        // of a part, the same crash is told again with a longer run aboard
+        CrashEvent::Ended { life } => Some(nonzero_hash((digest, life, run_id))),
         CrashEvent::Served => (run_id != 0).then_some(run_id),
     }
 }
--- a/coordination/src/crashes/mod.rs
+++ b/coordination/src/crashes/mod.rs
@@ -4,17 +4,23 @@
 mod crash_detector;
 mod crash_record;
 mod crash_registry;
+mod crash_times;
+mod fleet_crashes;
 mod part_change;
 mod part_evidence;
+mod part_history;
+mod part_registry;
+mod part_run;
+mod part_table;
 mod record_table;
 mod seen_events;
+mod sound_parts;
 
 pub use {
     crash_detector::{CrashDetector, EngineCrash, InterruptedRun},
-    crash_registry::{
-        CrashRegistry, RequestVerdict, BLOCKED_AFTER_CRASHES, MAX_TRACKED_PARTS,
-        MAX_TRACKED_REQUESTS,
-    },
+    crash_registry::{CrashRegistry, RequestVerdict, BLOCKED_AFTER_CRASHES, MAX_TRACKED_REQUESTS},
     part_change::{PartChange, PartChangeKind},
-    part_evidence::{BlockedPart, ExcusedPart, PartVerdict, OUTLIVED_AFTER},
+    part_evidence::{BlockedPart, ExcusedPart, PartVerdict},
+    part_run::PartRun,
+    part_table::MAX_TRACKED_PARTS,
 };
--- a/coordination/src/crashes/part_change.rs
+++ b/coordination/src/crashes/part_change.rs
@@ -4,7 +4,7 @@
 const MAX_CHANGES: usize = 256;
 
 /// What a process learnt about a part of prompts.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct PartChange {
     pub part: PartId,
     pub kind: PartChangeKind,
@@ -14,14 +14,24 @@
     pub age: Duration,
 }
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub enum PartChangeKind {
-    /// An engine crashed under runs with the part; `life` is a hash of its incarnation.
-    Crash { life: u64, is_early: bool },
-    /// A run with the part did well.
-    DidWell,
-    /// So many crashes are enough to block the part.
-    Suspected { crashes: usize },
+    /// An engine crashed under runs with the part, the longest of which had been written for so
+    /// long and sent so long before; `life` is a hash of its incarnation.
+    Crash {
+        life: u64,
+        written: Duration,
+        sent_for: Duration,
+    },
+    /// A run with the part lived longer than those; `None` if its response is complete.
+    DidWell { written: Option<Duration> },
+    /// So many crashes are enough to block the part, with so many good runs since the first and
+    /// this logarithm of the ratio of their likelihoods, by the part and by other causes.
+    Suspected {
+        crashes: usize,
+        good_runs: f64,
+        log_ratio: f64,
+    },
     /// They are not enough any more.
     Released,
 }
@@ -31,7 +41,7 @@
     pub fn code(self) -> &'static str {
         match self {
             Self::Crash { .. } => "crash",
-            Self::DidWell => "did_well",
+            Self::DidWell { .. } => "did_well",
             Self::Suspected { .. } => "suspected",
             Self::Released => "released",
         }
--- a/coordination/src/dispatch/in_flight_request.rs
+++ b/coordination/src/dispatch/in_flight_request.rs
@@ -40,6 +40,7 @@
             digest: self.digest,
             shared_parts: self.shared_parts,
             written: written.map(|at| now.saturating_duration_since(at)),
+            sent_for: now.saturating_duration_since(self.sent_at),
             is_whole,
             at: now,
         }
--- a/coordination/tests/crashing_parts.rs
+++ b/coordination/tests/crashing_parts.rs
@@ -3,8 +3,8 @@
 use {
     chalkcart_coordination::{
         crashes::{
-            CrashRegistry, EngineCrash, InterruptedRun, PartChange, PartChangeKind, RequestVerdict,
-            MAX_TRACKED_PARTS,
+            CrashRegistry, EngineCrash, InterruptedRun, PartChange, PartChangeKind, PartRun,
+            PartVerdict, RequestVerdict, MAX_TRACKED_PARTS,
         },
         membership::stable_hash,
     },
@@ -25,6 +25,9 @@
 /// How long a response had been written at an early crash, and at one that disproves it.
 const EARLY: Option<Duration> = Some(Duration::from_millis(100));
 const LATE: Option<Duration> = Some(Duration::from_millis(1_500));
+/// Time from the send to the first byte of a response.
+const FIRST_BYTE: Duration = Duration::from_millis(50);
+const SECOND: Duration = Duration::from_secs(1);
 const MINUTE: Duration = Duration::from_secs(60);
 
 /// A registry with simulated time in which engines crash.
@@ -36,9 +39,12 @@
 
 impl History {
     fn new() -> Self {
+        let now = Instant::now();
+        let mut registry = CrashRegistry::new(7);
+        registry.set_engines(12, now);
         Self {
-            registry: CrashRegistry::new(7),
-            now: Instant::now(),
+            registry,
+            now,
             crashes: 0,
         }
     }
@@ -53,6 +59,7 @@
                 digest: digest(self.crashes * 100 + number),
                 shared_parts: parts.iter().copied().collect(),
                 written: *written,
+                sent_for: FIRST_BYTE + written.unwrap_or_default(),
                 is_whole: false,
                 at: self.now,
             });
@@ -63,23 +70,52 @@
         self.registry.on_crash(&crash, self.now);
     }
 
+    /// An engine crashes under one run of a request.
+    fn crash_under(&mut self, digest: RequestDigest, parts: &[PartId], written: Option<Duration>) {
+        self.now += Duration::from_millis(500);
+        self.crashes += 1;
+        let run = InterruptedRun {
+            digest,
+            shared_parts: parts.iter().copied().collect(),
+            written,
+            sent_for: FIRST_BYTE + written.unwrap_or_default(),
+            is_whole: false,
+            at: self.now,
+        };
+        let crash = EngineCrash {
+            backend: BackendId::from(format!("e-{}", self.crashes)),
+            runs: vec![run],
+        };
+        self.registry.on_crash(&crash, self.now);
+    }
+
     fn crashes(&mut self, count: u32, parts: &[PartId], written: Option<Duration>) {
         (0..count).for_each(|_| self.crash(&[(parts, written)]));
     }
 
     fn served(&mut self, parts: &[PartId]) {
         self.now += Duration::from_millis(10);
-        self.registry.on_parts_served(parts, self.now);
+        let mut run = PartRun::default();
+        self.registry.on_parts_served(&mut run, parts, self.now);
     }
 
-    fn outlived(&mut self, parts: &[PartId]) {
+    /// A response has been written for some time and goes on.
+    fn goes_on(&mut self, parts: &[PartId], written: Duration) {
         self.now += Duration::from_millis(10);
-        self.registry.on_parts_outlived(parts, self.now);
+        let mut run = PartRun::default();
+        let registry = &mut self.registry;
+        registry.on_parts_progress(&mut run, parts, written, self.now);
     }
 
     fn blocked(&mut self, parts: &[PartId]) -> Option<PartId> {
-        let blocked = self.registry.blocked_part(parts, self.now);
-        blocked.map(|blocked| blocked.part)
+        blocked_part(&mut self.registry, parts, self.now)
+    }
+}
+
+fn blocked_part(registry: &mut CrashRegistry, parts: &[PartId], now: Instant) -> Option<PartId> {
+    match registry.part_verdict(parts, now) {
+        PartVerdict::Blocked(blocked) => Some(blocked.part),
+        PartVerdict::Excused(_) | PartVerdict::Clear => None,
     }
 }
 
@@ -87,26 +123,43 @@
     RequestDigest::of("POST", "/", "", &number.to_be_bytes())
 }
 
+/// Guards against a cause that has no evidence since its runs had no byte, or had lived too long.
 #[test]
-fn four_separate_early_crashes_block_a_part() {
-    let mut history = History::new();
-    history.crashes(3, &[BAD], EARLY);
-    assert_eq!(history.blocked(&[BAD]), None);
-    history.crashes(1, &[BAD], EARLY);
-    assert_eq!(history.blocked(&[SOUND, BAD]), Some(BAD));
-    assert_eq!(history.blocked(&[SOUND]), None);
+fn four_separate_crashes_block_a_part_at_whichever_moment_they_come() {
+    for written in [None, EARLY, LATE, Some(10 * SECOND)] {
+        let mut history = History::new();
+        history.crashes(3, &[BAD], written);
+        assert_eq!(history.blocked(&[BAD]), None, "{written:?}");
+        history.crashes(1, &[BAD], written);
+        assert_eq!(history.blocked(&[SOUND, BAD]), Some(BAD), "{written:?}");
+        assert_eq!(history.blocked(&[SOUND]), None, "{written:?}");
+    }
 }
 
-/// Guards against parts that are blocked for long runs, and for runs that hadn't begun.
+/// Guards against parts that are blocked though as many of their runs do well.
 #[test]
-fn crashes_late_in_a_run_or_before_its_response_are_no_evidence() {
-    for written in [LATE, None] {
+fn a_part_whose_runs_do_well_as_often_is_never_blocked() {
+    for written in [None, EARLY, LATE] {
         let mut history = History::new();
-        history.crashes(20, &[SOUND], written);
-        assert_eq!(history.blocked(&[SOUND]), None, "{written:?}");
+        for _ in 0..40 {
+            history.crashes(1, &[SOUND], written);
+            history.served(&[SOUND]);
+            assert_eq!(history.blocked(&[SOUND]), None, "{written:?}");
+        }
     }
 }
 
+/// Guards against a part that some of its runs clear though it crashes the engines of most.
+#[test]
+fn a_part_that_crashes_three_engines_of_four_is_blocked() {
+    let mut history = History::new();
+    for _ in 0..2 {
+        history.crashes(3, &[BAD], EARLY);
+        history.served(&[BAD]);
+    }
+    assert_eq!(history.blocked(&[BAD]), Some(BAD));
+}
+
 /// Guards against sound requests that are all rejected after all engines crashed at once.
 #[test]
 fn engines_that_crash_at_one_moment_are_one_crash() {
@@ -114,25 +167,104 @@
     for _ in 0..3 {
         history.now += Duration::from_secs(5);
         let moment = history.now;
-        for _ in 0..12 {
+        for number in 0..12 {
             history.now = moment - Duration::from_millis(480);
-            history.crash(&[(&[SOUND], EARLY)]);
+            // the runs had begun at different times
+            history.crash(&[(&[SOUND], Some(Duration::from_millis(150 * number)))]);
         }
     }
     assert_eq!(history.blocked(&[SOUND]), None);
 }
 
+/// Guards against a part that costs all engines at each moment at which all entries get it.
 #[test]
-fn a_run_that_does_well_clears_what_it_disproves() {
+fn engines_that_crash_under_requests_of_one_moment_are_several_crashes() {
+    let mut history = History::new();
+    for _ in 0..2 {
+        history.now += Duration::from_secs(1);
+        let moment = history.now;
+        for _ in 0..4 {
+            history.now = moment - Duration::from_millis(480);
+            history.crash(&[(&[BAD], EARLY)]);
+        }
+    }
+    assert_eq!(history.blocked(&[BAD]), Some(BAD));
+}
+
+/// Guards against a sound part that is blamed for one stream which went on at engine after engine.
+#[test]
+fn one_request_that_ends_with_engine_after_engine_blames_no_part() {
+    let mut history = History::new();
+    for _ in 0..12 {
+        history.crash_under(digest(7), &[SOUND], LATE);
+    }
+    assert_eq!(history.blocked(&[SOUND]), None);
+}
+
+/// Guards against parts that are blocked where engines crash as often without them.
+#[test]
+fn crashes_as_often_as_without_the_part_are_no_evidence() {
+    let mut history = History::new();
+    history.registry.set_engines(4, history.now);
+    history.now += MINUTE;
+    for _ in 0..8 {
+        history.crash(&[(&[SOUND], Some(4 * SECOND))]);
+        history.crash(&[(&[OTHER_BAD], Some(4 * SECOND))]);
+    }
+    assert_eq!(history.blocked(&[SOUND]), None);
+}
+
+#[test]
+fn runs_that_outlived_the_crashes_release_a_part() {
     let mut history = History::new();
     history.crashes(4, &[BAD], EARLY);
-    history.outlived(&[BAD]);
+    // no longer than those that ended with their engine
+    (0..9).for_each(|_| history.goes_on(&[BAD], Duration::from_millis(100)));
+    assert_eq!(history.blocked(&[BAD]), Some(BAD));
+    (0..3).for_each(|_| history.goes_on(&[BAD], SECOND));
     assert_eq!(history.blocked(&[BAD]), None);
     history.crashes(4, &[BAD], EARLY);
-    history.served(&[BAD]);
+    assert_eq!(history.blocked(&[BAD]), Some(BAD));
+    (0..8).for_each(|_| history.served(&[BAD]));
     assert_eq!(history.blocked(&[BAD]), None);
 }
 
+/// Guards against a popular part that is blocked while two causes have too few crashes each.
+#[test]
+fn runs_that_did_well_before_count_for_a_part() {
+    let mut history = History::new();
+    (0..20).for_each(|_| history.served(&[FIRST, SOUND]));
+    for _ in 0..3 {
+        history.crashes(1, &[FIRST, BAD], EARLY);
+        history.crashes(1, &[FIRST, OTHER_BAD], EARLY);
+    }
+    assert_eq!(history.blocked(&[FIRST, SOUND]), None);
+    // one that begins to crash engines is blocked all the same
+    history.crashes(7, &[FIRST], EARLY);
+    assert_eq!(history.blocked(&[FIRST, SOUND]), Some(FIRST));
+}
+
+/// Guards against an entry that started again and blocks what others know to be sound.
+#[test]
+fn runs_that_did_well_are_told_to_entries_that_know_of_crashes_alone() {
+    let mut history = History::new();
+    (0..20).for_each(|_| history.served(&[FIRST, SOUND]));
+    for _ in 0..4 {
+        history.crashes(1, &[FIRST, BAD], EARLY);
+        (0..20).for_each(|_| history.served(&[FIRST, SOUND]));
+    }
+    let (reports, _) = history.registry.reports_since(0, history.now);
+    let told = reports
+        .iter()
+        .filter(|report| report.event == CrashEvent::Served);
+    assert!(told.count() <= 9, "two for each crash, one of before");
+    let mut other = CrashRegistry::new(8);
+    other.merge(&reports, history.now);
+    assert_eq!(blocked_part(&mut other, &[FIRST], history.now), None);
+    let verdict = blocked_part(&mut other, &[FIRST, BAD], history.now);
+    assert_eq!(verdict, Some(BAD));
+}
+
 /// Guards against sound requests that are rejected for the first part of their caller.
 #[test]
 fn a_sound_part_under_all_crashes_is_excused_without_the_cause() {
@@ -162,12 +294,26 @@
 
 /// Guards against a popular part that stands under every crash and hides the cause.
 #[test]
-fn a_part_with_an_older_run_beside_the_crash_does_not_hide_the_cause() {
+fn a_part_under_every_crash_does_not_hide_the_cause() {
+    let mut history = History::new();
+    for _ in 0..4 {
+        history.crash(&[(&[FIRST, BAD], EARLY), (&[SOUND], EARLY), (&[SOUND], LATE)]);
+        history.served(&[SOUND]);
+    }
+    history.crashes(4, &[SOUND], LATE);
+    assert!(history.blocked(&[FIRST, BAD]).is_some());
+    assert_eq!(history.blocked(&[SOUND]), None);
+}
+
+/// Guards against a part of which nothing is known but crashes, and that hides the cause for good.
+#[test]
+fn a_part_without_good_runs_hides_the_cause_for_one_crash() {
     let mut history = History::new();
     for _ in 0..4 {
         history.crash(&[(&[FIRST, BAD], EARLY), (&[SOUND], EARLY), (&[SOUND], LATE)]);
     }
     history.crashes(4, &[SOUND], LATE);
+    history.crashes(1, &[FIRST, BAD], EARLY);
     assert!(history.blocked(&[FIRST, BAD]).is_some());
 }
 
@@ -177,6 +323,7 @@
     for _ in 0..4 {
         history.crash(&[(&[FIRST, BAD], EARLY), (&[SOUND], LATE)]);
         history.crash(&[(&[FIRST, OTHER_BAD], EARLY), (&[SOUND], LATE)]);
+        history.served(&[SOUND]);
     }
     for cause in [BAD, OTHER_BAD] {
         assert!(history.blocked(&[FIRST, cause]).is_some());
@@ -267,7 +414,7 @@
     );
     let mut other = CrashRegistry::new(8);
     other.merge(&reports, history.now);
-    assert!(other.blocked_part(&[FIRST, BAD], history.now).is_some());
+    assert!(blocked_part(&mut other, &[FIRST, BAD], history.now).is_some());
 }
 
 /// Guards against an entry whose log doesn't tell which crashes it saw, which it heard of, and when
@@ -276,23 +423,26 @@
 fn what_was_learnt_about_a_part_is_told_once() {
     let mut history = History::new();
     history.crashes(4, &[BAD], EARLY);
+    assert_eq!(history.blocked(&[BAD]), Some(BAD));
     let (seen, _) = history.registry.take_part_changes();
-    let crashes = seen
-        .iter()
-        .filter(|change| matches!(change.kind, PartChangeKind::Crash { .. }));
-    assert_eq!(crashes.count(), 4);
-    assert!(seen.iter().all(|change| change.is_own));
+    let is_crash = |change: &&PartChange| matches!(change.kind, PartChangeKind::Crash { .. });
     let is_suspected =
-        |change: &PartChange| matches!(change.kind, PartChangeKind::Suspected { .. });
-    assert!(seen.iter().any(is_suspected));
-    let (reports, _) = history.registry.reports_since(0, history.now + MINUTE);
+        |change: &&PartChange| matches!(change.kind, PartChangeKind::Suspected { .. });
+    assert_eq!(seen.iter().filter(is_crash).count(), 4);
+    assert!(seen.iter().all(|change| change.is_own));
+    assert_eq!(seen.iter().filter(is_suspected).count(), 1);
+    let later = history.now + MINUTE;
+    let (reports, _) = history.registry.reports_since(0, later);
     let mut other = CrashRegistry::new(8);
-    other.merge(&reports, history.now + MINUTE);
+    other.merge(&reports, later);
+    assert_eq!(other.suspected_parts(later), [BAD]);
     let (heard, _) = other.take_part_changes();
-    assert!(heard.iter().all(|change| !change.is_own));
-    assert!(heard.iter().any(is_suspected));
+    let crashes: Vec<&PartChange> = heard.iter().filter(is_crash).collect();
+    assert_eq!(crashes.len(), 4);
+    assert!(crashes.iter().all(|change| !change.is_own));
+    assert_eq!(heard.iter().filter(is_suspected).count(), 1);
     assert!(heard.iter().all(|change| change.age >= MINUTE));
-    other.merge(&reports, history.now + MINUTE);
+    other.merge(&reports, later);
     assert!(other.take_part_changes().0.is_empty());
 }
 
@@ -336,7 +486,7 @@
                 let parts = (0..4).filter(|part| set >> part & 1 == 1).map(PartId);
                 parts.collect::<Vec<PartId>>()
             });
-            let verdicts = requests.map(|parts| registry.blocked_part(&parts, now).is_some());
+            let verdicts = requests.map(|parts| blocked_part(&mut registry, &parts, now).is_some());
             verdicts.collect::<Vec<bool>>()
         };
         blocked(&reports) == blocked(&rotated)
--- a/entry/src/ingress/control.rs
+++ b/entry/src/ingress/control.rs
@@ -304,6 +304,7 @@
             service.is_some_and(|s| s.engine.is_some())
         };
         let engines: Vec<&Backend> = dispatcher.listed_backends().filter(is_engine).collect();
+        self.crashes.set_engines(engines.len());
         let addrs = engines.iter().map(|b| b.addr).collect();
         self.state.engines.store(Arc::new(addrs));
         let (leaving, staying): (Vec<&Backend>, _) = engines.iter().partition(|b| b.leaving);
--- a/entry/src/ingress/observers.rs
+++ b/entry/src/ingress/observers.rs
@@ -1,7 +1,7 @@
 use {
     super::{control::ControlHandle, shared::Shared, stream_recovery::StreamRecovery},
     chalkcart_coordination::{
-        crashes::OUTLIVED_AFTER,
+        crashes::PartRun,
         dispatch::{DispatchEvent, SendOutcome, Ticket},
     },
     chalkcart_protocol::peer::StreamOrigin,
@@ -88,14 +88,30 @@
     pub arrived: Instant,
     /// Time from the arrival of the request to the first part of the body.
     pub first_part: Option<Duration>,
-    /// When the back end, if it still writes, shows again that the parts don't crash it; `None`
-    /// before its first frame.
-    pub outlives_at: Option<Instant>,
+    /// What the crash registry noted of the run.
+    pub part_run: PartRun,
+    /// Times of the first and the last frame.
+    pub written: Option<(Instant, Instant)>,
     /// Present on a stream that may be resumed.
     pub recovery: Option<Box<StreamRecovery>>,
 }
 
 impl StreamObserver {
+    /// Counts a run that didn't end with its engine for the parts of its prompt.
+    fn count_for_parts(&mut self, outcome: SendOutcome) {
+        let crashes = &self.shared.crashes;
+        match (outcome, self.written) {
+            (SendOutcome::Answered, _) => {
+                crashes.on_parts_served(&mut self.part_run, &self.shared_parts);
+            }
+            (SendOutcome::Abandoned, Some((first, last))) => {
+                let written = last.saturating_duration_since(first);
+                crashes.on_parts_left(&mut self.part_run, &self.shared_parts, written);
+            }
+            _ => {}
+        }
+    }
+
     /// Reports the end of the send to the current back end, once.
     fn end_send(&mut self, outcome: SendOutcome) {
         if self.guard.end(outcome) {
@@ -118,10 +134,12 @@
     }
 
     fn on_frame(&mut self, now: Instant) {
-        let outlives_at = self.outlives_at.get_or_insert(now + OUTLIVED_AFTER);
-        if now >= *outlives_at {
-            *outlives_at = now + OUTLIVED_AFTER;
-            self.shared.crashes.on_parts_outlived(&self.shared_parts);
+        let (first, last) = self.written.get_or_insert((now, now));
+        *last = now;
+        let written = now.saturating_duration_since(*first);
+        let crashes = &self.shared.crashes;
+        if crashes.has_parts() && !self.part_run.is_counted() {
+            crashes.on_parts_progress(&mut self.part_run, &self.shared_parts, written);
         }
     }
 
@@ -135,9 +153,7 @@
             ProxyBodyEnd::TimedOut => (SendOutcome::Abandoned, "timed_out"),
             ProxyBodyEnd::ClientDisconnected => (SendOutcome::Abandoned, "client_left"),
         };
-        if outcome == SendOutcome::Answered {
-            self.shared.crashes.on_parts_served(&self.shared_parts);
-        }
+        self.count_for_parts(outcome);
         self.end_send(outcome);
         self.shared.stream_origins.on_stream_ended(&self.request);
         self.shared
--- a/entry/src/ingress/request_exchange_response.rs
+++ b/entry/src/ingress/request_exchange_response.rs
@@ -9,6 +9,7 @@
     bytes::Bytes,
     chalkcart_coordination::{
         backend_signals::RequestRate,
+        crashes::PartRun,
         dispatch::{Assignment, DispatchEvent, SendOutcome},
         response_end::{ResponseProgress, Verdict},
     },
@@ -174,7 +175,8 @@
         };
         if is_success && outcome == SendOutcome::Answered {
             let parts = &self.accepted.head.shared_parts;
-            self.shared.crashes.on_parts_served(parts);
+            let mut run = PartRun::default();
+            self.shared.crashes.on_parts_served(&mut run, parts);
         }
         guard.end(outcome);
         self.shared.metrics.on_send_ended(outcome.code());
--- a/entry/src/ingress/shared_crash_registry.rs
+++ b/entry/src/ingress/shared_crash_registry.rs
@@ -1,8 +1,8 @@
 use {
     super::ended_engines::EndedEngines,
     chalkcart_coordination::crashes::{
-        CrashRegistry, EngineCrash, InterruptedRun, PartChange, PartChangeKind, PartVerdict,
-        RequestVerdict,
+        CrashRegistry, EngineCrash, InterruptedRun, PartChange, PartChangeKind, PartRun,
+        PartVerdict, RequestVerdict,
     },
     chalkcart_coordination::membership::stable_hash,
     chalkcart_protocol::peer::CrashReport,
@@ -11,8 +11,11 @@
     std::{
         cmp::Reverse,
         collections::BTreeMap,
-        sync::{Mutex, MutexGuard},
-        time::Instant,
+        sync::{
+            atomic::{AtomicBool, Ordering},
+            Mutex, MutexGuard,
+        },
+        time::{Duration, Instant},
     },
     tokio::sync::watch,
 };
@@ -25,6 +28,7 @@
 /// The entry's registry of requests that were running when engines crashed.
 pub struct SharedCrashRegistry {
     registry: Mutex<CrashRegistry>,
+    has_parts: AtomicBool,
     /// Notifies subscribers of the registry's revision.
     revision: watch::Sender<u64>,
     /// Engines that ended while they ran requests of this entry.
@@ -36,6 +40,7 @@
     fn default() -> Self {
         Self {
             registry: Mutex::new(CrashRegistry::new(rand::random())),
+            has_parts: AtomicBool::new(false),
             revision: watch::Sender::new(0),
             ended: EndedEngines::default(),
             metrics: CrashMetrics::default(),
@@ -53,19 +58,38 @@
         self.registry().part_verdict(parts, clock::now())
     }
 
+    /// Returns whether engines crashed under parts of prompts, so that runs are of interest.
+    pub fn has_parts(&self) -> bool {
+        self.has_parts.load(Ordering::Relaxed)
+    }
+
+    /// Sets the number of engines that can take requests now.
+    pub fn set_engines(&self, engines: usize) {
+        self.registry().set_engines(engines, clock::now());
+    }
+
     /// Records that a prompt with these parts was answered to its end.
-    pub fn on_parts_served(&self, parts: &[PartId]) {
+    pub fn on_parts_served(&self, run: &mut PartRun, parts: &[PartId]) {
+        let mut registry = self.registry();
+        if registry.on_parts_served(run, parts, clock::now()) {
+            self.publish(&mut registry);
+        }
+    }
+
+    /// Records how long the response to a prompt with these parts has been written, and that it goes
+    /// on.
+    pub fn on_parts_progress(&self, run: &mut PartRun, parts: &[PartId], written: Duration) {
         let mut registry = self.registry();
-        if registry.on_parts_served(parts, clock::now()) {
+        if registry.on_parts_progress(run, parts, written, clock::now()) {
             self.publish(&mut registry);
         }
     }
 
-    /// Records that an engine has been answering a prompt with these parts for long enough to
-    /// show that they don't crash it.
-    pub fn on_parts_outlived(&self, parts: &[PartId]) {
+    /// Records that the response to a prompt with these parts ended before its end, though not with
+    /// its engine.
+    pub fn on_parts_left(&self, run: &mut PartRun, parts: &[PartId], written: Duration) {
         let mut registry = self.registry();
-        if registry.on_parts_outlived(parts, clock::now()) {
+        if registry.on_parts_left(run, parts, written, clock::now()) {
             self.publish(&mut registry);
         }
     }
@@ -85,7 +109,7 @@
     /// Records runs whose connection ended their response and whose engine has survived.
     pub fn on_survived(&self, runs: Vec<InterruptedRun>) {
         for run in &runs {
-            self.on_parts_served(&run.shared_parts);
+            self.on_parts_served(&mut PartRun::default(), &run.shared_parts);
         }
         self.on_completed(runs.into_iter().map(|run| run.digest).collect());
     }
@@ -130,12 +154,14 @@
     }
 
     fn publish(&self, registry: &mut CrashRegistry) {
+        let parts = registry.suspected_parts(clock::now());
+        self.has_parts
+            .store(registry.has_parts(), Ordering::Relaxed);
         let (changes, left_out) = registry.take_part_changes();
         changes.iter().for_each(|change| self.log_change(change));
         if left_out > 0 {
             log::warn!(lines = left_out; "crashes: changes of parts left out");
         }
-        let parts = registry.suspected_parts();
         if self.metrics.suspected_parts.set(parts.len() as i64) != parts.len() as i64 {
             log::warn!(parts = part_list(&parts).as_str(); "crashes: suspected parts changed");
         }
@@ -144,19 +170,34 @@
     }
 
     fn log_change(&self, change: &PartChange) {
-        let (life, is_early, crashes) = match change.kind {
-            PartChangeKind::Crash { life, is_early } => (life, is_early, 1),
-            PartChangeKind::Suspected { crashes } => (0, false, crashes),
-            PartChangeKind::DidWell | PartChangeKind::Released => (0, false, 0),
-        };
         self.metrics
             .on_part_change(change.kind.code(), change.is_own);
+        let ms = |time: Duration| time.as_millis() as i64;
+        let (mut life, mut written_ms, mut sent_ms) = (0, -1, -1);
+        let (mut ended, mut good_runs, mut log_ratio) = (0, 0.0, 0.0);
+        match change.kind {
+            PartChangeKind::Crash {
+                life: incarnation,
+                written,
+                sent_for,
+            } => (life, written_ms, sent_ms) = (incarnation, ms(written), ms(sent_for)),
+            PartChangeKind::DidWell { written } => written_ms = written.map_or(-1, ms),
+            PartChangeKind::Suspected {
+                crashes,
+                good_runs: good,
+                log_ratio: ratio,
+            } => (ended, good_runs, log_ratio) = (crashes, good, ratio),
+            PartChangeKind::Released => {}
+        }
         log::info!(
             shared_part = change.part.to_string().as_str(),
             change = change.kind.code(),
             life = life,
-            is_early = is_early,
-            crashes = crashes,
+            written_ms = written_ms,
+            sent_ms = sent_ms,
+            ended = ended,
+            good_runs = good_runs,
+            log_ratio = log_ratio,
             own = change.is_own,
             age_ms = change.age.as_millis() as u64;
             "crashes: part of prompts"
--- a/entry/src/ingress/stream_response.rs
+++ b/entry/src/ingress/stream_response.rs
@@ -6,7 +6,9 @@
         request_exchange::RequestExchange,
         stream_recovery::StreamRecovery,
     },
-    chalkcart_coordination::{dispatch::Assignment, stream_recovery::EventAssembler},
+    chalkcart_coordination::{
+        crashes::PartRun, dispatch::Assignment, stream_recovery::EventAssembler,
+    },
     chalkcart_protocol::peer::StreamOrigin,
     chalkcart_state::{backends::BackendId, ingress::RouteKind},
     chalkcart_transport::{
@@ -87,7 +89,8 @@
             origin: None,
             arrived: self.accepted.arrived,
             first_part,
-            outlives_at: None,
+            part_run: PartRun::default(),
+            written: None,
             recovery: None,
         }
     }
--- a/testkit/src/crash_sim/entries.rs
+++ b/testkit/src/crash_sim/entries.rs
@@ -1,5 +1,5 @@
 use {
-    chalkcart_coordination::crashes::{CrashRegistry, EngineCrash, OUTLIVED_AFTER},
+    chalkcart_coordination::crashes::{CrashRegistry, EngineCrash, PartRun, PartVerdict},
     chalkcart_state::ingress::PartId,
     std::time::{Duration, Instant},
 };
@@ -33,23 +33,39 @@
         self.registry.on_crash(crash, now);
     }
 
-    pub fn on_served(&mut self, parts: &[PartId], now: Instant) {
-        self.registry.on_parts_served(parts, now);
+    pub fn on_served(&mut self, run: &mut PartRun, parts: &[PartId], now: Instant) {
+        self.registry.on_parts_served(run, parts, now);
     }
 
     /// Handles that a response has been written for some time, and goes on.
-    pub fn on_progress(&mut self, parts: &[PartId], written: Duration, now: Instant) -> bool {
-        if written >= OUTLIVED_AFTER {
-            self.registry.on_parts_outlived(parts, now);
+    pub fn on_progress(
+        &mut self,
+        run: &mut PartRun,
+        parts: &[PartId],
+        written: Duration,
+        now: Instant,
+    ) {
+        if !run.is_counted() {
+            self.registry.on_parts_progress(run, parts, written, now);
         }
-        false
     }
 
     /// Handles that a response ended before its end, and not by a crash.
-    pub fn on_left(&mut self, _parts: &[PartId], _written: Duration, _now: Instant) {}
+    pub fn on_left(
+        &mut self,
+        run: &mut PartRun,
+        parts: &[PartId],
+        written: Duration,
+        now: Instant,
+    ) {
+        self.registry.on_parts_left(run, parts, written, now);
+    }
 
     pub fn is_blocked(&mut self, parts: &[PartId], now: Instant) -> bool {
-        self.registry.blocked_part(parts, now).is_some()
+        matches!(
+            self.registry.part_verdict(parts, now),
+            PartVerdict::Blocked(_)
+        )
     }
 }
 
@@ -69,6 +85,13 @@
         self.entries[entry] = SimEntry::new(1_000_000 + self.starts);
     }
 
+    /// Tells all entries how many engines can take requests.
+    pub fn set_engines(&mut self, engines: usize, now: Instant) {
+        for entry in &mut self.entries {
+            entry.registry.set_engines(engines, now);
+        }
+    }
+
     /// Passes all new reports of entries on to the aggregator and back.
     pub fn exchange(&mut self, now: Instant) {
         for entry in &mut self.entries {
--- a/testkit/src/crash_sim/simulation.rs
+++ b/testkit/src/crash_sim/simulation.rs
@@ -4,7 +4,7 @@
         outcome::{Cause, SimOutcome},
         settings::{FirstParts, SimSettings},
     },
-    chalkcart_coordination::crashes::{EngineCrash, InterruptedRun},
+    chalkcart_coordination::crashes::{EngineCrash, InterruptedRun, PartRun},
     chalkcart_state::{
         backends::BackendId,
         ingress::{PartId, RequestDigest, SharedParts},
@@ -50,19 +50,20 @@
     EntryStarts(usize),
 }
 
-#[derive(Debug, Clone)]
+#[derive(Debug)]
 struct Run {
     entry: usize,
     parts: SharedParts,
     engine: usize,
+    sent: Instant,
     begun: Option<Instant>,
     /// Time from the first byte to the end.
     length: Duration,
     /// The cause that it has, if it is a crashing one.
     cause: Option<u64>,
     is_open: bool,
-    /// Whether the entry counted it as one that did well.
-    is_counted: bool,
+    /// What the entry's registry noted of it.
+    part_run: PartRun,
 }
 
 #[derive(Debug, Clone, Default)]
@@ -72,6 +73,12 @@
     runs: Vec<RunId>,
 }
 
+impl Engine {
+    fn is_up(&self, now: Instant) -> bool {
+        self.up_at.is_none_or(|at| at <= now)
+    }
+}
+
 /// A crash as one entry sees it.
 struct SeenCrash {
     entry: usize,
@@ -177,6 +184,9 @@
                 entry.on_crash(&seen.crash, self.now);
             }
             Step::Exchange => {
+                let up = self.engines.iter();
+                let up = up.filter(|engine| engine.is_up(self.now)).count();
+                self.entries.set_engines(up, self.now);
                 self.entries.exchange(self.now);
                 self.schedule(EXCHANGE_INTERVAL, Step::Exchange);
             }
@@ -288,11 +298,12 @@
             entry,
             parts,
             engine,
+            sent: self.now,
             begun: None,
             length,
             cause,
             is_open: true,
-            is_counted: false,
+            part_run: PartRun::default(),
         });
         self.engines[engine].runs.push(id);
         let first_byte = self.random_ms(FIRST_BYTE);
@@ -308,13 +319,11 @@
     }
 
     fn choose_engine(&mut self) -> Option<usize> {
-        let up = |engine: &Engine, now| engine.up_at.is_none_or(|at| at <= now);
-        let now = self.now;
         let count = self.engines.len();
         let mut picks = Vec::new();
         for _ in 0..2 * count {
             let pick = self.rng.random_range(0..count);
-            if up(&self.engines[pick], now) {
+            if self.engines[pick].is_up(self.now) {
                 picks.push(pick);
             }
             if picks.len() == 2 {
@@ -344,12 +353,12 @@
 
     fn on_event(&mut self, id: RunId) {
         let run = &mut self.runs[id];
-        let (true, Some(begun)) = (run.is_open && !run.is_counted, run.begun) else {
+        let (true, Some(begun)) = (run.is_open, run.begun) else {
             return;
         };
         let entry = &mut self.entries.entries[run.entry];
         let written = self.now.duration_since(begun);
-        run.is_counted = entry.on_progress(&run.parts, written, self.now);
+        entry.on_progress(&mut run.part_run, &run.parts, written, self.now);
         self.schedule(EVENT_INTERVAL, Step::Event(id));
     }
 
@@ -362,8 +371,11 @@
         self.engines[run.engine].runs.retain(|other| *other != id);
         let entry = &mut self.entries.entries[run.entry];
         match run.length <= self.settings.lengths.deadline {
-            true => entry.on_served(&run.parts, self.now),
-            false => entry.on_left(&run.parts, self.now.duration_since(begun), self.now),
+            true => entry.on_served(&mut run.part_run, &run.parts, self.now),
+            false => {
+                let written = self.now.duration_since(begun);
+                entry.on_left(&mut run.part_run, &run.parts, written, self.now);
+            }
         }
     }
 
@@ -406,7 +418,7 @@
     /// Crashes an engine that is up; the sound streams that ran there go on elsewhere.
     fn crash(&mut self, engine: usize) {
         let state = &mut self.engines[engine];
-        if state.up_at.is_some_and(|at| at > self.now) {
+        if !state.is_up(self.now) {
             return;
         }
         state.life += 1;
@@ -441,6 +453,7 @@
             digest: RequestDigest::of("POST", "/", "", &id.to_be_bytes()),
             shared_parts: run.parts.clone(),
             written: run.begun.map(|begun| self.now.duration_since(begun)),
+            sent_for: self.now.duration_since(run.sent),
             is_whole: false,
             at: self.now,
         }
