soak: a part that crashes engines at several entries, at a moment that differs from seed to seed

The soak sent such requests to one entry, and its engines crashed 20 ms after the head alone, where the code before the fix is right.

--- a/testkit/src/soak/crashing_clients.rs
+++ b/testkit/src/soak/crashing_clients.rs
@@ -4,7 +4,7 @@
     super::observations::CRASHING_ID,
     crate::{
         serving::lock,
-        users_platform::{prompt, prompt_with_parts, request, ClientRequest, Fleet},
+        users_platform::{prompt, prompt_with_parts, request, ClientRequest, CrashMoment, Fleet},
     },
     chalkcart_state::ingress::PartId,
     std::{
@@ -50,21 +50,27 @@
     })
 }
 
-/// Sends requests with a part that crashes engines, no two alike, each beside a sound one with
-/// the same first part.
+/// Sends requests with a part that crashes engines to the entries in turn, no two alike, each beside a
+/// sound one with the same first part. The moment of the crash differs from seed to seed.
 pub fn send_crashing_parts(
     fleet: &Fleet,
+    (entries, seed): (&[SocketAddr], u64),
     stop: &Arc<AtomicBool>,
     rejected: &RejectedSound,
 ) -> JoinHandle<()> {
+    let (moment, events) = crash_moment(seed);
     for engine in &fleet.engines {
-        engine.state().crash_parts = vec![PartId::of(CRASHING_PART)];
+        let mut state = engine.state();
+        state.crash_parts = vec![PartId::of(CRASHING_PART)];
+        state.crash_moment = moment.clone();
+        state.events_before_crash = events;
     }
-    let (entry, stop, rejected) = (fleet.clients, stop.clone(), rejected.clone());
+    let (entries, stop, rejected) = (entries.to_vec(), stop.clone(), rejected.clone());
     tokio::spawn(async move {
         let mut number = 0;
         while !stop.load(Ordering::Relaxed) {
             number += 1;
+            let entry = entries[number as usize % entries.len()];
             tokio::join!(
                 send(entry, number, &[FIRST_PART, CRASHING_PART]),
                 send_sound(entry, number, &rejected),
@@ -74,6 +80,35 @@
     })
 }
 
+/// Returns when engines crash in the soak of a seed, and how many events a crashing response has.
+fn crash_moment(seed: u64) -> (CrashMoment, u32) {
+    let after = |delay_ms| CrashMoment {
+        delay_ms: delay_ms..=delay_ms,
+        ..CrashMoment::default()
+    };
+    match seed % 5 {
+        0 => (after(20), 0),
+        1 => {
+            let silent_percent = 100;
+            let silent = CrashMoment {
+                silent_percent,
+                ..after(0)
+            };
+            (silent, 0)
+        }
+        2 => (after(700), 1),
+        3 => (after(1_200), 1),
+        _ => {
+            let silent_percent = 50;
+            let half = CrashMoment {
+                silent_percent,
+                ..after(100)
+            };
+            (half, 0)
+        }
+    }
+}
+
 async fn send_sound(entry: SocketAddr, number: u64, rejected: &RejectedSound) {
     let number = number | SOUND;
     if send(entry, number, &[FIRST_PART]).await == Some(400) {
--- a/testkit/src/soak/runner.rs
+++ b/testkit/src/soak/runner.rs
@@ -106,7 +106,7 @@
         .then(|| send_crashing_requests(&fleet, &stop));
     let crashing_parts_client = settings
         .has_crashing_parts
-        .then(|| send_crashing_parts(&fleet, &stop, &rejected));
+        .then(|| send_crashing_parts(&fleet, (&addrs, settings.seed), &stop, &rejected));
     let faults = schedule_faults(settings);
     let mut soak = SoakRun {
         fleet,
