Parts that always crash engines together do not excuse each other for good

Cause: requests with different causes met on one engine, so each cause stood under the same crashes as the others, and a request with one of them was excused by the rest, each time anew. Change: from six separate crashes on a part without any good run is excused only by parts with fewer. The new test of coordination/tests/crashing_parts.rs fails without it. Why it works: where sets of crashes are the same, nothing tells the causes apart, and another crash tells no more.

--- a/coordination/src/crashes/part_evidence.rs
+++ b/coordination/src/crashes/part_evidence.rs
@@ -25,6 +25,9 @@
 const MIN_REQUESTS: usize = 3;
 /// Fewest crashes of different requests for which a part without good runs excuses one that has some.
 const MIN_FEW_CRASHES: usize = 2;
+/// From this number of separate crashes on, a part without any good run is excused only by parts with
+/// fewer crashes: those that always come together would excuse each other for good.
+const MAX_EXCUSED_CRASHES: usize = 6;
 /// Part of the runs that must have ended with their engine. One good run is assumed beyond those
 /// that are known.
 const MIN_CRASH_SHARE: f64 = 0.5;
@@ -231,9 +234,14 @@
     /// under the crashes of this one: all, but for no more than it has good runs.
     fn is_excused(&self, others: &[&PartEvidence]) -> bool {
         let own = self.good_runs_per_crash();
+        let needs_fewer = own == 0.0 && self.separate >= MAX_EXCUSED_CRASHES;
+        let may_explain = |other: &PartEvidence| {
+            let has_fewer = other.crashes.len() < self.crashes.len();
+            other.good_runs_per_crash() <= own && (has_fewer || !needs_fewer)
+        };
         let is_explained = |incarnation: &u64| {
             let mut others = others.iter();
-            others.any(|other| other.good_runs_per_crash() <= own && other.has_crash(*incarnation))
+            others.any(|other| may_explain(other) && other.has_crash(*incarnation))
         };
         let lives = self.crashes.keys();
         let unexplained = lives.filter(|life| !is_explained(life)).count();
--- a/coordination/tests/crashing_parts.rs
+++ b/coordination/tests/crashing_parts.rs
@@ -244,6 +244,20 @@
     assert_eq!(history.blocked(&[FIRST, SOUND]), Some(FIRST));
 }
 
+/// Guards against causes that come to the same engines at one moment and excuse each other for good.
+#[test]
+fn causes_that_always_crash_together_are_all_blocked() {
+    let mut history = History::new();
+    for _ in 0..6 {
+        history.served(&[FIRST, SOUND]);
+        history.crash(&[(&[FIRST, BAD], EARLY), (&[FIRST, OTHER_BAD], EARLY)]);
+    }
+    for cause in [BAD, OTHER_BAD] {
+        assert_eq!(history.blocked(&[FIRST, cause]), Some(cause));
+    }
+    assert_eq!(history.blocked(&[FIRST, SOUND]), None);
+}
+
 /// Guards against an entry that started again and blocks what others know to be sound.
 #[test]
 fn runs_that_did_well_are_told_to_entries_that_know_of_crashes_alone() {
