--- a/coordination/src/crashes/part_table.rs
+++ b/coordination/src/crashes/part_table.rs
@@ -5,7 +5,7 @@
 };
 
 /// Upper bound on the parts whose crashes are kept: 56 crashes of engines with 24 requests of three
-/// parts each that no other request has; 15 MB when full of crashes and good runs.
+/// parts each that no other request has; 24 MB if each has all crashes and good runs that are kept.
 pub const MAX_TRACKED_PARTS: usize = 4_096;
 /// One in this many parts is evicted when the table is full.
 const EVICTION_DIVISOR: usize = 4;
