Logs, metrics and messages: what an entry knew of software versions and origins, since when, and who could have known

Callers whose streams were joined from two versions left the line goes_on: anywhere behind, which reads alike for "one version" and for "one version since this process started". The line of a take-up now has the versions known of the service and for how long, how many sidecars were asked and answered, and the shortest time for which those that answered have kept origins. A line and two gauges tell the versions of each service and the time that the knowledge covers. Sidecars return since when they keep origins; the message has room for what entries tell them of versions, which nothing uses yet.

Wire version 11: two messages have a field more; builds of 9 and 10 read them by name (recorded.rs). No decision changes.

--- a/coordination/src/software_versions/version_mix.rs
+++ b/coordination/src/software_versions/version_mix.rs
@@ -90,6 +90,23 @@
         has_history && self.mix(service, memory, now) == VersionMix::One
     }
 
+    /// Returns the names of the versions of a service that are listed or were within `memory`.
+    pub fn versions(&self, service: &str, memory: Duration, now: Instant) -> Vec<SoftwareVersion> {
+        let versions = self.services.get(service);
+        versions.map_or(Vec::new(), |versions| versions.names(memory, now))
+    }
+
+    /// Returns the services with versions.
+    pub fn services(&self) -> Vec<ServiceName> {
+        self.services.keys().cloned().collect()
+    }
+
+    /// Returns the time since the first list; `None` before it.
+    pub fn covered(&self, now: Instant) -> Option<Duration> {
+        let since = self.listed_since;
+        since.map(|at| now.saturating_duration_since(at))
+    }
+
     /// Returns the versions of a service whose streams may be taken up within `memory`. Before the
     /// first list there may be several.
     pub fn mix(&self, service: &str, memory: Duration, now: Instant) -> VersionMix {
@@ -130,6 +147,15 @@
         self.listed.is_empty() && self.unlisted.is_empty()
     }
 
+    /// Returns the versions that are listed or were within `memory`, in their order.
+    fn names(&self, memory: Duration, now: Instant) -> Vec<SoftwareVersion> {
+        let is_recent = |at: &Instant| now.saturating_duration_since(*at) < memory;
+        let recent = self.unlisted.iter().filter(|(_, at)| is_recent(at));
+        let names = self.listed.iter().chain(recent.map(|(version, _)| version));
+        let names: BTreeSet<SoftwareVersion> = names.cloned().collect();
+        names.into_iter().collect()
+    }
+
     fn mix(&self, memory: Duration, now: Instant) -> VersionMix {
         let age = |at: &Instant| now.saturating_duration_since(*at);
         let recent = self.unlisted.values().filter(|at| age(at) < memory).count();
--- a/entry/src/ingress/shared.rs
+++ b/entry/src/ingress/shared.rs
@@ -228,6 +228,16 @@
     }
 }
 
+impl Shared {
+    fn export_software_versions(&self) {
+        for service in self.software_versions.services() {
+            let known = self.software_versions.known(&service);
+            let metrics = &self.metrics.software_versions;
+            metrics.set(&service, known.count(), known.covered_s());
+        }
+    }
+}
+
 impl ProcessStatus for Shared {
     fn metrics_text(&self) -> String {
         self.metrics.on_waiting(self.control.waiting_count());
@@ -241,6 +251,7 @@
             let known = (usage.known.entries, usage.known.age_s);
             self.metrics.retry_budgets.set_entries(usage.entries, known);
         }
+        self.export_software_versions();
         self.metrics.text()
     }
     fn is_ready(&self) -> bool {
--- a/entry/src/ingress/stream_origin_exchange.rs
+++ b/entry/src/ingress/stream_origin_exchange.rs
@@ -46,6 +46,33 @@
     }
 }
 
+/// What a search for an origin found, and how.
+#[derive(Debug)]
+pub struct OriginAnswer {
+    pub search: OriginSearch,
+    /// Who knew the origin.
+    pub source: Option<OriginSource>,
+    /// Number of sidecars that were asked.
+    pub asked: usize,
+    /// Number of those that answered.
+    pub answered: usize,
+    /// How long each of them has kept origins; shorter than the stream's age means that it can't know.
+    pub kept_for: Vec<Duration>,
+}
+
+impl OriginAnswer {
+    /// The result where nobody was asked.
+    pub fn unasked(search: OriginSearch, source: Option<OriginSource>) -> Self {
+        Self {
+            search,
+            source,
+            asked: 0,
+            answered: 0,
+            kept_for: Vec::new(),
+        }
+    }
+}
+
 /// Exchanges the origins of streams with sidecars.
 pub struct StreamOriginExchange {
     /// Origins of streams that this entry forwarded.
@@ -100,7 +127,7 @@
         let request = StreamOriginsRequest {
             kept: vec![origin],
             keep_ms: keep.as_millis() as u64,
-            asked: Vec::new(),
+            ..StreamOriginsRequest::default()
         };
         for engine in holders {
             let holder = self.sidecar_of(engine);
@@ -117,11 +144,11 @@
         }
     }
 
-    /// Searches the origin of the stream that an attempt began; returns also who knew it.
-    pub async fn find(&self, request: &str) -> (OriginSearch, Option<OriginSource>) {
+    /// Searches the origin of the stream that an attempt began.
+    pub async fn find(&self, request: &str) -> OriginAnswer {
         if let Some(origin) = self.own().get(request, clock::now()) {
             let found = OriginSearch::Found(origin.clone());
-            return (found, Some(OriginSource::Entry));
+            return OriginAnswer::unasked(found, Some(OriginSource::Entry));
         }
         let question = StreamOriginsRequest {
             asked: vec![request.to_string()],
@@ -129,6 +156,7 @@
         };
         let holders = self.holders().asked(request);
         let (asked, mut answered) = (holders.len(), 0);
+        let mut kept_for = Vec::new();
         let mut found = None;
         let calls = holders
             .into_iter()
@@ -139,6 +167,7 @@
                 continue;
             };
             answered += 1;
+            kept_for.extend(response.kept_for_ms.map(Duration::from_millis));
             let mut known = response.known.into_iter();
             let Some(origin) = known.find(|origin| origin.request == request) else {
                 continue;
@@ -149,9 +178,16 @@
                 break;
             }
         }
-        match found {
-            Some(origin) => (OriginSearch::Found(origin), Some(OriginSource::Sidecar)),
-            None => (OriginSearch::without_origin(asked, answered), None),
+        let source = found.as_ref().map(|_| OriginSource::Sidecar);
+        OriginAnswer {
+            search: match found {
+                Some(origin) => OriginSearch::Found(origin),
+                None => OriginSearch::without_origin(asked, answered),
+            },
+            source,
+            asked,
+            answered,
+            kept_for,
         }
     }
 
--- a/entry/src/ingress/stream_take_up.rs
+++ b/entry/src/ingress/stream_take_up.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         request_exchange::{elapsed_ms, RequestExchange},
-        stream_origin_exchange::OriginSource,
+        stream_origin_exchange::{OriginAnswer, OriginSource},
     },
     chalkcart_coordination::{
         dispatch::DecisionInputs,
@@ -23,12 +23,12 @@
     /// Binds a stream that its client takes up to the software version that began it. Returns a
     /// response if it may go on nowhere.
     pub(super) async fn bind_to_software_version(&mut self) -> Option<ClientResponse> {
-        let (mut search, source) = self.find_origin().await;
-        if let OriginSearch::Found(origin) = &mut search {
+        let mut answer = self.find_origin().await;
+        if let OriginSearch::Found(origin) = &mut answer.search {
             self.complete_origin(origin);
         }
-        let take_up = self.take_up(&search);
-        self.log_take_up(&take_up, source);
+        let take_up = self.take_up(&answer.search);
+        self.log_take_up(&take_up, &answer);
         match take_up {
             TakeUp::Anywhere => None,
             TakeUp::At(version) => {
@@ -63,17 +63,22 @@
         TakeUp::decide(search, &mix)
     }
 
-    async fn find_origin(&self) -> (OriginSearch, Option<OriginSource>) {
-        let unanswered = (OriginSearch::Unanswered, None);
+    async fn find_origin(&self) -> OriginAnswer {
+        let unanswered = || OriginAnswer::unasked(OriginSearch::Unanswered, None);
         let Some(first_attempt) = self.accepted.head.first_attempt.as_deref() else {
-            return unanswered;
+            return unanswered();
         };
         let search = self.shared.stream_origins.find(first_attempt);
         let found = before_deadline(self.deadline, search).await;
-        found.unwrap_or(unanswered)
+        found.unwrap_or_else(|_| unanswered())
     }
 
-    fn log_take_up(&self, take_up: &TakeUp, source: Option<OriginSource>) {
+    /// Logs what the decision was based on: the origin and who knew it, and the versions of the
+    /// service with the time that this entry knows of.
+    fn log_take_up(&self, take_up: &TakeUp, answer: &OriginAnswer) {
+        let versions = &self.shared.software_versions;
+        let known = versions.known(&self.request.service);
+        let shortest = answer.kept_for.iter().min();
         let head = &self.accepted.head;
         let software = match take_up {
             TakeUp::At(version) => version.as_str(),
@@ -87,7 +92,12 @@
             last_event = head.last_event.map_or(-1, |event| event as i64),
             goes_on = take_up.code(),
             software = software,
-            known_by = source.map_or("", OriginSource::code),
+            known_by = answer.source.map_or("", OriginSource::code),
+            asked = answer.asked,
+            answered = answer.answered,
+            kept_for_ms = shortest.map_or(-1, |t| t.as_millis() as i64),
+            versions = known.names().as_str(),
+            versions_known_ms = known.covered_ms(),
             waited_ms = elapsed_ms(self.accepted.arrived);
             "ingress: stream taken up by its client"
         );
--- a/protocol/src/peer/mod.rs
+++ b/protocol/src/peer/mod.rs
@@ -52,7 +52,9 @@
     relay::{EngineDemand, EngineUpdate, EngineViewState, RelayDemands, RelayRequest, RelayUpdate},
     report::{LoadedAdapter, TargetReport},
     reserve::{ReserveAnswer, ReserveOrder},
-    stream_origins::{StreamOrigin, StreamOriginsRequest, StreamOriginsResponse},
+    stream_origins::{
+        ListedVersion, StreamOrigin, StreamOriginsRequest, StreamOriginsResponse, VersionReport,
+    },
     sync::{ShardRequest, ShardResponse, SyncRequest, SyncResponse},
     usage::{AccountLevel, AccountUsage, UsageReport, UsageResponse},
     work::{CallWork, GenerateWork, ResumeOrder, Work, WorkOrder},
--- a/protocol/src/wire/version.rs
+++ b/protocol/src/wire/version.rs
@@ -13,7 +13,7 @@
 
 impl WireVersion {
     /// Version of this build.
-    pub const CURRENT: Self = Self(10);
+    pub const CURRENT: Self = Self(11);
 }
 
 /// A text that is not a wire version.
--- a/protocol/tests/landed/mod.rs
+++ b/protocol/tests/landed/mod.rs
@@ -5,7 +5,7 @@
 #![allow(dead_code)]
 
 use {
-    chalkcart_protocol::peer::{CrashCursor, CrashEvent},
+    chalkcart_protocol::peer::{CrashCursor, CrashEvent, StreamOrigin},
     chalkcart_state::{
         backends::{AdapterRef, HeldAdapter},
         ingress::RequestDigest,
@@ -193,3 +193,17 @@
     pub records: Vec<Record>,
     pub at: u64,
 }
+
+/// Before wire version 11.
+#[derive(Debug, PartialEq, Deserialize)]
+pub struct StreamOriginsRequest {
+    pub kept: Vec<StreamOrigin>,
+    pub keep_ms: u64,
+    pub asked: Vec<String>,
+}
+
+/// Before wire version 11.
+#[derive(Debug, PartialEq, Deserialize)]
+pub struct StreamOriginsResponse {
+    pub known: Vec<StreamOrigin>,
+}
--- a/protocol/tests/recorded.rs
+++ b/protocol/tests/recorded.rs
@@ -29,6 +29,7 @@
 const EIGHTH: &str = include_str!("recorded/8.txt");
 const NINTH: &str = include_str!("recorded/9.txt");
 const TENTH: &str = include_str!("recorded/10.txt");
+const ELEVENTH: &str = include_str!("recorded/11.txt");
 
 /// Not requested from relays that send no version: entries read the store themselves then.
 const NOT_REQUESTED: &str = "published_records";
@@ -41,6 +42,12 @@
 /// `positions_for_earlier_builds_decode_with_their_types`.
 const CHANGED_IN_8: &str = "published_ask";
 
+/// Have fields more since wire version 11; see `stream_origins_for_earlier_builds_decode_with_their_types`.
+const CHANGED_IN_11: [&str; 2] = ["origins_ask", "origins_answer"];
+
+/// Messages added in wire version 11.
+const SINCE_11: [&str; 2] = ["origins_ask_versions", "origins_answer_versions"];
+
 /// Messages added in wire version 10.
 const SINCE_10: [&str; 2] = ["demand_entries", "view_figures_entries"];
 
@@ -96,7 +103,8 @@
                 || SINCE_7.contains(&sample.name)
                 || SINCE_8.contains(&sample.name)
                 || SINCE_9.contains(&sample.name)
-                || SINCE_10.contains(&sample.name);
+                || SINCE_10.contains(&sample.name)
+                || SINCE_11.contains(&sample.name);
             assert!(is_newer, "{}", sample.name);
             continue;
         };
@@ -116,6 +124,7 @@
     assert_decodes_all(SEVENTH, Some(true));
     assert_decodes_all(EIGHTH, Some(true));
     assert_decodes_all(NINTH, Some(true));
+    assert_decodes_all(TENTH, Some(true));
 }
 
 /// Messages whose format has not changed are encoded to the same bytes.
@@ -226,6 +235,31 @@
     }
 }
 
+/// An earlier build must read origins with what is known of versions.
+#[test]
+fn stream_origins_for_earlier_builds_decode_with_their_types() {
+    let samples = samples::origin_samples();
+    let named = |name: &str| {
+        let sample = samples.iter().find(|s| s.name == name);
+        (sample.expect("a sample").write)(WireEncoding::Named)
+    };
+    for recorded in [NINTH, TENTH] {
+        let then = parse_record(recorded);
+        let [ask, answer] = CHANGED_IN_11;
+        for name in [ask, SINCE_11[0]] {
+            let today: landed::StreamOriginsRequest = decode(&named(name)).expect("decodes");
+            let then: landed::StreamOriginsRequest = decode(&then[ask]).expect("decodes its own");
+            assert_eq!(today, then);
+        }
+        for name in [answer, SINCE_11[1]] {
+            let today: landed::StreamOriginsResponse = decode(&named(name)).expect("decodes");
+            let then: landed::StreamOriginsResponse =
+                decode(&then[answer]).expect("decodes its own");
+            assert_eq!(today, then);
+        }
+    }
+}
+
 /// A relay must not turn an unknown `is_down` into a value when it forwards stats.
 #[test]
 fn unknown_liveness_stays_unknown_when_forwarded() {
@@ -294,7 +328,7 @@
 /// and keep the previous record as one that must decode.
 #[test]
 fn message_formats_match_the_recorded_wire_version() {
-    let (now, then) = (record(), TENTH);
+    let (now, then) = (record(), ELEVENTH);
     for (now, then) in now.lines().zip(then.lines()) {
         assert_eq!(now, then);
     }
--- a/protocol/tests/samples/mod.rs
+++ b/protocol/tests/samples/mod.rs
@@ -565,13 +565,37 @@
         kept: vec![origin()],
         keep_ms: 30_000,
         asked: vec!["r-0".to_string()],
+        versions: Vec::new(),
     };
     let response = StreamOriginsResponse {
         known: vec![origin()],
+        ..StreamOriginsResponse::default()
+    };
+    let versions = || {
+        vec![VersionReport {
+            service: "s".to_string(),
+            versions: vec![ListedVersion {
+                version: "v1.2".to_string(),
+                listed_ago_ms: 300,
+            }],
+            since_ms: Some(60_000),
+            until_ms: 250,
+        }]
+    };
+    let request_with_versions = StreamOriginsRequest {
+        versions: versions(),
+        ..request.clone()
+    };
+    let response_with_versions = StreamOriginsResponse {
+        kept_for_ms: Some(1_500),
+        versions: versions(),
+        ..response.clone()
     };
     vec![
         sample(Message, "origins_ask", request),
         sample(Message, "origins_answer", response),
+        sample(Message, "origins_ask_versions", request_with_versions),
+        sample(Message, "origins_answer_versions", response_with_versions),
     ]
 }
 
--- a/transport/src/metrics/ingress_metrics.rs
+++ b/transport/src/metrics/ingress_metrics.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         bounded_names::BoundedNames, new_histograms_by, CrashMetrics, LoadMetrics,
-        RetryBudgetMetrics,
+        RetryBudgetMetrics, VersionMetrics,
     },
     chalkcart_protocol::wire::WireVersion,
     chalkcart_state::published::StorePosition,
@@ -82,6 +82,7 @@
     origins_told: Family<CodeLabel, Counter>,
     retries: Counter,
     pub retry_budgets: RetryBudgetMetrics,
+    pub software_versions: VersionMetrics,
     removed_headers: Counter,
     unreadable: Family<CodeLabel, Counter>,
     over_limit: Family<AccountLabel, Counter>,
@@ -119,6 +120,7 @@
             origins_told: Family::default(),
             retries: Counter::default(),
             retry_budgets: RetryBudgetMetrics::default(),
+            software_versions: VersionMetrics::default(),
             removed_headers: Counter::default(),
             unreadable: Family::default(),
             over_limit: Family::default(),
@@ -152,6 +154,7 @@
         crashes.register(&mut metrics.registry);
         load.register(&mut metrics.registry);
         metrics.retry_budgets.register(&mut metrics.registry);
+        metrics.software_versions.register(&mut metrics.registry);
         metrics
     }
 
--- a/transport/src/metrics/mod.rs
+++ b/transport/src/metrics/mod.rs
@@ -7,6 +7,7 @@
 mod load_metrics;
 mod request_metrics;
 mod retry_budget_metrics;
+mod version_metrics;
 
 use request_metrics::new_histograms_by;
 
@@ -17,4 +18,5 @@
     load_metrics::LoadMetrics,
     request_metrics::RequestMetrics,
     retry_budget_metrics::RetryBudgetMetrics,
+    version_metrics::VersionMetrics,
 };
