Testkit: engines without a record, a store that is behind, pages of entries in a file of their own

For tests of entries that start with an earlier list: set_behind makes all reads and watches return an earlier state of the same era. Engines can be started before they are listed. No logic of the product changes.

--- a/testkit/src/users_platform/fleet.rs
+++ b/testkit/src/users_platform/fleet.rs
@@ -2,6 +2,7 @@
     super::{
         backend_stand_in::HEALTH_PATH,
         engine_orders::{ADAPTER_SLOTS, MODEL},
+        entry_pages::{is_ready, list_revision, metrics_text},
         other_ingress::OtherIngress,
         BackendKind, BackendStandIn, StoreStandIn,
     },
@@ -11,8 +12,6 @@
         waiting::until_async,
     },
     anyhow::Result,
-    chalkcart_transport::client::HttpClient,
-    http::{Method, StatusCode},
     serde_json::{json, Value},
     std::{
         collections::HashMap,
@@ -28,7 +27,6 @@
 pub const HOST: &str = "host.example";
 const ENGINE_SERVICE: &str = "engines";
 const PLAIN_SERVICE: &str = "plain";
-const READY_TIMEOUT: Duration = Duration::from_secs(1);
 /// Last octet of the first engine's address.
 const FIRST_ENGINE_HOST: u8 = 10;
 
@@ -213,12 +211,18 @@
     }
 
     async fn start_engine(&mut self, number: u8) -> Result<()> {
+        self.add_engine(number).await?;
+        self.publish_backend(ENGINE_SERVICE, usize::from(number), "ready");
+        Ok(())
+    }
+
+    /// Starts the next engine with its sidecar, without a record in the store.
+    pub async fn add_engine(&mut self, number: u8) -> Result<()> {
         let addr = with_host(next_addr(), FIRST_ENGINE_HOST + number);
         let id = format!("e-{number}");
         let engine = BackendStandIn::start(&id, BackendKind::Engine, addr).await?;
         self.engines.push(engine);
         self.start_backend_forwarder(addr).await?;
-        self.publish_backend(ENGINE_SERVICE, usize::from(number), "ready");
         let sidecar = self.start_sidecar(number)?;
         self.sidecars.push(sidecar);
         Ok(())
@@ -233,7 +237,8 @@
         Ok(())
     }
 
-    async fn wait_for_sidecars(&self) {
+    /// Waits until all sidecars listen.
+    pub async fn wait_for_sidecars(&self) {
         for number in 0..self.engines.len() {
             let addr = self.sidecar_addr(number);
             let is_listening = || async { TcpStream::connect(addr).await.is_ok() };
@@ -436,13 +441,6 @@
     }
 }
 
-/// Returns the revision of the list in use according to a metrics page.
-fn list_revision(metrics: &str) -> u64 {
-    let mut lines = metrics.lines();
-    let value = lines.find_map(|line| line.strip_prefix("chalkcart_ingress_list "));
-    value.and_then(|v| v.parse().ok()).unwrap_or(0)
-}
-
 /// Turns `first_start` off in a settings file; older builds reject the key as unknown.
 fn set_restarted(file: &Path, is_older_build: bool) -> Result<()> {
     let mut document: Value = serde_json::from_slice(&fs::read(file)?)?;
@@ -463,37 +461,6 @@
     }
 }
 
-/// Returns whether the process with this readiness address accepts clients.
-pub(super) async fn is_ready(readiness: SocketAddr) -> bool {
-    let path = "/chalkcart/ready";
-    let response = HttpClient::new()
-        .exchange(
-            readiness,
-            Method::GET,
-            path,
-            "text/plain",
-            Default::default(),
-            READY_TIMEOUT,
-        )
-        .await;
-    response.is_ok_and(|(status, _)| status == StatusCode::OK)
-}
-
-/// Returns an ingress's metrics page, or an empty string if it is not served.
-pub async fn metrics_text(metrics: SocketAddr) -> String {
-    let http = HttpClient::new();
-    let response = http.exchange(
-        metrics,
-        Method::GET,
-        "/metrics",
-        "text/plain",
-        Default::default(),
-        READY_TIMEOUT,
-    );
-    let page = response.await.map(|(_, text)| text).unwrap_or_default();
-    String::from_utf8_lossy(&page).to_string()
-}
-
 fn with_host(addr: SocketAddr, last: u8) -> SocketAddr {
     let IpAddr::V4(ip) = addr.ip() else {
         return addr;
--- a/testkit/src/users_platform/mod.rs
+++ b/testkit/src/users_platform/mod.rs
@@ -10,6 +10,7 @@
 mod crowd;
 mod endless_responses;
 mod engine_orders;
+mod entry_pages;
 mod fleet;
 mod other_ingress;
 mod prompts;
@@ -28,7 +29,8 @@
     crowd::{send_crowd, Crowd, CrowdAttempt, CrowdRequest},
     endless_responses::EndlessPart,
     engine_orders::{AcceptedOrder, ADAPTER_SLOTS, MODEL},
-    fleet::{metrics_text, Fleet, FleetSettings, HOST},
+    entry_pages::metrics_text,
+    fleet::{Fleet, FleetSettings, HOST},
     other_ingress::OtherIngress,
     prompts::{engine_runs, prompt, prompt_with_parts, serve_prompt},
     retry_windows::{RetryRule, RetryWindow},
--- a/testkit/src/users_platform/other_ingress.rs
+++ b/testkit/src/users_platform/other_ingress.rs
@@ -1,5 +1,5 @@
 use {
-    super::fleet::is_ready,
+    super::entry_pages::is_ready,
     crate::{
         cluster::{next_addr, Process},
         forwarder::{LinkFault, TcpForwarder},
@@ -72,6 +72,9 @@
         }
     }
 
+    pub async fn is_ready(&self) -> bool {
+        is_ready(self.readiness).await
+    }
     pub fn log(&self) -> String {
         fs::read_to_string(&self.log_file).unwrap_or_default()
     }
--- a/testkit/src/users_platform/store_stand_in.rs
+++ b/testkit/src/users_platform/store_stand_in.rs
@@ -98,6 +98,8 @@
     silent_connections: u64,
     /// Items and revision that stale reads return instead of the current ones.
     stale: Option<(Items, u64)>,
+    /// What all reads and watches return instead of the present state.
+    behind: Option<StoreCopy>,
     /// The era that all responses name; `None` for a store that names none.
     era: Option<u64>,
 }
@@ -117,6 +119,7 @@
             connections: 0,
             silent_connections: 0,
             stale: None,
+            behind: None,
             era: Some(FIRST_ERA),
         }
     }
@@ -228,6 +231,12 @@
         let mut state = lock(&self.state);
         state.stale = Some((state.items.clone(), state.revision));
     }
+    /// Makes all reads and watches return this earlier state, as a replica that is behind does, until
+    /// `None` makes them return the present one.
+    pub fn set_behind(&self, copy: Option<StoreCopy>) {
+        lock(&self.state).behind = copy;
+        self.changed.send_modify(|_| {});
+    }
     /// Stops responding on open connections; new ones are served.
     pub fn silence_connections(&self) {
         let mut state = lock(&self.state);
@@ -343,7 +352,10 @@
     match path {
         names::RANGE_PATH => {
             let state = lock(state);
-            let present = (&state.items, state.revision);
+            let present = match &state.behind {
+                Some(copy) => (&copy.items, copy.revision),
+                None => (&state.items, state.revision),
+            };
             let (items, revision) = match &state.stale {
                 Some((items, revision)) if value("stale").is_some() => (items, *revision),
                 _ => present,
@@ -407,9 +419,10 @@
                 if after < state.forgotten || after > state.revision {
                     return (410, Value::Null);
                 }
-                let events = events(&state, prefix, after);
+                let at = state.behind.as_ref().map_or(state.revision, |b| b.revision);
+                let events = events(&state, prefix, after, at);
                 if !events.is_empty() {
-                    return (200, json!({"events": events, "at": state.revision}));
+                    return (200, json!({"events": events, "at": at}));
                 }
             }
             // the sender lives as long as the store
@@ -420,11 +433,11 @@
     timeout(wait, next_change).await.unwrap_or((200, no_events))
 }
 
-fn events(state: &State, prefix: &str, after: u64) -> Vec<Value> {
-    let later_changes = state
-        .history
-        .iter()
-        .filter(|(revision, key, _)| *revision > after && key.starts_with(prefix));
+/// Returns the changes after a revision, up to another one.
+fn events(state: &State, prefix: &str, after: u64, up_to: u64) -> Vec<Value> {
+    let later_changes = state.history.iter().filter(|(revision, key, _)| {
+        *revision > after && *revision <= up_to && key.starts_with(prefix)
+    });
     let events = later_changes.map(|(revision, key, value)| item(key, value.as_ref(), *revision));
     events.collect()
 }
