Streams are joined no more after all entries were killed: "not known yet" is not "none"

Callers took streams up after all entries were killed at one moment; they were answered 200 to the end, joined from two software versions (24 of 24 where the old one was replaced while they ran, 5 and 9 of 24 where both served, 5 to 7 of 24 after a first list that was behind).

Cause: an entry that had just started took the one version of its first list for all that ever served, and a guess at the start of a mix for knowledge. The sidecars that kept the origins left with the release, and nobody told others.

Origins are told from the first event of each stream, also with one version; the sidecars that keep them are tracked, and others are told when one leaves, restarts or does not answer. There is no guess any more, and an origin without a version binds to none. A stream of the only version is bound to it.

--- a/coordination/src/software_versions/origin_holders.rs
+++ b/coordination/src/software_versions/origin_holders.rs
@@ -1,13 +1,15 @@
 use {
     crate::membership::{rendezvous_weight, stable_hash},
-    std::{net::SocketAddr, sync::Arc},
+    std::{collections::HashSet, net::SocketAddr, sync::Arc},
 };
 
 /// Number of sidecars that keep an origin.
 const TOLD: usize = 3;
+/// Number of sidecars among which those are chosen, as some may not answer.
+const TELLABLE: usize = 6;
 /// Number of sidecars that are asked: more than keep it, since engines may have joined or left
 /// in between.
-const ASKED_OF_STAYING: usize = 6;
+const ASKED_OF_STAYING: usize = 9;
 const ASKED_OF_LEAVING: usize = 3;
 
 /// Ranks engines, whose sidecars keep the origins of streams, by the client's attempt. All
@@ -17,6 +19,8 @@
     engines: Arc<ListedEngines>,
     staying: RankedEngines,
     leaving: RankedEngines,
+    staying_addrs: HashSet<SocketAddr>,
+    leaving_addrs: HashSet<SocketAddr>,
 }
 
 /// The addresses of the listed engines.
@@ -37,17 +41,45 @@
             return;
         }
         self.staying = RankedEngines::new(&engines.staying);
+        self.staying_addrs = engines.staying.iter().copied().collect();
+        self.leaving_addrs = engines.leaving.iter().copied().collect();
         self.leaving = RankedEngines::new(&engines.leaving);
         self.engines = engines;
     }
 
     /// Returns the engines whose sidecars are to keep an origin.
     pub fn told(&self, request: &str) -> Vec<SocketAddr> {
-        let mut told = self.staying.first(TOLD, request);
-        told.extend(self.leaving.first(TOLD - told.len(), request));
+        let mut told = self.tellable(request);
+        told.truncate(TOLD);
         told
     }
 
+    /// Returns the engines whose sidecars may keep an origin, the first ones before the others:
+    /// those of leaving engines only if there are too few.
+    pub fn tellable(&self, request: &str) -> Vec<SocketAddr> {
+        let mut engines = self.staying.first(TELLABLE, request);
+        let lacking = TOLD.saturating_sub(engines.len());
+        engines.extend(self.leaving.first(lacking, request));
+        engines
+    }
+
+    /// Returns how many more sidecars are to keep an origin that those of `told` keep: three of
+    /// engines that stay, or of leaving ones where there are too few.
+    pub fn lacking<'a>(&self, told: impl Iterator<Item = &'a SocketAddr>) -> usize {
+        let (mut staying, mut leaving) = (0, 0);
+        for engine in told {
+            staying += usize::from(self.staying_addrs.contains(engine));
+            leaving += usize::from(self.leaving_addrs.contains(engine));
+        }
+        let stay = self.staying_addrs.len();
+        let listed = stay + self.leaving_addrs.len();
+        let is_enough = staying >= stay.min(TOLD) && staying + leaving >= listed.min(TOLD);
+        match is_enough {
+            true => 0,
+            false => TOLD - staying.min(TOLD),
+        }
+    }
+
     /// Returns the engines whose sidecars are asked for an origin.
     pub fn asked(&self, request: &str) -> Vec<SocketAddr> {
         let mut asked = self.staying.first(ASKED_OF_STAYING, request);
--- a/coordination/src/software_versions/take_up.rs
+++ b/coordination/src/software_versions/take_up.rs
@@ -7,7 +7,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum OriginSearch {
     Found(StreamOrigin),
-    /// Sidecars that would know it were asked and don't.
+    /// Sidecars were asked and don't know it.
     NotKept,
     /// Too few of them answered, or the client did not name the stream.
     Unanswered,
@@ -16,7 +16,7 @@
 /// Where a stream that a client takes up may go on.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum TakeUp {
-    /// At any engine: no other version may have begun it.
+    /// At any engine: the service's versions are not told apart.
     Anywhere,
     /// At engines of this version.
     At(SoftwareVersion),
@@ -35,23 +35,20 @@
 }
 
 impl TakeUp {
-    /// Decides by what is known of the origin of the stream, and by the versions of the service.
+    /// Decides by what is known of the origin of the stream, and by the versions of the service that
+    /// may have begun it.
     ///
-    /// Origins are kept while several versions serve, and from the start of that on for the streams
-    /// that run then. Shortly after, one that is not kept may be of before.
+    /// An engine that was used before it was listed may run a version that no list has had.
     pub fn decide(search: &OriginSearch, mix: &VersionMix) -> Self {
-        match (search, mix) {
-            (OriginSearch::Found(origin), mix) => match (&origin.version, mix) {
-                (Some(version), _) => TakeUp::At(version.clone()),
-                (None, VersionMix::One) => TakeUp::Anywhere,
-                (None, VersionMix::Several { .. }) => TakeUp::Unknown,
-            },
-            (_, VersionMix::One) => TakeUp::Anywhere,
-            (OriginSearch::NotKept, VersionMix::Several { former }) => match former {
-                Some(version) => TakeUp::At(version.clone()),
-                None => TakeUp::Unknown,
-            },
-            (OriginSearch::Unanswered, VersionMix::Several { .. }) => TakeUp::Unknown,
+        let origin = match search {
+            OriginSearch::Found(origin) => Some(&origin.version),
+            OriginSearch::NotKept | OriginSearch::Unanswered => None,
+        };
+        match (origin, mix) {
+            (Some(Some(version)), _) => TakeUp::At(version.clone()),
+            (_, VersionMix::Unnamed) => TakeUp::Anywhere,
+            (None, VersionMix::One(version)) => TakeUp::At(version.clone()),
+            (Some(None), _) | (None, VersionMix::Several | VersionMix::NotKnown) => TakeUp::Unknown,
         }
     }
 
--- a/coordination/tests/software_versions.rs
+++ b/coordination/tests/software_versions.rs
@@ -111,93 +111,96 @@
     assert_eq!(sent_to(&fixture.submit(2, request)), ["reborn"]);
 }
 
-fn mix_after(lists: &[&[&str]], now: Instant) -> VersionMix {
-    let mut versions = SoftwareVersions::default();
+fn listed_versions(versions: &[&str]) -> Vec<Backend> {
+    let list = (1..)
+        .zip(versions)
+        .map(|(n, version)| at_version(n, version));
+    list.collect()
+}
+
+fn mix_after(is_first_start: bool, lists: &[&[&str]], now: Instant) -> VersionMix {
+    let mut versions = SoftwareVersions::new(is_first_start);
     for list in lists {
-        let list = (1..).zip(*list).map(|(n, version)| at_version(n, version));
-        versions.on_list(&list.collect::<Vec<_>>(), MEMORY, now);
+        versions.on_list(&listed_versions(list), MEMORY, now);
     }
     versions.mix(ENGINES, MEMORY, now)
 }
 
-fn several(former: Option<&str>) -> VersionMix {
-    let former = former.map(str::to_string);
-    VersionMix::Several { former }
+fn one(version: &str) -> VersionMix {
+    VersionMix::One(version.to_string())
 }
 
+/// Guards against: an entry that has just started and takes the one version of its first list for all
+/// that ever served.
 #[test]
-fn versions_count_as_mixed_while_streams_of_two_may_be_taken_up() {
+fn one_listed_version_is_one_only_if_nothing_served_before() {
     let now = Instant::now();
-    let cases: [(&[&[&str]], VersionMix); 9] = [
-        // guards against: a guess by an entry that has just started
-        (&[], several(None)),
-        (&[&[]], VersionMix::One),
-        (&[&["v1", "v1"]], VersionMix::One),
-        (&[&["v1", "v2"]], several(None)),
-        (&[&["v1"], &["v1", "v2"]], several(Some("v1"))),
+    // what the lists say, for an entry that starts in a running fleet, and with the whole fleet
+    let cases: [(&[&[&str]], VersionMix, VersionMix); 8] = [
+        (&[], VersionMix::NotKnown, VersionMix::NotKnown),
+        (&[&[]], VersionMix::NotKnown, VersionMix::NotKnown),
+        (&[&["v1", "v1"]], VersionMix::NotKnown, one("v1")),
+        (&[&["v1", "v2"]], VersionMix::Several, VersionMix::Several),
+        (
+            &[&["v1"], &["v1", "v2"]],
+            VersionMix::Several,
+            VersionMix::Several,
+        ),
         // an older one may come later
-        (&[&["v2"], &["v1", "v2"]], several(Some("v2"))),
-        (&[&["v1"], &["v2"]], several(Some("v1"))),
-        (&[&["v1"], &[], &["v2"]], several(Some("v1"))),
         (
-            &[&["v1"], &["v1", "v2"], &["v2", "v3"]],
-            several(Some("v1")),
+            &[&["v2"], &["v1", "v2"]],
+            VersionMix::Several,
+            VersionMix::Several,
+        ),
+        (
+            &[&["v1"], &[], &["v2"]],
+            VersionMix::Several,
+            VersionMix::Several,
         ),
+        (&[&["v1"], &[]], VersionMix::NotKnown, one("v1")),
     ];
-    for (lists, expected) in cases {
-        assert_eq!(mix_after(lists, now), expected, "{lists:?}");
+    for (lists, running, first) in cases {
+        assert_eq!(mix_after(false, lists, now), running, "{lists:?}");
+        assert_eq!(mix_after(true, lists, now), first, "{lists:?}");
     }
 }
 
+/// Guards against: streams refused on a platform whose lists name no versions.
+#[test]
+fn versions_that_no_list_names_are_not_told_apart() {
+    let now = Instant::now();
+    let mut versions = SoftwareVersions::default();
+    versions.on_list(&[backend(ENGINES, 1)], MEMORY, now);
+    assert_eq!(versions.mix(ENGINES, MEMORY, now), VersionMix::Unnamed);
+    versions.on_list(&listed_versions(&["v1"]), MEMORY, now);
+    assert_eq!(versions.mix(ENGINES, MEMORY, now), VersionMix::NotKnown);
+}
+
 #[test]
 fn a_mix_ends_once_no_stream_of_the_other_version_is_taken_up() {
     let start = Instant::now();
-    let mut versions = SoftwareVersions::default();
-    let one = [at_version(1, "v1")];
-    let two = [at_version(1, "v1"), at_version(2, "v2")];
-    versions.on_list(&one, MEMORY, start);
+    let mut versions = SoftwareVersions::new(true);
+    let two = listed_versions(&["v1", "v2"]);
+    let mix = |versions: &SoftwareVersions, now| versions.mix(ENGINES, MEMORY, now);
+    versions.on_list(&two[..1], MEMORY, start);
+    assert_eq!(mix(&versions, start), one("v1"));
     versions.on_list(&two, MEMORY, start);
-    assert_eq!(versions.mix(ENGINES, MEMORY, start), several(Some("v1")));
-    // all entries have told the streams that ran
-    let told = versions.mix(ENGINES, MEMORY, start + Duration::from_secs(5));
-    assert_eq!(told, several(None));
     let later = start + MEMORY;
-    assert_eq!(versions.mix(ENGINES, MEMORY, later), several(None));
+    assert_eq!(mix(&versions, later), VersionMix::Several);
     versions.on_list(&two[1..], MEMORY, later);
-    let just_before = later + MEMORY - ms(1);
-    assert_eq!(versions.mix(ENGINES, MEMORY, just_before), several(None));
-    assert_eq!(
-        versions.mix(ENGINES, MEMORY, later + MEMORY),
-        VersionMix::One
-    );
-    versions.on_list(&two, MEMORY, later + MEMORY);
-    let mixed_again = versions.mix(ENGINES, MEMORY, later + MEMORY);
-    assert_eq!(mixed_again, several(Some("v2")));
-}
-
-/// Guards against: streams that run while another version comes and that nobody keeps.
-#[test]
-fn the_start_of_a_mix_is_told_once() {
-    let now = Instant::now();
-    let mut versions = SoftwareVersions::default();
-    let two = [at_version(1, "v1"), at_version(2, "v2")];
-    assert!(versions.on_list(&two[..1], MEMORY, now).is_empty());
-    assert_eq!(versions.on_list(&two, MEMORY, now), [ENGINES]);
-    assert!(versions.on_list(&two, MEMORY, now).is_empty());
-    assert!(versions.on_list(&two[1..], MEMORY, now).is_empty());
+    assert_eq!(mix(&versions, later + MEMORY - ms(1)), VersionMix::Several);
+    assert_eq!(mix(&versions, later + MEMORY), one("v2"));
 }
 
-/// Guards against: an entry that has just started, keeps no origins as it sees one version alone, and
-/// whose streams others take for those of an earlier one.
+/// Guards against: an entry that never learns that one version alone serves.
 #[test]
-fn one_version_is_sure_after_lists_of_the_whole_memory() {
+fn one_version_is_known_after_lists_of_the_whole_memory() {
     let start = Instant::now();
     let mut versions = SoftwareVersions::default();
-    versions.on_list(&[at_version(1, "v1")], MEMORY, start);
-    let is_sure = |now| versions.is_surely_one(ENGINES, MEMORY, now);
-    assert!(!is_sure(start));
-    assert!(!is_sure(start + MEMORY - ms(1)));
-    assert!(is_sure(start + MEMORY));
+    versions.on_list(&listed_versions(&["v1"]), MEMORY, start);
+    let mix = |now| versions.mix(ENGINES, MEMORY, now);
+    assert_eq!(mix(start + MEMORY - ms(1)), VersionMix::NotKnown);
+    assert_eq!(mix(start + MEMORY), one("v1"));
 }
 
 fn origin(request: &str, version: &str) -> StreamOrigin {
@@ -220,21 +223,36 @@
         })
     };
     let (not_kept, unanswered) = (OriginSearch::NotKept, OriginSearch::Unanswered);
-    let cases = [
-        (found(), VersionMix::One, at("v1")),
-        (found(), several(Some("v2")), at("v1")),
-        (found(), several(None), at("v1")),
-        (without_version(), VersionMix::One, TakeUp::Anywhere),
-        // guards against: a guess for a stream whose engine was not listed yet
-        (without_version(), several(Some("v2")), TakeUp::Unknown),
-        (not_kept.clone(), VersionMix::One, TakeUp::Anywhere),
-        (not_kept.clone(), several(Some("v2")), at("v2")),
-        (not_kept, several(None), TakeUp::Unknown),
-        (unanswered.clone(), VersionMix::One, TakeUp::Anywhere),
+    let unknown = || TakeUp::Unknown;
+    let mixes = [
+        VersionMix::Unnamed,
+        one("v2"),
+        VersionMix::Several,
+        VersionMix::NotKnown,
+    ];
+    // for each of the mixes
+    let rows = [
+        (found(), [at("v1"), at("v1"), at("v1"), at("v1")]),
+        // guards against: a guess for a stream whose engine was not listed yet, and may have been the
+        // first of its version
+        (
+            without_version(),
+            [TakeUp::Anywhere, unknown(), unknown(), unknown()],
+        ),
+        // guards against: a guess by an entry that has just started
+        (not_kept, [TakeUp::Anywhere, at("v2"), unknown(), unknown()]),
         // guards against: a guess by an entry that can't ask
-        (unanswered.clone(), several(Some("v2")), TakeUp::Unknown),
-        (unanswered, several(None), TakeUp::Unknown),
+        (
+            unanswered,
+            [TakeUp::Anywhere, at("v2"), unknown(), unknown()],
+        ),
     ];
+    let cases = rows.into_iter().flat_map(|(search, expected)| {
+        let mixes = mixes.clone().into_iter();
+        mixes
+            .zip(expected)
+            .map(move |(mix, expected)| (search.clone(), mix, expected))
+    });
     for (search, mix, expected) in cases {
         assert_eq!(
             TakeUp::decide(&search, &mix),
--- a/entry/src/ingress/control.rs
+++ b/entry/src/ingress/control.rs
@@ -25,12 +25,12 @@
     },
     chalkcart_transport::{clock, links::ViewSink},
     std::{
-        collections::HashMap,
+        collections::{HashMap, HashSet},
         net::SocketAddr,
         sync::{
             atomic::Ordering,
             mpsc::{self, RecvTimeoutError},
-            Arc,
+            Arc, MutexGuard, PoisonError,
         },
         thread,
         time::{Duration, Instant},
@@ -117,6 +117,17 @@
         self.state.listed_engines.load_full()
     }
 
+    /// Returns the engines whose sidecars were lost since the last call.
+    pub fn take_lost_sidecars(&self) -> HashSet<SocketAddr> {
+        std::mem::take(&mut self.lost_sidecars())
+    }
+
+    fn lost_sidecars(&self) -> MutexGuard<'_, HashSet<SocketAddr>> {
+        // No holder panics in the middle of an update.
+        let lost = self.state.lost_sidecars.lock();
+        lost.unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Queues a request until the dispatcher assigns a back end or rejects it; `None` if the
     /// control thread has ended.
     pub async fn decide(&self, ticket: Ticket, request: DispatchRequest) -> Option<Decision> {
@@ -141,7 +152,8 @@
         self.stats.insert(backend, stats);
     }
 
-    fn on_unresponsive(&self, _engine: SocketAddr, backend: &BackendId) {
+    fn on_unresponsive(&self, engine: SocketAddr, backend: &BackendId) {
+        self.lost_sidecars().insert(engine);
         self.send_event(DispatchEvent::ViewLost(backend.clone()));
     }
 
--- a/entry/src/ingress/control_state.rs
+++ b/entry/src/ingress/control_state.rs
@@ -5,8 +5,12 @@
     },
     chalkcart_state::ids::ServiceName,
     std::{
+        collections::HashSet,
         net::SocketAddr,
-        sync::atomic::{AtomicBool, AtomicU32, AtomicUsize},
+        sync::{
+            atomic::{AtomicBool, AtomicU32, AtomicUsize},
+            Mutex,
+        },
     },
 };
 
@@ -26,6 +30,8 @@
     pub engines: ArcSwap<Vec<SocketAddr>>,
     /// The same by whether they are leaving.
     pub listed_engines: ArcSwap<ListedEngines>,
+    /// Engines whose sidecars were lost, until they are taken.
+    pub lost_sidecars: Mutex<HashSet<SocketAddr>>,
 }
 
 impl Default for ControlState {
@@ -38,6 +44,7 @@
             entry_count: AtomicU32::default(),
             engines: ArcSwap::default(),
             listed_engines: ArcSwap::default(),
+            lost_sidecars: Mutex::default(),
         }
     }
 }
--- a/entry/src/ingress/observers.rs
+++ b/entry/src/ingress/observers.rs
@@ -155,7 +155,11 @@
         };
         self.count_for_parts(outcome);
         self.end_send(outcome);
-        self.shared.stream_origins.on_stream_ended(&self.request);
+        let keep = self.shared.software_versions.memory();
+        let is_whole = end == ProxyBodyEnd::Complete;
+        self.shared
+            .stream_origins
+            .on_stream_ended(&self.request, is_whole, keep);
         self.shared
             .metrics
             .on_pause(&self.route.name, longest_pause);
--- a/entry/src/ingress/records.rs
+++ b/entry/src/ingress/records.rs
@@ -71,9 +71,7 @@
         };
         self.shared.set_has_backend_list();
         self.shared.metrics.on_list(at);
-        for service in self.shared.software_versions.on_list(&list) {
-            self.shared.on_versions_mixed(&service);
-        }
+        self.shared.software_versions.on_list(&list);
         self.shared
             .control
             .send_event(DispatchEvent::ListUpdated { at, list });
--- a/entry/src/ingress/serve.rs
+++ b/entry/src/ingress/serve.rs
@@ -3,6 +3,7 @@
         admission_exchange::AdmissionExchange,
         control,
         crash_exchange::exchange_crashes,
+        earlier_versions::read_earlier_versions,
         fleet_links::{FleetLinks, LinkSettings},
         operator_pages,
         records::EntryRecords,
@@ -87,7 +88,9 @@
     })?;
     let shared = Arc::new(Shared::new(settings, control, crashes, dialect));
     watch_store(&shared, store.clone(), relays);
+    tokio::spawn(read_earlier_versions(shared.clone(), store.clone()));
     exchange_crashes(&shared);
+    tokio::spawn(shared.clone().tell_origins());
     if shared.settings.mechanisms.shared_limits {
         let sidecar_port = shared.settings.sidecar_port;
         tokio::spawn(report_usage(shared.clone(), sidecar_port));
--- a/entry/src/ingress/shared.rs
+++ b/entry/src/ingress/shared.rs
@@ -10,7 +10,6 @@
     chalkcart_coordination::{
         dispatch::Ticket, overload::HeldBytes, retry::ListPacing, retry_budget::BudgetUsage,
     },
-    chalkcart_protocol::peer::StreamOrigin,
     chalkcart_state::{
         accounts::AccountFingerprint,
         ingress::{Route, RouteTable},
@@ -141,32 +140,6 @@
         }
     }
 
-    /// Keeps the origin of a stream that has begun, also at sidecars while versions may mix.
-    pub fn on_stream_began(self: &Arc<Self>, origin: StreamOrigin) {
-        self.stream_origins
-            .on_stream_began(origin.clone(), self.software_versions.memory());
-        if self.software_versions.may_mix(&origin.service) {
-            self.tell_origin(origin);
-        }
-    }
-
-    /// Has sidecars keep the origins of the streams that run, as several versions of their service
-    /// serve from now on.
-    pub fn on_versions_mixed(self: &Arc<Self>, service: &str) {
-        let running = self.stream_origins.running(service);
-        log::info!(service = service, streams = running.len(); "ingress: several software versions serve");
-        for origin in running {
-            self.tell_origin(origin);
-        }
-    }
-
-    fn tell_origin(self: &Arc<Self>, origin: StreamOrigin) {
-        let keep = self.software_versions.memory();
-        let shared = self.clone();
-        let count = move |outcome| shared.metrics.on_origin_told(outcome);
-        self.stream_origins.tell(origin, keep, count);
-    }
-
     pub fn new_ticket(&self) -> Ticket {
         self.next_ticket.fetch_add(1, Ordering::Relaxed)
     }
@@ -216,6 +189,10 @@
         self.has_backend_list.store(true, Ordering::Relaxed);
     }
 
+    pub fn has_backend_list(&self) -> bool {
+        self.has_backend_list.load(Ordering::Relaxed)
+    }
+
     /// Returns whether the platform may route clients to this process.
     fn may_accept_clients(&self) -> bool {
         let table = self.table.load();
@@ -223,7 +200,7 @@
         if needs_keys && !self.admission.is_config_current() {
             return false;
         }
-        let is_configured = table.is_some() && self.has_backend_list.load(Ordering::Relaxed);
+        let is_configured = table.is_some() && self.has_backend_list();
         is_configured && self.control.can_reach_backends() && *self.phase.borrow() == Phase::Serving
     }
 }
--- a/entry/src/ingress/shared_software_versions.rs
+++ b/entry/src/ingress/shared_software_versions.rs
@@ -1,5 +1,8 @@
 use {
-    chalkcart_coordination::software_versions::{stream_memory, SoftwareVersions, VersionMix},
+    chalkcart_coordination::software_versions::{
+        stream_memory, EarlierVersions, SoftwareVersions, VersionMix,
+    },
+    chalkcart_protocol::peer::VersionReport,
     chalkcart_state::{
         backends::{BackendId, BackendList, SoftwareVersion},
         ids::ServiceName,
@@ -11,13 +14,13 @@
         sync::{Arc, Mutex, MutexGuard, PoisonError},
         time::Duration,
     },
+    tokio::{sync::watch, time::timeout},
 };
 
 /// The software versions that may have begun streams which are still taken up.
 pub struct SharedSoftwareVersions {
-    known: Mutex<Known>,
-    /// Whether the whole fleet starts with this process, so that no other version has served.
-    is_first_start: bool,
+    state: Mutex<State>,
+    is_start_over: watch::Sender<bool>,
 }
 
 /// What this process knows of the versions of a service, for logs and metrics.
@@ -51,23 +54,30 @@
     }
 }
 
-struct Known {
+struct State {
     versions: SoftwareVersions,
     /// The version of each back end in the list.
     listed: HashMap<BackendId, SoftwareVersion>,
-    /// Time after which no stream is taken up any more.
-    memory: Duration,
+    /// The longest time that one attempt of a stream may take.
+    longest_attempt: Duration,
     /// The versions of each service as logged last.
     logged: HashMap<ServiceName, String>,
 }
 
-impl Known {
+impl State {
+    /// Returns the time after which no stream is taken up any more.
+    fn memory(&self) -> Duration {
+        stream_memory(self.longest_attempt)
+    }
+
     /// Logs the versions of services that have changed.
     fn log_changes(&mut self) {
         let now = clock::now();
-        let covered = self.versions.covered(now).unwrap_or_default();
         for service in self.versions.services() {
-            let names = self.versions.versions(&service, self.memory, now).join(",");
+            let versions = self.versions.versions(&service, self.memory(), now);
+            let covered = self.versions.covered(&service, now);
+            let known = KnownVersions { versions, covered };
+            let names = known.names();
             let before = self.logged.get(&service).cloned().unwrap_or_default();
             if names == before {
                 continue;
@@ -76,7 +86,7 @@
                 service = service.as_str(),
                 versions = names.as_str(),
                 before = before.as_str(),
-                known_ms = covered.as_millis() as u64;
+                known_ms = known.covered_ms();
                 "store: software versions"
             );
             self.logged.insert(service, names);
@@ -85,82 +95,116 @@
 }
 
 impl SharedSoftwareVersions {
+    /// `is_first_start` says that the whole fleet starts with this process, so that no other version
+    /// has served.
     pub fn new(is_first_start: bool) -> Self {
-        let known = Known {
-            versions: SoftwareVersions::default(),
-            listed: HashMap::new(),
-            memory: stream_memory(Duration::ZERO),
-            logged: HashMap::new(),
-        };
         Self {
-            known: Mutex::new(known),
-            is_first_start,
+            state: Mutex::new(State {
+                versions: SoftwareVersions::new(is_first_start),
+                listed: HashMap::new(),
+                longest_attempt: Duration::ZERO,
+                logged: HashMap::new(),
+            }),
+            is_start_over: watch::Sender::new(false),
         }
     }
 
-    /// Applies a list; returns the services that had one version and have several now.
-    pub fn on_list(&self, list: &BackendList) -> Vec<ServiceName> {
-        let mut known = self.known_state();
-        let memory = known.memory;
-        let mixed = known.versions.on_list(list, memory, clock::now());
-        known.log_changes();
+    /// Applies a list.
+    pub fn on_list(&self, list: &BackendList) {
+        let mut state = self.lock();
+        let memory = state.memory();
+        state.versions.on_list(list, memory, clock::now());
+        state.log_changes();
         let versions = list.iter().filter_map(|backend| {
             let version = backend.software_version.clone()?;
             Some((backend.id.clone(), version))
         });
-        known.listed = versions.collect();
-        mixed
+        state.listed = versions.collect();
     }
 
-    /// Returns whether origins of a service's streams have to be kept: several versions may have
-    /// served within the memory.
-    pub fn may_mix(&self, service: &str) -> bool {
-        let known = self.known_state();
+    /// Takes what others report of versions.
+    pub fn on_reports(&self, reports: &[VersionReport]) {
+        let mut state = self.lock();
         let now = clock::now();
-        let mix = known.versions.mix(service, known.memory, now);
-        let is_sure = known.versions.is_surely_one(service, known.memory, now);
-        mix != VersionMix::One || !(is_sure || self.is_first_start)
+        for report in reports {
+            state.versions.on_report(report, now);
+        }
+        state.log_changes();
+    }
+
+    /// Takes the versions that lists had in the time of which streams are taken up, before this
+    /// process started.
+    pub fn on_earlier(&self, earlier: &EarlierVersions) {
+        let mut state = self.lock();
+        let memory = state.memory();
+        state.versions.on_earlier(earlier, memory, clock::now());
+        state.log_changes();
+    }
+
+    /// Called once all that can be known of the time before this process started is known.
+    pub fn on_start_over(&self) {
+        self.is_start_over.send_replace(true);
+    }
+
+    /// Waits until that is known, but not for longer than `limit`.
+    pub async fn wait_for_start(&self, limit: Duration) {
+        let mut is_over = self.is_start_over.subscribe();
+        // The sender lives as long as this value.
+        let _ = timeout(limit, is_over.wait_for(|is_over| *is_over)).await;
+    }
+
+    /// Returns what this process knows of the versions of a service, for others.
+    pub fn report(&self, service: &ServiceName) -> Option<VersionReport> {
+        self.lock().versions.report(service, clock::now())
+    }
+
+    /// Returns whether others may know versions that this process doesn't.
+    pub fn is_knowledge_short(&self) -> bool {
+        let state = self.lock();
+        let short = state.versions.not_covered(state.memory(), clock::now());
+        !short.is_empty()
     }
 
     /// Returns what is known of the versions of a service.
     pub fn known(&self, service: &str) -> KnownVersions {
-        let known = self.known_state();
+        let state = self.lock();
         let now = clock::now();
         KnownVersions {
-            versions: known.versions.versions(service, known.memory, now),
-            covered: known.versions.covered(now),
+            versions: state.versions.versions(service, state.memory(), now),
+            covered: state.versions.covered(service, now),
         }
     }
 
-    /// Returns the services with a listed version.
+    /// Returns the services with listed back ends.
     pub fn services(&self) -> Vec<ServiceName> {
-        self.known_state().versions.services()
+        self.lock().versions.services()
     }
 
     /// Returns the version of a listed back end.
     pub fn version_of(&self, backend: &BackendId) -> Option<SoftwareVersion> {
-        self.known_state().listed.get(backend).cloned()
+        self.lock().listed.get(backend).cloned()
     }
 
     pub fn on_configuration(&self, table: &RouteTable) {
         let is_stream = |route: &&Arc<Route>| route.kind.is_stream();
         let streams = table.routes().filter(is_stream);
         let longest = streams.map(|route| route.timeout).max();
-        self.known_state().memory = stream_memory(longest.unwrap_or_default());
+        self.lock().longest_attempt = longest.unwrap_or_default();
     }
 
     /// Returns the time after which no stream is taken up any more.
     pub fn memory(&self) -> Duration {
-        self.known_state().memory
+        self.lock().memory()
     }
 
+    /// Returns which versions may have begun a stream of a service that is taken up now.
     pub fn mix(&self, service: &str) -> VersionMix {
-        let known = self.known_state();
-        known.versions.mix(service, known.memory, clock::now())
+        let state = self.lock();
+        state.versions.mix(service, state.memory(), clock::now())
     }
 
-    fn known_state(&self) -> MutexGuard<'_, Known> {
+    fn lock(&self) -> MutexGuard<'_, State> {
         // No holder panics in the middle of an update.
-        self.known.lock().unwrap_or_else(PoisonError::into_inner)
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/entry/src/ingress/stream_origin_exchange.rs
+++ b/entry/src/ingress/stream_origin_exchange.rs
@@ -3,31 +3,29 @@
 
 use {
     super::control::ControlHandle,
-    chalkcart_coordination::software_versions::{OriginHolders, OriginSearch, StreamOrigins},
-    chalkcart_protocol::peer::{path, StreamOrigin, StreamOriginsRequest, StreamOriginsResponse},
+    chalkcart_coordination::software_versions::{
+        OriginHolders, OriginSearch, StreamOrigins, ToldStreams,
+    },
+    chalkcart_protocol::peer::{
+        path, StreamOrigin, StreamOriginsRequest, StreamOriginsResponse, VersionReport,
+    },
     chalkcart_state::ids::RequestId,
     chalkcart_transport::{
         client::{ClientError, PeerClient},
         clock,
     },
-    futures::{stream::FuturesUnordered, StreamExt},
+    futures::{future::join_all, stream::FuturesUnordered, StreamExt},
     std::{
-        collections::HashMap,
+        collections::BTreeMap,
         net::SocketAddr,
-        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        sync::{Mutex, MutexGuard, PoisonError},
         time::Duration,
     },
-    tokio::{sync::Semaphore, time::sleep},
 };
 
 /// Time limit of one call. A client that takes a stream up waits for it at most once.
 const ASK_TIMEOUT: Duration = Duration::from_millis(150);
 const TELL_TIMEOUT: Duration = Duration::from_millis(300);
-/// Calls by which one sidecar is told, and the time between two of them.
-const MAX_TELL_CALLS: u32 = 3;
-const TELL_INTERVAL: Duration = Duration::from_millis(200);
-/// Maximum number of sidecars that are being told at a time; further ones are left out.
-const MAX_TOLD_AT_ONCE: usize = 1_024;
 
 /// Who knew the origin of a stream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -58,6 +56,8 @@
     pub answered: usize,
     /// How long each of them has kept origins; shorter than the stream's age means that it can't know.
     pub kept_for: Vec<Duration>,
+    /// What they know of versions.
+    pub versions: Vec<VersionReport>,
 }
 
 impl OriginAnswer {
@@ -69,6 +69,7 @@
             asked: 0,
             answered: 0,
             kept_for: Vec::new(),
+            versions: Vec::new(),
         }
     }
 }
@@ -77,73 +78,94 @@
 pub struct StreamOriginExchange {
     /// Origins of streams that this entry forwarded.
     own: Mutex<StreamOrigins>,
-    /// Those of streams that run.
-    running: Mutex<HashMap<RequestId, StreamOrigin>>,
+    told: Mutex<ToldStreams>,
     holders: Mutex<OriginHolders>,
     peers: PeerClient,
     control: ControlHandle,
     sidecar_port: u16,
-    told_at_once: Arc<Semaphore>,
 }
 
 impl StreamOriginExchange {
     pub fn new(control: ControlHandle, sidecar_port: u16) -> Self {
         Self {
             own: Mutex::default(),
-            running: Mutex::default(),
+            told: Mutex::default(),
             holders: Mutex::default(),
             peers: PeerClient::new(),
             control,
             sidecar_port,
-            told_at_once: Arc::new(Semaphore::new(MAX_TOLD_AT_ONCE)),
         }
     }
 
     /// Keeps the origin of a stream that has begun.
     pub fn on_stream_began(&self, origin: StreamOrigin, keep: Duration) {
         self.own().insert(origin.clone(), keep, clock::now());
-        self.lock_running().insert(origin.request.clone(), origin);
+        self.told().on_began(origin);
+    }
+
+    /// Forgets a stream that its client has received whole, and keeps any other for as long as it may
+    /// be taken up.
+    pub fn on_stream_ended(&self, request: &RequestId, is_whole: bool, keep: Duration) {
+        match is_whole {
+            true => self.told().on_whole(request),
+            false => self.told().on_broken(request, clock::now() + keep),
+        }
     }
 
-    pub fn on_stream_ended(&self, request: &RequestId) {
-        self.lock_running().remove(request);
+    /// Returns the engines whose sidecars are to be told of a stream that has begun.
+    pub fn due_of(&self, request: &str) -> Vec<SocketAddr> {
+        let holders = self.holders();
+        self.told().due_of(request, &holders)
     }
 
-    /// Returns the origins of a service's streams that run.
-    pub fn running(&self, service: &str) -> Vec<StreamOrigin> {
-        let running = self.lock_running();
-        let of_service = running.values().filter(|o| o.service == service);
-        of_service.cloned().collect()
+    /// Returns the origins that sidecars are to be told, by their engines.
+    pub fn due(&self) -> BTreeMap<SocketAddr, Vec<StreamOrigin>> {
+        let holders = self.holders();
+        let mut told = self.told();
+        for engine in self.control.take_lost_sidecars() {
+            told.on_lost(engine);
+        }
+        told.due(&holders, clock::now())
     }
 
-    /// Has sidecars keep an origin. `on_told` gets the outcome at each of them.
-    pub fn tell(
+    /// Has the sidecar of an engine keep origins. Returns the outcome, and what it knows of versions.
+    pub async fn tell(
         &self,
-        origin: StreamOrigin,
-        keep: Duration,
-        on_told: impl Fn(&'static str) + Clone + Send + 'static,
-    ) {
-        let holders = self.holders().told(&origin.request);
-        let request = StreamOriginsRequest {
-            kept: vec![origin],
-            keep_ms: keep.as_millis() as u64,
-            ..StreamOriginsRequest::default()
-        };
-        for engine in holders {
-            let holder = self.sidecar_of(engine);
-            let Ok(permit) = self.told_at_once.clone().try_acquire_owned() else {
-                on_told("left_out");
-                continue;
-            };
-            let (peers, request, on_told) = (self.peers.clone(), request.clone(), on_told.clone());
-            tokio::spawn(async move {
-                let outcome = tell_holder(&peers, holder, &request).await;
-                on_told(outcome);
-                drop(permit);
-            });
+        engine: SocketAddr,
+        request: StreamOriginsRequest,
+    ) -> (&'static str, Vec<VersionReport>) {
+        let sent_at = clock::now();
+        let holder = self.sidecar_of(engine);
+        match call(&self.peers, holder, &request, TELL_TIMEOUT).await {
+            Ok(response) => {
+                let kept_for = response.kept_for_ms.map(Duration::from_millis);
+                let now = clock::now();
+                self.told()
+                    .on_told(engine, &request.kept, sent_at, kept_for, now);
+                ("told", response.versions)
+            }
+            Err(e) => {
+                self.told().on_failed(engine, clock::now());
+                match e.is_unsupported_by_peer() {
+                    true => ("unsupported", Vec::new()),
+                    false => ("failed", Vec::new()),
+                }
+            }
         }
     }
 
+    /// Asks sidecars what they know of versions.
+    pub async fn ask_versions(&self) -> Vec<VersionReport> {
+        let question = StreamOriginsRequest::default();
+        let engines = self.holders().asked("");
+        let calls = engines.into_iter().map(|engine| {
+            let holder = self.sidecar_of(engine);
+            call(&self.peers, holder, &question, ASK_TIMEOUT)
+        });
+        let answers = join_all(calls).await.into_iter().flatten();
+        answers.flat_map(|answer| answer.versions).collect()
+    }
+
     /// Searches the origin of the stream that an attempt began.
     pub async fn find(&self, request: &str) -> OriginAnswer {
         if let Some(origin) = self.own().get(request, clock::now()) {
@@ -156,7 +178,7 @@
         };
         let holders = self.holders().asked(request);
         let (asked, mut answered) = (holders.len(), 0);
-        let mut kept_for = Vec::new();
+        let (mut kept_for, mut versions) = (Vec::new(), Vec::new());
         let mut found = None;
         let calls = holders
             .into_iter()
@@ -167,6 +189,7 @@
                 continue;
             };
             answered += 1;
+            versions.extend(response.versions);
             kept_for.extend(response.kept_for_ms.map(Duration::from_millis));
             let mut known = response.known.into_iter();
             let Some(origin) = known.find(|origin| origin.request == request) else {
@@ -188,6 +211,7 @@
             asked,
             answered,
             kept_for,
+            versions,
         }
     }
 
@@ -202,9 +226,9 @@
         SocketAddr::new(engine.ip(), self.sidecar_port)
     }
 
-    fn lock_running(&self) -> MutexGuard<'_, HashMap<RequestId, StreamOrigin>> {
+    fn told(&self) -> MutexGuard<'_, ToldStreams> {
         // No holder panics in the middle of an update.
-        self.running.lock().unwrap_or_else(PoisonError::into_inner)
+        self.told.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     fn own(&self) -> MutexGuard<'_, StreamOrigins> {
@@ -213,25 +237,6 @@
     }
 }
 
-/// Has a sidecar keep origins; returns the outcome.
-async fn tell_holder(
-    peers: &PeerClient,
-    holder: SocketAddr,
-    request: &StreamOriginsRequest,
-) -> &'static str {
-    for number in 0..MAX_TELL_CALLS {
-        if number > 0 {
-            sleep(TELL_INTERVAL).await;
-        }
-        match call(peers, holder, request, TELL_TIMEOUT).await {
-            Ok(_) => return "told",
-            Err(e) if e.is_unsupported_by_peer() => return "unsupported",
-            Err(_) => {}
-        }
-    }
-    "failed"
-}
-
 async fn call(
     peers: &PeerClient,
     holder: SocketAddr,
--- a/entry/src/ingress/stream_recovery.rs
+++ b/entry/src/ingress/stream_recovery.rs
@@ -164,7 +164,7 @@
     /// Has the stream go on at the software version that began it.
     ///
     /// # Errors
-    /// Several versions may serve, and the one that began it is not known.
+    /// Versions are told apart, and the one that began it is not known.
     fn keep_software_version(&mut self) -> Result<(), &'static str> {
         let versions = &self.exchange.shared.software_versions;
         let request = &mut self.exchange.request;
@@ -174,8 +174,8 @@
             let listed = || versions.version_of(&self.current.backend);
             request.software_version = known.or_else(listed);
         }
-        let may_mix = versions.mix(&request.service) != VersionMix::One;
-        match request.software_version.is_none() && may_mix {
+        let is_named = versions.mix(&request.service) != VersionMix::Unnamed;
+        match request.software_version.is_none() && is_named {
             true => Err(UNKNOWN_SOFTWARE),
             false => Ok(()),
         }
--- a/entry/src/ingress/stream_take_up.rs
+++ b/entry/src/ingress/stream_take_up.rs
@@ -16,6 +16,8 @@
 
 /// Log value for a stream whose origin is not known while several versions may have begun it.
 const UNKNOWN_SOFTWARE: &str = "unknown_software";
+/// Time for which a take-up waits for what is read of earlier versions at the start.
+const MAX_START_WAIT: Duration = Duration::from_millis(500);
 /// A sidecar that could not answer may do so by then.
 const UNKNOWN_RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -27,7 +29,13 @@
         if let OriginSearch::Found(origin) = &mut answer.search {
             self.complete_origin(origin);
         }
-        let take_up = self.take_up(&answer.search);
+        self.shared.software_versions.on_reports(&answer.versions);
+        let mut take_up = self.take_up(&answer.search);
+        if take_up == TakeUp::Unknown {
+            let versions = &self.shared.software_versions;
+            versions.wait_for_start(MAX_START_WAIT).await;
+            take_up = self.take_up(&answer.search);
+        }
         self.log_take_up(&take_up, &answer);
         match take_up {
             TakeUp::Anywhere => None,
--- a/transport/src/metrics/ingress_metrics.rs
+++ b/transport/src/metrics/ingress_metrics.rs
@@ -190,9 +190,10 @@
     pub fn on_take_up(&self, code: &'static str) {
         self.take_ups.get_or_create(&CodeLabel { code }).inc();
     }
-    /// Counts a sidecar that was to keep the origin of a stream, by the outcome.
-    pub fn on_origin_told(&self, code: &'static str) {
-        self.origins_told.get_or_create(&CodeLabel { code }).inc();
+    /// Counts the origins of streams that a sidecar was to keep, by the outcome.
+    pub fn on_origins_told(&self, code: &'static str, origins: usize) {
+        let told = self.origins_told.get_or_create(&CodeLabel { code });
+        told.inc_by(origins as u64);
     }
     /// Counts headers that were removed from a client's request.
     pub fn on_headers_removed(&self, headers: usize) {
