Tests: the simulated kills tell each rule that is to keep streams at their version

Stricter: one fifth of the sidecars is killed along with the entries, some clients come back after 4 to 12 s, a first list is up to 5 s behind and some of its kills take the sidecars too, few engines stay where one version leaves; streams that outlive engines, and each way in which versions come and leave, have tests of their own.

--- a/coordination/tests/rejoined_fleet.rs
+++ b/coordination/tests/rejoined_fleet.rs
@@ -3,7 +3,7 @@
 mod rejoined_sim;
 
 use {
-    rejoined_sim::{Case, Counts, Fleet, Layout, Scenario, CASES},
+    rejoined_sim::{Case, Counts, Fleet, Layout, Scenario, CASES, LAYOUTS},
     std::{collections::BTreeMap, sync::OnceLock},
 };
 
@@ -46,13 +46,20 @@
         for case in CASES {
             println!("{case:?}: {:?}", outcome.of(case));
         }
+        for layout in LAYOUTS {
+            println!("{layout:?}: {:?}", outcome.sum(|(_, l)| *l == layout));
+        }
         outcome
     }
 
     /// Returns the counts of a case.
     fn of(&self, case: Case) -> Counts {
+        self.sum(|(c, _)| *c == case)
+    }
+
+    fn sum(&self, is_counted: impl Fn(&(Case, Layout)) -> bool) -> Counts {
         let mut sum = Counts::default();
-        let counts = self.counts.iter().filter(|((c, _), _)| *c == case);
+        let counts = self.counts.iter().filter(|(key, _)| is_counted(key));
         counts.for_each(|(_, counts)| sum += *counts);
         sum
     }
@@ -75,9 +82,9 @@
     assert_eq!(streams, 0, "in {} seeds: {joined:?}", joined.len());
 }
 
-/// Returns the cases in which too few of the streams went on, with the part that did.
-fn too_few(parts: impl Iterator<Item = (Case, usize, usize)>) -> Vec<(Case, f64)> {
-    let parts = parts.map(|(case, went_on, all)| (case, part(went_on, all)));
+/// Returns what had too few streams that went on, with the part that did.
+fn too_few<T>(parts: impl Iterator<Item = (T, usize, usize)>) -> Vec<(T, f64)> {
+    let parts = parts.map(|(what, went_on, all)| (what, part(went_on, all)));
     parts.filter(|(_, part)| *part < MIN_PART).collect()
 }
 
@@ -104,3 +111,27 @@
     });
     assert_eq!(too_few(parts), []);
 }
+
+/// Guards against: origins that leave with the engines of another version, and are told to nobody
+/// that stays.
+#[test]
+fn streams_that_outlive_engines_of_another_version_go_on_after_a_kill() {
+    let counts = Outcome::get().sum(|(_, layout)| *layout == Layout::Left);
+    assert!(counts.outlived > 100, "too few streams: {counts:?}");
+    let part = part(counts.outlived_went_on, counts.outlived);
+    assert!(part >= MIN_PART, "{part:.3} of {counts:?}");
+}
+
+/// Guards against: one way of a release after which fewer streams go on.
+#[test]
+fn streams_go_on_after_a_kill_however_versions_came_and_left() {
+    let parts = LAYOUTS.into_iter().map(|layout| {
+        let counts = Outcome::get().sum(|(_, l)| *l == layout);
+        assert!(
+            counts.served > 100,
+            "{layout:?}: too few streams: {counts:?}"
+        );
+        (layout, counts.served_went_on, counts.served)
+    });
+    assert_eq!(too_few(parts), []);
+}
--- a/coordination/tests/rejoined_sim/clients.rs
+++ b/coordination/tests/rejoined_sim/clients.rs
@@ -16,6 +16,10 @@
 /// Time in which sidecars are asked.
 const SEARCH_TIME: Duration = Duration::from_millis(150);
 const MAX_TRIES: u32 = 10;
+/// Time after its begin in which a stream is taken up: its attempt, and as long again.
+const TAKEN_UP_WITHIN: Duration = Duration::from_secs(24);
+/// Part of the clients that come back only after some seconds.
+const LATE: f64 = 0.2;
 /// Age from which on the origin of a stream has to be known to more than its entry.
 const TOLD_BY: Duration = Duration::from_secs(1);
 
@@ -58,7 +62,10 @@
         }
         self.streams[stream].phase = Phase::Broken;
         self.streams[stream].broke = self.now;
-        let delay = self.random_ms(50, 500);
+        let delay = match self.random.chance(LATE) {
+            true => self.random_ms(4_000, 12_000),
+            false => self.random_ms(50, 500),
+        };
         self.after(delay, Event::TriesToTakeUp(stream));
     }
 
@@ -174,15 +181,20 @@
     }
 
     pub(super) fn refuse(&mut self, stream: usize) {
-        if self.streams[stream].tries >= MAX_TRIES {
+        let delay = self.random_ms(400, 1_200);
+        let tried = &self.streams[stream];
+        let is_late = self.now + delay > tried.began + TAKEN_UP_WITHIN;
+        if is_late || tried.tries >= MAX_TRIES {
             return self.count(stream, Result::Refused);
         }
-        let delay = self.random_ms(400, 1_200);
         self.after(delay, Event::TriesToTakeUp(stream));
     }
 
     pub(super) fn count(&mut self, number: usize, result: Result) {
         let is_served = self.is_served(number);
+        let stream = &self.streams[number];
+        let (began, broke) = (stream.began, stream.broke);
+        let has_seen_engines_end = self.scenario.has_end_between(began, broke);
         let stream = &mut self.streams[number];
         stream.phase = Phase::Ended;
         let first = stream.first_try;
@@ -190,7 +202,8 @@
             result,
             is_served: is_served && first.is_some_and(|first| first.is_served),
             is_told: first.is_some_and(|first| first.is_told),
-            is_old: stream.broke - stream.began >= TOLD_BY,
+            is_old: broke - began >= TOLD_BY,
+            has_seen_engines_end,
         };
         self.counts.add(taken_up, self.scenario.is_all_killed());
     }
--- a/coordination/tests/rejoined_sim/fleet.rs
+++ b/coordination/tests/rejoined_sim/fleet.rs
@@ -241,6 +241,9 @@
 
     pub(super) fn kill_sidecars(&mut self) {
         for engine in 0..self.sidecars.len() {
+            if !self.scenario.is_sidecar_killed(engine) {
+                continue;
+            }
             if self.sidecars[engine].take().is_some() {
                 let down = self.scenario.sidecars_down + self.random_ms(0, 300);
                 self.after(down, Event::SidecarStarts(engine));
--- a/coordination/tests/rejoined_sim/mod.rs
+++ b/coordination/tests/rejoined_sim/mod.rs
@@ -13,5 +13,5 @@
 pub use {
     fleet::Fleet,
     outcome::Counts,
-    scenario::{Case, Layout, Scenario, CASES},
+    scenario::{Case, Layout, Scenario, CASES, LAYOUTS},
 };
--- a/coordination/tests/rejoined_sim/outcome.rs
+++ b/coordination/tests/rejoined_sim/outcome.rs
@@ -22,6 +22,8 @@
     pub is_told: bool,
     /// Whether it had run long enough for its origin to be told.
     pub is_old: bool,
+    /// Whether engines ended while it ran, with what their sidecars kept.
+    pub has_seen_engines_end: bool,
 }
 
 #[derive(Debug, Default, Clone, Copy)]
@@ -41,6 +43,9 @@
     /// killed.
     pub served: usize,
     pub served_went_on: usize,
+    /// Of these, engines ended while they ran.
+    pub outlived: usize,
+    pub outlived_went_on: usize,
 }
 
 impl Counts {
@@ -48,6 +53,7 @@
         let went_on = stream.result == Result::WentOn;
         let is_told = stream.is_served && stream.is_told;
         let is_counted = stream.is_served && stream.is_old && !is_all_killed;
+        let has_outlived = is_counted && stream.has_seen_engines_end;
         let is_guessed = stream.result == Result::JoinedByGuess;
         let is_joined = is_guessed || stream.result == Result::Joined;
         let is_refused = stream.result == Result::Refused;
@@ -62,6 +68,8 @@
             told_went_on: usize::from(is_told && went_on),
             served: usize::from(is_counted),
             served_went_on: usize::from(is_counted && went_on),
+            outlived: usize::from(has_outlived),
+            outlived_went_on: usize::from(has_outlived && went_on),
         };
     }
 }
@@ -78,5 +86,7 @@
         self.told_went_on += other.told_went_on;
         self.served += other.served;
         self.served_went_on += other.served_went_on;
+        self.outlived += other.outlived;
+        self.outlived_went_on += other.outlived_went_on;
     }
 }
--- a/coordination/tests/rejoined_sim/scenario.rs
+++ b/coordination/tests/rejoined_sim/scenario.rs
@@ -8,10 +8,13 @@
 /// Streams begin in this time before the kill; none runs longer.
 pub const STREAM_TIME: Duration = Duration::from_secs(12);
 
+/// Where some sidecars are killed, it is each one after so many.
+const SOME: usize = 5;
+
 /// What is killed, and when.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Case {
-    /// All entries.
+    /// All entries, and some sidecars.
     Entries,
     /// All sidecars, and some seconds later all entries.
     SidecarsBefore,
@@ -67,7 +70,9 @@
     pub streams_from: Duration,
     pub entries_killed: Duration,
     pub entries_down: Duration,
+    /// When sidecars are killed, and whether all are.
     pub sidecars_killed: Option<Duration>,
+    pub are_all_sidecars_killed: bool,
     pub sidecars_down: Duration,
     /// Age of the first list of an entry that has started again.
     pub behind: Duration,
@@ -90,13 +95,13 @@
         let down = millis(random.between(300, longest_down));
         let change = match case {
             Case::Release => killed + millis(random.between(0, 10_000)) - millis(8_000),
-            Case::ListBehind => killed + millis(random.between(0, 4_000)) - millis(2_500),
+            Case::ListBehind => killed + millis(random.between(0, 5_000)) - millis(4_000),
             _ => killed - millis(random.between(1_000, 11_500)),
         };
         // mostly the first list is nearly the present one
         let most_behind = [200, 200, 2_000][random.below(3)];
         let behind = match case {
-            Case::ListBehind => random.between(500, 2_000),
+            Case::ListBehind => random.between(500, 5_000),
             _ => random.between(0, most_behind),
         };
         let kind = match case {
@@ -121,17 +126,22 @@
             entries_down: down,
             sidecars_killed: match kind {
                 Case::SidecarsBefore => Some(killed - millis(random.between(2_000, 4_000))),
-                Case::Both => Some(killed),
+                Case::Both | Case::Entries => Some(killed),
                 _ => None,
             },
+            are_all_sidecars_killed: kind != Case::Entries,
             sidecars_down: millis(random.between(300, 1_000)),
             behind: millis(behind),
         }
     }
 
+    pub fn is_sidecar_killed(&self, engine: usize) -> bool {
+        self.are_all_sidecars_killed || (engine + self.seed as usize).is_multiple_of(SOME)
+    }
+
     /// Returns whether nobody may know what began before the kill.
     pub fn is_all_killed(&self) -> bool {
-        self.sidecars_killed == Some(self.entries_killed)
+        self.sidecars_killed == Some(self.entries_killed) && self.are_all_sidecars_killed
     }
 
     /// Returns the list that the store has at a time.
@@ -155,6 +165,12 @@
         list.collect()
     }
 
+    /// Returns whether an engine ends after a time, up to another one.
+    pub fn has_end_between(&self, after: Duration, until: Duration) -> bool {
+        let mut ends = self.engines.iter().filter_map(|engine| engine.ends);
+        ends.any(|end| after < end && end <= until)
+    }
+
     /// Returns the times at which the list changes.
     pub fn changes(&self) -> Vec<Duration> {
         let of_engine = |engine: &Engine| [Some(engine.listed), engine.draining, engine.ends];
@@ -163,7 +179,7 @@
     }
 }
 
-const LAYOUTS: [Layout; 5] = [
+pub const LAYOUTS: [Layout; 5] = [
     Layout::One,
     Layout::Two,
     Layout::Replaced,
@@ -172,7 +188,11 @@
 ];
 
 fn engines(layout: Layout, change: Duration, random: &mut SeededRandom) -> Vec<Engine> {
-    let (old, new) = (random.between(3, 6), random.between(3, 6));
+    // few engines that stay, so that many origins are kept by those that leave
+    let (old, new) = match layout {
+        Layout::Left => (random.between(5, 9), random.between(2, 3)),
+        _ => (random.between(3, 6), random.between(3, 6)),
+    };
     let interval = millis(random.between(0, 500));
     let drain = millis(random.between(300, 2_000));
     let mut engines = Vec::new();
