--- a/coordination/tests/told_streams.rs
+++ b/coordination/tests/told_streams.rs
@@ -158,3 +158,37 @@
     streams.due(&holders, until);
     assert_eq!(streams.len(), 1);
 }
+
+/// Guards against: a sidecar that confirms twice, as a call of the start and one of the check overlap,
+/// and counts as two that keep the origin.
+#[test]
+fn a_sidecar_that_confirms_twice_counts_once() {
+    let now = Instant::now();
+    let holders = holders(1..13, 13..13);
+    let mut streams = ToldStreams::default();
+    streams.on_began(origin("r"));
+    let first = streams.due_of("r", &holders);
+    for engine in [first[0], first[0], first[1]] {
+        streams.on_told(engine, &[origin("r")], now, None, now);
+    }
+    assert_eq!(streams.due_of("r", &holders).len(), 1);
+}
+
+/// Guards against: an origin that sidecars keep and that nobody finds, as engines have joined since
+/// and those that were told are not among the ones that are asked.
+#[test]
+fn sidecars_that_are_asked_are_told_when_engines_join() {
+    let now = Instant::now();
+    let (before, after) = (holders(1..7, 7..7), holders(1..31, 31..31));
+    let requests: Vec<String> = (0..1_000).map(|number| format!("r-{number}")).collect();
+    let is_lost = |request: &&String| {
+        let mut streams = ToldStreams::default();
+        streams.on_began(origin(request));
+        let mut told = tell_all(&mut streams, &before, now);
+        told.extend(tell_all(&mut streams, &after, now));
+        let asked = after.asked(request);
+        !told.iter().any(|engine| asked.contains(engine))
+    };
+    let lost = requests.iter().filter(is_lost).count();
+    assert_eq!(lost, 0, "of {}", requests.len());
+}
--- a/coordination/tests/version_history.rs
+++ b/coordination/tests/version_history.rs
@@ -198,3 +198,22 @@
         assert_eq!(earlier(changes.clone()), expected, "{changes:?}");
     }
 }
+
+/// Guards against: one version concluded from what a store that has dropped its history still has,
+/// which names neither the back ends that are listed nor those that left before.
+#[test]
+fn a_history_that_was_dropped_proves_nothing() {
+    // the list has `e`, whose record none of these changes has: they begin later than its start
+    for changes in [Vec::new(), vec![written("b", "v2")]] {
+        let mix = earlier(changes.clone());
+        let is_one = matches!(mix, Some(VersionMix::One(_)));
+        assert!(!is_one, "{changes:?}");
+    }
+}
+
+/// Guards against: the version of a back end that left, taken from a later one of the same name.
+#[test]
+fn a_back_end_that_came_back_does_not_describe_the_one_that_left() {
+    let gone = Record::BackendGone("a".to_string());
+    assert_eq!(earlier(vec![gone, written("a", "v2")]), None);
+}
