Sidecars that keep an origin are counted once, and are among those that are asked

A confirmation is kept by engine; once more engines have joined than the ranks that are asked beyond those that are told, the told ones that would not be asked are forgotten, so that others are told.

--- a/coordination/src/software_versions/origin_holders.rs
+++ b/coordination/src/software_versions/origin_holders.rs
@@ -21,6 +21,8 @@
     leaving: RankedEngines,
     staying_addrs: HashSet<SocketAddr>,
     leaving_addrs: HashSet<SocketAddr>,
+    /// Number of engines that have joined so far.
+    joined: u64,
 }
 
 /// The addresses of the listed engines.
@@ -41,7 +43,9 @@
             return;
         }
         self.staying = RankedEngines::new(&engines.staying);
+        let before = std::mem::take(&mut self.staying_addrs);
         self.staying_addrs = engines.staying.iter().copied().collect();
+        self.joined += self.staying_addrs.difference(&before).count() as u64;
         self.leaving_addrs = engines.leaving.iter().copied().collect();
         self.leaving = RankedEngines::new(&engines.leaving);
         self.engines = engines;
@@ -63,6 +67,16 @@
         engines
     }
 
+    /// Returns the number of engines that have joined so far.
+    pub fn joined(&self) -> u64 {
+        self.joined
+    }
+
+    /// Returns whether so many have joined since that number that one of those told may not be asked.
+    pub fn may_be_unasked_since(&self, joined: u64) -> bool {
+        self.joined - joined.min(self.joined) > (ASKED_OF_STAYING - TELLABLE) as u64
+    }
+
     /// Returns how many more sidecars are to keep an origin that those of `told` keep: three of
     /// engines that stay, or of leaving ones where there are too few.
     pub fn lacking<'a>(&self, told: impl Iterator<Item = &'a SocketAddr>) -> usize {
--- a/coordination/src/software_versions/told_streams.rs
+++ b/coordination/src/software_versions/told_streams.rs
@@ -27,8 +27,10 @@
 #[derive(Debug)]
 struct ToldStream {
     origin: StreamOrigin,
-    /// Engines whose sidecars have confirmed, and when.
-    told: Vec<(SocketAddr, Instant)>,
+    /// Engines whose sidecars have confirmed, each once, and when.
+    told: BTreeMap<SocketAddr, Instant>,
+    /// Number of engines that had joined when it was last checked that those are asked.
+    joined: u64,
     /// When nobody takes the stream up any more; `None` while it runs.
     until: Option<Instant>,
 }
@@ -42,16 +44,20 @@
         self.streams.is_empty()
     }
 
-    pub fn on_began(&mut self, origin: StreamOrigin) {
+    /// Keeps track of a stream; returns false if there are too many.
+    pub fn on_began(&mut self, origin: StreamOrigin) -> bool {
         if self.streams.len() >= MAX_STREAMS {
-            return;
+            return false;
         }
         let stream = ToldStream {
             origin,
-            told: Vec::new(),
+            told: BTreeMap::new(),
+            joined: 0,
             until: None,
         };
-        self.streams.insert(stream.origin.request.clone(), stream);
+        let request = stream.origin.request.clone();
+        self.streams.entry(request).or_insert(stream);
+        true
     }
 
     /// Forgets a stream that its client has received whole.
@@ -76,7 +82,8 @@
             .retain(|_, stream| stream.until.is_none_or(|until| now < until));
         self.resting.retain(|_, until| now < *until);
         let mut due: BTreeMap<SocketAddr, Vec<StreamOrigin>> = BTreeMap::new();
-        for stream in self.streams.values() {
+        for stream in self.streams.values_mut() {
+            stream.forget_unasked(holders);
             for engine in stream.missing(holders, &self.resting) {
                 due.entry(engine).or_default().push(stream.origin.clone());
             }
@@ -107,7 +114,7 @@
         }
         for origin in origins {
             if let Some(stream) = self.streams.get_mut(&origin.request) {
-                stream.told.push((engine, sent_at));
+                stream.told.insert(engine, sent_at);
             }
         }
     }
@@ -126,20 +133,29 @@
         for stream in self.streams.values_mut() {
             stream
                 .told
-                .retain(|(told, at)| *told != engine || !is_lost(*at));
+                .retain(|told, at| *told != engine || !is_lost(*at));
         }
     }
 }
 
 impl ToldStream {
+    /// Forgets engines that are not among those that are asked any more, as others have joined.
+    fn forget_unasked(&mut self, holders: &OriginHolders) {
+        if holders.may_be_unasked_since(self.joined) {
+            let asked = holders.asked(&self.origin.request);
+            self.told.retain(|engine, _| asked.contains(engine));
+            self.joined = holders.joined();
+        }
+    }
+
     /// Returns the engines whose sidecars are to be told, so that enough of those that stay know.
     fn missing(
         &self,
         holders: &OriginHolders,
         resting: &HashMap<SocketAddr, Instant>,
     ) -> Vec<SocketAddr> {
-        let knows = |engine: &SocketAddr| self.told.iter().any(|(told, _)| told == engine);
-        let lacking = holders.lacking(self.told.iter().map(|(engine, _)| engine));
+        let knows = |engine: &SocketAddr| self.told.contains_key(engine);
+        let lacking = holders.lacking(self.told.keys());
         if lacking == 0 {
             return Vec::new();
         }
