What is known of versions ends with the list's age, with a dropped history and with a second service

Sidecars answer of the services that the question names; single tells are bounded, the rest waits for the check each 200 ms.

The simulated fleet drives the types of the product now; its bounds are as they were.

--- a/coordination/src/software_versions/earlier_versions.rs
+++ b/coordination/src/software_versions/earlier_versions.rs
@@ -1,6 +1,6 @@
 use {
     chalkcart_state::{
-        backends::{BackendName, SoftwareVersion},
+        backends::{Backend, BackendName, SoftwareVersion},
         ids::ServiceName,
         published::{Record, RecordSubject},
     },
@@ -9,36 +9,52 @@
 
 /// The software versions of back ends in the changes that the store still has.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct EarlierVersions(BTreeMap<ServiceName, BTreeSet<SoftwareVersion>>);
+pub struct EarlierVersions {
+    versions: BTreeMap<ServiceName, BTreeSet<SoftwareVersion>>,
+    /// Back ends that the changes describe.
+    described: HashSet<BackendName>,
+}
 
 impl EarlierVersions {
-    /// Reads the versions from changes; `None` if a back end left whose version none of them has.
+    /// Reads the versions from changes, in their order; `None` if a back end left that none of the
+    /// changes before describes.
     pub fn of(changes: &[Record]) -> Option<Self> {
-        let mut versions = Self::default();
-        let mut described: HashSet<&BackendName> = HashSet::new();
+        let mut earlier = Self::default();
         for record in changes {
-            if let Record::Backend(backend) = record {
-                described.insert(&backend.id.name);
-                let service = versions.0.entry(backend.service.clone()).or_default();
-                service.extend(backend.software_version.clone());
+            match record {
+                Record::Backend(backend) => earlier.insert(backend),
+                Record::BackendGone(name) if !earlier.described.contains(name) => return None,
+                Record::Unreadable {
+                    subject: RecordSubject::Backend(_),
+                    ..
+                } => return None,
+                _ => {}
             }
         }
-        let is_described = |record: &Record| match record {
-            Record::BackendGone(name) => described.contains(name),
-            Record::Unreadable { subject, .. } => !matches!(subject, RecordSubject::Backend(_)),
-            _ => true,
-        };
-        changes.iter().all(is_described).then_some(versions)
+        Some(earlier)
+    }
+
+    fn insert(&mut self, backend: &Backend) {
+        self.described.insert(backend.id.name.clone());
+        let service = backend.service.clone();
+        let versions = self.versions.entry(service).or_default();
+        versions.extend(backend.software_version.clone());
+    }
+
+    /// Returns whether the changes describe a back end. Where a listed one is missing, they begin
+    /// later than its last change, and others may have left before that.
+    pub fn describes(&self, backend: &BackendName) -> bool {
+        self.described.contains(backend)
     }
 
     /// Returns the versions of a service.
     pub fn of_service(&self, service: &str) -> impl Iterator<Item = &SoftwareVersion> {
-        self.0.get(service).into_iter().flatten()
+        self.versions.get(service).into_iter().flatten()
     }
 
     /// Returns the services with their versions as text.
     pub fn names(&self) -> String {
-        let services = self.0.iter().map(|(service, versions)| {
+        let services = self.versions.iter().map(|(service, versions)| {
             let versions: Vec<&str> = versions.iter().map(String::as_str).collect();
             format!("{service}:{}", versions.join("+"))
         });
--- a/coordination/src/software_versions/mod.rs
+++ b/coordination/src/software_versions/mod.rs
@@ -5,6 +5,7 @@
 
 mod earlier_versions;
 mod origin_holders;
+mod origin_keeper;
 mod stream_origins;
 mod take_up;
 mod told_streams;
@@ -14,6 +15,7 @@
 pub use {
     earlier_versions::EarlierVersions,
     origin_holders::{ListedEngines, OriginHolders},
+    origin_keeper::OriginKeeper,
     stream_origins::StreamOrigins,
     take_up::{OriginSearch, TakeUp},
     told_streams::ToldStreams,
--- a/coordination/src/software_versions/version_history.rs
+++ b/coordination/src/software_versions/version_history.rs
@@ -9,7 +9,7 @@
 
 /// Longest time between two known times that count as one: while all entries start again, nobody
 /// reads lists and no stream begins.
-const MAX_GAP: Duration = Duration::from_secs(5);
+pub(super) const MAX_GAP: Duration = Duration::from_secs(5);
 
 /// The software versions of one service that lists had, and the time of which all are known.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
@@ -46,18 +46,31 @@
 }
 
 impl VersionHistory {
-    /// Takes the versions of a list that is current at `now`, after those of the list before. The
-    /// first list begins the known time, or `is_first_start` says that nothing served before.
+    /// Takes the versions of a list. All lists since `since` are known; `None` if nothing served
+    /// before the first one.
     pub fn on_list<'v>(
         &mut self,
         versions: impl Iterator<Item = &'v SoftwareVersion>,
-        is_first_start: bool,
+        since: Option<Instant>,
         now: Instant,
     ) {
-        self.listed_at.extend(versions.map(|v| (v.clone(), now)));
-        let since = (!is_first_start).then_some(now);
-        let known = self.known.get_or_insert(KnownTime { since, until: now });
-        known.until = known.until.max(now);
+        self.known.get_or_insert(KnownTime { since, until: now });
+        self.extend(versions, now);
+    }
+
+    /// Extends the known time to `until`; these versions were listed in all that was added.
+    pub fn extend<'v>(
+        &mut self,
+        versions: impl Iterator<Item = &'v SoftwareVersion>,
+        until: Instant,
+    ) {
+        for version in versions {
+            let listed_at = self.listed_at.entry(version.clone()).or_insert(until);
+            *listed_at = until.max(*listed_at);
+        }
+        if let Some(known) = &mut self.known {
+            known.until = known.until.max(until);
+        }
     }
 
     /// Takes what another process reports.
@@ -88,20 +101,22 @@
         self.known = Some(known);
     }
 
-    /// Extends the known time by the last `memory`, in which these versions were listed, for all that
-    /// is known until now.
+    /// Takes versions that were listed some time before `now`.
     pub fn on_earlier<'v>(
         &mut self,
         versions: impl Iterator<Item = &'v SoftwareVersion>,
-        memory: Duration,
         now: Instant,
     ) {
         for version in versions {
             self.listed_at.entry(version.clone()).or_insert(now);
         }
+    }
+
+    /// Extends the known time by the last `time`, if there is one.
+    pub fn cover(&mut self, time: Duration, now: Instant) {
         if let Some(known) = &mut self.known {
             // a time before the first moment of the clock is as good as always
-            known.since = known.since.min(now.checked_sub(memory));
+            known.since = known.since.min(now.checked_sub(time));
         }
     }
 
--- a/coordination/src/software_versions/version_mix.rs
+++ b/coordination/src/software_versions/version_mix.rs
@@ -1,8 +1,8 @@
 use {
-    super::{EarlierVersions, VersionHistory},
+    super::{version_history::MAX_GAP, EarlierVersions, VersionHistory},
     chalkcart_protocol::peer::VersionReport,
     chalkcart_state::{
-        backends::{Backend, SoftwareVersion},
+        backends::{Backend, BackendName, SoftwareVersion},
         ids::ServiceName,
     },
     std::{
@@ -36,8 +36,8 @@
 #[derive(Debug, Default)]
 struct ServiceVersions {
     listed: BTreeSet<SoftwareVersion>,
-    /// Whether the service has listed back ends.
-    has_backends: bool,
+    /// The names of listed back ends.
+    backends: Vec<BackendName>,
     history: VersionHistory,
 }
 
@@ -50,6 +50,8 @@
     is_first_start: bool,
     /// Time of the first list.
     listed_since: Option<Instant>,
+    /// When the list in use was last known to be the newest.
+    current_at: Option<Instant>,
 }
 
 impl SoftwareVersions {
@@ -62,21 +64,33 @@
 
     /// Applies a list. Versions that are not listed any more are kept for `memory`.
     pub fn on_list(&mut self, list: &[Backend], memory: Duration, now: Instant) {
-        self.listed_since.get_or_insert(now);
-        let mut listed: HashMap<ServiceName, BTreeSet<SoftwareVersion>> = HashMap::new();
+        let first = *self.listed_since.get_or_insert(now);
+        self.on_current(now);
+        // no list so far had a back end of a service that is listed later
+        let since = (!self.is_first_start).then_some(first);
+        let mut listed: HashMap<&ServiceName, Vec<&Backend>> = HashMap::new();
         for backend in list {
-            let versions = listed.entry(backend.service.clone()).or_default();
-            versions.extend(backend.software_version.clone());
-        }
-        for service in listed.keys() {
-            self.services.entry(service.clone()).or_default();
+            self.services.entry(backend.service.clone()).or_default();
+            listed.entry(&backend.service).or_default().push(backend);
         }
         for (service, versions) in &mut self.services {
-            versions.on_list(listed.remove(service), self.is_first_start, now);
+            let backends = listed.remove(service).unwrap_or_default();
+            versions.on_list(&backends, since, now);
             versions.history.forget_before(memory, now);
         }
     }
 
+    /// Notes that the list in use was the newest at `at`.
+    pub fn on_current(&mut self, at: Instant) {
+        self.current_at = self.current_at.max(Some(at));
+    }
+
+    /// Returns until when the versions are known: a list counts until the last time at which there
+    /// was no newer one.
+    fn known_until(&self, now: Instant) -> Instant {
+        self.current_at.map_or(now, |at| at.min(now))
+    }
+
     /// Takes what another process reports of a service.
     pub fn on_report(&mut self, report: &VersionReport, now: Instant) {
         // before the first list there is no known time that the report could extend
@@ -85,18 +99,22 @@
         }
     }
 
-    /// Takes all versions that lists had in the last `memory` before this process started.
+    /// Takes what the store still has of the time before this process started; it counts as the last
+    /// `memory` if it describes all listed back ends.
     pub fn on_earlier(&mut self, earlier: &EarlierVersions, memory: Duration, now: Instant) {
         for (service, versions) in &mut self.services {
-            let earlier = earlier.of_service(service);
-            versions.history.on_earlier(earlier, memory, now);
+            let history = &mut versions.history;
+            history.on_earlier(earlier.of_service(service), now);
+            if versions.backends.iter().all(|name| earlier.describes(name)) {
+                history.cover(memory, now);
+            }
         }
     }
 
     /// Returns which versions may have begun a stream that is taken up within `memory`.
     pub fn mix(&self, service: &str, memory: Duration, now: Instant) -> VersionMix {
         match self.services.get(service) {
-            Some(versions) => versions.mix(memory, now),
+            Some(versions) => versions.mix(memory, self.known_until(now), now),
             None => VersionMix::NotKnown,
         }
     }
@@ -128,23 +146,21 @@
 
     /// Returns what this process knows of a service, for others.
     pub fn report(&self, service: &ServiceName, now: Instant) -> Option<VersionReport> {
-        self.services.get(service)?.report(service, now)
+        let until = self.known_until(now);
+        self.services.get(service)?.report(service, until, now)
     }
 }
 
 impl ServiceVersions {
-    /// Takes the versions of a list; `None` if it has no back end of the service.
-    fn on_list(
-        &mut self,
-        listed: Option<BTreeSet<SoftwareVersion>>,
-        is_first_start: bool,
-        now: Instant,
-    ) {
-        self.has_backends = listed.is_some();
-        let before = std::mem::replace(&mut self.listed, listed.unwrap_or_default());
+    /// Takes the listed back ends; `since` is the time of the first list, `None` if nothing served
+    /// before it.
+    fn on_list(&mut self, backends: &[&Backend], since: Option<Instant>, now: Instant) {
+        self.backends = backends.iter().map(|b| b.id.name.clone()).collect();
+        let versions = backends.iter().filter_map(|b| b.software_version.clone());
+        let before = std::mem::replace(&mut self.listed, versions.collect());
         // those of the list before were listed until now
         let versions = before.union(&self.listed);
-        self.history.on_list(versions, is_first_start, now);
+        self.history.on_list(versions, since, now);
     }
 
     fn recent(&self, memory: Duration, now: Instant) -> Vec<SoftwareVersion> {
@@ -153,21 +169,22 @@
         recent.into_iter().collect()
     }
 
-    fn mix(&self, memory: Duration, now: Instant) -> VersionMix {
+    fn mix(&self, memory: Duration, until: Instant, now: Instant) -> VersionMix {
         let mut recent = self.recent(memory, now).into_iter();
-        let is_covered = self.history.covers(memory, now);
+        let is_current = now.saturating_duration_since(until) <= MAX_GAP;
+        let is_covered = is_current && self.history.covers(memory, now);
         match (recent.next(), recent.next()) {
-            (None, _) if self.has_backends => VersionMix::Unnamed,
+            (None, _) if !self.backends.is_empty() => VersionMix::Unnamed,
             (Some(version), None) if is_covered => VersionMix::One(version),
             (Some(_), Some(_)) => VersionMix::Several,
             _ => VersionMix::NotKnown,
         }
     }
 
-    /// Returns what is known up to now: a list counts until the next one.
-    fn report(&self, service: &ServiceName, now: Instant) -> Option<VersionReport> {
+    /// Returns what is known up to `until`.
+    fn report(&self, service: &ServiceName, until: Instant, now: Instant) -> Option<VersionReport> {
         let mut current = self.history.clone();
-        current.on_list(self.listed.iter(), false, now);
+        current.extend(self.listed.iter(), until);
         current.report(service, now)
     }
 }
--- a/coordination/tests/rejoined_sim/clients.rs
+++ b/coordination/tests/rejoined_sim/clients.rs
@@ -114,7 +114,7 @@
         let Some(state) = &self.entries[entry].state else {
             return;
         };
-        match state.search(&request, now) {
+        match state.search(&request, SERVICE, now) {
             Search::Known(origin) => {
                 let take_up = state.take_up_known(&origin, now);
                 self.apply(number, entry, take_up);
--- a/coordination/tests/rejoined_sim/entry.rs
+++ b/coordination/tests/rejoined_sim/entry.rs
@@ -3,13 +3,14 @@
 
 use {
     chalkcart_coordination::software_versions::{
-        stream_memory, ListedEngines, OriginHolders, OriginSearch, SoftwareVersions, StreamOrigins,
-        TakeUp, VersionMix,
+        stream_memory, ListedEngines, OriginHolders, OriginKeeper, OriginSearch, SoftwareVersions,
+        StreamOrigins, TakeUp, ToldStreams,
+    },
+    chalkcart_protocol::peer::{
+        StreamOrigin, StreamOriginsRequest, StreamOriginsResponse, VersionReport,
     },
-    chalkcart_protocol::peer::{StreamOrigin, StreamOriginsRequest, StreamOriginsResponse},
     chalkcart_state::backends::Backend,
     std::{
-        collections::BTreeMap,
         net::SocketAddr,
         sync::Arc,
         time::{Duration, Instant},
@@ -39,18 +40,16 @@
     versions: SoftwareVersions,
     holders: OriginHolders,
     own: StreamOrigins,
-    running: BTreeMap<String, StreamOrigin>,
-    is_first_start: bool,
+    told: ToldStreams,
 }
 
 impl EntryState {
     pub fn new(is_first_start: bool, _now: Instant) -> Self {
         Self {
-            versions: SoftwareVersions::default(),
+            versions: SoftwareVersions::new(is_first_start),
             holders: OriginHolders::default(),
             own: StreamOrigins::default(),
-            running: BTreeMap::new(),
-            is_first_start,
+            told: ToldStreams::default(),
         }
     }
 
@@ -63,52 +62,70 @@
             staying: addrs(false),
             leaving: addrs(true),
         }));
-        let mixed = self.versions.on_list(list, memory(), now);
-        let running = self.running.values();
-        let told = running.filter(|origin| mixed.contains(&origin.service));
-        told.flat_map(|origin| self.tell(origin)).collect()
+        self.versions.on_list(list, memory(), now);
+        Vec::new()
     }
 
     /// The connection to a sidecar that has started, or from an entry that has, is there.
-    pub fn on_sidecar_connected(&mut self, _sidecar: SocketAddr, _now: Instant) -> Vec<Message> {
+    pub fn on_sidecar_connected(&mut self, sidecar: SocketAddr, _now: Instant) -> Vec<Message> {
+        self.told.on_lost(sidecar);
         Vec::new()
     }
 
     /// Is called several times in a second.
-    pub fn on_tick(&mut self, _now: Instant) -> Vec<Message> {
-        Vec::new()
+    pub fn on_tick(&mut self, now: Instant) -> Vec<Message> {
+        // the simulated lists have no outages
+        self.versions.on_current(now);
+        let due = self.told.due(&self.holders, now).into_iter();
+        let told: Vec<Message> = due.map(|(to, kept)| self.tell(to, kept, now)).collect();
+        let short = self.versions.not_covered(memory(), now);
+        if short.is_empty() {
+            return told;
+        }
+        let question = StreamOriginsRequest {
+            versions: self.reports(short.iter().map(String::as_str), now),
+            ..StreamOriginsRequest::default()
+        };
+        let asked = self.holders.asked("").into_iter().map(|to| Message {
+            to,
+            request: question.clone(),
+        });
+        told.into_iter().chain(asked).collect()
     }
 
     /// Receives the response to any message but one of a take-up.
     pub fn on_response(
         &mut self,
-        _from: SocketAddr,
-        _response: &StreamOriginsResponse,
-        _now: Instant,
+        message: &Message,
+        response: &StreamOriginsResponse,
+        now: Instant,
     ) -> Vec<Message> {
+        let kept_for = response.kept_for_ms.map(Duration::from_millis);
+        self.told
+            .on_told(message.to, &message.request.kept, now, kept_for, now);
+        self.on_reports(response, now);
         Vec::new()
     }
 
     pub fn on_stream_began(&mut self, origin: StreamOrigin, now: Instant) -> Vec<Message> {
         self.own.insert(origin.clone(), memory(), now);
-        let request = origin.request.clone();
-        self.running.insert(request, origin.clone());
-        match self.may_mix(&origin.service, now) {
-            true => self.tell(&origin),
-            false => Vec::new(),
-        }
+        self.told.on_began(origin.clone());
+        let engines = self.told.due_of(&origin.request, &self.holders).into_iter();
+        let messages = engines.map(|to| self.tell(to, vec![origin.clone()], now));
+        messages.collect()
     }
 
     pub fn on_stream_ended(&mut self, request: &str) {
-        self.running.remove(request);
+        self.told.on_whole(request);
     }
 
-    pub fn search(&self, request: &str, now: Instant) -> Search {
+    pub fn search(&self, request: &str, service: &str, now: Instant) -> Search {
         if let Some(origin) = self.own.get(request, now) {
             return Search::Known(origin.clone());
         }
         let question = StreamOriginsRequest {
             asked: vec![request.to_string()],
+            versions: self.reports([service].into_iter(), now),
             ..StreamOriginsRequest::default()
         };
         let messages = self.holders.asked(request).into_iter().map(|to| Message {
@@ -120,66 +137,68 @@
 
     /// Decides where a stream may go on whose origin this entry has.
     pub fn take_up_known(&self, origin: &StreamOrigin, now: Instant) -> TakeUp {
-        let mix = self.mix(&origin.service, now);
+        let mix = self.versions.mix(&origin.service, memory(), now);
         TakeUp::decide(&OriginSearch::Found(origin.clone()), &mix)
     }
 
     /// Decides where a stream may go on, by the responses of the sidecars that were asked.
     pub fn take_up(
-        &self,
+        &mut self,
         request: &str,
         service: &str,
         asked: usize,
         responses: &[(SocketAddr, StreamOriginsResponse)],
         now: Instant,
     ) -> TakeUp {
+        for (_, response) in responses {
+            self.on_reports(response, now);
+        }
         let known = responses.iter().flat_map(|(_, response)| &response.known);
         let found = known.into_iter().find(|origin| origin.request == request);
         let search = match found {
             Some(origin) => OriginSearch::Found(origin.clone()),
             None => OriginSearch::without_origin(asked, responses.len()),
         };
-        TakeUp::decide(&search, &self.mix(service, now))
+        TakeUp::decide(&search, &self.versions.mix(service, memory(), now))
     }
 
     pub fn is_told(&self, request: &str, now: Instant) -> bool {
         self.own.get(request, now).is_some()
     }
 
-    fn mix(&self, service: &str, now: Instant) -> VersionMix {
-        self.versions.mix(service, memory(), now)
+    fn on_reports(&mut self, response: &StreamOriginsResponse, now: Instant) {
+        for report in &response.versions {
+            self.versions.on_report(report, now);
+        }
     }
 
-    fn may_mix(&self, service: &str, now: Instant) -> bool {
-        let is_sure = self.versions.is_surely_one(service, memory(), now);
-        self.mix(service, now) != VersionMix::One || !(is_sure || self.is_first_start)
+    fn reports<'s>(
+        &self,
+        services: impl Iterator<Item = &'s str>,
+        now: Instant,
+    ) -> Vec<VersionReport> {
+        let reports = services.filter_map(|s| self.versions.report(&s.to_string(), now));
+        reports.collect()
     }
 
-    fn tell(&self, origin: &StreamOrigin) -> Vec<Message> {
+    fn tell(&self, to: SocketAddr, kept: Vec<StreamOrigin>, now: Instant) -> Message {
+        let services = kept.iter().map(|origin| origin.service.as_str());
         let request = StreamOriginsRequest {
-            kept: vec![origin.clone()],
+            versions: self.reports(services.take(1), now),
+            kept,
             keep_ms: memory().as_millis() as u64,
             asked: Vec::new(),
         };
-        let holders = self.holders.told(&origin.request).into_iter();
-        let messages = holders.map(|to| Message {
-            to,
-            request: request.clone(),
-        });
-        messages.collect()
+        Message { to, request }
     }
 }
 
 /// What a sidecar that runs keeps.
-pub struct SidecarState {
-    origins: StreamOrigins,
-}
+pub struct SidecarState(OriginKeeper);
 
 impl SidecarState {
-    pub fn new(_now: Instant) -> Self {
-        Self {
-            origins: StreamOrigins::default(),
-        }
+    pub fn new(now: Instant) -> Self {
+        Self(OriginKeeper::new(now))
     }
 
     pub fn response(
@@ -187,19 +206,11 @@
         request: StreamOriginsRequest,
         now: Instant,
     ) -> StreamOriginsResponse {
-        let keep = Duration::from_millis(request.keep_ms);
-        for origin in request.kept {
-            self.origins.insert(origin, keep, now);
-        }
-        let asked = request.asked.iter();
-        let known = asked.filter_map(|request| self.origins.get(request, now));
-        StreamOriginsResponse {
-            known: known.cloned().collect(),
-        }
+        self.0.response(request, now)
     }
 
     pub fn is_told(&self, request: &str, now: Instant) -> bool {
-        self.origins.get(request, now).is_some()
+        self.0.keeps(request, now)
     }
 }
 
--- a/coordination/tests/rejoined_sim/fleet.rs
+++ b/coordination/tests/rejoined_sim/fleet.rs
@@ -391,7 +391,7 @@
         let Some(state) = self.state(call.entry, call.life) else {
             return;
         };
-        let messages = state.on_response(from, &response, now);
+        let messages = state.on_response(&call.message, &response, now);
         self.send_all(call.entry, messages);
     }
 }
--- a/coordination/tests/software_versions.rs
+++ b/coordination/tests/software_versions.rs
@@ -189,16 +189,44 @@
     assert_eq!(mix(&versions, later), VersionMix::Several);
     versions.on_list(&two[1..], MEMORY, later);
     assert_eq!(mix(&versions, later + MEMORY - ms(1)), VersionMix::Several);
+    versions.on_current(later + MEMORY);
     assert_eq!(mix(&versions, later + MEMORY), one("v2"));
 }
 
+/// Guards against: an entry that is cut off from the store, and takes an old list for all that serve.
+#[test]
+fn a_list_that_may_be_behind_proves_nothing() {
+    let start = Instant::now();
+    let mut versions = SoftwareVersions::new(true);
+    versions.on_list(&listed_versions(&["v1"]), MEMORY, start);
+    let later = start + Duration::from_secs(5);
+    assert_eq!(versions.mix(ENGINES, MEMORY, later), one("v1"));
+    let mix = versions.mix(ENGINES, MEMORY, later + ms(1));
+    assert_eq!(mix, VersionMix::NotKnown);
+    versions.on_current(later);
+    assert_eq!(versions.mix(ENGINES, MEMORY, later + ms(1)), one("v1"));
+}
+
+/// Guards against: streams refused as a service is listed only some time after the entry's start.
+#[test]
+fn lists_without_a_service_prove_that_none_of_its_versions_served() {
+    let start = Instant::now();
+    let mut versions = SoftwareVersions::default();
+    versions.on_list(&[], MEMORY, start);
+    versions.on_list(&listed_versions(&["v1"]), MEMORY, start + MEMORY);
+    assert_eq!(versions.mix(ENGINES, MEMORY, start + MEMORY), one("v1"));
+}
+
 /// Guards against: an entry that never learns that one version alone serves.
 #[test]
 fn one_version_is_known_after_lists_of_the_whole_memory() {
     let start = Instant::now();
     let mut versions = SoftwareVersions::default();
     versions.on_list(&listed_versions(&["v1"]), MEMORY, start);
-    let mix = |now| versions.mix(ENGINES, MEMORY, now);
+    let mut mix = |now| {
+        versions.on_current(now);
+        versions.mix(ENGINES, MEMORY, now)
+    };
     assert_eq!(mix(start + MEMORY - ms(1)), VersionMix::NotKnown);
     assert_eq!(mix(start + MEMORY), one("v1"));
 }
--- a/coordination/tests/version_history.rs
+++ b/coordination/tests/version_history.rs
@@ -137,6 +137,7 @@
     let mut first = SoftwareVersions::default();
     first.on_list(&[backend("e", Some("v1"))], MEMORY, begin);
     let later = begin + Duration::from_secs(20);
+    first.on_current(later);
     let told = first.report(&SERVICE.to_string(), later).expect("a report");
     assert_eq!(told, report(&[("v1", 0)], Some(20_000), 0));
     let mut second = started("v1", later);
@@ -145,6 +146,7 @@
     assert_eq!(passed_on, Some(told));
     assert_eq!(second.mix(SERVICE, MEMORY, later), VersionMix::NotKnown);
     let last = begin + MEMORY;
+    second.on_current(last);
     assert_eq!(second.mix(SERVICE, MEMORY, last), one("v1"));
 }
 
@@ -181,10 +183,19 @@
         problem: String::new(),
     };
     let cases = [
-        (Vec::new(), Some(one("v2"))),
-        (vec![written("a", "v2")], Some(one("v2"))),
-        (vec![written("a", "v2"), gone("a")], Some(one("v2"))),
-        (vec![written("a", "v1")], Some(VersionMix::Several)),
+        (vec![written("e", "v2")], Some(one("v2"))),
+        (
+            vec![written("a", "v2"), written("e", "v2")],
+            Some(one("v2")),
+        ),
+        (
+            vec![written("e", "v2"), written("a", "v2"), gone("a")],
+            Some(one("v2")),
+        ),
+        (
+            vec![written("e", "v2"), written("a", "v1")],
+            Some(VersionMix::Several),
+        ),
         (
             vec![written("a", "v1"), gone("a")],
             Some(VersionMix::Several),
--- a/entry/src/ingress/earlier_versions.rs
+++ b/entry/src/ingress/earlier_versions.rs
@@ -5,7 +5,7 @@
 use {
     super::shared::Shared,
     chalkcart_coordination::{software_versions::EarlierVersions, watch::WatchTimes},
-    chalkcart_state::published::{Record, StorePosition, Topic},
+    chalkcart_state::published::{Record, StoreEra, StorePosition, Topic},
     chalkcart_transport::{
         clock,
         metadata::{MetadataSource, SourceError, WatchOutcome},
@@ -16,6 +16,8 @@
 
 /// Largest number of the store's latest changes that are read.
 const MAX_CHANGES: u64 = 4_096;
+/// A store of a later era has returned with an older state, and lacks what was listed after that.
+const FIRST_ERA: StoreEra = 1;
 /// By how much fewer are read if the store has dropped some of them.
 const STEP: u64 = 4;
 /// Reads between the most changes that the store still has and the fewest that it has dropped.
@@ -44,7 +46,7 @@
         };
         let earlier = search.run().await;
         log::info!(
-            is_known = earlier.is_some(),
+            is_history_known = earlier.is_some(),
             versions = earlier.as_ref().map(EarlierVersions::names).unwrap_or_default().as_str(),
             before:% = position,
             took_ms = clock::elapsed(began).as_millis() as u64;
@@ -54,7 +56,7 @@
             shared.software_versions.on_earlier(&earlier);
         }
     }
-    shared.software_versions.on_start_over();
+    shared.software_versions.on_history_read();
 }
 
 async fn first_position(shared: &Shared) -> StorePosition {
@@ -76,6 +78,9 @@
 impl HistorySearch {
     /// Returns the versions in all changes that the store has; `None` if that can't be known.
     async fn run(mut self) -> Option<EarlierVersions> {
+        if self.position.era > FIRST_ERA {
+            return None;
+        }
         let all = self.position.revision;
         let mut count = MAX_CHANGES.min(all);
         // the fewest changes of which the store has dropped some
@@ -109,6 +114,10 @@
         loop {
             let after = self.position.back_by(count);
             match self.store.watch(Topic::Backends, after, TIMES).await {
+                // a store that is behind the configuration that was read from it
+                Ok(WatchOutcome::Records(update)) if update.snapshot.at < self.position => {
+                    return None;
+                }
                 Ok(WatchOutcome::Records(update)) => return Some(Some(update.snapshot.records)),
                 // without a single change there is nothing to know
                 Ok(WatchOutcome::HistoryLost) if count == 0 => return None,
--- a/entry/src/ingress/records.rs
+++ b/entry/src/ingress/records.rs
@@ -157,6 +157,8 @@
         match topic {
             Topic::Backends => {
                 self.set_list_away(false);
+                let versions = &self.shared.software_versions;
+                versions.on_current(update.current_at);
                 self.apply_backends(update.snapshot, is_full);
             }
             Topic::Configuration => {
--- a/entry/src/ingress/shared_software_versions.rs
+++ b/entry/src/ingress/shared_software_versions.rs
@@ -12,7 +12,7 @@
     std::{
         collections::HashMap,
         sync::{Arc, Mutex, MutexGuard, PoisonError},
-        time::Duration,
+        time::{Duration, Instant},
     },
     tokio::{sync::watch, time::timeout},
 };
@@ -20,7 +20,8 @@
 /// The software versions that may have begun streams which are still taken up.
 pub struct SharedSoftwareVersions {
     state: Mutex<State>,
-    is_start_over: watch::Sender<bool>,
+    /// Whether the store's history was read, or can't be.
+    is_history_read: watch::Sender<bool>,
 }
 
 /// What this process knows of the versions of a service, for logs and metrics.
@@ -105,7 +106,7 @@
                 longest_attempt: Duration::ZERO,
                 logged: HashMap::new(),
             }),
-            is_start_over: watch::Sender::new(false),
+            is_history_read: watch::Sender::new(false),
         }
     }
 
@@ -122,6 +123,11 @@
         state.listed = versions.collect();
     }
 
+    /// Notes that the list in use was the newest at `at`.
+    pub fn on_current(&self, at: Instant) {
+        self.lock().versions.on_current(at);
+    }
+
     /// Takes what others report of versions.
     pub fn on_reports(&self, reports: &[VersionReport]) {
         let mut state = self.lock();
@@ -141,16 +147,16 @@
         state.log_changes();
     }
 
-    /// Called once all that can be known of the time before this process started is known.
-    pub fn on_start_over(&self) {
-        self.is_start_over.send_replace(true);
+    /// Called once the store's history was read, or can't be.
+    pub fn on_history_read(&self) {
+        self.is_history_read.send_replace(true);
     }
 
-    /// Waits until that is known, but not for longer than `limit`.
-    pub async fn wait_for_start(&self, limit: Duration) {
-        let mut is_over = self.is_start_over.subscribe();
+    /// Waits until the store's history was read, but not for longer than `limit`.
+    pub async fn wait_for_history(&self, limit: Duration) {
+        let mut is_read = self.is_history_read.subscribe();
         // The sender lives as long as this value.
-        let _ = timeout(limit, is_over.wait_for(|is_over| *is_over)).await;
+        let _ = timeout(limit, is_read.wait_for(|is_read| *is_read)).await;
     }
 
     /// Returns what this process knows of the versions of a service, for others.
@@ -158,11 +164,20 @@
         self.lock().versions.report(service, clock::now())
     }
 
-    /// Returns whether others may know versions that this process doesn't.
-    pub fn is_knowledge_short(&self) -> bool {
+    /// Returns the same of the services of a route.
+    pub fn reports(&self, route: &Route) -> Vec<VersionReport> {
+        let services = route.services.iter();
+        let reports = services.filter_map(|weighted| self.report(&weighted.service));
+        reports.collect()
+    }
+
+    /// Returns the same of the services of which too little is known.
+    pub fn short_reports(&self) -> Vec<VersionReport> {
         let state = self.lock();
-        let short = state.versions.not_covered(state.memory(), clock::now());
-        !short.is_empty()
+        let now = clock::now();
+        let short = state.versions.not_covered(state.memory(), now);
+        let reports = short.iter().filter_map(|s| state.versions.report(s, now));
+        reports.collect()
     }
 
     /// Returns what is known of the versions of a service.
--- a/entry/src/ingress/stream_origin_exchange.rs
+++ b/entry/src/ingress/stream_origin_exchange.rs
@@ -18,14 +18,17 @@
     std::{
         collections::BTreeMap,
         net::SocketAddr,
-        sync::{Mutex, MutexGuard, PoisonError},
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
         time::Duration,
     },
+    tokio::sync::Semaphore,
 };
 
 /// Time limit of one call. A client that takes a stream up waits for it at most once.
 const ASK_TIMEOUT: Duration = Duration::from_millis(150);
 const TELL_TIMEOUT: Duration = Duration::from_millis(300);
+/// Most calls at a time that tell of single streams.
+const MAX_TELLS: usize = 1_024;
 
 /// Who knew the origin of a stream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -83,6 +86,8 @@
     peers: PeerClient,
     control: ControlHandle,
     sidecar_port: u16,
+    /// Calls that tell of single streams.
+    pub tells: Arc<Semaphore>,
 }
 
 impl StreamOriginExchange {
@@ -94,13 +99,24 @@
             peers: PeerClient::new(),
             control,
             sidecar_port,
+            tells: Arc::new(Semaphore::new(MAX_TELLS)),
         }
     }
 
-    /// Keeps the origin of a stream that has begun.
-    pub fn on_stream_began(&self, origin: StreamOrigin, keep: Duration) {
+    /// Keeps the origin of a stream that has begun; returns false if sidecars can't be kept track of.
+    pub fn on_stream_began(&self, origin: StreamOrigin, keep: Duration) -> bool {
         self.own().insert(origin.clone(), keep, clock::now());
-        self.told().on_began(origin);
+        self.told().on_began(origin)
+    }
+
+    /// Keeps the origin of a stream that its client takes up here, as the entry that forwarded it may
+    /// have ended.
+    pub fn on_found(&self, origin: StreamOrigin, keep: Duration) {
+        let (request, now) = (origin.request.clone(), clock::now());
+        self.own().insert(origin.clone(), keep, now);
+        let mut told = self.told();
+        told.on_began(origin);
+        told.on_broken(&request, now + keep);
     }
 
     /// Forgets a stream that its client has received whole, and keeps any other for as long as it may
@@ -154,9 +170,12 @@
         }
     }
 
-    /// Asks sidecars what they know of versions.
-    pub async fn ask_versions(&self) -> Vec<VersionReport> {
-        let question = StreamOriginsRequest::default();
+    /// Asks sidecars what they know of the versions of services, of which this entry knows `own`.
+    pub async fn ask_versions(&self, own: Vec<VersionReport>) -> Vec<VersionReport> {
+        let question = StreamOriginsRequest {
+            versions: own,
+            ..StreamOriginsRequest::default()
+        };
         let engines = self.holders().asked("");
         let calls = engines.into_iter().map(|engine| {
             let holder = self.sidecar_of(engine);
@@ -166,14 +185,16 @@
         answers.flat_map(|answer| answer.versions).collect()
     }
 
-    /// Searches the origin of the stream that an attempt began.
-    pub async fn find(&self, request: &str) -> OriginAnswer {
+    /// Searches the origin of the stream that an attempt began. `own` is what this entry knows of the
+    /// versions of its services, of which it asks as well.
+    pub async fn find(&self, request: &str, own: Vec<VersionReport>) -> OriginAnswer {
         if let Some(origin) = self.own().get(request, clock::now()) {
             let found = OriginSearch::Found(origin.clone());
             return OriginAnswer::unasked(found, Some(OriginSource::Entry));
         }
         let question = StreamOriginsRequest {
             asked: vec![request.to_string()],
+            versions: own,
             ..StreamOriginsRequest::default()
         };
         let holders = self.holders().asked(request);
--- a/entry/src/ingress/stream_origin_telling.rs
+++ b/entry/src/ingress/stream_origin_telling.rs
@@ -5,13 +5,15 @@
     super::shared::Shared,
     chalkcart_protocol::peer::{StreamOrigin, StreamOriginsRequest, VersionReport},
     chalkcart_state::ids::ServiceName,
-    futures::future::join_all,
+    futures::{stream, StreamExt},
     std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration},
     tokio::time::sleep,
 };
 
 /// Time between two checks of what has to be told again.
 const CHECK_INTERVAL: Duration = Duration::from_millis(200);
+/// Most sidecars that a check tells at a time.
+const MAX_CALLS: usize = 64;
 /// Most origins in one message.
 const MAX_ORIGINS: usize = 256;
 /// Questions about versions after a start; later ones come with the first streams.
@@ -22,10 +24,19 @@
     pub fn on_stream_began(self: &Arc<Self>, origin: StreamOrigin) {
         let keep = self.software_versions.memory();
         let request = origin.request.clone();
-        self.stream_origins.on_stream_began(origin.clone(), keep);
+        if !self.stream_origins.on_stream_began(origin.clone(), keep) {
+            self.metrics.on_origins_told("left_out", 1);
+        }
         for engine in self.stream_origins.due_of(&request) {
+            // the next check tells the rest, several in one message
+            let Ok(permit) = self.stream_origins.tells.clone().try_acquire_owned() else {
+                return;
+            };
             let (shared, origin) = (self.clone(), origin.clone());
-            tokio::spawn(async move { shared.tell(engine, vec![origin]).await });
+            tokio::spawn(async move {
+                shared.tell(engine, vec![origin]).await;
+                drop(permit);
+            });
         }
     }
 
@@ -61,10 +72,12 @@
                 origins.truncate(MAX_ORIGINS);
                 self.tell(engine, origins)
             });
-            join_all(calls).await;
-            if questions < MAX_QUESTIONS && self.software_versions.is_knowledge_short() {
+            let calls = stream::iter(calls).buffer_unordered(MAX_CALLS);
+            calls.collect::<Vec<()>>().await;
+            let own = self.software_versions.short_reports();
+            if questions < MAX_QUESTIONS && !own.is_empty() {
                 questions += 1;
-                let versions = self.stream_origins.ask_versions().await;
+                let versions = self.stream_origins.ask_versions(own).await;
                 self.software_versions.on_reports(&versions);
             }
         }
--- a/entry/src/ingress/stream_take_up.rs
+++ b/entry/src/ingress/stream_take_up.rs
@@ -16,8 +16,8 @@
 
 /// Log value for a stream whose origin is not known while several versions may have begun it.
 const UNKNOWN_SOFTWARE: &str = "unknown_software";
-/// Time for which a take-up waits for what is read of earlier versions at the start.
-const MAX_START_WAIT: Duration = Duration::from_millis(500);
+/// Time for which a take-up shortly after the start waits for the store's history.
+const MAX_HISTORY_WAIT: Duration = Duration::from_millis(500);
 /// A sidecar that could not answer may do so by then.
 const UNKNOWN_RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -33,10 +33,14 @@
         let mut take_up = self.take_up(&answer.search);
         if take_up == TakeUp::Unknown {
             let versions = &self.shared.software_versions;
-            versions.wait_for_start(MAX_START_WAIT).await;
+            versions.wait_for_history(MAX_HISTORY_WAIT).await;
             take_up = self.take_up(&answer.search);
         }
         self.log_take_up(&take_up, &answer);
+        if let OriginSearch::Found(origin) = answer.search {
+            let keep = self.shared.software_versions.memory();
+            self.shared.stream_origins.on_found(origin, keep);
+        }
         match take_up {
             TakeUp::Anywhere => None,
             TakeUp::At(version) => {
@@ -66,6 +70,9 @@
                 return TakeUp::Unknown;
             }
             self.request.service = origin.service.clone();
+        } else if self.accepted.route.services.len() > 1 {
+            // another service may have begun it
+            return TakeUp::Unknown;
         }
         let mix = self.shared.software_versions.mix(&self.request.service);
         TakeUp::decide(search, &mix)
@@ -76,7 +83,8 @@
         let Some(first_attempt) = self.accepted.head.first_attempt.as_deref() else {
             return unanswered();
         };
-        let search = self.shared.stream_origins.find(first_attempt);
+        let own = self.shared.software_versions.reports(&self.accepted.route);
+        let search = self.shared.stream_origins.find(first_attempt, own);
         let found = before_deadline(self.deadline, search).await;
         found.unwrap_or_else(|_| unanswered())
     }
