Lines and metrics tell how each response of a back end ended

What operators saw: 'stream ended' had the framing and no number of bytes, a short answer that was held until it was complete had no line and no count, and a head that did not arrive had a free text only.

Change: 'body_ends' counts every response, streamed or held, also cut ones and those without a head, with the cause of the end (framing, closed, reset, invalid, too_long, local). 'stream ended', 'stream resumed' and 'stream not resumed' have cause and body_bytes; a held response that broke off or that was unframed has a line 'ingress: response ended'; a sound framed one has none. No decision changes: the outcome of a lost head still asks whether the peer closed the connection.

--- a/entry/src/ingress/mod.rs
+++ b/entry/src/ingress/mod.rs
@@ -19,6 +19,7 @@
 mod request_exchange;
 mod request_exchange_log;
 mod request_exchange_response;
+mod response_end_log;
 mod serve;
 mod service;
 mod shared;
--- a/entry/src/ingress/observers.rs
+++ b/entry/src/ingress/observers.rs
@@ -1,5 +1,10 @@
 use {
-    super::{control::ControlHandle, shared::Shared, stream_recovery::StreamRecovery},
+    super::{
+        control::ControlHandle,
+        response_end_log::{count_end, BROKEN, CUT, STREAMED, WHOLE},
+        shared::Shared,
+        stream_recovery::StreamRecovery,
+    },
     chalkcart_coordination::{
         crashes::PartRun,
         dispatch::{DispatchEvent, SendOutcome, Ticket},
@@ -13,7 +18,6 @@
     chalkcart_transport::{
         clock,
         ingress::{ProxyBodyEnd, ProxyBodyObserver, ProxyBodyReport, ResumeFuture, StreamCut},
-        metrics::BodyEndLabel,
     },
     log::Level,
     std::{
@@ -145,11 +149,13 @@
 
     fn on_end(&mut self, report: ProxyBodyReport) {
         let ProxyBodyReport {
-            end, longest_pause, ..
+            end,
+            longest_pause,
+            response,
         } = report;
         let (outcome, outcome_name) = match end {
-            ProxyBodyEnd::Complete => (SendOutcome::of_complete(report.framing), "whole"),
-            ProxyBodyEnd::Broken => (SendOutcome::Broken, "broken"),
+            ProxyBodyEnd::Complete => (SendOutcome::of_complete(response.framing), WHOLE),
+            ProxyBodyEnd::Broken => (SendOutcome::Broken, BROKEN),
             ProxyBodyEnd::TimedOut => (SendOutcome::Abandoned, "timed_out"),
             ProxyBodyEnd::ClientDisconnected => (SendOutcome::Abandoned, "client_left"),
         };
@@ -159,13 +165,7 @@
         self.shared
             .metrics
             .on_pause(&self.route.name, longest_pause);
-        let framing = report.framing.code();
-        let position = report.position.map_or("no_events", |at| at.code());
-        self.shared.metrics.on_body_end(BodyEndLabel {
-            end: outcome_name,
-            framing,
-            position,
-        });
+        count_end(&self.shared.metrics, outcome_name, &response, STREAMED);
         let level = match end {
             ProxyBodyEnd::Complete => Level::Info,
             ProxyBodyEnd::Broken | ProxyBodyEnd::TimedOut | ProxyBodyEnd::ClientDisconnected => {
@@ -180,8 +180,10 @@
             backend = self.backend.as_str(),
             born = self.backend.start_time_ms,
             outcome = outcome_name,
-            framing = framing,
-            position = position,
+            framing = response.framing.code(),
+            cause = response.cause.code(),
+            position = response.position_code(),
+            body_bytes = response.body_bytes,
             objective_ms = self.route.target_latency.as_millis() as u64,
             first_part_ms = self.first_part.map_or(-1, |t| t.as_millis() as i64),
             longest_pause_ms = longest_pause.as_millis() as u64,
@@ -192,6 +194,7 @@
 
     fn resume(&mut self, cut: StreamCut) -> Option<ResumeFuture<dyn ProxyBodyObserver>> {
         let recovery = self.recovery.take()?;
+        count_end(&self.shared.metrics, CUT, &cut.response, STREAMED);
         self.end_send(match cut.fault {
             None => SendOutcome::Broken,
             Some(_) => SendOutcome::Failed,
--- a/entry/src/ingress/request_exchange.rs
+++ b/entry/src/ingress/request_exchange.rs
@@ -14,6 +14,7 @@
             unread_until, Assignment, Decision, DecisionInputs, DispatchRequest, SendOutcome,
             Ticket,
         },
+        response_end::EndCause,
         stream_recovery::EventId,
     },
     chalkcart_state::{ids::Generation, regions::AllowedRegions},
@@ -354,13 +355,14 @@
             Ok(Err(BackendSendError::Lost {
                 addr,
                 problem,
-                is_closed_by_peer,
+                cause,
             })) => {
                 let request = self.accepted.head.id.as_str();
-                log::info!(request = request; "send: {addr}: {problem}");
-                let outcome = match is_closed_by_peer {
-                    true => SendOutcome::Broken,
-                    false => SendOutcome::Reset,
+                log::info!(request = request, cause = cause.code(); "send: {addr}: {problem}");
+                self.count_lost_head(cause);
+                let outcome = match cause {
+                    EndCause::Closed => SendOutcome::Broken,
+                    _ => SendOutcome::Reset,
                 };
                 guard.end(outcome);
                 let unread_until = unread_until(outcome, clock::now());
--- a/entry/src/ingress/request_exchange_response.rs
+++ b/entry/src/ingress/request_exchange_response.rs
@@ -11,7 +11,7 @@
         backend_signals::RequestRate,
         crashes::PartRun,
         dispatch::{Assignment, DispatchEvent, SendOutcome},
-        response_end::{ResponseProgress, Verdict},
+        response_end::{EndCause, ResponseProgress, Verdict},
     },
     chalkcart_state::backends::BackendId,
     chalkcart_transport::{
@@ -70,7 +70,7 @@
                 let stream = StartedStream::new(backend_response, guard);
                 SendResult::Streaming(Box::new(stream))
             }
-            false => self.buffer_response(backend_response, guard).await,
+            false => self.buffer_response(backend, backend_response, guard).await,
         }
     }
 
@@ -140,6 +140,7 @@
     /// large for that is passed on as it arrives.
     async fn buffer_response(
         &self,
+        backend: &BackendId,
         mut backend_response: BackendResponse,
         mut guard: SendGuard,
     ) -> SendResult {
@@ -148,18 +149,32 @@
         let body = backend_response.response.body_mut();
         let held = HeldParts::new(self.shared.held.begin());
         let read = read_held(body, held, &mut progress);
-        let body = match before_deadline(self.deadline, read).await {
-            Err(_) => return SendResult::TimedOut,
+        let read = before_deadline(self.deadline, read).await;
+        let status = backend_response.response.status();
+        let cause = match &read {
+            Err(_) => EndCause::Local,
+            Ok(Ok(HeldBody::Whole(_))) => EndCause::of_complete(progress.framing()),
+            Ok(Ok(HeldBody::TooLarge)) => EndCause::TooLong,
+            Ok(Err(e)) => e.end_cause(),
+        };
+        let ended = progress.ended(cause);
+        let body = match read {
+            Err(_) => {
+                self.record_held_end(backend, status, false, &ended);
+                return SendResult::TimedOut;
+            }
             Ok(Ok(HeldBody::Whole(body))) if progress.verdict() == Verdict::Whole => body,
-            Ok(Ok(HeldBody::TooLarge)) if backend_response.response.status().is_success() => {
+            Ok(Ok(HeldBody::TooLarge)) if status.is_success() => {
                 let stream = StartedStream::of_large_response(backend_response, guard);
                 return SendResult::Streaming(Box::new(stream));
             }
             Ok(Ok(HeldBody::Whole(_) | HeldBody::TooLarge) | Err(_)) => {
+                self.record_held_end(backend, status, false, &ended);
                 guard.end(SendOutcome::Broken);
                 return SendResult::Failed(None);
             }
         };
+        self.record_held_end(backend, status, true, &ended);
         let (mut parts, _) = backend_response.into_parts(is_event_stream);
         remove_connection_headers(&mut parts.headers, self.shared.dialect.end_to_end_headers());
         let is_failure = parts.status.is_server_error();
--- a/entry/src/ingress/stream_recovery_log.rs
+++ b/entry/src/ingress/stream_recovery_log.rs
@@ -1,6 +1,8 @@
 use {
     super::{request_exchange::elapsed_ms, request_exchange_log::software_of, shared::Shared},
-    chalkcart_coordination::{dispatch::Assignment, stream_recovery::EventId},
+    chalkcart_coordination::{
+        dispatch::Assignment, response_end::ResponseEnd, stream_recovery::EventId,
+    },
     chalkcart_state::{backends::BackendId, ids::RequestId},
     chalkcart_transport::{clock, ingress::StreamCut},
     std::{sync::Arc, time::Instant},
@@ -24,6 +26,8 @@
     from_software: String,
     cut_at: Instant,
     cut_cause: &'static str,
+    /// How the response of the back end that was cut ended.
+    cut_response: ResponseEnd,
     last_event: Option<EventId>,
     /// Sends since the cut.
     pub sends: u32,
@@ -49,6 +53,7 @@
             from_software: software_of(from).to_string(),
             cut_at: clock::now(),
             cut_cause: cut.fault.map_or("broken", |fault| fault.code()),
+            cut_response: cut.response,
             last_event: cut.last_event.unwrap_or_default(),
             sends: 0,
             has_engine_ended: false,
@@ -68,6 +73,9 @@
             from = self.from.as_str(),
             from_software = self.from_software.as_str(),
             cut = self.cut_cause,
+            framing = self.cut_response.framing.code(),
+            ended_by = self.cut_response.cause.code(),
+            body_bytes = self.cut_response.body_bytes,
             last_event = self.last_event_or_none(),
             engine_ended = self.has_engine_ended,
             sends = self.sends,
@@ -86,6 +94,9 @@
             from = self.from.as_str(),
             from_software = self.from_software.as_str(),
             cut = self.cut_cause,
+            framing = self.cut_response.framing.code(),
+            ended_by = self.cut_response.cause.code(),
+            body_bytes = self.cut_response.body_bytes,
             last_event = self.last_event_or_none(),
             engine_ended = self.has_engine_ended,
             sends = self.sends,
--- a/transport/src/backend/sender.rs
+++ b/transport/src/backend/sender.rs
@@ -1,10 +1,11 @@
 use {
     super::BackendResponse,
     crate::{
-        inbound::{ByteMeter, MeteredBody, MeteredSocket},
+        inbound::{http_end_cause, ByteMeter, MeteredBody, MeteredSocket},
         sockets::tune_stream,
     },
     bytes::Bytes,
+    chalkcart_coordination::response_end::EndCause,
     http::Request,
     http_body_util::Full,
     hyper::{client::conn::http1, ext::on_informational},
@@ -47,8 +48,8 @@
     Lost {
         addr: SocketAddr,
         problem: String,
-        /// Whether the back end itself ended the connection, so that it reads nothing more from it.
-        is_closed_by_peer: bool,
+        /// What ended the connection. A back end that closed it reads nothing more from it.
+        cause: EndCause,
     },
 }
 
@@ -108,7 +109,7 @@
         Err(e) => Err(BackendSendError::Lost {
             addr,
             problem: e.to_string(),
-            is_closed_by_peer: e.is_incomplete_message(),
+            cause: http_end_cause(&e),
         }),
     }
 }
--- a/transport/src/inbound/mod.rs
+++ b/transport/src/inbound/mod.rs
@@ -11,7 +11,7 @@
 mod metered_socket;
 
 pub use {
-    body_error::BodyError,
+    body_error::{http_end_cause, BodyError},
     bulk_reads::{BulkAllowance, BulkReads},
     byte_meter::{ByteMeter, TooManyBytes},
     held_parts::HeldParts,
--- a/transport/src/ingress/proxy_body.rs
+++ b/transport/src/ingress/proxy_body.rs
@@ -14,7 +14,7 @@
     },
     bytes::Bytes,
     chalkcart_coordination::{
-        response_end::{Framing, ResponseProgress, StreamPosition, Verdict},
+        response_end::{EndCause, Framing, ResponseProgress, StreamPosition, Verdict},
         stream_recovery::{NotResumed, StreamEnd},
     },
     http_body::{Body, Frame, SizeHint},
@@ -56,6 +56,8 @@
     source: Source,
     /// Progress of the last back end's response.
     progress: ResponseProgress,
+    /// What ended the bytes of the last back end that broke off.
+    cut_cause: EndCause,
     events: Option<StreamEvents>,
     last_byte: LastByte,
     /// Trailers that follow the bytes that were held back.
@@ -85,6 +87,7 @@
         Self {
             source: Source::Backend { body, connection },
             progress,
+            cut_cause: EndCause::Local,
             events,
             last_byte: LastByte::default(),
             trailers: None,
@@ -103,12 +106,19 @@
             self.observer.on_end(ProxyBodyReport {
                 end,
                 longest_pause: self.pauses.longest(),
-                framing: self.progress.framing(),
-                position: self.progress.position(),
+                response: self.progress.ended(self.end_cause(end)),
             });
         }
     }
 
+    fn end_cause(&self, end: ProxyBodyEnd) -> EndCause {
+        match end {
+            ProxyBodyEnd::Complete => EndCause::of_complete(self.progress.framing()),
+            ProxyBodyEnd::Broken => self.cut_cause,
+            ProxyBodyEnd::TimedOut | ProxyBodyEnd::ClientDisconnected => EndCause::Local,
+        }
+    }
+
     fn fail(
         &mut self,
         end: ProxyBodyEnd,
@@ -136,6 +146,7 @@
         }
         if self.progress.is_event_too_long() {
             log::warn!(cause = BodyError::EventTooLong.to_string().as_str(); "inbound: too many bytes");
+            self.cut_cause = EndCause::TooLong;
             return Step::Cut(None);
         }
         if self.events.is_none() {
@@ -198,6 +209,7 @@
     /// Handles the end of the back end's body.
     fn on_body_end(&mut self) -> Step {
         let verdict = self.progress.verdict();
+        self.cut_cause = EndCause::of_complete(self.progress.framing());
         if let Some(events) = &mut self.events {
             match events.assembler.end(verdict) {
                 StreamEnd::Cut => return Step::Cut(None),
@@ -232,6 +244,7 @@
             fault,
             last_event: events.assembler.cut(),
             has_progress: events.assembler.has_event(),
+            response: self.progress.ended(self.cut_cause),
         };
         match self.observer.resume(cut) {
             Some(resume) => self.source = Source::Resuming(resume),
@@ -289,7 +302,10 @@
                 }
                 Source::Backend { body, .. } => match ready!(Pin::new(body).poll_frame(cx)) {
                     Some(Ok(frame)) => (this.on_received(frame), io::ErrorKind::InvalidData.into()),
-                    Some(Err(e)) => (Step::Cut(None), io::Error::other(e)),
+                    Some(Err(e)) => {
+                        this.cut_cause = e.end_cause();
+                        (Step::Cut(None), io::Error::other(e))
+                    }
                     None => (this.on_body_end(), io::ErrorKind::UnexpectedEof.into()),
                 },
                 Source::Resuming(resume) => match ready!(Pin::new(resume).poll(cx)) {
@@ -318,6 +334,9 @@
                 Step::Forward(frame) => return Poll::Ready(Some(Ok(frame))),
                 Step::Continue => {}
                 Step::Cut(fault) => {
+                    if fault.is_some() {
+                        this.cut_cause = EndCause::Invalid;
+                    }
                     if !this.try_resume(fault) {
                         return this.fail(ProxyBodyEnd::Broken, error);
                     }
--- a/transport/src/ingress/stream_continuation.rs
+++ b/transport/src/ingress/stream_continuation.rs
@@ -1,7 +1,7 @@
 use {
     crate::backend::{BackendBody, Connection},
     chalkcart_coordination::{
-        response_end::{Framing, StreamPosition},
+        response_end::ResponseEnd,
         stream_recovery::{EventAssembler, EventId, NotResumed},
     },
     std::{
@@ -24,6 +24,8 @@
     pub last_event: Result<Option<EventId>, NotResumed>,
     /// Whether the engine had sent a complete event.
     pub has_progress: bool,
+    /// How the engine's response ended.
+    pub response: ResponseEnd,
 }
 
 /// The stream of an engine that continues a response.
@@ -88,10 +90,8 @@
     pub end: ProxyBodyEnd,
     /// The longest pause between two frames.
     pub longest_pause: Duration,
-    /// Framing of the last back end's response.
-    pub framing: Framing,
-    /// Where the last back end's events ended; `None` if its body is no stream of events.
-    pub position: Option<StreamPosition>,
+    /// How the last back end's response ended.
+    pub response: ResponseEnd,
 }
 
 /// Observes the progress of a proxied body.
--- a/transport/src/metrics/ingress_metrics.rs
+++ b/transport/src/metrics/ingress_metrics.rs
@@ -58,12 +58,17 @@
     pub code: &'static str,
 }
 
-/// How a proxied body ended: its outcome, what its framing is, and where in its events.
+/// How a back end's response ended: its outcome, what its framing is, what ended it, where in its
+/// events, and how it was passed on.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct BodyEndLabel {
     pub end: &'static str,
+    /// `none` if its head did not arrive.
     pub framing: &'static str,
+    pub cause: &'static str,
     pub position: &'static str,
+    /// `streamed` as it arrived, or `held` until it was complete.
+    pub passed: &'static str,
 }
 
 type Histograms = Family<RouteLabel, Histogram, fn() -> Histogram>;
@@ -179,7 +184,7 @@
     pub fn on_resumption(&self, code: &'static str) {
         self.resumptions.get_or_create(&CodeLabel { code }).inc();
     }
-    /// Counts the end of a proxied body.
+    /// Counts the end of a back end's response.
     pub fn on_body_end(&self, label: BodyEndLabel) {
         self.body_ends.get_or_create(&label).inc();
     }
@@ -303,7 +308,8 @@
         );
         registry.register(
             "body_ends",
-            "Streams forwarded, by how they ended, their framing and where in their events",
+            "Responses of back ends, by how they ended, their framing, what ended them and where in \
+             their events",
             self.body_ends.clone(),
         );
         registry.register(
