An engine's protocol version is not taken over into the response to the client

What callers saw: an engine that answers with an HTTP/1.0 head breaks off its stream inside an event; the client, which speaks HTTP/1.1, got a 200 with an HTTP/1.0 head and a body that ended with an orderly close: a whole answer.

Cause: the version of the engine's head stayed in the response, and hyper sends an HTTP/1.0 response without chunks. Only connections of clients with HTTP/1.0 were reset on a break.

Change: the entry answers with its own version, HTTP/1.1; hyper lowers it for a client that has an older one, and that connection is reset as before. Responses whose bytes a test sets (BackendFault::Raw) are new in the stand-in; its client knows that 204 and 304 have no body.

Measured: testkit/tests/cut_heads.rs an_engines_protocol_version_is_not_that_of_ the_response, 13 heads: without the change it fails at the head with HTTP/1.0 (200, complete, 'id: 0 data: x id: 1 da'), with it it passes.

--- a/testkit/src/users_platform/backend_responses.rs
+++ b/testkit/src/users_platform/backend_responses.rs
@@ -3,6 +3,7 @@
         backend_stand_in::{BackendFault, BackendKind, BackendState, Run},
         backend_streams::{event, framed, framing_header, stream_events},
         endless_responses::send_endless,
+        raw_responses::send_raw,
         wire::{write_response, Head},
     },
     crate::serving::lock,
@@ -61,6 +62,7 @@
             socket.write_all(&head[..bytes.min(head.len())]).await?;
             bail!("connection closed in the head")
         }
+        (BackendFault::Raw, _) => send_raw(socket, state, request).await,
         (BackendFault::Endless(part), _) => send_endless(socket, state, &headers, part).await,
         (BackendFault::Unresponsive, _) => {
             wait_unless_disconnected(socket, state, run_index, UNRESPONSIVE_DURATION).await
--- a/testkit/src/users_platform/backend_stand_in.rs
+++ b/testkit/src/users_platform/backend_stand_in.rs
@@ -4,6 +4,7 @@
         crash_moment::{CausedCrash, CrashMoment},
         endless_responses::{send_endless, EndlessPart},
         engine_orders::{AcceptedOrder, EngineOrders},
+        raw_responses::RawResponse,
         wire::{read_body, read_head, write_response, Head},
     },
     crate::serving::lock,
@@ -82,6 +83,8 @@
     /// Runs the request, sends this many bytes of the head, or all of it, and closes the
     /// connection.
     CutHead(usize, Framing),
+    /// Runs the request and sends `BackendState::raw_response`.
+    Raw,
     /// Starts a resumed stream this many events too late, or too early if it is negative.
     ShiftEvents(i32),
 }
@@ -144,6 +147,8 @@
     pub fault: BackendFault,
     /// Number of further requests that the fault affects.
     pub fault_requests_left: u32,
+    /// Sent by `BackendFault::Raw`.
+    pub raw_response: RawResponse,
     pub runs: Vec<Run>,
     /// Time and id of all requests received, including rejected ones.
     pub arrivals: Vec<(Instant, String)>,
@@ -359,6 +364,7 @@
             software_version: "v1".to_string(),
             fault: BackendFault::None,
             fault_requests_left: 0,
+            raw_response: RawResponse::default(),
             runs: Vec::new(),
             arrivals: Vec::new(),
             all_orders: Vec::new(),
--- a/testkit/src/users_platform/client.rs
+++ b/testkit/src/users_platform/client.rs
@@ -177,6 +177,10 @@
         }
     }
     fn is_body_complete(&self) -> bool {
+        let status = self.head.start_line.get(1).map(String::as_str);
+        if matches!(status, Some("204" | "304")) {
+            return true;
+        }
         match self.head.get_number("content-length") {
             Some(length) => self.received.len() as u64 >= length,
             None => self.is_framed() && self.received.ends_with(b"0\r\n\r\n"),
--- a/testkit/src/users_platform/mod.rs
+++ b/testkit/src/users_platform/mod.rs
@@ -13,6 +13,7 @@
 mod fleet;
 mod other_ingress;
 mod prompts;
+mod raw_responses;
 mod retry_windows;
 mod retrying_clients;
 mod store_stand_in;
@@ -31,6 +32,7 @@
     fleet::{metrics_text, Fleet, FleetSettings, HOST},
     other_ingress::OtherIngress,
     prompts::{engine_runs, prompt, prompt_with_parts, serve_prompt},
+    raw_responses::{RawEnd, RawResponse},
     retry_windows::{RetryRule, RetryWindow},
     retrying_clients::{send_with_retries, AttemptHistory, RetryingClients},
     store_stand_in::{LostWrites, StoreCopy, StoreFault, StoreLimits, StoreStandIn},
--- a/transport/src/ingress/server.rs
+++ b/transport/src/ingress/server.rs
@@ -184,7 +184,10 @@
         let ends_with_connection = ends_with_connection.clone();
         async move {
             let version = req.version();
-            let response = service.respond(req).await;
+            let mut response = service.respond(req).await;
+            // a back end's version tells nothing about this connection; hyper lowers it for a
+            // client that has an older one
+            *response.version_mut() = Version::HTTP_11;
             ends_with_connection.set(is_unframed(version, &response));
             let response = response.map(|body| CountedBody::new(body, guard));
             Ok::<_, Infallible>(response)
