An unframed response without a byte is broken off

Cause: the end of a connection counted as the end of a body of any length, also of none.

Change: the end of a connection can confirm bytes before it only, so an unframed response without any byte is broken off, at any status.

Mutations, coordination/tests/response_end.rs a_response_is_whole_as_its_framing_ and_bytes_show turns red for each: rule removed; rule for all framings; rule for any number of bytes; parts counted in place of bytes.

--- a/coordination/src/response_end/framing.rs
+++ b/coordination/src/response_end/framing.rs
@@ -1,7 +1,7 @@
 /// What marks the end of a response body (RFC 9112, section 6.3).
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Framing {
-    /// The number of bytes that the head declares.
+    /// The number of bytes that the head declares, or none by its status or the request's method.
     Length,
     /// The last chunk.
     Chunks,
--- a/coordination/src/response_end/response_progress.rs
+++ b/coordination/src/response_end/response_progress.rs
@@ -38,7 +38,7 @@
 
     /// Returns what an end at this point means.
     pub fn verdict(&self) -> Verdict {
-        Verdict::of(self.framing, self.position())
+        Verdict::of(self.framing, self.position(), self.body_bytes)
     }
 
     pub fn framing(&self) -> Framing {
--- a/coordination/tests/response_end.rs
+++ b/coordination/tests/response_end.rs
@@ -1,9 +1,11 @@
-//! Where in its events a response ended.
+//! Where in its events a response ended, and whether it is whole.
 //!
 //! Guards against: a position that depends on how the bytes were split on their way.
 
 use {
-    chalkcart_coordination::response_end::{EventScanner, StreamPosition},
+    chalkcart_coordination::response_end::{
+        EndCause, EventScanner, Framing, ResponseProgress, StreamPosition, Verdict,
+    },
     quickcheck::{Gen, QuickCheck},
     StreamPosition::{BetweenEvents, InsideEvent, Start},
 };
@@ -61,3 +63,38 @@
         .tests(CASES)
         .quickcheck(check as fn(Vec<u8>, usize) -> bool);
 }
+
+/// Guards against: a connection that closes right after an unframed head and that counts as the
+/// end of a whole, empty response, of any format.
+#[test]
+fn a_response_is_whole_as_its_framing_and_bytes_show() {
+    use Verdict::{BrokenOff, Whole};
+    // bytes, verdicts on a body of another format and on one of events: framed, and unframed
+    let cases = [
+        ("", (Whole, BrokenOff), (Whole, BrokenOff)),
+        ("x", (Whole, Whole), (BrokenOff, BrokenOff)),
+        ("\n", (Whole, Whole), (Whole, BrokenOff)),
+        (": alive\n\n", (Whole, Whole), (Whole, BrokenOff)),
+        ("data: x\n\n", (Whole, Whole), (Whole, Whole)),
+        ("data: x\n", (Whole, Whole), (BrokenOff, BrokenOff)),
+    ];
+    for (sent, other, events) in cases {
+        for (is_event_stream, (framed, unframed)) in [(false, other), (true, events)] {
+            let framings = [
+                (Framing::Length, framed),
+                (Framing::Chunks, framed),
+                (Framing::Connection, unframed),
+            ];
+            for (framing, expected) in framings {
+                let mut progress = ResponseProgress::new(framing, is_event_stream);
+                // an empty part is no byte
+                progress.on_data(b"");
+                progress.on_data(sent.as_bytes());
+                let case = format!("{sent:?} {framing:?}, events: {is_event_stream}");
+                assert_eq!(progress.verdict(), expected, "{case}");
+                let ended = progress.ended(EndCause::of_complete(framing));
+                assert_eq!(ended.body_bytes, sent.len() as u64, "{case}");
+            }
+        }
+    }
+}
