--- a/entry/src/ingress/request_exchange.rs
+++ b/entry/src/ingress/request_exchange.rs
@@ -14,6 +14,7 @@
             unread_until, Assignment, Decision, DecisionInputs, DispatchRequest, SendOutcome,
             Ticket,
         },
+        response_end::EndCause,
         stream_recovery::EventId,
     },
     chalkcart_state::{ids::Generation, regions::AllowedRegions},
@@ -132,6 +133,7 @@
             was_rejected_before: shared.is_client_retry(route, accepted.head.timeout),
             is_load_time_checked: false,
             send_count: 0,
+            is_repeat: false,
             earlier_unread_until: None,
             start_tag: 0,
         };
@@ -234,6 +236,7 @@
                     if !may_retry {
                         return self.final_response("failed", DEFAULT_RETRY_AFTER);
                     }
+                    self.request.is_repeat = true;
                 }
             }
             if self.request.send_count >= MAX_SENDS {
@@ -354,13 +357,14 @@
             Ok(Err(BackendSendError::Lost {
                 addr,
                 problem,
-                is_closed_by_peer,
+                cause,
             })) => {
                 let request = self.accepted.head.id.as_str();
-                log::info!(request = request; "send: {addr}: {problem}");
-                let outcome = match is_closed_by_peer {
-                    true => SendOutcome::Broken,
-                    false => SendOutcome::Reset,
+                log::info!(request = request, cause = cause.code(); "send: {addr}: {problem}");
+                self.count_lost_head(cause);
+                let outcome = match cause {
+                    EndCause::Closed => SendOutcome::Broken,
+                    _ => SendOutcome::Reset,
                 };
                 guard.end(outcome);
                 let unread_until = unread_until(outcome, clock::now());
