Stand-in: a back end that closes its connection in the head of its response

Needed for tests and the soak: BackendFault::CutHead(bytes, framing) runs the request, sends this many bytes of the head (or all of it) and closes.

--- a/testkit/src/users_platform/backend_responses.rs
+++ b/testkit/src/users_platform/backend_responses.rs
@@ -56,6 +56,11 @@
             socket.write_all(INVALID_BYTES).await?;
             bail!("connection closed after invalid bytes")
         }
+        (BackendFault::CutHead(bytes, framing), _) => {
+            let head = response_head(&headers, &framing_header(framing, BODY.len()));
+            socket.write_all(&head[..bytes.min(head.len())]).await?;
+            bail!("connection closed in the head")
+        }
         (BackendFault::Endless(part), _) => send_endless(socket, state, &headers, part).await,
         (BackendFault::Unresponsive, _) => {
             wait_unless_disconnected(socket, state, run_index, UNRESPONSIVE_DURATION).await
--- a/testkit/src/users_platform/backend_stand_in.rs
+++ b/testkit/src/users_platform/backend_stand_in.rs
@@ -79,6 +79,9 @@
     LargeBody(usize),
     /// Cuts a stream.
     Cut(StreamFault),
+    /// Runs the request, sends this many bytes of the head, or all of it, and closes the
+    /// connection.
+    CutHead(usize, Framing),
     /// Starts a resumed stream this many events too late, or too early if it is negative.
     ShiftEvents(i32),
 }
