Soak: a release during which all entries or sidecars are killed at one moment, and cut heads

It killed one process at a time, and its engines never ended in a head.

Checks: MixedSoftware as before; new EventsOutOfOrder, for events that are missing, repeated or go back over all tries, complete or not. Bodies are recorded without their chunks, so that an event that two chunks share is read as one. An answer that ends with its head and is framed as whole is a CorruptResponse, as before.

The code of faults of back ends, and of the report, are in files of their own.

--- a/testkit/examples/soak/main.rs
+++ b/testkit/examples/soak/main.rs
@@ -4,12 +4,17 @@
     anyhow::{ensure, Result},
     chalkcart_testkit::{
         cluster::Binaries,
-        soak::{run_soak, SoakReport, SoakSettings},
+        soak::{run_soak, SoakReport, SoakSettings, StreamCounts},
     },
     getopts::{Matches, Options},
     std::{env, str::FromStr, time::Duration},
 };
 
+/// Half of them serve at the begin.
+const ENGINES_OF_A_RELEASE: u8 = 8;
+/// Most of them have a stream at any moment.
+const CLIENTS_OF_A_RELEASE: u32 = 24;
+
 #[tokio::main]
 async fn main() -> Result<()> {
     let mut opts = Options::new();
@@ -54,6 +59,17 @@
             "versions",
             "include engines of two software versions, and clients that take streams up",
         )
+        .optflag(
+            "",
+            "releases",
+            "include a release of another software version, during which all entries or sidecars are \
+             killed at one moment; clients take streams up",
+        )
+        .optflag(
+            "",
+            "cut-heads",
+            "include back ends that end connections in the heads of their responses",
+        )
         .optflag(
             "",
             "unframed",
@@ -78,6 +94,7 @@
     let settings = settings(&matches)?;
     let seeds = number(&matches, "seeds", 1)?;
     let mut failed = 0;
+    let mut streams = StreamCounts::default();
     for seed in settings.seed..settings.seed + seeds {
         let report = run_soak(&SoakSettings {
             seed,
@@ -85,8 +102,13 @@
         })
         .await?;
         failed += u64::from(!report.violations.is_empty());
+        streams += report.streams;
         print_report(&report);
     }
+    if streams.taken_up > 0 {
+        println!("all seeds:");
+        print_streams(&streams);
+    }
     println!("{seeds} seeds, {failed} with violations");
     ensure!(failed == 0, "{failed} seeds with violations");
     Ok(())
@@ -94,11 +116,16 @@
 
 fn settings(matches: &Matches) -> Result<SoakSettings> {
     let default = SoakSettings::default();
+    let has_releases = matches.opt_present("releases");
+    let (engines, clients) = match has_releases {
+        true => (ENGINES_OF_A_RELEASE, CLIENTS_OF_A_RELEASE),
+        false => (default.engines, default.clients),
+    };
     Ok(SoakSettings {
         seed: number(matches, "first", default.seed)?,
-        engines: number(matches, "engines", default.engines)?,
+        engines: number(matches, "engines", engines)?,
         plain: number(matches, "plain", default.plain)?,
-        clients: number(matches, "clients", default.clients)?,
+        clients: number(matches, "clients", clients)?,
         entries: matches.opt_get("entries")?,
         has_crashing_requests: matches.opt_present("crashing"),
         has_crashing_parts: matches.opt_present("crashing-parts"),
@@ -111,6 +138,8 @@
         },
         has_resumable_streams: matches.opt_present("resumable"),
         has_software_versions: matches.opt_present("versions"),
+        has_releases,
+        has_cut_heads: matches.opt_present("cut-heads"),
         has_unframed_ends: matches.opt_present("unframed"),
         has_failing_plain: matches.opt_present("failing-plain"),
         has_crowds: matches.opt_present("crowds"),
@@ -131,6 +160,20 @@
     Ok(matches.opt_get_default(name, default)?)
 }
 
+fn print_streams(streams: &StreamCounts) {
+    println!(
+        "  streams: {} taken up, {} went on; while two engines of their version served {}, {} went on, \
+         {} refused; new ones of the same time: {} of {} began",
+        streams.taken_up,
+        streams.went_on,
+        streams.taken_up_while_served,
+        streams.went_on_while_served,
+        streams.refused_while_served,
+        streams.new_began,
+        streams.new_sent
+    );
+}
+
 fn print_report(report: &SoakReport) {
     println!(
         "seed {}: {} faults, {} requests, {} served, {:?}",
@@ -140,11 +183,8 @@
         report.served,
         report.outcomes
     );
-    if report.take_ups > 0 {
-        println!(
-            "  {} of {} take-ups went on",
-            report.taken_up, report.take_ups
-        );
+    if report.streams.taken_up > 0 {
+        print_streams(&report.streams);
     }
     if report.violations.is_empty() {
         return;
--- a/testkit/src/soak/checks.rs
+++ b/testkit/src/soak/checks.rs
@@ -1,10 +1,13 @@
 //! Checks a soak's record against the guarantees of the service.
 
 use {
-    super::{BackendRecord, Outcome, RequestKind, RequestRecord, SoakRecord},
+    super::{
+        stream_checks::{check_event_order, check_software},
+        BackendRecord, Outcome, RequestKind, RequestRecord, SoakRecord,
+    },
     crate::users_platform::{RetryRule, ADAPTER_SLOTS},
     std::{
-        collections::{BTreeMap, BTreeSet, HashMap, HashSet},
+        collections::{BTreeSet, HashMap, HashSet},
         fmt::{self, Display, Formatter},
         time::Instant,
     },
@@ -93,6 +96,12 @@
         first_attempt: String,
         versions: Vec<String>,
     },
+    /// An event of a stream that is repeated, or that does not follow the one before.
+    EventsOutOfOrder {
+        first_attempt: String,
+        expected: usize,
+        event: usize,
+    },
 }
 
 impl Display for Violation {
@@ -116,6 +125,7 @@
     found.extend(check_retry_budget(record, false));
     found.extend(check_crashes(record));
     found.extend(check_software(record));
+    found.extend(check_event_order(record));
     let rejected = record.rejected_for_part.iter();
     found.extend(rejected.map(|id| Violation::RejectedForPart { id: id.clone() }));
     found.extend(check_closed(record));
@@ -193,23 +203,6 @@
     is_corrupt.then_some(Violation::CorruptResponse { id: request_id })
 }
 
-/// Checks that the events of a stream are of one software version, over all attempts of its client.
-fn check_software(record: &SoakRecord) -> Vec<Violation> {
-    let mut versions: BTreeMap<&str, BTreeSet<String>> = BTreeMap::new();
-    for request in &record.requests {
-        let taken_up = request.taken_up.as_ref();
-        let first_attempt = taken_up.map_or(request.id.as_str(), |t| &t.first_attempt);
-        let seen = versions.entry(first_attempt).or_default();
-        seen.extend(request.event_data());
-    }
-    let mixed = versions.into_iter().filter(|(_, seen)| seen.len() > 1);
-    let found = mixed.map(|(first_attempt, seen)| Violation::MixedSoftware {
-        first_attempt: first_attempt.to_string(),
-        versions: seen.into_iter().collect(),
-    });
-    found.collect()
-}
-
 fn unknown_request_runs(record: &SoakRecord) -> Vec<Violation> {
     let known_ids: HashSet<&str> = record.requests.iter().map(|r| r.id.as_str()).collect();
     let runs = record.backends.iter().flat_map(|b| &b.runs);
--- a/testkit/src/soak/fault_schedule.rs
+++ b/testkit/src/soak/fault_schedule.rs
@@ -1,5 +1,9 @@
 use {
-    super::SoakSettings,
+    super::{
+        head_cuts::HeadCut,
+        release_schedule::{schedule_release, PowerCut},
+        SoakSettings,
+    },
     rand::{rngs::StdRng, RngExt, SeedableRng},
     std::time::Duration,
 };
@@ -66,6 +70,18 @@
     CutInParts(u8),
     /// What is sent to the plain back end is held, and delivered when the fault ends.
     PlainHeld(u8),
+    /// An engine and its sidecar start, and the engine is listed at a software version, by its number
+    /// in `SOFTWARE`.
+    EngineJoins(u8, u8),
+    /// The record of an engine says that it drains.
+    EngineDrains(u8),
+    /// An engine leaves the list and ends with its sidecar.
+    EngineEnds(u8),
+    /// All entries, all sidecars or both stop at one moment, and start again when the fault ends.
+    PowerCut(PowerCut),
+    /// The back end ends its connections in the heads of its responses, or right after them.
+    EngineCutsHead(u8, HeadCut),
+    PlainCutsHead(u8, HeadCut),
     /// Most new connections of a crowd go to the ingress, which has a share of a core.
     Crowd,
 }
@@ -121,6 +137,10 @@
             .mean_fault_interval
             .mul_f64(2.0 * rng.random::<f64>());
     }
+    if settings.has_releases {
+        faults.extend(schedule_release(settings));
+        faults.sort_by_key(|fault| fault.at);
+    }
     faults
 }
 
@@ -190,6 +210,14 @@
         all.extend([Fault::EngineChangesSoftware(engine)].repeat(2));
         all.extend([Fault::KillIngress].repeat(3));
     }
+    if settings.has_cut_heads {
+        let cut = HeadCut::random(rng);
+        let cuts = [
+            Fault::EngineCutsHead(engine, cut),
+            Fault::PlainCutsHead(plain, cut),
+        ];
+        all.extend(cuts.repeat(6));
+    }
     if settings.has_crowds {
         all.extend([Fault::Crowd].repeat(6));
     }
--- a/testkit/src/soak/keep_alive_client.rs
+++ b/testkit/src/soak/keep_alive_client.rs
@@ -20,6 +20,18 @@
 /// Number of times that a stream is taken up.
 const MAX_TAKE_UPS: u32 = 8;
 const RECONNECT_DELAY: Duration = Duration::from_millis(20);
+/// Longest time that a client waits before it takes a stream up again, whatever it is asked for.
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(2);
+
+/// How clients of a soak behave.
+#[derive(Debug, Clone, Copy)]
+pub struct ClientSettings {
+    pub seed: u64,
+    /// Whether they take up streams that broke off.
+    pub takes_up: bool,
+    /// Time that their requests may take, in ms.
+    pub deadline_ms: u64,
+}
 
 /// Client that sends its requests on one connection while it stays open.
 pub struct KeepAliveClient {
@@ -30,24 +42,23 @@
     rng: StdRng,
     socket: Option<TcpStream>,
     requests: Vec<RequestRecord>,
-    /// Whether it takes up streams that broke off.
-    takes_up: bool,
-    /// Adapter of that stream.
+    settings: ClientSettings,
+    /// Adapter of the stream that broke off.
     adapter: Option<String>,
     /// A stream that broke off, and the number of times that it was taken up.
     broken: Option<(TakenUp, u32)>,
 }
 
 impl KeepAliveClient {
-    pub fn new(addrs: Vec<SocketAddr>, seed: u64, number: u32, takes_up: bool) -> Self {
+    pub fn new(addrs: Vec<SocketAddr>, number: u32, settings: ClientSettings) -> Self {
         Self {
             entry: number as usize % addrs.len(),
             addrs,
             number,
-            rng: StdRng::seed_from_u64(seed ^ (u64::from(number) << 32)),
+            rng: StdRng::seed_from_u64(settings.seed ^ (u64::from(number) << 32)),
             socket: None,
             requests: Vec::new(),
-            takes_up,
+            settings,
             adapter: None,
             broken: None,
         }
@@ -68,7 +79,8 @@
                 None => self.random_request(),
             };
             let sent_at = Instant::now();
-            let (outcome, socket) = send(socket, &request).await;
+            let is_take_up = taken_up.is_some();
+            let (outcome, socket, retry_after) = send(socket, &request).await;
             self.socket = socket;
             let record = RequestRecord {
                 id: request.id,
@@ -79,6 +91,12 @@
             };
             self.remember_if_broken(&record, request.adapter);
             self.requests.push(record);
+            if self.broken.is_some() {
+                self.leave_entry();
+            }
+            if is_take_up {
+                sleep(retry_after.min(MAX_RETRY_AFTER)).await;
+            }
         }
         self.requests
     }
@@ -97,6 +115,12 @@
         }
     }
 
+    /// Turns to the next entry, so that streams are taken up at any of them.
+    fn leave_entry(&mut self) {
+        self.socket = None;
+        self.entry = (self.entry + 1) % self.addrs.len();
+    }
+
     /// Returns a request that takes a stream up.
     fn take_up(&self, stream: &TakenUp) -> ClientRequest {
         let id = format!("c{}-{}", self.number, self.requests.len());
@@ -107,7 +131,7 @@
         ClientRequest {
             target: "/stream/".to_string(),
             id,
-            deadline_ms: 3_000,
+            deadline_ms: self.settings.deadline_ms,
             adapter: self.adapter.clone(),
             headers: headers
                 .map(|(name, value)| (name.to_string(), value))
@@ -130,7 +154,7 @@
         let last_event = record.complete_events().last().copied();
         let before = record.taken_up.clone();
         let last_event = last_event.or(before.as_ref().map(|t| t.last_event));
-        let (Some(last_event), true) = (last_event, self.takes_up) else {
+        let (Some(last_event), true) = (last_event, self.settings.takes_up) else {
             return;
         };
         if is_complete || record.kind != RequestKind::Stream || tries >= MAX_TAKE_UPS {
@@ -156,7 +180,7 @@
         let request = ClientRequest {
             target: target.to_string(),
             id,
-            deadline_ms: 3_000,
+            deadline_ms: self.settings.deadline_ms,
             adapter: (kind == RequestKind::Stream).then(|| format!("{MODEL}/a{adapter}")),
             ..ClientRequest::default()
         };
@@ -164,26 +188,31 @@
     }
 }
 
-/// Sends a request; returns the connection if it can be reused.
-async fn send(socket: TcpStream, request: &ClientRequest) -> (Outcome, Option<TcpStream>) {
+/// Sends a request; returns the connection if it can be reused, and how long the client is asked to
+/// wait.
+async fn send(
+    socket: TcpStream,
+    request: &ClientRequest,
+) -> (Outcome, Option<TcpStream>, Duration) {
+    let lost = (Outcome::ConnectionLost, None, Duration::ZERO);
     let Ok(stream) = send_on(socket, request).await else {
-        return (Outcome::ConnectionLost, None);
+        return lost;
     };
     let Ok((response, socket)) = stream.finish_and_keep_connection().await else {
-        return (Outcome::ConnectionLost, None);
+        return lost;
     };
-    let closes = response.head.get("connection") == Some("close");
+    let head = &response.head;
+    let closes = head.get("connection") == Some("close");
     let socket = (response.is_complete && !closes).then_some(socket);
-    let id = response
-        .head
-        .get("chalkcart-request-id")
-        .unwrap_or_default();
+    let id = head.get("chalkcart-request-id").unwrap_or_default();
+    let retry_after_s = head.get("retry-after").and_then(|s| s.parse().ok());
+    let retry_after = retry_after_s.and_then(|s| Duration::try_from_secs_f64(s).ok());
     let outcome = Outcome::Responded {
         status: response.status,
         is_complete: response.is_complete,
         id: id.to_string(),
-        has_stamp: response.head.get("chalkcart-response-stamp").is_some(),
-        body: response.body,
+        has_stamp: head.get("chalkcart-response-stamp").is_some(),
+        body: response.data(),
     };
-    (outcome, socket)
+    (outcome, socket, retry_after.unwrap_or_default())
 }
--- a/testkit/src/soak/observations.rs
+++ b/testkit/src/soak/observations.rs
@@ -34,11 +34,15 @@
     let is_entry = |f: &&ScheduledFault| {
         matches!(
             f.fault,
-            Fault::KillIngress | Fault::TerminateIngress | Fault::PauseIngress
+            Fault::KillIngress | Fault::TerminateIngress | Fault::PauseIngress | Fault::PowerCut(_)
+        )
+    };
+    let is_sidecar = |f: &ScheduledFault| {
+        matches!(
+            f.fault,
+            Fault::KillSidecar(_) | Fault::PauseSidecar(_) | Fault::PowerCut(_)
         )
     };
-    let is_sidecar =
-        |f: &ScheduledFault| matches!(f.fault, Fault::KillSidecar(_) | Fault::PauseSidecar(_));
     match faults.iter().any(is_sidecar) {
         true => faults.iter().filter(is_entry).count() as u32,
         false => 0,
--- a/testkit/src/soak/other_entries.rs
+++ b/testkit/src/soak/other_entries.rs
@@ -71,6 +71,29 @@
         }
     }
 
+    /// Stops all of them at one moment, some by SIGTERM.
+    pub fn stop_all(&mut self, is_terminated: impl Fn(usize) -> bool) -> Result<()> {
+        for (number, entry) in self.0.iter_mut().enumerate() {
+            match is_terminated(number) {
+                true => entry.terminate()?,
+                false => entry.kill()?,
+            }
+        }
+        Ok(())
+    }
+
+    /// Starts those that are stopped; processes that still end come last.
+    pub async fn start_all(&mut self, fleet: &Fleet) -> Result<()> {
+        for waits in [false, true] {
+            for entry in &mut self.0 {
+                if waits || entry.ingress.process.has_ended() {
+                    entry.start(fleet).await?;
+                }
+            }
+        }
+        Ok(())
+    }
+
     pub async fn end_fault(&mut self, fault: Fault, fleet: &Fleet) -> Result<()> {
         match fault {
             Fault::KillEntry(n) | Fault::TerminateEntry(n) => self.entry(n).start(fleet).await,
--- a/testkit/src/soak/settings.rs
+++ b/testkit/src/soak/settings.rs
@@ -28,6 +28,12 @@
     pub has_resumable_streams: bool,
     /// Whether engines run two software versions and clients take up streams that broke off.
     pub has_software_versions: bool,
+    /// Whether engines of one software version are replaced by those of another one, and all entries
+    /// or sidecars are killed at one moment meanwhile; clients take up streams that broke off.
+    pub has_releases: bool,
+    /// Whether back ends also end connections in the heads of their responses; changes the faults
+    /// that a seed generates.
+    pub has_cut_heads: bool,
     /// Whether engines end streams with their connection, also inside an event.
     pub has_unframed_ends: bool,
     /// Whether plain back ends close all connections without a response until the recovery, so
@@ -60,6 +66,8 @@
             relays_from_engines: None,
             has_resumable_streams: false,
             has_software_versions: false,
+            has_releases: false,
+            has_cut_heads: false,
             has_unframed_ends: false,
             has_failing_plain: false,
             has_crowds: false,
@@ -79,6 +87,10 @@
         let by_seed = MIN_ENTRIES + self.seed % (MAX_ENTRIES - MIN_ENTRIES + 1);
         self.entries.unwrap_or(by_seed as u8)
     }
+    /// Returns whether clients take up streams that broke off.
+    pub(super) fn takes_up_streams(&self) -> bool {
+        self.has_software_versions || self.has_releases
+    }
     pub(super) fn relay_threshold(&self) -> usize {
         let by_seed = match self.seed.is_multiple_of(2) {
             true => usize::MAX,
--- a/testkit/src/soak/soak_run.rs
+++ b/testkit/src/soak/soak_run.rs
@@ -2,21 +2,18 @@
     super::{
         crashing_clients::RejectedSound,
         crowds::Crowds,
+        engine_lives::EngineLives,
         other_entries::OtherEntries,
+        release_schedule::PowerCut,
         store_restores::{cut_off_ingress, set_store_away, StoreRestores},
         Fault, ScheduledFault,
     },
     crate::{
         cluster::Binaries,
-        forwarder::LinkFault,
-        users_platform::{
-            BackendFault, BackendStandIn, CutKind, Fleet, StoreFault, StreamFault,
-            FIRST_START_TIME_MS, MODEL,
-        },
+        users_platform::{Fleet, StoreFault, MODEL},
         waiting::until,
     },
     anyhow::{Context, Result},
-    chalkcart_coordination::response_end::Framing,
     nix::{
         sys::signal::{kill, Signal},
         unistd::Pid,
@@ -28,21 +25,8 @@
 
 /// Time limit for an exit after SIGTERM.
 const STOP_TIMEOUT: Duration = Duration::from_secs(10);
-/// Back-off that engines request.
-const BACKOFF: Duration = Duration::from_secs(1);
-/// Rate limit that back ends announce, in requests per second.
-const RATE_LIMIT_PER_S: f64 = 2.0;
-/// Maximum number of requests that one fault of a back end affects.
-const MAX_FAULTY_REQUESTS: u32 = 40;
 /// Software versions of engines.
 pub(super) const SOFTWARE: [&str; 2] = ["v1", "v2"];
-/// A stream that ends with its connection inside an event.
-const UNFRAMED_END: StreamFault = StreamFault {
-    kind: CutKind::Close,
-    after: 1,
-    extra_bytes: 9,
-    framing: Framing::Connection,
-};
 
 /// Start or end of a fault.
 #[derive(Debug, Clone, Copy)]
@@ -70,6 +54,9 @@
     pub(super) restores: StoreRestores,
     pub(super) crowds: Option<Crowds>,
     pub(super) others: OtherEntries,
+    pub(super) lives: EngineLives,
+    /// The processes that were stopped at one moment and have not been started again.
+    pub(super) power_cut: Option<PowerCut>,
     pub(super) has_software_versions: bool,
     pub(super) has_failing_plain: bool,
     pub(super) crashes_until_blocked: u32,
@@ -79,7 +66,7 @@
 
 impl SoakRun {
     /// Alternates between the two builds for each process start.
-    fn select_build(&mut self) {
+    pub(super) fn select_build(&mut self) {
         self.starts += 1;
         let other = self.other_build.clone().filter(|_| self.starts % 2 == 1);
         let (entry, sidecar) = other.map(|b| (b.entry, b.sidecar)).unzip();
@@ -119,92 +106,30 @@
         self.prepare_crowds_for(fault);
         let fleet = &mut self.fleet;
         match fault {
-            Fault::KillIngress if !self.is_stopped => {
-                fleet.ingress.kill()?;
-                self.is_stopped = true;
-            }
-            Fault::TerminateIngress if !self.is_stopped => {
-                // a paused process can't handle SIGTERM
-                fleet.ingress.resume()?;
-                fleet.ingress.terminate()?;
-                self.is_stopped = true;
-            }
+            Fault::KillIngress => self.stop_ingress(false)?,
+            Fault::TerminateIngress => self.stop_ingress(true)?,
             Fault::PauseIngress if !self.is_stopped => fleet.ingress.pause()?,
             Fault::ReloadIngress if !self.is_stopped => {
                 kill(Pid::from_raw(fleet.ingress.id() as i32), Signal::SIGHUP)?;
             }
-            Fault::KillIngress
-            | Fault::TerminateIngress
-            | Fault::PauseIngress
-            | Fault::ReloadIngress => {}
+            Fault::PauseIngress | Fault::ReloadIngress => {}
             Fault::KillEntry(_)
             | Fault::TerminateEntry(_)
             | Fault::PauseEntry(_)
             | Fault::CutEntry(..)
             | Fault::CutInParts(_) => self.others.start_fault(fault)?,
-            Fault::PlainHeld(n) => set_plain_link(fleet, n, LinkFault::Held),
             Fault::Crowd => {
                 if let Some(crowds) = self.crowds.as_mut().filter(|_| !self.is_stopped) {
                     crowds.start(fleet.ingress.id(), fleet.clients, duration);
                 }
             }
-            Fault::KillSidecar(n) => {
+            Fault::KillSidecar(n) if self.lives.is_sidecar_running(n.into()) => {
                 fleet.sidecars[usize::from(n)].kill()?;
                 self.select_build();
                 self.fleet.sidecars[usize::from(n)] = self.fleet.start_sidecar(n)?;
             }
-            Fault::PauseSidecar(n) => fleet.sidecars[usize::from(n)].pause()?,
-            Fault::EngineRestarts(n) => {
-                self.incarnations += 1;
-                fleet.engines[usize::from(n)].restart(FIRST_START_TIME_MS + self.incarnations);
-            }
-            Fault::EngineRestartsWithEarlierClock(n) => {
-                self.incarnations += 1;
-                fleet.engines[usize::from(n)].restart(FIRST_START_TIME_MS - self.incarnations);
-            }
-            Fault::EngineOverloaded(n) => {
-                engine(fleet, n).set_fault(BackendFault::Overloaded, MAX_FAULTY_REQUESTS)
-            }
-            Fault::EngineLeaves(n) => engine(fleet, n).state().is_leaving = true,
-            Fault::EngineRequestsBackoff(n) => {
-                engine(fleet, n).state().requested_backoff = Some(BACKOFF);
-                engine(fleet, n).set_fault(BackendFault::Overloaded, MAX_FAULTY_REQUESTS);
-            }
-            Fault::EngineLimited(n) => engine(fleet, n).state().set_limit(Some(RATE_LIMIT_PER_S)),
-            Fault::PlainLimited(n) => plain(fleet, n).state().set_limit(Some(RATE_LIMIT_PER_S)),
-            Fault::EngineTruncatesStreams(n) => {
-                engine(fleet, n).set_fault(BackendFault::TruncateBody, MAX_FAULTY_REQUESTS);
-            }
-            Fault::EngineFails(n) => {
-                engine(fleet, n).set_fault(BackendFault::Status(500), MAX_FAULTY_REQUESTS);
-            }
-            Fault::EngineEndsUnframed(n) => {
-                let fault = BackendFault::Cut(UNFRAMED_END);
-                engine(fleet, n).set_fault(fault, MAX_FAULTY_REQUESTS);
-            }
-            Fault::EngineChangesSoftware(n) => {
-                self.incarnations += 1;
-                let later = engine(fleet, n).state().software_version != SOFTWARE[1];
-                set_software(fleet, n, SOFTWARE[usize::from(later)]);
-                engine(fleet, n).restart(FIRST_START_TIME_MS + self.incarnations);
-            }
-            Fault::PlainUnresponsive(n) => {
-                plain(fleet, n).set_fault(BackendFault::Unresponsive, MAX_FAULTY_REQUESTS)
-            }
-            Fault::PlainClosesWithoutResponse(n) => {
-                plain(fleet, n).set_fault(BackendFault::CloseBeforeResponse, MAX_FAULTY_REQUESTS);
-            }
-            Fault::PlainOverloaded(n) => {
-                plain(fleet, n).set_fault(BackendFault::Overloaded, MAX_FAULTY_REQUESTS)
-            }
-            Fault::PlainDrains(n) => {
-                self.restores.on_leaving(n);
-                fleet.publish_plain(usize::from(n), "draining");
-            }
-            Fault::PlainRecordUnreadable(n) => {
-                self.restores.on_leaving(n);
-                let key = format!("servers/{}", plain(fleet, n).id());
-                fleet.store.put_bytes(&key, b"{\"Service\":[]");
+            Fault::PauseSidecar(n) if self.lives.is_sidecar_running(n.into()) => {
+                fleet.sidecars[usize::from(n)].pause()?
             }
             Fault::StoreUnresponsive => fleet.store.set_fault(StoreFault::Unresponsive),
             Fault::StoreReturnsErrors => fleet.store.set_fault(StoreFault::Status(503)),
@@ -228,6 +153,11 @@
                 let document = json!({"Model": MODEL, "Adapter": adapter, "Version": version});
                 fleet.store.put(&key, document);
             }
+            _ => {
+                self.start_engine_fault(fault);
+                self.start_plain_fault(fault);
+                self.start_release_fault(fault)?;
+            }
         }
         Ok(())
     }
@@ -236,7 +166,7 @@
     fn prepare_crowds_for(&mut self, fault: Fault) {
         let stops = matches!(
             fault,
-            Fault::KillIngress | Fault::TerminateIngress | Fault::PauseIngress
+            Fault::KillIngress | Fault::TerminateIngress | Fault::PauseIngress | Fault::PowerCut(_)
         );
         if let Some(crowds) = self.crowds.as_mut().filter(|_| stops) {
             crowds.on_disturbed();
@@ -250,6 +180,12 @@
                     crowds.end();
                 }
             }
+            Fault::PowerCut(_) => self.restore_power().await?,
+            Fault::KillIngress
+            | Fault::TerminateIngress
+            | Fault::KillEntry(_)
+            | Fault::TerminateEntry(_)
+                if self.are_entries_off() => {}
             Fault::KillIngress | Fault::TerminateIngress => self.start_ingress().await?,
             Fault::PauseIngress if !self.is_stopped => {
                 self.fleet.ingress.resume()?;
@@ -264,36 +200,8 @@
                 self.others.end_fault(fault, &self.fleet).await?;
                 self.reset_signals();
             }
-            Fault::PlainHeld(n) => set_plain_link(&self.fleet, n, LinkFault::None),
-            Fault::PauseSidecar(n) => self.fleet.sidecars[usize::from(n)].resume()?,
-            Fault::EngineOverloaded(n)
-            | Fault::EngineTruncatesStreams(n)
-            | Fault::EngineEndsUnframed(n)
-            | Fault::EngineFails(n) => {
-                engine(&self.fleet, n).set_fault(BackendFault::None, 0);
-            }
-            // the list learns of the new life late
-            Fault::EngineChangesSoftware(n) => self.fleet.publish_engine(usize::from(n), "ready"),
-            Fault::EngineRestarts(n) | Fault::EngineRestartsWithEarlierClock(n)
-                if self.has_software_versions =>
-            {
-                self.fleet.publish_engine(usize::from(n), "ready");
-            }
-            Fault::EngineRequestsBackoff(n) => {
-                engine(&self.fleet, n).set_fault(BackendFault::None, 0);
-                engine(&self.fleet, n).state().requested_backoff = None;
-            }
-            Fault::EngineLimited(n) => engine(&self.fleet, n).state().set_limit(None),
-            Fault::PlainLimited(n) => plain(&self.fleet, n).state().set_limit(None),
-            Fault::EngineLeaves(n) => self.replace_engine(n),
-            Fault::PlainUnresponsive(n)
-            | Fault::PlainClosesWithoutResponse(n)
-            | Fault::PlainOverloaded(n) => self.end_plain_fault(n),
-            Fault::PlainDrains(n) | Fault::PlainRecordUnreadable(n) => {
-                match self.restores.on_return(n) {
-                    true => self.replace_plain(n),
-                    false => self.fleet.publish_plain(usize::from(n), "ready"),
-                }
+            Fault::PauseSidecar(n) if self.lives.is_sidecar_running(n.into()) => {
+                self.fleet.sidecars[usize::from(n)].resume()?
             }
             Fault::StoreRestored => {
                 self.restores.restore(&self.fleet);
@@ -305,52 +213,36 @@
             | Fault::StoreResetsConnections => {
                 self.fleet.store.set_fault(StoreFault::None);
             }
-            _ => {}
+            _ => {
+                self.end_engine_fault(fault);
+                self.end_plain_fault(fault);
+            }
         }
         Ok(())
     }
 
-    /// Sets how a plain back end responds while no other fault affects it.
-    fn end_plain_fault(&self, number: u8) {
-        let (fault, requests) = match self.has_failing_plain {
-            true => (BackendFault::CloseBeforeResponse, u32::MAX),
-            false => (BackendFault::None, 0),
-        };
-        plain(&self.fleet, number).set_fault(fault, requests);
-    }
-    pub(super) fn set_plain_failing(&mut self, is_failing: bool) {
-        self.has_failing_plain = is_failing;
-        (0..self.fleet.plain.len()).for_each(|n| self.end_plain_fault(n as u8));
-    }
-
     /// Resets the signals of all back ends: an entry that was down or paused has not seen them.
-    fn reset_signals(&self) {
+    pub(super) fn reset_signals(&self) {
         for backend in self.fleet.engines.iter().chain(&self.fleet.plain) {
             backend.state().reset_signals();
         }
     }
 
-    /// Removes an engine that left and starts another one at its address.
-    fn replace_engine(&mut self, number: u8) {
-        self.incarnations += 1;
-        let key = format!("servers/{}", engine(&self.fleet, number).id());
-        self.fleet.store.delete(&key);
-        let name = format!("e-{number}-{}", self.incarnations);
-        engine(&self.fleet, number).restart_with_id(&name);
-        self.fleet.publish_engine(usize::from(number), "ready");
-    }
-
-    /// Replaces a plain back end that left by another one at its address.
-    fn replace_plain(&mut self, number: u8) {
-        self.incarnations += 1;
-        let key = format!("servers/{}", plain(&self.fleet, number).id());
-        self.fleet.store.delete(&key);
-        let name = format!("p-{number}-{}", self.incarnations);
-        plain(&self.fleet, number).restart_with_id(&name);
-        self.fleet.publish_plain(usize::from(number), "ready");
+    /// Sends SIGTERM or SIGKILL.
+    pub(super) fn stop_ingress(&mut self, is_terminated: bool) -> Result<()> {
+        if self.is_stopped {
+            return Ok(());
+        }
+        self.is_stopped = true;
+        if is_terminated {
+            // a paused process can't handle SIGTERM
+            self.fleet.ingress.resume()?;
+            return self.fleet.ingress.terminate();
+        }
+        self.fleet.ingress.kill()
     }
 
-    async fn start_ingress(&mut self) -> Result<()> {
+    pub(super) async fn start_ingress(&mut self) -> Result<()> {
         if self.is_stopped {
             // a terminated process exits within its grace period
             self.fleet.ingress.wait(STOP_TIMEOUT).await?;
@@ -371,30 +263,9 @@
         }
         self.exited.extend(self.others.exited());
         for (number, sidecar) in self.fleet.sidecars.iter_mut().enumerate() {
-            if sidecar.has_ended() {
+            if self.lives.is_sidecar_running(number) && sidecar.has_ended() {
                 self.exited.push(format!("sidecar {number}"));
             }
         }
     }
 }
-
-/// Sets the software version of an engine, which its events name.
-pub(super) fn set_software(fleet: &Fleet, number: u8, version: &str) {
-    let mut state = engine(fleet, number).state();
-    state.software_version = version.to_string();
-    state.event_data = version.to_string();
-}
-
-fn set_plain_link(fleet: &Fleet, number: u8, fault: LinkFault) {
-    if let Some(forwarder) = fleet.backend_forwarder(plain(fleet, number)) {
-        forwarder.set_fault(fault);
-    }
-}
-
-fn engine(fleet: &Fleet, number: u8) -> &BackendStandIn {
-    &fleet.engines[usize::from(number)]
-}
-
-fn plain(fleet: &Fleet, number: u8) -> &BackendStandIn {
-    &fleet.plain[usize::from(number)]
-}
--- a/testkit/src/users_platform/backend_responses.rs
+++ b/testkit/src/users_platform/backend_responses.rs
@@ -61,6 +61,12 @@
             socket.write_all(&head[..bytes.min(head.len())]).await?;
             bail!("connection closed in the head")
         }
+        (BackendFault::ResetInHead(bytes, framing), _) => {
+            let head = response_head(&headers, &framing_header(framing, BODY.len()));
+            socket.write_all(&head[..bytes.min(head.len())]).await?;
+            socket.set_zero_linger()?;
+            bail!("connection reset in the head")
+        }
         (BackendFault::Endless(part), _) => send_endless(socket, state, &headers, part).await,
         (BackendFault::Unresponsive, _) => {
             wait_unless_disconnected(socket, state, run_index, UNRESPONSIVE_DURATION).await
--- a/testkit/src/users_platform/backend_stand_in.rs
+++ b/testkit/src/users_platform/backend_stand_in.rs
@@ -82,6 +82,8 @@
     /// Runs the request, sends this many bytes of the head, or all of it, and closes the
     /// connection.
     CutHead(usize, Framing),
+    /// The same with a reset of the connection.
+    ResetInHead(usize, Framing),
     /// Starts a resumed stream this many events too late, or too early if it is negative.
     ShiftEvents(i32),
 }
--- a/testkit/tests/soak_checks.rs
+++ b/testkit/tests/soak_checks.rs
@@ -4,11 +4,14 @@
     chalkcart_testkit::{
         soak::{
             violations, BackendRecord, ConfigurationHistory, Outcome, RequestKind, RequestRecord,
-            SoakRecord, TakenUp, Violation,
+            ServingHistory, SoakRecord, StreamCounts, TakenUp, Violation,
         },
         users_platform::{AcceptedOrder, ADAPTER_SLOTS},
     },
-    std::time::{Duration, Instant},
+    std::{
+        collections::BTreeMap,
+        time::{Duration, Instant},
+    },
 };
 
 fn response_to(kind: RequestKind, status: u16, body: &str) -> RequestRecord {
@@ -171,6 +174,22 @@
     };
     let mut mixed = record(vec![incomplete(began), with_id(went_on, "s")], 1);
     mixed.backends[0].runs.push("s".to_string());
+    let began_only = response_to(RequestKind::Stream, 200, "id: 0\ndata: x\n\n");
+    let began_only = incomplete(began_only);
+    let went_on_late = |events: &str| RequestRecord {
+        id: "s".to_string(),
+        taken_up: Some(TakenUp {
+            first_attempt: id(),
+            last_event: 0,
+        }),
+        ..incomplete(response_to(RequestKind::Stream, 200, events))
+    };
+    let out_of_order = |events: &str| {
+        let went_on = with_id(went_on_late(events), "s");
+        let mut record = record(vec![began_only.clone(), went_on], 1);
+        record.backends[0].runs.push("s".to_string());
+        record
+    };
     let unsafe_ok = || response_to(RequestKind::Unsafe, 200, COMPLETE_BODY);
     let cases = [
         (
@@ -312,6 +331,38 @@
                 versions: vec!["v1".to_string(), "v2".to_string()],
             },
         ),
+        (
+            // an event is missing between two tries
+            out_of_order("id: 2\ndata: x\n\n"),
+            Violation::EventsOutOfOrder {
+                first_attempt: id(),
+                expected: 1,
+                event: 2,
+            },
+        ),
+        (
+            // an event comes again with the next try
+            out_of_order("id: 0\ndata: x\n\n"),
+            Violation::EventsOutOfOrder {
+                first_attempt: id(),
+                expected: 1,
+                event: 0,
+            },
+        ),
+        (
+            // an id goes back within a try
+            out_of_order("id: 1\ndata: x\n\nid: 1\ndata: x\n\n"),
+            Violation::EventsOutOfOrder {
+                first_attempt: id(),
+                expected: 2,
+                event: 1,
+            },
+        ),
+        (
+            // an answer that ended with its head
+            record(vec![response_to(RequestKind::Safe, 200, "")], 1),
+            Violation::CorruptResponse { id: id() },
+        ),
         (
             not_recovered,
             Violation::NotRecovered {
@@ -323,3 +374,69 @@
         assert_eq!(violations(&record), [expected]);
     }
 }
+
+/// Streams are counted once, whatever the number of their tries.
+#[test]
+fn streams_that_are_taken_up_are_counted_beside_new_ones() {
+    let begin = Instant::now();
+    let at = |ms| Some(begin + Duration::from_millis(ms));
+    let began = |id: &str, version: &str| RequestRecord {
+        id: id.to_string(),
+        sent_at: at(0),
+        ..incomplete(response_to(
+            RequestKind::Stream,
+            200,
+            &format!("id: 0\ndata: {version}\n\n"),
+        ))
+    };
+    let take_up = |stream: &str, ms, status, events: &str| RequestRecord {
+        id: format!("{stream}-{ms}"),
+        sent_at: at(ms),
+        taken_up: Some(TakenUp {
+            first_attempt: stream.to_string(),
+            last_event: 0,
+        }),
+        ..response_to(RequestKind::Stream, status, events)
+    };
+    let mut serving = ServingHistory::default();
+    let count = |v1, v2| BTreeMap::from([("v1".to_string(), v1), ("v2".to_string(), v2)]);
+    serving.push(begin, count(2, 2));
+    serving.push(begin + Duration::from_secs(5), count(1, 2));
+    let new = |ms, status| RequestRecord {
+        sent_at: at(ms),
+        ..response_to(RequestKind::Stream, status, "")
+    };
+    let requests = [
+        began("goes-on", "v1"),
+        take_up("goes-on", 1_000, 503, ""),
+        take_up("goes-on", 1_400, 200, "id: 1\ndata: v1\n\n"),
+        began("refused", "v1"),
+        take_up("refused", 1_000, 503, ""),
+        take_up("refused", 1_400, 503, ""),
+        // one engine of its version serves by the second try
+        began("unserved", "v1"),
+        take_up("unserved", 4_900, 503, ""),
+        take_up("unserved", 5_100, 503, ""),
+        new(1_100, 200),
+        new(1_200, 503),
+        new(3_000, 200),
+    ];
+    let named = requests.into_iter().enumerate().map(|(number, request)| {
+        let id = match request.id.as_str() {
+            "r" => format!("new-{number}"),
+            id => id.to_string(),
+        };
+        RequestRecord { id, ..request }
+    });
+    let counts = StreamCounts::of(&named.collect::<Vec<_>>(), &serving);
+    let expected = StreamCounts {
+        taken_up: 3,
+        went_on: 1,
+        taken_up_while_served: 2,
+        went_on_while_served: 1,
+        refused_while_served: 1,
+        new_sent: 2,
+        new_began: 1,
+    };
+    assert_eq!(counts, expected);
+}
