Soak: short seeded forms, failing on this code, and clients that only begin streams

What callers saw: streams joined from two software versions after all entries were killed in a release, and whole, empty answers of engines that closed right after their head (docs/incidents/order-rejoined.md).

--- a/testkit/src/soak/keep_alive_client.rs
+++ b/testkit/src/soak/keep_alive_client.rs
@@ -1,6 +1,6 @@
 use {
     super::{Outcome, RequestKind, RequestRecord, TakenUp},
-    crate::users_platform::{send_on, ClientRequest, MODEL},
+    crate::users_platform::{send_on, ClientRequest, ClientResponse, MODEL},
     rand::{rngs::StdRng, RngExt, SeedableRng},
     std::{
         net::SocketAddr,
@@ -204,15 +204,24 @@
     let head = &response.head;
     let closes = head.get("connection") == Some("close");
     let socket = (response.is_complete && !closes).then_some(socket);
-    let id = head.get("chalkcart-request-id").unwrap_or_default();
     let retry_after_s = head.get("retry-after").and_then(|s| s.parse().ok());
     let retry_after = retry_after_s.and_then(|s| Duration::try_from_secs_f64(s).ok());
-    let outcome = Outcome::Responded {
+    (
+        outcome_of(&response),
+        socket,
+        retry_after.unwrap_or_default(),
+    )
+}
+
+/// Returns what a client records of a response.
+pub(super) fn outcome_of(response: &ClientResponse) -> Outcome {
+    let head = &response.head;
+    let id = head.get("chalkcart-request-id").unwrap_or_default();
+    Outcome::Responded {
         status: response.status,
         is_complete: response.is_complete,
         id: id.to_string(),
         has_stamp: head.get("chalkcart-response-stamp").is_some(),
         body: response.data(),
-    };
-    (outcome, socket, retry_after.unwrap_or_default())
+    }
 }
--- a/testkit/src/soak/mod.rs
+++ b/testkit/src/soak/mod.rs
@@ -9,6 +9,7 @@
 mod fault_schedule;
 mod head_cuts;
 mod keep_alive_client;
+mod new_streams;
 mod observations;
 mod other_entries;
 mod record;
--- a/testkit/src/soak/release_schedule.rs
+++ b/testkit/src/soak/release_schedule.rs
@@ -10,6 +10,10 @@
 const JOIN_AT_S: Range<f64> = 1.5..3.0;
 /// Time from the first joining to the first drain, in s: some drain before the last joins.
 const DRAIN_AFTER_S: Range<f64> = 0.1..2.0;
+/// The same in seeds in which both versions serve for long, and all ends at one moment meanwhile, in
+/// s: long enough to take streams up before the first drain.
+const LONG_DRAIN_AFTER_S: Range<f64> = 6.0..8.0;
+const CUT_IN_LONG_MIX_S: Range<f64> = 0.5..1.5;
 /// Time from the first drain to the first end, in s.
 const END_AFTER_S: Range<f64> = 0.3..1.5;
 /// Time over which engines follow one another, in s.
@@ -91,7 +95,12 @@
         is_mixed: bool,
         begin: f64,
     ) -> f64 {
-        let drain = begin + self.between(DRAIN_AFTER_S);
+        let is_long = self.rng.random_ratio(1, 3);
+        let drain_after = match is_long {
+            true => LONG_DRAIN_AFTER_S,
+            false => DRAIN_AFTER_S,
+        };
+        let drain = begin + self.between(drain_after);
         let end = drain + self.between(END_AFTER_S);
         for engine in joining {
             let at = match is_mixed {
@@ -106,7 +115,11 @@
             self.push(end + stagger, 0.0, Fault::EngineEnds(engine));
         }
         let cut = self.power_cut();
-        let at = self.between(begin - CUT_BEFORE_S..end + CUT_AFTER_S);
+        let moment = match is_long {
+            true => begin + CUT_IN_LONG_MIX_S.start..begin + CUT_IN_LONG_MIX_S.end,
+            false => begin - CUT_BEFORE_S..end + CUT_AFTER_S,
+        };
+        let at = self.between(moment);
         let down = self.between(DOWN_S);
         self.push(at, down, Fault::PowerCut(cut));
         (end + STAGGER_S).max(at + down)
--- a/testkit/src/soak/runner.rs
+++ b/testkit/src/soak/runner.rs
@@ -5,6 +5,7 @@
         crowds::{CrowdRecord, Crowds},
         engine_lives::EngineLives,
         keep_alive_client::{ClientSettings, KeepAliveClient},
+        new_streams::{begin_streams, NEW_STREAM_CLIENTS},
         observations::crashes_until_blocked,
         other_entries::OtherEntries,
         recovery::recover,
@@ -101,7 +102,14 @@
     if settings.has_releases {
         soak.prepare_release(release_groups(settings)).await?;
     }
-    let clients: Vec<_> = (0..settings.clients).map(start_client).collect();
+    let mut clients: Vec<_> = (0..settings.clients).map(start_client).collect();
+    if settings.has_releases {
+        let new = (0..NEW_STREAM_CLIENTS).map(|number| {
+            let client = begin_streams(addrs.clone(), number, client_settings, stop.clone());
+            tokio::spawn(client)
+        });
+        clients.extend(new);
+    }
     sleep(age_before_faults(settings)).await;
     soak.set_plain_failing(settings.has_failing_plain);
     soak.inject_faults(&faults).await?;
--- a/testkit/src/users_platform/client.rs
+++ b/testkit/src/users_platform/client.rs
@@ -140,8 +140,7 @@
     }
     /// Reads the rest of the response and returns it with the connection.
     pub async fn finish_and_keep_connection(mut self) -> Result<(ClientResponse, TcpStream)> {
-        let status = self.head.start_line.get(1).and_then(|s| s.parse().ok());
-        let status = status.context("read the status of the response")?;
+        let status = self.status()?;
         let is_complete = timeout(RESPONSE_TIMEOUT, self.read_to_end()).await?;
         let response = ClientResponse {
             status,
@@ -152,6 +151,20 @@
         Ok((response, self.socket))
     }
 
+    /// Closes the connection and returns what was received so far.
+    pub fn leave(self) -> Result<ClientResponse> {
+        Ok(ClientResponse {
+            status: self.status()?,
+            head: self.head,
+            body: self.received,
+            is_complete: false,
+        })
+    }
+    pub fn status(&self) -> Result<u16> {
+        let status = self.head.start_line.get(1).and_then(|s| s.parse().ok());
+        status.context("read the status of the response")
+    }
+
     /// Reads until a text was received; returns false if the response ended before.
     pub async fn read_until(&mut self, text: &str) -> Result<bool> {
         let has_text = |received: &[u8]| String::from_utf8_lossy(received).contains(text);
--- a/testkit/tests/soak.rs
+++ b/testkit/tests/soak.rs
@@ -9,6 +9,14 @@
 /// Seeds, each with the mean interval between faults in ms. Seed 102 sends SIGHUP to an ingress
 /// that is starting.
 const SEEDS: [(u64, u64); 4] = [(1, 500), (2, 500), (3, 250), (102, 250)];
+/// Seeds with releases. All entries end while both versions serve (412) and after the old one left
+/// (421, 419 with SIGTERM for some), entries and sidecars before the new one is listed (413), all
+/// sidecars and one entry (401).
+const RELEASE_SEEDS: [u64; 5] = [401, 412, 413, 419, 421];
+/// Half of them serve at the begin.
+const ENGINES_OF_A_RELEASE: u8 = 8;
+/// Most of them have a stream at any moment.
+const CLIENTS_OF_A_RELEASE: u32 = 24;
 const FAULT_PERIOD: Duration = Duration::from_secs(6);
 /// Longer, since limits are enforced 3 s after they are advertised and checked over 4 s windows.
 const RATE_LIMIT_FAULT_PERIOD: Duration = Duration::from_secs(12);
@@ -177,6 +185,42 @@
     Ok(())
 }
 
+/// The same with releases of another software version, during which all entries, all sidecars or both
+/// are killed at one moment.
+/// Guards against: streams joined from two versions by entries that take their first list for all
+/// that ever served.
+#[tokio::test]
+async fn no_violations_while_all_entries_are_killed_in_a_release() -> Result<()> {
+    for seed in RELEASE_SEEDS {
+        run_without_violations(SoakSettings {
+            seed,
+            has_releases: true,
+            engines: ENGINES_OF_A_RELEASE,
+            clients: CLIENTS_OF_A_RELEASE,
+            ..SoakSettings::default()
+        })
+        .await?;
+    }
+    Ok(())
+}
+
+/// The same with back ends that close or reset in the head of an answer, or right after it.
+/// Guards against: an answer that broke off with its head, and is passed on as whole and empty.
+#[tokio::test]
+async fn no_violations_while_back_ends_close_in_their_heads() -> Result<()> {
+    for seed in [302, 307, 311] {
+        run_without_violations(SoakSettings {
+            seed,
+            has_cut_heads: true,
+            mean_fault_interval: Duration::from_millis(250),
+            fault_period: FAULT_PERIOD,
+            ..SoakSettings::default()
+        })
+        .await?;
+    }
+    Ok(())
+}
+
 /// The same with back ends that advertise rate limits.
 #[tokio::test]
 async fn no_violations_while_back_ends_advertise_limits() -> Result<()> {
