--- a/transport/src/metrics/ingress_metrics.rs
+++ b/transport/src/metrics/ingress_metrics.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         bounded_names::BoundedNames, new_histograms_by, CrashMetrics, LoadMetrics,
-        RetryBudgetMetrics,
+        RetryBudgetMetrics, VersionMetrics,
     },
     chalkcart_protocol::wire::WireVersion,
     chalkcart_state::published::StorePosition,
@@ -82,6 +82,7 @@
     origins_told: Family<CodeLabel, Counter>,
     retries: Counter,
     pub retry_budgets: RetryBudgetMetrics,
+    pub software_versions: VersionMetrics,
     removed_headers: Counter,
     unreadable: Family<CodeLabel, Counter>,
     over_limit: Family<AccountLabel, Counter>,
@@ -119,6 +120,7 @@
             origins_told: Family::default(),
             retries: Counter::default(),
             retry_budgets: RetryBudgetMetrics::default(),
+            software_versions: VersionMetrics::default(),
             removed_headers: Counter::default(),
             unreadable: Family::default(),
             over_limit: Family::default(),
@@ -152,6 +154,7 @@
         crashes.register(&mut metrics.registry);
         load.register(&mut metrics.registry);
         metrics.retry_budgets.register(&mut metrics.registry);
+        metrics.software_versions.register(&mut metrics.registry);
         metrics
     }
 
@@ -187,9 +190,10 @@
     pub fn on_take_up(&self, code: &'static str) {
         self.take_ups.get_or_create(&CodeLabel { code }).inc();
     }
-    /// Counts a sidecar that was to keep the origin of a stream, by the outcome.
-    pub fn on_origin_told(&self, code: &'static str) {
-        self.origins_told.get_or_create(&CodeLabel { code }).inc();
+    /// Counts the origins of streams that a sidecar was to keep, by the outcome.
+    pub fn on_origins_told(&self, code: &'static str, origins: usize) {
+        let told = self.origins_told.get_or_create(&CodeLabel { code });
+        told.inc_by(origins as u64);
     }
     /// Counts headers that were removed from a client's request.
     pub fn on_headers_removed(&self, headers: usize) {
