--- a/testkit/src/soak/keep_alive_client.rs
+++ b/testkit/src/soak/keep_alive_client.rs
@@ -31,6 +31,19 @@
     pub takes_up: bool,
     /// Time that their requests may take, in ms.
     pub deadline_ms: u64,
+    /// Whether each stream has a body of its own: engines that end in a release would be counted
+    /// as crashes of the one request that all clients send.
+    pub has_own_bodies: bool,
+}
+
+impl ClientSettings {
+    /// Returns the body of the request for a stream, which is the same when it is taken up.
+    pub fn body(&self, first_attempt: &str) -> Vec<u8> {
+        match self.has_own_bodies {
+            true => first_attempt.as_bytes().to_vec(),
+            false => Vec::new(),
+        }
+    }
 }
 
 /// Client that sends its requests on one connection while it stays open.
@@ -136,6 +149,7 @@
             headers: headers
                 .map(|(name, value)| (name.to_string(), value))
                 .to_vec(),
+            body: self.settings.body(&stream.first_attempt),
             ..ClientRequest::default()
         }
     }
@@ -179,6 +193,7 @@
         let adapter = self.rng.random_range(0..ADAPTER_COUNT);
         let request = ClientRequest {
             target: target.to_string(),
+            body: self.settings.body(&id),
             id,
             deadline_ms: self.settings.deadline_ms,
             adapter: (kind == RequestKind::Stream).then(|| format!("{MODEL}/a{adapter}")),
--- a/testkit/src/soak/new_streams.rs
+++ b/testkit/src/soak/new_streams.rs
@@ -39,9 +39,11 @@
         let Ok(socket) = TcpStream::connect(entries[turn % entries.len()]).await else {
             continue;
         };
+        let id = format!("n{client}-{turn}");
         let request = ClientRequest {
             deadline_ms: settings.deadline_ms,
-            ..prompt(&format!("a{}", turn % 2), &format!("n{client}-{turn}"))
+            body: settings.body(&id),
+            ..prompt(&format!("a{}", turn % 2), &id)
         };
         let sent_at = Instant::now();
         let outcome = begin_stream(socket, &request).await;
--- a/testkit/src/soak/runner.rs
+++ b/testkit/src/soak/runner.rs
@@ -64,6 +64,7 @@
             true => LONG_DEADLINE_MS,
             false => DEADLINE_MS,
         },
+        has_own_bodies: settings.has_releases,
     };
     let start_client = |number| {
         let client = KeepAliveClient::new(addrs.clone(), number, client_settings);
