--- a/testkit/src/users_platform/backend_stand_in.rs
+++ b/testkit/src/users_platform/backend_stand_in.rs
@@ -85,6 +85,8 @@
     CutHead(usize, Framing),
     /// Runs the request and sends `BackendState::raw_response`.
     Raw,
+    /// The same with a reset of the connection.
+    ResetInHead(usize, Framing),
     /// Starts a resumed stream this many events too late, or too early if it is negative.
     ShiftEvents(i32),
 }
