A stream that is taken up by its client starts after the event that the client named

Callers saw event ids go back: a client that took its stream up with Last-Event-Id 2 got 200 to the end with events 2 and 3, or from 0 on, again, if the engine started before the event named.

Cause: EventAssembler checked ids of continuations within one response alone. The first engine of a response was trusted whatever its ids, also where the client has earlier events from another entry or connection. That entry took 'no event seen here' for 'the client has none'.

Change: the first event for a client that has earlier ones must have a higher id, else the engine counts as cut and another one is asked within the bounds of a continuation. A first event that skips ids is passed on as before: whether the ids of this stream have gaps is not known to an entry that did not see its beginning (a_client_may_take_up_a_stream_whose_ids_have_gaps). Responses with Content-Length and routes that are not resumable are not checked, as they are not assembled.

--- a/coordination/src/stream_recovery/event_assembler.rs
+++ b/coordination/src/stream_recovery/event_assembler.rs
@@ -29,7 +29,7 @@
 ///
 /// Bytes are passed on in complete events, so that a cut never leaves a partial event at the
 /// client. The events of a later engine are passed on only if they follow the last one that
-/// the client has.
+/// the client has, and so is the first event for a client that takes its stream up.
 #[derive(Debug, Clone)]
 pub struct EventAssembler {
     /// Received bytes of the incomplete event.
@@ -161,9 +161,11 @@
         Ok(())
     }
 
-    /// An event of the first engine is passed on whatever its id, as without recovery.
+    /// An event of the first engine is passed on whatever its id, as without recovery, unless it
+    /// is the first for a client that has earlier ones.
     fn on_irregular(&mut self, cause: NotResumed) -> Result<(), NotResumed> {
-        if self.is_continuation {
+        let is_first_after_others = !self.has_event && self.last.is_some();
+        if self.is_continuation || is_first_after_others {
             return Err(cause);
         }
         self.off = Some(cause);
--- a/coordination/tests/stream_recovery.rs
+++ b/coordination/tests/stream_recovery.rs
@@ -287,6 +287,30 @@
     assert_eq!(pushed.fault, Some(NotResumed::IdNotRising));
 }
 
+/// Guards against: event ids that go back for a client that has earlier events from another entry.
+#[test]
+fn a_stream_that_starts_before_the_clients_last_event_is_not_passed_on() {
+    for first in 0..=4 {
+        let mut assembler = EventAssembler::new(Some(4));
+        let rest: String = (first..8).map(|id| format!("id: {id}\n\n")).collect();
+        let pushed = assembler.push(format!(": ping\n\n{rest}").as_bytes());
+        assert_eq!(pushed.fault, Some(NotResumed::IdNotRising), "from {first}");
+        assert_eq!(pushed.passed, b": ping\n\n", "from {first}");
+        assert_eq!(assembler.cut(), Ok(Some(4)), "from {first}");
+        assembler.start_continuation();
+        assert_eq!(assembler.push(b"id: 5\n\n").passed, b"id: 5\n\n");
+    }
+}
+
+/// Guards against: a stream whose ids have gaps, refused to a client that takes it up.
+#[test]
+fn a_client_may_take_up_a_stream_whose_ids_have_gaps() {
+    let mut assembler = EventAssembler::new(Some(4));
+    let rest = b"id: 8\n\nid: 12\n\n";
+    let pushed = assembler.push(rest);
+    assert_eq!((pushed.passed.as_slice(), pushed.fault), (&rest[..], None));
+}
+
 fn inputs(now: Instant) -> RecoveryInputs {
     RecoveryInputs {
         runs: 1,
--- a/testkit/tests/stream_recovery.rs
+++ b/testkit/tests/stream_recovery.rs
@@ -243,6 +243,42 @@
     Ok(())
 }
 
+/// Guards against: event ids that go back for a client that takes its stream up, when the engine
+/// starts before the event that the client named.
+#[tokio::test]
+async fn a_client_that_takes_its_stream_up_gets_no_event_twice() -> Result<()> {
+    for shift in [-1, -3] {
+        let case = format!("starts {shift} events off");
+        let fleet = start(|_| {}).await?;
+        set_fault(&fleet, BackendFault::ShiftEvents(shift));
+        let response = request(fleet.clients, &taken_up_after(2)).await?;
+        assert_eq!(text(&response), events(3..EVENTS), "{case}");
+        assert!(response.is_complete, "{case}");
+        assert_eq!(last_event_ids(&fleet, "r"), [id(2), id(2)], "{case}");
+    }
+    Ok(())
+}
+
+/// Guards against: the same where no engine starts at the right event; the response must not seem
+/// complete.
+#[tokio::test]
+async fn a_stream_that_no_engine_continues_at_the_clients_event_breaks_off() -> Result<()> {
+    let fleet = start(|_| {}).await?;
+    set_fault(&fleet, BackendFault::ShiftEvents(-2));
+    set_fault_of_others(&fleet, BackendFault::ShiftEvents(-2));
+    let response = request(fleet.clients, &taken_up_after(2)).await?;
+    assert_broken_after(&response, 0, "all start two events off");
+    assert_not_resumed_last(&fleet, "attempts").await;
+    Ok(())
+}
+
+fn taken_up_after(event: u32) -> ClientRequest {
+    ClientRequest {
+        headers: vec![("Last-Event-Id".to_string(), event.to_string())],
+        ..prompt("a", "r")
+    }
+}
+
 /// The end of an unframed stream looks like the end of its connection, which is a known limit: a
 /// cut between two events is not noticed.
 #[tokio::test]
