--- a/coordination/tests/retry_budget_fleet.rs
+++ b/coordination/tests/retry_budget_fleet.rs
@@ -17,6 +17,16 @@
 /// Windows of a calm run that end before this time are those of its start.
 const STARTED: Duration = Duration::from_secs(30);
 
+/// Time after which the budget of a calm fleet is in full use.
+const CALM: Duration = Duration::from_secs(31);
+/// Times after that at which all processes are killed.
+const KILL_INTERVALS: [Duration; 4] = [
+    Duration::ZERO,
+    Duration::from_secs(3),
+    Duration::from_secs(9),
+    Duration::from_secs(30),
+];
+
 fn from_environment(name: &str) -> Option<u64> {
     std::env::var(name).ok()?.parse().ok()
 }
@@ -108,6 +118,31 @@
     assert!(over.is_empty(), "windows over the rule, by seed: {over:?}");
 }
 
+/// Guards against: entries that all start at one moment with all sidecars and relays, so that nobody
+/// can tell how many they are and what was repeated before, and that each use the whole extra.
+#[test]
+fn a_fleet_whose_processes_are_all_killed_keeps_the_retry_budget() {
+    for relays in [0, 10] {
+        let over = seeds_over(|seed| {
+            let first = CALM + Duration::from_millis(50 * seed);
+            FleetSettings {
+                seed,
+                entries: 8,
+                relays,
+                requests_per_s: rate(seed, [2.0, 5.0, 20.0, 60.0]),
+                has_faults: false,
+                killed_at: KILL_INTERVALS.map(|after| first + after).to_vec(),
+                failing: 1.0,
+                ..FleetSettings::default()
+            }
+        });
+        assert!(
+            over.is_empty(),
+            "{relays} relays: windows over the rule, by seed: {over:?}"
+        );
+    }
+}
+
 /// Returns the mean part of the allowed repeats that a calm fleet uses while all requests fail.
 fn usage_of_failing(entries: usize, requests_per_s: f64, extra: f64) -> f64 {
     let windows = Fleet::new(FleetSettings {
--- a/coordination/tests/retry_budget_sim/fleet.rs
+++ b/coordination/tests/retry_budget_sim/fleet.rs
@@ -21,6 +21,8 @@
 const DURATION: Duration = Duration::from_secs(90);
 /// Time without traffic and faults, in which late sends are read.
 const END: Duration = Duration::from_secs(15);
+/// Time for which entries are down when all processes are killed.
+const RESTART_TIME: Duration = Duration::from_millis(500);
 /// Time after which clients give up a request that an entry has not read.
 const CLIENT_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -38,6 +40,8 @@
     pub view_steps: u64,
     pub demand_steps: u64,
     pub has_faults: bool,
+    /// Times at which all entries, sidecars and relays are killed at one moment.
+    pub killed_at: Vec<Duration>,
     /// Fraction of the requests that fail without faults.
     pub failing: f64,
 }
@@ -59,6 +63,7 @@
             view_steps: 6,
             demand_steps: 18,
             has_faults: true,
+            killed_at: Vec::new(),
             failing: 0.0,
         }
     }
@@ -181,6 +186,9 @@
                 self.inject(fault);
             }
         }
+        if self.settings.killed_at.contains(&self.now) {
+            self.kill_all();
+        }
         self.restart_entries();
         if step.is_multiple_of(self.settings.view_steps) {
             self.exchange_views();
@@ -256,6 +264,19 @@
         }
     }
 
+    fn kill_all(&mut self) {
+        for fault in [
+            Fault::KillEntries {
+                numbers: (0..self.settings.entries).collect(),
+                down: RESTART_TIME,
+            },
+            Fault::RestartSidecars { fraction: 1.0 },
+            Fault::RestartRelays { fraction: 1.0 },
+        ] {
+            self.inject(fault);
+        }
+    }
+
     fn restart_entries(&mut self) {
         for number in 0..self.entries.len() {
             let is_due = self.restart_at[number] <= self.now;
