An entry that starts permits no adapter version older than those it finds

What callers saw: after all entries were killed, requests began on a version of their adapter that had been outdated for longer than version_ms, for up to 2.5 s (half of that time) after the entries had read the configuration again.

Cause: an entry took each version for one that was announced when it learned of it. For the versions of its first read that is not known; 'not known' was taken for 'just now'. Nobody could tell: the store's items carry no time, and entries that run exchange none.

Change: DispatchEvent::VersionFound for versions of the first read; AdapterVersions keeps the time of an announcement as unknown, which permits nothing older. Requests for an adapter that is being replaced at that moment wait for the replacement, as at the end of the grace. Versions that a process learns of by a later full read are still taken for just announced.

--- a/coordination/src/dispatch/backend_updates.rs
+++ b/coordination/src/dispatch/backend_updates.rs
@@ -1,4 +1,4 @@
-//! Updates of what is known about back ends: the list, sidecar views and adapter versions.
+//! Updates of what is known about back ends: routes, the list, sidecar views and adapter versions.
 
 use {
     super::{
@@ -10,11 +10,13 @@
     chalkcart_state::{
         backends::{AdapterRef, Backend, BackendId, BackendList, BackendName},
         ids::ServiceName,
+        ingress::RouteTable,
         published::StorePosition,
     },
     std::{
         collections::{HashMap, HashSet},
         net::SocketAddr,
+        sync::Arc,
         time::{Duration, Instant},
     },
 };
@@ -335,9 +337,24 @@
         states.any(|b| b.has_ended && !b.is_unlisted && b.listed.addr == addr)
     }
 
-    pub(super) fn on_version(&mut self, adapter: AdapterRef, version: u64, now: Instant) {
+    pub(super) fn on_table(&mut self, table: Arc<RouteTable>, now: Instant) {
+        self.admission_order.set_routes(&table);
+        self.table = table;
+        self.count_listed_engines();
+        self.dispatch_waiting(|_| true, now);
+    }
+
+    /// `announced_at` is unknown for a version of before the start of this process.
+    pub(super) fn on_version(
+        &mut self,
+        adapter: AdapterRef,
+        version: u64,
+        announced_at: Option<Instant>,
+        now: Instant,
+    ) {
         let grace = self.settings.version_grace;
-        if !self.adapter_versions.insert(&adapter, version, grace, now) {
+        let versions = &mut self.adapter_versions;
+        if !versions.insert(&adapter, version, announced_at, grace, now) {
             return;
         }
         for (id, state) in &self.backends {
--- a/coordination/src/dispatch/dispatcher.rs
+++ b/coordination/src/dispatch/dispatcher.rs
@@ -210,12 +210,7 @@
             DispatchEvent::ListSourceChanged { is_available } => {
                 self.list_source.set_available(is_available, now)
             }
-            DispatchEvent::ConfigUpdated(table) => {
-                self.admission_order.set_routes(&table);
-                self.table = table;
-                self.count_listed_engines();
-                self.dispatch_waiting(|_| true, now);
-            }
+            DispatchEvent::ConfigUpdated(table) => self.on_table(table, now),
             DispatchEvent::ZonesEvacuated(zones) => {
                 self.evacuated_zones = zones;
                 self.dispatch_waiting(|_| true, now);
@@ -226,7 +221,10 @@
                 self.on_demand_sent(addr, is_accepted)
             }
             DispatchEvent::VersionAnnounced { adapter, version } => {
-                self.on_version(adapter, version, now)
+                self.on_version(adapter, version, Some(now), now)
+            }
+            DispatchEvent::VersionFound { adapter, version } => {
+                self.on_version(adapter, version, None, now)
             }
             DispatchEvent::Tick => {
                 self.refresh_performance(now);
--- a/coordination/src/dispatch/event.rs
+++ b/coordination/src/dispatch/event.rs
@@ -131,5 +131,11 @@
         adapter: AdapterRef,
         version: u64,
     },
+    /// An adapter has a version that was announced at an unknown time before this process learned
+    /// of any.
+    VersionFound {
+        adapter: AdapterRef,
+        version: u64,
+    },
     Tick,
 }
--- a/coordination/tests/versions.rs
+++ b/coordination/tests/versions.rs
@@ -74,6 +74,24 @@
     assert!(begins(&mut second, 5));
 }
 
+/// Guards against: requests that begin on an outdated version at an entry that has just started,
+/// since it takes a version that was announced before for one that was announced just now.
+#[test]
+fn an_entry_that_starts_permits_no_version_older_than_those_it_finds() {
+    let mut fixture = holding(1);
+    fixture.handle(DispatchEvent::VersionFound {
+        adapter: adapter("a"),
+        version: 2,
+    });
+    assert!(!begins(&mut fixture, 1));
+    fixture.view(1, view("engines-1", &[("a", 2)]));
+    assert!(begins(&mut fixture, 2));
+    announce_version(&mut fixture, 3);
+    assert!(begins(&mut fixture, 3), "within the grace of version 3");
+    fixture.now += GRACE;
+    assert!(!begins(&mut fixture, 4));
+}
+
 #[test]
 fn a_late_update_of_an_older_version_is_ignored() {
     let mut fixture = holding(1);
--- a/entry/src/ingress/records.rs
+++ b/entry/src/ingress/records.rs
@@ -33,6 +33,8 @@
     unreadable: UnreadableRecords,
     /// Whether the last read of the list failed.
     is_list_away: AtomicBool,
+    /// Whether the configuration was read.
+    has_configuration: AtomicBool,
 }
 
 impl EntryRecords {
@@ -45,6 +47,7 @@
             list: Mutex::new(list),
             evacuated: Mutex::default(),
             is_list_away: AtomicBool::new(false),
+            has_configuration: AtomicBool::new(false),
         }
     }
 
@@ -79,7 +82,7 @@
             .send_event(DispatchEvent::ListUpdated { at, list });
     }
 
-    fn apply_configuration(&self, record: Record) {
+    fn apply_configuration(&self, record: Record, is_first_read: bool) {
         self.unreadable
             .record_if_unreadable(&record, &self.shared.metrics);
         match record {
@@ -88,7 +91,10 @@
                 self.apply_table(*table);
             }
             Record::AdapterVersion { adapter, version } => {
-                let event = DispatchEvent::VersionAnnounced { adapter, version };
+                let event = match is_first_read {
+                    true => DispatchEvent::VersionFound { adapter, version },
+                    false => DispatchEvent::VersionAnnounced { adapter, version },
+                };
                 self.shared.control.send_event(event);
             }
             Record::Zone { .. } => {}
@@ -164,8 +170,9 @@
             Topic::Configuration => {
                 self.shared.set_configuration_position(update.snapshot.at);
                 self.apply_zones(&update.snapshot, is_full);
+                let is_first_read = !self.has_configuration.swap(true, Ordering::Relaxed);
                 let records = update.snapshot.records.into_iter();
-                records.for_each(|record| self.apply_configuration(record));
+                records.for_each(|record| self.apply_configuration(record, is_first_read));
                 self.shared.admission.lease().on_current(update.current_at);
             }
         }
