A store's history counts only as far back as its writes show, or if it is whole

Cause: the changes that a store still has were taken for all that were made in the time of which streams are taken up. The store may forget any of them at any time, and its items carry no time.

Change: a back end numbers the writes of its record and makes them at known intervals.

--- a/coordination/tests/version_history.rs
+++ b/coordination/tests/version_history.rs
@@ -162,7 +162,8 @@
 fn earlier(changes: Vec<Record>) -> Option<VersionMix> {
     let now = now();
     let mut versions = started("v2", now);
-    let earlier = EarlierVersions::of(&changes)?;
+    let changes = changes.iter().map(|record| (record, None));
+    let earlier = EarlierVersions::of(changes, true)?;
     versions.on_earlier(&earlier, MEMORY, now);
     Some(versions.mix(SERVICE, MEMORY, now))
 }
@@ -228,3 +229,26 @@
     let gone = Record::BackendGone("a".to_string());
     assert_eq!(earlier(vec![gone, written("a", "v2")]), None);
 }
+
+/// Guards against: the changes of a second that are taken for those of a longer time.
+#[test]
+fn a_history_reaches_back_as_far_as_its_writes_show() {
+    let heartbeat = Duration::from_millis(1_200);
+    let time = Duration::from_secs(10);
+    // the first and last writes of two back ends; 13 intervals, of which two may be extra ones
+    let cases = [
+        ([None, None], [None, None], false, false),
+        ([None, None], [None, None], true, true),
+        ([Some(5), Some(90)], [Some(17), Some(92)], false, false),
+        ([Some(5), Some(90)], [Some(18), Some(92)], false, true),
+        ([Some(5), Some(90)], [Some(6), Some(103)], false, true),
+    ];
+    for (first, last, is_whole, expected) in cases {
+        let names = ["a", "b"];
+        let records = names.map(|name| written(name, "v1"));
+        let changes = records.iter().zip(first).chain(records.iter().zip(last));
+        let earlier = EarlierVersions::of(changes, is_whole).expect("nothing left");
+        let reaches_back = earlier.reaches_back(time, heartbeat);
+        assert_eq!(reaches_back, expected, "{first:?} {last:?} {is_whole}");
+    }
+}
--- a/entry/src/ingress/earlier_versions.rs
+++ b/entry/src/ingress/earlier_versions.rs
@@ -4,11 +4,11 @@
 
 use {
     super::shared::Shared,
-    chalkcart_coordination::{software_versions::EarlierVersions, watch::WatchTimes},
-    chalkcart_state::published::{Record, StoreEra, StorePosition, Topic},
+    chalkcart_coordination::software_versions::EarlierVersions,
+    chalkcart_state::published::{StoreEra, StorePosition, Topic},
     chalkcart_transport::{
         clock,
-        metadata::{MetadataSource, SourceError, WatchOutcome},
+        metadata::{MetadataSource, PastChange, SourceError},
     },
     std::{sync::Arc, time::Duration},
     tokio::time::sleep,
@@ -25,11 +25,9 @@
 /// Calls that may fail before the search is given up, and the time between two of them.
 const MAX_FAILURES: u32 = 5;
 const RETRY_DELAY: Duration = Duration::from_millis(200);
-/// Times of a read of changes that is not held.
-const TIMES: WatchTimes = WatchTimes {
-    hold: Duration::ZERO,
-    response: Duration::from_millis(700),
-};
+/// Shortest history that counts. A stream that is taken up ran at an engine that was listed, or had
+/// left the list for no longer than it takes to drain and to start this process.
+const MIN_HISTORY: Duration = Duration::from_secs(10);
 /// Time between two checks of whether the process has its first list.
 const CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -42,6 +40,7 @@
         let search = HistorySearch {
             store,
             position,
+            heartbeat: shared.settings.heartbeat(),
             failures: 0,
         };
         let earlier = search.run().await;
@@ -72,6 +71,8 @@
     store: Arc<dyn MetadataSource>,
     /// The position up to which changes count.
     position: StorePosition,
+    /// Interval at which back ends write their records.
+    heartbeat: Duration,
     failures: u32,
 }
 
@@ -105,23 +106,23 @@
                 None => dropped = Some(middle),
             }
         }
-        EarlierVersions::of(&changes)
+        let is_whole = dropped.is_none();
+        let changes = changes.iter().map(|change| (&change.record, change.writes));
+        let earlier = EarlierVersions::of(changes, is_whole)?;
+        let reaches_back = earlier.reaches_back(MIN_HISTORY, self.heartbeat);
+        reaches_back.then_some(earlier)
     }
 
     /// Reads the latest changes, that many or a few more; the outer `None` says that the store can't
     /// be read, the inner one that it has dropped some of them.
-    async fn read(&mut self, count: u64) -> Option<Option<Vec<Record>>> {
+    async fn read(&mut self, count: u64) -> Option<Option<Vec<PastChange>>> {
         loop {
             let after = self.position.back_by(count);
-            match self.store.watch(Topic::Backends, after, TIMES).await {
-                // a store that is behind the configuration that was read from it
-                Ok(WatchOutcome::Records(update)) if update.snapshot.at < self.position => {
-                    return None;
-                }
-                Ok(WatchOutcome::Records(update)) => return Some(Some(update.snapshot.records)),
+            let history = self.store.history(Topic::Backends, after, self.position);
+            match history.await {
                 // without a single change there is nothing to know
-                Ok(WatchOutcome::HistoryLost) if count == 0 => return None,
-                Ok(WatchOutcome::HistoryLost) => return Some(None),
+                Ok(None) if count == 0 => return None,
+                Ok(changes) => return Some(changes),
                 Err(e) => self.on_failure(&e).await?,
             }
         }
--- a/transport/src/metadata/mod.rs
+++ b/transport/src/metadata/mod.rs
@@ -6,6 +6,9 @@
 
 pub use {
     known_era::KnownEra,
-    source::{FirstPage, MetadataSource, SourceError, WatchOutcome, WatchUpdate},
+    source::{
+        FirstPage, MetadataSource, PastChange, SourceError, WatchOutcome, WatchUpdate,
+        HISTORY_TIMEOUT,
+    },
     store_watcher::{RecordSink, StoreWatcher},
 };
--- a/transport/src/metadata/source.rs
+++ b/transport/src/metadata/source.rs
@@ -3,11 +3,18 @@
     crate::client::ClientError,
     async_trait::async_trait,
     chalkcart_coordination::watch::WatchTimes,
-    chalkcart_state::published::{Snapshot, StoreEra, StorePosition, Topic},
-    std::{net::SocketAddr, sync::Arc, time::Instant},
+    chalkcart_state::published::{Record, Snapshot, StoreEra, StorePosition, Topic},
+    std::{
+        net::SocketAddr,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
     thiserror::Error,
 };
 
+/// Time limit of a read of past changes.
+pub const HISTORY_TIMEOUT: Duration = Duration::from_millis(700);
+
 /// Records of the store, with the time at which they were current.
 #[derive(Debug)]
 pub struct WatchUpdate {
@@ -25,6 +32,14 @@
     pub is_complete: bool,
 }
 
+/// A change that the store still has.
+#[derive(Debug, Clone)]
+pub struct PastChange {
+    pub record: Record,
+    /// How often its back end had written its record by then; `None` if it doesn't say.
+    pub writes: Option<u64>,
+}
+
 /// The result of a watch call.
 #[derive(Debug)]
 pub enum WatchOutcome {
@@ -67,6 +82,28 @@
             is_complete: true,
         })
     }
+    /// Reads the changes from `after` up to now, at least up to `until`; `None` if the store has
+    /// dropped some of them or is behind.
+    async fn history(
+        &self,
+        topic: Topic,
+        after: StorePosition,
+        until: StorePosition,
+    ) -> Result<Option<Vec<PastChange>>, SourceError> {
+        let times = WatchTimes {
+            hold: Duration::ZERO,
+            response: HISTORY_TIMEOUT,
+        };
+        let WatchOutcome::Records(update) = self.watch(topic, after, times).await? else {
+            return Ok(None);
+        };
+        let records = update.snapshot.records.into_iter();
+        let changes = records.map(|record| PastChange {
+            record,
+            writes: None,
+        });
+        Ok((update.snapshot.at >= until).then(|| changes.collect()))
+    }
     /// Waits for changes after a position.
     async fn watch(
         &self,
