A request that failed at every back end is answered at once

What callers saw: a /safe/ request whose back ends all broke off got its 502 only after 3.0 s (trial), with nothing left to try.

Cause: the repeat was queued. All listed back ends were tried, so the dispatcher kept it for max_slot_wait_ratio (2.0) x the latency objective (1.5 s), in case a new back end is listed, or until a back-off of one of the tried ones ended, to which it may not be sent. Requests bound to regions or to a software version were answered at once already.

Change: a request that a back end may have run (DispatchRequest::is_repeat) does not wait for one that is not listed, nor for the back-off of one that failed it. One that has not run waits as before, and so does a stream that is resumed, whose client has a part of it.

Measured: coordination/tests/dispatch.rs a_request_that_failed_everywhere_is_ answered_at_once (decided in the same event); testkit/tests/cut_heads.rs a_request_that_failed_everywhere_does_not_wait, objective 60 s: without the flag it is answered at its deadline of 8 s ('late'), with it at once ('no_backend').

Mutations of dispatch.rs' test, each red: wait kept; for requests that have not run too; back-off of tried ones waited for; back-off of tried ones ignored for requests that have not run. Of cut_heads.rs' test: the flag not set by the entry. No test turns red when resumed streams keep the flag (it needs a failed first send before the stream that breaks off).

--- a/coordination/src/dispatch/dispatch_request.rs
+++ b/coordination/src/dispatch/dispatch_request.rs
@@ -55,6 +55,9 @@
     /// Whether the load time of its adapter was compared with its latency objective.
     pub is_load_time_checked: bool,
     pub send_count: u32,
+    /// Whether a back end may have run it and failed. Such a request does not wait for a back end
+    /// that is not listed yet.
+    pub is_repeat: bool,
     /// Until when a back end may still read one of the earlier sends, whose connection was lost;
     /// `None` if none can.
     pub earlier_unread_until: Option<Instant>,
--- a/coordination/src/dispatch/rejection.rs
+++ b/coordination/src/dispatch/rejection.rs
@@ -72,7 +72,11 @@
             | RejectionCause::LoadTooSlow
             | RejectionCause::MissesDeadline => self.settings.max_slot_wait_ratio,
         };
-        let max_wait = request.target_latency.mul_f64(max_wait_ratio);
+        let max_wait = match request.is_repeat && cause == RejectionCause::NoBackend {
+            // all that are listed were tried
+            true => Duration::ZERO,
+            false => request.target_latency.mul_f64(max_wait_ratio),
+        };
         let waited = now.saturating_duration_since(request.arrived_at);
         let backoff = match cause {
             RejectionCause::BackedOff => self.shortest_backoff(&request, now).unwrap_or_default(),
--- a/coordination/src/dispatch/selection.rs
+++ b/coordination/src/dispatch/selection.rs
@@ -247,6 +247,10 @@
             b.listed.service == request.service && b.may_receive_requests() && !b.is_unlisted
         });
         let may_serve = may_serve.filter(|b| self.is_allowed(request, b));
+        // a repeat is not sent again to where it failed
+        let is_over =
+            |b: &BackendState| request.is_repeat && request.tried_backends.contains(&b.listed.id);
+        let may_serve = may_serve.filter(|b| !is_over(b));
         let with_model =
             may_serve.filter(|b| request.model.as_ref().is_none_or(|m| b.has_model(m)));
         with_model.filter_map(|b| b.backoff.remaining(now)).min()
--- a/coordination/tests/adapter_sim/entry.rs
+++ b/coordination/tests/adapter_sim/entry.rs
@@ -139,6 +139,7 @@
         has_progress: false,
         is_beyond_share: false,
         send_count: 0,
+        is_repeat: false,
         earlier_unread_until: None,
         start_tag: 0,
     }
--- a/coordination/tests/dispatch.rs
+++ b/coordination/tests/dispatch.rs
@@ -3,9 +3,12 @@
 mod dispatch_fixture;
 
 use {
-    chalkcart_coordination::dispatch::{
-        Decision, DispatchEvent, DispatchRequest, DispatchSettings, RejectionCause, SendOutcome,
-        SharedRetryBudget, Ticket,
+    chalkcart_coordination::{
+        backend_signals::BackendSignals,
+        dispatch::{
+            Decision, DispatchEvent, DispatchRequest, DispatchSettings, RejectionCause,
+            SendOutcome, SharedRetryBudget, Ticket,
+        },
     },
     chalkcart_protocol::peer::{EngineStats, EngineView},
     dispatch_fixture::*,
@@ -388,3 +391,60 @@
     fixture.handle(DispatchEvent::RequestWithdrawn(6));
     assert_eq!(fixture.dispatcher.waiting_count(), 0);
 }
+
+/// Returns the decisions on a request that was sent to some of two back ends; both back off if
+/// they gave a signal.
+fn decisions_on_resent(
+    tried: &[u8],
+    is_repeat: bool,
+    signal: Option<BackendSignals>,
+) -> Vec<(Ticket, Decision)> {
+    let mut fixture = Fixture::new(vec![backend(PLAIN, 1), backend(PLAIN, 2)]);
+    for number in [1, 2] {
+        let Some(signal) = signal else { continue };
+        fixture.handle(DispatchEvent::SignalReceived {
+            backend: backend(PLAIN, number).id,
+            signal,
+            sent_at: fixture.now,
+        });
+    }
+    let request = DispatchRequest {
+        send_count: 1,
+        is_repeat,
+        tried_backends: tried.iter().map(|n| backend(PLAIN, *n).id).collect(),
+        ..fixture.new_request(PLAIN, None)
+    };
+    fixture.submit(1, request)
+}
+
+fn rejection_cause(decided: &[(Ticket, Decision)]) -> Option<RejectionCause> {
+    decided.first().and_then(|(_, decision)| match decision {
+        Decision::Reject { cause, .. } => Some(*cause),
+        Decision::Send(_) => None,
+    })
+}
+
+/// Guards against: a request that failed at each back end and whose caller waits for one that is
+/// not listed, or for one of these to end its back-off.
+#[test]
+fn a_request_that_failed_everywhere_is_answered_at_once() {
+    let backoff = BackendSignals::new(false, Some(ms(200)));
+    for signal in [None, Some(backoff)] {
+        let decided = decisions_on_resent(&[1, 2], true, signal);
+        let cause = rejection_cause(&decided);
+        assert_eq!(cause, Some(RejectionCause::NoBackend), "{signal:?}");
+        // a request that has not run waits as before
+        let decided = decisions_on_resent(&[1, 2], false, signal);
+        assert!(decided.is_empty(), "{signal:?}: {decided:?}");
+    }
+    // or is told how long they back off
+    let long = BackendSignals::new(false, Some(ms(5_000)));
+    let decided = decisions_on_resent(&[1, 2], false, Some(long));
+    let cause = rejection_cause(&decided);
+    assert_eq!(cause, Some(RejectionCause::BackedOff), "{decided:?}");
+    // one that is left gets it, or is waited for
+    let decided = decisions_on_resent(&[1], true, None);
+    assert_eq!(sent_to(&decided), ["plain-2"]);
+    let decided = decisions_on_resent(&[1], true, Some(backoff));
+    assert!(decided.is_empty(), "{decided:?}");
+}
--- a/coordination/tests/dispatch_fixture/mod.rs
+++ b/coordination/tests/dispatch_fixture/mod.rs
@@ -204,6 +204,7 @@
             was_rejected_before: false,
             is_load_time_checked: false,
             send_count: 0,
+            is_repeat: false,
             earlier_unread_until: None,
             start_tag: 0,
         }
--- a/coordination/tests/pacing_sim/mod.rs
+++ b/coordination/tests/pacing_sim/mod.rs
@@ -368,6 +368,7 @@
             is_beyond_share: false,
             is_load_time_checked: false,
             send_count: 0,
+            is_repeat: false,
             earlier_unread_until: None,
             start_tag: 0,
         };
--- a/coordination/tests/retry_budget_sim/entry.rs
+++ b/coordination/tests/retry_budget_sim/entry.rs
@@ -235,6 +235,7 @@
         was_rejected_before: false,
         is_load_time_checked: false,
         send_count: 0,
+        is_repeat: false,
         earlier_unread_until: None,
         start_tag: 0,
     }
--- a/entry/src/ingress/request_exchange.rs
+++ b/entry/src/ingress/request_exchange.rs
@@ -133,6 +133,7 @@
             was_rejected_before: shared.is_client_retry(route, accepted.head.timeout),
             is_load_time_checked: false,
             send_count: 0,
+            is_repeat: false,
             earlier_unread_until: None,
             start_tag: 0,
         };
@@ -235,6 +236,7 @@
                     if !may_retry {
                         return self.final_response("failed", DEFAULT_RETRY_AFTER);
                     }
+                    self.request.is_repeat = true;
                 }
             }
             if self.request.send_count >= MAX_SENDS {
--- a/entry/src/ingress/stream_recovery.rs
+++ b/entry/src/ingress/stream_recovery.rs
@@ -118,6 +118,8 @@
                 self.exchange.request.has_progress = has_progress;
                 // The dispatcher bounds the wait of a request by its time of arrival.
                 self.exchange.request.arrived_at = clock::now();
+                // The client has a part of the response, so a new engine is worth a wait.
+                self.exchange.request.is_repeat = false;
             }
             let assignment = self.next_assignment(log.sends, has_progress).await?;
             log.sends += 1;
--- a/testkit/tests/cut_heads.rs
+++ b/testkit/tests/cut_heads.rs
@@ -4,10 +4,14 @@
 
 use {
     anyhow::Result,
-    chalkcart_testkit::users_platform::{
-        prompt, request, BackendFault, ClientRequest, ClientResponse, Fleet, FleetSettings, RawEnd,
-        RawResponse,
+    chalkcart_testkit::{
+        users_platform::{
+            prompt, request, BackendFault, ClientRequest, ClientResponse, Fleet, FleetSettings,
+            RawEnd, RawResponse,
+        },
+        waiting::until,
     },
+    serde_json::json,
     std::{collections::BTreeMap, time::Duration},
 };
 
@@ -168,6 +172,27 @@
     Ok(())
 }
 
+/// Guards against: a request whose only back end failed, and that waits for one that is not
+/// listed: until its deadline where the latency objective is long.
+#[tokio::test]
+async fn a_request_that_failed_everywhere_does_not_wait() -> Result<()> {
+    let mut fleet = start(1).await?;
+    fleet.configure(|document| document["Routes"][0]["TargetLatencyMs"] = json!(60_000));
+    let version = format!("configuration {} in force", fleet.version());
+    until("the configuration is applied", || {
+        fleet.log().contains(&version)
+    })
+    .await;
+    set_raw(&fleet, &RawResponse::new(""));
+    let response = request(fleet.clients, &sent("/safe/", "r")).await?;
+    assert_eq!(response.status, 502);
+    // at the deadline the text is another one
+    let text = String::from_utf8_lossy(&response.body).to_string();
+    assert_eq!(text.trim_end(), "no_backend");
+    assert_eq!(fleet.plain[0].runs().len(), 1);
+    Ok(())
+}
+
 /// Guards against: an engine with an older protocol version, which the entry took over towards
 /// its client: a stream that broke off ended with an orderly close, as if it were whole.
 #[tokio::test]
