An engine's failure proves that nothing was done only with its whole reason

What callers of the gRPC interface could get: a request that an engine may have run counted as not run, so that it could run once more elsewhere.

Cause: HttpEngine read each status but 200 as a refusal, also when its body broke off, was empty or was no refusal at all (a 500 of an engine that failed halfway): an unreadable body was read as an empty reason. A refusal is a proof that the order was not executed and never will be.

Change: only a whole body with a reason is a refusal; anything else is an error after which the request may have run and the result of an order is unknown, as for orders whose body is no JSON before.

--- a/transport/src/engine/http_engine.rs
+++ b/transport/src/engine/http_engine.rs
@@ -67,8 +67,7 @@
             .await?;
         match reply.status {
             StatusCode::OK => Ok(()),
-            StatusCode::CONFLICT => Err(EngineError::Fenced(reply.body.refused)),
-            _ => Err(EngineError::Refused(reply.body.refused)),
+            status => Err(refusal(self.addr, status, reply.body)),
         }
     }
 
@@ -86,13 +85,11 @@
             .await?;
         let status = response.status();
         if status != StatusCode::OK {
-            let body = read_body(addr, response.into_body(), REFUSAL_LIMITS).await;
-            let body = body.unwrap_or_default();
-            let reply: OrderReply = serde_json::from_slice(&body).unwrap_or_default();
-            return Err(match status {
-                StatusCode::CONFLICT => EngineError::Fenced(reply.refused),
-                _ => EngineError::Refused(reply.refused),
-            });
+            let body = read_body(addr, response.into_body(), REFUSAL_LIMITS).await?;
+            let reply: OrderReply = serde_json::from_slice(&body).map_err(|e| {
+                ClientError::new(ClientStep::Decode, addr, format!("{status}: {e}"))
+            })?;
+            return Err(refusal(addr, status, reply));
         }
         let data = response.into_body().into_data_stream();
         let reader = StreamReader::new(data.map_err(io::Error::other));
@@ -172,6 +169,19 @@
     }
 }
 
+/// Returns the error of an order that was not executed. A status alone is no proof of that: an
+/// engine that fails halfway has one too, so the reason must be there.
+fn refusal(addr: SocketAddr, status: StatusCode, reply: OrderReply) -> EngineError {
+    if reply.refused.is_empty() {
+        let detail = format!("{status} without a reason");
+        return ClientError::new(ClientStep::Decode, addr, detail).into();
+    }
+    match status {
+        StatusCode::CONFLICT => EngineError::Fenced(reply.refused),
+        _ => EngineError::Refused(reply.refused),
+    }
+}
+
 impl AdapterOrder {
     fn new(order: OrderFence, adapter: &AdapterKey) -> Self {
         Self {
