Test: a peer message cut at any byte does not decode

Looked for the same class between our own processes: fields that are missing have defaults, so a message whose connection closed in its middle must fail to decode as a whole. It does: each sample message, three encodings, each byte; the test passed at once, no code changes.

--- a/protocol/tests/arbitrary_bytes.rs
+++ b/protocol/tests/arbitrary_bytes.rs
@@ -195,3 +195,21 @@
         .tests(CASES)
         .quickcheck(holds as fn(Vec<Vec<u8>>) -> bool);
 }
+
+/// Guards against: a message whose connection closed in the middle of it and that decodes all the
+/// same, with defaults in the place of the fields that did not arrive.
+#[test]
+fn a_message_cut_at_any_byte_does_not_decode() {
+    let mut count = 0;
+    for sample in all(None).iter().chain(&all(Some(true))) {
+        for encoding in ENCODINGS {
+            let whole = body_of(sample, encoding);
+            for bytes in 0..whole.len() {
+                let read = (sample.read)(&with_prefix(sample, &whole[..bytes]));
+                assert!(read.is_err(), "{} {encoding:?}, {bytes}", sample.name);
+                count += 1;
+            }
+        }
+    }
+    assert!(count > 10_000, "{count}");
+}
