A restarted engine that stays missing from the list counts as gone

Cause: an incarnation that a sidecar reports and the list lacks is taken for one that is 'not listed yet' (is_ahead_of_list), for as long as the sidecar reports it. One that left before its first record looks the same: 'not yet' was read where it is 'no longer'. It needs a restart of the engine, not of the entries; when all machines start at one moment, many engines are without a record for 1.2 to 2.1 s.

Change: it is used without a record for as long as a record that lapsed may take to come back (RETURN_TIME, 3 s, after which one that is missing is gone by the pages), and without a limit while the list can't be read. Its view is kept, so that a late record puts it back in use at once. Checked with each list that is applied, so in a quiet fleet up to the next change of the list.

Evidence: a_restarted_engine_that_is_missing_from_the_list_for_long_counts_as_gone failed before (the request was sent) and passes; a_restarted_engine_stays_in_use_while_the_list_cannot_be_read passed before and after. Tests of 13 files of coordination pass.

--- a/coordination/src/dispatch/backend_state.rs
+++ b/coordination/src/dispatch/backend_state.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         affected_requests::AffectedRequests, backend_signal_tracker::BackendSignalTracker,
-        DispatchRequest, EngineObservations, InFlightRequest,
+        list_source::RETURN_TIME, DispatchRequest, EngineObservations, InFlightRequest,
     },
     crate::{
         backend_admission::{
@@ -228,6 +228,11 @@
         self.prefill_window
             .on_report(pending, unit, rate, self.viewed_at);
     }
+    /// Returns whether the record of an engine that its sidecar reported may still come: one that
+    /// runs and is missing for longer has left.
+    pub fn may_be_listed_soon(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.discovered_at) < RETURN_TIME
+    }
     /// Handles the start of another incarnation at the same address.
     pub fn end_incarnation(&mut self) {
         self.has_ended = true;
--- a/coordination/src/dispatch/backend_updates.rs
+++ b/coordination/src/dispatch/backend_updates.rs
@@ -72,8 +72,9 @@
             state.is_ahead_of_list &= !is_listed && !has_successor;
             let was_unlisted = state.is_unlisted;
             let is_list_behind = listed_ended.contains(&state.listed.addr);
-            state.is_unlisted =
-                !(is_listed || state.is_ahead_of_list && (state.view.is_some() || is_list_behind));
+            let may_come = may_lack_running || state.may_be_listed_soon(now);
+            let is_expected = may_come && (state.view.is_some() || is_list_behind);
+            state.is_unlisted = !(is_listed || state.is_ahead_of_list && is_expected);
             let has_left = state.is_unlisted && !was_unlisted;
             if has_left {
                 state.is_lapsed = may_lack_running;
@@ -121,7 +122,9 @@
         self.backends.retain(|id, b| {
             let may_be_needed = may_lack_running && b.is_lapsed;
             let has_other = services.contains(&b.listed.service);
-            let is_kept = !b.is_unlisted || b.in_flight > 0 || (may_be_needed && !has_other);
+            let is_reported = b.is_ahead_of_list && b.view.is_some();
+            let is_idle = b.in_flight == 0 && !is_reported;
+            let is_kept = !b.is_unlisted || !is_idle || (may_be_needed && !has_other);
             if !is_kept {
                 self.signals.save_limit(id, &b.limit, now);
             }
--- a/coordination/src/dispatch/list_source.rs
+++ b/coordination/src/dispatch/list_source.rs
@@ -2,7 +2,7 @@
 
 /// Time after the store's return in which back ends whose records lapsed write them again, and
 /// this entry reads them. One that is missing after it is gone.
-const RETURN_TIME: Duration = Duration::from_secs(3);
+pub(super) const RETURN_TIME: Duration = Duration::from_secs(3);
 
 /// Whether the list of back ends may lack some that run: their records lapse while the store does
 /// not hear them, and a restored store may be older than they are.
--- a/coordination/tests/dispatch_listing.rs
+++ b/coordination/tests/dispatch_listing.rs
@@ -142,6 +142,52 @@
     assert_eq!(sent_to(&fixture.submit(2, request)), ["engines-1-new"]);
 }
 
+/// Guards against: requests to an engine that left before the store had its first record, which is
+/// taken for one that is not listed yet for as long as its sidecar reports it.
+#[test]
+fn a_restarted_engine_that_is_missing_from_the_list_for_long_counts_as_gone() {
+    let mut fixture = fixture_with_views();
+    fixture.view(1, view("engines-1-new", &[("a", 1)]));
+    for (ticket, seconds) in [(1, 0), (2, 2)] {
+        fixture.now += ms(seconds * 1_000);
+        fixture.update_list(engines());
+        fixture.view(1, view("engines-1-new", &[("a", 1)]));
+        let request = fixture.new_request(ENGINES, Some("a"));
+        let sent = sent_to(&fixture.submit(ticket, request));
+        assert_eq!(sent, ["engines-1-new"], "after {seconds} s");
+        fixture.end(ticket, SendOutcome::Answered);
+    }
+    fixture.now += ms(1_500);
+    fixture.update_list(engines());
+    fixture.view(1, view("engines-1-new", &[("a", 1), ("b", 1)]));
+    fixture.view(2, view("engines-2", &[]));
+    let request = fixture.new_request(ENGINES, Some("a"));
+    assert!(fixture.submit(3, request).is_empty(), "it is gone");
+    // its record was only late
+    let listed = Backend {
+        id: "engines-1-new".into(),
+        ..backend(ENGINES, 1)
+    };
+    fixture.update_list(vec![listed, backend(ENGINES, 2)]);
+    let request = fixture.new_request(ENGINES, Some("a"));
+    assert_eq!(sent_to(&fixture.submit(4, request)), ["engines-1-new"]);
+}
+
+/// Guards against: the same while the list can't be read, when the store may lack records.
+#[test]
+fn a_restarted_engine_stays_in_use_while_the_list_cannot_be_read() {
+    let mut fixture = fixture_with_views();
+    fixture.handle(DispatchEvent::ListSourceChanged {
+        is_available: false,
+    });
+    fixture.view(1, view("engines-1-new", &[("a", 1)]));
+    fixture.now += ms(10_000);
+    fixture.update_list(engines());
+    fixture.view(1, view("engines-1-new", &[("a", 1)]));
+    let request = fixture.new_request(ENGINES, Some("a"));
+    assert_eq!(sent_to(&fixture.submit(1, request)), ["engines-1-new"]);
+}
+
 #[test]
 fn a_previous_incarnation_that_is_still_listed_receives_no_requests() {
     let held = HeldAdapter {
