--- a/coordination/tests/pacing_sim/mod.rs
+++ b/coordination/tests/pacing_sim/mod.rs
@@ -342,7 +342,6 @@
         let entry = (self.arrivals.random::<f64>() * self.entries.len() as f64) as usize;
         let now = self.clock();
         let request = DispatchRequest {
-            is_repeat: false,
             digest: digest("any"),
             shared_parts: SharedParts::default(),
             is_crash_suspect: false,
