--- a/testkit/examples/soak/main.rs
+++ b/testkit/examples/soak/main.rs
@@ -146,6 +146,8 @@
             report.taken_up, report.take_ups
         );
     }
+    print_times("crashes under the part", &report.part_crashes_s);
+    print_times("requests with it", &report.part_arrivals_s);
     if report.violations.is_empty() {
         return;
     }
@@ -162,3 +164,10 @@
     }
     println!("  logs: {}", report.log_folder);
 }
+
+fn print_times(what: &str, seconds: &[f64]) {
+    if !seconds.is_empty() {
+        let list: Vec<String> = seconds.iter().map(|s| format!("{s:.2}")).collect();
+        println!("  {what}, s: {}", list.join(" "));
+    }
+}
--- a/testkit/src/soak/mod.rs
+++ b/testkit/src/soak/mod.rs
@@ -19,8 +19,8 @@
     checks::{violations, Violation},
     fault_schedule::{schedule_faults, CutDirection, Fault, ScheduledFault},
     record::{
-        BackendRecord, ConfigurationHistory, Outcome, RequestKind, RequestRecord, SoakRecord,
-        TakenUp,
+        BackendRecord, ConfigurationHistory, Outcome, PartRecord, RequestKind, RequestRecord,
+        SoakRecord, TakenUp,
     },
     runner::{run_soak, SoakReport},
     settings::SoakSettings,
--- a/testkit/src/soak/observations.rs
+++ b/testkit/src/soak/observations.rs
@@ -2,8 +2,8 @@
 
 use {
     super::{
-        recovery::RECOVERY_ID, BackendRecord, ConfigurationHistory, Fault, ScheduledFault,
-        SoakSettings,
+        recovery::RECOVERY_ID, BackendRecord, ConfigurationHistory, Fault, PartRecord,
+        ScheduledFault, SoakSettings,
     },
     crate::users_platform::BackendStandIn,
     std::time::Duration,
@@ -14,6 +14,9 @@
 
 /// Prefix of the ids of requests that crash engines.
 pub const CRASHING_ID: &str = "crashing-";
+/// Prefixes of the ids of those that crash them by a part, and of the sound ones beside these.
+pub const PART_ID: &str = "crashing-part-";
+pub const SOUND_ID: &str = "crashing-sound-";
 
 /// Crashes until a request is blocked, and until a part of prompts is.
 const CRASHES_UNTIL_REQUEST_BLOCKED: u32 = 3;
@@ -45,6 +48,23 @@
     }
 }
 
+/// Returns what reached the engines with the part that crashes them, and what crashed.
+pub fn part_record(engines: &[BackendStandIn]) -> PartRecord {
+    let mut record = PartRecord::default();
+    for engine in engines {
+        let state = engine.state();
+        let caused = state.caused_crashes.iter();
+        let caused = caused.filter(|crash| crash.request.starts_with(PART_ID));
+        record.crashes.extend(caused.cloned());
+        let arrived = state.arrivals.iter();
+        let arrived = arrived.filter(|(_, id)| id.starts_with(PART_ID));
+        record.arrivals.extend(arrived.cloned());
+    }
+    record.crashes.sort_by_key(|crash| crash.at);
+    record.arrivals.sort();
+    record
+}
+
 /// Returns what a back end did for clients.
 pub fn backend_record(backend: &BackendStandIn, is_engine: bool) -> BackendRecord {
     let state = backend.state();
--- a/testkit/src/soak/record.rs
+++ b/testkit/src/soak/record.rs
@@ -1,5 +1,5 @@
 use {
-    crate::users_platform::AcceptedOrder,
+    crate::users_platform::{AcceptedOrder, CausedCrash},
     std::{
         collections::HashMap,
         time::{Duration, Instant},
@@ -118,6 +118,28 @@
     pub incarnations: Vec<Vec<u64>>,
 }
 
+/// What became of the requests with the part that crashes engines.
+#[derive(Debug, Clone, Default)]
+pub struct PartRecord {
+    /// Crashes under them, in their order.
+    pub crashes: Vec<CausedCrash>,
+    /// Times at which they reached engines, in their order, with their ids.
+    pub arrivals: Vec<(Instant, String)>,
+}
+
+impl PartRecord {
+    /// Returns the times of the crashes and of the arrivals, in s from the first arrival on.
+    pub fn seconds(&self) -> (Vec<f64>, Vec<f64>) {
+        let Some((first, _)) = self.arrivals.first() else {
+            return Default::default();
+        };
+        let since = |at: Instant| at.saturating_duration_since(*first).as_secs_f64();
+        let crashes = self.crashes.iter().map(|crash| since(crash.at));
+        let arrivals = self.arrivals.iter().map(|(at, _)| since(*at));
+        (crashes.collect(), arrivals.collect())
+    }
+}
+
 /// Everything observed during a soak.
 #[derive(Debug, Clone, Default)]
 pub struct SoakRecord {
@@ -128,6 +150,7 @@
     pub crashes: u32,
     /// Number of crashes until all that crashes engines is blocked.
     pub crashes_until_blocked: u32,
+    pub part: PartRecord,
     /// Ids of sound requests that were rejected for a part of their prompt.
     pub rejected_for_part: Vec<String>,
     /// Ids of requests whose connection was closed without a response by an entry that kept
--- a/testkit/src/soak/runner.rs
+++ b/testkit/src/soak/runner.rs
@@ -5,6 +5,7 @@
         keep_alive_client::KeepAliveClient,
         observations::{
             applied_configurations, backend_record, crash_registry_losses, crashes_until_blocked,
+            part_record,
         },
         other_entries::OtherEntries,
         recovery::recover,
@@ -46,6 +47,10 @@
     /// Number of times that clients took streams up, and of those that went on.
     pub take_ups: usize,
     pub taken_up: usize,
+    /// Crashes under the part that crashes engines and requests that arrived with it, in s from the
+    /// first arrival on.
+    pub part_crashes_s: Vec<f64>,
+    pub part_arrivals_s: Vec<f64>,
     pub violations: Vec<Violation>,
     /// Folder of the processes' logs.
     pub log_folder: String,
@@ -177,6 +182,8 @@
         let take_ups = take_ups.count();
         let engines = self.fleet.engines.iter().map(|b| backend_record(b, true));
         let plain = self.fleet.plain.iter().map(|b| backend_record(b, false));
+        let part = part_record(&self.fleet.engines);
+        let (part_crashes_s, part_arrivals_s) = part.seconds();
         let record = SoakRecord {
             backends: engines.chain(plain).collect(),
             requests,
@@ -185,6 +192,7 @@
             ),
             crashes: self.fleet.engines.iter().map(|e| e.state().crashes).sum(),
             crashes_until_blocked: self.crashes_until_blocked,
+            part,
             crash_registry_losses: crash_registry_losses(&faults),
             rejected_for_part: lock(&self.rejected).clone(),
             closed_unread,
@@ -204,6 +212,8 @@
             outcomes,
             take_ups,
             taken_up,
+            part_crashes_s,
+            part_arrivals_s,
             violations: violations(&record),
             log_folder: self
                 .fleet
