--- a/coordination/tests/retry_budget_fleet.rs
+++ b/coordination/tests/retry_budget_fleet.rs
@@ -9,7 +9,8 @@
 };
 
 /// Seeds of each test, and engines of the large fleet; `RETRY_BUDGET_SEEDS` and
-/// `RETRY_BUDGET_ENGINES` in the environment set more.
+/// `RETRY_BUDGET_ENGINES` in the environment set more, `RETRY_BUDGET_FIRST` the first seed, so that many
+/// seeds can be run a few at a time.
 const SEEDS: u64 = 12;
 const ENGINES: u64 = 120;
 /// Part of the allowed repeats that must be usable while nothing but back ends fails.
@@ -32,7 +33,8 @@
 /// Runs all seeds and returns those with a window over the rule, with the worst one.
 fn seeds_over(settings: impl Fn(u64) -> FleetSettings + Sync) -> Vec<(u64, RetryWindow)> {
     let seeds = from_environment("RETRY_BUDGET_SEEDS").unwrap_or(SEEDS);
-    let numbers: Vec<u64> = (1..=seeds).collect();
+    let first = from_environment("RETRY_BUDGET_FIRST").unwrap_or(1);
+    let numbers: Vec<u64> = (first..first + seeds).collect();
     let threads = std::thread::available_parallelism().map_or(1, |n| n.get());
     let parts = numbers.chunks(numbers.len().div_ceil(threads));
     let worst = std::thread::scope(|scope| {
