--- a/coordination/tests/retry_budget_sim/rule.rs
+++ b/coordination/tests/retry_budget_sim/rule.rs
@@ -22,7 +22,11 @@
 
 impl RetryWindow {
     pub fn ratio(&self) -> f64 {
-        self.retries as f64 / self.allowed
+        match self.retries {
+            // a run without any has no window
+            0 => 0.0,
+            retries => retries as f64 / self.allowed,
+        }
     }
 }
 
