--- a/testkit/examples/soak/main.rs
+++ b/testkit/examples/soak/main.rs
@@ -205,6 +205,8 @@
         print_streams(&report.streams);
         print_power_cuts(report);
     }
+    print_times("crashes under the part", &report.part_crashes_s);
+    print_times("requests with it", &report.part_arrivals_s);
     if report.violations.is_empty() {
         return;
     }
@@ -214,3 +216,10 @@
     }
     println!("  logs: {}", report.log_folder);
 }
+
+fn print_times(what: &str, seconds: &[f64]) {
+    if !seconds.is_empty() {
+        let list: Vec<String> = seconds.iter().map(|s| format!("{s:.2}")).collect();
+        println!("  {what}, s: {}", list.join(" "));
+    }
+}
--- a/testkit/src/soak/mod.rs
+++ b/testkit/src/soak/mod.rs
@@ -30,8 +30,8 @@
     fault_schedule::{schedule_faults, CutDirection, Fault, ScheduledFault},
     head_cuts::HeadCut,
     record::{
-        BackendRecord, ConfigurationHistory, Outcome, RequestKind, RequestRecord, SoakRecord,
-        TakenUp,
+        BackendRecord, ConfigurationHistory, Outcome, PartRecord, RequestKind, RequestRecord,
+        SoakRecord, TakenUp,
     },
     release_schedule::PowerCut,
     report::SoakReport,
--- a/testkit/src/soak/report.rs
+++ b/testkit/src/soak/report.rs
@@ -1,6 +1,8 @@
 use {
     super::{
-        observations::{applied_configurations, backend_record, crash_registry_losses},
+        observations::{
+            applied_configurations, backend_record, crash_registry_losses, part_record,
+        },
         soak_run::SoakRun,
         violations, Outcome, RequestRecord, ScheduledFault, SoakRecord, StreamCounts, Violation,
     },
@@ -18,6 +20,10 @@
     /// Number of requests by status; 0 for lost connections.
     pub outcomes: BTreeMap<u16, usize>,
     pub streams: StreamCounts,
+    /// Crashes under the part that crashes engines and requests that arrived with it, in s from the
+    /// first arrival on.
+    pub part_crashes_s: Vec<f64>,
+    pub part_arrivals_s: Vec<f64>,
     pub violations: Vec<Violation>,
     /// Folder of the processes' logs.
     pub log_folder: String,
@@ -44,6 +50,8 @@
         let streams = StreamCounts::of(&requests, &self.lives.into_history());
         let engines = self.fleet.engines.iter().map(|b| backend_record(b, true));
         let plain = self.fleet.plain.iter().map(|b| backend_record(b, false));
+        let part = part_record(&self.fleet.engines);
+        let (part_crashes_s, part_arrivals_s) = part.seconds();
         let record = SoakRecord {
             backends: engines.chain(plain).collect(),
             requests,
@@ -52,6 +60,7 @@
             ),
             crashes: self.fleet.engines.iter().map(|e| e.state().crashes).sum(),
             crashes_until_blocked: self.crashes_until_blocked,
+            part,
             crash_registry_losses: crash_registry_losses(&faults),
             rejected_for_part: lock(&self.rejected).clone(),
             closed_unread,
@@ -70,6 +79,8 @@
             served: outcomes.get(&200).copied().unwrap_or(0),
             outcomes,
             streams,
+            part_crashes_s,
+            part_arrivals_s,
             violations: violations(&record),
             log_folder: self
                 .fleet
