Logs: what the search for an origin came to, and a known time of at most an hour

versions_known_ms was -1, as before the first list, where versions are known since always; the line of a take-up didn't tell "not kept" from "unanswered". candidates is what the ranks are called from which the told ones are chosen.

--- a/coordination/src/software_versions/origin_holders.rs
+++ b/coordination/src/software_versions/origin_holders.rs
@@ -5,8 +5,8 @@
 
 /// Number of sidecars that keep an origin.
 const TOLD: usize = 3;
-/// Number of sidecars among which those are chosen, as some may not answer.
-const TELLABLE: usize = 6;
+/// Number of sidecars from which those are chosen, as some may not answer.
+const CANDIDATES: usize = 6;
 /// Number of sidecars that are asked: more than keep it, since engines may have joined or left
 /// in between.
 const ASKED_OF_STAYING: usize = 9;
@@ -53,15 +53,15 @@
 
     /// Returns the engines whose sidecars are to keep an origin.
     pub fn told(&self, request: &str) -> Vec<SocketAddr> {
-        let mut told = self.tellable(request);
+        let mut told = self.candidates(request);
         told.truncate(TOLD);
         told
     }
 
     /// Returns the engines whose sidecars may keep an origin, the first ones before the others:
     /// those of leaving engines only if there are too few.
-    pub fn tellable(&self, request: &str) -> Vec<SocketAddr> {
-        let mut engines = self.staying.first(TELLABLE, request);
+    pub fn candidates(&self, request: &str) -> Vec<SocketAddr> {
+        let mut engines = self.staying.first(CANDIDATES, request);
         let lacking = TOLD.saturating_sub(engines.len());
         engines.extend(self.leaving.first(lacking, request));
         engines
@@ -74,7 +74,7 @@
 
     /// Returns whether so many have joined since that number that one of those told may not be asked.
     pub fn may_be_unasked_since(&self, joined: u64) -> bool {
-        self.joined - joined.min(self.joined) > (ASKED_OF_STAYING - TELLABLE) as u64
+        self.joined - joined.min(self.joined) > (ASKED_OF_STAYING - CANDIDATES) as u64
     }
 
     /// Returns how many more sidecars are to keep an origin that those of `told` keep: three of
--- a/coordination/src/software_versions/take_up.rs
+++ b/coordination/src/software_versions/take_up.rs
@@ -25,6 +25,15 @@
 }
 
 impl OriginSearch {
+    /// Returns the name in logs.
+    pub fn code(&self) -> &'static str {
+        match self {
+            OriginSearch::Found(_) => "found",
+            OriginSearch::NotKept => "not_kept",
+            OriginSearch::Unanswered => "unanswered",
+        }
+    }
+
     /// Returns the result of asking sidecars none of which knew the origin.
     pub fn without_origin(asked: usize, answered: usize) -> Self {
         match answered > 0 && 2 * answered >= asked {
--- a/coordination/src/software_versions/told_streams.rs
+++ b/coordination/src/software_versions/told_streams.rs
@@ -159,7 +159,7 @@
         if lacking == 0 {
             return Vec::new();
         }
-        let ranked = holders.tellable(&self.origin.request).into_iter();
+        let ranked = holders.candidates(&self.origin.request).into_iter();
         let usable = ranked.filter(|engine| !knows(engine) && !resting.contains_key(engine));
         usable.take(lacking).collect()
     }
--- a/entry/src/ingress/shared_software_versions.rs
+++ b/entry/src/ingress/shared_software_versions.rs
@@ -17,6 +17,9 @@
     tokio::{sync::watch, time::timeout},
 };
 
+/// The longest known time in logs and metrics; it may be since always.
+const MAX_SHOWN: Duration = Duration::from_secs(3_600);
+
 /// The software versions that may have begun streams which are still taken up.
 pub struct SharedSoftwareVersions {
     state: Mutex<State>,
@@ -44,14 +47,19 @@
         self.versions.len()
     }
 
+    /// Returns the time of which all versions are known, an hour at most.
+    fn capped(&self) -> Option<Duration> {
+        self.covered.map(|time| time.min(MAX_SHOWN))
+    }
+
     /// Returns the time of which all versions are known, in s; -1 before the first list.
     pub fn covered_s(&self) -> i64 {
-        self.covered.map_or(-1, |time| time.as_secs() as i64)
+        self.capped().map_or(-1, |time| time.as_secs() as i64)
     }
 
     /// Returns the time of which all versions are known, in ms; -1 before the first list.
     pub fn covered_ms(&self) -> i64 {
-        self.covered.map_or(-1, |time| time.as_millis() as i64)
+        self.capped().map_or(-1, |time| time.as_millis() as i64)
     }
 }
 
--- a/entry/src/ingress/stream_take_up.rs
+++ b/entry/src/ingress/stream_take_up.rs
@@ -109,6 +109,7 @@
             goes_on = take_up.code(),
             software = software,
             known_by = answer.source.map_or("", OriginSource::code),
+            search = answer.search.code(),
             asked = answer.asked,
             answered = answer.answered,
             kept_for_ms = shortest.map_or(-1, |t| t.as_millis() as i64),
