--- a/coordination/tests/version_history.rs
+++ b/coordination/tests/version_history.rs
@@ -252,3 +252,14 @@
         assert_eq!(reaches_back, expected, "{first:?} {last:?} {is_whole}");
     }
 }
+
+/// Guards against: what is known for long, forgotten for the report of a process that knows less.
+#[test]
+fn a_report_of_less_takes_nothing_away() {
+    let start = now();
+    let mut versions = started("v1", start);
+    let later = start + MEMORY;
+    versions.on_current(later);
+    versions.on_report(&report(&[("v1", 0)], Some(2_000), 0), later);
+    assert_eq!(versions.mix(SERVICE, MEMORY, later), one("v1"));
+}
