An entry's own lists count up to now when a report is joined to what it knows

Streams would have been refused: an entry that had known its lists for long, none of which had changed for over five seconds, took a report of a process that knew two seconds for all that is known, as its own time ended with its last list. The time is extended to the last moment at which the list was the newest before a report is joined.

--- a/coordination/src/software_versions/version_mix.rs
+++ b/coordination/src/software_versions/version_mix.rs
@@ -93,8 +93,10 @@
 
     /// Takes what another process reports of a service.
     pub fn on_report(&mut self, report: &VersionReport, now: Instant) {
+        let until = self.known_until(now);
         // before the first list there is no known time that the report could extend
         if let Some(service) = self.services.get_mut(&report.service) {
+            service.history.extend(service.listed.iter(), until);
             service.history.on_report(report, now);
         }
     }
--- a/entry/src/ingress/stream_take_up.rs
+++ b/entry/src/ingress/stream_take_up.rs
@@ -25,6 +25,11 @@
     /// Binds a stream that its client takes up to the software version that began it. Returns a
     /// response if it may go on nowhere.
     pub(super) async fn bind_to_software_version(&mut self) -> Option<ClientResponse> {
+        if !self.shared.has_backend_list() {
+            // without a list there is nobody to ask
+            let versions = &self.shared.software_versions;
+            versions.wait_for_history(MAX_HISTORY_WAIT).await;
+        }
         let mut answer = self.find_origin().await;
         if let OriginSearch::Found(origin) = &mut answer.search {
             self.complete_origin(origin);
