--- a/review/7/case.py
+++ b/review/7/case.py
@@ -39,7 +39,7 @@
     try:
         ip, port = entry.front.split(":")
         reader, writer = await asyncio.open_connection(ip, int(port))
-        writer.write(request("/work/x", request_id, 1500, b"p" * 600))
+        writer.write(request("/desk/x", request_id, 1500, b"p" * 600))
         head = await asyncio.wait_for(read_head(reader), 4)
         status = head[0].split(" ")[1] if head else "closed"
         if head:
@@ -65,7 +65,7 @@
     engines = [Backend(store, record, "advance-desk") for _ in range(4)]
     for engine in engines:
         await engine.start()
-    routes = [route("advance-post", "/work/", "unsafe", "advance-desk", 1500, aim_ms=150)]
+    routes = [route("advance-post", "/desk/", "unsafe", "advance-desk", 1500, aim_ms=150)]
     store.put("op/config", configuration(1, routes, [plain_service("advance-desk")]))
     for number in (1, 2):
         machines.append(Machine(store, tmp, "ingress", f"front-{number}"))
