--- a/testkit/src/users_platform/store_stand_in.rs
+++ b/testkit/src/users_platform/store_stand_in.rs
@@ -4,6 +4,7 @@
     anyhow::Result,
     base64::{engine::general_purpose::STANDARD, Engine},
     chalkcart_platform::names,
+    percent_encoding::percent_decode_str,
     serde_json::{json, Value},
     std::{
         collections::BTreeMap,
@@ -345,7 +346,7 @@
     let value = |name: &str| {
         let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
         let mut found = pairs.filter(|(key, _)| *key == name);
-        found.next().map(|(_, value)| value.to_string())
+        found.next().map(|(_, value)| decoded(value))
     };
     let prefix = value("PathPrefix").unwrap_or_default();
     let after = value("after").unwrap_or_default();
@@ -378,6 +379,12 @@
     }
 }
 
+/// Decodes a value of a query as forms encode it.
+fn decoded(value: &str) -> String {
+    let value = value.replace('+', " ");
+    percent_decode_str(&value).decode_utf8_lossy().into_owned()
+}
+
 fn read_range(
     items: &Items,
     revision: u64,
