--- a/coordination/src/backend_admission/slow_start.rs
+++ b/coordination/src/backend_admission/slow_start.rs
@@ -1,7 +1,7 @@
 use {
     super::AdmissionGate,
     crate::membership::stable_hash,
-    chalkcart_state::backends::BackendId,
+    chalkcart_state::{backends::BackendId, spans::later},
     std::time::{Duration, Instant},
 };
 
@@ -34,7 +34,7 @@
         // entries start with different levels, so that they don't all send at once
         let seed = stable_hash(&format!("{entry} {engine}"));
         Self {
-            until: now + remaining,
+            until: later(now, remaining),
             tokens: (seed % 1_000) as f64 / 1_000.0,
             refilled_at: now,
             requests_per_s: 0.0,
@@ -42,7 +42,7 @@
     }
 
     pub fn set_remaining(&mut self, remaining: Duration, now: Instant) {
-        self.until = now + remaining;
+        self.until = later(now, remaining);
     }
     pub fn is_active(&self, now: Instant) -> bool {
         now < self.until
--- a/coordination/src/dispatch/backend_signal_tracker.rs
+++ b/coordination/src/dispatch/backend_signal_tracker.rs
@@ -1,6 +1,6 @@
 use {
     crate::{backend_admission::AdvertisedLimit, backend_signals::BackendSignals},
-    chalkcart_state::backends::BackendId,
+    chalkcart_state::{backends::BackendId, spans::later},
     std::{
         collections::HashMap,
         time::{Duration, Instant},
@@ -31,7 +31,7 @@
             self.leaving.insert(backend.clone(), now);
         }
         if let Some(backoff) = signal.backoff {
-            let until = now + backoff;
+            let until = later(now, backoff);
             let known = self.backoffs.entry(backend.clone()).or_insert(until);
             *known = until.max(*known);
         }
--- a/coordination/src/placement/placement_control.rs
+++ b/coordination/src/placement/placement_control.rs
@@ -12,7 +12,10 @@
     chalkcart_protocol::peer::{
         AdapterDemand, AdmissionReport, AdmissionResponse, EngineStats, EngineView,
     },
-    chalkcart_state::backends::{AdapterRef, BackendId, BackendName},
+    chalkcart_state::{
+        backends::{AdapterRef, BackendId, BackendName},
+        spans::later,
+    },
     std::{
         collections::HashMap,
         time::{Duration, Instant},
@@ -262,10 +265,10 @@
         self.is_engine_leaving |= signals.is_leaving;
         self.limit.on_engine_signal(signals.limit, now);
         if let Some(left) = signals.slow_start_left {
-            self.slow_start_until = Some(now + left);
+            self.slow_start_until = Some(later(now, left));
         }
         if let Some(backoff) = signals.backoff {
-            let until = now + backoff;
+            let until = later(now, backoff);
             self.backoff_until = Some(self.backoff_until.map_or(until, |known| known.max(until)));
         }
     }
--- a/state/src/lib.rs
+++ b/state/src/lib.rs
@@ -10,3 +10,4 @@
 pub mod ingress;
 pub mod published;
 pub mod regions;
+pub mod spans;
