--- a/coordination/src/backend_signals/signals.rs
+++ b/coordination/src/backend_signals/signals.rs
@@ -1,7 +1,4 @@
-use {super::LimitSignal, std::time::Duration};
-
-/// Upper bound of the times that a back end may send; keeps sums of times in range.
-const MAX_SIGNAL_TIME: Duration = Duration::from_secs(24 * 3_600);
+use {super::LimitSignal, chalkcart_state::spans::LONGEST_SPAN, std::time::Duration};
 
 /// Signals in the head of one response of a back end.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -21,7 +18,7 @@
     pub fn new(is_leaving: bool, backoff: Option<Duration>) -> Self {
         Self {
             is_leaving,
-            backoff: backoff.map(|backoff| backoff.min(MAX_SIGNAL_TIME)),
+            backoff: backoff.map(|backoff| backoff.min(LONGEST_SPAN)),
             limit: LimitSignal::Absent,
             slow_start_left: None,
         }
@@ -30,7 +27,7 @@
         Self { limit, ..self }
     }
     pub fn with_slow_start_left(self, left: Option<Duration>) -> Self {
-        let slow_start_left = left.map(|left| left.min(MAX_SIGNAL_TIME));
+        let slow_start_left = left.map(|left| left.min(LONGEST_SPAN));
         Self {
             slow_start_left,
             ..self
--- a/coordination/src/dispatch/backend_state.rs
+++ b/coordination/src/dispatch/backend_state.rs
@@ -387,7 +387,7 @@
     pub fn occupied(&self, now: Instant) -> u32 {
         let reported = self.recent_view(now).map_or(0, |v| {
             let stats = &v.figures;
-            stats.running + stats.queued
+            stats.running.saturating_add(stats.queued)
         });
         reported.max(self.in_flight)
     }
--- a/coordination/src/dispatch/sharing.rs
+++ b/coordination/src/dispatch/sharing.rs
@@ -15,7 +15,8 @@
             at: now,
         };
         // relays add the time that the report took
-        let age_s = stats.known_entries.age_s + stats.age_ms.div_ceil(1_000);
+        let travel_s = stats.age_ms.div_ceil(1_000);
+        let age_s = stats.known_entries.age_s.saturating_add(travel_s);
         let known = KnownEntries {
             age_s,
             ..stats.known_entries
