--- a/coordination/src/dispatch/dispatcher.rs
+++ b/coordination/src/dispatch/dispatcher.rs
@@ -267,6 +267,10 @@
         };
         now.saturating_duration_since(reported_at) < self.settings.disconnected_after
     }
+    /// Returns whether a request waits for its decision.
+    pub fn is_waiting(&self, ticket: Ticket) -> bool {
+        self.waiting.contains(ticket)
+    }
     /// Returns the number of requests that wait in this entry.
     pub fn waiting_count(&self) -> usize {
         self.waiting.len()
--- a/coordination/src/dispatch/event.rs
+++ b/coordination/src/dispatch/event.rs
@@ -139,3 +139,30 @@
     },
     Tick,
 }
+
+impl DispatchEvent {
+    /// Returns the code in logs.
+    pub fn code(&self) -> &'static str {
+        match self {
+            Self::RequestArrived { .. } => "request",
+            Self::RequestWithdrawn(_) => "withdrawn",
+            Self::HeadReceived(_) => "head",
+            Self::ResponseStarted(_) => "started",
+            Self::SendEnded { .. } => "ended",
+            Self::SignalReceived { .. } => "signal",
+            Self::PermitsReceived { .. } => "permits",
+            Self::ListUpdated { .. } => "list",
+            Self::ListSourceChanged { .. } => "list source",
+            Self::ConfigUpdated(_) => "configuration",
+            Self::ZonesEvacuated(_) => "zones",
+            Self::SettingsUpdated(_) => "settings",
+            Self::ViewReceived { .. } => "view",
+            Self::StatsReceived { .. } => "stats",
+            Self::ViewLost(_) => "view lost",
+            Self::DemandSent { .. } => "demand sent",
+            Self::VersionAnnounced { .. } => "version",
+            Self::VersionFound { .. } => "version found",
+            Self::Tick => "tick",
+        }
+    }
+}
--- a/coordination/src/dispatch/waiting_list.rs
+++ b/coordination/src/dispatch/waiting_list.rs
@@ -31,6 +31,9 @@
         let key = self.keys_by_ticket.remove(&ticket)?;
         self.requests.remove(&key)
     }
+    pub fn contains(&self, ticket: Ticket) -> bool {
+        self.keys_by_ticket.contains_key(&ticket)
+    }
     /// Returns the tickets of the included requests, in serving order.
     pub fn tickets(&self, is_included: impl Fn(&DispatchRequest) -> bool) -> Vec<Ticket> {
         let requests = self
--- a/coordination/src/lib.rs
+++ b/coordination/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod placement;
 pub mod published;
 pub mod queue;
+pub mod recovery;
 pub mod relay;
 pub mod response_end;
 pub mod retry;
--- a/entry/src/app/serve.rs
+++ b/entry/src/app/serve.rs
@@ -7,7 +7,7 @@
         server::new_router,
     },
     anyhow::{Context, Result},
-    chalkcart_node::{runtime::run_process, signals::stop_signal},
+    chalkcart_node::{runtime::run_process, signals::stop_cause},
     chalkcart_transport::{clock, server},
     std::sync::Arc,
     tokio::sync::watch,
@@ -21,7 +21,7 @@
 
 async fn run(settings: Settings) -> Result<()> {
     let listener = server::bind(settings.listen).await?;
-    let control = control::start(EntryControl::new(&settings, clock::now()))?;
+    let (control, control_end) = control::start(EntryControl::new(&settings, clock::now()))?;
     let shared = Arc::new(Shared::new(settings, control));
     tokio::spawn(ConfigWatcher::new(shared.clone()).run());
     let (stop, stopped) = watch::channel(false);
@@ -29,11 +29,11 @@
     let grace = shared.settings.drain();
     let served = tokio::spawn(server::serve(listener, router, stopped, grace));
     log::info!("entry: serves on {}", shared.settings.listen);
-    let signal = stop_signal().await?;
-    log::info!("entry: drains after {signal}");
+    let stopped_by = stop_cause(control_end.wait()).await?;
+    log::info!("entry: drains after {stopped_by}");
     shared.set_stopping();
     stop.send_replace(true);
     served.await.context("the server task failed")??;
     log::info!("entry: stopped");
-    Ok(())
+    stopped_by.result()
 }
--- a/entry/src/control/control_thread.rs
+++ b/entry/src/control/control_thread.rs
@@ -1,21 +1,32 @@
 use {
     super::{ControlHandle, EntryControl},
     anyhow::{Context, Result},
-    chalkcart_transport::clock,
+    chalkcart_coordination::recovery::FaultSettings,
+    chalkcart_transport::{
+        clock,
+        supervision::{thread_end, Guard, Step, ThreadEnd},
+    },
     std::{sync::mpsc, thread},
 };
 
-/// Starts the control thread, which ends when the last handle is dropped.
-pub fn start(mut control: EntryControl) -> Result<ControlHandle> {
+/// Starts the control thread, which ends when the last handle is dropped, or when it fails again
+/// and again.
+pub fn start(mut control: EntryControl) -> Result<(ControlHandle, ThreadEnd)> {
     let (tx, rx) = mpsc::channel();
+    let (end_on_drop, end) = thread_end();
     let run = move || {
+        let _end = end_on_drop;
+        let mut guard = Guard::new("control", FaultSettings::default());
         for event in rx {
-            control.handle(event, clock::now());
+            let step = guard.step("event", || control.handle(event, clock::now()));
+            if step == Step::GaveUp {
+                return;
+            }
         }
     };
     let builder = thread::Builder::new().name("control".to_string());
     builder
         .spawn(run)
         .context("cannot start the control thread")?;
-    Ok(ControlHandle::new(tx))
+    Ok((ControlHandle::new(tx), end))
 }
--- a/entry/src/ingress/control.rs
+++ b/entry/src/ingress/control.rs
@@ -11,8 +11,9 @@
     chalkcart_coordination::{
         dispatch::{
             Decision, DispatchEvent, DispatchRequest, Dispatcher, DueDemands, MeasuredEngines,
-            RequestedLoad, Ticket, TurnWait,
+            RequestedLoad, SendOutcome, Ticket, TurnWait,
         },
+        recovery::FaultSettings,
         relay::RelayCandidate,
         retry_budget::BudgetUsage,
         software_versions::ListedEngines,
@@ -23,7 +24,11 @@
         ids::ServiceName,
         published::StorePosition,
     },
-    chalkcart_transport::{clock, links::ViewSink},
+    chalkcart_transport::{
+        clock,
+        links::ViewSink,
+        supervision::{thread_end, Guard, Step, ThreadEnd},
+    },
     std::{
         collections::{HashMap, HashSet},
         net::SocketAddr,
@@ -62,20 +67,36 @@
     },
 }
 
+impl Command {
+    /// Returns what it is about, for logs.
+    fn code(&self) -> &'static str {
+        match self {
+            Self::Event(event) => event.code(),
+            Self::Dispatch { .. } => "request",
+        }
+    }
+}
+
 /// Sends commands to the control thread and reads the state that it publishes.
 #[derive(Clone)]
 pub struct ControlHandle {
     commands: mpsc::Sender<Command>,
     stats: Arc<EngineStatsBuffer>,
     state: Arc<ControlState>,
+    end: ThreadEnd,
 }
 
 impl ControlHandle {
     pub fn send_event(&self, event: DispatchEvent) {
-        // The control thread ends only with the process.
+        // Nobody needs it once the control thread has ended.
         let _ = self.commands.send(Command::Event(event));
     }
 
+    /// Returns the end of the control thread, without which no request is served.
+    pub fn end(&self) -> &ThreadEnd {
+        &self.end
+    }
+
     /// Returns whether any back end was reachable recently.
     pub fn can_reach_backends(&self) -> bool {
         self.state.can_reach_backends.load(Ordering::Relaxed)
@@ -128,8 +149,8 @@
         lost.unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Queues a request until the dispatcher assigns a back end or rejects it; `None` if the
-    /// control thread has ended.
+    /// Queues a request until the dispatcher assigns a back end or rejects it; `None` if its
+    /// decision failed, or if the control thread has ended.
     pub async fn decide(&self, ticket: Ticket, request: DispatchRequest) -> Option<Decision> {
         let (decision, decided) = oneshot::channel();
         let command = Command::Dispatch {
@@ -182,7 +203,8 @@
     state: Arc<ControlState>,
 }
 
-/// Starts the control thread, which ends when the last handle is dropped.
+/// Starts the control thread, which ends when the last handle is dropped, or when it fails again
+/// and again.
 pub fn start(
     dispatcher: Dispatcher,
     crashes: Arc<SharedCrashRegistry>,
@@ -191,10 +213,12 @@
     let (commands, received) = mpsc::channel();
     let stats = Arc::new(EngineStatsBuffer::default());
     let state = Arc::new(ControlState::default());
+    let (end_on_drop, end) = thread_end();
     let handle = ControlHandle {
         commands,
         stats: stats.clone(),
         state: state.clone(),
+        end,
     };
     let now = clock::now();
     let (links, admission) = make_links(handle.clone());
@@ -212,7 +236,10 @@
         state,
     };
     let builder = thread::Builder::new().name("control".to_string());
-    let run = move || control.run(&received);
+    let run = move || {
+        let _end = end_on_drop;
+        control.run(&received);
+    };
     builder
         .spawn(run)
         .context("cannot start the control thread")?;
@@ -221,24 +248,53 @@
 
 impl ControlLoop {
     fn run(&mut self, received: &mpsc::Receiver<Command>) {
+        let mut guard = Guard::new("control", FaultSettings::default());
         loop {
-            let command = received.recv_timeout(self.next_tick());
-            self.take_stats();
-            match command {
-                Ok(command) => self.handle(command),
-                Err(RecvTimeoutError::Timeout) => self.on_event(DispatchEvent::Tick),
+            let command = match received.recv_timeout(self.next_tick()) {
+                Ok(command) => command,
+                Err(RecvTimeoutError::Timeout) => Command::Event(DispatchEvent::Tick),
                 Err(RecvTimeoutError::Disconnected) => return,
+            };
+            let doing = command.code();
+            let mut step = guard.step(doing, || self.step(command));
+            if step == Step::Failed {
+                step = guard.step("lost decisions", || self.drop_lost_decisions());
             }
-            let can_reach_backends = self.dispatcher.can_reach_backends(clock::now());
-            self.state
-                .can_reach_backends
-                .store(can_reach_backends, Ordering::Relaxed);
-            let waiting_count = self.dispatcher.waiting_count();
-            self.state
-                .waiting_count
-                .store(waiting_count, Ordering::Relaxed);
-            self.send_demands();
-            self.request_permits();
+            if step == Step::GaveUp {
+                return;
+            }
+        }
+    }
+
+    /// Handles a command, and does what has become due.
+    fn step(&mut self, command: Command) {
+        self.take_stats();
+        self.handle(command);
+        let can_reach_backends = self.dispatcher.can_reach_backends(clock::now());
+        self.state
+            .can_reach_backends
+            .store(can_reach_backends, Ordering::Relaxed);
+        let waiting_count = self.dispatcher.waiting_count();
+        self.state
+            .waiting_count
+            .store(waiting_count, Ordering::Relaxed);
+        self.send_demands();
+        self.request_permits();
+    }
+
+    /// Ends the wait of requests whose decision was lost in a step that failed: none of them was
+    /// sent.
+    fn drop_lost_decisions(&mut self) {
+        let dispatcher = &self.dispatcher;
+        let is_lost = |ticket: &Ticket| !dispatcher.is_waiting(*ticket);
+        let lost: Vec<Ticket> = self
+            .pending_decisions
+            .extract_if(|ticket, _| is_lost(ticket))
+            .map(|(ticket, _)| ticket)
+            .collect();
+        for ticket in lost {
+            let outcome = SendOutcome::Abandoned;
+            self.on_event(DispatchEvent::SendEnded { ticket, outcome });
         }
     }
 
--- a/entry/src/ingress/mod.rs
+++ b/entry/src/ingress/mod.rs
@@ -39,4 +39,12 @@
 mod usage_reports;
 mod zone_source;
 
-pub use {serve::serve, shared::Shared};
+pub use {
+    admission_exchange::AdmissionExchange,
+    control::{start as start_control, ControlHandle},
+    fleet_links::{FleetLinks, LinkSettings},
+    serve::serve,
+    shared::Shared,
+    shared_crash_registry::SharedCrashRegistry,
+    store_relays::StoreRelays,
+};
--- a/entry/src/ingress/serve.rs
+++ b/entry/src/ingress/serve.rs
@@ -26,7 +26,7 @@
     chalkcart_node::{
         runtime::{run_on_one_thread, ParkHooks},
         settings::SettingsReloader,
-        signals::stop_signal,
+        signals::stop_cause,
     },
     chalkcart_protocol::wire::WireVersion,
     chalkcart_state::published::Topic,
@@ -119,9 +119,10 @@
         first_start = shared.settings.first_start;
         "ingress: serves on {}", shared.settings.clients
     );
-    let signal = stop_signal().await?;
-    log::info!("ingress: drains after {signal}");
-    drain(&shared, server).await
+    let stopped_by = stop_cause(shared.control.end().wait()).await?;
+    log::info!("ingress: drains after {stopped_by}");
+    drain(&shared, server).await?;
+    stopped_by.result()
 }
 
 /// Applies new versions of the settings file. Listening addresses change only with a restart.
--- a/entry/src/ingress/shared.rs
+++ b/entry/src/ingress/shared.rs
@@ -201,7 +201,8 @@
             return false;
         }
         let is_configured = table.is_some() && self.has_backend_list();
-        is_configured && self.control.can_reach_backends() && *self.phase.borrow() == Phase::Serving
+        let can_decide = !self.control.end().has_ended() && self.control.can_reach_backends();
+        is_configured && can_decide && *self.phase.borrow() == Phase::Serving
     }
 }
 
--- a/sidecar/src/app/serve.rs
+++ b/sidecar/src/app/serve.rs
@@ -11,8 +11,10 @@
     },
     anyhow::{Context, Result},
     chalkcart_coordination::sidecar::{SidecarControl, SidecarEvent, SidecarSettings, TargetKind},
-    chalkcart_node::{runtime::run_process, signals::stop_signal},
-    chalkcart_transport::{clock, engine::HttpEngine, server, service::HttpService},
+    chalkcart_node::{runtime::run_process, signals::stop_cause},
+    chalkcart_transport::{
+        clock, engine::HttpEngine, server, service::HttpService, supervision::ThreadEnd,
+    },
     std::{
         sync::{mpsc, Arc},
         time::{Duration, SystemTime, UNIX_EPOCH},
@@ -37,31 +39,31 @@
 
 async fn run(settings: Settings) -> Result<()> {
     let listener = server::bind(settings.listen).await?;
-    let shared = start_control(settings)?;
+    let (shared, control_end) = start_control(settings)?;
     tokio::spawn(ConfigSync::new(shared.clone()).run());
     tokio::spawn(sweep(shared.clone()));
     let (stop, stopped) = watch::channel(false);
     let router = new_router(shared.clone());
     let server_task = tokio::spawn(server::serve(listener, router, stopped, CLOSE_TIMEOUT));
     log::info!("sidecar: serves on {}", shared.settings.listen);
-    let signal = stop_signal().await?;
-    log::info!("sidecar: drains after {signal}");
+    let stopped_by = stop_cause(control_end.wait()).await?;
+    log::info!("sidecar: drains after {stopped_by}");
     drain(&shared).await;
     stop.send_replace(true);
     server_task.await.context("the server task failed")??;
     log::info!("sidecar: stopped");
-    Ok(())
+    stopped_by.result()
 }
 
-fn start_control(settings: Settings) -> Result<Arc<Shared>> {
+fn start_control(settings: Settings) -> Result<(Arc<Shared>, ThreadEnd)> {
     let now = clock::now();
     let control = SidecarControl::new(control_settings(&settings)?, now);
     let (tx, rx) = mpsc::channel();
     let target = target_client(&settings);
     let shared = Arc::new(Shared::new(settings, control.report(), tx));
     let executor = Executor::new(shared.clone(), target, Handle::current());
-    control_thread::start(control, rx, shared.clone(), executor)?;
-    Ok(shared)
+    let end = control_thread::start(control, rx, shared.clone(), executor)?;
+    Ok((shared, end))
 }
 
 fn control_settings(settings: &Settings) -> Result<SidecarSettings> {
--- a/transport/src/lib.rs
+++ b/transport/src/lib.rs
@@ -17,3 +17,4 @@
 pub mod server;
 pub mod service;
 mod sockets;
+pub mod supervision;
