--- a/entry/src/conf/ingress_settings.rs
+++ b/entry/src/conf/ingress_settings.rs
@@ -5,7 +5,10 @@
     chalkcart_node::settings::{
         check_log, check_not_empty, check_positive, defaults, Checked, SettingsError,
     },
-    chalkcart_state::ids::{BoxName, RegionName, ZoneName},
+    chalkcart_state::{
+        ids::{BoxName, RegionName, ZoneName},
+        spans::bounded_secs,
+    },
     serde::Deserialize,
     std::{collections::HashMap, net::SocketAddr, time::Duration},
 };
@@ -118,14 +121,14 @@
         check_positive("heartbeat_ms", self.heartbeat_ms)?;
         check_positive("max_response_bytes", self.max_response_bytes as u64)?;
         check_number("store_reads_per_s", self.store_reads_per_s)?;
-        check_number("grace_s", self.grace_s)?;
+        check_span("grace_s", self.grace_s)?;
         check_number("retry_ratio", self.retry_ratio)?;
         check_number("retry_extra", self.retry_extra)?;
-        check_number("retry_window_s", self.retry_window_s)?;
+        check_span("retry_window_s", self.retry_window_s)?;
         if let Some(revoke_ms) = self.revoke_ms {
             check_positive("revoke_ms", revoke_ms)?;
         }
-        check_number("quota_window_s", self.quota_window_s)?;
+        check_span("quota_window_s", self.quota_window_s)?;
         check_number("quota_overage", self.quota_overage)?;
         check_number("quota_slack", self.quota_slack)?;
         check_log(&self.log)
@@ -159,6 +162,14 @@
     8.0
 }
 
+/// Rejects a time in seconds that is negative, no number, or longer than any.
+fn check_span(key: &'static str, seconds: f64) -> Result<(), SettingsError> {
+    match bounded_secs(seconds) {
+        Some(_) => Ok(()),
+        None => Err(SettingsError::value(key, seconds, "0 to 86400")),
+    }
+}
+
 fn check_number(key: &'static str, value: f64) -> Result<(), SettingsError> {
     match value.is_finite() && value >= 0.0 {
         true => Ok(()),
