Tasks that a process can't serve without start again after a panic (RECOVER)

Callers would have seen: a process that says ready and goes on with an old list, without reports of its engines, or without taking connections, once one of its tasks has panicked. Cause: each was spawned once and nobody waited for it. The loop that accepts clients goes on after a step that failed.

--- a/entry/src/ingress/crash_exchange.rs
+++ b/entry/src/ingress/crash_exchange.rs
@@ -5,6 +5,7 @@
     chalkcart_transport::{
         client::{ClientError, PeerClient},
         clock,
+        supervision::supervised,
     },
     std::{
         net::SocketAddr,
@@ -54,15 +55,19 @@
     let selector = AggregatorSelector::new(AggregatedState::Crashes);
     let selector = Arc::new(Mutex::new(selector));
     for rank in 0..AGGREGATORS {
-        let link = CrashLink {
-            shared: shared.clone(),
-            selector: selector.clone(),
-            rank,
-            peers: PeerClient::new(),
-            changed: shared.crashes.subscribe(),
-            current: None,
+        let (shared, selector) = (shared.clone(), selector.clone());
+        let run = move || {
+            let link = CrashLink {
+                shared: shared.clone(),
+                selector: selector.clone(),
+                rank,
+                peers: PeerClient::new(),
+                changed: shared.crashes.subscribe(),
+                current: None,
+            };
+            link.run()
         };
-        tokio::spawn(link.run());
+        tokio::spawn(supervised("crash reports", run));
     }
 }
 
--- a/entry/src/ingress/serve.rs
+++ b/entry/src/ingress/serve.rs
@@ -35,6 +35,7 @@
         ingress::{self, Dialect, Phase},
         metadata::{MetadataSource, StoreWatcher},
         server,
+        supervision::supervised,
     },
     std::{sync::Arc, time::Duration},
     tokio::{runtime::Handle, sync::watch, time::timeout},
@@ -88,13 +89,8 @@
     })?;
     let shared = Arc::new(Shared::new(settings, control, crashes, dialect));
     watch_store(&shared, store.clone(), relays);
-    tokio::spawn(read_earlier_versions(shared.clone(), store.clone()));
     exchange_crashes(&shared);
-    tokio::spawn(shared.clone().tell_origins());
-    if shared.settings.mechanisms.shared_limits {
-        let sidecar_port = shared.settings.sidecar_port;
-        tokio::spawn(report_usage(shared.clone(), sidecar_port));
-    }
+    spawn_exchanges(&shared, &store);
     let (_stop, stopped) = watch::channel(false);
     let router = operator_pages::new_readiness_router(shared.clone());
     tokio::spawn(server::serve(
@@ -106,7 +102,8 @@
     let router = operator_pages::new_metrics_router(shared.clone());
     tokio::spawn(server::serve(metrics, router, stopped, Duration::ZERO));
     tokio::spawn(apply_settings_changes(reloader, shared.clone(), store));
-    tokio::spawn(shared.load.clone().run());
+    let load = shared.load.clone();
+    tokio::spawn(supervised("load", move || load.clone().run()));
     let service = Arc::new(RoutedIngress::new(shared.clone()));
     let server = tokio::spawn(ingress::serve(
         clients,
@@ -125,6 +122,21 @@
     stopped_by.result()
 }
 
+/// Starts the tasks that learn what the rest of the fleet knows, and tell it.
+fn spawn_exchanges(shared: &Arc<Shared>, store: &Arc<dyn MetadataSource>) {
+    let (reader, store) = (shared.clone(), store.clone());
+    let read = move || read_earlier_versions(reader.clone(), store.clone());
+    tokio::spawn(supervised("earlier versions", read));
+    let teller = shared.clone();
+    let tell = move || teller.clone().tell_origins();
+    tokio::spawn(supervised("stream origins", tell));
+    if shared.settings.mechanisms.shared_limits {
+        let (reporter, sidecar_port) = (shared.clone(), shared.settings.sidecar_port);
+        let report = move || report_usage(reporter.clone(), sidecar_port);
+        tokio::spawn(supervised("usage reports", report));
+    }
+}
+
 /// Applies new versions of the settings file. Listening addresses change only with a restart.
 async fn apply_settings_changes(
     reloader: SettingsReloader,
@@ -183,8 +195,10 @@
     ];
     for (topic, delay_ms) in change_delays {
         let pacing = WatchPacing::for_change_delay(Duration::from_millis(delay_ms));
-        let watcher = StoreWatcher::new(source.clone(), records.clone(), topic, pacing);
-        tokio::spawn(watcher.run());
+        let (source, records) = (source.clone(), records.clone());
+        let watch =
+            move || StoreWatcher::new(source.clone(), records.clone(), topic, pacing.clone()).run();
+        tokio::spawn(supervised("store watch", watch));
     }
 }
 
--- a/sidecar/src/placement/serve.rs
+++ b/sidecar/src/placement/serve.rs
@@ -21,7 +21,9 @@
         signals::stop_signal,
     },
     chalkcart_protocol::wire::WireVersion,
-    chalkcart_transport::{metadata::MetadataSource, orders::EngineControl, server},
+    chalkcart_transport::{
+        metadata::MetadataSource, orders::EngineControl, server, supervision::supervised,
+    },
     std::{
         sync::Arc,
         time::{Duration, SystemTime, UNIX_EPOCH},
@@ -71,11 +73,15 @@
     log::info!("settings: mechanisms {}", settings.mechanisms);
     let control = PlacementControl::new(placement_settings, since_epoch.as_millis() as u64);
     let shared = Arc::new(Shared::new(control));
-    tokio::spawn(PlacementTask::new(shared.clone(), engine).run());
+    let placed = shared.clone();
+    let place = move || PlacementTask::new(placed.clone(), engine.clone()).run();
+    tokio::spawn(supervised("placement", place));
     let store_cache = Arc::new(StoreCache::new(store, settings.relay_pacing()));
     let relay = Arc::new(RelayHub::new(relay_settings(&settings), store_cache));
     let name = settings.name.clone();
-    tokio::spawn(run_relay(relay.clone(), name, settings.listen.port()));
+    let (hub, port) = (relay.clone(), settings.listen.port());
+    let run = move || run_relay(hub.clone(), name.clone(), port);
+    tokio::spawn(supervised("relay", run));
     let usage = Arc::new(UsageTotals::new(UsageAggregator::new(rand::random())));
     let crashes = Arc::new(CrashAggregator::new(rand::random()));
     let (_stop, stopped) = watch::channel(false);
--- a/sidecar/src/relay/store_cache.rs
+++ b/sidecar/src/relay/store_cache.rs
@@ -11,6 +11,7 @@
     chalkcart_transport::{
         clock,
         metadata::{self as store, MetadataSource, RecordSink, StoreWatcher},
+        supervision::supervised,
     },
     std::{
         sync::{
@@ -233,8 +234,10 @@
         self.backends.start_first_read(now);
         watchers.extend([Topic::Configuration, Topic::Backends].map(|topic| {
             let pacing = self.pacing.watch_pacing();
-            let watcher = StoreWatcher::new(store.clone(), self.clone(), topic, pacing);
-            tokio::spawn(watcher.run())
+            let (store, sink) = (store.clone(), self.clone());
+            let watch =
+                move || StoreWatcher::new(store.clone(), sink.clone(), topic, pacing.clone()).run();
+            tokio::spawn(supervised("store watch", watch))
         }));
     }
 
--- a/transport/src/ingress/server.rs
+++ b/transport/src/ingress/server.rs
@@ -5,7 +5,7 @@
         counted_body::{CountedBody, RequestGuard},
         ProxyBody,
     },
-    crate::sockets::tune_stream,
+    crate::{sockets::tune_stream, supervision::contained},
     async_trait::async_trait,
     bytes::Bytes,
     http::{header::CONTENT_LENGTH, Request, Response, Version},
@@ -81,7 +81,12 @@
     };
     loop {
         tokio::select! {
-            () = acceptor.step() => {}
+            // after one that failed, the listener still has the connections that wait
+            step = contained("accept", acceptor.step()) => {
+                if step.is_none() {
+                    sleep(ACCEPT_PAUSE).await;
+                }
+            }
             () = wait_for_phase(&mut phase, Phase::Closing) => break,
         }
     }
--- a/transport/src/links/relay_link.rs
+++ b/transport/src/links/relay_link.rs
@@ -3,6 +3,7 @@
     crate::{
         client::{ClientError, ClientStep, HttpClient, MessageStream, PeerClient},
         clock,
+        supervision::supervised,
     },
     bytes::Bytes,
     chalkcart_coordination::relay::{RelayCandidate, RelaySelector, RelayedEvent, RelayedViews},
@@ -65,17 +66,21 @@
     pub fn open(runtime: &Handle, settings: RelayLinkSettings, sink: Arc<dyn ViewSink>) -> Self {
         let outbox = RelayOutbox::new(settings.reader.clone(), settings.is_relay);
         let outbox = Arc::new(outbox);
-        let reader = RelayReader {
-            selector: RelaySelector::new(&settings.reader, &settings.zone),
-            settings,
-            sink,
-            peers: PeerClient::new(),
-            http: HttpClient::new(),
-            outbox: outbox.clone(),
-            views: RelayedViews::default(),
-            updated_at: clock::now(),
+        let used = outbox.clone();
+        let read = move || {
+            let reader = RelayReader {
+                selector: RelaySelector::new(&settings.reader, &settings.zone),
+                settings: settings.clone(),
+                sink: sink.clone(),
+                peers: PeerClient::new(),
+                http: HttpClient::new(),
+                outbox: used.clone(),
+                views: RelayedViews::default(),
+                updated_at: clock::now(),
+            };
+            reader.run()
         };
-        let task = runtime.spawn(reader.run());
+        let task = runtime.spawn(supervised("relay link", read));
         Self { outbox, task }
     }
 
--- a/transport/src/links/sidecar_links.rs
+++ b/transport/src/links/sidecar_links.rs
@@ -1,6 +1,9 @@
 use {
     super::ViewSink,
-    crate::client::{ClientError, ClientStep, MessageStream, PeerClient},
+    crate::{
+        client::{ClientError, ClientStep, MessageStream, PeerClient},
+        supervision::supervised,
+    },
     chalkcart_protocol::peer::{path, AdapterDemand, EngineView, ViewUpdate},
     chalkcart_state::backends::BackendId,
     futures::StreamExt,
@@ -111,10 +114,22 @@
     fn open(&self, engine: SocketAddr) -> Link {
         let sidecar = SocketAddr::new(engine.ip(), self.sidecar_port);
         let (demand, demands) = watch::channel(None);
-        let views = read_views(self.peers.clone(), engine, sidecar, self.sink.clone());
-        let sink = self.sink.clone();
-        let posts = post_demands(self.peers.clone(), engine, sidecar, sink, demands);
-        let tasks = [self.runtime.spawn(views), self.runtime.spawn(posts)];
+        let (peers, sink) = (self.peers.clone(), self.sink.clone());
+        let views = move || read_views(peers.clone(), engine, sidecar, sink.clone());
+        let (peers, sink) = (self.peers.clone(), self.sink.clone());
+        let posts = move || {
+            post_demands(
+                peers.clone(),
+                engine,
+                sidecar,
+                sink.clone(),
+                demands.clone(),
+            )
+        };
+        let tasks = [
+            self.runtime.spawn(supervised("views", views)),
+            self.runtime.spawn(supervised("demands", posts)),
+        ];
         Link {
             demand,
             sent_at: None,
--- a/transport/src/supervision/mod.rs
+++ b/transport/src/supervision/mod.rs
@@ -2,10 +2,12 @@
 //! learns when one of them has ended.
 
 mod guard;
+mod supervised;
 mod thread_end;
 
 pub use {
     guard::{Guard, Step},
+    supervised::{contained, supervised},
     thread_end::{thread_end, EndOnDrop, ThreadEnd},
 };
 
