--- a/coordination/src/crashes/crash_detector.rs
+++ b/coordination/src/crashes/crash_detector.rs
@@ -90,12 +90,26 @@
         }
     }
 
-    /// Drops the runs that an engine has survived; it responded at `read_at`.
+    /// Handles a response of this incarnation to a request that was sent at `sent_at`: it has
+    /// survived all runs that were interrupted before that.
+    pub fn on_responded(&mut self, backend: &BackendId, sent_at: Instant) {
+        self.drop_survived(backend, |run| run.at < sent_at);
+    }
+
+    /// Drops the runs that an engine has survived; its sidecar read it at `read_at`.
     fn on_alive(&mut self, backend: &BackendId, read_at: Instant) {
+        self.drop_survived(backend, |run| read_at >= run.at + SURVIVAL_DELAY);
+    }
+
+    fn drop_survived(
+        &mut self,
+        backend: &BackendId,
+        has_survived: impl Fn(&InterruptedRun) -> bool,
+    ) {
         let Some(runs) = self.interrupted.get_mut(backend) else {
             return;
         };
-        let survived = runs.extract_if(.., |run| read_at >= run.at + SURVIVAL_DELAY);
+        let survived = runs.extract_if(.., |run| has_survived(run));
         self.completed.extend(survived.filter(|run| run.is_whole));
         if runs.is_empty() {
             self.interrupted.remove(backend);
--- a/coordination/src/dispatch/backend_updates.rs
+++ b/coordination/src/dispatch/backend_updates.rs
@@ -27,14 +27,16 @@
             return;
         }
         // A restored store may lack back ends that started since its copy.
-        let may_lack_running = at.era > self.list_position.era;
+        let is_of_new_era = at.era > self.list_position.era;
         let is_first = self.list_position == StorePosition::default();
         self.list_position = at;
-        if may_lack_running && !is_first {
+        if is_of_new_era && !is_first {
             self.list_source.on_restored(now);
         }
         let unlisted = self.mark_unlisted(&list, now);
-        if !may_lack_running {
+        // the record of a back end that the store may not have heard has lapsed, which proves
+        // nothing of its end
+        if !self.list_source.may_lack_running(now) {
             let ended = unlisted.iter();
             ended.for_each(|id| self.crashes.on_engine_ended(id, now));
         }
--- a/coordination/src/dispatch/event.rs
+++ b/coordination/src/dispatch/event.rs
@@ -45,6 +45,11 @@
         }
     }
 
+    /// Returns whether this incarnation of the back end has responded to the request.
+    pub fn shows_life(self) -> bool {
+        matches!(self, Self::Answered | Self::Closed | Self::Shed)
+    }
+
     /// Returns the code in logs and metrics.
     pub fn code(self) -> &'static str {
         match self {
--- a/coordination/src/dispatch/request_progress.rs
+++ b/coordination/src/dispatch/request_progress.rs
@@ -62,6 +62,9 @@
             return Some(service);
         };
         state.on_request_ended(&sent);
+        if outcome.shows_life() {
+            self.crashes.on_responded(&backend, sent.sent_at);
+        }
         if sent.is_probe {
             state.backoff.on_probe_ended(outcome, now);
         }
