--- a/coordination/src/crashes/crash_record.rs
+++ b/coordination/src/crashes/crash_record.rs
@@ -15,6 +15,8 @@
     completed: Option<CompletedRun>,
     /// When it was last tried or reported.
     pub last_used: Instant,
+    /// Until when the only run that may try it again has time, while it is blocked.
+    pub tried_until: Option<Instant>,
     /// Upper bound on the crashes that are kept.
     max_crashes: usize,
 }
@@ -46,6 +48,7 @@
             crashes: Vec::new(),
             completed: None,
             last_used: now,
+            tried_until: None,
             max_crashes,
         }
     }
@@ -95,6 +98,11 @@
         unneeded.is_none()
     }
 
+    /// Returns whether a run of it is known to have completed.
+    pub fn has_done_well(&self) -> bool {
+        self.completed.is_some()
+    }
+
     /// Returns the events with the ids of the completed runs.
     pub fn events(&self) -> impl Iterator<Item = (CrashEvent, u64, Stamp)> + '_ {
         let crashes = self.crashes.iter().map(|crash| {
--- a/coordination/src/crashes/crash_registry.rs
+++ b/coordination/src/crashes/crash_registry.rs
@@ -7,7 +7,9 @@
         part_history::{GoodRun, LongestRun, PartCrash},
         part_registry::PartRegistry,
         part_run::PartRun,
+        recent_runs::RecentRuns,
         record_table::RecordTable,
+        request_block::{self, TrySpread},
         seen_events::SeenEvents,
         EngineCrash,
     },
@@ -29,8 +31,13 @@
 /// Upper bound on the number of tracked requests: 16 crashes of engines with 256 requests each;
 /// about 0.9 MB when full.
 pub const MAX_TRACKED_REQUESTS: usize = 4_096;
-/// Upper bound on the crashes that are kept per request.
-const MAX_CRASHES_PER_REQUEST: usize = BLOCKED_AFTER_CRASHES + 1;
+/// Upper bound on the crashes that are kept per request; each beyond those that block it doubles the
+/// time before it is tried again, three times at most.
+const MAX_CRASHES_PER_REQUEST: usize = BLOCKED_AFTER_CRASHES + 3;
+/// Time for a run that tries a blocked request again. Others are rejected meanwhile.
+const TRY_TIME: Duration = Duration::from_secs(10);
+/// Number of entries that is assumed until it is known.
+const ASSUMED_ENTRIES: u32 = 32;
 /// Part of its time for which a run that goes on counts as a good one.
 const COUNTED_PROGRESS: f64 = 2.0 / 3.0;
 /// Upper bound on the reports in one message, about 72 kB.
@@ -43,11 +50,16 @@
     Clear,
     /// Engines have crashed while running it, but fewer than block it.
     Suspected { crashes: usize },
-    /// It crashes the engines that run it and must be rejected.
+    /// It crashes the engines that run it and must be rejected, but for one run at a time once
+    /// `retry_in` is over.
     Blocked {
         crashes: usize,
         /// Time since the last crash.
         age: Duration,
+        /// Time until this entry may try it again.
+        retry_in: Duration,
+        /// Whether equal requests have completed, so that it is not sure to be the cause.
+        has_done_well: bool,
     },
 }
 
@@ -64,6 +76,9 @@
     /// Number of completed runs that this registry has recorded first.
     own_runs: u64,
     requests: RecordTable,
+    recent: RecentRuns,
+    /// Number of entries in the fleet.
+    entries: u32,
     parts: PartRegistry,
     seen: SeenEvents,
     revision: u64,
@@ -83,6 +98,8 @@
             origin,
             own_runs: 0,
             requests: RecordTable::new(MAX_TRACKED_REQUESTS, MAX_CRASHES_PER_REQUEST),
+            recent: RecentRuns::default(),
+            entries: ASSUMED_ENTRIES,
             parts: PartRegistry::default(),
             seen: SeenEvents::default(),
             revision: 0,
@@ -112,8 +129,14 @@
         self.parts.set_engines(engines, now);
     }
 
+    /// Sets the number of entries, over whose tries of a blocked request time is divided.
+    pub fn set_entries(&mut self, entries: u32) {
+        self.entries = entries;
+    }
+
     /// Assesses a request that arrives now. Crashes that a part explains don't count.
     pub fn verdict(&mut self, digest: &RequestDigest, now: Instant) -> RequestVerdict {
+        let spread = self.try_spread(digest);
         let suspects = self.parts.suspects(now);
         let Some(record) = self.requests.used(digest, now) else {
             return RequestVerdict::Clear;
@@ -125,15 +148,43 @@
         let crashes = record.crashes.iter();
         let crashes = crashes.filter(|crash| !is_explained(crash));
         let crashes: Vec<&Crash> = crashes.collect();
-        match crashes.last().map(|crash| crash.stamp.at) {
-            None => RequestVerdict::Clear,
-            Some(at) if crashes.len() >= BLOCKED_AFTER_CRASHES => RequestVerdict::Blocked {
-                crashes: crashes.len(),
-                age: now.saturating_duration_since(at),
-            },
-            Some(_) => RequestVerdict::Suspected {
-                crashes: crashes.len(),
+        let Some(last) = crashes.last().map(|crash| crash.stamp.at) else {
+            return RequestVerdict::Clear;
+        };
+        let age = now.saturating_duration_since(last);
+        let crashes = request_block::separate_crashes(record, &crashes);
+        match crashes >= BLOCKED_AFTER_CRASHES {
+            true => RequestVerdict::Blocked {
+                crashes,
+                age,
+                retry_in: request_block::blocked_for(crashes, age, spread),
+                has_done_well: record.has_done_well(),
             },
+            false => RequestVerdict::Suspected { crashes },
+        }
+    }
+
+    /// Returns whether a blocked request may be tried again now, and if so lets this one be the only
+    /// one for a while: its completed run clears the request, and a further crash blocks it for
+    /// longer.
+    pub fn take_try(&mut self, digest: &RequestDigest, now: Instant) -> bool {
+        let verdict = self.verdict(digest, now);
+        let is_due =
+            matches!(verdict, RequestVerdict::Blocked { retry_in, .. } if retry_in.is_zero());
+        let Some(record) = self.requests.used(digest, now).filter(|_| is_due) else {
+            return false;
+        };
+        let is_free = record.tried_until.is_none_or(|until| now >= until);
+        if is_free {
+            record.tried_until = Some(now + TRY_TIME);
+        }
+        is_free
+    }
+
+    fn try_spread(&self, digest: &RequestDigest) -> TrySpread {
+        TrySpread {
+            position: spread_of(self.origin, digest),
+            entries: self.entries,
         }
     }
 
@@ -242,15 +293,27 @@
     }
 
     /// Records that a request ran to completion. Returns whether this is new. Requests
-    /// without a crash are not recorded, so that the registry stays empty while no engine
-    /// crashes.
+    /// without a crash are remembered for a while but not recorded, so that the registry stays
+    /// empty while no engine crashes.
     pub fn on_completed(&mut self, digest: RequestDigest, now: Instant) -> bool {
+        self.recent.on_completed(digest, now);
         if self.requests.crashes_of(&digest).is_empty() {
             return false;
         }
+        self.record_completed(digest, now, now)
+    }
+
+    fn record_completed(&mut self, digest: RequestDigest, at: Instant, now: Instant) -> bool {
         self.own_runs += 1;
         let run_id = nonzero_hash((self.origin, self.own_runs));
-        self.record_event(digest, CrashEvent::Served, run_id, now, now)
+        self.record_event(digest, CrashEvent::Served, run_id, at, now)
+    }
+
+    /// Records the last run of a request that completed before a crash under it was known.
+    fn record_recent_run(&mut self, digest: RequestDigest, now: Instant) {
+        if let Some(at) = self.recent.last(&digest) {
+            self.record_completed(digest, at, now);
+        }
     }
 
     /// Records that a prompt with these parts was answered to its end. Returns whether other
@@ -416,6 +479,9 @@
             CrashEvent::Served => record.on_completed(CompletedRun { id: run_id, stamp }),
         };
         self.revision += u64::from(is_new);
+        if is_new && matches!(event, CrashEvent::Ended { .. }) {
+            self.record_recent_run(digest, now);
+        }
         is_new
     }
 
@@ -504,9 +570,9 @@
     }
 }
 
-/// Returns a number from 0 to 1 that differs between entries and parts.
-fn spread_of(origin: u64, part: PartId) -> f64 {
-    nonzero_hash((origin, part)) as f64 / u64::MAX as f64
+/// Returns a number from 0 to 1 that differs between entries, and between parts or requests.
+fn spread_of(origin: u64, subject: impl Hash) -> f64 {
+    nonzero_hash((origin, subject)) as f64 / u64::MAX as f64
 }
 
 /// Returns the identity of an event; `None` for a completed run that an older build reports
--- a/coordination/src/crashes/mod.rs
+++ b/coordination/src/crashes/mod.rs
@@ -12,7 +12,9 @@
 mod part_registry;
 mod part_run;
 mod part_table;
+mod recent_runs;
 mod record_table;
+mod request_block;
 mod seen_events;
 mod sound_parts;
 
--- a/coordination/src/crashes/record_table.rs
+++ b/coordination/src/crashes/record_table.rs
@@ -41,7 +41,7 @@
     }
 
     /// Returns the record of a request or part that is tried now; removes an expired one.
-    pub fn used(&mut self, digest: &RequestDigest, now: Instant) -> Option<&CrashRecord> {
+    pub fn used(&mut self, digest: &RequestDigest, now: Instant) -> Option<&mut CrashRecord> {
         if self.records.get(digest)?.is_expired(now) {
             self.records.remove(digest);
         }
--- a/coordination/tests/stream_recovery.rs
+++ b/coordination/tests/stream_recovery.rs
@@ -330,6 +330,8 @@
     let blocked = RequestVerdict::Blocked {
         crashes: 3,
         age: Duration::ZERO,
+        retry_in: Duration::from_secs(60),
+        has_done_well: false,
     };
     type Change = fn(&mut RecoveryInputs);
     let cases: [(Change, Result<(), NotResumed>); 6] = [
--- a/entry/src/ingress/control.rs
+++ b/entry/src/ingress/control.rs
@@ -434,6 +434,7 @@
             self.publish_budgets(now);
             if let Some(count) = self.dispatcher.highest_entry_count(now) {
                 self.state.entry_count.store(count, Ordering::Relaxed);
+                self.crashes.set_entries(count);
             }
         }
         for (engine, demand) in self.dispatcher.demands(due, now) {
--- a/entry/src/ingress/crash_check.rs
+++ b/entry/src/ingress/crash_check.rs
@@ -12,6 +12,9 @@
 /// Response text for a request that is blocked because it crashes engines.
 pub(super) const BLOCKED: &str = "engines ended under this request: it is not run any more";
 
+/// Shortest time after which a rejected request may come back while another one is tried.
+const MIN_TRY_WAIT: Duration = Duration::from_secs(1);
+
 /// Why a request must not run.
 struct Block {
     /// The part of its prompt that crashes engines; `None` for the request as a whole.
@@ -19,14 +22,22 @@
     crashes: usize,
     /// Time since the last crash.
     age: Duration,
+    /// When a retry may be served; `None` if it would be blocked too, for all that is known.
+    retry_after: Option<Duration>,
 }
 
 impl RequestExchange {
     /// Rejects a request that is blocked because it, or a part of its prompt, crashes the engines
     /// that run it. One that has not run gets a 400 response without Retry-After, since a retry
-    /// would be blocked too.
+    /// would be blocked too; if equal requests have done well, a 503 response with the time until
+    /// one is tried again.
     pub(super) fn reject_if_blocked(&mut self) -> Option<ClientResponse> {
-        let Block { part, crashes, age } = self.block()?;
+        let Block {
+            part,
+            crashes,
+            age,
+            retry_after,
+        } = self.block()?;
         let part = part.map(|part| part.to_string());
         log::warn!(
             request = self.accepted.head.id.as_str(),
@@ -46,8 +57,9 @@
         let reason = part.map_or(BLOCKED.to_string(), |part| {
             format!("engines ended under part {part} of this prompt: it is not run any more")
         });
-        Some(match self.runs {
-            0 => self.local_response().text(StatusCode::BAD_REQUEST, &reason),
+        Some(match (self.runs, retry_after) {
+            (0, None) => self.local_response().text(StatusCode::BAD_REQUEST, &reason),
+            (0, Some(after)) => self.local_response().service_unavailable(&reason, after),
             _ => self.final_response(&reason, DEFAULT_RETRY_AFTER),
         })
     }
@@ -56,25 +68,60 @@
     pub(super) fn crash_verdict(&self) -> RequestVerdict {
         let crashes = &self.shared.crashes;
         match self.blocked_part() {
-            Some(BlockedPart { crashes, age, .. }) => RequestVerdict::Blocked { crashes, age },
+            Some(BlockedPart { crashes, age, .. }) => RequestVerdict::Blocked {
+                crashes,
+                age,
+                retry_in: Duration::MAX,
+                has_done_well: false,
+            },
             None => crashes.verdict(&self.accepted.digest),
         }
     }
 
     /// Returns why the request must not run; `None` if it may.
-    fn block(&self) -> Option<Block> {
+    fn block(&mut self) -> Option<Block> {
         if let Some(BlockedPart { part, crashes, age }) = self.blocked_part() {
-            let part = Some(part);
-            return Some(Block { part, crashes, age });
-        }
-        match self.shared.crashes.verdict(&self.accepted.digest) {
-            RequestVerdict::Blocked { crashes, age } => Some(Block {
-                part: None,
+            return Some(Block {
+                part: Some(part),
                 crashes,
                 age,
-            }),
-            RequestVerdict::Suspected { .. } | RequestVerdict::Clear => None,
+                retry_after: None,
+            });
+        }
+        let verdict = self.shared.crashes.verdict(&self.accepted.digest);
+        let RequestVerdict::Blocked {
+            crashes,
+            age,
+            retry_in,
+            has_done_well,
+        } = verdict
+        else {
+            return None;
+        };
+        if retry_in.is_zero() && self.is_the_try() {
+            return None;
+        }
+        Some(Block {
+            part: None,
+            crashes,
+            age,
+            retry_after: has_done_well.then(|| retry_in.max(MIN_TRY_WAIT)),
+        })
+    }
+
+    /// Returns whether this is the one request that tries a blocked one again.
+    fn is_the_try(&mut self) -> bool {
+        if !self.is_try {
+            self.is_try = self.shared.crashes.take_try(&self.accepted.digest);
+            if self.is_try {
+                log::info!(
+                    request = self.accepted.head.id.as_str(),
+                    digest = self.accepted.digest.to_string().as_str();
+                    "crashes: blocked request tried again"
+                );
+            }
         }
+        self.is_try
     }
 
     fn blocked_part(&self) -> Option<BlockedPart> {
--- a/entry/src/ingress/request_exchange.rs
+++ b/entry/src/ingress/request_exchange.rs
@@ -58,6 +58,8 @@
     regions_generation: Option<Generation>,
     /// Number of sends after which the request may have run.
     pub(super) runs: u32,
+    /// Whether it is the one run that tries a request again which is blocked.
+    pub(super) is_try: bool,
     /// Whether the engine of the last run has ended. The crash registry learns it later.
     pub(super) has_engine_ended: bool,
     /// The last event that the client has of a stream that is resumed.
@@ -145,6 +147,7 @@
             request,
             regions_generation: None,
             runs: 0,
+            is_try: false,
             has_engine_ended: false,
             last_event: None,
             failure: None,
--- a/entry/src/ingress/shared_crash_registry.rs
+++ b/entry/src/ingress/shared_crash_registry.rs
@@ -53,6 +53,16 @@
         self.registry().verdict(digest, clock::now())
     }
 
+    /// Returns whether this is the one run that may try a blocked request again.
+    pub fn take_try(&self, digest: &RequestDigest) -> bool {
+        self.registry().take_try(digest, clock::now())
+    }
+
+    /// Sets the number of entries in the fleet.
+    pub fn set_entries(&self, entries: u32) {
+        self.registry().set_entries(entries);
+    }
+
     /// Returns whether a request with these parts may run now.
     pub fn part_verdict(&self, parts: &[PartId]) -> PartVerdict {
         self.registry().part_verdict(parts, clock::now())
