--- a/coordination/tests/crash_blocks.rs
+++ b/coordination/tests/crash_blocks.rs
@@ -236,7 +236,7 @@
                 .filter(|at| ***at >= **first && **at < &(**first + minute));
             within.count()
         };
-        runs.iter().map(|first| in_minute(first)).max().unwrap_or(0)
+        runs.iter().map(in_minute).max().unwrap_or(0)
     }
 }
 
--- a/transport/src/backend/sender.rs
+++ b/transport/src/backend/sender.rs
@@ -1,7 +1,7 @@
 use {
     super::BackendResponse,
     crate::{
-        inbound::{http_end_cause, ByteMeter, MeteredBody, MeteredSocket},
+        inbound::{check_head, http_end_cause, ByteMeter, MeteredBody, MeteredSocket},
         sockets::tune_stream,
     },
     bytes::Bytes,
@@ -101,17 +101,18 @@
     }));
     let informational = meter.clone();
     on_informational(&mut req, move |_| informational.on_informational());
-    match sender.send_request(req).await {
-        Ok(response) => Ok(BackendResponse {
-            response: response.map(|body| MeteredBody::new(body, meter)),
-            connection,
-        }),
-        Err(e) => Err(BackendSendError::Lost {
-            addr,
-            problem: e.to_string(),
-            cause: http_end_cause(&e),
-        }),
-    }
+    let lost = |problem: String, cause| BackendSendError::Lost {
+        addr,
+        problem,
+        cause,
+    };
+    let response = sender.send_request(req).await;
+    let response = response.map_err(|e| lost(e.to_string(), http_end_cause(&e)))?;
+    check_head(&response).map_err(|e| lost(e.to_string(), EndCause::Invalid))?;
+    Ok(BackendResponse {
+        response: response.map(|body| MeteredBody::new(body, meter)),
+        connection,
+    })
 }
 
 /// Returns whether a connection to the address is refused: no process listens there.
--- a/transport/src/client/http_client.rs
+++ b/transport/src/client/http_client.rs
@@ -1,6 +1,6 @@
 use {
     super::{ClientError, ClientStep, ResponseLimits},
-    crate::inbound::{MeteredBody, MeteredConnector},
+    crate::inbound::{check_head, MeteredBody, MeteredConnector},
     bytes::{Bytes, BytesMut},
     http::{header::CONTENT_TYPE, Method, Request, Response, StatusCode, Uri},
     http_body_util::{BodyExt, Full},
@@ -82,15 +82,17 @@
         peer: SocketAddr,
         req: Request<Full<Bytes>>,
     ) -> Result<Response<MeteredBody>, ClientError> {
-        let response = self.client.request(req).await;
-        response.map(MeteredBody::of_response).map_err(|e| {
+        let response = self.client.request(req).await.map_err(|e| {
             let step = match e.is_connect() {
                 true if is_refused(&e) => ClientStep::Refused,
                 true => ClientStep::Connect,
                 false => ClientStep::Send,
             };
             ClientError::new(step, peer, detail(&e))
-        })
+        })?;
+        // its connection is closed with the body, which nobody reads
+        check_head(&response).map_err(|e| ClientError::new(ClientStep::Receive, peer, e))?;
+        Ok(MeteredBody::of_response(response))
     }
 
     /// Sends a request and reads the complete response with its head within time limits.
--- a/transport/src/inbound/mod.rs
+++ b/transport/src/inbound/mod.rs
@@ -9,6 +9,7 @@
 mod metered_body;
 mod metered_connector;
 mod metered_socket;
+mod sound_head;
 
 pub use {
     body_error::{http_end_cause, BodyError},
@@ -18,4 +19,5 @@
     metered_body::MeteredBody,
     metered_connector::MeteredConnector,
     metered_socket::MeteredSocket,
+    sound_head::{check_head, HeadFault},
 };
