What can't end within the grace is declined before its back end is asked (LOST)

Callers saw: in a planned stop of one entry, in calm, requests that waited for a slot were passed on with half of their time left, ran, and were cut at the end of the grace with no answer, among them ones that may not be repeated. Cause: a decision asked for the request's deadline alone, not for the moment at which this process exits. Once it is told to stop it sends nothing that would end after its exit, unless its deadline ends it before; what waits is told so as soon as that is sure: 503, not run, come back in 0.1 s ('stopping' in logs and metrics).

--- a/coordination/src/dispatch/decision.rs
+++ b/coordination/src/dispatch/decision.rs
@@ -91,6 +91,8 @@
     RetryBudgetExhausted,
     /// No engine can complete it by its deadline.
     MissesDeadline,
+    /// This entry stops before it would be complete; another one can serve it.
+    Stopping,
 }
 
 impl RejectionCause {
@@ -109,6 +111,7 @@
             Self::LoadTooSlow => "loads_later",
             Self::RetryBudgetExhausted => "no_budget",
             Self::MissesDeadline => "misses_deadline",
+            Self::Stopping => "stopping",
         }
     }
 }
--- a/coordination/src/dispatch/rejection.rs
+++ b/coordination/src/dispatch/rejection.rs
@@ -70,7 +70,8 @@
             | RejectionCause::NoBackend
             | RejectionCause::RetryBudgetExhausted
             | RejectionCause::LoadTooSlow
-            | RejectionCause::MissesDeadline => self.settings.max_slot_wait_ratio,
+            | RejectionCause::MissesDeadline
+            | RejectionCause::Stopping => self.settings.max_slot_wait_ratio,
         };
         let max_wait = match request.is_repeat && cause == RejectionCause::NoBackend {
             // all that are listed were tried
--- a/entry/src/ingress/mod.rs
+++ b/entry/src/ingress/mod.rs
@@ -21,6 +21,7 @@
 mod request_exchange_log;
 mod request_exchange_response;
 mod response_end_log;
+mod run_timer;
 mod serve;
 mod service;
 mod shared;
--- a/entry/src/ingress/observers.rs
+++ b/entry/src/ingress/observers.rs
@@ -2,6 +2,7 @@
     super::{
         control::ControlHandle,
         response_end_log::{count_end, BROKEN, CUT, STREAMED, WHOLE},
+        run_timer::RunTimer,
         shared::Shared,
         stream_recovery::StreamRecovery,
     },
@@ -33,6 +34,7 @@
     ticket: Ticket,
     has_started: bool,
     has_ended: bool,
+    timer: Option<RunTimer>,
 }
 
 impl SendGuard {
@@ -42,9 +44,16 @@
             ticket,
             has_started: false,
             has_ended: false,
+            timer: None,
         }
     }
 
+    /// Has the run measured.
+    pub fn timed_by(mut self, timer: RunTimer) -> Self {
+        self.timer = Some(timer);
+        self
+    }
+
     /// Reports that the head of a successful response arrived.
     pub fn on_head(&self) {
         let event = DispatchEvent::HeadReceived(self.ticket);
@@ -65,6 +74,12 @@
             return false;
         }
         self.has_ended = true;
+        if let Some(timer) = self.timer.take() {
+            timer.end(matches!(
+                outcome,
+                SendOutcome::Answered | SendOutcome::Closed
+            ));
+        }
         let ticket = self.ticket;
         self.control
             .send_event(DispatchEvent::SendEnded { ticket, outcome });
--- a/entry/src/ingress/request_exchange.rs
+++ b/entry/src/ingress/request_exchange.rs
@@ -4,6 +4,7 @@
         crash_check::BLOCKED,
         local_response::LocalResponse,
         observers::{SendGuard, WaitGuard},
+        run_timer::{declined_as_stopping, RunTimer},
         service::{find_route, AcceptedRequest},
         shared::Shared,
         stream_response::StartedStream,
@@ -265,11 +266,18 @@
         let control = &self.shared.control;
         let mut guard = WaitGuard::new(control.clone(), self.ticket);
         let decision = control.decide(self.ticket, self.request.clone());
-        let decision = before_deadline(self.deadline, decision).await.ok()??;
+        let decision = tokio::select! {
+            biased;
+            decision = before_deadline(self.deadline, decision) => decision.ok()??,
+            () = self.wait_until_too_late() => return Some(declined_as_stopping()),
+        };
         // The decision may have been made before the machine was suspended.
         if clock::now() >= self.deadline {
             return None;
         }
+        if matches!(decision, Decision::Send(_)) && self.is_too_late() {
+            return Some(declined_as_stopping());
+        }
         guard.set_decided();
         Some(decision)
     }
@@ -343,7 +351,8 @@
     }
 
     pub(super) async fn send_request(&mut self, assignment: &Assignment) -> SendResult {
-        let mut guard = SendGuard::new(self.shared.control.clone(), self.ticket);
+        let timer = RunTimer::start(&self.shared.run_times, &self.accepted.route, self.ticket);
+        let mut guard = SendGuard::new(self.shared.control.clone(), self.ticket).timed_by(timer);
         let Some(req) = self.build_request(assignment) else {
             return SendResult::Failed(None);
         };
--- a/entry/src/ingress/serve.rs
+++ b/entry/src/ingress/serve.rs
@@ -159,6 +159,8 @@
     let times = IngressDrain {
         grace: shared.settings.grace(),
     };
+    let exits_at = clock::now() + times.exit_after();
+    shared.exits_at.send_replace(Some(exits_at));
     shared.phase.send_replace(Phase::Draining);
     tokio::time::sleep(times.close_after()).await;
     shared.phase.send_replace(Phase::Closing);
--- a/entry/src/ingress/shared.rs
+++ b/entry/src/ingress/shared.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         admission::Admission, control::ControlHandle, load_monitor::LoadMonitor,
-        shared_crash_registry::SharedCrashRegistry,
+        run_timer::SharedRunTimes, shared_crash_registry::SharedCrashRegistry,
         shared_software_versions::SharedSoftwareVersions,
         stream_origin_exchange::StreamOriginExchange, unknown_headers::UnknownHeaders,
     },
@@ -69,6 +69,9 @@
     pub software_versions: SharedSoftwareVersions,
     pub stream_origins: StreamOriginExchange,
     pub phase: watch::Sender<Phase>,
+    /// When this process exits; `None` until it is told to stop.
+    pub exits_at: watch::Sender<Option<Instant>>,
+    pub run_times: SharedRunTimes,
     started: Instant,
     next_ticket: AtomicU64,
     /// The longest client deadline seen on each route, by route name.
@@ -102,6 +105,8 @@
             unknown_headers: UnknownHeaders::default(),
             crashes,
             phase: watch::Sender::new(Phase::Serving),
+            exits_at: watch::Sender::new(None),
+            run_times: SharedRunTimes::default(),
             longest_deadlines: Mutex::default(),
             started: clock::now(),
             next_ticket: AtomicU64::new(1),
