One version is concluded only from a list read since, and with what joined and left between (ORDER)

Callers saw: after an entry had stood still or was cut off for some seconds while engines of a new software version joined, streams that had begun there through other entries went on at an engine of another version. Cause: where no sidecar told a stream's origin, an entry took the stream for one of the only version that its lists had had, if the last one was less than 5 s old. A version that joined since, or joined and left between two lists, was in none of them. Change: the list must have been read since the request arrived, else it waits for that (2 s at most) or is refused, not run. The records of an update are looked at, not only the list that they lead to; the end of a back end that was never seen, and a whole list after 2 s without any, make what was before unknown.

--- a/coordination/src/software_versions/version_history.rs
+++ b/coordination/src/software_versions/version_history.rs
@@ -73,6 +73,24 @@
         }
     }
 
+    /// Takes the version of a back end that was listed at some time up to `now`.
+    pub fn on_listed(&mut self, version: &Option<SoftwareVersion>, now: Instant) {
+        if let Some(version) = version {
+            let listed_at = self.listed_at.entry(version.clone()).or_insert(now);
+            *listed_at = now.max(*listed_at);
+        }
+    }
+
+    /// Begins the known time anew: some version may have been listed of which nothing is known.
+    pub fn restart(&mut self, now: Instant) {
+        if let Some(known) = &mut self.known {
+            *known = KnownTime {
+                since: Some(now),
+                until: now,
+            };
+        }
+    }
+
     /// Takes what another process reports.
     pub fn on_report(&mut self, report: &VersionReport, now: Instant) {
         let ago = |ms: u64| now.checked_sub(Duration::from_millis(ms));
--- a/coordination/src/software_versions/version_mix.rs
+++ b/coordination/src/software_versions/version_mix.rs
@@ -4,6 +4,7 @@
     chalkcart_state::{
         backends::{Backend, BackendName, SoftwareVersion},
         ids::ServiceName,
+        published::Record,
     },
     std::{
         collections::{BTreeSet, HashMap},
@@ -14,6 +15,10 @@
 /// Shortest time for which versions and origins are remembered.
 const MIN_MEMORY: Duration = Duration::from_secs(30);
 
+/// Shortest time for which a back end is listed: one that joins and leaves is told as leaving first,
+/// or is missing only after its heartbeats were. A shorter time between two lists hides none.
+const MIN_LISTED: Duration = Duration::from_secs(2);
+
 /// Returns the time after which no stream is taken up any more, by the longest time that one attempt
 /// of a stream may take: a client's tries may last as long again.
 pub fn stream_memory(longest_attempt: Duration) -> Duration {
@@ -80,6 +85,55 @@
         }
     }
 
+    /// Takes the records of an update, before the list that they lead to.
+    ///
+    /// Back ends that joined and left since the last update are in no list; streams may have begun at
+    /// them through other entries.
+    pub fn on_update(&mut self, records: &[Record], is_full: bool, now: Instant) {
+        let joined = records.iter().filter_map(|record| match record {
+            Record::Backend(backend) => Some(backend),
+            _ => None,
+        });
+        let joined: Vec<&Backend> = joined.collect();
+        for backend in &joined {
+            let versions = self.services.entry(backend.service.clone()).or_default();
+            versions.history.on_listed(&backend.software_version, now);
+        }
+        let unseen = self.current_at.filter(|_| is_full);
+        let unseen = unseen.map(|at| now.saturating_duration_since(at));
+        let is_known = |name: &BackendName| {
+            let is_joined = joined.iter().any(|backend| backend.id.name == *name);
+            is_joined || self.services.values().any(|s| s.backends.contains(name))
+        };
+        let has_hidden = records
+            .iter()
+            .any(|record| matches!(record, Record::BackendGone(name) if !is_known(name)));
+        if has_hidden || unseen.is_some_and(|unseen| unseen >= MIN_LISTED) {
+            let services = self.services.values_mut();
+            services.for_each(|versions| versions.history.restart(now));
+        }
+    }
+
+    /// Returns whether the list in use was the newest at `at` or later.
+    pub fn is_current_since(&self, at: Instant) -> bool {
+        self.current_at.is_some_and(|current_at| current_at >= at)
+    }
+
+    /// Returns which versions may have begun a stream that is taken up by a request which arrived at
+    /// `arrived`. An engine may have joined since the list was known to be the newest, and begun it.
+    pub fn mix_for(
+        &self,
+        service: &str,
+        arrived: Instant,
+        memory: Duration,
+        now: Instant,
+    ) -> VersionMix {
+        match self.mix(service, memory, now) {
+            VersionMix::One(_) if !self.is_current_since(arrived) => VersionMix::NotKnown,
+            mix => mix,
+        }
+    }
+
     /// Notes that the list in use was the newest at `at`.
     pub fn on_current(&mut self, at: Instant) {
         self.current_at = self.current_at.max(Some(at));
--- a/entry/src/ingress/records.rs
+++ b/entry/src/ingress/records.rs
@@ -164,6 +164,7 @@
             Topic::Backends => {
                 self.set_list_away(false);
                 let versions = &self.shared.software_versions;
+                versions.on_update(&update.snapshot.records, is_full);
                 versions.on_current(update.current_at);
                 self.apply_backends(update.snapshot, is_full);
             }
--- a/entry/src/ingress/shared_software_versions.rs
+++ b/entry/src/ingress/shared_software_versions.rs
@@ -7,6 +7,7 @@
         backends::{BackendId, BackendList, SoftwareVersion},
         ids::ServiceName,
         ingress::{Route, RouteTable},
+        published::Record,
     },
     chalkcart_transport::clock,
     std::{
@@ -25,6 +26,8 @@
     state: Mutex<State>,
     /// Whether the store's history was read, or can't be.
     is_history_read: watch::Sender<bool>,
+    /// Notifies of each moment at which the list in use was the newest.
+    currents: watch::Sender<()>,
 }
 
 /// What this process knows of the versions of a service, for logs and metrics.
@@ -115,9 +118,16 @@
                 logged: HashMap::new(),
             }),
             is_history_read: watch::Sender::new(false),
+            currents: watch::Sender::new(()),
         }
     }
 
+    /// Takes the records of an update, before the list that they lead to.
+    pub fn on_update(&self, records: &[Record], is_full: bool) {
+        let mut state = self.lock();
+        state.versions.on_update(records, is_full, clock::now());
+    }
+
     /// Applies a list.
     pub fn on_list(&self, list: &BackendList) {
         let mut state = self.lock();
@@ -134,6 +144,22 @@
     /// Notes that the list in use was the newest at `at`.
     pub fn on_current(&self, at: Instant) {
         self.lock().versions.on_current(at);
+        self.currents.send_replace(());
+    }
+
+    /// Waits until the list in use is known to have been the newest at `at` or later, or until
+    /// `max_wait` is over.
+    pub async fn wait_until_current(&self, at: Instant, max_wait: Duration) {
+        let mut currents = self.currents.subscribe();
+        let current = async {
+            while !self.lock().versions.is_current_since(at) {
+                if currents.changed().await.is_err() {
+                    return;
+                }
+            }
+        };
+        // whether it is current is asked again
+        let _ = timeout(max_wait, current).await;
     }
 
     /// Takes what others report of versions.
@@ -226,6 +252,14 @@
         state.versions.mix(service, state.memory(), clock::now())
     }
 
+    /// Returns which versions of a service may have begun a stream that a request takes up which
+    /// arrived at `arrived`.
+    pub fn mix_for(&self, service: &str, arrived: Instant) -> VersionMix {
+        let state = self.lock();
+        let (memory, now) = (state.memory(), clock::now());
+        state.versions.mix_for(service, arrived, memory, now)
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         // No holder panics in the middle of an update.
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
--- a/entry/src/ingress/stream_take_up.rs
+++ b/entry/src/ingress/stream_take_up.rs
@@ -7,7 +7,7 @@
     },
     chalkcart_coordination::{
         dispatch::DecisionInputs,
-        software_versions::{OriginSearch, TakeUp},
+        software_versions::{OriginSearch, TakeUp, VersionMix},
     },
     chalkcart_protocol::peer::StreamOrigin,
     chalkcart_transport::{clock::before_deadline, ingress::ClientResponse},
@@ -18,6 +18,9 @@
 const UNKNOWN_SOFTWARE: &str = "unknown_software";
 /// Time for which a take-up shortly after the start waits for the store's history.
 const MAX_HISTORY_WAIT: Duration = Duration::from_millis(500);
+/// Time in which a list that was read since the take-up arrived must show that no other version has
+/// joined; a watch of the list takes up to a second.
+const MAX_LIST_WAIT: Duration = Duration::from_secs(2);
 /// A sidecar that could not answer may do so by then.
 const UNKNOWN_RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -39,6 +42,10 @@
         if take_up == TakeUp::Unknown {
             let versions = &self.shared.software_versions;
             versions.wait_for_history(MAX_HISTORY_WAIT).await;
+            if matches!(versions.mix(&self.request.service), VersionMix::One(_)) {
+                let arrived = self.accepted.arrived;
+                versions.wait_until_current(arrived, MAX_LIST_WAIT).await;
+            }
             take_up = self.take_up(&answer.search);
         }
         self.log_take_up(&take_up, &answer);
@@ -79,7 +86,8 @@
             // another service may have begun it
             return TakeUp::Unknown;
         }
-        let mix = self.shared.software_versions.mix(&self.request.service);
+        let (service, arrived) = (&self.request.service, self.accepted.arrived);
+        let mix = self.shared.software_versions.mix_for(service, arrived);
         TakeUp::decide(search, &mix)
     }
 
