--- a/entry/src/conf/ingress_settings.rs
+++ b/entry/src/conf/ingress_settings.rs
@@ -166,7 +166,11 @@
 fn check_span(key: &'static str, seconds: f64) -> Result<(), SettingsError> {
     match bounded_secs(seconds) {
         Some(_) => Ok(()),
-        None => Err(SettingsError::value(key, seconds, "0 or more, at most 86400")),
+        None => Err(SettingsError::value(
+            key,
+            seconds,
+            "0 or more, at most 86400",
+        )),
     }
 }
 
