--- a/transport/src/inbound/sound_head.rs
+++ b/transport/src/inbound/sound_head.rs
@@ -118,11 +118,22 @@
 /// Returns whether a line begins with a text but for a few bytes.
 fn begins_nearly(line: &[u8], text: &str) -> bool {
     let text = text.as_bytes();
+    if !shares_a_part(line, text) {
+        return false;
+    }
     let shortest = text.len() - MAX_SPOILT_BYTES;
     let longest = line.len().min(text.len() + MAX_SPOILT_BYTES);
     (shortest..=longest).any(|end| distance(&line[..end], text) <= MAX_SPOILT_BYTES)
 }
 
+/// Returns whether a line has a part of a text that is divided into one part more than bytes may be
+/// spoilt: one of them is sound. Nearly all lines have none.
+fn shares_a_part(line: &[u8], text: &[u8]) -> bool {
+    let size = text.len() / (MAX_SPOILT_BYTES + 1);
+    let mut parts = text.chunks_exact(size);
+    parts.any(|part| line.windows(size).any(|window| window == part))
+}
+
 /// Returns the number of bytes to insert, remove or replace in one text to get the other.
 fn distance(one: &[u8], other: &[u8]) -> usize {
     let mut before: Vec<usize> = (0..=other.len()).collect();
