Requests that come while they are accepted are declined only if they usually would not end

The times of streams differ with their tokens, and the bound was that of the longest tenth. Now that bound holds from 3 s after the signal on, when nothing is accepted any more and what is sent had waited; before it half of the runs must end in time.

--- a/coordination/src/drain/ingress_drain.rs
+++ b/coordination/src/drain/ingress_drain.rs
@@ -22,6 +22,10 @@
     pub fn close_after(&self) -> Duration {
         (ACCEPT_PERIOD - MAX_TRANSIT_TIME).min(self.exit_after())
     }
+    /// Returns until when requests that are accepted are owed their end.
+    pub fn accepts_for(&self) -> Duration {
+        ACCEPT_PERIOD.min(self.exit_after())
+    }
     /// Returns when the process exits, even if requests still run.
     pub fn exit_after(&self) -> Duration {
         self.grace.saturating_sub(EXIT_MARGIN)
--- a/coordination/src/drain/mod.rs
+++ b/coordination/src/drain/mod.rs
@@ -4,4 +4,8 @@
 mod last_start;
 mod run_times;
 
-pub use {ingress_drain::IngressDrain, last_start::LastStart, run_times::RunTimes};
+pub use {
+    ingress_drain::IngressDrain,
+    last_start::LastStart,
+    run_times::{ExpectedTime, RunTimes},
+};
--- a/coordination/src/drain/run_times.rs
+++ b/coordination/src/drain/run_times.rs
@@ -5,11 +5,20 @@
 
 /// Runs of a route whose times are kept.
 const MAX_RUNS: usize = 64;
-/// Part of the runs that are no longer than the expected time.
-const QUANTILE: f64 = 0.9;
-/// By how much longer a run may take than expected, as its back end may be slower than others.
+/// Part of the runs that are no longer than a long one.
+const LONG_QUANTILE: f64 = 0.9;
+/// By how much longer a run may take than a long one, as its back end may be slower than others.
 const MARGIN: f64 = 1.25;
 
+/// How long a run is expected to take.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ExpectedTime {
+    /// Half of the runs take longer.
+    pub usual: Duration,
+    /// Hardly any takes longer.
+    pub long: Duration,
+}
+
 /// How long the runs of each route took of late.
 #[derive(Debug, Default)]
 pub struct RunTimes {
@@ -48,16 +57,22 @@
         }
     }
 
-    /// Returns the time in which a request of a route that is sent now ends almost surely. Before any
-    /// has ended it is at least the time for which the oldest one runs; `None` if there is none.
-    pub fn expected(&self, route: &str, now: Instant) -> Option<Duration> {
+    /// Returns how long a request of a route takes that is sent now. Before any has ended it is at
+    /// least the time for which the oldest one runs; `None` if there is none.
+    pub fn expected(&self, route: &str, now: Instant) -> Option<ExpectedTime> {
         let runs = self.routes.get(route)?;
         let mut times: Vec<Duration> = runs.completed.iter().copied().collect();
         times.sort_unstable();
-        let place = (times.len() as f64 * QUANTILE) as usize;
-        let usual = times.get(place).or(times.last()).copied();
         let oldest = runs.running.values().min();
         let oldest = oldest.map(|at| now.saturating_duration_since(*at));
-        Some(usual.or(oldest)?.mul_f64(MARGIN))
+        let longest_place = times.len().saturating_sub(1);
+        let at = |quantile: f64| {
+            let place = (times.len() as f64 * quantile) as usize;
+            times.get(place.min(longest_place)).copied().or(oldest)
+        };
+        Some(ExpectedTime {
+            usual: at(0.5)?,
+            long: at(LONG_QUANTILE)?.mul_f64(MARGIN),
+        })
     }
 }
--- a/entry/src/ingress/run_timer.rs
+++ b/entry/src/ingress/run_timer.rs
@@ -1,10 +1,10 @@
 //! How long requests run, and which ones a process that stops can still complete.
 
 use {
-    super::{request_exchange::RequestExchange, shared::Shared},
+    super::request_exchange::RequestExchange,
     chalkcart_coordination::{
         dispatch::{Decision, DecisionInputs, RejectionCause, Ticket},
-        drain::{LastStart, RunTimes},
+        drain::RunTimes,
     },
     chalkcart_state::ingress::Route,
     chalkcart_transport::clock,
@@ -57,17 +57,10 @@
     }
 }
 
-impl Shared {
-    fn last_start(&self) -> Option<LastStart> {
-        let exits_at = *self.exits_at.borrow();
-        exits_at.map(|exits_at| LastStart { exits_at })
-    }
-}
-
 impl RequestExchange {
     /// Returns whether this process stops before the request can end, so that it must not be sent.
     pub(super) fn is_too_late(&self) -> bool {
-        let Some(last) = self.shared.last_start() else {
+        let Some(last) = *self.shared.last_start.borrow() else {
             return false;
         };
         let now = clock::now();
@@ -79,8 +72,8 @@
 
     /// Waits until it is too late to send the request; without end while this process goes on.
     pub(super) async fn wait_until_too_late(&self) {
-        let mut exits_at = self.shared.exits_at.subscribe();
-        if exits_at.wait_for(Option::is_some).await.is_err() {
+        let mut last_start = self.shared.last_start.subscribe();
+        if last_start.wait_for(Option::is_some).await.is_err() {
             pending().await
         }
         while !self.is_too_late() {
--- a/entry/src/ingress/serve.rs
+++ b/entry/src/ingress/serve.rs
@@ -19,7 +19,7 @@
     anyhow::{Context, Result},
     chalkcart_coordination::{
         dispatch::{DispatchEvent, DispatchSettings, Dispatcher, RetryBudgetSettings},
-        drain::IngressDrain,
+        drain::{IngressDrain, LastStart},
         relay::RelayPacing,
         watch::WatchPacing,
     },
@@ -159,8 +159,11 @@
     let times = IngressDrain {
         grace: shared.settings.grace(),
     };
-    let exits_at = clock::now() + times.exit_after();
-    shared.exits_at.send_replace(Some(exits_at));
+    let now = clock::now();
+    shared.last_start.send_replace(Some(LastStart {
+        accepts_until: now + times.accepts_for(),
+        exits_at: now + times.exit_after(),
+    }));
     shared.phase.send_replace(Phase::Draining);
     tokio::time::sleep(times.close_after()).await;
     shared.phase.send_replace(Phase::Closing);
--- a/entry/src/ingress/shared.rs
+++ b/entry/src/ingress/shared.rs
@@ -8,7 +8,8 @@
     crate::conf::IngressSettings,
     arc_swap::ArcSwapOption,
     chalkcart_coordination::{
-        dispatch::Ticket, overload::HeldBytes, retry::ListPacing, retry_budget::BudgetUsage,
+        dispatch::Ticket, drain::LastStart, overload::HeldBytes, retry::ListPacing,
+        retry_budget::BudgetUsage,
     },
     chalkcart_state::{
         accounts::AccountFingerprint,
@@ -69,8 +70,8 @@
     pub software_versions: SharedSoftwareVersions,
     pub stream_origins: StreamOriginExchange,
     pub phase: watch::Sender<Phase>,
-    /// When this process exits; `None` until it is told to stop.
-    pub exits_at: watch::Sender<Option<Instant>>,
+    /// Until when this process sends requests; `None` until it is told to stop.
+    pub last_start: watch::Sender<Option<LastStart>>,
     pub run_times: SharedRunTimes,
     started: Instant,
     next_ticket: AtomicU64,
@@ -105,7 +106,7 @@
             unknown_headers: UnknownHeaders::default(),
             crashes,
             phase: watch::Sender::new(Phase::Serving),
-            exits_at: watch::Sender::new(None),
+            last_start: watch::Sender::new(None),
             run_times: SharedRunTimes::default(),
             longest_deadlines: Mutex::default(),
             started: clock::now(),
