--- a/entry/tests/control_faults.rs
+++ b/entry/tests/control_faults.rs
@@ -34,6 +34,8 @@
 const CASES: usize = 30;
 /// Longer than any decision of these tests takes, for ones that never come.
 const PATIENCE: Duration = Duration::from_secs(20);
+/// Longer than any of these tests takes.
+const LONG_PAUSE: Duration = Duration::from_secs(3_600);
 /// No port of a sidecar: plain services have none.
 const NO_PORT: u16 = 1;
 
@@ -90,10 +92,8 @@
         list: vec![backend(SERVICE, false), backend(FAILING, false)],
     });
     // a back end that asks for a pause: requests to it would wait, by the settings that fail
-    let signal = chalkcart_coordination::backend_signals::BackendSignals::new(
-        false,
-        Some(Duration::from_millis(500)),
-    );
+    let signal =
+        chalkcart_coordination::backend_signals::BackendSignals::new(false, Some(LONG_PAUSE));
     control.send_event(DispatchEvent::SignalReceived {
         backend: format!("{FAILING}-1").as_str().into(),
         signal,
