--- a/transport/src/backend/sender.rs
+++ b/transport/src/backend/sender.rs
@@ -107,8 +107,8 @@
         cause,
     };
     let response = sender.send_request(req).await;
-    let response = response.map_err(|e| lost(e.to_string(), http_end_cause(&e)))?;
-    check_head(&response).map_err(|e| lost(e.to_string(), EndCause::Invalid))?;
+    let mut response = response.map_err(|e| lost(e.to_string(), http_end_cause(&e)))?;
+    check_head(&mut response).map_err(|e| lost(e.to_string(), EndCause::Invalid))?;
     Ok(BackendResponse {
         response: response.map(|body| MeteredBody::new(body, meter)),
         connection,
--- a/transport/src/client/http_client.rs
+++ b/transport/src/client/http_client.rs
@@ -82,7 +82,7 @@
         peer: SocketAddr,
         req: Request<Full<Bytes>>,
     ) -> Result<Response<MeteredBody>, ClientError> {
-        let response = self.client.request(req).await.map_err(|e| {
+        let mut response = self.client.request(req).await.map_err(|e| {
             let step = match e.is_connect() {
                 true if is_refused(&e) => ClientStep::Refused,
                 true => ClientStep::Connect,
@@ -91,7 +91,7 @@
             ClientError::new(step, peer, detail(&e))
         })?;
         // its connection is closed with the body, which nobody reads
-        check_head(&response).map_err(|e| ClientError::new(ClientStep::Receive, peer, e))?;
+        check_head(&mut response).map_err(|e| ClientError::new(ClientStep::Receive, peer, e))?;
         Ok(MeteredBody::of_response(response))
     }
 
--- a/transport/src/inbound/sound_head.rs
+++ b/transport/src/inbound/sound_head.rs
@@ -43,7 +43,7 @@
 /// # Errors
 /// Fails if its status is none of a final response, or if it contradicts itself on where its body
 /// ends.
-pub fn check_head<B>(response: &Response<B>) -> Result<(), HeadFault> {
+pub fn check_head<B>(response: &mut Response<B>) -> Result<(), HeadFault> {
     let (status, headers) = (response.status(), response.headers());
     if !(200..600).contains(&status.as_u16()) {
         return Err(HeadFault::Status(status));
@@ -55,10 +55,14 @@
         return Err(HeadFault::LengthAndCoding);
     }
     let is_bodiless = matches!(status, StatusCode::NO_CONTENT | StatusCode::RESET_CONTENT);
-    match is_bodiless && (is_coded || length.is_some_and(|length| length > 0)) {
-        true => Err(HeadFault::NoBody(status)),
-        false => Ok(()),
+    if is_bodiless && (is_coded || length.is_some_and(|length| length > 0)) {
+        return Err(HeadFault::NoBody(status));
     }
+    if let Some(length) = length {
+        // not every reader takes equal lengths as one
+        response.headers_mut().insert(CONTENT_LENGTH, length.into());
+    }
+    Ok(())
 }
 
 /// Returns whether the body comes in chunks.
@@ -76,19 +80,22 @@
     }
 }
 
-/// Returns the length that the head declares.
+/// Returns the length that the head declares; it may be told several times.
 fn length(headers: &HeaderMap) -> Result<Option<u64>, HeadFault> {
-    let mut lengths = headers.get_all(CONTENT_LENGTH).iter();
-    let Some(length) = lengths.next() else {
-        return Ok(None);
-    };
-    let digits = length.to_str().map_or("", str::trim);
-    let is_number = !digits.is_empty() && digits.bytes().all(|b| b.is_ascii_digit());
-    let number = digits.parse().ok().filter(|_| is_number);
-    match (number, lengths.next()) {
-        (Some(number), None) => Ok(Some(number)),
-        _ => Err(HeadFault::Length),
+    let mut known = None;
+    for value in headers.get_all(CONTENT_LENGTH) {
+        let text = value.to_str().map_err(|_| HeadFault::Length)?;
+        for digits in text.split(',').map(str::trim) {
+            let is_number = !digits.is_empty() && digits.bytes().all(|b| b.is_ascii_digit());
+            let number: Option<u64> = digits.parse().ok().filter(|_| is_number);
+            let number = number.ok_or(HeadFault::Length)?;
+            if known.is_some_and(|known| known != number) {
+                return Err(HeadFault::Length);
+            }
+            known = Some(number);
+        }
     }
+    Ok(known)
 }
 
 /// Looks for a field whose name is the spoilt one of a field that frames the body.
