--- a/entry/src/app/serve.rs
+++ b/entry/src/app/serve.rs
@@ -8,7 +8,7 @@
     },
     anyhow::{Context, Result},
     chalkcart_node::{runtime::run_process, signals::stop_cause},
-    chalkcart_transport::{clock, server},
+    chalkcart_transport::{clock, server, supervision::supervised},
     std::sync::Arc,
     tokio::sync::watch,
 };
@@ -23,7 +23,9 @@
     let listener = server::bind(settings.listen).await?;
     let (control, control_end) = control::start(EntryControl::new(&settings, clock::now()))?;
     let shared = Arc::new(Shared::new(settings, control));
-    tokio::spawn(ConfigWatcher::new(shared.clone()).run());
+    let reader = shared.clone();
+    let read = move || ConfigWatcher::new(reader.clone()).run();
+    tokio::spawn(supervised("configuration", read));
     let (stop, stopped) = watch::channel(false);
     let router = new_router(shared.clone());
     let grace = shared.settings.drain();
--- a/entry/src/config/config_watcher.rs
+++ b/entry/src/config/config_watcher.rs
@@ -37,7 +37,6 @@
 /// The watchers of an availability zone read the platform. The other entries of the zone poll
 /// a watcher; while none responds, they poll any peer, and after `WATCHER_TIMEOUT` also read
 /// the platform.
-#[derive(Clone)]
 pub struct ConfigWatcher {
     shared: Arc<Shared>,
     platform: Arc<HttpPlatform>,
@@ -57,9 +56,8 @@
     pub async fn run(self) {
         self.load_initial().await;
         self.shared.set_synced();
-        let watching = self.clone();
-        tokio::spawn(async move { watching.watch_platform().await });
-        self.poll_peers().await;
+        // in one task, so that both start again after a panic of either
+        tokio::join!(self.watch_platform(), self.poll_peers());
     }
 
     /// Obtains the first configuration from the platform and from peers, so that a stale
--- a/node/src/settings/reload.rs
+++ b/node/src/settings/reload.rs
@@ -4,6 +4,7 @@
     anyhow::{Context, Result},
     serde::de::DeserializeOwned,
     std::{
+        panic::{catch_unwind, AssertUnwindSafe},
         path::{Path, PathBuf},
         time::Duration,
     },
@@ -50,15 +51,23 @@
         unblock_sighup()?;
         loop {
             let is_signalled = timeout(POLL_INTERVAL, hangup.recv()).await.is_ok();
-            match self.read_if_changed::<T>(is_signalled) {
-                Ok(Some(settings)) => {
-                    log::info!("settings: {} in force", self.file.display());
-                    apply(settings);
-                }
-                Ok(None) => {}
-                Err(e) => log::error!(
-                    "settings: new version rejected; the previous one stays in force: {e}"
-                ),
+            // a version that makes it panic must not keep the next one from being read
+            let step = AssertUnwindSafe(|| self.reload(is_signalled, &apply));
+            if catch_unwind(step).is_err() {
+                log::error!("settings: reading or applying a new version failed");
+            }
+        }
+    }
+
+    fn reload<T: DeserializeOwned + Checked>(&mut self, is_signalled: bool, apply: impl Fn(T)) {
+        match self.read_if_changed::<T>(is_signalled) {
+            Ok(Some(settings)) => {
+                log::info!("settings: {} in force", self.file.display());
+                apply(settings);
+            }
+            Ok(None) => {}
+            Err(e) => {
+                log::error!("settings: new version rejected; the previous one stays in force: {e}");
             }
         }
     }
--- a/sidecar/src/app/serve.rs
+++ b/sidecar/src/app/serve.rs
@@ -13,7 +13,11 @@
     chalkcart_coordination::sidecar::{SidecarControl, SidecarEvent, SidecarSettings, TargetKind},
     chalkcart_node::{runtime::run_process, signals::stop_cause},
     chalkcart_transport::{
-        clock, engine::HttpEngine, server, service::HttpService, supervision::ThreadEnd,
+        clock,
+        engine::HttpEngine,
+        server,
+        service::HttpService,
+        supervision::{supervised, ThreadEnd},
     },
     std::{
         sync::{mpsc, Arc},
@@ -40,8 +44,11 @@
 async fn run(settings: Settings) -> Result<()> {
     let listener = server::bind(settings.listen).await?;
     let (shared, control_end) = start_control(settings)?;
-    tokio::spawn(ConfigSync::new(shared.clone()).run());
-    tokio::spawn(sweep(shared.clone()));
+    let synced = shared.clone();
+    let sync = move || ConfigSync::new(synced.clone()).run();
+    tokio::spawn(supervised("configuration", sync));
+    let swept = shared.clone();
+    tokio::spawn(supervised("streams", move || sweep(swept.clone())));
     let (stop, stopped) = watch::channel(false);
     let router = new_router(shared.clone());
     let server_task = tokio::spawn(server::serve(listener, router, stopped, CLOSE_TIMEOUT));
