--- a/transport/src/backend/sender.rs
+++ b/transport/src/backend/sender.rs
@@ -108,7 +108,10 @@
     };
     let response = sender.send_request(req).await;
     let mut response = response.map_err(|e| lost(e.to_string(), http_end_cause(&e)))?;
-    check_head(&mut response).map_err(|e| lost(e.to_string(), EndCause::Invalid))?;
+    let invalid = |problem: String| lost(problem, EndCause::Invalid);
+    let length = check_head(&mut response).map_err(|e| invalid(e.to_string()))?;
+    let declared = meter.on_length(length);
+    declared.map_err(|e| invalid(e.to_string()))?;
     Ok(BackendResponse {
         response: response.map(|body| MeteredBody::new(body, meter)),
         connection,
--- a/transport/src/client/http_client.rs
+++ b/transport/src/client/http_client.rs
@@ -91,8 +91,10 @@
             ClientError::new(step, peer, detail(&e))
         })?;
         // its connection is closed with the body, which nobody reads
-        check_head(&mut response).map_err(|e| ClientError::new(ClientStep::Receive, peer, e))?;
-        Ok(MeteredBody::of_response(response))
+        let length = check_head(&mut response);
+        let length = length.map_err(|e| ClientError::new(ClientStep::Receive, peer, e))?;
+        let response = MeteredBody::of_response(response, length);
+        response.map_err(|e| ClientError::new(ClientStep::Receive, peer, e))
     }
 
     /// Sends a request and reads the complete response with its head within time limits.
--- a/transport/src/inbound/body_error.rs
+++ b/transport/src/inbound/body_error.rs
@@ -14,6 +14,9 @@
     TooLong { max: usize },
     #[error("an event without end")]
     EventTooLong,
+    /// What its head says of its length is wrong.
+    #[error("more of the body than its head declares")]
+    BeyondEnd,
 }
 
 impl BodyError {
@@ -22,6 +25,7 @@
         match self {
             Self::Http(e) => http_end_cause(e),
             Self::TooLong { .. } | Self::EventTooLong => EndCause::TooLong,
+            Self::BeyondEnd => EndCause::Invalid,
         }
     }
 }
--- a/transport/src/inbound/byte_meter.rs
+++ b/transport/src/inbound/byte_meter.rs
@@ -1,7 +1,8 @@
 use {
+    super::{BodyError, DeclaredEnd},
     std::sync::{
         atomic::{AtomicUsize, Ordering},
-        Arc,
+        Arc, Mutex, MutexGuard, PoisonError,
     },
     thiserror::Error,
 };
@@ -30,6 +31,8 @@
     informational: AtomicUsize,
     /// Bytes without a part of a body after which no more are read.
     max_since_part: usize,
+    /// Where the present response ends.
+    end: Mutex<DeclaredEnd>,
 }
 
 impl ByteMeter {
@@ -40,6 +43,7 @@
             since_part: AtomicUsize::new(0),
             informational: AtomicUsize::new(0),
             max_since_part: buffer,
+            end: Mutex::default(),
         }))
     }
 
@@ -48,6 +52,7 @@
         self.0.total.store(0, Ordering::Relaxed);
         self.0.since_part.store(0, Ordering::Relaxed);
         self.0.informational.store(0, Ordering::Relaxed);
+        *self.end() = DeclaredEnd::default();
     }
 
     /// Takes that an informational head arrived.
@@ -59,7 +64,9 @@
     ///
     /// # Errors
     /// There are too many without a part of a body, or too many informational heads before them.
-    pub fn on_read(&self, bytes: usize) -> Result<(), TooManyBytes> {
+    pub fn on_read(&self, read: &[u8]) -> Result<(), TooManyBytes> {
+        self.end().on_read(read);
+        let bytes = read.len();
         self.0.total.fetch_add(bytes, Ordering::Relaxed);
         let before = self.0.since_part.fetch_add(bytes, Ordering::Relaxed);
         let informational = self.0.informational.load(Ordering::Relaxed);
@@ -75,6 +82,28 @@
         self.0.since_part.store(0, Ordering::Relaxed);
     }
 
+    /// Takes the length that the head of the present response declares.
+    ///
+    /// # Errors
+    /// More of the body came with the head.
+    pub fn on_length(&self, length: Option<u64>) -> Result<(), BodyError> {
+        self.end().declare(length);
+        match self.is_end_exceeded() {
+            true => Err(BodyError::BeyondEnd),
+            false => Ok(()),
+        }
+    }
+
+    /// Returns whether more of the body came than its head declares.
+    pub fn is_end_exceeded(&self) -> bool {
+        self.end().is_exceeded()
+    }
+
+    fn end(&self) -> MutexGuard<'_, DeclaredEnd> {
+        // No holder panics in the middle of an update.
+        self.0.end.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns the bytes of the present response, with its head and framing.
     pub fn total(&self) -> usize {
         self.0.total.load(Ordering::Relaxed)
--- a/transport/src/inbound/metered_body.rs
+++ b/transport/src/inbound/metered_body.rs
@@ -34,12 +34,19 @@
         }
     }
 
-    /// Takes a response of a connection that carries a meter.
-    pub fn of_response(response: Response<Incoming>) -> Response<Self> {
+    /// Takes a response of a connection that carries a meter, and the length that it declares.
+    ///
+    /// # Errors
+    /// More of the body came with the head.
+    pub fn of_response(
+        response: Response<Incoming>,
+        length: Option<u64>,
+    ) -> Result<Response<Self>, BodyError> {
         let meter = response.extensions().get::<ByteMeter>().cloned();
         // a connection without a meter is none of ours
         let meter = meter.unwrap_or_else(|| ByteMeter::with_buffer(0));
-        response.map(|body| Self::new(body, meter))
+        meter.on_length(length)?;
+        Ok(response.map(|body| Self::new(body, meter)))
     }
 
     pub fn set_max_bytes(&mut self, max_bytes: usize) {
@@ -97,6 +104,10 @@
             ready!(allowance.poll_allowed(cx, this.meter.total()));
         }
         let frame = ready!(Pin::new(&mut this.body).poll_frame(cx));
+        // before the last part is passed on, with which the receiver has the declared length
+        if this.body.is_end_stream() && this.meter.is_end_exceeded() {
+            return Poll::Ready(Some(Err(BodyError::BeyondEnd)));
+        }
         if let Some(Ok(frame)) = &frame {
             if frame.data_ref().is_some_and(|data| !data.is_empty()) {
                 this.meter.on_part();
@@ -106,7 +117,8 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        self.ahead.is_none() && self.body.is_end_stream()
+        let is_at_end = self.ahead.is_none() && self.body.is_end_stream();
+        is_at_end && !self.meter.is_end_exceeded()
     }
 
     fn size_hint(&self) -> SizeHint {
--- a/transport/src/inbound/metered_socket.rs
+++ b/transport/src/inbound/metered_socket.rs
@@ -41,7 +41,7 @@
         let this = self.get_mut();
         let before = buf.filled().len();
         ready!(Pin::new(&mut this.stream).poll_read(cx, buf))?;
-        let read = this.meter.on_read(buf.filled().len() - before);
+        let read = this.meter.on_read(&buf.filled()[before..]);
         if let Err(e) = &read {
             let peer = this.stream.peer_addr().map(|addr| addr.to_string());
             let peer = peer.unwrap_or_default();
--- a/transport/src/inbound/mod.rs
+++ b/transport/src/inbound/mod.rs
@@ -5,6 +5,7 @@
 mod body_error;
 mod bulk_reads;
 mod byte_meter;
+mod declared_end;
 mod held_parts;
 mod metered_body;
 mod metered_connector;
@@ -15,6 +16,7 @@
     body_error::{http_end_cause, BodyError},
     bulk_reads::{BulkAllowance, BulkReads},
     byte_meter::{ByteMeter, TooManyBytes},
+    declared_end::{DeclaredEnd, HeadScan},
     held_parts::HeldParts,
     metered_body::MeteredBody,
     metered_connector::MeteredConnector,
--- a/transport/src/inbound/sound_head.rs
+++ b/transport/src/inbound/sound_head.rs
@@ -35,7 +35,7 @@
     NearlyFraming(String),
 }
 
-/// Checks the head of a response.
+/// Checks the head of a response, and returns the length that it declares.
 ///
 /// A caller gets what its engine sent, or a failure: a body whose end is only guessed may be cut,
 /// may have the sizes of its chunks in it, or the start of what the next caller gets.
@@ -43,7 +43,7 @@
 /// # Errors
 /// Fails if its status is none of a final response, or if it contradicts itself on where its body
 /// ends.
-pub fn check_head<B>(response: &mut Response<B>) -> Result<(), HeadFault> {
+pub fn check_head<B>(response: &mut Response<B>) -> Result<Option<u64>, HeadFault> {
     let (status, headers) = (response.status(), response.headers());
     if !(200..600).contains(&status.as_u16()) {
         return Err(HeadFault::Status(status));
@@ -63,7 +63,7 @@
         // not every reader takes equal lengths as one
         response.headers_mut().insert(CONTENT_LENGTH, length.into());
     }
-    Ok(())
+    Ok(length)
 }
 
 /// Returns whether the body comes in chunks.
--- a/transport/tests/spoilt_heads.rs
+++ b/transport/tests/spoilt_heads.rs
@@ -191,6 +191,39 @@
     Ok(())
 }
 
+/// Guards against a length with a digit too few, or another one, under which the reader makes a whole
+/// response of the first bytes of the body; another response after a whole one is none of it.
+#[tokio::test]
+async fn a_body_longer_than_its_length_is_no_response() -> std::io::Result<()> {
+    let server = Server::start().await?;
+    let mut g = Gen::from_size_and_seed(20, SEED);
+    for _ in 0..CASES / 10 {
+        let size = 1 + usize::arbitrary(&mut g) % 20_000;
+        let body: String = (0..size)
+            .map(|n| if n % 30 == 29 { '\n' } else { 'x' })
+            .collect();
+        let declared = usize::arbitrary(&mut g) % size;
+        let of_length = |length: usize| format!("Content-Length: {length}\r\n");
+        let spoilt = response(STATUS, &of_length(declared), &body);
+        let read = server.reads(spoilt.as_bytes()).await;
+        assert!(read == [None, None], "{declared} of {size} bytes");
+        let expected = Some((200, body.clone().into_bytes()));
+        let informational = format!("HTTP/1.1 103 Early Hints\r\nX: y\r\n\r\n{STATUS}");
+        for (first, beyond) in [
+            (STATUS, ""),
+            (STATUS, "\r\n"),
+            (STATUS, "HTT"),
+            (STATUS, "\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno"),
+            (&informational, "HTTP/1.1 200 OK\r\n\r\n"),
+        ] {
+            let whole = response(first, &of_length(size), &format!("{body}{beyond}"));
+            let read = server.reads(whole.as_bytes()).await;
+            assert!(read == [expected.clone(), expected.clone()], "{beyond:?}");
+        }
+    }
+    Ok(())
+}
+
 #[tokio::test]
 async fn sound_heads_are_read_whole() -> std::io::Result<()> {
     let server = Server::start().await?;
