--- a/transport/src/ingress/server.rs
+++ b/transport/src/ingress/server.rs
@@ -5,7 +5,7 @@
         counted_body::{CountedBody, RequestGuard},
         ProxyBody,
     },
-    crate::{sockets::tune_stream, supervision::contained},
+    crate::{sockets::tune_client, supervision::contained},
     async_trait::async_trait,
     bytes::Bytes,
     http::{header::CONTENT_LENGTH, Request, Response, Version},
@@ -170,7 +170,7 @@
     control: Arc<dyn ConnectionControl>,
     mut phase: watch::Receiver<Phase>,
 ) {
-    tune_stream(&socket);
+    tune_client(&socket);
     let mut builder = http1::Builder::new();
     builder
         .timer(TokioTimer::new())
--- a/transport/src/sockets.rs
+++ b/transport/src/sockets.rs
@@ -6,7 +6,7 @@
     tokio::net::TcpStream,
 };
 
-/// A connection is closed if sent data is not acknowledged within this time.
+/// A connection is closed if its peer does not acknowledge or take sent data within this time.
 const USER_TIMEOUT: Duration = Duration::from_secs(2);
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
 const KEEPALIVE_PROBES: u32 = 2;
@@ -16,10 +16,20 @@
     let _ = stream.set_zero_linger();
 }
 
-/// Disables Nagle's algorithm, and enables the detection of dead peers.
+/// Disables Nagle's algorithm, and enables the detection of dead peers, also of one that takes no more
+/// data.
 ///
 /// Errors are ignored, as the options are not needed for correct service.
 pub fn tune_stream(stream: &TcpStream) {
+    tune_client(stream);
+    let _ = SockRef::from(stream).set_tcp_user_timeout(Some(USER_TIMEOUT));
+}
+
+/// Does the same for a client, which may be slow to read.
+///
+/// A time for sent data would count the time for which a client reads nothing, though it acknowledges
+/// each probe. A client that is dead while data is on its way costs a request until its deadline.
+pub fn tune_client(stream: &TcpStream) {
     let socket = SockRef::from(stream);
     let keepalive = TcpKeepalive::new()
         .with_time(KEEPALIVE_IDLE)
@@ -27,5 +37,4 @@
         .with_retries(KEEPALIVE_PROBES);
     let _ = stream.set_nodelay(true);
     let _ = socket.set_tcp_keepalive(&keepalive);
-    let _ = socket.set_tcp_user_timeout(Some(USER_TIMEOUT));
 }
