--- a/entry/tests/control_faults.rs
+++ b/entry/tests/control_faults.rs
@@ -4,7 +4,7 @@
 use {
     anyhow::{Context, Result},
     chalkcart::ingress::{
-        start_control, AdmissionExchange, ControlHandle, FleetLinks, LinkSettings,
+        start_control, AdmissionExchange, ControlHandle, FleetLinks, LinkSettings, Shared,
         SharedCrashRegistry, StoreRelays,
     },
     chalkcart_coordination::{
@@ -13,13 +13,16 @@
         },
         recovery::FaultSettings,
     },
+    chalkcart_platform::PlatformDialect,
     chalkcart_state::{
         backends::Backend,
         ingress::{IngressLimits, RequestDigest, RouteTable, Service, SharedParts},
         published::StorePosition,
         regions::AllowedRegions,
     },
+    chalkcart_transport::server::pages::ProcessStatus,
     quickcheck::{Arbitrary, Gen},
+    serde_json::json,
     std::{
         sync::Arc,
         time::{Duration, Instant},
@@ -65,16 +68,7 @@
         let admission = AdmissionExchange::new(runtime.clone(), control.clone(), NO_PORT);
         (FleetLinks::new(links, runtime, control), admission)
     })?;
-    let service = |name: &str| Service {
-        name: name.to_string(),
-        health_path: "/health".to_string(),
-        engine: None,
-        slow_start_duration: Duration::ZERO,
-        slow_start_per_s: 0.0,
-    };
-    let services = vec![service(SERVICE), service(FAILING)];
-    let table = RouteTable::new(1, IngressLimits::default(), services);
-    control.send_event(DispatchEvent::ConfigUpdated(Arc::new(table)));
+    control.send_event(DispatchEvent::ConfigUpdated(Arc::new(table())));
     let backend = |service: &str, leaving| Backend {
         id: format!("{service}-1").into(),
         service: service.to_string(),
@@ -102,6 +96,33 @@
     Ok(control)
 }
 
+fn table() -> RouteTable {
+    let service = |name: &str| Service {
+        name: name.to_string(),
+        health_path: "/health".to_string(),
+        engine: None,
+        slow_start_duration: Duration::ZERO,
+        slow_start_per_s: 0.0,
+    };
+    let services = vec![service(SERVICE), service(FAILING)];
+    RouteTable::new(1, IngressLimits::default(), services)
+}
+
+/// Returns the state of a process that has a configuration and a list.
+fn process(control: &ControlHandle) -> Result<Shared> {
+    let settings = serde_json::from_value(json!({"name": "e", "zone": "z",
+        "clients": "127.0.0.1:1", "readiness": "127.0.0.1:2", "metrics": "127.0.0.1:3",
+        "store": "127.0.0.1:4", "sidecar_port": NO_PORT, "grace_s": 8.0, "retry_ratio": 0.2,
+        "retry_extra": 50.0, "retry_window_s": 10.0, "version_ms": 5000, "drain_ms": 2000,
+        "store_reads_per_s": 2000.0}))?;
+    let crashes = Arc::new(SharedCrashRegistry::default());
+    let dialect = Arc::new(PlatformDialect);
+    let shared = Shared::new(settings, control.clone(), crashes, dialect);
+    shared.set_configuration(Arc::new(table()));
+    shared.set_has_backend_list();
+    Ok(shared)
+}
+
 fn request(service: &str) -> DispatchRequest {
     let now = chalkcart_transport::clock::now();
     DispatchRequest {
@@ -174,6 +195,24 @@
     Ok(())
 }
 
+/// Guards against a readiness page that goes by what the control thread published last.
+#[tokio::test]
+async fn a_process_whose_control_thread_has_ended_is_not_ready() -> Result<()> {
+    let control = start()?;
+    let process = process(&control)?;
+    assert_served(&control, 1).await?;
+    assert!(process.is_ready());
+    let max_faults = FaultSettings::default().max_faults as u64;
+    for ticket in 2..=max_faults {
+        assert_eq!(decide(&control, ticket, FAILING).await?, None);
+        assert!(process.is_ready(), "after {} faults", ticket - 1);
+    }
+    assert_eq!(decide(&control, max_faults + 1, FAILING).await?, None);
+    timeout(PATIENCE, control.end().wait()).await?;
+    assert!(!process.is_ready());
+    Ok(())
+}
+
 /// Guards against requests that are lost beside ones that fail, in any order.
 #[tokio::test]
 async fn requests_beside_any_that_fail_are_decided() -> Result<()> {
