Test: a sound HTTP/1.0 head is read whole (MIXED)

The list of sound heads had none of an earlier version of the protocol, which the check of heads treats apart (no chunks there).

--- a/transport/tests/spoilt_heads.rs
+++ b/transport/tests/spoilt_heads.rs
@@ -272,6 +272,13 @@
         let read = server.reads(text.as_bytes()).await;
         assert_eq!(read, [expected.clone(), expected], "{text:?}");
     }
+    // an earlier version of the protocol, with a length and without
+    for framing in [format!("{LENGTH}\r\n"), String::new()] {
+        let text = response("HTTP/1.0 200 OK", &framing, BODY);
+        let expected = Some((200, BODY.as_bytes().to_vec()));
+        let read = server.reads(text.as_bytes()).await;
+        assert_eq!(read, [expected.clone(), expected], "{text:?}");
+    }
     Ok(())
 }
 
