Each end of a process and each panic is logged with its cause (FAULT)

What callers saw: the users saw processes of a deployment that ended by themselves, three times, and kept no logs. With logs, a panic of the main task (exit 101, no line), one of another thread (a text on standard error, where an unread pipe stops the thread) and a stop as told left nothing that tells them apart.

Change: a panic is a line 'process: a thread panicked' with thread, place and problem, by the bounded writer; a panic of the main task is a failure like others; a process that was told to stop ends with a line too.

--- a/node/src/runtime/run_process.rs
+++ b/node/src/runtime/run_process.rs
@@ -1,7 +1,11 @@
 use {
+    super::panics::{log_panics, panic_text},
     crate::logging,
-    anyhow::{Context, Result},
-    std::future::Future,
+    anyhow::{anyhow, Context, Result},
+    std::{
+        future::Future,
+        panic::{catch_unwind, AssertUnwindSafe},
+    },
     tokio::runtime::Builder,
 };
 
@@ -50,18 +54,29 @@
 fn run(
     name: &str,
     log_level: &str,
-    mut builder: Builder,
+    builder: Builder,
     process: impl Future<Output = Result<()>>,
 ) -> Result<()> {
     let log = logging::start(name, log_level)?;
-    let runtime = builder
-        .enable_all()
-        .build()
-        .context("cannot start the runtime")?;
-    let result = runtime.block_on(process);
-    if let Err(e) = &result {
-        log::error!("process: failed: {e:#}");
+    log_panics();
+    let result = run_logged(builder, process);
+    match &result {
+        Ok(()) => log::info!("process: ends as it was told to"),
+        Err(e) => log::error!("process: failed: {e:#}"),
     }
     log.shutdown();
     result
 }
+
+/// Runs a process to completion; a panic of its main task is a failure like others.
+fn run_logged(mut builder: Builder, process: impl Future<Output = Result<()>>) -> Result<()> {
+    let run = || {
+        let runtime = builder
+            .enable_all()
+            .build()
+            .context("cannot start the runtime")?;
+        runtime.block_on(process)
+    };
+    let result = catch_unwind(AssertUnwindSafe(run));
+    result.unwrap_or_else(|panic| Err(anyhow!("panicked: {}", panic_text(panic.as_ref()))))
+}
