A process waits for an address that is held as it starts (FAULT)

What callers saw: processes of ours that ended by themselves with 'listen on ADDRESS: Address already in use' and code 1, in trials with an address that was held for a moment: by a listener, or by an outgoing connection of any process that was given this port by the kernel.

Cause: each address was tried once. Class: what passes by itself ends a process that starts.

Clients are served while only the address of the metrics is held. A stop is heard meanwhile.

Result: testkit/tests/starts.rs, all forms of both programs: the case, a stop, the metrics, and a seeded generator of moments.

--- a/entry/src/app/serve.rs
+++ b/entry/src/app/serve.rs
@@ -7,7 +7,10 @@
         server::new_router,
     },
     anyhow::{Context, Result},
-    chalkcart_node::{runtime::run_process, signals::stop_cause},
+    chalkcart_node::{
+        runtime::run_process,
+        signals::{stop_cause, unless_stopped},
+    },
     chalkcart_transport::{clock, server, supervision::supervised},
     std::sync::Arc,
     tokio::sync::watch,
@@ -20,7 +23,10 @@
 }
 
 async fn run(settings: Settings) -> Result<()> {
-    let listener = server::bind(settings.listen).await?;
+    let listen = async { Ok(server::bind(settings.listen).await?) };
+    let Some(listener) = unless_stopped(listen).await? else {
+        return Ok(());
+    };
     let (control, control_end) = control::start(EntryControl::new(&settings, clock::now()))?;
     let shared = Arc::new(Shared::new(settings, control));
     let reader = shared.clone();
--- a/entry/src/ingress/serve.rs
+++ b/entry/src/ingress/serve.rs
@@ -26,7 +26,7 @@
     chalkcart_node::{
         runtime::{run_on_one_thread, ParkHooks},
         settings::SettingsReloader,
-        signals::stop_cause,
+        signals::{stop_cause, unless_stopped},
     },
     chalkcart_protocol::wire::WireVersion,
     chalkcart_state::published::Topic,
@@ -34,11 +34,11 @@
         clock,
         ingress::{self, Dialect, Phase},
         metadata::{MetadataSource, StoreWatcher},
-        server,
+        server::{self, Stop},
         supervision::supervised,
     },
     std::{sync::Arc, time::Duration},
-    tokio::{runtime::Handle, sync::watch, time::timeout},
+    tokio::{net::TcpListener, runtime::Handle, sync::watch, time::timeout},
 };
 
 /// Runs the ingress until it receives a stop signal.
@@ -71,9 +71,9 @@
         let defaulted = settings.defaulted.join(", ");
         log::warn!("settings: using defaults for: {defaulted}");
     }
-    let clients = server::bind(settings.clients).await?;
-    let readiness = server::bind(settings.readiness).await?;
-    let metrics = server::bind(settings.metrics).await?;
+    let Some((clients, readiness)) = unless_stopped(listen(&settings)).await? else {
+        return Ok(());
+    };
     let dispatcher = Dispatcher::new(dispatch_settings(&settings));
     let relays = Arc::new(StoreRelays::new(
         &settings.name,
@@ -99,8 +99,7 @@
         stopped.clone(),
         Duration::ZERO,
     ));
-    let router = operator_pages::new_metrics_router(shared.clone());
-    tokio::spawn(server::serve(metrics, router, stopped, Duration::ZERO));
+    tokio::spawn(serve_metrics(shared.clone(), stopped));
     tokio::spawn(apply_settings_changes(reloader, shared.clone(), store));
     let load = shared.load.clone();
     tokio::spawn(supervised("load", move || load.clone().run()));
@@ -122,6 +121,25 @@
     stopped_by.result()
 }
 
+/// Listens for clients and for the platform's readiness check.
+async fn listen(settings: &IngressSettings) -> Result<(TcpListener, TcpListener)> {
+    let clients = server::bind(settings.clients).await?;
+    let readiness = server::bind(settings.readiness).await?;
+    Ok((clients, readiness))
+}
+
+/// Serves the pages for operators' tools, without which clients are served as well.
+async fn serve_metrics(shared: Arc<Shared>, stopped: Stop) {
+    let listener = match server::bind(shared.settings.metrics).await {
+        Ok(listener) => listener,
+        Err(e) => return log::error!("metrics: not served: {e}"),
+    };
+    let router = operator_pages::new_metrics_router(shared);
+    if let Err(e) = server::serve(listener, router, stopped, Duration::ZERO).await {
+        log::debug!("metrics: stopped: {e}");
+    }
+}
+
 /// Starts the tasks that learn what the rest of the fleet knows, and tell it.
 fn spawn_exchanges(shared: &Arc<Shared>, store: &Arc<dyn MetadataSource>) {
     let (reader, store) = (shared.clone(), store.clone());
--- a/node/src/signals/mod.rs
+++ b/node/src/signals/mod.rs
@@ -7,5 +7,5 @@
 pub use {
     sighup::{block_sighup, unblock_sighup},
     stop_cause::{stop_cause, StopCause},
-    stop_signal::stop_signal,
+    stop_signal::{stop_signal, unless_stopped},
 };
--- a/node/src/signals/stop_signal.rs
+++ b/node/src/signals/stop_signal.rs
@@ -1,5 +1,6 @@
 use {
     anyhow::{Context, Result},
+    std::future::Future,
     tokio::signal::unix::{signal, SignalKind},
 };
 
@@ -12,3 +13,19 @@
         _ = interrupt.recv() => Ok("SIGINT"),
     }
 }
+
+/// Runs a step of the start, which may wait for something to pass; `None` if the process is told
+/// to stop meanwhile.
+///
+/// # Errors
+/// Fails if the step does, or if signals can't be watched.
+pub async fn unless_stopped<T>(step: impl Future<Output = Result<T>>) -> Result<Option<T>> {
+    tokio::select! {
+        biased;
+        done = step => done.map(Some),
+        signal = stop_signal() => {
+            log::info!("process: stopped during its start by {}", signal?);
+            Ok(None)
+        }
+    }
+}
--- a/sidecar/src/app/serve.rs
+++ b/sidecar/src/app/serve.rs
@@ -11,7 +11,10 @@
     },
     anyhow::{Context, Result},
     chalkcart_coordination::sidecar::{SidecarControl, SidecarEvent, SidecarSettings, TargetKind},
-    chalkcart_node::{runtime::run_process, signals::stop_cause},
+    chalkcart_node::{
+        runtime::run_process,
+        signals::{stop_cause, unless_stopped},
+    },
     chalkcart_transport::{
         clock,
         engine::HttpEngine,
@@ -42,7 +45,10 @@
 }
 
 async fn run(settings: Settings) -> Result<()> {
-    let listener = server::bind(settings.listen).await?;
+    let listen = async { Ok(server::bind(settings.listen).await?) };
+    let Some(listener) = unless_stopped(listen).await? else {
+        return Ok(());
+    };
     let (shared, control_end) = start_control(settings)?;
     let synced = shared.clone();
     let sync = move || ConfigSync::new(synced.clone()).run();
--- a/sidecar/src/placement/serve.rs
+++ b/sidecar/src/placement/serve.rs
@@ -18,7 +18,7 @@
     chalkcart_node::{
         runtime::{run_on_one_thread, ParkHooks},
         settings::SettingsReloader,
-        signals::stop_signal,
+        signals::{stop_signal, unless_stopped},
     },
     chalkcart_protocol::wire::WireVersion,
     chalkcart_transport::{
@@ -58,7 +58,10 @@
         wire_version = WireVersion::CURRENT.0;
         "build: chalkcart-sidecar"
     );
-    let listener = server::bind(settings.listen).await?;
+    let listen = async { Ok(server::bind(settings.listen).await?) };
+    let Some(listener) = unless_stopped(listen).await? else {
+        return Ok(());
+    };
     let since_epoch = SystemTime::now()
         .duration_since(UNIX_EPOCH)
         .context("the system clock is before the Unix epoch")?;
--- a/testkit/src/cluster/process.rs
+++ b/testkit/src/cluster/process.rs
@@ -82,6 +82,10 @@
     pub fn terminate(&self) -> Result<()> {
         self.signal(Signal::SIGTERM)
     }
+    /// Sends SIGHUP, which has the settings file read again.
+    pub fn hang_up(&self) -> Result<()> {
+        self.signal(Signal::SIGHUP)
+    }
     /// Returns whether the process blocks or handles SIGHUP, by its signal masks. Before the
     /// program runs, SIGHUP would end it.
     pub fn survives_sighup(&self) -> bool {
--- /dev/null
+++ b/testkit/tests/starts.rs
@@ -0,0 +1,132 @@
+//! What a process meets as it starts and can pass by itself doesn't end it (FAULT).
+
+mod starts_fixture;
+
+use {
+    anyhow::{ensure, Result},
+    chalkcart_testkit::cluster::Process,
+    rand::{rngs::StdRng, RngExt, SeedableRng},
+    starts_fixture::{programs, Holder, Program},
+    std::{net::SocketAddr, time::Duration},
+    tokio::time::sleep,
+};
+
+/// Line of a process that waits for an address.
+const WAITS: &str = "waits until it can listen";
+/// Time within which a process that was told to stop has ended.
+const STOP_LIMIT: Duration = Duration::from_secs(10);
+
+async fn hold(addr: SocketAddr, by_connection: bool) -> Result<Holder> {
+    match by_connection {
+        true => Holder::connection(addr).await,
+        false => Holder::listener(addr).await,
+    }
+}
+
+/// Checks that a process lives and listens on all its addresses.
+async fn check_listens(program: &Program, process: &mut Process, case: &str) -> Result<()> {
+    program.wait_listening(process).await;
+    let name = program.name;
+    ensure!(!process.has_ended(), "{name}, {case}: {}", program.log());
+    Ok(())
+}
+
+/// Guards against processes that end by themselves (FAULT) because a port of theirs is held as
+/// they start, by a listener or by an outgoing connection that was given this port.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_held_address_is_waited_for() -> Result<()> {
+    for program in programs()? {
+        for (number, addr) in program.addrs.iter().enumerate() {
+            for by_connection in [false, true] {
+                let case = format!("address {number}, by a connection: {by_connection}");
+                let holder = hold(*addr, by_connection).await?;
+                let mut process = program.start()?;
+                program.wait_for_line(&mut process, &case, WAITS).await;
+                drop(holder);
+                check_listens(&program, &mut process, &case).await?;
+                process.kill()?;
+            }
+        }
+    }
+    Ok(())
+}
+
+/// Guards against a process that waits for an address and doesn't hear a planned stop.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_process_that_waits_for_its_address_stops_when_told() -> Result<()> {
+    for program in programs()? {
+        let _holder = Holder::listener(program.addrs[0]).await?;
+        let mut process = program.start()?;
+        program.wait_for_line(&mut process, "it waits", WAITS).await;
+        process.terminate()?;
+        let status = process.wait(STOP_LIMIT).await?;
+        ensure!(status.code() == Some(0), "{}: {status}", program.name);
+    }
+    Ok(())
+}
+
+/// Guards against clients that nobody serves while only the address of the metrics is held.
+#[tokio::test(flavor = "multi_thread")]
+async fn clients_are_served_while_the_address_of_the_metrics_is_held() -> Result<()> {
+    let mut program = programs()?.remove(0);
+    let metrics = program.addrs.pop();
+    let _holder = Holder::listener(metrics.expect("three addresses")).await?;
+    let mut process = program.start()?;
+    check_listens(&program, &mut process, "metrics held").await
+}
+
+/// What a process meets at one moment of its start.
+struct Moment {
+    /// Addresses that are held, each by a connection or a listener.
+    held: Vec<(SocketAddr, bool)>,
+    /// Time for which they are held.
+    lasts: Duration,
+    /// Times of SIGHUP after the program runs.
+    hangups: Vec<Duration>,
+}
+
+impl Moment {
+    fn draw(rng: &mut StdRng, program: &Program) -> Self {
+        let mut held = Vec::new();
+        for addr in &program.addrs {
+            if rng.random_bool(0.6) {
+                held.push((*addr, rng.random_bool(0.5)));
+            }
+        }
+        let count = rng.random_range(0..4);
+        Self {
+            held,
+            lasts: Duration::from_millis(rng.random_range(0..600)),
+            hangups: (0..count)
+                .map(|_| Duration::from_millis(rng.random_range(0..300)))
+                .collect(),
+        }
+    }
+}
+
+/// Guards against any mix of what passes at a start (seeded): whatever the moment, the process
+/// lives and listens once it has passed.
+#[tokio::test(flavor = "multi_thread")]
+async fn any_moment_of_a_start_is_outlived() -> Result<()> {
+    for seed in 0..3 {
+        let mut rng = StdRng::seed_from_u64(seed);
+        for program in programs()? {
+            let moment = Moment::draw(&mut rng, &program);
+            let mut holders = Vec::new();
+            for (addr, by_connection) in &moment.held {
+                holders.push(hold(*addr, *by_connection).await?);
+            }
+            let mut process = program.start()?;
+            for after in &moment.hangups {
+                sleep(*after).await;
+                if process.survives_sighup() {
+                    process.hang_up()?;
+                }
+            }
+            sleep(moment.lasts).await;
+            drop(holders);
+            check_listens(&program, &mut process, &format!("seed {seed}")).await?;
+        }
+    }
+    Ok(())
+}
--- a/transport/src/server/http_server.rs
+++ b/transport/src/server/http_server.rs
@@ -33,12 +33,6 @@
     StillOpen(Duration),
 }
 
-/// Binds the listening socket.
-pub async fn bind(addr: SocketAddr) -> Result<TcpListener, ServeError> {
-    let listener = TcpListener::bind(addr).await;
-    listener.map_err(|source| ServeError::Listen { addr, source })
-}
-
 /// Serves HTTP/1 and HTTP/2 without TLS until `stop`, then closes the listener and
 /// returns when all requests in flight have ended, or fails after `grace`.
 pub async fn serve<H>(
--- a/transport/src/server/mod.rs
+++ b/transport/src/server/mod.rs
@@ -1,6 +1,7 @@
 //! HTTP servers built on gotham, with graceful shutdown.
 
 mod http_server;
+mod listener;
 pub mod pages;
 mod peer_encodings_by_ip;
 mod replies;
@@ -8,7 +9,8 @@
 mod shared_data;
 
 pub use {
-    http_server::{bind, serve, ServeError, Stop},
+    http_server::{serve, ServeError, Stop},
+    listener::bind,
     peer_encodings_by_ip::PeerEncodingsByIp,
     replies::{
         bytes_reply, encoded_frames_reply, encoded_message_reply, frames_reply, json_reply,
