Outgoing connections leave their ports to listeners (FAULT)

What callers saw: a process that starts can't listen while an outgoing connection of another process has its port. Where the listeners' ports lie in the range from which the kernel takes outgoing ones, our own connections (an entry to the store, to sidecars, to back ends) are such connections, and live long.

Cause: outgoing sockets lacked SO_REUSEADDR, which both sides need. Class: what one process holds by chance ends another one's start.

Change: all outgoing connections of entries and sidecars set it; the listeners had it.

--- a/testkit/tests/starts.rs
+++ b/testkit/tests/starts.rs
@@ -4,11 +4,14 @@
 
 use {
     anyhow::{ensure, Result},
-    chalkcart_testkit::cluster::Process,
+    chalkcart_testkit::{
+        cluster::Process,
+        users_platform::{Fleet, FleetSettings},
+    },
     rand::{rngs::StdRng, RngExt, SeedableRng},
     starts_fixture::{programs, Holder, Program},
-    std::{net::SocketAddr, time::Duration},
-    tokio::time::sleep,
+    std::{fs, net::SocketAddr, time::Duration},
+    tokio::{net::TcpListener, time::sleep},
 };
 
 /// Line of a process that waits for an address.
@@ -75,6 +78,61 @@
     check_listens(&program, &mut process, "metrics held").await
 }
 
+/// Returns the local addresses of a process's outgoing connections, by the kernel's table.
+fn outgoing_addrs(process: &Process) -> Result<Vec<SocketAddr>> {
+    let mut inodes = Vec::new();
+    for entry in fs::read_dir(format!("/proc/{}/fd", process.id()))? {
+        let target = fs::read_link(entry?.path()).unwrap_or_default();
+        let target = target.to_string_lossy().into_owned();
+        let inode = target.strip_prefix("socket:[");
+        inodes.extend(
+            inode
+                .and_then(|text| text.strip_suffix(']'))
+                .map(str::to_string),
+        );
+    }
+    let table = fs::read_to_string("/proc/net/tcp")?;
+    let rows = table.lines().skip(1).map(|row| row.split_whitespace());
+    let rows = rows.map(|row| row.collect::<Vec<_>>());
+    let established = rows.filter(|row| row.get(3) == Some(&"01"));
+    let own = established.filter(|row| inodes.iter().any(|inode| row.get(9) == Some(&&**inode)));
+    Ok(own.filter_map(|row| table_addr(row.get(1)?)).collect())
+}
+
+/// Reads an address of the kernel's table: the IP in the machine's byte order, and the port.
+fn table_addr(text: &str) -> Option<SocketAddr> {
+    let (ip, port) = text.split_once(':')?;
+    let ip = u32::from_str_radix(ip, 16).ok()?.to_ne_bytes();
+    let port = u16::from_str_radix(port, 16).ok()?;
+    Some(SocketAddr::from((ip, port)))
+}
+
+/// Guards against an outgoing connection of ours that keeps another process from its port (FAULT).
+#[tokio::test(flavor = "multi_thread")]
+async fn outgoing_connections_leave_their_ports_to_listeners() -> Result<()> {
+    let fleet = Fleet::start(FleetSettings {
+        engines: 2,
+        ..FleetSettings::default()
+    })
+    .await?;
+    let listening = [fleet.clients, fleet.readiness, fleet.metrics];
+    let is_outgoing = |addr: &SocketAddr| !listening.contains(addr);
+    let mut checked = 0;
+    for process in [&fleet.ingress, &fleet.sidecars[0]] {
+        let addrs = outgoing_addrs(process)?;
+        for addr in addrs.into_iter().filter(is_outgoing) {
+            if addr == fleet.sidecar_addr(0) {
+                continue;
+            }
+            let listened = TcpListener::bind(addr).await;
+            ensure!(listened.is_ok(), "{addr}: {:?}", listened.err());
+            checked += 1;
+        }
+    }
+    ensure!(checked >= 2, "only {checked} connections were open");
+    Ok(())
+}
+
 /// What a process meets at one moment of its start.
 struct Moment {
     /// Addresses that are held, each by a connection or a listener.
--- a/transport/src/backend/sender.rs
+++ b/transport/src/backend/sender.rs
@@ -2,7 +2,7 @@
     super::BackendResponse,
     crate::{
         inbound::{check_head, http_end_cause, ByteMeter, MeteredBody, MeteredSocket},
-        sockets::tune_stream,
+        sockets::{self, tune_stream},
     },
     bytes::Bytes,
     chalkcart_coordination::response_end::EndCause,
@@ -125,7 +125,7 @@
 }
 
 async fn open(addr: SocketAddr, max_duration: Duration) -> io::Result<TcpStream> {
-    let connected = timeout(max_duration, TcpStream::connect(addr)).await;
+    let connected = timeout(max_duration, sockets::connect(addr)).await;
     let stream = connected.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
     tune_stream(&stream);
     Ok(stream)
--- a/transport/src/client/http_client.rs
+++ b/transport/src/client/http_client.rs
@@ -44,6 +44,8 @@
         let mut connector = HttpConnector::new();
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
         connector.set_nodelay(true);
+        // as `sockets::connect` says
+        connector.set_reuse_address(true);
         let client = Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(POOL_IDLE_TIMEOUT)
--- a/transport/src/sockets.rs
+++ b/transport/src/sockets.rs
@@ -2,8 +2,8 @@
 
 use {
     socket2::{SockRef, TcpKeepalive},
-    std::time::Duration,
-    tokio::net::TcpStream,
+    std::{io, net::SocketAddr, time::Duration},
+    tokio::net::{TcpSocket, TcpStream},
 };
 
 /// A connection is closed if its peer does not acknowledge or take sent data within this time.
@@ -11,6 +11,20 @@
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
 const KEEPALIVE_PROBES: u32 = 2;
 
+/// Opens a connection that leaves its port to listeners: the kernel may give it one on which another
+/// process listens after its next start.
+///
+/// # Errors
+/// Fails if the connection can't be opened.
+pub async fn connect(addr: SocketAddr) -> io::Result<TcpStream> {
+    let socket = match addr {
+        SocketAddr::V4(_) => TcpSocket::new_v4(),
+        SocketAddr::V6(_) => TcpSocket::new_v6(),
+    }?;
+    socket.set_reuseaddr(true)?;
+    socket.connect(addr).await
+}
+
 /// Has the connection reset when it is closed, which discards what was not sent yet.
 pub fn reset_on_close(stream: &TcpStream) {
     let _ = stream.set_zero_linger();
