Settings that are not whole yet are read again at a start (FAULT)

Cause: the file was read once. Class: what passes by itself ends a process that starts.

Change: a file that can't be read, or is no whole document, is read again each 100 ms for 30 s.

Result: testkit/tests/starts.rs settings_that_are_not_whole_yet_are_read_again, all forms of both programs: fails on (scratch copy, code 2), passes here; the seeded generator now draws files cut anywhere too.

--- a/entry/src/cli/ingress.rs
+++ b/entry/src/cli/ingress.rs
@@ -22,14 +22,19 @@
         Ok(file) => file,
         Err(e) => return Ok(chalkcart_node::cli::usage_error(program, e)),
     };
-    let settings: IngressSettings = match settings::load_translated(&file, translate) {
+    let only_check = matches.opt_present("check");
+    let settings: Result<IngressSettings, _> = match only_check {
+        true => settings::load_translated(&file, translate),
+        false => settings::load_at_start(&file, translate),
+    };
+    let settings = match settings {
         Ok(settings) => settings,
         Err(e) => {
             eprintln!("{}: settings: {e}", program.name);
             return Ok(ExitCode::Usage);
         }
     };
-    if matches.opt_present("check") {
+    if only_check {
         println!("{}: settings are good", file.display());
         return Ok(ExitCode::Done);
     }
--- a/entry/src/cli/run.rs
+++ b/entry/src/cli/run.rs
@@ -172,7 +172,7 @@
         Ok(file) => file,
         Err(e) => return Ok(usage_error(program, e)),
     };
-    let settings: Settings = match settings::load(&file) {
+    let settings: Settings = match settings::load_at_start(&file, Ok) {
         Ok(settings) => settings,
         Err(e) => {
             eprintln!("{}: settings: {e}", program.name);
--- a/node/src/settings/load.rs
+++ b/node/src/settings/load.rs
@@ -1,10 +1,24 @@
 use {
     super::SettingsError,
-    serde::{de::DeserializeOwned, Deserializer},
+    serde::{
+        de::{DeserializeOwned, IgnoredAny},
+        Deserializer,
+    },
     serde_json::Value,
-    std::path::{Path, PathBuf},
+    std::{
+        io::{self, Write},
+        path::{Path, PathBuf},
+        thread::sleep,
+        time::{Duration, Instant},
+    },
 };
 
+/// Time for which a process that starts waits for a settings file that is missing or not whole;
+/// whoever writes it needs less.
+const WHOLE_WITHIN: Duration = Duration::from_secs(30);
+/// Time between two reads of such a file.
+const POLL_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Settings that can be validated.
 pub trait Checked {
     /// Rejects values out of bounds.
@@ -14,12 +28,7 @@
 /// Converts a settings file in another format to chalkcart's.
 pub type Translate = fn(Value) -> Result<Value, SettingsError>;
 
-/// Reads and validates a settings file.
-pub fn load<T: DeserializeOwned + Checked>(file: &Path) -> Result<T, SettingsError> {
-    parse(&read(file)?)
-}
-
-/// Like [`load`] for a file in another format.
+/// Reads and validates a settings file, which `translate` converts.
 pub fn load_translated<T: DeserializeOwned + Checked>(
     file: &Path,
     translate: Translate,
@@ -27,6 +36,37 @@
     parse_translated(&read(file)?, translate)
 }
 
+/// Like [`load_translated`] for a process that starts, perhaps while its file is being written: a
+/// file that is missing or not whole is read again for some time.
+///
+/// # Errors
+/// Fails at once on a whole file with invalid settings.
+pub fn load_at_start<T: DeserializeOwned + Checked>(
+    file: &Path,
+    translate: Translate,
+) -> Result<T, SettingsError> {
+    let until = Instant::now() + WHOLE_WITHIN;
+    let mut is_told = false;
+    loop {
+        let e = match load_translated(file, translate) {
+            Ok(settings) => return Ok(settings),
+            Err(e) => e,
+        };
+        if !e.may_be_half_written() || Instant::now() >= until {
+            return Err(e);
+        }
+        if !is_told {
+            is_told = true;
+            // the log starts with the settings; a closed standard error must not end the process
+            let _ = writeln!(
+                io::stderr(),
+                "settings: {e}; read again for {WHOLE_WITHIN:?}"
+            );
+        }
+        sleep(POLL_INTERVAL);
+    }
+}
+
 fn read(file: &Path) -> Result<String, SettingsError> {
     std::fs::read_to_string(file).map_err(|source| SettingsError::Read {
         file: file.to_path_buf(),
@@ -36,10 +76,8 @@
 
 /// Parses and validates the text of a settings file.
 pub fn parse<T: DeserializeOwned + Checked>(text: &str) -> Result<T, SettingsError> {
-    let mut json = serde_json::Deserializer::from_str(text);
-    let settings = deserialize(&mut json)?;
-    json.end().map_err(parse_error)?;
-    Ok(settings)
+    serde_json::from_str::<IgnoredAny>(text).map_err(not_whole)?;
+    deserialize(&mut serde_json::Deserializer::from_str(text))
 }
 
 /// Like [`parse`] for a text in another format.
@@ -47,7 +85,7 @@
     text: &str,
     translate: Translate,
 ) -> Result<T, SettingsError> {
-    let document: Value = serde_json::from_str(text).map_err(parse_error)?;
+    let document: Value = serde_json::from_str(text).map_err(not_whole)?;
     deserialize(translate(document)?)
 }
 
@@ -65,9 +103,8 @@
     Ok(settings)
 }
 
-fn parse_error(e: serde_json::Error) -> SettingsError {
-    SettingsError::Parse {
-        key: ".".to_string(),
+fn not_whole(e: serde_json::Error) -> SettingsError {
+    SettingsError::NotWhole {
         problem: e.to_string(),
     }
 }
--- a/node/src/settings/mod.rs
+++ b/node/src/settings/mod.rs
@@ -10,8 +10,8 @@
     checks::{check_log, check_not_empty, check_positive},
     errors::SettingsError,
     load::{
-        file_or_environment, load, load_translated, parse, parse_translated, Checked, Translate,
-        FILE_VARIABLE,
+        file_or_environment, load_at_start, load_translated, parse, parse_translated, Checked,
+        Translate, FILE_VARIABLE,
     },
     reload::SettingsReloader,
 };
--- a/sidecar/src/cli/run.rs
+++ b/sidecar/src/cli/run.rs
@@ -79,7 +79,11 @@
     translate: Translate,
     serve: fn(T, &Path) -> Result<()>,
 ) -> ExitCode {
-    let settings: T = match settings::load_translated(file, translate) {
+    let settings: Result<T, _> = match only_check {
+        true => settings::load_translated(file, translate),
+        false => settings::load_at_start(file, translate),
+    };
+    let settings = match settings {
         Ok(settings) => settings,
         Err(e) => {
             eprintln!("{}: settings: {e}", PROGRAM.name);
--- a/testkit/tests/starts.rs
+++ b/testkit/tests/starts.rs
@@ -14,6 +14,8 @@
     tokio::{net::TcpListener, time::sleep},
 };
 
+/// Part of the line of a process that waits for its settings.
+const READ_AGAIN: &str = "read again";
 /// Line of a process that waits for an address.
 const WAITS: &str = "waits until it can listen";
 /// Time within which a process that was told to stop has ended.
@@ -78,6 +80,43 @@
     check_listens(&program, &mut process, "metrics held").await
 }
 
+/// Guards against processes that end by themselves (FAULT) because their settings file is empty,
+/// half written or missing at the moment of their start.
+#[tokio::test(flavor = "multi_thread")]
+async fn settings_that_are_not_whole_yet_are_read_again() -> Result<()> {
+    for program in programs()? {
+        let whole = program.settings_text();
+        for state in [Some(""), Some(&whole[..whole.len() / 2]), None] {
+            match state {
+                Some(text) => program.write_settings(text)?,
+                None => fs::remove_file(program.settings_file())?,
+            }
+            let mut process = program.start()?;
+            let case = format!("settings {state:?}");
+            program.wait_for_line(&mut process, &case, READ_AGAIN).await;
+            program.write_settings(&whole)?;
+            check_listens(&program, &mut process, &case).await?;
+            process.kill()?;
+        }
+    }
+    Ok(())
+}
+
+/// Guards against a start that waits where nothing passes: whole settings that are invalid.
+#[tokio::test(flavor = "multi_thread")]
+async fn whole_settings_that_are_invalid_end_a_start_at_once() -> Result<()> {
+    for program in programs()? {
+        let invalid = program.settings_text().replace("\"name\"", "\"nam\"");
+        program.write_settings(&invalid)?;
+        let mut process = program.start()?;
+        let status = process.wait(STOP_LIMIT).await?;
+        let (name, log) = (program.name, program.log());
+        ensure!(status.code() == Some(2), "{name}: {status}");
+        ensure!(!log.contains(READ_AGAIN) && log.contains("nam"), "{log}");
+    }
+    Ok(())
+}
+
 /// Returns the local addresses of a process's outgoing connections, by the kernel's table.
 fn outgoing_addrs(process: &Process) -> Result<Vec<SocketAddr>> {
     let mut inodes = Vec::new();
@@ -137,7 +176,9 @@
 struct Moment {
     /// Addresses that are held, each by a connection or a listener.
     held: Vec<(SocketAddr, bool)>,
-    /// Time for which they are held.
+    /// The bytes of the settings file that are written so far; `None` if it is missing.
+    written: Option<usize>,
+    /// Time after which all of this has passed.
     lasts: Duration,
     /// Times of SIGHUP after the program runs.
     hangups: Vec<Duration>,
@@ -151,9 +192,16 @@
                 held.push((*addr, rng.random_bool(0.5)));
             }
         }
+        let whole = program.settings_text().len();
+        let written = match rng.random_range(0..4) {
+            0 => None,
+            1 => Some(rng.random_range(0..whole)),
+            _ => Some(whole),
+        };
         let count = rng.random_range(0..4);
         Self {
             held,
+            written,
             lasts: Duration::from_millis(rng.random_range(0..600)),
             hangups: (0..count)
                 .map(|_| Duration::from_millis(rng.random_range(0..300)))
@@ -174,6 +222,11 @@
             for (addr, by_connection) in &moment.held {
                 holders.push(hold(*addr, *by_connection).await?);
             }
+            let whole = program.settings_text();
+            match moment.written {
+                Some(count) => program.write_settings(&whole[..count])?,
+                None => fs::remove_file(program.settings_file())?,
+            }
             let mut process = program.start()?;
             for after in &moment.hangups {
                 sleep(*after).await;
@@ -183,6 +236,7 @@
             }
             sleep(moment.lasts).await;
             drop(holders);
+            program.write_settings(&whole)?;
             check_listens(&program, &mut process, &format!("seed {seed}")).await?;
         }
     }
