SIGHUP ends no form of a program (FAULT)

What callers saw: 'chalkcart serve' and the sidecar before an engine or service of our own ended by SIGHUP, with all their requests; on the users' platform SIGHUP says that the settings changed.

Cause: only the forms of the platform handled the signal. Class: a signal without a handler ends a process.

Change: all forms block it as they start, and check the file then; these two say that changes take effect at the next start, as the platform's sidecar does, by the same code.

Not mended: SIGHUP before the program itself runs (between exec and main) ends it; no handler can stand then.

--- a/entry/src/app/serve.rs
+++ b/entry/src/app/serve.rs
@@ -9,6 +9,7 @@
     anyhow::{Context, Result},
     chalkcart_node::{
         runtime::run_process,
+        settings::SettingsReloader,
         signals::{stop_cause, unless_stopped},
     },
     chalkcart_transport::{clock, server, supervision::supervised},
@@ -17,12 +18,12 @@
 };
 
 /// Runs the entry until it receives a stop signal.
-pub fn serve(settings: Settings) -> Result<()> {
+pub fn serve(settings: Settings, reloader: SettingsReloader) -> Result<()> {
     let (name, log) = (settings.name.clone(), settings.log.clone());
-    run_process(&name, &log, settings.threads, run(settings))
+    run_process(&name, &log, settings.threads, run(settings, reloader))
 }
 
-async fn run(settings: Settings) -> Result<()> {
+async fn run(settings: Settings, reloader: SettingsReloader) -> Result<()> {
     let listen = async { Ok(server::bind(settings.listen).await?) };
     let Some(listener) = unless_stopped(listen).await? else {
         return Ok(());
@@ -36,6 +37,7 @@
     let router = new_router(shared.clone());
     let grace = shared.settings.drain();
     let served = tokio::spawn(server::serve(listener, router, stopped, grace));
+    tokio::spawn(reloader.check::<Settings>());
     log::info!("entry: serves on {}", shared.settings.listen);
     let stopped_by = stop_cause(control_end.wait()).await?;
     log::info!("entry: drains after {stopped_by}");
--- a/entry/src/cli/run.rs
+++ b/entry/src/cli/run.rs
@@ -4,7 +4,8 @@
     anyhow::Result,
     chalkcart_node::{
         cli::{usage_error, ExitCode, Program},
-        settings,
+        settings::{self, SettingsReloader},
+        signals::block_sighup,
     },
     getopts::{Matches, Options},
 };
@@ -168,6 +169,7 @@
 }
 
 fn serve(program: &Program, matches: &Matches) -> Result<ExitCode> {
+    block_sighup()?;
     let file = match program.file_argument(&matches.free) {
         Ok(file) => file,
         Err(e) => return Ok(usage_error(program, e)),
@@ -179,7 +181,7 @@
             return Ok(ExitCode::Usage);
         }
     };
-    app::serve(settings)?;
+    app::serve(settings, SettingsReloader::new(&file))?;
     Ok(ExitCode::Done)
 }
 
--- a/node/src/settings/reload.rs
+++ b/node/src/settings/reload.rs
@@ -59,6 +59,15 @@
         }
     }
 
+    /// Checks each new version for a process that reads its settings only as it starts. SIGHUP, which
+    /// would end it, means the same to it as to others.
+    pub async fn check<T: DeserializeOwned + Checked>(self) {
+        let apply = |_: T| log::info!("settings: valid; changes take effect at the next start");
+        if let Err(e) = self.run(apply).await {
+            log::error!("settings: cannot watch for changes: {e:#}");
+        }
+    }
+
     fn reload<T: DeserializeOwned + Checked>(&mut self, is_signalled: bool, apply: impl Fn(T)) {
         match self.read_if_changed::<T>(is_signalled) {
             Ok(Some(settings)) => {
--- a/sidecar/src/app/serve.rs
+++ b/sidecar/src/app/serve.rs
@@ -13,6 +13,7 @@
     chalkcart_coordination::sidecar::{SidecarControl, SidecarEvent, SidecarSettings, TargetKind},
     chalkcart_node::{
         runtime::run_process,
+        settings::SettingsReloader,
         signals::{stop_cause, unless_stopped},
     },
     chalkcart_transport::{
@@ -39,12 +40,12 @@
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Runs the sidecar until it receives a stop signal, and drains it.
-pub fn serve(settings: Settings) -> Result<()> {
+pub fn serve(settings: Settings, reloader: SettingsReloader) -> Result<()> {
     let (name, log) = (settings.name.clone(), settings.log.clone());
-    run_process(&name, &log, settings.threads, run(settings))
+    run_process(&name, &log, settings.threads, run(settings, reloader))
 }
 
-async fn run(settings: Settings) -> Result<()> {
+async fn run(settings: Settings, reloader: SettingsReloader) -> Result<()> {
     let listen = async { Ok(server::bind(settings.listen).await?) };
     let Some(listener) = unless_stopped(listen).await? else {
         return Ok(());
@@ -58,6 +59,7 @@
     let (stop, stopped) = watch::channel(false);
     let router = new_router(shared.clone());
     let server_task = tokio::spawn(server::serve(listener, router, stopped, CLOSE_TIMEOUT));
+    tokio::spawn(reloader.check::<Settings>());
     log::info!("sidecar: serves on {}", shared.settings.listen);
     let stopped_by = stop_cause(control_end.wait()).await?;
     log::info!("sidecar: drains after {stopped_by}");
--- a/sidecar/src/cli/run.rs
+++ b/sidecar/src/cli/run.rs
@@ -48,15 +48,15 @@
         Err(e) => return usage_error(&PROGRAM, e),
     };
     let only_check = matches.opt_present("check");
+    if let Err(e) = block_sighup() {
+        eprintln!("{}: {e:#}", PROGRAM.name);
+        return ExitCode::Failed;
+    }
     match matches.opt_present("place") {
-        true => {
-            if let Err(e) = block_sighup() {
-                eprintln!("{}: {e:#}", PROGRAM.name);
-                return ExitCode::Failed;
-            }
-            run_with(&file, only_check, translate, place)
-        }
-        false => run_with(&file, only_check, Ok, |settings, _| app::serve(settings)),
+        true => run_with(&file, only_check, translate, place),
+        false => run_with(&file, only_check, Ok, |settings, file| {
+            app::serve(settings, SettingsReloader::new(file))
+        }),
     }
 }
 
--- a/sidecar/src/placement/serve.rs
+++ b/sidecar/src/placement/serve.rs
@@ -94,7 +94,7 @@
         stopped,
         Duration::ZERO,
     ));
-    tokio::spawn(reload_settings(reloader));
+    tokio::spawn(reloader.check::<PlacementSettings>());
     log::info!("sidecar: serves on {}", settings.listen);
     let signal = stop_signal().await?;
     // Requests are sent to the engine directly, so there is nothing to drain.
@@ -109,16 +109,3 @@
         min_engines_for_zone_relays: settings.zone_relays_from_engines,
     }
 }
-
-/// Checks the settings file when it is reloaded. Changes take effect at the next start.
-async fn reload_settings(reloader: SettingsReloader) {
-    let apply = |settings: PlacementSettings| {
-        log::info!(
-            "settings: valid; changes for {} take effect at the next start",
-            settings.name
-        );
-    };
-    if let Err(e) = reloader.run(apply).await {
-        log::error!("settings: cannot watch for changes: {e:#}");
-    }
-}
--- a/testkit/tests/starts.rs
+++ b/testkit/tests/starts.rs
@@ -16,6 +16,8 @@
 
 /// Part of the line of a process that waits for its settings.
 const READ_AGAIN: &str = "read again";
+/// Part of the line of a process that has read its settings again.
+const SETTINGS_READ: &str = "settings.json in force";
 /// Line of a process that waits for an address.
 const WAITS: &str = "waits until it can listen";
 /// Time within which a process that was told to stop has ended.
@@ -117,6 +119,22 @@
     Ok(())
 }
 
+/// Guards against SIGHUP, which says that the settings changed, ending a process that reads them
+/// only as it starts (FAULT).
+#[tokio::test(flavor = "multi_thread")]
+async fn sighup_ends_no_form_of_a_program() -> Result<()> {
+    for program in programs()? {
+        let mut process = program.start()?;
+        check_listens(&program, &mut process, "before SIGHUP").await?;
+        process.hang_up()?;
+        program
+            .wait_for_line(&mut process, "the settings are read", SETTINGS_READ)
+            .await;
+        check_listens(&program, &mut process, "after SIGHUP").await?;
+    }
+    Ok(())
+}
+
 /// Returns the local addresses of a process's outgoing connections, by the kernel's table.
 fn outgoing_addrs(process: &Process) -> Result<Vec<SocketAddr>> {
     let mut inodes = Vec::new();
