A process that starts waits for threads and descriptors (FAULT)

What callers saw: with 5 to 12 descriptors processes of ours ended by themselves at their start with 'cannot start the runtime', 'Too many open files' or a panic of a library (exit 101), in trials; a control or log thread that can't be started ended them too (read in the code). A machine can lack these for a moment, as while a crowd holds them.

Cause: each was tried once; a failed try lost the thread's state. Class: what passes by itself ends a start.

Change: the runtime, the log's and the control thread are tried again after 50 ms to 1 s, with a log line each 5 s.

--- a/entry/src/app/serve.rs
+++ b/entry/src/app/serve.rs
@@ -28,7 +28,7 @@
     let Some(listener) = unless_stopped(listen).await? else {
         return Ok(());
     };
-    let (control, control_end) = control::start(EntryControl::new(&settings, clock::now()))?;
+    let (control, control_end) = control::start(EntryControl::new(&settings, clock::now()));
     let shared = Arc::new(Shared::new(settings, control));
     let reader = shared.clone();
     let read = move || ConfigWatcher::new(reader.clone()).run();
--- a/entry/src/control/control_thread.rs
+++ b/entry/src/control/control_thread.rs
@@ -1,17 +1,17 @@
 use {
     super::{ControlHandle, EntryControl},
-    anyhow::{Context, Result},
     chalkcart_coordination::recovery::FaultSettings,
+    chalkcart_node::runtime::start_thread,
     chalkcart_transport::{
         clock,
         supervision::{thread_end, Guard, Step, ThreadEnd},
     },
-    std::{sync::mpsc, thread},
+    std::sync::mpsc,
 };
 
 /// Starts the control thread, which ends when the last handle is dropped, or when it fails again
 /// and again.
-pub fn start(mut control: EntryControl) -> Result<(ControlHandle, ThreadEnd)> {
+pub fn start(mut control: EntryControl) -> (ControlHandle, ThreadEnd) {
     let (tx, rx) = mpsc::channel();
     let (end_on_drop, end) = thread_end();
     let run = move || {
@@ -24,9 +24,6 @@
             }
         }
     };
-    let builder = thread::Builder::new().name("control".to_string());
-    builder
-        .spawn(run)
-        .context("cannot start the control thread")?;
-    Ok((ControlHandle::new(tx), end))
+    start_thread("control", None, run);
+    (ControlHandle::new(tx), end)
 }
--- a/entry/src/ingress/control.rs
+++ b/entry/src/ingress/control.rs
@@ -7,7 +7,6 @@
         request_exchange_log::{counted_ago_ms, counted_by_text},
         shared_crash_registry::SharedCrashRegistry,
     },
-    anyhow::{Context, Result},
     chalkcart_coordination::{
         dispatch::{
             Decision, DispatchEvent, DispatchRequest, Dispatcher, DueDemands, MeasuredEngines,
@@ -18,6 +17,7 @@
         retry_budget::BudgetUsage,
         software_versions::ListedEngines,
     },
+    chalkcart_node::runtime::start_thread,
     chalkcart_protocol::peer::{EngineStats, EngineView},
     chalkcart_state::{
         backends::{Backend, BackendId},
@@ -37,7 +37,6 @@
             mpsc::{self, RecvTimeoutError},
             Arc, MutexGuard, PoisonError,
         },
-        thread,
         time::{Duration, Instant},
     },
     tokio::sync::oneshot,
@@ -209,7 +208,7 @@
     dispatcher: Dispatcher,
     crashes: Arc<SharedCrashRegistry>,
     make_links: impl FnOnce(ControlHandle) -> (FleetLinks, AdmissionExchange),
-) -> Result<ControlHandle> {
+) -> ControlHandle {
     let (commands, received) = mpsc::channel();
     let stats = Arc::new(EngineStatsBuffer::default());
     let state = Arc::new(ControlState::default());
@@ -235,15 +234,12 @@
         logged_entries: 0,
         state,
     };
-    let builder = thread::Builder::new().name("control".to_string());
     let run = move || {
         let _end = end_on_drop;
         control.run(&received);
     };
-    builder
-        .spawn(run)
-        .context("cannot start the control thread")?;
-    Ok(handle)
+    start_thread("control", None, run);
+    handle
 }
 
 impl ControlLoop {
--- a/entry/src/ingress/serve.rs
+++ b/entry/src/ingress/serve.rs
@@ -86,7 +86,7 @@
         let sidecar_port = link_settings.sidecar_port;
         let admission = AdmissionExchange::new(runtime.clone(), control.clone(), sidecar_port);
         (FleetLinks::new(link_settings, runtime, control), admission)
-    })?;
+    });
     let shared = Arc::new(Shared::new(settings, control, crashes, dialect));
     watch_store(&shared, store.clone(), relays);
     exchange_crashes(&shared);
--- a/node/src/logging/bounded_writer.rs
+++ b/node/src/logging/bounded_writer.rs
@@ -1,6 +1,6 @@
 use {
     super::{json_line::json_line, line_budget::LineBudget},
-    anyhow::{Context, Result},
+    crate::runtime::start_thread,
     flexi_logger::{writers::LogWriter, DeferredNow},
     log::{Level, LevelFilter, Record},
     std::{
@@ -38,25 +38,20 @@
 
 impl BoundedWriter {
     /// Starts the thread that writes to `out`.
-    pub fn start(node: &str, out: impl Write + Send + 'static) -> Result<Self> {
+    pub fn start(node: &str, out: impl Write + Send + 'static) -> Self {
         let (lines, queue) = sync_channel(QUEUE_CAPACITY);
-        let builder = thread::Builder::new()
-            .name("log".to_string())
-            .stack_size(STACK_BYTES);
         let pending = Arc::new(AtomicUsize::new(0));
         let thread_pending = pending.clone();
         let write = move || write_all(&queue, out, &thread_pending);
-        builder
-            .spawn(write)
-            .context("cannot start the log writer thread")?;
+        start_thread("log", Some(STACK_BYTES), write);
         let started = Instant::now();
-        Ok(Self {
+        Self {
             node: node.to_string(),
             started,
             lines,
             budget: Mutex::new(LineBudget::new(started)),
             pending,
-        })
+        }
     }
 
     /// Queues a record, or drops and counts it.
--- a/node/src/logging/start.rs
+++ b/node/src/logging/start.rs
@@ -10,7 +10,7 @@
 /// each.
 pub fn start(name: &str, level: &str) -> Result<LoggerHandle> {
     let logger = Logger::try_with_str(level).context("invalid log level")?;
-    let writer = BoundedWriter::start(name, io::stdout())?;
+    let writer = BoundedWriter::start(name, io::stdout());
     let logger = logger.log_to_writer(Box::new(writer));
     logger.start().context("cannot start the logger")
 }
--- a/node/src/runtime/run_process.rs
+++ b/node/src/runtime/run_process.rs
@@ -1,7 +1,10 @@
 use {
-    super::panics::{log_panics, panic_text},
+    super::{
+        panics::{log_panics, panic_text},
+        resources::until_had,
+    },
     crate::logging,
-    anyhow::{anyhow, Context, Result},
+    anyhow::{anyhow, Result},
     std::{
         future::Future,
         panic::{catch_unwind, AssertUnwindSafe},
@@ -71,10 +74,7 @@
 /// Runs a process to completion; a panic of its main task is a failure like others.
 fn run_logged(mut builder: Builder, process: impl Future<Output = Result<()>>) -> Result<()> {
     let run = || {
-        let runtime = builder
-            .enable_all()
-            .build()
-            .context("cannot start the runtime")?;
+        let runtime = until_had("the runtime", || builder.enable_all().build());
         runtime.block_on(process)
     };
     let result = catch_unwind(AssertUnwindSafe(run));
--- a/node/tests/logging.rs
+++ b/node/tests/logging.rs
@@ -55,7 +55,7 @@
 #[test]
 fn a_blocked_output_does_not_block_logging_and_dropped_lines_are_counted() {
     let (out, release, output) = blocking_writer();
-    let writer = BoundedWriter::start("node-1", out).unwrap();
+    let writer = BoundedWriter::start("node-1", out);
     let mut total: u64 = 5_000;
     for number in 0..total {
         // would hang if logging blocked on the output
--- a/sidecar/src/app/control_thread.rs
+++ b/sidecar/src/app/control_thread.rs
@@ -1,10 +1,10 @@
 use {
     super::{executor::Executor, shared::Shared},
-    anyhow::{Context, Result},
     chalkcart_coordination::{
         recovery::FaultSettings,
         sidecar::{SidecarControl, SidecarEvent},
     },
+    chalkcart_node::runtime::start_thread,
     chalkcart_transport::{
         clock,
         supervision::{thread_end, Guard, Step, ThreadEnd},
@@ -14,7 +14,6 @@
             mpsc::{Receiver, RecvTimeoutError},
             Arc,
         },
-        thread,
         time::Duration,
     },
 };
@@ -28,7 +27,7 @@
     events: Receiver<SidecarEvent>,
     shared: Arc<Shared>,
     executor: Executor,
-) -> Result<ThreadEnd> {
+) -> ThreadEnd {
     let (end_on_drop, end) = thread_end();
     let run = move || {
         let _end = end_on_drop;
@@ -46,11 +45,8 @@
             }
         }
     };
-    let builder = thread::Builder::new().name("control".to_string());
-    builder
-        .spawn(run)
-        .context("cannot start the control thread")?;
-    Ok(end)
+    start_thread("control", None, run);
+    end
 }
 
 fn handle(control: &mut SidecarControl, event: SidecarEvent, shared: &Shared, executor: &Executor) {
--- a/sidecar/src/app/serve.rs
+++ b/sidecar/src/app/serve.rs
@@ -77,7 +77,7 @@
     let target = target_client(&settings);
     let shared = Arc::new(Shared::new(settings, control.report(), tx));
     let executor = Executor::new(shared.clone(), target, Handle::current());
-    let end = control_thread::start(control, rx, shared.clone(), executor)?;
+    let end = control_thread::start(control, rx, shared.clone(), executor);
     Ok((shared, end))
 }
 
