--- a/testkit/src/cluster/mod.rs
+++ b/testkit/src/cluster/mod.rs
@@ -14,6 +14,6 @@
     cpu_quota::CpuQuota,
     fleet::{Cluster, EngineNode, ServiceNode},
     node::Node,
-    process::{memory, Process},
+    process::{memory, open_descriptors, peak_memory, Process},
     settings::{ClusterSettings, ServiceSettings},
 };
--- a/testkit/src/cluster/process.rs
+++ b/testkit/src/cluster/process.rs
@@ -38,6 +38,18 @@
             .with_context(|| format!("start {}", program.display()))?;
         Ok(Self { child })
     }
+    /// Does the same with a limit of descriptors, which the program can't raise.
+    pub fn spawn_limited(
+        program: &Path,
+        args: &[&str],
+        log: &Path,
+        descriptors: u64,
+    ) -> Result<Self> {
+        let limited = format!("ulimit -n {descriptors}; exec \"$0\" \"$@\"");
+        let program = program.display().to_string();
+        let args = [&["-c", &limited, &program], args].concat();
+        Self::spawn(Path::new("/bin/sh"), &args, log)
+    }
     pub fn id(&self) -> u32 {
         self.child.id()
     }
@@ -139,11 +151,25 @@
 
 /// Returns the resident memory of a process in bytes, or 0 once it has exited.
 pub fn memory(process: u32) -> u64 {
+    kib_of(process, "VmRSS:") * 1_024
+}
+
+/// Returns the most resident memory that a process has had, in bytes, or 0 once it has exited.
+pub fn peak_memory(process: u32) -> u64 {
+    kib_of(process, "VmHWM:") * 1_024
+}
+
+fn kib_of(process: u32, field: &str) -> u64 {
     let status = fs::read_to_string(format!("/proc/{process}/status"));
     let status = status.unwrap_or_default();
-    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let line = status.lines().find_map(|line| line.strip_prefix(field));
     let kib = line.and_then(|line| line.split_whitespace().next()?.parse::<u64>().ok());
-    kib.unwrap_or(0) * 1_024
+    kib.unwrap_or(0)
+}
+
+/// Returns the number of descriptors that a process has open.
+pub fn open_descriptors(process: u32) -> usize {
+    fs::read_dir(format!("/proc/{process}/fd")).map_or(0, Iterator::count)
 }
 
 /// Sends a signal to a process, which may have exited.
--- a/testkit/src/users_platform/fleet.rs
+++ b/testkit/src/users_platform/fleet.rs
@@ -27,6 +27,8 @@
 pub const HOST: &str = "host.example";
 const ENGINE_SERVICE: &str = "engines";
 const PLAIN_SERVICE: &str = "plain";
+/// Port of the metrics page of an entry with the platform's settings.
+const PLATFORM_METRICS_PORT: u16 = 9464;
 /// Last octet of the first engine's address.
 const FIRST_ENGINE_HOST: u8 = 10;
 
@@ -61,6 +63,10 @@
     pub has_plain_forwarders: bool,
     /// Whether the sidecars get the address of the store; otherwise nothing listens at theirs.
     pub can_sidecars_reach_store: bool,
+    /// Memory of each machine in MiB, as the platform's settings tell it; `None` leaves it out.
+    pub memory_mib: Option<u64>,
+    /// Descriptors that each process may have open; `None` for those of this process.
+    pub descriptors: Option<u64>,
     /// Programs to start instead of those of this build.
     pub entry_program: Option<PathBuf>,
     pub sidecar_program: Option<PathBuf>,
@@ -84,6 +90,8 @@
             are_backends_behind_link: false,
             has_plain_forwarders: false,
             can_sidecars_reach_store: true,
+            memory_mib: None,
+            descriptors: None,
             entry_program: None,
             sidecar_program: None,
         }
@@ -158,7 +166,7 @@
             (None, false) => None,
         };
         let store_addr = store_forwarder.as_ref().map_or(store.addr, |f| f.addr);
-        let (clients, readiness, metrics) = (next_addr(), next_addr(), next_addr());
+        let (clients, readiness, mut metrics) = (next_addr(), next_addr(), next_addr());
         let client_forwarder = match &link {
             Some(link) => Some(TcpForwarder::start_on_link(clients, link.clone(), true).await?),
             None => None,
@@ -184,11 +192,15 @@
         if let Some(revoke_ms) = settings.revoke_ms {
             document["revoke_ms"] = json!(revoke_ms);
         }
+        if let Some(mib) = settings.memory_mib {
+            document = in_platform_form(&document, mib);
+            metrics.set_port(PLATFORM_METRICS_PORT);
+        }
         fs::write(&settings_file, document.to_string())?;
         let log_file = folder.join("ingress.log");
         let file = settings_file.display().to_string();
         let program = entry_program(&settings)?;
-        let ingress = Process::spawn(&program, &["ingress", &file], &log_file)?;
+        let ingress = spawn(&settings, &program, &["ingress", &file], &log_file)?;
         Ok(Self {
             store,
             store_forwarder,
@@ -304,7 +316,8 @@
     pub fn start_ingress(&mut self) -> Result<()> {
         let file = self.settings_file.display().to_string();
         let program = entry_program(&self.settings)?;
-        self.ingress = Process::spawn(&program, &["ingress", &file], &self.log_file)?;
+        let args = ["ingress", &file];
+        self.ingress = spawn(&self.settings, &program, &args, &self.log_file)?;
         Ok(())
     }
     /// Sets the programs of processes started from now on; `None` selects those of this build.
@@ -330,6 +343,9 @@
         if let Some(engines) = self.settings.zone_relays_from_engines {
             document["zone_relays_from_engines"] = json!(engines);
         }
+        if let Some(mib) = self.settings.memory_mib {
+            document = sidecar_in_platform_form(&document, mib);
+        }
         let file = self
             .settings_file
             .with_file_name(format!("side-{number}.json"));
@@ -340,7 +356,7 @@
             Some(program) => program.clone(),
             None => Binaries::get()?.sidecar,
         };
-        Process::spawn(&program, &["--place", &file], &log)
+        spawn(&self.settings, &program, &["--place", &file], &log)
     }
 
     /// Writes the record of an engine or a plain back end to the store.
@@ -441,6 +457,45 @@
     }
 }
 
+fn spawn(settings: &FleetSettings, program: &Path, args: &[&str], log: &Path) -> Result<Process> {
+    match settings.descriptors {
+        Some(descriptors) => Process::spawn_limited(program, args, log, descriptors),
+        None => Process::spawn(program, args, log),
+    }
+}
+
+/// Returns an entry's settings as the platform lays them, on a machine with this memory.
+fn in_platform_form(document: &Value, memory_mib: u64) -> Value {
+    let clients: Option<SocketAddr> = document["clients"].as_str().and_then(|a| a.parse().ok());
+    json!({
+        "platform": {
+            "NodeName": document["name"], "Zone": document["zone"],
+            "Ip": clients.map(|addr| addr.ip()),
+            "PortRange": [document["sidecar_port"], document["sidecar_port"]],
+            "Listen": {"Front": document["clients"], "Readiness": document["readiness"]},
+            "Provider": {"Address": document["store"]},
+            "Bounds": {"GraceS": document["grace_s"]},
+            "Bootstrap": true,
+            "Limits": {"MemoryMb": memory_mib},
+        },
+        "relays_from_engines": document["relays_from_engines"],
+    })
+}
+
+/// Returns a sidecar's settings as the platform lays them.
+fn sidecar_in_platform_form(document: &Value, memory_mib: u64) -> Value {
+    let listen: Option<SocketAddr> = document["listen"].as_str().and_then(|a| a.parse().ok());
+    json!({
+        "platform": {
+            "NodeName": document["name"], "app": document["engine"],
+            "Ip": listen.map(|addr| addr.ip()),
+            "PortRange": [listen.map(|addr| addr.port()), 0],
+            "Provider": {"Address": document["store"]},
+            "Limits": {"MemoryMb": memory_mib},
+        },
+    })
+}
+
 /// Turns `first_start` off in a settings file; older builds reject the key as unknown.
 fn set_restarted(file: &Path, is_older_build: bool) -> Result<()> {
     let mut document: Value = serde_json::from_slice(&fs::read(file)?)?;
