What clients hold in an entry is bound, all together (memory)

What callers saw: some 32 clients inside every limit of size ended an entry of 260 MB: each byte in a chunk of its own held the whole read buffer that it was cut from (827 MiB for 100 connections of 2,000 bytes); 100 bodies of 1 MiB that stop one byte short, or whole ones that wait, took 142 to 214 MiB.

Cause: a body was collected in the parts in which it arrived, and nothing bound all of them together. Class: what a stranger can hold is bound for each, not for all.

Change: what arrives is copied into blocks of one size; heads and bodies that clients hold count together, up to a quarter of the machine's memory (the platform's MemoryMb, else what the system says; client_bytes sets it). For more, an unfinished body gives way: one that makes no progress, else the largest; what is whole never does. A quarter is kept for usual requests (64 KiB). A refusal is 503 with Retry-After, signed, and its request was not passed on. A single request is served whatever its size.

The one of chunks of one byte stays until clients without a request give up their places.

--- a/coordination/src/overload/mod.rs
+++ b/coordination/src/overload/mod.rs
@@ -4,6 +4,7 @@
 
 mod admission_limit;
 mod admission_tokens;
+mod client_holdings;
 mod connect_delay;
 mod held_bytes;
 mod request_rates;
@@ -12,6 +13,9 @@
 pub use {
     admission_limit::{AdmissionLimit, AdmissionLimitSettings, LoadSample},
     admission_tokens::AdmissionTokens,
+    client_holdings::{
+        ClientHoldings, Door, HolderId, HoldingLimits, NoRoom, Stage, WayGiven, CONNECTION_BYTES,
+    },
     connect_delay::ConnectDelay,
     held_bytes::{HeldBytes, HeldResponse},
     request_rates::RequestRates,
--- a/entry/src/conf/ingress_settings.rs
+++ b/entry/src/conf/ingress_settings.rs
@@ -3,12 +3,14 @@
         features::FeatureSwitches, limits::LimitSettings, relay::MIN_ENGINES_FOR_RELAYS,
     },
     chalkcart_node::settings::{
-        check_log, check_not_empty, check_positive, defaults, Checked, SettingsError,
+        check_client_memory, check_log, check_not_empty, check_positive, defaults, Checked,
+        SettingsError,
     },
     chalkcart_state::{
         ids::{BoxName, RegionName, ZoneName},
         spans::bounded_secs,
     },
+    chalkcart_transport::clients::default_client_bytes,
     serde::Deserialize,
     std::{collections::HashMap, net::SocketAddr, time::Duration},
 };
@@ -77,6 +79,12 @@
     /// Largest response of a back end in bytes, with its head and framing.
     #[serde(default = "default_max_response_bytes")]
     pub max_response_bytes: usize,
+    /// Memory of the box in MiB; without it, the system is asked.
+    #[serde(default)]
+    pub memory_mb: Option<f64>,
+    /// Bytes that clients may hold together; a quarter of the memory by default.
+    #[serde(default)]
+    pub client_bytes: Option<usize>,
     /// Values that the platform left out, for the log.
     #[serde(default)]
     pub defaulted: Vec<String>,
@@ -100,6 +108,11 @@
         let bound = self.revoke_ms.filter(|_| self.revoke_strict);
         bound.map(Duration::from_millis)
     }
+    /// Returns the bytes that clients may hold together.
+    pub fn client_bytes(&self) -> usize {
+        self.client_bytes
+            .unwrap_or_else(|| default_client_bytes(self.memory_mb))
+    }
     pub fn limits(&self) -> LimitSettings {
         LimitSettings {
             window: Duration::from_secs_f64(self.quota_window_s),
@@ -120,6 +133,7 @@
         check_positive("config_apply_ms", self.config_apply_ms)?;
         check_positive("heartbeat_ms", self.heartbeat_ms)?;
         check_positive("max_response_bytes", self.max_response_bytes as u64)?;
+        check_client_memory(self.memory_mb, self.client_bytes)?;
         check_number("store_reads_per_s", self.store_reads_per_s)?;
         check_span("grace_s", self.grace_s)?;
         check_number("retry_ratio", self.retry_ratio)?;
--- a/entry/src/ingress/load_monitor.rs
+++ b/entry/src/ingress/load_monitor.rs
@@ -1,10 +1,11 @@
 use {
     chalkcart_coordination::overload::{
-        AdmissionLimit, AdmissionLimitSettings, ConnectDelay, LoadSample, StandingDelay,
+        AdmissionLimit, AdmissionLimitSettings, ConnectDelay, Door, LoadSample, StandingDelay,
     },
     chalkcart_transport::{
+        clients::{Connection, Holdings},
         clock,
-        ingress::{max_connections, AcceptPacing, ConnectionControl, RequestPlace},
+        ingress::{AcceptPacing, ConnectionControl, RequestPlace},
         metrics::LoadMetrics,
     },
     std::{
@@ -34,8 +35,9 @@
 /// its link, and how many connections it has.
 pub struct LoadMonitor {
     state: Mutex<LoadState>,
-    /// Connections that clients may keep open.
-    max_open: usize,
+    /// What all clients hold, and the places for their connections.
+    holdings: Arc<Holdings>,
+    door: Door,
     pub metrics: LoadMetrics,
 }
 
@@ -55,8 +57,9 @@
     has_accept_failure: bool,
 }
 
-impl Default for LoadMonitor {
-    fn default() -> Self {
+impl LoadMonitor {
+    /// Measures the load of a process with this many places for connections of clients.
+    pub fn new(holdings: Arc<Holdings>, door: Door) -> Self {
         Self {
             state: Mutex::new(LoadState {
                 event_loop: StandingDelay::new(TICKS_PER_WINDOW, MAX_TICK_AGE),
@@ -70,7 +73,8 @@
                 open: 0,
                 has_accept_failure: false,
             }),
-            max_open: max_connections(),
+            holdings,
+            door,
             metrics: LoadMetrics::default(),
         }
     }
@@ -116,7 +120,7 @@
     /// bring more requests than this process carries, or there are too many.
     pub fn should_close_kept(&self) -> bool {
         let state = self.state();
-        state.limit.is_overdrawn() || state.open >= self.max_open
+        state.limit.is_overdrawn() || state.open >= self.door.places
     }
 
     fn end_window(&self, now: Instant) {
@@ -167,26 +171,27 @@
         self.metrics.accept_queue.set(state.accept_queue as i64);
     }
 
-    fn admits(&self) -> bool {
+    fn admit(&self) -> Option<Connection> {
+        let place = self.holdings.connect(self.door);
         let mut state = self.state();
-        let admits = match state.open < self.max_open {
-            true => state.limit.admits(clock::now()),
-            false => {
+        let place = match place {
+            Some(place) => Some(place).filter(|_| state.limit.admits(clock::now())),
+            None => {
                 state.limit.on_closed_unread();
-                false
+                None
             }
         };
-        match admits {
-            true => {
+        match place {
+            Some(_) => {
                 state.open += 1;
                 self.metrics.open.set(state.open as i64);
             }
-            false => {
+            None => {
                 state.closed_unread += 1;
                 self.metrics.closed_unread.inc();
             }
         }
-        admits
+        place
     }
 
     fn on_request(&self, place: RequestPlace) {
--- a/entry/src/ingress/mod.rs
+++ b/entry/src/ingress/mod.rs
@@ -7,6 +7,7 @@
 mod control_state;
 mod crash_check;
 mod crash_exchange;
+mod doors;
 mod earlier_versions;
 mod ended_engines;
 mod engine_stats_buffer;
--- a/entry/src/ingress/service.rs
+++ b/entry/src/ingress/service.rs
@@ -13,6 +13,7 @@
         ingress::{IngressLimits, RequestDigest, Route, RouteTable},
     },
     chalkcart_transport::{
+        clients::{read_whole, BodyFault, HeldRequest},
         clock,
         ingress::{
             remove_connection_headers, ClientRequest, ClientResponse, HeadError, IngressService,
@@ -24,20 +25,22 @@
         request::Parts,
         HeaderName, HeaderValue, StatusCode,
     },
-    http_body_util::{BodyExt, LengthLimitError, Limited},
-    hyper::body::{Body, Incoming},
     std::{
         sync::Arc,
         time::{Duration, Instant},
     },
 };
 
-/// Retry-After of responses sent while the configuration is missing or too old.
-const NOT_CONFIGURED_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Retry-After of responses sent while the configuration is missing or too old, or while there is no
+/// room for a body.
+const TURNED_AWAY_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Time to receive a request head. Idle keep-alive connections are bound by it too, so it is
 /// longer than any useful idle timeout.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(120);
 
+/// Time for a body.
+const NO_LIMIT: Duration = Duration::from_secs(24 * 60 * 60);
+
 /// Response text while the configuration may be too old to decide by.
 const OUTDATED: &str = "configuration not known to be current";
 
@@ -107,7 +110,7 @@
         self.shared.metrics.on_response("", status.as_u16());
         match status {
             StatusCode::SERVICE_UNAVAILABLE => {
-                local.service_unavailable(line, NOT_CONFIGURED_RETRY_AFTER)
+                local.service_unavailable(line, TURNED_AWAY_RETRY_AFTER)
             }
             _ => local.text(status, line),
         }
@@ -209,9 +212,21 @@
             };
             self.reject(&local, status, &cause.to_string(), &parts)
         })?;
-        let body = read_body(body, &table.limits).await;
-        let reject = |(status, line): (_, &str)| self.reject(&local, status, line, &parts);
-        let body = body.map_err(reject)?;
+        let deadline = arrived + NO_LIMIT;
+        let held = parts.extensions.remove::<HeldRequest>();
+        let body = match &held {
+            Some(held) => read_whole(body, held, table.limits.max_body_bytes, deadline).await,
+            // its connection has ended
+            None => Err(BodyFault::Broken),
+        };
+        let body = body.map_err(|fault| {
+            let (status, line) = (fault_status(fault), fault.to_string());
+            let mut response = self.reject(&local, status, &line, &parts);
+            // the rest of the body would be taken for the next request
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(CONNECTION, close);
+            response
+        })?;
         let reject = |e: HeadError| {
             let status = StatusCode::BAD_REQUEST;
             self.reject(&local, status, &e.to_string(), &parts)
@@ -281,17 +296,12 @@
     RequestDigest::of(parts.method.as_str(), target, account, body)
 }
 
-async fn read_body(
-    body: Incoming,
-    limits: &IngressLimits,
-) -> Result<Bytes, (StatusCode, &'static str)> {
-    const TOO_LARGE: (StatusCode, &str) = (StatusCode::PAYLOAD_TOO_LARGE, "body too large");
-    if body.size_hint().lower() > limits.max_body_bytes as u64 {
-        return Err(TOO_LARGE);
-    }
-    match Limited::new(body, limits.max_body_bytes).collect().await {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(e) if e.is::<LengthLimitError>() => Err(TOO_LARGE),
-        Err(_) => Err((StatusCode::BAD_REQUEST, "body not received")),
+/// Returns the status of the response to a request whose body is not there: it has not run.
+fn fault_status(fault: BodyFault) -> StatusCode {
+    match fault {
+        BodyFault::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+        BodyFault::NoRoom => StatusCode::SERVICE_UNAVAILABLE,
+        BodyFault::Late => StatusCode::REQUEST_TIMEOUT,
+        BodyFault::Broken => StatusCode::BAD_REQUEST,
     }
 }
--- a/entry/src/ingress/shared.rs
+++ b/entry/src/ingress/shared.rs
@@ -1,6 +1,6 @@
 use {
     super::{
-        admission::Admission, control::ControlHandle, load_monitor::LoadMonitor,
+        admission::Admission, control::ControlHandle, doors, load_monitor::LoadMonitor,
         run_timer::SharedRunTimes, shared_crash_registry::SharedCrashRegistry,
         shared_software_versions::SharedSoftwareVersions,
         stream_origin_exchange::StreamOriginExchange, unknown_headers::UnknownHeaders,
@@ -8,7 +8,10 @@
     crate::conf::IngressSettings,
     arc_swap::ArcSwapOption,
     chalkcart_coordination::{
-        dispatch::Ticket, drain::LastStart, overload::HeldBytes, retry::ListPacing,
+        dispatch::Ticket,
+        drain::LastStart,
+        overload::{HeldBytes, HoldingLimits},
+        retry::ListPacing,
         retry_budget::BudgetUsage,
     },
     chalkcart_state::{
@@ -17,6 +20,7 @@
         published::StorePosition,
     },
     chalkcart_transport::{
+        clients::Holdings,
         clock,
         inbound::BulkReads,
         ingress::{Dialect, Phase},
@@ -60,6 +64,8 @@
     configured: Notify,
     pub admission: Arc<Admission>,
     pub metrics: IngressMetrics,
+    /// What clients hold, at all doors.
+    pub clients: Arc<Holdings>,
     /// The load of this process.
     pub load: Arc<LoadMonitor>,
     /// Memory for responses that are held until they are complete.
@@ -88,7 +94,10 @@
         dialect: Arc<dyn Dialect>,
     ) -> Self {
         let (revocation_bound, limits) = (settings.revocation_bound(), settings.limits());
-        let load = Arc::new(LoadMonitor::default());
+        let client_bytes = settings.client_bytes();
+        let clients = Holdings::new(HoldingLimits::of_bytes(client_bytes));
+        let door = doors::clients(client_bytes);
+        let load = Arc::new(LoadMonitor::new(clients.clone(), door));
         Self {
             admission: Arc::new(Admission::new(&settings.name, revocation_bound, limits)),
             software_versions: SharedSoftwareVersions::new(settings.first_start),
@@ -99,7 +108,8 @@
             table: ArcSwapOption::empty(),
             configuration_position: Mutex::default(),
             configured: Notify::new(),
-            metrics: IngressMetrics::new(&crashes.metrics, &load.metrics),
+            metrics: IngressMetrics::new(&crashes.metrics, &load.metrics, &clients.metrics),
+            clients,
             load,
             held: HeldBytes::default(),
             bulk: BulkReads::default(),
--- a/sidecar/src/conf/placement_settings.rs
+++ b/sidecar/src/conf/placement_settings.rs
@@ -4,9 +4,11 @@
         relay::{RelayPacing, MIN_ENGINES_FOR_ZONE_RELAYS},
     },
     chalkcart_node::settings::{
-        check_log, check_not_empty, check_positive, defaults, Checked, SettingsError,
+        check_client_memory, check_log, check_not_empty, check_positive, defaults, Checked,
+        SettingsError,
     },
     chalkcart_state::ids::BoxName,
+    chalkcart_transport::clients::default_client_bytes,
     serde::Deserialize,
     std::{net::SocketAddr, time::Duration},
 };
@@ -35,6 +37,12 @@
     /// relays there.
     #[serde(default = "default_zone_relays_from_engines")]
     pub zone_relays_from_engines: usize,
+    /// Memory of the box in MiB; without it, the system is asked.
+    #[serde(default)]
+    pub memory_mb: Option<f64>,
+    /// Bytes that callers may hold together; a quarter of the memory by default.
+    #[serde(default)]
+    pub client_bytes: Option<usize>,
     /// Settings that the platform's file left out, for the log.
     #[serde(default)]
     pub defaulted: Vec<String>,
@@ -45,6 +53,11 @@
 }
 
 impl PlacementSettings {
+    /// Returns the bytes that clients may hold together.
+    pub fn client_bytes(&self) -> usize {
+        self.client_bytes
+            .unwrap_or_else(|| default_client_bytes(self.memory_mb))
+    }
     /// Returns the intervals at which a relay reads the store.
     pub fn relay_pacing(&self) -> RelayPacing {
         RelayPacing {
@@ -67,6 +80,7 @@
         check_not_empty("name", &self.name, "the box's name")?;
         check_positive("drain_ms", self.drain_ms)?;
         check_positive("config_apply_ms", self.config_apply_ms)?;
+        check_client_memory(self.memory_mb, self.client_bytes)?;
         check_log(&self.log)
     }
 }
--- a/transport/src/inbound/mod.rs
+++ b/transport/src/inbound/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! docs/INVARIANTS.md lists the readers with their bounds.
 
+mod blocks;
 mod body_error;
 mod bulk_reads;
 mod byte_meter;
@@ -13,6 +14,7 @@
 mod sound_head;
 
 pub use {
+    blocks::Blocks,
     body_error::{http_end_cause, BodyError},
     bulk_reads::{BulkAllowance, BulkReads},
     byte_meter::{ByteMeter, TooManyBytes},
--- a/transport/src/ingress/accept.rs
+++ b/transport/src/ingress/accept.rs
@@ -1,4 +1,5 @@
 use {
+    crate::clients::Connection,
     socket2::{SockRef, Socket},
     std::{io, time::Duration},
     tokio::net::{TcpListener, TcpStream},
@@ -36,9 +37,9 @@
 pub trait ConnectionControl: Send + Sync + 'static {
     /// Called with the number of connections that waited in the queue of the socket.
     fn on_accepted(&self, connections: usize);
-    /// Returns whether a new connection is served; otherwise it is closed unread, so that its
-    /// client tries another entry.
-    fn admits(&self) -> bool;
+    /// Takes a place for a new connection; without one it is closed unread, so that its client tries
+    /// another entry.
+    fn admit(&self) -> Option<Connection>;
     /// Returns how the queue of the socket is taken from now.
     fn accept_pacing(&self) -> AcceptPacing;
     fn on_accept_failed(&self, e: &io::Error);
@@ -60,12 +61,10 @@
     listener: &TcpListener,
     control: &dyn ConnectionControl,
     batch: usize,
-) -> io::Result<Vec<TcpStream>> {
+) -> io::Result<Vec<(TcpStream, Connection)>> {
     let (first, _) = listener.accept().await?;
     let mut served = Vec::new();
-    if control.admits() {
-        served.push(first);
-    }
+    served.extend(control.admit().map(|place| (first, place)));
     let queue = SockRef::from(listener);
     let mut accepted = 1;
     while accepted < batch {
@@ -74,11 +73,12 @@
             break;
         };
         accepted += 1;
-        if control.admits() {
-            match register(socket) {
-                Some(socket) => served.push(socket),
-                None => control.on_connection_ended(),
-            }
+        let Some(place) = control.admit() else {
+            continue;
+        };
+        match register(socket) {
+            Some(socket) => served.push((socket, place)),
+            None => control.on_connection_ended(),
         }
     }
     control.on_accepted(accepted);
--- a/transport/src/ingress/client_socket.rs
+++ b/transport/src/ingress/client_socket.rs
@@ -1,5 +1,5 @@
 use {
-    crate::sockets::reset_on_close,
+    crate::{clients::Connection, sockets::reset_on_close},
     std::{
         io,
         pin::Pin,
@@ -7,7 +7,7 @@
             atomic::{AtomicBool, Ordering},
             Arc,
         },
-        task::{Context, Poll},
+        task::{ready, Context, Poll},
     },
     tokio::{
         io::{AsyncRead, AsyncWrite, ReadBuf},
@@ -35,13 +35,20 @@
 pub struct ClientSocket {
     stream: TcpStream,
     ends_with_connection: EndsWithConnection,
+    /// Holds what arrives of a head.
+    place: Connection,
 }
 
 impl ClientSocket {
-    pub fn new(stream: TcpStream, ends_with_connection: EndsWithConnection) -> Self {
+    pub fn new(
+        stream: TcpStream,
+        ends_with_connection: EndsWithConnection,
+        place: Connection,
+    ) -> Self {
         Self {
             stream,
             ends_with_connection,
+            place,
         }
     }
 }
@@ -60,7 +67,11 @@
         cx: &mut Context,
         buf: &mut ReadBuf,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
+        let before = buf.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
+        let read = buf.filled().len() - before;
+        let held = self.place.on_read(read);
+        Poll::Ready(held.map_err(|_| io::ErrorKind::OutOfMemory.into()))
     }
 }
 
--- a/transport/src/ingress/counted_body.rs
+++ b/transport/src/ingress/counted_body.rs
@@ -3,6 +3,7 @@
         accept::{ConnectionControl, RequestPlace},
         server::ClientBody,
     },
+    crate::clients::HeldResponse,
     bytes::Bytes,
     http_body::{Body, Frame, SizeHint},
     std::{
@@ -28,14 +29,14 @@
     }
 }
 
-/// A response's body with the guard of its request.
+/// A response's body with the guard of its request, and what that holds.
 pub struct CountedBody {
-    body: ClientBody,
+    body: HeldResponse<ClientBody>,
     _guard: RequestGuard,
 }
 
 impl CountedBody {
-    pub fn new(body: ClientBody, guard: RequestGuard) -> Self {
+    pub fn new(body: HeldResponse<ClientBody>, guard: RequestGuard) -> Self {
         Self {
             body,
             _guard: guard,
--- a/transport/src/ingress/server.rs
+++ b/transport/src/ingress/server.rs
@@ -5,6 +5,7 @@
         counted_body::{CountedBody, RequestGuard},
         ProxyBody,
     },
+    crate::clients::{Connection, HeldResponse},
     crate::{sockets::tune_client, supervision::contained},
     async_trait::async_trait,
     bytes::Bytes,
@@ -125,7 +126,9 @@
 
     async fn accept(&self, batch: usize) {
         match accept(&self.listener, self.control.as_ref(), batch).await {
-            Ok(sockets) => sockets.into_iter().for_each(|socket| self.spawn(socket)),
+            Ok(clients) => clients
+                .into_iter()
+                .for_each(|(socket, place)| self.spawn(socket, place)),
             Err(e) => {
                 self.control.on_accept_failed(&e);
                 sleep(ACCEPT_PAUSE).await;
@@ -133,13 +136,13 @@
         }
     }
 
-    fn spawn(&self, socket: TcpStream) {
+    fn spawn(&self, socket: TcpStream, place: Connection) {
         let guard = EndGuard {
             control: self.control.clone(),
             _alive: self.alive.clone(),
         };
         let (service, control) = (self.service.clone(), self.control.clone());
-        let connection = serve_connection(socket, service, control, self.phase.clone());
+        let connection = serve_connection(socket, place, service, control, self.phase.clone());
         tokio::spawn(async move {
             connection.await;
             drop(guard);
@@ -166,6 +169,7 @@
 
 async fn serve_connection(
     socket: TcpStream,
+    place: Connection,
     service: Arc<dyn IngressService>,
     control: Arc<dyn ConnectionControl>,
     mut phase: watch::Receiver<Phase>,
@@ -177,9 +181,10 @@
         .header_read_timeout(service.header_timeout())
         .max_buf_size(service.max_header_bytes().max(MIN_HEAD_BUFFER));
     let ends_with_connection = EndsWithConnection::default();
-    let socket = ClientSocket::new(socket, ends_with_connection.clone());
+    let socket = ClientSocket::new(socket, ends_with_connection.clone(), place.clone());
+    let holder = place.clone();
     let has_request = AtomicBool::new(false);
-    let handled = service_fn(move |req: ClientRequest| {
+    let handled = service_fn(move |mut req: ClientRequest| {
         let place = match has_request.swap(true, Ordering::Relaxed) {
             false => RequestPlace::First,
             true => RequestPlace::Later,
@@ -187,6 +192,10 @@
         let guard = RequestGuard::start(control.clone(), place);
         let service = service.clone();
         let ends_with_connection = ends_with_connection.clone();
+        let (busy, held) = (holder.begin(), holder.request());
+        if let Some(held) = &held {
+            req.extensions_mut().insert(held.clone());
+        }
         async move {
             let version = req.version();
             let mut response = service.respond(req).await;
@@ -194,6 +203,7 @@
             // client that has an older one
             *response.version_mut() = Version::HTTP_11;
             ends_with_connection.set(is_unframed(version, &response));
+            let response = response.map(|body| HeldResponse::new(body, held, busy));
             let response = response.map(|body| CountedBody::new(body, guard));
             Ok::<_, Infallible>(response)
         }
@@ -201,11 +211,20 @@
     let connection = builder.serve_connection(TokioIo::new(socket), handled);
     tokio::pin!(connection);
     let ended = tokio::select! {
+        // what has arrived is read before a client is told that it was late
+        biased;
         ended = connection.as_mut() => ended,
         () = wait_for_phase(&mut phase, Phase::Closing) => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
+        _ = place.gives_way() => match place.is_busy() {
+            true => {
+                connection.as_mut().graceful_shutdown();
+                connection.await
+            }
+            false => return,
+        }
     };
     if let Err(e) = ended {
         log::debug!("ingress: a connection ended: {e}");
--- a/transport/src/lib.rs
+++ b/transport/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod backend;
 pub mod client;
+pub mod clients;
 pub mod clock;
 pub mod engine;
 pub mod inbound;
--- a/transport/src/metrics/ingress_metrics.rs
+++ b/transport/src/metrics/ingress_metrics.rs
@@ -1,6 +1,6 @@
 use {
     super::{
-        bounded_names::BoundedNames, new_histograms_by, CrashMetrics, LoadMetrics,
+        bounded_names::BoundedNames, new_histograms_by, ClientMetrics, CrashMetrics, LoadMetrics,
         RetryBudgetMetrics, VersionMetrics,
     },
     chalkcart_protocol::wire::WireVersion,
@@ -111,7 +111,7 @@
 }
 
 impl IngressMetrics {
-    pub fn new(crashes: &CrashMetrics, load: &LoadMetrics) -> Self {
+    pub fn new(crashes: &CrashMetrics, load: &LoadMetrics, clients: &ClientMetrics) -> Self {
         let mut metrics = Self {
             registry: Registry::with_prefix("chalkcart_ingress"),
             responses: Family::default(),
@@ -158,6 +158,7 @@
             .register("build", "The build that runs", build);
         crashes.register(&mut metrics.registry);
         load.register(&mut metrics.registry);
+        clients.register(&mut metrics.registry);
         metrics.retry_budgets.register(&mut metrics.registry);
         metrics.software_versions.register(&mut metrics.registry);
         metrics
--- a/transport/src/metrics/mod.rs
+++ b/transport/src/metrics/mod.rs
@@ -1,6 +1,7 @@
 //! Prometheus metrics, with histograms per group and class.
 
 mod bounded_names;
+mod client_metrics;
 mod crash_metrics;
 mod ingress_metrics;
 mod labels;
@@ -12,6 +13,7 @@
 use request_metrics::new_histograms_by;
 
 pub use {
+    client_metrics::ClientMetrics,
     crash_metrics::CrashMetrics,
     ingress_metrics::{BodyEndLabel, IngressMetrics},
     labels::{GroupClass, RefusalLabel},
