--- a/coordination/src/overload/client_holdings.rs
+++ b/coordination/src/overload/client_holdings.rs
@@ -337,7 +337,7 @@
             let rank = self.rank_for_place(holder, now)?;
             Some(((rank, holder.progress), *id))
         });
-        let (_, id) = ranked.min().filter(|_| false)?;
+        let (_, id) = ranked.min()?;
         let connection = self.holders.get(&id).and_then(|holder| holder.connection);
         let mut told = vec![id];
         told.extend(connection);
--- a/coordination/tests/client_holdings.rs
+++ b/coordination/tests/client_holdings.rs
@@ -87,6 +87,36 @@
     assert_eq!(holdings.hold(alone, 3 * BYTES, now), Ok(vec![]));
 }
 
+/// Guards against the order in which connections give way for a place: those that sent no whole
+/// head, then those whose body stalls, then idle ones; never one that waits for its response.
+#[test]
+fn the_least_needed_connection_gives_its_place() {
+    let (mut holdings, now) = (holdings(), Instant::now());
+    let connect = |holdings: &mut ClientHoldings, now| holdings.connect(DOOR, now);
+    let waiting = upload(&mut holdings, now);
+    holdings.enter(waiting, Stage::Whole, now);
+    let stalled = upload(&mut holdings, now);
+    let (idle, _) = connect(&mut holdings, now).expect("a place");
+    holdings.enter(idle, Stage::Busy, now);
+    holdings.enter(idle, Stage::Idle, now);
+    let (half, _) = connect(&mut holdings, now).expect("a place");
+    assert_eq!(holdings.hold(half, 40, now), Ok(vec![]));
+    let (silent, _) = connect(&mut holdings, now).expect("a place");
+    let busy: Vec<HolderId> = (5..DOOR.places)
+        .map(|_| upload(&mut holdings, now))
+        .collect();
+    for id in busy {
+        holdings.enter(id, Stage::Whole, now);
+    }
+    let later = now + LONG;
+    let mut order = Vec::new();
+    while let Ok((_, leaving)) = connect(&mut holdings, later) {
+        order.extend(leaving.first().copied());
+    }
+    assert_eq!(order, [half, silent, stalled, idle]);
+    assert_eq!(told(&holdings, waiting), None);
+}
+
 /// Guards against a client being cut off whose head arrives just as it is told to give way.
 #[test]
 fn a_head_that_arrives_in_time_keeps_its_connection() {
--- a/entry/src/ingress/serve.rs
+++ b/entry/src/ingress/serve.rs
@@ -29,7 +29,7 @@
         signals::{stop_cause, unless_stopped},
     },
     chalkcart_protocol::wire::WireVersion,
-    chalkcart_state::published::Topic,
+    chalkcart_state::{ingress::IngressLimits, published::Topic},
     chalkcart_transport::{
         clock,
         ingress::{self, Dialect, Phase},
@@ -38,9 +38,19 @@
         supervision::supervised,
     },
     std::{sync::Arc, time::Duration},
-    tokio::{net::TcpListener, runtime::Handle, sync::watch, time::timeout},
+    tokio::{
+        net::TcpListener,
+        runtime::Handle,
+        sync::watch,
+        time::{sleep, timeout},
+    },
 };
 
+/// Time between two looks for heads that take too long.
+const HEADS_INTERVAL: Duration = Duration::from_secs(1);
+/// Time by which a head may arrive later than its client sent it: packets are lost, links are cut.
+const HEAD_SLACK: Duration = Duration::from_secs(5);
+
 /// Runs the ingress until it receives a stop signal.
 pub fn serve(
     settings: IngressSettings,
@@ -101,6 +111,8 @@
     ));
     tokio::spawn(serve_metrics(shared.clone(), stopped));
     tokio::spawn(apply_settings_changes(reloader, shared.clone(), store));
+    let heads = shared.clone();
+    tokio::spawn(supervised("heads", move || end_late_heads(heads.clone())));
     let load = shared.load.clone();
     tokio::spawn(supervised("load", move || load.clone().run()));
     let service = Arc::new(RoutedIngress::new(shared.clone()));
@@ -140,6 +152,17 @@
     }
 }
 
+/// Closes connections whose heads take longer than the configuration allows.
+async fn end_late_heads(shared: Arc<Shared>) {
+    loop {
+        sleep(HEADS_INTERVAL).await;
+        let table = shared.table.load();
+        let limits = table.as_ref().map(|table| table.limits.header_timeout);
+        let limit = limits.unwrap_or_else(|| IngressLimits::default().header_timeout);
+        shared.clients.expire_heads(limit + HEAD_SLACK);
+    }
+}
+
 /// Starts the tasks that learn what the rest of the fleet knows, and tell it.
 fn spawn_exchanges(shared: &Arc<Shared>, store: &Arc<dyn MetadataSource>) {
     let (reader, store) = (shared.clone(), store.clone());
@@ -183,7 +206,7 @@
         exits_at: now + times.exit_after(),
     }));
     shared.phase.send_replace(Phase::Draining);
-    tokio::time::sleep(times.close_after()).await;
+    sleep(times.close_after()).await;
     shared.phase.send_replace(Phase::Closing);
     let left = times.exit_after().saturating_sub(times.close_after());
     match timeout(left, server).await {
