--- a/entry/src/ingress/service.rs
+++ b/entry/src/ingress/service.rs
@@ -38,9 +38,6 @@
 /// longer than any useful idle timeout.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(120);
 
-/// Time for a body.
-const NO_LIMIT: Duration = Duration::from_secs(24 * 60 * 60);
-
 /// Response text while the configuration may be too old to decide by.
 const OUTDATED: &str = "configuration not known to be current";
 
@@ -212,7 +209,8 @@
             };
             self.reject(&local, status, &cause.to_string(), &parts)
         })?;
-        let deadline = arrived + NO_LIMIT;
+        let timeout = head.as_ref().ok().and_then(|head| head.timeout);
+        let deadline = arrived + timeout.unwrap_or(route.timeout).min(route.timeout);
         let held = parts.extensions.remove::<HeldRequest>();
         let body = match &held {
             Some(held) => read_whole(body, held, table.limits.max_body_bytes, deadline).await,
