What clients hold is bound at every door: pages, sidecars, calls (memory)

What callers saw: messages of legal size that stop short took 666 MiB of a sidecar on, calls 209 MiB and requests on few HTTP/2 connections 357 MiB of an entry (64 MiB given); half heads before a sidecar, or before an entry's pages, took all descriptors, so that entries didn't reach the sidecar and nobody the pages.

Cause: these doors had neither a bound over all clients, nor places, nor times; a call was collected by a library.

Change: all doors of a process share one bound; each has places (32 for a page) of which a connection without a request gives its own; a request counts 8 KiB beside its body; messages and calls are read whole, in blocks, within 30 s, and held until their response has ended or their run has. Heads and buffers of a connection are bound. A call that isn't passed on gets its status with OVERLOADED or DEADLINE_PASSED: its outcome says NOT_RUN only where no reserved id can name an earlier attempt.

--- a/entry/src/app/serve.rs
+++ b/entry/src/app/serve.rs
@@ -12,7 +12,11 @@
         settings::SettingsReloader,
         signals::{stop_cause, unless_stopped},
     },
-    chalkcart_transport::{clock, server, supervision::supervised},
+    chalkcart_transport::{
+        clock,
+        server::{self, HeldDoor},
+        supervision::supervised,
+    },
     std::sync::Arc,
     tokio::sync::watch,
 };
@@ -35,8 +39,9 @@
     tokio::spawn(supervised("configuration", read));
     let (stop, stopped) = watch::channel(false);
     let router = new_router(shared.clone());
+    let door = HeldDoor::only(shared.settings.client_bytes());
     let grace = shared.settings.drain();
-    let served = tokio::spawn(server::serve(listener, router, stopped, grace));
+    let served = tokio::spawn(server::serve(listener, router, door, stopped, grace));
     tokio::spawn(reloader.check::<Settings>());
     log::info!("entry: serves on {}", shared.settings.listen);
     let stopped_by = stop_cause(control_end.wait()).await?;
--- a/entry/src/conf/settings.rs
+++ b/entry/src/conf/settings.rs
@@ -1,9 +1,11 @@
 use {
     chalkcart_coordination::routing::PolicyName,
     chalkcart_node::settings::{
-        check_log, check_not_empty, check_positive, defaults, Checked, SettingsError,
+        check_client_memory, check_log, check_not_empty, check_positive, defaults, Checked,
+        SettingsError,
     },
     chalkcart_state::ids::{BoxName, ZoneName},
+    chalkcart_transport::clients::default_client_bytes,
     serde::Deserialize,
     std::{net::SocketAddr, time::Duration},
 };
@@ -60,12 +62,23 @@
     /// Number of traffic threads.
     #[serde(default = "defaults::threads")]
     pub threads: usize,
+    /// Memory of the box in MiB; without it, the system is asked.
+    #[serde(default)]
+    pub memory_mb: Option<f64>,
+    /// Bytes that clients may hold together; a quarter of the memory by default.
+    #[serde(default)]
+    pub client_bytes: Option<usize>,
 }
 
 impl Settings {
     pub fn drain(&self) -> Duration {
         Duration::from_millis(self.drain_ms)
     }
+    /// Returns the bytes that clients may hold together.
+    pub fn client_bytes(&self) -> usize {
+        self.client_bytes
+            .unwrap_or_else(|| default_client_bytes(self.memory_mb))
+    }
     pub fn silence(&self) -> Duration {
         Duration::from_millis(self.silence_ms)
     }
@@ -85,6 +98,7 @@
                 expected,
             ));
         }
+        check_client_memory(self.memory_mb, self.client_bytes)?;
         check_log(&self.log)
     }
 }
--- a/entry/src/ingress/serve.rs
+++ b/entry/src/ingress/serve.rs
@@ -3,6 +3,7 @@
         admission_exchange::AdmissionExchange,
         control,
         crash_exchange::exchange_crashes,
+        doors,
         earlier_versions::read_earlier_versions,
         fleet_links::{FleetLinks, LinkSettings},
         operator_pages,
@@ -20,6 +21,7 @@
     chalkcart_coordination::{
         dispatch::{DispatchEvent, DispatchSettings, Dispatcher, RetryBudgetSettings},
         drain::{IngressDrain, LastStart},
+        overload::Door,
         relay::RelayPacing,
         watch::WatchPacing,
     },
@@ -34,7 +36,7 @@
         clock,
         ingress::{self, Dialect, Phase},
         metadata::{MetadataSource, StoreWatcher},
-        server::{self, Stop},
+        server::{self, HeldDoor, Stop},
         supervision::supervised,
     },
     std::{sync::Arc, time::Duration},
@@ -106,6 +108,7 @@
     tokio::spawn(server::serve(
         readiness,
         router,
+        held_door(&shared, doors::READINESS),
         stopped.clone(),
         Duration::ZERO,
     ));
@@ -140,14 +143,22 @@
     Ok((clients, readiness))
 }
 
+fn held_door(shared: &Shared, door: Door) -> HeldDoor {
+    HeldDoor {
+        holdings: shared.clients.clone(),
+        door,
+    }
+}
+
 /// Serves the pages for operators' tools, without which clients are served as well.
 async fn serve_metrics(shared: Arc<Shared>, stopped: Stop) {
     let listener = match server::bind(shared.settings.metrics).await {
         Ok(listener) => listener,
         Err(e) => return log::error!("metrics: not served: {e}"),
     };
+    let door = held_door(&shared, doors::METRICS);
     let router = operator_pages::new_metrics_router(shared);
-    if let Err(e) = server::serve(listener, router, stopped, Duration::ZERO).await {
+    if let Err(e) = server::serve(listener, router, door, stopped, Duration::ZERO).await {
         log::debug!("metrics: stopped: {e}");
     }
 }
--- a/entry/src/rpc/inference.rs
+++ b/entry/src/rpc/inference.rs
@@ -19,7 +19,7 @@
         },
     },
     chalkcart_state::ids::ReservedId,
-    chalkcart_transport::{clock, metrics::GroupClass},
+    chalkcart_transport::{clients::HeldRequest, clock, metrics::GroupClass},
     std::{sync::Arc, time::Duration},
     tokio::sync::mpsc,
     tokio_stream::wrappers::ReceiverStream,
@@ -130,17 +130,23 @@
         &self,
         req: Request<GenerateRequest>,
     ) -> Result<Response<Self::GenerateStream>, Status> {
+        let held = req.extensions().get::<HeldRequest>().cloned();
         let req = req.into_inner();
         let reserved_id = req.reserved_id.clone();
         let job = RequestValidator::new(&self.shared, &reserved_id)
             .generate_job(req)
             .await?;
         let (tx, rx) = mpsc::channel(EVENT_BUFFER);
-        tokio::spawn(generate(self.shared.clone(), job, tx));
+        let run = generate(self.shared.clone(), job, tx);
+        tokio::spawn(async move {
+            run.await;
+            drop(held);
+        });
         Ok(Response::new(ReceiverStream::new(rx)))
     }
 
     async fn call(&self, req: Request<CallRequest>) -> Result<Response<CallResponse>, Status> {
+        let held = req.extensions().get::<HeldRequest>().cloned();
         let req = req.into_inner();
         let reserved_id = req.reserved_id.clone();
         let job = RequestValidator::new(&self.shared, &reserved_id)
@@ -152,7 +158,11 @@
         let (tx, mut rx) = mpsc::channel(1);
         let forwarder = RequestForwarder::new(self.shared.clone(), job, tx);
         // The request completes even if this call is dropped, so that its outcome is known.
-        let run = tokio::spawn(forwarder.run());
+        let run = tokio::spawn(async move {
+            let result = forwarder.run().await;
+            drop(held);
+            result
+        });
         let body = rx.recv().await;
         let result = run.await.map_err(|e| Status::internal(e.to_string()))?;
         if let Err(refusal) = result {
--- a/entry/src/server/grpc.rs
+++ b/entry/src/server/grpc.rs
@@ -3,19 +3,33 @@
         app::Shared,
         rpc::{AdminService, InferenceService},
     },
-    chalkcart_protocol::v1::{admin_server::AdminServer, inference_server::InferenceServer},
+    bytes::Bytes,
+    chalkcart_protocol::{
+        peer::{Reason, Refusal, Step},
+        status::to_status,
+        v1::{admin_server::AdminServer, inference_server::InferenceServer},
+    },
+    chalkcart_transport::{
+        clients::{BodyFault, HeldRequest},
+        server::{read_body, BodyError},
+    },
     gotham::{
         handler::HandlerResult,
         helpers::http::Body,
         state::{FromState, State},
     },
     http::{HeaderMap, Method, Request, Uri, Version},
-    http_body_util::BodyExt,
-    std::{convert::Infallible, io, sync::Arc},
-    tonic::service::Routes,
+    http_body_util::{BodyExt, Full},
+    std::{convert::Infallible, io, sync::Arc, time::Duration},
+    tonic::{body::Body as TonicBody, service::Routes, Status},
     tower::Service,
 };
 
+/// Ends of the paths of requests that may have a reserved id.
+const WITH_RESERVED_ID: [&str; 2] = ["/Call", "/Generate"];
+/// Time after which a caller may come back for whom there was no room.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// The tonic services that gotham's routes forward to.
 #[derive(Clone)]
 pub struct GrpcRoutes {
@@ -32,20 +46,56 @@
         }
     }
 
-    /// Forwards a request to tonic and returns its response to gotham.
+    /// Forwards a request to tonic, once it has arrived whole, and returns its response to gotham.
     pub async fn serve(mut self, mut state: State) -> HandlerResult {
-        let req = take_request(&mut state);
+        let body = match read_body(&mut state).await {
+            Ok(body) => body,
+            Err(e) => {
+                let status = refused(&e, &Uri::borrow_from(&state).to_string());
+                let reply = status.into_http::<TonicBody>();
+                return Ok((state, reply.map(to_gotham)));
+            }
+        };
+        let req = take_request(&mut state, body);
         let result: Result<_, Infallible> = self.routes.call(req).await;
         let reply = match result {
-            Ok(response) => response.map(|body| Body::new(body.map_err(io::Error::other))),
+            Ok(response) => response.map(to_gotham),
             Err(never) => match never {},
         };
         Ok((state, reply))
     }
 }
 
-fn take_request(state: &mut State) -> Request<Body> {
-    let mut req = Request::new(Body::take_from(state));
+fn to_gotham(body: TonicBody) -> Body {
+    Body::new(body.map_err(io::Error::other))
+}
+
+/// Returns the status of a request that was not passed on. One with a reserved id may have run in an
+/// earlier attempt, which only its target knows.
+fn refused(e: &BodyError, path: &str) -> Status {
+    let reason = match e {
+        BodyError::Receive(BodyFault::NoRoom) => Reason::Overloaded,
+        BodyError::Receive(BodyFault::Late) => Reason::DeadlinePassed,
+        _ => Reason::BadRequest,
+    };
+    let may_have_id = WITH_RESERVED_ID.iter().any(|end| path.ends_with(end));
+    let refusal = match may_have_id {
+        true => Refusal::may_have_run(Step::Admission, "entry", reason),
+        false => Refusal::not_run(Step::Admission, "entry", reason),
+    };
+    let refusal = refusal.with_detail(e.to_string());
+    to_status(&match reason {
+        Reason::Overloaded => refusal.with_retry_after(RETRY_AFTER),
+        _ => refusal,
+    })
+}
+
+fn take_request(state: &mut State, body: Bytes) -> Request<Body> {
+    let never = |e: Infallible| match e {};
+    let mut req = Request::new(Body::new(Full::new(body).map_err(never)));
+    if let Some(held) = HeldRequest::try_borrow_from(state) {
+        req.extensions_mut().insert(held.clone());
+    }
     *req.method_mut() = Method::take_from(state);
     *req.uri_mut() = Uri::take_from(state);
     *req.version_mut() = Version::HTTP_2;
--- a/sidecar/src/app/serve.rs
+++ b/sidecar/src/app/serve.rs
@@ -19,7 +19,7 @@
     chalkcart_transport::{
         clock,
         engine::HttpEngine,
-        server,
+        server::{self, HeldDoor},
         service::HttpService,
         supervision::{supervised, ThreadEnd},
     },
@@ -58,7 +58,14 @@
     tokio::spawn(supervised("streams", move || sweep(swept.clone())));
     let (stop, stopped) = watch::channel(false);
     let router = new_router(shared.clone());
-    let server_task = tokio::spawn(server::serve(listener, router, stopped, CLOSE_TIMEOUT));
+    let door = HeldDoor::only(shared.settings.client_bytes());
+    let server_task = tokio::spawn(server::serve(
+        listener,
+        router,
+        door,
+        stopped,
+        CLOSE_TIMEOUT,
+    ));
     tokio::spawn(reloader.check::<Settings>());
     log::info!("sidecar: serves on {}", shared.settings.listen);
     let stopped_by = stop_cause(control_end.wait()).await?;
--- a/sidecar/src/placement/serve.rs
+++ b/sidecar/src/placement/serve.rs
@@ -22,7 +22,10 @@
     },
     chalkcart_protocol::wire::WireVersion,
     chalkcart_transport::{
-        metadata::MetadataSource, orders::EngineControl, server, supervision::supervised,
+        metadata::MetadataSource,
+        orders::EngineControl,
+        server::{self, HeldDoor},
+        supervision::supervised,
     },
     std::{
         sync::Arc,
@@ -91,6 +94,7 @@
     tokio::spawn(server::serve(
         listener,
         new_router(shared, relay, usage, crashes),
+        HeldDoor::only(settings.client_bytes()),
         stopped,
         Duration::ZERO,
     ));
--- a/testkit/src/serving.rs
+++ b/testkit/src/serving.rs
@@ -2,7 +2,7 @@
 
 use {
     anyhow::Result,
-    chalkcart_transport::server::{bind, serve},
+    chalkcart_transport::server::{bind, serve, HeldDoor},
     gotham::router::Router,
     std::{net::SocketAddr, sync::Mutex, time::Duration},
     tokio::sync::watch,
@@ -22,7 +22,7 @@
     let listener = bind(SocketAddr::from(([127, 0, 0, 1], 0))).await?;
     let addr = listener.local_addr()?;
     let (stop, stopped) = watch::channel(false);
-    tokio::spawn(serve(listener, router, stopped, GRACE));
+    tokio::spawn(serve(listener, router, HeldDoor::default(), stopped, GRACE));
     Ok(Serving { addr, _stop: stop })
 }
 
--- a/transport/src/server/pages.rs
+++ b/transport/src/server/pages.rs
@@ -1,7 +1,7 @@
 //! Metrics and health pages, which all processes serve.
 
 use {
-    super::{replies::with_version, text_reply, BodyError, Reply, SharedData},
+    super::{body_refused, replies::with_version, text_reply, BodyError, Reply, SharedData},
     gotham::{handler::HandlerResult, state::State},
     http::StatusCode,
 };
@@ -36,5 +36,10 @@
 
 /// Returns the response to a message that can't be decoded.
 pub fn bad_message(e: &BodyError) -> Reply {
-    with_version(text_reply(StatusCode::BAD_REQUEST, e.to_string()))
+    match e {
+        BodyError::Receive(fault) => body_refused(*fault),
+        BodyError::Codec(_) | BodyError::Json(_) => {
+            with_version(text_reply(StatusCode::BAD_REQUEST, e.to_string()))
+        }
+    }
 }
--- a/transport/src/server/requests.rs
+++ b/transport/src/server/requests.rs
@@ -1,6 +1,10 @@
 use {
     super::{PeerEncodingsByIp, SharedData},
-    crate::client::peer_version,
+    crate::{
+        client::peer_version,
+        clients::{read_whole, BodyFault, HeldRequest},
+        clock,
+    },
     bytes::Bytes,
     chalkcart_protocol::{
         decode,
@@ -12,19 +16,22 @@
         state::{client_addr, FromState, State},
     },
     http::HeaderMap,
-    http_body_util::{BodyExt, Limited},
     serde::de::DeserializeOwned,
+    std::time::Duration,
     thiserror::Error,
 };
 
 /// One in so many undecodable messages of an address is logged.
 const LOG_EVERY: u64 = 1_000;
 
+/// Time for the body of a message; a process that sends one waits less.
+pub const MESSAGE_TIMEOUT: Duration = Duration::from_secs(30);
+
 /// A request body that can't be received or decoded.
 #[derive(Debug, Error)]
 pub enum BodyError {
-    #[error("body not received: {0}")]
-    Receive(String),
+    #[error(transparent)]
+    Receive(#[from] BodyFault),
     #[error(transparent)]
     Codec(#[from] CodecError),
     #[error("body is not the JSON expected: {0}")]
@@ -34,9 +41,10 @@
 /// Reads the complete request body, up to the maximum message size.
 pub async fn read_body(state: &mut State) -> Result<Bytes, BodyError> {
     let body = Body::take_from(state);
-    let collected = Limited::new(body, MAX_MESSAGE_BYTES).collect().await;
-    let collected = collected.map_err(|e| BodyError::Receive(e.to_string()))?;
-    Ok(collected.to_bytes())
+    let held = HeldRequest::try_borrow_from(state).cloned();
+    let held = held.ok_or(BodyFault::NoRoom)?;
+    let deadline = clock::now() + MESSAGE_TIMEOUT;
+    Ok(read_whole(body, &held, MAX_MESSAGE_BYTES, deadline).await?)
 }
 
 /// Reads a message between chalkcart's processes.
