--- a/node/src/settings/checks.rs
+++ b/node/src/settings/checks.rs
@@ -20,18 +20,16 @@
     }
 }
 
-/// Least memory of a box, in MiB, and least bytes for its clients: below, not even one request of
-/// usual size would be served.
-const MIN_MEMORY_MIB: f64 = 16.0;
+/// Least bytes for clients: below, not even a few requests of usual size would be served.
 const MIN_CLIENT_BYTES: usize = 256 * 1024;
 
-/// Rejects bounds of what clients hold that are too low for any service.
+/// Rejects bounds of what clients hold with which nobody would be served.
 pub fn check_client_memory(
     memory_mb: Option<f64>,
     client_bytes: Option<usize>,
 ) -> Result<(), SettingsError> {
-    if let Some(mib) = memory_mb.filter(|mib| !(mib.is_finite() && *mib >= MIN_MEMORY_MIB)) {
-        return Err(SettingsError::value("memory_mb", mib, "16 or more"));
+    if let Some(mib) = memory_mb.filter(|mib| !(mib.is_finite() && *mib > 0.0)) {
+        return Err(SettingsError::value("memory_mb", mib, "more than 0"));
     }
     match client_bytes.filter(|bytes| *bytes < MIN_CLIENT_BYTES) {
         Some(bytes) => Err(SettingsError::value(
--- a/transport/src/ingress/client_socket.rs
+++ b/transport/src/ingress/client_socket.rs
@@ -70,8 +70,10 @@
         let before = buf.filled().len();
         ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
         let read = buf.filled().len() - before;
-        let held = self.place.on_read(read);
-        Poll::Ready(held.map_err(|_| io::ErrorKind::OutOfMemory.into()))
+        if read > 0 && self.place.on_read(read).is_err() {
+            return Poll::Ready(Err(io::ErrorKind::OutOfMemory.into()));
+        }
+        Poll::Ready(Ok(()))
     }
 }
 
