--- a/transport/src/clients/holding.rs
+++ b/transport/src/clients/holding.rs
@@ -81,10 +81,12 @@
         self.0.holding.gives_way().await
     }
 
-    /// Returns whether requests are being handled on it.
-    pub fn is_busy(&self) -> bool {
+    /// Returns whether a response may still be on its way to the client.
+    pub fn may_be_answered(&self) -> bool {
         let holding = &self.0.holding;
-        holding.holdings.stage(holding.id) == Some(Stage::Busy)
+        let stage = holding.holdings.stage(holding.id);
+        // the end of a response may not have been written yet when its connection is idle
+        matches!(stage, Some(Stage::Busy | Stage::Idle))
     }
 
     fn enter(&self, stage: Stage) {
--- a/transport/src/ingress/server.rs
+++ b/transport/src/ingress/server.rs
@@ -218,7 +218,7 @@
             connection.as_mut().graceful_shutdown();
             connection.await
         }
-        _ = place.gives_way() => match place.is_busy() {
+        _ = place.gives_way() => match place.may_be_answered() {
             true => {
                 connection.as_mut().graceful_shutdown();
                 connection.await
