--- a/node/src/runtime/resources.rs
+++ b/node/src/runtime/resources.rs
@@ -7,7 +7,7 @@
         panic::{catch_unwind, AssertUnwindSafe},
         sync::{Arc, Mutex},
         thread::{sleep, Builder},
-        time::{Duration, Instant},
+        time::Duration,
     },
 };
 
@@ -22,7 +22,8 @@
 /// Tries until it succeeds. A panic counts as a failure, since libraries panic on some of these.
 pub fn until_had<T>(what: &str, mut attempt: impl FnMut() -> io::Result<T>) -> T {
     let (mut pause, longest) = PAUSES;
-    let mut logged_at: Option<Instant> = None;
+    // the pauses since the last log line
+    let mut unlogged: Option<Duration> = None;
     loop {
         let tried = catch_unwind(AssertUnwindSafe(&mut attempt));
         let tried = tried.unwrap_or_else(|panic| {
@@ -33,10 +34,11 @@
             Ok(had) => return had,
             Err(e) => e,
         };
-        if logged_at.is_none_or(|at| at.elapsed() >= LOG_INTERVAL) {
-            logged_at = Some(Instant::now());
+        if unlogged.is_none_or(|paused| paused >= LOG_INTERVAL) {
+            unlogged = Some(Duration::ZERO);
             log::warn!(cause = e.to_string().as_str(); "start: waits for {what}");
         }
+        unlogged = unlogged.map(|paused| paused + pause);
         sleep(pause);
         pause = (pause * 2).min(longest);
     }
--- a/node/src/settings/load.rs
+++ b/node/src/settings/load.rs
@@ -9,7 +9,7 @@
         io::{self, Write},
         path::{Path, PathBuf},
         thread::sleep,
-        time::{Duration, Instant},
+        time::Duration,
     },
 };
 
@@ -45,18 +45,16 @@
     file: &Path,
     translate: Translate,
 ) -> Result<T, SettingsError> {
-    let until = Instant::now() + WHOLE_WITHIN;
-    let mut is_told = false;
+    let mut waited = Duration::ZERO;
     loop {
         let e = match load_translated(file, translate) {
             Ok(settings) => return Ok(settings),
             Err(e) => e,
         };
-        if !e.may_be_half_written() || Instant::now() >= until {
+        if !e.may_be_half_written() || waited >= WHOLE_WITHIN {
             return Err(e);
         }
-        if !is_told {
-            is_told = true;
+        if waited.is_zero() {
             // the log starts with the settings; a closed standard error must not end the process
             let _ = writeln!(
                 io::stderr(),
@@ -64,6 +62,7 @@
             );
         }
         sleep(POLL_INTERVAL);
+        waited += POLL_INTERVAL;
     }
 }
 
