--- a/transport/src/clients/held_response.rs
+++ b/transport/src/clients/holding_body.rs
@@ -9,12 +9,12 @@
 
 /// A response's body with what its request holds, which is free once the response has ended.
 #[derive(Debug)]
-pub struct HeldResponse<B> {
+pub struct HoldingBody<B> {
     body: B,
     _held: (Option<HeldRequest>, BusyGuard),
 }
 
-impl<B> HeldResponse<B> {
+impl<B> HoldingBody<B> {
     pub fn new(body: B, held: Option<HeldRequest>, busy: BusyGuard) -> Self {
         Self {
             body,
@@ -23,7 +23,7 @@
     }
 }
 
-impl<B: Body + Unpin> Body for HeldResponse<B> {
+impl<B: Body + Unpin> Body for HoldingBody<B> {
     type Data = B::Data;
     type Error = B::Error;
 
--- a/transport/src/clients/mod.rs
+++ b/transport/src/clients/mod.rs
@@ -2,15 +2,15 @@
 //! together are bound, whatever a crowd of them sends.
 
 mod body;
-mod held_response;
 mod holding;
+mod holding_body;
 mod holdings;
 mod memory;
 
 pub use {
     body::{read_whole, BodyFault},
-    held_response::HeldResponse,
     holding::{BusyGuard, Connection, HeldRequest},
+    holding_body::HoldingBody,
     holdings::Holdings,
     memory::default_client_bytes,
 };
--- a/transport/src/ingress/counted_body.rs
+++ b/transport/src/ingress/counted_body.rs
@@ -3,7 +3,7 @@
         accept::{ConnectionControl, RequestPlace},
         server::ClientBody,
     },
-    crate::clients::HeldResponse,
+    crate::clients::HoldingBody,
     bytes::Bytes,
     http_body::{Body, Frame, SizeHint},
     std::{
@@ -31,12 +31,12 @@
 
 /// A response's body with the guard of its request, and what that holds.
 pub struct CountedBody {
-    body: HeldResponse<ClientBody>,
+    body: HoldingBody<ClientBody>,
     _guard: RequestGuard,
 }
 
 impl CountedBody {
-    pub fn new(body: HeldResponse<ClientBody>, guard: RequestGuard) -> Self {
+    pub fn new(body: HoldingBody<ClientBody>, guard: RequestGuard) -> Self {
         Self {
             body,
             _guard: guard,
--- a/transport/src/ingress/server.rs
+++ b/transport/src/ingress/server.rs
@@ -5,7 +5,7 @@
         counted_body::{CountedBody, RequestGuard},
         ProxyBody,
     },
-    crate::clients::{Connection, HeldResponse},
+    crate::clients::{Connection, HoldingBody},
     crate::{sockets::tune_client, supervision::contained},
     async_trait::async_trait,
     bytes::Bytes,
@@ -203,7 +203,7 @@
             // client that has an older one
             *response.version_mut() = Version::HTTP_11;
             ends_with_connection.set(is_unframed(version, &response));
-            let response = response.map(|body| HeldResponse::new(body, held, busy));
+            let response = response.map(|body| HoldingBody::new(body, held, busy));
             let response = response.map(|body| CountedBody::new(body, guard));
             Ok::<_, Infallible>(response)
         }
--- a/transport/src/server/http_server.rs
+++ b/transport/src/server/http_server.rs
@@ -1,6 +1,6 @@
 use {
     super::{body_refused, HeldDoor},
-    crate::clients::{BodyFault, Connection, HeldResponse},
+    crate::clients::{BodyFault, Connection, HoldingBody},
     gotham::{handler::NewHandler, service::call_handler, state::State},
     http::Request,
     hyper::{body::Incoming, service::service_fn},
@@ -108,11 +108,11 @@
             let mut state = State::from_request(req, addr);
             let Some(held) = held else {
                 let refused = body_refused(BodyFault::NoRoom);
-                return Ok(refused.map(|body| HeldResponse::new(body, None, busy)));
+                return Ok(refused.map(|body| HoldingBody::new(body, None, busy)));
             };
             state.put(held.clone());
             let response = call_handler(handler, AssertUnwindSafe(state)).await;
-            response.map(|r| r.map(|body| HeldResponse::new(body, Some(held), busy)))
+            response.map(|r| r.map(|body| HoldingBody::new(body, Some(held), busy)))
         }
     });
     let builder = connection_builder();
