--- a/testkit/tests/starts.rs
+++ b/testkit/tests/starts.rs
@@ -10,7 +10,11 @@
     },
     rand::{rngs::StdRng, RngExt, SeedableRng},
     starts_fixture::{programs, Holder, Program},
-    std::{fs, net::SocketAddr, time::Duration},
+    std::{
+        fs,
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
     tokio::{net::TcpListener, time::sleep},
 };
 
@@ -23,6 +27,9 @@
 /// Time within which a process that was told to stop has ended.
 const STOP_LIMIT: Duration = Duration::from_secs(10);
 
+/// Keeps a failing test from hanging; twice as long as a port is kept after its connection.
+const PORTS_LIMIT: Duration = Duration::from_secs(120);
+
 async fn hold(addr: SocketAddr, by_connection: bool) -> Result<Holder> {
     match by_connection {
         true => Holder::connection(addr).await,
@@ -172,6 +179,17 @@
     Some(SocketAddr::from((ip, port)))
 }
 
+/// Returns whether a listener had the address of an outgoing connection; `None` if a connection of
+/// another process has the port too, by which it could be kept.
+async fn is_left_to_listeners(addr: SocketAddr) -> Result<Option<bool>> {
+    let others = rows_at(addr)?.len() > 1;
+    match TcpListener::bind(addr).await {
+        Ok(_) => Ok(Some(true)),
+        Err(_) if others => Ok(None),
+        Err(_) => Ok(Some(false)),
+    }
+}
+
 /// Guards against an outgoing connection of ours that keeps another process from its port (FAULT).
 #[tokio::test(flavor = "multi_thread")]
 async fn outgoing_connections_leave_their_ports_to_listeners() -> Result<()> {
@@ -180,30 +198,30 @@
         ..FleetSettings::default()
     })
     .await?;
-    let listening = [fleet.clients, fleet.readiness, fleet.metrics];
-    let is_outgoing = |addr: &SocketAddr| !listening.contains(addr);
-    let mut checked = 0;
+    let listening = [
+        fleet.clients,
+        fleet.readiness,
+        fleet.metrics,
+        fleet.sidecar_addr(0),
+    ];
     for process in [&fleet.ingress, &fleet.sidecars[0]] {
-        let addrs = outgoing_addrs(process)?;
-        for addr in addrs.into_iter().filter(is_outgoing) {
-            if addr == fleet.sidecar_addr(0) {
-                continue;
-            }
-            let held_by = rows_at(addr)?;
-            // the kernel may have given the port to a connection of another process too
-            if held_by.len() > 1 {
-                continue;
-            }
-            let listened = TcpListener::bind(addr).await;
+        let end = Instant::now() + PORTS_LIMIT;
+        let mut left = 0;
+        // ports of others are free again within a minute after their connections
+        while left == 0 {
             ensure!(
-                listened.is_ok(),
-                "{addr}: {:?}, {held_by:#?}",
-                listened.err()
+                Instant::now() < end,
+                "each port was that of another connection too"
             );
-            checked += 1;
+            let addrs = outgoing_addrs(process)?;
+            for addr in addrs.into_iter().filter(|addr| !listening.contains(addr)) {
+                let is_left = is_left_to_listeners(addr).await?;
+                ensure!(is_left != Some(false), "{addr} is kept from a listener");
+                left += usize::from(is_left == Some(true));
+            }
+            sleep(Duration::from_millis(100)).await;
         }
     }
-    ensure!(checked >= 2, "only {checked} connections were open");
     Ok(())
 }
 
